--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: one command for each measured figure."""
--- /dev/null
+++ b/foxtaillock/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform, and the modules that implement them."""
--- /dev/null
+++ b/foxtaillock/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded waiting and shedding of calls."""
--- /dev/null
+++ b/foxtaillock/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool for operators."""
--- /dev/null
+++ b/foxtaillock/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry VM."""
--- /dev/null
+++ b/foxtaillock/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Pools, moves, maintenance waves and spare capacity."""
--- /dev/null
+++ b/foxtaillock/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of jobs and leases on workers."""
--- /dev/null
+++ b/foxtaillock/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Upper limits of teams, held by recorded grants, and shares."""
--- /dev/null
+++ b/foxtaillock/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Liveness of the entry VMs."""
--- /dev/null
+++ b/foxtaillock/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data types shared by all subsystems."""
--- /dev/null
+++ b/foxtaillock/model/records.py
@@ -0,0 +1,452 @@
+"""Typed records that stand on the platform's log, and their encoding.
+
+One log record is a batch: the writer, its incarnation, a sequence number and
+the records that were committed together. A batch with a sequence number that
+is not above the last one of the same writer and incarnation is a duplicate,
+left by a retried append, and has no effect.
+
+Streams: `control` carries what every entry VM needs (configuration, keys,
+sessions, claims, grants, moves); `pool.<name>` the jobs of one pool, read by
+its owner; `calls.<service>` the claims of non-idempotent calls.
+"""
+
+import json
+import typing
+from collections.abc import Callable
+
+from foxtaillock import exceptions
+
+__all__ = [
+    "AttemptEnded",
+    "AttemptStarted",
+    "Batch",
+    "CONTROL_STREAM",
+    "CallClaimed",
+    "CallEnded",
+    "Change",
+    "DisruptionEnded",
+    "DisruptionGranted",
+    "GrantChanged",
+    "GrantReclaimed",
+    "JobAccepted",
+    "JobCancelled",
+    "JobCheckpointed",
+    "JobSettled",
+    "KeyGiven",
+    "KeyWithdrawn",
+    "NoteAccepted",
+    "PoolClaimed",
+    "PoolEpochRaised",
+    "PoolReleased",
+    "Record",
+    "SCHEMA_VERSION",
+    "SessionEnded",
+    "SessionRenewed",
+    "SnapshotChunk",
+    "UnknownRecord",
+    "VmStep",
+    "WaveChanged",
+    "decode_batch",
+    "encode_batch",
+    "register_record",
+]
+
+SCHEMA_VERSION = 1
+CONTROL_STREAM = "control"
+
+Record = typing.Any
+_RecordT = typing.TypeVar("_RecordT", bound=type)
+_KINDS: dict[str, type] = {}
+_KIND_OF_CLASS: dict[type, str] = {}
+
+
+class Batch(typing.NamedTuple):
+    """Records that one writer committed in one append.
+
+    Attributes:
+        writer: name of the entry VM.
+        incarnation: random identity of the process that wrote.
+        sequence: counts the batches of this incarnation on the stream from 1.
+        records: the records, in order.
+        schema: schema version of the writer.
+    """
+
+    writer: str
+    incarnation: str
+    sequence: int
+    records: tuple[Record, ...]
+    schema: int = SCHEMA_VERSION
+
+
+class UnknownRecord(typing.NamedTuple):
+    """A record of a kind that this version does not know; it is kept."""
+
+    kind: str
+    body: str
+
+
+def register_record(kind: str) -> Callable[[_RecordT], _RecordT]:
+    """Returns a decorator that registers a record class under `kind`."""
+
+    def _register(record_class: _RecordT) -> _RecordT:
+        _KINDS[kind] = record_class
+        _KIND_OF_CLASS[record_class] = kind
+        return record_class
+
+    return _register
+
+
+class Change(typing.NamedTuple):
+    """One entry of a release note.
+
+    Attributes:
+        action: `added`, `changed` or `withdrawn`.
+        kind: `team`, `pool`, `queue` or `service`.
+        name: name of the object.
+        revision: revision of the object that the author had read; zero when
+            the object did not exist.
+        body: fields of the object; empty when withdrawn.
+    """
+
+    action: str
+    kind: str
+    name: str
+    revision: int
+    body: dict[str, typing.Any]
+
+
+@register_record("note-accepted")
+class NoteAccepted(typing.NamedTuple):
+    """An operator accepted a release note; the fold decides if it stands."""
+
+    note_id: str
+    author: str
+    title: str
+    changes: tuple[Change, ...]
+
+
+@register_record("key-given")
+class KeyGiven(typing.NamedTuple):
+    """A key is given to a team, or to an operator when `team` is empty.
+
+    Attributes:
+        key_id: public name of the key.
+        digest: SHA-256 of the secret, in hexadecimal.
+        team: team that the key works for; empty for an operator's key.
+        author: key id of the operator who gave it.
+    """
+
+    key_id: str
+    digest: str
+    team: str
+    author: str
+
+
+@register_record("key-withdrawn")
+class KeyWithdrawn(typing.NamedTuple):
+    """A key stops working."""
+
+    key_id: str
+    author: str
+
+
+@register_record("session-renewed")
+class SessionRenewed(typing.NamedTuple):
+    """An entry VM is alive; renews its claims and grants.
+
+    Attributes:
+        counter: grows with each renewal of one incarnation.
+        peer_address: `host:port` for other entry VMs.
+    """
+
+    node: str
+    incarnation: str
+    counter: int
+    zone: str
+    peer_address: str
+    api_address: str
+
+
+@register_record("session-ended")
+class SessionEnded(typing.NamedTuple):
+    """A session is over.
+
+    The node itself writes it on a graceful stop. Another node writes it after
+    a silence; it then names the last `counter` that it saw, and the fold
+    refuses it when a later renewal stands.
+    """
+
+    node: str
+    incarnation: str
+    counter: int
+    by: str
+
+
+@register_record("pool-claimed")
+class PoolClaimed(typing.NamedTuple):
+    """A node claims a pool; stands if `epoch` is the next one and the pool has
+    no owner with a live session."""
+
+    pool: str
+    node: str
+    incarnation: str
+    epoch: int
+
+
+@register_record("pool-released")
+class PoolReleased(typing.NamedTuple):
+    """The owner gives the pool back, optionally naming its successor."""
+
+    pool: str
+    node: str
+    incarnation: str
+    epoch: int
+    successor: str = ""
+
+
+@register_record("grant-changed")
+class GrantChanged(typing.NamedTuple):
+    """A node sets the part of a team's upper limit that it may use.
+
+    A raise stands only if the sum over all nodes stays within the limit. The
+    node lowers its grant only to what it really uses at most.
+    """
+
+    team: str
+    node: str
+    incarnation: str
+    amount: int
+    wanted: int
+
+
+@register_record("grant-reclaimed")
+class GrantReclaimed(typing.NamedTuple):
+    """Grants of an ended session are free again."""
+
+    node: str
+    incarnation: str
+
+
+@register_record("vm-step")
+class VmStep(typing.NamedTuple):
+    """One step of the move of a VM between pools.
+
+    Attributes:
+        step: `joined`, `withdrawn`, `drained` or `left`.
+    """
+
+    vm: str
+    incarnation: int
+    pool: str
+    step: str
+    epoch: int
+
+
+@register_record("disruption-granted")
+class DisruptionGranted(typing.NamedTuple):
+    """A voluntary stop of a VM may begin; held until it is ended."""
+
+    vm: str
+    pool: str
+    rack: str
+    zone: str
+    reason: str
+    epoch: int
+
+
+@register_record("disruption-ended")
+class DisruptionEnded(typing.NamedTuple):
+    """A VM was seen back and serving."""
+
+    vm: str
+    pool: str
+    epoch: int
+
+
+@register_record("wave-changed")
+class WaveChanged(typing.NamedTuple):
+    """A maintenance wave of a pool changes its state.
+
+    Attributes:
+        state: `running`, `paused`, `done` or `cancelled`.
+    """
+
+    wave_id: str
+    pool: str
+    state: str
+    reason: str
+    epoch: int
+
+
+@register_record("snapshot-chunk")
+class SnapshotChunk(typing.NamedTuple):
+    """Part of a snapshot of the state at `at_offset`.
+
+    Attributes:
+        digest: digest of the whole state, in hexadecimal.
+        data: part `part` of `parts` of the encoded state.
+    """
+
+    snapshot_id: str
+    at_offset: int
+    part: int
+    parts: int
+    digest: str
+    data: str
+
+
+@register_record("pool-epoch-raised")
+class PoolEpochRaised(typing.NamedTuple):
+    """First record of a new owner; records of lower epochs have no effect."""
+
+    epoch: int
+    node: str
+
+
+@register_record("job-accepted")
+class JobAccepted(typing.NamedTuple):
+    """A job that must now run as promised.
+
+    Attributes:
+        size: cpu_millis, memory_bytes, accelerators.
+        accepted_at: wall-clock time in ISO 8601, for display.
+    """
+
+    job_id: str
+    team: str
+    key_id: str
+    idempotency_key: str
+    queue: str
+    size: tuple[int, int, int]
+    run_time_s: float
+    urgent: bool
+    idempotent: bool
+    deadline_s: float
+    payload: str
+    accepted_at: str
+    epoch: int
+
+
+@register_record("attempt-started")
+class AttemptStarted(typing.NamedTuple):
+    """An attempt is about to be dispatched to a worker."""
+
+    job_id: str
+    attempt: int
+    worker: str
+    worker_incarnation: int
+    epoch: int
+
+
+@register_record("attempt-ended")
+class AttemptEnded(typing.NamedTuple):
+    """An attempt is over.
+
+    Attributes:
+        outcome: `ran`, `not-run` or `unknown`.
+        succeeded: whether an attempt that ran did so with success.
+        result: answer of the worker, or the reason.
+    """
+
+    job_id: str
+    attempt: int
+    outcome: str
+    succeeded: bool
+    result: str
+    epoch: int
+
+
+@register_record("job-checkpointed")
+class JobCheckpointed(typing.NamedTuple):
+    """A running attempt saved its progress and gave its worker back."""
+
+    job_id: str
+    attempt: int
+    checkpoint: str
+    epoch: int
+
+
+@register_record("job-cancelled")
+class JobCancelled(typing.NamedTuple):
+    """The team or an operator cancels a job."""
+
+    job_id: str
+    by: str
+    epoch: int
+
+
+@register_record("job-settled")
+class JobSettled(typing.NamedTuple):
+    """An operator settles a job whose end is unknown, as done or failed."""
+
+    job_id: str
+    by: str
+    succeeded: bool
+    epoch: int
+
+
+@register_record("call-claimed")
+class CallClaimed(typing.NamedTuple):
+    """A non-idempotent call with this key may run once; first claim wins."""
+
+    team: str
+    key_digest: str
+    node: str
+    request_id: str
+
+
+@register_record("call-ended")
+class CallEnded(typing.NamedTuple):
+    """Outcome of a claimed call; `not-run` frees the claim."""
+
+    team: str
+    key_digest: str
+    request_id: str
+    outcome: str
+
+
+def encode_batch(batch: Batch) -> str:
+    """Returns `batch` as one line of JSON."""
+    rows = [_encode_record(record) for record in batch.records]
+    fields = {
+        "v": batch.schema,
+        "w": batch.writer,
+        "i": batch.incarnation,
+        "s": batch.sequence,
+        "r": rows,
+    }
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def _encode_record(record: Record) -> list[typing.Any]:
+    if isinstance(record, UnknownRecord):
+        return [record.kind, *json.loads(record.body)]
+    return [_KIND_OF_CLASS[type(record)], *record]
+
+
+def decode_batch(text: str) -> Batch:
+    """Returns the batch that `text` encodes.
+
+    Raises:
+        exceptions.InvalidInputError: `text` is not an encoded batch.
+    """
+    try:
+        fields = json.loads(text)
+        rows = tuple(_decode_record(row) for row in fields["r"])
+        return Batch(fields["w"], fields["i"], fields["s"], rows, fields["v"])
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise exceptions.InvalidInputError(
+            f"log record is not a batch: {error}"
+        ) from error
+
+
+def _decode_record(row: list[typing.Any]) -> Record:
+    record_class = _KINDS.get(row[0])
+    if record_class is None:
+        return UnknownRecord(row[0], json.dumps(row[1:]))
+    if record_class is NoteAccepted:
+        changes = tuple(Change(*change) for change in row[4])
+        return NoteAccepted(row[1], row[2], row[3], changes)
+    if record_class is JobAccepted:
+        row[6] = tuple(row[6])
+    return record_class(*row[1:])
--- /dev/null
+++ b/foxtaillock/model/resources.py
@@ -0,0 +1,44 @@
+"""Amounts of the resources that a worker offers and a job asks for."""
+
+import typing
+
+__all__ = ["Resources", "ZERO", "add", "fits", "subtract"]
+
+
+class Resources(typing.NamedTuple):
+    """Processors, memory and accelerators.
+
+    Attributes:
+        cpu_millis: thousandths of a processor.
+        memory_bytes: memory.
+        accelerators: whole accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_bytes: int = 0
+    accelerators: int = 0
+
+
+ZERO = Resources()
+
+
+def add(a: Resources, b: Resources) -> Resources:
+    """Returns the sum of `a` and `b`."""
+    return Resources(a[0] + b[0], a[1] + b[1], a[2] + b[2])
+
+
+def subtract(a: Resources, b: Resources) -> Resources:
+    """Returns `a` less `b`; parts may become negative."""
+    return Resources(a[0] - b[0], a[1] - b[1], a[2] - b[2])
+
+
+def fits(wanted: Resources, free: Resources) -> bool:
+    """Returns whether `wanted` is at most `free` in every part.
+
+    Example:
+        >>> fits(Resources(1000, 1, 0), Resources(2000, 1, 0))
+        True
+    """
+    return (
+        wanted[0] <= free[0] and wanted[1] <= free[1] and wanted[2] <= free[2]
+    )
--- /dev/null
+++ b/foxtaillock/notes/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: parser, checks and plan."""
--- /dev/null
+++ b/foxtaillock/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry VMs."""
--- /dev/null
+++ b/foxtaillock/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of jobs on workers."""
--- /dev/null
+++ b/foxtaillock/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Fault-injecting TCP proxy for tests."""
--- /dev/null
+++ b/foxtaillock/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn and the users' measures."""
--- /dev/null
+++ b/foxtaillock/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and back-off."""
--- /dev/null
+++ b/foxtaillock/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a runner for a call."""
--- /dev/null
+++ b/foxtaillock/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings by flag and environment variable."""
--- /dev/null
+++ b/foxtaillock/state/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic state of the fleet, folded from the platform's log."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools: the test runner and checks of the documents."""
