--- /dev/null
+++ b/foxtaillock/model/objects.py
@@ -0,0 +1,78 @@
+"""Bodies of the objects that a release note adds, changes or withdraws."""
+
+import typing
+
+__all__ = ["KINDS", "Pool", "Queue", "Service", "Team"]
+
+KINDS = ("team", "pool", "queue", "service")
+
+
+class Team(typing.TypedDict):
+    """A team of submitters.
+
+    Attributes:
+        share: weight of the team when everything is full, from 1.
+        limit: upper limit of what the team has running in the whole fleet,
+            jobs and calls together.
+    """
+
+    share: int
+    limit: int
+
+
+class Pool(typing.TypedDict, total=False):
+    """A pool of worker VMs.
+
+    Attributes:
+        size: number of workers.
+        zones: zones that the workers stand in.
+        min_available: workers that must stay available in maintenance.
+        spare: whether the pool is held as spare capacity.
+        maintenance_days: days between two maintenances of a VM.
+    """
+
+    size: int
+    zones: list[str]
+    min_available: int
+    spare: bool
+    maintenance_days: int
+
+
+class Queue(typing.TypedDict, total=False):
+    """A queue that feeds a pool.
+
+    Attributes:
+        pool: name of the pool that runs the jobs.
+        teams: teams whose keys may submit; empty for all teams.
+        open: whether submitters need no key; jobs then count for `team`.
+        team: team that jobs without a key count for.
+        max_waiting: jobs that may wait at most.
+        objective: fraction of jobs to start in time, for the burn report.
+    """
+
+    pool: str
+    teams: list[str]
+    open: bool
+    team: str
+    max_waiting: int
+    objective: float
+
+
+class Service(typing.TypedDict, total=False):
+    """A service whose runners answer calls.
+
+    Attributes:
+        slots: calls that one runner works on at once.
+        connections: connections that one runner takes from all entry VMs.
+        open: whether callers need no key; calls then count for `team`.
+        team: team that calls without a key count for.
+        max_deadline_s: longest deadline of a call, in seconds.
+        objective: fraction of calls to answer, for the burn report.
+    """
+
+    slots: int
+    connections: int
+    open: bool
+    team: str
+    max_deadline_s: float
+    objective: float
