Peers: login and typed messages between entry VMs over pycapnp

Cause: entry VMs forward jobs to pool owners and spread news of keys. A stranger reaches only the challenge; both sides prove the shared secret.

--- /dev/null
+++ b/foxtaillock/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces: callers, operators, health and metrics."""
--- /dev/null
+++ b/foxtaillock/peers/links.py
@@ -0,0 +1,140 @@
+"""Links of one entry VM to its neighbours: heartbeats, news and requests."""
+
+import asyncio
+import typing
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from loguru import logger
+
+from foxtaillock import exceptions
+from foxtaillock.membership import liveness
+from foxtaillock.membership import neighbours
+from foxtaillock.model import clock as clocks
+from foxtaillock.peers import client
+from foxtaillock.peers import messages
+
+__all__ = ["PeerLinks"]
+
+HEARTBEAT_S = 1.0
+_EXCHANGE_TIMEOUT_S = 1.0
+
+
+class _Link(typing.NamedTuple):
+    member: neighbours.Member
+    task: "asyncio.Task[None]"
+    wake: asyncio.Event
+
+
+class PeerLinks:
+    """Keeps a connection to each neighbour and exchanges heartbeats.
+
+    Args:
+        own: this entry VM.
+        secret: shared secret of the entry VMs.
+        clock: source of time.
+        make_heartbeat: returns the heartbeat to send now.
+        on_answer: takes a neighbour's answer and the monotonic time, in
+            seconds, before which the request was sent.
+    """
+
+    def __init__(
+        self,
+        own: neighbours.Member,
+        secret: bytes,
+        clock: clocks.Clock,
+        make_heartbeat: Callable[[], messages.Heartbeat],
+        on_answer: Callable[[messages.Heartbeat, float], None],
+    ) -> None:
+        self._own = own
+        self._secret = secret
+        self._clock = clock
+        self._make_heartbeat = make_heartbeat
+        self._on_answer = on_answer
+        self._links: dict[str, _Link] = {}
+        self._members: dict[str, neighbours.Member] = {}
+        self._connections: dict[str, client.PeerConnection] = {}
+        self.liveness = liveness.create_liveness(HEARTBEAT_S)
+
+    def update_members(self, members: Iterable[neighbours.Member]) -> None:
+        """Takes the entry VMs known now; opens and closes links."""
+        self._members = {member.node: member for member in members}
+        chosen = neighbours.choose_neighbours(self._own, self._members.values())
+        wanted = {member.node: member for member in chosen}
+        for node, link in list(self._links.items()):
+            if wanted.get(node) != link.member:
+                self._drop(node)
+        for node, member in wanted.items():
+            if node not in self._links:
+                self._open(member)
+
+    def _open(self, member: neighbours.Member) -> None:
+        wake = asyncio.Event()
+        task = asyncio.ensure_future(self._exchange_forever(member, wake))
+        self._links[member.node] = _Link(member, task, wake)
+
+    def _drop(self, node: str) -> None:
+        self._links.pop(node).task.cancel()
+        self.liveness.forget(node)
+        connection = self._connections.pop(node, None)
+        if connection is not None:
+            connection.close()
+
+    def spread_now(self) -> None:
+        """Sends a heartbeat to every neighbour without delay."""
+        for link in self._links.values():
+            link.wake.set()
+
+    async def _exchange_forever(
+        self, member: neighbours.Member, wake: asyncio.Event
+    ) -> None:
+        while True:
+            await self._exchange_once(member)
+            try:
+                await asyncio.wait_for(wake.wait(), HEARTBEAT_S)
+            except asyncio.TimeoutError:
+                pass
+            wake.clear()
+
+    async def _exchange_once(self, member: neighbours.Member) -> None:
+        try:
+            connection = await self.connection(member.node)
+            sent_s = self._clock.monotonic_s()
+            answer = await connection.exchange(
+                self._make_heartbeat(), _EXCHANGE_TIMEOUT_S
+            )
+        except exceptions.FoxtaillockError as error:
+            logger.debug("no heartbeat from {}: {}", member.node, error)
+            self.liveness.missed(member.node, self._clock.monotonic_s())
+            return
+        self.liveness.heard(member.node, self._clock.monotonic_s())
+        self._on_answer(answer, sent_s)
+
+    async def connection(self, node: str) -> client.PeerConnection:
+        """Returns a connection to `node`, a neighbour or not.
+
+        Raises:
+            exceptions.NotRunError: the node is unknown or does not accept.
+        """
+        connection = self._connections.get(node)
+        if connection is not None and not connection.closed:
+            return connection
+        member = self._members.get(node)
+        if member is None:
+            raise exceptions.NotRunError(f"no entry VM is known as {node!r}")
+        host, _, port = member.peer_address.rpartition(":")
+        connection = await client.connect(
+            host, int(port), self._own.node, self._secret
+        )
+        self._connections[node] = connection
+        return connection
+
+    async def close(self) -> None:
+        """Closes all links."""
+        tasks = [link.task for link in self._links.values()]
+        for node in list(self._links):
+            self._drop(node)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
--- /dev/null
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -0,0 +1,112 @@
+"""Tests of login and messages between entry VMs."""
+
+import asyncio
+import unittest
+
+import capnp
+
+from foxtaillock import exceptions
+from foxtaillock.model import resources
+from foxtaillock.model import world
+from foxtaillock.peers import client
+from foxtaillock.peers import messages
+from foxtaillock.peers import server
+
+_BEAT = messages.Heartbeat("n1", "i1", "a", 7, 0.5, "d", True, ("k1", "k2"))
+_ORDER = messages.JobOrder(
+    "bend",
+    "trinidad",
+    "k1",
+    "idem",
+    world.JobSpec("bending", resources.Resources(500, 2**33, 1), 3.5, True),
+)
+
+
+class _Handler:
+    """Remembers what it was asked and answers."""
+
+    def __init__(self) -> None:
+        self.asked: list[object] = []
+        self.hang = False
+
+    async def exchange(
+        self, heartbeat: messages.Heartbeat
+    ) -> messages.Heartbeat:
+        self.asked.append(heartbeat)
+        if self.hang:
+            await asyncio.sleep(60)
+        return heartbeat._replace(node="n2")
+
+    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
+        self.asked.append(order)
+        return messages.JobReply(messages.ReplyTag.REFUSED, "full", "no", "{}")
+
+    async def read_job(
+        self, job_id: str, team: str, wait_s: float
+    ) -> messages.JobReply:
+        raise RuntimeError("broken handler")
+
+    async def list_jobs(
+        self, pool: str, team: str, after: str, limit: int
+    ) -> messages.JobReply:
+        return messages.JobReply(messages.ReplyTag.DONE, body=f"{limit}")
+
+    async def cancel_job(
+        self, job_id: str, team: str, by: str
+    ) -> messages.JobReply:
+        return messages.JobReply(messages.ReplyTag.MISSING)
+
+    async def settle_job(
+        self, job_id: str, succeeded: bool, by: str
+    ) -> messages.JobReply:
+        return messages.JobReply(messages.ReplyTag.UNKNOWN)
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+
+    async def asyncSetUp(self) -> None:
+        self._loop = capnp.kj_loop()
+        await self._loop.__aenter__()
+        self.handler = _Handler()
+        self.server = server.PeerServer(self.handler, b"secret")
+        self.port = await self.server.start("127.0.0.1", 0)
+
+    async def asyncTearDown(self) -> None:
+        await self.server.close()
+        await self._loop.__aexit__(None, None, None)
+
+    async def _connect(
+        self, secret: bytes = b"secret"
+    ) -> client.PeerConnection:
+        return await client.connect("127.0.0.1", self.port, "n1", secret)
+
+    async def test_messages_arrive_whole(self) -> None:
+        link = await self._connect()
+        beat = await link.exchange(_BEAT, 5.0)
+        self.assertEqual(beat, _BEAT._replace(node="n2"))
+        reply = await link.submit_job(_ORDER, 5.0)
+        self.assertEqual(reply.tag, messages.ReplyTag.REFUSED)
+        self.assertEqual(self.handler.asked, [_BEAT, _ORDER])
+        self.assertEqual((await link.list_jobs("p", "t", "", 9, 5.0)).body, "9")
+        link.close()
+
+    async def test_stranger_learns_and_changes_nothing(self) -> None:
+        with self.assertRaises(exceptions.NotRunError):
+            await self._connect(b"wrong")
+        self.assertEqual(self.handler.asked, [])
+
+    async def test_no_answer_is_unknown(self) -> None:
+        link = await self._connect()
+        self.handler.hang = True
+        with self.assertRaises(exceptions.OutcomeUnknownError):
+            await link.exchange(_BEAT, 0.05)
+
+    async def test_failing_handler_is_unknown(self) -> None:
+        link = await self._connect()
+        with self.assertRaises(exceptions.OutcomeUnknownError):
+            await link.read_job("j", "t", 0.0, 5.0)
+
+    async def test_closed_port_is_not_run(self) -> None:
+        await self.server.close()
+        with self.assertRaises(exceptions.NotRunError):
+            await self._connect()
