--- /dev/null
+++ b/foxtaillock/api/admin.py
@@ -0,0 +1,263 @@
+"""Administration interface: notes, keys, objects, jobs, waves, status."""
+
+import json
+import typing
+from collections.abc import Sequence
+
+from aiohttp import web
+
+from foxtaillock.api import auth
+from foxtaillock.api import callers
+from foxtaillock.api import headers
+from foxtaillock.api import problems
+from foxtaillock.model import outcomes
+from foxtaillock.peers import messages
+
+__all__ = ["AdminBackend", "Row", "add_routes"]
+
+Row = dict[str, typing.Any]
+LISTS = (
+    "teams",
+    "pools",
+    "queues",
+    "services",
+    "vms",
+    "jobs",
+    "waves",
+    "nodes",
+)
+_PREFIX = "/admin/v1"
+_MAX_ID_CHARS = 200
+
+
+class AdminBackend(typing.Protocol):
+    """What the administration interface needs of an entry VM.
+
+    Every method raises `problems.Problem` for a refusal.
+    """
+
+    keys: auth.KeyChecker
+
+    def check_note(self, text: str) -> Row:
+        """Returns the changes of a note, or raises with all findings."""
+
+    def plan_note(self, text: str) -> Row:
+        """Returns what a note would move and cost."""
+
+    async def accept_note(self, text: str, author: str) -> Row:
+        """Puts a note in force."""
+
+    async def undo_note(self, note_id: str, author: str) -> Row:
+        """Puts a note in force that takes an earlier one back."""
+
+    async def give_key(self, team: str, author: str) -> Row:
+        """Gives a key to a team, or to an operator when `team` is empty."""
+
+    async def withdraw_key(self, key_id: str, author: str) -> Row:
+        """Withdraws a key."""
+
+    def list_notes(self) -> Sequence[Row]:
+        """Returns the accepted notes, oldest first."""
+
+    def list_keys(self) -> Sequence[Row]:
+        """Returns the keys, without secrets."""
+
+    async def list_rows(self, what: str) -> Sequence[Row]:
+        """Returns the rows of a list, sorted by `name`."""
+
+    async def settle_job(
+        self, job_id: str, succeeded: bool, by: str
+    ) -> messages.JobReply:
+        """Settles a job whose end is unknown."""
+
+    async def start_wave(self, pool: str, author: str) -> Row:
+        """Starts a maintenance wave of a pool."""
+
+    async def change_wave(self, wave_id: str, action: str, author: str) -> Row:
+        """Pauses, resumes or cancels a wave."""
+
+    def explain_vm(self, name: str) -> Row:
+        """Returns why a VM stands where it stands."""
+
+    def status(self) -> Row:
+        """Returns the state of this entry VM and what it knows."""
+
+
+def add_routes(app: web.Application, backend: AdminBackend) -> None:
+    """Adds the routes of the administration interface to `app`."""
+    admin = _Admin(backend)
+    router = app.router
+    router.add_post(f"{_PREFIX}/notes/check", admin.check_note)
+    router.add_post(f"{_PREFIX}/notes/plan", admin.plan_note)
+    router.add_post(f"{_PREFIX}/notes/accept", admin.accept_note)
+    router.add_post(f"{_PREFIX}/notes/{{note_id}}/undo", admin.undo_note)
+    router.add_get(f"{_PREFIX}/notes", admin.list_notes)
+    router.add_post(f"{_PREFIX}/keys", admin.give_key)
+    router.add_get(f"{_PREFIX}/keys", admin.list_keys)
+    router.add_delete(f"{_PREFIX}/keys/{{key_id}}", admin.withdraw_key)
+    router.add_post(f"{_PREFIX}/jobs/{{job_id}}/settle", admin.settle_job)
+    router.add_post(f"{_PREFIX}/waves", admin.start_wave)
+    router.add_post(
+        f"{_PREFIX}/waves/{{wave_id}}/{{action}}", admin.change_wave
+    )
+    router.add_get(f"{_PREFIX}/explain/vm/{{name}}", admin.explain_vm)
+    router.add_get(f"{_PREFIX}/status", admin.status)
+    for what in LISTS:
+        router.add_get(f"{_PREFIX}/{what}", admin.list_rows)
+        router.add_get(f"{_PREFIX}/{what}/{{name}}", admin.show_row)
+
+
+class _Admin:
+    """Handlers of the administration interface."""
+
+    def __init__(self, backend: AdminBackend) -> None:
+        self._backend = backend
+
+    def _operator(self, request: web.Request) -> str:
+        """Returns the key id of the operator who sends a request."""
+        secret = auth.bearer_secret(request)
+        if not secret:
+            raise problems.Problem("key-required", "show an operator's key")
+        return self._backend.keys.operator(secret).key_id
+
+    async def check_note(self, request: web.Request) -> web.Response:
+        """Checks a note and changes nothing."""
+        self._operator(request)
+        return _json(self._backend.check_note(await _read_text(request)))
+
+    async def plan_note(self, request: web.Request) -> web.Response:
+        """Shows what a note would do."""
+        self._operator(request)
+        return _json(self._backend.plan_note(await _read_text(request)))
+
+    async def accept_note(self, request: web.Request) -> web.Response:
+        """Accepts a note."""
+        author = self._operator(request)
+        text = await _read_text(request)
+        return _json(await self._backend.accept_note(text, author))
+
+    async def undo_note(self, request: web.Request) -> web.Response:
+        """Accepts a note that takes an earlier one back."""
+        author = self._operator(request)
+        note_id = request.match_info["note_id"]
+        return _json(await self._backend.undo_note(note_id, author))
+
+    async def list_notes(self, request: web.Request) -> web.Response:
+        """Lists the accepted notes."""
+        self._operator(request)
+        return _page(request, self._backend.list_notes(), "note_id")
+
+    async def give_key(self, request: web.Request) -> web.Response:
+        """Gives a key."""
+        author = self._operator(request)
+        body = await _read_object(request)
+        team = body.get("team", "")
+        if not isinstance(team, str) or set(body) - {"team"}:
+            raise problems.Problem("bad-request", "team: must be a name")
+        return _json(await self._backend.give_key(team, author), 201)
+
+    async def list_keys(self, request: web.Request) -> web.Response:
+        """Lists the keys."""
+        self._operator(request)
+        return _page(request, self._backend.list_keys(), "key_id")
+
+    async def withdraw_key(self, request: web.Request) -> web.Response:
+        """Withdraws a key."""
+        author = self._operator(request)
+        key_id = request.match_info["key_id"]
+        if len(key_id) > _MAX_ID_CHARS:
+            raise problems.Problem("bad-request", "key id is too long")
+        return _json(await self._backend.withdraw_key(key_id, author))
+
+    async def settle_job(self, request: web.Request) -> web.Response:
+        """Settles a job whose end is unknown."""
+        author = self._operator(request)
+        body = await _read_object(request)
+        succeeded = body.get("succeeded")
+        if not isinstance(succeeded, bool):
+            raise problems.Problem("bad-request", "succeeded: true or false")
+        job_id = request.match_info["job_id"]
+        reply = await self._backend.settle_job(job_id, succeeded, author)
+        return callers.reply_response(reply)
+
+    async def start_wave(self, request: web.Request) -> web.Response:
+        """Starts a wave."""
+        author = self._operator(request)
+        pool = (await _read_object(request)).get("pool")
+        if not isinstance(pool, str):
+            raise problems.Problem("bad-request", "pool: must be a name")
+        return _json(await self._backend.start_wave(pool, author), 201)
+
+    async def change_wave(self, request: web.Request) -> web.Response:
+        """Pauses, resumes or cancels a wave."""
+        author = self._operator(request)
+        action = request.match_info["action"]
+        if action not in ("pause", "resume", "cancel"):
+            raise problems.Problem("not-found", f"no action {action!r}")
+        wave_id = request.match_info["wave_id"]
+        return _json(await self._backend.change_wave(wave_id, action, author))
+
+    async def explain_vm(self, request: web.Request) -> web.Response:
+        """Explains where a VM stands."""
+        self._operator(request)
+        return _json(self._backend.explain_vm(request.match_info["name"]))
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Shows the state of this entry VM."""
+        self._operator(request)
+        return _json(self._backend.status())
+
+    async def list_rows(self, request: web.Request) -> web.Response:
+        """Lists objects of one kind."""
+        self._operator(request)
+        what = request.path.rsplit("/", 1)[1]
+        return _page(request, await self._backend.list_rows(what), "name")
+
+    async def show_row(self, request: web.Request) -> web.Response:
+        """Shows one object."""
+        self._operator(request)
+        name = request.match_info["name"]
+        what = request.path.split("/")[3]
+        for row in await self._backend.list_rows(what):
+            if row["name"] == name:
+                return _json(row)
+        raise problems.Problem("not-found", f"no {name!r} among {what}")
+
+
+def _json(body: typing.Any, status: int = 200) -> web.Response:
+    response = web.json_response(body, status=status)
+    response.headers[headers.OUTCOME] = str(outcomes.OutcomeTag.RAN)
+    return response
+
+
+def _page(
+    request: web.Request, rows: Sequence[Row], field: str
+) -> web.Response:
+    """Returns the rows after the one that `after` names."""
+    after = request.query.get("after", "")
+    limit = callers.read_limit(request)
+    start = 0
+    for i, row in enumerate(rows):
+        if after and row[field] == after:
+            start = i + 1
+    page = rows[start : start + limit]
+    more = start + limit < len(rows)
+    following = page[-1][field] if more and page else None
+    return _json({"items": list(page), "next": following})
+
+
+async def _read_text(request: web.Request) -> str:
+    try:
+        return (await request.read()).decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise problems.Problem("bad-request", "body: not UTF-8") from error
+
+
+async def _read_object(request: web.Request) -> Row:
+    try:
+        body = json.loads(await _read_text(request) or "{}")
+    except (ValueError, RecursionError) as error:
+        raise problems.Problem("bad-request", f"body: {error}") from error
+    if not isinstance(body, dict):
+        raise problems.Problem("bad-request", "body: must be an object")
+    return body
--- /dev/null
+++ b/foxtaillock/api/auth.py
@@ -0,0 +1,54 @@
+"""Who sends a request: a team's key, an operator's key, or nobody."""
+
+import typing
+
+from aiohttp import web
+
+from foxtaillock.api import problems
+
+__all__ = ["KeyChecker", "Principal", "bearer_secret"]
+
+_SCHEME = "Bearer "
+_MAX_SECRET_CHARS = 256
+
+
+class Principal(typing.NamedTuple):
+    """Owner of a key that works.
+
+    Attributes:
+        key_id: public name of the key.
+        team: team of a submitter's key; empty for an operator.
+        operator: whether the key is an operator's.
+    """
+
+    key_id: str
+    team: str
+    operator: bool
+
+
+class KeyChecker(typing.Protocol):
+    """Decides whether a key works now."""
+
+    def submitter(self, secret: str) -> Principal:
+        """Returns the owner of a submitter's key.
+
+        Raises:
+            problems.Problem: the key does not work, or this VM cannot tell.
+        """
+
+    def operator(self, secret: str) -> Principal:
+        """Returns the owner of an operator's key; raises likewise."""
+
+
+def bearer_secret(request: web.Request) -> str:
+    """Returns the secret of the Authorization header, or an empty string.
+
+    Raises:
+        problems.Problem: the header is malformed.
+    """
+    value = request.headers.get("Authorization", "")
+    if not value:
+        return ""
+    if not value.startswith(_SCHEME) or len(value) > _MAX_SECRET_CHARS:
+        raise problems.Problem("key-rejected", "malformed Authorization header")
+    return value[len(_SCHEME) :].strip()
--- /dev/null
+++ b/foxtaillock/api/callers.py
@@ -0,0 +1,293 @@
+"""Callers' interface: calls of services, and jobs."""
+
+import json
+import math
+import typing
+
+from aiohttp import web
+
+from foxtaillock.adapters import interfaces
+from foxtaillock.api import auth
+from foxtaillock.api import headers
+from foxtaillock.api import middleware
+from foxtaillock.api import problems
+from foxtaillock.model import objects
+from foxtaillock.model import outcomes
+from foxtaillock.model import resources
+from foxtaillock.model import world
+from foxtaillock.peers import messages
+
+__all__ = ["CallersBackend", "add_routes"]
+
+_DEFAULT_DEADLINE_S = 10.0
+_DEFAULT_MAX_DEADLINE_S = 60.0
+_MAX_WAIT_S = 60.0
+_MAX_PAGE = 500
+_MAX_KEY_CHARS = 200
+_MAX_JOB_RUN_TIME_S = 30 * 86400.0
+_MAX_AMOUNT = 2**50
+
+
+class CallersBackend(typing.Protocol):
+    """What the callers' interface needs of an entry VM."""
+
+    keys: auth.KeyChecker
+
+    def find_object(
+        self, kind: str, name: str
+    ) -> typing.Mapping[str, typing.Any] | None:
+        """Returns the body of an object of the configuration."""
+
+    async def call(
+        self, request: interfaces.CallRequest, team: str
+    ) -> outcomes.Outcome:
+        """Runs one call for `team`."""
+
+    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
+        """Hands a job to the owner of its pool."""
+
+    async def read_job(
+        self, job_id: str, team: str, wait_s: float
+    ) -> messages.JobReply:
+        """Reads a job at the owner of its pool."""
+
+    async def list_jobs(
+        self, pool: str, team: str, after: str, limit: int
+    ) -> messages.JobReply:
+        """Reads a page of a team's jobs."""
+
+    async def cancel_job(
+        self, job_id: str, team: str, by: str
+    ) -> messages.JobReply:
+        """Cancels a job."""
+
+
+def add_routes(app: web.Application, backend: CallersBackend) -> None:
+    """Adds the routes of the callers' interface to `app`."""
+    callers = _Callers(backend)
+    app.router.add_post("/v1/services/{service}/call", callers.call)
+    app.router.add_post("/v1/services/{service}/call/{path:.*}", callers.call)
+    app.router.add_post("/v1/queues/{queue}/jobs", callers.submit_job)
+    app.router.add_get("/v1/queues/{queue}/jobs", callers.list_jobs)
+    app.router.add_get("/v1/jobs/{job_id}", callers.read_job)
+    app.router.add_delete("/v1/jobs/{job_id}", callers.cancel_job)
+
+
+class _Callers:
+    """Handlers of the callers' interface."""
+
+    def __init__(self, backend: CallersBackend) -> None:
+        self._backend = backend
+
+    async def call(self, request: web.Request) -> web.Response:
+        """Calls a service."""
+        name = request.match_info["service"]
+        body = self._find("service", name)
+        team, _ = self._team_of(request, body)
+        service = typing.cast(objects.Service, body)
+        call = await _read_call(request, name, service)
+        outcome = await self._backend.call(call, team)
+        if not isinstance(outcome, outcomes.Ran):
+            raise problems.from_outcome(outcome)
+        response = web.Response(status=outcome.status, body=outcome.body)
+        response.headers["Content-Type"] = outcome.content_type
+        response.headers[headers.OUTCOME] = str(outcome.tag)
+        return response
+
+    async def submit_job(self, request: web.Request) -> web.Response:
+        """Submits a job."""
+        queue = request.match_info["queue"]
+        body = self._find("queue", queue)
+        team, key_id = self._team_of(request, body)
+        teams = body.get("teams") or []
+        if teams and team not in teams:
+            raise problems.Problem("forbidden", f"not the team of {queue!r}")
+        spec = _read_spec(queue, await request.read())
+        order = messages.JobOrder(
+            body["pool"], team, key_id, _idempotency_key(request), spec
+        )
+        reply = await self._backend.submit_job(order)
+        return reply_response(reply, status=202)
+
+    async def list_jobs(self, request: web.Request) -> web.Response:
+        """Lists the jobs of the caller's team in the queue's pool."""
+        body = self._find("queue", request.match_info["queue"])
+        team, _ = self._team_of(request, body)
+        reply = await self._backend.list_jobs(
+            body["pool"],
+            team,
+            request.query.get("after", ""),
+            read_limit(request),
+        )
+        return reply_response(reply)
+
+    async def read_job(self, request: web.Request) -> web.Response:
+        """Reads a job; `wait_s` waits for its end."""
+        team = self._team_of_job(request)
+        wait_s = _read_number(request.query.get("wait_s", "0"), "wait_s")
+        reply = await self._backend.read_job(
+            request.match_info["job_id"], team, min(wait_s, _MAX_WAIT_S)
+        )
+        return reply_response(reply)
+
+    async def cancel_job(self, request: web.Request) -> web.Response:
+        """Cancels a job."""
+        principal = self._backend.keys.submitter(auth.bearer_secret(request))
+        reply = await self._backend.cancel_job(
+            request.match_info["job_id"], principal.team, principal.key_id
+        )
+        return reply_response(reply)
+
+    def _find(self, kind: str, name: str) -> typing.Mapping[str, typing.Any]:
+        body = self._backend.find_object(kind, name)
+        if body is None:
+            raise problems.Problem("not-found", f"no {kind} {name!r}")
+        return body
+
+    def _team_of(
+        self, request: web.Request, body: typing.Mapping[str, typing.Any]
+    ) -> tuple[str, str]:
+        """Returns team and key id; work counts only for the key's team."""
+        secret = auth.bearer_secret(request)
+        if secret:
+            principal = self._backend.keys.submitter(secret)
+            return principal.team, principal.key_id
+        if body.get("open") and body.get("team"):
+            return str(body["team"]), ""
+        raise problems.Problem("key-required", "show a key of your team")
+
+    def _team_of_job(self, request: web.Request) -> str:
+        secret = auth.bearer_secret(request)
+        if not secret:
+            raise problems.Problem("key-required", "show a key of your team")
+        return self._backend.keys.submitter(secret).team
+
+
+def reply_response(reply: messages.JobReply, status: int = 200) -> web.Response:
+    """Returns the HTTP response for the answer of a pool's owner."""
+    if reply.tag is messages.ReplyTag.DONE:
+        response = web.Response(
+            status=status, text=reply.body, content_type="application/json"
+        )
+        response.headers[headers.OUTCOME] = str(outcomes.OutcomeTag.RAN)
+        return response
+    if reply.tag is messages.ReplyTag.MISSING:
+        raise problems.Problem("not-found", reply.detail or "no such job")
+    tag = outcomes.OutcomeTag.NOT_RUN
+    if reply.tag is messages.ReplyTag.UNKNOWN:
+        tag = outcomes.OutcomeTag.UNKNOWN
+    raise problems.Problem(reply.code, reply.detail, outcome=tag)
+
+
+def read_limit(request: web.Request) -> int:
+    """Returns the page size that a request asks for."""
+    text = request.query.get("limit", "100")
+    if not text.isascii() or not text.isdigit() or int(text) < 1:
+        raise problems.Problem("bad-request", "limit must be a whole number")
+    return min(int(text), _MAX_PAGE)
+
+
+async def _read_call(
+    request: web.Request, name: str, service: objects.Service
+) -> interfaces.CallRequest:
+    longest_s = service.get("max_deadline_s", _DEFAULT_MAX_DEADLINE_S)
+    text = request.headers.get(headers.DEADLINE_S, str(_DEFAULT_DEADLINE_S))
+    deadline_s = min(_read_number(text, headers.DEADLINE_S), longest_s)
+    flag = request.headers.get(headers.IDEMPOTENT, "false").lower()
+    if flag not in ("true", "false"):
+        raise problems.Problem(
+            "bad-request", f"{headers.IDEMPOTENT} must be true or false"
+        )
+    return interfaces.CallRequest(
+        request_id=request[middleware.REQUEST_ID_KEY],
+        service=name,
+        path=request.match_info.get("path", ""),
+        body=await request.read(),
+        deadline_s=deadline_s,
+        idempotent=flag == "true",
+        idempotency_key=_idempotency_key(request),
+        content_type=request.headers.get(
+            "Content-Type", "application/octet-stream"
+        ),
+    )
+
+
+def _idempotency_key(request: web.Request) -> str:
+    key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
+    if len(key) > _MAX_KEY_CHARS:
+        raise problems.Problem("bad-request", "idempotency key is too long")
+    return key
+
+
+def _read_number(text: str, place: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value) or value < 0:
+        raise problems.Problem(
+            "bad-request", f"{place} must be a number of seconds from 0"
+        )
+    return value
+
+
+_JOB_FIELDS = {
+    "cpu_millis": int,
+    "memory_bytes": int,
+    "accelerators": int,
+    "run_time_s": float,
+    "deadline_s": float,
+    "urgent": bool,
+    "idempotent": bool,
+    "payload": str,
+}
+
+
+def _read_spec(queue: str, raw: bytes) -> world.JobSpec:
+    try:
+        body = json.loads(raw or b"{}")
+    except (ValueError, RecursionError) as error:
+        raise problems.Problem("bad-request", f"body: {error}") from error
+    faults = _spec_faults(body)
+    if faults:
+        raise problems.Problem("bad-request", "; ".join(faults))
+    size = resources.Resources(
+        body.get("cpu_millis", 1000),
+        body.get("memory_bytes", 0),
+        body.get("accelerators", 0),
+    )
+    return world.JobSpec(
+        queue=queue,
+        size=size,
+        run_time_s=float(body.get("run_time_s", 60.0)),
+        urgent=body.get("urgent", False),
+        idempotent=body.get("idempotent", False),
+        deadline_s=float(body.get("deadline_s", 0.0)),
+        payload=body.get("payload", ""),
+    )
+
+
+def _spec_faults(body: typing.Any) -> list[str]:
+    """Returns all faults of a submitted job."""
+    if not isinstance(body, dict):
+        return ["body: must be an object"]
+    faults = []
+    for field, value in body.items():
+        kind = _JOB_FIELDS.get(field)
+        if kind is None:
+            faults.append(f"{field}: unknown field")
+        elif kind in (bool, str):
+            if not isinstance(value, kind):
+                faults.append(f"{field}: must be of type {kind.__name__}")
+        elif not _is_amount(value, kind, field):
+            faults.append(f"{field}: must be a number from 0, not absurd")
+    return faults
+
+
+def _is_amount(value: typing.Any, kind: type, field: str) -> bool:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return False
+    if kind is int and not isinstance(value, int):
+        return False
+    largest = _MAX_JOB_RUN_TIME_S if field.endswith("_s") else _MAX_AMOUNT
+    return 0 <= value <= largest
--- /dev/null
+++ b/foxtaillock/api/middleware.py
@@ -0,0 +1,73 @@
+"""Middleware: request ids, problem documents, and counts."""
+
+import secrets
+import typing
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from aiohttp import web
+from loguru import logger
+
+from foxtaillock.api import headers
+from foxtaillock.api import problems
+
+__all__ = ["REQUEST_ID_KEY", "create_middleware"]
+
+REQUEST_ID_KEY = "request_id"
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+_CODE_OF_STATUS = {
+    400: "bad-request",
+    404: "not-found",
+    405: "method-not-allowed",
+    413: "body-too-large",
+}
+
+
+class _Counter(typing.Protocol):
+
+    def count(self, route: str, outcome: str, code: str) -> None:
+        """Counts one answered request."""
+
+
+def create_middleware(counter: _Counter) -> typing.Any:
+    """Returns the middleware of all routes; `counter` sees each answer."""
+
+    @web.middleware
+    async def _middleware(
+        request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        request_id = secrets.token_hex(8)
+        request[REQUEST_ID_KEY] = request_id
+        with logger.contextualize(request_id=request_id):
+            response = await _answer(request, handler)
+        response.headers[headers.REQUEST_ID] = request_id
+        counter.count(
+            _route_of(request),
+            response.headers.get(headers.OUTCOME, ""),
+            response.headers.get(headers.ERROR_CODE, ""),
+        )
+        return response
+
+    return _middleware
+
+
+async def _answer(
+    request: web.Request, handler: _Handler
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except problems.Problem as problem:
+        return problems.problem_response(problem)
+    except web.HTTPException as error:
+        code = _CODE_OF_STATUS.get(error.status, "bad-request")
+        response = problems.problem_response(
+            problems.Problem(code, error.reason)
+        )
+        response.set_status(error.status)
+        return response
+
+
+def _route_of(request: web.Request) -> str:
+    """Returns the pattern of the route, so that names stay few."""
+    resource = request.match_info.route.resource
+    return resource.canonical if resource is not None else "none"
--- /dev/null
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -0,0 +1,163 @@
+"""Keeps this node's part of the teams' upper limits on the log."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from loguru import logger
+
+from foxtaillock import exceptions
+from foxtaillock.daemon import background
+from foxtaillock.limits import grants as limits
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.state import control_state
+from foxtaillock.state import interfaces
+
+__all__ = ["GrantKeeper", "JobGrants"]
+
+_INTERVAL_S = 0.2
+
+
+class JobGrants:
+    """Grants as the owner of a pool uses them."""
+
+    def __init__(self, local: limits.LocalGrants) -> None:
+        self._local = local
+
+    def try_start(self, team: str) -> bool:
+        """Counts one more attempt of the team if its grant allows."""
+        return self._local.try_start(team)
+
+    def finish(self, team: str) -> None:
+        """Counts one attempt less."""
+        self._local.finish(team)
+
+    def adopt(self, team: str) -> None:
+        """Counts an attempt that runs already."""
+        self._local.adopt(team, 1)
+
+
+class GrantKeeper:
+    """Decides and commits changes of the own grants, again and again.
+
+    Args:
+        node: name of this entry VM.
+        incarnation: identity of this process.
+        replica: replica of the control stream.
+        state: its fold.
+        local: counts of what runs here.
+        clock: source of time.
+        waiting_of: returns how much of a team waits here.
+        open_pools_of: returns whether a pool of an ended session has no new
+            owner that carries its attempts.
+        reclaim_wait_s: time after which nothing of an ended session runs.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        replica: interfaces.Replica,
+        state: control_state.ControlState,
+        local: limits.LocalGrants,
+        clock: clocks.Clock,
+        *,
+        waiting_of: Callable[[str], int],
+        open_pools_of: Callable[[str, str], bool],
+        reclaim_wait_s: float,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._replica = replica
+        self._state = state
+        self._local = local
+        self._clock = clock
+        self._waiting_of = waiting_of
+        self._open_pools_of = open_pools_of
+        self._reclaim_wait_s = reclaim_wait_s
+        self._ended_seen_s: dict[tuple[str, str], float] = {}
+        self._background = background.Background()
+        self._reclaiming = False
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            self.step()
+            await asyncio.sleep(_INTERVAL_S)
+
+    def step(self) -> None:
+        """Begins the changes that are due now."""
+        for team in self._state.objects("team"):
+            granted = self._state.grant(team, self._node, self._incarnation)
+            self._local.set_granted(team, granted)
+            self._local.set_waiting(team, self._waiting_of(team))
+        changes = limits.decide(
+            self._node,
+            self._incarnation,
+            [self._view(team) for team in sorted(self._state.objects("team"))],
+            self._clock.monotonic_s(),
+        )
+        for change in changes:
+            if self._local.begin_change(change):
+                self._background.spawn(self._commit(change))
+        self._reclaim()
+
+    def _view(self, team: str) -> limits.TeamView:
+        rows = self._state.session_grants(team)
+        live = [
+            (key.node, key.incarnation)
+            for key, session in self._state.sessions.items()
+            if not session.ended
+        ]
+        grants = {
+            (key.node, key.incarnation): limits.Grant(row.amount, row.wanted)
+            for key, row in rows.items()
+        }
+        limit = self._state.team_limit(team)
+        return self._local.make_view(team, limit, grants, sorted(live))
+
+    async def _commit(self, change: records.GrantChanged) -> None:
+        try:
+            await self._replica.commit(change)
+        except exceptions.FoxtaillockError as error:
+            logger.debug("grant of {} has no verdict: {}", change.team, error)
+            self._local.lose_change(change.team)
+            return
+        granted = self._state.grant(change.team, self._node, self._incarnation)
+        self._local.end_change(change, granted)
+
+    def _reclaim(self) -> None:
+        now_s = self._clock.monotonic_s()
+        holders = set(self._ended_holders())
+        for holder in list(self._ended_seen_s):
+            if holder not in holders:
+                del self._ended_seen_s[holder]
+        ended = []
+        for node, incarnation in sorted(holders):
+            seen_s = self._ended_seen_s.setdefault((node, incarnation), now_s)
+            is_open = self._open_pools_of(node, incarnation)
+            ended.append(
+                limits.EndedSession(node, incarnation, seen_s, is_open)
+            )
+        due = limits.decide_reclaims(ended, now_s, self._reclaim_wait_s)
+        if due and not self._reclaiming:
+            self._reclaiming = True
+            self._background.spawn(self._commit_reclaims(due))
+
+    def _ended_holders(self) -> Iterable[tuple[str, str]]:
+        for team in self._state.objects("team"):
+            for key, row in self._state.session_grants(team).items():
+                if row.amount and not self._state.is_live(*key):
+                    yield (key.node, key.incarnation)
+
+    async def _commit_reclaims(
+        self, due: Iterable[records.GrantReclaimed]
+    ) -> None:
+        try:
+            for record in due:
+                await self._replica.commit(record)
+        except exceptions.FoxtaillockError as error:
+            logger.debug("reclaimed grants have no verdict: {}", error)
+        finally:
+            self._reclaiming = False
--- /dev/null
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -0,0 +1,200 @@
+"""Runs an owner for each pool that this entry VM holds."""
+
+import asyncio
+import random
+import typing
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from loguru import logger
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.daemon import background
+from foxtaillock.daemon import session_keeper
+from foxtaillock.jobs import context as job_context
+from foxtaillock.jobs import owner as owners
+from foxtaillock.jobs import pool_state
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import objects
+from foxtaillock.model import world
+from foxtaillock.state import budget as budgets
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+
+__all__ = ["PoolKeeper"]
+
+_INTERVAL_S = 0.1
+
+
+class _Held(typing.NamedTuple):
+    """A pool that is owned here, with what serves it."""
+
+    epoch: int
+    owner: owners.PoolOwner
+    tasks: Sequence["asyncio.Task[typing.Any]"]
+
+
+class PoolKeeper:
+    """Starts and stops owners as claims are won and lost.
+
+    Args:
+        node: name of this entry VM.
+        state: fold of the control stream.
+        session: session of this entry VM.
+        log: the platform's log.
+        worker_service: tasks on workers.
+        clock: source of time.
+        rng: source of jitter and ids.
+        grants: part of the teams' limits.
+        budget: budget of appends.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        state: control_state.ControlState,
+        session: session_keeper.SessionKeeper,
+        log: adapters.LogService,
+        worker_service: adapters.WorkerService,
+        clock: clocks.Clock,
+        rng: random.Random,
+        grants: job_context.Grants,
+        budget: budgets.AppendBudget | None,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._session = session
+        self._log = log
+        self._worker_service = worker_service
+        self._clock = clock
+        self._rng = rng
+        self._grants = grants
+        self._budget = budget
+        self._held: dict[str, _Held] = {}
+        self._starting: set[str] = set()
+        self._background = background.Background()
+        self._vms: Sequence[world.VmEntry] = ()
+        self.owners: dict[str, owners.PoolOwner] = {}
+
+    async def run(self) -> None:
+        """Follows the claims until cancelled."""
+        while True:
+            await self.step()
+            await asyncio.sleep(_INTERVAL_S)
+
+    async def step(self) -> None:
+        """Starts owners for claims that were won, stops lost ones."""
+        for pool, held in list(self._held.items()):
+            if held.owner.is_deposed or not self._still_mine(pool, held.epoch):
+                await self._stop(pool)
+        for pool, claim in list(self._state.claims.items()):
+            if pool == session_keeper.FLEET_POOL or pool in self._held:
+                continue
+            is_mine = self._session.owns(pool, claim.epoch)
+            if is_mine and pool not in self._starting:
+                self._starting.add(pool)
+                self._background.spawn(self._start(pool, claim.epoch))
+
+    def _still_mine(self, pool: str, epoch: int) -> bool:
+        """A claim stays while no other stands, also when the log is down."""
+        claim = self._state.claim(pool)
+        if claim is None:
+            return False
+        mine = (self._node, self._session.incarnation, epoch)
+        return (claim.node, claim.incarnation, claim.epoch) == mine
+
+    async def _start(self, pool: str, epoch: int) -> None:
+        state = pool_state.PoolState()
+        replica = replicas.StreamReplica(
+            self._log,
+            f"pool.{pool}",
+            state,
+            writer=self._node,
+            incarnation=f"{self._session.incarnation}.{epoch}",
+            clock=self._clock,
+            rng=self._rng,
+            budget=self._budget,
+        )
+        owner = owners.PoolOwner(
+            pool,
+            epoch,
+            replica,
+            state,
+            self._worker_service,
+            self._clock,
+            self._rng,
+            may_act=lambda: self._session.owns(pool, epoch),
+            not_valid_after_s=lambda: self._session.valid_until_s,
+            grants=self._grants,
+            node=self._node,
+        )
+        follow = self._background.spawn(replica.run())
+        try:
+            await replica.catch_up()
+            await owner.start()
+        except exceptions.FoxtaillockError as error:
+            logger.warning("pool {} was not taken over: {}", pool, error)
+            follow.cancel()
+            return
+        finally:
+            self._starting.discard(pool)
+        work = self._background.spawn(owner.run())
+        self._held[pool] = _Held(epoch, owner, (follow, work))
+        self.owners[pool] = owner
+        self._update(pool, owner)
+        logger.info("owner of pool {} with epoch {}", pool, epoch)
+
+    async def _stop(self, pool: str) -> None:
+        held = self._held.pop(pool)
+        self.owners.pop(pool, None)
+        await held.owner.stop()
+        for task in held.tasks:
+            task.cancel()
+        logger.info("no longer owner of pool {}", pool)
+
+    def update(self, vms: Sequence[world.VmEntry]) -> None:
+        """Takes over the list of VMs and the configuration in force."""
+        self._vms = vms
+        for pool, held in self._held.items():
+            self._update(pool, held.owner)
+
+    def _update(self, pool: str, owner: owners.PoolOwner) -> None:
+        owner.update_workers(self._workers_of(pool))
+        owner.update_teams(
+            typing.cast(Mapping[str, objects.Team], self._bodies("team"))
+        )
+        owner.update_queues(
+            typing.cast(Mapping[str, objects.Queue], self._bodies("queue"))
+        )
+
+    def _workers_of(self, pool: str) -> list[world.VmEntry]:
+        """Returns the pool's workers; one that is moving away or may be
+        stopped takes no new work."""
+        workers = []
+        for vm in self._vms:
+            stored = self._state.vms.get(vm.name)
+            if stored is None or stored.pool != pool:
+                continue
+            if stored.step != "joined" or vm.name in self._state.disruptions:
+                vm = vm._replace(state=world.VmState.LEAVING)
+            workers.append(vm)
+        return workers
+
+    def _bodies(self, kind: str) -> dict[str, typing.Any]:
+        stored = self._state.objects(kind)
+        return {name: row.body for name, row in stored.items()}
+
+    async def hand_over(self) -> None:
+        """Stops all owners and releases their pools to other nodes."""
+        for pool in list(self._held):
+            epoch = self._held[pool].epoch
+            await self._stop(pool)
+            try:
+                await self._session.release(pool, epoch)
+            except exceptions.FoxtaillockError as error:
+                logger.warning("pool {} was not released: {}", pool, error)
+
+    async def close(self) -> None:
+        """Ends all tasks."""
+        await self._background.close()
--- /dev/null
+++ b/foxtaillock/daemon/vm_watch.py
@@ -0,0 +1,47 @@
+"""Polls the platform's list of VMs."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from loguru import logger
+
+from foxtaillock.adapters import interfaces
+from foxtaillock.model import world
+
+__all__ = ["VmWatch"]
+
+_INTERVAL_S = 0.5
+
+
+class VmWatch:
+    """Last list of VMs that the platform gave.
+
+    Args:
+        vm_list: the platform's list.
+        on_change: called after a list that differs from the one before.
+    """
+
+    def __init__(
+        self, vm_list: interfaces.VmList, on_change: Callable[[], None]
+    ) -> None:
+        self._vm_list = vm_list
+        self._on_change = on_change
+        self.vms: Sequence[world.VmEntry] = ()
+
+    async def run(self) -> None:
+        """Polls until cancelled; an unreadable list leaves the last one."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(_INTERVAL_S)
+
+    async def poll(self) -> None:
+        """Reads the list once."""
+        try:
+            vms = tuple(await self._vm_list.list_vms())
+        except OSError as error:
+            logger.debug("list of VMs could not be read: {}", error)
+            return
+        if vms != self.vms:
+            self.vms = vms
+            self._on_change()
