Add stand-ins of the platform and HTTP adapters for them

Cause: the system needs a log, a list of VMs, workers, runners and a pool service to run against, and clients of them behind the agreed interfaces.

An order now carries the name and incarnation of the VM that it is meant for. Ruled out: to rely on the epoch and the not-valid-after alone. Both are lost with a reboot, since the worker's clock starts anew, so a delayed order could start a task a second time. The worker refuses with the new code wrong-vm, a small addition to the agreed interface.

--- /dev/null
+++ b/foxtaillock/adapters/http_pools.py
@@ -0,0 +1,62 @@
+"""Draining and rebooting of VMs over HTTP."""
+
+import urllib.parse
+
+from foxtaillock.adapters import http_session
+from foxtaillock.adapters import registry
+from foxtaillock.model import world
+
+__all__ = ["HttpPools", "create_http_pools"]
+
+
+class HttpPools:
+    """Client of the service; see `interfaces.PoolService`.
+
+    Args:
+        url: root URL of the service.
+        timeout_s: longest wait for an answer.
+        session_factory: makes the client session.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float = 5.0,
+        session_factory: http_session.SessionFactory | None = None,
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._session = http_session.Session(session_factory)
+
+    async def drain(self, vm: world.VmEntry) -> None:
+        """Asks the VM to take no new work."""
+        await self._post(vm, "drain", {})
+
+    async def reboot(self, vm: world.VmEntry, operation_id: str) -> None:
+        """Reboots the VM once for each operation id."""
+        await self._post(vm, "reboot", {"operation_id": operation_id})
+
+    async def undrain(self, vm: world.VmEntry) -> None:
+        """Lets the VM take work again."""
+        await self._post(vm, "undrain", {})
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._session.close()
+
+    async def _post(
+        self, vm: world.VmEntry, action: str, body: dict[str, str]
+    ) -> None:
+        name = urllib.parse.quote(vm.name, safe="")
+        url = f"{self._url}/vms/{name}/{action}"
+        await self._session.post_json(url, body, self._timeout_s)
+
+
+@registry.register("pool", "http")
+def create_http_pools(
+    url: str,
+    timeout_s: float = 5.0,
+    session_factory: http_session.SessionFactory | None = None,
+) -> HttpPools:
+    """Returns a client of the service at `url`."""
+    return HttpPools(url, timeout_s, session_factory)
--- /dev/null
+++ b/foxtaillock/adapters/http_session.py
@@ -0,0 +1,219 @@
+"""Client sessions and checks that the HTTP adapters share."""
+
+import json
+import typing
+from collections.abc import Callable, Mapping
+
+import aiohttp
+
+__all__ = [
+    "Checker",
+    "PlatformAnswerError",
+    "Session",
+    "SessionFactory",
+    "read_bounded",
+    "read_json",
+]
+
+_T = typing.TypeVar("_T")
+
+SessionFactory = Callable[[], aiohttp.ClientSession]
+
+_KEEPALIVE_TIMEOUT_S = 15.0
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_CHUNK_BYTES = 64 * 1024
+_MAX_INTEGER = 2**63 - 1
+_OK = 200
+
+
+class PlatformAnswerError(OSError):
+    """The platform's answer is malformed or an error; names its findings."""
+
+
+class Session:
+    """Client session that is made when it is first used.
+
+    Args:
+        factory: makes the session; by default one with the usual pool.
+    """
+
+    def __init__(self, factory: SessionFactory | None = None) -> None:
+        self._factory = factory or _make_session
+        self._session: aiohttp.ClientSession | None = None
+
+    def get(self) -> aiohttp.ClientSession:
+        """Returns the session; must be called inside an event loop."""
+        if self._session is None or self._session.closed:
+            self._session = self._factory()
+        return self._session
+
+    async def close(self) -> None:
+        """Closes the session and its connections."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+    async def post_json(
+        self, url: str, body: Mapping[str, typing.Any], timeout_s: float
+    ) -> typing.Any:
+        """Posts `body` once and returns the value of the answer.
+
+        Raises:
+            OSError: no whole answer came, or one that is an error.
+        """
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self.get().post(
+                url, json=body, timeout=timeout, allow_redirects=False
+            ) as response:
+                return await read_json(response)
+        except aiohttp.ClientError as error:
+            raise OSError(f"{url}: {error!r}") from error
+
+    async def get_json(self, url: str, timeout_s: float) -> typing.Any:
+        """Gets `url` and returns the value of the answer.
+
+        Raises:
+            OSError: no whole answer came, or one that is an error.
+        """
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self.get().get(
+                url, timeout=timeout, allow_redirects=False
+            ) as response:
+                return await read_json(response)
+        except aiohttp.ClientError as error:
+            raise OSError(f"{url}: {error!r}") from error
+
+
+class Checker:
+    """Reads typed fields of a JSON object and collects the findings.
+
+    Args:
+        value: decoded JSON value.
+        place: where the value stands, for the findings.
+        findings: list that findings are added to.
+
+    Example:
+        >>> found = []
+        >>> Checker({"epoch": "3"}, "report", found).integer("epoch")
+        0
+        >>> found
+        ['report.epoch: not an integer']
+    """
+
+    def __init__(self, value: object, place: str, findings: list[str]) -> None:
+        self._place = place
+        self._findings = findings
+        self._fields: dict[str, typing.Any] = {}
+        if isinstance(value, dict):
+            self._fields = value
+        else:
+            findings.append(f"{place}: not an object")
+
+    def integer(self, name: str, default: int | None = None) -> int:
+        """Returns an integer field of at least zero."""
+        value = self._fields.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int):
+            return self._miss(name, "not an integer", 0)
+        if not 0 <= value <= _MAX_INTEGER:
+            return self._miss(name, "out of range", 0)
+        return value
+
+    def number(self, name: str) -> float:
+        """Returns a finite number."""
+        value = self._fields.get(name)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            return self._miss(name, "not a number", 0.0)
+        if not abs(value) <= _MAX_INTEGER:
+            return self._miss(name, "out of range", 0.0)
+        return float(value)
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Returns a text field."""
+        value = self._fields.get(name, default)
+        if not isinstance(value, str):
+            return self._miss(name, "not a text", "")
+        return value
+
+    def boolean(self, name: str) -> bool:
+        """Returns a field that is true or false."""
+        value = self._fields.get(name)
+        if not isinstance(value, bool):
+            return self._miss(name, "not true or false", False)
+        return value
+
+    def array(
+        self, name: str, default: list[typing.Any] | None = None
+    ) -> list[typing.Any]:
+        """Returns an array field."""
+        value = self._fields.get(name, default)
+        if not isinstance(value, list):
+            return self._miss(name, "not an array", [])
+        return value
+
+    def integers(
+        self, name: str, length: int, default: list[int] | None = None
+    ) -> list[int]:
+        """Returns an array field of `length` integers of at least zero."""
+        values = self.array(name, default)
+        good = len(values) == length and all(
+            isinstance(value, int)
+            and not isinstance(value, bool)
+            and 0 <= value <= _MAX_INTEGER
+            for value in values
+        )
+        if not good:
+            return self._miss(name, f"not {length} integers", [0] * length)
+        return values
+
+    def _miss(self, name: str, finding: str, instead: _T) -> _T:
+        self._findings.append(f"{self._place}.{name}: {finding}")
+        return instead
+
+
+async def read_json(response: aiohttp.ClientResponse) -> typing.Any:
+    """Returns the JSON value of a whole answer with status 200.
+
+    Raises:
+        PlatformAnswerError: another status, too long or no JSON.
+        aiohttp.ClientError: the answer was cut.
+    """
+    place = response.url.path
+    if response.status != _OK:
+        response.close()
+        raise PlatformAnswerError(f"{place}: status {response.status}")
+    body = await read_bounded(response, _MAX_ANSWER_BYTES)
+    if body is None:
+        raise PlatformAnswerError(f"{place}: answer too long")
+    try:
+        return json.loads(body.decode("utf-8"))
+    except (ValueError, RecursionError) as error:
+        raise PlatformAnswerError(f"{place}: no JSON: {error}") from error
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes | None:
+    """Returns the whole body, or None if it is longer than `max_bytes`.
+
+    Raises:
+        aiohttp.ClientError: the body was cut.
+    """
+    if (response.content_length or 0) > max_bytes:
+        response.close()
+        return None
+    body = bytearray()
+    async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
+        body += chunk
+        if len(body) > max_bytes:
+            response.close()
+            return None
+    return bytes(body)
+
+
+def _make_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=_KEEPALIVE_TIMEOUT_S
+    )
+    return aiohttp.ClientSession(connector=connector)
--- a/foxtaillock/adapters/interfaces.py
+++ b/foxtaillock/adapters/interfaces.py
@@ -123,7 +123,8 @@
     Attributes:
         accepted: whether the task runs, or ran already under this id.
         code: reason of a refusal: `stale-epoch`, `too-late`, `no-room`,
-            `draining`.
+            `draining`, or `wrong-vm` when the order names another VM or
+            incarnation than the one that received it.
     """
 
     accepted: bool
--- /dev/null
+++ b/foxtaillock/standins/listener.py
@@ -0,0 +1,103 @@
+"""Listening sockets that can be shut and opened again on the same port."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from aiohttp import web
+
+__all__ = ["Listener", "abort_connection"]
+
+_SHUTDOWN_TIMEOUT_S = 0.01
+_KEEPALIVE_TIMEOUT_S = 3600.0
+_BACKLOG = 1024
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Listener:
+    """HTTP server on a port that stays reserved while it is shut.
+
+    Args:
+        add_routes: called with each new application.
+        host: IP number to listen on.
+        port: port, or zero to let the operating system choose.
+    """
+
+    def __init__(
+        self,
+        add_routes: Callable[[web.Application], None],
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        self._add_routes = add_routes
+        self._host = host
+        self._runner: web.AppRunner | None = None
+        self._reserved = _bind(host, port)
+        self.port: int = self._reserved.getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        """Address as `host:port`."""
+        return f"{self._host}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Root URL of the server."""
+        return f"http://{self.address}"
+
+    def connections(self) -> int:
+        """Returns the number of open connections."""
+        if self._runner is None or self._runner.server is None:
+            return 0
+        return len(self._runner.server.connections)
+
+    async def open(self) -> None:
+        """Starts to listen; does nothing when it listens already."""
+        if self._runner is not None:
+            return
+        application = web.Application(client_max_size=_MAX_BODY_BYTES)
+        self._add_routes(application)
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handle_signals=False,
+            keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        sock = _bind(self._host, self.port)
+        site = web.SockSite(self._runner, sock, backlog=_BACKLOG)
+        await site.start()
+
+    async def shut(self) -> None:
+        """Refuses connections and cuts the open ones."""
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        if runner.server is not None:
+            for connection in runner.server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await runner.cleanup()
+
+    async def close(self) -> None:
+        """Shuts the server and gives its port back."""
+        await self.shut()
+        self._reserved.close()
+
+
+async def abort_connection(request: web.Request) -> web.Response:
+    """Cuts the connection of `request` with no answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    await asyncio.sleep(0)
+    return web.Response()
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setblocking(False)
+    sock.bind((host, port))
+    return sock
--- /dev/null
+++ b/foxtaillock/standins/runners.py
@@ -0,0 +1,330 @@
+"""Stand-in for the runners of the services, each on its own socket."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import random
+import typing
+
+from aiohttp import web
+
+from foxtaillock import exceptions
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import world
+from foxtaillock.standins import faults
+from foxtaillock.standins import listener
+
+__all__ = ["RunEntry", "RunnerFaults", "RunnerFleet", "RunnerVm"]
+
+_DEFAULT_WORK_S = 0.005
+
+
+class RunEntry(typing.TypedDict):
+    """One run of a request, for an independent check.
+
+    Attributes:
+        runner, service, incarnation: VM that ran it.
+        request_id, idempotency_key, path: as the request gave them.
+        body_digest: SHA-256 of the request body.
+        started_s: time of the start on the clock that all runners share.
+        state: `running`, `ended` or `cut`.
+    """
+
+    runner: str
+    service: str
+    incarnation: int
+    request_id: str
+    idempotency_key: str
+    path: str
+    body_digest: str
+    started_s: float
+    state: str
+
+
+@dataclasses.dataclass
+class RunnerFaults(faults.Faults):
+    """Faults of one runner.
+
+    Attributes:
+        fail_all: every request runs and is answered 500.
+        hang: every request starts and never ends.
+        slow_factor: factor of the work time.
+        truncate: answers end before their declared length.
+        crossed: answers carry the id and body of the previous request.
+        late_s: seconds that an answer waits after its work and slot ended.
+    """
+
+    fail_all: bool = False
+    hang: bool = False
+    slow_factor: float = 1.0
+    truncate: bool = False
+    crossed: bool = False
+    late_s: float = 0.0
+
+
+class RunnerVm:
+    """One runner behind its own listening socket.
+
+    Args:
+        entry: row of the VM; its address is filled in here.
+        journal: list that each run is added to.
+        clock: clock that all runners share.
+        host: IP number to listen on.
+        slots: requests that run at once.
+        max_connections: connections that may be open at once.
+    """
+
+    def __init__(
+        self,
+        entry: world.VmEntry,
+        journal: list[RunEntry],
+        clock: clock_lib.Clock,
+        host: str,
+        slots: int,
+        max_connections: int,
+    ) -> None:
+        self._listener = listener.Listener(self._add_routes, host)
+        self.entry = entry._replace(address=self._listener.address)
+        self._journal = journal
+        self._clock = clock
+        self._slots = slots
+        self._max_connections = max_connections
+        self.busy_slots = 0
+        self.is_draining = False
+        self.refused = 0
+        self.faults = RunnerFaults()
+        self.gate = faults.FaultGate(self.faults, random.Random(entry.name))
+        self._previous = ("none", b"{}")
+
+    async def open(self) -> None:
+        """Starts to listen."""
+        await self._listener.open()
+
+    async def shut(self) -> None:
+        """Refuses connections and cuts the open ones."""
+        await self._listener.shut()
+
+    async def close(self) -> None:
+        """Stops for good."""
+        await self._listener.close()
+
+    def drain(self) -> None:
+        """Refuses new requests from now on."""
+        self.is_draining = True
+
+    def undrain(self) -> None:
+        """Takes requests again."""
+        self.is_draining = False
+
+    def begin_incarnation(self) -> world.VmEntry:
+        """Returns the row of the new incarnation."""
+        incarnation = self.entry.incarnation + 1
+        self.entry = self.entry._replace(incarnation=incarnation)
+        return self.entry
+
+    def set_faults(self, changes: dict[str, typing.Any]) -> None:
+        """Sets the named faults and leaves the others."""
+        self.gate.update(changes)
+
+    def _add_routes(self, application: web.Application) -> None:
+        application.router.add_post("/run/{path:.*}", self._run)
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        if not await self.gate.enter():
+            return await listener.abort_connection(request)
+        refusal = self._refusal(request)
+        if refusal:
+            return self._refuse(request, refusal)
+        entry = self._begin(request, body)
+        self.busy_slots += 1
+        try:
+            await self._work(_parse_body(body))
+            entry["state"] = "ended"
+        finally:
+            self.busy_slots -= 1
+            if entry["state"] == "running":
+                entry["state"] = "cut"
+        if self.faults.late_s > 0:
+            await asyncio.sleep(self.faults.late_s)
+        if self.gate.loses_answer():
+            return await listener.abort_connection(request)
+        return await self._answer(request, body, entry)
+
+    def _refusal(self, request: web.Request) -> str:
+        if self.faults.unavailable:
+            return "unavailable"
+        if self.is_draining:
+            return "draining"
+        if self._listener.connections() > self._max_connections:
+            return "connections"
+        if self.busy_slots >= self._slots:
+            return "slots"
+        if float(request.headers.get("X-Deadline-S", "60")) <= 0:
+            return "deadline"
+        return ""
+
+    def _refuse(self, request: web.Request, reason: str) -> web.Response:
+        self.refused += 1
+        headers = self._headers(request.headers.get("X-Request-Id", ""))
+        headers["X-Outcome"] = "not-run"
+        if reason == "connections":
+            headers["Connection"] = "close"
+        return web.Response(status=503, text=reason, headers=headers)
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        return {
+            "X-Request-Id": request_id,
+            "X-Busy-Slots": str(self.busy_slots),
+            "X-Connections": str(self._listener.connections()),
+            "X-Draining": "1" if self.is_draining else "0",
+        }
+
+    def _begin(self, request: web.Request, body: bytes) -> RunEntry:
+        entry = RunEntry(
+            runner=self.entry.name,
+            service=self.entry.service,
+            incarnation=self.entry.incarnation,
+            request_id=request.headers.get("X-Request-Id", ""),
+            idempotency_key=request.headers.get("X-Idempotency-Key", ""),
+            path=request.match_info["path"],
+            body_digest=hashlib.sha256(body).hexdigest(),
+            started_s=self._clock.monotonic_s(),
+            state="running",
+        )
+        self._journal.append(entry)
+        return entry
+
+    async def _work(self, wanted: dict[str, typing.Any]) -> None:
+        while self.faults.hang:
+            await asyncio.sleep(0.05)
+        work_s = float(wanted.get("work_s", _DEFAULT_WORK_S))
+        await asyncio.sleep(work_s * self.faults.slow_factor)
+
+    async def _answer(
+        self, request: web.Request, body: bytes, entry: RunEntry
+    ) -> web.StreamResponse:
+        filler = "x" * int(_parse_body(body).get("size_bytes", 0))
+        payload = json.dumps(
+            {
+                "request_id": entry["request_id"],
+                "body_digest": entry["body_digest"],
+                "runner": self.entry.name,
+                "filler": filler,
+            }
+        ).encode()
+        answer = (entry["request_id"], payload)
+        if self.faults.crossed:
+            answer, self._previous = self._previous, answer
+        else:
+            self._previous = answer
+        request_id, payload = answer
+        status = 500 if self.faults.fail_all else 200
+        headers = self._headers(request_id)
+        headers["Content-Type"] = "application/json"
+        if not self.faults.truncate:
+            return web.Response(status=status, body=payload, headers=headers)
+        return await _truncate(request, status, headers, payload)
+
+
+class RunnerFleet:
+    """All runners of one process, with one admin socket and one journal.
+
+    Args:
+        clock: clock that all runners share.
+        host: IP number to listen on.
+        slots: requests that each runner runs at once.
+        max_connections: connections that each runner may have open.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        host: str = "127.0.0.1",
+        slots: int = 8,
+        max_connections: int = 64,
+    ) -> None:
+        self._clock = clock
+        self._host = host
+        self._slots = slots
+        self._max_connections = max_connections
+        self._listener = listener.Listener(self._add_routes, host)
+        self.vms: dict[str, RunnerVm] = {}
+        self.journal: list[RunEntry] = []
+
+    @property
+    def admin_url(self) -> str:
+        """Root URL of the admin socket."""
+        return self._listener.url
+
+    async def open(self) -> None:
+        """Starts the admin socket."""
+        await self._listener.open()
+
+    async def close(self) -> None:
+        """Stops the admin socket and all runners."""
+        await self._listener.close()
+        for vm in self.vms.values():
+            await vm.close()
+
+    async def add(self, entry: world.VmEntry) -> RunnerVm:
+        """Returns a new runner that listens."""
+        vm = RunnerVm(
+            entry,
+            self.journal,
+            self._clock,
+            self._host,
+            self._slots,
+            self._max_connections,
+        )
+        self.vms[entry.name] = vm
+        await vm.open()
+        return vm
+
+    def set_faults(self, name: str, changes: dict[str, typing.Any]) -> None:
+        """Sets faults of the named runner, or of all for `*`.
+
+        Raises:
+            exceptions.InvalidInputError: no such runner or fault.
+        """
+        if name != "*" and name not in self.vms:
+            raise exceptions.InvalidInputError(f"no runner is named {name!r}")
+        for vm in self.vms.values():
+            if name in ("*", vm.entry.name):
+                vm.set_faults(changes)
+
+    def _add_routes(self, application: web.Application) -> None:
+        application.router.add_get("/admin/journal", self._get_journal)
+        application.router.add_post("/admin/faults", self._set_faults)
+
+    async def _get_journal(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.journal)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        changes = await request.json()
+        try:
+            self.set_faults(changes.pop("vm", "*"), changes)
+        except exceptions.InvalidInputError as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response({})
+
+
+def _parse_body(body: bytes) -> dict[str, typing.Any]:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+async def _truncate(
+    request: web.Request, status: int, headers: dict[str, str], payload: bytes
+) -> web.StreamResponse:
+    response = web.StreamResponse(status=status, headers=headers)
+    response.content_length = len(payload)
+    await response.prepare(request)
+    await response.write(payload[: len(payload) // 2])
+    if request.transport is not None:
+        request.transport.close()
+    return response
--- /dev/null
+++ b/foxtaillock/standins/vm_list.py
@@ -0,0 +1,169 @@
+"""Stand-in for the platform's lagging list of live and leaving VMs."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from aiohttp import web
+
+from foxtaillock import exceptions
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import resources
+from foxtaillock.model import world
+from foxtaillock.standins import faults
+from foxtaillock.standins import listener
+
+__all__ = ["LaggingList", "VmListServer", "entry_of", "row_of", "start_vm_list"]
+
+
+class LaggingList:
+    """Rows of VMs whose changes become visible after a lag.
+
+    Args:
+        lag_s: seconds until a change shows.
+        clock: clock of the list.
+    """
+
+    def __init__(self, lag_s: float, clock: clock_lib.Clock) -> None:
+        self.lag_s = lag_s
+        self._clock = clock
+        self._visible: dict[str, world.VmEntry] = {}
+        self._current: dict[str, world.VmEntry] = {}
+        self._pending: collections.deque[
+            tuple[float, str, world.VmEntry | None]
+        ] = collections.deque()
+
+    def put(self, entry: world.VmEntry, at_once: bool = False) -> None:
+        """Adds or replaces the row of this name."""
+        self._current[entry.name] = entry
+        self._change(entry.name, entry, at_once)
+
+    def remove(self, name: str) -> None:
+        """Takes the row of this name out."""
+        self._current.pop(name, None)
+        self._change(name, None, False)
+
+    def mark_leaving(self, name: str) -> None:
+        """Marks the VM as leaving.
+
+        Raises:
+            exceptions.InvalidInputError: no VM has this name.
+        """
+        entry = self._current.get(name)
+        if entry is None:
+            raise exceptions.InvalidInputError(f"no VM is named {name!r}")
+        self.put(entry._replace(state=world.VmState.LEAVING))
+
+    def current(self) -> list[world.VmEntry]:
+        """Returns the true rows, with no lag, by name."""
+        return [self._current[name] for name in sorted(self._current)]
+
+    def visible(self) -> list[world.VmEntry]:
+        """Returns the rows as the platform shows them, by name."""
+        now_s = self._clock.monotonic_s()
+        while self._pending and self._pending[0][0] <= now_s:
+            _, name, entry = self._pending.popleft()
+            self._show(name, entry)
+        return [self._visible[name] for name in sorted(self._visible)]
+
+    def _change(
+        self, name: str, entry: world.VmEntry | None, at_once: bool
+    ) -> None:
+        if at_once:
+            self._show(name, entry)
+            return
+        due_s = self._clock.monotonic_s() + self.lag_s
+        self._pending.append((due_s, name, entry))
+
+    def _show(self, name: str, entry: world.VmEntry | None) -> None:
+        if entry is None:
+            self._visible.pop(name, None)
+        else:
+            self._visible[name] = entry
+
+
+class VmListServer:
+    """HTTP server of the list."""
+
+    def __init__(self, rows: LaggingList, host: str, seed: int) -> None:
+        self.rows = rows
+        self.faults = faults.Faults()
+        self.gate = faults.FaultGate(self.faults, random.Random(seed))
+        self._listener = listener.Listener(self._add_routes, host)
+
+    @property
+    def url(self) -> str:
+        """Root URL of the list."""
+        return self._listener.url
+
+    async def open(self) -> None:
+        """Starts to listen."""
+        await self._listener.open()
+
+    async def close(self) -> None:
+        """Stops for good."""
+        await self._listener.close()
+
+    def _add_routes(self, application: web.Application) -> None:
+        router = application.router
+        router.add_get("/vms", self._list)
+        router.add_post("/admin/vms", self._put)
+        router.add_post("/admin/vms/{name}/leaving", self._mark_leaving)
+        router.add_delete("/admin/vms/{name}", self._remove)
+        router.add_post("/admin/faults", self._set_faults)
+
+    async def _list(self, request: web.Request) -> web.Response:
+        if not await self.gate.enter() or self.gate.loses_answer():
+            return await listener.abort_connection(request)
+        if self.faults.unavailable:
+            return web.Response(status=503, text="unavailable")
+        rows = [row_of(entry) for entry in self.rows.visible()]
+        return web.json_response({"vms": rows})
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self.rows.put(entry_of(await request.json()))
+        return web.json_response({})
+
+    async def _mark_leaving(self, request: web.Request) -> web.Response:
+        try:
+            self.rows.mark_leaving(request.match_info["name"])
+        except exceptions.InvalidInputError as error:
+            return web.Response(status=404, text=str(error))
+        return web.json_response({})
+
+    async def _remove(self, request: web.Request) -> web.Response:
+        self.rows.remove(request.match_info["name"])
+        return web.json_response({})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        try:
+            self.gate.update(await request.json())
+        except exceptions.InvalidInputError as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response(dataclasses.asdict(self.faults))
+
+
+def row_of(entry: world.VmEntry) -> dict[str, typing.Any]:
+    """Returns `entry` as a row for JSON."""
+    return entry._asdict() | {"size": list(entry.size)}
+
+
+def entry_of(row: dict[str, typing.Any]) -> world.VmEntry:
+    """Returns the entry that `row_of` has made a row of."""
+    changes = {
+        "role": world.VmRole(row["role"]),
+        "state": world.VmState(row.get("state", "live")),
+        "size": resources.Resources(*row.get("size", ())),
+    }
+    return world.VmEntry(**(row | changes))
+
+
+async def start_vm_list(
+    lag_s: float, host: str = "127.0.0.1", seed: int = 0
+) -> VmListServer:
+    """Returns a new list that listens."""
+    rows = LaggingList(lag_s, clock_lib.SystemClock())
+    server = VmListServer(rows, host, seed)
+    await server.open()
+    return server
--- /dev/null
+++ b/foxtaillock/standins/workers.py
@@ -0,0 +1,276 @@
+"""Stand-in for the platform's workers, each on a socket of its own."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+from collections.abc import Callable
+
+from aiohttp import web
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import resources
+from foxtaillock.model import world
+from foxtaillock.standins import faults
+from foxtaillock.standins import listener
+from foxtaillock.standins import worker_model
+
+__all__ = ["WorkerFaults", "WorkerFleet", "WorkerVm"]
+
+_Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass
+class WorkerFaults(faults.Faults):
+    """Faults of one worker.
+
+    Attributes:
+        fail_all: every task fails as soon as it starts.
+        refuse: every order is refused with `no-room`.
+        pause: the worker is frozen; its clock goes on, its tasks do not.
+    """
+
+    fail_all: bool = False
+    refuse: bool = False
+    pause: bool = False
+
+
+class WorkerVm:
+    """One worker behind its own listening socket.
+
+    Args:
+        entry: row of the VM; its address is filled in here.
+        fleet_journal: called with each start and end of a task.
+        usage_lag_s: age that reported usage may reach.
+        clock: clock that all workers of the process share.
+        host: IP number to listen on.
+        seed: seed of lost answers.
+    """
+
+    def __init__(
+        self,
+        entry: world.VmEntry,
+        fleet_journal: Callable[[worker_model.JournalEntry], None],
+        usage_lag_s: float,
+        clock: clock_lib.Clock,
+        host: str,
+        seed: int,
+    ) -> None:
+        self._clock = clock
+        self._listener = listener.Listener(self._add_routes, host)
+        self.entry = entry._replace(address=self._listener.address)
+        self.model = worker_model.WorkerModel(
+            entry.name,
+            entry.incarnation,
+            entry.size,
+            usage_lag_s,
+            clock.monotonic_s(),
+            fleet_journal,
+        )
+        self.faults = WorkerFaults()
+        self.gate = faults.FaultGate(self.faults, random.Random(seed))
+        self._running = asyncio.Event()
+        self._running.set()
+        self._paused_s = 0.0
+
+    async def open(self) -> None:
+        """Starts to listen."""
+        await self._listener.open()
+
+    async def shut(self) -> None:
+        """Refuses connections and cuts the open ones."""
+        await self._listener.shut()
+
+    async def close(self) -> None:
+        """Stops for good."""
+        await self._listener.close()
+
+    def drain(self) -> None:
+        """Takes no new task from now on."""
+        self.model.is_draining = True
+
+    def undrain(self) -> None:
+        """Takes tasks again."""
+        self.model.is_draining = False
+
+    def begin_incarnation(self) -> world.VmEntry:
+        """Loses all tasks and returns the row of the new incarnation."""
+        self.model.reboot(self._clock.monotonic_s())
+        self.entry = self.entry._replace(incarnation=self.model.incarnation)
+        return self.entry
+
+    def set_faults(self, changes: _Json) -> None:
+        """Sets the named faults and leaves the others."""
+        was_paused = self.faults.pause
+        self.gate.update(changes)
+        self.model.fails_all = self.faults.fail_all
+        self.model.refuses = self.faults.refuse
+        now_s = self._clock.monotonic_s()
+        if self.faults.pause and not was_paused:
+            self.model.settle(now_s)
+            self._paused_s = now_s
+            self._running.clear()
+        elif was_paused and not self.faults.pause:
+            self.model.resume(now_s, now_s - self._paused_s)
+            self._running.set()
+
+    def settle(self) -> None:
+        """Ends the tasks whose time is over, unless the worker is paused."""
+        if not self.faults.pause:
+            self.model.settle(self._clock.monotonic_s())
+
+    def _add_routes(self, application: web.Application) -> None:
+        handlers: dict[str, Callable[[float, _Json], object]] = {
+            "report": self._report,
+            "start": self._start,
+            "renew": self._renew,
+            "stop": self._stop,
+            "throttle": self._throttle,
+            "forget": self._forget,
+        }
+        for name, handle in handlers.items():
+            application.router.add_post(f"/{name}", self._guard(handle))
+
+    def _guard(
+        self, handle: Callable[[float, _Json], object]
+    ) -> Callable[[web.Request], typing.Awaitable[web.Response]]:
+        async def _handle(request: web.Request) -> web.Response:
+            body = await request.json()
+            if not await self.gate.enter():
+                return await listener.abort_connection(request)
+            await self._running.wait()
+            if self.faults.unavailable:
+                return web.Response(status=503, text="unavailable")
+            answer = handle(self._clock.monotonic_s(), body)
+            if self.gate.loses_answer():
+                return await listener.abort_connection(request)
+            return web.json_response(answer)
+
+        return _handle
+
+    def _report(self, now_s: float, body: _Json) -> object:
+        report = self.model.report(now_s, body["pool"], body["epoch"])
+        return report._asdict()
+
+    def _start(self, now_s: float, body: _Json) -> object:
+        order = interfaces.TaskOrder(**body["order"])
+        incarnation = -1
+        if body["name"] == self.entry.name:
+            incarnation = body["incarnation"]
+        return self.model.start(now_s, incarnation, order)._asdict()
+
+    def _renew(self, now_s: float, body: _Json) -> object:
+        report = self.model.renew(
+            now_s, body["pool"], body["epoch"], body["task_ids"]
+        )
+        return report._asdict()
+
+    def _stop(self, now_s: float, body: _Json) -> object:
+        return self.model.stop(
+            now_s, body["epoch"], body["task_id"], body["checkpoint"]
+        )
+
+    def _throttle(self, now_s: float, body: _Json) -> object:
+        self.model.throttle(
+            now_s, body["epoch"], body["task_id"], body["cpu_millis"]
+        )
+        return {}
+
+    def _forget(self, now_s: float, body: _Json) -> object:
+        self.model.forget(now_s, body["epoch"], body["task_ids"])
+        return {}
+
+
+class WorkerFleet:
+    """All workers of one process, with one admin socket and one journal.
+
+    Args:
+        clock: clock that all workers share.
+        host: IP number to listen on.
+        usage_lag_s: age that reported usage may reach.
+    """
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        host: str = "127.0.0.1",
+        usage_lag_s: float = 1.0,
+    ) -> None:
+        self._clock = clock
+        self._host = host
+        self._usage_lag_s = usage_lag_s
+        self._listener = listener.Listener(self._add_routes, host)
+        self.vms: dict[str, WorkerVm] = {}
+        self.journal: list[worker_model.JournalEntry] = []
+
+    @property
+    def admin_url(self) -> str:
+        """Root URL of the admin socket."""
+        return self._listener.url
+
+    async def open(self) -> None:
+        """Starts the admin socket."""
+        await self._listener.open()
+
+    async def close(self) -> None:
+        """Stops the admin socket and all workers."""
+        await self._listener.close()
+        for vm in self.vms.values():
+            await vm.close()
+
+    async def add(self, entry: world.VmEntry) -> WorkerVm:
+        """Returns a new worker that listens."""
+        vm = WorkerVm(
+            entry,
+            self.journal.append,
+            self._usage_lag_s,
+            self._clock,
+            self._host,
+            len(self.vms),
+        )
+        self.vms[entry.name] = vm
+        await vm.open()
+        return vm
+
+    def read_journal(self) -> list[worker_model.JournalEntry]:
+        """Returns all starts and ends of tasks until now."""
+        for vm in self.vms.values():
+            vm.settle()
+        return self.journal
+
+    def used(self) -> resources.Resources:
+        """Returns the resources that running tasks of all workers hold."""
+        total = resources.ZERO
+        for vm in self.vms.values():
+            vm.settle()
+            total = resources.add(total, vm.model.used())
+        return total
+
+    def set_faults(self, name: str, changes: _Json) -> None:
+        """Sets faults of the named worker, or of all for `*`.
+
+        Raises:
+            exceptions.InvalidInputError: no such worker or fault.
+        """
+        if name != "*" and name not in self.vms:
+            raise exceptions.InvalidInputError(f"no worker is named {name!r}")
+        for vm in self.vms.values():
+            if name in ("*", vm.entry.name):
+                vm.set_faults(changes)
+
+    def _add_routes(self, application: web.Application) -> None:
+        application.router.add_get("/admin/journal", self._get_journal)
+        application.router.add_post("/admin/faults", self._set_faults)
+
+    async def _get_journal(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.read_journal())
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        changes = await request.json()
+        try:
+            self.set_faults(changes.pop("vm", "*"), changes)
+        except exceptions.InvalidInputError as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response({})
--- /dev/null
+++ b/foxtaillock/standins/world.py
@@ -0,0 +1,217 @@
+"""All stand-ins of the platform in one event loop."""
+
+import typing
+
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import resources
+from foxtaillock.model import world
+from foxtaillock.standins import log
+from foxtaillock.standins import pools
+from foxtaillock.standins import runners
+from foxtaillock.standins import vm_list
+from foxtaillock.standins import workers
+
+__all__ = ["World", "WorldConfig", "start_world"]
+
+_GIB_BYTES = 1024**3
+
+
+class WorldConfig(typing.NamedTuple):
+    """Sizes and times of a platform.
+
+    Attributes:
+        zones: names of the availability zones.
+        workers: workers in all zones together, dealt out in turn.
+        workers_per_rack: workers that share a rack of their zone.
+        worker_cpu_millis, worker_memory_bytes, worker_accelerators: size of
+            each worker.
+        services: names of the services.
+        runners_per_zone: runners of each service in each zone.
+        slots: requests that a runner runs at once.
+        max_connections: connections that a runner may have open.
+        list_lag_s: lag of the list of VMs.
+        usage_lag_s: age that reported usage may reach.
+        reboot_s: seconds that a rebooted VM is out.
+        retention_records: records that each stream of the log keeps.
+        seed: seed of the faults.
+    """
+
+    zones: tuple[str, ...] = ("a", "b", "c")
+    workers: int = 30
+    workers_per_rack: int = 4
+    worker_cpu_millis: int = 16_000
+    worker_memory_bytes: int = 64 * _GIB_BYTES
+    worker_accelerators: int = 0
+    services: tuple[str, ...] = ("nest", "bend", "cut", "quote", "track")
+    runners_per_zone: int = 2
+    slots: int = 8
+    max_connections: int = 64
+    list_lag_s: float = 1.0
+    usage_lag_s: float = 1.0
+    reboot_s: float = 2.0
+    retention_records: int = 1_000_000
+    seed: int = 0
+
+
+class World:
+    """A platform of stand-ins; made by `start_world`.
+
+    Attributes:
+        config: sizes and times.
+        log: log service.
+        vm_list: lagging list of VMs.
+        workers: fleet of workers.
+        runners: fleet of runners.
+        pools: service that drains and reboots VMs.
+    """
+
+    def __init__(
+        self, config: WorldConfig, host: str, clock: clock_lib.Clock
+    ) -> None:
+        self.config = config
+        self.log = log.LogServer(host, config.seed)
+        self.log.faults.retention_records = config.retention_records
+        rows = vm_list.LaggingList(config.list_lag_s, clock)
+        self.vm_list = vm_list.VmListServer(rows, host, config.seed)
+        self.workers = workers.WorkerFleet(clock, host, config.usage_lag_s)
+        self.runners = runners.RunnerFleet(
+            clock, host, config.slots, config.max_connections
+        )
+        self.pools = pools.PoolServer(
+            self.machine, rows.put, config.reboot_s, host, config.seed
+        )
+
+    @property
+    def log_url(self) -> str:
+        """Root URL of the log."""
+        return self.log.url
+
+    @property
+    def vm_list_url(self) -> str:
+        """Root URL of the list of VMs."""
+        return self.vm_list.url
+
+    @property
+    def pools_url(self) -> str:
+        """Root URL of the service that drains and reboots VMs."""
+        return self.pools.url
+
+    @property
+    def entries(self) -> list[world.VmEntry]:
+        """True rows of all VMs, with no lag."""
+        return self.vm_list.rows.current()
+
+    def machine(self, name: str) -> pools.Machine | None:
+        """Returns the worker or runner of this name, or None."""
+        return self.workers.vms.get(name) or self.runners.vms.get(name)
+
+    def register_entry(
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        incarnation: int = 1,
+        at_once: bool = True,
+    ) -> world.VmEntry:
+        """Adds an entry VM to the list and returns its row."""
+        entry = world.VmEntry(
+            name, incarnation, world.VmRole.ENTRY, zone, f"{zone}-e", address
+        )
+        self.vm_list.rows.put(entry, at_once)
+        return entry
+
+    def mark_leaving(self, name: str) -> None:
+        """Marks a VM as leaving in the list."""
+        self.vm_list.rows.mark_leaving(name)
+
+    def remove(self, name: str) -> None:
+        """Takes a VM out of the list."""
+        self.vm_list.rows.remove(name)
+
+    async def replace_vm(self, name: str) -> world.VmEntry:
+        """Replaces a worker or runner at once by one at another address.
+
+        Raises:
+            KeyError: no worker or runner has this name.
+        """
+        fleet = self.workers if name in self.workers.vms else self.runners
+        old = fleet.vms[name]
+        entry = old.begin_incarnation()
+        await old.close()
+        vm = await fleet.add(entry)
+        self.vm_list.rows.put(vm.entry)
+        return vm.entry
+
+    def urls(self) -> dict[str, str]:
+        """Returns the root URL of each stand-in."""
+        return {
+            "log": self.log_url,
+            "vm_list": self.vm_list_url,
+            "pools": self.pools_url,
+            "workers_admin": self.workers.admin_url,
+            "runners_admin": self.runners.admin_url,
+        }
+
+    async def open(self) -> None:
+        """Starts everything."""
+        await self.log.open()
+        await self.vm_list.open()
+        await self.pools.open()
+        await self.workers.open()
+        await self.runners.open()
+        for entry in _worker_entries(self.config):
+            vm = await self.workers.add(entry)
+            self.vm_list.rows.put(vm.entry, at_once=True)
+        for entry in _runner_entries(self.config):
+            runner = await self.runners.add(entry)
+            self.vm_list.rows.put(runner.entry, at_once=True)
+
+    async def close(self) -> None:
+        """Stops everything."""
+        await self.pools.close()
+        await self.workers.close()
+        await self.runners.close()
+        await self.vm_list.close()
+        await self.log.close()
+
+
+async def start_world(config: WorldConfig, host: str = "127.0.0.1") -> World:
+    """Returns a platform that listens on ports that the system chose."""
+    platform = World(config, host, clock_lib.SystemClock())
+    await platform.open()
+    return platform
+
+
+def _worker_entries(config: WorldConfig) -> list[world.VmEntry]:
+    size = resources.Resources(
+        config.worker_cpu_millis,
+        config.worker_memory_bytes,
+        config.worker_accelerators,
+    )
+    entries = []
+    for i in range(config.workers):
+        zone = config.zones[i % len(config.zones)]
+        place = i // len(config.zones)
+        rack = f"{zone}-r{place // config.workers_per_rack}"
+        name = f"worker-{zone}-{place}"
+        role = world.VmRole.WORKER
+        entries.append(world.VmEntry(name, 1, role, zone, rack, "", size=size))
+    return entries
+
+
+def _runner_entries(config: WorldConfig) -> list[world.VmEntry]:
+    role = world.VmRole.RUNNER
+    return [
+        world.VmEntry(
+            f"runner-{service}-{zone}-{i}",
+            1,
+            role,
+            zone,
+            f"{zone}-s",
+            "",
+            service=service,
+        )
+        for service in config.services
+        for zone in config.zones
+        for i in range(config.runners_per_zone)
+    ]
