--- a/foxtaillock/api/middleware.py
+++ b/foxtaillock/api/middleware.py
@@ -29,8 +29,15 @@
         """Counts one answered request."""
 
 
-def create_middleware(counter: _Counter) -> typing.Any:
-    """Returns the middleware of all routes; `counter` sees each answer."""
+def create_middleware(
+    counter: _Counter, on_open: Callable[[int], None]
+) -> typing.Any:
+    """Returns the middleware of all routes.
+
+    Args:
+        counter: sees each answer.
+        on_open: called with 1 when a request begins and -1 when it ends.
+    """
 
     @web.middleware
     async def _middleware(
@@ -38,8 +45,12 @@
     ) -> web.StreamResponse:
         request_id = secrets.token_hex(8)
         request[REQUEST_ID_KEY] = request_id
-        with logger.contextualize(request_id=request_id):
-            response = await _answer(request, handler)
+        on_open(1)
+        try:
+            with logger.contextualize(request_id=request_id):
+                response = await _answer(request, handler)
+        finally:
+            on_open(-1)
         response.headers[headers.REQUEST_ID] = request_id
         counter.count(
             _route_of(request),
--- /dev/null
+++ b/foxtaillock/daemon/admin_desk.py
@@ -0,0 +1,278 @@
+"""Answers the administration interface on one entry VM."""
+
+import hashlib
+import json
+import secrets
+import typing
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from foxtaillock import exceptions
+from foxtaillock.api import admin
+from foxtaillock.api import problems
+from foxtaillock.daemon import job_desk
+from foxtaillock.daemon import key_desk
+from foxtaillock.daemon import session_keeper
+from foxtaillock.model import objects
+from foxtaillock.model import outcomes
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.model import world
+from foxtaillock.notes import check
+from foxtaillock.notes import parser
+from foxtaillock.notes import undo
+from foxtaillock.peers import messages
+from foxtaillock.state import control_state
+from foxtaillock.state import interfaces
+
+__all__ = ["AdminDesk"]
+
+_SECRET_BYTES = 24
+_JOBS_SHOWN = 500
+
+
+class AdminDesk:
+    """Implements `admin.AdminBackend`.
+
+    Args:
+        state: fold of the control stream.
+        replica: its replica.
+        keys: checks keys.
+        jobs: finds the owners of jobs.
+        vms: returns the platform's list.
+        status: returns the state of this entry VM.
+        on_withdrawn: called with each key id before its withdrawal is recorded.
+    """
+
+    def __init__(
+        self,
+        state: control_state.ControlState,
+        replica: interfaces.Replica,
+        keys: key_desk.KeyDesk,
+        jobs: job_desk.JobDesk,
+        vms: Callable[[], Sequence[world.VmEntry]],
+        status: Callable[[], admin.Row],
+        on_withdrawn: Callable[[str], None],
+    ) -> None:
+        self._state = state
+        self._replica = replica
+        self._jobs = jobs
+        self._vms = vms
+        self._status = status
+        self._on_withdrawn = on_withdrawn
+        self.keys = keys
+
+    def check_note(self, text: str) -> admin.Row:
+        """Returns the changes of a note, or raises with all findings."""
+        _, changes = self._checked(text)
+        return {"changes": [_change_row(change) for change in changes]}
+
+    def plan_note(self, text: str) -> admin.Row:
+        """Returns what a note would change."""
+        return self.check_note(text)
+
+    async def accept_note(self, text: str, author: str) -> admin.Row:
+        """Puts a note in force."""
+        title, changes = self._checked(text)
+        return await self._accept(title, changes, author)
+
+    def _checked(self, text: str) -> tuple[str, Sequence[records.Change]]:
+        parsed = parser.parse(text)
+        if isinstance(parsed, parser.NoteFaults):
+            raise _invalid(parsed.findings)
+        checked = check.check(parsed, self._present())
+        if isinstance(checked, parser.NoteFaults):
+            raise _invalid(checked.findings)
+        return parsed.title, checked
+
+    def _present(
+        self,
+    ) -> dict[tuple[str, str], tuple[int, dict[str, typing.Any]]]:
+        return {
+            (kind, name): (row.revision, row.body)
+            for kind in objects.KINDS
+            for name, row in self._state.objects(kind).items()
+        }
+
+    async def undo_note(self, note_id: str, author: str) -> admin.Row:
+        """Puts a note in force that takes an earlier one back."""
+        history = list(self._state.history())
+        ids = [entry.note_id for entry in history]
+        if note_id not in ids:
+            raise problems.Problem("not-found", f"no note {note_id!r}")
+        undone = undo.undo(history, note_id, self._present())
+        if isinstance(undone, parser.NoteFaults):
+            raise _invalid(undone.findings)
+        return await self._accept(f"undo {note_id}", undone, author)
+
+    async def _accept(
+        self, title: str, changes: Sequence[records.Change], author: str
+    ) -> admin.Row:
+        note_id = f"note-{secrets.token_hex(6)}"
+        record = records.NoteAccepted(note_id, author, title, tuple(changes))
+        verdict = await self._commit(record)
+        if not verdict.accepted:
+            raise problems.Problem(
+                verdict.code or "conflict",
+                "the note was refused whole",
+                findings=verdict.findings,
+            )
+        return {"note_id": note_id, "revision": self._state.revision}
+
+    async def _commit(self, record: records.Record) -> verdicts.Verdict:
+        try:
+            return await self._replica.commit(record, urgent=True)
+        except exceptions.NotRunError as error:
+            raise problems.Problem("log-unavailable", str(error)) from error
+        except exceptions.OutcomeUnknownError as error:
+            raise problems.Problem(
+                "log-silent", str(error), outcome=outcomes.OutcomeTag.UNKNOWN
+            ) from error
+
+    async def give_key(self, team: str, author: str) -> admin.Row:
+        """Gives a key to a team, or to an operator when `team` is empty."""
+        if team and self._state.object("team", team) is None:
+            raise problems.Problem("not-found", f"no team {team!r}")
+        key_id = f"k{secrets.token_hex(6)}"
+        secret = f"fx_{key_id}_{secrets.token_urlsafe(_SECRET_BYTES)}"
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        record = records.KeyGiven(key_id, digest, team, author)
+        verdict = await self._commit(record)
+        if not verdict.accepted:
+            raise problems.Problem(verdict.code, "the key was refused")
+        return {"key_id": key_id, "secret": secret, "team": team}
+
+    async def withdraw_key(self, key_id: str, author: str) -> admin.Row:
+        """Withdraws a key; peers hear of it before the log does."""
+        if self._state.key(key_id) is None:
+            raise problems.Problem("not-found", f"no key {key_id!r}")
+        self._on_withdrawn(key_id)
+        await self._commit(records.KeyWithdrawn(key_id, author))
+        return {"key_id": key_id, "withdrawn": True}
+
+    def list_notes(self) -> Sequence[admin.Row]:
+        """Returns the accepted notes, oldest first."""
+        return [
+            {
+                "note_id": entry.note_id,
+                "revision": entry.revision,
+                "author": entry.author,
+                "title": entry.title,
+                "changes": [_change_row(change) for change in entry.changes],
+            }
+            for entry in self._state.history()
+        ]
+
+    def list_keys(self) -> Sequence[admin.Row]:
+        """Returns the keys, without secrets."""
+        return [
+            {"key_id": key_id, "team": key.team, "withdrawn": key.withdrawn}
+            for key_id, key in sorted(self._state.keys.items())
+        ]
+
+    async def list_rows(self, what: str) -> Sequence[admin.Row]:
+        """Returns the rows of a list, sorted by name."""
+        if what == "jobs":
+            return await self._list_jobs()
+        if what == "vms":
+            return self._list_vms()
+        if what == "nodes":
+            return self._list_nodes()
+        if what == "waves":
+            return [
+                {"name": name, **wave._asdict()}
+                for name, wave in sorted(self._state.waves.items())
+            ]
+        kind = what[:-1]
+        return [
+            {"name": name, "revision": row.revision, **row.body}
+            for name, row in sorted(self._state.objects(kind).items())
+        ]
+
+    async def _list_jobs(self) -> Sequence[admin.Row]:
+        rows: list[admin.Row] = []
+        for pool in sorted(self._state.objects("pool")):
+            reply = await self._jobs.list_jobs(pool, "", "", _JOBS_SHOWN)
+            if reply.tag is messages.ReplyTag.DONE:
+                rows.extend(json.loads(reply.body)["items"])
+        return rows
+
+    def _list_vms(self) -> Sequence[admin.Row]:
+        rows = []
+        for vm in self._vms():
+            stored = self._state.vms.get(vm.name)
+            row = vm._asdict()
+            row["size"] = vm.size._asdict()
+            row["pool"] = stored.pool if stored else ""
+            row["step"] = stored.step if stored else ""
+            row["disrupted"] = vm.name in self._state.disruptions
+            rows.append(row)
+        return sorted(rows, key=lambda row: str(row["name"]))
+
+    def _list_nodes(self) -> Sequence[admin.Row]:
+        return [
+            {"name": key.node, "incarnation": key.incarnation, **row._asdict()}
+            for key, row in sorted(self._state.sessions.items())
+            if not row.ended
+        ]
+
+    async def settle_job(
+        self, job_id: str, succeeded: bool, by: str
+    ) -> messages.JobReply:
+        """Settles a job whose end is unknown."""
+        return await self._jobs.settle_job(job_id, succeeded, by)
+
+    async def start_wave(self, pool: str, author: str) -> admin.Row:
+        """Starts a maintenance wave of a pool."""
+        if self._state.object("pool", pool) is None:
+            raise problems.Problem("not-found", f"no pool {pool!r}")
+        wave_id = f"wave-{secrets.token_hex(4)}"
+        return await self._change_wave(wave_id, pool, "running", author)
+
+    async def change_wave(
+        self, wave_id: str, action: str, author: str
+    ) -> admin.Row:
+        """Pauses, resumes or cancels a wave."""
+        wave = self._state.waves.get(wave_id)
+        if wave is None:
+            raise problems.Problem("not-found", f"no wave {wave_id!r}")
+        states = {"pause": "paused", "resume": "running", "cancel": "cancelled"}
+        return await self._change_wave(
+            wave_id, wave.pool, states[action], author
+        )
+
+    async def _change_wave(
+        self, wave_id: str, pool: str, state: str, author: str
+    ) -> admin.Row:
+        epoch = self._state.epoch(session_keeper.FLEET_POOL)
+        record = records.WaveChanged(
+            wave_id, pool, state, f"by {author}", epoch
+        )
+        verdict = await self._commit(record)
+        if not verdict.accepted:
+            raise problems.Problem("conflict", verdict.code)
+        return {"name": wave_id, "pool": pool, "state": state}
+
+    def explain_vm(self, name: str) -> admin.Row:
+        """Returns why a VM stands where it stands."""
+        for row in self._list_vms():
+            if row["name"] == name:
+                held = self._state.disruptions.get(name)
+                row["reason"] = held.reason if held else "in its place"
+                return row
+        raise problems.Problem("not-found", f"no VM {name!r}")
+
+    def status(self) -> admin.Row:
+        """Returns the state of this entry VM and what it knows."""
+        return self._status()
+
+
+def _invalid(findings: Sequence[verdicts.Finding]) -> problems.Problem:
+    return problems.Problem(
+        "invalid-note", f"{len(findings)} findings", findings=findings
+    )
+
+
+def _change_row(change: records.Change) -> admin.Row:
+    row = change._asdict()
+    return row
--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -8,6 +8,7 @@
 
 from foxtaillock import exceptions
 from foxtaillock.daemon import background
+from foxtaillock.daemon import session_keeper
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import records
@@ -43,7 +44,7 @@
 
     Args:
         node: name of this entry VM.
-        incarnation: identity of this process.
+        session: session of this entry VM.
         replica: replica of the control stream.
         state: its fold.
         local: counts of what runs here.
@@ -57,7 +58,7 @@
     def __init__(
         self,
         node: str,
-        incarnation: str,
+        session: session_keeper.SessionKeeper,
         replica: interfaces.Replica,
         state: control_state.ControlState,
         local: limits.LocalGrants,
@@ -68,7 +69,7 @@
         reclaim_wait_s: float,
     ) -> None:
         self._node = node
-        self._incarnation = incarnation
+        self._session = session
         self._replica = replica
         self._state = state
         self._local = local
@@ -88,13 +89,16 @@
 
     def step(self) -> None:
         """Begins the changes that are due now."""
+        self._local.set_session_valid_until(self._session.valid_until_s)
         for team in self._state.objects("team"):
-            granted = self._state.grant(team, self._node, self._incarnation)
+            granted = self._state.grant(
+                team, self._node, self._session.incarnation
+            )
             self._local.set_granted(team, granted)
             self._local.set_waiting(team, self._waiting_of(team))
         changes = limits.decide(
             self._node,
-            self._incarnation,
+            self._session.incarnation,
             [self._view(team) for team in sorted(self._state.objects("team"))],
             self._clock.monotonic_s(),
         )
@@ -124,7 +128,9 @@
             logger.debug("grant of {} has no verdict: {}", change.team, error)
             self._local.lose_change(change.team)
             return
-        granted = self._state.grant(change.team, self._node, self._incarnation)
+        granted = self._state.grant(
+            change.team, self._node, self._session.incarnation
+        )
         self._local.end_change(change, granted)
 
     def _reclaim(self) -> None:
--- a/foxtaillock/daemon/job_desk.py
+++ b/foxtaillock/daemon/job_desk.py
@@ -13,10 +13,12 @@
 from foxtaillock.peers import messages
 from foxtaillock.state import control_state
 
-__all__ = ["JobDesk", "LocalJobs", "job_row"]
+__all__ = ["JobDesk", "LocalJobs", "Owners", "job_row"]
 
 _FORWARD_TIMEOUT_S = 8.0
 
+Owners = typing.Mapping[str, owners.PoolOwner]
+
 _Send = Callable[
     [client.PeerConnection],
     typing.Coroutine[typing.Any, typing.Any, messages.JobReply],
@@ -43,9 +45,7 @@
         owners_by_pool: live mapping of the pools owned here.
     """
 
-    def __init__(
-        self, owners_by_pool: typing.Mapping[str, owners.PoolOwner]
-    ) -> None:
+    def __init__(self, owners_by_pool: Owners) -> None:
         self._owners = owners_by_pool
 
     def owns(self, pool: str) -> bool:
--- /dev/null
+++ b/foxtaillock/daemon/main.py
@@ -0,0 +1,59 @@
+"""Program `foxtaillockd`: runs one entry VM until it is told to stop."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import capnp
+from loguru import logger
+
+from foxtaillock.daemon import node as nodes
+from foxtaillock.settings import logging as log_setup
+from foxtaillock.settings import settings as settings_lib
+
+__all__ = ["main"]
+
+_EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Entry point of the program."""
+    arguments = sys.argv[1:]
+    if "--help" in arguments:
+        print(settings_lib.usage())
+        return
+    parsed = settings_lib.parse(arguments, os.environ)
+    if isinstance(parsed, settings_lib.SettingsFaults):
+        for finding in parsed.findings:
+            print(f"{finding.place}: {finding.message}", file=sys.stderr)
+        sys.exit(_EXIT_BAD_SETTINGS)
+    log_setup.set_up(parsed)
+    asyncio.run(_run(parsed))
+
+
+async def _run(settings: settings_lib.Settings) -> None:
+    """Serves until SIGTERM or SIGINT, then stops gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with capnp.kj_loop():
+        node = nodes.create_node(settings)
+        start = asyncio.ensure_future(node.start())
+        stopped = asyncio.ensure_future(stop.wait())
+        await asyncio.wait(
+            (start, stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not start.done():
+            start.cancel()
+            await node.close()
+            return
+        start.result()
+        await stopped
+        logger.info("stopping")
+        await node.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/foxtaillock/daemon/node.py
@@ -0,0 +1,435 @@
+"""One entry VM: everything that the daemon runs, put together."""
+
+import asyncio
+import collections
+import random
+import secrets
+import typing
+from collections.abc import Iterable
+
+from aiohttp import web
+from loguru import logger
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.api import admin
+from foxtaillock.api import callers
+from foxtaillock.api import health
+from foxtaillock.api import middleware
+from foxtaillock.calls import service as call_service
+from foxtaillock.daemon import admin_desk
+from foxtaillock.daemon import background
+from foxtaillock.daemon import call_claims
+from foxtaillock.daemon import fleet_keeper
+from foxtaillock.daemon import grant_keeper
+from foxtaillock.daemon import job_desk
+from foxtaillock.daemon import key_desk
+from foxtaillock.daemon import metrics
+from foxtaillock.daemon import peer_desk
+from foxtaillock.daemon import platform_links
+from foxtaillock.daemon import pool_keeper
+from foxtaillock.daemon import session_keeper
+from foxtaillock.daemon import vm_watch
+from foxtaillock.limits import grants as limits
+from foxtaillock.membership import neighbours
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import outcomes
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.model import world
+from foxtaillock.peers import links
+from foxtaillock.peers import messages
+from foxtaillock.peers import server
+from foxtaillock.settings import settings as settings_lib
+from foxtaillock.state import budget as budgets
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+
+__all__ = ["EntryNode", "create_node"]
+
+_LONGEST_CALL_S = 60.0
+_STOP_POLL_S = 0.05
+_START_RETRY_S = 0.5
+
+
+class EntryNode:
+    """The system on one entry VM; needs a running `capnp.kj_loop`.
+
+    Args:
+        settings: checked settings.
+        clock: source of time.
+        platform: adapters to the platform.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        clock: clocks.Clock,
+        platform: platform_links.PlatformLinks,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.platform = platform
+        self.api_port = 0
+        self._not_ready = "starting"
+        self._draining = False
+        self._background = background.Background()
+        self._requests_open = 0
+        rng = random.Random(settings.seed if settings.seed >= 0 else None)
+        budget = budgets.AppendBudget(settings.appends_per_s)
+        self._build_state(rng, budget)
+        self._build_decisions(rng, budget)
+        self._build_desks()
+        self._build_http()
+
+    def _build_state(
+        self, rng: random.Random, budget: budgets.AppendBudget
+    ) -> None:
+        settings = self.settings
+        self.incarnation = secrets.token_hex(8)
+        self.state = control_state.ControlState()
+        self.replica = replicas.StreamReplica(
+            self.platform.log,
+            records.CONTROL_STREAM,
+            self.state,
+            writer=settings.node_name,
+            incarnation=self.incarnation,
+            clock=self.clock,
+            rng=rng,
+            budget=budget,
+        )
+        self.replica.on_batch(self._on_batch)
+        self.keys = key_desk.KeyDesk(
+            self.state,
+            self.replica,
+            self.clock,
+            settings.key_freshness_s,
+            settings.operator_key_digest,
+        )
+        times = session_keeper.SessionTimes(
+            settings.session_lease_s,
+            settings.session_renew_s,
+            settings.drift_allowance_s,
+        )
+        self.session = session_keeper.SessionKeeper(
+            settings.node_name,
+            settings.zone,
+            self.state,
+            self.replica,
+            self.clock,
+            rng,
+            times,
+            self._pool_names,
+        )
+
+    def _build_decisions(
+        self, rng: random.Random, budget: budgets.AppendBudget
+    ) -> None:
+        settings = self.settings
+        self.grants = limits.LocalGrants(self.clock)
+        self.claims = call_claims.LogClaims(
+            self.platform.log,
+            settings.node_name,
+            self.incarnation,
+            self.clock,
+            rng,
+            budget,
+        )
+        self.calls = call_service.CallService(
+            self.platform.runners,
+            self.clock,
+            rng,
+            node=settings.node_name,
+            zone=settings.zone,
+            grants=self.grants,
+            claims=self.claims,
+        )
+        self.pools = pool_keeper.PoolKeeper(
+            settings.node_name,
+            self.state,
+            self.session,
+            self.platform.log,
+            self.platform.workers,
+            self.clock,
+            rng,
+            grant_keeper.JobGrants(self.grants),
+            budget,
+        )
+        self.grant_keeper = grant_keeper.GrantKeeper(
+            settings.node_name,
+            self.session,
+            self.replica,
+            self.state,
+            self.grants,
+            self.clock,
+            waiting_of=self._waiting_of,
+            open_pools_of=self._has_open_pools,
+            reclaim_wait_s=settings.session_lease_s
+            + settings.drift_allowance_s
+            + _LONGEST_CALL_S,
+        )
+
+    def _build_desks(self) -> None:
+        settings = self.settings
+        self.vm_watch = vm_watch.VmWatch(
+            self.platform.vm_list, self._on_world_change
+        )
+        self.fleet = fleet_keeper.FleetKeeper(
+            self.state, self.replica, self.session, lambda: self.vm_watch.vms
+        )
+        own = neighbours.Member(
+            settings.node_name, settings.zone, settings.region, ""
+        )
+        self.peer_desk = peer_desk.PeerDesk(
+            self.pools.owners, self.keys, self._heartbeat, self._spread
+        )
+        self.links = links.PeerLinks(
+            own,
+            settings.peer_secret.encode(),
+            self.clock,
+            self._heartbeat,
+            self.peer_desk.take_answer,
+        )
+        self.peer_server = server.PeerServer(
+            self.peer_desk, settings.peer_secret.encode()
+        )
+        self.jobs = job_desk.JobDesk(
+            settings.node_name, self.state, self.peer_desk, self.links
+        )
+        self.admin = admin_desk.AdminDesk(
+            self.state,
+            self.replica,
+            self.keys,
+            self.jobs,
+            lambda: self.vm_watch.vms,
+            self._status,
+            self._on_withdrawn,
+        )
+
+    def _build_http(self) -> None:
+        self.registry = metrics.create_registry()
+        counter = health.RequestCounter(self.registry)
+        app = web.Application(
+            middlewares=[
+                middleware.create_middleware(counter, self._count_open)
+            ],
+            client_max_size=self.settings.max_body_bytes,
+        )
+        callers.add_routes(app, self)
+        admin.add_routes(app, self.admin)
+        health.add_routes(app, self.registry, lambda: self._not_ready)
+        self._add_gauges()
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=self.settings.drain_s
+        )
+
+    def _add_gauges(self) -> None:
+        gauges = (
+            ("view_age_s", "Age of the view", self.keys.view_age_s),
+            ("pools_owned", "Pools owned", lambda: len(self.pools.owners)),
+            ("next_offset", "Next offset", lambda: self.replica.next_offset),
+        )
+        for name, text, read in gauges:
+            metrics.add_gauge(self.registry, f"foxtaillock_{name}", text, read)
+
+    async def start(self) -> None:
+        """Joins the fleet; returns once this VM serves.
+
+        Waits as long as the log can't be read: a VM without state must not
+        serve an older revision than one that was acknowledged.
+        """
+        settings = self.settings
+        self._background.spawn(self.replica.run())
+        await self._catch_up()
+        await self.vm_watch.poll()
+        peer_port = await self.peer_server.start(
+            settings.peer_host, settings.peer_port
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, settings.api_host, settings.api_port)
+        await site.start()
+        self.api_port = self._runner.addresses[0][1]
+        await self.session.start(
+            f"{settings.peer_host}:{peer_port}",
+            f"{settings.api_host}:{self.api_port}",
+        )
+        for loop in (
+            self.vm_watch.run(),
+            self.pools.run(),
+            self.grant_keeper.run(),
+            self.fleet.run(),
+        ):
+            self._background.spawn(loop)
+        self._on_world_change()
+        self._not_ready = ""
+        logger.info("serving on port {}", self.api_port)
+
+    async def _catch_up(self) -> None:
+        while True:
+            try:
+                await self.replica.catch_up()
+                return
+            except exceptions.FoxtaillockError as error:
+                logger.warning("waiting for the log: {}", error)
+                await asyncio.sleep(_START_RETRY_S)
+
+    async def stop(self) -> None:
+        """Stops gracefully: no new work, then hand-over, then the end."""
+        self._draining = True
+        self._not_ready = "draining"
+        self.session.stop_claiming()
+        await self.pools.hand_over()
+        await self._await_requests()
+        await self._runner.cleanup()
+        await self.close()
+
+    async def _await_requests(self) -> None:
+        end_s = self.clock.monotonic_s() + self.settings.drain_s
+        while self._requests_open and self.clock.monotonic_s() < end_s:
+            await asyncio.sleep(_STOP_POLL_S)
+        self.calls.start_draining()
+
+    async def close(self) -> None:
+        """Ends all tasks and connections."""
+        await self.links.close()
+        await self.peer_server.close()
+        await self.pools.close()
+        await self.session.close()
+        await self.claims.close()
+        await self._background.close()
+        await self._runner.cleanup()
+        await self.platform.close()
+
+    def _count_open(self, change: int) -> None:
+        self._requests_open += change
+
+    def _on_batch(
+        self,
+        _offset: int,
+        batch: records.Batch,
+        _verdicts: typing.Sequence[verdicts.Verdict],
+    ) -> None:
+        kinds = {type(record) for record in batch.records}
+        if kinds & _WORLD_RECORDS:
+            self._on_world_change()
+
+    def _on_world_change(self) -> None:
+        """Passes a changed list of VMs or configuration on."""
+        vms = self.vm_watch.vms
+        services = {
+            name: row.body
+            for name, row in self.state.objects("service").items()
+        }
+        self.calls.update_runners(vms, typing.cast(typing.Any, services))
+        self.pools.update(vms)
+        self.links.update_members(self._members())
+
+    def _members(self) -> Iterable[neighbours.Member]:
+        for key, row in self.state.sessions.items():
+            if not row.ended and row.peer_address:
+                yield neighbours.Member(
+                    key.node, row.zone, self.settings.region, row.peer_address
+                )
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            self.settings.node_name,
+            self.incarnation,
+            self.settings.zone,
+            self.replica.next_offset,
+            self.replica.age_s(),
+            "",
+            self._draining,
+            self.keys.denied,
+        )
+
+    def _spread(self) -> None:
+        self.links.spread_now()
+
+    def _on_withdrawn(self, key_id: str) -> None:
+        if self.keys.deny(key_id):
+            self._spread()
+
+    def _pool_names(self) -> list[str]:
+        return [session_keeper.FLEET_POOL, *sorted(self.state.objects("pool"))]
+
+    def _waiting_of(self, team: str) -> int:
+        waiting = self.calls.waiting(team)
+        return waiting + sum(
+            owner.waiting(team) for owner in self.pools.owners.values()
+        )
+
+    def _has_open_pools(self, node: str, incarnation: str) -> bool:
+        return any(
+            (claim.node, claim.incarnation) == (node, incarnation)
+            for claim in self.state.claims.values()
+        )
+
+    def _status(self) -> admin.Row:
+        return {
+            "node": self.settings.node_name,
+            "zone": self.settings.zone,
+            "revision": self.state.revision,
+            "next_offset": self.replica.next_offset,
+            "view_age_s": round(self.keys.view_age_s(), 3),
+            "session_valid": self.session.is_valid(),
+            "pools_owned": sorted(self.pools.owners),
+            "nodes": sorted(
+                key.node
+                for key, row in self.state.sessions.items()
+                if not row.ended
+            ),
+            "calls": self.calls.stats(),
+            "not_ready": self._not_ready,
+        }
+
+    def find_object(
+        self, kind: str, name: str
+    ) -> typing.Mapping[str, typing.Any] | None:
+        """Returns the body of an object of the configuration."""
+        stored = self.state.object(kind, name)
+        return stored.body if stored is not None else None
+
+    async def call(
+        self, request: adapters.CallRequest, team: str
+    ) -> outcomes.Outcome:
+        """Runs one call for `team`."""
+        return await self.calls.call(request, team)
+
+    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
+        """Hands a job to the owner of its pool."""
+        return await self.jobs.submit_job(order)
+
+    async def read_job(
+        self, job_id: str, team: str, wait_s: float
+    ) -> messages.JobReply:
+        """Reads a job at the owner of its pool."""
+        return await self.jobs.read_job(job_id, team, wait_s)
+
+    async def list_jobs(
+        self, pool: str, team: str, after: str, limit: int
+    ) -> messages.JobReply:
+        """Reads a page of a team's jobs."""
+        return await self.jobs.list_jobs(pool, team, after, limit)
+
+    async def cancel_job(
+        self, job_id: str, team: str, by: str
+    ) -> messages.JobReply:
+        """Cancels a job."""
+        return await self.jobs.cancel_job(job_id, team, by)
+
+
+_WORLD_RECORDS = {
+    records.NoteAccepted,
+    records.SessionRenewed,
+    records.SessionEnded,
+    records.VmStep,
+    records.DisruptionGranted,
+    records.DisruptionEnded,
+}
+
+
+def create_node(settings: settings_lib.Settings) -> EntryNode:
+    """Returns an entry VM with the adapters that `settings` name."""
+    platform = platform_links.create_platform_links(settings)
+    return EntryNode(settings, clocks.SystemClock(), platform)
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -52,7 +52,6 @@
         rng: source of jitter.
         times: times of sessions.
         pools: returns the names of the pools that need an owner.
-        on_lost: called when the session turns out to be ended.
     """
 
     def __init__(
@@ -65,7 +64,6 @@
         rng: random.Random,
         times: SessionTimes,
         pools: Callable[[], Iterable[str]],
-        on_lost: Callable[[], None],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -75,7 +73,6 @@
         self._rng = rng
         self._times = times
         self._pools = pools
-        self._on_lost = on_lost
         self._counter = 0
         self._addresses = ("", "")
         self._silence: dict[tuple[str, str], tuple[int, float]] = {}
@@ -141,7 +138,6 @@
         self.valid_until_s = float("-inf")
         self.incarnation = secrets.token_hex(8)
         self._counter = 0
-        self._on_lost()
 
     async def _watch_forever(self) -> None:
         while True:
