Add the fold of the control stream and its replica

Cause: entry VMs keep nothing, so configuration, keys, sessions, claims, grants and moves have to follow from the platform's log, which has no compare-and-set, loses answers and has outages.

The fold decides every record by its offset; a writer learns its outcome only by reading it back. One append is in flight per stream, and a retry is sent only after a read-back that began after the failure. Ruled out: taking the append's answer as the outcome (it may be lost after the effect), and sending batch n+1 before n was read (a late n would then count as a duplicate and be lost).

An age counted at the answer was ruled out too: a slow answer would make an old view look fresh.

--- /dev/null
+++ b/foxtaillock/state/control_state.py
@@ -0,0 +1,86 @@
+"""State that follows from the control stream."""
+
+import hashlib
+import json
+import typing
+from collections.abc import Sequence
+
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import codec
+from foxtaillock.state import control_view
+from foxtaillock.state import grants_fold
+from foxtaillock.state import handlers
+from foxtaillock.state import keys_fold
+from foxtaillock.state import notes_fold
+from foxtaillock.state import sequences
+from foxtaillock.state import sessions_fold
+from foxtaillock.state import tables
+from foxtaillock.state import vms_fold
+
+__all__ = ["ControlState"]
+
+# Imported for the handlers that they register.
+_FOLDS = (grants_fold, keys_fold, notes_fold, sessions_fold, vms_fold)
+_DUPLICATE = verdicts.Verdict(False, "duplicate")
+
+
+class ControlState(control_view.ControlView):
+    """Fold of the control stream: configuration, keys, sessions, claims,
+    grants, VMs, disruptions and waves.
+
+    Every replica that folds the same records has the same state and digest.
+
+    Example:
+        >>> state = ControlState()
+        >>> given = records.KeyGiven("k1", "00", "", "root")
+        >>> state.apply(0, records.Batch("e1", "x", 1, (given,)))[0].accepted
+        True
+        >>> state.key("k1").withdrawn
+        False
+    """
+
+    def __init__(self) -> None:
+        super().__init__(tables.ControlTables())
+        self._sequences = sequences.Sequences()
+
+    def apply(
+        self, offset: int, batch: records.Batch
+    ) -> Sequence[verdicts.Verdict]:
+        """Folds one batch; returns one verdict for each of its records."""
+        if not self._sequences.admit(
+            offset, batch.writer, batch.incarnation, batch.sequence
+        ):
+            return [_DUPLICATE] * len(batch.records)
+        return [
+            handlers.apply_record(self._tables, offset, record)
+            for record in batch.records
+        ]
+
+    def encode(self) -> str:
+        """Returns the state in its canonical encoding."""
+        fields = codec.encode_tables(self._tables)
+        fields["schema"] = records.SCHEMA_VERSION
+        fields["sequences"] = self._sequences.to_rows()
+        return json.dumps(fields, separators=(",", ":"), sort_keys=True)
+
+    def digest(self) -> str:
+        """Returns the SHA-256 of the canonical encoding, in hexadecimal."""
+        return hashlib.sha256(self.encode().encode()).hexdigest()
+
+    @classmethod
+    def decode(cls, text: str) -> "ControlState":
+        """Returns the state that `text` encodes.
+
+        Raises:
+            exceptions.InvalidInputError: `text` is not an encoded state.
+        """
+        fields = codec.parse(text)
+        state = cls()
+        state.load(fields)
+        return state
+
+    def load(self, fields: dict[str, typing.Any]) -> None:
+        """Replaces the whole state by the fields of an encoded one."""
+        self._tables = codec.decode_tables(fields)
+        self._sequences.load_rows(fields["sequences"])
--- /dev/null
+++ b/foxtaillock/state/keys_fold.py
@@ -0,0 +1,50 @@
+"""Fold of keys: given once, withdrawn for good."""
+
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import handlers
+from foxtaillock.state import tables
+
+__all__ = ["fold_key_given", "fold_key_withdrawn"]
+
+
+@handlers.register_handler(records.KeyGiven)
+def fold_key_given(
+    state: tables.ControlTables, offset: int, record: records.KeyGiven
+) -> verdicts.Verdict:
+    """Accepts a new key id for an existing team, or for an operator."""
+    del offset
+    place = f"key/{record.key_id}"
+    stored = state.keys.get(record.key_id)
+    if stored is not None:
+        return _judge_again(stored, record)
+    if record.team and state.find("team", record.team) is None:
+        message = f"team {record.team!r} does not exist"
+        return handlers.refuse("invalid-reference", place, message)
+    state.keys[record.key_id] = tables.StoredKey(
+        record.digest, record.team, False
+    )
+    return verdicts.ACCEPTED
+
+
+def _judge_again(
+    stored: tables.StoredKey, record: records.KeyGiven
+) -> verdicts.Verdict:
+    place = f"key/{record.key_id}"
+    if stored.withdrawn:
+        return handlers.refuse("key-withdrawn", place, "was withdrawn")
+    if stored == tables.StoredKey(record.digest, record.team, False):
+        return verdicts.Verdict(True, "already-accepted")
+    return handlers.refuse("key-exists", place, "was given already")
+
+
+@handlers.register_handler(records.KeyWithdrawn)
+def fold_key_withdrawn(
+    state: tables.ControlTables, offset: int, record: records.KeyWithdrawn
+) -> verdicts.Verdict:
+    """Withdraws a key for good, also one that has not been given yet."""
+    del offset
+    stored = state.keys.get(record.key_id)
+    team = stored.team if stored else ""
+    state.keys[record.key_id] = tables.StoredKey("", team, True)
+    return verdicts.ACCEPTED
--- /dev/null
+++ b/foxtaillock/state/sessions_fold.py
@@ -0,0 +1,119 @@
+"""Fold of sessions and pool claims."""
+
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import handlers
+from foxtaillock.state import tables
+
+__all__ = [
+    "ENDED_SESSIONS",
+    "find_stale_epoch",
+    "fold_pool_claimed",
+    "fold_pool_released",
+    "fold_session_ended",
+    "fold_session_renewed",
+]
+
+ENDED_SESSIONS = 4096
+
+
+@handlers.register_handler(records.SessionRenewed)
+def fold_session_renewed(
+    state: tables.ControlTables, offset: int, record: records.SessionRenewed
+) -> verdicts.Verdict:
+    """Renews a session unless it has ended or the counter is not new."""
+    session = tables.SessionKey(record.node, record.incarnation)
+    place = f"session/{record.node}"
+    stored = state.sessions.get(session)
+    if stored is not None and stored.ended:
+        return handlers.refuse("session-ended", place, "has ended")
+    if stored is not None and record.counter <= stored.counter:
+        return handlers.refuse("stale-counter", place, "was renewed later")
+    state.sessions[session] = tables.StoredSession(
+        record.counter,
+        record.zone,
+        record.peer_address,
+        record.api_address,
+        offset,
+        False,
+    )
+    return verdicts.ACCEPTED
+
+
+@handlers.register_handler(records.SessionEnded)
+def fold_session_ended(
+    state: tables.ControlTables, offset: int, record: records.SessionEnded
+) -> verdicts.Verdict:
+    """Ends a session unless a later renewal stands."""
+    session = tables.SessionKey(record.node, record.incarnation)
+    place = f"session/{record.node}"
+    stored = state.sessions.get(session)
+    if stored is None:
+        return handlers.refuse("unknown-session", place, "does not exist")
+    if stored.ended:
+        return verdicts.Verdict(True, "already-accepted")
+    if stored.counter > record.counter:
+        return handlers.refuse("stale-counter", place, "was renewed later")
+    del state.sessions[session]
+    state.sessions[session] = stored._replace(offset=offset, ended=True)
+    _drop_ended(state)
+    return verdicts.ACCEPTED
+
+
+def _drop_ended(state: tables.ControlTables) -> None:
+    ended = [key for key, row in state.sessions.items() if row.ended]
+    for key in ended[:-ENDED_SESSIONS]:
+        del state.sessions[key]
+
+
+@handlers.register_handler(records.PoolClaimed)
+def fold_pool_claimed(
+    state: tables.ControlTables, offset: int, record: records.PoolClaimed
+) -> verdicts.Verdict:
+    """Gives a pool to a live session if nobody else live holds it."""
+    place = f"pool/{record.pool}"
+    session = tables.SessionKey(record.node, record.incarnation)
+    if not state.is_live(session):
+        return handlers.refuse("no-session", place, "claimant is not live")
+    if state.find("pool", record.pool) is None:
+        return handlers.refuse("unknown-pool", place, "does not exist")
+    stored = state.claims.get(record.pool)
+    if record.epoch != (stored.epoch if stored else 0) + 1:
+        return handlers.refuse("stale-epoch", place, "epoch is not the next")
+    if stored is not None and stored.node:
+        holder = tables.SessionKey(stored.node, stored.incarnation)
+        if holder != session and state.is_live(holder):
+            return handlers.refuse("held", place, f"{stored.node} holds it")
+    state.claims[record.pool] = tables.Claim(*record, "", offset)
+    return verdicts.ACCEPTED
+
+
+@handlers.register_handler(records.PoolReleased)
+def fold_pool_released(
+    state: tables.ControlTables, offset: int, record: records.PoolReleased
+) -> verdicts.Verdict:
+    """Takes a pool from its owner; the epoch stays."""
+    stored = state.claims.get(record.pool)
+    identity = (record.node, record.incarnation, record.epoch)
+    if stored is None or stored[1:4] != identity:
+        place = f"pool/{record.pool}"
+        return handlers.refuse("stale-epoch", place, "is not held so")
+    state.claims[record.pool] = tables.Claim(
+        record.pool, "", "", record.epoch, record.successor, offset
+    )
+    return verdicts.ACCEPTED
+
+
+def find_stale_epoch(
+    state: tables.ControlTables, pool: str, epoch: int
+) -> verdicts.Verdict | None:
+    """Returns a refusal unless `epoch` is that of the pool's present claim.
+
+    A pool that was never claimed has epoch zero.
+    """
+    stored = state.claims.get(pool)
+    if stored is None and epoch == 0:
+        return None
+    if stored is not None and stored.node and stored.epoch == epoch:
+        return None
+    return handlers.refuse("stale-epoch", f"pool/{pool}", f"epoch {epoch}")
--- /dev/null
+++ b/foxtaillock/state/tests/fake_log.py
@@ -0,0 +1,105 @@
+"""In-memory log with the faults of the platform's log, for tests."""
+
+import asyncio
+import enum
+import random
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces as adapters
+
+__all__ = ["FakeLog", "Fault", "LogClient"]
+
+
+class Fault(enum.Enum):
+    """How the log treats the requests of one client."""
+
+    NONE = enum.auto()
+    UNAVAILABLE = enum.auto()
+    SILENT = enum.auto()
+    LOST_ANSWER = enum.auto()
+    LATE_EFFECT = enum.auto()
+
+
+class FakeLog:
+    """Streams in memory, shared by clients that fail one by one."""
+
+    def __init__(self, retention: int = 1_000_000) -> None:
+        self.streams: dict[str, list[str]] = {}
+        self.retention = retention
+        self.appends = 0
+
+    def store(self, stream: str, record: str) -> int:
+        """Appends a record and returns its offset."""
+        rows = self.streams.setdefault(stream, [])
+        rows.append(record)
+        self.appends += 1
+        return len(rows) - 1
+
+    def page(self, stream: str, offset: int, limit: int) -> adapters.LogPage:
+        """Returns the records from `offset` on that are still kept."""
+        rows = self.streams.get(stream, [])
+        oldest = max(0, len(rows) - self.retention)
+        first = max(offset, oldest)
+        return adapters.LogPage(
+            first, rows[first : first + limit], len(rows), oldest
+        )
+
+
+class LogClient:
+    """View of a `FakeLog` by one node, with its own faults.
+
+    Attributes:
+        fault: fault of all requests.
+        lost_answers: share of appends whose answer is lost after they took
+            effect, some of them only a while later.
+        latency_s: longest way of a request.
+        answer_delay_s: way of the answer to a read.
+    """
+
+    def __init__(self, log: FakeLog, rng: random.Random) -> None:
+        self._log = log
+        self._rng = rng
+        self.fault = Fault.NONE
+        self.lost_answers = 0.0
+        self.latency_s = 0.002
+        self.answer_delay_s = 0.0
+
+    async def append(self, stream: str, record: str) -> int:
+        """Appends a record, as far as the fault lets it."""
+        await asyncio.sleep(self._rng.uniform(0.0, self.latency_s))
+        fault = self.fault
+        if fault is Fault.NONE and self._rng.random() < self.lost_answers:
+            fault = self._rng.choice((Fault.LOST_ANSWER, Fault.LATE_EFFECT))
+        if fault is Fault.UNAVAILABLE:
+            raise exceptions.LogUnavailableError("outage")
+        if fault is Fault.SILENT:
+            raise exceptions.LogUnreachableError("no answer")
+        if fault is Fault.LATE_EFFECT:
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, self._log.store, stream, record)
+            raise exceptions.LogUnreachableError("no answer")
+        offset = self._log.store(stream, record)
+        if fault is Fault.LOST_ANSWER:
+            raise exceptions.LogUnreachableError("answer lost")
+        return offset
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_s: float
+    ) -> adapters.LogPage:
+        """Reads records, waiting up to `wait_s` for the first."""
+        await asyncio.sleep(self._rng.uniform(0.0, self.latency_s))
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        while True:
+            self._raise_fault()
+            page = self._log.page(stream, offset, limit)
+            if page.records or loop.time() >= end_s:
+                await asyncio.sleep(self.answer_delay_s)
+                return page
+            await asyncio.sleep(min(0.01, wait_s))
+
+    def _raise_fault(self) -> None:
+        if self.fault is Fault.UNAVAILABLE:
+            raise exceptions.LogUnavailableError("outage")
+        if self.fault is Fault.SILENT:
+            raise exceptions.LogUnreachableError("no answer")
--- /dev/null
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -0,0 +1,283 @@
+"""Tests of the fold of the control stream."""
+
+import unittest
+
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import control_state
+
+Change = records.Change
+
+
+class ControlStateTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.state = control_state.ControlState()
+        self.offset = 0
+
+    def _fold(self, *rows: records.Record) -> list[verdicts.Verdict]:
+        batch = records.Batch("e", "x", self.offset + 1, rows)
+        text = records.encode_batch(batch)
+        results = self.state.apply(self.offset, records.decode_batch(text))
+        self.offset += 1
+        return list(results)
+
+    def _codes(self, *rows: records.Record) -> list[str]:
+        return [result.code for result in self._fold(*rows)]
+
+    def _note(self, *changes: Change) -> verdicts.Verdict:
+        note = records.NoteAccepted(f"n{self.offset}", "op", "t", changes)
+        return self._fold(note)[0]
+
+    def _set_up_pool(self) -> None:
+        self._note(
+            Change("added", "team", "t", 0, {"share": 1, "limit": 10}),
+            Change("added", "pool", "p", 0, {"size": 6}),
+            Change("added", "pool", "r", 0, {"size": 6}),
+        )
+        self._fold(_renewed("a"), _renewed("b"), _claimed("p", "a", 1))
+
+    def test_conflicting_note_is_refused_whole_with_all_findings(self) -> None:
+        self._set_up_pool()
+        revision = self.state.revision
+        team = {"share": 2, "limit": 20}
+        self.assertTrue(
+            self._note(Change("changed", "team", "t", revision, team)).accepted
+        )
+        late = self._note(
+            Change("changed", "team", "t", revision, {"share": 9}),
+            Change("changed", "pool", "none", 1, {}),
+            Change("added", "pool", "p", 0, {}),
+            Change("added", "pool", "fresh", 0, {}),
+        )
+        self.assertEqual(late.code, "conflict")
+        places = [finding.place for finding in late.findings]
+        self.assertEqual(places, ["team/t", "pool/none", "pool/p"])
+        self.assertIsNone(self.state.object("pool", "fresh"))
+        self.assertEqual(self.state.objects("team")["t"].body, team)
+
+    def test_disjoint_notes_both_stand(self) -> None:
+        self._set_up_pool()
+        read_at = self.state.revision
+        first = self._note(Change("changed", "pool", "p", read_at, {"size": 1}))
+        second = self._note(
+            Change("changed", "pool", "r", read_at, {"size": 2})
+        )
+        self.assertTrue(first.accepted and second.accepted)
+        self.assertEqual(len(self.state.history()), 3)
+
+    def test_note_accepted_twice_has_one_effect(self) -> None:
+        change = Change("added", "team", "t", 0, {"share": 1})
+        note = records.NoteAccepted("n", "op", "t", (change,))
+        self._fold(note)
+        self.assertEqual(
+            self._fold(note), [verdicts.Verdict(True, "already-accepted")]
+        )
+        self.assertEqual(len(self.state.history()), 1)
+
+    def test_dangling_references_are_refused(self) -> None:
+        self._set_up_pool()
+        queue = Change("added", "queue", "q", 0, {"pool": "x", "team": "y"})
+        refused = self._note(queue)
+        self.assertEqual(refused.code, "invalid-reference")
+        self.assertEqual(len(refused.findings), 2)
+        body = {"pool": "p", "teams": ["t"]}
+        self.assertTrue(
+            self._note(Change("added", "queue", "q", 0, body)).accepted
+        )
+        withdrawals = [
+            Change(
+                "withdrawn",
+                kind,
+                name,
+                self.state.objects(kind)[name].revision,
+                {},
+            )
+            for kind, name in (("team", "t"), ("pool", "p"), ("queue", "q"))
+        ]
+        self.assertEqual(len(self._note(*withdrawals[:2]).findings), 2)
+        self.assertTrue(self._note(*withdrawals).accepted)
+
+    def test_withdrawn_key_is_never_given_again(self) -> None:
+        self._set_up_pool()
+        given = records.KeyGiven("k", "d", "t", "op")
+        withdrawn = records.KeyWithdrawn("k", "op")
+        codes = self._codes(given, given, withdrawn, given)
+        self.assertEqual(codes, ["", "already-accepted", "", "key-withdrawn"])
+        early = records.KeyWithdrawn("l", "op")
+        codes = self._codes(early, given._replace(key_id="l"))
+        self.assertEqual(codes, ["", "key-withdrawn"])
+
+    def test_renewed_session_is_not_ended_and_ended_one_not_renewed(
+        self,
+    ) -> None:
+        ended = records.SessionEnded("a", "ia", 1, "b")
+        codes = self._codes(_renewed("a", 1), _renewed("a", 2), ended)
+        self.assertEqual(codes, ["", "", "stale-counter"])
+        codes = self._codes(ended._replace(counter=2), _renewed("a", 3))
+        self.assertEqual(codes, ["", "session-ended"])
+
+    def test_pool_has_one_live_owner(self) -> None:
+        self._set_up_pool()
+        codes = self._codes(
+            _claimed("p", "b", 1),
+            _claimed("p", "b", 2),
+            _claimed("p", "c", 2),
+            _claimed("none", "b", 1),
+            _claimed("p", "a", 2),
+            records.SessionEnded("a", "ia", 1, "b"),
+            _claimed("p", "b", 3),
+            records.PoolReleased("p", "a", "ia", 2, "c"),
+            records.PoolReleased("p", "b", "ib", 3, "c"),
+        )
+        self.assertEqual(
+            codes,
+            [
+                "stale-epoch",
+                "held",
+                "no-session",
+                "unknown-pool",
+                "",
+                "",
+                "",
+                "stale-epoch",
+                "",
+            ],
+        )
+        self.assertIsNone(self.state.claim("p"))
+        self.assertEqual(self.state.epoch("p"), 3)
+        self.assertEqual(self.state.claims["p"].successor, "c")
+
+    def test_grants_never_exceed_the_limit(self) -> None:
+        self._set_up_pool()
+        codes = self._codes(
+            _granted("a", 7),
+            _granted("b", 4),
+            _granted("b", 3),
+            _granted("c", 0),
+        )
+        self.assertEqual(codes, ["", "over-limit", "", "no-session"])
+        team = Change("changed", "team", "t", self.state.revision, {"limit": 2})
+        self._note(team)
+        self.assertEqual(self._codes(_granted("b", 4)), ["over-limit"])
+        self.assertEqual(self._codes(_granted("a", 1)), [""])
+        self.assertEqual(self.state.grants("t"), {"a": 1, "b": 3})
+
+    def test_grant_of_ended_session_counts_until_reclaimed(self) -> None:
+        self._set_up_pool()
+        reclaimed = records.GrantReclaimed("a", "ia")
+        codes = self._codes(
+            _granted("a", 10),
+            reclaimed,
+            records.SessionEnded("a", "ia", 1, "b"),
+            _granted("b", 1),
+            reclaimed,
+            _granted("b", 10),
+        )
+        self.assertEqual(codes, ["", "session-live", "", "over-limit", "", ""])
+
+    def test_vm_is_in_one_pool(self) -> None:
+        self._set_up_pool()
+        self._fold(_claimed("r", "b", 1))
+        step = records.VmStep("v", 1, "p", "joined", 1)
+        other = records.VmStep("v", 2, "r", "joined", 1)
+        codes = self._codes(
+            step,
+            other,
+            step._replace(step="left"),
+            step._replace(step="withdrawn"),
+            step._replace(step="left"),
+            step._replace(step="drained", epoch=7),
+            step._replace(step="drained"),
+            other,
+            step._replace(step="left"),
+            other,
+        )
+        self.assertEqual(
+            codes,
+            [
+                "",
+                "in-pool",
+                "wrong-step",
+                "",
+                "wrong-step",
+                "stale-epoch",
+                "",
+                "in-pool",
+                "",
+                "",
+            ],
+        )
+        self.assertEqual(self.state.vm_pool("v"), "r")
+
+    def test_disruptions_and_waves(self) -> None:
+        self._set_up_pool()
+        grant = records.DisruptionGranted("v", "p", "k", "z", "reboot", 1)
+        wave = records.WaveChanged("w", "p", "done", "", 1)
+        codes = self._codes(
+            grant,
+            records.VmStep("v", 1, "p", "joined", 1),
+            grant,
+            grant,
+            records.DisruptionEnded("v", "p", 1),
+            records.DisruptionEnded("v", "p", 1),
+            wave,
+            wave._replace(state="running"),
+        )
+        self.assertEqual(
+            codes,
+            [
+                "not-in-pool",
+                "",
+                "",
+                "already-granted",
+                "",
+                "unknown-disruption",
+                "",
+                "wave-over",
+            ],
+        )
+
+    def test_duplicate_batch_has_no_effect(self) -> None:
+        self._set_up_pool()
+        batch = records.Batch("e", "x", 1, (records.KeyWithdrawn("k", ""),))
+        results = self.state.apply(self.offset, batch)
+        self.assertEqual([row.code for row in results], ["duplicate"])
+        self.assertIsNone(self.state.key("k"))
+
+    def test_snapshot_keeps_everything(self) -> None:
+        self._set_up_pool()
+        self._fold(
+            _granted("a", 7),
+            records.KeyGiven("k", "d", "t", "op"),
+            records.VmStep("v", 1, "p", "joined", 1),
+            records.DisruptionGranted("v", "p", "k", "z", "reboot", 1),
+            records.WaveChanged("w", "p", "running", "", 1),
+            records.UnknownRecord("later", "[1]"),
+            records.SessionEnded("b", "ib", 1, "a"),
+        )
+        text = self.state.encode()
+        again = control_state.ControlState.decode(text)
+        self.assertEqual(again.encode(), text)
+        self.assertEqual(again.digest(), self.state.digest())
+        rows = (_renewed("a", 2), _granted("a", 8), _claimed("r", "b", 1))
+        batch = records.Batch("e", "x", 99, rows)
+        self.assertEqual(again.apply(9, batch), self.state.apply(9, batch))
+        self.assertEqual(again.digest(), self.state.digest())
+
+    def test_malformed_record_does_not_stop_the_fold(self) -> None:
+        self._fold(_renewed("a", 1))
+        bad = _renewed("a")._replace(counter="many")  # type: ignore[arg-type]
+        self.assertEqual(self._codes(bad), ["malformed"])
+
+
+def _renewed(node: str, counter: int = 1) -> records.SessionRenewed:
+    return records.SessionRenewed(node, f"i{node}", counter, "z", "", "")
+
+
+def _claimed(pool: str, node: str, epoch: int) -> records.PoolClaimed:
+    return records.PoolClaimed(pool, node, f"i{node}", epoch)
+
+
+def _granted(node: str, amount: int) -> records.GrantChanged:
+    return records.GrantChanged("t", node, f"i{node}", amount, amount)
--- /dev/null
+++ b/foxtaillock/state/vms_fold.py
@@ -0,0 +1,143 @@
+"""Fold of VM moves, disruptions and maintenance waves."""
+
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import handlers
+from foxtaillock.state import sessions_fold
+from foxtaillock.state import tables
+
+__all__ = [
+    "FINISHED_WAVES",
+    "fold_disruption_ended",
+    "fold_disruption_granted",
+    "fold_unknown",
+    "fold_vm_step",
+    "fold_wave_changed",
+]
+
+FINISHED_WAVES = 1000
+_FINAL_STATES = ("done", "cancelled")
+_STEP_BEFORE = {
+    "withdrawn": "joined",
+    "drained": "withdrawn",
+    "left": "drained",
+}
+
+
+@handlers.register_handler(records.VmStep)
+def fold_vm_step(
+    state: tables.ControlTables, offset: int, record: records.VmStep
+) -> verdicts.Verdict:
+    """Moves a VM one step; it is in one pool from `joined` until `left`."""
+    del offset
+    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    if stale is not None:
+        return stale
+    if record.step == "joined":
+        return _join(state, record)
+    return _advance(state, record)
+
+
+def _join(
+    state: tables.ControlTables, record: records.VmStep
+) -> verdicts.Verdict:
+    place = f"vm/{record.vm}"
+    stored = state.vms.get(record.vm)
+    if stored is not None and stored.pool != record.pool:
+        return handlers.refuse("in-pool", place, f"is in {stored.pool}")
+    if stored is not None and stored.incarnation >= record.incarnation:
+        return handlers.refuse("in-pool", place, "has joined already")
+    if state.find("pool", record.pool) is None:
+        message = f"pool {record.pool!r} does not exist"
+        return handlers.refuse("unknown-pool", place, message)
+    state.vms[record.vm] = tables.StoredVm(
+        record.pool, record.incarnation, "joined"
+    )
+    return verdicts.ACCEPTED
+
+
+def _advance(
+    state: tables.ControlTables, record: records.VmStep
+) -> verdicts.Verdict:
+    place = f"vm/{record.vm}"
+    stored = state.vms.get(record.vm)
+    if stored is None or stored.pool != record.pool:
+        return handlers.refuse("not-in-pool", place, f"not in {record.pool}")
+    if stored.incarnation != record.incarnation:
+        return handlers.refuse("stale-incarnation", place, "was replaced")
+    if _STEP_BEFORE.get(record.step) != stored.step:
+        message = f"{record.step} does not follow {stored.step}"
+        return handlers.refuse("wrong-step", place, message)
+    if record.step == "left":
+        del state.vms[record.vm]
+        state.disruptions.pop(record.vm, None)
+    else:
+        state.vms[record.vm] = stored._replace(step=record.step)
+    return verdicts.ACCEPTED
+
+
+@handlers.register_handler(records.DisruptionGranted)
+def fold_disruption_granted(
+    state: tables.ControlTables, offset: int, record: records.DisruptionGranted
+) -> verdicts.Verdict:
+    """Grants a disruption to a VM of the pool that has none."""
+    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    if stale is not None:
+        return stale
+    place = f"vm/{record.vm}"
+    stored = state.vms.get(record.vm)
+    if stored is None or stored.pool != record.pool:
+        return handlers.refuse("not-in-pool", place, f"not in {record.pool}")
+    if record.vm in state.disruptions:
+        return handlers.refuse("already-granted", place, "is disrupted")
+    state.disruptions[record.vm] = tables.Disruption(
+        record.pool, record.rack, record.zone, record.reason, offset
+    )
+    return verdicts.ACCEPTED
+
+
+@handlers.register_handler(records.DisruptionEnded)
+def fold_disruption_ended(
+    state: tables.ControlTables, offset: int, record: records.DisruptionEnded
+) -> verdicts.Verdict:
+    """Ends a disruption of a VM of the pool."""
+    del offset
+    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    if stale is not None:
+        return stale
+    stored = state.disruptions.get(record.vm)
+    if stored is None or stored.pool != record.pool:
+        place = f"vm/{record.vm}"
+        return handlers.refuse("unknown-disruption", place, "none is held")
+    del state.disruptions[record.vm]
+    return verdicts.ACCEPTED
+
+
+@handlers.register_handler(records.WaveChanged)
+def fold_wave_changed(
+    state: tables.ControlTables, offset: int, record: records.WaveChanged
+) -> verdicts.Verdict:
+    """Changes the state of a wave that is not over."""
+    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    if stale is not None:
+        return stale
+    stored = state.waves.pop(record.wave_id, None)
+    if stored is not None and stored.state in _FINAL_STATES:
+        state.waves[record.wave_id] = stored
+        return handlers.refuse("wave-over", f"wave/{record.wave_id}", "over")
+    state.waves[record.wave_id] = tables.Wave(
+        record.pool, record.state, record.reason, offset
+    )
+    finished = [k for k, w in state.waves.items() if w.state in _FINAL_STATES]
+    for wave_id in finished[:-FINISHED_WAVES]:
+        del state.waves[wave_id]
+    return verdicts.ACCEPTED
+
+
+@handlers.register_handler(records.UnknownRecord)
+def fold_unknown(
+    state: tables.ControlTables, offset: int, record: records.UnknownRecord
+) -> verdicts.Verdict:
+    """Keeps a record that a newer version wrote, without an effect."""
+    state.kept.append(tables.KeptRecord(offset, record.kind, record.body))
+    return verdicts.Verdict(False, "unknown-kind")
