--- /dev/null
+++ b/foxtaillock/jobs/job.py
@@ -0,0 +1,95 @@
+"""One job as the records of its pool's stream describe it."""
+
+import dataclasses
+import typing
+
+from foxtaillock.model import records
+from foxtaillock.model import resources
+from foxtaillock.model import world
+
+__all__ = ["ACTIVE", "FINISHED", "Job", "JobView", "WAITING", "task_id"]
+
+WAITING = frozenset((world.JobState.WAITING, world.JobState.CHECKPOINTED))
+ACTIVE = frozenset((world.JobState.STARTING, world.JobState.RUNNING))
+FINISHED = frozenset(
+    (
+        world.JobState.DONE,
+        world.JobState.FAILED,
+        world.JobState.CANCELLED,
+        world.JobState.UNKNOWN,
+    )
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """State of one job; only the fold changes it.
+
+    Attributes:
+        accepted: the record that accepted the job.
+        sequence: counts the accepted jobs of the pool from 1.
+        state: state that the records give; `RUNNING` is never recorded.
+        attempts: number of the last attempt, from 1.
+        failures: attempts that failed or whose end is unknown.
+        worker: worker of the last attempt.
+        worker_incarnation: incarnation of that worker.
+        checkpoint: progress of an earlier attempt, or empty.
+        result: answer of the worker, or the reason of the end.
+        cancelled: whether a running job is asked to stop.
+    """
+
+    accepted: records.JobAccepted
+    sequence: int
+    state: world.JobState = world.JobState.WAITING
+    attempts: int = 0
+    failures: int = 0
+    worker: str = ""
+    worker_incarnation: int = 0
+    checkpoint: str = ""
+    result: str = ""
+    cancelled: bool = False
+
+    @property
+    def job_id(self) -> str:
+        """Identity of the job."""
+        return self.accepted.job_id
+
+    @property
+    def team(self) -> str:
+        """Team that the job counts for."""
+        return self.accepted.team
+
+    @property
+    def declared(self) -> resources.Resources:
+        """Resources that the submitter asked for."""
+        return resources.Resources(*self.accepted.size)
+
+
+class JobView(typing.NamedTuple):
+    """What a team sees of a job.
+
+    Attributes:
+        reason: why a waiting job does not start, or how the job ended.
+    """
+
+    job_id: str
+    team: str
+    queue: str
+    state: world.JobState
+    attempts: int
+    worker: str
+    result: str
+    reason: str
+    accepted_at: str
+    idempotent: bool
+    urgent: bool
+
+
+def task_id(job_id: str, attempt: int) -> str:
+    """Returns the name of an attempt at its worker.
+
+    Example:
+        >>> task_id("boards.1f", 2)
+        'boards.1f.2'
+    """
+    return f"{job_id}.{attempt}"
--- /dev/null
+++ b/foxtaillock/jobs/pool_state.py
@@ -0,0 +1,348 @@
+"""State of one pool's jobs, folded from the stream `pool.<name>`."""
+
+import collections
+import hashlib
+import json
+import typing
+from collections.abc import Callable, Iterator, Sequence
+
+from foxtaillock import exceptions
+from foxtaillock.jobs import job as jobs_job
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.model import world
+
+__all__ = ["HISTORY_JOBS", "MAX_FAILURES", "PoolState", "stream_of"]
+
+HISTORY_JOBS = 5_000
+MAX_FAILURES = 5
+
+_Handler = Callable[["PoolState", typing.Any], verdicts.Verdict]
+_HANDLERS: dict[type, _Handler] = {}
+
+
+def stream_of(pool: str) -> str:
+    """Returns the name of the stream that carries the jobs of `pool`."""
+    return f"pool.{pool}"
+
+
+def _handles(record_class: type) -> Callable[[_Handler], _Handler]:
+    def _register(handler: _Handler) -> _Handler:
+        _HANDLERS[record_class] = handler
+        return handler
+
+    return _register
+
+
+def _refused(code: str) -> verdicts.Verdict:
+    return verdicts.Verdict(False, code)
+
+
+class PoolState:
+    """Fold of one pool's stream.
+
+    Records of an epoch other than the current one have no effect. Finished
+    jobs are kept until `history_jobs` others finished after them; a job whose
+    end is unknown is kept until it is settled.
+
+    Args:
+        history_jobs: finished jobs to keep; the same at every replica.
+
+    Attributes:
+        epoch: epoch of the current owner.
+        on_change: called with each job that a record changed.
+
+    Notes:
+        A record costs constant time.
+
+    Example:
+        >>> state = PoolState()
+        >>> raised = records.PoolEpochRaised(1, "entry-1")
+        >>> state.apply(0, records.Batch("entry-1", "x", 1, (raised,)))
+        [Verdict(accepted=True, code='', findings=())]
+        >>> state.epoch
+        1
+    """
+
+    def __init__(self, history_jobs: int = HISTORY_JOBS) -> None:
+        self.epoch = 0
+        self.on_change: Callable[[jobs_job.Job], None] | None = None
+        self._history_jobs = history_jobs
+        self._owner = ""
+        self._accepted_count = 0
+        self._next_offset = 0
+        self._sequences: dict[tuple[str, str], int] = {}
+        self._jobs: dict[str, jobs_job.Job] = {}
+        self._by_key: dict[tuple[str, str], str] = {}
+        self._active: dict[str, jobs_job.Job] = {}
+        self._waiting: dict[str, jobs_job.Job] = {}
+        self._finished: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def apply(
+        self, offset: int, batch: records.Batch
+    ) -> Sequence[verdicts.Verdict]:
+        """Applies one batch; returns one verdict for each of its records."""
+        self._next_offset = offset + 1
+        writer = (batch.writer, batch.incarnation)
+        if batch.sequence <= self._sequences.get(writer, 0):
+            return [_refused("duplicate") for _ in batch.records]
+        self._sequences[writer] = batch.sequence
+        return [self._apply_record(record) for record in batch.records]
+
+    def job(self, job_id: str) -> jobs_job.Job | None:
+        """Returns the job, or None if it is not known or has expired."""
+        return self._jobs.get(job_id)
+
+    def first_job(self, team: str, idempotency_key: str) -> str | None:
+        """Returns the job that the team submitted under this key."""
+        return self._by_key.get((team, idempotency_key))
+
+    def active_jobs(self) -> list[jobs_job.Job]:
+        """Returns the jobs with an attempt that has no recorded end."""
+        return list(self._active.values())
+
+    def waiting_jobs(self) -> list[jobs_job.Job]:
+        """Returns the jobs that wait for an attempt."""
+        return list(self._waiting.values())
+
+    def jobs(self) -> Iterator[jobs_job.Job]:
+        """Yields all jobs in the order of their acceptance."""
+        yield from self._jobs.values()
+
+    def encode(self) -> str:
+        """Returns the whole state as canonical JSON, for a snapshot."""
+        fields = {
+            "epoch": self.epoch,
+            "owner": self._owner,
+            "accepted": self._accepted_count,
+            "offset": self._next_offset,
+            "history": self._history_jobs,
+            "sequences": sorted([*k, n] for k, n in self._sequences.items()),
+            "jobs": [_encode_job(job) for job in self._jobs.values()],
+            "waiting": list(self._waiting),
+            "finished": list(self._finished),
+        }
+        return json.dumps(fields, separators=(",", ":"), sort_keys=True)
+
+    def digest(self) -> str:
+        """Returns the SHA-256 of the encoded state, in hexadecimal."""
+        return hashlib.sha256(self.encode().encode()).hexdigest()
+
+    @classmethod
+    def decode(cls, text: str) -> typing.Self:
+        """Returns the state that `encode` gave.
+
+        Raises:
+            exceptions.InvalidInputError: `text` is not an encoded state.
+        """
+        try:
+            return cls._from_fields(json.loads(text))
+        except (ValueError, KeyError, TypeError, IndexError) as error:
+            raise exceptions.InvalidInputError(
+                f"snapshot is not the state of a pool: {error}"
+            ) from error
+
+    @classmethod
+    def _from_fields(cls, fields: dict[str, typing.Any]) -> typing.Self:
+        state = cls(fields["history"])
+        state.epoch = fields["epoch"]
+        state._owner = fields["owner"]
+        state._accepted_count = fields["accepted"]
+        state._next_offset = fields["offset"]
+        for writer, incarnation, sequence in fields["sequences"]:
+            state._sequences[writer, incarnation] = sequence
+        for row in fields["jobs"]:
+            state._restore_job(_decode_job(row))
+        for job_id in fields["waiting"]:
+            state._waiting[job_id] = state._jobs[job_id]
+        state._finished.update((job_id, None) for job_id in fields["finished"])
+        return state
+
+    def _restore_job(self, job: jobs_job.Job) -> None:
+        self._jobs[job.job_id] = job
+        if job.accepted.idempotency_key:
+            key = (job.team, job.accepted.idempotency_key)
+            self._by_key[key] = job.job_id
+        if job.state in jobs_job.ACTIVE:
+            self._active[job.job_id] = job
+
+    def _apply_record(self, record: records.Record) -> verdicts.Verdict:
+        handler = _HANDLERS.get(type(record))
+        if handler is None:
+            return _refused("unknown-kind")
+        raises_epoch = isinstance(record, records.PoolEpochRaised)
+        if not raises_epoch and record.epoch != self.epoch:
+            return _refused("stale-epoch")
+        return handler(self, record)
+
+    @_handles(records.PoolEpochRaised)
+    def _raise_epoch(self, record: records.PoolEpochRaised) -> verdicts.Verdict:
+        is_repeated = (record.epoch, record.node) == (self.epoch, self._owner)
+        if record.epoch <= self.epoch and not is_repeated:
+            return _refused("stale-epoch")
+        self.epoch = record.epoch
+        self._owner = record.node
+        return verdicts.ACCEPTED
+
+    @_handles(records.JobAccepted)
+    def _accept(self, record: records.JobAccepted) -> verdicts.Verdict:
+        if record.job_id in self._jobs:
+            return _refused("duplicate-job")
+        key = (record.team, record.idempotency_key)
+        if record.idempotency_key and key in self._by_key:
+            return _refused("duplicate-key")
+        self._accepted_count += 1
+        job = jobs_job.Job(record, self._accepted_count)
+        self._jobs[record.job_id] = job
+        if record.idempotency_key:
+            self._by_key[key] = record.job_id
+        self._set_state(job, world.JobState.WAITING)
+        return verdicts.ACCEPTED
+
+    @_handles(records.AttemptStarted)
+    def _start_attempt(
+        self, record: records.AttemptStarted
+    ) -> verdicts.Verdict:
+        job = self._jobs.get(record.job_id)
+        if job is None:
+            return _refused("unknown-job")
+        if job.state not in jobs_job.WAITING:
+            return _refused("not-waiting")
+        if record.attempt != job.attempts + 1:
+            return _refused("wrong-attempt")
+        job.attempts = record.attempt
+        job.worker = record.worker
+        job.worker_incarnation = record.worker_incarnation
+        self._set_state(job, world.JobState.STARTING)
+        return verdicts.ACCEPTED
+
+    @_handles(records.AttemptEnded)
+    def _end_attempt(self, record: records.AttemptEnded) -> verdicts.Verdict:
+        job = self._jobs.get(record.job_id)
+        if job is None:
+            return _refused("unknown-job")
+        if record.attempt != job.attempts:
+            return _refused("wrong-attempt")
+        is_late = job.state == world.JobState.UNKNOWN
+        if is_late and record.outcome != "ran":
+            return _refused("not-running")
+        if not is_late and job.state not in jobs_job.ACTIVE:
+            return _refused("not-running")
+        job.result = record.result
+        self._set_state(job, _state_after(job, record))
+        return verdicts.ACCEPTED
+
+    @_handles(records.JobCheckpointed)
+    def _checkpoint(self, record: records.JobCheckpointed) -> verdicts.Verdict:
+        job = self._jobs.get(record.job_id)
+        if job is None:
+            return _refused("unknown-job")
+        if job.state not in jobs_job.ACTIVE or record.attempt != job.attempts:
+            return _refused("not-running")
+        job.checkpoint = record.checkpoint
+        state = world.JobState.CHECKPOINTED
+        if job.cancelled:
+            state = world.JobState.CANCELLED
+        self._set_state(job, state)
+        return verdicts.ACCEPTED
+
+    @_handles(records.JobCancelled)
+    def _cancel(self, record: records.JobCancelled) -> verdicts.Verdict:
+        job = self._jobs.get(record.job_id)
+        if job is None:
+            return _refused("unknown-job")
+        if job.state in jobs_job.FINISHED:
+            return _refused("finished")
+        job.cancelled = True
+        job.result = f"cancelled by {record.by}"
+        state = job.state
+        if state in jobs_job.WAITING:
+            state = world.JobState.CANCELLED
+        self._set_state(job, state)
+        return verdicts.ACCEPTED
+
+    @_handles(records.JobSettled)
+    def _settle(self, record: records.JobSettled) -> verdicts.Verdict:
+        job = self._jobs.get(record.job_id)
+        if job is None:
+            return _refused("unknown-job")
+        if job.state != world.JobState.UNKNOWN:
+            return _refused("not-unknown")
+        job.result = f"settled by {record.by}"
+        done = world.JobState.DONE if record.succeeded else None
+        self._set_state(job, done or world.JobState.FAILED)
+        return verdicts.ACCEPTED
+
+    def _set_state(self, job: jobs_job.Job, state: world.JobState) -> None:
+        job.state = state
+        job_id = job.job_id
+        self._active.pop(job_id, None)
+        if state not in jobs_job.WAITING:
+            self._waiting.pop(job_id, None)
+        else:
+            self._waiting[job_id] = job
+        if state in jobs_job.ACTIVE:
+            self._active[job_id] = job
+        if state in jobs_job.FINISHED and state != world.JobState.UNKNOWN:
+            self._finished[job_id] = None
+            self._expire()
+        if self.on_change is not None:
+            self.on_change(job)
+
+    def _expire(self) -> None:
+        while len(self._finished) > self._history_jobs:
+            job_id, _ = self._finished.popitem(last=False)
+            job = self._jobs.pop(job_id)
+            key = (job.team, job.accepted.idempotency_key)
+            if self._by_key.get(key) == job_id:
+                del self._by_key[key]
+
+
+def _state_after(
+    job: jobs_job.Job, record: records.AttemptEnded
+) -> world.JobState:
+    if record.outcome == "ran" and record.succeeded:
+        return world.JobState.DONE
+    if record.outcome == "not-run":
+        return _waiting_or_cancelled(job)
+    job.failures += 1
+    if record.outcome == "unknown" and not job.accepted.idempotent:
+        return world.JobState.UNKNOWN
+    if job.cancelled:
+        return world.JobState.CANCELLED
+    may_retry = job.accepted.idempotent and job.failures < MAX_FAILURES
+    if may_retry:
+        return _waiting_or_cancelled(job)
+    return world.JobState.FAILED
+
+
+def _waiting_or_cancelled(job: jobs_job.Job) -> world.JobState:
+    if job.cancelled:
+        return world.JobState.CANCELLED
+    if job.checkpoint:
+        return world.JobState.CHECKPOINTED
+    return world.JobState.WAITING
+
+
+def _encode_job(job: jobs_job.Job) -> list[typing.Any]:
+    return [
+        list(job.accepted),
+        job.sequence,
+        job.state.value,
+        job.attempts,
+        job.failures,
+        job.worker,
+        job.worker_incarnation,
+        job.checkpoint,
+        job.result,
+        job.cancelled,
+    ]
+
+
+def _decode_job(row: list[typing.Any]) -> jobs_job.Job:
+    accepted = records.JobAccepted(*row[0])
+    cpu_millis, memory_bytes, accelerators = accepted.size
+    accepted = accepted._replace(size=(cpu_millis, memory_bytes, accelerators))
+    return jobs_job.Job(accepted, row[1], world.JobState(row[2]), *row[3:])
--- /dev/null
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -0,0 +1,192 @@
+"""Tests of the owner of a pool with fakes of log and workers."""
+
+import asyncio
+import unittest
+
+from foxtaillock.jobs import owner as jobs_owner
+from foxtaillock.jobs.tests import fakes
+from foxtaillock.model import outcomes
+from foxtaillock.model import resources
+from foxtaillock.model import world
+
+
+async def _submit(
+    owner: jobs_owner.PoolOwner,
+    spec: world.JobSpec | None = None,
+    key: str = "",
+) -> str:
+    result = await owner.submit(spec or fakes.spec(), "nesting", "k", key)
+    assert isinstance(result, jobs_owner.Submitted), result
+    return result.job_id
+
+
+def _state(owner: jobs_owner.PoolOwner, job_id: str) -> world.JobState:
+    view = owner.job(job_id)
+    assert view is not None
+    return view.state
+
+
+class PoolOwnerTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_job_runs_and_its_end_is_recorded(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        job_id = await _submit(owner)
+        waiter = asyncio.create_task(owner.wait(job_id, 30.0))
+        await site.turn(owner)
+        self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
+        site.workers.finish(result="forme 7")
+        await site.turn(owner, 2)
+        view = await waiter
+        assert view is not None
+        self.assertEqual(view.state, world.JobState.DONE)
+        self.assertEqual(view.result, "forme 7")
+        self.assertEqual(site.grants.used["nesting"], 0)
+        await site.turn(owner)
+        self.assertEqual([*site.workers.tasks["w0"]], [])
+
+    async def test_repeated_submission_gives_the_first_job(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        job_id = await _submit(owner, key="order-1")
+        again = await owner.submit(fakes.spec(), "nesting", "k", "order-1")
+        self.assertEqual(again, jobs_owner.Submitted(job_id, True))
+        other = fakes.spec(urgent=True)
+        reused = await owner.submit(other, "nesting", "k", "order-1")
+        assert isinstance(reused, outcomes.NotRun)
+        self.assertEqual(reused.code, "key-reused")
+
+    async def test_submission_while_the_log_is_down_is_not_run(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        running = await _submit(owner)
+        await site.turn(owner)
+        site.log.down = True
+        refused = await owner.submit(fakes.spec(), "nesting", "k")
+        self.assertIsInstance(refused, outcomes.NotRun)
+        before = site.workers.renewed.total()
+        await site.turn(owner, 3)
+        self.assertGreater(site.workers.renewed.total(), before)
+        site.workers.finish()
+        await site.turn(owner, 3)
+        site.log.down = False
+        await site.turn(owner, 2)
+        self.assertEqual(_state(owner, running), world.JobState.DONE)
+        page = owner.jobs()
+        self.assertEqual([view.job_id for view in page.jobs], [running])
+
+    async def test_lost_answer_of_submission_is_unknown(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        site.log.faults.append("lost-answer")
+        result = await owner.submit(fakes.spec(), "nesting", "k", "order")
+        self.assertIsInstance(result, outcomes.Unknown)
+        again = await owner.submit(fakes.spec(), "nesting", "k", "order")
+        assert isinstance(again, jobs_owner.Submitted)
+        self.assertTrue(again.is_repeated)
+
+    async def test_nothing_is_dispatched_without_the_owners_lease(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        job_id = await _submit(owner)
+        owner.step()
+        await asyncio.sleep(0)
+        site.may_act = False
+        await owner.idle()
+        self.assertEqual(site.workers.runs.total(), 0)
+        successor = await self._take_over(site)
+        await site.turn(successor)
+        self.assertEqual(site.workers.runs[f"{job_id}.2"], 1)
+        self.assertEqual(site.workers.runs.total(), 1)
+
+    async def test_late_record_of_a_start_is_not_dispatched(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        job_id = await _submit(owner)
+        site.log.faults.extend(("late", "lost-answer"))
+        await site.turn(owner, 4)
+        self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
+        self.assertEqual(site.workers.runs.total(), 1)
+        self.assertEqual(site.grants.used["nesting"], 1)
+
+    async def test_usage_stays_counted_while_a_worker_is_silent(self) -> None:
+        site = fakes.Site(workers=1, limit=1)
+        owner = await site.started()
+        first = await _submit(owner)
+        second = await _submit(owner)
+        await site.turn(owner)
+        site.workers.silent.add("w0")
+        await site.turn(owner, 15)
+        self.assertEqual(site.grants.used["nesting"], 1)
+        await site.turn(owner, 30)
+        self.assertEqual(_state(owner, first), world.JobState.UNKNOWN)
+        self.assertEqual(site.grants.used["nesting"], 0)
+        site.workers.finish("stopped")
+        site.workers.silent.clear()
+        await site.turn(owner, 2)
+        self.assertEqual(_state(owner, second), world.JobState.RUNNING)
+        self.assertEqual(_state(owner, first), world.JobState.FAILED)
+
+    async def test_replaced_worker_makes_the_end_unknown(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        job_id = await _submit(owner)
+        again = await _submit(owner, fakes.spec(idempotent=True))
+        await site.turn(owner)
+        site.workers.replace("w0")
+        await site.turn(owner, 4)
+        self.assertEqual(_state(owner, job_id), world.JobState.UNKNOWN)
+        self.assertEqual(_state(owner, again), world.JobState.RUNNING)
+        self.assertEqual(site.workers.runs[f"{job_id}.1"], 1)
+
+    async def test_order_in_doubt_is_judged_after_its_validity(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        job_id = await _submit(owner)
+        site.workers.faults.append("late")
+        await site.turn(owner, 2)
+        self.assertEqual(_state(owner, job_id), world.JobState.STARTING)
+        site.workers.deliver_late()
+        await site.turn(owner)
+        self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
+        self.assertEqual(site.workers.runs.total(), 1)
+
+    async def test_cancelled_jobs_stop_and_never_start(self) -> None:
+        site = fakes.Site(limit=1)
+        owner = await site.started()
+        running = await _submit(owner)
+        waiting = await _submit(owner)
+        await site.turn(owner)
+        for job_id in (waiting, running):
+            result = await owner.cancel(job_id, "k")
+            self.assertIsInstance(result, jobs_owner.Changed)
+        await site.turn(owner, 2)
+        self.assertEqual(_state(owner, running), world.JobState.CANCELLED)
+        self.assertEqual(_state(owner, waiting), world.JobState.CANCELLED)
+        self.assertEqual(site.workers.running(), [])
+        self.assertEqual(site.workers.runs.total(), 1)
+
+    async def test_job_that_fits_nowhere_blocks_nobody(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        huge = fakes.spec(resources.Resources(10**6, 1, 0))
+        stuck = await owner.submit(huge, "nesting", "k")
+        assert isinstance(stuck, jobs_owner.Submitted)
+        self.assertNotEqual(stuck.reason, "")
+        job_id = await _submit(owner)
+        await site.turn(owner)
+        self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
+
+    async def test_draining_worker_gets_no_more_orders(self) -> None:
+        site = fakes.Site(workers=2)
+        site.workers.draining.add("w0")
+        owner = await site.started()
+        job_id = await _submit(owner)
+        await site.turn(owner, 3, step_s=0.2)
+        self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
+
+    async def _take_over(self, site: fakes.Site) -> jobs_owner.PoolOwner:
+        site.may_act = True
+        owner = await site.started()
+        await site.turn(owner, 2)
+        return owner
