--- /dev/null
+++ b/foxtaillock/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Driver of calls: admission, claim, choice of a runner, retries."""
--- /dev/null
+++ b/foxtaillock/calls/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this subsystem."""
