--- a/foxtaillock/api/admin.py
+++ b/foxtaillock/api/admin.py
@@ -36,7 +36,9 @@
     Every method raises `problems.Problem` for a refusal.
     """
 
-    keys: auth.KeyChecker
+    @property
+    def keys(self) -> auth.KeyChecker:
+        """Decides which keys work."""
 
     def check_note(self, text: str) -> Row:
         """Returns the changes of a note, or raises with all findings."""
--- a/foxtaillock/api/callers.py
+++ b/foxtaillock/api/callers.py
@@ -31,7 +31,9 @@
 class CallersBackend(typing.Protocol):
     """What the callers' interface needs of an entry VM."""
 
-    keys: auth.KeyChecker
+    @property
+    def keys(self) -> auth.KeyChecker:
+        """Decides which keys work."""
 
     def find_object(
         self, kind: str, name: str
--- a/foxtaillock/calls/service.py
+++ b/foxtaillock/calls/service.py
@@ -122,6 +122,14 @@
             running=self._running,
         )
 
+    def waiting_by_team(self) -> Mapping[str, int]:
+        """Returns how many calls of each team wait here."""
+        return collections.Counter(
+            waiter.team
+            for state in self._services.values()
+            for waiter in state.waiters
+        )
+
     async def call(
         self, request: adapters.CallRequest, team: str
     ) -> outcomes.Outcome:
--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from loguru import logger
 
@@ -49,7 +50,7 @@
         state: its fold.
         local: counts of what runs here.
         clock: source of time.
-        waiting_of: returns how much of a team waits here.
+        waiting_by_team: returns how much of each team waits here.
         open_pools_of: returns whether a pool of an ended session has no new
             owner that carries its attempts.
         reclaim_wait_s: time after which nothing of an ended session runs.
@@ -64,7 +65,7 @@
         local: limits.LocalGrants,
         clock: clocks.Clock,
         *,
-        waiting_of: Callable[[str], int],
+        waiting_by_team: Callable[[], Mapping[str, int]],
         open_pools_of: Callable[[str, str], bool],
         reclaim_wait_s: float,
     ) -> None:
@@ -74,7 +75,7 @@
         self._state = state
         self._local = local
         self._clock = clock
-        self._waiting_of = waiting_of
+        self._waiting_by_team = waiting_by_team
         self._open_pools_of = open_pools_of
         self._reclaim_wait_s = reclaim_wait_s
         self._ended_seen_s: dict[tuple[str, str], float] = {}
@@ -90,12 +91,13 @@
     def step(self) -> None:
         """Begins the changes that are due now."""
         self._local.set_session_valid_until(self._session.valid_until_s)
+        waiting = self._waiting_by_team()
         for team in self._state.objects("team"):
             granted = self._state.grant(
                 team, self._node, self._session.incarnation
             )
             self._local.set_granted(team, granted)
-            self._local.set_waiting(team, self._waiting_of(team))
+            self._local.set_waiting(team, waiting.get(team, 0))
         changes = limits.decide(
             self._node,
             self._session.incarnation,
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -76,7 +76,9 @@
         self._background = background.Background()
         self._requests_open = 0
         rng = random.Random(settings.seed if settings.seed >= 0 else None)
-        budget = budgets.AppendBudget(settings.appends_per_s)
+        budget = budgets.AppendBudget(
+            settings.appends_per_s, settings.appends_per_s, clock.monotonic_s()
+        )
         self._build_state(rng, budget)
         self._build_decisions(rng, budget)
         self._build_desks()
@@ -162,7 +164,7 @@
             self.state,
             self.grants,
             self.clock,
-            waiting_of=self._waiting_of,
+            waiting_by_team=self._waiting_by_team,
             open_pools_of=self._has_open_pools,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
@@ -353,11 +355,11 @@
     def _pool_names(self) -> list[str]:
         return [session_keeper.FLEET_POOL, *sorted(self.state.objects("pool"))]
 
-    def _waiting_of(self, team: str) -> int:
-        waiting = self.calls.waiting(team)
-        return waiting + sum(
-            owner.waiting(team) for owner in self.pools.owners.values()
-        )
+    def _waiting_by_team(self) -> typing.Mapping[str, int]:
+        counts = collections.Counter(self.calls.waiting_by_team())
+        for owner in self.pools.owners.values():
+            counts.update(owner.waiting_by_team())
+        return counts
 
     def _has_open_pools(self, node: str, incarnation: str) -> bool:
         return any(
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the session of this entry VM, and claims pools under it."""
 
 import asyncio
+import functools
 import hashlib
 import random
 import secrets
@@ -182,7 +183,7 @@
                 self._orphaned_s.pop(pool, None)
                 continue
             since_s = self._orphaned_s.setdefault(pool, now_s)
-            ranked = sorted(live, key=lambda node, p=pool: _rank(p, node))
+            ranked = sorted(live, key=functools.partial(_rank, pool))
             rank = ranked.index(self._node) if self._node in ranked else 0
             if now_s - since_s >= rank * self._times.renew_s:
                 record = records.PoolClaimed(
@@ -214,7 +215,7 @@
             for key, session in self._state.sessions.items()
             if not session.ended and key.node != self._node
         )
-        ranked = sorted(others, key=lambda node: _rank(pool, node))
+        ranked = sorted(others, key=functools.partial(_rank, pool))
         successor = ranked[0] if ranked else ""
         record = records.PoolReleased(
             pool, self._node, self.incarnation, epoch, successor
--- a/foxtaillock/jobs/owner.py
+++ b/foxtaillock/jobs/owner.py
@@ -253,6 +253,10 @@
         job = self._context.state.job(job_id)
         return None if job is None else self._view(job)
 
+    def waiting_by_team(self) -> Mapping[str, int]:
+        """Returns how many jobs of each team wait."""
+        return self._context.planner.waiting_by_team()
+
     def jobs(
         self, team: str = "", after: str = "", limit: int = 100
     ) -> JobPage:
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -1,7 +1,9 @@
 """Chooses which waiting job of a pool starts next, and on which worker."""
 
+import collections
 import typing
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
@@ -45,6 +47,12 @@
     def __len__(self) -> int:
         return len(self._urgent) + len(self._patient)
 
+    def waiting_by_team(self) -> Mapping[str, int]:
+        """Returns how many jobs of each team wait."""
+        counts = collections.Counter(r.team for r in self._urgent.values())
+        counts.update(r.team for r in self._patient.values())
+        return counts
+
     def add(self, request: Request) -> None:
         """Adds a waiting job, or replaces its request."""
         waiting = self._urgent if request.urgent else self._patient
