--- /dev/null
+++ b/foxtaillock/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration on embedded stand-ins."""
--- /dev/null
+++ b/foxtaillock/demo/fleet.py
@@ -0,0 +1,81 @@
+"""Starts the stand-ins and the entry VMs of the demonstration."""
+
+import hashlib
+import secrets
+import typing
+
+from foxtaillock.daemon import node as nodes
+from foxtaillock.model import objects
+from foxtaillock.settings import settings as settings_lib
+from foxtaillock.standins import world as worlds
+
+__all__ = ["DemoFleet", "start_fleet"]
+
+_ZONES = ("a", "b", "c")
+
+
+class DemoFleet(typing.NamedTuple):
+    """Everything that the demonstration runs.
+
+    Attributes:
+        world: stand-ins of the platform.
+        entries: entry VMs, one in each zone.
+        operator_key: first operator's key.
+    """
+
+    world: worlds.World
+    entries: list[nodes.EntryNode]
+    operator_key: str
+
+    @property
+    def urls(self) -> list[str]:
+        """Addresses of the entry VMs."""
+        return [f"http://127.0.0.1:{e.api_port}" for e in self.entries]
+
+    async def close(self) -> None:
+        """Ends what still runs."""
+        for entry in self.entries:
+            await entry.close()
+        await self.world.close()
+
+
+async def start_fleet(
+    services: typing.Iterable[str], pools: typing.Mapping[str, objects.Pool]
+) -> DemoFleet:
+    """Starts the stand-ins and one entry VM in each zone.
+
+    Args:
+        services: services that have runners.
+        pools: pools that the workers must suffice for.
+    """
+    config = worlds.WorldConfig(
+        zones=_ZONES,
+        workers=sum(pool["size"] for pool in pools.values()),
+        services=tuple(services),
+        runners_per_zone=2,
+        list_lag_s=0.3,
+        reboot_s=0.5,
+    )
+    world = await worlds.start_world(config)
+    operator_key = f"fx_bootstrap_{secrets.token_urlsafe(24)}"
+    peer_secret = secrets.token_urlsafe(24)
+    entries = []
+    for zone in _ZONES:
+        settings = settings_lib.Settings(
+            node_name=f"entry-{zone}",
+            zone=zone,
+            log_url=world.log_url,
+            vm_list_url=world.vm_list_url,
+            pool_url=world.pools_url,
+            peer_secret=peer_secret,
+            operator_key_digest=hashlib.sha256(
+                operator_key.encode()
+            ).hexdigest(),
+        )
+        entry = nodes.create_node(settings)
+        await entry.start()
+        world.register_entry(
+            settings.node_name, zone, f"127.0.0.1:{entry.api_port}"
+        )
+        entries.append(entry)
+    return DemoFleet(world, entries, operator_key)
--- /dev/null
+++ b/foxtaillock/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs with real processes, stand-ins and the fault-injecting proxy."""
--- /dev/null
+++ b/foxtaillock/integration/processes.py
@@ -0,0 +1,206 @@
+"""Real processes of a small fleet, for the proofs."""
+
+import asyncio
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import typing
+
+import aiohttp
+
+from foxtaillock.demo import client
+
+__all__ = ["OPERATOR_KEY", "ProcessFleet", "free_port"]
+
+OPERATOR_KEY = "fx_bootstrap_for-the-proofs"
+_PEER_SECRET = "shared-by-the-proofs"
+_READY_TIMEOUT_S = 30.0
+_POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Returns a loopback port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Entry:
+    """One entry VM: a real `foxtaillockd` and its ports."""
+
+    def __init__(self, name: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.api_port = free_port()
+        self.peer_port = free_port()
+        self.log_url = ""
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Address of the HTTP interface."""
+        return f"http://127.0.0.1:{self.api_port}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process of this entry VM."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+
+class ProcessFleet:
+    """Stand-ins and entry VMs as processes.
+
+    Args:
+        zones: zone of each entry VM, in order.
+        config: fields of `standins.world.WorldConfig`.
+    """
+
+    def __init__(
+        self, zones: typing.Sequence[str], config: dict[str, typing.Any]
+    ) -> None:
+        self._config = config
+        self._standins: asyncio.subprocess.Process | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._folder = tempfile.TemporaryDirectory()
+        self.urls: dict[str, str] = {}
+        self.entries = [
+            Entry(f"entry-{zone}-{i}", zone) for i, zone in enumerate(zones)
+        ]
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """HTTP session of the proofs."""
+        assert self._session is not None
+        return self._session
+
+    async def start_platform(self) -> None:
+        """Starts the stand-ins."""
+        self._session = aiohttp.ClientSession()
+        path = pathlib.Path(self._folder.name) / "world.json"
+        path.write_text(json.dumps(self._config), encoding="utf-8")
+        self._standins = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "foxtaillock.standins.main",
+            "--config",
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert self._standins.stdout is not None
+        self.urls = json.loads(await self._standins.stdout.readline())
+        for entry in self.entries:
+            entry.log_url = self.urls["log"]
+
+    async def start_entry(self, entry: Entry) -> None:
+        """Starts the daemon of an entry VM."""
+        log_path = pathlib.Path(self._folder.name) / f"{entry.name}.log"
+        with log_path.open("ab") as log:
+            entry.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "foxtaillock.daemon.main",
+                env={**os.environ, **self._environment(entry)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def _environment(self, entry: Entry) -> dict[str, str]:
+        digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        settings = {
+            "NODE_NAME": entry.name,
+            "ZONE": entry.zone,
+            "LOG_URL": entry.log_url,
+            "VM_LIST_URL": self.urls["vm_list"],
+            "POOL_URL": self.urls["pools"],
+            "PEER_SECRET": _PEER_SECRET,
+            "OPERATOR_KEY_DIGEST": digest,
+            "API_PORT": str(entry.api_port),
+            "PEER_PORT": str(entry.peer_port),
+            "LOG_LEVEL": "INFO",
+        }
+        return {f"FOXTAILLOCK_{name}": text for name, text in settings.items()}
+
+    async def start(self) -> None:
+        """Starts everything and waits until all entry VMs serve."""
+        await self.start_platform()
+        for entry in self.entries:
+            await self.start_entry(entry)
+        for entry in self.entries:
+            await self.await_ready(entry)
+
+    async def await_ready(self, entry: Entry) -> None:
+        """Waits until an entry VM serves.
+
+        Raises:
+            TimeoutError: it does not; the message carries its output.
+        """
+        end_s = asyncio.get_running_loop().time() + _READY_TIMEOUT_S
+        while asyncio.get_running_loop().time() < end_s:
+            if await self.is_ready(entry):
+                return
+            await asyncio.sleep(_POLL_S)
+        raise TimeoutError(f"{entry.name} does not serve\n{self.output(entry)}")
+
+    async def is_ready(self, entry: Entry) -> bool:
+        """Returns whether an entry VM says that it serves."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self.session.get(
+                f"{entry.url}/readyz", timeout=timeout
+            ) as answer:
+                return answer.status == 200
+        except (OSError, aiohttp.ClientError, asyncio.TimeoutError):
+            return False
+
+    def output(self, entry: Entry) -> str:
+        """Returns what the daemon of an entry VM has logged."""
+        path = pathlib.Path(self._folder.name) / f"{entry.name}.log"
+        return path.read_text(encoding="utf-8")
+
+    async def kill(self, entry: Entry) -> None:
+        """Kills the daemon of an entry VM without notice."""
+        entry.signal(signal.SIGKILL)
+        assert entry.process is not None
+        await entry.process.wait()
+
+    async def stop(self, entry: Entry) -> int:
+        """Stops the daemon of an entry VM gracefully; returns its code."""
+        entry.signal(signal.SIGTERM)
+        assert entry.process is not None
+        return await entry.process.wait()
+
+    def client(
+        self, key: str = OPERATOR_KEY, entries: typing.Iterable[int] = ()
+    ) -> client.Client:
+        """Returns a client of all entry VMs, or of those with an index."""
+        chosen = list(entries) or range(len(self.entries))
+        urls = [self.entries[i].url for i in chosen]
+        return client.Client(self.session, urls, key)
+
+    async def admin_post(self, url: str, body: typing.Any) -> None:
+        """Sets faults of a stand-in."""
+        async with self.session.post(url, json=body) as answer:
+            answer.raise_for_status()
+
+    async def admin_get(self, url: str) -> typing.Any:
+        """Reads what a stand-in saw."""
+        async with self.session.get(url) as answer:
+            answer.raise_for_status()
+            return await answer.json()
+
+    async def close(self) -> None:
+        """Ends all processes of this fleet."""
+        processes = [entry.process for entry in self.entries]
+        for process in (*processes, self._standins):
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                await process.wait()
+        if self._session is not None:
+            await self._session.close()
+        self._folder.cleanup()
--- a/foxtaillock/jobs/owner.py
+++ b/foxtaillock/jobs/owner.py
@@ -255,7 +255,7 @@
 
     def waiting_by_team(self) -> Mapping[str, int]:
         """Returns how many jobs of each team wait."""
-        return self._context.planner.waiting_by_team()
+        return self._context.waiting.waiting_by_team()
 
     def jobs(
         self, team: str = "", after: str = "", limit: int = 100
