State: the owner of the fleet decides moves, disruptions and waves

Cause: the demonstration found no worker joined to a pool: VM steps were checked against the epoch of the pool, while one owner must decide for all pools, since racks and zones are shared between them. Ruled out: one owner a pool with budgets of its own (two pools could empty a rack together). Before: 12 workers joined none, 16 jobs waited. Tests now claim the fleet.

--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -244,7 +244,7 @@
     async def _change_wave(
         self, wave_id: str, pool: str, state: str, author: str
     ) -> admin.Row:
-        epoch = self._state.epoch(session_keeper.FLEET_POOL)
+        epoch = self._state.epoch(records.FLEET_POOL)
         record = records.WaveChanged(
             wave_id, pool, state, f"by {author}", epoch
         )
--- a/foxtaillock/daemon/fleet_keeper.py
+++ b/foxtaillock/daemon/fleet_keeper.py
@@ -44,8 +44,8 @@
         """Runs until cancelled."""
         while True:
             await asyncio.sleep(_INTERVAL_S)
-            epoch = self._state.epoch(session_keeper.FLEET_POOL)
-            if self._session.owns(session_keeper.FLEET_POOL, epoch):
+            epoch = self._state.epoch(records.FLEET_POOL)
+            if self._session.owns(records.FLEET_POOL, epoch):
                 await self._assign(epoch)
 
     async def _assign(self, epoch: int) -> None:
--- a/foxtaillock/daemon/main.py
+++ b/foxtaillock/daemon/main.py
@@ -28,7 +28,7 @@
         for finding in parsed.findings:
             print(f"{finding.place}: {finding.message}", file=sys.stderr)
         sys.exit(_EXIT_BAD_SETTINGS)
-    log_setup.set_up(parsed)
+    log_setup.configure(parsed.log_format, parsed.log_level)
     asyncio.run(_run(parsed))
 
 
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -353,7 +353,7 @@
             self._spread()
 
     def _pool_names(self) -> list[str]:
-        return [session_keeper.FLEET_POOL, *sorted(self.state.objects("pool"))]
+        return [records.FLEET_POOL, *sorted(self.state.objects("pool"))]
 
     def _waiting_by_team(self) -> typing.Mapping[str, int]:
         counts = collections.Counter(self.calls.waiting_by_team())
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -17,6 +17,7 @@
 from foxtaillock.jobs import pool_state
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import objects
+from foxtaillock.model import records
 from foxtaillock.model import world
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
@@ -89,7 +90,7 @@
             if held.owner.is_deposed or not self._still_mine(pool, held.epoch):
                 await self._stop(pool)
         for pool, claim in list(self._state.claims.items()):
-            if pool == session_keeper.FLEET_POOL or pool in self._held:
+            if pool == records.FLEET_POOL or pool in self._held:
                 continue
             is_mine = self._session.owns(pool, claim.epoch)
             if is_mine and pool not in self._starting:
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -17,9 +17,8 @@
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
 
-__all__ = ["FLEET_POOL", "SessionKeeper", "SessionTimes"]
+__all__ = ["SessionKeeper", "SessionTimes"]
 
-FLEET_POOL = "_fleet"
 _TICK_S = 0.1
 _FRESH_S = 1.0
 
--- a/foxtaillock/demo/story.py
+++ b/foxtaillock/demo/story.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import json
 import typing
 
@@ -77,7 +78,8 @@
         revision = answer.body.get("revision", 0)
         for i in range(len(self._fleet.entries)):
             await self._until(
-                lambda i=i: self._has_revision(i, revision), _KEY_TIMEOUT_S
+                functools.partial(self._has_revision, i, revision),
+                _KEY_TIMEOUT_S,
             )
         self._account.tell(f"note in force everywhere at revision {revision}")
 
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -26,6 +26,7 @@
     "Change",
     "DisruptionEnded",
     "DisruptionGranted",
+    "FLEET_POOL",
     "GrantChanged",
     "GrantReclaimed",
     "JobAccepted",
@@ -53,6 +54,7 @@
 
 SCHEMA_VERSION = 1
 CONTROL_STREAM = "control"
+FLEET_POOL = "_fleet"
 
 Record = typing.Any
 _RecordT = typing.TypeVar("_RecordT", bound=type)
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -75,7 +75,8 @@
     session = tables.SessionKey(record.node, record.incarnation)
     if not state.is_live(session):
         return handlers.refuse("no-session", place, "claimant is not live")
-    if state.find("pool", record.pool) is None:
+    is_fleet = record.pool == records.FLEET_POOL
+    if not is_fleet and state.find("pool", record.pool) is None:
         return handlers.refuse("unknown-pool", place, "does not exist")
     stored = state.claims.get(record.pool)
     if record.epoch != (stored.epoch if stored else 0) + 1:
@@ -105,15 +106,17 @@
 
 
 def find_stale_epoch(
-    state: tables.ControlTables, pool: str, epoch: int
+    state: tables.ControlTables, epoch: int
 ) -> verdicts.Verdict | None:
-    """Returns a refusal unless `epoch` is that of the pool's present claim.
+    """Returns a refusal unless `epoch` is that of the fleet's present owner.
 
-    A pool that was never claimed has epoch zero.
+    Moves, disruptions and waves touch several pools and shared racks; one
+    owner, of the pool `records.FLEET_POOL`, decides them all. A fleet that was
+    never claimed has epoch zero.
     """
-    stored = state.claims.get(pool)
+    stored = state.claims.get(records.FLEET_POOL)
     if stored is None and epoch == 0:
         return None
     if stored is not None and stored.node and stored.epoch == epoch:
         return None
-    return handlers.refuse("stale-epoch", f"pool/{pool}", f"epoch {epoch}")
+    return handlers.refuse("stale-epoch", "fleet", f"epoch {epoch}")
--- a/foxtaillock/state/tests/test_control_state.py
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -36,6 +36,7 @@
             Change("added", "pool", "r", 0, {"size": 6}),
         )
         self._fold(_renewed("a"), _renewed("b"), _claimed("p", "a", 1))
+        self._fold(_claimed(records.FLEET_POOL, "b", 1))
 
     def test_conflicting_note_is_refused_whole_with_all_findings(self) -> None:
         self._set_up_pool()
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -30,7 +30,7 @@
 ) -> verdicts.Verdict:
     """Moves a VM one step; it is in one pool from `joined` until `left`."""
     del offset
-    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    stale = sessions_fold.find_stale_epoch(state, record.epoch)
     if stale is not None:
         return stale
     if record.step == "joined":
@@ -81,7 +81,7 @@
     state: tables.ControlTables, offset: int, record: records.DisruptionGranted
 ) -> verdicts.Verdict:
     """Grants a disruption to a VM of the pool that has none."""
-    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    stale = sessions_fold.find_stale_epoch(state, record.epoch)
     if stale is not None:
         return stale
     place = f"vm/{record.vm}"
@@ -102,7 +102,7 @@
 ) -> verdicts.Verdict:
     """Ends a disruption of a VM of the pool."""
     del offset
-    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    stale = sessions_fold.find_stale_epoch(state, record.epoch)
     if stale is not None:
         return stale
     stored = state.disruptions.get(record.vm)
@@ -118,7 +118,7 @@
     state: tables.ControlTables, offset: int, record: records.WaveChanged
 ) -> verdicts.Verdict:
     """Changes the state of a wave that is not over."""
-    stale = sessions_fold.find_stale_epoch(state, record.pool, record.epoch)
+    stale = sessions_fold.find_stale_epoch(state, record.epoch)
     if stale is not None:
         return stale
     stored = state.waves.pop(record.wave_id, None)
