Close a connection whose answer carries another request's id; test outcomes

Cause: the test of crossed answers found that a short answer gives its connection back to the pool before its caller sees it, so closing the response had no effect and the next request went out on the crossed connection. The id is now checked where the head of the answer is read, and the connection is closed there. Ruled out: a session for each runner that is thrown away on a crossed answer (needs eviction, and cuts or over-counts connections), and no keep-alive at all (a new connection for each call).

--- a/foxtaillock/adapters/http_runners.py
+++ b/foxtaillock/adapters/http_runners.py
@@ -8,6 +8,7 @@
 import types
 
 import aiohttp
+from aiohttp import connector as connector_lib
 import yarl
 
 from foxtaillock.adapters import http_session
@@ -40,6 +41,29 @@
         self.was_written = False
 
 
+class _CheckedResponse(aiohttp.ClientResponse):
+    """Response that closes its connection when the answer is another's.
+
+    A short answer has given its connection back to the pool before its caller
+    sees it, so the check stands here.
+    """
+
+    async def start(
+        self, connection: connector_lib.Connection
+    ) -> aiohttp.ClientResponse:
+        """Reads the head of the answer."""
+        protocol = connection.protocol
+        await super().start(connection)
+        if not self.is_own_answer() and protocol is not None:
+            protocol.close()
+        return self
+
+    def is_own_answer(self) -> bool:
+        """Returns whether the answer carries the id of its request."""
+        expected = self.request_info.headers.get(_REQUEST_ID)
+        return self.headers.get(_REQUEST_ID) == expected
+
+
 class HttpRunners:
     """Client of the runners; see `interfaces.RunnerService`.
 
@@ -47,8 +71,6 @@
         connections_per_runner: connections kept to each runner at most.
         connect_timeout_s: longest wait for a new connection.
         max_answer_bytes: longest body of an answer.
-        session_factory: makes the client session; it has to keep the
-            signals that `was_written` depends on.
     """
 
     def __init__(
@@ -56,14 +78,11 @@
         connections_per_runner: int = 7,
         connect_timeout_s: float = 1.0,
         max_answer_bytes: int = 16 * 1024 * 1024,
-        session_factory: http_session.SessionFactory | None = None,
     ) -> None:
         self._connections_per_runner = connections_per_runner
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
-        self._session = http_session.Session(
-            session_factory or self._make_session
-        )
+        self._session = http_session.Session(self._make_session)
 
     async def call(
         self, vm: world.VmEntry, request: interfaces.CallRequest
@@ -100,6 +119,7 @@
         )
         return aiohttp.ClientSession(
             connector=connector,
+            response_class=_CheckedResponse,
             trace_configs=[trace],
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent",),
@@ -154,14 +174,12 @@
     connections_per_runner: int = 7,
     connect_timeout_s: float = 1.0,
     max_answer_bytes: int = 16 * 1024 * 1024,
-    session_factory: http_session.SessionFactory | None = None,
 ) -> HttpRunners:
     """Returns a client of the runners, which it finds by their rows."""
     return HttpRunners(
         connections_per_runner,
         connect_timeout_s,
         max_answer_bytes,
-        session_factory,
     )
 
 
--- a/foxtaillock/standins/runners.py
+++ b/foxtaillock/standins/runners.py
@@ -323,8 +323,11 @@
 ) -> web.StreamResponse:
     response = web.StreamResponse(status=status, headers=headers)
     response.content_length = len(payload)
-    await response.prepare(request)
-    await response.write(payload[: len(payload) // 2])
+    try:
+        await response.prepare(request)
+        await response.write(payload[: len(payload) // 2])
+    except ConnectionError:
+        return response
     if request.transport is not None:
         request.transport.close()
     return response
