Place by dominant share and best fit; learn sizes; quarantine bad workers

Cause: first fit in order of arrival lets one team take a full pool, and a worker that fails everything attracts all work. Teams go by smallest weighted dominant share; workers by best fit with racks and zones spread and accelerators kept; urgent work and long deprived teams get their share back by checkpoints of borrowers; failures are blamed on the job or on the worker, with caps. While the log answers that it is unavailable tasks are renewed although the owner's lease has lapsed.

--- a/foxtaillock/jobs/attempts.py
+++ b/foxtaillock/jobs/attempts.py
@@ -43,6 +43,8 @@
         started_s: when the task was seen to run first.
         end: record of its end, once it is over.
         counted: whether it holds a slot and the team's usage.
+        is_recording_end: whether the commit of `end` is under way.
+        checkpoint_wanted: whether it shall give its worker back.
     """
 
     job_id: str
@@ -58,6 +60,7 @@
     end: End | None = None
     counted: bool = True
     is_recording_end: bool = False
+    checkpoint_wanted: bool = False
 
     @property
     def task_id(self) -> str:
--- /dev/null
+++ b/foxtaillock/jobs/backlog.py
@@ -0,0 +1,77 @@
+"""Waiting jobs of one pool between their records and the planner."""
+
+from foxtaillock import exceptions
+from foxtaillock.jobs import context as jobs_context
+from foxtaillock.jobs import job as jobs_job
+from foxtaillock.model import records
+from foxtaillock.placement import waiting
+
+__all__ = ["Backlog"]
+
+
+class Backlog:
+    """Hands waiting jobs to the planner, with corrected sizes and back-off."""
+
+    def __init__(self, context: jobs_context.Context) -> None:
+        self._context = context
+        self._since_s: dict[str, float] = {}
+
+    def add(self, job: jobs_job.Job) -> None:
+        """Adds a waiting job.
+
+        A job that waits again keeps the time at which this owner first saw it.
+        """
+        context = self._context
+        now_s = context.now_s()
+        accepted = job.accepted
+        since_s = self._since_s.setdefault(job.job_id, now_s)
+        expires_s = float("inf")
+        if accepted.deadline_s > 0:
+            expires_s = since_s + accepted.deadline_s
+        request = waiting.Request(
+            job.job_id,
+            job.team,
+            accepted.queue,
+            context.learned.size(job.team, accepted.queue, job.declared),
+            accepted.urgent,
+            since_s,
+            now_s + self._backoff_s(job),
+            accepted.idempotent,
+            context.trust.workers_failed(job.job_id),
+            expires_s,
+        )
+        context.waiting.add(request, now_s)
+
+    def remove(self, job: jobs_job.Job) -> None:
+        """Removes a job that waits no longer."""
+        self._context.waiting.remove(job.job_id)
+        if job.state in jobs_job.FINISHED:
+            self._since_s.pop(job.job_id, None)
+
+    def expire(self) -> None:
+        """Cancels the waiting jobs that have become of no use."""
+        context = self._context
+        if not context.may_commit():
+            return
+        for job_id in context.waiting.take_expired(context.now_s()):
+            context.spawn(self._expire_one(job_id))
+
+    async def _expire_one(self, job_id: str) -> None:
+        context = self._context
+        record = records.JobCancelled(job_id, "deadline", context.epoch)
+        try:
+            await context.commit(record)
+        except (exceptions.NotRunError, exceptions.OutcomeUnknownError):
+            context.pause()
+        job = context.state.job(job_id)
+        if job is not None and job.state in jobs_job.WAITING:
+            self.add(job)
+
+    def _backoff_s(self, job: jobs_job.Job) -> float:
+        """Returns a back-off with full jitter after failed attempts."""
+        if job.failures == 0:
+            return 0.0
+        settings = self._context.settings
+        span_s = settings.backoff_s * 2 ** (job.failures - 1)
+        span_s = min(span_s, settings.max_backoff_s)
+        return self._context.rng.uniform(0.0, span_s)
--- a/foxtaillock/jobs/context.py
+++ b/foxtaillock/jobs/context.py
@@ -17,11 +17,15 @@
 from foxtaillock.model import resources
 from foxtaillock.model import verdicts
 from foxtaillock.placement import capacity
+from foxtaillock.placement import corrections
 from foxtaillock.placement import planner
+from foxtaillock.placement import quarantine
 from foxtaillock.state import interfaces as state_interfaces
 
 __all__ = ["Context", "Grants", "OwnerSettings"]
 
+LOG_REFUSED_FRESH_S = 1.5
+
 
 class Grants(typing.Protocol):
     """This node's part of the teams' upper limits."""
@@ -44,6 +48,7 @@
         poll_interval_s: time between two polls of a worker.
         start_window_s: time that an order to start stays valid.
         allowance_s: allowance for drift and pauses on top of a lease.
+        pause_s: longest pause after a commit that failed.
         refusal_hold_s: time without new tasks for a worker that refused one.
         max_dispatches: attempts that are recorded at the same time.
         backoff_s, max_backoff_s: base and cap of the back-off between the
@@ -53,7 +58,8 @@
     lease_s: float = 15.0
     poll_interval_s: float = 0.5
     start_window_s: float = 5.0
-    allowance_s: float = 3.0
+    allowance_s: float = 4.0
+    pause_s: float = 1.0
     refusal_hold_s: float = 2.0
     max_dispatches: int = 64
     backoff_s: float = 0.5
@@ -66,6 +72,7 @@
 
     Attributes:
         deposed: whether a record of a higher epoch was seen.
+        paused_until_s: no new records until then, after a failed commit.
         wake: set when there may be something to do.
     """
 
@@ -86,7 +93,14 @@
     table: attempts.AttemptTable = dataclasses.field(
         default_factory=attempts.AttemptTable
     )
+    learned: corrections.Corrections = dataclasses.field(
+        default_factory=corrections.Corrections
+    )
+    trust: quarantine.Quarantine = dataclasses.field(
+        default_factory=quarantine.Quarantine
+    )
     deposed: bool = False
+    paused_until_s: float = float("-inf")
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     running: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
@@ -105,6 +119,17 @@
         while self.running:
             await asyncio.wait(self.running)
 
+    def may_renew(self) -> bool:
+        """Returns whether the tasks on the workers may be kept running.
+
+        While the log answers that it is unavailable no other owner can take
+        over, so that tasks go on although the own lease can not be renewed.
+        """
+        if self.deposed:
+            return False
+        refused_age_s = self.replica.log_refused_age_s()
+        return self.may_act() or refused_age_s <= LOG_REFUSED_FRESH_S
+
     async def commit(
         self, record: records.Record, *, urgent: bool = False
     ) -> verdicts.Verdict:
@@ -128,8 +153,29 @@
         self, attempt: attempts.Attempt, size: resources.Resources
     ) -> None:
         """Adds an attempt that holds a slot."""
+        job = self.state.job(attempt.job_id)
+        task = capacity.Task(
+            attempt.task_id,
+            attempt.job_id,
+            attempt.team,
+            job.accepted.queue if job is not None else "",
+            attempt.worker,
+            size,
+            self.now_s(),
+        )
         self.table.add(attempt)
-        self.workers.reserve(attempt.worker, attempt.task_id, size)
+        self.workers.reserve(task)
+
+    def pause(self) -> None:
+        """Holds further commits back for a short time with jitter."""
+        self.paused_until_s = self.now_s() + self.rng.uniform(
+            0.0, self.settings.pause_s
+        )
+
+    def may_commit(self) -> bool:
+        """Returns whether records may be written now."""
+        is_paused = self.now_s() < self.paused_until_s
+        return not is_paused and not self.deposed and self.may_act()
 
     def release(self, attempt: attempts.Attempt) -> None:
         """Gives back the slot and the team's usage, once."""
--- a/foxtaillock/jobs/dispatch.py
+++ b/foxtaillock/jobs/dispatch.py
@@ -5,9 +5,11 @@
 from foxtaillock.jobs import attempts
 from foxtaillock.jobs import context as jobs_context
 from foxtaillock.jobs import job as jobs_job
+from foxtaillock.jobs import standing
 from foxtaillock.jobs import worker_links
 from foxtaillock.model import records
 from foxtaillock.placement import planner
+from foxtaillock.placement import waiting
 
 __all__ = ["Dispatcher"]
 
@@ -20,10 +22,14 @@
     """
 
     def __init__(
-        self, context: jobs_context.Context, links: worker_links.WorkerLinks
+        self,
+        context: jobs_context.Context,
+        links: worker_links.WorkerLinks,
+        workers_standing: standing.Standing,
     ) -> None:
         self._context = context
         self._links = links
+        self._standing = workers_standing
         self._recording = 0
 
     def place(self) -> None:
@@ -31,7 +37,7 @@
         context = self._context
         now_s = context.now_s()
         while self._recording < context.settings.max_dispatches:
-            if not context.may_act() or context.deposed:
+            if not context.may_commit():
                 return
             assignment = context.waiting.next_assignment(
                 now_s, context.grants.try_start
@@ -71,7 +77,7 @@
         if job is None or link is None:
             context.grants.finish(request.team)
             context.workers.set_usable(assignment.worker, False)
-            context.waiting.add(request)
+            context.waiting.add(request, context.now_s())
             return
         attempt = attempts.Attempt(
             job.job_id,
@@ -87,7 +93,7 @@
         context.spawn(self._record_and_dispatch(attempt, request))
 
     async def _record_and_dispatch(
-        self, attempt: attempts.Attempt, request: planner.Request
+        self, attempt: attempts.Attempt, request: waiting.Request
     ) -> None:
         try:
             is_recorded = await self._record(attempt)
@@ -103,7 +109,7 @@
         if job is None:
             return
         if job.state in jobs_job.WAITING:
-            context.waiting.add(request)
+            context.waiting.add(request, context.now_s())
         elif job.attempts == attempt.number:
             self.on_unexpected_start(job)
 
@@ -118,11 +124,12 @@
         try:
             verdict = await self._context.commit(record)
         except (exceptions.NotRunError, exceptions.OutcomeUnknownError):
+            self._context.pause()
             return False
         return verdict.accepted
 
     async def _dispatch(
-        self, attempt: attempts.Attempt, request: planner.Request
+        self, attempt: attempts.Attempt, request: waiting.Request
     ) -> None:
         context = self._context
         job = context.state.job(attempt.job_id)
@@ -166,9 +173,7 @@
             return
         if answer.code == "stale-epoch":
             self._context.deposed = True
-        now_s = self._context.now_s()
-        link.refused_until_s = now_s + self._context.settings.refusal_hold_s
-        self._context.workers.set_usable(attempt.worker, False)
+        self._standing.refuse(link)
         self._end_not_run(attempt, f"worker refused: {answer.code}")
 
     def _end_not_run(self, attempt: attempts.Attempt, reason: str) -> None:
@@ -178,7 +183,7 @@
     def _order(
         self,
         attempt: attempts.Attempt,
-        request: planner.Request,
+        request: waiting.Request,
         job: jobs_job.Job,
         not_valid_after_s: float,
     ) -> interfaces.TaskOrder:
--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -111,6 +111,12 @@
         """Yields all jobs in the order of their acceptance."""
         yield from self._jobs.values()
 
+    @property
+    def unknown_count(self) -> int:
+        """Number of the jobs whose end is unknown and not settled."""
+        waiting = len(self._waiting) + len(self._active)
+        return len(self._jobs) - len(self._finished) - waiting
+
     def encode(self) -> str:
         """Returns the whole state as canonical JSON, for a snapshot."""
         fields = {
--- a/foxtaillock/jobs/supervisor.py
+++ b/foxtaillock/jobs/supervisor.py
@@ -7,6 +7,7 @@
 from foxtaillock.jobs import attempts
 from foxtaillock.jobs import context as jobs_context
 from foxtaillock.jobs import job as jobs_job
+from foxtaillock.jobs import standing
 from foxtaillock.jobs import worker_links
 from foxtaillock.model import records
 from foxtaillock.model import world
@@ -20,10 +21,14 @@
     """Polls the workers of one pool and settles what became of attempts."""
 
     def __init__(
-        self, context: jobs_context.Context, links: worker_links.WorkerLinks
+        self,
+        context: jobs_context.Context,
+        links: worker_links.WorkerLinks,
+        workers_standing: standing.Standing,
     ) -> None:
         self._context = context
         self._links = links
+        self._standing = workers_standing
 
     def adopt(self) -> None:
         """Takes over the attempts that the records leave open.
@@ -49,7 +54,7 @@
     def poll(self) -> None:
         """Starts the polls that are due."""
         context = self._context
-        if context.deposed or not context.may_act():
+        if not context.may_renew():
             return
         now_s = context.now_s()
         for link in self._links:
@@ -72,17 +77,20 @@
                     continue
                 if link and link.vm.incarnation > attempt.incarnation:
                     self._end_unknown(attempt, "worker was replaced")
-                elif now_s > attempt.held_from_s + span_s:
+                elif _is_lapsed(attempt.held_from_s + span_s, link, now_s):
                     self._end_unknown(attempt, "worker is silent")
             if link and not link.listed and not self._has_tasks(name):
                 self._links.remove(name)
 
     def record_ends(self) -> None:
         """Starts the commits of ends that are not recorded yet."""
-        for attempt in self._context.table.ended():
-            if not attempt.is_recording_end and not self._context.deposed:
+        context = self._context
+        if context.deposed or context.now_s() < context.paused_until_s:
+            return
+        for attempt in context.table.ended():
+            if not attempt.is_recording_end:
                 attempt.is_recording_end = True
-                self._context.spawn(self._record_end(attempt))
+                context.spawn(self._record_end(attempt))
 
     def stop_cancelled(self, job: jobs_job.Job) -> None:
         """Asks the worker to stop the attempt of a cancelled job."""
@@ -91,23 +99,33 @@
         )
         if attempt is None or attempt.phase is not attempts.Phase.RUNNING:
             return
-        self._context.spawn(self.stop(attempt, checkpoint=False))
+        self._context.spawn(self._stop(attempt, checkpoint=False))
 
-    async def stop(
+    def checkpoint(self, task_id: str) -> None:
+        """Lets a task save its progress and give its worker back."""
+        attempt = self._context.table.find(task_id)
+        if attempt is None:
+            return
+        attempt.checkpoint_wanted = True
+        if attempt.phase is attempts.Phase.RUNNING:
+            self._context.spawn(self._stop(attempt, checkpoint=True))
+
+    async def _stop(
         self, attempt: attempts.Attempt, *, checkpoint: bool
     ) -> None:
-        """Stops an attempt, after a checkpoint if asked for."""
+        """Stops an attempt; the next report tells what became of it."""
         context = self._context
         link = self._links.find(attempt.worker)
         if link is None or not context.may_act():
             return
         try:
-            task = await context.worker_service.stop(
+            await context.worker_service.stop(
                 link.vm, context.epoch, attempt.task_id, checkpoint
             )
         except OSError:
             return
-        self._judge_task(attempt, task)
+        link.poll_soon()
+        context.wake.set()
 
     async def _poll_one(
         self, link: worker_links.WorkerLink, poll: int, sent_s: float
@@ -115,9 +133,8 @@
         try:
             report = await self._ask(link, sent_s)
         except OSError:
-            now_s = self._context.now_s()
-            usable = link.is_usable(now_s)
-            self._context.workers.set_usable(link.vm.name, usable)
+            link.failed_at_s = sent_s
+            self._standing.refresh(link)
             return
         finally:
             link.is_polling = False
@@ -126,9 +143,11 @@
             return
         if report.incarnation < link.vm.incarnation:
             return
-        now_s = self._context.now_s()
-        link.note_report(report, sent_s, now_s)
-        self._context.workers.set_usable(link.vm.name, link.is_usable(now_s))
+        if report.incarnation > link.vm.incarnation:
+            self._context.trust.reset(link.vm.name)
+        link.note_report(report, sent_s, self._context.now_s())
+        self._standing.refresh(link)
+        self._standing.note_usage(report)
         self._judge(link, poll, report)
         await self._forget(link, report)
 
@@ -191,6 +210,8 @@
             job = context.state.job(attempt.job_id)
             if job is not None and job.cancelled:
                 self.stop_cancelled(job)
+            elif attempt.checkpoint_wanted:
+                self.checkpoint(attempt.task_id)
             return
         if task["state"] == "checkpointed":
             context.end(
@@ -204,6 +225,7 @@
             )
             return
         context.end(attempt, self._ran(attempt.job_id, attempt.number, task))
+        self._standing.note_end(attempt, task)
 
     def _judge_absent(
         self,
@@ -234,6 +256,7 @@
         try:
             verdict = await context.commit(attempt.end)
         except (exceptions.NotRunError, exceptions.OutcomeUnknownError):
+            context.pause()
             return
         finally:
             attempt.is_recording_end = False
@@ -328,3 +351,12 @@
         attempts.Phase.RECORDING,
         attempts.Phase.ENDED,
     )
+
+
+def _is_lapsed(
+    lapse_s: float, link: worker_links.WorkerLink | None, now_s: float
+) -> bool:
+    """Returns whether a lease is over and its worker was asked since."""
+    if now_s <= lapse_s:
+        return False
+    return link is None or link.failed_at_s > lapse_s
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -4,6 +4,7 @@
 import unittest
 
 from foxtaillock.jobs import owner as jobs_owner
+from foxtaillock.jobs import results
 from foxtaillock.jobs.tests import fakes
 from foxtaillock.model import outcomes
 from foxtaillock.model import resources
@@ -16,7 +17,7 @@
     key: str = "",
 ) -> str:
     result = await owner.submit(spec or fakes.spec(), "nesting", "k", key)
-    assert isinstance(result, jobs_owner.Submitted), result
+    assert isinstance(result, results.Submitted), result
     return result.job_id
 
 
@@ -50,7 +51,7 @@
         owner = await site.started()
         job_id = await _submit(owner, key="order-1")
         again = await owner.submit(fakes.spec(), "nesting", "k", "order-1")
-        self.assertEqual(again, jobs_owner.Submitted(job_id, True))
+        self.assertEqual(again, results.Submitted(job_id, True))
         other = fakes.spec(urgent=True)
         reused = await owner.submit(other, "nesting", "k", "order-1")
         assert isinstance(reused, outcomes.NotRun)
@@ -82,7 +83,7 @@
         result = await owner.submit(fakes.spec(), "nesting", "k", "order")
         self.assertIsInstance(result, outcomes.Unknown)
         again = await owner.submit(fakes.spec(), "nesting", "k", "order")
-        assert isinstance(again, jobs_owner.Submitted)
+        assert isinstance(again, results.Submitted)
         self.assertTrue(again.is_repeated)
 
     async def test_nothing_is_dispatched_without_the_owners_lease(self) -> None:
@@ -159,7 +160,7 @@
         await site.turn(owner)
         for job_id in (waiting, running):
             result = await owner.cancel(job_id, "k")
-            self.assertIsInstance(result, jobs_owner.Changed)
+            self.assertIsInstance(result, results.Changed)
         await site.turn(owner, 2)
         self.assertEqual(_state(owner, running), world.JobState.CANCELLED)
         self.assertEqual(_state(owner, waiting), world.JobState.CANCELLED)
@@ -171,7 +172,7 @@
         owner = await site.started()
         huge = fakes.spec(resources.Resources(10**6, 1, 0))
         stuck = await owner.submit(huge, "nesting", "k")
-        assert isinstance(stuck, jobs_owner.Submitted)
+        assert isinstance(stuck, results.Submitted)
         self.assertNotEqual(stuck.reason, "")
         job_id = await _submit(owner)
         await site.turn(owner)
--- a/foxtaillock/jobs/worker_links.py
+++ b/foxtaillock/jobs/worker_links.py
@@ -26,6 +26,7 @@
         reported_at_s: when that report was received.
         answered_at_s: when the last poll that was answered had been sent.
         refused_until_s: no new tasks until then, after a refusal.
+        failed_at_s: when the last poll without an answer had been sent.
     """
 
     vm: world.VmEntry
@@ -38,6 +39,7 @@
     reported_at_s: float = 0.0
     answered_at_s: float = float("-inf")
     refused_until_s: float = float("-inf")
+    failed_at_s: float = float("-inf")
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the worker may get new tasks."""
--- a/foxtaillock/placement/capacity.py
+++ b/foxtaillock/placement/capacity.py
@@ -1,11 +1,33 @@
 """Resources of the workers of one pool, and what is reserved on them."""
 
+import collections
 import dataclasses
+import typing
 from collections.abc import Iterator
 
 from foxtaillock.model import resources
 
-__all__ = ["Capacity", "Worker"]
+__all__ = ["Capacity", "Task", "Worker"]
+
+_LOG_PER_WORKER = 8
+_LOG_LEAST = 64
+
+
+class Task(typing.NamedTuple):
+    """A running task, or one that may run.
+
+    Attributes:
+        size: resources that it has reserved.
+        started_s: when it was reserved.
+    """
+
+    task_id: str
+    job_id: str
+    team: str
+    queue: str
+    worker: str
+    size: resources.Resources
+    started_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,8 +36,11 @@
 
     Attributes:
         usable: whether it may get new tasks.
+        idempotent_only: whether it may get idempotent jobs only, one at a
+            time.
+        penalty: makes the worker less attractive; grows with its failures.
         free: resources that no task has reserved; may be negative.
-        reserved: resources of each task.
+        tasks: tasks that hold reservations.
     """
 
     name: str
@@ -24,9 +49,9 @@
     size: resources.Resources
     usable: bool
     free: resources.Resources
-    reserved: dict[str, resources.Resources] = dataclasses.field(
-        default_factory=dict
-    )
+    tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
+    idempotent_only: bool = False
+    penalty: float = 0.0
 
 
 class Capacity:
@@ -34,18 +59,44 @@
 
     A worker that was removed while tasks hold reservations on it stays known,
     unusable, until the last of them is released.
+
+    Attributes:
+        total: sum of the sizes of the workers.
+        used: resources that each team has reserved.
+        kind_counts: running tasks of each team and queue, by rack and zone.
     """
 
     def __init__(self) -> None:
+        self.total = resources.ZERO
+        self.used: dict[str, resources.Resources] = {}
+        self.kind_counts: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
         self._workers: dict[str, Worker] = {}
+        self._grown: list[str] = []
+        self._grown_base = 0
 
     def __iter__(self) -> Iterator[Worker]:
         return iter(self._workers.values())
 
+    def __len__(self) -> int:
+        return len(self._workers)
+
     def worker(self, name: str) -> Worker | None:
         """Returns the worker, or None if it is not known."""
         return self._workers.get(name)
 
+    @property
+    def growth(self) -> int:
+        """Counts how often the room of a worker may have grown."""
+        return self._grown_base + len(self._grown)
+
+    def grown_since(self, growth: int) -> set[str] | None:
+        """Returns the workers that may have grown since; None if too long."""
+        if growth < self._grown_base:
+            return None
+        return set(self._grown[growth - self._grown_base :])
+
     def set_worker(
         self,
         name: str,
@@ -55,22 +106,43 @@
         usable: bool,
     ) -> None:
         """Adds a worker, or changes one and keeps its reservations."""
-        reserved: dict[str, resources.Resources] = {}
         known = self._workers.get(name)
+        if known is not None and known.size == size:
+            known.zone = zone
+            known.rack = rack
+            self.set_usable(name, usable)
+            return
+        worker = Worker(name, zone, rack, size, usable, size)
         if known is not None:
-            reserved = known.reserved
-        free = size
-        for taken in reserved.values():
-            free = resources.subtract(free, taken)
-        self._workers[name] = Worker(
-            name, zone, rack, size, usable, free, reserved
-        )
+            worker.tasks = known.tasks
+            worker.penalty = known.penalty
+            worker.idempotent_only = known.idempotent_only
+            self.total = resources.subtract(self.total, known.size)
+        for task in worker.tasks.values():
+            worker.free = resources.subtract(worker.free, task.size)
+        self.total = resources.add(self.total, size)
+        self._workers[name] = worker
+        self._note_growth(name)
 
     def set_usable(self, name: str, usable: bool) -> None:
         """Sets whether the worker may get new tasks."""
         worker = self._workers.get(name)
-        if worker is not None:
-            worker.usable = usable
+        if worker is None or worker.usable == usable:
+            return
+        worker.usable = usable
+        self._note_growth(name)
+
+    def set_trust(
+        self, name: str, penalty: float, idempotent_only: bool
+    ) -> None:
+        """Sets what the failures of a worker make of it."""
+        worker = self._workers.get(name)
+        if worker is None:
+            return
+        worker.penalty = penalty
+        if worker.idempotent_only != idempotent_only:
+            worker.idempotent_only = idempotent_only
+            self._note_growth(name)
 
     def remove_worker(self, name: str) -> None:
         """Removes a worker, at once or with its last reservation."""
@@ -78,24 +150,50 @@
         if worker is None:
             return
         worker.usable = False
+        self.total = resources.subtract(self.total, worker.size)
         worker.size = resources.ZERO
-        if not worker.reserved:
+        if not worker.tasks:
             del self._workers[name]
 
-    def reserve(self, name: str, task: str, size: resources.Resources) -> None:
-        """Reserves `size` for a task, also where it does not fit."""
-        if name not in self._workers:
-            self.set_worker(name, "", "", resources.ZERO, False)
-        worker = self._workers[name]
-        self.release(name, task)
-        worker.reserved[task] = size
-        worker.free = resources.subtract(worker.free, size)
-
-    def release(self, name: str, task: str) -> None:
+    def reserve(self, task: Task) -> None:
+        """Reserves room for a task, also where it does not fit."""
+        if task.worker not in self._workers:
+            self.set_worker(task.worker, "", "", resources.ZERO, False)
+        worker = self._workers[task.worker]
+        worker.tasks[task.task_id] = task
+        worker.free = resources.subtract(worker.free, task.size)
+        used = self.used.get(task.team, resources.ZERO)
+        self.used[task.team] = resources.add(used, task.size)
+        self._count(worker, task, 1)
+
+    def release(self, name: str, task_id: str) -> Task | None:
         """Releases what a task reserved; does nothing the second time."""
         worker = self._workers.get(name)
-        if worker is None or task not in worker.reserved:
-            return
-        worker.free = resources.add(worker.free, worker.reserved.pop(task))
-        if worker.size == resources.ZERO and not worker.reserved:
+        if worker is None or task_id not in worker.tasks:
+            return None
+        task = worker.tasks.pop(task_id)
+        worker.free = resources.add(worker.free, task.size)
+        left = resources.subtract(self.used[task.team], task.size)
+        self.used[task.team] = left
+        if left == resources.ZERO:
+            del self.used[task.team]
+        self._count(worker, task, -1)
+        self._note_growth(name)
+        if worker.size == resources.ZERO and not worker.tasks:
             del self._workers[name]
+        return task
+
+    def _count(self, worker: Worker, task: Task, step: int) -> None:
+        for place in ("", worker.zone, f"{worker.zone}/{worker.rack}"):
+            key = (task.team, task.queue, place)
+            self.kind_counts[key] += step
+            if self.kind_counts[key] <= 0:
+                del self.kind_counts[key]
+
+    def _note_growth(self, name: str) -> None:
+        self._grown.append(name)
+        most = max(_LOG_LEAST, _LOG_PER_WORKER * len(self._workers))
+        if len(self._grown) > most:
+            half = len(self._grown) // 2
+            del self._grown[:half]
+            self._grown_base += half
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -1,69 +1,112 @@
 """Chooses which waiting job of a pool starts next, and on which worker."""
 
+import itertools
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
+from foxtaillock.model import objects
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
+from foxtaillock.placement import fit
+from foxtaillock.placement import preemption
+from foxtaillock.placement import shares
+from foxtaillock.placement import waiting
 
-__all__ = ["Assignment", "Planner", "Request"]
+__all__ = ["Assignment", "Planner"]
 
-
-class Request(typing.NamedTuple):
-    """One waiting job.
-
-    Attributes:
-        size: resources to set aside.
-        since_s: when the job began to wait.
-        not_before_s: earliest time of the next attempt.
-    """
-
-    job_id: str
-    team: str
-    queue: str
-    size: resources.Resources
-    urgent: bool
-    since_s: float
-    not_before_s: float = 0.0
+LOOK_AHEAD_JOBS = 64
+LOOK_AHEAD_SIZES = 16
+HOLD_AFTER_S = 10.0
+HOLD_PAUSE_S = 30.0
+RETURN_AFTER_S = 20.0
+MAX_HELD_FRACTION = 0.25
 
 
 class Assignment(typing.NamedTuple):
     """A job and the worker that it goes to."""
 
-    request: Request
+    request: waiting.Request
     worker: str
 
 
 class Planner:
-    """Waiting jobs of one pool, urgent ones first, else in order of arrival."""
+    """Waiting jobs and workers of one pool.
+
+    The team with the smallest dominant share for its weight goes first; a
+    team with urgent work that is below its part of the weights goes ahead of
+    it. A team takes what others leave idle. A job that fitted nowhere for
+    `HOLD_AFTER_S` gets a worker held for it, so that small jobs can not keep
+    it out for ever.
+
+    Args:
+        workers: workers of the pool.
+    """
 
     def __init__(self, workers: capacity.Capacity) -> None:
-        self._capacity = workers
-        self._urgent: dict[str, Request] = {}
-        self._patient: dict[str, Request] = {}
+        self._workers = workers
+        self._finder = fit.Finder(workers)
+        self._jobs = waiting.WaitingJobs()
+        self._teams: Mapping[str, objects.Team] = {}
+        self._sizes: set[resources.Resources] = set()
+        self._holds: dict[str, str] = {}
+        self._limited: set[str] = set()
+        self._no_hold_until_s: dict[str, float] = {}
+        self._quiet_growth = -1
 
     def __len__(self) -> int:
-        return len(self._urgent) + len(self._patient)
+        return len(self._jobs)
 
-    def add(self, request: Request) -> None:
+    def add(self, request: waiting.Request, now_s: float) -> None:
         """Adds a waiting job, or replaces its request."""
-        waiting = self._urgent if request.urgent else self._patient
-        waiting[request.job_id] = request
+        can_fit = self._can_ever_fit(request.size)
+        self._jobs.add(request, now_s, can_fit)
+        self._quiet_growth = -1
 
     def remove(self, job_id: str) -> None:
         """Removes a job; does nothing if it does not wait."""
-        self._urgent.pop(job_id, None)
-        self._patient.pop(job_id, None)
+        self._jobs.remove(job_id)
+        self._drop_hold(job_id)
+
+    def take_expired(self, now_s: float) -> list[str]:
+        """Returns waiting jobs that have become of no use, once each."""
+        return self._jobs.take_expired(now_s)
+
+    def queue_count(self, queue: str) -> int:
+        """Returns the number of waiting jobs of a queue."""
+        return self._jobs.queue_counts[queue]
+
+    def ready_count(self, team: str) -> int:
+        """Returns the number of jobs of a team that could start with room."""
+        queue = self._jobs.teams.get(team)
+        return len(queue) if queue is not None else 0
+
+    def set_teams(self, teams: Mapping[str, objects.Team]) -> None:
+        """Takes over shares and limits."""
+        self._teams = teams
+        self._quiet_growth = -1
+
+    def workers_changed(self, now_s: float) -> None:
+        """Looks again at jobs that no worker was large enough for."""
+        sizes = {worker.size for worker in self._workers}
+        if sizes == self._sizes:
+            return
+        self._sizes = sizes
+        for request in self._jobs.requests():
+            is_stuck = request.job_id in self._jobs.stuck
+            if is_stuck == self._can_ever_fit(request.size):
+                self.add(request, now_s)
 
     def reason(self, job_id: str) -> str:
-        """Returns why a waiting job can not start, or an empty string."""
-        request = self._urgent.get(job_id) or self._patient.get(job_id)
+        """Returns why a waiting job does not start, or an empty string."""
+        request = self._jobs.find(job_id)
         if request is None:
             return ""
-        if not any(
-            resources.fits(request.size, w.size) for w in self._capacity
-        ):
-            return "no worker is large enough"
+        if not self._may_run(request.team):
+            return "the team may run nothing: its limit is zero"
+        if job_id in self._jobs.stuck:
+            return "no worker of the pool is large enough"
+        if request.team in self._limited:
+            return "the team is at its limit"
         return ""
 
     def next_assignment(
@@ -75,24 +118,200 @@
             now_s: time of the owner's clock.
             may_start: whether a team may start a job; asked last, and True
                 is an obligation to start one.
+
+        Notes:
+            Costs O(teams log teams + teams * look-ahead + workers).
         """
-        blocked: set[str] = set()
-        for waiting in (self._urgent, self._patient):
-            for request in waiting.values():
-                if request.team in blocked or now_s < request.not_before_s:
-                    continue
-                worker = self._first_fit(request)
-                if worker is None:
-                    continue
-                if not may_start(request.team):
-                    blocked.add(request.team)
-                    continue
-                del waiting[request.job_id]
-                return Assignment(request, worker)
+        released = self._jobs.release_due(now_s)
+        if self._quiet_growth == self._workers.growth and not released:
+            self._hold_for_oldest(now_s)
+            return None
+        growth = self._workers.growth
+        self._limited.clear()
+        assignment = self._assign_held(now_s, may_start)
+        if assignment is None:
+            assignment = self._assign_by_share(may_start)
+        if assignment is not None:
+            self.remove(assignment.request.job_id)
+            return assignment
+        self._hold_for_oldest(now_s)
+        if not self._limited:
+            self._quiet_growth = growth
         return None
 
-    def _first_fit(self, request: Request) -> str | None:
-        for worker in self._capacity:
-            if worker.usable and resources.fits(request.size, worker.free):
-                return worker.name
+    def due_shares(self) -> dict[str, float]:
+        """Returns the dominant share that each team is due now."""
+        demands = {}
+        for team in {*self._jobs.teams, *self._workers.used}:
+            total = self._workers.used.get(team, resources.ZERO)
+            queue = self._jobs.teams.get(team)
+            if queue is not None:
+                total = resources.add(total, queue.wanted)
+            demands[team] = shares.Demand(self._weight(team), total)
+        return shares.fair_shares(self._workers.total, demands)
+
+    def used_share(self, team: str) -> float:
+        """Returns the dominant share that a team has reserved."""
+        used = self._workers.used.get(team, resources.ZERO)
+        return shares.dominant_share(used, self._workers.total)
+
+    def next_preemption(self, now_s: float) -> preemption.Preemption | None:
+        """Returns tasks to checkpoint for a team that is below its share.
+
+        Urgent work gets its share back at once, other work after
+        `RETURN_AFTER_S`. The worker is held for the job.
+        """
+        wanting = self._deprived(now_s)
+        if not wanting or len(self._holds) >= self._max_held():
+            return None
+        due = self.due_shares()
+        for request in wanting:
+            used = self._workers.used.get(request.team, resources.ZERO)
+            wanted = resources.add(used, request.size)
+            share = shares.dominant_share(wanted, self._workers.total)
+            if share > due.get(request.team, 0.0):
+                continue
+            chosen = preemption.choose(
+                request, self._workers, due, self._finder.held
+            )
+            if chosen is not None:
+                self._hold(request.job_id, chosen.worker)
+                return chosen
         return None
+
+    def _deprived(self, now_s: float) -> list[waiting.Request]:
+        """Returns the first jobs of teams that may claim their share."""
+        wanting = []
+        for team, queue in self._jobs.teams.items():
+            if not self._may_hold(team, now_s):
+                continue
+            request = queue.first_urgent() or queue.first()
+            if request is None or request.job_id in self._holds:
+                continue
+            if request.urgent or now_s - request.since_s > RETURN_AFTER_S:
+                wanting.append(request)
+        wanting.sort(key=lambda request: not request.urgent)
+        return wanting
+
+    def _assign_held(
+        self, now_s: float, may_start: Callable[[str], bool]
+    ) -> Assignment | None:
+        for job_id, name in list(self._holds.items()):
+            request = self._jobs.find(job_id)
+            worker = self._workers.worker(name)
+            if request is None or worker is None or not worker.usable:
+                self._drop_hold(job_id)
+            elif resources.fits(request.size, worker.free):
+                if may_start(request.team):
+                    return Assignment(request, name)
+                self._limited.add(request.team)
+                self._no_hold_until_s[request.team] = now_s + HOLD_PAUSE_S
+                self._drop_hold(job_id)
+        return None
+
+    def _assign_by_share(
+        self, may_start: Callable[[str], bool]
+    ) -> Assignment | None:
+        for team in self._team_order():
+            if team in self._limited or not self._may_run(team):
+                continue
+            assignment = self._first_fitting(team)
+            if assignment is None:
+                continue
+            if may_start(team):
+                return assignment
+            self._limited.add(team)
+        return None
+
+    def _first_fitting(self, team: str) -> Assignment | None:
+        """Returns the first job of a team that fits, of the next few."""
+        failed: set[resources.Resources] = set()
+        jobs = self._jobs.teams[team].ordered()
+        for request in itertools.islice(jobs, LOOK_AHEAD_JOBS):
+            if request.size in failed:
+                continue
+            worker = self._finder.find(request)
+            if worker is not None:
+                return Assignment(request, worker)
+            failed.add(request.size)
+            if len(failed) >= LOOK_AHEAD_SIZES:
+                break
+        return None
+
+    def _team_order(self) -> list[str]:
+        """Returns the teams in the order in which they should get room."""
+        active = {*self._jobs.teams, *self._workers.used}
+        weights = sum(self._weight(team) for team in active)
+        keys = {}
+        for team, queue in self._jobs.teams.items():
+            weight = self._weight(team)
+            share = self.used_share(team)
+            is_below = share * weights < weight
+            goes_ahead = is_below and queue.first_urgent() is not None
+            keys[team] = (not goes_ahead, share / weight, team)
+        return sorted(keys, key=keys.__getitem__)
+
+    def _may_run(self, team: str) -> bool:
+        known = self._teams.get(team)
+        return known is not None and known["limit"] > 0
+
+    def _may_hold(self, team: str, now_s: float) -> bool:
+        if team in self._limited or not self._may_run(team):
+            return False
+        return now_s >= self._no_hold_until_s.get(team, now_s)
+
+    def _can_ever_fit(self, size: resources.Resources) -> bool:
+        return any(resources.fits(size, whole) for whole in self._sizes)
+
+    def _weight(self, team: str) -> float:
+        known = self._teams.get(team)
+        return max(1.0, float(known["share"])) if known else 1.0
+
+    def _hold_for_oldest(self, now_s: float) -> None:
+        """Holds a worker for the job that has fitted nowhere for longest."""
+        if self._holds:
+            return
+        oldest: waiting.Request | None = None
+        for team, queue in self._jobs.teams.items():
+            first = queue.first()
+            if first is None or not self._may_hold(team, now_s):
+                continue
+            if oldest is None or first.since_s < oldest.since_s:
+                oldest = first
+        if oldest is None or now_s - oldest.since_s < HOLD_AFTER_S:
+            return
+        worker = self._nearest_worker(oldest.size)
+        if worker is not None:
+            self._hold(oldest.job_id, worker)
+
+    def _nearest_worker(self, size: resources.Resources) -> str | None:
+        """Returns the worker that lacks the least room for `size`."""
+        chosen: str | None = None
+        least = float("inf")
+        for worker in self._workers:
+            if not worker.usable or worker.idempotent_only:
+                continue
+            if not resources.fits(size, worker.size):
+                continue
+            missing = resources.subtract(size, worker.free)
+            lack = shares.dominant_share(missing, worker.size)
+            if lack < least:
+                chosen, least = worker.name, lack
+        return chosen
+
+    def _hold(self, job_id: str, worker: str) -> None:
+        for other, name in list(self._holds.items()):
+            if name == worker:
+                self._drop_hold(other)
+        self._holds[job_id] = worker
+        self._finder.held[worker] = job_id
+        self._quiet_growth = -1
+
+    def _drop_hold(self, job_id: str) -> None:
+        worker = self._holds.pop(job_id, None)
+        if worker is not None:
+            del self._finder.held[worker]
+            self._quiet_growth = -1
+
+    def _max_held(self) -> int:
+        return max(1, int(MAX_HELD_FRACTION * len(self._workers)))
--- /dev/null
+++ b/foxtaillock/placement/preemption.py
@@ -0,0 +1,90 @@
+"""Which running tasks to checkpoint so that a deprived team gets its share."""
+
+import typing
+from collections.abc import Collection, Mapping
+
+from foxtaillock.model import resources
+from foxtaillock.placement import capacity
+from foxtaillock.placement import shares
+from foxtaillock.placement import waiting
+
+__all__ = ["Preemption", "choose"]
+
+
+class Preemption(typing.NamedTuple):
+    """Tasks to checkpoint on one worker so that a job fits there."""
+
+    job_id: str
+    worker: str
+    task_ids: tuple[str, ...]
+
+
+def choose(
+    request: waiting.Request,
+    workers: capacity.Capacity,
+    due: Mapping[str, float],
+    spared: Collection[str],
+) -> Preemption | None:
+    """Returns the cheapest preemption for a job, or None.
+
+    Only teams that have more than they are due lose tasks, and none of them
+    falls below it by this.
+
+    Args:
+        request: job that fits nowhere, of a team below its share.
+        workers: workers of the pool.
+        due: dominant share that each team is due.
+        spared: workers that must not be touched.
+
+    Notes:
+        Costs O(tasks) and prefers the tasks that started last.
+    """
+    best: Preemption | None = None
+    best_cost = float("inf")
+    for worker in workers:
+        if not worker.usable or worker.idempotent_only:
+            continue
+        if worker.name in spared:
+            continue
+        if not resources.fits(request.size, worker.size):
+            continue
+        victims = _victims(request, worker, workers, due)
+        cost = _cost(victims, workers.total)
+        if victims and cost < best_cost:
+            names = tuple(task.task_id for task in victims)
+            best = Preemption(request.job_id, worker.name, names)
+            best_cost = cost
+    return best
+
+
+def _victims(
+    request: waiting.Request,
+    worker: capacity.Worker,
+    workers: capacity.Capacity,
+    due: Mapping[str, float],
+) -> list[capacity.Task]:
+    """Returns tasks of borrowers that make room; empty if they can not."""
+    free = worker.free
+    used = dict(workers.used)
+    victims = []
+    for task in sorted(worker.tasks.values(), key=_latest_first):
+        if resources.fits(request.size, free):
+            break
+        left = resources.subtract(used[task.team], task.size)
+        is_borrowed = shares.dominant_share(left, workers.total) >= due.get(
+            task.team, 0.0
+        )
+        if task.team == request.team or not is_borrowed:
+            continue
+        used[task.team] = left
+        free = resources.add(free, task.size)
+        victims.append(task)
+    return victims if resources.fits(request.size, free) else []
+
+
+def _latest_first(task: capacity.Task) -> float:
+    return -task.started_s
+
+
+def _cost(victims: list[capacity.Task], total: resources.Resources) -> float:
+    return sum(shares.dominant_share(task.size, total) for task in victims)
--- /dev/null
+++ b/foxtaillock/placement/shares.py
@@ -0,0 +1,124 @@
+"""Shares of teams: weighted max-min fairness over the dominant resource."""
+
+import typing
+from collections.abc import Mapping
+
+from foxtaillock.model import resources
+
+__all__ = ["Demand", "dominant_share", "fair_shares"]
+
+_EPSILON = 1e-12
+
+
+class Demand(typing.NamedTuple):
+    """What a team runs and waits for.
+
+    Attributes:
+        weight: share of the team.
+        total: resources of its running and waiting jobs together.
+    """
+
+    weight: float
+    total: resources.Resources
+
+
+class _Filling(typing.NamedTuple):
+    """A team in progressive filling.
+
+    Attributes:
+        goal: dominant share at which its whole demand is met.
+        ratios: fraction of each resource for one unit of dominant share.
+    """
+
+    team: str
+    weight: float
+    goal: float
+    ratios: tuple[float, float, float]
+
+
+def dominant_share(
+    used: resources.Resources, total: resources.Resources
+) -> float:
+    """Returns the largest fraction of any resource that `used` takes.
+
+    Example:
+        >>> dominant_share(
+        ...     resources.Resources(1, 4, 0), resources.Resources(10, 10, 2)
+        ... )
+        0.4
+    """
+    share = 0.0
+    for taken, whole in zip(used, total, strict=True):
+        if whole > 0 and taken > share * whole:
+            share = taken / whole
+    return share
+
+
+def fair_shares(
+    total: resources.Resources, demands: Mapping[str, Demand]
+) -> dict[str, float]:
+    """Returns the dominant share that each team is due.
+
+    The dominant shares of all teams grow in proportion to their weights. A
+    team stops when its demand is met, or when a resource that it needs is
+    used up; what it leaves goes to the others.
+
+    Args:
+        total: resources of the pool.
+        demands: demand of each team; weights are positive.
+
+    Notes:
+        Costs O(n^2) for n teams.
+
+    Example:
+        >>> whole = resources.Resources(100, 100, 0)
+        >>> fair_shares(
+        ...     whole,
+        ...     {
+        ...         "a": Demand(1, resources.Resources(90, 0, 0)),
+        ...         "b": Demand(1, resources.Resources(20, 0, 0)),
+        ...     },
+        ... )
+        {'b': 0.2, 'a': 0.8}
+    """
+    active = [_filling(team, demand, total) for team, demand in demands.items()]
+    granted = {row.team: 0.0 for row in active if row.goal <= 0}
+    active = [row for row in active if row.goal > 0]
+    left = [1.0, 1.0, 1.0]
+    while active:
+        level, stopped = _next_stop(active, left)
+        for row in stopped:
+            granted[row.team] = level * row.weight
+            for i, ratio in enumerate(row.ratios):
+                left[i] -= granted[row.team] * ratio
+        names = {row.team for row in stopped}
+        active = [row for row in active if row.team not in names]
+    return granted
+
+
+def _filling(team: str, demand: Demand, total: resources.Resources) -> _Filling:
+    goal = dominant_share(demand.total, total)
+    fractions = [
+        wanted / whole if whole > 0 else 0.0
+        for wanted, whole in zip(demand.total, total, strict=True)
+    ]
+    scale = 1.0 / goal if goal > 0 else 0.0
+    cpu, memory, accelerators = (fraction * scale for fraction in fractions)
+    return _Filling(team, demand.weight, goal, (cpu, memory, accelerators))
+
+
+def _next_stop(
+    active: list[_Filling], left: list[float]
+) -> tuple[float, list[_Filling]]:
+    """Returns the level of the next stop and the teams that stop there."""
+    level = min(row.goal / row.weight for row in active)
+    full = -1
+    for i, rest in enumerate(left):
+        growth = sum(row.weight * row.ratios[i] for row in active)
+        if growth > _EPSILON and max(0.0, rest) / growth < level:
+            level = max(0.0, rest) / growth
+            full = i
+    if full >= 0:
+        return level, [row for row in active if row.ratios[full] > 0]
+    met = [row for row in active if row.goal / row.weight <= level + _EPSILON]
+    return level, met
