Test placement against exhaustive twins; hold room for the team that is next

Seen red: test_large_job_is_not_kept_out_by_small_ones failed while the room was held for the job that waited longest, since a flood of older small jobs always came first; it is now held for the first team in the order of shares. test_back_off_and_deadline_are_kept failed because a job that was added again expired twice.

--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -124,7 +124,7 @@
         """
         released = self._jobs.release_due(now_s)
         if self._quiet_growth == self._workers.growth and not released:
-            self._hold_for_oldest(now_s)
+            self._hold_for_first(now_s)
             return None
         growth = self._workers.growth
         self._limited.clear()
@@ -134,7 +134,7 @@
         if assignment is not None:
             self.remove(assignment.request.job_id)
             return assignment
-        self._hold_for_oldest(now_s)
+        self._hold_for_first(now_s)
         if not self._limited:
             self._quiet_growth = growth
         return None
@@ -267,22 +267,20 @@
         known = self._teams.get(team)
         return max(1.0, float(known["share"])) if known else 1.0
 
-    def _hold_for_oldest(self, now_s: float) -> None:
-        """Holds a worker for the job that has fitted nowhere for longest."""
+    def _hold_for_first(self, now_s: float) -> None:
+        """Holds a worker for the team that is next, if it waits for long."""
         if self._holds:
             return
-        oldest: waiting.Request | None = None
-        for team, queue in self._jobs.teams.items():
-            first = queue.first()
-            if first is None or not self._may_hold(team, now_s):
-                continue
-            if oldest is None or first.since_s < oldest.since_s:
-                oldest = first
-        if oldest is None or now_s - oldest.since_s < HOLD_AFTER_S:
+        teams = (t for t in self._team_order() if self._may_hold(t, now_s))
+        team = next(teams, None)
+        if team is None:
+            return
+        first = self._jobs.teams[team].first()
+        if first is None or now_s - first.since_s < HOLD_AFTER_S:
             return
-        worker = self._nearest_worker(oldest.size)
+        worker = self._nearest_worker(first.size)
         if worker is not None:
-            self._hold(oldest.job_id, worker)
+            self._hold(first.job_id, worker)
 
     def _nearest_worker(self, size: resources.Resources) -> str | None:
         """Returns the worker that lacks the least room for `size`."""
--- a/foxtaillock/placement/preemption.py
+++ b/foxtaillock/placement/preemption.py
@@ -79,7 +79,25 @@
         used[task.team] = left
         free = resources.add(free, task.size)
         victims.append(task)
-    return victims if resources.fits(request.size, free) else []
+    if not resources.fits(request.size, free):
+        return []
+    return _needed(request, free, victims)
+
+
+def _needed(
+    request: waiting.Request,
+    free: resources.Resources,
+    victims: list[capacity.Task],
+) -> list[capacity.Task]:
+    """Returns the victims without those that the job fits beside."""
+    needed = []
+    for task in victims:
+        without = resources.subtract(free, task.size)
+        if resources.fits(request.size, without):
+            free = without
+        else:
+            needed.append(task)
+    return needed
 
 
 def _latest_first(task: capacity.Task) -> float:
--- /dev/null
+++ b/foxtaillock/placement/tests/test_planner.py
@@ -0,0 +1,257 @@
+"""Tests of the choice of the next job against a planner without memory."""
+
+import collections
+import random
+import unittest
+from collections.abc import Callable
+
+from foxtaillock.model import objects
+from foxtaillock.model import resources
+from foxtaillock.placement import capacity
+from foxtaillock.placement import fit
+from foxtaillock.placement import planner
+from foxtaillock.placement import shares
+from foxtaillock.placement import waiting
+
+_SIZE = resources.Resources(2, 2, 0)
+
+
+class _NaivePlanner:
+    """Sorts everything anew for each choice."""
+
+    def __init__(
+        self, workers: capacity.Capacity, teams: dict[str, objects.Team]
+    ) -> None:
+        self.workers = workers
+        self.teams = teams
+        self.jobs: dict[str, waiting.Request] = {}
+
+    def next_assignment(
+        self, may_start: Callable[[str], bool]
+    ) -> tuple[str, str] | None:
+        """Returns the next job and its worker."""
+        for team in sorted(self._waiting_teams(), key=self._team_key):
+            mine = [j for j in self.jobs.values() if j.team == team]
+            ordered = sorted(mine, key=_job_key)
+            for job in ordered[: planner.LOOK_AHEAD_JOBS]:
+                names = [
+                    (fit.score(job, worker, self.workers), i, worker.name)
+                    for i, worker in enumerate(self.workers)
+                    if worker.usable and resources.fits(job.size, worker.free)
+                ]
+                if not names:
+                    continue
+                if not may_start(team):
+                    break
+                del self.jobs[job.job_id]
+                return job.job_id, min(names)[2]
+        return None
+
+    def _waiting_teams(self) -> set[str]:
+        return {job.team for job in self.jobs.values()}
+
+    def _team_key(self, team: str) -> tuple[bool, float, str]:
+        total = self.workers.total
+        used = self.workers.used.get(team, resources.ZERO)
+        share = shares.dominant_share(used, total)
+        active = self._waiting_teams() | set(self.workers.used)
+        weights = sum(self.teams[name]["share"] for name in active)
+        weight = self.teams[team]["share"]
+        urgent = any(j.urgent for j in self.jobs.values() if j.team == team)
+        ahead = urgent and share * weights < weight
+        return not ahead, share / weight, team
+
+
+def _job_key(job: waiting.Request) -> float:
+    return job.since_s if job.urgent else job.since_s + waiting.PATIENCE_S
+
+
+def _request(
+    job_id: str,
+    team: str,
+    size: resources.Resources = _SIZE,
+    since_s: float = 0.0,
+    urgent: bool = False,
+) -> waiting.Request:
+    return waiting.Request(job_id, team, "q", size, urgent, since_s)
+
+
+class PlannerTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.workers = capacity.Capacity()
+        self.planner = planner.Planner(self.workers)
+        self.teams: dict[str, objects.Team] = {
+            team: {"share": share, "limit": 50}
+            for team, share in (("a", 1), ("b", 2), ("c", 3))
+        }
+        self.planner.set_teams(self.teams)
+        self.running: dict[str, tuple[str, waiting.Request]] = {}
+
+    def _add_workers(self, count: int) -> None:
+        for i in range(count):
+            size = resources.Resources(8, 8, 0)
+            self.workers.set_worker(f"w{i}", f"z{i % 3}", f"r{i}", size, True)
+        self.planner.workers_changed(0.0)
+
+    def _start(self, assignment: planner.Assignment, now_s: float) -> None:
+        request, worker = assignment
+        self.running[request.job_id] = (worker, request)
+        self.workers.reserve(
+            capacity.Task(
+                request.job_id,
+                request.job_id,
+                request.team,
+                request.queue,
+                worker,
+                request.size,
+                now_s,
+            )
+        )
+
+    def _end(self, job_id: str) -> None:
+        worker, _ = self.running.pop(job_id)
+        self.workers.release(worker, job_id)
+
+    def _fill(self, now_s: float = 0.0) -> None:
+        while True:
+            assignment = self.planner.next_assignment(now_s, lambda _: True)
+            if assignment is None:
+                return
+            self._start(assignment, now_s)
+
+    def _counts(self) -> collections.Counter[str]:
+        return collections.Counter(r.team for _, r in self.running.values())
+
+    def test_equals_planner_without_memory(self) -> None:
+        self._add_workers(5)
+        naive = _NaivePlanner(self.workers, self.teams)
+        rng = random.Random(3)
+        allowed = {"a": True, "b": True, "c": True}
+        for step in range(1500):
+            now_s = step * 0.001
+            if rng.random() < 0.6:
+                request = _request(
+                    f"j{step}",
+                    rng.choice("abc"),
+                    resources.Resources(rng.randint(1, 4), rng.randint(1, 4)),
+                    now_s,
+                    rng.random() < 0.3,
+                )
+                self.planner.add(request, now_s)
+                naive.jobs[request.job_id] = request
+            if naive.jobs and rng.random() < 0.1:
+                gone = rng.choice(list(naive.jobs))
+                self.planner.remove(gone)
+                del naive.jobs[gone]
+            if self.running and rng.random() < 0.4:
+                self._end(rng.choice(list(self.running)))
+            allowed["a"] = rng.random() < 0.7
+            expected = naive.next_assignment(allowed.__getitem__)
+            got = self.planner.next_assignment(now_s, allowed.__getitem__)
+            if got is None:
+                self.assertIsNone(expected)
+                continue
+            self.assertEqual((got.request.job_id, got.worker), expected)
+            self._start(got, now_s)
+
+    def test_full_pool_is_divided_by_weight(self) -> None:
+        self._add_workers(6)
+        for team in "abc":
+            for i in range(40):
+                self.planner.add(_request(f"{team}{i}", team), 0.0)
+        self._fill()
+        self.assertEqual(self._counts(), {"a": 4, "b": 8, "c": 12})
+
+    def test_idle_share_is_borrowed_and_given_back(self) -> None:
+        self._add_workers(6)
+        for i in range(40):
+            self.planner.add(_request(f"a{i}", "a"), 0.0)
+        self._fill()
+        self.assertEqual(self._counts(), {"a": 24})
+        self.planner.add(_request("b0", "b", since_s=1.0), 1.0)
+        self.assertIsNone(self.planner.next_preemption(1.0))
+        later_s = 1.5 + planner.RETURN_AFTER_S
+        chosen = self.planner.next_preemption(later_s)
+        assert chosen is not None
+        self.assertEqual(chosen.job_id, "b0")
+        for job_id in chosen.task_ids:
+            self._end(job_id)
+        self._fill(later_s)
+        self.assertEqual(self._counts(), {"a": 23, "b": 1})
+
+    def test_urgent_work_below_its_share_is_not_kept_waiting(self) -> None:
+        self._add_workers(2)
+        for i in range(20):
+            self.planner.add(_request(f"a{i}", "a"), 0.0)
+        self._fill()
+        urgent = _request("c0", "c", since_s=1.0, urgent=True)
+        self.planner.add(urgent, 1.0)
+        chosen = self.planner.next_preemption(1.0)
+        assert chosen is not None
+        self._end(chosen.task_ids[0])
+        got = self.planner.next_assignment(1.0, lambda _: True)
+        assert got is not None
+        self.assertEqual(got.request.job_id, "c0")
+
+    def test_urgent_flood_of_one_team_gains_no_share(self) -> None:
+        self._add_workers(6)
+        for i in range(100):
+            self.planner.add(_request(f"a{i}", "a", urgent=True), 0.0)
+            self.planner.add(_request(f"b{i}", "b"), 0.0)
+        self._fill()
+        self.assertEqual(self._counts(), {"a": 8, "b": 16})
+        self.assertIsNone(self.planner.next_preemption(99.0))
+
+    def test_large_job_is_not_kept_out_by_small_ones(self) -> None:
+        self._add_workers(2)
+        whole = resources.Resources(8, 8, 0)
+        for i in range(60):
+            self.planner.add(_request(f"a{i}", "a"), 0.0)
+        self._fill()
+        self.planner.add(_request("b0", "b", whole, 0.5), 0.5)
+        for step in range(40):
+            now_s = 1.0 + step
+            self._fill(now_s)
+            if "b0" in self.running:
+                return
+            self._end(next(iter(self.running)))
+        self.fail("the large job never started")
+
+    def test_jobs_that_can_not_run_say_why_and_block_nobody(self) -> None:
+        self._add_workers(1)
+        self.teams["b"]["limit"] = 0
+        huge = resources.Resources(100, 1, 0)
+        for i in range(100):
+            self.planner.add(_request(f"huge{i}", "a", huge), 0.0)
+        self.planner.add(_request("none", "b"), 0.0)
+        self.planner.add(_request("a", "a", since_s=1.0), 1.0)
+        self._fill(1.0)
+        self.assertEqual(list(self.running), ["a"])
+        self.assertIn("large enough", self.planner.reason("huge7"))
+        self.assertIn("limit is zero", self.planner.reason("none"))
+        self.workers.set_worker("big", "z", "r", huge, True)
+        self.planner.workers_changed(2.0)
+        self._fill(2.0)
+        self.assertIn("huge0", self.running)
+
+    def test_patient_job_ages_past_urgent_ones(self) -> None:
+        self._add_workers(1)
+        self.planner.add(_request("old", "a"), 0.0)
+        later_s = waiting.PATIENCE_S + 1.0
+        self.planner.add(
+            _request("new", "a", since_s=later_s, urgent=True), later_s
+        )
+        got = self.planner.next_assignment(later_s, lambda _: True)
+        assert got is not None
+        self.assertEqual(got.request.job_id, "old")
+
+    def test_back_off_and_deadline_are_kept(self) -> None:
+        self._add_workers(1)
+        request = _request("a", "a")._replace(not_before_s=5.0, expires_s=9.0)
+        self.planner.add(request, 0.0)
+        self.assertIsNone(self.planner.next_assignment(4.9, lambda _: True))
+        self.assertEqual(self.planner.take_expired(8.9), [])
+        self.assertIsNotNone(self.planner.next_assignment(5.0, lambda _: True))
+        self.planner.add(request, 5.0)
+        self.assertEqual(self.planner.take_expired(9.0), ["a"])
--- /dev/null
+++ b/foxtaillock/placement/tests/test_preemption.py
@@ -0,0 +1,89 @@
+"""Tests of preemption against all sets of victims."""
+
+import itertools
+import random
+import unittest
+from collections.abc import Sequence
+
+from foxtaillock.model import resources
+from foxtaillock.placement import capacity
+from foxtaillock.placement import preemption
+from foxtaillock.placement import shares
+from foxtaillock.placement import waiting
+
+_DUE = {"a": 0.3, "b": 0.3, "c": 0.4}
+
+
+def _is_valid(
+    request: waiting.Request,
+    worker: capacity.Worker,
+    workers: capacity.Capacity,
+    victims: Sequence[capacity.Task],
+) -> bool:
+    """Returns whether the job then fits and nobody falls below its due."""
+    free = worker.free
+    used = dict(workers.used)
+    for task in victims:
+        free = resources.add(free, task.size)
+        used[task.team] = resources.subtract(used[task.team], task.size)
+    touched = {task.team for task in victims}
+    return (
+        resources.fits(request.size, free)
+        and request.team not in touched
+        and all(
+            shares.dominant_share(used[team], workers.total) >= _DUE[team]
+            for team in touched
+        )
+    )
+
+
+class PreemptionTest(unittest.TestCase):
+
+    def test_choice_is_valid_and_found_where_one_exists(self) -> None:
+        rng = random.Random(17)
+        possible = found = 0
+        for _ in range(400):
+            workers = self._random_workers(rng)
+            size = resources.Resources(rng.randint(2, 6), rng.randint(2, 6))
+            request = waiting.Request("j", "c", "q", size, True, 0.0)
+            if any(resources.fits(size, w.free) for w in workers):
+                continue
+            chosen = preemption.choose(request, workers, _DUE, ())
+            possible += self._exists(request, workers)
+            if chosen is None:
+                continue
+            found += 1
+            worker = workers.worker(chosen.worker)
+            assert worker is not None
+            victims = [worker.tasks[name] for name in chosen.task_ids]
+            self.assertTrue(_is_valid(request, worker, workers, victims))
+        self.assertGreater(possible, 50)
+        self.assertGreaterEqual(found, 0.95 * possible)
+
+    def _random_workers(self, rng: random.Random) -> capacity.Capacity:
+        workers = capacity.Capacity()
+        for i in range(3):
+            size = resources.Resources(8, 8, 0)
+            workers.set_worker(f"w{i}", "z", f"r{i}", size, True)
+            for k in range(rng.randint(2, 5)):
+                size = resources.Resources(rng.randint(1, 4), rng.randint(1, 4))
+                name = f"w{i}k{k}"
+                worker = workers.worker(f"w{i}")
+                if worker is not None and resources.fits(size, worker.free):
+                    team = rng.choice("aab")
+                    task = capacity.Task(
+                        name, name, team, "q", f"w{i}", size, rng.random()
+                    )
+                    workers.reserve(task)
+        return workers
+
+    def _exists(
+        self, request: waiting.Request, workers: capacity.Capacity
+    ) -> bool:
+        for worker in workers:
+            tasks = list(worker.tasks.values())
+            for count in range(1, len(tasks) + 1):
+                for victims in itertools.combinations(tasks, count):
+                    if _is_valid(request, worker, workers, victims):
+                        return True
+        return False
--- a/foxtaillock/placement/waiting.py
+++ b/foxtaillock/placement/waiting.py
@@ -179,7 +179,7 @@
             request = heapq.heappop(self._expiring)[2]
             if self._jobs.get(request.job_id) is request:
                 expired.append(request.job_id)
-        return expired
+        return list(dict.fromkeys(expired))
 
     def _make_ready(self, request: Request) -> None:
         queue = self.teams.get(request.team)
