--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -357,8 +357,9 @@
 
     def _waiting_by_team(self) -> typing.Mapping[str, int]:
         counts = collections.Counter(self.calls.waiting_by_team())
-        for owner in self.pools.owners.values():
-            counts.update(owner.waiting_by_team())
+        for team in self.state.objects("team"):
+            for owner in self.pools.owners.values():
+                counts[team] += owner.ready_count(team)
         return counts
 
     def _has_open_pools(self, node: str, incarnation: str) -> bool:
--- a/foxtaillock/integration/tests/test_whole_path.py
+++ b/foxtaillock/integration/tests/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import json
 import unittest
 
@@ -47,7 +48,7 @@
         self.sender = self.fleet.client(self.sender.key, indexes)
         for job_id in jobs:
             await scenario.until(
-                lambda job_id=job_id: self._done(job_id), 30.0, job_id
+                functools.partial(self._done, job_id), 30.0, job_id
             )
         starts = await self._starts()
         self.assertEqual(sorted(starts), sorted(jobs))
--- a/foxtaillock/jobs/owner.py
+++ b/foxtaillock/jobs/owner.py
@@ -198,11 +198,6 @@
         job = self._context.state.job(job_id)
         return None if job is None else self._intake.view(job)
 
-    def waiting_by_team(self) -> Mapping[str, int]:
-        """Returns how many jobs of each team wait."""
-        ready_count = self._context.waiting.ready_count
-        return {team: ready_count(team) for team in self._teams}
-
     def jobs(
         self, team: str = "", after: str = "", limit: int = 100
     ) -> results.JobPage:
