--- a/foxtaillock/standins/runners.py
+++ b/foxtaillock/standins/runners.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import json
+import math
 import random
 import typing
 
@@ -28,6 +29,7 @@
         request_id, idempotency_key, path: as the request gave them.
         body_digest: SHA-256 of the request body.
         started_s: time of the start on the clock that all runners share.
+        ended_s: time of the end, or infinity while it runs.
         state: `running`, `ended` or `cut`.
     """
 
@@ -39,6 +41,7 @@
     path: str
     body_digest: str
     started_s: float
+    ended_s: float
     state: str
 
 
@@ -142,10 +145,12 @@
         try:
             await self._work(_parse_body(body))
             entry["state"] = "ended"
+            entry["ended_s"] = self._clock.monotonic_s()
         finally:
             self.busy_slots -= 1
             if entry["state"] == "running":
                 entry["state"] = "cut"
+                entry["ended_s"] = self._clock.monotonic_s()
         if self.faults.late_s > 0:
             await asyncio.sleep(self.faults.late_s)
         if self.gate.loses_answer():
@@ -191,6 +196,7 @@
             path=request.match_info["path"],
             body_digest=hashlib.sha256(body).hexdigest(),
             started_s=self._clock.monotonic_s(),
+            ended_s=math.inf,
             state="running",
         )
         self._journal.append(entry)
