Add a fault-injecting TCP proxy, in process and as a program

Cause: the proofs need links that lose, delay, freeze, cut or duplicate what passes, in one direction or both, and answers that are lost after the request took effect. Ruled out: a proxy of packets (needs rights that a test machine does not give) and faults in the stand-ins alone (the protocol between the entry VMs has no stand-in).

--- /dev/null
+++ b/foxtaillock/proxy/admin.py
@@ -0,0 +1,115 @@
+"""HTTP interface that controls the proxies of a process."""
+
+import dataclasses
+import typing
+
+from aiohttp import web
+
+from foxtaillock import exceptions
+from foxtaillock.proxy import fault_proxy
+
+__all__ = ["ProxyAdmin"]
+
+
+class ProxyAdmin:
+    """Proxies by the names of their links, and an admin port for them.
+
+    `GET /links` tells what each has done; `POST /links/{name}` with a target
+    adds one; `POST /links/{name}/faults` sets its faults, where the name `*`
+    means all; `POST /links/{name}/cut` cuts its connections.
+
+    Args:
+        seed: seed of jitter and lost answers; each link derives its own.
+        host: IP number to listen on.
+    """
+
+    def __init__(self, seed: int = 0, host: str = "127.0.0.1") -> None:
+        self._seed = seed
+        self._host = host
+        self._runner: web.AppRunner | None = None
+        self._url = ""
+        self.links: dict[str, fault_proxy.FaultProxy] = {}
+
+    async def open(self) -> None:
+        """Starts the admin port."""
+        application = web.Application()
+        router = application.router
+        router.add_get("/links", self._get_links)
+        router.add_post("/links/{name}", self._add_link)
+        router.add_post("/links/{name}/faults", self._set_faults)
+        router.add_post("/links/{name}/cut", self._cut)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, 0).start()
+        port = self._runner.addresses[0][1]
+        self._url = f"http://{self._host}:{port}"
+
+    async def close(self) -> None:
+        """Stops the admin port and all proxies."""
+        for proxy in self.links.values():
+            await proxy.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def add(self, name: str, target: str) -> fault_proxy.FaultProxy:
+        """Returns a new proxy in front of `target` that listens."""
+        seed = self._seed + len(self.links)
+        proxy = await fault_proxy.start_fault_proxy(target, seed, self._host)
+        self.links[name] = proxy
+        return proxy
+
+    def addresses(self) -> dict[str, typing.Any]:
+        """Returns the admin URL and the address of each link."""
+        links = {name: proxy.address for name, proxy in self.links.items()}
+        return {"admin": self._url, "links": links}
+
+    def chosen(self, name: str) -> list[fault_proxy.FaultProxy]:
+        """Returns the proxy of this name, or all for `*`.
+
+        Raises:
+            exceptions.InvalidInputError: no link has this name.
+        """
+        if name == "*":
+            return list(self.links.values())
+        if name not in self.links:
+            raise exceptions.InvalidInputError(f"no link is named {name!r}")
+        return [self.links[name]]
+
+    async def _get_links(self, _request: web.Request) -> web.Response:
+        answer = {
+            name: {
+                "address": proxy.address,
+                "target": proxy.target,
+                "connections": proxy.connections,
+                "lost_answers": proxy.lost_answers,
+                "passed_bytes": proxy.passed_bytes,
+                "faults": dataclasses.asdict(proxy.board.faults),
+            }
+            for name, proxy in self.links.items()
+        }
+        return web.json_response(answer)
+
+    async def _add_link(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        name = request.match_info["name"]
+        if name in self.links:
+            return web.Response(status=409, text=f"{name} is there already")
+        proxy = await self.add(name, str(body["target"]))
+        return web.json_response({"address": proxy.address})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        changes = await request.json()
+        try:
+            for proxy in self.chosen(request.match_info["name"]):
+                proxy.set_faults(changes)
+        except exceptions.InvalidInputError as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response({})
+
+    async def _cut(self, request: web.Request) -> web.Response:
+        try:
+            for proxy in self.chosen(request.match_info["name"]):
+                proxy.cut()
+        except exceptions.InvalidInputError as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response({})
