--- a/foxtaillock/demo/client.py
+++ b/foxtaillock/demo/client.py
@@ -39,7 +39,7 @@
     ) -> None:
         self._session = session
         self._urls = urls
-        self._key = key
+        self.key = key
         self._next = 0
 
     def with_key(self, key: str) -> "Client":
@@ -65,8 +65,8 @@
             self._next += 1
         url = self._urls[entry % len(self._urls)] + path
         sent = dict(extra or {})
-        if self._key:
-            sent["Authorization"] = f"Bearer {self._key}"
+        if self.key:
+            sent["Authorization"] = f"Bearer {self.key}"
         async with self._session.request(
             method, url, data=body, headers=sent
         ) as response:
