Hold a team's limit by recorded grants; carry them with a pool

Needs a record GrantsCarried, which moves grants of an ended session to the new owner of its pool; a raise in its place may find no free part of the limit for ever.

--- /dev/null
+++ b/foxtaillock/limits/tests/model.py
@@ -0,0 +1,371 @@
+"""Naive model of the log, its fold and a few entry VMs, for safety tests.
+
+The model knows what really runs, also on behalf of dead or paused nodes, and
+compares it with what the log grants.
+"""
+
+import random
+import re
+import typing
+
+from foxtaillock.limits import decisions
+from foxtaillock.limits import grants
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import records
+
+__all__ = ["Fleet", "LEASE_S", "NaiveFold", "RECLAIM_WAIT_S"]
+
+Holder = tuple[str, str]
+
+LEASE_S = 5.0
+ALLOWANCE_S = 1.0
+CALL_DEADLINE_S = 8.0
+RECLAIM_WAIT_S = LEASE_S + CALL_DEADLINE_S + ALLOWANCE_S
+TEAM = "nesting"
+POOLS = ("p0", "p1")
+
+
+class NaiveFold:
+    """State of the control stream as far as grants need it."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.amounts: dict[Holder, decisions.Grant] = {}
+        self.counters: dict[Holder, int] = {}
+        self.ended: dict[Holder, int] = {}
+        self.sequences: dict[Holder, int] = {}
+        self.owners: dict[str, tuple[Holder, int]] = {}
+        self.to_carry: dict[str, Holder] = {}
+
+    def apply(self, offset: int, writer: Holder, entry: typing.Any) -> bool:
+        """Applies `(sequence, record)`; returns whether it stands."""
+        sequence, record = entry
+        if sequence <= self.sequences.get(writer, 0):
+            return False
+        self.sequences[writer] = sequence
+        words = re.sub("(?<!^)(?=[A-Z])", "_", type(record).__name__)
+        method = getattr(self, "_apply_" + words.lower())
+        return bool(method(offset, writer, record))
+
+    def live(self) -> list[Holder]:
+        """Returns the holders whose session has not ended, sorted."""
+        return sorted(h for h in self.counters if h not in self.ended)
+
+    def folded(self) -> dict[str, decisions.FoldedTeam]:
+        """Returns what `LocalGrants.plan` reads."""
+        return {TEAM: decisions.FoldedTeam(self.limit, dict(self.amounts))}
+
+    def total(self) -> int:
+        """Returns the sum of the recorded grants."""
+        return sum(grant.amount for grant in self.amounts.values())
+
+    def _apply_session_renewed(
+        self, _: int, writer: Holder, r: typing.Any
+    ) -> bool:
+        if writer in self.ended:
+            return False
+        self.counters[writer] = r.counter
+        return True
+
+    def _apply_session_ended(
+        self, offset: int, _: Holder, r: typing.Any
+    ) -> bool:
+        holder = (r.node, r.incarnation)
+        if holder in self.ended or self.counters.get(holder) != r.counter:
+            return False
+        self.ended[holder] = offset
+        return True
+
+    def _apply_grant_changed(
+        self, _: int, writer: Holder, r: typing.Any
+    ) -> bool:
+        if writer in self.ended or writer not in self.counters:
+            return False
+        own = self.amounts.get(writer, decisions.Grant(0, 0)).amount
+        if r.amount > own and self.total() - own + r.amount > self.limit:
+            return False
+        self.amounts[writer] = decisions.Grant(r.amount, r.wanted)
+        return True
+
+    def _apply_pool_claimed(
+        self, _: int, writer: Holder, r: typing.Any
+    ) -> bool:
+        old, epoch = self.owners.get(r.pool, (("", ""), 0))
+        if epoch and old not in self.ended or r.epoch != epoch + 1:
+            return False
+        if epoch:
+            self.to_carry.setdefault(r.pool, old)
+        self.owners[r.pool] = (writer, r.epoch)
+        return True
+
+    def _apply_grants_carried(
+        self, _: int, writer: Holder, r: typing.Any
+    ) -> bool:
+        source = (r.from_node, r.from_incarnation)
+        if self.owners.get(r.pool) != (writer, r.epoch):
+            return False
+        if self.to_carry.get(r.pool) != source or writer in self.ended:
+            return False
+        count = r.amounts.get(TEAM, 0)
+        given = self.amounts.get(source, decisions.Grant(0, 0))
+        own = self.amounts.get(writer, decisions.Grant(0, 0))
+        if given.amount < count:
+            return False
+        self.amounts[source] = given._replace(amount=given.amount - count)
+        self.amounts[writer] = own._replace(amount=own.amount + count)
+        del self.to_carry[r.pool]
+        return True
+
+    def pools_open(self, holder: Holder) -> bool:
+        """Returns whether a pool of `holder` was not yet carried over."""
+        owned = any(owner == holder for owner, _ in self.owners.values())
+        return owned or holder in self.to_carry.values()
+
+    def _apply_grant_reclaimed(self, _: int, __: Holder, r: typing.Any) -> bool:
+        holder = (r.node, r.incarnation)
+        if holder not in self.ended or self.pools_open(holder):
+            return False
+        self.amounts.pop(holder, None)
+        return True
+
+    def _apply_int(self, _: int, __: Holder, r: int) -> bool:
+        self.limit = r
+        return True
+
+
+class _Node:
+    """One entry VM process with its lagging copy of the fold."""
+
+    def __init__(
+        self, holder: Holder, local: grants.LocalGrants, limit: int
+    ) -> None:
+        self.holder = holder
+        self.local = local
+        self.fold = NaiveFold(limit)
+        self.next_offset = 0
+        self.sequence = 0
+        self.counter = 0
+        self.renewals: dict[int, float] = {}
+        self.awaited: dict[int, records.GrantChanged] = {}
+        self.seen: dict[Holder, tuple[int, float]] = {}
+        self.ended_seen_s: dict[Holder, float] = {}
+        self.calls: list[float] = []
+        self.paused_until_s = 0.0
+        self.cut_until_s = 0.0
+        self.adopted: dict[str, int] = {}
+        self.counted: set[tuple[str, int]] = set()
+
+
+class Fleet:
+    """Nodes, log and clock, driven by one seeded random source."""
+
+    def __init__(
+        self,
+        seed: int,
+        limit: int,
+        node_count: int = 3,
+        local_class: type[grants.LocalGrants] = grants.LocalGrants,
+        reclaim_wait_s: float = RECLAIM_WAIT_S,
+    ) -> None:
+        self._local_class = local_class
+        self._reclaim_wait_s = reclaim_wait_s
+        self.rng = random.Random(seed)
+        self.clock = clock_lib.ManualClock()
+        self.log: list[tuple[Holder, typing.Any]] = []
+        self.late: list[tuple[Holder, typing.Any]] = []
+        self.head = NaiveFold(limit)
+        self.first_limit = limit
+        self.nodes: list[_Node] = []
+        self.orphan_calls: list[float] = []
+        self.attempts: dict[str, int] = dict.fromkeys(POOLS, 0)
+        self.incarnations = 0
+        self.max_running = 0
+        for index in range(node_count):
+            self._start_node(f"e{index}")
+
+    def _start_node(self, name: str) -> None:
+        self.incarnations += 1
+        holder = (name, f"i{self.incarnations}")
+        local = self._local_class(self.clock, *holder)
+        node = _Node(holder, local, self.first_limit)
+        self.nodes.append(node)
+
+    def running(self) -> int:
+        """Returns what really runs in the fleet."""
+        now_s = self.clock.monotonic_s()
+        ends = [end for node in self.nodes for end in node.calls]
+        calls = sum(end > now_s for end in ends + self.orphan_calls)
+        return calls + sum(self.attempts.values())
+
+    def step(self) -> None:
+        """Lets a little time pass and one random thing happen."""
+        self.clock.advance(self.rng.random() * 0.2)
+        now_s = self.clock.monotonic_s()
+        self.orphan_calls = [end for end in self.orphan_calls if end > now_s]
+        for node in list(self.nodes):
+            if now_s >= node.paused_until_s:
+                self._run_node(node, now_s)
+        if self.late and self.rng.random() < 0.3:
+            index = self.rng.randrange(len(self.late))
+            self._append(*self.late.pop(index))
+        self._disturb(now_s)
+        self.max_running = max(self.max_running, self.running())
+
+    def _disturb(self, now_s: float) -> None:
+        node = self.rng.choice(self.nodes)
+        event = self.rng.random()
+        if event < 0.01:
+            self.nodes.remove(node)
+            self.orphan_calls += node.calls
+            self._start_node(node.holder[0])
+        elif event < 0.02:
+            node.paused_until_s = now_s + self.rng.random() * 20.0
+        elif event < 0.03:
+            node.cut_until_s = now_s + self.rng.random() * 20.0
+
+    def change_limit(self, limit: int) -> None:
+        """Lets an operator change the team's limit."""
+        self._append(("operator", ""), (len(self.log) + 1, limit))
+
+    def _append(self, writer: Holder, entry: typing.Any) -> None:
+        self.head.apply(len(self.log), writer, entry)
+        self.log.append((writer, entry))
+
+    def _send(self, node: _Node, record: typing.Any) -> int:
+        """Sends one record; its answer or the record itself may be lost."""
+        node.sequence += 1
+        entry = (node.sequence, record)
+        fate = self.rng.random()
+        cut = self.clock.monotonic_s() < node.cut_until_s
+        if cut or fate < 0.1:
+            if self.rng.random() < 0.5:
+                self.late.append((node.holder, entry))
+            return -node.sequence
+        self._append(node.holder, entry)
+        return node.sequence if fate < 0.9 else -node.sequence
+
+    def _run_node(self, node: _Node, now_s: float) -> None:
+        for end_s in [end for end in node.calls if end <= now_s]:
+            node.calls.remove(end_s)
+            node.local.finish(TEAM)
+        if now_s >= node.cut_until_s:
+            self._read(node, self.rng.randrange(6))
+        action = self.rng.randrange(6)
+        if action == 0:
+            self._renew(node, now_s)
+        elif action == 1:
+            self._plan(node)
+        elif action == 2:
+            self._watch(node, now_s)
+        elif action == 3:
+            self._own_pools(node)
+        else:
+            self._work(node, now_s)
+
+    def _renew(self, node: _Node, now_s: float) -> None:
+        node.counter += 1
+        node.renewals[node.counter] = now_s
+        self._send(
+            node,
+            records.SessionRenewed(*node.holder, node.counter, "", "", ""),
+        )
+
+    def _plan(self, node: _Node) -> None:
+        if node.holder not in node.fold.live():
+            return
+        node.local.set_waiting(TEAM, self.rng.choice((0, 2, 12)))
+        for change in node.local.plan(node.fold.folded(), node.fold.live()):
+            sequence = self._send(node, change)
+            if sequence > 0:
+                node.awaited[sequence] = change
+            else:
+                node.local.lose_change(change)
+
+    def _read(self, node: _Node, count: int) -> None:
+        """Folds a few more records of the log at this node."""
+        end = min(len(self.log), node.next_offset + count)
+        for offset in range(node.next_offset, end):
+            writer, entry = self.log[offset]
+            stands = node.fold.apply(offset, writer, entry)
+            self._notice(node, writer, entry, stands)
+        node.next_offset = end
+
+    def _notice(
+        self, node: _Node, writer: Holder, entry: typing.Any, stands: bool
+    ) -> None:
+        sequence, record = entry
+        now_s = self.clock.monotonic_s()
+        if isinstance(record, records.SessionRenewed) and stands:
+            node.seen[writer] = (record.counter, now_s)
+            if writer == node.holder:
+                node.local.set_session_valid_until(
+                    node.renewals[record.counter] + LEASE_S
+                )
+        if isinstance(record, records.SessionEnded) and stands:
+            node.ended_seen_s[record.node, record.incarnation] = now_s
+        if isinstance(record, records.GrantsCarried) and stands:
+            if writer == node.holder:
+                node.adopted[record.pool] = 1
+        own = node.fold.amounts.get(node.holder, decisions.Grant(0, 0)).amount
+        if writer == node.holder and sequence in node.awaited:
+            node.local.end_change(node.awaited.pop(sequence), own)
+        else:
+            node.local.set_granted(TEAM, own)
+
+    def _watch(self, node: _Node, now_s: float) -> None:
+        """Ends silent sessions and reclaims what surely runs no more."""
+        for holder in node.fold.live():
+            counter, seen_s = node.seen[holder]
+            if now_s - seen_s > LEASE_S + ALLOWANCE_S:
+                if holder != node.holder:
+                    record = records.SessionEnded(
+                        *holder, counter, node.holder[0]
+                    )
+                    self._send(node, record)
+        ended = [
+            decisions.EndedSession(*h, since_s, node.fold.pools_open(h))
+            for h, since_s in sorted(node.ended_seen_s.items())
+            if h in node.fold.amounts
+        ]
+        wait_s = self._reclaim_wait_s
+        for reclaim in decisions.decide_reclaims(ended, now_s, wait_s):
+            self._send(node, reclaim)
+
+    def _own_pools(self, node: _Node) -> None:
+        for pool in POOLS:
+            owner, epoch = node.fold.owners.get(pool, (("", ""), 0))
+            if owner == node.holder:
+                source = node.fold.to_carry.get(pool)
+                if source is not None:
+                    amounts = {TEAM: self.attempts[pool]}
+                    if (pool, epoch) not in node.counted:
+                        node.counted.add((pool, epoch))
+                        node.local.adopt(TEAM, self.attempts[pool])
+                    self._send(
+                        node,
+                        records.GrantsCarried(
+                            pool, epoch, *source, *node.holder, amounts
+                        ),
+                    )
+                elif epoch == 1:
+                    node.adopted[pool] = 1
+            elif epoch == 0 or owner in node.fold.ended:
+                if node.holder in node.fold.live():
+                    claim = records.PoolClaimed(pool, *node.holder, epoch + 1)
+                    self._send(node, claim)
+
+    def _work(self, node: _Node, now_s: float) -> None:
+        for _ in range(self.rng.randrange(8)):
+            if not node.local.try_start(TEAM):
+                break
+            pools = sorted(node.adopted)
+            if pools and self.rng.random() < 0.5:
+                self.attempts[self.rng.choice(pools)] += 1
+            else:
+                length_s = self.rng.random() * CALL_DEADLINE_S
+                node.calls.append(now_s + length_s)
+        for pool in sorted(node.adopted):
+            owns = self.head.owners[pool][0] == node.holder
+            if owns and self.attempts[pool] and self.rng.random() < 0.03:
+                self.attempts[pool] -= 1
+                node.local.finish(TEAM)
--- /dev/null
+++ b/foxtaillock/limits/tests/test_grants.py
@@ -0,0 +1,165 @@
+"""Tests of the grants: never more running than the limit."""
+
+import random
+import typing
+import unittest
+from unittest import mock
+
+from foxtaillock.limits import decisions
+from foxtaillock.limits import grants
+from foxtaillock.limits.tests import model
+from foxtaillock.model import clock as clock_lib
+
+_SEEDS = 240
+_STEPS = 400
+
+
+class _NoShrinkFirst(grants.LocalGrants):
+    """Takes only the folded grant for its cap."""
+
+    def find_cap(self, team: str) -> int:
+        return self._team(team).granted
+
+
+class _NoSessionCheck(grants.LocalGrants):
+    """Starts work whatever its session is."""
+
+    def set_session_valid_until(self, valid_until_s: float) -> None:
+        super().set_session_valid_until(1e9)
+
+
+class _RaiseWhenSent(grants.LocalGrants):
+    """Uses a raise before it is folded."""
+
+    def find_cap(self, team: str) -> int:
+        amounts = [change.amount for change in self._team(team).pending]
+        return max([super().find_cap(team), *amounts])
+
+
+def _carry_no_grants(
+    fold: model.NaiveFold, _: int, writer: model.Holder, record: typing.Any
+) -> bool:
+    """Lets the new owner carry attempts without the grants for them."""
+    if fold.owners.get(record.pool) != (writer, record.epoch):
+        return False
+    return fold.to_carry.pop(record.pool, None) is not None
+
+
+def _find_breach(seed: int, **guards: typing.Any) -> str:
+    """Returns the first breach of a random schedule, or nothing."""
+    fleet = model.Fleet(seed, limit=10, **guards)
+    before = fleet.head.total()
+    for step in range(_STEPS):
+        if seed % 3 == 0 and step % 100 == 50:
+            fleet.change_limit(fleet.rng.choice((4, 7, 10)))
+            before = fleet.head.total()
+        fleet.step()
+        total = fleet.head.total()
+        if total > max(before, fleet.head.limit):
+            return f"step {step}: {total} granted"
+        before = total
+        if fleet.running() > total:
+            return f"step {step}: {fleet.running()} running, {total} granted"
+    return ""
+
+
+class GrantsSafetyTest(unittest.TestCase):
+
+    def test_never_more_running_than_granted(self) -> None:
+        for seed in range(_SEEDS):
+            with self.subTest(seed=seed):
+                self.assertEqual(_find_breach(seed), "")
+
+    def test_schedules_catch_a_missing_guard(self) -> None:
+        cases: dict[str, dict[str, typing.Any]] = {
+            "shrink first": {"local_class": _NoShrinkFirst},
+            "session check": {"local_class": _NoSessionCheck},
+            "raise once folded": {"local_class": _RaiseWhenSent},
+            "wait before reclaim": {"reclaim_wait_s": -1.0},
+        }
+        for name, guards in cases.items():
+            with self.subTest(removed=name):
+                seeds = range(_SEEDS)
+                self.assertTrue(any(_find_breach(s, **guards) for s in seeds))
+        with mock.patch.object(
+            model.NaiveFold, "_apply_grants_carried", _carry_no_grants
+        ):
+            self.assertTrue(any(_find_breach(s) for s in range(_SEEDS)))
+
+    def test_dead_nodes_leave_the_limit_to_the_living(self) -> None:
+        fleet = model.Fleet(7, limit=10)
+        for _ in range(_STEPS):
+            fleet.step()
+        self.assertGreater(len(fleet.head.ended), 2)
+        self.assertEqual(fleet.max_running, 10)
+
+
+def _split_naively(limit: int, wanted: dict[str, int]) -> dict[str, int]:
+    """Gives one after the other to whoever wants more and has least."""
+    parts = dict.fromkeys(sorted(wanted), 0)
+    for _ in range(limit):
+        short = [h for h, part in parts.items() if part < wanted[h]]
+        if not short:
+            break
+        parts[min(short, key=lambda h: (parts[h], -wanted[h], h))] += 1
+    return parts
+
+
+class DecisionsTest(unittest.TestCase):
+
+    def test_split_meets_wants_as_the_naive_split_does(self) -> None:
+        rng = random.Random(5)
+        for _ in range(300):
+            wanted = {f"e{i}": rng.randrange(30) for i in range(9)}
+            limit = rng.randrange(1, 200)
+            split = decisions.split_limit(limit, wanted)
+            naive = _split_naively(limit, wanted)
+            self.assertEqual(sum(split.values()), limit)
+            if sum(wanted.values()) > limit:
+                gaps = [abs(part - naive[h]) for h, part in split.items()]
+                self.assertLessEqual(max(gaps), 1)
+            else:
+                self.assertTrue(all(split[h] >= w for h, w in wanted.items()))
+
+    def test_lowered_limit_holds_starts_and_follows_the_work(self) -> None:
+        clock = clock_lib.ManualClock()
+        local = grants.LocalGrants(clock, "e1", "x")
+        local.set_session_valid_until(60.0)
+        holder = ("e1", "x")
+        grant = decisions.Grant(8, 8)
+        folded = {"t": decisions.FoldedTeam(4, {holder: grant})}
+        local.set_granted("t", 8)
+        self.assertTrue(all(local.try_start("t") for _ in range(6)))
+        change = local.plan(folded, [holder])[0]
+        self.assertEqual(change.amount, 6)
+        local.finish("t")
+        self.assertFalse(local.try_start("t"))
+        self.assertEqual(local.find_cap("t"), 4)
+
+    def test_change_leaves_room_for_adopted_attempts(self) -> None:
+        local = grants.LocalGrants(clock_lib.ManualClock(), "e1", "x")
+        holder = ("e1", "x")
+        grant = decisions.Grant(2, 0)
+        amounts = {holder: grant, ("e2", "y"): decisions.Grant(8, 8)}
+        folded = {"t": decisions.FoldedTeam(10, amounts)}
+        local.set_waiting("t", 1)
+        local.adopt("t", 3)
+        self.assertEqual(local.plan(folded, [holder, ("e2", "y")]), [])
+
+    def test_lost_change_keeps_the_cap_down_until_settled(self) -> None:
+        clock = clock_lib.ManualClock()
+        local = grants.LocalGrants(clock, "e1", "x")
+        local.set_session_valid_until(60.0)
+        holder, other = ("e1", "x"), ("e2", "y")
+        lacking = {
+            holder: decisions.Grant(8, 8),
+            other: decisions.Grant(2, 8),
+        }
+        folded = {"t": decisions.FoldedTeam(10, lacking)}
+        lower = local.plan(folded, [holder, other])[0]
+        local.lose_change(lower)
+        lacking[other] = decisions.Grant(2, 2)
+        confirm = local.plan(folded, [holder, other])[0]
+        self.assertEqual(local.find_cap("t"), lower.amount)
+        local.end_change(confirm, 8)
+        self.assertEqual(local.find_cap("t"), 8)
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -28,6 +28,7 @@
     "DisruptionGranted",
     "GrantChanged",
     "GrantReclaimed",
+    "GrantsCarried",
     "JobAccepted",
     "JobCancelled",
     "JobCheckpointed",
@@ -227,6 +228,29 @@
     incarnation: str
 
 
+@register_record("grants-carried")
+class GrantsCarried(typing.NamedTuple):
+    """The grants under which attempts of a pool run go to its new owner.
+
+    Stands if `node` owns the pool at `epoch`, and `from_node` has an ended
+    session (or wrote the record itself) with at least these grants. The sum
+    over the nodes stays as it is, so it needs no free part of the limit. The
+    grants of an ended session are reclaimed only after each pool that it
+    owned was carried, with empty `amounts` if nothing ran.
+
+    Attributes:
+        amounts: running attempts by team.
+    """
+
+    pool: str
+    epoch: int
+    from_node: str
+    from_incarnation: str
+    node: str
+    incarnation: str
+    amounts: dict[str, int]
+
+
 @register_record("vm-step")
 class VmStep(typing.NamedTuple):
     """One step of the move of a VM between pools.
