--- /dev/null
+++ b/foxtaillock/jobs/owner.py
@@ -0,0 +1,325 @@
+"""Owner of one pool: accepts its jobs and runs each as promised."""
+
+import asyncio
+import collections
+import itertools
+import random
+from collections.abc import Callable, Iterable, Mapping
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces
+from foxtaillock.jobs import context as jobs_context
+from foxtaillock.jobs import backlog
+from foxtaillock.jobs import dispatch
+from foxtaillock.jobs import intake
+from foxtaillock.jobs import job as jobs_job
+from foxtaillock.jobs import pool_state
+from foxtaillock.jobs import results
+from foxtaillock.jobs import standing
+from foxtaillock.jobs import supervisor
+from foxtaillock.jobs import worker_links
+from foxtaillock.model import clock as model_clock
+from foxtaillock.model import objects
+from foxtaillock.model import records
+from foxtaillock.model import world
+from foxtaillock.placement import capacity
+from foxtaillock.placement import planner
+from foxtaillock.state import interfaces as state_interfaces
+
+__all__ = ["ChangeResult", "Changed", "PoolOwner", "Submitted", "pool_of"]
+
+ChangeResult = results.ChangeResult
+Changed = results.Changed
+Submitted = results.Submitted
+
+_IDLE_WAIT_S = 0.1
+
+
+def pool_of(job_id: str) -> str:
+    """Returns the pool whose owner knows the job.
+
+    Example:
+        >>> pool_of("boards.00000000000000ff")
+        'boards'
+    """
+    return job_id.rpartition(".")[0]
+
+
+class PoolOwner:
+    """Driver of one pool for one epoch.
+
+    Args:
+        pool: name of the pool.
+        epoch: epoch of the claim that this owner holds.
+        replica: replica of the pool's stream; its fold is `state`.
+        state: state of the pool's jobs.
+        worker_service: tasks on workers.
+        clock: source of time.
+        rng: source of job ids and jitter.
+        may_act: whether this node still holds the pool.
+        not_valid_after_s: end of that hold on `clock`.
+        grants: this node's part of the teams' upper limits.
+        node: name of this entry VM.
+        settings: times of the owner.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        epoch: int,
+        replica: state_interfaces.Replica,
+        state: pool_state.PoolState,
+        worker_service: interfaces.WorkerService,
+        clock: model_clock.Clock,
+        rng: random.Random,
+        *,
+        may_act: Callable[[], bool],
+        not_valid_after_s: Callable[[], float],
+        grants: jobs_context.Grants,
+        node: str,
+        settings: jobs_context.OwnerSettings = jobs_context.OwnerSettings(),
+    ) -> None:
+        workers = capacity.Capacity()
+        self._context = jobs_context.Context(
+            pool,
+            epoch,
+            node,
+            replica,
+            state,
+            worker_service,
+            clock,
+            rng,
+            may_act,
+            not_valid_after_s,
+            grants,
+            settings,
+            workers,
+            planner.Planner(workers),
+        )
+        self._links = worker_links.WorkerLinks()
+        self._backlog = backlog.Backlog(self._context)
+        self._standing = standing.Standing(self._context, self._links)
+        self._supervisor = supervisor.Supervisor(
+            self._context, self._links, self._standing
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            self._context, self._links, self._standing
+        )
+        self._intake = intake.Intake(self._context)
+        self._waiters: dict[str, list[asyncio.Future[None]]] = {}
+
+    @property
+    def is_deposed(self) -> bool:
+        """Whether another owner has taken over."""
+        return self._context.deposed
+
+    async def start(self) -> None:
+        """Takes the pool over: raises its epoch and adopts what runs.
+
+        Raises:
+            exceptions.NotRunError: the epoch did not stand.
+            exceptions.OutcomeUnknownError: it may stand; start again.
+            exceptions.LogUnavailableError: the log answered so.
+            exceptions.LogUnreachableError: the log gave no answer.
+        """
+        context = self._context
+        raised = records.PoolEpochRaised(context.epoch, context.node)
+        verdict = await context.commit(raised, urgent=True)
+        if not verdict.accepted:
+            raise exceptions.NotRunError(
+                f"pool {context.pool}: epoch {context.epoch} is refused:"
+                f" {verdict.code}"
+            )
+        await context.replica.catch_up()
+        context.state.on_change = self._on_change
+        self._supervisor.adopt()
+        for job in context.state.waiting_jobs():
+            self._backlog.add(job)
+        self._intake.is_open = True
+
+    async def run(self) -> None:
+        """Runs steps until `stop` or until another owner has taken over."""
+        context = self._context
+        while self._intake.is_open and not context.deposed:
+            context.wake.clear()
+            self.step()
+            await self._sleep()
+
+    def step(self) -> None:
+        """Polls, records and places what is due now, without waiting."""
+        if not self._intake.is_open:
+            return
+        self._supervisor.poll()
+        self._supervisor.check_lapsed()
+        self._supervisor.record_ends()
+        self._standing.advance()
+        self._backlog.expire()
+        self._dispatcher.place()
+        self._preempt()
+
+    async def idle(self) -> None:
+        """Returns when everything that `step` began is through."""
+        await self._context.idle()
+
+    async def stop(self) -> None:
+        """Starts no more attempts and waits for records in flight."""
+        self._intake.is_open = False
+        self._context.wake.set()
+        await self._context.idle()
+        self._supervisor.record_ends()
+        await self._context.idle()
+        self._context.state.on_change = None
+
+    async def submit(
+        self,
+        spec: world.JobSpec,
+        team: str,
+        key_id: str,
+        idempotency_key: str = "",
+    ) -> results.SubmitResult:
+        """Accepts a job; it outlives this process once this returns so."""
+        return await self._intake.submit(spec, team, key_id, idempotency_key)
+
+    async def cancel(self, job_id: str, by: str) -> results.ChangeResult:
+        """Cancels a job; a running one is stopped."""
+        record = records.JobCancelled(job_id, by, self._context.epoch)
+        return await self._intake.change(job_id, record)
+
+    async def settle(
+        self, job_id: str, by: str, succeeded: bool
+    ) -> results.ChangeResult:
+        """Settles a job whose end is unknown."""
+        epoch = self._context.epoch
+        record = records.JobSettled(job_id, by, succeeded, epoch)
+        return await self._intake.change(job_id, record)
+
+    def job(self, job_id: str) -> jobs_job.JobView | None:
+        """Returns what a team may see of a job, or None."""
+        job = self._context.state.job(job_id)
+        return None if job is None else self._intake.view(job)
+
+    def jobs(
+        self, team: str = "", after: str = "", limit: int = 100
+    ) -> results.JobPage:
+        """Returns a page of jobs; of all teams if `team` is empty.
+
+        Args:
+            team: team whose jobs are wanted.
+            after: cursor of the page before.
+            limit: jobs on the page at most.
+        """
+        first = int(after) if after.isdecimal() else 0
+        chosen = (
+            job
+            for job in self._context.state.jobs()
+            if job.sequence > first and team in ("", job.team)
+        )
+        page = list(itertools.islice(chosen, limit + 1))
+        cursor = str(page[limit - 1].sequence) if len(page) > limit else ""
+        return results.JobPage(
+            [self._intake.view(job) for job in page[:limit]], cursor
+        )
+
+    async def wait(
+        self, job_id: str, timeout_s: float
+    ) -> jobs_job.JobView | None:
+        """Returns the job once it has ended, or as it is at the timeout."""
+        job = self._context.state.job(job_id)
+        if job is None or job.state in jobs_job.FINISHED:
+            return self.job(job_id)
+        ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiting = self._waiters.setdefault(job_id, [])
+        waiting.append(ended)
+        try:
+            await asyncio.wait_for(ended, timeout_s)
+        except TimeoutError:
+            pass
+        finally:
+            self._drop_waiter(job_id, ended)
+        return self.job(job_id)
+
+    def update_workers(self, vms: Iterable[world.VmEntry]) -> None:
+        """Takes over the worker VMs that belong to the pool."""
+        self._links.update(vms)
+        self._standing.update()
+        self._context.wake.set()
+
+    def update_teams(self, teams: Mapping[str, objects.Team]) -> None:
+        """Takes over shares and limits."""
+        self._intake.teams = dict(teams)
+        self._context.waiting.set_teams(self._intake.teams)
+        self._context.wake.set()
+
+    def update_queues(self, queues: Mapping[str, objects.Queue]) -> None:
+        """Takes over the queues that feed the pool."""
+        self._intake.queues = dict(queues)
+
+    def status(self) -> results.PoolStatus:
+        """Returns the standing of the pool and of its teams."""
+        context = self._context
+        due = context.waiting.due_shares()
+        running = collections.Counter(
+            task.team
+            for worker in context.workers
+            for task in worker.tasks.values()
+        )
+        teams = [
+            results.TeamStatus(
+                team,
+                running[team],
+                context.waiting.ready_count(team),
+                context.waiting.used_share(team),
+                due.get(team, 0.0),
+            )
+            for team in sorted({*self._intake.teams, *due})
+        ]
+        return results.PoolStatus(
+            teams,
+            len(context.waiting),
+            context.state.unknown_count,
+            context.trust.quarantined(),
+        )
+
+    def ready_count(self, team: str) -> int:
+        """Returns the jobs of a team that could start if there were room."""
+        return self._context.waiting.ready_count(team)
+
+    def _preempt(self) -> None:
+        """Checkpoints tasks of borrowers for a team below its share."""
+        context = self._context
+        if not context.may_act() or context.deposed:
+            return
+        chosen = context.waiting.next_preemption(context.now_s())
+        if chosen is not None:
+            for task_id in chosen.task_ids:
+                self._supervisor.checkpoint(task_id)
+
+    async def _sleep(self) -> None:
+        try:
+            await asyncio.wait_for(self._context.wake.wait(), _IDLE_WAIT_S)
+        except TimeoutError:
+            return
+
+    def _on_change(self, job: jobs_job.Job) -> None:
+        if job.state in jobs_job.WAITING:
+            self._backlog.add(job)
+        else:
+            self._backlog.remove(job)
+            self._dispatcher.on_unexpected_start(job)
+        if job.cancelled:
+            self._supervisor.stop_cancelled(job)
+        if job.state in jobs_job.FINISHED:
+            self._release_waiters(job.job_id)
+        self._context.wake.set()
+
+    def _release_waiters(self, job_id: str) -> None:
+        for ended in self._waiters.pop(job_id, []):
+            if not ended.done():
+                ended.set_result(None)
+
+    def _drop_waiter(self, job_id: str, ended: asyncio.Future[None]) -> None:
+        waiting = self._waiters.get(job_id, [])
+        if ended in waiting:
+            waiting.remove(ended)
+        if not waiting:
+            self._waiters.pop(job_id, None)
