--- a/foxtaillock/jobs/context.py
+++ b/foxtaillock/jobs/context.py
@@ -127,8 +127,9 @@
         """
         if self.deposed:
             return False
-        refused_age_s = self.replica.log_refused_age_s()
-        return self.may_act() or refused_age_s <= LOG_REFUSED_FRESH_S
+        if self.may_act():
+            return True
+        return self.replica.log_refused_age_s() <= LOG_REFUSED_FRESH_S
 
     async def commit(
         self, record: records.Record, *, urgent: bool = False
--- a/foxtaillock/jobs/standing.py
+++ b/foxtaillock/jobs/standing.py
@@ -92,7 +92,7 @@
             return
         cpu = sum(task.size.cpu_millis for task in worker.tasks.values())
         memory = sum(task.size.memory_bytes for task in worker.tasks.values())
-        if not cpu or not memory:
+        if not cpu or not memory or not any(report.used):
             return
         for task in worker.tasks.values():
             self._learn_size(
--- a/foxtaillock/jobs/tests/fakes.py
+++ b/foxtaillock/jobs/tests/fakes.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces
@@ -17,7 +17,16 @@
 from foxtaillock.model import verdicts
 from foxtaillock.model import world
 
-__all__ = ["FakeGrants", "FakeLog", "FakeReplica", "FakeWorkers", "Site"]
+__all__ = [
+    "FakeGrants",
+    "FakeLog",
+    "FakeReplica",
+    "FakeWorkers",
+    "Gate",
+    "GatedWorkers",
+    "Site",
+    "spec",
+]
 
 POOL = "boards"
 GIB = 2**30
@@ -25,8 +34,36 @@
 WORKER_SIZE = resources.Resources(4000, 8 * GIB, 0)
 
 
-class Killed(BaseException):
-    """The process that runs this code is dead."""
+class Gate:
+    """Holds one process up at a chosen step, for a while or for ever.
+
+    Args:
+        point: name of the steps at one of which it is held up, or empty.
+        countdown: steps of this name that pass before.
+
+    Attributes:
+        held: whether it is held up now.
+    """
+
+    def __init__(self, point: str = "", countdown: int = 0) -> None:
+        self.point = point
+        self.held = False
+        self._countdown = countdown
+        self._open = asyncio.Event()
+
+    async def step(self, point: str) -> None:
+        """Returns at once, or when the process goes on."""
+        await asyncio.sleep(0)
+        if point == self.point:
+            self.held = self.held or self._countdown == 0
+            self._countdown -= 1
+        if self.held:
+            await self._open.wait()
+
+    def resume(self) -> None:
+        """Lets the process go on."""
+        self.held = False
+        self._open.set()
 
 
 class FakeLog:
@@ -63,8 +100,11 @@
 class FakeReplica:
     """Replica of a `FakeLog`; one for each process."""
 
-    def __init__(self, log: FakeLog, writer: str, incarnation: str) -> None:
+    def __init__(
+        self, log: FakeLog, writer: str, incarnation: str, gate: Gate
+    ) -> None:
         self.state = pool_state.PoolState()
+        self._gate = gate
         self.commits = 0
         self._log = log
         self._writer = (writer, incarnation)
@@ -76,12 +116,13 @@
     ) -> verdicts.Verdict:
         """Appends one record and reads it back."""
         del urgent
-        await asyncio.sleep(0)
+        kind = type(record).__name__
+        await self._gate.step(f"before {kind} is recorded")
         self._sequence += 1
         self.commits += 1
         batch = records.Batch(*self._writer, self._sequence, (record,))
         self._log.append(batch)
-        await asyncio.sleep(0)
+        await self._gate.step(f"after {kind} is recorded")
         self.fold()
         at = self._log.batches.index(batch)
         return self._verdicts[at][0]
@@ -95,8 +136,8 @@
         return 0.0
 
     def log_refused_age_s(self) -> float:
-        """Returns zero."""
-        return 0.0
+        """Returns zero while the log is down, else infinity."""
+        return 0.0 if self._log.down else float("inf")
 
     @property
     def next_offset(self) -> int:
@@ -161,6 +202,8 @@
         self.order_of: dict[str, interfaces.TaskOrder] = {}
         self.renewed: collections.Counter[str] = collections.Counter()
         self.draining: set[str] = set()
+        self.is_fenced = True
+        self._lease_ends_s: dict[str, float] = {}
 
     async def report(
         self, vm: world.VmEntry, pool: str, epoch: int
@@ -192,13 +235,15 @@
         """What a worker does with an order when it arrives."""
         if order.task_id in self.tasks[name]:
             return interfaces.TaskReport(True)
-        if order.epoch < self.epochs[name]:
+        if self.is_fenced and order.epoch < self.epochs[name]:
             return interfaces.TaskReport(False, "stale-epoch")
-        if self.clock.monotonic_s() > order.not_valid_after_s:
+        now_s = self.clock.monotonic_s()
+        if self.is_fenced and now_s > order.not_valid_after_s:
             return interfaces.TaskReport(False, "too-late")
         if name in self.draining:
             return interfaces.TaskReport(False, "draining")
-        self.epochs[name] = order.epoch
+        self.epochs[name] = max(order.epoch, self.epochs[name])
+        self._lease_ends_s[order.task_id] = now_s + order.lease_s
         self.runs[order.task_id] += 1
         self.order_of[order.task_id] = order
         self._set(name, order.task_id, "running", "")
@@ -214,16 +259,20 @@
         self, vm: world.VmEntry, pool: str, epoch: int, task_ids: Sequence[str]
     ) -> interfaces.WorkerReport:
         """Counts the renewals and reports."""
-        report = await self.report(vm, pool, epoch)
-        self.renewed.update(task_ids)
-        return report
+        await self._reach(vm)
+        if epoch >= self.epochs[vm.name]:
+            for task_id in task_ids:
+                self._lease_ends_s[task_id] = self.clock.monotonic_s() + 15.0
+            self.renewed.update(task_ids)
+        return await self.report(vm, pool, epoch)
 
     async def stop(
         self, vm: world.VmEntry, epoch: int, task_id: str, checkpoint: bool
     ) -> interfaces.TaskState:
         """Stops a task."""
-        del epoch
         await self._reach(vm)
+        if epoch < self.epochs[vm.name]:
+            raise OSError("stale epoch")
         task = self.tasks[vm.name].get(task_id)
         if task is None:
             raise OSError("no such task")
@@ -241,8 +290,9 @@
         self, vm: world.VmEntry, epoch: int, task_ids: Sequence[str]
     ) -> None:
         """Forgets ended tasks."""
-        del epoch
         await self._reach(vm)
+        if epoch < self.epochs[vm.name]:
+            return
         for task_id in task_ids:
             self.tasks[vm.name].pop(task_id, None)
 
@@ -253,6 +303,21 @@
                 if task["state"] == "running":
                     self._set(name, task_id, state, result)
 
+    def stop_lapsed(self) -> None:
+        """Stops the tasks whose lease is over."""
+        now_s = self.clock.monotonic_s()
+        for name, tasks in self.tasks.items():
+            for task_id, task in list(tasks.items()):
+                is_lapsed = self._lease_ends_s[task_id] < now_s
+                if task["state"] == "running" and is_lapsed:
+                    self._set(name, task_id, "stopped", "lease lapsed")
+
+    def end(self, task_id: str, state: str) -> None:
+        """Ends one running task."""
+        for name, tasks in self.tasks.items():
+            if task_id in tasks:
+                self._set(name, task_id, state, state)
+
     def replace(self, name: str) -> None:
         """Replaces a worker VM by a new one."""
         vm = self.vms[name]
@@ -290,6 +355,58 @@
         )
 
 
+class GatedWorkers:
+    """Workers as one process reaches them, through its gate."""
+
+    def __init__(self, workers: FakeWorkers, gate: Gate) -> None:
+        self._workers = workers
+        self._gate = gate
+
+    async def report(
+        self, vm: world.VmEntry, pool: str, epoch: int
+    ) -> interfaces.WorkerReport:
+        """See `FakeWorkers`."""
+        await self._gate.step("before a report")
+        return await self._workers.report(vm, pool, epoch)
+
+    async def start(
+        self, vm: world.VmEntry, order: interfaces.TaskOrder
+    ) -> interfaces.TaskReport:
+        """See `FakeWorkers`."""
+        await self._gate.step("before the order is sent")
+        answer = await self._workers.start(vm, order)
+        await self._gate.step("after the order was taken")
+        return answer
+
+    async def renew(
+        self, vm: world.VmEntry, pool: str, epoch: int, task_ids: Sequence[str]
+    ) -> interfaces.WorkerReport:
+        """See `FakeWorkers`."""
+        await self._gate.step("before a renewal")
+        report = await self._workers.renew(vm, pool, epoch, task_ids)
+        await self._gate.step("after a renewal")
+        return report
+
+    async def stop(
+        self, vm: world.VmEntry, epoch: int, task_id: str, checkpoint: bool
+    ) -> interfaces.TaskState:
+        """See `FakeWorkers`."""
+        await self._gate.step("before a stop")
+        return await self._workers.stop(vm, epoch, task_id, checkpoint)
+
+    async def throttle(
+        self, vm: world.VmEntry, epoch: int, task_id: str, cpu_millis: int
+    ) -> None:
+        """Does nothing."""
+
+    async def forget(
+        self, vm: world.VmEntry, epoch: int, task_ids: Sequence[str]
+    ) -> None:
+        """See `FakeWorkers`."""
+        await self._gate.step("before ended tasks are forgotten")
+        await self._workers.forget(vm, epoch, task_ids)
+
+
 class Site:
     """One pool with its log, workers and as many owners as a test starts."""
 
@@ -317,24 +434,31 @@
         self.grants = FakeGrants({team: limit for team in self.teams})
         self.may_act = True
         self.epoch = 0
-        self.replica = FakeReplica(self.log, "", "")
-
-    def owner(self, may_act: bool | None = None) -> jobs_owner.PoolOwner:
+        self.gate = Gate()
+        self.replica = FakeReplica(self.log, "", "", self.gate)
+
+    def owner(
+        self,
+        gate: Gate | None = None,
+        lease_end_s: Callable[[], float] | None = None,
+    ) -> jobs_owner.PoolOwner:
         """Returns a new owner of the next epoch; not started yet."""
         self.epoch += 1
         node = f"entry-{self.epoch}"
-        self.replica = FakeReplica(self.log, node, f"i{self.epoch}")
+        self.gate = gate or Gate()
+        self.replica = FakeReplica(self.log, node, f"i{self.epoch}", self.gate)
+        end_s = lease_end_s or (lambda: self.clock.monotonic_s() + 10.0)
         self.grants = FakeGrants({team: self.limit for team in self.teams})
         owner = jobs_owner.PoolOwner(
             POOL,
             self.epoch,
             self.replica,
             self.replica.state,
-            self.workers,
+            GatedWorkers(self.workers, self.gate),
             self.clock,
             random.Random(self.epoch),
-            may_act=lambda: self.may_act if may_act is None else may_act,
-            not_valid_after_s=lambda: self.clock.monotonic_s() + 10.0,
+            may_act=lambda: self.may_act and self.clock.monotonic_s() < end_s(),
+            not_valid_after_s=end_s,
             grants=self.grants,
             node=node,
             settings=jobs_context.OwnerSettings(backoff_s=0.0),
