--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from loguru import logger
 
 from foxtaillock import exceptions
 from foxtaillock.daemon import background
+from foxtaillock.daemon import session_keeper
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import records
@@ -43,12 +45,12 @@
 
     Args:
         node: name of this entry VM.
-        incarnation: identity of this process.
+        session: session of this entry VM.
         replica: replica of the control stream.
         state: its fold.
         local: counts of what runs here.
         clock: source of time.
-        waiting_of: returns how much of a team waits here.
+        waiting_by_team: returns how much of each team waits here.
         open_pools_of: returns whether a pool of an ended session has no new
             owner that carries its attempts.
         reclaim_wait_s: time after which nothing of an ended session runs.
@@ -57,23 +59,23 @@
     def __init__(
         self,
         node: str,
-        incarnation: str,
+        session: session_keeper.SessionKeeper,
         replica: interfaces.Replica,
         state: control_state.ControlState,
         local: limits.LocalGrants,
         clock: clocks.Clock,
         *,
-        waiting_of: Callable[[str], int],
+        waiting_by_team: Callable[[], Mapping[str, int]],
         open_pools_of: Callable[[str, str], bool],
         reclaim_wait_s: float,
     ) -> None:
         self._node = node
-        self._incarnation = incarnation
+        self._session = session
         self._replica = replica
         self._state = state
         self._local = local
         self._clock = clock
-        self._waiting_of = waiting_of
+        self._waiting_by_team = waiting_by_team
         self._open_pools_of = open_pools_of
         self._reclaim_wait_s = reclaim_wait_s
         self._ended_seen_s: dict[tuple[str, str], float] = {}
@@ -88,13 +90,17 @@
 
     def step(self) -> None:
         """Begins the changes that are due now."""
+        self._local.set_session_valid_until(self._session.valid_until_s)
+        waiting = self._waiting_by_team()
         for team in self._state.objects("team"):
-            granted = self._state.grant(team, self._node, self._incarnation)
+            granted = self._state.grant(
+                team, self._node, self._session.incarnation
+            )
             self._local.set_granted(team, granted)
-            self._local.set_waiting(team, self._waiting_of(team))
+            self._local.set_waiting(team, waiting.get(team, 0))
         changes = limits.decide(
             self._node,
-            self._incarnation,
+            self._session.incarnation,
             [self._view(team) for team in sorted(self._state.objects("team"))],
             self._clock.monotonic_s(),
         )
@@ -124,7 +130,9 @@
             logger.debug("grant of {} has no verdict: {}", change.team, error)
             self._local.lose_change(change.team)
             return
-        granted = self._state.grant(change.team, self._node, self._incarnation)
+        granted = self._state.grant(
+            change.team, self._node, self._session.incarnation
+        )
         self._local.end_change(change, granted)
 
     def _reclaim(self) -> None:
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the session of this entry VM, and claims pools under it."""
 
 import asyncio
+import functools
 import hashlib
 import random
 import secrets
@@ -16,9 +17,8 @@
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
 
-__all__ = ["FLEET_POOL", "SessionKeeper", "SessionTimes"]
+__all__ = ["SessionKeeper", "SessionTimes"]
 
-FLEET_POOL = "_fleet"
 _TICK_S = 0.1
 _FRESH_S = 1.0
 
@@ -52,7 +52,6 @@
         rng: source of jitter.
         times: times of sessions.
         pools: returns the names of the pools that need an owner.
-        on_lost: called when the session turns out to be ended.
     """
 
     def __init__(
@@ -65,7 +64,6 @@
         rng: random.Random,
         times: SessionTimes,
         pools: Callable[[], Iterable[str]],
-        on_lost: Callable[[], None],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -75,7 +73,6 @@
         self._rng = rng
         self._times = times
         self._pools = pools
-        self._on_lost = on_lost
         self._counter = 0
         self._addresses = ("", "")
         self._silence: dict[tuple[str, str], tuple[int, float]] = {}
@@ -141,7 +138,6 @@
         self.valid_until_s = float("-inf")
         self.incarnation = secrets.token_hex(8)
         self._counter = 0
-        self._on_lost()
 
     async def _watch_forever(self) -> None:
         while True:
@@ -186,7 +182,7 @@
                 self._orphaned_s.pop(pool, None)
                 continue
             since_s = self._orphaned_s.setdefault(pool, now_s)
-            ranked = sorted(live, key=lambda node, p=pool: _rank(p, node))
+            ranked = sorted(live, key=functools.partial(_rank, pool))
             rank = ranked.index(self._node) if self._node in ranked else 0
             if now_s - since_s >= rank * self._times.renew_s:
                 record = records.PoolClaimed(
@@ -218,7 +214,7 @@
             for key, session in self._state.sessions.items()
             if not session.ended and key.node != self._node
         )
-        ranked = sorted(others, key=lambda node: _rank(pool, node))
+        ranked = sorted(others, key=functools.partial(_rank, pool))
         successor = ranked[0] if ranked else ""
         record = records.PoolReleased(
             pool, self._node, self.incarnation, epoch, successor
