Grants: carry a pool's running attempts to its new owner; hold in log outages

Cause: jobs of a taken-over pool waited while the ended session's grants were held, and calls were refused while the log answered that it is unavailable. Attempts count under the former owner's grants until the new one has carried them; a pool starts nothing before. test_grant_of_ended_session_counts_until_ reclaimed now claims and carries first, since grants of a session with an open pool are no longer freed: stricter than before.

--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -10,36 +10,18 @@
 from foxtaillock import exceptions
 from foxtaillock.daemon import background
 from foxtaillock.daemon import session_keeper
+from foxtaillock.limits import decisions
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
 
-__all__ = ["GrantKeeper", "JobGrants"]
+__all__ = ["GrantKeeper"]
 
 _INTERVAL_S = 0.2
 
 
-class JobGrants:
-    """Grants as the owner of a pool uses them."""
-
-    def __init__(self, local: limits.LocalGrants) -> None:
-        self._local = local
-
-    def try_start(self, team: str) -> bool:
-        """Counts one more attempt of the team if its grant allows."""
-        return self._local.try_start(team)
-
-    def finish(self, team: str) -> None:
-        """Counts one attempt less."""
-        self._local.finish(team)
-
-    def adopt(self, team: str) -> None:
-        """Counts an attempt that runs already."""
-        self._local.adopt(team, 1)
-
-
 class GrantKeeper:
     """Decides and commits changes of the own grants, again and again.
 
@@ -51,8 +33,6 @@
         local: counts of what runs here.
         clock: source of time.
         waiting_by_team: returns how much of each team waits here.
-        open_pools_of: returns whether a pool of an ended session has no new
-            owner that carries its attempts.
         reclaim_wait_s: time after which nothing of an ended session runs.
     """
 
@@ -66,7 +46,6 @@
         clock: clocks.Clock,
         *,
         waiting_by_team: Callable[[], Mapping[str, int]],
-        open_pools_of: Callable[[str, str], bool],
         reclaim_wait_s: float,
     ) -> None:
         self._node = node
@@ -76,7 +55,6 @@
         self._local = local
         self._clock = clock
         self._waiting_by_team = waiting_by_team
-        self._open_pools_of = open_pools_of
         self._reclaim_wait_s = reclaim_wait_s
         self._ended_seen_s: dict[tuple[str, str], float] = {}
         self._background = background.Background()
@@ -90,49 +68,40 @@
 
     def step(self) -> None:
         """Begins the changes that are due now."""
-        self._local.set_session_valid_until(self._session.valid_until_s)
+        incarnation = self._session.incarnation
+        self._local.set_holder(self._node, incarnation)
+        self._local.set_session_valid_until(self._session.grants_until_s())
         waiting = self._waiting_by_team()
-        for team in self._state.objects("team"):
-            granted = self._state.grant(
-                team, self._node, self._session.incarnation
-            )
-            self._local.set_granted(team, granted)
+        teams = sorted(self._state.objects("team"))
+        for team in teams:
             self._local.set_waiting(team, waiting.get(team, 0))
-        changes = limits.decide(
-            self._node,
-            self._session.incarnation,
-            [self._view(team) for team in sorted(self._state.objects("team"))],
-            self._clock.monotonic_s(),
-        )
-        for change in changes:
-            if self._local.begin_change(change):
-                self._background.spawn(self._commit(change))
+        folded = {team: self._folded(team) for team in teams}
+        for change in self._local.plan(folded, self._live()):
+            self._background.spawn(self._commit(change))
         self._reclaim()
 
-    def _view(self, team: str) -> limits.TeamView:
-        rows = self._state.session_grants(team)
-        live = [
+    def _live(self) -> list[tuple[str, str]]:
+        return sorted(
             (key.node, key.incarnation)
             for key, session in self._state.sessions.items()
             if not session.ended
-        ]
+        )
+
+    def _folded(self, team: str) -> decisions.FoldedTeam:
         grants = {
-            (key.node, key.incarnation): limits.Grant(row.amount, row.wanted)
-            for key, row in rows.items()
+            (key.node, key.incarnation): decisions.Grant(*row)
+            for key, row in self._state.session_grants(team).items()
         }
-        limit = self._state.team_limit(team)
-        return self._local.make_view(team, limit, grants, sorted(live))
+        return decisions.FoldedTeam(self._state.team_limit(team), grants)
 
     async def _commit(self, change: records.GrantChanged) -> None:
         try:
             await self._replica.commit(change)
         except exceptions.FoxtaillockError as error:
             logger.debug("grant of {} has no verdict: {}", change.team, error)
-            self._local.lose_change(change.team)
+            self._local.lose_change(change)
             return
-        granted = self._state.grant(
-            change.team, self._node, self._session.incarnation
-        )
+        granted = self._state.grant(change.team, self._node, change.incarnation)
         self._local.end_change(change, granted)
 
     def _reclaim(self) -> None:
@@ -144,11 +113,11 @@
         ended = []
         for node, incarnation in sorted(holders):
             seen_s = self._ended_seen_s.setdefault((node, incarnation), now_s)
-            is_open = self._open_pools_of(node, incarnation)
+            is_open = self._state.has_open_pools(node, incarnation)
             ended.append(
-                limits.EndedSession(node, incarnation, seen_s, is_open)
+                decisions.EndedSession(node, incarnation, seen_s, is_open)
             )
-        due = limits.decide_reclaims(ended, now_s, self._reclaim_wait_s)
+        due = decisions.decide_reclaims(ended, now_s, self._reclaim_wait_s)
         if due and not self._reclaiming:
             self._reclaiming = True
             self._background.spawn(self._commit_reclaims(due))
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -128,7 +128,9 @@
         self, rng: random.Random, budget: budgets.AppendBudget
     ) -> None:
         settings = self.settings
-        self.grants = limits.LocalGrants(self.clock)
+        self.grants = limits.LocalGrants(
+            self.clock, settings.node_name, self.session.incarnation
+        )
         self.claims = call_claims.LogClaims(
             self.platform.log,
             settings.node_name,
@@ -149,12 +151,13 @@
         self.pools = pool_keeper.PoolKeeper(
             settings.node_name,
             self.state,
+            self.replica,
             self.session,
             self.platform.log,
             self.platform.workers,
             self.clock,
             rng,
-            grant_keeper.JobGrants(self.grants),
+            self.grants,
             budget,
         )
         self.grant_keeper = grant_keeper.GrantKeeper(
@@ -165,7 +168,6 @@
             self.grants,
             self.clock,
             waiting_by_team=self._waiting_by_team,
-            open_pools_of=self._has_open_pools,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
             + _LONGEST_CALL_S,
@@ -280,9 +282,9 @@
         self._draining = True
         self._not_ready = "draining"
         self.session.stop_claiming()
-        await self.pools.hand_over()
         await self._await_requests()
         await self._runner.cleanup()
+        await self.pools.hand_over()
         await self.close()
 
     async def _await_requests(self) -> None:
@@ -362,12 +364,6 @@
                 counts[team] += owner.ready_count(team)
         return counts
 
-    def _has_open_pools(self, node: str, incarnation: str) -> bool:
-        return any(
-            (claim.node, claim.incarnation) == (node, incarnation)
-            for claim in self.state.claims.values()
-        )
-
     def _status(self) -> admin.Row:
         return {
             "node": self.settings.node_name,
--- /dev/null
+++ b/foxtaillock/daemon/pool_grants.py
@@ -0,0 +1,57 @@
+"""Grants as the owner of one pool uses them."""
+
+import collections
+from collections.abc import Mapping
+
+from foxtaillock.limits import grants as limits
+
+__all__ = ["PoolGrants"]
+
+
+class PoolGrants:
+    """Counts the attempts of one pool against this node's grants.
+
+    Nothing starts before the grants of the attempts that a former owner
+    started were carried over: until then they count under its grants, and
+    the fold could free those while the attempts run.
+
+    Attributes:
+        may_start: whether attempts may start.
+    """
+
+    def __init__(self, local: limits.LocalGrants) -> None:
+        self._local = local
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._is_dropped = False
+        self.may_start = False
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Counted attempts by team."""
+        return {team: n for team, n in self._counts.items() if n}
+
+    def try_start(self, team: str) -> bool:
+        """Counts one more attempt of the team if its grant allows."""
+        if not self.may_start or not self._local.try_start(team):
+            return False
+        self._counts[team] += 1
+        return True
+
+    def finish(self, team: str) -> None:
+        """Counts one attempt less."""
+        if not self._is_dropped:
+            self._counts[team] -= 1
+            self._local.finish(team)
+
+    def adopt(self, team: str) -> None:
+        """Counts an attempt that runs already."""
+        self._counts[team] += 1
+        self._local.adopt(team, 1)
+
+    def drop(self) -> None:
+        """Stops counting, since the pool has gone to another owner."""
+        for team, count in self._counts.items():
+            for _ in range(count):
+                self._local.finish(team)
+        self._is_dropped = True
+        self.may_start = False
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -11,16 +11,18 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.daemon import background
+from foxtaillock.daemon import pool_grants
 from foxtaillock.daemon import session_keeper
-from foxtaillock.jobs import context as job_context
 from foxtaillock.jobs import owner as owners
 from foxtaillock.jobs import pool_state
+from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import objects
 from foxtaillock.model import records
 from foxtaillock.model import world
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
+from foxtaillock.state import interfaces
 from foxtaillock.state import replica as replicas
 
 __all__ = ["PoolKeeper"]
@@ -33,6 +35,7 @@
 
     epoch: int
     owner: owners.PoolOwner
+    grants: pool_grants.PoolGrants
     tasks: Sequence["asyncio.Task[typing.Any]"]
 
 
@@ -42,12 +45,13 @@
     Args:
         node: name of this entry VM.
         state: fold of the control stream.
+        control: replica of the control stream.
         session: session of this entry VM.
         log: the platform's log.
         worker_service: tasks on workers.
         clock: source of time.
         rng: source of jitter and ids.
-        grants: part of the teams' limits.
+        grants: this node's part of the teams' limits.
         budget: budget of appends.
     """
 
@@ -55,16 +59,18 @@
         self,
         node: str,
         state: control_state.ControlState,
+        control: interfaces.Replica,
         session: session_keeper.SessionKeeper,
         log: adapters.LogService,
         worker_service: adapters.WorkerService,
         clock: clocks.Clock,
         rng: random.Random,
-        grants: job_context.Grants,
+        grants: limits.LocalGrants,
         budget: budgets.AppendBudget | None,
     ) -> None:
         self._node = node
         self._state = state
+        self._control = control
         self._session = session
         self._log = log
         self._worker_service = worker_service
@@ -107,6 +113,7 @@
 
     async def _start(self, pool: str, epoch: int) -> None:
         state = pool_state.PoolState()
+        grants = pool_grants.PoolGrants(self._grants)
         replica = replicas.StreamReplica(
             self._log,
             f"pool.{pool}",
@@ -127,7 +134,7 @@
             self._rng,
             may_act=lambda: self._session.owns(pool, epoch),
             not_valid_after_s=lambda: self._session.valid_until_s,
-            grants=self._grants,
+            grants=grants,
             node=self._node,
         )
         follow = self._background.spawn(replica.run())
@@ -137,19 +144,47 @@
         except exceptions.FoxtaillockError as error:
             logger.warning("pool {} was not taken over: {}", pool, error)
             follow.cancel()
+            grants.drop()
             return
         finally:
             self._starting.discard(pool)
         work = self._background.spawn(owner.run())
-        self._held[pool] = _Held(epoch, owner, (follow, work))
+        carry = self._background.spawn(self._carry(pool, epoch, grants))
+        tasks = (follow, work, carry)
+        self._held[pool] = _Held(epoch, owner, grants, tasks)
         self.owners[pool] = owner
         self._update(pool, owner)
         logger.info("owner of pool {} with epoch {}", pool, epoch)
 
+    async def _carry(
+        self, pool: str, epoch: int, grants: pool_grants.PoolGrants
+    ) -> None:
+        """Moves the grants of adopted attempts here, then lets jobs start."""
+        while (source := self._state.to_carry(pool)) is not None:
+            amounts = {
+                team: min(count, self._state.grant(team, *source))
+                for team, count in grants.counts.items()
+            }
+            record = records.GrantsCarried(
+                pool,
+                epoch,
+                *source,
+                self._node,
+                self._session.incarnation,
+                amounts,
+            )
+            try:
+                await self._control.commit(record, urgent=True)
+            except exceptions.FoxtaillockError as error:
+                logger.debug("grants of {} were not carried: {}", pool, error)
+            await asyncio.sleep(_INTERVAL_S)
+        grants.may_start = True
+
     async def _stop(self, pool: str) -> None:
         held = self._held.pop(pool)
         self.owners.pop(pool, None)
         await held.owner.stop()
+        held.grants.drop()
         for task in held.tasks:
             task.cancel()
         logger.info("no longer owner of pool {}", pool)
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -21,6 +21,7 @@
 
 _TICK_S = 0.1
 _FRESH_S = 1.0
+_REFUSAL_HOLDS_S = 2.0
 
 
 class SessionTimes:
@@ -83,11 +84,28 @@
         self._stopping = False
         self.incarnation = secrets.token_hex(8)
         self.valid_until_s = float("-inf")
+        self._grants_until_s = float("-inf")
 
     def is_valid(self) -> bool:
         """Returns whether the own session holds at this moment."""
         return self._clock.monotonic_s() < self.valid_until_s
 
+    def grants_until_s(self) -> float:
+        """Returns the time up to which grants may be used.
+
+        While the log itself answers that it is unavailable nobody can end
+        this session or take its grants: challengers count silence only while
+        they can read. A session that was valid when the outage began then
+        goes on.
+        """
+        now_s = self._clock.monotonic_s()
+        refused_age_s = self._replica.log_refused_age_s()
+        if refused_age_s <= _REFUSAL_HOLDS_S and now_s < self._grants_until_s:
+            held_until_s = now_s - refused_age_s + self._times.lease_s
+            self._grants_until_s = max(self._grants_until_s, held_until_s)
+        self._grants_until_s = max(self._grants_until_s, self.valid_until_s)
+        return self._grants_until_s
+
     def owns(self, pool: str, epoch: int) -> bool:
         """Returns whether this VM may act for `pool` at this moment."""
         claim = self._state.claim(pool)
@@ -136,6 +154,7 @@
     def _begin_anew(self, code: str) -> None:
         logger.warning("session has ended ({}); opening another", code)
         self.valid_until_s = float("-inf")
+        self._grants_until_s = float("-inf")
         self.incarnation = secrets.token_hex(8)
         self._counter = 0
 
--- a/foxtaillock/limits/grants.py
+++ b/foxtaillock/limits/grants.py
@@ -63,6 +63,20 @@
         """
         self._valid_until_s = valid_until_s
 
+    def set_holder(self, node: str, incarnation: str) -> None:
+        """Starts anew under another session; what runs stays counted.
+
+        Changes under way belong to the former session, whose grants count
+        until they are reclaimed.
+        """
+        if self._holder == (node, incarnation):
+            return
+        self._holder = (node, incarnation)
+        for count in self._teams.values():
+            count.pending.clear()
+            count.granted = 0
+            count.in_flight = False
+
     def start_leaving(self) -> None:
         """Gives the grants back from now on, as work ends."""
         self._leaving = True
--- a/foxtaillock/settings/settings.py
+++ b/foxtaillock/settings/settings.py
@@ -39,6 +39,8 @@
         zone: availability zone of this entry VM.
         log_url: base URL of the platform's log.
         vm_list_url: base URL of the platform's list of VMs.
+        pool_url: base URL of the platform's service that drains and reboots
+            VMs.
         peer_secret: secret that the entry VMs share.
         operator_key_digest: SHA-256 of the first operator key, in
             hexadecimal; empty when operators' keys stand on the log already.
@@ -71,6 +73,7 @@
     zone: str
     log_url: str
     vm_list_url: str
+    pool_url: str
     peer_secret: str
     operator_key_digest: str = ""
     region: str = "default"
@@ -376,6 +379,7 @@
     "region": _to_name,
     "log_url": _to_url,
     "vm_list_url": _to_url,
+    "pool_url": _to_url,
     "peer_secret": _to_secret,
     "operator_key_digest": _to_digest,
     "api_host": _to_address,
--- a/foxtaillock/state/codec.py
+++ b/foxtaillock/state/codec.py
@@ -34,6 +34,7 @@
             for team, rows in sorted(state.grants.items())
             for session, row in sorted(rows.items())
         ],
+        "to_carry": _encode_rows(state.to_carry),
         "vms": _encode_rows(state.vms),
         "disruptions": _encode_rows(state.disruptions),
         "waves": [[name, *row] for name, row in state.waves.items()],
@@ -95,6 +96,7 @@
         state.grants.setdefault(team, {})[session] = tables.Grant(*row)
     state.claims = {row[0]: tables.Claim(*row) for row in fields["claims"]}
     state.keys = _decode_rows(tables.StoredKey, fields["keys"])
+    state.to_carry = _decode_rows(tables.SessionKey, fields["to_carry"])
     state.vms = _decode_rows(tables.StoredVm, fields["vms"])
     state.disruptions = _decode_rows(tables.Disruption, fields["disruptions"])
     state.waves = _decode_rows(tables.Wave, fields["waves"])
--- a/foxtaillock/state/control_view.py
+++ b/foxtaillock/state/control_view.py
@@ -110,6 +110,16 @@
                 totals[session.node] = totals.get(session.node, 0) + row.wanted
         return totals
 
+    def has_open_pools(self, node: str, incarnation: str) -> bool:
+        """Returns whether attempts may count under a session's grants still."""
+        session = tables.SessionKey(node, incarnation)
+        return grants_fold.has_open_pools(self._tables, session)
+
+    def to_carry(self, pool: str) -> tables.SessionKey | None:
+        """Returns the former owner whose grants a pool's attempts count
+        under, or None."""
+        return self._tables.to_carry.get(pool)
+
     def team_limit(self, team: str) -> int:
         """Returns the upper limit of a team; zero if it does not exist."""
         return grants_fold.team_limit(self._tables, team)
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -85,10 +85,19 @@
         holder = tables.SessionKey(stored.node, stored.incarnation)
         if holder != session and state.is_live(holder):
             return handlers.refuse("held", place, f"{stored.node} holds it")
+    if stored is not None and stored.node:
+        _note_to_carry(state, stored)
     state.claims[record.pool] = tables.Claim(*record, "", offset)
     return verdicts.ACCEPTED
 
 
+def _note_to_carry(state: tables.ControlTables, former: tables.Claim) -> None:
+    """The former owner's attempts count under its grants until carried."""
+    session = tables.SessionKey(former.node, former.incarnation)
+    if former.pool != records.FLEET_POOL:
+        state.to_carry.setdefault(former.pool, session)
+
+
 @handlers.register_handler(records.PoolReleased)
 def fold_pool_released(
     state: tables.ControlTables, offset: int, record: records.PoolReleased
@@ -99,6 +108,7 @@
     if stored is None or stored[1:4] != identity:
         place = f"pool/{record.pool}"
         return handlers.refuse("stale-epoch", place, "is not held so")
+    _note_to_carry(state, stored)
     state.claims[record.pool] = tables.Claim(
         record.pool, "", "", record.epoch, record.successor, offset
     )
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -157,6 +157,8 @@
         revision: offset after the batch of the last accepted note.
         objects: objects by kind and name.
         grants: grants by team and session.
+        to_carry: former owner of each pool whose running attempts still count
+            under that owner's grants.
     """
 
     revision: int = 0
@@ -172,6 +174,7 @@
     grants: dict[str, dict[SessionKey, Grant]] = dataclasses.field(
         default_factory=dict
     )
+    to_carry: dict[str, SessionKey] = dataclasses.field(default_factory=dict)
     vms: dict[str, StoredVm] = dataclasses.field(default_factory=dict)
     disruptions: dict[str, Disruption] = dataclasses.field(default_factory=dict)
     waves: dict[str, Wave] = dataclasses.field(default_factory=dict)
--- a/foxtaillock/state/tests/test_control_state.py
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -172,10 +172,50 @@
             reclaimed,
             records.SessionEnded("a", "ia", 1, "b"),
             _granted("b", 1),
+            _claimed("p", "b", 2),
+            records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {}),
             reclaimed,
             _granted("b", 10),
         )
-        self.assertEqual(codes, ["", "session-live", "", "over-limit", "", ""])
+        self.assertEqual(
+            codes, ["", "session-live", "", "over-limit", "", "", "", ""]
+        )
+
+    def test_grants_of_running_attempts_go_to_the_new_owner(self) -> None:
+        self._set_up_pool()
+        carried = records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {"t": 3})
+        reclaimed = records.GrantReclaimed("a", "ia")
+        codes = self._codes(
+            _granted("a", 7),
+            carried,
+            records.SessionEnded("a", "ia", 1, "b"),
+            reclaimed,
+            _claimed("p", "b", 2),
+            reclaimed,
+            carried._replace(amounts={"t": 8}),
+            carried,
+            carried,
+            _granted("b", 7),
+            reclaimed,
+            _granted("b", 10),
+        )
+        self.assertEqual(
+            codes,
+            [
+                "",
+                "stale-epoch",
+                "",
+                "pools-open",
+                "",
+                "pools-open",
+                "over-grant",
+                "",
+                "not-open",
+                "over-limit",
+                "",
+                "",
+            ],
+        )
 
     def test_vm_is_in_one_pool(self) -> None:
         self._set_up_pool()
