--- /dev/null
+++ b/bench/calls_passthrough.py
@@ -0,0 +1,101 @@
+"""Baseline of the call path: a bare aiohttp pass-through, no decisions.
+
+Load, pass-through and runner are three processes. Calls for each second of
+processor time of the pass-through are what one core of an entry VM can reach
+at best with these libraries.
+"""
+
+import asyncio
+import random
+import time
+
+import aiohttp
+
+from bench import harness
+from bench import programs
+from foxtaillock.adapters import http_vm_list
+
+__all__ = ["run"]
+
+_CONCURRENCY = (1, 8, 32)
+_BODY_BYTES = 300
+
+
+async def run(quick: bool) -> harness.Result:
+    """Returns calls a second and latency, direct and passed through."""
+    calls = 600 if quick else 6000
+    repeats = 3 if quick else 7
+    standins = await programs.start_standins(
+        workers=0, zones=["a"], services=["s"], runners_per_zone=1, slots=64
+    )
+    vm_list = http_vm_list.create_http_vm_list(standins.ready["vm_list"])
+    target = f"http://{(await vm_list.list_vms())[0].address}"
+    await vm_list.close()
+    server = await programs.start_program(
+        "bench.passthrough_server", "--target", target
+    )
+
+    async def _trial(rng: random.Random) -> dict[str, float]:
+        body = _body(rng)
+        figures = await _load("direct_32", target, body, calls, 32, None)
+        for concurrency in _CONCURRENCY:
+            figures |= await _load(
+                f"passed_{concurrency}",
+                server.ready["url"],
+                body,
+                calls,
+                concurrency,
+                server,
+            )
+        return figures
+
+    try:
+        measurements = await harness.repeat_async(_trial, repeats)
+    finally:
+        await server.stop()
+        await standins.stop()
+    parameters = {"calls": calls, "body_bytes": _BODY_BYTES}
+    return harness.result("calls_passthrough", quick, parameters, measurements)
+
+
+def _body(rng: random.Random) -> bytes:
+    filler = "".join(rng.choices("abcdef", k=_BODY_BYTES))
+    return f'{{"work_s": 0, "filler": "{filler}"}}'.encode()
+
+
+async def _load(
+    name: str,
+    url: str,
+    body: bytes,
+    calls: int,
+    concurrency: int,
+    server: programs.Program | None,
+) -> dict[str, float]:
+    latency = harness.Latency()
+    connector = aiohttp.TCPConnector(limit=concurrency)
+    async with aiohttp.ClientSession(connector=connector) as session:
+
+        async def _call_some(client: int) -> None:
+            for number in range(calls // concurrency):
+                headers = {"X-Request-Id": f"{client}.{number}"}
+                begin_s = time.perf_counter()
+                async with session.post(
+                    f"{url}/run/x", data=body, headers=headers
+                ) as answer:
+                    await answer.read()
+                    assert answer.status == 200
+                latency.record(time.perf_counter() - begin_s)
+
+        cpu_s = server.cpu_s() if server else 0.0
+        begin_s = time.perf_counter()
+        await asyncio.gather(*(_call_some(i) for i in range(concurrency)))
+        elapsed_s = time.perf_counter() - begin_s
+    count = calls // concurrency * concurrency
+    figures = latency.figures(name) | {f"{name}_per_s": count / elapsed_s}
+    if server is not None:
+        figures[f"{name}_per_cpu_s"] = count / (server.cpu_s() - cpu_s)
+    return figures
+
+
+if __name__ == "__main__":
+    harness.main(run)
--- /dev/null
+++ b/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what the benchmarks share."""
