--- a/bench/programs.py
+++ b/bench/programs.py
@@ -1,7 +1,6 @@
 """Programs that benchmarks run beside themselves, and their processor time."""
 
 import asyncio
-from asyncio import subprocess
 import json
 import os
 import pathlib
@@ -23,7 +22,9 @@
         ready: decoded line.
     """
 
-    def __init__(self, process: subprocess.Process, ready: typing.Any) -> None:
+    def __init__(
+        self, process: "asyncio.subprocess.Process", ready: typing.Any
+    ) -> None:
         self._process = process
         self.ready = ready
 
@@ -54,7 +55,7 @@
         "-m",
         module,
         *arguments,
-        stdout=subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
     )
     assert process.stdout is not None
     line = await process.stdout.readline()
