Fold the claims of calls; free a claim whose commit had no verdict

The daemon imports calls.claims, which was missing. The first claim by offset wins; a claim is remembered for 20,000 later ones. The driver now waits up to 2 s for the first try's outcome, follows a stream from its oldest kept record (from offset zero it stopped once records had expired), and frees a claim whose commit ended without a verdict: the caller was told 'not run', and its next try must not meet its own claim. The daemon plans grants by LocalGrants.plan.

--- /dev/null
+++ b/foxtaillock/calls/claims.py
@@ -0,0 +1,106 @@
+"""Fold of a service's claims: which request runs a non-idempotent call.
+
+The first claim of a key by offset wins. A claim is remembered for a fixed
+number of later claims, so that all replicas forget the same ones.
+"""
+
+import typing
+from collections.abc import Sequence
+
+from foxtaillock.model import outcomes
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import sequences
+
+__all__ = ["Claim", "ClaimsState", "MAX_CLAIMS"]
+
+MAX_CLAIMS = 20_000
+
+_NOT_RUN = outcomes.OutcomeTag.NOT_RUN.value
+_UNKNOWN = outcomes.OutcomeTag.UNKNOWN.value
+
+
+class Claim(typing.NamedTuple):
+    """A claim that stands.
+
+    Attributes:
+        request_id: request that may run.
+        node: entry VM that runs it.
+        outcome: tag of its outcome; empty while it has none.
+    """
+
+    request_id: str
+    node: str
+    outcome: str = ""
+
+
+class ClaimsState:
+    """State of one stream `calls.<service>`.
+
+    Args:
+        max_claims: claims that are remembered, the oldest dropped first.
+
+    Example:
+        >>> state = ClaimsState()
+        >>> claim = records.CallClaimed("t", "digest", "e1", "q1")
+        >>> state.apply(0, records.Batch("e1", "x", 1, (claim,)))[0].accepted
+        True
+        >>> state.outcome("t", "digest")
+        'unknown'
+    """
+
+    def __init__(self, max_claims: int = MAX_CLAIMS) -> None:
+        self._max_claims = max_claims
+        self._claims: dict[tuple[str, str], Claim] = {}
+        self._sequences = sequences.Sequences()
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def find(self, team: str, key_digest: str) -> Claim | None:
+        """Returns the claim of a key, or None."""
+        return self._claims.get((team, key_digest))
+
+    def outcome(self, team: str, key_digest: str) -> str:
+        """Returns the tag of a key's outcome, `unknown` while it has none."""
+        claim = self.find(team, key_digest)
+        return claim.outcome if claim and claim.outcome else _UNKNOWN
+
+    def apply(
+        self, offset: int, batch: records.Batch
+    ) -> Sequence[verdicts.Verdict]:
+        """Applies one batch; see `state.interfaces.Fold`."""
+        writer = (batch.writer, batch.incarnation)
+        if not self._sequences.admit(offset, *writer, batch.sequence):
+            duplicate = verdicts.Verdict(False, "duplicate")
+            return [duplicate] * len(batch.records)
+        return [self._apply_record(record) for record in batch.records]
+
+    def _apply_record(self, record: records.Record) -> verdicts.Verdict:
+        if isinstance(record, records.CallClaimed):
+            return self._claim(record)
+        if isinstance(record, records.CallEnded):
+            return self._end(record)
+        return verdicts.Verdict(False, "wrong-stream")
+
+    def _claim(self, record: records.CallClaimed) -> verdicts.Verdict:
+        key = (record.team, record.key_digest)
+        if key in self._claims:
+            return verdicts.Verdict(False, "claimed")
+        self._claims[key] = Claim(record.request_id, record.node)
+        if len(self._claims) > self._max_claims:
+            del self._claims[next(iter(self._claims))]
+        return verdicts.ACCEPTED
+
+    def _end(self, record: records.CallEnded) -> verdicts.Verdict:
+        key = (record.team, record.key_digest)
+        claim = self._claims.get(key)
+        if claim is None or claim.request_id != record.request_id:
+            return verdicts.Verdict(False, "not-holder")
+        if claim.outcome:
+            return verdicts.Verdict(False, "already-ended")
+        if record.outcome == _NOT_RUN:
+            del self._claims[key]
+        else:
+            self._claims[key] = claim._replace(outcome=record.outcome)
+        return verdicts.ACCEPTED
--- a/foxtaillock/daemon/call_claims.py
+++ b/foxtaillock/daemon/call_claims.py
@@ -11,12 +11,22 @@
 from foxtaillock.calls import interfaces as calls
 from foxtaillock.daemon import background
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import outcomes
 from foxtaillock.model import records
+from foxtaillock.model import verdicts
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import replica as replicas
 
 __all__ = ["LogClaims", "key_digest"]
 
+_NOT_RUN = outcomes.OutcomeTag.NOT_RUN.value
+_OUTCOME_WAIT_S = 2.0
+_POLL_S = 0.05
+_OPEN_TIMEOUT_S = 2.0
+_CLOSE_WAIT_S = 2.0
+_END_TRIES = 50
+_END_BACKOFF_S = 4.0
+
 
 def key_digest(idempotency_key: str) -> str:
     """Returns the digest of an idempotency key, as it stands on the log."""
@@ -60,6 +70,8 @@
         self._services: dict[str, _ServiceClaims] = {}
         self._background = background.Background()
         self._lock = asyncio.Lock()
+        self._follows = 0
+        self._ends: set[asyncio.Task[None]] = set()
 
     async def claim(
         self, service: str, team: str, idempotency_key: str, request_id: str
@@ -69,12 +81,50 @@
         record = records.CallClaimed(team, digest, self._node, request_id)
         try:
             entry = await self._open(service)
-            verdict = await entry.replica.commit(record)
-        except exceptions.FoxtaillockError:
+        except (exceptions.FoxtaillockError, TimeoutError):
+            return calls.Refused("log-unavailable")
+        if entry.fold.find(team, digest) is None:
+            result = await self._commit_claim(entry, record)
+            if result is not None:
+                return result
+        return calls.Already(await self._await_outcome(entry, team, digest))
+
+    async def _commit_claim(
+        self, entry: _ServiceClaims, record: records.CallClaimed
+    ) -> calls.ClaimResult | None:
+        """Returns the result of a new claim, None if an earlier one stands."""
+        commit = self._background.spawn(_try_commit(entry, record))
+        try:
+            verdict = await asyncio.shield(commit)
+        except asyncio.CancelledError:
+            self._background.spawn(self._free(entry, record))
+            raise
+        if isinstance(verdict, exceptions.FoxtaillockError):
+            if not isinstance(verdict, exceptions.NotRunError):
+                self._background.spawn(self._free(entry, record))
             return calls.Refused("log-unavailable")
-        if verdict.accepted:
-            return calls.Won()
-        return calls.Already(entry.fold.outcome(team, digest))
+        return calls.Won() if verdict.accepted else None
+
+    async def _free(
+        self, entry: _ServiceClaims, claim: records.CallClaimed
+    ) -> None:
+        """Frees a claim that may stand although its call was not sent."""
+        record = records.CallEnded(
+            claim.team, claim.key_digest, claim.request_id, _NOT_RUN
+        )
+        await self._commit_surely(entry, record)
+
+    async def _await_outcome(
+        self, entry: _ServiceClaims, team: str, digest: str
+    ) -> str:
+        """Returns the outcome of the first try, `unknown` if it takes long."""
+        end_s = self._clock.monotonic_s() + _OUTCOME_WAIT_S
+        while self._clock.monotonic_s() < end_s:
+            claim = entry.fold.find(team, digest)
+            if claim is None or claim.outcome:
+                break
+            await asyncio.sleep(_POLL_S)
+        return entry.fold.outcome(team, digest)
 
     async def end(
         self,
@@ -84,14 +134,25 @@
         request_id: str,
         outcome: str,
     ) -> None:
-        """Records the outcome of a claim."""
+        """Records the outcome of a claim without waiting for the log."""
         digest = key_digest(idempotency_key)
         record = records.CallEnded(team, digest, request_id, outcome)
-        try:
-            entry = await self._open(service)
-            await entry.replica.commit(record)
-        except exceptions.FoxtaillockError:
-            return
+        entry = self._services.get(service)
+        if entry is not None:
+            task = self._background.spawn(self._commit_surely(entry, record))
+            self._ends.add(task)
+            task.add_done_callback(self._ends.discard)
+
+    async def _commit_surely(
+        self, entry: _ServiceClaims, record: records.CallEnded
+    ) -> None:
+        """Commits until there is a verdict, for a bounded time."""
+        for _ in range(_END_TRIES):
+            try:
+                await entry.replica.commit(record)
+                return
+            except exceptions.FoxtaillockError:
+                await asyncio.sleep(self._rng.random() * _END_BACKOFF_S)
 
     async def _open(self, service: str) -> _ServiceClaims:
         """Returns the state of a service's claims as of now.
@@ -101,27 +162,44 @@
         """
         async with self._lock:
             entry = self._services.get(service)
-            if entry is None:
-                entry = self._follow(service)
+            if entry is None or entry.replica.error is not None:
+                entry = await self._follow(service)
                 await entry.replica.catch_up()
                 self._services[service] = entry
         return entry
 
-    def _follow(self, service: str) -> _ServiceClaims:
+    async def _follow(self, service: str) -> _ServiceClaims:
+        """Follows a stream from its oldest record on."""
+        self._follows += 1
+        stream = f"calls.{service}"
+        async with asyncio.timeout(_OPEN_TIMEOUT_S):
+            page = await self._log.read(stream, 0, 1, 0.0)
         fold = claim_folds.ClaimsState()
         replica = replicas.StreamReplica(
             self._log,
-            f"calls.{service}",
+            stream,
             fold,
             writer=self._node,
-            incarnation=self._incarnation,
+            incarnation=f"{self._incarnation}.{self._follows}",
             clock=self._clock,
             rng=self._rng,
             budget=self._budget,
+            next_offset=page.oldest_offset,
         )
         self._background.spawn(replica.run())
         return _ServiceClaims(fold, replica)
 
     async def close(self) -> None:
-        """Stops following all streams."""
+        """Stops following all streams, after the ends under way."""
+        if self._ends:
+            await asyncio.wait(self._ends, timeout=_CLOSE_WAIT_S)
         await self._background.close()
+
+
+async def _try_commit(
+    entry: _ServiceClaims, record: records.CallClaimed
+) -> verdicts.Verdict | exceptions.FoxtaillockError:
+    try:
+        return await entry.replica.commit(record)
+    except exceptions.FoxtaillockError as error:
+        return error
--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -10,6 +10,7 @@
 from foxtaillock import exceptions
 from foxtaillock.daemon import background
 from foxtaillock.daemon import session_keeper
+from foxtaillock.limits import decisions
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import records
@@ -98,37 +99,35 @@
             )
             self._local.set_granted(team, granted)
             self._local.set_waiting(team, waiting.get(team, 0))
-        changes = limits.decide(
-            self._node,
-            self._session.incarnation,
-            [self._view(team) for team in sorted(self._state.objects("team"))],
-            self._clock.monotonic_s(),
-        )
-        for change in changes:
-            if self._local.begin_change(change):
-                self._background.spawn(self._commit(change))
+        for change in self._local.plan(self._folded(), self._live()):
+            self._background.spawn(self._commit(change))
         self._reclaim()
 
-    def _view(self, team: str) -> limits.TeamView:
-        rows = self._state.session_grants(team)
-        live = [
+    def _folded(self) -> dict[str, decisions.FoldedTeam]:
+        return {
+            team: decisions.FoldedTeam(
+                self._state.team_limit(team),
+                {
+                    (key.node, key.incarnation): decisions.Grant(*row)
+                    for key, row in self._state.session_grants(team).items()
+                },
+            )
+            for team in self._state.objects("team")
+        }
+
+    def _live(self) -> list[tuple[str, str]]:
+        return sorted(
             (key.node, key.incarnation)
             for key, session in self._state.sessions.items()
             if not session.ended
-        ]
-        grants = {
-            (key.node, key.incarnation): limits.Grant(row.amount, row.wanted)
-            for key, row in rows.items()
-        }
-        limit = self._state.team_limit(team)
-        return self._local.make_view(team, limit, grants, sorted(live))
+        )
 
     async def _commit(self, change: records.GrantChanged) -> None:
         try:
             await self._replica.commit(change)
         except exceptions.FoxtaillockError as error:
             logger.debug("grant of {} has no verdict: {}", change.team, error)
-            self._local.lose_change(change.team)
+            self._local.lose_change(change)
             return
         granted = self._state.grant(
             change.team, self._node, self._session.incarnation
@@ -146,9 +145,9 @@
             seen_s = self._ended_seen_s.setdefault((node, incarnation), now_s)
             is_open = self._open_pools_of(node, incarnation)
             ended.append(
-                limits.EndedSession(node, incarnation, seen_s, is_open)
+                decisions.EndedSession(node, incarnation, seen_s, is_open)
             )
-        due = limits.decide_reclaims(ended, now_s, self._reclaim_wait_s)
+        due = decisions.decide_reclaims(ended, now_s, self._reclaim_wait_s)
         if due and not self._reclaiming:
             self._reclaiming = True
             self._background.spawn(self._commit_reclaims(due))
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -128,7 +128,9 @@
         self, rng: random.Random, budget: budgets.AppendBudget
     ) -> None:
         settings = self.settings
-        self.grants = limits.LocalGrants(self.clock)
+        self.grants = limits.LocalGrants(
+            self.clock, settings.node_name, self.incarnation
+        )
         self.claims = call_claims.LogClaims(
             self.platform.log,
             settings.node_name,
