--- /dev/null
+++ b/foxtaillock/notes/parser.py
@@ -0,0 +1,289 @@
+"""Parser of release notes."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import typing
+from collections.abc import Iterator
+from collections.abc import Mapping
+
+import jsonschema
+
+from foxtaillock.model import objects
+from foxtaillock.model import verdicts
+from foxtaillock.notes import rules
+from foxtaillock.notes import tree
+
+__all__ = [
+    "ACTIONS",
+    "Entry",
+    "NoteFaults",
+    "ParsedNote",
+    "parse",
+    "parse_async",
+    "schema",
+]
+
+ACTIONS = ("added", "changed", "withdrawn")
+MAX_ENTRIES = 5_000
+_EVENTS_PER_SLICE = 50
+_SHOWN_CHARACTERS = 60
+_SCHEMA_PATH = pathlib.Path(__file__).with_name("schema.json")
+_SECTIONS = {kind + "s": kind for kind in objects.KINDS}
+
+
+class Entry(typing.NamedTuple):
+    """One object that a note adds, changes or withdraws.
+
+    Attributes:
+        action: `added`, `changed` or `withdrawn`.
+        kind: kind of the object.
+        name: name of the object.
+        body: fields that the note gives; empty when withdrawn.
+        marks: line and column of the object, under the empty name, and of
+            each of its fields.
+    """
+
+    action: str
+    kind: str
+    name: str
+    body: dict[str, typing.Any]
+    marks: Mapping[str, tuple[int, int]]
+
+    def finding(self, message: str, field: str = "") -> verdicts.Finding:
+        """Returns a finding at the object or at one of its fields."""
+        place = f"{self.kind}/{self.name}" + (f".{field}" if field else "")
+        line, column = self.marks.get(field, self.marks.get("", (0, 0)))
+        return verdicts.Finding(place, message, line, column)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParsedNote:
+    """A note without faults of its own.
+
+    Attributes:
+        title: title of the note.
+        entries: what it adds, changes and withdraws, in the note's order.
+    """
+
+    title: str
+    entries: tuple[Entry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteFaults:
+    """A note that can't be used, with every fault, sorted by line."""
+
+    findings: tuple[verdicts.Finding, ...]
+
+
+def schema() -> dict[str, typing.Any]:
+    """Returns the published JSON schema of a note."""
+    loaded: dict[str, typing.Any] = json.loads(
+        _SCHEMA_PATH.read_text(encoding="utf-8")
+    )
+    return loaded
+
+
+def parse(text: str) -> ParsedNote | NoteFaults:
+    """Parses a note; returns all of it or all faults, and never raises.
+
+    Example:
+        >>> parse("note: Second market").title
+        'Second market'
+    """
+    return _interpret(tree.read(text))
+
+
+async def parse_async(text: str) -> ParsedNote | NoteFaults:
+    """Parses like `parse` and lets the event loop go on in between."""
+    steps = tree.read_steps(text)
+    while True:
+        try:
+            for _ in range(_EVENTS_PER_SLICE):
+                next(steps)
+        except StopIteration as stop:
+            return _interpret(stop.value)
+        await asyncio.sleep(0)
+
+
+def _interpret(read: tree.Tree) -> ParsedNote | NoteFaults:
+    if read.findings:
+        return _faults(read.findings)
+    if not isinstance(read.data, dict):
+        message = "a note is a mapping with the keys note, added, changed"
+        message += " and withdrawn"
+        return _faults((verdicts.Finding("note", message, 1, 1),))
+    if _count_entries(read.data) > MAX_ENTRIES:
+        message = f"more than {MAX_ENTRIES} objects; split the note"
+        return _faults((verdicts.Finding("note", message, 1, 1),))
+    data = _without_empty_sections(read.data)
+    findings = _check_schema(data, read.marks)
+    if findings:
+        return _faults(findings)
+    entries = tuple(_list_entries(data, read.marks))
+    findings = _check_entries(entries)
+    return _faults(findings) if findings else ParsedNote(data["note"], entries)
+
+
+def _faults(
+    findings: list[verdicts.Finding] | tuple[verdicts.Finding, ...],
+) -> NoteFaults:
+    ordered = sorted(
+        findings, key=lambda f: (f.line, f.column, f.place, f.message)
+    )
+    return NoteFaults(tuple(ordered))
+
+
+def _count_entries(data: dict[str, typing.Any]) -> int:
+    sections = [part for part in data.values() if isinstance(part, dict)]
+    return sum(
+        len(section)
+        for part in sections
+        for section in part.values()
+        if isinstance(section, (dict, list))
+    )
+
+
+def _without_empty_sections(
+    data: dict[str, typing.Any],
+) -> dict[str, typing.Any]:
+    """Returns `data` without headings that have nothing below them."""
+    kept = {}
+    for key, part in data.items():
+        if key in ACTIONS and part is None:
+            continue
+        if key in ACTIONS and isinstance(part, dict):
+            part = {
+                section: body
+                for section, body in part.items()
+                if body is not None or section not in _SECTIONS
+            }
+        kept[key] = part
+    return kept
+
+
+def _is_integer(_: typing.Any, value: typing.Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _make_validator() -> typing.Any:
+    base = jsonschema.Draft202012Validator
+    checker = base.TYPE_CHECKER.redefine("integer", _is_integer)
+    extend: typing.Any = jsonschema.validators.extend
+    strict = extend(base, type_checker=checker)
+    return strict(schema())
+
+
+_VALIDATOR = _make_validator()
+
+
+def _check_schema(
+    data: dict[str, typing.Any], marks: tree.Marks
+) -> list[verdicts.Finding]:
+    findings: dict[verdicts.Finding, None] = {}
+    for error in _VALIDATOR.iter_errors(data):
+        for path, message in _explain(error):
+            line, column = _find_mark(path, marks)
+            place = _place(path)
+            findings[verdicts.Finding(place, message, line, column)] = None
+            if len(findings) >= tree.MAX_FINDINGS:
+                return list(findings)
+    return list(findings)
+
+
+def _explain(error: typing.Any) -> Iterator[tuple[tree.Path, str]]:
+    path = tuple(error.absolute_path)
+    if error.validator == "additionalProperties":
+        for key in error.instance:
+            if key not in error.schema["properties"]:
+                yield (*path, key), "unknown field"
+    elif "propertyNames" in error.absolute_schema_path:
+        yield (*path, error.instance), _NAME_RULE
+    elif error.validator == "pattern":
+        yield path, _NAME_RULE
+    elif error.validator == "required":
+        missing = [k for k in error.validator_value if k not in error.instance]
+        for key in missing:
+            yield path, f"the field {key!r} is missing"
+    else:
+        yield path, _say(error)
+
+
+_NAME_RULE = (
+    "a name has 1 to 63 lower-case letters, digits and hyphens and begins"
+    " with a letter"
+)
+_RULES = {
+    "type": "must be of type {}",
+    "minimum": "must be at least {}",
+    "maximum": "must be at most {}",
+    "exclusiveMinimum": "must be above {}",
+    "exclusiveMaximum": "must be below {}",
+    "minLength": "must have at least {} characters",
+    "maxLength": "must have at most {} characters",
+    "minItems": "must have at least {} items",
+    "maxItems": "must have at most {} items",
+    "minProperties": "must have at least {} fields",
+}
+
+
+def _say(error: typing.Any) -> str:
+    rule = _RULES.get(error.validator)
+    if rule is None:
+        return str(error.message)[:_SHOWN_CHARACTERS]
+    shown = repr(error.instance)[:_SHOWN_CHARACTERS]
+    return f"{rule.format(error.validator_value)}, is {shown}"
+
+
+def _find_mark(path: tree.Path, marks: tree.Marks) -> tuple[int, int]:
+    while path not in marks:
+        path = path[:-1]
+    return marks[path]
+
+
+def _place(path: tree.Path) -> str:
+    """Returns `team/nesting.limit` for a path below an object."""
+    if len(path) > 2 and path[1] in _SECTIONS:
+        fields = "".join(f".{part}" for part in path[3:])
+        return f"{_SECTIONS[str(path[1])]}/{path[2]}{fields}"
+    return ".".join(str(part) for part in path) or "note"
+
+
+def _list_entries(
+    data: dict[str, typing.Any], marks: tree.Marks
+) -> Iterator[Entry]:
+    for action in ACTIONS:
+        for section, kind in _SECTIONS.items():
+            found = data.get(action, {}).get(section, {})
+            for key, name in enumerate(found):
+                is_mapping = isinstance(found, dict)
+                body = found[name] if is_mapping else {}
+                path = (action, section, name if is_mapping else key)
+                places = {field: marks[*path, field] for field in body}
+                places[""] = marks[path]
+                yield Entry(action, kind, name, body, places)
+
+
+def _check_entries(entries: tuple[Entry, ...]) -> list[verdicts.Finding]:
+    """Finds faults that the note shows without any other state."""
+    findings = []
+    first: dict[tuple[str, str], Entry] = {}
+    gone = {(e.kind, e.name) for e in entries if e.action == "withdrawn"}
+    for entry in entries:
+        other = first.setdefault((entry.kind, entry.name), entry)
+        if other is not entry:
+            line = other.marks[""][0]
+            message = f"stands as {other.action} on line {line} already"
+            findings.append(entry.finding(message))
+        is_whole = entry.action == "added"
+        for field, message in rules.check_body(
+            entry.kind, entry.body, is_whole
+        ):
+            findings.append(entry.finding(message, field))
+        for link in rules.list_references(entry.kind, entry.body):
+            if (link.kind, link.name) in gone:
+                message = f"{link.kind} {link.name!r} is withdrawn by this note"
+                findings.append(entry.finding(message, link.field))
+    return findings
