Add the command-line tool for the administration interface

Five documented exit codes; a refused connection (nothing sent) is told from a lost answer (outcome unknown), and nothing is tried again.

--- /dev/null
+++ b/foxtaillock/cli/client.py
@@ -0,0 +1,158 @@
+"""HTTP client of the administration interface."""
+
+import asyncio
+import dataclasses
+import enum
+import typing
+import urllib.parse
+
+import aiohttp
+
+__all__ = ["Answer", "Client", "ExitCode", "Failure", "make_client"]
+
+_BASE_PATH = "/admin/v1/"
+_TIMEOUT_S = 30.0
+_PROBLEM_TYPE = "application/problem+json"
+_UNKNOWN_CODES = ("outcome-unknown", "unknown")
+_BAD_INPUT_STATUSES = (400, 413, 415, 422)
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the command-line tool."""
+
+    OK = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    UNREACHABLE = 3
+    UNKNOWN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The request was done; `data` is the decoded body."""
+
+    data: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """The request was not done, or its outcome is unknown.
+
+    Attributes:
+        exit_code: what the tool ends with.
+        code: stable error code.
+        detail: sentence for a person.
+        findings: mappings with place, message, line and column.
+    """
+
+    exit_code: ExitCode
+    code: str
+    detail: str
+    findings: tuple[dict[str, typing.Any], ...] = ()
+
+
+class Client:
+    """Sends one request at a time and never tries again."""
+
+    def __init__(self, server: str, operator_key: str) -> None:
+        self._base = server.rstrip("/") + _BASE_PATH
+        self._headers = {"Authorization": f"Bearer {operator_key}"}
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: dict[str, typing.Any] | None = None,
+        text: str | None = None,
+    ) -> Answer | Failure:
+        """Sends a request and returns its decoded answer or the failure.
+
+        Args:
+            method: HTTP method.
+            path: path below `/admin/v1/`, already quoted.
+            query: parameters of the query.
+            body: JSON body.
+            text: YAML body, instead of `body`.
+        """
+        headers = dict(self._headers)
+        if text is not None:
+            headers["Content-Type"] = "application/yaml"
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.request(
+                    method,
+                    self._base + path,
+                    params=query,
+                    json=body,
+                    data=None if text is None else text.encode(),
+                    headers=headers,
+                    allow_redirects=False,
+                ) as response:
+                    return await _read(method, response)
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+            return Failure(ExitCode.UNREACHABLE, "unreachable", str(error))
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            return _lost(method, str(error) or type(error).__name__)
+
+
+async def _read(
+    method: str, response: aiohttp.ClientResponse
+) -> Answer | Failure:
+    payload = await response.read()
+    if response.status < 300:
+        try:
+            data = await response.json(content_type=None) if payload else {}
+        except ValueError:
+            return _lost(method, "the answer is not JSON")
+        return Answer(data)
+    problem: typing.Any = {}
+    if response.content_type == _PROBLEM_TYPE:
+        try:
+            problem = await response.json(content_type=None)
+        except ValueError:
+            problem = {}
+    if not isinstance(problem, dict) or not problem:
+        return _without_problem(method, response.status)
+    return Failure(
+        _exit_code(response.status, str(problem.get("code", ""))),
+        str(problem.get("code", "refused")),
+        str(problem.get("detail") or problem.get("title") or ""),
+        tuple(problem.get("findings") or ()),
+    )
+
+
+def _exit_code(status: int, code: str) -> ExitCode:
+    if status == 504 or code in _UNKNOWN_CODES:
+        return ExitCode.UNKNOWN
+    if status in _BAD_INPUT_STATUSES:
+        return ExitCode.BAD_INPUT
+    return ExitCode.REFUSED
+
+
+def _without_problem(method: str, status: int) -> Failure:
+    """Judges an answer that the system itself did not write."""
+    detail = f"status {status} without a problem document"
+    if status >= 500:
+        return _lost(method, detail)
+    return Failure(_exit_code(status, ""), "refused", detail)
+
+
+def _lost(method: str, detail: str) -> Failure:
+    if method == "GET":
+        return Failure(ExitCode.UNREACHABLE, "unreachable", detail)
+    return Failure(ExitCode.UNKNOWN, "outcome-unknown", detail)
+
+
+def make_client(server: str, operator_key: str) -> Client | Failure:
+    """Returns a client, or the failure that its arguments lead to."""
+    parts = urllib.parse.urlsplit(server)
+    if parts.scheme not in ("http", "https") or not parts.netloc:
+        detail = "--server or FOXTAILLOCK_SERVER must be an http URL"
+        return Failure(ExitCode.BAD_INPUT, "bad-server", detail)
+    if not operator_key or not operator_key.isprintable():
+        detail = "FOXTAILLOCK_OPERATOR_KEY or --key-file must hold a key"
+        return Failure(ExitCode.BAD_INPUT, "no-key", detail)
+    return Client(server, operator_key)
--- a/foxtaillock/notes/parser.py
+++ b/foxtaillock/notes/parser.py
@@ -26,7 +26,7 @@
 ]
 
 ACTIONS = ("added", "changed", "withdrawn")
-MAX_ENTRIES = 5_000
+MAX_ENTRIES = 1_000
 _EVENTS_PER_SLICE = 50
 _SHOWN_CHARACTERS = 60
 _SCHEMA_PATH = pathlib.Path(__file__).with_name("schema.json")
