--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -24,6 +24,7 @@
 from foxtaillock.peers import messages
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
+from foxtaillock.state import tables
 
 __all__ = ["AdminDesk"]
 
@@ -64,8 +65,8 @@
 
     def check_note(self, text: str) -> admin.Row:
         """Returns the changes of a note, or raises with all findings."""
-        _, changes = self._checked(text)
-        return {"changes": [_change_row(change) for change in changes]}
+        note = self._checked(text)
+        return {"changes": [change._asdict() for change in note.changes]}
 
     def plan_note(self, text: str) -> admin.Row:
         """Returns what a note would change."""
@@ -73,17 +74,16 @@
 
     async def accept_note(self, text: str, author: str) -> admin.Row:
         """Puts a note in force."""
-        title, changes = self._checked(text)
-        return await self._accept(title, changes, author)
+        return await self._accept(self._checked(text), author)
 
-    def _checked(self, text: str) -> tuple[str, Sequence[records.Change]]:
+    def _checked(self, text: str) -> check.CheckedNote:
         parsed = parser.parse(text)
         if isinstance(parsed, parser.NoteFaults):
             raise _invalid(parsed.findings)
         checked = check.check(parsed, self._present())
         if isinstance(checked, parser.NoteFaults):
             raise _invalid(checked.findings)
-        return parsed.title, checked
+        return checked
 
     def _present(
         self,
@@ -100,16 +100,20 @@
         ids = [entry.note_id for entry in history]
         if note_id not in ids:
             raise problems.Problem("not-found", f"no note {note_id!r}")
-        undone = undo.undo(history, note_id, self._present())
+        index = ids.index(note_id)
+        undone = undo.undo(
+            history[index].title,
+            history[index].changes,
+            _bodies_after(history[:index]),
+            self._present(),
+        )
         if isinstance(undone, parser.NoteFaults):
             raise _invalid(undone.findings)
-        return await self._accept(f"undo {note_id}", undone, author)
+        return await self._accept(undone, author)
 
-    async def _accept(
-        self, title: str, changes: Sequence[records.Change], author: str
-    ) -> admin.Row:
+    async def _accept(self, note: check.CheckedNote, author: str) -> admin.Row:
         note_id = f"note-{secrets.token_hex(6)}"
-        record = records.NoteAccepted(note_id, author, title, tuple(changes))
+        record = records.NoteAccepted(note_id, author, note.title, note.changes)
         verdict = await self._commit(record)
         if not verdict.accepted:
             raise problems.Problem(
@@ -158,7 +162,7 @@
                 "revision": entry.revision,
                 "author": entry.author,
                 "title": entry.title,
-                "changes": [_change_row(change) for change in entry.changes],
+                "changes": [change._asdict() for change in entry.changes],
             }
             for entry in self._state.history()
         ]
@@ -273,6 +277,14 @@
     )
 
 
-def _change_row(change: records.Change) -> admin.Row:
-    row = change._asdict()
-    return row
+def _bodies_after(
+    history: Sequence[tables.HistoryEntry],
+) -> dict[tuple[str, str], dict[str, typing.Any]]:
+    """Returns the bodies of all objects once the notes are in force."""
+    bodies: dict[tuple[str, str], dict[str, typing.Any]] = {}
+    for entry in history:
+        for change in entry.changes:
+            bodies.pop((change.kind, change.name), None)
+            if change.action != "withdrawn":
+                bodies[change.kind, change.name] = change.body
+    return bodies
--- a/foxtaillock/demo/__main__.py
+++ b/foxtaillock/demo/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import sys
+import typing
 
 import aiohttp
 import capnp
@@ -35,7 +36,7 @@
     if isinstance(parsed, parser.NoteFaults):
         print(f"{_NOTE.name}: {parsed.findings}", file=sys.stderr)
         return 2
-    added = parsed.bodies("added")
+    added = _bodies(parsed)
     account = stories.Account()
     async with capnp.kj_loop():
         fleet = await fleets.start_fleet(
@@ -54,6 +55,14 @@
     return _finish(account)
 
 
+def _bodies(note: parser.ParsedNote) -> dict[str, dict[str, typing.Any]]:
+    """Returns the bodies of the note's objects by kind and name."""
+    bodies: dict[str, dict[str, typing.Any]] = {}
+    for entry in note.entries:
+        bodies.setdefault(entry.kind, {})[entry.name] = entry.body
+    return bodies
+
+
 async def _serve(
     fleet: fleets.DemoFleet, story: stories.Story, note: str
 ) -> None:
