--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -12,7 +12,6 @@
 from foxtaillock.api import problems
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
-from foxtaillock.daemon import session_keeper
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -36,7 +36,6 @@
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
-from foxtaillock.model import world
 from foxtaillock.peers import links
 from foxtaillock.peers import messages
 from foxtaillock.peers import server
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -1,10 +1,12 @@
 """Real processes of a small fleet, for the proofs."""
 
 import asyncio
+import asyncio.subprocess
 import hashlib
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import sys
@@ -39,7 +41,7 @@
         self.api_port = free_port()
         self.peer_port = free_port()
         self.log_url = ""
-        self.process: asyncio.subprocess.Process | None = None
+        self.process: asyncio.subprocess.Process | None = None  # pylint: disable=no-member
 
     @property
     def url(self) -> str:
@@ -64,9 +66,9 @@
         self, zones: typing.Sequence[str], config: dict[str, typing.Any]
     ) -> None:
         self._config = config
-        self._standins: asyncio.subprocess.Process | None = None
+        self._standins: asyncio.subprocess.Process | None = None  # pylint: disable=no-member
         self._session: aiohttp.ClientSession | None = None
-        self._folder = tempfile.TemporaryDirectory()
+        self._folder = tempfile.mkdtemp()
         self.urls: dict[str, str] = {}
         self.entries = [
             Entry(f"entry-{zone}-{i}", zone) for i, zone in enumerate(zones)
@@ -81,7 +83,7 @@
     async def start_platform(self) -> None:
         """Starts the stand-ins."""
         self._session = aiohttp.ClientSession()
-        path = pathlib.Path(self._folder.name) / "world.json"
+        path = pathlib.Path(self._folder) / "world.json"
         path.write_text(json.dumps(self._config), encoding="utf-8")
         self._standins = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -98,7 +100,7 @@
 
     async def start_entry(self, entry: Entry) -> None:
         """Starts the daemon of an entry VM."""
-        log_path = pathlib.Path(self._folder.name) / f"{entry.name}.log"
+        log_path = pathlib.Path(self._folder) / f"{entry.name}.log"
         with log_path.open("ab") as log:
             entry.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -159,7 +161,7 @@
 
     def output(self, entry: Entry) -> str:
         """Returns what the daemon of an entry VM has logged."""
-        path = pathlib.Path(self._folder.name) / f"{entry.name}.log"
+        path = pathlib.Path(self._folder) / f"{entry.name}.log"
         return path.read_text(encoding="utf-8")
 
     async def kill(self, entry: Entry) -> None:
@@ -203,4 +205,4 @@
                 await process.wait()
         if self._session is not None:
             await self._session.close()
-        self._folder.cleanup()
+        shutil.rmtree(self._folder)
--- a/foxtaillock/peers/server.py
+++ b/foxtaillock/peers/server.py
@@ -54,7 +54,9 @@
 
 
 class _Peer(schema.PEER.Peer.Server):  # type: ignore[misc]
-    """Methods for a peer that has logged in."""
+    """Methods for a peer that has logged in; the schema gives their names."""
+
+    # pylint: disable=invalid-name
 
     def __init__(self, handler: PeerHandler) -> None:
         self._handler = handler
--- a/foxtaillock/peers/tests/test_peers.py
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -25,6 +25,8 @@
 class _Handler:
     """Remembers what it was asked and answers."""
 
+    # pylint: disable=missing-function-docstring,unused-argument
+
     def __init__(self) -> None:
         self.asked: list[object] = []
         self.hang = False
@@ -65,15 +67,13 @@
 class PeersTest(unittest.IsolatedAsyncioTestCase):
 
     async def asyncSetUp(self) -> None:
-        self._loop = capnp.kj_loop()
-        await self._loop.__aenter__()
+        await self.enterAsyncContext(capnp.kj_loop())
         self.handler = _Handler()
         self.server = server.PeerServer(self.handler, b"secret")
         self.port = await self.server.start("127.0.0.1", 0)
 
     async def asyncTearDown(self) -> None:
         await self.server.close()
-        await self._loop.__aexit__(None, None, None)
 
     async def _connect(
         self, secret: bytes = b"secret"
