--- a/foxtaillock/settings/tests/test_settings.py
+++ b/foxtaillock/settings/tests/test_settings.py
@@ -17,6 +17,7 @@
     "FOXTAILLOCK_ZONE": "a",
     "FOXTAILLOCK_LOG_URL": "http://127.0.0.1:9000/",
     "FOXTAILLOCK_VM_LIST_URL": "http://127.0.0.1:9001",
+    "FOXTAILLOCK_POOL_URL": "http://127.0.0.1:9002",
     "FOXTAILLOCK_PEER_SECRET": _SECRET,
 }
 
@@ -60,6 +61,7 @@
                 "--node-name",
                 "--log-url",
                 "--vm-list-url",
+                "--pool-url",
                 "--peer-secret-file",
                 "FOXTAILLOCK_SEED",
                 "FOXTAILLOCK_TYPO",
