Keep a VM drained and leaving through its reboot in the stand-ins

Cause: the stand-in let a drained VM take work after its reboot and showed a leaving one as live again, which would have hidden an owner that forgets undrain. A VM that was replaced during its reboot could listen again.

--- a/foxtaillock/adapters/tests/test_http_platform.py
+++ b/foxtaillock/adapters/tests/test_http_platform.py
@@ -1,5 +1,6 @@
 """Tests of the log, list, worker and pool adapters on the stand-ins."""
 
+import asyncio
 import unittest
 
 import hypothesis
@@ -136,6 +137,36 @@
         await self.pools.reboot(vm, "op-1")
         self.assertEqual(self.platform.pools.reboots, 1)
 
+    async def test_drained_and_leaving_vm_stays_so_through_a_reboot(
+        self,
+    ) -> None:
+        vm = self.platform.entries[-1]
+        order = interfaces.TaskOrder("j.1", "p", 1, 1e9, 5.0, 1, 1, 0, 9.0, "")
+        self.platform.mark_leaving(vm.name)
+        await self.pools.drain(vm)
+        machine = self.platform.workers.vms[vm.name]
+        await self.platform.pools.reboot(machine)
+        row = (await self.list.list_vms())[-1]
+        self.assertEqual((row.incarnation, row.state), (2, "leaving"))
+        report = await self.workers.start(row, order)
+        self.assertEqual(report.code, "draining")
+        await self.pools.undrain(row)
+        report = await self.workers.start(row, order)
+        self.assertTrue(report.accepted)
+
+    async def test_replaced_vm_does_not_come_back_after_its_reboot(
+        self,
+    ) -> None:
+        vm = self.platform.entries[-1]
+        machine = self.platform.workers.vms[vm.name]
+        reboot = asyncio.ensure_future(self.platform.pools.reboot(machine))
+        await asyncio.sleep(0)
+        new = await self.platform.replace_vm(vm.name)
+        await reboot
+        self.assertEqual((await self.list.list_vms())[-1], new)
+        with self.assertRaises(OSError):
+            await self.workers.report(vm, "p", 1)
+
     async def test_order_for_the_earlier_incarnation_is_refused(self) -> None:
         vm = self.platform.entries[-1]
         order = interfaces.TaskOrder("j.1", "p", 1, 1e9, 5.0, 1, 1, 0, 9.0, "")
--- a/foxtaillock/standins/listener.py
+++ b/foxtaillock/standins/listener.py
@@ -52,8 +52,8 @@
         return len(self._runner.server.connections)
 
     async def open(self) -> None:
-        """Starts to listen; does nothing when it listens already."""
-        if self._runner is not None:
+        """Starts to listen, unless it listens already or is closed."""
+        if self._runner is not None or self._reserved.fileno() < 0:
             return
         application = web.Application(client_max_size=_MAX_BODY_BYTES)
         self._add_routes(application)
--- a/foxtaillock/standins/pools.py
+++ b/foxtaillock/standins/pools.py
@@ -85,12 +85,14 @@
         self.gate.update(changes)
 
     async def reboot(self, machine: Machine) -> None:
-        """Cuts a machine off and brings its next incarnation up."""
+        """Cuts a machine off and brings its next incarnation up.
+
+        A drained machine stays drained.
+        """
         self.reboots += 1
         await machine.shut()
         entry = machine.begin_incarnation()
         await asyncio.sleep(self._reboot_s)
-        machine.undrain()
         await machine.open()
         self._on_reboot(entry)
 
--- a/foxtaillock/standins/world.py
+++ b/foxtaillock/standins/world.py
@@ -78,7 +78,7 @@
             clock, host, config.slots, config.max_connections
         )
         self.pools = pools.PoolServer(
-            self.machine, rows.put, config.reboot_s, host, config.seed
+            self.machine, self._show_reboot, config.reboot_s, host, config.seed
         )
 
     @property
@@ -152,6 +152,12 @@
             "runners_admin": self.runners.admin_url,
         }
 
+    def _show_reboot(self, entry: world.VmEntry) -> None:
+        rows = self.vm_list.rows
+        for row in rows.current():
+            if (row.name, row.address) == (entry.name, entry.address):
+                rows.put(entry._replace(state=row.state))
+
     async def open(self) -> None:
         """Starts everything."""
         await self.log.open()
