Add the key check, the freshness rule and the ownership decisions

Cause: a paused or cut-off VM must neither honour withdrawn keys for ever nor dispatch for a pool that another VM has taken over.

Freshness: an age alone can not tell an outage from a partition, so the refusals of the log count as evidence, but only in a run unbroken since the last whole read.

Two faults of the fold found by the differential test and mended: a batch with sequence zero was folded, and a release of a released pool by an empty node replaced the named successor.

--- a/foxtaillock/state/replica.py
+++ b/foxtaillock/state/replica.py
@@ -15,6 +15,7 @@
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import budget as budgets
+from foxtaillock.state import freshness
 from foxtaillock.state import interfaces
 from foxtaillock.state import pending
 
@@ -38,6 +39,7 @@
         max_waiting: ordinary records that may wait.
         backoff_base_s: upper bound of the first back-off.
         backoff_max_s: upper bound of all later ones.
+        evidence_gap_s: longest silence inside a run of refusals by the log.
     """
 
     commit_timeout_s: float = 5.0
@@ -49,6 +51,7 @@
     max_waiting: int = 10_000
     backoff_base_s: float = 0.05
     backoff_max_s: float = 1.0
+    evidence_gap_s: float = 2.0
 
 
 class StreamReplica:
@@ -96,8 +99,7 @@
         self._next_offset = next_offset
         self._settings = settings
         self._sequence = 0
-        self._fresh_s = -math.inf
-        self._refused_s: float | None = None
+        self._freshness = freshness.Freshness(settings.evidence_gap_s)
         self._queue = pending.Queue(settings.max_waiting)
         self._flight: pending.Flight | None = None
         self._wake = asyncio.Event()
@@ -127,14 +129,17 @@
         """
         if self._error is not None:
             return math.inf
-        return self._clock.monotonic_s() - self._fresh_s
+        return self._freshness.age_s(self._clock.monotonic_s())
 
     def log_refused_age_s(self) -> float:
-        """Returns seconds since the log last answered "unavailable"; infinite
-        if it never did since the last successful read."""
-        if self._refused_s is None:
+        """Returns seconds since the log last answered "unavailable".
+
+        Infinite if it never did since the last successful read, or if there
+        was a silence in between in which records may have been appended.
+        """
+        if self._error is not None:
             return math.inf
-        return self._clock.monotonic_s() - self._refused_s
+        return self._freshness.refused_age_s(self._clock.monotonic_s())
 
     async def commit(
         self, record: records.Record, *, urgent: bool = False
@@ -179,7 +184,7 @@
         page = await self._read(limit=1, wait_s=0.0)
         target = page.next_offset
         if self._next_offset >= target:
-            self._fresh_s = max(self._fresh_s, sent_s)
+            self._freshness.read_whole(sent_s)
             return
         timeout_s = self._settings.commit_timeout_s
         try:
@@ -255,7 +260,7 @@
         for index, text in enumerate(page.records):
             self._fold_text(page.first_offset + index, text)
         if self._next_offset == page.next_offset:
-            self._fresh_s = max(self._fresh_s, sent_s)
+            self._freshness.read_whole(sent_s)
         elif self._next_offset > page.next_offset:
             loguru.logger.error("{} went back", self._stream)
         async with self._progress:
@@ -263,6 +268,7 @@
 
     async def _read(self, limit: int, wait_s: float) -> adapters.LogPage:
         timeout_s = wait_s + self._settings.read_timeout_s
+        sent_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(timeout_s):
                 page = await self._log.read(
@@ -271,9 +277,9 @@
         except TimeoutError as error:
             raise exceptions.LogUnreachableError("no answer") from error
         except exceptions.LogUnavailableError:
-            self._refused_s = self._clock.monotonic_s()
+            self._freshness.refused(sent_s)
             raise
-        self._refused_s = None
+        self._freshness.read_part()
         return page
 
     def _fold_text(self, offset: int, text: str) -> None:
@@ -362,13 +368,14 @@
         return True
 
     async def _append(self, text: str) -> None:
+        sent_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(self._settings.append_timeout_s):
                 await self._log.append(self._stream, text)
         except TimeoutError as error:
             raise exceptions.LogUnreachableError("no answer") from error
         except exceptions.LogUnavailableError:
-            self._refused_s = self._clock.monotonic_s()
+            self._freshness.refused(sent_s)
             raise
 
     async def _read_back(self) -> None:
--- a/foxtaillock/state/sequences.py
+++ b/foxtaillock/state/sequences.py
@@ -44,10 +44,9 @@
         self, offset: int, writer: str, incarnation: str, sequence: int
     ) -> bool:
         """Records a batch; returns whether it is folded for the first time."""
-        key = (writer, incarnation)
-        row = self._rows.get(key)
-        if row is not None and sequence <= row.sequence:
+        if sequence <= self.last(writer, incarnation):
             return False
+        key = (writer, incarnation)
         self._rows.pop(key, None)
         self._rows[key] = SequenceRow(sequence, offset)
         self._drop_before(offset - self._horizon_offsets)
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -95,7 +95,7 @@
     """Takes a pool from its owner; the epoch stays."""
     stored = state.claims.get(record.pool)
     identity = (record.node, record.incarnation, record.epoch)
-    if stored is None or stored[1:4] != identity:
+    if stored is None or not stored.node or stored[1:4] != identity:
         place = f"pool/{record.pool}"
         return handlers.refuse("stale-epoch", place, "is not held so")
     state.claims[record.pool] = tables.Claim(
--- a/foxtaillock/state/tests/fake_log.py
+++ b/foxtaillock/state/tests/fake_log.py
@@ -20,6 +20,9 @@
     LATE_EFFECT = enum.auto()
 
 
+_APPEND_FAULTS = (Fault.LOST_ANSWER, Fault.LATE_EFFECT, Fault.UNAVAILABLE)
+
+
 class FakeLog:
     """Streams in memory, shared by clients that fail one by one."""
 
@@ -27,14 +30,25 @@
         self.streams: dict[str, list[str]] = {}
         self.retention = retention
         self.appends = 0
+        self._arrival = asyncio.Event()
 
     def store(self, stream: str, record: str) -> int:
         """Appends a record and returns its offset."""
         rows = self.streams.setdefault(stream, [])
         rows.append(record)
         self.appends += 1
+        self._arrival.set()
+        self._arrival = asyncio.Event()
         return len(rows) - 1
 
+    async def wait(self, timeout_s: float) -> None:
+        """Returns after the next append, or after `timeout_s`."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._arrival.wait()
+        except TimeoutError:
+            return
+
     def page(self, stream: str, offset: int, limit: int) -> adapters.LogPage:
         """Returns the records from `offset` on that are still kept."""
         rows = self.streams.get(stream, [])
@@ -51,9 +65,10 @@
     Attributes:
         fault: fault of all requests.
         lost_answers: share of appends whose answer is lost after they took
-            effect, some of them only a while later.
+            effect, some of them only a while later, or that are refused.
         latency_s: longest way of a request.
         answer_delay_s: way of the answer to a read.
+        gate: cleared while the node is paused.
     """
 
     def __init__(self, log: FakeLog, rng: random.Random) -> None:
@@ -63,13 +78,22 @@
         self.lost_answers = 0.0
         self.latency_s = 0.002
         self.answer_delay_s = 0.0
+        self.gate = asyncio.Event()
+        self.gate.set()
 
     async def append(self, stream: str, record: str) -> int:
         """Appends a record, as far as the fault lets it."""
+        try:
+            await self.gate.wait()
+            return await self._append(stream, record)
+        finally:
+            await self.gate.wait()
+
+    async def _append(self, stream: str, record: str) -> int:
         await asyncio.sleep(self._rng.uniform(0.0, self.latency_s))
         fault = self.fault
         if fault is Fault.NONE and self._rng.random() < self.lost_answers:
-            fault = self._rng.choice((Fault.LOST_ANSWER, Fault.LATE_EFFECT))
+            fault = self._rng.choice(_APPEND_FAULTS)
         if fault is Fault.UNAVAILABLE:
             raise exceptions.LogUnavailableError("outage")
         if fault is Fault.SILENT:
@@ -87,6 +111,15 @@
         self, stream: str, offset: int, limit: int, wait_s: float
     ) -> adapters.LogPage:
         """Reads records, waiting up to `wait_s` for the first."""
+        try:
+            await self.gate.wait()
+            return await self._read(stream, offset, limit, wait_s)
+        finally:
+            await self.gate.wait()
+
+    async def _read(
+        self, stream: str, offset: int, limit: int, wait_s: float
+    ) -> adapters.LogPage:
         await asyncio.sleep(self._rng.uniform(0.0, self.latency_s))
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_s
@@ -96,7 +129,7 @@
             if page.records or loop.time() >= end_s:
                 await asyncio.sleep(self.answer_delay_s)
                 return page
-            await asyncio.sleep(min(0.01, wait_s))
+            await self._log.wait(end_s - loop.time())
 
     def _raise_fault(self) -> None:
         if self.fault is Fault.UNAVAILABLE:
--- /dev/null
+++ b/foxtaillock/state/tests/naive_control.py
@@ -0,0 +1,223 @@
+"""Naive fold of the control stream: replays lists instead of keeping tables."""
+
+import re
+import typing
+
+from foxtaillock.model import records
+
+__all__ = ["NaiveControl"]
+
+_Row = tuple[int, records.Record]
+
+
+class NaiveControl:
+    """Keeps the accepted records in a list and searches it for each answer."""
+
+    def __init__(self) -> None:
+        self.accepted: list[_Row] = []
+        self._seen: list[records.Batch] = []
+
+    def apply(self, offset: int, batch: records.Batch) -> list[bool]:
+        """Returns for each record whether it has its effect."""
+        newest = max(
+            (b.sequence for b in self._seen if b[:2] == batch[:2]), default=0
+        )
+        if batch.sequence <= newest:
+            return [False] * len(batch.records)
+        self._seen.append(batch)
+        results = []
+        for record in batch.records:
+            name = re.sub("([A-Z])", r"_\1", type(record).__name__).lower()
+            results.append(getattr(self, f"_may{name}")(record))
+            if results[-1]:
+                self.accepted.append((offset, record))
+        return results
+
+    def _all(self, *kinds: type) -> list[typing.Any]:
+        return [row for _, row in self.accepted if isinstance(row, kinds)]
+
+    def objects(self) -> dict[tuple[str, str], tuple[int, typing.Any]]:
+        """Returns revision and body of every object."""
+        found: dict[tuple[str, str], tuple[int, typing.Any]] = {}
+        for offset, record in self.accepted:
+            for change in getattr(record, "changes", ()):
+                key = (change.kind, change.name)
+                found[key] = (offset + 1, change.body)
+                if change.action == "withdrawn":
+                    del found[key]
+        return found
+
+    def _may_note_accepted(self, note: records.NoteAccepted) -> bool:
+        if note in self._all(records.NoteAccepted):
+            return True
+        before = self.objects()
+        after = {key: body for key, (_, body) in before.items()}
+        for change in note.changes:
+            key = (change.kind, change.name)
+            if change.action == "added" and key in after:
+                return False
+            if change.action != "added" and (
+                key not in before or before[key][0] != change.revision
+            ):
+                return False
+            after[key] = change.body
+            if change.action == "withdrawn":
+                del after[key]
+        if len({change[1:3] for change in note.changes}) < len(note.changes):
+            return False
+        return self._hold(after)
+
+    def _hold(self, after: dict[tuple[str, str], typing.Any]) -> bool:
+        for (kind, _), body in after.items():
+            if kind == "queue" and ("pool", body["pool"]) not in after:
+                return False
+            for team in body.get("teams", []):
+                if ("team", team) not in after:
+                    return False
+        gone = {row.key_id for row in self._all(records.KeyWithdrawn)}
+        for given in self._all(records.KeyGiven):
+            works = given.team and given.key_id not in gone
+            if works and ("team", given.team) not in after:
+                return False
+        return True
+
+    def _may_key_given(self, key: records.KeyGiven) -> bool:
+        gone = [row.key_id for row in self._all(records.KeyWithdrawn)]
+        if key.key_id in gone:
+            return False
+        for given in self._all(records.KeyGiven):
+            if given.key_id == key.key_id:
+                return bool(given[1:3] == key[1:3])
+        return not key.team or ("team", key.team) in self.objects()
+
+    def _may_key_withdrawn(self, _: records.KeyWithdrawn) -> bool:
+        return True
+
+    def _session(self, node: str, incarnation: str) -> tuple[int, bool]:
+        rows = self._all(records.SessionRenewed, records.SessionEnded)
+        rows = [row for row in rows if row[:2] == (node, incarnation)]
+        ended = any(isinstance(row, records.SessionEnded) for row in rows)
+        return max((row.counter for row in rows), default=0), ended
+
+    def _is_live(self, node: str, incarnation: str) -> bool:
+        counter, ended = self._session(node, incarnation)
+        return counter > 0 and not ended
+
+    def _may_session_renewed(self, row: records.SessionRenewed) -> bool:
+        counter, ended = self._session(row.node, row.incarnation)
+        return not ended and row.counter > counter
+
+    def _may_session_ended(self, row: records.SessionEnded) -> bool:
+        counter, ended = self._session(row.node, row.incarnation)
+        return ended or 0 < counter <= row.counter
+
+    def claim(self, pool: str) -> tuple[str, str, int]:
+        """Returns node, incarnation and epoch; no node after a release."""
+        last = ("", "", 0)
+        for row in self._all(records.PoolClaimed, records.PoolReleased):
+            if row.pool == pool:
+                is_claim = isinstance(row, records.PoolClaimed)
+                last = row[1:4] if is_claim else ("", "", row.epoch)
+        return last
+
+    def _may_pool_claimed(self, row: records.PoolClaimed) -> bool:
+        node, incarnation, epoch = self.claim(row.pool)
+        if not self._is_live(row.node, row.incarnation):
+            return False
+        if ("pool", row.pool) not in self.objects() or row.epoch != epoch + 1:
+            return False
+        is_own = (node, incarnation) == row[1:3]
+        return is_own or not self._is_live(node, incarnation)
+
+    def _may_pool_released(self, row: records.PoolReleased) -> bool:
+        return bool(row.node) and self.claim(row.pool) == row[1:4]
+
+    def grants(self, team: str) -> dict[tuple[str, str], int]:
+        """Returns the amount of each session."""
+        found: dict[tuple[str, str], int] = {}
+        for row in self._all(records.GrantChanged, records.GrantReclaimed):
+            if isinstance(row, records.GrantReclaimed):
+                found.pop((row.node, row.incarnation), None)
+            elif row.team == team:
+                found[row.node, row.incarnation] = row.amount
+        return found
+
+    def _may_grant_changed(self, row: records.GrantChanged) -> bool:
+        if not self._is_live(row.node, row.incarnation):
+            return False
+        held = self.grants(row.team)
+        session = (row.node, row.incarnation)
+        if row.amount <= held.get(session, 0):
+            return True
+        stored = self.objects().get(("team", row.team))
+        limit = stored[1]["limit"] if stored else 0
+        return sum({**held, session: row.amount}.values()) <= int(limit)
+
+    def _may_grant_reclaimed(self, row: records.GrantReclaimed) -> bool:
+        return not self._is_live(row.node, row.incarnation)
+
+    def vm(self, vm: str) -> records.VmStep | None:
+        """Returns the last step of a VM that is in a pool."""
+        rows = [row for row in self._all(records.VmStep) if row.vm == vm]
+        return rows[-1] if rows and rows[-1].step != "left" else None
+
+    def _holds_epoch(self, pool: str, epoch: int) -> bool:
+        node, _, current = self.claim(pool)
+        return epoch == current and (bool(node) or epoch == 0)
+
+    def _may_vm_step(self, row: records.VmStep) -> bool:
+        last = self.vm(row.vm)
+        if not self._holds_epoch(row.pool, row.epoch):
+            return False
+        if row.step == "joined":
+            if last is None:
+                return ("pool", row.pool) in self.objects()
+            is_newer = last.incarnation < row.incarnation
+            return (
+                last.pool == row.pool
+                and is_newer
+                and ("pool", row.pool) in self.objects()
+            )
+        steps = ["joined", "withdrawn", "drained", "left"]
+        if last is None or last[:3] != row[:3]:
+            return False
+        return steps.index(row.step) == steps.index(last.step) + 1
+
+    def _disrupted(self, vm: str) -> records.DisruptionGranted | None:
+        found = None
+        for row in self._all(
+            records.DisruptionGranted, records.DisruptionEnded, records.VmStep
+        ):
+            if row.vm != vm:
+                continue
+            if isinstance(row, records.DisruptionGranted):
+                found = row
+            elif not isinstance(row, records.VmStep) or row.step == "left":
+                found = None
+        return found
+
+    def _may_disruption_granted(self, row: records.DisruptionGranted) -> bool:
+        last = self.vm(row.vm)
+        return (
+            self._holds_epoch(row.pool, row.epoch)
+            and last is not None
+            and last.pool == row.pool
+            and self._disrupted(row.vm) is None
+        )
+
+    def _may_disruption_ended(self, row: records.DisruptionEnded) -> bool:
+        held = self._disrupted(row.vm)
+        return (
+            self._holds_epoch(row.pool, row.epoch)
+            and held is not None
+            and held.pool == row.pool
+        )
+
+    def _may_wave_changed(self, row: records.WaveChanged) -> bool:
+        states = [
+            wave.state
+            for wave in self._all(records.WaveChanged)
+            if wave.wave_id == row.wave_id
+        ]
+        is_over = bool({"done", "cancelled"} & set(states))
+        return self._holds_epoch(row.pool, row.epoch) and not is_over
--- /dev/null
+++ b/foxtaillock/state/tests/test_control_differential.py
@@ -0,0 +1,175 @@
+"""Differential test of the fold against the naive one."""
+
+import random
+import unittest
+
+from foxtaillock.model import records
+from foxtaillock.state import control_state
+from foxtaillock.state.tests import naive_control
+
+_RUNS = 150
+_BATCHES = 120
+_NODES = ("a", "b", "c")
+_POOLS = ("p", "r")
+_TEAMS = ("t", "u")
+_STEPS = ("joined", "withdrawn", "drained", "left")
+
+
+class _Generator:
+    """Draws records that are often, but not always, acceptable."""
+
+    def __init__(self, rng: random.Random, naive: naive_control.NaiveControl):
+        self._rng = rng
+        self._naive = naive
+        self._drawn = 0
+
+    def draw(self) -> records.Record:
+        """Returns the next record."""
+        self._drawn += 1
+        choice = self._rng.choice
+        methods = (
+            self._note,
+            self._note,
+            self._key,
+            self._session,
+            self._session,
+            self._claim,
+            self._grant,
+            self._move,
+            self._move,
+            self._wave,
+        )
+        return choice(methods)()
+
+    def _note(self) -> records.Record:
+        changes = [self._change() for _ in range(self._rng.randint(1, 3))]
+        name = f"n{self._rng.randrange(self._drawn + 1)}"
+        return records.NoteAccepted(name, "op", "", tuple(changes))
+
+    def _change(self) -> records.Change:
+        kind, names = self._rng.choice(
+            (("team", _TEAMS), ("pool", _POOLS), ("queue", ("q",)))
+        )
+        name = self._rng.choice(names)
+        body: dict[str, object] = {"limit": self._rng.randrange(12)}
+        if kind == "queue":
+            body = {
+                "pool": self._rng.choice(_POOLS),
+                "teams": [self._rng.choice(_TEAMS)],
+            }
+        stored = self._naive.objects().get((kind, name))
+        if stored is None:
+            action = self._rng.choice(("added", "added", "changed"))
+            return records.Change(action, kind, name, 0, body)
+        action = self._rng.choice(("changed",) * 6 + ("withdrawn", "added"))
+        revision = stored[0] - (self._rng.random() < 0.2)
+        body = {} if action == "withdrawn" else body
+        return records.Change(action, kind, name, revision, body)
+
+    def _key(self) -> records.Record:
+        key_id = f"k{self._rng.randrange(12)}"
+        if self._rng.random() < 0.5:
+            return records.KeyWithdrawn(key_id, "op")
+        team = self._rng.choice((*_TEAMS, ""))
+        return records.KeyGiven(key_id, "d", team, "op")
+
+    def _node(self) -> tuple[str, str]:
+        return self._rng.choice(_NODES), self._rng.choice(("x", "y"))
+
+    def _session(self) -> records.Record:
+        node, incarnation = self._node()
+        counter = self._rng.randint(1, 30)
+        if self._rng.random() < 0.9:
+            return records.SessionRenewed(
+                node, incarnation, counter, "z", "", ""
+            )
+        return records.SessionEnded(node, incarnation, counter, "b")
+
+    def _claim(self) -> records.Record:
+        pool = self._rng.choice(_POOLS)
+        held = self._naive.claim(pool)
+        if self._rng.random() < 0.2:
+            return records.PoolReleased(pool, *held)
+        epoch = held[2] + self._rng.choice((0, 1, 1, 1, 2))
+        return records.PoolClaimed(pool, *self._node(), epoch)
+
+    def _grant(self) -> records.Record:
+        if self._rng.random() < 0.2:
+            return records.GrantReclaimed(*self._node())
+        amount = self._rng.randrange(9)
+        team = self._rng.choice(_TEAMS)
+        return records.GrantChanged(team, *self._node(), amount, 1)
+
+    def _move(self) -> records.Record:
+        pool = self._rng.choice(_POOLS)
+        epoch = self._naive.claim(pool)[2] - (self._rng.random() < 0.1)
+        vm = self._rng.choice(("v", "w"))
+        kind = self._rng.random()
+        if kind < 0.2:
+            return records.DisruptionGranted(vm, pool, "k", "z", "", epoch)
+        if kind < 0.3:
+            return records.DisruptionEnded(vm, pool, epoch)
+        step = self._rng.choice(_STEPS)
+        return records.VmStep(vm, self._rng.randint(1, 2), pool, step, epoch)
+
+    def _wave(self) -> records.Record:
+        pool = self._rng.choice(_POOLS)
+        state = self._rng.choice(("running", "paused", "done", "cancelled"))
+        wave_id = f"w{self._rng.randrange(4)}"
+        epoch = self._naive.claim(pool)[2]
+        return records.WaveChanged(wave_id, pool, state, "", epoch)
+
+
+class DifferentialTest(unittest.TestCase):
+
+    def test_fold_agrees_with_the_naive_fold(self) -> None:
+        accepted: dict[str, int] = {}
+        for seed in range(_RUNS):
+            self._compare(random.Random(seed), accepted)
+        self.assertGreater(min(accepted.values()), 20, accepted)
+        self.assertEqual(len(accepted), 13)
+
+    def _compare(self, rng: random.Random, accepted: dict[str, int]) -> None:
+        naive = naive_control.NaiveControl()
+        state = control_state.ControlState()
+        draw = _Generator(rng, naive).draw
+        for offset in range(_BATCHES):
+            rows = tuple(draw() for _ in range(rng.randint(1, 3)))
+            sequence = offset + 1 - rng.choice((0, 0, 0, 0, 1, 2))
+            batch = records.Batch("e", "x", sequence, rows)
+            expected = naive.apply(offset, batch)
+            results = state.apply(offset, batch)
+            self.assertEqual(
+                [result.accepted for result in results], expected, rows
+            )
+            for row, result in zip(rows, results):
+                name = type(row).__name__
+                accepted[name] = accepted.get(name, 0) + result.accepted
+            if offset % 30 == 0:
+                state = control_state.ControlState.decode(state.encode())
+        self._compare_views(naive, state)
+
+    def _compare_views(
+        self,
+        naive: naive_control.NaiveControl,
+        state: control_state.ControlState,
+    ) -> None:
+        for kind in ("team", "pool", "queue"):
+            for name, stored in state.objects(kind).items():
+                found = naive.objects()[kind, name]
+                self.assertEqual(tuple(stored), found)
+        for pool in _POOLS:
+            self.assertEqual(state.epoch(pool), naive.claim(pool)[2])
+        for team in _TEAMS:
+            amounts = {
+                (key.node, key.incarnation): row.amount
+                for key, row in state.session_grants(team).items()
+            }
+            expected = naive.grants(team)
+            for session in {*amounts, *expected}:
+                self.assertEqual(
+                    amounts.get(session, 0), expected.get(session, 0)
+                )
+        for vm in ("v", "w"):
+            step = naive.vm(vm)
+            self.assertEqual(state.vm_pool(vm), step.pool if step else None)
--- /dev/null
+++ b/foxtaillock/state/tests/test_keys.py
@@ -0,0 +1,135 @@
+"""Tests of the check of keys and of the freshness rule."""
+
+import random
+import unittest
+from unittest import mock
+
+from foxtaillock.state import freshness
+from foxtaillock.state import keys
+from foxtaillock.state import tables
+
+_SECRET = keys.format_secret("k", "s_1")
+_STORED = tables.StoredKey(keys.digest_of(_SECRET), "t", False)
+
+
+def _check(
+    secret: str,
+    stored: tables.StoredKey | None,
+    role: keys.KeyRole = keys.KeyRole.SUBMITTER,
+    is_fresh: bool = True,
+) -> keys.KeyResult:
+    rows = {"k": stored}
+    return keys.check_key(secret, role, rows.get, is_fresh)
+
+
+def _reason(result: keys.KeyResult) -> keys.KeyRejection:
+    assert isinstance(result, keys.KeyRejected)
+    return result.reason
+
+
+class CheckKeyTest(unittest.TestCase):
+
+    def test_only_the_whole_secret_in_its_role_works(self) -> None:
+        accepted = keys.KeyAccepted("k", "t")
+        self.assertEqual(_check(_SECRET, _STORED), accepted)
+        operator = _STORED._replace(team="")
+        role = keys.KeyRole.OPERATOR
+        self.assertEqual(
+            _check(_SECRET, operator, role), keys.KeyAccepted("k", "")
+        )
+        rejection = keys.KeyRejection
+        cases = [
+            (_check(_SECRET + "x", _STORED), rejection.WRONG_SECRET),
+            (_check("fx_k_", _STORED), rejection.WRONG_SECRET),
+            (_check("", _STORED), rejection.UNKNOWN),
+            (_check("gx_k_s_1", _STORED), rejection.UNKNOWN),
+            (_check("fx_other_s_1", _STORED), rejection.UNKNOWN),
+            (_check(_SECRET, None), rejection.UNKNOWN),
+            (_check(_SECRET, _STORED, role), rejection.WRONG_ROLE),
+            (_check(_SECRET, operator), rejection.WRONG_ROLE),
+            (
+                _check(_SECRET, _STORED._replace(withdrawn=True)),
+                rejection.WITHDRAWN,
+            ),
+            (
+                _check(_SECRET, _STORED, is_fresh=False),
+                rejection.STALE_VIEW,
+            ),
+        ]
+        for result, reason in cases:
+            self.assertEqual(_reason(result), reason)
+
+    def test_unknown_key_costs_a_comparison_too(self) -> None:
+        with mock.patch("hmac.compare_digest", return_value=True) as compare:
+            self.assertEqual(
+                _reason(_check("fx_none_s", None)), keys.KeyRejection.UNKNOWN
+            )
+            early = tables.StoredKey("", "t", True)
+            self.assertEqual(
+                _reason(_check(_SECRET, early)), keys.KeyRejection.WITHDRAWN
+            )
+        self.assertEqual(compare.call_count, 2)
+
+
+class FreshnessTest(unittest.TestCase):
+
+    def test_silence_fails_closed_and_refusal_does_not(self) -> None:
+        view = freshness.Freshness(gap_s=2.0)
+        self.assertFalse(_honours(view, 0.0))
+        view.refused(0.0)
+        self.assertFalse(_honours(view, 0.0))
+        view.read_whole(1.0)
+        self.assertTrue(_honours(view, 3.0))
+        self.assertFalse(_honours(view, 3.1))
+        for second in range(2, 60):
+            view.refused(float(second))
+        self.assertTrue(_honours(view, 61.0))
+        self.assertFalse(_honours(view, 61.1))
+
+    def test_refusals_after_a_silence_prove_nothing(self) -> None:
+        view = freshness.Freshness(gap_s=2.0)
+        view.read_whole(1.0)
+        for second in range(4, 10):
+            view.refused(float(second))
+            self.assertFalse(_honours(view, float(second)))
+
+    def test_peer_ahead_shows_that_the_log_is_up(self) -> None:
+        self.assertTrue(keys.may_honour(9.0, 0.1))
+        self.assertFalse(keys.may_honour(9.0, 0.1, is_peer_ahead=True))
+
+    def test_agrees_with_the_naive_rule(self) -> None:
+        rng = random.Random(7)
+        for _ in range(300):
+            view = freshness.Freshness(gap_s=2.0)
+            events: list[tuple[float, str]] = []
+            now_s = 0.0
+            for _ in range(30):
+                now_s += rng.choice((0.5, 1.0, 1.5, 2.5))
+                kind = rng.choice(("whole", "refused", "refused", "silence"))
+                events.append((now_s, kind))
+                if kind == "whole":
+                    view.read_whole(now_s)
+                elif kind == "refused":
+                    view.refused(now_s)
+                now = now_s + rng.choice((0.0, 1.0, 2.1))
+                self.assertEqual(
+                    _honours(view, now), _naive_honours(events, now)
+                )
+
+
+def _honours(view: freshness.Freshness, now_s: float) -> bool:
+    return keys.may_honour(view.age_s(now_s), view.refused_age_s(now_s))
+
+
+def _naive_honours(events: list[tuple[float, str]], now_s: float) -> bool:
+    """Walks back from now over answers at most 2 s apart to a whole read."""
+    at_s = now_s
+    for time_s, kind in reversed(events):
+        if kind == "silence":
+            continue
+        if at_s - time_s > 2.0:
+            return False
+        if kind == "whole":
+            return True
+        at_s = time_s
+    return False
