--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the session of this entry VM, and claims pools under it."""
 
 import asyncio
+import functools
 import hashlib
 import random
 import secrets
@@ -16,11 +17,11 @@
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
 
-__all__ = ["FLEET_POOL", "SessionKeeper", "SessionTimes"]
+__all__ = ["SessionKeeper", "SessionTimes"]
 
-FLEET_POOL = "_fleet"
 _TICK_S = 0.1
 _FRESH_S = 1.0
+_REFUSAL_HOLDS_S = 2.0
 
 
 class SessionTimes:
@@ -52,7 +53,6 @@
         rng: source of jitter.
         times: times of sessions.
         pools: returns the names of the pools that need an owner.
-        on_lost: called when the session turns out to be ended.
     """
 
     def __init__(
@@ -65,7 +65,6 @@
         rng: random.Random,
         times: SessionTimes,
         pools: Callable[[], Iterable[str]],
-        on_lost: Callable[[], None],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -75,7 +74,6 @@
         self._rng = rng
         self._times = times
         self._pools = pools
-        self._on_lost = on_lost
         self._counter = 0
         self._addresses = ("", "")
         self._silence: dict[tuple[str, str], tuple[int, float]] = {}
@@ -86,11 +84,28 @@
         self._stopping = False
         self.incarnation = secrets.token_hex(8)
         self.valid_until_s = float("-inf")
+        self._grants_until_s = float("-inf")
 
     def is_valid(self) -> bool:
         """Returns whether the own session holds at this moment."""
         return self._clock.monotonic_s() < self.valid_until_s
 
+    def grants_until_s(self) -> float:
+        """Returns the time up to which grants may be used.
+
+        While the log itself answers that it is unavailable nobody can end
+        this session or take its grants: challengers count silence only while
+        they can read. A session that was valid when the outage began then
+        goes on.
+        """
+        now_s = self._clock.monotonic_s()
+        refused_age_s = self._replica.log_refused_age_s()
+        if refused_age_s <= _REFUSAL_HOLDS_S and now_s < self._grants_until_s:
+            held_until_s = now_s - refused_age_s + self._times.lease_s
+            self._grants_until_s = max(self._grants_until_s, held_until_s)
+        self._grants_until_s = max(self._grants_until_s, self.valid_until_s)
+        return self._grants_until_s
+
     def owns(self, pool: str, epoch: int) -> bool:
         """Returns whether this VM may act for `pool` at this moment."""
         claim = self._state.claim(pool)
@@ -139,9 +154,9 @@
     def _begin_anew(self, code: str) -> None:
         logger.warning("session has ended ({}); opening another", code)
         self.valid_until_s = float("-inf")
+        self._grants_until_s = float("-inf")
         self.incarnation = secrets.token_hex(8)
         self._counter = 0
-        self._on_lost()
 
     async def _watch_forever(self) -> None:
         while True:
@@ -186,7 +201,7 @@
                 self._orphaned_s.pop(pool, None)
                 continue
             since_s = self._orphaned_s.setdefault(pool, now_s)
-            ranked = sorted(live, key=lambda node, p=pool: _rank(p, node))
+            ranked = sorted(live, key=functools.partial(_rank, pool))
             rank = ranked.index(self._node) if self._node in ranked else 0
             if now_s - since_s >= rank * self._times.renew_s:
                 record = records.PoolClaimed(
@@ -218,7 +233,7 @@
             for key, session in self._state.sessions.items()
             if not session.ended and key.node != self._node
         )
-        ranked = sorted(others, key=lambda node: _rank(pool, node))
+        ranked = sorted(others, key=functools.partial(_rank, pool))
         successor = ranked[0] if ranked else ""
         record = records.PoolReleased(
             pool, self._node, self.incarnation, epoch, successor
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -75,7 +75,8 @@
     session = tables.SessionKey(record.node, record.incarnation)
     if not state.is_live(session):
         return handlers.refuse("no-session", place, "claimant is not live")
-    if state.find("pool", record.pool) is None:
+    is_fleet = record.pool == records.FLEET_POOL
+    if not is_fleet and state.find("pool", record.pool) is None:
         return handlers.refuse("unknown-pool", place, "does not exist")
     stored = state.claims.get(record.pool)
     if record.epoch != (stored.epoch if stored else 0) + 1:
@@ -84,10 +85,19 @@
         holder = tables.SessionKey(stored.node, stored.incarnation)
         if holder != session and state.is_live(holder):
             return handlers.refuse("held", place, f"{stored.node} holds it")
+    if stored is not None and stored.node:
+        _note_to_carry(state, stored)
     state.claims[record.pool] = tables.Claim(*record, "", offset)
     return verdicts.ACCEPTED
 
 
+def _note_to_carry(state: tables.ControlTables, former: tables.Claim) -> None:
+    """The former owner's attempts count under its grants until carried."""
+    session = tables.SessionKey(former.node, former.incarnation)
+    if former.pool != records.FLEET_POOL:
+        state.to_carry.setdefault(former.pool, session)
+
+
 @handlers.register_handler(records.PoolReleased)
 def fold_pool_released(
     state: tables.ControlTables, offset: int, record: records.PoolReleased
@@ -98,6 +108,7 @@
     if stored is None or not stored.node or stored[1:4] != identity:
         place = f"pool/{record.pool}"
         return handlers.refuse("stale-epoch", place, "is not held so")
+    _note_to_carry(state, stored)
     state.claims[record.pool] = tables.Claim(
         record.pool, "", "", record.epoch, record.successor, offset
     )
@@ -105,15 +116,17 @@
 
 
 def find_stale_epoch(
-    state: tables.ControlTables, pool: str, epoch: int
+    state: tables.ControlTables, epoch: int
 ) -> verdicts.Verdict | None:
-    """Returns a refusal unless `epoch` is that of the pool's present claim.
+    """Returns a refusal unless `epoch` is that of the fleet's present owner.
 
-    A pool that was never claimed has epoch zero.
+    Moves, disruptions and waves touch several pools and shared racks; one
+    owner, of the pool `records.FLEET_POOL`, decides them all. A fleet that was
+    never claimed has epoch zero.
     """
-    stored = state.claims.get(pool)
+    stored = state.claims.get(records.FLEET_POOL)
     if stored is None and epoch == 0:
         return None
     if stored is not None and stored.node and stored.epoch == epoch:
         return None
-    return handlers.refuse("stale-epoch", f"pool/{pool}", f"epoch {epoch}")
+    return handlers.refuse("stale-epoch", "fleet", f"epoch {epoch}")
