Test that a withdrawn pool keeps no grants of its former owner

A directed test now covers it, once with the claim still standing and once after a release; with either half of the mend taken out it fails (pools-open in place of a reclaim).

--- a/foxtaillock/state/tests/test_control_state.py
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -181,6 +181,20 @@
             codes, ["", "session-live", "", "over-limit", "", "", "", ""]
         )
 
+    def test_withdrawn_pool_keeps_no_grants_of_its_former_owner(self) -> None:
+        for steps in ((), (records.PoolReleased("p", "a", "ia", 1),)):
+            self.setUp()
+            self._set_up_pool()
+            reclaimed = records.GrantReclaimed("a", "ia")
+            ended = records.SessionEnded("a", "ia", 1, "b")
+            self._fold(_granted("a", 10), *steps, ended)
+            self.assertEqual(self._codes(reclaimed), ["pools-open"])
+            revision = self.state.objects("pool")["p"].revision
+            self._note(records.Change("withdrawn", "pool", "p", revision, {}))
+            self.assertEqual(
+                self._codes(reclaimed, _granted("b", 10)), ["", ""]
+            )
+
     def test_grants_of_running_attempts_go_to_the_new_owner(self) -> None:
         self._set_up_pool()
         carried = records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {"t": 3})
