Choose runners by load and health, queue by deadline and share, retry in budget

Calls waited in order of arrival and were tried once. Now: own zone first, the better of two random runners by own calls, reported busy slots and latency; ejection, probation, slow start, and all runners when over half are ejected; waiting by earliest deadline inside a team and by share among teams, shed as soon as a call can't be answered; retries only of what is idempotent or provably did not run, under budgets of service and team; hedging off by default. A grant is held until the deadline for each try that may still run, so a retry after a lost answer needs a grant of its own. A caller that leaves cancels idempotent work; a charge runs on and its outcome is recorded.

Routing and admission have no tests of their own yet.

--- /dev/null
+++ b/foxtaillock/calls/attempts.py
@@ -0,0 +1,216 @@
+"""Tries of one admitted call: retries, hedging, what runners report."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.calls import desk as desks
+from foxtaillock.calls import interfaces
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import outcomes
+from foxtaillock.retries import budget as budgets
+from foxtaillock.retries import policy
+from foxtaillock.routing import health
+from foxtaillock.routing import table
+
+__all__ = ["Attempts", "Progress"]
+
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a call has come.
+
+    Attributes:
+        tries: tries sent to runners.
+        grants: grants of the team that the call holds, one for each try that
+            may run.
+        in_doubt: tries that may still run at their runner.
+    """
+
+    tries: int = 0
+    grants: int = 1
+    in_doubt: int = 0
+
+
+class _Call(typing.NamedTuple):
+    desk: desks.ServiceDesk
+    request: adapters.CallRequest
+    team: str
+    expires_at_s: float
+    progress: Progress
+
+
+class Attempts:
+    """Sends the tries of admitted calls.
+
+    Args:
+        runner_service: calls to runners.
+        clock: source of time.
+        rng: source of jitter.
+        grants: grants of the teams' upper limits.
+        is_hedging: whether a slow idempotent call gets a second try.
+    """
+
+    def __init__(
+        self,
+        runner_service: adapters.RunnerService,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        grants: interfaces.Grants,
+        is_hedging: bool = False,
+    ) -> None:
+        self._runner_service = runner_service
+        self._clock = clock
+        self._rng = rng
+        self._grants = grants
+        self._is_hedging = is_hedging
+        self._budget = budgets.RetryBudget()
+        self.sent = 0
+
+    async def run(
+        self,
+        desk: desks.ServiceDesk,
+        request: adapters.CallRequest,
+        team: str,
+        slot: desks.Slot,
+        expires_at_s: float,
+        progress: Progress,
+    ) -> outcomes.Outcome:
+        """Runs a call that has a slot, with retries, to its outcome."""
+        call = _Call(desk, request, team, expires_at_s, progress)
+        self._budget.note_call(request.service, team)
+        avoid: set[str] = set()
+        next_slot: desks.Slot | None = slot
+        while next_slot is not None:
+            avoid.add(next_slot.runner.vm.name)
+            outcome = await self._try_hedged(call, next_slot)
+            delay_s = self._find_retry_delay_s(call, outcome)
+            if delay_s is None or not self._hold_grant(call):
+                return outcome
+            await asyncio.sleep(delay_s)
+            next_slot = await desk.find_other(avoid, expires_at_s)
+        return outcome
+
+    def _find_retry_delay_s(
+        self, call: _Call, outcome: outcomes.Outcome
+    ) -> float | None:
+        tried = policy.Tried(
+            call.request.service,
+            call.team,
+            outcome,
+            call.request.idempotent,
+            call.progress.tries,
+            call.expires_at_s - self._clock.monotonic_s(),
+        )
+        return policy.find_retry_delay_s(tried, self._budget, self._rng)
+
+    def _hold_grant(self, call: _Call) -> bool:
+        """Takes another grant if all that the call holds may be in use."""
+        progress = call.progress
+        if progress.in_doubt < progress.grants:
+            return True
+        if not self._grants.try_start(call.team):
+            return False
+        progress.grants += 1
+        return True
+
+    async def _try_hedged(
+        self, call: _Call, slot: desks.Slot
+    ) -> outcomes.Outcome:
+        delay_s = policy.find_hedge_delay_s(
+            self._is_hedging,
+            call.request.idempotent,
+            slot.runner.health.latency_s,
+            call.expires_at_s - self._clock.monotonic_s(),
+        )
+        if delay_s is None:
+            return await self._try_once(call, slot)
+        tries = [asyncio.create_task(self._try_once(call, slot))]
+        try:
+            await asyncio.wait(tries, timeout=delay_s)
+            if not tries[0].done():
+                tries += self._start_hedge(call, slot)
+            return await _take_first_answer(tries)
+        finally:
+            for task in tries:
+                task.cancel()
+
+    def _start_hedge(
+        self, call: _Call, slot: desks.Slot
+    ) -> list["asyncio.Task[outcomes.Outcome]"]:
+        """Starts a second try if grant, slot and budget have room for it."""
+        other = call.desk.take_other({slot.runner.vm.name})
+        if other is None:
+            return []
+        service = call.request.service
+        is_granted = self._hold_grant(call)
+        if not is_granted or not self._budget.try_spend(service, call.team):
+            call.desk.end(other, table.CANCELLED)
+            return []
+        return [asyncio.create_task(self._try_once(call, other))]
+
+    async def _try_once(
+        self, call: _Call, slot: desks.Slot
+    ) -> outcomes.Outcome:
+        left_s = call.expires_at_s - self._clock.monotonic_s()
+        if left_s <= 0:
+            call.desk.end(slot, table.CANCELLED)
+            return outcomes.NotRun("deadline-passed")
+        call.progress.tries += 1
+        self.sent += 1
+        request = call.request._replace(deadline_s=left_s)
+        if call.progress.tries > 1:
+            request_id = f"{request.request_id}-{call.progress.tries}"
+            request = request._replace(request_id=request_id)
+        answer = table.CANCELLED
+        started_s = self._clock.monotonic_s()
+        call.progress.in_doubt += 1
+        try:
+            result = await self._runner_service.call(slot.runner.vm, request)
+            answer = _classify(result, slot.runner.slots)
+        finally:
+            call.desk.end(slot, answer)
+        if not isinstance(result.outcome, outcomes.Unknown):
+            call.progress.in_doubt -= 1
+        if isinstance(result.outcome, outcomes.Ran):
+            now_s = self._clock.monotonic_s()
+            call.desk.queue.note_run_time(now_s - started_s, now_s)
+        return result.outcome
+
+
+async def _take_first_answer(
+    tries: list["asyncio.Task[outcomes.Outcome]"],
+) -> outcomes.Outcome:
+    """Returns the first answer, or the last outcome if there is none."""
+    waiting = set(tries)
+    while True:
+        done, waiting = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        results = [task.result() for task in done]
+        ran = [r for r in results if isinstance(r, outcomes.Ran)]
+        if ran or not waiting:
+            return (ran or results)[0]
+
+
+def _classify(answer: adapters.RunnerAnswer, slots: int) -> table.Answer:
+    """Returns what an answer tells about its runner.
+
+    A refusal counts as a failure unless the runner is full or leaving, so
+    that one that refuses everything can't attract all calls.
+    """
+    outcome = answer.outcome
+    busy = answer.busy_slots
+    result = health.Result.FAILED
+    if isinstance(outcome, outcomes.Ran):
+        if outcome.status < _SERVER_ERROR:
+            result = health.Result.ANSWERED
+    elif isinstance(outcome, outcomes.NotRun):
+        is_full = busy is not None and busy >= slots
+        if is_full or answer.draining:
+            result = health.Result.REFUSED
+    return table.Answer(result, busy, answer.connections, answer.draining)
--- a/foxtaillock/calls/service.py
+++ b/foxtaillock/calls/service.py
@@ -4,10 +4,14 @@
 import collections
 import random
 import typing
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 
 from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.calls import answers
+from foxtaillock.calls import attempts
+from foxtaillock.calls import desk as desks
 from foxtaillock.calls import interfaces
 from foxtaillock.model import clock as clock_lib
 from foxtaillock.model import objects
@@ -22,6 +26,7 @@
 _DEFAULT_MAX_DEADLINE_S = 30.0
 _PUMP_INTERVAL_S = 0.02
 _RETRY_AFTER_S = 1.0
+_DEADLINE_SLACK_S = 0.5
 
 
 class CallStats(typing.TypedDict):
@@ -40,23 +45,6 @@
     running: int
 
 
-class _Waiter(typing.NamedTuple):
-    """A call that waits for a slot and a grant."""
-
-    team: str
-    expires_at_s: float
-    admitted: "asyncio.Future[table.Runner | None]"
-
-
-class _ServiceState:
-    """What this entry VM holds of one service."""
-
-    def __init__(self, zone: str) -> None:
-        self.body: objects.Service = {}
-        self.table = table.RunnerTable(zone)
-        self.waiters: collections.deque[_Waiter] = collections.deque()
-
-
 class CallService:
     """Answers the calls that reach this entry VM."""
 
@@ -70,18 +58,22 @@
         zone: str,
         grants: interfaces.Grants,
         claims: interfaces.Claims,
+        is_hedging: bool = False,
     ) -> None:
-        self._runner_service = runner_service
         self._clock = clock
         self._rng = rng
         self._node = node
         self._zone = zone
         self._grants = grants
         self._claims = claims
-        self._services: dict[str, _ServiceState] = {}
+        self._attempts = attempts.Attempts(
+            runner_service, clock, rng, grants, is_hedging
+        )
+        self._answers = answers.AnswerStore()
+        self._desks: dict[str, desks.ServiceDesk] = {}
+        self._tasks: set[asyncio.Task[outcomes.Outcome]] = set()
         self._draining = False
         self._running = 0
-        self._attempts = 0
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._pump_timer: asyncio.TimerHandle | None = None
 
@@ -89,45 +81,59 @@
         self,
         vms: Sequence[world.VmEntry],
         services: Mapping[str, objects.Service],
+        teams: Mapping[str, objects.Team] | None = None,
+        draining: Collection[str] = (),
     ) -> None:
-        """Takes over the platform's list and the services in force."""
-        for name in sorted(set(self._services) - set(services)):
-            del self._services[name]
+        """Takes over the platform's list and the configuration in force.
+
+        Args:
+            vms: all VMs of the list.
+            services: services in force.
+            teams: teams in force, for their shares.
+            draining: names of runners that leave by a note.
+        """
+        for name in sorted(set(self._desks) - set(services)):
+            self._desks.pop(name).close()
+        entry_count = sum(vm.role is world.VmRole.ENTRY for vm in vms)
+        weights = {name: team["share"] for name, team in (teams or {}).items()}
         for name, body in services.items():
-            state = self._services.get(name)
-            if state is None:
-                state = self._services[name] = _ServiceState(self._zone)
-            state.body = body
-            state.table.update(
-                [
-                    vm
-                    for vm in vms
-                    if vm.role is world.VmRole.RUNNER and vm.service == name
-                ],
+            if name not in self._desks:
+                self._desks[name] = desks.ServiceDesk(
+                    self._zone, self._clock, self._rng, self._grants
+                )
+            desk = self._desks[name]
+            desk.body = body
+            desk.queue.set_weights(weights)
+            desk.table.update(
+                [vm for vm in vms if _serves(vm, name)],
                 body.get("slots", _DEFAULT_SLOTS),
                 body.get("connections", _DEFAULT_CONNECTIONS),
+                entry_count,
+                draining,
             )
 
     def start_draining(self) -> None:
         """Refuses new calls from now on; those that wait or run go on."""
         self._draining = True
 
+    async def wait_idle(self) -> None:
+        """Returns when no call waits or runs, also none whose caller left."""
+        while self._running or any(d.queue for d in self._desks.values()):
+            await asyncio.sleep(_PUMP_INTERVAL_S)
+
     def stats(self) -> CallStats:
         """Returns the counts of this entry VM."""
-        waiting = sum(len(s.waiters) for s in self._services.values())
         return CallStats(
             outcomes=dict(self._outcomes),
-            attempts=self._attempts,
-            waiting=waiting,
+            attempts=self._attempts.sent,
+            waiting=sum(len(desk.queue) for desk in self._desks.values()),
             running=self._running,
         )
 
     def waiting_by_team(self) -> Mapping[str, int]:
         """Returns how many calls of each team wait here."""
         return collections.Counter(
-            waiter.team
-            for state in self._services.values()
-            for waiter in state.waiters
+            team for desk in self._desks.values() for team in desk.teams()
         )
 
     async def call(
@@ -135,118 +141,145 @@
     ) -> outcomes.Outcome:
         """Runs one call to its outcome.
 
+        If the caller goes away, an idempotent call is cancelled. One that is
+        not runs on to its end once it was sent, so that its outcome is known.
+
         Args:
             request: the call; `deadline_s` counts from now.
             team: team that the call counts for.
         """
-        outcome = await self._call(request, team)
+        progress = attempts.Progress()
+        if request.idempotent:
+            return await self._call(request, team, progress)
+        task = asyncio.create_task(self._call(request, team, progress))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not progress.tries:
+                task.cancel()
+            raise
+
+    async def _call(
+        self,
+        request: adapters.CallRequest,
+        team: str,
+        progress: attempts.Progress,
+    ) -> outcomes.Outcome:
+        outcome = await self._admit(request, team, progress)
         code = "" if isinstance(outcome, outcomes.Ran) else outcome.code
         self._outcomes[f"{outcome.tag}/{code}"] += 1
         return outcome
 
-    async def _call(
-        self, request: adapters.CallRequest, team: str
+    async def _admit(
+        self,
+        request: adapters.CallRequest,
+        team: str,
+        progress: attempts.Progress,
     ) -> outcomes.Outcome:
         if self._draining:
             return outcomes.NotRun("draining", "", _RETRY_AFTER_S)
-        state = self._services.get(request.service)
-        if state is None:
+        desk = self._desks.get(request.service)
+        if desk is None:
             return outcomes.NotRun("unknown-service", request.service)
-        longest_s = state.body.get("max_deadline_s", _DEFAULT_MAX_DEADLINE_S)
+        longest_s = desk.body.get("max_deadline_s", _DEFAULT_MAX_DEADLINE_S)
         left_s = min(request.deadline_s, longest_s)
         if left_s <= 0:
             return outcomes.NotRun("deadline-passed")
         expires_at_s = self._clock.monotonic_s() + left_s
-        runner = await self._wait_for_runner(state, team, expires_at_s)
-        if runner is None:
-            return outcomes.NotRun("overloaded", "", _RETRY_AFTER_S)
+        self._start_timer()
+        slot = await desk.admit(team, expires_at_s)
+        if not isinstance(slot, desks.Slot):
+            return outcomes.NotRun(slot.code, "", slot.retry_after_s)
         self._running += 1
         try:
-            return await self._run_claimed(request, team, runner, expires_at_s)
+            return await self._run(
+                desk, request, team, slot, expires_at_s, progress
+            )
         finally:
             self._running -= 1
-            runner.in_flight -= 1
-            self._grants.finish(team)
+            self._finish(team, expires_at_s, progress)
             self._pump()
 
-    async def _wait_for_runner(
-        self, state: _ServiceState, team: str, expires_at_s: float
-    ) -> table.Runner | None:
-        admitted = asyncio.get_running_loop().create_future()
-        state.waiters.append(_Waiter(team, expires_at_s, admitted))
-        self._pump()
-        return typing.cast("table.Runner | None", await admitted)
+    def _finish(
+        self, team: str, expires_at_s: float, progress: attempts.Progress
+    ) -> None:
+        """Gives the grants back, each once nothing can run under it.
+
+        A runner stops a call at its deadline, which it got with the request.
+        """
+        for _ in range(progress.grants - progress.in_doubt):
+            self._grants.finish(team)
+        delay_s = expires_at_s - self._clock.monotonic_s() + _DEADLINE_SLACK_S
+        loop = asyncio.get_running_loop()
+        for _ in range(progress.in_doubt):
+            loop.call_later(max(0.0, delay_s), self._grants.finish, team)
 
     def _pump(self) -> None:
-        """Starts what can start and sheds what has waited too long."""
-        now_s = self._clock.monotonic_s()
-        for state in self._services.values():
-            for _ in range(len(state.waiters)):
-                waiter = state.waiters.popleft()
-                if not self._try_admit(state, waiter, now_s):
-                    state.waiters.append(waiter)
-        waiting = any(state.waiters for state in self._services.values())
-        if waiting and self._pump_timer is None:
+        for desk in self._desks.values():
+            desk.pump()
+
+    def _start_timer(self) -> None:
+        """Pumps again and again while calls wait."""
+        if self._pump_timer is None:
             loop = asyncio.get_running_loop()
-            self._pump_timer = loop.call_later(
-                _PUMP_INTERVAL_S, self._pump_again
-            )
+            self._pump_timer = loop.call_later(_PUMP_INTERVAL_S, self._tick)
 
-    def _pump_again(self) -> None:
+    def _tick(self) -> None:
         self._pump_timer = None
         self._pump()
+        if any(desk.queue for desk in self._desks.values()):
+            self._start_timer()
 
-    def _try_admit(
-        self, state: _ServiceState, waiter: _Waiter, now_s: float
-    ) -> bool:
-        """Returns whether the waiter is done with waiting."""
-        if waiter.admitted.done():
-            return True
-        if now_s >= waiter.expires_at_s:
-            waiter.admitted.set_result(None)
-            return True
-        runner = state.table.choose(self._rng, now_s)
-        if runner is None or not self._grants.try_start(waiter.team):
-            return False
-        runner.in_flight += 1
-        waiter.admitted.set_result(runner)
-        return True
-
-    async def _run_claimed(
+    async def _run(
         self,
+        desk: desks.ServiceDesk,
         request: adapters.CallRequest,
         team: str,
-        runner: table.Runner,
+        slot: desks.Slot,
         expires_at_s: float,
+        progress: attempts.Progress,
     ) -> outcomes.Outcome:
-        claimed = not request.idempotent and bool(request.idempotency_key)
-        if not claimed:
-            return await self._try_once(request, runner, expires_at_s)
-        key = request.idempotency_key
-        result = await self._claims.claim(
-            request.service, team, key, request.request_id
-        )
-        if isinstance(result, interfaces.Refused):
-            return outcomes.NotRun(result.code, "", _RETRY_AFTER_S)
-        if isinstance(result, interfaces.Already):
-            return outcomes.Unknown(f"already-{result.outcome}")
-        outcome = await self._try_once(request, runner, expires_at_s)
-        await self._claims.end(
-            request.service, team, key, request.request_id, outcome.tag.value
+        """Runs a call that has its slot and its grant."""
+        key = answers.AnswerKey(request.service, team, request.idempotency_key)
+        is_claimed = not request.idempotent and bool(key.idempotency_key)
+        if is_claimed:
+            refusal = await self._claim(desk, slot, key, request.request_id)
+            if refusal is not None:
+                return refusal
+        outcome = await self._attempts.run(
+            desk, request, team, slot, expires_at_s, progress
         )
+        if is_claimed:
+            if isinstance(outcome, outcomes.Ran):
+                self._answers.put(key, outcome)
+            await self._claims.end(*key, request.request_id, outcome.tag.value)
         return outcome
 
-    async def _try_once(
+    async def _claim(
         self,
-        request: adapters.CallRequest,
-        runner: table.Runner,
-        expires_at_s: float,
-    ) -> outcomes.Outcome:
-        left_s = expires_at_s - self._clock.monotonic_s()
-        if left_s <= 0:
-            return outcomes.NotRun("deadline-passed")
-        self._attempts += 1
-        answer = await self._runner_service.call(
-            runner.vm, request._replace(deadline_s=left_s)
-        )
-        return answer.outcome
+        desk: desks.ServiceDesk,
+        slot: desks.Slot,
+        key: answers.AnswerKey,
+        request_id: str,
+    ) -> outcomes.Outcome | None:
+        """Returns None if the call may run, else its outcome."""
+        result: interfaces.ClaimResult | None = None
+        try:
+            result = await self._claims.claim(*key, request_id)
+        finally:
+            if not isinstance(result, interfaces.Won):
+                desk.end(slot, table.CANCELLED)
+        if isinstance(result, interfaces.Won):
+            return None
+        if isinstance(result, interfaces.Refused):
+            return outcomes.NotRun(result.code, "", _RETRY_AFTER_S)
+        answer = self._answers.get(key)
+        if answer is not None:
+            return answer
+        return outcomes.Unknown(f"already-{result.outcome}")
+
+
+def _serves(vm: world.VmEntry, service: str) -> bool:
+    return vm.role is world.VmRole.RUNNER and vm.service == service
--- a/foxtaillock/calls/tests/test_service.py
+++ b/foxtaillock/calls/tests/test_service.py
@@ -1,28 +1,72 @@
 """Tests of the driver of calls."""
 
+import asyncio
 import random
 import unittest
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.calls import interfaces
 from foxtaillock.calls import service
-from foxtaillock.model import clock
 from foxtaillock.model import outcomes
 from foxtaillock.model import world
+from foxtaillock.state.tests import virtual_loop
+
+_Script = Callable[
+    [world.VmEntry, adapters.CallRequest], Awaitable[adapters.RunnerAnswer]
+]
+
+
+async def _answer(
+    vm: world.VmEntry, request: adapters.CallRequest
+) -> adapters.RunnerAnswer:
+    del vm
+    await asyncio.sleep(0.001)
+    body = request.request_id.encode()
+    return adapters.RunnerAnswer(outcomes.Ran(body=body), 0, 1)
+
+
+async def _hang(
+    vm: world.VmEntry, request: adapters.CallRequest
+) -> adapters.RunnerAnswer:
+    del vm
+    await asyncio.sleep(request.deadline_s)
+    return adapters.RunnerAnswer(outcomes.Unknown("timeout"))
 
 
 class FakeRunners:
-    """Answers from a script; by default each call ran."""
+    """Answers by a script for each try; by default each call ran."""
 
     def __init__(self) -> None:
-        self.sent: list[tuple[str, str]] = []
+        self.sent: list[str] = []
+        self.runners: list[str] = []
+        self.ended: list[str] = []
+        self.most_at_once = 0
+        self.scripts: list[_Script] = []
 
     async def call(
         self, vm: world.VmEntry, request: adapters.CallRequest
     ) -> adapters.RunnerAnswer:
-        """Answers that the call ran."""
-        self.sent.append((vm.name, request.request_id))
-        return adapters.RunnerAnswer(outcomes.Ran(body=b"ok"), 1, 1)
+        """Answers as the next script says."""
+        self.sent.append(request.request_id)
+        self.runners.append(vm.name)
+        at_once = len(self.sent) - len(self.ended)
+        self.most_at_once = max(self.most_at_once, at_once)
+        script = self.scripts.pop(0) if self.scripts else _answer
+        answer = await script(vm, request)
+        self.ended.append(request.request_id)
+        return answer
+
+
+def _script(outcome: outcomes.Outcome) -> _Script:
+    async def _say(
+        vm: world.VmEntry, request: adapters.CallRequest
+    ) -> adapters.RunnerAnswer:
+        del vm, request
+        return adapters.RunnerAnswer(outcome)
+
+    return _say
 
 
 class FakeGrants:
@@ -85,47 +129,146 @@
     return request._replace(**fields)  # type: ignore[arg-type]
 
 
-class CallServiceTest(unittest.IsolatedAsyncioTestCase):
+_CHARGE = {"idempotent": False, "idempotency_key": "k1"}
+_LOST = outcomes.Unknown("connection-lost")
+_REFUSED = outcomes.NotRun("refused")
+
+
+class CallServiceTest(unittest.TestCase):
 
     def setUp(self) -> None:
         self.runners = FakeRunners()
+        self.grants = FakeGrants(4)
+        self.claims = FakeClaims()
 
-    def _make(self, claims: interfaces.Claims) -> service.CallService:
+    def _make(self, **options: bool) -> service.CallService:
         calls = service.CallService(
             self.runners,
-            clock.SystemClock(),
+            virtual_loop.LoopClock(),
             random.Random(1),
             node="e1",
             zone="z1",
-            grants=FakeGrants(4),
-            claims=claims,
+            grants=self.grants,
+            claims=self.claims,
+            **options,
         )
         calls.update_runners(_make_runners(2), {"quote": {"slots": 8}})
         return calls
 
-    async def test_call_runs(self) -> None:
-        calls = self._make(FakeClaims())
-        outcome = await calls.call(_make_request(1), "nesting")
-        self.assertEqual(outcome, outcomes.Ran(body=b"ok"))
-        self.assertEqual(calls.stats()["outcomes"], {"ran/": 1})
-
-    async def test_second_try_with_same_key_does_not_run(self) -> None:
-        calls = self._make(FakeClaims())
-        charge = {"idempotent": False, "idempotency_key": "k1"}
-        await calls.call(_make_request(1, **charge), "nesting")
-        second = await calls.call(_make_request(2, **charge), "nesting")
-        self.assertEqual(second.tag, outcomes.OutcomeTag.UNKNOWN)
-        self.assertEqual(len(self.runners.sent), 1)
-
-    async def test_nothing_is_sent_while_the_log_is_down(self) -> None:
-        calls = self._make(FakeClaims("log-unavailable"))
-        charge = {"idempotent": False, "idempotency_key": "k1"}
-        outcome = await calls.call(_make_request(1, **charge), "nesting")
-        self.assertEqual(outcome.tag, outcomes.OutcomeTag.NOT_RUN)
+    def _run(
+        self, *requests: adapters.CallRequest, **options: bool
+    ) -> list[outcomes.Outcome]:
+        """Makes the calls one after the other."""
+
+        async def _call_all() -> list[outcomes.Outcome]:
+            calls = self._make(**options)
+            return [await calls.call(request, "t") for request in requests]
+
+        return virtual_loop.run(_call_all())
+
+    def test_call_gets_the_answer_to_its_own_request(self) -> None:
+        results = self._run(_make_request(1), _make_request(2))
+        self.assertEqual(
+            results, [outcomes.Ran(body=b"q1"), outcomes.Ran(body=b"q2")]
+        )
+
+    def test_idempotent_call_is_tried_at_another_runner(self) -> None:
+        self.runners.scripts = [_script(_LOST)]
+        (result,) = self._run(_make_request(1))
+        self.assertEqual(result.tag, outcomes.OutcomeTag.RAN)
+        self.assertEqual(len(set(self.runners.runners)), 2)
+
+    def test_charge_without_an_answer_is_never_tried_again(self) -> None:
+        self.runners.scripts = [_script(_LOST)]
+        (result,) = self._run(_make_request(1, **_CHARGE))
+        self.assertEqual(result, _LOST)
+        self.assertEqual(self.runners.sent, ["q1"])
+
+    def test_charge_that_was_refused_is_tried_again(self) -> None:
+        self.runners.scripts = [_script(_REFUSED)]
+        (result,) = self._run(_make_request(1, **_CHARGE))
+        self.assertEqual(result.tag, outcomes.OutcomeTag.RAN)
+
+    def test_second_try_with_same_key_gets_the_first_answer(self) -> None:
+        charges = [_make_request(i, **_CHARGE) for i in (1, 2)]
+        first, second = self._run(*charges)
+        self.assertEqual(first, second)
+        self.assertEqual(self.runners.sent, ["q1"])
+
+    def test_second_try_at_another_entry_vm_does_not_run(self) -> None:
+        self._run(_make_request(1, **_CHARGE))
+        (second,) = self._run(_make_request(2, **_CHARGE))
+        self.assertEqual(second, outcomes.Unknown("already-ran"))
+        self.assertEqual(self.runners.sent, ["q1"])
+
+    def test_nothing_is_sent_while_the_log_is_down(self) -> None:
+        self.claims.refusal = "log-unavailable"
+        (result,) = self._run(_make_request(1, **_CHARGE))
+        self.assertEqual(result.tag, outcomes.OutcomeTag.NOT_RUN)
         self.assertEqual(self.runners.sent, [])
 
-    async def test_draining_refuses(self) -> None:
-        calls = self._make(FakeClaims())
-        calls.start_draining()
-        outcome = await calls.call(_make_request(1), "nesting")
-        self.assertEqual(outcome.tag, outcomes.OutcomeTag.NOT_RUN)
+    def test_draining_refuses(self) -> None:
+        async def _drain() -> outcomes.Outcome:
+            calls = self._make()
+            calls.start_draining()
+            return await calls.call(_make_request(1), "t")
+
+        result = virtual_loop.run(_drain())
+        self.assertEqual(result.tag, outcomes.OutcomeTag.NOT_RUN)
+
+    def _leave_early(self, request: adapters.CallRequest) -> None:
+        async def _leave() -> None:
+            calls = self._make()
+            task = asyncio.create_task(calls.call(request, "t"))
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await calls.wait_idle()
+
+        virtual_loop.run(_leave())
+
+    def test_idempotent_call_is_cancelled_with_its_caller(self) -> None:
+        self.runners.scripts = [_hang]
+        self._leave_early(_make_request(1))
+        self.assertEqual(self.runners.ended, [])
+
+    def test_outcome_of_a_charge_is_recorded_without_its_caller(self) -> None:
+        self.runners.scripts = [_hang]
+        self._leave_early(_make_request(1, **_CHARGE))
+        self.assertEqual(self.claims.ended, {"k1": "unknown"})
+
+    def test_grant_is_held_while_a_lost_call_may_run(self) -> None:
+        self.grants.free = 1
+        self.runners.scripts = [_script(_LOST)]
+        lost, refused = self._run(
+            _make_request(1, deadline_s=9.0),
+            _make_request(2, deadline_s=1.0),
+        )
+        self.assertEqual(lost, _LOST)
+        self.assertEqual(
+            (refused.tag, getattr(refused, "code")), ("not-run", "team-limit")
+        )
+
+    def test_hedge_answers_for_a_hanging_runner(self) -> None:
+        answers: list[_Script] = [_answer] * 6
+        self.runners.scripts = [*answers, _hang]
+        requests = [_make_request(i, deadline_s=9.0) for i in range(7)]
+        results = self._run(*requests, is_hedging=True)
+        self.assertEqual(results[-1], outcomes.Ran(body=b"q6-2"))
+
+    def test_more_calls_than_slots_are_shed_unsent(self) -> None:
+        async def _flood() -> list[outcomes.Outcome]:
+            calls = self._make()
+            self.grants.free = 1000
+            self.runners.scripts = [_hang] * 1000
+            requests = [_make_request(i, deadline_s=0.5) for i in range(99)]
+            return await asyncio.gather(
+                *(calls.call(request, "t") for request in requests)
+            )
+
+        results = virtual_loop.run(_flood())
+        shed = [r for r in results if isinstance(r, outcomes.NotRun)]
+        self.assertEqual({r.code for r in shed}, {"overloaded"})
+        self.assertTrue(all(r.retry_after_s for r in shed))
+        self.assertEqual(len(self.runners.sent), len(results) - len(shed))
+        self.assertEqual(self.runners.most_at_once, 14)
--- /dev/null
+++ b/foxtaillock/retries/budget.py
@@ -0,0 +1,57 @@
+"""Token buckets that bound retries to a share of the first tries."""
+
+import collections
+
+__all__ = ["RetryBudget"]
+
+_TOKENS_PER_CALL = 0.1
+_MAX_TOKENS = 10.0
+_MAX_CALLERS = 4_096
+
+
+class RetryBudget:
+    """Budgets of the services and of the callers.
+
+    Each first try adds a tenth of a token to the bucket of its service and to
+    that of its caller; each retry takes a whole one of both. So retries stay
+    under a tenth of the calls, however many fail.
+
+    Example:
+        >>> budget = RetryBudget()
+        >>> budget.try_spend("quote", "nesting")
+        True
+    """
+
+    def __init__(
+        self,
+        tokens_per_call: float = _TOKENS_PER_CALL,
+        max_tokens: float = _MAX_TOKENS,
+    ) -> None:
+        self._tokens_per_call = tokens_per_call
+        self._max_tokens = max_tokens
+        self._tokens: collections.OrderedDict[tuple[str, str], float]
+        self._tokens = collections.OrderedDict()
+
+    def note_call(self, service: str, caller: str) -> None:
+        """Adds what a first try brings."""
+        for key in (("service", service), ("caller", caller)):
+            tokens = self._read(key) + self._tokens_per_call
+            self._store(key, min(self._max_tokens, tokens))
+
+    def try_spend(self, service: str, caller: str) -> bool:
+        """Takes a token of both buckets, or nothing if one lacks it."""
+        keys = (("service", service), ("caller", caller))
+        if any(self._read(key) < 1.0 for key in keys):
+            return False
+        for key in keys:
+            self._store(key, self._read(key) - 1.0)
+        return True
+
+    def _read(self, key: tuple[str, str]) -> float:
+        return self._tokens.get(key, self._max_tokens)
+
+    def _store(self, key: tuple[str, str], tokens: float) -> None:
+        self._tokens[key] = tokens
+        self._tokens.move_to_end(key)
+        if len(self._tokens) > _MAX_CALLERS:
+            self._tokens.popitem(last=False)
