--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -17,30 +17,11 @@
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
 
-__all__ = ["GrantKeeper", "JobGrants"]
+__all__ = ["GrantKeeper"]
 
 _INTERVAL_S = 0.2
 
 
-class JobGrants:
-    """Grants as the owner of a pool uses them."""
-
-    def __init__(self, local: limits.LocalGrants) -> None:
-        self._local = local
-
-    def try_start(self, team: str) -> bool:
-        """Counts one more attempt of the team if its grant allows."""
-        return self._local.try_start(team)
-
-    def finish(self, team: str) -> None:
-        """Counts one attempt less."""
-        self._local.finish(team)
-
-    def adopt(self, team: str) -> None:
-        """Counts an attempt that runs already."""
-        self._local.adopt(team, 1)
-
-
 class GrantKeeper:
     """Decides and commits changes of the own grants, again and again.
 
@@ -52,8 +33,6 @@
         local: counts of what runs here.
         clock: source of time.
         waiting_by_team: returns how much of each team waits here.
-        open_pools_of: returns whether a pool of an ended session has no new
-            owner that carries its attempts.
         reclaim_wait_s: time after which nothing of an ended session runs.
     """
 
@@ -67,7 +46,6 @@
         clock: clocks.Clock,
         *,
         waiting_by_team: Callable[[], Mapping[str, int]],
-        open_pools_of: Callable[[str, str], bool],
         reclaim_wait_s: float,
     ) -> None:
         self._node = node
@@ -77,7 +55,6 @@
         self._local = local
         self._clock = clock
         self._waiting_by_team = waiting_by_team
-        self._open_pools_of = open_pools_of
         self._reclaim_wait_s = reclaim_wait_s
         self._ended_seen_s: dict[tuple[str, str], float] = {}
         self._background = background.Background()
@@ -91,30 +68,18 @@
 
     def step(self) -> None:
         """Begins the changes that are due now."""
-        self._local.set_session_valid_until(self._session.valid_until_s)
+        incarnation = self._session.incarnation
+        self._local.set_holder(self._node, incarnation)
+        self._local.set_session_valid_until(self._session.grants_until_s())
         waiting = self._waiting_by_team()
-        for team in self._state.objects("team"):
-            granted = self._state.grant(
-                team, self._node, self._session.incarnation
-            )
-            self._local.set_granted(team, granted)
+        teams = sorted(self._state.objects("team"))
+        for team in teams:
             self._local.set_waiting(team, waiting.get(team, 0))
-        for change in self._local.plan(self._folded(), self._live()):
+        folded = {team: self._folded(team) for team in teams}
+        for change in self._local.plan(folded, self._live()):
             self._background.spawn(self._commit(change))
         self._reclaim()
 
-    def _folded(self) -> dict[str, decisions.FoldedTeam]:
-        return {
-            team: decisions.FoldedTeam(
-                self._state.team_limit(team),
-                {
-                    (key.node, key.incarnation): decisions.Grant(*row)
-                    for key, row in self._state.session_grants(team).items()
-                },
-            )
-            for team in self._state.objects("team")
-        }
-
     def _live(self) -> list[tuple[str, str]]:
         return sorted(
             (key.node, key.incarnation)
@@ -122,6 +87,13 @@
             if not session.ended
         )
 
+    def _folded(self, team: str) -> decisions.FoldedTeam:
+        grants = {
+            (key.node, key.incarnation): decisions.Grant(*row)
+            for key, row in self._state.session_grants(team).items()
+        }
+        return decisions.FoldedTeam(self._state.team_limit(team), grants)
+
     async def _commit(self, change: records.GrantChanged) -> None:
         try:
             await self._replica.commit(change)
@@ -129,9 +101,7 @@
             logger.debug("grant of {} has no verdict: {}", change.team, error)
             self._local.lose_change(change)
             return
-        granted = self._state.grant(
-            change.team, self._node, self._session.incarnation
-        )
+        granted = self._state.grant(change.team, self._node, change.incarnation)
         self._local.end_change(change, granted)
 
     def _reclaim(self) -> None:
@@ -143,7 +113,7 @@
         ended = []
         for node, incarnation in sorted(holders):
             seen_s = self._ended_seen_s.setdefault((node, incarnation), now_s)
-            is_open = self._open_pools_of(node, incarnation)
+            is_open = self._state.has_open_pools(node, incarnation)
             ended.append(
                 decisions.EndedSession(node, incarnation, seen_s, is_open)
             )
