Share the sequence filter; keep records of later versions; sharpen three tests

Cause: taking guards out one at a time left three tests green: asking a worker before its lease is given up after a pause, keeping accelerators, and spreading over zones. The tests now fail without them.

--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -11,11 +11,19 @@
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.model import world
+from foxtaillock.state import sequences
 
-__all__ = ["HISTORY_JOBS", "MAX_FAILURES", "PoolState", "stream_of"]
+__all__ = [
+    "HISTORY_JOBS",
+    "KEPT_RECORDS",
+    "MAX_FAILURES",
+    "PoolState",
+    "stream_of",
+]
 
 HISTORY_JOBS = 5_000
 MAX_FAILURES = 5
+KEPT_RECORDS = 1_000
 
 _Handler = Callable[["PoolState", typing.Any], verdicts.Verdict]
 _HANDLERS: dict[type, _Handler] = {}
@@ -43,7 +51,8 @@
 
     Records of an epoch other than the current one have no effect. Finished
     jobs are kept until `history_jobs` others finished after them; a job whose
-    end is unknown is kept until it is settled.
+    end is unknown is kept until it is settled. Records of a kind that this
+    version does not know are kept without effect, the last `KEPT_RECORDS`.
 
     Args:
         history_jobs: finished jobs to keep; the same at every replica.
@@ -71,7 +80,8 @@
         self._owner = ""
         self._accepted_count = 0
         self._next_offset = 0
-        self._sequences: dict[tuple[str, str], int] = {}
+        self._sequences = sequences.Sequences()
+        self._kept: list[list[str]] = []
         self._jobs: dict[str, jobs_job.Job] = {}
         self._by_key: dict[tuple[str, str], str] = {}
         self._active: dict[str, jobs_job.Job] = {}
@@ -85,10 +95,10 @@
     ) -> Sequence[verdicts.Verdict]:
         """Applies one batch; returns one verdict for each of its records."""
         self._next_offset = offset + 1
-        writer = (batch.writer, batch.incarnation)
-        if batch.sequence <= self._sequences.get(writer, 0):
+        if not self._sequences.admit(
+            offset, batch.writer, batch.incarnation, batch.sequence
+        ):
             return [_refused("duplicate") for _ in batch.records]
-        self._sequences[writer] = batch.sequence
         return [self._apply_record(record) for record in batch.records]
 
     def job(self, job_id: str) -> jobs_job.Job | None:
@@ -125,7 +135,8 @@
             "accepted": self._accepted_count,
             "offset": self._next_offset,
             "history": self._history_jobs,
-            "sequences": sorted([*k, n] for k, n in self._sequences.items()),
+            "sequences": self._sequences.to_rows(),
+            "kept": self._kept,
             "jobs": [_encode_job(job) for job in self._jobs.values()],
             "waiting": list(self._waiting),
             "finished": list(self._finished),
@@ -157,8 +168,8 @@
         state._owner = fields["owner"]
         state._accepted_count = fields["accepted"]
         state._next_offset = fields["offset"]
-        for writer, incarnation, sequence in fields["sequences"]:
-            state._sequences[writer, incarnation] = sequence
+        state._sequences.load_rows(fields["sequences"])
+        state._kept = fields["kept"]
         for row in fields["jobs"]:
             state._restore_job(_decode_job(row))
         for job_id in fields["waiting"]:
@@ -175,6 +186,9 @@
             self._active[job.job_id] = job
 
     def _apply_record(self, record: records.Record) -> verdicts.Verdict:
+        if isinstance(record, records.UnknownRecord):
+            self._kept = [*self._kept, [*record]][-KEPT_RECORDS:]
+            return _refused("unknown-kind")
         handler = _HANDLERS.get(type(record))
         if handler is None:
             return _refused("unknown-kind")
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -128,6 +128,16 @@
         self.assertEqual(_state(owner, second), world.JobState.RUNNING)
         self.assertEqual(_state(owner, first), world.JobState.FAILED)
 
+    async def test_owner_asks_before_it_gives_up_after_a_pause(self) -> None:
+        site = fakes.Site()
+        owner = await site.started()
+        job_id = await _submit(owner, fakes.spec(idempotent=True))
+        await site.turn(owner)
+        site.workers.finish()
+        await site.turn(owner, 2, step_s=60.0)
+        self.assertEqual(_state(owner, job_id), world.JobState.DONE)
+        self.assertEqual(site.workers.runs.total(), 1)
+
     async def test_replaced_worker_makes_the_end_unknown(self) -> None:
         site = fakes.Site(workers=1)
         owner = await site.started()
--- a/foxtaillock/jobs/tests/test_pool_state.py
+++ b/foxtaillock/jobs/tests/test_pool_state.py
@@ -98,6 +98,12 @@
             self._put(records.AttemptEnded("a", attempt, "ran", False, "", 1))
         self.assertEqual(self._state_of("a"), world.JobState.FAILED)
 
+    def test_record_of_a_later_version_is_kept(self) -> None:
+        later = records.UnknownRecord("job-tagged", '["a"]')
+        self.assertEqual(self._put(later).code, "unknown-kind")
+        copy = pool_state.PoolState.decode(self.state.encode())
+        self.assertIn("job-tagged", copy.encode())
+
     def test_history_expires_by_count_with_its_keys(self) -> None:
         for name in ("a", "b", "c"):
             self._run_job(name, "key-" + name)
--- a/foxtaillock/placement/tests/test_fit.py
+++ b/foxtaillock/placement/tests/test_fit.py
@@ -74,6 +74,8 @@
     def test_accelerators_are_kept_for_jobs_that_need_them(self) -> None:
         self._add("gpu", accelerators=2)
         self._add("plain")
+        filled = _task("k", "gpu", resources.Resources(3, 3, 0))
+        self.workers.reserve(filled)
         plain = _request(resources.Resources(1, 1, 0))
         self.assertEqual(self.finder.find(plain), "plain")
 
@@ -81,7 +83,7 @@
         for i in range(4):
             self._add(f"w{i}", zone=f"z{i % 2}")
         zones = []
-        size = resources.Resources(4, 4, 0)
+        size = resources.Resources(1, 1, 0)
         for i in range(2):
             name = self.finder.find(_request(size))
             assert name is not None
