--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -1,6 +1,5 @@
 """Answers the administration interface on one entry VM."""
 
-import hashlib
 import json
 import secrets
 import typing
@@ -23,6 +22,7 @@
 from foxtaillock.peers import messages
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
+from foxtaillock.state import keys
 from foxtaillock.state import tables
 
 __all__ = ["AdminDesk"]
@@ -37,7 +37,7 @@
     Args:
         state: fold of the control stream.
         replica: its replica.
-        keys: checks keys.
+        key_checker: checks keys.
         jobs: finds the owners of jobs.
         vms: returns the platform's list.
         status: returns the state of this entry VM.
@@ -48,7 +48,7 @@
         self,
         state: control_state.ControlState,
         replica: interfaces.Replica,
-        keys: key_desk.KeyDesk,
+        key_checker: key_desk.KeyDesk,
         jobs: job_desk.JobDesk,
         vms: Callable[[], Sequence[world.VmEntry]],
         status: Callable[[], admin.Row],
@@ -60,7 +60,7 @@
         self._vms = vms
         self._status = status
         self._on_withdrawn = on_withdrawn
-        self.keys = keys
+        self.keys = key_checker
 
     def check_note(self, text: str) -> admin.Row:
         """Returns the changes of a note, or raises with all findings."""
@@ -137,8 +137,9 @@
         if team and self._state.object("team", team) is None:
             raise problems.Problem("not-found", f"no team {team!r}")
         key_id = f"k{secrets.token_hex(6)}"
-        secret = f"fx_{key_id}_{secrets.token_urlsafe(_SECRET_BYTES)}"
-        digest = hashlib.sha256(secret.encode()).hexdigest()
+        random_part = secrets.token_urlsafe(_SECRET_BYTES)
+        secret = keys.format_secret(key_id, random_part)
+        digest = keys.digest_of(secret)
         record = records.KeyGiven(key_id, digest, team, author)
         verdict = await self._commit(record)
         if not verdict.accepted:
--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -1,18 +1,19 @@
 """Checks keys against the folded state, if that state is fresh enough."""
 
-import hashlib
 import hmac
 
+from loguru import logger
+
 from foxtaillock.api import auth
 from foxtaillock.api import problems
 from foxtaillock.model import clock as clocks
 from foxtaillock.state import control_state
+from foxtaillock.state import keys
 from foxtaillock.state import replica as replicas
+from foxtaillock.state import tables
 
 __all__ = ["KeyDesk"]
 
-_PREFIX = "fx"
-_NO_DIGEST = "0" * 64
 BOOTSTRAP_KEY_ID = "bootstrap"
 
 
@@ -42,6 +43,7 @@
         self._operator_digest = operator_digest
         self._denied: dict[str, None] = {}
         self._peer_fresh_s = float("-inf")
+        self._peer_offset = 0
 
     @property
     def denied(self) -> tuple[str, ...]:
@@ -57,6 +59,7 @@
     def note_peer_view(self, next_offset: int, as_of_s: float) -> None:
         """Takes a peer's statement that its view of `next_offset` was whole
         at `as_of_s` on the own clock."""
+        self._peer_offset = max(self._peer_offset, next_offset)
         if self._replica.next_offset >= next_offset:
             self._peer_fresh_s = max(self._peer_fresh_s, as_of_s)
 
@@ -66,46 +69,43 @@
         return min(self._replica.age_s(), peer_age_s)
 
     def may_honour(self) -> bool:
-        """Returns whether the view is fresh enough to let keys work.
-
-        While the log itself answers that it is unavailable nothing can be
-        withdrawn through it, so that keys go on working.
-        """
-        if self.view_age_s() <= self._freshness_s:
-            return True
-        return self._replica.log_refused_age_s() <= self._freshness_s
+        """Returns whether the view is fresh enough to let keys work."""
+        return keys.may_honour(
+            self.view_age_s(),
+            self._replica.log_refused_age_s(),
+            self._freshness_s,
+            self._peer_offset > self._replica.next_offset,
+        )
 
     def submitter(self, secret: str) -> auth.Principal:
         """Returns the owner of a submitter's key."""
-        principal = self._check(secret)
-        if principal.operator:
-            raise problems.Problem("forbidden", "an operator's key")
-        return principal
+        return self._check(secret, keys.KeyRole.SUBMITTER)
 
     def operator(self, secret: str) -> auth.Principal:
         """Returns the owner of an operator's key."""
-        digest = hashlib.sha256(secret.encode()).hexdigest()
+        digest = keys.digest_of(secret)
         if self._operator_digest and hmac.compare_digest(
             digest, self._operator_digest
         ):
             return auth.Principal(BOOTSTRAP_KEY_ID, "", True)
-        principal = self._check(secret)
-        if not principal.operator:
-            raise problems.Problem("forbidden", "not an operator's key")
-        return principal
-
-    def _check(self, secret: str) -> auth.Principal:
-        prefix, _, rest = secret.partition("_")
-        key_id, _, _ = rest.partition("_")
-        stored = self._state.key(key_id)
-        digest = hashlib.sha256(secret.encode()).hexdigest()
-        expected = stored.digest if stored is not None else _NO_DIGEST
-        matches = hmac.compare_digest(digest, expected or _NO_DIGEST)
-        if not self.may_honour():
+        return self._check(secret, keys.KeyRole.OPERATOR)
+
+    def _check(self, secret: str, role: keys.KeyRole) -> auth.Principal:
+        result = keys.check_key(secret, role, self._lookup, self.may_honour())
+        if isinstance(result, keys.KeyAccepted):
+            is_operator = role is keys.KeyRole.OPERATOR
+            return auth.Principal(result.key_id, result.team, is_operator)
+        logger.debug("key rejected: {}", result.reason)
+        if result.reason is keys.KeyRejection.STALE_VIEW:
             raise problems.Problem(
                 "stale-view", "this zone cannot tell whether the key works"
             )
-        withdrawn = stored is None or stored.withdrawn or key_id in self._denied
-        if prefix != _PREFIX or withdrawn or not matches or stored is None:
-            raise problems.Problem("key-rejected", "the key does not work")
-        return auth.Principal(key_id, stored.team, not stored.team)
+        if result.reason is keys.KeyRejection.WRONG_ROLE:
+            raise problems.Problem("forbidden", "a key of another kind")
+        raise problems.Problem("key-rejected", "the key does not work")
+
+    def _lookup(self, key_id: str) -> tables.StoredKey | None:
+        stored = self._state.key(key_id)
+        if stored is not None and key_id in self._denied:
+            return stored._replace(withdrawn=True)
+        return stored
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -30,6 +30,8 @@
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.daemon import session_keeper
 from foxtaillock.daemon import vm_watch
+from foxtaillock.leases import ownership
+from foxtaillock.leases import times as session_times
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
@@ -107,19 +109,19 @@
             settings.key_freshness_s,
             settings.operator_key_digest,
         )
-        times = session_keeper.SessionTimes(
-            settings.session_lease_s,
-            settings.session_renew_s,
-            settings.drift_allowance_s,
-        )
         self.session = session_keeper.SessionKeeper(
-            settings.node_name,
-            settings.zone,
+            ownership.Identity(
+                settings.node_name, self.incarnation, settings.zone
+            ),
             self.state,
             self.replica,
             self.clock,
             rng,
-            times,
+            session_times.make_times(
+                settings.session_lease_s,
+                settings.session_renew_s,
+                settings.drift_allowance_s,
+            ),
             self._pool_names,
         )
 
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -226,10 +226,7 @@
         for pool in list(self._held):
             epoch = self._held[pool].epoch
             await self._stop(pool)
-            try:
-                await self._session.release(pool, epoch)
-            except exceptions.FoxtaillockError as error:
-                logger.warning("pool {} was not released: {}", pool, error)
+            await self._session.release(pool, epoch)
 
     async def close(self) -> None:
         """Ends all tasks."""
