--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -147,11 +147,23 @@
         return {"key_id": key_id, "secret": secret, "team": team}
 
     async def withdraw_key(self, key_id: str, author: str) -> admin.Row:
-        """Withdraws a key; peers hear of it before the log does."""
+        """Withdraws a key; peers hear of it before the log does.
+
+        When the log then refuses the record, the key is refused by the entry
+        VMs that heard of it, but a fresh one would honour it: the outcome is
+        unknown, and the operator has to withdraw it again.
+        """
         if self._state.key(key_id) is None:
             raise problems.Problem("not-found", f"no key {key_id!r}")
         self._on_withdrawn(key_id)
-        await self._commit(records.KeyWithdrawn(key_id, author))
+        try:
+            await self._commit(records.KeyWithdrawn(key_id, author))
+        except problems.Problem as problem:
+            raise problems.Problem(
+                "not-recorded",
+                f"refused by the entry VMs reached: {problem.detail}",
+                outcome=outcomes.OutcomeTag.UNKNOWN,
+            ) from problem
         return {"key_id": key_id, "withdrawn": True}
 
     def list_notes(self) -> Sequence[admin.Row]:
--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -1,6 +1,7 @@
 """Checks keys against the folded state, if that state is fresh enough."""
 
 import hmac
+import itertools
 
 from loguru import logger
 
@@ -15,6 +16,8 @@
 __all__ = ["KeyDesk"]
 
 BOOTSTRAP_KEY_ID = "bootstrap"
+_NEWS_S = 30.0
+_MAX_NEWS = 100
 
 
 class KeyDesk:
@@ -41,20 +44,32 @@
         self._clock = clock
         self._freshness_s = freshness_s
         self._operator_digest = operator_digest
-        self._denied: dict[str, None] = {}
+        self._denied_s: dict[str, float] = {}
         self._peer_fresh_s = float("-inf")
         self._peer_offset = 0
 
-    @property
-    def denied(self) -> tuple[str, ...]:
-        """Key ids that were withdrawn lately, as peers or we know."""
-        return tuple(self._denied)
+    def recently_denied(self) -> tuple[str, ...]:
+        """Returns the key ids that were withdrawn lately, for the peers.
+
+        One that the folded state knows as withdrawn is dropped after a while.
+        """
+        now_s = self._clock.monotonic_s()
+        for key_id, since_s in list(self._denied_s.items()):
+            stored = self._state.key(key_id)
+            is_folded = stored is not None and stored.withdrawn
+            if is_folded and now_s - since_s > _NEWS_S:
+                del self._denied_s[key_id]
+        return tuple(itertools.islice(self._denied_s, _MAX_NEWS))
 
     def deny(self, key_id: str) -> bool:
         """Stops a key at once; returns whether that is news."""
-        is_news = key_id not in self._denied
-        self._denied[key_id] = None
-        return is_news
+        if key_id in self._denied_s:
+            return False
+        stored = self._state.key(key_id)
+        if stored is not None and stored.withdrawn:
+            return False
+        self._denied_s[key_id] = self._clock.monotonic_s()
+        return True
 
     def note_peer_view(self, next_offset: int, as_of_s: float) -> None:
         """Takes a peer's statement that its view of `next_offset` was whole
@@ -106,6 +121,6 @@
 
     def _lookup(self, key_id: str) -> tables.StoredKey | None:
         stored = self._state.key(key_id)
-        if stored is not None and key_id in self._denied:
+        if stored is not None and key_id in self._denied_s:
             return stored._replace(withdrawn=True)
         return stored
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -345,7 +345,7 @@
             self.replica.age_s(),
             "",
             self._draining,
-            self.keys.denied,
+            self.keys.recently_denied(),
         )
 
     def _spread(self) -> None:
@@ -371,6 +371,7 @@
             "zone": self.settings.zone,
             "revision": self.state.revision,
             "next_offset": self.replica.next_offset,
+            "digest": self.state.digest(),
             "view_age_s": round(self.keys.view_age_s(), 3),
             "session_valid": self.session.is_valid(),
             "pools_owned": sorted(self.pools.owners),
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -12,10 +12,12 @@
 import sys
 import tempfile
 import typing
+import urllib.parse
 
 import aiohttp
 
 from foxtaillock.demo import client
+from foxtaillock.proxy import fault_proxy
 
 __all__ = ["OPERATOR_KEY", "ProcessFleet", "free_port"]
 
@@ -41,6 +43,8 @@
         self.api_port = free_port()
         self.peer_port = free_port()
         self.log_url = ""
+        self.peer_secret = _PEER_SECRET
+        self.log_proxy: fault_proxy.FaultProxy | None = None
         self.process: asyncio.subprocess.Process | None = None  # pylint: disable=no-member
 
     @property
@@ -96,7 +100,14 @@
         assert self._standins.stdout is not None
         self.urls = json.loads(await self._standins.stdout.readline())
         for entry in self.entries:
-            entry.log_url = self.urls["log"]
+            await self._put_proxy_before_log(entry)
+
+    async def _put_proxy_before_log(self, entry: Entry) -> None:
+        log = urllib.parse.urlsplit(self.urls["log"])
+        entry.log_proxy = await fault_proxy.start_fault_proxy(
+            f"{log.hostname}:{log.port}"
+        )
+        entry.log_url = f"http://{entry.log_proxy.address}"
 
     async def start_entry(self, entry: Entry) -> None:
         """Starts the daemon of an entry VM."""
@@ -119,7 +130,7 @@
             "LOG_URL": entry.log_url,
             "VM_LIST_URL": self.urls["vm_list"],
             "POOL_URL": self.urls["pools"],
-            "PEER_SECRET": _PEER_SECRET,
+            "PEER_SECRET": entry.peer_secret,
             "OPERATOR_KEY_DIGEST": digest,
             "API_PORT": str(entry.api_port),
             "PEER_PORT": str(entry.peer_port),
@@ -203,6 +214,9 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        for entry in self.entries:
+            if entry.log_proxy is not None:
+                await entry.log_proxy.close()
         if self._session is not None:
             await self._session.close()
         shutil.rmtree(self._folder)
--- a/foxtaillock/integration/scenario.py
+++ b/foxtaillock/integration/scenario.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import aiohttp
+
 from foxtaillock.demo import client
 from foxtaillock.integration import processes
 
@@ -97,7 +99,7 @@
             answer = await sender.send_json(
                 "POST", "/v1/queues/bend/jobs", body, extra
             )
-        except OSError:
+        except (OSError, aiohttp.ClientError):
             answer = None
         if answer is not None and answer.status == 202:
             return str(answer.body["job_id"])
--- /dev/null
+++ b/foxtaillock/integration/tests/test_partitions.py
@@ -0,0 +1,136 @@
+"""Proofs under partitions and lost answers, through the fault proxy."""
+
+import asyncio
+import collections
+import json
+import typing
+
+import aiohttp
+
+from foxtaillock.integration import processes
+from foxtaillock.integration import scenario
+from foxtaillock.integration.tests import base
+
+_FREEZE = {"up": {"mode": "freeze"}, "down": {"mode": "freeze"}}
+_PASS = {"up": {"mode": "pass"}, "down": {"mode": "pass"}}
+_CALL = "/v1/services/quotes/call/x"
+
+
+def _set_log_faults(
+    entry: processes.Entry, faults: dict[str, typing.Any]
+) -> None:
+    assert entry.log_proxy is not None
+    entry.log_proxy.set_faults(faults)
+
+
+class CutOffZoneTest(base.FleetTestCase):
+
+    def change_fleet(self) -> None:
+        """Peers do not know the last entry VM, so only the log tells it."""
+        self.fleet.entries[2].peer_secret = "another-secret-of-the-proofs"
+
+    async def test_withdrawn_key_stops_in_a_cut_off_zone(self) -> None:
+        key_id, secret = await scenario.give_key(self.fleet, "trinidad")
+        sender = self.fleet.client(secret)
+
+        async def _answer_code() -> str:
+            answer = await sender.send("GET", "/v1/jobs/x.0", entry=2)
+            return answer.code
+
+        async def _works() -> bool:
+            return await _answer_code() != "key-rejected"
+
+        await scenario.until(_works, 5.0, "the key works")
+        _set_log_faults(self.fleet.entries[2], _FREEZE)
+        path = f"/admin/v1/keys/{key_id}"
+        answer = await self.fleet.client().send("DELETE", path, entry=0)
+        self.assertEqual(answer.status, 200)
+
+        async def _stopped() -> bool:
+            return await _answer_code() in ("stale-view", "key-rejected")
+
+        await scenario.until(_stopped, 5.0, "the key stops in the zone")
+        for _ in range(20):
+            self.assertIn(await _answer_code(), ("stale-view", "key-rejected"))
+            await asyncio.sleep(0.1)
+        _set_log_faults(self.fleet.entries[2], _PASS)
+
+        async def _rejected() -> bool:
+            return await _answer_code() == "key-rejected"
+
+        await scenario.until(_rejected, 10.0, "the zone knows")
+
+
+class PartitionsTest(base.FleetTestCase):
+
+    async def test_lost_answers_of_the_log_double_nothing(self) -> None:
+        for entry in self.fleet.entries:
+            _set_log_faults(entry, {"lose_answers_probability": 0.15})
+        sender = await self.make_sender("trinidad")
+        jobs = [await scenario.submit(sender, f"k{i}", 0.2) for i in range(12)]
+        await self.await_done(sender, jobs)
+        for entry in self.fleet.entries:
+            _set_log_faults(entry, {"lose_answers_probability": 0.0})
+        await self.check_ran_once(jobs)
+        await scenario.until(self._digests_agree, 10.0, "digests agree")
+
+    async def _digests_agree(self) -> bool:
+        admin = self.fleet.client()
+        answers = [
+            await admin.send("GET", "/admin/v1/status", entry=i)
+            for i in range(3)
+        ]
+        by_offset = collections.defaultdict(set)
+        for answer in answers:
+            by_offset[answer.body["next_offset"]].add(answer.body["digest"])
+        self.assertEqual({len(seen) for seen in by_offset.values()}, {1})
+        return len(by_offset) == 1
+
+    async def test_owner_cut_off_from_the_log_starts_nothing(self) -> None:
+        sender = await self.make_sender("trinidad")
+        jobs = [await scenario.submit(sender, f"k{i}", 1.0) for i in range(20)]
+        owner = await self.find_owner()
+        _set_log_faults(owner, _FREEZE)
+        left = self.fleet.client(sender.key, self.others(owner))
+        more = await scenario.submit(left, "late", 0.1)
+        _set_log_faults(owner, _PASS)
+        await self.await_done(left, (*jobs, more))
+        await self.check_ran_once((*jobs, more))
+
+    async def test_charge_runs_once_through_all_entry_vms(self) -> None:
+        sender = await self.make_sender("trinidad")
+        body = json.dumps({"work_s": 0.05})
+        charges = [f"charge-{i}" for i in range(10)]
+        calls = [
+            sender.send("POST", _CALL, body, {"Idempotency-Key": name}, entry=i)
+            for name in charges
+            for i in (0, 1, 2, 0)
+        ]
+        answers = await asyncio.gather(*calls)
+        runs = collections.Counter(
+            row["idempotency_key"]
+            for row in await self.read_journal("runners_admin")
+        )
+        self.assertEqual(dict(runs), dict.fromkeys(charges, 1))
+        ran = sum(a.outcome == "ran" and a.status == 200 for a in answers)
+        self.assertGreaterEqual(ran, len(charges))
+        for answer in answers:
+            self.assertNotEqual(answer.outcome, "not-run", answer)
+
+    async def test_charge_of_a_killed_entry_vm_does_not_run_again(
+        self,
+    ) -> None:
+        sender = await self.make_sender("trinidad")
+        body = json.dumps({"work_s": 1.0})
+        extra = {"Idempotency-Key": "charge"}
+        call = asyncio.ensure_future(
+            sender.send("POST", _CALL, body, extra, entry=0)
+        )
+        await asyncio.sleep(0.6)
+        await self.fleet.kill(self.fleet.entries[0])
+        with self.assertRaises(aiohttp.ClientError):
+            await call
+        again = await sender.send("POST", _CALL, body, extra, entry=1)
+        self.assertEqual(again.outcome, "unknown", again)
+        rows = await self.read_journal("runners_admin")
+        self.assertEqual(len(rows), 1)
