--- /dev/null
+++ b/foxtaillock/routing/tests/test_table.py
@@ -0,0 +1,194 @@
+"""Tests of the choice of a runner, with a naive twin."""
+
+import random
+import unittest
+
+from foxtaillock.model import world
+from foxtaillock.routing import health
+from foxtaillock.routing import table
+
+_STATES = list(world.VmState)
+_FAILED = table.Answer(health.Result.FAILED)
+
+
+def _answer(busy: int) -> table.Answer:
+    return table.Answer(health.Result.ANSWERED, busy, 1)
+
+
+def _make_vm(
+    name: str, zone: str = "z1", incarnation: int = 1
+) -> world.VmEntry:
+    role = world.VmRole.RUNNER
+    return world.VmEntry(name, incarnation, role, zone, "", "")
+
+
+def _make_table(count: int = 6, entries: int = 9) -> table.RunnerTable:
+    runners = table.RunnerTable("z1")
+    vms = [_make_vm(f"r{i}") for i in range(count)]
+    runners.update(vms, slots=8, connections=64, entry_count=entries)
+    return runners
+
+
+class _NaiveRunner:
+    """Keeps the whole history of a runner and derives all from it."""
+
+    def __init__(self, vm: world.VmEntry) -> None:
+        self.vm = vm
+        self.open: dict[int, float] = {}
+        self.ended: list[tuple[float, int, int, float]] = []
+
+    def end(self, ticket: int, busy: int, now_s: float) -> None:
+        """Adds an answer."""
+        took_s = now_s - self.open.pop(ticket)
+        self.ended.append((now_s, busy, len(self.open), took_s))
+
+    def latency_s(self) -> float:
+        """Returns the moving average of all answers."""
+        average_s = self.ended[0][3] if self.ended else 0.0
+        for row in self.ended:
+            average_s = 0.9 * average_s + 0.1 * row[3]
+        return average_s
+
+    def has_room(self, now_s: float) -> bool:
+        """Returns whether own calls and others leave a slot of eight."""
+        others = 0.0
+        if self.ended:
+            at_s, busy, own_then, _ = self.ended[-1]
+            others = max(0, busy - own_then) * 0.5 ** (now_s - at_s)
+        return len(self.open) < 7 and len(self.open) + others <= 7.5
+
+
+def _find_allowed(runners: list[_NaiveRunner], now_s: float) -> set[str]:
+    """Returns the names of the runners that a call may go to."""
+    staying = [r for r in runners if r.vm.state is world.VmState.LIVE]
+    latencies = sorted(r.latency_s() for r in staying)
+    median_s = latencies[len(latencies) // 2] if latencies else 0.0
+    overdue_s = max(1.0, 8.0 * median_s)
+    quick = [
+        r
+        for r in staying
+        if all(now_s - at_s < overdue_s for at_s in r.open.values())
+    ]
+    if 2 * len(quick) < len(staying):
+        quick = staying
+    return {r.vm.name for r in quick if r.has_room(now_s)}
+
+
+class RunnerTableTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.rng = random.Random(3)
+
+    def test_agrees_with_naive_table(self) -> None:
+        for seed in range(20):
+            self._compare(random.Random(seed))
+
+    def _compare(self, rng: random.Random) -> None:
+        runners = table.RunnerTable("z1")
+        vms = [_make_vm(f"r{i}", f"z{1 + i % 3}") for i in range(6)]
+        naive = [_NaiveRunner(vm) for vm in vms]
+        running: list[tuple[table.Runner, int]] = []
+        now_s = 0.0
+        for _ in range(300):
+            now_s += rng.random() * 0.1
+            if rng.random() < 0.1:
+                twin = rng.choice(naive)
+                twin.vm = twin.vm._replace(state=rng.choice(_STATES))
+            runners.update([twin.vm for twin in naive], 8, 64, 9)
+            if running and rng.random() < 0.4:
+                runner, ticket = running.pop(rng.randrange(len(running)))
+                busy = rng.randrange(9)
+                runner.end(ticket, _answer(busy), now_s, rng)
+                naive[int(runner.vm.name[1:])].end(ticket, busy, now_s)
+            allowed = _find_allowed(naive, now_s)
+            chosen = runners.choose(rng, now_s)
+            if chosen is None:
+                self.assertEqual(allowed, set())
+                continue
+            self.assertIn(chosen.vm.name, allowed)
+            ticket = chosen.start(now_s)
+            running.append((chosen, ticket))
+            naive[int(chosen.vm.name[1:])].open[ticket] = now_s
+
+    def test_nine_entry_vms_stay_under_the_connections(self) -> None:
+        tables = [_make_table(count=1) for _ in range(9)]
+        started = 0
+        for runners in tables:
+            while (runner := runners.choose(self.rng, 0.0)) is not None:
+                runner.start(0.0)
+                started += 1
+        self.assertEqual(started, 63)
+
+    def test_slots_that_others_use_are_left_alone(self) -> None:
+        runners = _make_table(count=1)
+        runner = runners.choose(self.rng, 0.0)
+        assert runner is not None
+        full = table.Answer(health.Result.REFUSED, 8, 8)
+        runner.end(runner.start(0.0), full, 0.0, self.rng)
+        self.assertIsNone(runners.choose(self.rng, 0.01))
+        self.assertIsNotNone(runners.choose(self.rng, 3.0))
+
+    def test_other_zones_serve_only_what_the_own_zone_cannot(self) -> None:
+        runners = table.RunnerTable("z1")
+        vms = [_make_vm("near"), _make_vm("far", "z2")]
+        runners.update(vms, 8, 64, 9)
+        names = []
+        for _ in range(14):
+            runner = runners.choose(self.rng, 0.0)
+            assert runner is not None
+            runner.start(0.0)
+            names.append(runner.vm.name)
+        self.assertEqual(names[:7], ["near"] * 7)
+        self.assertEqual(names[7:], ["far"] * 7)
+
+    def _fail(self, runner: table.Runner, now_s: float, times: int) -> None:
+        for _ in range(times):
+            runner.end(runner.start(now_s), _FAILED, now_s, self.rng)
+
+    def _names(self, runners: table.RunnerTable, now_s: float) -> set[str]:
+        chosen = [runners.choose(self.rng, now_s) for _ in range(100)]
+        return {runner.vm.name for runner in chosen if runner is not None}
+
+    def test_failing_runner_is_ejected_and_comes_back_slowly(self) -> None:
+        runners = _make_table()
+        bad = next(iter(runners.runners()))
+        self._fail(bad, 0.0, 5)
+        self.assertNotIn("r0", self._names(runners, 0.1))
+        self.assertIn("r0", self._names(runners, 3.0))
+        ticket = bad.start(3.0)
+        self.assertNotIn("r0", self._names(runners, 3.0))
+        bad.end(ticket, _FAILED, 3.0, self.rng)
+        self.assertNotIn("r0", self._names(runners, 5.0))
+        ticket = bad.start(9.0)
+        bad.end(ticket, _answer(0), 9.0, self.rng)
+        bad.start(9.0)
+        self.assertIn("r0", self._names(runners, 9.0))
+
+    def test_ejection_never_empties_a_service(self) -> None:
+        runners = _make_table()
+        for runner in runners.runners():
+            self._fail(runner, 0.0, 5)
+        self.assertEqual(len(self._names(runners, 0.1)), 6)
+
+    def test_hung_runner_gets_nothing_more(self) -> None:
+        runners = _make_table()
+        hung = next(iter(runners.runners()))
+        hung.start(0.0)
+        self.assertNotIn("r0", self._names(runners, 1.5))
+
+    def test_leaving_runner_gets_nothing_new(self) -> None:
+        vms = [_make_vm(f"r{i}") for i in range(3)]
+        runners = _make_table(3)
+        leaving = vms[0]._replace(state=world.VmState.LEAVING)
+        runners.update([leaving, *vms[1:]], 8, 64, 9)
+        self.assertNotIn("r0", self._names(runners, 0.0))
+        runners.update(vms, 8, 64, 9, draining={"r1"})
+        self.assertNotIn("r1", self._names(runners, 0.0))
+        runners.update(vms, 8, 64, 9)
+        said = table.Answer(health.Result.ANSWERED, 0, 1, is_draining=True)
+        runner = next(r for r in runners.runners() if r.vm.name == "r2")
+        runner.end(runner.start(0.0), said, 0.0, self.rng)
+        self.assertNotIn("r2", self._names(runners, 1.0))
+        replaced = _make_vm("r2", incarnation=2)
+        runners.update([*vms[:2], replaced], 8, 64, 9)
+        self.assertIn("r2", self._names(runners, 1.0))
