Keep attempts counted through a hand-over; give grants back while leaving

Read while joining the carry with the daemon: a graceful stop handed its pools over and stopped counting their attempts while its session lived, so its next change could have lowered the grants that cover them; now they stay counted until the process ends. GrantsCarried went out urgent and could pass an earlier GrantChanged of the same node; now both use one lane. Neither is shown by a test of the daemon, the model of the limits keeps one order of records. A stopping node lowers its grants to what runs and waits there, waits for charges whose callers left, and teams' shares reach the queues.

--- a/foxtaillock/calls/service.py
+++ b/foxtaillock/calls/service.py
@@ -95,7 +95,9 @@
         for name in sorted(set(self._desks) - set(services)):
             self._desks.pop(name).close()
         entry_count = sum(vm.role is world.VmRole.ENTRY for vm in vms)
-        weights = {name: team["share"] for name, team in (teams or {}).items()}
+        weights = {
+            name: team.get("share", 1) for name, team in (teams or {}).items()
+        }
         for name, body in services.items():
             if name not in self._desks:
                 self._desks[name] = desks.ServiceDesk(
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 import secrets
 import typing
@@ -281,6 +282,7 @@
         self._draining = True
         self._not_ready = "draining"
         self.session.stop_claiming()
+        self.grants.start_leaving()
         await self._await_requests()
         await self._runner.cleanup()
         await self.pools.hand_over()
@@ -291,6 +293,9 @@
         while self._requests_open and self.clock.monotonic_s() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
         self.calls.start_draining()
+        left_s = max(0.0, end_s - self.clock.monotonic_s())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.calls.wait_idle(), left_s)
 
     async def close(self) -> None:
         """Ends all tasks and connections."""
@@ -323,7 +328,14 @@
             name: row.body
             for name, row in self.state.objects("service").items()
         }
-        self.calls.update_runners(vms, typing.cast(typing.Any, services))
+        teams = {
+            name: row.body for name, row in self.state.objects("team").items()
+        }
+        self.calls.update_runners(
+            vms,
+            typing.cast(typing.Any, services),
+            typing.cast(typing.Any, teams),
+        )
         self.pools.update(vms)
         self.links.update_members(self._members())
 
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -174,20 +174,26 @@
                 amounts,
             )
             try:
-                await self._control.commit(record, urgent=True)
+                # Not urgent: it must not pass a change of the own grant that
+                # was decided before the attempts were counted here.
+                await self._control.commit(record)
             except exceptions.FoxtaillockError as error:
                 logger.debug("grants of {} were not carried: {}", pool, error)
             await asyncio.sleep(_INTERVAL_S)
         grants.may_start = True
 
     async def _stop(self, pool: str) -> None:
+        held = await self._halt(pool)
+        held.grants.drop()
+
+    async def _halt(self, pool: str) -> _Held:
         held = self._held.pop(pool)
         self.owners.pop(pool, None)
         await held.owner.stop()
-        held.grants.drop()
         for task in held.tasks:
             task.cancel()
         logger.info("no longer owner of pool {}", pool)
+        return held
 
     def update(self, vms: Sequence[world.VmEntry]) -> None:
         """Takes over the list of VMs and the configuration in force."""
@@ -222,10 +228,14 @@
         return {name: row.body for name, row in stored.items()}
 
     async def hand_over(self) -> None:
-        """Stops all owners and releases their pools to other nodes."""
+        """Stops all owners and releases their pools to other nodes.
+
+        Attempts that run on stay counted here: they hold this node's grants
+        until the new owner carries those over.
+        """
         for pool in list(self._held):
             epoch = self._held[pool].epoch
-            await self._stop(pool)
+            await self._halt(pool)
             try:
                 await self._session.release(pool, epoch)
             except exceptions.FoxtaillockError as error:
--- a/foxtaillock/limits/decisions.py
+++ b/foxtaillock/limits/decisions.py
@@ -51,7 +51,8 @@
         live: holders whose session lives; they share the limit.
         running: calls and job attempts that run here.
         wanted: what this node could use now.
-        leaving: whether this node stops and gives all back.
+        leaving: whether this node stops and gives back what it needs no
+            more.
     """
 
     team: str
@@ -129,12 +130,14 @@
         return None
     own = view.grants.get(holder, Grant(0, 0))
     wanted = min(_with_headroom(view.wanted), view.limit)
+    if view.leaving:
+        wanted = 0
     target = _find_target(holder, view, wanted)
     free = view.limit - sum(grant.amount for grant in view.grants.values())
     amount = own.amount
     if view.leaving or free < 0 or _find_lack(holder, view) > free:
         amount = min(own.amount, target)
-    if amount < target and free > 0:
+    if amount < target and free > 0 and not view.leaving:
         if wanted > own.amount or own.amount == 0:
             amount += _take_part(holder, view, target - amount, free)
     if amount == own.amount and not _must_tell(holder, view, own, wanted):
@@ -149,7 +152,7 @@
 
 def _find_target(holder: tuple[str, str], view: TeamView, wanted: int) -> int:
     if view.leaving:
-        return 0
+        return view.wanted
     held = sum(
         grant.amount
         for other, grant in view.grants.items()
--- a/foxtaillock/limits/grants.py
+++ b/foxtaillock/limits/grants.py
@@ -113,20 +113,6 @@
         """
         self._team(team).running += running
 
-    def begin_carry(self, team: str, running: int) -> records.GrantChanged:
-        """Stops counting attempts whose pool goes to another owner.
-
-        Call it before `GrantsCarried` is committed; the cap falls with the
-        count. Pass the result to `end_change` or `lose_change` as for a
-        planned change.
-        """
-        count = self._team(team)
-        count.running = max(0, count.running - running)
-        amount = max(0, self.find_cap(team) - running)
-        change = records.GrantChanged(team, *self._holder, amount, 0)
-        count.pending.append(change)
-        return change
-
     def running(self, team: str) -> int:
         """Returns how many calls and attempts of `team` run here."""
         return self._team(team).running
@@ -189,7 +175,7 @@
             folded.grants,
             live,
             count.running,
-            0 if self._leaving else count.running + count.waiting,
+            count.running + count.waiting,
             self._leaving,
         )
         for change in decisions.decide(*self._holder, [view]):
--- a/foxtaillock/limits/tests/test_grants.py
+++ b/foxtaillock/limits/tests/test_grants.py
@@ -136,6 +136,21 @@
         self.assertFalse(local.try_start("t"))
         self.assertEqual(local.find_cap("t"), 4)
 
+    def test_leaving_node_keeps_what_its_calls_need(self) -> None:
+        local = grants.LocalGrants(clock_lib.ManualClock(), "e1", "x")
+        local.set_session_valid_until(60.0)
+        holder = ("e1", "x")
+        folded = {
+            "t": decisions.FoldedTeam(10, {holder: decisions.Grant(8, 8)})
+        }
+        local.set_granted("t", 8)
+        local.try_start("t")
+        local.set_waiting("t", 2)
+        local.start_leaving()
+        change = local.plan(folded, [holder])[0]
+        self.assertEqual((change.amount, change.wanted), (3, 0))
+        self.assertTrue(local.try_start("t") and local.try_start("t"))
+
     def test_change_leaves_room_for_adopted_attempts(self) -> None:
         local = grants.LocalGrants(clock_lib.ManualClock(), "e1", "x")
         holder = ("e1", "x")
