--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -44,7 +44,9 @@
     "SCHEMA_VERSION",
     "SessionEnded",
     "SessionRenewed",
+    "SNAPSHOT_STREAM",
     "SnapshotChunk",
+    "SnapshotMarked",
     "UnknownRecord",
     "VmStep",
     "WaveChanged",
@@ -55,6 +57,7 @@
 
 SCHEMA_VERSION = 1
 CONTROL_STREAM = "control"
+SNAPSHOT_STREAM = "snapshots"
 FLEET_POOL = "_fleet"
 
 Record = typing.Any
@@ -304,6 +307,18 @@
     epoch: int
 
 
+@register_record("snapshot-marked")
+class SnapshotMarked(typing.NamedTuple):
+    """A snapshot is taken of the state after the batch of this record.
+
+    Every replica takes the digest there and compares it with that of the
+    snapshot, once this is written.
+    """
+
+    snapshot_id: str
+    node: str
+
+
 @register_record("snapshot-chunk")
 class SnapshotChunk(typing.NamedTuple):
     """Part of a snapshot of the state at `at_offset`.
--- a/foxtaillock/state/codec.py
+++ b/foxtaillock/state/codec.py
@@ -50,8 +50,8 @@
     """Returns the fields of an encoded state.
 
     Raises:
-        exceptions.InvalidInputError: `text` is no encoded state of this
-            schema version.
+        exceptions.InvalidInputError: `text` is no encoded state, or of a
+            later schema version.
     """
     try:
         fields = json.loads(text)
@@ -60,7 +60,7 @@
         raise exceptions.InvalidInputError(
             f"snapshot is not an encoded state: {error}"
         ) from error
-    if schema != records.SCHEMA_VERSION:
+    if not isinstance(schema, int) or schema > records.SCHEMA_VERSION:
         raise exceptions.InvalidInputError(
             f"snapshot has schema version {schema!r}, "
             f"this program has {records.SCHEMA_VERSION}"
--- a/foxtaillock/state/control_state.py
+++ b/foxtaillock/state/control_state.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import json
-import typing
 from collections.abc import Sequence
 
 from foxtaillock.model import records
@@ -15,13 +14,21 @@
 from foxtaillock.state import notes_fold
 from foxtaillock.state import sequences
 from foxtaillock.state import sessions_fold
+from foxtaillock.state import snapshots_fold
 from foxtaillock.state import tables
 from foxtaillock.state import vms_fold
 
 __all__ = ["ControlState"]
 
 # Imported for the handlers that they register.
-_FOLDS = (grants_fold, keys_fold, notes_fold, sessions_fold, vms_fold)
+_FOLDS = (
+    grants_fold,
+    keys_fold,
+    notes_fold,
+    sessions_fold,
+    vms_fold,
+    snapshots_fold,
+)
 _DUPLICATE = verdicts.Verdict(False, "duplicate")
 
 
@@ -75,12 +82,16 @@
         Raises:
             exceptions.InvalidInputError: `text` is not an encoded state.
         """
-        fields = codec.parse(text)
         state = cls()
-        state.load(fields)
+        state.restore(text)
         return state
 
-    def load(self, fields: dict[str, typing.Any]) -> None:
-        """Replaces the whole state by the fields of an encoded one."""
+    def restore(self, text: str) -> None:
+        """Replaces the whole state by the one that `text` encodes.
+
+        Raises:
+            exceptions.InvalidInputError: `text` is not an encoded state.
+        """
+        fields = codec.parse(text)
         self._tables = codec.decode_tables(fields)
         self._sequences.load_rows(fields["sequences"])
--- a/foxtaillock/state/replica.py
+++ b/foxtaillock/state/replica.py
@@ -97,6 +97,7 @@
         self._rng = rng
         self._budget = budget
         self._next_offset = next_offset
+        self._required_offset = 0
         self._settings = settings
         self._sequence = 0
         self._freshness = freshness.Freshness(settings.evidence_gap_s)
@@ -121,13 +122,25 @@
         """Registers a function called after each batch was folded."""
         self._callbacks.append(callback)
 
+    def start_at(self, offset: int) -> None:
+        """Sets the offset to read from, after loading a snapshot into the
+        fold; call it before `run`."""
+        self._next_offset = offset
+
+    def require_offset(self, offset: int) -> None:
+        """Lets the view count as infinitely old until it has folded all
+        records before `offset`, as a peer or the log has shown that they
+        stand."""
+        self._required_offset = max(self._required_offset, offset)
+
     def age_s(self) -> float:
         """Returns how old the view is at most; infinite once stopped.
 
         Counted from before the last read that reached the end of the stream
         was sent.
         """
-        if self._error is not None:
+        is_behind = self._next_offset < self._required_offset
+        if self._error is not None or is_behind:
             return math.inf
         return self._freshness.age_s(self._clock.monotonic_s())
 
@@ -195,6 +208,20 @@
                 f"stream {self._stream} was not read up to {target}"
             ) from error
 
+    async def read_to_end(self) -> None:
+        """Folds all records that stand now, without `run`.
+
+        Raises:
+            exceptions.LogUnavailableError: the log answered so.
+            exceptions.LogUnreachableError: no answer.
+            exceptions.StateDivergedError: records expired meanwhile.
+        """
+        while True:
+            page = await self._read(limit=1, wait_s=0.0)
+            if self._next_offset >= page.next_offset:
+                return
+            await self._read_once()
+
     def _reached(self, offset: int) -> bool:
         if self._error is not None:
             raise self._error
--- /dev/null
+++ b/foxtaillock/state/snapshots_fold.py
@@ -0,0 +1,17 @@
+"""Fold of the marks at which all replicas take the digest of the state."""
+
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import handlers
+from foxtaillock.state import tables
+
+__all__ = ["fold_snapshot_marked"]
+
+
+@handlers.register_handler(records.SnapshotMarked)
+def fold_snapshot_marked(
+    state: tables.ControlTables, offset: int, record: records.SnapshotMarked
+) -> verdicts.Verdict:
+    """Accepts the mark; it changes nothing in the state."""
+    del state, offset, record
+    return verdicts.ACCEPTED
--- /dev/null
+++ b/foxtaillock/state/snapshotter.py
@@ -0,0 +1,206 @@
+"""Takes, writes, compares and loads snapshots of the control state."""
+
+import asyncio
+import collections
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import loguru
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+
+__all__ = ["Snapshotter"]
+
+_CHECK_S = 5.0
+_MARKS = 8
+
+
+class Snapshotter:
+    """Snapshots of one node's control state.
+
+    Call `start` before the control replica runs, then run `run`.
+
+    Args:
+        log: the platform's log.
+        state: fold of the control stream.
+        control: its replica.
+        chunks: replica of the snapshots' stream.
+        fold: fold of `chunks`.
+        node: name of this entry VM.
+        clock: source of time.
+        rng: source of snapshot ids.
+        is_writer: returns whether this node writes the fleet's snapshots.
+        settings: when snapshots are taken.
+    """
+
+    def __init__(
+        self,
+        log: adapters.LogService,
+        state: control_state.ControlState,
+        control: replicas.StreamReplica,
+        chunks: replicas.StreamReplica,
+        fold: snapshots.SnapshotFold,
+        *,
+        node: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+        is_writer: Callable[[], bool],
+        settings: snapshots.PolicySettings = snapshots.PolicySettings(),
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._control = control
+        self._chunks = chunks
+        self._fold = fold
+        self._node = node
+        self._clock = clock
+        self._rng = rng
+        self._is_writer = is_writer
+        self._settings = settings
+        self._last_s = clock.monotonic_s()
+        self._newest_id = ""
+        self._digests: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self._taken: snapshots.Snapshot | None = None
+        control.on_batch(self._on_control_batch)
+        chunks.on_batch(self._on_chunk_batch)
+
+    def take(self) -> snapshots.Snapshot:
+        """Returns a snapshot of the state as it is now, for a peer."""
+        return self._take(f"{self._node}-{self._rng.getrandbits(48):012x}")
+
+    def _take(self, snapshot_id: str) -> snapshots.Snapshot:
+        text = self._state.encode()
+        return snapshots.Snapshot(
+            snapshot_id,
+            self._control.next_offset,
+            snapshots.digest_of(text),
+            text,
+        )
+
+    async def start(
+        self, peer_snapshots: Iterable[snapshots.Snapshot] = ()
+    ) -> None:
+        """Loads the newest usable snapshot and sets where to read on.
+
+        The view counts as infinitely old until all that stands on the log
+        now, and all that a peer had folded, is folded here too.
+
+        Raises:
+            exceptions.LogUnavailableError: the log answered so.
+            exceptions.LogUnreachableError: no answer.
+            exceptions.StateDivergedError: no snapshot covers what expired.
+        """
+        from_peers = list(peer_snapshots)
+        await self._read_chunks()
+        page = await self._log.read(records.CONTROL_STREAM, 0, 1, 0.0)
+        from_log = [row.unpack() for row in self._fold.whole]
+        found = snapshots.choose([*from_log, *from_peers], page.oldest_offset)
+        if found is not None:
+            self._state.restore(found.text)
+            self._control.start_at(found.at_offset)
+        offsets = [row.at_offset for row in from_peers]
+        self._control.require_offset(max([page.next_offset, *offsets]))
+
+    async def _read_chunks(self) -> None:
+        page = await self._log.read(records.SNAPSHOT_STREAM, 0, 1, 0.0)
+        self._chunks.start_at(page.oldest_offset)
+        await self._chunks.read_to_end()
+
+    async def run(self) -> None:
+        """Follows the snapshots' stream and writes snapshots when due."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._chunks.run())
+            group.create_task(self._write_forever())
+
+    async def _write_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            try:
+                if self._is_writer() and await self._is_due():
+                    await self._write()
+            except exceptions.FoxtaillockError as error:
+                loguru.logger.warning("no snapshot: {}", error)
+
+    async def _is_due(self) -> bool:
+        control = await self._log.read(records.CONTROL_STREAM, 0, 1, 0.0)
+        chunks = await self._log.read(records.SNAPSHOT_STREAM, 0, 1, 0.0)
+        return snapshots.is_due(
+            self._settings,
+            self._fold.whole,
+            next_offset=control.next_offset,
+            oldest_offset=control.oldest_offset,
+            oldest_chunk_offset=chunks.oldest_offset,
+            since_last_s=self._clock.monotonic_s() - self._last_s,
+        )
+
+    async def _write(self) -> None:
+        snapshot_id = f"{self._node}-{self._rng.getrandbits(48):012x}"
+        mark = records.SnapshotMarked(snapshot_id, self._node)
+        await self._control.commit(mark)
+        taken = self._taken
+        if taken is None or taken.snapshot_id != snapshot_id:
+            return
+        for chunk in snapshots.split(taken):
+            await self._chunks.commit(chunk)
+        loguru.logger.info("snapshot {} is written", snapshot_id)
+
+    def _on_control_batch(
+        self,
+        offset: int,
+        batch: records.Batch,
+        results: Sequence[verdicts.Verdict],
+    ) -> None:
+        del offset
+        for record, verdict in zip(batch.records, results):
+            is_mark = isinstance(record, records.SnapshotMarked)
+            if is_mark and verdict.accepted:
+                self._note_mark(batch, record)
+
+    def _note_mark(
+        self, batch: records.Batch, mark: records.SnapshotMarked
+    ) -> None:
+        taken = self._take(mark.snapshot_id)
+        if mark.node == self._node:
+            self._taken = taken
+        if batch.schema == records.SCHEMA_VERSION:
+            self._digests[mark.snapshot_id] = taken.digest
+        while len(self._digests) > _MARKS:
+            self._digests.popitem(last=False)
+        self._compare()
+
+    def _on_chunk_batch(
+        self,
+        offset: int,
+        batch: records.Batch,
+        results: Sequence[verdicts.Verdict],
+    ) -> None:
+        del offset, batch, results
+        whole = self._fold.whole
+        newest_id = whole[-1].snapshot_id if whole else ""
+        if newest_id != self._newest_id:
+            self._newest_id = newest_id
+            self._last_s = self._clock.monotonic_s()
+        self._compare()
+
+    def _compare(self) -> None:
+        """Stops serving if a whole snapshot differs from the own state."""
+        for row in self._fold.whole:
+            own = self._digests.get(row.snapshot_id, row.digest)
+            if own != row.digest and self._control.error is None:
+                self._control.stop(
+                    exceptions.StateDivergedError(
+                        f"state at {row.at_offset} differs from "
+                        f"snapshot {row.snapshot_id}"
+                    )
+                )
--- /dev/null
+++ b/foxtaillock/state/tests/test_snapshots.py
@@ -0,0 +1,269 @@
+"""Tests of snapshots: chunks, choice, start and divergence."""
+
+import asyncio
+import math
+import random
+import unittest
+
+from foxtaillock import exceptions
+from foxtaillock.model import records
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+from foxtaillock.state import snapshotter
+from foxtaillock.state.tests import fake_log
+from foxtaillock.state.tests import virtual_loop
+
+_POLICY = snapshots.PolicySettings(1e9, 10_000, 6.0)
+
+
+class _Node:
+
+    def __init__(
+        self, log: fake_log.FakeLog, name: str, is_writer: bool = False
+    ) -> None:
+        rng = random.Random(name)
+        clock = virtual_loop.LoopClock()
+        self.client = fake_log.LogClient(log, rng)
+        self.state = control_state.ControlState()
+        self.fold = snapshots.SnapshotFold()
+        self.control, chunks = (
+            replicas.StreamReplica(
+                self.client,
+                stream,
+                fold,
+                writer=name,
+                incarnation="x",
+                clock=clock,
+                rng=rng,
+            )
+            for stream, fold in (
+                (records.CONTROL_STREAM, self.state),
+                (records.SNAPSHOT_STREAM, self.fold),
+            )
+        )
+        self.snapshotter = snapshotter.Snapshotter(
+            self.client,
+            self.state,
+            self.control,
+            chunks,
+            self.fold,
+            node=name,
+            clock=clock,
+            rng=rng,
+            is_writer=lambda: is_writer,
+            settings=_POLICY,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def run(self) -> None:
+        """Starts following both streams."""
+        for main in (self.control.run, self.snapshotter.run):
+            self._tasks.append(asyncio.create_task(main()))
+
+    async def stop(self) -> None:
+        """Ends all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+async def _write_keys(node: _Node, first: int, count: int) -> None:
+    for number in range(first, first + count):
+        given = records.KeyGiven(f"k{number}", "d" * 64, "", "op")
+        await node.control.commit(given)
+        await asyncio.sleep(0.1)
+
+
+class SnapshotterTest(unittest.TestCase):
+
+    def test_fresh_node_starts_after_old_records_expired(self) -> None:
+        async def scenario() -> None:
+            log = fake_log.FakeLog(retention=400)
+            writer = _Node(log, "a", is_writer=True)
+            await writer.snapshotter.start()
+            writer.run()
+            for step in range(6):
+                await _write_keys(writer, step * 200, 200)
+                fresh = _Node(log, f"fresh{step}")
+                await fresh.snapshotter.start()
+                self.assertEqual(fresh.control.age_s(), math.inf)
+                fresh.run()
+                await fresh.control.catch_up()
+                self.assertEqual(fresh.state.digest(), writer.state.digest())
+                self.assertIsNone(fresh.control.error)
+                await fresh.stop()
+                if step > 0:
+                    self.assertGreaterEqual(_usable(log, writer), 2)
+            await writer.stop()
+            self.assertEqual(len(writer.state.keys), 1200)
+
+        virtual_loop.run(scenario())
+
+    def test_peer_bridges_an_outage_longer_than_the_retention(self) -> None:
+        async def scenario() -> None:
+            log = fake_log.FakeLog()
+            living = _Node(log, "a")
+            await living.snapshotter.start()
+            living.run()
+            await _write_keys(living, 0, 30)
+            log.retention = 0
+            fresh = _Node(log, "b")
+            with self.assertRaises(exceptions.StateDivergedError):
+                await fresh.snapshotter.start()
+            data = snapshots.encode(living.snapshotter.take())
+            await fresh.snapshotter.start([snapshots.decode(data)])
+            fresh.run()
+            await fresh.control.catch_up()
+            self.assertEqual(fresh.state.digest(), living.state.digest())
+            self.assertIsNone(living.control.error)
+            await living.stop()
+            await fresh.stop()
+
+        virtual_loop.run(scenario())
+
+    def test_nothing_older_than_what_a_peer_folded_is_served(self) -> None:
+        async def scenario() -> None:
+            log = fake_log.FakeLog()
+            living = _Node(log, "a")
+            await living.snapshotter.start()
+            living.run()
+            await _write_keys(living, 0, 5)
+            fresh = _Node(log, "b")
+            await fresh.snapshotter.start()
+            fresh.control.require_offset(6)
+            fresh.run()
+            await fresh.control.catch_up()
+            self.assertEqual(fresh.control.age_s(), math.inf)
+            await _write_keys(living, 5, 1)
+            await fresh.control.catch_up()
+            self.assertLess(fresh.control.age_s(), 1.0)
+            await living.stop()
+            await fresh.stop()
+
+        virtual_loop.run(scenario())
+
+    def test_diverged_replica_stops_serving(self) -> None:
+        async def scenario() -> None:
+            log = fake_log.FakeLog()
+            nodes = [_Node(log, "a", is_writer=True), _Node(log, "b")]
+            for node in nodes:
+                await node.snapshotter.start()
+                node.run()
+            await _write_keys(nodes[0], 0, 3)
+            foreign = records.KeyWithdrawn("k0", "op")
+            batch = records.Batch("c", "x", 1, (foreign,))
+            nodes[1].state.apply(3, batch)
+            await asyncio.sleep(30.0)
+            self.assertIsNone(nodes[0].control.error)
+            self.assertIsInstance(
+                nodes[1].control.error, exceptions.StateDivergedError
+            )
+            self.assertEqual(nodes[1].control.age_s(), math.inf)
+            with self.assertRaises(exceptions.NotRunError):
+                await nodes[1].control.commit(foreign)
+            for node in nodes:
+                await node.stop()
+
+        virtual_loop.run(scenario())
+
+
+def _usable(log: fake_log.FakeLog, node: _Node) -> int:
+    page = log.page(records.CONTROL_STREAM, 0, 1)
+    oldest = page.oldest_offset
+    return sum(row.at_offset >= oldest for row in node.fold.whole)
+
+
+class SnapshotFoldTest(unittest.TestCase):
+
+    def test_agrees_with_the_naive_fold(self) -> None:
+        rng = random.Random(11)
+        found = sum(self._compare(rng) for _ in range(200))
+        self.assertGreater(found, 100)
+
+    def _compare(self, rng: random.Random) -> int:
+        fold = snapshots.SnapshotFold()
+        rows = []
+        for number in range(4):
+            text = rng.randbytes(60).hex()
+            digest = snapshots.digest_of(text)
+            if rng.random() < 0.2:
+                digest = "0" * 64
+            taken = snapshots.Snapshot(f"s{number}", number, digest, text)
+            rows += snapshots.split(taken, chunk_bytes=30)
+        rng.shuffle(rows)
+        for _ in range(rng.choice((0, 1, 3))):
+            rows.pop()
+        for offset, row in enumerate(rows):
+            batch = records.Batch("e", "x", offset + 1, (row,))
+            text = records.encode_batch(batch)
+            fold.apply(offset, records.decode_batch(text))
+        naive = _naive_whole(rows)
+        self.assertEqual([row.snapshot_id for row in fold.whole], naive)
+        return len(naive)
+
+    def test_corrupt_snapshot_of_a_peer_is_refused(self) -> None:
+        text = control_state.ControlState().encode()
+        right = snapshots.Snapshot("s", 0, snapshots.digest_of(text), text)
+        self.assertEqual(snapshots.decode(snapshots.encode(right)), right)
+        wrong = snapshots.encode(right._replace(text=text + " "))
+        for data in (b"", b"\0", wrong):
+            with self.assertRaises(exceptions.InvalidInputError):
+                snapshots.decode(data)
+
+
+def _naive_whole(rows: list[records.SnapshotChunk]) -> list[str]:
+    found = []
+    for number in range(4):
+        own = [row for row in rows if row.snapshot_id == f"s{number}"]
+        is_whole = own and {r.part for r in own} == set(range(own[0].parts))
+        if is_whole and own[0].digest != "0" * 64:
+            found.append(f"s{number}")
+    return found
+
+
+class PolicyTest(unittest.TestCase):
+
+    def test_due_when_fewer_than_two_last_or_much_follows(self) -> None:
+        policy = snapshots.PolicySettings(100.0, 50, 10.0)
+
+        def due(
+            offsets: tuple[int, ...],
+            next_offset: int,
+            oldest: int = 0,
+            since_s: float = 20.0,
+        ) -> bool:
+            whole = [
+                snapshots.WholeSnapshot(f"s{n}", n, "", b"", n) for n in offsets
+            ]
+            return snapshots.is_due(
+                policy,
+                whole,
+                next_offset=next_offset,
+                oldest_offset=oldest,
+                oldest_chunk_offset=0,
+                since_last_s=since_s,
+            )
+
+        self.assertFalse(due((), 0))
+        self.assertFalse(due((), 5, since_s=9.0))
+        self.assertTrue(due((), 5))
+        self.assertTrue(due((5,), 9))
+        self.assertFalse(due((5, 9), 12))
+        self.assertTrue(due((5, 9), 12, oldest=6))
+        self.assertTrue(due((5, 9), 59))
+        self.assertFalse(due((5, 9), 10, oldest=1))
+        self.assertTrue(due((5, 9), 12, oldest=1))
+        self.assertTrue(due((5, 9), 12, since_s=100.0))
+
+
+class ChooseTest(unittest.TestCase):
+
+    def test_newest_snapshot_that_covers_what_expired_is_used(self) -> None:
+        rows = [snapshots.Snapshot(f"s{n}", n, "", "") for n in (5, 9, 7)]
+        self.assertEqual(snapshots.choose(rows, 6), rows[1])
+        self.assertEqual(snapshots.choose(rows, 9), rows[1])
+        self.assertIsNone(snapshots.choose([], 0))
+        for candidates in ([], rows):
+            with self.assertRaises(exceptions.StateDivergedError):
+                snapshots.choose(candidates, 10)
