--- a/foxtaillock/state/tests/test_replica.py
+++ b/foxtaillock/state/tests/test_replica.py
@@ -237,7 +237,8 @@
                 log.store(records.CONTROL_STREAM, records.encode_batch(batch))
             node = Node(log)
             with self.assertRaises(exceptions.StateDivergedError):
-                await node.replica.run()
+                async with asyncio.timeout(5.0):
+                    await node.replica.run()
             self.assertEqual(node.replica.age_s(), math.inf)
             with self.assertRaises(exceptions.NotRunError):
                 await node.replica.commit(_withdrawn("k"))
