Decide moves, disruptions, waves and spares of the fleet

Pure decisions over the folded control state. With the guard taken out the checks see: pool disrupted in two racks or below its budget (no objections), below budget (no yielding), below budget (unknown as available), left with work (no wait for running tasks). The schedules found free VMs left draining for ever, and the naive recount a spare need taken from a rack without loss; both mended.

--- /dev/null
+++ b/foxtaillock/fleet/decisions.py
@@ -0,0 +1,237 @@
+"""Decisions of the owner of the fleet: records to commit, VMs to operate.
+
+All that a later owner needs stands on the log: places, steps, disruptions
+and waves. What is kept here beside it only makes the decisions more careful.
+"""
+
+import collections
+import typing
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from foxtaillock.fleet import budgets
+from foxtaillock.fleet import membership
+from foxtaillock.fleet import model
+from foxtaillock.fleet import planner
+from foxtaillock.fleet import sightings as sightings_lib
+from foxtaillock.fleet import wave_keeper
+from foxtaillock.model import records
+from foxtaillock.state import control_view
+
+__all__ = ["Decider", "Decisions", "Operation"]
+
+PLAN_INTERVAL_S = 1.0
+
+
+class Operation(typing.NamedTuple):
+    """An idempotent request to the platform.
+
+    Attributes:
+        action: `drain`, `undrain` or `reboot`.
+        operation_id: identity of a reboot.
+    """
+
+    action: str
+    vm: str
+    operation_id: str = ""
+
+
+class Decisions(typing.NamedTuple):
+    """What to do now; the records are committed before the next decision."""
+
+    commits: tuple[records.Record, ...]
+    operations: tuple[Operation, ...]
+
+
+class Decider:
+    """Decides for one owner of the fleet, from the folded state.
+
+    Args:
+        state: view of the control stream.
+        sightings: what is seen of the VMs; kept up to date by the caller.
+        base_rate_per_s: failures of a VM per second outside waves.
+    """
+
+    def __init__(
+        self,
+        state: control_view.ControlView,
+        sightings: sightings_lib.Sightings,
+        base_rate_per_s: float = wave_keeper.BASE_RATE_PER_S,
+    ) -> None:
+        self._state = state
+        self._sightings = sightings
+        self._waves = wave_keeper.WaveKeeper(state, base_rate_per_s)
+        self._planned_at_s = float("-inf")
+        self.explanations: dict[str, str] = {}
+        self.shortfalls: dict[str, int] = {}
+
+    def decide(self, now_s: float, epoch: int) -> Decisions:
+        """Returns what to do now.
+
+        Cost is linear in the VMs; the plan of places is made anew once in
+        `PLAN_INTERVAL_S`.
+        """
+        pools = self._pools()
+        vms = self._list_vms(now_s)
+        held = budgets.make_budgets(pools, vms, self._holdings())
+        moves = self._plan(pools, vms, now_s)
+        commits: list[records.Record] = []
+        operations: list[Operation] = []
+        for vm in vms:
+            target = self._target(vm, moves, held)
+            action = self._next_action(vm, target, now_s, epoch)
+            if isinstance(action, Operation):
+                operations.append(action)
+            elif action is not None:
+                commits.append(action)
+        waves = self._waves.decide(pools, vms, held, now_s, epoch)
+        commits += waves.commits
+        operations += [
+            Operation("undrain", vm) for vm in sorted(waves.taken_back)
+        ]
+        disrupted = self._state.disruptions.keys() - waves.taken_back
+        for vm in vms:
+            if vm.name in disrupted:
+                found = self._carry_on(vm, held.get(vm.pool), now_s, epoch)
+                commits += found.commits
+                operations += found.operations
+        return Decisions(tuple(commits), tuple(operations))
+
+    def _holdings(self) -> list[budgets.Holding]:
+        return [
+            budgets.Holding(vm, row.pool, row.rack, row.zone, row.offset)
+            for vm, row in self._state.disruptions.items()
+        ]
+
+    def _pools(self) -> dict[str, model.PoolSpec]:
+        stored = self._state.objects("pool")
+        return model.make_pool_specs({n: row.body for n, row in stored.items()})
+
+    def _list_vms(self, now_s: float) -> list[model.Vm]:
+        """Returns all VMs of the log and of the list, sorted by name."""
+        names = sorted({*self._state.vms, *self._sightings.listed})
+        return [self._describe(name, now_s) for name in names]
+
+    def _describe(self, name: str, now_s: float) -> model.Vm:
+        place = self._state.vms.get(name)
+        entry = self._sightings.listed.get(name)
+        held = self._state.disruptions.get(name)
+        zone = entry.zone if entry else (held.zone if held else "")
+        rack = entry.rack if entry else (held.rack if held else "")
+        incarnation = self._sightings.incarnation(name)
+        if place is None:
+            health = self._sightings.health(name, incarnation, now_s)
+            return model.Vm(name, zone, rack, "", health, False, incarnation)
+        is_busy = place.step != "joined"
+        health = self._sightings.health(name, place.incarnation, now_s)
+        return model.Vm(
+            name, zone, rack, place.pool, health, is_busy, place.incarnation
+        )
+
+    def _plan(
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        vms: Iterable[model.Vm],
+        now_s: float,
+    ) -> dict[str, planner.Move]:
+        if now_s - self._planned_at_s < PLAN_INTERVAL_S:
+            return {}
+        self._planned_at_s = now_s
+        # A VM on its way out is planned for like a free one.
+        seen = [
+            vm._replace(pool="", is_busy=False, health=model.Health.SERVING)
+            if vm.is_busy
+            else vm._replace(is_busy=vm.name in self._state.disruptions)
+            for vm in vms
+        ]
+        made = planner.plan(pools, seen)
+        self.shortfalls = made.shortfalls
+        self.explanations = {move.vm: move.reason for move in made.moves}
+        return {move.vm: move for move in made.moves}
+
+    def _target(
+        self,
+        vm: model.Vm,
+        moves: Mapping[str, planner.Move],
+        held: Mapping[str, budgets.PoolBudget],
+    ) -> str:
+        """Returns the pool that a VM should be in as far as budgets allow."""
+        move = moves.get(vm.name)
+        if vm.is_busy:
+            return ""
+        if move is None:
+            return vm.pool if vm.pool in held else ""
+        budget = held.get(vm.pool)
+        if vm.pool and budget is not None:
+            # Spare VMs are lent whatever their own pool's budget says.
+            is_lent = budget.spec.is_spare and move.target
+            if not is_lent and not budget.check(vm).accepted:
+                return vm.pool
+            budget.grant(vm)
+        return move.target
+
+    def _next_action(
+        self, vm: model.Vm, target: str, now_s: float, epoch: int
+    ) -> records.Record | Operation | None:
+        stored = self._state.vms.get(vm.name)
+        place = None
+        if stored is not None:
+            place = membership.Place(
+                stored.pool, stored.incarnation, stored.step
+            )
+        is_disrupted = vm.name in self._state.disruptions
+        facts = self._sightings.facts(vm.name, now_s, is_disrupted)
+        action = membership.next_action(vm.name, place, facts, target, epoch)
+        if isinstance(action, membership.Drain):
+            return Operation("drain", vm.name)
+        if isinstance(action, membership.Undrain):
+            return Operation("undrain", vm.name)
+        return action
+
+    def _is_back(self, vm: model.Vm) -> bool:
+        """Returns whether the VM is rebooted since its wave began."""
+        held = self._state.disruptions[vm.name]
+        base = self._waves.base_of(held.reason).get(vm.name, 0)
+        return vm.incarnation > base
+
+    def _carry_on(
+        self,
+        vm: model.Vm,
+        budget: budgets.PoolBudget | None,
+        now_s: float,
+        epoch: int,
+    ) -> Decisions:
+        """Ends a disruption once the VM is back and serves, or goes on."""
+        is_serving = vm.health is model.Health.SERVING
+        if is_serving and not vm.is_busy and self._is_back(vm):
+            pool = self._state.disruptions[vm.name].pool
+            ended = records.DisruptionEnded(vm.name, pool, epoch)
+            return Decisions((ended,), ())
+        return Decisions((), tuple(self._disrupt(vm, budget, now_s)))
+
+    def _disrupt(
+        self, vm: model.Vm, budget: budgets.PoolBudget | None, now_s: float
+    ) -> list[Operation]:
+        """Carries a granted disruption on, as far as failures leave room."""
+        held = self._state.disruptions[vm.name]
+        facts = self._sightings.facts(vm.name, now_s)
+        is_rebooted = facts.incarnation > vm.incarnation
+        if vm.is_busy or is_rebooted or facts.running_tasks is None:
+            return []
+        is_refused = budget is not None and not budget.is_kept
+        if is_refused or self._is_back(vm):
+            undrain = Operation("undrain", vm.name)
+            return [undrain] if facts.is_draining else []
+        if not facts.is_draining:
+            return [Operation("drain", vm.name)]
+        if facts.running_tasks > 0:
+            return []
+        self._waves.note_begun(vm.name)
+        operation_id = f"{held.reason}.{vm.name}.{held.offset}"
+        return [Operation("reboot", vm.name, operation_id)]
+
+    def count_by_pool(self) -> dict[str, int]:
+        """Returns how many VMs are in each pool by the log."""
+        return dict(
+            collections.Counter(vm.pool for vm in self._state.vms.values())
+        )
--- /dev/null
+++ b/foxtaillock/fleet/tests/exact_planner.py
@@ -0,0 +1,159 @@
+"""Exact plan of places by integer programming, for comparison."""
+
+import collections
+import typing
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import numpy as np
+from scipy import optimize
+
+from foxtaillock.fleet import model
+from foxtaillock.fleet import planner
+
+__all__ = ["Score", "score", "solve"]
+
+LACK_COST = 1000
+SPARE_LACK_COST = 100
+
+
+class Score(typing.NamedTuple):
+    """Quality of a plan.
+
+    Attributes:
+        cost: weighted cost of all below.
+        moves: VMs that leave a pool.
+        lacks: VMs that ordinary pools lack.
+    """
+
+    cost: float
+    moves: int
+    lacks: int
+
+
+def _move_cost(
+    pools: Mapping[str, model.PoolSpec], source: str, target: str
+) -> int:
+    if source == target:
+        return 0
+    if not source:
+        return planner.JOIN_COST
+    is_lent = pools[source].is_spare and bool(target)
+    return planner.MOVE_COST + (planner.SPARE_COST if is_lent else 0)
+
+
+def score(
+    pools: Mapping[str, model.PoolSpec],
+    vms: Sequence[model.Vm],
+    moves: Sequence[planner.Move],
+) -> Score:
+    """Scores a plan by recounting its result."""
+    places = {vm.name: vm.pool for vm in vms}
+    cost = 0
+    for move in moves:
+        assert places[move.vm] == move.source
+        places[move.vm] = move.target
+        cost += _move_cost(pools, move.source, move.target)
+    zones = collections.Counter((places[vm.name], vm.zone) for vm in vms)
+    lacks = 0
+    for name, spec in pools.items():
+        missing = spec.size - sum(zones[name, zone] for zone in spec.zones)
+        assert missing >= 0
+        lacks += 0 if spec.is_spare else missing
+        cost += missing * (SPARE_LACK_COST if spec.is_spare else LACK_COST)
+        limit = model.zone_quota(spec) + planner.ZONE_SLACK
+        for zone in spec.zones:
+            cost += planner.SKEW_COST * max(0, zones[name, zone] - limit)
+    return Score(cost, sum(1 for move in moves if move.source), lacks)
+
+
+def solve(
+    pools: Mapping[str, model.PoolSpec], vms: Sequence[model.Vm]
+) -> Score:
+    """Returns the score of the cheapest plan."""
+    program = _Program(pools, vms)
+    rows, lower, upper = program.constraints()
+    result = optimize.milp(
+        program.costs(),
+        constraints=optimize.LinearConstraint(rows, lower, upper),
+        integrality=np.ones(rows.shape[1]),
+    )
+    assert result.success
+    amounts = np.rint(result.x).astype(int)
+    return program.read(amounts, float(result.fun))
+
+
+class _Program:
+    """Integer program over flows, lacks and skews, in this order."""
+
+    def __init__(
+        self, pools: Mapping[str, model.PoolSpec], vms: Sequence[model.Vm]
+    ) -> None:
+        self._pools = pools
+        self._groups = collections.Counter((vm.pool, vm.zone) for vm in vms)
+        self._flows = [
+            (group, target)
+            for group in sorted(self._groups)
+            for target in ["", *pools]
+            if not target or group[1] in pools[target].zones
+        ]
+        self._names = list(pools)
+        self._skews = [(n, z) for n, spec in pools.items() for z in spec.zones]
+
+    def costs(self) -> typing.Any:
+        """Returns the cost of one unit of each variable."""
+        flows = [
+            _move_cost(self._pools, group[0], target)
+            for group, target in self._flows
+        ]
+        lacks = [
+            SPARE_LACK_COST if self._pools[name].is_spare else LACK_COST
+            for name in self._names
+        ]
+        skews = [planner.SKEW_COST] * len(self._skews)
+        return np.array([*flows, *lacks, *skews], dtype=float)
+
+    def constraints(self) -> tuple[typing.Any, list[float], list[float]]:
+        """Returns the rows with their lower and upper bounds."""
+        rows, lower, upper = [], [], []
+        for group, count in self._groups.items():
+            rows.append(self._row([g == group for g, _ in self._flows]))
+            lower.append(float(count))
+            upper.append(float(count))
+        for name in self._names:
+            flows = [t == name for _, t in self._flows]
+            rows.append(self._row(flows, [n == name for n in self._names]))
+            lower.append(float(self._pools[name].size))
+            upper.append(float(self._pools[name].size))
+        for skew in self._skews:
+            flows = [(t, g[1]) == skew for g, t in self._flows]
+            rows.append(self._row(flows, [], [s == skew for s in self._skews]))
+            quota = model.zone_quota(self._pools[skew[0]])
+            lower.append(-np.inf)
+            upper.append(float(quota + planner.ZONE_SLACK))
+        return np.array(rows), lower, upper
+
+    def _row(
+        self,
+        flows: Sequence[bool],
+        lacks: Sequence[bool] = (),
+        skews: Sequence[bool] = (),
+    ) -> list[float]:
+        lack_part = lacks or [False] * len(self._names)
+        skew_part = skews or [False] * len(self._skews)
+        row = [float(value) for value in (*flows, *lack_part)]
+        return row + [-float(value) for value in skew_part]
+
+    def read(self, amounts: typing.Any, cost: float) -> Score:
+        """Returns the score of a solution."""
+        moves = sum(
+            int(amounts[index])
+            for index, (group, target) in enumerate(self._flows)
+            if group[0] and group[0] != target
+        )
+        lacks = sum(
+            int(amounts[len(self._flows) + index])
+            for index, name in enumerate(self._names)
+            if not self._pools[name].is_spare
+        )
+        return Score(cost, moves, lacks)
--- /dev/null
+++ b/foxtaillock/fleet/tests/test_schedules.py
@@ -0,0 +1,99 @@
+"""Schedules of waves, failures, racing operators and crashed owners."""
+
+import collections
+import unittest
+from unittest import mock
+
+from foxtaillock.fleet import budgets
+from foxtaillock.fleet import membership
+from foxtaillock.fleet import model
+from foxtaillock.fleet import sightings
+from foxtaillock.fleet.tests import schedule
+
+_SEEDS = range(200)
+_PROOF_SEEDS = range(25)
+
+
+def _run(seeds: range) -> tuple[list[str], collections.Counter[str]]:
+    violations = []
+    totals: collections.Counter[str] = collections.Counter()
+    for seed in seeds:
+        run = schedule.Schedule(seed)
+        run.run()
+        violations += [f"seed {seed}: {text}" for text in run.violations]
+        totals["reboots"] += run.reboots
+        totals["pauses"] += run.pauses
+        totals["takeovers"] += run.epoch - 1
+    return violations, totals
+
+
+class SchedulesTest(unittest.TestCase):
+
+    def test_promises_hold_in_all_schedules(self) -> None:
+        violations, totals = _run(_SEEDS)
+        self.assertEqual(violations[:5], [])
+        self.assertGreater(totals["reboots"], 500)
+        self.assertGreater(totals["pauses"], 20)
+        self.assertGreater(totals["takeovers"], 200)
+
+    def test_fleet_settles_after_failures(self) -> None:
+        for seed in range(20):
+            run = schedule.Schedule(seed)
+            run.run(260)
+            with self.subTest(seed=seed):
+                counts = collections.Counter(
+                    place[0] for place in run.places.values()
+                )
+                wanted = {
+                    name: row.body["size"]
+                    for name, row in run.state.objects("pool").items()
+                }
+                self.assertEqual(dict(counts), wanted)
+                waves = run.state.waves.values()
+                blocked = {w.pool for w in waves if w.state == "paused"}
+                running = {w.pool for w in waves if w.state == "running"}
+                self.assertLessEqual(running, blocked)
+
+    def _assert_seen(self, text: str) -> None:
+        violations, _ = _run(_PROOF_SEEDS)
+        self.assertTrue([v for v in violations if text in v], violations[:3])
+
+    def test_checks_see_a_missing_budget(self) -> None:
+        kept = property(lambda _: True)
+        with (
+            mock.patch.object(
+                budgets.PoolBudget, "_list_objections", return_value=[]
+            ),
+            mock.patch.object(budgets.PoolBudget, "is_kept", kept),
+        ):
+            self._assert_seen("is disrupted in")
+            self._assert_seen("has ")
+
+    def test_checks_see_a_budget_that_does_not_yield_to_failures(self) -> None:
+        kept = property(lambda _: True)
+        with (
+            mock.patch.object(budgets.PoolBudget, "is_kept", kept),
+            mock.patch.object(budgets, "find_yielding", return_value=[]),
+        ):
+            self._assert_seen("has ")
+
+    def test_checks_see_unknown_counted_as_available(self) -> None:
+        real = sightings.Sightings.health
+
+        def _hopeful(
+            seen: sightings.Sightings, vm: str, incarnation: int, now_s: float
+        ) -> model.Health:
+            health = real(seen, vm, incarnation, now_s)
+            is_unknown = health is model.Health.UNKNOWN
+            return model.Health.SERVING if is_unknown else health
+
+        never_s = float("inf")
+        with (
+            mock.patch.object(sightings, "FAILED_AFTER_S", never_s),
+            mock.patch.object(sightings.Sightings, "health", _hopeful),
+        ):
+            self._assert_seen("has ")
+
+    def test_checks_see_a_move_that_does_not_wait_for_work(self) -> None:
+        with mock.patch.object(membership, "_runs_nothing", return_value=True):
+            self._assert_seen("left with work")
--- /dev/null
+++ b/foxtaillock/fleet/tests/test_waves.py
@@ -0,0 +1,178 @@
+"""Tests of waves, budgets and steps of moves."""
+
+import itertools
+import random
+import unittest
+
+from scipy import stats
+
+from foxtaillock.fleet import budgets
+from foxtaillock.fleet import membership
+from foxtaillock.fleet import model
+from foxtaillock.fleet import waves
+from foxtaillock.model import records
+
+_SPEC = model.PoolSpec("p", 6, ("a", "b"), 4)
+
+
+def _members(count: int = 6) -> list[model.Vm]:
+    return [
+        model.Vm(f"v{n}", "ab"[n % 2], f"r{n // 2 % 2}", "p")
+        for n in range(count)
+    ]
+
+
+def _naive_allows(
+    spec: model.PoolSpec,
+    vms: list[model.Vm],
+    held: set[str],
+    candidate: model.Vm,
+) -> bool:
+    if candidate.name in held or candidate.is_busy:
+        return False
+    stopped = held | {candidate.name}
+    places = {(vm.zone, vm.rack) for vm in vms if vm.name in stopped}
+    left = [
+        vm
+        for vm in vms
+        if vm.name not in stopped
+        and not vm.is_busy
+        and vm.health is model.Health.SERVING
+    ]
+    return len(left) >= spec.min_available and len(places) == 1
+
+
+class BudgetTest(unittest.TestCase):
+
+    def test_against_naive_recount(self) -> None:
+        rng = random.Random(5)
+        for _ in range(500):
+            spec = _SPEC._replace(min_available=rng.randrange(5))
+            vms = [
+                vm._replace(
+                    health=rng.choice(list(model.Health)),
+                    is_busy=rng.random() < 0.1,
+                )
+                for vm in _members(rng.randrange(1, 9))
+            ]
+            held: set[str] = set()
+            for vm in rng.sample(vms, len(vms)):
+                holdings = [
+                    budgets.Holding(v.name, "p", v.rack, v.zone)
+                    for v in vms
+                    if v.name in held
+                ]
+                budget = budgets.PoolBudget(spec, vms, holdings)
+                expected = _naive_allows(spec, vms, held, vm)
+                self.assertEqual(budget.check(vm).accepted, expected)
+                if expected:
+                    held.add(vm.name)
+
+    def test_voluntary_yields_to_failures_latest_first(self) -> None:
+        vms = _members()
+        vms[1] = vms[1]._replace(health=model.Health.UNKNOWN)
+        holdings = [
+            budgets.Holding("v0", "p", "r0", "a", 1),
+            budgets.Holding("v4", "p", "r0", "a", 2),
+        ]
+        budget = budgets.PoolBudget(_SPEC, vms, holdings)
+        self.assertEqual(
+            budgets.find_yielding(_SPEC, budget, holdings), holdings[1:]
+        )
+
+
+class WavesTest(unittest.TestCase):
+
+    def test_canary_goes_alone_then_one_rack(self) -> None:
+        spec = _SPEC._replace(min_available=0)
+        vms = _members(8)
+
+        def _pick(is_done: bool, has_canary: bool) -> list[str]:
+            budget = budgets.PoolBudget(spec, vms, [])
+            picked = waves.pick_next(vms, [], budget, is_done, has_canary)
+            return [vm.name for vm in picked]
+
+        self.assertEqual(_pick(False, False), ["v0"])
+        self.assertEqual(_pick(False, True), [])
+        self.assertEqual(_pick(True, True), ["v0", "v4"])
+
+    def test_never_two_zones_of_a_pool(self) -> None:
+        spec = _SPEC._replace(min_available=0)
+        budget = budgets.PoolBudget(spec, _members(), [])
+        picked = waves.pick_next(_members(), ["b"], budget, True, True)
+        self.assertEqual({vm.zone for vm in picked}, {"b"})
+
+    def test_poisson_tail_against_scipy(self) -> None:
+        for mean, count in itertools.product((0.001, 0.3, 4.0, 30.0), range(9)):
+            expected = stats.poisson.sf(count - 1, mean)
+            self.assertAlmostEqual(waves.poisson_tail(mean, count), expected)
+
+    def test_pause_needs_evidence_beyond_the_base_rate(self) -> None:
+        def _reason(done: int, failures: int, mean: float, skip: int) -> str:
+            evidence = waves.Evidence(done, failures, mean, 1.0, skip)
+            return waves.find_pause_reason(evidence)
+
+        self.assertIn("first VM", _reason(0, 1, 0.1, 0))
+        self.assertEqual(_reason(9, 1, 0.001, 0), "")
+        self.assertIn("2 failures", _reason(9, 2, 0.01, 0))
+        self.assertEqual(_reason(9, 2, 1.0, 0), "")
+        self.assertEqual(_reason(9, 2, 0.01, 2), "")
+
+    def test_calendar_is_even_and_stable(self) -> None:
+        sizes = [random.Random(2).randrange(10, 120) for _ in range(220)]
+        pools = {
+            f"p{n}": model.PoolSpec(f"p{n}", size, ("a",), 0)
+            for n, size in enumerate(sizes)
+        }
+        days = waves.make_calendar(pools, {})
+        loads = [
+            sum(pools[n].size for n, day in days.items() if day == d)
+            for d in range(21)
+        ]
+        self.assertLessEqual(max(loads) - min(loads), max(sizes))
+        del pools["p7"]
+        again = waves.make_calendar(pools, days)
+        self.assertEqual(again, {n: d for n, d in days.items() if n != "p7"})
+
+
+class MembershipTest(unittest.TestCase):
+
+    def test_every_step_is_resumable(self) -> None:
+        place = membership.Place("p", 2, "joined")
+        facts = membership.Facts(2, False, 1, False)
+        steps = []
+        for step, later in (
+            ("withdrawn", facts),
+            ("", facts._replace(is_draining=True)),
+            ("drained", facts._replace(is_draining=True, running_tasks=0)),
+            ("left", facts),
+        ):
+            made = membership.next_action("v", place, later, "q", 7)
+            if step:
+                assert isinstance(made, records.VmStep)
+                steps.append(made.step)
+                self.assertEqual((made.pool, made.incarnation), ("p", 2))
+                place = place._replace(step=step)
+            else:
+                self.assertIsNone(made)
+        self.assertEqual(steps, ["withdrawn", "drained", "left"])
+
+    def test_no_answer_is_not_a_drained_vm(self) -> None:
+        place = membership.Place("p", 1, "withdrawn")
+        for facts in (
+            membership.Facts(1, False, None, False),
+            membership.Facts(0, False, None, False),
+            membership.Facts(1, False, 0, False),
+            membership.Facts(1, False, 2, True),
+        ):
+            made = membership.next_action("v", place, facts, "", 7)
+            self.assertIn(made, (membership.Drain(), None))
+        gone = membership.Facts(0, True, None, False)
+        made = membership.next_action("v", place, gone, "", 7)
+        assert isinstance(made, records.VmStep)
+        self.assertEqual(made.step, "drained")
+
+    def test_free_vm_that_drains_is_let_go(self) -> None:
+        facts = membership.Facts(1, False, 0, True)
+        made = membership.next_action("v", None, facts, "", 7)
+        self.assertEqual(made, membership.Undrain())
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -295,6 +295,8 @@
 
     Attributes:
         state: `running`, `paused`, `done` or `cancelled`.
+        base: incarnation of each VM when the wave began, as `vm=1,vm=2`;
+            empty to leave it as it is.
     """
 
     wave_id: str
@@ -302,6 +304,7 @@
     state: str
     reason: str
     epoch: int
+    base: str = ""
 
 
 @register_record("snapshot-chunk")
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -133,12 +133,13 @@
 
 
 class Wave(typing.NamedTuple):
-    """A maintenance wave of a pool."""
+    """A maintenance wave of a pool; see `records.WaveChanged`."""
 
     pool: str
     state: str
     reason: str
     offset: int
+    base: str = ""
 
 
 class KeptRecord(typing.NamedTuple):
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -125,8 +125,13 @@
     if stored is not None and stored.state in _FINAL_STATES:
         state.waves[record.wave_id] = stored
         return handlers.refuse("wave-over", f"wave/{record.wave_id}", "over")
+    kept_base = stored.base if stored is not None else ""
     state.waves[record.wave_id] = tables.Wave(
-        record.pool, record.state, record.reason, offset
+        record.pool,
+        record.state,
+        record.reason,
+        offset,
+        record.base or kept_base,
     )
     finished = [k for k, w in state.waves.items() if w.state in _FINAL_STATES]
     for wave_id in finished[:-FINISHED_WAVES]:
