--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -1,6 +1,5 @@
 """Answers the administration interface on one entry VM."""
 
-import hashlib
 import json
 import secrets
 import typing
@@ -12,7 +11,6 @@
 from foxtaillock.api import problems
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
-from foxtaillock.daemon import session_keeper
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
@@ -24,6 +22,8 @@
 from foxtaillock.peers import messages
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
+from foxtaillock.state import keys
+from foxtaillock.state import tables
 
 __all__ = ["AdminDesk"]
 
@@ -37,7 +37,7 @@
     Args:
         state: fold of the control stream.
         replica: its replica.
-        keys: checks keys.
+        key_checker: checks keys.
         jobs: finds the owners of jobs.
         vms: returns the platform's list.
         status: returns the state of this entry VM.
@@ -48,7 +48,7 @@
         self,
         state: control_state.ControlState,
         replica: interfaces.Replica,
-        keys: key_desk.KeyDesk,
+        key_checker: key_desk.KeyDesk,
         jobs: job_desk.JobDesk,
         vms: Callable[[], Sequence[world.VmEntry]],
         status: Callable[[], admin.Row],
@@ -60,12 +60,12 @@
         self._vms = vms
         self._status = status
         self._on_withdrawn = on_withdrawn
-        self.keys = keys
+        self.keys = key_checker
 
     def check_note(self, text: str) -> admin.Row:
         """Returns the changes of a note, or raises with all findings."""
-        _, changes = self._checked(text)
-        return {"changes": [_change_row(change) for change in changes]}
+        note = self._checked(text)
+        return {"changes": [change._asdict() for change in note.changes]}
 
     def plan_note(self, text: str) -> admin.Row:
         """Returns what a note would change."""
@@ -73,17 +73,16 @@
 
     async def accept_note(self, text: str, author: str) -> admin.Row:
         """Puts a note in force."""
-        title, changes = self._checked(text)
-        return await self._accept(title, changes, author)
+        return await self._accept(self._checked(text), author)
 
-    def _checked(self, text: str) -> tuple[str, Sequence[records.Change]]:
+    def _checked(self, text: str) -> check.CheckedNote:
         parsed = parser.parse(text)
         if isinstance(parsed, parser.NoteFaults):
             raise _invalid(parsed.findings)
         checked = check.check(parsed, self._present())
         if isinstance(checked, parser.NoteFaults):
             raise _invalid(checked.findings)
-        return parsed.title, checked
+        return checked
 
     def _present(
         self,
@@ -100,16 +99,20 @@
         ids = [entry.note_id for entry in history]
         if note_id not in ids:
             raise problems.Problem("not-found", f"no note {note_id!r}")
-        undone = undo.undo(history, note_id, self._present())
+        index = ids.index(note_id)
+        undone = undo.undo(
+            history[index].title,
+            history[index].changes,
+            _bodies_after(history[:index]),
+            self._present(),
+        )
         if isinstance(undone, parser.NoteFaults):
             raise _invalid(undone.findings)
-        return await self._accept(f"undo {note_id}", undone, author)
+        return await self._accept(undone, author)
 
-    async def _accept(
-        self, title: str, changes: Sequence[records.Change], author: str
-    ) -> admin.Row:
+    async def _accept(self, note: check.CheckedNote, author: str) -> admin.Row:
         note_id = f"note-{secrets.token_hex(6)}"
-        record = records.NoteAccepted(note_id, author, title, tuple(changes))
+        record = records.NoteAccepted(note_id, author, note.title, note.changes)
         verdict = await self._commit(record)
         if not verdict.accepted:
             raise problems.Problem(
@@ -134,8 +137,9 @@
         if team and self._state.object("team", team) is None:
             raise problems.Problem("not-found", f"no team {team!r}")
         key_id = f"k{secrets.token_hex(6)}"
-        secret = f"fx_{key_id}_{secrets.token_urlsafe(_SECRET_BYTES)}"
-        digest = hashlib.sha256(secret.encode()).hexdigest()
+        random_part = secrets.token_urlsafe(_SECRET_BYTES)
+        secret = keys.format_secret(key_id, random_part)
+        digest = keys.digest_of(secret)
         record = records.KeyGiven(key_id, digest, team, author)
         verdict = await self._commit(record)
         if not verdict.accepted:
@@ -143,11 +147,23 @@
         return {"key_id": key_id, "secret": secret, "team": team}
 
     async def withdraw_key(self, key_id: str, author: str) -> admin.Row:
-        """Withdraws a key; peers hear of it before the log does."""
+        """Withdraws a key; peers hear of it before the log does.
+
+        When the log then refuses the record, the key is refused by the entry
+        VMs that heard of it, but a fresh one would honour it: the outcome is
+        unknown, and the operator has to withdraw it again.
+        """
         if self._state.key(key_id) is None:
             raise problems.Problem("not-found", f"no key {key_id!r}")
         self._on_withdrawn(key_id)
-        await self._commit(records.KeyWithdrawn(key_id, author))
+        try:
+            await self._commit(records.KeyWithdrawn(key_id, author))
+        except problems.Problem as problem:
+            raise problems.Problem(
+                "not-recorded",
+                f"refused by the entry VMs reached: {problem.detail}",
+                outcome=outcomes.OutcomeTag.UNKNOWN,
+            ) from problem
         return {"key_id": key_id, "withdrawn": True}
 
     def list_notes(self) -> Sequence[admin.Row]:
@@ -158,7 +174,7 @@
                 "revision": entry.revision,
                 "author": entry.author,
                 "title": entry.title,
-                "changes": [_change_row(change) for change in entry.changes],
+                "changes": [change._asdict() for change in entry.changes],
             }
             for entry in self._state.history()
         ]
@@ -273,6 +289,14 @@
     )
 
 
-def _change_row(change: records.Change) -> admin.Row:
-    row = change._asdict()
-    return row
+def _bodies_after(
+    history: Sequence[tables.HistoryEntry],
+) -> dict[tuple[str, str], dict[str, typing.Any]]:
+    """Returns the bodies of all objects once the notes are in force."""
+    bodies: dict[tuple[str, str], dict[str, typing.Any]] = {}
+    for entry in history:
+        for change in entry.changes:
+            bodies.pop((change.kind, change.name), None)
+            if change.action != "withdrawn":
+                bodies[change.kind, change.name] = change.body
+    return bodies
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 import secrets
 import typing
@@ -30,13 +31,14 @@
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.daemon import session_keeper
 from foxtaillock.daemon import vm_watch
+from foxtaillock.leases import ownership
+from foxtaillock.leases import times as session_times
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
-from foxtaillock.model import world
 from foxtaillock.peers import links
 from foxtaillock.peers import messages
 from foxtaillock.peers import server
@@ -108,19 +110,19 @@
             settings.key_freshness_s,
             settings.operator_key_digest,
         )
-        times = session_keeper.SessionTimes(
-            settings.session_lease_s,
-            settings.session_renew_s,
-            settings.drift_allowance_s,
-        )
         self.session = session_keeper.SessionKeeper(
-            settings.node_name,
-            settings.zone,
+            ownership.Identity(
+                settings.node_name, self.incarnation, settings.zone
+            ),
             self.state,
             self.replica,
             self.clock,
             rng,
-            times,
+            session_times.make_times(
+                settings.session_lease_s,
+                settings.session_renew_s,
+                settings.drift_allowance_s,
+            ),
             self._pool_names,
         )
 
@@ -282,6 +284,7 @@
         self._draining = True
         self._not_ready = "draining"
         self.session.stop_claiming()
+        self.grants.start_leaving()
         await self._await_requests()
         await self._runner.cleanup()
         await self.pools.hand_over()
@@ -292,6 +295,9 @@
         while self._requests_open and self.clock.monotonic_s() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
         self.calls.start_draining()
+        left_s = max(0.0, end_s - self.clock.monotonic_s())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.calls.wait_idle(), left_s)
 
     async def close(self) -> None:
         """Ends all tasks and connections."""
@@ -324,7 +330,14 @@
             name: row.body
             for name, row in self.state.objects("service").items()
         }
-        self.calls.update_runners(vms, typing.cast(typing.Any, services))
+        teams = {
+            name: row.body for name, row in self.state.objects("team").items()
+        }
+        self.calls.update_runners(
+            vms,
+            typing.cast(typing.Any, services),
+            typing.cast(typing.Any, teams),
+        )
         self.pools.update(vms)
         self.links.update_members(self._members())
 
@@ -344,7 +357,7 @@
             self.replica.age_s(),
             "",
             self._draining,
-            self.keys.denied,
+            self.keys.recently_denied(),
         )
 
     def _spread(self) -> None:
@@ -370,6 +383,7 @@
             "zone": self.settings.zone,
             "revision": self.state.revision,
             "next_offset": self.replica.next_offset,
+            "digest": self.state.digest(),
             "view_age_s": round(self.keys.view_age_s(), 3),
             "session_valid": self.session.is_valid(),
             "pools_owned": sorted(self.pools.owners),
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -1,19 +1,23 @@
 """Real processes of a small fleet, for the proofs."""
 
 import asyncio
+import asyncio.subprocess
 import hashlib
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import typing
+import urllib.parse
 
 import aiohttp
 
 from foxtaillock.demo import client
+from foxtaillock.proxy import fault_proxy
 
 __all__ = ["OPERATOR_KEY", "ProcessFleet", "free_port"]
 
@@ -39,7 +43,9 @@
         self.api_port = free_port()
         self.peer_port = free_port()
         self.log_url = ""
-        self.process: asyncio.subprocess.Process | None = None
+        self.peer_secret = _PEER_SECRET
+        self.log_proxy: fault_proxy.FaultProxy | None = None
+        self.process: asyncio.subprocess.Process | None = None  # pylint: disable=no-member
 
     @property
     def url(self) -> str:
@@ -64,9 +70,9 @@
         self, zones: typing.Sequence[str], config: dict[str, typing.Any]
     ) -> None:
         self._config = config
-        self._standins: asyncio.subprocess.Process | None = None
+        self._standins: asyncio.subprocess.Process | None = None  # pylint: disable=no-member
         self._session: aiohttp.ClientSession | None = None
-        self._folder = tempfile.TemporaryDirectory()
+        self._folder = tempfile.mkdtemp()
         self.urls: dict[str, str] = {}
         self.entries = [
             Entry(f"entry-{zone}-{i}", zone) for i, zone in enumerate(zones)
@@ -81,7 +87,7 @@
     async def start_platform(self) -> None:
         """Starts the stand-ins."""
         self._session = aiohttp.ClientSession()
-        path = pathlib.Path(self._folder.name) / "world.json"
+        path = pathlib.Path(self._folder) / "world.json"
         path.write_text(json.dumps(self._config), encoding="utf-8")
         self._standins = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -94,11 +100,18 @@
         assert self._standins.stdout is not None
         self.urls = json.loads(await self._standins.stdout.readline())
         for entry in self.entries:
-            entry.log_url = self.urls["log"]
+            await self._put_proxy_before_log(entry)
+
+    async def _put_proxy_before_log(self, entry: Entry) -> None:
+        log = urllib.parse.urlsplit(self.urls["log"])
+        entry.log_proxy = await fault_proxy.start_fault_proxy(
+            f"{log.hostname}:{log.port}"
+        )
+        entry.log_url = f"http://{entry.log_proxy.address}"
 
     async def start_entry(self, entry: Entry) -> None:
         """Starts the daemon of an entry VM."""
-        log_path = pathlib.Path(self._folder.name) / f"{entry.name}.log"
+        log_path = pathlib.Path(self._folder) / f"{entry.name}.log"
         with log_path.open("ab") as log:
             entry.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -117,7 +130,7 @@
             "LOG_URL": entry.log_url,
             "VM_LIST_URL": self.urls["vm_list"],
             "POOL_URL": self.urls["pools"],
-            "PEER_SECRET": _PEER_SECRET,
+            "PEER_SECRET": entry.peer_secret,
             "OPERATOR_KEY_DIGEST": digest,
             "API_PORT": str(entry.api_port),
             "PEER_PORT": str(entry.peer_port),
@@ -159,7 +172,7 @@
 
     def output(self, entry: Entry) -> str:
         """Returns what the daemon of an entry VM has logged."""
-        path = pathlib.Path(self._folder.name) / f"{entry.name}.log"
+        path = pathlib.Path(self._folder) / f"{entry.name}.log"
         return path.read_text(encoding="utf-8")
 
     async def kill(self, entry: Entry) -> None:
@@ -201,6 +214,9 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        for entry in self.entries:
+            if entry.log_proxy is not None:
+                await entry.log_proxy.close()
         if self._session is not None:
             await self._session.close()
-        self._folder.cleanup()
+        shutil.rmtree(self._folder)
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -85,8 +85,8 @@
         holder = tables.SessionKey(stored.node, stored.incarnation)
         if holder != session and state.is_live(holder):
             return handlers.refuse("held", place, f"{stored.node} holds it")
-    if stored is not None and stored.node:
-        _note_to_carry(state, stored)
+        if holder != session:
+            _note_to_carry(state, stored)
     state.claims[record.pool] = tables.Claim(*record, "", offset)
     return verdicts.ACCEPTED
 
@@ -105,7 +105,7 @@
     """Takes a pool from its owner; the epoch stays."""
     stored = state.claims.get(record.pool)
     identity = (record.node, record.incarnation, record.epoch)
-    if stored is None or stored[1:4] != identity:
+    if stored is None or not stored.node or stored[1:4] != identity:
         place = f"pool/{record.pool}"
         return handlers.refuse("stale-epoch", place, "is not held so")
     _note_to_carry(state, stored)
