--- /dev/null
+++ b/bench/node_cost.py
@@ -0,0 +1,127 @@
+"""What an idle entry VM costs, by the number of entry VMs, pools and keys.
+
+Runs real daemons against the stand-ins and reads processor time and memory of
+each process, and the bytes that pass its link to the log.
+"""
+
+import asyncio
+import os
+import pathlib
+import typing
+
+from bench import harness
+from foxtaillock.integration import processes
+
+__all__ = ["Fleet", "run"]
+
+_ZONES = ("a", "b", "c")
+_MIB = 2**20
+_KEYS_AT_ONCE = 20
+
+
+class Fleet(typing.NamedTuple):
+    """Sizes of one trial."""
+
+    nodes: int
+    pools: int
+    keys: int
+
+
+_SIZES = (
+    Fleet(3, 3, 0),
+    Fleet(6, 3, 0),
+    Fleet(9, 3, 0),
+    Fleet(3, 30, 0),
+    Fleet(3, 3, 300),
+)
+
+
+async def run(quick: bool) -> harness.Result:
+    """Measures all sizes.
+
+    Args:
+        quick: whether to watch for a short time and only once.
+    """
+    duration_s = 4.0 if quick else 15.0
+    repeats = 1 if quick else 3
+    measurements: list[harness.Measurement] = []
+    for size in _SIZES:
+        trials = [await _measure(size, duration_s) for _ in range(repeats)]
+        measurements += harness.summarize(trials)
+    parameters = {"duration_s": duration_s, "repeats": repeats}
+    return harness.result("node_cost", quick, parameters, measurements)
+
+
+async def _measure(size: Fleet, duration_s: float) -> dict[str, float]:
+    zones = [_ZONES[i % len(_ZONES)] for i in range(size.nodes)]
+    config = {"workers": 3, "services": ["quotes"], "runners_per_zone": 1}
+    fleet = processes.ProcessFleet(zones, config)
+    try:
+        await fleet.start()
+        await _fill(fleet, size)
+        await asyncio.sleep(3.0)
+        return await _watch(fleet, size, duration_s)
+    finally:
+        await fleet.close()
+
+
+async def _fill(fleet: processes.ProcessFleet, size: Fleet) -> None:
+    admin = fleet.client()
+    pools = "".join(
+        f"    p{i}: {{size: 1, min_available: 0}}\n" for i in range(size.pools)
+    )
+    note = f"note: bench\nadded:\n  pools:\n{pools}"
+    note += "  teams:\n    t: {share: 1, limit: 10}\n"
+    answer = await admin.send("POST", "/admin/v1/notes/accept", note)
+    if answer.status != 200:
+        raise RuntimeError(f"the note was refused: {answer}")
+    for _ in range(0, size.keys, _KEYS_AT_ONCE):
+        gifts = [
+            admin.send_json("POST", "/admin/v1/keys", {"team": "t"})
+            for _ in range(_KEYS_AT_ONCE)
+        ]
+        await asyncio.gather(*gifts)
+
+
+async def _watch(
+    fleet: processes.ProcessFleet, size: Fleet, duration_s: float
+) -> dict[str, float]:
+    before = _read(fleet)
+    offset = await _offset(fleet)
+    await asyncio.sleep(duration_s)
+    after = _read(fleet)
+    appends = await _offset(fleet) - offset
+    count = len(fleet.entries)
+    name = f"nodes{size.nodes}_pools{size.pools}_keys{size.keys}"
+    cpu_s = (after["cpu_s"] - before["cpu_s"]) / count
+    log_bytes = (after["bytes"] - before["bytes"]) / count
+    return {
+        f"{name}_cpu_core_percent": 100.0 * cpu_s / duration_s,
+        f"{name}_memory_mib": after["memory_bytes"] / count / _MIB,
+        f"{name}_log_bytes_per_s": log_bytes / duration_s,
+        f"{name}_control_appends_per_s": appends / duration_s,
+    }
+
+
+async def _offset(fleet: processes.ProcessFleet) -> int:
+    answer = await fleet.client().send("GET", "/admin/v1/status")
+    return int(answer.body["next_offset"])
+
+
+def _read(fleet: processes.ProcessFleet) -> dict[str, float]:
+    """Returns the sums over the processes of all entry VMs."""
+    sums = {"cpu_s": 0.0, "memory_bytes": 0.0, "bytes": 0.0}
+    for entry in fleet.entries:
+        assert entry.process is not None and entry.log_proxy is not None
+        folder = pathlib.Path("/proc") / str(entry.process.pid)
+        fields = (folder / "stat").read_text(encoding="ascii").split()
+        ticks = int(fields[13]) + int(fields[14])
+        sums["cpu_s"] += ticks / os.sysconf("SC_CLK_TCK")
+        pages = int((folder / "statm").read_text(encoding="ascii").split()[1])
+        sums["memory_bytes"] += pages * os.sysconf("SC_PAGE_SIZE")
+        sums["bytes"] += sum(entry.log_proxy.passed_bytes.values())
+    return sums
+
+
+if __name__ == "__main__":
+    harness.main(run)
