--- a/bench/fold.py
+++ b/bench/fold.py
@@ -39,6 +39,7 @@
     def _trial(rng: random.Random) -> dict[str, float]:
         figures = _measure_rate(rng, 50_000 // divisor)
         figures |= _measure_start(_grow(divisor))
+        figures |= _measure_sizes()
         return figures | _measure_memory(500 if quick else 2000)
 
     parameters = {
@@ -189,6 +190,15 @@
     }
 
 
+def _measure_sizes() -> dict[str, float]:
+    """Returns the bytes on the log of records that come in any quiet hour."""
+    sizes = {}
+    for name, factory in (("renewal", _renewal), ("grant", _grant)):
+        batch = records.Batch("entry-56", "a" * 16, 10**6, (factory(10**6),))
+        sizes[f"{name}_log_bytes"] = float(len(records.encode_batch(batch)))
+    return sizes
+
+
 def _measure_memory(count: int) -> dict[str, float]:
     kinds: dict[str, tuple[Factory, int]] = {
         "vm": (_vm, 10 * count),
