Replica: pace tail reads; owners poll their own streams slowly

Cause: each record of another entry VM woke a read of its own, and an owner polled each pool's stream twice a second, though only it writes there. Ruled out: a longer poll of the control stream alone, since renewals of others end it anyway.

--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -52,6 +52,7 @@
 _LONGEST_CALL_S = 60.0
 _STOP_POLL_S = 0.05
 _START_RETRY_S = 0.5
+_CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
 
 
 class EntryNode:
@@ -101,6 +102,7 @@
             clock=self.clock,
             rng=rng,
             budget=budget,
+            settings=_CONTROL_READS,
         )
         self.replica.on_batch(self._on_batch)
         self.keys = key_desk.KeyDesk(
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -28,6 +28,7 @@
 __all__ = ["PoolKeeper"]
 
 _INTERVAL_S = 0.1
+_POOL_READS = replicas.ReplicaSettings(poll_s=10.0)
 
 
 class _Held(typing.NamedTuple):
@@ -123,6 +124,7 @@
             clock=self._clock,
             rng=self._rng,
             budget=self._budget,
+            settings=_POOL_READS,
         )
         owner = owners.PoolOwner(
             pool,
--- a/foxtaillock/state/replica.py
+++ b/foxtaillock/state/replica.py
@@ -34,6 +34,9 @@
         poll_s: how long one tail read waits for a record.
         read_timeout_s: a tail read without an answer is given up after
             `poll_s` and so long.
+        pace_s: pause after a read that gave records and reached the end, so
+            that records of several writers come in one answer. A commit or a
+            call of `catch_up` ends the pause.
         page_records: batches read at once.
         batch_records: records committed at once.
         max_waiting: ordinary records that may wait.
@@ -46,6 +49,7 @@
     append_timeout_s: float = 1.0
     poll_s: float = 0.4
     read_timeout_s: float = 0.6
+    pace_s: float = 0.0
     page_records: int = 1000
     batch_records: int = 500
     max_waiting: int = 10_000
@@ -104,6 +108,7 @@
         self._queue = pending.Queue(settings.max_waiting)
         self._flight: pending.Flight | None = None
         self._wake = asyncio.Event()
+        self._hurry = asyncio.Event()
         self._progress = asyncio.Condition()
         self._callbacks: list[BatchCallback] = []
         self._error: exceptions.FoxtaillockError | None = None
@@ -199,6 +204,7 @@
         if self._next_offset >= target:
             self._freshness.read_whole(sent_s)
             return
+        self._hurry.set()
         timeout_s = self._settings.commit_timeout_s
         try:
             async with asyncio.timeout(timeout_s), self._progress:
@@ -261,7 +267,7 @@
         failures = 0
         while True:
             try:
-                await self._read_once()
+                await self._pause(await self._read_once())
                 failures = 0
             except (
                 exceptions.LogUnavailableError,
@@ -270,7 +276,19 @@
                 failures += 1
                 await self._back_off(failures)
 
-    async def _read_once(self) -> None:
+    async def _pause(self, is_at_end: bool) -> None:
+        if not is_at_end or self._settings.pace_s <= 0.0:
+            return
+        if self._flight is None and not self._hurry.is_set():
+            try:
+                async with asyncio.timeout(self._settings.pace_s):
+                    await self._hurry.wait()
+            except TimeoutError:
+                return
+        self._hurry.clear()
+
+    async def _read_once(self) -> bool:
+        """Folds one page; returns whether it had records and is the last."""
         sent_s = self._clock.monotonic_s()
         page = await self._read(
             self._settings.page_records, self._settings.poll_s
@@ -292,6 +310,7 @@
             loguru.logger.error("{} went back", self._stream)
         async with self._progress:
             self._progress.notify_all()
+        return bool(page.records) and self._next_offset == page.next_offset
 
     async def _read(self, limit: int, wait_s: float) -> adapters.LogPage:
         timeout_s = wait_s + self._settings.read_timeout_s
@@ -363,6 +382,7 @@
         entries = self._queue.take(self._settings.batch_records, now_s)
         if not entries:
             return None
+        self._hurry.set()
         for entry in entries:
             entry.sent = True
         batch = records.Batch(
