--- /dev/null
+++ b/bench/call_fleet.py
@@ -0,0 +1,355 @@
+"""Model of entry VMs and runners on a queue of events, for benchmarks.
+
+Entry VMs don't know of each other; each uses one of the compared policies to
+choose runners and to queue its calls.
+"""
+
+import heapq
+import itertools
+import math
+import random
+import typing
+from collections.abc import Callable
+
+from foxtaillock.admission import queue
+from foxtaillock.model import outcomes
+from foxtaillock.model import world
+from foxtaillock.retries import budget as budgets
+from foxtaillock.retries import policy
+from foxtaillock.routing import health
+from foxtaillock.routing import table
+
+__all__ = ["CallFleet", "Fault", "Load", "POLICIES"]
+
+POLICIES = ("round robin", "random", "least connections", "own")
+
+_ENTRIES = 6
+_RUNNERS = 6
+_SLOTS = 8
+_WORK_S = 0.1
+_NETWORK_S = 0.0005
+_DEADLINE_S = 1.0
+_QUEUE_LIMIT = 1_000
+_CONNECTIONS = 64
+
+Fault = typing.Literal["none", "failing", "hanging", "slow"]
+
+
+class Load(typing.NamedTuple):
+    """Arrivals to all entry VMs together.
+
+    Attributes:
+        calls_per_s: rate, as a share of what the runners can do.
+        peak_factor: rate of the peak over that of the rest.
+        peak_s: begin and end of the peak.
+        end_s: last arrival.
+    """
+
+    share: float
+    peak_factor: float = 1.0
+    peak_s: tuple[float, float] = (math.inf, math.inf)
+    end_s: float = 20.0
+
+
+class _Runner:
+    """A runner with slots and at most one fault."""
+
+    def __init__(self, fault: Fault) -> None:
+        self.fault = fault
+        self.busy = 0
+
+
+class _Call(typing.NamedTuple):
+    arrived_s: float
+    expires_at_s: float
+    tries: int = 0
+
+
+class CallFleet:
+    """One seeded run of a policy under a load and a fault.
+
+    Args:
+        seed: seed of arrivals and work times.
+        policy_name: one of `POLICIES`.
+        fault: fault of the first runner from the second second on.
+        load: arrivals.
+    """
+
+    def __init__(
+        self, seed: int, policy_name: str, fault: Fault, load: Load
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.load = load
+        self.policy_name = policy_name
+        self.runners = [_Runner("none") for _ in range(_RUNNERS)]
+        self.arrived = 0
+        self.arrived_in_peak = 0
+        self.attempts = 0
+        self.refused = 0
+        self.goodput_in_peak = 0
+        self.latencies_s: list[float] = []
+        self.shed = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._ids = itertools.count()
+        self.entries = [self._make_entry(i) for i in range(_ENTRIES)]
+        self.at(2.0, lambda: self._set_fault(fault))
+
+    def _make_entry(self, number: int) -> "_Entry":
+        if self.policy_name == "own":
+            return _OwnEntry(self, number)
+        return _PlainEntry(self, number)
+
+    def _set_fault(self, fault: Fault) -> None:
+        self.runners[0].fault = fault
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Runs `action` after `delay_s`."""
+        entry = (self.now_s + delay_s, next(self._ids), action)
+        heapq.heappush(self._events, entry)
+
+    def run(self) -> dict[str, float]:
+        """Runs to the end and returns the figures."""
+        self._arrive()
+        while self._events:
+            self.now_s, _, action = heapq.heappop(self._events)
+            if self.now_s > self.load.end_s + 2.0 * _DEADLINE_S:
+                break
+            action()
+        return self._figures()
+
+    def _figures(self) -> dict[str, float]:
+        latencies = sorted(self.latencies_s) or [math.nan]
+        figures = {
+            "answered_share": len(self.latencies_s) / max(1, self.arrived),
+            "p50_s": latencies[len(latencies) // 2],
+            "p99_s": latencies[int(len(latencies) * 0.99)],
+            "attempts_per_call": self.attempts / max(1, self.arrived),
+            "refused_share": self.refused / max(1, self.attempts),
+        }
+        if self.arrived_in_peak:
+            begin_s, end_s = self.load.peak_s
+            can_s = _RUNNERS * _SLOTS / _WORK_S * (end_s - begin_s)
+            figures["goodput_in_peak"] = self.goodput_in_peak / can_s
+        return figures
+
+    def _in_peak(self, at_s: float) -> bool:
+        return self.load.peak_s[0] <= at_s < self.load.peak_s[1]
+
+    def _arrive(self) -> None:
+        if self.now_s > self.load.end_s:
+            return
+        is_peak = self._in_peak(self.now_s)
+        rate = self.load.share * _RUNNERS * _SLOTS / _WORK_S
+        rate *= self.load.peak_factor if is_peak else 1.0
+        self.arrived += 1
+        self.arrived_in_peak += is_peak
+        entry = self.rng.choice(self.entries)
+        entry.take(_Call(self.now_s, self.now_s + _DEADLINE_S))
+        self.at(self.rng.expovariate(rate), self._arrive)
+
+    def send(
+        self, call: _Call, runner: int, done: Callable[[table.Answer], None]
+    ) -> None:
+        """Sends a try; `done` gets what the runner answers."""
+        self.attempts += 1
+        self.at(_NETWORK_S, lambda: self._reach(call, runner, done))
+
+    def _reach(
+        self, call: _Call, number: int, done: Callable[[table.Answer], None]
+    ) -> None:
+        runner = self.runners[number]
+        if runner.busy >= _SLOTS:
+            self.refused += 1
+            busy = runner.busy
+            answer = table.Answer(health.Result.REFUSED, busy, busy)
+            self.at(_NETWORK_S, lambda: done(answer))
+            return
+        if runner.fault == "failing":
+            answer = table.Answer(health.Result.FAILED, runner.busy, 1)
+            self.at(_NETWORK_S, lambda: done(answer))
+            return
+        left_s = call.expires_at_s - self.now_s
+        work_s = self.rng.expovariate(1.0 / _WORK_S)
+        if runner.fault == "slow":
+            work_s *= 10.0
+        if runner.fault == "hanging":
+            work_s = math.inf
+        result = health.Result.ANSWERED
+        if work_s > left_s:
+            work_s, result = max(0.0, left_s), health.Result.FAILED
+        runner.busy += 1
+        self.at(work_s, lambda: self._finish(runner, result, done))
+
+    def _finish(
+        self,
+        runner: _Runner,
+        result: health.Result,
+        done: Callable[[table.Answer], None],
+    ) -> None:
+        runner.busy -= 1
+        busy = None if result is health.Result.FAILED else runner.busy
+        answer = table.Answer(result, busy, 1)
+        self.at(_NETWORK_S, lambda: done(answer))
+
+    def succeed(self, call: _Call) -> None:
+        """Counts a whole answer."""
+        if self.now_s > call.expires_at_s + 2.0 * _NETWORK_S:
+            return
+        self.latencies_s.append(self.now_s - call.arrived_s)
+        self.goodput_in_peak += self._in_peak(self.now_s)
+
+
+class _Entry(typing.Protocol):
+    """An entry VM."""
+
+    def take(self, call: _Call) -> None:
+        """Takes a new call."""
+
+
+class _PlainEntry:
+    """Entry VM with a common policy, a queue in order and plain retries."""
+
+    def __init__(self, fleet: CallFleet, number: int) -> None:
+        self._fleet = fleet
+        self._in_flight = [0] * _RUNNERS
+        self._next = number
+        self._queue: list[_Call] = []
+
+    def take(self, call: _Call) -> None:
+        """Queues a call, or sheds it when the queue is full."""
+        if len(self._queue) >= _QUEUE_LIMIT:
+            self._fleet.shed += 1
+            return
+        self._queue.append(call)
+        self._pump()
+
+    def _pump(self) -> None:
+        while self._queue:
+            runner = self._choose()
+            if self._in_flight[runner] >= _SLOTS:
+                return
+            call = self._queue.pop(0)
+            if call.expires_at_s <= self._fleet.now_s:
+                self._fleet.shed += 1
+                continue
+            self._start(call, runner)
+
+    def _choose(self) -> int:
+        if self._fleet.policy_name == "random":
+            free = [i for i, n in enumerate(self._in_flight) if n < _SLOTS]
+            return self._fleet.rng.choice(free or [0])
+        if self._fleet.policy_name == "least connections":
+            lowest = min(self._in_flight)
+            best = [i for i, n in enumerate(self._in_flight) if n == lowest]
+            return self._fleet.rng.choice(best)
+        for _ in range(_RUNNERS):
+            self._next = (self._next + 1) % _RUNNERS
+            if self._in_flight[self._next] < _SLOTS:
+                break
+        return self._next
+
+    def _start(self, call: _Call, runner: int) -> None:
+        self._in_flight[runner] += 1
+        call = call._replace(tries=call.tries + 1)
+        self._fleet.send(call, runner, lambda a: self._end(call, runner, a))
+
+    def _end(self, call: _Call, runner: int, answer: table.Answer) -> None:
+        self._in_flight[runner] -= 1
+        if answer.result is health.Result.ANSWERED:
+            self._fleet.succeed(call)
+        elif call.tries < policy.MAX_TRIES:
+            self._queue.append(call)
+        self._pump()
+
+
+class _OwnEntry:
+    """Entry VM with the project's routing, admission and retries."""
+
+    def __init__(self, fleet: CallFleet, number: int) -> None:
+        del number
+        self._fleet = fleet
+        self._table = table.RunnerTable("z")
+        role = world.VmRole.RUNNER
+        vms = [
+            world.VmEntry(str(i), 1, role, "z", "", "") for i in range(_RUNNERS)
+        ]
+        self._table.update(vms, _SLOTS, _CONNECTIONS, _ENTRIES)
+        self._queue = queue.ServiceQueue()
+        self._budget = budgets.RetryBudget()
+        self._calls: dict[int, _Call] = {}
+        self._last = 0
+        fleet.at(0.02, self._tick)
+
+    def _tick(self) -> None:
+        self._pump()
+        self._fleet.at(0.02, self._tick)
+
+    def take(self, call: _Call) -> None:
+        """Queues a call, or sheds it when it can't be answered in time."""
+        self._last += 1
+        waiter = queue.Waiter(self._last, "t", call.expires_at_s)
+        if self._queue.add(waiter, self._fleet.now_s) is not None:
+            self._fleet.shed += 1
+            return
+        self._budget.note_call("s", "t")
+        self._calls[self._last] = call
+        self._pump()
+
+    def _pump(self) -> None:
+        now_s = self._fleet.now_s
+        for shed in self._queue.drop_late(now_s):
+            del self._calls[shed.waiter.number]
+            self._fleet.shed += 1
+        while self._queue:
+            runner = self._table.choose(self._fleet.rng, now_s)
+            if runner is None:
+                return
+            waiter = self._queue.take(now_s, lambda _: True)
+            if waiter is None:
+                return
+            self._start(self._calls.pop(waiter.number), runner, ())
+
+    def _start(
+        self, call: _Call, runner: table.Runner, avoid: tuple[str, ...]
+    ) -> None:
+        started_s = self._fleet.now_s
+        ticket = runner.start(started_s)
+        call = call._replace(tries=call.tries + 1)
+        avoid = (*avoid, runner.vm.name)
+
+        def _end(answer: table.Answer) -> None:
+            now_s = self._fleet.now_s
+            runner.end(ticket, answer, now_s, self._fleet.rng)
+            if answer.result is health.Result.ANSWERED:
+                self._queue.note_run_time(now_s - started_s, now_s)
+                self._fleet.succeed(call)
+            else:
+                self._retry(call, answer, avoid)
+            self._pump()
+
+        self._fleet.send(call, int(runner.vm.name), _end)
+
+    def _retry(
+        self, call: _Call, answer: table.Answer, avoid: tuple[str, ...]
+    ) -> None:
+        outcome: outcomes.Outcome = outcomes.Unknown("failed")
+        if answer.result is health.Result.REFUSED:
+            outcome = outcomes.NotRun("refused")
+        left_s = call.expires_at_s - self._fleet.now_s
+        tried = policy.Tried("s", "t", outcome, True, call.tries, left_s)
+        delay_s = policy.find_retry_delay_s(
+            tried, self._budget, self._fleet.rng
+        )
+        if delay_s is not None:
+            self._fleet.at(delay_s, lambda: self._try_other(call, avoid))
+
+    def _try_other(self, call: _Call, avoid: tuple[str, ...]) -> None:
+        now_s = self._fleet.now_s
+        if now_s >= call.expires_at_s:
+            return
+        runner = self._table.choose(self._fleet.rng, now_s, avoid)
+        if runner is None:
+            self._fleet.at(0.02, lambda: self._try_other(call, avoid))
+            return
+        self._start(call, runner, avoid)
