--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,391 @@
+"""Measures placement: cost, memory, shares, packing and urgent starts.
+
+Run `python -m bench.placement`; it prints JSON. All runs are seeded and in
+virtual time; only cost and memory depend on the machine.
+"""
+
+import functools
+import json
+import math
+import random
+import statistics
+import time
+import tracemalloc
+import typing
+from collections.abc import Callable, Iterable
+
+from bench import pool_model
+from foxtaillock.jobs import pool_state
+from foxtaillock.model import objects
+from foxtaillock.model import records
+from foxtaillock.model import resources
+from foxtaillock.placement import capacity
+from foxtaillock.placement import fit
+from foxtaillock.placement import waiting
+
+__all__ = ["main"]
+
+SEEDS = range(5)
+PLACEMENTS = 400
+MEAN_RUN_TIME_S = 5.0
+TICK_S = 0.1
+PEAK_S = 20.0
+URGENT_SIZE = resources.Resources(1000, 2 * pool_model.GIB, 0)
+MEAN_CPU_MILLIS = 3_100
+Figures = dict[str, typing.Any]
+
+
+def _teams(count: int) -> dict[str, objects.Team]:
+    return {f"t{i}": {"share": 1 + i % 3, "limit": 10**6} for i in range(count)}
+
+
+def _summary(values: Iterable[float], digits: int = 4) -> Figures:
+    rows = sorted(values)
+    return {
+        "median": round(statistics.median(rows), digits),
+        "low": round(rows[0], digits),
+        "high": round(rows[-1], digits),
+    }
+
+
+def measure_cost(workers: int, teams: int, jobs: int, seed: int) -> Figures:
+    """Returns processor time of one placement in a full pool, in us."""
+    rng = random.Random(seed)
+    model = pool_model.PoolModel(workers, _teams(teams))
+    began = time.process_time()
+    for _ in range(jobs):
+        model.submit(
+            f"t{rng.randrange(teams)}",
+            pool_model.random_size(rng),
+            rng.expovariate(1 / MEAN_RUN_TIME_S),
+        )
+    add_us = (time.process_time() - began) / jobs * 1e6
+    model.fill()
+    costs: list[float] = []
+    while len(costs) < PLACEMENTS and model.end_next():
+        began = time.process_time()
+        started = model.fill()
+        spent_us = (time.process_time() - began) * 1e6
+        costs.append(spent_us / max(1, started))
+    costs.sort()
+    return {
+        "add_us": add_us,
+        "median_us": statistics.median(costs),
+        "p99_us": costs[int(0.99 * len(costs))],
+        "mean_us": statistics.fmean(costs),
+    }
+
+
+def cost_table() -> list[Figures]:
+    """Returns the cost of a placement at several sizes."""
+    rows = []
+    for workers, teams, jobs in (
+        (6, 6, 100),
+        (6, 6, 1_000),
+        (6, 6, 10_000),
+        (68, 61, 1_000),
+        (68, 61, 10_000),
+        (68, 61, 100_000),
+        (272, 61, 10_000),
+        (1_088, 61, 10_000),
+    ):
+        runs = [measure_cost(workers, teams, jobs, seed) for seed in SEEDS]
+        row: Figures = {"workers": workers, "teams": teams, "waiting": jobs}
+        for name in runs[0]:
+            row[name] = _summary([run[name] for run in runs], 1)
+        rows.append(row)
+    return rows
+
+
+def _bytes_of(build: Callable[[], object], count: int) -> float:
+    tracemalloc.start()
+    kept = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return round(size / count, 1)
+
+
+def memory_table(count: int = 10_000) -> Figures:
+    """Returns bytes for each recorded job, waiting job, worker and team."""
+
+    def _state() -> pool_state.PoolState:
+        state = pool_state.PoolState()
+        raised = records.PoolEpochRaised(1, "e")
+        state.apply(0, records.Batch("e", "i", 1, (raised,)))
+        for i in range(count):
+            batch = records.Batch("e", "i", i + 2, (_accepted(i),))
+            text = records.encode_batch(batch)
+            state.apply(i + 1, records.decode_batch(text))
+        return state
+
+    def _waiting() -> waiting.WaitingJobs:
+        jobs = waiting.WaitingJobs()
+        size = resources.Resources(1000, pool_model.GIB, 0)
+        for i in range(count):
+            request = waiting.Request(f"j{i}", "t", "q", size, False, float(i))
+            jobs.add(request, 0.0, True)
+        return jobs
+
+    def _workers() -> capacity.Capacity:
+        workers = capacity.Capacity()
+        for i in range(count):
+            size = resources.Resources(16_000, 64 * pool_model.GIB, i % 3)
+            workers.set_worker(f"w{i}", f"z{i % 3}", f"r{i // 4}", size, True)
+        return workers
+
+    def _team_queues() -> waiting.WaitingJobs:
+        jobs = waiting.WaitingJobs()
+        size = resources.Resources(1000, pool_model.GIB, 0)
+        for i in range(count):
+            request = waiting.Request(f"j{i}", f"t{i}", "q", size, False, 0.0)
+            jobs.add(request, 0.0, True)
+        return jobs
+
+    per_waiting = _bytes_of(_waiting, count)
+    per_team = _bytes_of(_team_queues, count) - per_waiting
+    return {
+        "recorded_job_bytes": _bytes_of(_state, count),
+        "waiting_job_bytes": per_waiting,
+        "worker_bytes": _bytes_of(_workers, count),
+        "team_bytes": round(per_team, 1),
+    }
+
+
+def _accepted(number: int) -> records.JobAccepted:
+    return records.JobAccepted(
+        f"pool.{number:016x}",
+        "t",
+        "key",
+        f"order-{number}",
+        "q",
+        (1000, pool_model.GIB, 0),
+        60.0,
+        False,
+        False,
+        0.0,
+        "x" * 200,
+        "2026-01-01T00:00:00+00:00",
+        1,
+    )
+
+
+class ShareRun(typing.NamedTuple):
+    """Settings of one run of `measure_shares`.
+
+    Attributes:
+        load: mean demand as a multiple of the pool.
+        preempt: whether tasks of borrowers are checkpointed.
+        accelerated: whether a tenth of the jobs need accelerators.
+    """
+
+    load: float
+    preempt: bool = True
+    accelerated: bool = False
+    workers: int = 6
+    teams: int = 6
+
+
+def measure_shares(run: ShareRun, seed: int) -> Figures:
+    """Returns share error and work conservation with peaks by turns.
+
+    Each team in its turn asks five times its mean for `PEAK_S`, and a
+    twentieth of its mean in between. The error of a team is the difference
+    between the integrals of what it used and of what it was due, over the
+    latter, while jobs waited.
+    """
+    rng = random.Random(seed)
+    teams = _teams(run.teams)
+    model = pool_model.PoolModel(run.workers, teams, run.accelerated)
+    used = dict.fromkeys(teams, 0.0)
+    due = dict.fromkeys(teams, 0.0)
+    idle: list[float] = []
+    ticks = int(run.teams * PEAK_S * 5 / TICK_S)
+    for tick in range(ticks):
+        _submit_tick(model, run, rng, tick)
+        model.fill()
+        while run.preempt and model.preempt():
+            model.fill()
+        model.advance((tick + 1) * TICK_S)
+        if not model.planner.requests():
+            continue
+        idle.append(_usable_idle(model))
+        fair = model.planner.due_shares()
+        for team in teams:
+            used[team] += model.share_of(team)
+            due[team] += fair.get(team, 0.0)
+    errors = [abs(used[t] - due[t]) / due[t] for t in teams if due[t] > 0]
+    return {
+        "mean_share_error": statistics.fmean(errors),
+        "worst_share_error": max(errors),
+        "work_conservation": 1.0 - statistics.fmean(idle),
+        "fraction_of_time_with_waiting_jobs": len(idle) / ticks,
+    }
+
+
+def _submit_tick(
+    model: pool_model.PoolModel, run: ShareRun, rng: random.Random, tick: int
+) -> None:
+    total_cpu = model.workers.total.cpu_millis
+    work = MEAN_CPU_MILLIS * MEAN_RUN_TIME_S * run.teams
+    peak = int(tick * TICK_S / PEAK_S) % run.teams
+    for i in range(run.teams):
+        rate = run.load * total_cpu / work * (5.0 if i == peak else 0.05)
+        for _ in range(_poisson(rng, rate * TICK_S)):
+            run_time_s = rng.expovariate(1 / MEAN_RUN_TIME_S)
+            size = pool_model.random_size(rng)
+            if not run.accelerated:
+                size = size._replace(accelerators=0)
+            model.submit(f"t{i}", size, run_time_s)
+
+
+def _usable_idle(model: pool_model.PoolModel) -> float:
+    """Returns the fraction of processors that a waiting job could use now."""
+    idle = 0
+    requests = model.planner.requests()
+    for worker in model.workers:
+        for request in requests:
+            if resources.fits(request.size, worker.free):
+                idle += worker.free.cpu_millis
+                break
+    return idle / model.workers.total.cpu_millis
+
+
+def _poisson(rng: random.Random, mean: float) -> int:
+    limit, product, count = math.exp(-mean), rng.random(), 0
+    while product > limit:
+        product *= rng.random()
+        count += 1
+    return count
+
+
+def measure_packing(seed: int, jobs: int = 400) -> Figures:
+    """Returns workers used by the score, by plain best fit, and at least."""
+    rng = random.Random(seed)
+    sizes = [pool_model.random_size(rng) for _ in range(jobs)]
+    sizes = [size._replace(accelerators=0) for size in sizes]
+    whole = pool_model.WORKER_SIZE
+    bound = max(
+        math.ceil(sum(size[i] for size in sizes) / whole[i]) for i in (0, 1)
+    )
+    return {
+        "scored_over_bound": _pack(sizes, _scored) / bound,
+        "best_fit_over_bound": _pack(sizes, _plain) / bound,
+    }
+
+
+def _scored(
+    request: waiting.Request,
+    worker: capacity.Worker,
+    workers: capacity.Capacity,
+) -> float:
+    return fit.score(request, worker, workers)
+
+
+def _plain(
+    request: waiting.Request,
+    worker: capacity.Worker,
+    workers: capacity.Capacity,
+) -> float:
+    del workers
+    left = resources.subtract(worker.free, request.size)
+    return left[0] / worker.size[0] + left[1] / worker.size[1]
+
+
+def _pack(
+    sizes: list[resources.Resources],
+    rate: Callable[
+        [waiting.Request, capacity.Worker, capacity.Capacity], float
+    ],
+) -> int:
+    """Returns the workers needed when a new one is opened only if needed."""
+    workers = capacity.Capacity()
+    for i, size in enumerate(sizes):
+        request = waiting.Request(f"j{i}", "t", "q", size, False, 0.0)
+        fitting = [w for w in workers if resources.fits(size, w.free)]
+        if fitting:
+            scores = [(rate(request, w, workers), w.name) for w in fitting]
+            name = min(scores)[1]
+        else:
+            k = len(workers)
+            name = f"w{k}"
+            whole = pool_model.WORKER_SIZE
+            workers.set_worker(name, f"z{k % 3}", f"r{k // 4}", whole, True)
+        task = capacity.Task(f"j{i}", f"j{i}", "t", "q", name, size, 0.0)
+        workers.reserve(task)
+    return len(workers)
+
+
+def measure_urgent(workers: int, teams: int, seed: int) -> Figures:
+    """Returns how many urgent jobs of a deprived team get room at once.
+
+    All but one team fill the pool with long jobs; the last one then submits
+    urgent jobs up to its share, one at a time.
+    """
+    rng = random.Random(seed)
+    model = pool_model.PoolModel(workers, _teams(teams), False)
+    for i in range(40 * workers):
+        size = pool_model.random_size(rng)._replace(accelerators=0)
+        model.submit(f"t{i % (teams - 1)}", size, 3600.0)
+    model.fill()
+    team = f"t{teams - 1}"
+    spent_ms: list[float] = []
+    started = 0
+    while _is_below_share(model, team):
+        job_id = model.submit(team, URGENT_SIZE, 3600.0, urgent=True)
+        began = time.process_time()
+        model.fill()
+        if job_id not in model.started_s and model.preempt():
+            model.fill()
+        spent_ms.append((time.process_time() - began) * 1e3)
+        started += job_id in model.started_s
+        model.now_s += TICK_S
+    return {
+        "asked": len(spent_ms),
+        "started_at_once": started / len(spent_ms),
+        "decision_ms_high": max(spent_ms),
+    }
+
+
+def _is_below_share(model: pool_model.PoolModel, team: str) -> bool:
+    """Returns whether one more urgent job stays within the team's share."""
+    weights = sum(row["share"] for row in model.teams.values())
+    used = model.workers.used.get(team, resources.ZERO)
+    wanted = resources.add(used, URGENT_SIZE)
+    share = wanted.cpu_millis / model.workers.total.cpu_millis
+    return share <= model.teams[team]["share"] / weights
+
+
+SHARE_RUNS = {
+    "demand 1.5 times the pool": ShareRun(1.5),
+    "demand 1.5 times the pool, no preemption": ShareRun(1.5, preempt=False),
+    "demand 3 times the pool": ShareRun(3.0),
+    "a tenth of the jobs need accelerators": ShareRun(1.5, accelerated=True),
+}
+
+
+def _repeat(measure: Callable[[int], Figures]) -> Figures:
+    runs = [measure(seed) for seed in SEEDS]
+    return {name: _summary([run[name] for run in runs]) for name in runs[0]}
+
+
+def main() -> None:
+    """Prints all figures as JSON."""
+    shares = {
+        name: _repeat(functools.partial(measure_shares, run))
+        for name, run in SHARE_RUNS.items()
+    }
+    figures = {
+        "seeds": len(SEEDS),
+        "cost": cost_table(),
+        "memory": memory_table(),
+        "shares": shares,
+        "packing": _repeat(measure_packing),
+        "urgent_6_workers": _repeat(lambda seed: measure_urgent(6, 6, seed)),
+        "urgent_68_workers": _repeat(lambda seed: measure_urgent(68, 61, seed)),
+    }
+    print(json.dumps(figures, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/pool_model.py
@@ -0,0 +1,157 @@
+"""Small model of one pool in virtual time, to drive the pure placement."""
+
+import heapq
+import itertools
+import random
+import typing
+from collections.abc import Mapping
+
+from foxtaillock.model import objects
+from foxtaillock.model import resources
+from foxtaillock.placement import capacity
+from foxtaillock.placement import planner
+from foxtaillock.placement import waiting
+
+__all__ = ["GIB", "PoolModel", "WORKER_SIZE", "random_size"]
+
+GIB = 2**30
+WORKER_SIZE = resources.Resources(16_000, 64 * GIB, 0)
+_ACCELERATED_SIZE = resources.Resources(16_000, 64 * GIB, 2)
+
+
+class _Running(typing.NamedTuple):
+    request: waiting.Request
+    worker: str
+
+
+class PoolModel:
+    """Workers, waiting jobs and running tasks that end at set times.
+
+    Args:
+        workers: number of workers.
+        teams: shares and limits.
+        accelerated: whether every third worker has accelerators.
+    """
+
+    def __init__(
+        self,
+        workers: int,
+        teams: Mapping[str, objects.Team],
+        accelerated: bool = True,
+    ) -> None:
+        self.teams = teams
+        self.now_s = 0.0
+        self.workers = capacity.Capacity()
+        self.planner = planner.Planner(self.workers)
+        self.planner.set_teams(teams)
+        self.running: dict[str, _Running] = {}
+        self.started_s: dict[str, float] = {}
+        self._work_s: dict[str, float] = {}
+        self._begun_s: dict[str, float] = {}
+        self._ends: list[tuple[float, int, str, float]] = []
+        self._counter = itertools.count()
+        for i in range(workers):
+            size = (
+                _ACCELERATED_SIZE if accelerated and i % 3 == 0 else WORKER_SIZE
+            )
+            self.workers.set_worker(
+                f"w{i}", f"z{i % 3}", f"r{i // 4}", size, True
+            )
+        self.planner.workers_changed(0.0)
+
+    def submit(
+        self,
+        team: str,
+        size: resources.Resources,
+        run_time_s: float,
+        urgent: bool = False,
+    ) -> str:
+        """Adds a job; returns its id."""
+        job_id = f"j{next(self._counter)}"
+        request = waiting.Request(
+            job_id, team, f"q-{team}", size, urgent, self.now_s
+        )
+        self._work_s[job_id] = run_time_s
+        self.planner.add(request, self.now_s)
+        return job_id
+
+    def fill(self) -> int:
+        """Starts all that can start; returns the number of starts."""
+        count = 0
+        while True:
+            assignment = self.planner.next_assignment(
+                self.now_s, lambda _: True
+            )
+            if assignment is None:
+                return count
+            self._start(assignment)
+            count += 1
+
+    def end_next(self) -> bool:
+        """Moves to the next end of a task; returns whether there was one."""
+        while self._ends:
+            end_s, _, job_id, begun_s = heapq.heappop(self._ends)
+            if self._begun_s.get(job_id) != begun_s:
+                continue
+            self.now_s = max(self.now_s, end_s)
+            self._stop(job_id)
+            del self._work_s[job_id]
+            return True
+        return False
+
+    def advance(self, until_s: float) -> None:
+        """Ends the tasks that end until `until_s`, and fills after each."""
+        while self._ends and self._ends[0][0] <= until_s:
+            if self.end_next():
+                self.fill()
+        self.now_s = until_s
+
+    def preempt(self) -> bool:
+        """Checkpoints what the planner chooses; returns whether it did."""
+        chosen = self.planner.next_preemption(self.now_s)
+        if chosen is None:
+            return False
+        for job_id in chosen.task_ids:
+            done_s = self.now_s - self._begun_s[job_id]
+            self._work_s[job_id] -= done_s
+            request = self.running[job_id].request
+            self._stop(job_id)
+            self.planner.add(request, self.now_s)
+        return True
+
+    def share_of(self, team: str) -> float:
+        """Returns the dominant share that a team has reserved."""
+        return self.planner.used_share(team)
+
+    def _start(self, assignment: planner.Assignment) -> None:
+        request, worker = assignment
+        job_id = request.job_id
+        task = capacity.Task(
+            job_id,
+            job_id,
+            request.team,
+            request.queue,
+            worker,
+            request.size,
+            self.now_s,
+        )
+        self.workers.reserve(task)
+        self.running[job_id] = _Running(request, worker)
+        self.started_s.setdefault(job_id, self.now_s)
+        self._begun_s[job_id] = self.now_s
+        end_s = self.now_s + self._work_s[job_id]
+        row = (end_s, next(self._counter), job_id, self.now_s)
+        heapq.heappush(self._ends, row)
+
+    def _stop(self, job_id: str) -> None:
+        worker = self.running.pop(job_id).worker
+        del self._begun_s[job_id]
+        self.workers.release(worker, job_id)
+
+
+def random_size(rng: random.Random) -> resources.Resources:
+    """Returns the size of a random job; one in ten needs an accelerator."""
+    cpu_millis = rng.choice((500, 1000, 2000, 4000, 8000))
+    memory = rng.choice((1, 2, 4, 8, 16)) * GIB
+    accelerators = 1 if rng.random() < 0.1 else 0
+    return resources.Resources(cpu_millis, memory, accelerators)
--- a/foxtaillock/placement/fit.py
+++ b/foxtaillock/placement/fit.py
@@ -68,23 +68,36 @@
         Notes:
             Costs O(workers) for a new size, else O(workers that grew).
         """
-        growth = self._workers.growth
-        fitting = [
-            worker
-            for worker in self._candidates(request.size)
-            if worker.usable and resources.fits(request.size, worker.free)
-        ]
-        if not fitting:
-            self._remember(request.size, growth)
-            return None
+        fitting = self._fitting(request.size)
         allowed = [w for w in fitting if self._is_allowed(request, w)]
         if not allowed:
             return None
         fresh = [w for w in allowed if w.name not in request.avoid]
-        best = min(
-            fresh or allowed, key=lambda w: score(request, w, self._workers)
-        )
-        return best.name
+        scored = [
+            (score(request, worker, self._workers), worker.name)
+            for worker in fresh or allowed
+        ]
+        return min(scored)[1]
+
+    def has_room(self, size: resources.Resources) -> bool:
+        """Returns whether some worker has room, whomever it is held for."""
+        if self._failed.get(size) == self._workers.growth:
+            return False
+        for worker in self._candidates(size):
+            if worker.usable and resources.fits(size, worker.free):
+                return True
+        self._remember(size, self._workers.growth)
+        return False
+
+    def _fitting(self, size: resources.Resources) -> list[capacity.Worker]:
+        fitting = [
+            worker
+            for worker in self._candidates(size)
+            if worker.usable and resources.fits(size, worker.free)
+        ]
+        if not fitting:
+            self._remember(size, self._workers.growth)
+        return fitting
 
     def _candidates(
         self, size: resources.Resources
@@ -97,7 +110,8 @@
             return self._workers
         if not grown:
             return ()
-        return [w for w in self._workers if w.name in grown]
+        found = (self._workers.worker(name) for name in grown)
+        return [worker for worker in found if worker is not None]
 
     def _remember(self, size: resources.Resources, growth: int) -> None:
         if len(self._failed) >= _MEMO_SIZES:
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -9,15 +9,16 @@
 from foxtaillock.placement import capacity
 from foxtaillock.placement import fit
 from foxtaillock.placement import preemption
+from foxtaillock.placement import share_credits
 from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
 __all__ = ["Assignment", "Planner"]
 
 LOOK_AHEAD_JOBS = 64
-LOOK_AHEAD_SIZES = 16
 HOLD_AFTER_S = 10.0
 HOLD_PAUSE_S = 30.0
+HOLD_CHECK_S = 1.0
 RETURN_AFTER_S = 20.0
 MAX_HELD_FRACTION = 0.25
 
@@ -47,6 +48,9 @@
         self._finder = fit.Finder(workers)
         self._jobs = waiting.WaitingJobs()
         self._teams: Mapping[str, objects.Team] = {}
+        self._credits = share_credits.ShareCredits()
+        self._weights: dict[str, float] = {}
+        self._hold_check_s = float("-inf")
         self._sizes: set[resources.Resources] = set()
         self._holds: dict[str, str] = {}
         self._limited: set[str] = set()
@@ -75,6 +79,10 @@
         """Returns the number of waiting jobs of a queue."""
         return self._jobs.queue_counts[queue]
 
+    def requests(self) -> list[waiting.Request]:
+        """Returns all waiting jobs."""
+        return self._jobs.requests()
+
     def ready_count(self, team: str) -> int:
         """Returns the number of jobs of a team that could start with room."""
         queue = self._jobs.teams.get(team)
@@ -83,6 +91,9 @@
     def set_teams(self, teams: Mapping[str, objects.Team]) -> None:
         """Takes over shares and limits."""
         self._teams = teams
+        self._weights = {
+            name: max(1.0, float(team["share"])) for name, team in teams.items()
+        }
         self._quiet_growth = -1
 
     def workers_changed(self, now_s: float) -> None:
@@ -128,6 +139,7 @@
             return None
         growth = self._workers.growth
         self._limited.clear()
+        self._update_credits(now_s)
         assignment = self._assign_held(now_s, may_start)
         if assignment is None:
             assignment = self._assign_by_share(may_start)
@@ -150,6 +162,10 @@
             demands[team] = shares.Demand(self._weight(team), total)
         return shares.fair_shares(self._workers.total, demands)
 
+    def credit(self, team: str) -> float:
+        """Returns the dominant share that a team is owed from before."""
+        return self._credits.value(team)
+
     def used_share(self, team: str) -> float:
         """Returns the dominant share that a team has reserved."""
         used = self._workers.used.get(team, resources.ZERO)
@@ -212,10 +228,13 @@
     def _assign_by_share(
         self, may_start: Callable[[str], bool]
     ) -> Assignment | None:
+        sizes = self._sizes_with_room()
+        if not sizes:
+            return None
         for team in self._team_order():
             if team in self._limited or not self._may_run(team):
                 continue
-            assignment = self._first_fitting(team)
+            assignment = self._first_fitting(team, sizes)
             if assignment is None:
                 continue
             if may_start(team):
@@ -223,23 +242,37 @@
             self._limited.add(team)
         return None
 
-    def _first_fitting(self, team: str) -> Assignment | None:
-        """Returns the first job of a team that fits, of the next few."""
-        failed: set[resources.Resources] = set()
-        jobs = self._jobs.teams[team].ordered()
-        for request in itertools.islice(jobs, LOOK_AHEAD_JOBS):
-            if request.size in failed:
+    def _sizes_with_room(self) -> set[resources.Resources]:
+        """Returns the sizes of ready jobs that some worker has room for."""
+        has_room = self._finder.has_room
+        return {size for size in self._jobs.sizes if has_room(size)}
+
+    def _first_fitting(
+        self, team: str, sizes: set[resources.Resources]
+    ) -> Assignment | None:
+        """Returns the first job of a team that fits, of the next few.
+
+        Args:
+            team: team with waiting jobs.
+            sizes: sizes that some worker has room for.
+        """
+        queue = self._jobs.teams[team]
+        if queue.sizes.keys().isdisjoint(sizes):
+            return None
+        for request in itertools.islice(queue.ordered(), LOOK_AHEAD_JOBS):
+            if request.size not in sizes:
                 continue
             worker = self._finder.find(request)
             if worker is not None:
                 return Assignment(request, worker)
-            failed.add(request.size)
-            if len(failed) >= LOOK_AHEAD_SIZES:
-                break
         return None
 
     def _team_order(self) -> list[str]:
-        """Returns the teams in the order in which they should get room."""
+        """Returns the teams in the order in which they should get room.
+
+        Half a job is added to what each team has, so that a team of small
+        weight does not gain by the size of its jobs.
+        """
         active = {*self._jobs.teams, *self._workers.used}
         weights = sum(self._weight(team) for team in active)
         keys = {}
@@ -248,9 +281,23 @@
             share = self.used_share(team)
             is_below = share * weights < weight
             goes_ahead = is_below and queue.first_urgent() is not None
-            keys[team] = (not goes_ahead, share / weight, team)
+            half_job = 0.5 * self._mean_share(queue)
+            owed = share + half_job - self.credit(team)
+            keys[team] = (not goes_ahead, owed / weight, team)
         return sorted(keys, key=keys.__getitem__)
 
+    def _update_credits(self, now_s: float) -> None:
+        if not self._credits.is_due(now_s):
+            return
+        due = self.due_shares()
+        used = {team: self.used_share(team) for team in due}
+        self._credits.update(now_s, due, used)
+
+    def _mean_share(self, queue: waiting.TeamQueue) -> float:
+        """Returns the dominant share of a job of mean size."""
+        total = self._workers.total
+        return shares.dominant_share(queue.wanted, total) / len(queue)
+
     def _may_run(self, team: str) -> bool:
         known = self._teams.get(team)
         return known is not None and known["limit"] > 0
@@ -264,13 +311,13 @@
         return any(resources.fits(size, whole) for whole in self._sizes)
 
     def _weight(self, team: str) -> float:
-        known = self._teams.get(team)
-        return max(1.0, float(known["share"])) if known else 1.0
+        return self._weights.get(team, 1.0)
 
     def _hold_for_first(self, now_s: float) -> None:
         """Holds a worker for the team that is next, if it waits for long."""
-        if self._holds:
+        if self._holds or now_s < self._hold_check_s:
             return
+        self._hold_check_s = now_s + HOLD_CHECK_S
         teams = (t for t in self._team_order() if self._may_hold(t, now_s))
         team = next(teams, None)
         if team is None:
--- a/foxtaillock/placement/waiting.py
+++ b/foxtaillock/placement/waiting.py
@@ -45,10 +45,12 @@
 
     Attributes:
         wanted: sum of the sizes.
+        sizes: number of jobs of each size.
     """
 
     def __init__(self) -> None:
         self.wanted = resources.ZERO
+        self.sizes: dict[resources.Resources, int] = {}
         self._urgent: collections.OrderedDict[str, Request] = (
             collections.OrderedDict()
         )
@@ -67,12 +69,14 @@
         if first is not None and request.since_s < first.since_s:
             jobs.move_to_end(request.job_id, last=False)
         self.wanted = resources.add(self.wanted, request.size)
+        _count(self.sizes, request.size, 1)
 
     def remove(self, request: Request) -> None:
         """Removes a job that was added."""
         jobs = self._urgent if request.urgent else self._patient
         del jobs[request.job_id]
         self.wanted = resources.subtract(self.wanted, request.size)
+        _count(self.sizes, request.size, -1)
 
     def first(self) -> Request | None:
         """Returns the job that should start first."""
@@ -101,12 +105,14 @@
 
     Attributes:
         teams: queue of each team that has jobs ready to start.
+        sizes: number of jobs ready to start, of each size.
         stuck: jobs that no worker is large enough for.
         queue_counts: waiting jobs of each queue.
     """
 
     def __init__(self) -> None:
         self.teams: dict[str, TeamQueue] = {}
+        self.sizes: dict[resources.Resources, int] = {}
         self.stuck: dict[str, Request] = {}
         self.queue_counts: collections.Counter[str] = collections.Counter()
         self._jobs: dict[str, Request] = {}
@@ -157,6 +163,7 @@
             return request
         queue = self.teams[request.team]
         queue.remove(request)
+        _count(self.sizes, request.size, -1)
         if not queue:
             del self.teams[request.team]
         return request
@@ -186,3 +193,17 @@
         if queue is None:
             queue = self.teams[request.team] = TeamQueue()
         queue.add(request)
+        _count(self.sizes, request.size, 1)
+
+
+def _count(
+    sizes: dict[resources.Resources, int],
+    size: resources.Resources,
+    step: int,
+) -> None:
+    """Counts jobs of a size; a size without jobs has no entry."""
+    count = sizes.get(size, 0) + step
+    if count:
+        sizes[size] = count
+    else:
+        del sizes[size]
