--- a/foxtaillock/fleet/sightings.py
+++ b/foxtaillock/fleet/sightings.py
@@ -75,14 +75,16 @@
         """Returns the health of one incarnation of a VM.
 
         It serves only if it answers under this incarnation and is neither
-        draining nor leaving.
+        draining nor leaving; a VM that drains has not failed.
         """
         answer = self._answers.get(vm)
         entry = self.listed.get(vm)
         is_leaving = entry is not None and entry.state is world.VmState.LEAVING
         if answer is not None and answer.incarnation == incarnation:
-            is_out = answer.is_draining or is_leaving
-            return model.Health.FAILED if is_out else model.Health.SERVING
+            if is_leaving:
+                return model.Health.FAILED
+            is_out = answer.is_draining
+            return model.Health.UNKNOWN if is_out else model.Health.SERVING
         silent_s = now_s - self._answered_s.setdefault(vm, now_s)
         if silent_s >= FAILED_AFTER_S:
             return model.Health.FAILED
--- /dev/null
+++ b/foxtaillock/fleet/tests/test_controller.py
@@ -0,0 +1,243 @@
+"""Tests of the controller over a replica, a faulty log and a small fleet."""
+
+import asyncio
+import collections
+import contextlib
+import random
+import typing
+import unittest
+from collections.abc import AsyncIterator
+
+import loguru
+
+from foxtaillock.adapters import interfaces
+from foxtaillock.fleet import controller as controllers
+from foxtaillock.model import records
+from foxtaillock.model import world
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+from foxtaillock.state.tests import fake_log
+from foxtaillock.state.tests import virtual_loop
+
+_REBOOT_S = 3.0
+
+
+class _Vm:
+    """A worker VM as it really is."""
+
+    def __init__(self, name: str, zone: str) -> None:
+        self.entry = world.VmEntry(
+            name, 1, world.VmRole.WORKER, zone, f"{zone}-r", "127.0.0.1:1"
+        )
+        self.is_draining = False
+        self.is_up = True
+        self.running = 0
+        self.operations: set[str] = set()
+
+
+class _Platform:
+    """Workers and the service that drains and reboots them."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.loses = 0.0
+        self.vms = {f"v{n}": _Vm(f"v{n}", "abc"[n % 3]) for n in range(9)}
+        self.least_up = len(self.vms)
+
+    def list_vms(self) -> list[world.VmEntry]:
+        """Returns all rows."""
+        return [vm.entry for vm in self.vms.values()]
+
+    async def _pass(self) -> None:
+        await asyncio.sleep(0.01)
+        if self.random.random() < self.loses:
+            raise OSError("no answer")
+
+    async def report(
+        self, vm: world.VmEntry, pool: str, epoch: int
+    ) -> interfaces.WorkerReport:
+        """Returns the report of a VM that is up."""
+        found = self.vms[vm.name]
+        await self._pass()
+        if not found.is_up:
+            raise OSError("refused")
+        assert pool == records.FLEET_POOL
+        tasks = [
+            interfaces.TaskState(
+                task_id=f"t{n}", epoch=1, state="running", result=""
+            )
+            for n in range(found.running)
+        ]
+        found.running = max(0, found.running - 1)
+        return interfaces.WorkerReport(
+            vm.name, found.entry.incarnation, 0.0, epoch, tasks, (0, 0, 0)
+        )
+
+    async def drain(self, vm: world.VmEntry) -> None:
+        """Drains, and may lose the answer."""
+        self.vms[vm.name].is_draining = True
+        await self._pass()
+
+    async def undrain(self, vm: world.VmEntry) -> None:
+        """Ends draining, and may lose the answer."""
+        self.vms[vm.name].is_draining = False
+        await self._pass()
+
+    async def reboot(self, vm: world.VmEntry, operation_id: str) -> None:
+        """Reboots once for each operation, and may lose the answer."""
+        found = self.vms[vm.name]
+        if operation_id not in found.operations:
+            found.operations.add(operation_id)
+            assert found.is_draining and not found.running
+            found.is_up = False
+            up = sum(1 for machine in self.vms.values() if machine.is_up)
+            self.least_up = min(self.least_up, up)
+            asyncio.get_running_loop().call_later(_REBOOT_S, self._up, found)
+        await self._pass()
+
+    def _up(self, vm: _Vm) -> None:
+        incarnation = vm.entry.incarnation + 1
+        vm.entry = vm.entry._replace(incarnation=incarnation)
+        vm.is_up = True
+        vm.is_draining = False
+
+
+class _Node:
+    """A node that may own the fleet."""
+
+    def __init__(
+        self, log: fake_log.FakeLog, platform: _Platform, name: str
+    ) -> None:
+        self.name = name
+        rng = random.Random(name)
+        clock = virtual_loop.LoopClock()
+        self.client = fake_log.LogClient(log, rng)
+        self.state = control_state.ControlState()
+        self.replica = replicas.StreamReplica(
+            self.client,
+            records.CONTROL_STREAM,
+            self.state,
+            writer=name,
+            incarnation="x",
+            clock=clock,
+            rng=rng,
+        )
+        self.owns = False
+        self.controller = controllers.FleetController(
+            self.replica,
+            self.state,
+            platform.list_vms,
+            platform,
+            typing.cast(interfaces.WorkerService, platform),
+            clock,
+            rng,
+            may_act=lambda: self.owns,
+            epoch=lambda: self.state.epoch(records.FLEET_POOL),
+        )
+
+    async def claim(self, epoch: int) -> None:
+        """Becomes owner of the fleet."""
+        for record in (
+            records.SessionRenewed(self.name, "x", 1, "a", "h:1", "h:2"),
+            records.PoolClaimed(records.FLEET_POOL, self.name, "x", epoch),
+        ):
+            assert (await self.replica.commit(record)).accepted
+        self.owns = True
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Runs replica and controller in the body of an `async with`."""
+        tasks = [
+            asyncio.create_task(self.replica.run()),
+            asyncio.create_task(self.controller.run()),
+        ]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _pools(**sizes: int) -> records.NoteAccepted:
+    changes = tuple(
+        records.Change(
+            "added",
+            "pool",
+            name,
+            0,
+            {"size": size, "zones": ["a", "b", "c"], "min_available": size - 1},
+        )
+        for name, size in sizes.items()
+    )
+    return records.NoteAccepted("n", "op", "first", changes)
+
+
+class ControllerTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        loguru.logger.disable("foxtaillock.fleet")
+        self.addCleanup(loguru.logger.enable, "foxtaillock.fleet")
+
+    def test_assigns_spreads_and_maintains_a_pool(self) -> None:
+        async def _check() -> None:
+            log, platform = fake_log.FakeLog(), _Platform(1)
+            node = _Node(log, platform, "e1")
+            async with node.running():
+                await node.claim(1)
+                await node.replica.commit(_pools(p=6))
+                await asyncio.sleep(10)
+                self._assert_spread(node, platform)
+                for vm in platform.vms.values():
+                    vm.running = 3
+                wave = records.WaveChanged("w", "p", "running", "", 1)
+                await node.replica.commit(wave)
+                await asyncio.sleep(120)
+                self.assertEqual(node.state.waves["w"].state, "done")
+                self.assertEqual(dict(node.state.disruptions), {})
+                self.assertEqual(platform.least_up, 8)
+                for name in node.state.vms:
+                    self.assertEqual(platform.vms[name].entry.incarnation, 2)
+                    self.assertFalse(platform.vms[name].is_draining)
+
+        virtual_loop.run(_check())
+
+    def test_owner_crashes_and_lost_answers_in_a_wave(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                virtual_loop.run(self._run_with_crashes(seed))
+
+    async def _run_with_crashes(self, seed: int) -> None:
+        log, platform = fake_log.FakeLog(), _Platform(seed)
+        platform.loses = 0.2
+        rng = random.Random(seed)
+        first = _Node(log, platform, "e0")
+        async with first.running():
+            await first.claim(1)
+            await first.replica.commit(_pools(p=6))
+            await asyncio.sleep(15)
+            wave = records.WaveChanged("w", "p", "running", "", 1)
+            await first.replica.commit(wave)
+            await asyncio.sleep(rng.uniform(0.1, 9))
+        for epoch in range(2, 6):
+            node = _Node(log, platform, f"e{epoch}")
+            if epoch == 5:
+                platform.loses = 0.0
+            async with node.running():
+                await node.replica.catch_up()
+                old = f"e{epoch - 1}" if epoch > 2 else "e0"
+                ended = records.SessionEnded(old, "x", 1, node.name)
+                await node.replica.commit(ended)
+                await node.claim(epoch)
+                await asyncio.sleep(120 if epoch == 5 else rng.uniform(1, 15))
+        self.assertEqual(node.state.waves["w"].state, "done")
+        self.assertEqual(dict(node.state.disruptions), {})
+        self.assertEqual(platform.least_up, 8)
+        for name in node.state.vms:
+            self.assertEqual(platform.vms[name].entry.incarnation, 2)
+
+    def _assert_spread(self, node: _Node, platform: _Platform) -> None:
+        zones = collections.Counter(
+            platform.vms[name].entry.zone for name in node.state.vms
+        )
+        self.assertEqual(zones, {"a": 2, "b": 2, "c": 2})
