--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -42,6 +42,8 @@
         vms: returns the platform's list.
         status: returns the state of this entry VM.
         on_withdrawn: called with each key id before its withdrawal is recorded.
+        explain: returns why a VM is planned to move; only the owner of the
+            fleet knows.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         vms: Callable[[], Sequence[world.VmEntry]],
         status: Callable[[], admin.Row],
         on_withdrawn: Callable[[str], None],
+        explain: Callable[[str], str],
     ) -> None:
         self._state = state
         self._replica = replica
@@ -60,6 +63,7 @@
         self._vms = vms
         self._status = status
         self._on_withdrawn = on_withdrawn
+        self._explain = explain
         self.keys = key_checker
 
     def check_note(self, text: str) -> admin.Row:
@@ -274,7 +278,8 @@
         for row in self._list_vms():
             if row["name"] == name:
                 held = self._state.disruptions.get(name)
-                row["reason"] = held.reason if held else "in its place"
+                reason = held.reason if held else self._explain(name)
+                row["reason"] = reason or "in its place"
                 return row
         raise problems.Problem("not-found", f"no VM {name!r}")
 
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -21,7 +21,6 @@
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
 from foxtaillock.daemon import call_claims
-from foxtaillock.daemon import fleet_keeper
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
@@ -31,6 +30,7 @@
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.daemon import session_keeper
 from foxtaillock.daemon import vm_watch
+from foxtaillock.fleet import controller as fleet_controller
 from foxtaillock.leases import ownership
 from foxtaillock.leases import times as session_times
 from foxtaillock.limits import grants as limits
@@ -84,7 +84,7 @@
         )
         self._build_state(rng, budget)
         self._build_decisions(rng, budget)
-        self._build_desks()
+        self._build_desks(rng)
         self._build_http()
 
     def _build_state(
@@ -177,13 +177,21 @@
             + _LONGEST_CALL_S,
         )
 
-    def _build_desks(self) -> None:
+    def _build_desks(self, rng: random.Random) -> None:
         settings = self.settings
         self.vm_watch = vm_watch.VmWatch(
             self.platform.vm_list, self._on_world_change
         )
-        self.fleet = fleet_keeper.FleetKeeper(
-            self.state, self.replica, self.session, lambda: self.vm_watch.vms
+        self.fleet = fleet_controller.FleetController(
+            self.replica,
+            self.state,
+            lambda: self.vm_watch.vms,
+            self.platform.pools,
+            self.platform.workers,
+            self.clock,
+            rng,
+            may_act=self._owns_fleet,
+            epoch=self._fleet_epoch,
         )
         own = neighbours.Member(
             settings.node_name, settings.zone, settings.region, ""
@@ -212,6 +220,7 @@
             lambda: self.vm_watch.vms,
             self._status,
             self._on_withdrawn,
+            self.fleet.explain,
         )
 
     def _build_http(self) -> None:
@@ -369,6 +378,12 @@
         if self.keys.deny(key_id):
             self._spread()
 
+    def _fleet_epoch(self) -> int:
+        return self.state.epoch(records.FLEET_POOL)
+
+    def _owns_fleet(self) -> bool:
+        return self.session.owns(records.FLEET_POOL, self._fleet_epoch())
+
     def _pool_names(self) -> list[str]:
         return [records.FLEET_POOL, *sorted(self.state.objects("pool"))]
 
