Proofs wait for a new key everywhere; an unknown pool's job is not found

Cause: test_charge_runs_once_through_all_entry_vms failed in 1 of 4 runs with key-rejected: it used a key before the other entry VMs had folded it.

--- a/foxtaillock/daemon/job_desk.py
+++ b/foxtaillock/daemon/job_desk.py
@@ -214,6 +214,8 @@
 
     async def _forward(self, pool: str, send: _Send) -> messages.JobReply:
         claim = self._state.claim(pool)
+        if claim is None and self._state.object("pool", pool) is None:
+            return messages.JobReply(messages.ReplyTag.MISSING)
         if claim is None or claim.node == self._node:
             return messages.JobReply(
                 messages.ReplyTag.REFUSED,
--- a/foxtaillock/integration/scenario.py
+++ b/foxtaillock/integration/scenario.py
@@ -67,10 +67,24 @@
 
 
 async def give_key(fleet: processes.ProcessFleet, team: str) -> tuple[str, str]:
-    """Gives a team a key; returns its id and its secret."""
+    """Gives a team a key and waits until it works on every entry VM.
+
+    Returns:
+        Its id and its secret.
+    """
     body = {"team": team}
     answer = await fleet.client().send_json("POST", "/admin/v1/keys", body)
     assert answer.status == 201, answer
+    sender = fleet.client(answer.body["secret"])
+
+    async def _works() -> bool:
+        answers = [
+            await sender.send("GET", "/v1/jobs/none.0", entry=i)
+            for i in range(len(fleet.entries))
+        ]
+        return all(row.code == "not-found" for row in answers)
+
+    await until(_works, 8.0, "the key works on every entry VM")
     return answer.body["key_id"], answer.body["secret"]
 
 
