Take the best of eight runners; shed at half the deadline

Two random choices by load and latency were refused for lack of a slot more often than plain least connections while all was healthy; now the best of up to eight is taken, others' slots count 0.3, and latency counts only above twice the median. And under five times the mean calls were answered at the end of their deadline; now a call is shed on arrival if waiting and running would take over half of its time. A refusal for lack of a slot costs no budget.

--- a/bench/call_fleet.py
+++ b/bench/call_fleet.py
@@ -337,7 +337,10 @@
         if answer.result is health.Result.REFUSED:
             outcome = outcomes.NotRun("refused")
         left_s = call.expires_at_s - self._fleet.now_s
-        tried = policy.Tried("s", "t", outcome, True, call.tries, left_s)
+        was_full = answer.result is health.Result.REFUSED
+        tried = policy.Tried(
+            "s", "t", outcome, True, call.tries, left_s, was_full
+        )
         delay_s = policy.find_retry_delay_s(
             tried, self._budget, self._fleet.rng
         )
--- a/bench/grants.py
+++ b/bench/grants.py
@@ -190,8 +190,8 @@
         figures: dict[str, float] = {}
         for name, shift in _SCENARIOS.items():
             found = _Fleet(rng.randrange(1_000_000), *shift).run()
-            fields = found._asdict()
-            figures |= {f"{name}_{field}": fields[field] for field in fields}
+            for field, value in found._asdict().items():
+                figures[f"{name}_{field}"] = value
         return figures
 
     measurements = harness.repeat(_trial, 5 if quick else 20, warm_ups=0)
--- a/foxtaillock/admission/queue.py
+++ b/foxtaillock/admission/queue.py
@@ -3,8 +3,8 @@
 Teams take turns by start-time fair queueing with their shares as weights; a
 team whose turn can't be used is passed over, so the shares bind only while
 everything is full. Within a team the earliest deadline goes first. A call
-that can't be answered by its deadline is shed when it arrives, or as soon as
-that shows.
+that would spend more than half of its time on waiting and running as others
+do is shed when it arrives; one that is late anyway, as soon as that shows.
 """
 
 import collections
@@ -22,6 +22,7 @@
 _WEIGHT = 0.1
 _RUN_TIME_HALF_LIFE_S = 5.0
 _LATE_FACTOR = 0.5
+_WAIT_SHARE = 0.5
 _STALE_ENTRIES = 64
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 30.0
@@ -108,8 +109,9 @@
     def add(self, waiter: Waiter, now_s: float) -> Shed | None:
         """Adds a call, or tells why it can't be answered in time."""
         wait_s = self._expect_wait_s(waiter.team)
-        end_s = now_s + wait_s + self._expect_run_time_s(now_s)
-        if self._waiting and end_s > waiter.expires_at_s:
+        total_s = wait_s + self._expect_run_time_s(now_s)
+        left_s = waiter.expires_at_s - now_s
+        if self._waiting and total_s > _WAIT_SHARE * left_s:
             return self._shed(waiter)
         if len(self._waiting) >= self._max_waiting:
             return self._shed(waiter)
--- a/foxtaillock/calls/attempts.py
+++ b/foxtaillock/calls/attempts.py
@@ -29,11 +29,13 @@
         grants: grants of the team that the call holds, one for each try that
             may run.
         in_doubt: tries that may still run at their runner.
+        was_full: whether the last runner refused for lack of a slot.
     """
 
     tries: int = 0
     grants: int = 1
     in_doubt: int = 0
+    was_full: bool = False
 
 
 class _Call(typing.NamedTuple):
@@ -105,6 +107,7 @@
             call.request.idempotent,
             call.progress.tries,
             call.expires_at_s - self._clock.monotonic_s(),
+            call.progress.was_full,
         )
         return policy.find_retry_delay_s(tried, self._budget, self._rng)
 
@@ -174,6 +177,8 @@
             answer = _classify(result, slot.runner.slots)
         finally:
             call.desk.end(slot, answer)
+            is_refusal = answer.result is health.Result.REFUSED
+            call.progress.was_full = is_refusal and not answer.is_draining
         if not isinstance(result.outcome, outcomes.Unknown):
             call.progress.in_doubt -= 1
         if isinstance(result.outcome, outcomes.Ran):
--- a/foxtaillock/retries/policy.py
+++ b/foxtaillock/retries/policy.py
@@ -25,6 +25,8 @@
         is_idempotent: whether the call may run more than once.
         tries: tries so far, this one among them.
         left_s: seconds until the caller's deadline.
+        was_full: whether the runner refused it for lack of a slot; another
+            try then costs the runners nothing and no budget.
     """
 
     service: str
@@ -33,6 +35,7 @@
     is_idempotent: bool
     tries: int
     left_s: float
+    was_full: bool = False
 
 
 def find_retry_delay_s(
@@ -55,9 +58,9 @@
     delay_s = rng.uniform(0.0, bound_s)
     if delay_s >= tried.left_s:
         return None
-    if not budget.try_spend(tried.service, tried.caller):
-        return None
-    return delay_s
+    if tried.was_full or budget.try_spend(tried.service, tried.caller):
+        return delay_s
+    return None
 
 
 def find_hedge_delay_s(
--- a/foxtaillock/retries/tests/test_retries.py
+++ b/foxtaillock/retries/tests/test_retries.py
@@ -82,6 +82,17 @@
             retries += delay_s is not None
         self.assertLessEqual(retries, 110)
 
+    def test_refusal_for_lack_of_a_slot_costs_no_budget(self) -> None:
+        budget = budgets.RetryBudget(max_tokens=0.0)
+        refused = _make_tried(_REFUSED, False)
+        find = policy.find_retry_delay_s
+        self.assertIsNone(find(refused, budget, self.rng))
+        full = refused._replace(was_full=True)
+        self.assertIsNotNone(find(full, budget, self.rng))
+        self.assertIsNone(
+            find(full._replace(tries=policy.MAX_TRIES), budget, self.rng)
+        )
+
     def test_hedge_needs_to_be_switched_on_and_idempotent(self) -> None:
         self.assertIsNone(policy.find_hedge_delay_s(False, True, 0.1, 5.0))
         self.assertIsNone(policy.find_hedge_delay_s(True, False, 0.1, 5.0))
--- a/foxtaillock/routing/table.py
+++ b/foxtaillock/routing/table.py
@@ -22,6 +22,9 @@
 _OVERDUE_FACTOR = 8.0
 _OVERDUE_MIN_S = 1.0
 _LATENCY_FLOOR_S = 0.001
+_OTHERS_WEIGHT = 0.3
+_SLOW_FACTOR = 2.0
+_MAX_COMPARED = 8
 _SPILL_LOAD = 0.75
 _FAR_FACTOR = 1.2
 _MAX_EJECTED_SHARE = 0.5
@@ -138,10 +141,16 @@
             return 0.0
         return now_s - next(iter(self._started_s.values()))
 
-    def score(self, now_s: float) -> float:
-        """Returns the expected cost of one more call."""
-        latency_s = max(self.health.latency_s, _LATENCY_FLOOR_S)
-        return (self.load(now_s) + 1.0) / self.slots * latency_s
+    def score(self, now_s: float, usual_latency_s: float) -> float:
+        """Returns the expected cost of one more call.
+
+        What others use is known late and counts less than the own calls; a
+        runner slower than twice the usual latency counts as more loaded.
+        """
+        others = self.load(now_s) - self.in_flight
+        load = 1.0 + self.in_flight + _OTHERS_WEIGHT * others
+        slowness = self.health.latency_s / (_SLOW_FACTOR * usual_latency_s)
+        return load * max(1.0, slowness)
 
 
 class RunnerTable:
@@ -197,31 +206,36 @@
     ) -> Runner | None:
         """Returns a runner with a free slot, or None.
 
-        Two random runners of the own zone are compared; the other zones are
-        asked when the better one is loaded. Costs O(runners).
+        The best of up to eight random runners of the own zone is taken; the
+        other zones are asked when it is loaded. Costs O(runners).
         """
-        usable = self._find_usable(now_s, avoid)
-        near = _choose_of_two(usable[0], rng, now_s)
+        staying = [
+            r for r in self._runners.values() if not r.is_draining(now_s)
+        ]
+        usual_s = _find_usual_latency_s(staying)
+        usable = self._find_usable(staying, usual_s, now_s, avoid)
+        near = _choose_best(usable[0], rng, now_s, usual_s)
         if near and near.load(now_s) <= _SPILL_LOAD * near.slots:
             return near
-        far = _choose_of_two(usable[1], rng, now_s)
+        far = _choose_best(usable[1], rng, now_s, usual_s)
         if near and far:
-            far_score = far.score(now_s) * _FAR_FACTOR
-            return far if far_score < near.score(now_s) else near
+            far_score = far.score(now_s, usual_s) * _FAR_FACTOR
+            return far if far_score < near.score(now_s, usual_s) else near
         return near or far
 
     def _find_usable(
-        self, now_s: float, avoid: Collection[str]
+        self,
+        staying: Sequence[Runner],
+        usual_s: float,
+        now_s: float,
+        avoid: Collection[str],
     ) -> tuple[list[Runner], list[Runner]]:
         """Returns the usable runners of the own zone and of others.
 
         Ejected and overdue runners are left out, unless that leaves less than
         half of the runners.
         """
-        staying = [
-            r for r in self._runners.values() if not r.is_draining(now_s)
-        ]
-        overdue_s = self._find_overdue_s(staying)
+        overdue_s = max(_OVERDUE_MIN_S, _OVERDUE_FACTOR * usual_s)
         trusted = [
             r
             for r in staying
@@ -236,19 +250,19 @@
         near = [r for r in usable if r.vm.zone == self._zone]
         return near, [r for r in usable if r.vm.zone != self._zone]
 
-    def _find_overdue_s(self, runners: Sequence[Runner]) -> float:
-        """Returns the age from which a call in flight looks hung."""
-        latencies = sorted(r.health.latency_s for r in runners)
-        median_s = latencies[len(latencies) // 2] if latencies else 0.0
-        return max(_OVERDUE_MIN_S, _OVERDUE_FACTOR * median_s)
+
+def _find_usual_latency_s(runners: Sequence[Runner]) -> float:
+    """Returns the median latency of the runners."""
+    latencies = sorted(r.health.latency_s for r in runners)
+    median_s = latencies[len(latencies) // 2] if latencies else 0.0
+    return max(_LATENCY_FLOOR_S, median_s)
 
 
-def _choose_of_two(
-    runners: Sequence[Runner], rng: random.Random, now_s: float
+def _choose_best(
+    runners: Sequence[Runner], rng: random.Random, now_s: float, usual_s: float
 ) -> Runner | None:
-    """Returns the better of two random runners."""
+    """Returns the best of some random runners."""
     if not runners:
         return None
-    first = rng.choice(runners)
-    second = rng.choice(runners)
-    return min(first, second, key=lambda runner: runner.score(now_s))
+    compared = rng.sample(runners, min(_MAX_COMPARED, len(runners)))
+    return min(compared, key=lambda runner: runner.score(now_s, usual_s))
--- a/foxtaillock/routing/tests/test_table.py
+++ b/foxtaillock/routing/tests/test_table.py
@@ -63,7 +63,7 @@
     staying = [r for r in runners if r.vm.state is world.VmState.LIVE]
     latencies = sorted(r.latency_s() for r in staying)
     median_s = latencies[len(latencies) // 2] if latencies else 0.0
-    overdue_s = max(1.0, 8.0 * median_s)
+    overdue_s = max(1.0, 8.0 * max(0.001, median_s))
     quick = [
         r
         for r in staying
@@ -162,6 +162,9 @@
         ticket = bad.start(9.0)
         bad.end(ticket, _answer(0), 9.0, self.rng)
         bad.start(9.0)
+        for runner in runners.runners():
+            while runner.in_flight < 2 and runner is not bad:
+                runner.start(9.0)
         self.assertIn("r0", self._names(runners, 9.0))
 
     def test_ejection_never_empties_a_service(self) -> None:
