Make two routing tests fail without their guard

With the check for overdue calls taken out, the hung runner was left alone only because others were idle; the others are now as loaded. The test of connections passed without the least number of entry VMs, since it told the right number; now each table sees three of nine. Both now fail with the guard taken out ('r0' found; 72 calls where 63 may be).

--- a/foxtaillock/routing/tests/test_table.py
+++ b/foxtaillock/routing/tests/test_table.py
@@ -110,8 +110,10 @@
             running.append((chosen, ticket))
             naive[int(chosen.vm.name[1:])].open[ticket] = now_s
 
-    def test_nine_entry_vms_stay_under_the_connections(self) -> None:
-        tables = [_make_table(count=1) for _ in range(9)]
+    def test_nine_entry_vms_that_see_three_stay_under_the_connections(
+        self,
+    ) -> None:
+        tables = [_make_table(count=1, entries=3) for _ in range(9)]
         started = 0
         for runners in tables:
             while (runner := runners.choose(self.rng, 0.0)) is not None:
@@ -177,6 +179,9 @@
         runners = _make_table()
         hung = next(iter(runners.runners()))
         hung.start(0.0)
+        for runner in runners.runners():
+            while runner.in_flight < 2 and runner is not hung:
+                runner.start(1.5)
         self.assertNotIn("r0", self._names(runners, 1.5))
 
     def test_leaving_runner_gets_nothing_new(self) -> None:
