Let every urgent job within its team's share claim room

A team now loses a task while it has more than it is due, where fragments lower the dues alike, and a job claims once. Ruled out: taking from whoever has most, which did not end in the trial with peaks by turns.

--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -188,6 +188,41 @@
         await site.turn(owner)
         self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
 
+    async def test_borrower_is_checkpointed_for_urgent_work(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        borrowed = [await _submit(owner) for _ in range(4)]
+        await site.turn(owner)
+        self.assertEqual(len(site.workers.running()), 4)
+        urgent = fakes.spec(urgent=True)
+        result = await owner.submit(urgent, "quotes", "k")
+        assert isinstance(result, results.Submitted)
+        await site.turn(owner, 2)
+        state = _state(owner, result.job_id)
+        self.assertEqual(state, world.JobState.RUNNING)
+        states = [_state(owner, job_id) for job_id in borrowed]
+        self.assertEqual(states.count(world.JobState.CHECKPOINTED), 1)
+        site.workers.finish()
+        await site.turn(owner, 2)
+        again = [n for n in site.workers.running() if n.endswith(".2")]
+        self.assertEqual(len(again), 1)
+        self.assertEqual(site.workers.order_of[again[0]].checkpoint, "half")
+
+    async def test_worker_that_fails_everything_is_left_alone(self) -> None:
+        site = fakes.Site(workers=6)
+        owner = await site.started()
+        for team in ("nesting", "quotes") * 12:
+            await owner.submit(fakes.spec(idempotent=True), team, "k")
+        for _ in range(12):
+            await site.turn(owner)
+            for task_id, task in list(site.workers.tasks["w0"].items()):
+                if task["state"] == "running":
+                    site.workers.end(task_id, "failed")
+            site.workers.finish()
+        self.assertEqual(owner.status().quarantined, ["w0"])
+        done = [view.state for view in owner.jobs().jobs]
+        self.assertEqual(set(done), {world.JobState.DONE})
+
     async def test_draining_worker_gets_no_more_orders(self) -> None:
         site = fakes.Site(workers=2)
         site.workers.draining.add("w0")
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -7,6 +7,7 @@
 from foxtaillock.model import objects
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
+from foxtaillock.placement import claims
 from foxtaillock.placement import fit
 from foxtaillock.placement import preemption
 from foxtaillock.placement import share_credits
@@ -19,7 +20,6 @@
 HOLD_AFTER_S = 10.0
 HOLD_PAUSE_S = 30.0
 HOLD_CHECK_S = 1.0
-RETURN_AFTER_S = 20.0
 MAX_HELD_FRACTION = 0.25
 
 
@@ -48,6 +48,7 @@
         self._finder = fit.Finder(workers)
         self._jobs = waiting.WaitingJobs()
         self._teams: Mapping[str, objects.Team] = {}
+        self._claims = claims.ShareClaims(workers, self._jobs)
         self._credits = share_credits.ShareCredits()
         self._weights: dict[str, float] = {}
         self._hold_check_s = float("-inf")
@@ -174,40 +175,19 @@
     def next_preemption(self, now_s: float) -> preemption.Preemption | None:
         """Returns tasks to checkpoint for a team that is below its share.
 
-        Urgent work gets its share back at once, other work after
-        `RETURN_AFTER_S`. The worker is held for the job.
+        The worker is held for the job that claims the room.
         """
-        wanting = self._deprived(now_s)
-        if not wanting or len(self._holds) >= self._max_held():
+        if len(self._holds) >= self._max_held():
             return None
-        due = self.due_shares()
-        for request in wanting:
-            used = self._workers.used.get(request.team, resources.ZERO)
-            wanted = resources.add(used, request.size)
-            share = shares.dominant_share(wanted, self._workers.total)
-            if share > due.get(request.team, 0.0):
-                continue
-            chosen = preemption.choose(
-                request, self._workers, due, self._finder.held
-            )
-            if chosen is not None:
-                self._hold(request.job_id, chosen.worker)
-                return chosen
-        return None
-
-    def _deprived(self, now_s: float) -> list[waiting.Request]:
-        """Returns the first jobs of teams that may claim their share."""
-        wanting = []
-        for team, queue in self._jobs.teams.items():
-            if not self._may_hold(team, now_s):
-                continue
-            request = queue.first_urgent() or queue.first()
-            if request is None or request.job_id in self._holds:
-                continue
-            if request.urgent or now_s - request.since_s > RETURN_AFTER_S:
-                wanting.append(request)
-        wanting.sort(key=lambda request: not request.urgent)
-        return wanting
+        chosen = self._claims.choose(
+            now_s,
+            self.due_shares,
+            lambda team: self._may_hold(team, now_s),
+            self._finder.held,
+        )
+        if chosen is not None:
+            self._hold(chosen.job_id, chosen.worker)
+        return chosen
 
     def _assign_held(
         self, now_s: float, may_start: Callable[[str], bool]
--- a/foxtaillock/placement/preemption.py
+++ b/foxtaillock/placement/preemption.py
@@ -8,7 +8,9 @@
 from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
-__all__ = ["Preemption", "choose"]
+__all__ = ["Preemption", "SHARE_TOLERANCE", "choose"]
+
+SHARE_TOLERANCE = 1e-9
 
 
 class Preemption(typing.NamedTuple):
@@ -27,8 +29,8 @@
 ) -> Preemption | None:
     """Returns the cheapest preemption for a job, or None.
 
-    Only teams that have more than they are due lose tasks, and none of them
-    falls below it by this.
+    A team loses a task only while it has more than it is due, so that it
+    falls below by less than one task.
 
     Args:
         request: job that fits nowhere, of a team below its share.
@@ -70,13 +72,11 @@
     for task in sorted(worker.tasks.values(), key=_latest_first):
         if resources.fits(request.size, free):
             break
-        left = resources.subtract(used[task.team], task.size)
-        is_borrowed = shares.dominant_share(left, workers.total) >= due.get(
-            task.team, 0.0
-        )
+        share = shares.dominant_share(used[task.team], workers.total)
+        is_borrowed = share > due.get(task.team, 0.0) + SHARE_TOLERANCE
         if task.team == request.team or not is_borrowed:
             continue
-        used[task.team] = left
+        used[task.team] = resources.subtract(used[task.team], task.size)
         free = resources.add(free, task.size)
         victims.append(task)
     if not resources.fits(request.size, free):
