--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -1,19 +1,23 @@
 """Checks keys against the folded state, if that state is fresh enough."""
 
-import hashlib
 import hmac
+import itertools
+
+from loguru import logger
 
 from foxtaillock.api import auth
 from foxtaillock.api import problems
 from foxtaillock.model import clock as clocks
 from foxtaillock.state import control_state
+from foxtaillock.state import keys
 from foxtaillock.state import replica as replicas
+from foxtaillock.state import tables
 
 __all__ = ["KeyDesk"]
 
-_PREFIX = "fx"
-_NO_DIGEST = "0" * 64
 BOOTSTRAP_KEY_ID = "bootstrap"
+_NEWS_S = 30.0
+_MAX_NEWS = 100
 
 
 class KeyDesk:
@@ -40,23 +44,37 @@
         self._clock = clock
         self._freshness_s = freshness_s
         self._operator_digest = operator_digest
-        self._denied: dict[str, None] = {}
+        self._denied_s: dict[str, float] = {}
         self._peer_fresh_s = float("-inf")
+        self._peer_offset = 0
+
+    def recently_denied(self) -> tuple[str, ...]:
+        """Returns the key ids that were withdrawn lately, for the peers.
 
-    @property
-    def denied(self) -> tuple[str, ...]:
-        """Key ids that were withdrawn lately, as peers or we know."""
-        return tuple(self._denied)
+        One that the folded state knows as withdrawn is dropped after a while.
+        """
+        now_s = self._clock.monotonic_s()
+        for key_id, since_s in list(self._denied_s.items()):
+            stored = self._state.key(key_id)
+            is_folded = stored is not None and stored.withdrawn
+            if is_folded and now_s - since_s > _NEWS_S:
+                del self._denied_s[key_id]
+        return tuple(itertools.islice(self._denied_s, _MAX_NEWS))
 
     def deny(self, key_id: str) -> bool:
         """Stops a key at once; returns whether that is news."""
-        is_news = key_id not in self._denied
-        self._denied[key_id] = None
-        return is_news
+        if key_id in self._denied_s:
+            return False
+        stored = self._state.key(key_id)
+        if stored is not None and stored.withdrawn:
+            return False
+        self._denied_s[key_id] = self._clock.monotonic_s()
+        return True
 
     def note_peer_view(self, next_offset: int, as_of_s: float) -> None:
         """Takes a peer's statement that its view of `next_offset` was whole
         at `as_of_s` on the own clock."""
+        self._peer_offset = max(self._peer_offset, next_offset)
         if self._replica.next_offset >= next_offset:
             self._peer_fresh_s = max(self._peer_fresh_s, as_of_s)
 
@@ -66,46 +84,43 @@
         return min(self._replica.age_s(), peer_age_s)
 
     def may_honour(self) -> bool:
-        """Returns whether the view is fresh enough to let keys work.
-
-        While the log itself answers that it is unavailable nothing can be
-        withdrawn through it, so that keys go on working.
-        """
-        if self.view_age_s() <= self._freshness_s:
-            return True
-        return self._replica.log_refused_age_s() <= self._freshness_s
+        """Returns whether the view is fresh enough to let keys work."""
+        return keys.may_honour(
+            self.view_age_s(),
+            self._replica.log_refused_age_s(),
+            self._freshness_s,
+            self._peer_offset > self._replica.next_offset,
+        )
 
     def submitter(self, secret: str) -> auth.Principal:
         """Returns the owner of a submitter's key."""
-        principal = self._check(secret)
-        if principal.operator:
-            raise problems.Problem("forbidden", "an operator's key")
-        return principal
+        return self._check(secret, keys.KeyRole.SUBMITTER)
 
     def operator(self, secret: str) -> auth.Principal:
         """Returns the owner of an operator's key."""
-        digest = hashlib.sha256(secret.encode()).hexdigest()
+        digest = keys.digest_of(secret)
         if self._operator_digest and hmac.compare_digest(
             digest, self._operator_digest
         ):
             return auth.Principal(BOOTSTRAP_KEY_ID, "", True)
-        principal = self._check(secret)
-        if not principal.operator:
-            raise problems.Problem("forbidden", "not an operator's key")
-        return principal
-
-    def _check(self, secret: str) -> auth.Principal:
-        prefix, _, rest = secret.partition("_")
-        key_id, _, _ = rest.partition("_")
-        stored = self._state.key(key_id)
-        digest = hashlib.sha256(secret.encode()).hexdigest()
-        expected = stored.digest if stored is not None else _NO_DIGEST
-        matches = hmac.compare_digest(digest, expected or _NO_DIGEST)
-        if not self.may_honour():
+        return self._check(secret, keys.KeyRole.OPERATOR)
+
+    def _check(self, secret: str, role: keys.KeyRole) -> auth.Principal:
+        result = keys.check_key(secret, role, self._lookup, self.may_honour())
+        if isinstance(result, keys.KeyAccepted):
+            is_operator = role is keys.KeyRole.OPERATOR
+            return auth.Principal(result.key_id, result.team, is_operator)
+        logger.debug("key rejected: {}", result.reason)
+        if result.reason is keys.KeyRejection.STALE_VIEW:
             raise problems.Problem(
                 "stale-view", "this zone cannot tell whether the key works"
             )
-        withdrawn = stored is None or stored.withdrawn or key_id in self._denied
-        if prefix != _PREFIX or withdrawn or not matches or stored is None:
-            raise problems.Problem("key-rejected", "the key does not work")
-        return auth.Principal(key_id, stored.team, not stored.team)
+        if result.reason is keys.KeyRejection.WRONG_ROLE:
+            raise problems.Problem("forbidden", "a key of another kind")
+        raise problems.Problem("key-rejected", "the key does not work")
+
+    def _lookup(self, key_id: str) -> tables.StoredKey | None:
+        stored = self._state.key(key_id)
+        if stored is not None and key_id in self._denied_s:
+            return stored._replace(withdrawn=True)
+        return stored
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 import secrets
 import typing
@@ -20,7 +21,6 @@
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
 from foxtaillock.daemon import call_claims
-from foxtaillock.daemon import fleet_keeper
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
@@ -30,13 +30,15 @@
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.daemon import session_keeper
 from foxtaillock.daemon import vm_watch
+from foxtaillock.fleet import controller as fleet_controller
+from foxtaillock.leases import ownership
+from foxtaillock.leases import times as session_times
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
-from foxtaillock.model import world
 from foxtaillock.peers import links
 from foxtaillock.peers import messages
 from foxtaillock.peers import server
@@ -50,6 +52,7 @@
 _LONGEST_CALL_S = 60.0
 _STOP_POLL_S = 0.05
 _START_RETRY_S = 0.5
+_CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
 
 
 class EntryNode:
@@ -81,7 +84,7 @@
         )
         self._build_state(rng, budget)
         self._build_decisions(rng, budget)
-        self._build_desks()
+        self._build_desks(rng)
         self._build_http()
 
     def _build_state(
@@ -99,6 +102,7 @@
             clock=self.clock,
             rng=rng,
             budget=budget,
+            settings=_CONTROL_READS,
         )
         self.replica.on_batch(self._on_batch)
         self.keys = key_desk.KeyDesk(
@@ -108,19 +112,19 @@
             settings.key_freshness_s,
             settings.operator_key_digest,
         )
-        times = session_keeper.SessionTimes(
-            settings.session_lease_s,
-            settings.session_renew_s,
-            settings.drift_allowance_s,
-        )
         self.session = session_keeper.SessionKeeper(
-            settings.node_name,
-            settings.zone,
+            ownership.Identity(
+                settings.node_name, self.incarnation, settings.zone
+            ),
             self.state,
             self.replica,
             self.clock,
             rng,
-            times,
+            session_times.make_times(
+                settings.session_lease_s,
+                settings.session_renew_s,
+                settings.drift_allowance_s,
+            ),
             self._pool_names,
         )
 
@@ -128,7 +132,9 @@
         self, rng: random.Random, budget: budgets.AppendBudget
     ) -> None:
         settings = self.settings
-        self.grants = limits.LocalGrants(self.clock)
+        self.grants = limits.LocalGrants(
+            self.clock, settings.node_name, self.session.incarnation
+        )
         self.claims = call_claims.LogClaims(
             self.platform.log,
             settings.node_name,
@@ -149,12 +155,13 @@
         self.pools = pool_keeper.PoolKeeper(
             settings.node_name,
             self.state,
+            self.replica,
             self.session,
             self.platform.log,
             self.platform.workers,
             self.clock,
             rng,
-            grant_keeper.JobGrants(self.grants),
+            self.grants,
             budget,
         )
         self.grant_keeper = grant_keeper.GrantKeeper(
@@ -165,19 +172,26 @@
             self.grants,
             self.clock,
             waiting_by_team=self._waiting_by_team,
-            open_pools_of=self._has_open_pools,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
             + _LONGEST_CALL_S,
         )
 
-    def _build_desks(self) -> None:
+    def _build_desks(self, rng: random.Random) -> None:
         settings = self.settings
         self.vm_watch = vm_watch.VmWatch(
             self.platform.vm_list, self._on_world_change
         )
-        self.fleet = fleet_keeper.FleetKeeper(
-            self.state, self.replica, self.session, lambda: self.vm_watch.vms
+        self.fleet = fleet_controller.FleetController(
+            self.replica,
+            self.state,
+            lambda: self.vm_watch.vms,
+            self.platform.pools,
+            self.platform.workers,
+            self.clock,
+            rng,
+            may_act=self._owns_fleet,
+            epoch=self._fleet_epoch,
         )
         own = neighbours.Member(
             settings.node_name, settings.zone, settings.region, ""
@@ -206,6 +220,7 @@
             lambda: self.vm_watch.vms,
             self._status,
             self._on_withdrawn,
+            self.fleet.explain,
         )
 
     def _build_http(self) -> None:
@@ -280,9 +295,10 @@
         self._draining = True
         self._not_ready = "draining"
         self.session.stop_claiming()
-        await self.pools.hand_over()
+        self.grants.start_leaving()
         await self._await_requests()
         await self._runner.cleanup()
+        await self.pools.hand_over()
         await self.close()
 
     async def _await_requests(self) -> None:
@@ -290,6 +306,9 @@
         while self._requests_open and self.clock.monotonic_s() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
         self.calls.start_draining()
+        left_s = max(0.0, end_s - self.clock.monotonic_s())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.calls.wait_idle(), left_s)
 
     async def close(self) -> None:
         """Ends all tasks and connections."""
@@ -322,7 +341,14 @@
             name: row.body
             for name, row in self.state.objects("service").items()
         }
-        self.calls.update_runners(vms, typing.cast(typing.Any, services))
+        teams = {
+            name: row.body for name, row in self.state.objects("team").items()
+        }
+        self.calls.update_runners(
+            vms,
+            typing.cast(typing.Any, services),
+            typing.cast(typing.Any, teams),
+        )
         self.pools.update(vms)
         self.links.update_members(self._members())
 
@@ -342,7 +368,7 @@
             self.replica.age_s(),
             "",
             self._draining,
-            self.keys.denied,
+            self.keys.recently_denied(),
         )
 
     def _spread(self) -> None:
@@ -352,6 +378,12 @@
         if self.keys.deny(key_id):
             self._spread()
 
+    def _fleet_epoch(self) -> int:
+        return self.state.epoch(records.FLEET_POOL)
+
+    def _owns_fleet(self) -> bool:
+        return self.session.owns(records.FLEET_POOL, self._fleet_epoch())
+
     def _pool_names(self) -> list[str]:
         return [records.FLEET_POOL, *sorted(self.state.objects("pool"))]
 
@@ -362,18 +394,13 @@
                 counts[team] += owner.ready_count(team)
         return counts
 
-    def _has_open_pools(self, node: str, incarnation: str) -> bool:
-        return any(
-            (claim.node, claim.incarnation) == (node, incarnation)
-            for claim in self.state.claims.values()
-        )
-
     def _status(self) -> admin.Row:
         return {
             "node": self.settings.node_name,
             "zone": self.settings.zone,
             "revision": self.state.revision,
             "next_offset": self.replica.next_offset,
+            "digest": self.state.digest(),
             "view_age_s": round(self.keys.view_age_s(), 3),
             "session_valid": self.session.is_valid(),
             "pools_owned": sorted(self.pools.owners),
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -11,21 +11,24 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.daemon import background
+from foxtaillock.daemon import pool_grants
 from foxtaillock.daemon import session_keeper
-from foxtaillock.jobs import context as job_context
 from foxtaillock.jobs import owner as owners
 from foxtaillock.jobs import pool_state
+from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import objects
 from foxtaillock.model import records
 from foxtaillock.model import world
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
+from foxtaillock.state import interfaces
 from foxtaillock.state import replica as replicas
 
 __all__ = ["PoolKeeper"]
 
 _INTERVAL_S = 0.1
+_POOL_READS = replicas.ReplicaSettings(poll_s=10.0)
 
 
 class _Held(typing.NamedTuple):
@@ -33,6 +36,7 @@
 
     epoch: int
     owner: owners.PoolOwner
+    grants: pool_grants.PoolGrants
     tasks: Sequence["asyncio.Task[typing.Any]"]
 
 
@@ -42,12 +46,13 @@
     Args:
         node: name of this entry VM.
         state: fold of the control stream.
+        control: replica of the control stream.
         session: session of this entry VM.
         log: the platform's log.
         worker_service: tasks on workers.
         clock: source of time.
         rng: source of jitter and ids.
-        grants: part of the teams' limits.
+        grants: this node's part of the teams' limits.
         budget: budget of appends.
     """
 
@@ -55,16 +60,18 @@
         self,
         node: str,
         state: control_state.ControlState,
+        control: interfaces.Replica,
         session: session_keeper.SessionKeeper,
         log: adapters.LogService,
         worker_service: adapters.WorkerService,
         clock: clocks.Clock,
         rng: random.Random,
-        grants: job_context.Grants,
+        grants: limits.LocalGrants,
         budget: budgets.AppendBudget | None,
     ) -> None:
         self._node = node
         self._state = state
+        self._control = control
         self._session = session
         self._log = log
         self._worker_service = worker_service
@@ -107,6 +114,7 @@
 
     async def _start(self, pool: str, epoch: int) -> None:
         state = pool_state.PoolState()
+        grants = pool_grants.PoolGrants(self._grants)
         replica = replicas.StreamReplica(
             self._log,
             f"pool.{pool}",
@@ -116,6 +124,7 @@
             clock=self._clock,
             rng=self._rng,
             budget=self._budget,
+            settings=_POOL_READS,
         )
         owner = owners.PoolOwner(
             pool,
@@ -127,7 +136,7 @@
             self._rng,
             may_act=lambda: self._session.owns(pool, epoch),
             not_valid_after_s=lambda: self._session.valid_until_s,
-            grants=self._grants,
+            grants=grants,
             node=self._node,
         )
         follow = self._background.spawn(replica.run())
@@ -137,22 +146,56 @@
         except exceptions.FoxtaillockError as error:
             logger.warning("pool {} was not taken over: {}", pool, error)
             follow.cancel()
+            grants.drop()
             return
         finally:
             self._starting.discard(pool)
         work = self._background.spawn(owner.run())
-        self._held[pool] = _Held(epoch, owner, (follow, work))
+        carry = self._background.spawn(self._carry(pool, epoch, grants))
+        tasks = (follow, work, carry)
+        self._held[pool] = _Held(epoch, owner, grants, tasks)
         self.owners[pool] = owner
         self._update(pool, owner)
         logger.info("owner of pool {} with epoch {}", pool, epoch)
 
+    async def _carry(
+        self, pool: str, epoch: int, grants: pool_grants.PoolGrants
+    ) -> None:
+        """Moves the grants of adopted attempts here, then lets jobs start."""
+        while (source := self._state.to_carry(pool)) is not None:
+            amounts = {
+                team: min(count, self._state.grant(team, *source))
+                for team, count in grants.counts.items()
+            }
+            record = records.GrantsCarried(
+                pool,
+                epoch,
+                *source,
+                self._node,
+                self._session.incarnation,
+                amounts,
+            )
+            try:
+                # Not urgent: it must not pass a change of the own grant that
+                # was decided before the attempts were counted here.
+                await self._control.commit(record)
+            except exceptions.FoxtaillockError as error:
+                logger.debug("grants of {} were not carried: {}", pool, error)
+            await asyncio.sleep(_INTERVAL_S)
+        grants.may_start = True
+
     async def _stop(self, pool: str) -> None:
+        held = await self._halt(pool)
+        held.grants.drop()
+
+    async def _halt(self, pool: str) -> _Held:
         held = self._held.pop(pool)
         self.owners.pop(pool, None)
         await held.owner.stop()
         for task in held.tasks:
             task.cancel()
         logger.info("no longer owner of pool {}", pool)
+        return held
 
     def update(self, vms: Sequence[world.VmEntry]) -> None:
         """Takes over the list of VMs and the configuration in force."""
@@ -187,14 +230,15 @@
         return {name: row.body for name, row in stored.items()}
 
     async def hand_over(self) -> None:
-        """Stops all owners and releases their pools to other nodes."""
+        """Stops all owners and releases their pools to other nodes.
+
+        Attempts that run on stay counted here: they hold this node's grants
+        until the new owner carries those over.
+        """
         for pool in list(self._held):
             epoch = self._held[pool].epoch
-            await self._stop(pool)
-            try:
-                await self._session.release(pool, epoch)
-            except exceptions.FoxtaillockError as error:
-                logger.warning("pool {} was not released: {}", pool, error)
+            await self._halt(pool)
+            await self._session.release(pool, epoch)
 
     async def close(self) -> None:
         """Ends all tasks."""
--- /dev/null
+++ b/foxtaillock/integration/tests/test_promises.py
@@ -0,0 +1,100 @@
+"""Proofs of the promises under pauses and outages, with real processes."""
+
+import asyncio
+import json
+import signal
+
+from foxtaillock.integration import checker
+from foxtaillock.integration import scenario
+from foxtaillock.integration.tests import base
+
+
+class PromisesTest(base.FleetTestCase):
+
+    async def test_paused_owner_starts_nothing_when_it_wakes(self) -> None:
+        sender = await self.make_sender("trinidad")
+        jobs = [await scenario.submit(sender, f"k{i}", 1.0) for i in range(20)]
+        owner = await self.find_owner()
+        owner.signal(signal.SIGSTOP)
+        awake = self.fleet.client(sender.key, self.others(owner))
+        more = await scenario.submit(awake, "late", 0.1)
+        owner.signal(signal.SIGCONT)
+        await self.await_done(awake, (*jobs, more))
+        await self.check_ran_once((*jobs, more))
+
+    async def test_log_outage_refuses_jobs_truly_and_loses_nothing(
+        self,
+    ) -> None:
+        sender = await self.make_sender("trinidad")
+        running = await scenario.submit(sender, "before", 4.0)
+        faults = f"{self.fleet.urls['log']}/admin/faults"
+        await self.fleet.admin_post(faults, {"unavailable": True})
+        await asyncio.sleep(4.0)
+        body = json.dumps({"cpu_millis": 100})
+        refused = await sender.send("POST", "/v1/queues/bend/jobs", body)
+        self.assertEqual(refused.outcome, "not-run", refused)
+        call = await sender.send(
+            "POST",
+            "/v1/services/quotes/call/x",
+            "{}",
+            {"X-Idempotent": "true"},
+        )
+        self.assertEqual(call.outcome, "ran", call)
+        await self.fleet.admin_post(faults, {"unavailable": False})
+        after = await scenario.submit(sender, "after", 0.1)
+        await self.await_done(sender, (running, after))
+        await self.check_ran_once((running, after))
+
+    async def test_team_never_runs_more_than_its_limit(self) -> None:
+        sender = await self.make_sender("estimators")
+        body = json.dumps({"work_s": 0.2})
+        extra = {"X-Idempotent": "true", "X-Deadline-S": "20"}
+        path = "/v1/services/quotes/call/x"
+        jobs = [await scenario.submit(sender, f"j{i}", 0.4) for i in range(8)]
+        calls = [sender.send("POST", path, body, extra) for _ in range(60)]
+        answers = await asyncio.gather(*calls)
+        await self.await_done(sender, jobs)
+        self.assertEqual({answer.outcome for answer in answers}, {"ran"})
+        spans = checker.job_spans(await self.read_journal("workers_admin"))
+        spans += [
+            checker.Span(row["request_id"], row["started_s"], row["ended_s"])
+            for row in await self.read_journal("runners_admin")
+        ]
+        self.assertEqual(len(spans), 68)
+        self.assertLessEqual(checker.greatest_overlap(spans), 4)
+
+    async def test_whole_fleet_replaced_one_by_one_reverts_nothing(
+        self,
+    ) -> None:
+        admin = self.fleet.client()
+        status = await admin.send("GET", "/admin/v1/status")
+        sender = await self.make_sender("trinidad")
+        jobs = [await scenario.submit(sender, f"k{i}", 0.5) for i in range(4)]
+        for i, entry in enumerate(self.fleet.entries):
+            self.assertEqual(await self.fleet.stop(entry), 0)
+            await self.fleet.start_entry(entry)
+            await self.fleet.await_ready(entry)
+            now = await admin.send("GET", "/admin/v1/status", entry=i)
+            self.assertGreaterEqual(
+                now.body["revision"], status.body["revision"]
+            )
+        await self.await_done(sender, jobs)
+        await self.check_ran_once(jobs)
+
+    async def test_whole_fleet_replaced_at_once_loses_nothing(self) -> None:
+        admin = self.fleet.client()
+        status = await admin.send("GET", "/admin/v1/status")
+        sender = await self.make_sender("trinidad")
+        jobs = [await scenario.submit(sender, f"k{i}", 0.5) for i in range(20)]
+        for entry in self.fleet.entries:
+            await self.fleet.kill(entry)
+        for entry in self.fleet.entries:
+            await self.fleet.start_entry(entry)
+        for i, entry in enumerate(self.fleet.entries):
+            await self.fleet.await_ready(entry)
+            now = await admin.send("GET", "/admin/v1/status", entry=i)
+            self.assertGreaterEqual(
+                now.body["revision"], status.body["revision"]
+            )
+        await self.await_done(sender, jobs)
+        await self.check_ran_once(jobs)
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -29,6 +29,7 @@
     "FLEET_POOL",
     "GrantChanged",
     "GrantReclaimed",
+    "GrantsCarried",
     "JobAccepted",
     "JobCancelled",
     "JobCheckpointed",
@@ -43,7 +44,9 @@
     "SCHEMA_VERSION",
     "SessionEnded",
     "SessionRenewed",
+    "SNAPSHOT_STREAM",
     "SnapshotChunk",
+    "SnapshotMarked",
     "UnknownRecord",
     "VmStep",
     "WaveChanged",
@@ -54,6 +57,7 @@
 
 SCHEMA_VERSION = 1
 CONTROL_STREAM = "control"
+SNAPSHOT_STREAM = "snapshots"
 FLEET_POOL = "_fleet"
 
 Record = typing.Any
@@ -229,6 +233,29 @@
     incarnation: str
 
 
+@register_record("grants-carried")
+class GrantsCarried(typing.NamedTuple):
+    """The grants under which attempts of a pool run go to its new owner.
+
+    Stands if `node` owns the pool at `epoch`, and `from_node` has an ended
+    session (or wrote the record itself) with at least these grants. The sum
+    over the nodes stays as it is, so it needs no free part of the limit. The
+    grants of an ended session are reclaimed only after each pool that it
+    owned was carried, with empty `amounts` if nothing ran.
+
+    Attributes:
+        amounts: running attempts by team.
+    """
+
+    pool: str
+    epoch: int
+    from_node: str
+    from_incarnation: str
+    node: str
+    incarnation: str
+    amounts: dict[str, int]
+
+
 @register_record("vm-step")
 class VmStep(typing.NamedTuple):
     """One step of the move of a VM between pools.
@@ -271,6 +298,8 @@
 
     Attributes:
         state: `running`, `paused`, `done` or `cancelled`.
+        base: incarnation of each VM when the wave began, as `vm=1,vm=2`;
+            empty to leave it as it is.
     """
 
     wave_id: str
@@ -278,6 +307,19 @@
     state: str
     reason: str
     epoch: int
+    base: str = ""
+
+
+@register_record("snapshot-marked")
+class SnapshotMarked(typing.NamedTuple):
+    """A snapshot is taken of the state after the batch of this record.
+
+    Every replica takes the digest there and compares it with that of the
+    snapshot, once this is written.
+    """
+
+    snapshot_id: str
+    node: str
 
 
 @register_record("snapshot-chunk")
--- a/foxtaillock/state/replica.py
+++ b/foxtaillock/state/replica.py
@@ -15,6 +15,7 @@
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import budget as budgets
+from foxtaillock.state import freshness
 from foxtaillock.state import interfaces
 from foxtaillock.state import pending
 
@@ -33,22 +34,28 @@
         poll_s: how long one tail read waits for a record.
         read_timeout_s: a tail read without an answer is given up after
             `poll_s` and so long.
+        pace_s: pause after a read that gave records and reached the end, so
+            that records of several writers come in one answer. A commit or a
+            call of `catch_up` ends the pause.
         page_records: batches read at once.
         batch_records: records committed at once.
         max_waiting: ordinary records that may wait.
         backoff_base_s: upper bound of the first back-off.
         backoff_max_s: upper bound of all later ones.
+        evidence_gap_s: longest silence inside a run of refusals by the log.
     """
 
     commit_timeout_s: float = 5.0
     append_timeout_s: float = 1.0
     poll_s: float = 0.4
     read_timeout_s: float = 0.6
+    pace_s: float = 0.0
     page_records: int = 1000
     batch_records: int = 500
     max_waiting: int = 10_000
     backoff_base_s: float = 0.05
     backoff_max_s: float = 1.0
+    evidence_gap_s: float = 2.0
 
 
 class StreamReplica:
@@ -94,13 +101,14 @@
         self._rng = rng
         self._budget = budget
         self._next_offset = next_offset
+        self._required_offset = 0
         self._settings = settings
         self._sequence = 0
-        self._fresh_s = -math.inf
-        self._refused_s: float | None = None
+        self._freshness = freshness.Freshness(settings.evidence_gap_s)
         self._queue = pending.Queue(settings.max_waiting)
         self._flight: pending.Flight | None = None
         self._wake = asyncio.Event()
+        self._hurry = asyncio.Event()
         self._progress = asyncio.Condition()
         self._callbacks: list[BatchCallback] = []
         self._error: exceptions.FoxtaillockError | None = None
@@ -119,22 +127,37 @@
         """Registers a function called after each batch was folded."""
         self._callbacks.append(callback)
 
+    def start_at(self, offset: int) -> None:
+        """Sets the offset to read from, after loading a snapshot into the
+        fold; call it before `run`."""
+        self._next_offset = offset
+
+    def require_offset(self, offset: int) -> None:
+        """Lets the view count as infinitely old until it has folded all
+        records before `offset`, as a peer or the log has shown that they
+        stand."""
+        self._required_offset = max(self._required_offset, offset)
+
     def age_s(self) -> float:
         """Returns how old the view is at most; infinite once stopped.
 
         Counted from before the last read that reached the end of the stream
         was sent.
         """
-        if self._error is not None:
+        is_behind = self._next_offset < self._required_offset
+        if self._error is not None or is_behind:
             return math.inf
-        return self._clock.monotonic_s() - self._fresh_s
+        return self._freshness.age_s(self._clock.monotonic_s())
 
     def log_refused_age_s(self) -> float:
-        """Returns seconds since the log last answered "unavailable"; infinite
-        if it never did since the last successful read."""
-        if self._refused_s is None:
+        """Returns seconds since the log last answered "unavailable".
+
+        Infinite if it never did since the last successful read, or if there
+        was a silence in between in which records may have been appended.
+        """
+        if self._error is not None:
             return math.inf
-        return self._clock.monotonic_s() - self._refused_s
+        return self._freshness.refused_age_s(self._clock.monotonic_s())
 
     async def commit(
         self, record: records.Record, *, urgent: bool = False
@@ -179,8 +202,9 @@
         page = await self._read(limit=1, wait_s=0.0)
         target = page.next_offset
         if self._next_offset >= target:
-            self._fresh_s = max(self._fresh_s, sent_s)
+            self._freshness.read_whole(sent_s)
             return
+        self._hurry.set()
         timeout_s = self._settings.commit_timeout_s
         try:
             async with asyncio.timeout(timeout_s), self._progress:
@@ -190,6 +214,20 @@
                 f"stream {self._stream} was not read up to {target}"
             ) from error
 
+    async def read_to_end(self) -> None:
+        """Folds all records that stand now, without `run`.
+
+        Raises:
+            exceptions.LogUnavailableError: the log answered so.
+            exceptions.LogUnreachableError: no answer.
+            exceptions.StateDivergedError: records expired meanwhile.
+        """
+        while True:
+            page = await self._read(limit=1, wait_s=0.0)
+            if self._next_offset >= page.next_offset:
+                return
+            await self._read_once()
+
     def _reached(self, offset: int) -> bool:
         if self._error is not None:
             raise self._error
@@ -229,7 +267,7 @@
         failures = 0
         while True:
             try:
-                await self._read_once()
+                await self._pause(await self._read_once())
                 failures = 0
             except (
                 exceptions.LogUnavailableError,
@@ -238,7 +276,19 @@
                 failures += 1
                 await self._back_off(failures)
 
-    async def _read_once(self) -> None:
+    async def _pause(self, is_at_end: bool) -> None:
+        if not is_at_end or self._settings.pace_s <= 0.0:
+            return
+        if self._flight is None and not self._hurry.is_set():
+            try:
+                async with asyncio.timeout(self._settings.pace_s):
+                    await self._hurry.wait()
+            except TimeoutError:
+                return
+        self._hurry.clear()
+
+    async def _read_once(self) -> bool:
+        """Folds one page; returns whether it had records and is the last."""
         sent_s = self._clock.monotonic_s()
         page = await self._read(
             self._settings.page_records, self._settings.poll_s
@@ -255,14 +305,16 @@
         for index, text in enumerate(page.records):
             self._fold_text(page.first_offset + index, text)
         if self._next_offset == page.next_offset:
-            self._fresh_s = max(self._fresh_s, sent_s)
+            self._freshness.read_whole(sent_s)
         elif self._next_offset > page.next_offset:
             loguru.logger.error("{} went back", self._stream)
         async with self._progress:
             self._progress.notify_all()
+        return bool(page.records) and self._next_offset == page.next_offset
 
     async def _read(self, limit: int, wait_s: float) -> adapters.LogPage:
         timeout_s = wait_s + self._settings.read_timeout_s
+        sent_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(timeout_s):
                 page = await self._log.read(
@@ -271,9 +323,9 @@
         except TimeoutError as error:
             raise exceptions.LogUnreachableError("no answer") from error
         except exceptions.LogUnavailableError:
-            self._refused_s = self._clock.monotonic_s()
+            self._freshness.refused(sent_s)
             raise
-        self._refused_s = None
+        self._freshness.read_part()
         return page
 
     def _fold_text(self, offset: int, text: str) -> None:
@@ -330,6 +382,7 @@
         entries = self._queue.take(self._settings.batch_records, now_s)
         if not entries:
             return None
+        self._hurry.set()
         for entry in entries:
             entry.sent = True
         batch = records.Batch(
@@ -362,13 +415,14 @@
         return True
 
     async def _append(self, text: str) -> None:
+        sent_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(self._settings.append_timeout_s):
                 await self._log.append(self._stream, text)
         except TimeoutError as error:
             raise exceptions.LogUnreachableError("no answer") from error
         except exceptions.LogUnavailableError:
-            self._refused_s = self._clock.monotonic_s()
+            self._freshness.refused(sent_s)
             raise
 
     async def _read_back(self) -> None:
