Keep corrected sizes within the largest worker

Cause: a learned correction, or its rounding, could make a job larger than any worker, so that it never ran; test_learned_size_never_outgrows_the_workers fails without the check (job waiting instead of running).

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -48,7 +48,9 @@
     }
 
 
-def measure_cost(workers: int, teams: int, jobs: int, seed: int) -> Figures:
+def measure_cost(
+    workers: int, teams: int, jobs: int, distinct: bool, seed: int
+) -> Figures:
     """Returns processor time of one placement in a full pool, in us."""
     rng = random.Random(seed)
     model = pool_model.PoolModel(workers, _teams(teams))
@@ -56,7 +58,7 @@
     for _ in range(jobs):
         model.submit(
             f"t{rng.randrange(teams)}",
-            pool_model.random_size(rng),
+            _random_size(rng, distinct),
             rng.expovariate(1 / MEAN_RUN_TIME_S),
         )
     add_us = (time.process_time() - began) / jobs * 1e6
@@ -76,21 +78,37 @@
     }
 
 
+def _random_size(rng: random.Random, distinct: bool) -> resources.Resources:
+    size = pool_model.random_size(rng)
+    if distinct:
+        extra = resources.Resources(rng.randrange(500), rng.randrange(10**8), 0)
+        size = resources.add(size, extra)
+    return size
+
+
 def cost_table() -> list[Figures]:
     """Returns the cost of a placement at several sizes."""
     rows = []
-    for workers, teams, jobs in (
-        (6, 6, 100),
-        (6, 6, 1_000),
-        (6, 6, 10_000),
-        (68, 61, 1_000),
-        (68, 61, 10_000),
-        (68, 61, 100_000),
-        (272, 61, 10_000),
-        (1_088, 61, 10_000),
+    for workers, teams, jobs, distinct in (
+        (6, 6, 100, False),
+        (6, 6, 1_000, False),
+        (6, 6, 10_000, False),
+        (68, 61, 1_000, False),
+        (68, 61, 10_000, False),
+        (68, 61, 100_000, False),
+        (272, 61, 10_000, False),
+        (1_088, 61, 10_000, False),
+        (68, 61, 10_000, True),
     ):
-        runs = [measure_cost(workers, teams, jobs, seed) for seed in SEEDS]
-        row: Figures = {"workers": workers, "teams": teams, "waiting": jobs}
+        runs = [
+            measure_cost(workers, teams, jobs, distinct, seed) for seed in SEEDS
+        ]
+        row: Figures = {
+            "workers": workers,
+            "teams": teams,
+            "waiting": jobs,
+            "every size differs": distinct,
+        }
         for name in runs[0]:
             row[name] = _summary([run[name] for run in runs], 1)
         rows.append(row)
@@ -242,10 +260,10 @@
 def _usable_idle(model: pool_model.PoolModel) -> float:
     """Returns the fraction of processors that a waiting job could use now."""
     idle = 0
-    requests = model.planner.requests()
+    sizes = {request.size for request in model.planner.requests()}
     for worker in model.workers:
-        for request in requests:
-            if resources.fits(request.size, worker.free):
+        for size in sizes:
+            if resources.fits(size, worker.free):
                 idle += worker.free.cpu_millis
                 break
     return idle / model.workers.total.cpu_millis
--- a/foxtaillock/jobs/backlog.py
+++ b/foxtaillock/jobs/backlog.py
@@ -4,6 +4,7 @@
 from foxtaillock.jobs import context as jobs_context
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.model import records
+from foxtaillock.model import resources
 from foxtaillock.placement import waiting
 
 __all__ = ["Backlog"]
@@ -32,7 +33,7 @@
             job.job_id,
             job.team,
             accepted.queue,
-            context.learned.size(job.team, accepted.queue, job.declared),
+            self._size(job),
             accepted.urgent,
             since_s,
             now_s + self._backoff_s(job),
@@ -67,6 +68,13 @@
         if job is not None and job.state in jobs_job.WAITING:
             self.add(job)
 
+    def _size(self, job: jobs_job.Job) -> resources.Resources:
+        """Returns the corrected size, unless no worker is so large."""
+        context = self._context
+        queue = job.accepted.queue
+        size = context.learned.size(job.team, queue, job.declared)
+        return size if context.waiting.can_ever_fit(size) else job.declared
+
     def _backoff_s(self, job: jobs_job.Job) -> float:
         """Returns a back-off with full jitter after failed attempts."""
         if job.failures == 0:
--- a/foxtaillock/jobs/tests/fakes.py
+++ b/foxtaillock/jobs/tests/fakes.py
@@ -183,6 +183,7 @@
         faults: what happens to the next starts: `ok`, `lost-answer`,
             `lost-request`, `late` (it arrives when `deliver_late` is called).
         silent: names of the workers that give no answer.
+        used: usage that every worker reports.
         tasks: tasks of each worker.
     """
 
@@ -202,6 +203,7 @@
         self.order_of: dict[str, interfaces.TaskOrder] = {}
         self.renewed: collections.Counter[str] = collections.Counter()
         self.draining: set[str] = set()
+        self.used = (0, 0, 0)
         self.is_fenced = True
         self._lease_ends_s: dict[str, float] = {}
 
@@ -346,7 +348,7 @@
             self.clock.monotonic_s(),
             self.epochs[name],
             [*self.tasks[name].values()],
-            (0, 0, 0),
+            self.used,
         )
 
     def _set(self, name: str, task_id: str, state: str, result: str) -> None:
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -223,6 +223,25 @@
         done = [view.state for view in owner.jobs().jobs]
         self.assertEqual(set(done), {world.JobState.DONE})
 
+    async def test_learned_size_never_outgrows_the_workers(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        whole = fakes.spec(fakes.WORKER_SIZE)
+        site.workers.used = (8000, 16 * fakes.GIB, 0)
+        for _ in range(5):
+            job_id = await _submit(owner, whole)
+            await site.turn(owner, 10)
+            self.assertEqual(_state(owner, job_id), world.JobState.RUNNING)
+            site.workers.finish()
+            await site.turn(owner, 2)
+        await _submit(owner, whole)
+        small = [await _submit(owner) for _ in range(4)]
+        await site.turn(owner, 2)
+        site.workers.finish()
+        await site.turn(owner, 2)
+        running = [_state(owner, job_id).value for job_id in small]
+        self.assertEqual(running.count("running"), 2)
+
     async def test_draining_worker_gets_no_more_orders(self) -> None:
         site = fakes.Site(workers=2)
         site.workers.draining.add("w0")
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -63,7 +63,7 @@
 
     def add(self, request: waiting.Request, now_s: float) -> None:
         """Adds a waiting job, or replaces its request."""
-        can_fit = self._can_ever_fit(request.size)
+        can_fit = self.can_ever_fit(request.size)
         self._jobs.add(request, now_s, can_fit)
         self._quiet_growth = -1
 
@@ -89,6 +89,10 @@
         queue = self._jobs.teams.get(team)
         return len(queue) if queue is not None else 0
 
+    def can_ever_fit(self, size: resources.Resources) -> bool:
+        """Returns whether some worker of the pool is large enough."""
+        return any(resources.fits(size, whole) for whole in self._sizes)
+
     def set_teams(self, teams: Mapping[str, objects.Team]) -> None:
         """Takes over shares and limits."""
         self._teams = teams
@@ -105,7 +109,7 @@
         self._sizes = sizes
         for request in self._jobs.requests():
             is_stuck = request.job_id in self._jobs.stuck
-            if is_stuck == self._can_ever_fit(request.size):
+            if is_stuck == self.can_ever_fit(request.size):
                 self.add(request, now_s)
 
     def reason(self, job_id: str) -> str:
@@ -287,9 +291,6 @@
             return False
         return now_s >= self._no_hold_until_s.get(team, now_s)
 
-    def _can_ever_fit(self, size: resources.Resources) -> bool:
-        return any(resources.fits(size, whole) for whole in self._sizes)
-
     def _weight(self, team: str) -> float:
         return self._weights.get(team, 1.0)
 
