--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -46,12 +46,15 @@
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+from foxtaillock.state import snapshotter
 
 __all__ = ["EntryNode", "create_node"]
 
 _LONGEST_CALL_S = 60.0
 _STOP_POLL_S = 0.05
 _START_RETRY_S = 0.5
+_SNAPSHOT_READS = replicas.ReplicaSettings(poll_s=10.0)
 _CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
 
 
@@ -105,6 +108,7 @@
             settings=_CONTROL_READS,
         )
         self.replica.on_batch(self._on_batch)
+        self._build_snapshots(rng, budget)
         self.keys = key_desk.KeyDesk(
             self.state,
             self.replica,
@@ -128,6 +132,33 @@
             self._pool_names,
         )
 
+    def _build_snapshots(
+        self, rng: random.Random, budget: budgets.AppendBudget
+    ) -> None:
+        fold = snapshots.SnapshotFold()
+        chunks = replicas.StreamReplica(
+            self.platform.log,
+            records.SNAPSHOT_STREAM,
+            fold,
+            writer=self.settings.node_name,
+            incarnation=self.incarnation,
+            clock=self.clock,
+            rng=rng,
+            budget=budget,
+            settings=_SNAPSHOT_READS,
+        )
+        self.snapshotter = snapshotter.Snapshotter(
+            self.platform.log,
+            self.state,
+            self.replica,
+            chunks,
+            fold,
+            node=self.settings.node_name,
+            clock=self.clock,
+            rng=rng,
+            is_writer=self._owns_fleet,
+        )
+
     def _build_decisions(
         self, rng: random.Random, budget: budgets.AppendBudget
     ) -> None:
@@ -256,8 +287,10 @@
         serve an older revision than one that was acknowledged.
         """
         settings = self.settings
+        await self._retry(self.snapshotter.start)
         self._background.spawn(self.replica.run())
-        await self._catch_up()
+        self._background.spawn(self.snapshotter.run())
+        await self._retry(self.replica.catch_up)
         await self.vm_watch.poll()
         peer_port = await self.peer_server.start(
             settings.peer_host, settings.peer_port
@@ -281,12 +314,22 @@
         self._not_ready = ""
         logger.info("serving on port {}", self.api_port)
 
-    async def _catch_up(self) -> None:
+    async def _retry(
+        self, action: typing.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        """Repeats an action until the log can be read.
+
+        Raises:
+            exceptions.StateDivergedError: no snapshot covers what expired.
+        """
         while True:
             try:
-                await self.replica.catch_up()
+                await action()
                 return
-            except exceptions.FoxtaillockError as error:
+            except (
+                exceptions.LogUnavailableError,
+                exceptions.LogUnreachableError,
+            ) as error:
                 logger.warning("waiting for the log: {}", error)
                 await asyncio.sleep(_START_RETRY_S)
 
