Cut links between zones: a viewer's own addresses and named proxies

Cause: availability zones can be cut off from each other, and no proof could provoke it for workers and runners, whose addresses come from the list. Ruled out: faults of the stand-ins, which hit the VM's own zone as well. Now the list shows a viewer the addresses of proxies that stand for its links.

--- a/foxtaillock/proxy/admin.py
+++ b/foxtaillock/proxy/admin.py
@@ -1,6 +1,7 @@
 """HTTP interface that controls the proxies of a process."""
 
 import dataclasses
+import fnmatch
 import typing
 
 from aiohttp import web
@@ -15,8 +16,9 @@
     """Proxies by the names of their links, and an admin port for them.
 
     `GET /links` tells what each has done; `POST /links/{name}` with a target
-    adds one; `POST /links/{name}/faults` sets its faults, where the name `*`
-    means all; `POST /links/{name}/cut` cuts its connections.
+    adds one; `POST /links/{name}/faults` sets its faults;
+    `POST /links/{name}/cut` cuts its connections. The last two take a pattern
+    such as `b>worker-a-*` for the name.
 
     Args:
         seed: seed of jitter and lost answers; each link derives its own.
@@ -64,16 +66,15 @@
         return {"admin": self._url, "links": links}
 
     def chosen(self, name: str) -> list[fault_proxy.FaultProxy]:
-        """Returns the proxy of this name, or all for `*`.
+        """Returns the proxies whose names match this pattern.
 
         Raises:
-            exceptions.InvalidInputError: no link has this name.
+            exceptions.InvalidInputError: there is none.
         """
-        if name == "*":
-            return list(self.links.values())
-        if name not in self.links:
+        names = fnmatch.filter(self.links, name)
+        if not names:
             raise exceptions.InvalidInputError(f"no link is named {name!r}")
-        return [self.links[name]]
+        return [self.links[each] for each in names]
 
     async def _get_links(self, _request: web.Request) -> web.Response:
         answer = {
--- a/foxtaillock/standins/vm_list.py
+++ b/foxtaillock/standins/vm_list.py
@@ -84,12 +84,17 @@
 
 
 class VmListServer:
-    """HTTP server of the list."""
+    """HTTP server of the list.
+
+    A viewer that reads below `/viewers/{viewer}` sees other addresses where
+    `set_alias` says so, for example those of proxies that stand for its links.
+    """
 
     def __init__(self, rows: LaggingList, host: str, seed: int) -> None:
         self.rows = rows
         self.faults = faults.Faults()
         self.gate = faults.FaultGate(self.faults, random.Random(seed))
+        self._aliases: dict[tuple[str, str], str] = {}
         self._listener = listener.Listener(self._add_routes, host)
 
     @property
@@ -105,9 +110,15 @@
         """Stops for good."""
         await self._listener.close()
 
+    def set_alias(self, viewer: str, address: str, alias: str) -> None:
+        """Shows `alias` instead of `address` to `viewer`."""
+        self._aliases[viewer, address] = alias
+
     def _add_routes(self, application: web.Application) -> None:
         router = application.router
         router.add_get("/vms", self._list)
+        router.add_get("/viewers/{viewer}/vms", self._list)
+        router.add_post("/admin/aliases", self._set_alias)
         router.add_post("/admin/vms", self._put)
         router.add_post("/admin/vms/{name}/leaving", self._mark_leaving)
         router.add_delete("/admin/vms/{name}", self._remove)
@@ -118,9 +129,22 @@
             return await listener.abort_connection(request)
         if self.faults.unavailable:
             return web.Response(status=503, text="unavailable")
-        rows = [row_of(entry) for entry in self.rows.visible()]
+        viewer = request.match_info.get("viewer", "")
+        rows = [
+            row_of(self._seen_by(viewer, entry))
+            for entry in self.rows.visible()
+        ]
         return web.json_response({"vms": rows})
 
+    def _seen_by(self, viewer: str, entry: world.VmEntry) -> world.VmEntry:
+        alias = self._aliases.get((viewer, entry.address), entry.address)
+        return entry._replace(address=alias)
+
+    async def _set_alias(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.set_alias(body["viewer"], body["address"], body["alias"])
+        return web.json_response({})
+
     async def _put(self, request: web.Request) -> web.Response:
         self.rows.put(entry_of(await request.json()))
         return web.json_response({})
