--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -44,7 +44,9 @@
     "SCHEMA_VERSION",
     "SessionEnded",
     "SessionRenewed",
+    "SNAPSHOT_STREAM",
     "SnapshotChunk",
+    "SnapshotMarked",
     "UnknownRecord",
     "VmStep",
     "WaveChanged",
@@ -55,6 +57,7 @@
 
 SCHEMA_VERSION = 1
 CONTROL_STREAM = "control"
+SNAPSHOT_STREAM = "snapshots"
 FLEET_POOL = "_fleet"
 
 Record = typing.Any
@@ -295,6 +298,8 @@
 
     Attributes:
         state: `running`, `paused`, `done` or `cancelled`.
+        base: incarnation of each VM when the wave began, as `vm=1,vm=2`;
+            empty to leave it as it is.
     """
 
     wave_id: str
@@ -302,6 +307,19 @@
     state: str
     reason: str
     epoch: int
+    base: str = ""
+
+
+@register_record("snapshot-marked")
+class SnapshotMarked(typing.NamedTuple):
+    """A snapshot is taken of the state after the batch of this record.
+
+    Every replica takes the digest there and compares it with that of the
+    snapshot, once this is written.
+    """
+
+    snapshot_id: str
+    node: str
 
 
 @register_record("snapshot-chunk")
--- a/foxtaillock/state/replica.py
+++ b/foxtaillock/state/replica.py
@@ -34,6 +34,9 @@
         poll_s: how long one tail read waits for a record.
         read_timeout_s: a tail read without an answer is given up after
             `poll_s` and so long.
+        pace_s: pause after a read that gave records and reached the end, so
+            that records of several writers come in one answer. A commit or a
+            call of `catch_up` ends the pause.
         page_records: batches read at once.
         batch_records: records committed at once.
         max_waiting: ordinary records that may wait.
@@ -46,6 +49,7 @@
     append_timeout_s: float = 1.0
     poll_s: float = 0.4
     read_timeout_s: float = 0.6
+    pace_s: float = 0.0
     page_records: int = 1000
     batch_records: int = 500
     max_waiting: int = 10_000
@@ -97,12 +101,15 @@
         self._rng = rng
         self._budget = budget
         self._next_offset = next_offset
+        self._required_offset = 0
         self._settings = settings
         self._sequence = 0
         self._freshness = freshness.Freshness(settings.evidence_gap_s)
         self._queue = pending.Queue(settings.max_waiting)
         self._flight: pending.Flight | None = None
         self._wake = asyncio.Event()
+        self._hurry = asyncio.Event()
+        self._urgent = asyncio.Event()
         self._progress = asyncio.Condition()
         self._callbacks: list[BatchCallback] = []
         self._error: exceptions.FoxtaillockError | None = None
@@ -121,13 +128,25 @@
         """Registers a function called after each batch was folded."""
         self._callbacks.append(callback)
 
+    def start_at(self, offset: int) -> None:
+        """Sets the offset to read from, after loading a snapshot into the
+        fold; call it before `run`."""
+        self._next_offset = offset
+
+    def require_offset(self, offset: int) -> None:
+        """Lets the view count as infinitely old until it has folded all
+        records before `offset`, as a peer or the log has shown that they
+        stand."""
+        self._required_offset = max(self._required_offset, offset)
+
     def age_s(self) -> float:
         """Returns how old the view is at most; infinite once stopped.
 
         Counted from before the last read that reached the end of the stream
         was sent.
         """
-        if self._error is not None:
+        is_behind = self._next_offset < self._required_offset
+        if self._error is not None or is_behind:
             return math.inf
         return self._freshness.age_s(self._clock.monotonic_s())
 
@@ -161,6 +180,8 @@
         )
         self._queue.push(entry)
         self._wake.set()
+        if urgent:
+            self._urgent.set()
         try:
             await asyncio.wait((entry.future,), timeout=timeout_s)
         finally:
@@ -186,6 +207,7 @@
         if self._next_offset >= target:
             self._freshness.read_whole(sent_s)
             return
+        self._hurry.set()
         timeout_s = self._settings.commit_timeout_s
         try:
             async with asyncio.timeout(timeout_s), self._progress:
@@ -195,6 +217,20 @@
                 f"stream {self._stream} was not read up to {target}"
             ) from error
 
+    async def read_to_end(self) -> None:
+        """Folds all records that stand now, without `run`.
+
+        Raises:
+            exceptions.LogUnavailableError: the log answered so.
+            exceptions.LogUnreachableError: no answer.
+            exceptions.StateDivergedError: records expired meanwhile.
+        """
+        while True:
+            page = await self._read(limit=1, wait_s=0.0)
+            if self._next_offset >= page.next_offset:
+                return
+            await self._read_once()
+
     def _reached(self, offset: int) -> bool:
         if self._error is not None:
             raise self._error
@@ -234,7 +270,7 @@
         failures = 0
         while True:
             try:
-                await self._read_once()
+                await self._pause(await self._read_once())
                 failures = 0
             except (
                 exceptions.LogUnavailableError,
@@ -243,7 +279,19 @@
                 failures += 1
                 await self._back_off(failures)
 
-    async def _read_once(self) -> None:
+    async def _pause(self, is_at_end: bool) -> None:
+        if not is_at_end or self._settings.pace_s <= 0.0:
+            return
+        if self._flight is None and not self._hurry.is_set():
+            try:
+                async with asyncio.timeout(self._settings.pace_s):
+                    await self._hurry.wait()
+            except TimeoutError:
+                return
+        self._hurry.clear()
+
+    async def _read_once(self) -> bool:
+        """Folds one page; returns whether it had records and is the last."""
         sent_s = self._clock.monotonic_s()
         page = await self._read(
             self._settings.page_records, self._settings.poll_s
@@ -265,6 +313,7 @@
             loguru.logger.error("{} went back", self._stream)
         async with self._progress:
             self._progress.notify_all()
+        return bool(page.records) and self._next_offset == page.next_offset
 
     async def _read(self, limit: int, wait_s: float) -> adapters.LogPage:
         timeout_s = wait_s + self._settings.read_timeout_s
@@ -336,6 +385,7 @@
         entries = self._queue.take(self._settings.batch_records, now_s)
         if not entries:
             return None
+        self._hurry.set()
         for entry in entries:
             entry.sent = True
         batch = records.Batch(
@@ -398,9 +448,19 @@
         if self._budget is None:
             return
         now_s = self._clock.monotonic_s()
-        delay_s = self._budget.reserve_s(now_s, self._queue.has_urgent)
-        if delay_s > 0.0:
+        is_urgent = self._queue.has_urgent
+        delay_s = self._budget.reserve_s(now_s, is_urgent)
+        if delay_s <= 0.0:
+            return
+        if is_urgent:
             await asyncio.sleep(delay_s)
+            return
+        self._urgent.clear()
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._urgent.wait()
+        except TimeoutError:
+            return
 
     async def _back_off(self, failures: int) -> None:
         bound_s = self._settings.backoff_base_s * 2.0 ** min(failures - 1, 20)
