--- /dev/null
+++ b/foxtaillock/jobs/pool_snapshots.py
@@ -0,0 +1,142 @@
+"""Snapshots of a pool's jobs, so that old records of its stream may expire."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from foxtaillock import exceptions
+from foxtaillock.adapters import interfaces
+from foxtaillock.jobs import pool_state
+from foxtaillock.model import clock as model_clock
+from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+
+__all__ = ["PoolSnapshots", "snapshot_stream_of"]
+
+_CHECK_S = 5.0
+
+
+def snapshot_stream_of(pool: str) -> str:
+    """Returns the name of the stream with the snapshots of `pool`."""
+    return f"snapshots.pool.{pool}"
+
+
+class PoolSnapshots:
+    """Loads the newest snapshot of a pool and writes new ones when due.
+
+    Call `load` before the pool's replica runs, then run `run` beside it.
+
+    Args:
+        log: the platform's log.
+        pool: name of the pool.
+        state: fold of the pool's stream.
+        replica: its replica.
+        node: name of this entry VM.
+        incarnation: identity of this owner among the writers.
+        clock: source of time.
+        rng: source of snapshot ids.
+        is_writer: returns whether this node owns the pool now.
+        settings: when snapshots are taken.
+    """
+
+    def __init__(
+        self,
+        log: interfaces.LogService,
+        pool: str,
+        state: pool_state.PoolState,
+        replica: replicas.StreamReplica,
+        *,
+        node: str,
+        incarnation: str,
+        clock: model_clock.Clock,
+        rng: random.Random,
+        is_writer: Callable[[], bool],
+        settings: snapshots.PolicySettings = snapshots.PolicySettings(),
+    ) -> None:
+        self._log = log
+        self._pool = pool
+        self._state = state
+        self._replica = replica
+        self._node = node
+        self._clock = clock
+        self._rng = rng
+        self._is_writer = is_writer
+        self._settings = settings
+        self._last_s = clock.monotonic_s()
+        self._fold = snapshots.SnapshotFold()
+        self._chunks = replicas.StreamReplica(
+            log,
+            snapshot_stream_of(pool),
+            self._fold,
+            writer=node,
+            incarnation=incarnation,
+            clock=clock,
+            rng=rng,
+        )
+
+    async def load(self) -> None:
+        """Loads the newest usable snapshot and sets where to read on.
+
+        Raises:
+            exceptions.LogUnavailableError: the log answered so.
+            exceptions.LogUnreachableError: no answer.
+            exceptions.StateDivergedError: no snapshot covers what expired.
+        """
+        stream = snapshot_stream_of(self._pool)
+        self._chunks.start_at(await self._oldest_offset(stream))
+        await self._chunks.read_to_end()
+        oldest_offset = await self._oldest_offset(
+            pool_state.stream_of(self._pool)
+        )
+        candidates = [row.unpack() for row in self._fold.whole]
+        found = snapshots.choose(candidates, oldest_offset)
+        if found is not None:
+            self._state.restore(found.text)
+            self._replica.start_at(found.at_offset)
+
+    async def run(self) -> None:
+        """Follows the snapshots and writes one when it is due."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._chunks.run())
+            group.create_task(self._write_forever())
+
+    async def _write_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            try:
+                if self._is_writer() and await self._is_due():
+                    await self._write()
+            except exceptions.FoxtaillockError as error:
+                logger.warning("pool {}: no snapshot: {}", self._pool, error)
+
+    async def _is_due(self) -> bool:
+        stream = pool_state.stream_of(self._pool)
+        oldest_chunk = await self._oldest_offset(snapshot_stream_of(self._pool))
+        return snapshots.is_due(
+            self._settings,
+            self._fold.whole,
+            next_offset=self._replica.next_offset,
+            oldest_offset=await self._oldest_offset(stream),
+            oldest_chunk_offset=oldest_chunk,
+            since_last_s=self._clock.monotonic_s() - self._last_s,
+        )
+
+    async def _write(self) -> None:
+        """Writes the state as it is now; no record is folded meanwhile."""
+        text = self._state.encode()
+        snapshot = snapshots.Snapshot(
+            f"{self._node}-{self._rng.getrandbits(48):012x}",
+            self._replica.next_offset,
+            snapshots.digest_of(text),
+            text,
+        )
+        self._last_s = self._clock.monotonic_s()
+        for chunk in snapshots.split(snapshot):
+            await self._chunks.commit(chunk)
+        logger.info("snapshot of pool {} is written", self._pool)
+
+    async def _oldest_offset(self, stream: str) -> int:
+        page = await self._log.read(stream, 0, 1, 0.0)
+        return page.oldest_offset
--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -151,31 +151,42 @@
     def decode(cls, text: str) -> typing.Self:
         """Returns the state that `encode` gave.
 
+        Raises:
+            exceptions.InvalidInputError: `text` is not an encoded state.
+        """
+        state = cls()
+        state.restore(text)
+        return state
+
+    def restore(self, text: str) -> None:
+        """Replaces the whole state by the one that `encode` gave.
+
         Raises:
             exceptions.InvalidInputError: `text` is not an encoded state.
         """
         try:
-            return cls._from_fields(json.loads(text))
+            self._restore(json.loads(text))
         except (ValueError, KeyError, TypeError, IndexError) as error:
             raise exceptions.InvalidInputError(
                 f"snapshot is not the state of a pool: {error}"
             ) from error
 
-    @classmethod
-    def _from_fields(cls, fields: dict[str, typing.Any]) -> typing.Self:
-        state = cls(fields["history"])
-        state.epoch = fields["epoch"]
-        state._owner = fields["owner"]
-        state._accepted_count = fields["accepted"]
-        state._next_offset = fields["offset"]
-        state._sequences.load_rows(fields["sequences"])
-        state._kept = fields["kept"]
+    def _restore(self, fields: dict[str, typing.Any]) -> None:
+        self._history_jobs = fields["history"]
+        self.epoch = fields["epoch"]
+        self._owner = fields["owner"]
+        self._accepted_count = fields["accepted"]
+        self._next_offset = fields["offset"]
+        self._sequences.load_rows(fields["sequences"])
+        self._kept = fields["kept"]
+        for table in (self._jobs, self._by_key, self._active, self._waiting):
+            table.clear()
         for row in fields["jobs"]:
-            state._restore_job(_decode_job(row))
+            self._restore_job(_decode_job(row))
         for job_id in fields["waiting"]:
-            state._waiting[job_id] = state._jobs[job_id]
-        state._finished.update((job_id, None) for job_id in fields["finished"])
-        return state
+            self._waiting[job_id] = self._jobs[job_id]
+        self._finished.clear()
+        self._finished.update((job_id, None) for job_id in fields["finished"])
 
     def _restore_job(self, job: jobs_job.Job) -> None:
         self._jobs[job.job_id] = job
