Back off when workers refuse a job again and again

Cause: a job that every worker of a draining pool refuses cost two records for each try, 120 in 30 s (test_refusals_of_all_workers_cost_few_records before the change); after three attempts it now waits with full jitter.

--- a/foxtaillock/jobs/backlog.py
+++ b/foxtaillock/jobs/backlog.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Backlog"]
 
+FREE_ATTEMPTS = 3
+MAX_DOUBLINGS = 16
+
 
 class Backlog:
     """Hands waiting jobs to the planner, with corrected sizes and back-off."""
@@ -76,10 +79,15 @@
         return size if context.waiting.can_ever_fit(size) else job.declared
 
     def _backoff_s(self, job: jobs_job.Job) -> float:
-        """Returns a back-off with full jitter after failed attempts."""
-        if job.failures == 0:
+        """Returns a back-off with full jitter after failed attempts.
+
+        The first few attempts that did not run are tried again at once, since
+        another worker may take the job.
+        """
+        tries = max(job.failures, job.attempts - FREE_ATTEMPTS)
+        if tries <= 0:
             return 0.0
         settings = self._context.settings
-        span_s = settings.backoff_s * 2 ** (job.failures - 1)
+        span_s = settings.backoff_s * 2.0 ** min(tries - 1, MAX_DOUBLINGS)
         span_s = min(span_s, settings.max_backoff_s)
         return self._context.rng.uniform(0.0, span_s)
--- a/foxtaillock/jobs/tests/fakes.py
+++ b/foxtaillock/jobs/tests/fakes.py
@@ -34,6 +34,9 @@
 WORKER_SIZE = resources.Resources(4000, 8 * GIB, 0)
 
 
+_SETTINGS = jobs_context.OwnerSettings(backoff_s=0.0)
+
+
 class Gate:
     """Holds one process up at a chosen step, for a while or for ever.
 
@@ -443,6 +446,7 @@
         self,
         gate: Gate | None = None,
         lease_end_s: Callable[[], float] | None = None,
+        settings: jobs_context.OwnerSettings = _SETTINGS,
     ) -> jobs_owner.PoolOwner:
         """Returns a new owner of the next epoch; not started yet."""
         self.epoch += 1
@@ -463,7 +467,7 @@
             not_valid_after_s=end_s,
             grants=self.grants,
             node=node,
-            settings=jobs_context.OwnerSettings(backoff_s=0.0),
+            settings=settings,
         )
         owner.update_teams(self.teams)
         owner.update_queues({"rush": {"pool": POOL}})
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from foxtaillock.jobs import context
 from foxtaillock.jobs import owner as jobs_owner
 from foxtaillock.jobs import results
 from foxtaillock.jobs.tests import fakes
@@ -242,6 +243,19 @@
         running = [_state(owner, job_id).value for job_id in small]
         self.assertEqual(running.count("running"), 2)
 
+    async def test_refusals_of_all_workers_cost_few_records(self) -> None:
+        site = fakes.Site(workers=6)
+        owner = site.owner(settings=context.OwnerSettings())
+        await owner.start()
+        site.workers.draining.update(site.workers.vms)
+        await _submit(owner)
+        before = site.replica.commits
+        await site.turn(owner, 60, step_s=0.5)
+        self.assertLess(site.replica.commits - before, 40)
+        site.workers.draining.clear()
+        await site.turn(owner, 80, step_s=0.5)
+        self.assertEqual(site.workers.runs.total(), 1)
+
     async def test_draining_worker_gets_no_more_orders(self) -> None:
         site = fakes.Site(workers=2)
         site.workers.draining.add("w0")
