--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -14,6 +14,7 @@
 from foxtaillock.daemon import pool_grants
 from foxtaillock.daemon import session_keeper
 from foxtaillock.jobs import owner as owners
+from foxtaillock.jobs import pool_snapshots
 from foxtaillock.jobs import pool_state
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
@@ -139,20 +140,35 @@
             grants=grants,
             node=self._node,
         )
-        follow = self._background.spawn(replica.run())
+        saved = pool_snapshots.PoolSnapshots(
+            self._log,
+            pool,
+            state,
+            replica,
+            node=self._node,
+            incarnation=f"{self._session.incarnation}.{epoch}",
+            clock=self._clock,
+            rng=self._rng,
+            is_writer=lambda: self._session.owns(pool, epoch),
+        )
+        follow = None
         try:
+            await saved.load()
+            follow = self._background.spawn(replica.run())
             await replica.catch_up()
             await owner.start()
         except exceptions.FoxtaillockError as error:
             logger.warning("pool {} was not taken over: {}", pool, error)
-            follow.cancel()
+            if follow is not None:
+                follow.cancel()
             grants.drop()
             return
         finally:
             self._starting.discard(pool)
         work = self._background.spawn(owner.run())
         carry = self._background.spawn(self._carry(pool, epoch, grants))
-        tasks = (follow, work, carry)
+        save = self._background.spawn(saved.run())
+        tasks = (follow, work, carry, save)
         self._held[pool] = _Held(epoch, owner, grants, tasks)
         self.owners[pool] = owner
         self._update(pool, owner)
--- a/foxtaillock/jobs/pool_snapshots.py
+++ b/foxtaillock/jobs/pool_snapshots.py
@@ -15,7 +15,8 @@
 
 __all__ = ["PoolSnapshots", "snapshot_stream_of"]
 
-_CHECK_S = 5.0
+_CHECK_S = 30.0
+_READS = replicas.ReplicaSettings(poll_s=10.0)
 
 
 def snapshot_stream_of(pool: str) -> str:
@@ -74,6 +75,7 @@
             incarnation=incarnation,
             clock=clock,
             rng=rng,
+            settings=_READS,
         )
 
     async def load(self) -> None:
