--- a/foxtaillock/jobs/backlog.py
+++ b/foxtaillock/jobs/backlog.py
@@ -4,10 +4,14 @@
 from foxtaillock.jobs import context as jobs_context
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.model import records
+from foxtaillock.model import resources
 from foxtaillock.placement import waiting
 
 __all__ = ["Backlog"]
 
+FREE_ATTEMPTS = 3
+MAX_DOUBLINGS = 16
+
 
 class Backlog:
     """Hands waiting jobs to the planner, with corrected sizes and back-off."""
@@ -32,7 +36,7 @@
             job.job_id,
             job.team,
             accepted.queue,
-            context.learned.size(job.team, accepted.queue, job.declared),
+            self._size(job),
             accepted.urgent,
             since_s,
             now_s + self._backoff_s(job),
@@ -67,11 +71,23 @@
         if job is not None and job.state in jobs_job.WAITING:
             self.add(job)
 
+    def _size(self, job: jobs_job.Job) -> resources.Resources:
+        """Returns the corrected size, unless no worker is so large."""
+        context = self._context
+        queue = job.accepted.queue
+        size = context.learned.size(job.team, queue, job.declared)
+        return size if context.waiting.can_ever_fit(size) else job.declared
+
     def _backoff_s(self, job: jobs_job.Job) -> float:
-        """Returns a back-off with full jitter after failed attempts."""
-        if job.failures == 0:
+        """Returns a back-off with full jitter after failed attempts.
+
+        The first few attempts that did not run are tried again at once, since
+        another worker may take the job.
+        """
+        tries = max(job.failures, job.attempts - FREE_ATTEMPTS)
+        if tries <= 0:
             return 0.0
         settings = self._context.settings
-        span_s = settings.backoff_s * 2 ** (job.failures - 1)
+        span_s = settings.backoff_s * 2.0 ** min(tries - 1, MAX_DOUBLINGS)
         span_s = min(span_s, settings.max_backoff_s)
         return self._context.rng.uniform(0.0, span_s)
