Ignore verdicts of a former session in the grants

A process that lost its session opens another. The verdict of a change of the former one could still arrive and set the present grant to the former amount, which others get once it is reclaimed. Seen to fail first: test_verdict_of_a_former_session_gives_no_grant starts work without a grant. The schedules now also let living processes open a new session.

--- a/foxtaillock/limits/grants.py
+++ b/foxtaillock/limits/grants.py
@@ -216,8 +216,11 @@
         """Takes the own grant as it is folded with the verdict on `change`.
 
         Earlier changes without a verdict are settled too: the fold takes the
-        batches of one writer only in their order.
+        batches of one writer only in their order. A change of a former
+        session says nothing about the present one.
         """
+        if (change.node, change.incarnation) != self._holder:
+            return
         count = self._team(change.team)
         for index, pending in enumerate(count.pending):
             if pending is change:
@@ -232,4 +235,5 @@
         It may stand now or later, so it keeps the cap down until a later
         change has its verdict.
         """
-        self._team(change.team).in_flight = False
+        if (change.node, change.incarnation) == self._holder:
+            self._team(change.team).in_flight = False
--- a/foxtaillock/limits/tests/model.py
+++ b/foxtaillock/limits/tests/model.py
@@ -4,6 +4,7 @@
 compares it with what the log grants.
 """
 
+import collections
 import random
 import re
 import typing
@@ -154,6 +155,7 @@
         self.cut_until_s = 0.0
         self.adopted: dict[str, int] = {}
         self.counted: set[tuple[str, int]] = set()
+        self.pool_counts: collections.Counter[str] = collections.Counter()
 
 
 class Fleet:
@@ -250,6 +252,8 @@
             node.local.finish(TEAM)
         if now_s >= node.cut_until_s:
             self._read(node, self.rng.randrange(6))
+        if node.holder in node.fold.ended:
+            self._restart_session(node)
         action = self.rng.randrange(6)
         if action == 0:
             self._renew(node, now_s)
@@ -262,6 +266,20 @@
         else:
             self._work(node, now_s)
 
+    def _restart_session(self, node: _Node) -> None:
+        """Opens another session in a process that lost its own."""
+        for _ in range(node.pool_counts.total()):
+            node.local.finish(TEAM)
+        node.pool_counts.clear()
+        node.adopted.clear()
+        node.counted.clear()
+        node.renewals.clear()
+        node.sequence = 0
+        self.incarnations += 1
+        node.holder = (node.holder[0], f"i{self.incarnations}")
+        node.local.set_session_valid_until(-1.0)
+        node.local.set_holder(*node.holder)
+
     def _renew(self, node: _Node, now_s: float) -> None:
         node.counter += 1
         node.renewals[node.counter] = now_s
@@ -341,6 +359,7 @@
                     if (pool, epoch) not in node.counted:
                         node.counted.add((pool, epoch))
                         node.local.adopt(TEAM, self.attempts[pool])
+                        node.pool_counts[pool] += self.attempts[pool]
                     self._send(
                         node,
                         records.GrantsCarried(
@@ -360,7 +379,9 @@
                 break
             pools = sorted(node.adopted)
             if pools and self.rng.random() < 0.5:
-                self.attempts[self.rng.choice(pools)] += 1
+                pool = self.rng.choice(pools)
+                self.attempts[pool] += 1
+                node.pool_counts[pool] += 1
             else:
                 length_s = self.rng.random() * CALL_DEADLINE_S
                 node.calls.append(now_s + length_s)
@@ -368,4 +389,5 @@
             owns = self.head.owners[pool][0] == node.holder
             if owns and self.attempts[pool] and self.rng.random() < 0.03:
                 self.attempts[pool] -= 1
+                node.pool_counts[pool] -= 1
                 node.local.finish(TEAM)
--- a/foxtaillock/limits/tests/test_grants.py
+++ b/foxtaillock/limits/tests/test_grants.py
@@ -136,6 +136,16 @@
         self.assertFalse(local.try_start("t"))
         self.assertEqual(local.find_cap("t"), 4)
 
+    def test_verdict_of_a_former_session_gives_no_grant(self) -> None:
+        local = grants.LocalGrants(clock_lib.ManualClock(), "e1", "x")
+        local.set_session_valid_until(60.0)
+        local.set_waiting("t", 5)
+        folded = {"t": decisions.FoldedTeam(10, {})}
+        change = local.plan(folded, [("e1", "x")])[0]
+        local.set_holder("e1", "y")
+        local.end_change(change, 10)
+        self.assertFalse(local.try_start("t"))
+
     def test_leaving_node_keeps_what_its_calls_need(self) -> None:
         local = grants.LocalGrants(clock_lib.ManualClock(), "e1", "x")
         local.set_session_valid_until(60.0)
