Bound the deadline of a call and the runners that a choice looks at

A service could set max_deadline_s above the 60 s that the daemon waits before it frees grants of an ended session, so that a call could outlive its grant. Deadlines are now cut at 60 s and the wait is taken from the same constant. Seen to fail first: the runner was asked for 400 s.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -26,7 +26,7 @@
     "one_slow": ("slow", _STEADY),
     "five_times_the_mean": ("none", _PEAK),
 }
-_RUNNER_COUNTS = (6, 24, 96)
+_RUNNER_COUNTS = (6, 24, 96, 400)
 _MICROSECONDS = 1e6
 
 
--- a/foxtaillock/calls/service.py
+++ b/foxtaillock/calls/service.py
@@ -19,7 +19,9 @@
 from foxtaillock.model import world
 from foxtaillock.routing import table
 
-__all__ = ["CallService", "CallStats"]
+__all__ = ["CallService", "CallStats", "LONGEST_DEADLINE_S", "LONGEST_HOLD_S"]
+
+LONGEST_DEADLINE_S = 60.0
 
 _DEFAULT_SLOTS = 8
 _DEFAULT_CONNECTIONS = 64
@@ -27,6 +29,7 @@
 _PUMP_INTERVAL_S = 0.02
 _RETRY_AFTER_S = 1.0
 _DEADLINE_SLACK_S = 0.5
+LONGEST_HOLD_S = LONGEST_DEADLINE_S + _DEADLINE_SLACK_S
 
 
 class CallStats(typing.TypedDict):
@@ -186,7 +189,7 @@
         if desk is None:
             return outcomes.NotRun("unknown-service", request.service)
         longest_s = desk.body.get("max_deadline_s", _DEFAULT_MAX_DEADLINE_S)
-        left_s = min(request.deadline_s, longest_s)
+        left_s = min(request.deadline_s, longest_s, LONGEST_DEADLINE_S)
         if left_s <= 0:
             return outcomes.NotRun("deadline-passed")
         expires_at_s = self._clock.monotonic_s() + left_s
--- a/foxtaillock/calls/tests/test_service.py
+++ b/foxtaillock/calls/tests/test_service.py
@@ -9,6 +9,7 @@
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.calls import interfaces
 from foxtaillock.calls import service
+from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import world
 from foxtaillock.state.tests import virtual_loop
@@ -140,6 +141,7 @@
         self.runners = FakeRunners()
         self.grants = FakeGrants(4)
         self.claims = FakeClaims()
+        self.max_deadline_s = 30.0
 
     def _make(self, **options: bool) -> service.CallService:
         calls = service.CallService(
@@ -152,7 +154,8 @@
             claims=self.claims,
             **options,
         )
-        calls.update_runners(_make_runners(2), {"quote": {"slots": 8}})
+        body = objects.Service(slots=8, max_deadline_s=self.max_deadline_s)
+        calls.update_runners(_make_runners(2), {"quote": body})
         return calls
 
     def _run(
@@ -207,6 +210,22 @@
         self.assertEqual(result.tag, outcomes.OutcomeTag.NOT_RUN)
         self.assertEqual(self.runners.sent, [])
 
+    def test_no_call_outlasts_the_wait_before_grants_are_reclaimed(
+        self,
+    ) -> None:
+        asked: list[float] = []
+
+        async def _note_deadline(
+            vm: world.VmEntry, request: adapters.CallRequest
+        ) -> adapters.RunnerAnswer:
+            asked.append(request.deadline_s)
+            return await _answer(vm, request)
+
+        self.runners.scripts = [_note_deadline]
+        self.max_deadline_s = 500.0
+        self._run(_make_request(1, deadline_s=400.0))
+        self.assertEqual(asked, [service.LONGEST_DEADLINE_S])
+
     def test_draining_refuses(self) -> None:
         async def _drain() -> outcomes.Outcome:
             calls = self._make()
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -49,7 +49,6 @@
 
 __all__ = ["EntryNode", "create_node"]
 
-_LONGEST_CALL_S = 60.0
 _STOP_POLL_S = 0.05
 _START_RETRY_S = 0.5
 _CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
@@ -174,7 +173,7 @@
             waiting_by_team=self._waiting_by_team,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
-            + _LONGEST_CALL_S,
+            + call_service.LONGEST_HOLD_S,
         )
 
     def _build_desks(self, rng: random.Random) -> None:
--- a/foxtaillock/routing/table.py
+++ b/foxtaillock/routing/table.py
@@ -25,6 +25,7 @@
 _OTHERS_WEIGHT = 0.3
 _SLOW_FACTOR = 2.0
 _MAX_COMPARED = 8
+_MAX_SEEN = 16
 _SPILL_LOAD = 0.75
 _FAR_FACTOR = 1.2
 _MAX_EJECTED_SHARE = 0.5
@@ -163,6 +164,8 @@
     def __init__(self, zone: str) -> None:
         self._zone = zone
         self._runners: dict[str, Runner] = {}
+        self._near: list[Runner] = []
+        self._far: list[Runner] = []
 
     def __len__(self) -> int:
         return len(self._runners)
@@ -200,6 +203,8 @@
             runner.update(vm, slots, share)
             kept[vm.name] = runner
         self._runners = kept
+        self._near = [r for r in kept.values() if r.vm.zone == self._zone]
+        self._far = [r for r in kept.values() if r.vm.zone != self._zone]
 
     def choose(
         self, rng: random.Random, now_s: float, avoid: Collection[str] = ()
@@ -207,11 +212,12 @@
         """Returns a runner with a free slot, or None.
 
         The best of up to eight random runners of the own zone is taken; the
-        other zones are asked when it is loaded. Costs O(runners).
+        other zones are asked when it is loaded. No more than some runners of
+        each are looked at, so the cost does not grow with a large service.
         """
-        staying = [
-            r for r in self._runners.values() if not r.is_draining(now_s)
-        ]
+        seen = _sample(self._near, _MAX_SEEN, rng)
+        seen += _sample(self._far, _MAX_SEEN, rng)
+        staying = [r for r in seen if not r.is_draining(now_s)]
         usual_s = _find_usual_latency_s(staying)
         usable = self._find_usable(staying, usual_s, now_s, avoid)
         near = _choose_best(usable[0], rng, now_s, usual_s)
@@ -251,6 +257,15 @@
         return near, [r for r in usable if r.vm.zone != self._zone]
 
 
+def _sample(
+    runners: list[Runner], count: int, rng: random.Random
+) -> list[Runner]:
+    """Returns all runners, or `count` random ones of more."""
+    if len(runners) <= count:
+        return runners[:]
+    return rng.sample(runners, count)
+
+
 def _find_usual_latency_s(runners: Sequence[Runner]) -> float:
     """Returns the median latency of the runners."""
     latencies = sorted(r.health.latency_s for r in runners)
@@ -264,5 +279,6 @@
     """Returns the best of some random runners."""
     if not runners:
         return None
-    compared = rng.sample(runners, min(_MAX_COMPARED, len(runners)))
+    count = min(_MAX_COMPARED, len(runners))
+    compared = rng.sample(runners, count)
     return min(compared, key=lambda runner: runner.score(now_s, usual_s))
