Plan 15,000 VMs within a bounded time; measure it

A test of bounded plans failed first: spare pools passed VMs to each other through a third pool for ever; chains for a spare pool now take none from another.

--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -21,6 +21,7 @@
 __all__ = ["Decider", "Decisions", "Operation"]
 
 PLAN_INTERVAL_S = 1.0
+MAX_MOVES = 200
 
 
 class Operation(typing.NamedTuple):
@@ -144,7 +145,7 @@
             else vm._replace(is_busy=vm.name in self._state.disruptions)
             for vm in vms
         ]
-        made = planner.plan(pools, seen)
+        made = planner.plan(pools, seen, MAX_MOVES)
         self.shortfalls = made.shortfalls
         self.explanations = {move.vm: move.reason for move in made.moves}
         return {move.vm: move for move in made.moves}
--- a/foxtaillock/fleet/planner.py
+++ b/foxtaillock/fleet/planner.py
@@ -23,6 +23,8 @@
 ZONE_SLACK = 1
 FREE = ""
 
+_Place = tuple[str, str]
+
 
 class Move(typing.NamedTuple):
     """A VM changes its place.
@@ -50,21 +52,59 @@
     """Places of VMs while a plan is made."""
 
     def __init__(
-        self, pools: Mapping[str, model.PoolSpec], vms: Iterable[model.Vm]
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        vms: Iterable[model.Vm],
+        max_moves: int | None,
     ) -> None:
         self.pools = pools
-        self.places: dict[tuple[str, str], list[model.Vm]] = {}
-        self.counts: dict[str, int] = dict.fromkeys(pools, 0)
-        self.zone_counts: collections.Counter[tuple[str, str]]
-        self.zone_counts = collections.Counter()
+        self._max_moves = max_moves
         self.moved: dict[str, tuple[model.Vm, str, str]] = {}
+        self._members: dict[_Place, list[model.Vm]] = {}
+        self._racks: dict[_Place, dict[str, list[model.Vm]]] = {}
+        places = []
+        serving = model.Health.SERVING
         for vm in vms:
-            pool = vm.pool if vm.pool in pools else FREE
+            place = (vm.pool if vm.pool in pools else FREE, vm.zone)
+            places.append(place)
+            if vm.health is serving and not vm.is_busy:
+                self._members.setdefault(place, []).append(vm)
+        self.zone_counts = collections.Counter(places)
+        self.counts: dict[str, int] = dict.fromkeys(pools, 0)
+        self._zones: dict[str, set[str]] = {}
+        self._pools_in: dict[str, dict[str, None]] = {}
+        for (pool, zone), count in self.zone_counts.items():
+            self._note_zone(pool, zone)
             if pool != FREE:
-                self.counts[pool] += 1
-                self.zone_counts[pool, vm.zone] += 1
-            if not vm.is_busy and vm.health is model.Health.SERVING:
-                self.places.setdefault((pool, vm.zone), []).append(vm)
+                self.counts[pool] += count
+
+    def _note_zone(self, pool: str, zone: str) -> None:
+        self._zones.setdefault(pool, set()).add(zone)
+        if pool != FREE:
+            self._pools_in.setdefault(zone, {})[pool] = None
+
+    def givers(self, zone: str) -> list[str]:
+        """Returns the pools that have a VM in a zone that may move."""
+        pools = self._pools_in.get(zone, ())
+        return [pool for pool in pools if self.has_movable(pool, zone)]
+
+    def has_movable(self, pool: str, zone: str) -> bool:
+        """Returns whether a VM of a pool, or a free one, may move."""
+        place = (pool, zone)
+        found = self._racks.get(place)
+        return bool(self._members.get(place) if found is None else found)
+
+    def movable_zones(self, pool: str) -> list[str]:
+        """Returns the zones of the VMs of a pool that may move, sorted."""
+        zones = sorted(self._zones.get(pool, ()))
+        return [zone for zone in zones if self.has_movable(pool, zone)]
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the plan holds as many moves as it may."""
+        return self._max_moves is not None and (
+            len(self.moved) >= self._max_moves
+        )
 
     def lacks(self, pool: str) -> int:
         """Returns the VMs that a pool lacks; negative for a surplus."""
@@ -77,13 +117,23 @@
         limit = model.zone_quota(self.pools[pool]) + ZONE_SLACK
         return self.zone_counts[pool, zone] + extra > limit
 
+    def _racks_of(self, place: _Place) -> dict[str, list[model.Vm]]:
+        racks = self._racks.get(place)
+        if racks is None:
+            racks = self._racks[place] = {}
+            for vm in self._members.get(place, ()):
+                racks.setdefault(vm.rack, []).append(vm)
+        return racks
+
     def move(self, source: str, zone: str, target: str, reason: str) -> None:
         """Moves one VM of a place, out of its fullest rack."""
-        places = self.places[source, zone]
-        racks = collections.Counter(vm.rack for vm in places)
-        vm = max(places, key=lambda v: (racks[v.rack], v.name))
-        places.remove(vm)
-        self.places.setdefault((target, zone), []).append(vm)
+        racks = self._racks_of((source, zone))
+        rack = max(racks, key=lambda name: (len(racks[name]), name))
+        vm = racks[rack].pop()
+        if not racks[rack]:
+            del racks[rack]
+        self._note_zone(target, zone)
+        self._racks_of((target, zone)).setdefault(rack, []).append(vm)
         if source != FREE:
             self.counts[source] -= 1
             self.zone_counts[source, zone] -= 1
@@ -93,26 +143,32 @@
         self.moved[vm.name] = (vm, target, reason)
 
 
-def plan(pools: Mapping[str, model.PoolSpec], vms: Iterable[model.Vm]) -> Plan:
+def plan(
+    pools: Mapping[str, model.PoolSpec],
+    vms: Iterable[model.Vm],
+    max_moves: int | None = None,
+) -> Plan:
     """Returns the moves that bring pools to their sizes.
 
     Args:
         pools: specifications of all pools.
         vms: all worker VMs; failed, unknown and busy ones are not moved and
             count where they are.
+        max_moves: moves after which the plan breaks off, so that it holds
+            an event loop for a bounded time; the next plan goes on.
 
     Returns:
         The moves. Cost is linear in the VMs, and in the sources of each
         missing VM.
     """
-    draft = _Draft(pools, vms)
+    draft = _Draft(pools, vms, max_moves)
     order = sorted(pools, key=lambda name: (pools[name].is_spare, name))
     order.sort(key=lambda name: (pools[name].is_spare, len(pools[name].zones)))
     for name in order:
-        while draft.lacks(name) > 0 and _fill(draft, name):
+        while _is_open(draft, name) and _fill(draft, name):
             pass
     for name in order:
-        while draft.lacks(name) > 0 and _fill_by_chain(draft, name):
+        while _is_open(draft, name) and _fill_by_chain(draft, name):
             pass
     for name in order:
         _release(draft, name)
@@ -130,34 +186,38 @@
     return Plan(tuple(moves), shortfalls)
 
 
+def _is_open(draft: _Draft, pool: str) -> bool:
+    return draft.lacks(pool) > 0 and not draft.is_full
+
+
 def _known_pool(vm: model.Vm, pools: Mapping[str, model.PoolSpec]) -> str:
     return vm.pool if vm.pool in pools else FREE
 
 
 def _sources(
-    draft: _Draft, pool: str, zone: str
+    draft: _Draft, pool: str, zone: str, takes_spares: bool
 ) -> Iterator[tuple[int, int, str]]:
-    """Yields cost, surplus (negated) and name of the sources in a zone."""
-    if draft.places.get((FREE, zone)):
+    """Yields cost, VMs in the zone (negated) and name of the sources."""
+    if draft.has_movable(FREE, zone):
         yield JOIN_COST, 0, FREE
-    takes_spares = not draft.pools[pool].is_spare
-    for name, spec in draft.pools.items():
-        if name == pool or not draft.places.get((name, zone)):
+    for name in draft.givers(zone):
+        if name == pool:
             continue
         surplus = -draft.lacks(name)
         if surplus > 0:
             yield MOVE_COST, -draft.zone_counts[name, zone], name
-        elif spec.is_spare and takes_spares:
+        elif draft.pools[name].is_spare and takes_spares:
             yield MOVE_COST + SPARE_COST, -draft.zone_counts[name, zone], name
 
 
 def _fill(draft: _Draft, pool: str) -> bool:
     """Moves the cheapest VM into a pool; returns whether there was one."""
     choices = []
+    takes_spares = not draft.pools[pool].is_spare
     for zone in draft.pools[pool].zones:
         penalty = SKEW_COST if draft.is_skewed(pool, zone, 1) else 0
         level = draft.zone_counts[pool, zone]
-        for cost, surplus, source in _sources(draft, pool, zone):
+        for cost, surplus, source in _sources(draft, pool, zone, takes_spares):
             choices.append((cost + penalty, level, surplus, source, zone))
     if not choices:
         return False
@@ -178,12 +238,15 @@
 
 def _fill_by_chain(draft: _Draft, pool: str) -> bool:
     """Fills a place through the shortest chain of pools that pass VMs on."""
+    # A spare pool is not filled from another one, by no chain either.
+    takes_spares = not draft.pools[pool].is_spare
     parents: dict[str, tuple[str, str]] = {pool: ("", "")}
     queue = collections.deque([pool])
     while queue:
         receiver = queue.popleft()
         for zone in draft.pools[receiver].zones:
-            found = min(_sources(draft, receiver, zone), default=None)
+            sources = _sources(draft, receiver, zone, takes_spares)
+            found = min(sources, default=None)
             if found is not None and found[2] not in parents:
                 _move_chain(draft, parents, receiver, found[2], zone)
                 return True
@@ -196,8 +259,8 @@
 
 def _givers(draft: _Draft, receiver: str) -> Iterator[tuple[str, str]]:
     for zone in draft.pools[receiver].zones:
-        for name, spec in draft.pools.items():
-            if not spec.is_spare and draft.places.get((name, zone)):
+        for name in draft.givers(zone):
+            if not draft.pools[name].is_spare:
                 yield name, zone
 
 
@@ -217,9 +280,8 @@
 
 def _release(draft: _Draft, pool: str) -> None:
     """Frees the VMs of a pool that is too large, from its fullest zone."""
-    while draft.lacks(pool) < 0:
-        zones = [z for p, z in draft.places if p == pool]
-        usable = [zone for zone in zones if draft.places[pool, zone]]
+    while draft.lacks(pool) < 0 and not draft.is_full:
+        usable = draft.movable_zones(pool)
         if not usable:
             return
         zone = max(usable, key=lambda z: (draft.zone_counts[pool, z], z))
@@ -227,21 +289,25 @@
         draft.move(pool, zone, FREE, reason)
 
 
+def _skewed_zones(draft: _Draft, pool: str) -> list[str]:
+    zones = draft.movable_zones(pool)
+    return [zone for zone in zones if draft.is_skewed(pool, zone, 0)]
+
+
 def _spread(draft: _Draft, pool: str) -> bool:
     """Exchanges VMs of a zone that holds too much for free ones elsewhere;
     returns whether there was one."""
     has_exchanged = False
     spec = draft.pools[pool]
-    held = sorted(zone for name, zone in draft.places if name == pool)
-    for full in held:
-        while draft.is_skewed(pool, full, 0) and draft.places.get((pool, full)):
+    for full in _skewed_zones(draft, pool):
+        while draft.is_skewed(pool, full, 0) and draft.has_movable(pool, full):
             others = [
                 zone
                 for zone in spec.zones
-                if draft.places.get((FREE, zone))
+                if draft.has_movable(FREE, zone)
                 and not draft.is_skewed(pool, zone, 1)
             ]
-            if not others:
+            if not others or draft.is_full:
                 break
             zone = min(others, key=lambda z: draft.zone_counts[pool, z])
             count = draft.zone_counts[pool, full]
--- a/foxtaillock/fleet/tests/test_planner.py
+++ b/foxtaillock/fleet/tests/test_planner.py
@@ -59,6 +59,29 @@
             with self.subTest(seed=seed):
                 self.assertEqual(planner.plan(pools, after).moves, ())
 
+    def test_bounded_plans_end_where_an_unbounded_one_does(self) -> None:
+        for seed in range(60):
+            pools, vms = _make_case(seed)
+            whole = self._count_lacks(pools, planner.plan(pools, vms))
+            for _ in range(200):
+                made = planner.plan(pools, vms, max_moves=2)
+                if not made.moves:
+                    break
+                places = {m.vm: m.target for m in made.moves}
+                vms = [v._replace(pool=places.get(v.name, v.pool)) for v in vms]
+            with self.subTest(seed=seed):
+                self.assertEqual(made.moves, ())
+                self.assertEqual(self._count_lacks(pools, made), whole)
+
+    def _count_lacks(
+        self, pools: dict[str, model.PoolSpec], made: planner.Plan
+    ) -> int:
+        return sum(
+            count
+            for name, count in made.shortfalls.items()
+            if not pools[name].is_spare
+        )
+
     def test_unhealthy_and_busy_vms_stay(self) -> None:
         pools = {"p": model.PoolSpec("p", 1, ("a",), 0)}
         vms = [
