--- a/bench/run.py
+++ b/bench/run.py
@@ -19,7 +19,7 @@
 __all__ = ["find_benches", "main", "run_bench"]
 
 _RESULTS = pathlib.Path(__file__).resolve().parent / "results"
-_HELPERS = ("harness", "run", "programs", "call_fleet")
+_HELPERS = ("harness", "run", "programs", "call_fleet", "pool_model")
 
 
 def find_benches() -> list[str]:
