--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -211,13 +211,13 @@
     pools = POOLS / ENTRIES
     jobs = WAITING_JOBS_PER_POOL * pools
     job_records = JOBS_PER_S_PER_POOL * pools * RECORDS_PER_JOB
-    placement_us = value["placement.mean_us_w68_t61_j10000"]
+    placement_us = value["placement.68_workers_61_teams_10000_waiting_mean_us"]
     owner = Role(
         "pool owner with placement",
         jobs
         * (
-            value["placement.bytes_per_waiting_job"]
-            + value["placement.bytes_per_recorded_job"]
+            value["placement.waiting_job_bytes"]
+            + value["placement.recorded_job_bytes"]
         )
         / _MIB,
         figures.log_bytes_per_pool.slope * pools,
@@ -301,10 +301,16 @@
     ]
     named = (
         ("processor time, % of a core, by entry VMs", figures.cpu_per_node),
-        ("bytes a second with the log, by entry VMs", figures.log_bytes_per_node),
+        (
+            "bytes a second with the log, by entry VMs",
+            figures.log_bytes_per_node,
+        ),
         ("appends a second in all, by entry VMs", figures.appends_per_node),
         ("processor time, % of a core, by pools owned", figures.cpu_per_pool),
-        ("bytes a second with the log, by pools owned", figures.log_bytes_per_pool),
+        (
+            "bytes a second with the log, by pools owned",
+            figures.log_bytes_per_pool,
+        ),
     )
     for name, fit in named:
         lines.append(
@@ -359,10 +365,15 @@
         )
     )
     start_s = figures.values["fold.snapshot_start_s"]
-    lines.append(_limit_row("s to start from a snapshot", start_s, start_s, 3.0))
+    lines.append(
+        _limit_row("s to start from a snapshot", start_s, start_s, 3.0)
+    )
     plan_s = figures.values["planner.full_plan_s"]
     lines.append(_limit_row("s for a whole plan", plan_s, plan_s, 5.0))
-    placement_ms = figures.values["placement.mean_us_w68_t61_j10000"] / 1000.0
+    placement_ms = (
+        figures.values["placement.68_workers_61_teams_10000_waiting_mean_us"]
+        / 1000.0
+    )
     lines.append(
         _limit_row("ms for a placement", placement_ms, placement_ms, 1.0)
     )
