Look at a size once when only a held worker has room for it

Cause: in a pool of 6 workers a held worker made each placement try the same size for every job in the window.

--- a/foxtaillock/placement/fit.py
+++ b/foxtaillock/placement/fit.py
@@ -80,13 +80,17 @@
         return min(scored)[1]
 
     def has_room(self, size: resources.Resources) -> bool:
-        """Returns whether some worker has room, whomever it is held for."""
+        """Returns whether some worker that is not held has room."""
         if self._failed.get(size) == self._workers.growth:
             return False
+        fits_held = False
         for worker in self._candidates(size):
             if worker.usable and resources.fits(size, worker.free):
-                return True
-        self._remember(size, self._workers.growth)
+                if worker.name not in self.held:
+                    return True
+                fits_held = True
+        if not fits_held:
+            self._remember(size, self._workers.growth)
         return False
 
     def _fitting(self, size: resources.Resources) -> list[capacity.Worker]:
