--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -227,7 +227,7 @@
             return [Operation("drain", vm.name)]
         if facts.running_tasks > 0:
             return []
-        self._waves.note_begun(vm.name)
+        self._waves.note_begun(vm.name, now_s)
         operation_id = f"{held.reason}.{vm.name}.{held.offset}"
         return [Operation("reboot", vm.name, operation_id)]
 
--- a/foxtaillock/fleet/wave_keeper.py
+++ b/foxtaillock/fleet/wave_keeper.py
@@ -53,7 +53,7 @@
         self._state = state
         self._base_rate_per_s = base_rate_per_s
         self._progress: dict[str, _Progress] = {}
-        self._begun: set[str] = set()
+        self._begun_s: dict[str, float] = {}
         self._granted: dict[str, str] = {}
 
     def base_of(self, wave_id: str) -> dict[str, int]:
@@ -61,9 +61,9 @@
         wave = self._state.waves.get(wave_id)
         return _decode_base(wave.base) if wave is not None else {}
 
-    def note_begun(self, vm: str) -> None:
+    def note_begun(self, vm: str, now_s: float) -> None:
         """Notes that a reboot was asked; it can't be taken back."""
-        self._begun.add(vm)
+        self._begun_s.setdefault(vm, now_s)
 
     def decide(
         self,
@@ -154,14 +154,23 @@
             is_held = held is not None and held.reason == wave_id
             is_done = vm.name in base and vm.incarnation > base[vm.name]
             if is_held or is_done:
-                since_s = progress.held_since_s.setdefault(vm.name, now_s)
-                late = now_s - since_s >= RETURN_TIMEOUT_S
+                progress.held_since_s.setdefault(vm.name, now_s)
                 failed = vm.health is model.Health.FAILED
-                if (is_done and not is_held and failed) or (is_held and late):
+                if is_held:
+                    failed = self._is_late(vm, now_s)
+                if failed:
                     progress.failed.add(vm.name)
             if is_done and not is_held:
                 progress.served.add(vm.name)
 
+    def _is_late(self, vm: model.Vm, now_s: float) -> bool:
+        """Returns whether a VM is not back in time from its reboot."""
+        if vm.health is model.Health.FAILED:
+            # An earlier owner may have asked for the reboot.
+            self._begun_s.setdefault(vm.name, now_s)
+        begun_s = self._begun_s.get(vm.name, now_s)
+        return now_s - begun_s >= RETURN_TIMEOUT_S
+
     def _weigh(self, progress: _Progress, now_s: float) -> waves.Evidence:
         exposure_s = sum(
             now_s - since_s for since_s in progress.held_since_s.values()
@@ -190,23 +199,23 @@
             if base.get(vm.name) == vm.incarnation
             and vm.name not in self._state.disruptions
         ]
-        zones = [
-            row.zone
+        held = [
+            row
             for row in self._state.disruptions.values()
             if row.pool == wave.pool
         ]
-        if not remaining and not zones:
+        if not remaining and not held:
             return [_change(wave_id, wave, "done", epoch)]
         picked = waves.pick_next(
             remaining,
-            zones,
+            [row.zone for row in held],
             budget,
             is_canary_done=bool(progress.served),
-            has_canary=bool(progress.held_since_s),
+            has_canary=any(row.reason == wave_id for row in held),
         )
         for vm in picked:
             self._granted[vm.name] = wave_id
-            self._begun.discard(vm.name)
+            self._begun_s.pop(vm.name, None)
         return [
             records.DisruptionGranted(
                 vm.name, wave.pool, vm.rack, vm.zone, wave_id, epoch
@@ -226,7 +235,7 @@
         stopped = []
         for vm in members:
             held = self._state.disruptions.get(vm.name)
-            if held is None or vm.name in self._begun:
+            if held is None or vm.name in self._begun_s:
                 continue
             if self._granted.get(vm.name) != held.reason:
                 continue
--- a/foxtaillock/fleet/waves.py
+++ b/foxtaillock/fleet/waves.py
@@ -61,7 +61,8 @@
         held_zones: zones in which the pool is disrupted now.
         budget: budget of the pool.
         is_canary_done: whether the first VM serves again.
-        has_canary: whether the first VM has been stopped.
+        has_canary: whether the first VM is stopped now; if its stop was
+            taken back, another VM goes first.
     """
     if has_canary and not is_canary_done:
         return []
