--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -21,7 +21,6 @@
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
 from foxtaillock.daemon import call_claims
-from foxtaillock.daemon import fleet_keeper
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
@@ -31,6 +30,7 @@
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.daemon import session_keeper
 from foxtaillock.daemon import vm_watch
+from foxtaillock.fleet import controller as fleet_controller
 from foxtaillock.leases import ownership
 from foxtaillock.leases import times as session_times
 from foxtaillock.limits import grants as limits
@@ -46,12 +46,15 @@
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+from foxtaillock.state import snapshotter
 
 __all__ = ["EntryNode", "create_node"]
 
-_LONGEST_CALL_S = 60.0
 _STOP_POLL_S = 0.05
 _START_RETRY_S = 0.5
+_SNAPSHOT_READS = replicas.ReplicaSettings(poll_s=10.0)
+_CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
 
 
 class EntryNode:
@@ -83,7 +86,7 @@
         )
         self._build_state(rng, budget)
         self._build_decisions(rng, budget)
-        self._build_desks()
+        self._build_desks(rng)
         self._build_http()
 
     def _build_state(
@@ -101,8 +104,10 @@
             clock=self.clock,
             rng=rng,
             budget=budget,
+            settings=_CONTROL_READS,
         )
         self.replica.on_batch(self._on_batch)
+        self._build_snapshots(rng, budget)
         self.keys = key_desk.KeyDesk(
             self.state,
             self.replica,
@@ -126,6 +131,33 @@
             self._pool_names,
         )
 
+    def _build_snapshots(
+        self, rng: random.Random, budget: budgets.AppendBudget
+    ) -> None:
+        fold = snapshots.SnapshotFold()
+        chunks = replicas.StreamReplica(
+            self.platform.log,
+            records.SNAPSHOT_STREAM,
+            fold,
+            writer=self.settings.node_name,
+            incarnation=self.incarnation,
+            clock=self.clock,
+            rng=rng,
+            budget=budget,
+            settings=_SNAPSHOT_READS,
+        )
+        self.snapshotter = snapshotter.Snapshotter(
+            self.platform.log,
+            self.state,
+            self.replica,
+            chunks,
+            fold,
+            node=self.settings.node_name,
+            clock=self.clock,
+            rng=rng,
+            is_writer=self._owns_fleet,
+        )
+
     def _build_decisions(
         self, rng: random.Random, budget: budgets.AppendBudget
     ) -> None:
@@ -172,16 +204,24 @@
             waiting_by_team=self._waiting_by_team,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
-            + _LONGEST_CALL_S,
+            + call_service.LONGEST_HOLD_S,
         )
 
-    def _build_desks(self) -> None:
+    def _build_desks(self, rng: random.Random) -> None:
         settings = self.settings
         self.vm_watch = vm_watch.VmWatch(
             self.platform.vm_list, self._on_world_change
         )
-        self.fleet = fleet_keeper.FleetKeeper(
-            self.state, self.replica, self.session, lambda: self.vm_watch.vms
+        self.fleet = fleet_controller.FleetController(
+            self.replica,
+            self.state,
+            lambda: self.vm_watch.vms,
+            self.platform.pools,
+            self.platform.workers,
+            self.clock,
+            rng,
+            may_act=self._owns_fleet,
+            epoch=self._fleet_epoch,
         )
         own = neighbours.Member(
             settings.node_name, settings.zone, settings.region, ""
@@ -210,6 +250,7 @@
             lambda: self.vm_watch.vms,
             self._status,
             self._on_withdrawn,
+            self.fleet.explain,
         )
 
     def _build_http(self) -> None:
@@ -245,8 +286,10 @@
         serve an older revision than one that was acknowledged.
         """
         settings = self.settings
+        await self._retry(self.snapshotter.start)
         self._background.spawn(self.replica.run())
-        await self._catch_up()
+        self._background.spawn(self.snapshotter.run())
+        await self._retry(self.replica.catch_up)
         await self.vm_watch.poll()
         peer_port = await self.peer_server.start(
             settings.peer_host, settings.peer_port
@@ -270,12 +313,22 @@
         self._not_ready = ""
         logger.info("serving on port {}", self.api_port)
 
-    async def _catch_up(self) -> None:
+    async def _retry(
+        self, action: typing.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        """Repeats an action until the log can be read.
+
+        Raises:
+            exceptions.StateDivergedError: no snapshot covers what expired.
+        """
         while True:
             try:
-                await self.replica.catch_up()
+                await action()
                 return
-            except exceptions.FoxtaillockError as error:
+            except (
+                exceptions.LogUnavailableError,
+                exceptions.LogUnreachableError,
+            ) as error:
                 logger.warning("waiting for the log: {}", error)
                 await asyncio.sleep(_START_RETRY_S)
 
@@ -367,6 +420,12 @@
         if self.keys.deny(key_id):
             self._spread()
 
+    def _fleet_epoch(self) -> int:
+        return self.state.epoch(records.FLEET_POOL)
+
+    def _owns_fleet(self) -> bool:
+        return self.session.owns(records.FLEET_POOL, self._fleet_epoch())
+
     def _pool_names(self) -> list[str]:
         return [records.FLEET_POOL, *sorted(self.state.objects("pool"))]
 
--- a/foxtaillock/jobs/tests/fakes.py
+++ b/foxtaillock/jobs/tests/fakes.py
@@ -34,6 +34,9 @@
 WORKER_SIZE = resources.Resources(4000, 8 * GIB, 0)
 
 
+_SETTINGS = jobs_context.OwnerSettings(backoff_s=0.0)
+
+
 class Gate:
     """Holds one process up at a chosen step, for a while or for ever.
 
@@ -183,6 +186,7 @@
         faults: what happens to the next starts: `ok`, `lost-answer`,
             `lost-request`, `late` (it arrives when `deliver_late` is called).
         silent: names of the workers that give no answer.
+        used: usage that every worker reports.
         tasks: tasks of each worker.
     """
 
@@ -202,6 +206,7 @@
         self.order_of: dict[str, interfaces.TaskOrder] = {}
         self.renewed: collections.Counter[str] = collections.Counter()
         self.draining: set[str] = set()
+        self.used = (0, 0, 0)
         self.is_fenced = True
         self._lease_ends_s: dict[str, float] = {}
 
@@ -346,7 +351,7 @@
             self.clock.monotonic_s(),
             self.epochs[name],
             [*self.tasks[name].values()],
-            (0, 0, 0),
+            self.used,
         )
 
     def _set(self, name: str, task_id: str, state: str, result: str) -> None:
@@ -441,6 +446,7 @@
         self,
         gate: Gate | None = None,
         lease_end_s: Callable[[], float] | None = None,
+        settings: jobs_context.OwnerSettings = _SETTINGS,
     ) -> jobs_owner.PoolOwner:
         """Returns a new owner of the next epoch; not started yet."""
         self.epoch += 1
@@ -461,7 +467,7 @@
             not_valid_after_s=end_s,
             grants=self.grants,
             node=node,
-            settings=jobs_context.OwnerSettings(backoff_s=0.0),
+            settings=settings,
         )
         owner.update_teams(self.teams)
         owner.update_queues({"rush": {"pool": POOL}})
