Graceful stop: readiness fails some time before the listener closes

Cause: the listener closed as soon as no request was open, while the balancer still sent; links to peers opened again while the process ended, which kept it for a second. Connections are closed after each answer while draining.

--- a/foxtaillock/api/middleware.py
+++ b/foxtaillock/api/middleware.py
@@ -30,13 +30,17 @@
 
 
 def create_middleware(
-    counter: _Counter, on_open: Callable[[int], None]
+    counter: _Counter,
+    on_open: Callable[[int], None],
+    is_draining: Callable[[], bool] = lambda: False,
 ) -> typing.Any:
     """Returns the middleware of all routes.
 
     Args:
         counter: sees each answer.
         on_open: called with 1 when a request begins and -1 when it ends.
+        is_draining: returns whether connections are closed after an answer,
+            so that none is idle when the listener closes.
     """
 
     @web.middleware
@@ -52,6 +56,8 @@
         finally:
             on_open(-1)
         response.headers[headers.REQUEST_ID] = request_id
+        if is_draining():
+            response.force_close()
         counter.count(
             _route_of(request),
             response.headers.get(headers.OUTCOME, ""),
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -258,7 +258,9 @@
         counter = health.RequestCounter(self.registry)
         app = web.Application(
             middlewares=[
-                middleware.create_middleware(counter, self._count_open)
+                middleware.create_middleware(
+                    counter, self._count_open, lambda: self._draining
+                )
             ],
             client_max_size=self.settings.max_body_bytes,
         )
@@ -337,6 +339,7 @@
         self._draining = True
         self._not_ready = "draining"
         self.session.stop_claiming()
+        await asyncio.sleep(self.settings.ready_delay_s)
         self.grants.start_leaving()
         await self._await_requests()
         await self._runner.cleanup()
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -151,6 +151,7 @@
             "OPERATOR_KEY_DIGEST": digest,
             "API_PORT": str(entry.api_port),
             "PEER_PORT": str(entry.peer_port),
+            "READY_DELAY_S": "0.5",
             "LOG_LEVEL": "INFO",
         }
         return {f"FOXTAILLOCK_{name}": text for name, text in settings.items()}
--- a/foxtaillock/integration/tests/test_whole_path.py
+++ b/foxtaillock/integration/tests/test_whole_path.py
@@ -6,6 +6,8 @@
 from foxtaillock.integration import scenario
 from foxtaillock.integration.tests import base
 
+_CALL = "/v1/services/quotes/call/x"
+
 
 class WholePathTest(base.FleetTestCase):
 
@@ -21,11 +23,10 @@
     async def test_graceful_stop_cuts_no_request(self) -> None:
         sender = await self.make_sender("trinidad")
         body = json.dumps({"work_s": 1.0})
-        path = "/v1/services/quotes/call/x"
         extra = {"X-Idempotent": "true"}
         calls = [
             asyncio.ensure_future(
-                sender.send("POST", path, body, extra, entry=0)
+                sender.send("POST", _CALL, body, extra, entry=0)
             )
             for _ in range(4)
         ]
@@ -35,6 +36,35 @@
         self.assertEqual(code, 0)
         self.assertEqual({answer.outcome for answer in answers}, {"ran"})
 
+    async def test_balancer_that_checks_readiness_sees_no_cut(self) -> None:
+        sender = await self.make_sender("trinidad")
+        entry = self.fleet.entries[0]
+        body = json.dumps({"work_s": 0.01})
+        extra = {"X-Idempotent": "true"}
+        answers = []
+        sends_here = asyncio.Event()
+        sends_here.set()
+
+        async def _check_readiness() -> None:
+            while await self.fleet.is_ready(entry):
+                await asyncio.sleep(0.2)
+            sends_here.clear()
+
+        async def _send() -> None:
+            while sends_here.is_set():
+                answers.append(
+                    await sender.send("POST", _CALL, body, extra, entry=0)
+                )
+                await asyncio.sleep(0.02)
+
+        callers = [asyncio.ensure_future(_send()) for _ in range(2)]
+        callers.append(asyncio.ensure_future(_check_readiness()))
+        await asyncio.sleep(0.5)
+        code = await self.fleet.stop(entry)
+        await asyncio.gather(*callers)
+        self.assertEqual(code, 0)
+        self.assertEqual({answer.outcome for answer in answers}, {"ran"})
+
     async def test_withdrawn_key_stops_on_every_entry_vm(self) -> None:
         key_id, secret = await scenario.give_key(self.fleet, "trinidad")
         sender = self.fleet.client(secret)
--- a/foxtaillock/peers/links.py
+++ b/foxtaillock/peers/links.py
@@ -54,10 +54,13 @@
         self._links: dict[str, _Link] = {}
         self._members: dict[str, neighbours.Member] = {}
         self._connections: dict[str, client.PeerConnection] = {}
+        self._is_closed = False
         self.liveness = liveness.create_liveness(HEARTBEAT_S)
 
     def update_members(self, members: Iterable[neighbours.Member]) -> None:
         """Takes the entry VMs known now; opens and closes links."""
+        if self._is_closed:
+            return
         self._members = {member.node: member for member in members}
         chosen = neighbours.choose_neighbours(self._own, self._members.values())
         wanted = {member.node: member for member in chosen}
@@ -130,7 +133,8 @@
         return connection
 
     async def close(self) -> None:
-        """Closes all links."""
+        """Closes all links; none opens again."""
+        self._is_closed = True
         tasks = [link.task for link in self._links.values()]
         for node in list(self._links):
             self._drop(node)
--- a/foxtaillock/settings/settings.py
+++ b/foxtaillock/settings/settings.py
@@ -64,6 +64,8 @@
         key_freshness_partition_s: the same while the log answers that it is
             unavailable.
         appends_per_s: budget of appends of this node.
+        ready_delay_s: time between the failing of readiness and the closing
+            of the listener, so that the balancer has looked in between.
         drain_s: time for work in progress at a graceful stop.
         max_body_bytes: greatest size of a request body.
         seed: seed of random choices; negative for one from the system.
@@ -94,6 +96,7 @@
     key_freshness_s: float = 2.0
     key_freshness_partition_s: float = 5.0
     appends_per_s: float = 30.0
+    ready_delay_s: float = 2.0
     drain_s: float = 10.0
     max_body_bytes: int = _MIB
     seed: int = -1
@@ -400,6 +403,7 @@
     "key_freshness_partition_s": _number(0.2, 60.0),
     "appends_per_s": _number(0.1, 1000.0),
     "drain_s": _number(0.0, 3600.0),
+    "ready_delay_s": _number(0.0, 3600.0),
     "max_body_bytes": _integer(1024, 64 * _MIB),
     "seed": _integer(-1, 2**53),
 }
