Ownership: claim a pool anew when its release did not stand

Cause: an owner stops acting when a release is decided. When the log refused it, the claim stood under a live session that would never act again, and the pool had no working owner. The old epoch stays given up, as the release may stand later; the next epoch is claimed. Ruled out: acting again under the old epoch. Test seen to fail with the step out (no claim).

--- a/foxtaillock/leases/ownership.py
+++ b/foxtaillock/leases/ownership.py
@@ -159,6 +159,7 @@
         silent = [key for key in silent if key != self._identity.session]
         decisions += self._challenges(now_s, view, silent)
         decisions += self._claims(now_s, view, silent, pools)
+        decisions += self._reclaims(now_s, view)
         return decisions
 
     def _lose(self) -> None:
@@ -222,6 +223,20 @@
                 decisions.append(self._begin(topic, record, now_s))
         return decisions
 
+    def _reclaims(self, now_s: float, view: View) -> list[Decision]:
+        """Claims own pools anew whose release did not stand.
+
+        The old epoch stays given up, since that release may stand yet.
+        """
+        decisions = []
+        for pool, epoch in sorted(self.owned(view).items()):
+            topics = {f"release {pool}", f"claim {pool}"}
+            is_released = self._released.get(pool, 0) >= epoch
+            if is_released and not topics & self._under_way:
+                record = self._make_claim(view, pool)
+                decisions.append(self._begin(f"claim {pool}", record, now_s))
+        return decisions
+
     def _claim_delay_s(
         self,
         view: View,
--- a/foxtaillock/leases/tests/test_ownership.py
+++ b/foxtaillock/leases/tests/test_ownership.py
@@ -71,6 +71,17 @@
         self.assertFalse(self.owner.may_act(self.state, "p", 1, 0.2))
         self.assertEqual(release.record.successor, "b")
 
+    def test_pool_whose_release_did_not_stand_is_claimed_anew(self) -> None:
+        self._step(self.owner, 0.0)
+        self._step(self.owner, 0.1)
+        release = self.owner.release(self.state, "p", 1, 0.2)
+        self.assertEqual(self._step(self.owner, 0.3), [])
+        self.owner.settle(release, None)
+        self.assertEqual(self._step(self.owner, 0.4), ["claim p"])
+        self.assertFalse(self._fold(release.record).accepted)
+        self.assertFalse(self.owner.may_act(self.state, "p", 1, 0.5))
+        self.assertTrue(self.owner.may_act(self.state, "p", 2, 0.5))
+
     def test_ended_session_acts_no_more_and_can_restart(self) -> None:
         self._step(self.owner, 0.0)
         self._step(self.owner, 0.1)
