--- a/foxtaillock/settings/settings.py
+++ b/foxtaillock/settings/settings.py
@@ -6,27 +6,19 @@
 """
 
 import dataclasses
-import ipaddress
-import math
 import pathlib
-import re
 import typing
-import urllib.parse
-from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.adapters import registry
 from foxtaillock.model import verdicts
+from foxtaillock.settings import converters
 
 __all__ = ["Settings", "SettingsFaults", "parse", "usage"]
 
 ENVIRONMENT_PREFIX = "FOXTAILLOCK_"
 _MAX_PORT = 65_535
-_MIN_SECRET_BYTES = 16
 _MIB = 1024 * 1024
-_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
-_DIGEST = re.compile(r"[0-9a-f]{64}")
 _SECRET = "peer_secret"
 _SECRET_FILE = "peer_secret_file"
 
@@ -123,13 +115,6 @@
     text: str
 
 
-class _BadValueError(Exception):
-    """A value that can't be used, with the reason."""
-
-
-_Converter = Callable[[str], typing.Any]
-
-
 def parse(
     arguments: Sequence[str], environment: Mapping[str, str]
 ) -> Settings | SettingsFaults:
@@ -155,7 +140,7 @@
     for field, item in given.items():
         try:
             values[field] = _CONVERTERS[field](item.text)
-        except _BadValueError as error:
+        except converters.BadValueError as error:
             findings.append(verdicts.Finding(item.place, str(error)))
     findings += _find_missing(given)
     findings += _find_clashes(values, given)
@@ -276,130 +261,39 @@
     return findings
 
 
-def _to_name(text: str) -> str:
-    if not _NAME.fullmatch(text):
-        raise _BadValueError(
-            "must be 1 to 63 lower-case letters, digits and hyphens"
-        )
-    return text
-
-
-def _to_address(text: str) -> str:
-    try:
-        return str(ipaddress.ip_address(text))
-    except ValueError as error:
-        raise _BadValueError(f"{text!r} is not an IP address") from error
-
-
-def _to_reachable_address(text: str) -> str:
-    address = _to_address(text)
-    if ipaddress.ip_address(address).is_unspecified:
-        raise _BadValueError("other nodes need an address, not a wildcard")
-    return address
-
-
-def _to_url(text: str) -> str:
-    try:
-        parts = urllib.parse.urlsplit(text)
-        is_valid = parts.scheme in ("http", "https") and bool(parts.hostname)
-        is_valid = is_valid and parts.port != 0 and not parts.query
-    except ValueError:
-        is_valid = False
-    if not is_valid or "@" in text:
-        raise _BadValueError("must be an http or https URL without a user")
-    return text.rstrip("/")
-
-
-def _to_secret(text: str) -> str:
-    if len(text.encode()) < _MIN_SECRET_BYTES:
-        raise _BadValueError(f"must have {_MIN_SECRET_BYTES} bytes or more")
-    return text
-
-
-def _to_digest(text: str) -> str:
-    if text and not _DIGEST.fullmatch(text.lower()):
-        raise _BadValueError("must be SHA-256 as 64 hexadecimal digits")
-    return text.lower()
-
-
-def _to_level(text: str) -> typing.Any:
-    return _one_of("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")(text.upper())
-
-
-def _one_of(*choices: str) -> _Converter:
-    def _convert(text: str) -> str:
-        if text not in choices:
-            raise _BadValueError("must be one of " + ", ".join(choices))
-        return text
-
-    return _convert
-
-
-def _adapter(interface: str) -> _Converter:
-    def _convert(text: str) -> str:
-        known = registry.names(interface)
-        return _one_of(*known)(text) if known else _to_name(text)
-
-    return _convert
-
-
-def _integer(least: int, most: int) -> _Converter:
-    def _convert(text: str) -> int:
-        if not re.fullmatch(r"-?[0-9]{1,18}", text):
-            raise _BadValueError(f"{text!r} is not a whole number")
-        if not least <= int(text) <= most:
-            raise _BadValueError(f"must be from {least} to {most}")
-        return int(text)
-
-    return _convert
-
-
-def _number(least: float, most: float) -> _Converter:
-    def _convert(text: str) -> float:
-        try:
-            value = float(text)
-        except ValueError as error:
-            raise _BadValueError(f"{text!r} is not a number") from error
-        if math.isnan(value) or not least <= value <= most:
-            raise _BadValueError(f"must be from {least:g} to {most:g}")
-        return value
-
-    return _convert
-
-
 _COMMAND_LINE_TOOL_FIELDS = ("server", "operator_key", "operator_key_file")
 _ORDERED = (
     ("session_renew_s", 2.0, "session_lease_s"),
     ("drift_allowance_s", 2.0, "session_lease_s"),
     ("key_freshness_s", 1.0, "key_freshness_partition_s"),
 )
-_CONVERTERS: dict[str, _Converter] = {
-    "node_name": _to_name,
-    "zone": _to_name,
-    "region": _to_name,
-    "log_url": _to_url,
-    "vm_list_url": _to_url,
-    "pool_url": _to_url,
-    "peer_secret": _to_secret,
-    "operator_key_digest": _to_digest,
-    "api_host": _to_address,
-    "api_port": _integer(0, _MAX_PORT),
-    "peer_host": _to_reachable_address,
-    "peer_port": _integer(0, _MAX_PORT),
-    "log_adapter": _adapter("log"),
-    "vm_list_adapter": _adapter("vm-list"),
-    "worker_adapter": _adapter("worker"),
-    "pool_adapter": _adapter("pool"),
-    "runner_adapter": _adapter("runner"),
-    "log_format": _one_of("text", "json"),
-    "log_level": _to_level,
-    "session_lease_s": _number(0.2, 60.0),
-    "session_renew_s": _number(0.05, 20.0),
-    "drift_allowance_s": _number(0.0, 20.0),
-    "key_freshness_s": _number(0.2, 60.0),
-    "key_freshness_partition_s": _number(0.2, 60.0),
-    "appends_per_s": _number(0.1, 1000.0),
-    "drain_s": _number(0.0, 3600.0),
-    "max_body_bytes": _integer(1024, 64 * _MIB),
-    "seed": _integer(-1, 2**53),
+_CONVERTERS: dict[str, converters.Converter] = {
+    "node_name": converters.to_name,
+    "zone": converters.to_name,
+    "region": converters.to_name,
+    "log_url": converters.to_url,
+    "vm_list_url": converters.to_url,
+    "pool_url": converters.to_url,
+    "peer_secret": converters.to_secret,
+    "operator_key_digest": converters.to_digest,
+    "api_host": converters.to_address,
+    "api_port": converters.integer(0, _MAX_PORT),
+    "peer_host": converters.to_reachable_address,
+    "peer_port": converters.integer(0, _MAX_PORT),
+    "log_adapter": converters.adapter("log"),
+    "vm_list_adapter": converters.adapter("vm-list"),
+    "worker_adapter": converters.adapter("worker"),
+    "pool_adapter": converters.adapter("pool"),
+    "runner_adapter": converters.adapter("runner"),
+    "log_format": converters.one_of("text", "json"),
+    "log_level": converters.to_level,
+    "session_lease_s": converters.number(0.2, 60.0),
+    "session_renew_s": converters.number(0.05, 20.0),
+    "drift_allowance_s": converters.number(0.0, 20.0),
+    "key_freshness_s": converters.number(0.2, 60.0),
+    "key_freshness_partition_s": converters.number(0.2, 60.0),
+    "appends_per_s": converters.number(0.1, 1000.0),
+    "drain_s": converters.number(0.0, 3600.0),
+    "max_body_bytes": converters.integer(1024, 64 * _MIB),
+    "seed": converters.integer(-1, 2**53),
 }
