API: refuse bad input as problem documents, and bound reading of bodies

Seen on the code before (15 tests, 16 failures of subtests of their own and others that followed from them, 37 in all): an unexpected error of the backend was answered in plain text without X-Request-Id; ?limit= with 5000 digits and a broken content encoding gave 500; a lone surrogate in a payload, team or pool, and bytes outside ASCII in a key or idempotency key reached the backend, where they can't be encoded; ids of any length and with control characters did so too; unknown fields of waves and settlements were taken; an unknown `after` began the list anew; a body that never ended was awaited for ever; a flood of unknown fields was quoted whole. With the server's default logger, the line of a malformed header was logged, keys included.

Now: bodies are read within 10 s and client_max_size, which the refusal tells; ids, names, keys and pages are checked first; findings come together, 20 at most; any other error is `internal-error`, 500, outcome unknown, logged by type and place; 401 names its scheme and 405 its methods; the server logs the types of its errors alone.

Left out: requests that the HTTP parser itself refuses are still answered in plain text without a request id, since the library offers no public hook there; nothing of them reaches a handler.

--- a/foxtaillock/api/admin.py
+++ b/foxtaillock/api/admin.py
@@ -1,12 +1,12 @@
 """Administration interface: notes, keys, objects, jobs, waves, status."""
 
-import json
 import typing
 from collections.abc import Sequence
 
 from aiohttp import web
 
 from foxtaillock.api import auth
+from foxtaillock.api import bodies
 from foxtaillock.api import callers
 from foxtaillock.api import headers
 from foxtaillock.api import problems
@@ -27,7 +27,6 @@
     "nodes",
 )
 _PREFIX = "/admin/v1"
-_MAX_ID_CHARS = 200
 
 
 class AdminBackend(typing.Protocol):
@@ -125,23 +124,23 @@
     async def check_note(self, request: web.Request) -> web.Response:
         """Checks a note and changes nothing."""
         self._operator(request)
-        return _json(self._backend.check_note(await _read_text(request)))
+        return _json(self._backend.check_note(await bodies.read_text(request)))
 
     async def plan_note(self, request: web.Request) -> web.Response:
         """Shows what a note would do."""
         self._operator(request)
-        return _json(self._backend.plan_note(await _read_text(request)))
+        return _json(self._backend.plan_note(await bodies.read_text(request)))
 
     async def accept_note(self, request: web.Request) -> web.Response:
         """Accepts a note."""
         author = self._operator(request)
-        text = await _read_text(request)
+        text = await bodies.read_text(request)
         return _json(await self._backend.accept_note(text, author))
 
     async def undo_note(self, request: web.Request) -> web.Response:
         """Accepts a note that takes an earlier one back."""
         author = self._operator(request)
-        note_id = request.match_info["note_id"]
+        note_id = bodies.read_id(request, "note_id")
         return _json(await self._backend.undo_note(note_id, author))
 
     async def list_notes(self, request: web.Request) -> web.Response:
@@ -152,10 +151,8 @@
     async def give_key(self, request: web.Request) -> web.Response:
         """Gives a key."""
         author = self._operator(request)
-        body = await _read_object(request)
-        team = body.get("team", "")
-        if not isinstance(team, str) or set(body) - {"team"}:
-            raise problems.Problem("bad-request", "team: must be a name")
+        body = await bodies.read_object(request, ("team",))
+        team = _read_name(body.get("team", ""), "team")
         return _json(await self._backend.give_key(team, author), 201)
 
     async def list_keys(self, request: web.Request) -> web.Response:
@@ -166,28 +163,25 @@
     async def withdraw_key(self, request: web.Request) -> web.Response:
         """Withdraws a key."""
         author = self._operator(request)
-        key_id = request.match_info["key_id"]
-        if len(key_id) > _MAX_ID_CHARS:
-            raise problems.Problem("bad-request", "key id is too long")
+        key_id = bodies.read_id(request, "key_id")
         return _json(await self._backend.withdraw_key(key_id, author))
 
     async def settle_job(self, request: web.Request) -> web.Response:
         """Settles a job whose end is unknown."""
         author = self._operator(request)
-        body = await _read_object(request)
+        body = await bodies.read_object(request, ("succeeded",))
         succeeded = body.get("succeeded")
         if not isinstance(succeeded, bool):
             raise problems.Problem("bad-request", "succeeded: true or false")
-        job_id = request.match_info["job_id"]
+        job_id = bodies.read_id(request, "job_id")
         reply = await self._backend.settle_job(job_id, succeeded, author)
         return callers.reply_response(reply)
 
     async def start_wave(self, request: web.Request) -> web.Response:
         """Starts a wave."""
         author = self._operator(request)
-        pool = (await _read_object(request)).get("pool")
-        if not isinstance(pool, str):
-            raise problems.Problem("bad-request", "pool: must be a name")
+        body = await bodies.read_object(request, ("pool",))
+        pool = _read_name(body.get("pool"), "pool")
         return _json(await self._backend.start_wave(pool, author), 201)
 
     async def change_wave(self, request: web.Request) -> web.Response:
@@ -196,13 +190,13 @@
         action = request.match_info["action"]
         if action not in ("pause", "resume", "cancel"):
             raise problems.Problem("not-found", f"no action {action!r}")
-        wave_id = request.match_info["wave_id"]
+        wave_id = bodies.read_id(request, "wave_id")
         return _json(await self._backend.change_wave(wave_id, action, author))
 
     async def explain_vm(self, request: web.Request) -> web.Response:
         """Explains where a VM stands."""
         self._operator(request)
-        return _json(self._backend.explain_vm(request.match_info["name"]))
+        return _json(self._backend.explain_vm(bodies.read_id(request, "name")))
 
     async def status(self, request: web.Request) -> web.Response:
         """Shows the state of this entry VM."""
@@ -218,7 +212,7 @@
     async def show_row(self, request: web.Request) -> web.Response:
         """Shows one object."""
         self._operator(request)
-        name = request.match_info["name"]
+        name = bodies.read_id(request, "name")
         what = request.path.split("/")[3]
         for row in await self._backend.list_rows(what):
             if row["name"] == name:
@@ -238,28 +232,23 @@
     """Returns the rows after the one that `after` names."""
     after = request.query.get("after", "")
     limit = callers.read_limit(request)
-    start = 0
-    for i, row in enumerate(rows):
-        if after and row[field] == after:
-            start = i + 1
+    start = _index_after(rows, field, after) if after else 0
     page = rows[start : start + limit]
     more = start + limit < len(rows)
     following = page[-1][field] if more and page else None
     return _json({"items": list(page), "next": following})
 
 
-async def _read_text(request: web.Request) -> str:
-    try:
-        return (await request.read()).decode("utf-8")
-    except UnicodeDecodeError as error:
-        raise problems.Problem("bad-request", "body: not UTF-8") from error
+def _index_after(rows: Sequence[Row], field: str, after: str) -> int:
+    for i, row in enumerate(rows):
+        if row[field] == after:
+            return i + 1
+    raise problems.Problem(
+        "bad-request", f"after: no row {after[:80]!r}; start over"
+    )
 
 
-async def _read_object(request: web.Request) -> Row:
-    try:
-        body = json.loads(await _read_text(request) or "{}")
-    except (ValueError, RecursionError) as error:
-        raise problems.Problem("bad-request", f"body: {error}") from error
-    if not isinstance(body, dict):
-        raise problems.Problem("bad-request", "body: must be an object")
-    return body
+def _read_name(value: typing.Any, field: str) -> str:
+    if not isinstance(value, str):
+        raise problems.Problem("bad-request", f"{field}: must be a name")
+    return bodies.check_encodable(value, field)
--- a/foxtaillock/api/auth.py
+++ b/foxtaillock/api/auth.py
@@ -49,6 +49,7 @@
     value = request.headers.get("Authorization", "")
     if not value:
         return ""
-    if not value.startswith(_SCHEME) or len(value) > _MAX_SECRET_CHARS:
+    is_short = len(value) <= _MAX_SECRET_CHARS
+    if not value.startswith(_SCHEME) or not is_short or not value.isascii():
         raise problems.Problem("key-rejected", "malformed Authorization header")
     return value[len(_SCHEME) :].strip()
--- a/foxtaillock/api/callers.py
+++ b/foxtaillock/api/callers.py
@@ -1,6 +1,5 @@
 """Callers' interface: calls of services, and jobs."""
 
-import json
 import math
 import typing
 
@@ -8,12 +7,14 @@
 
 from foxtaillock.adapters import interfaces
 from foxtaillock.api import auth
+from foxtaillock.api import bodies
 from foxtaillock.api import headers
 from foxtaillock.api import middleware
 from foxtaillock.api import problems
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import resources
+from foxtaillock.model import verdicts
 from foxtaillock.model import world
 from foxtaillock.peers import messages
 
@@ -23,6 +24,7 @@
 _DEFAULT_MAX_DEADLINE_S = 60.0
 _MAX_WAIT_S = 60.0
 _MAX_PAGE = 500
+_MAX_PAGE_DIGITS = 9
 _MAX_KEY_CHARS = 200
 _MAX_JOB_RUN_TIME_S = 30 * 86400.0
 _MAX_AMOUNT = 2**50
@@ -83,7 +85,7 @@
 
     async def call(self, request: web.Request) -> web.Response:
         """Calls a service."""
-        name = request.match_info["service"]
+        name = bodies.read_id(request, "service")
         body = self._find("service", name)
         team, _ = self._team_of(request, body)
         service = typing.cast(objects.Service, body)
@@ -98,22 +100,23 @@
 
     async def submit_job(self, request: web.Request) -> web.Response:
         """Submits a job."""
-        queue = request.match_info["queue"]
+        queue = bodies.read_id(request, "queue")
         body = self._find("queue", queue)
         team, key_id = self._team_of(request, body)
         teams = body.get("teams") or []
         if teams and team not in teams:
             raise problems.Problem("forbidden", f"not the team of {queue!r}")
-        spec = _read_spec(queue, await request.read())
+        idempotency_key = _idempotency_key(request)
+        spec = _read_spec(queue, await bodies.read_bytes(request))
         order = messages.JobOrder(
-            body["pool"], team, key_id, _idempotency_key(request), spec
+            body["pool"], team, key_id, idempotency_key, spec
         )
         reply = await self._backend.submit_job(order)
         return reply_response(reply, status=202)
 
     async def list_jobs(self, request: web.Request) -> web.Response:
         """Lists the jobs of the caller's team in the queue's pool."""
-        body = self._find("queue", request.match_info["queue"])
+        body = self._find("queue", bodies.read_id(request, "queue"))
         team, _ = self._team_of(request, body)
         reply = await self._backend.list_jobs(
             body["pool"],
@@ -128,7 +131,7 @@
         team = self._team_of_job(request)
         wait_s = _read_number(request.query.get("wait_s", "0"), "wait_s")
         reply = await self._backend.read_job(
-            request.match_info["job_id"], team, min(wait_s, _MAX_WAIT_S)
+            bodies.read_id(request, "job_id"), team, min(wait_s, _MAX_WAIT_S)
         )
         return reply_response(reply)
 
@@ -136,7 +139,7 @@
         """Cancels a job."""
         principal = self._backend.keys.submitter(auth.bearer_secret(request))
         reply = await self._backend.cancel_job(
-            request.match_info["job_id"], principal.team, principal.key_id
+            bodies.read_id(request, "job_id"), principal.team, principal.key_id
         )
         return reply_response(reply)
 
@@ -184,7 +187,8 @@
 def read_limit(request: web.Request) -> int:
     """Returns the page size that a request asks for."""
     text = request.query.get("limit", "100")
-    if not text.isascii() or not text.isdigit() or int(text) < 1:
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > _MAX_PAGE_DIGITS or int(text) < 1:
         raise problems.Problem("bad-request", "limit must be a whole number")
     return min(int(text), _MAX_PAGE)
 
@@ -204,7 +208,7 @@
         request_id=request[middleware.REQUEST_ID_KEY],
         service=name,
         path=request.match_info.get("path", ""),
-        body=await request.read(),
+        body=await bodies.read_bytes(request),
         deadline_s=deadline_s,
         idempotent=flag == "true",
         idempotency_key=_idempotency_key(request),
@@ -218,7 +222,7 @@
     key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
     if len(key) > _MAX_KEY_CHARS:
         raise problems.Problem("bad-request", "idempotency key is too long")
-    return key
+    return bodies.check_encodable(key, headers.IDEMPOTENCY_KEY)
 
 
 def _read_number(text: str, place: str) -> float:
@@ -246,13 +250,8 @@
 
 
 def _read_spec(queue: str, raw: bytes) -> world.JobSpec:
-    try:
-        body = json.loads(raw or b"{}")
-    except (ValueError, RecursionError) as error:
-        raise problems.Problem("bad-request", f"body: {error}") from error
-    faults = _spec_faults(body)
-    if faults:
-        raise problems.Problem("bad-request", "; ".join(faults))
+    body = bodies.parse_json(raw)
+    bodies.refuse(_spec_faults(body))
     size = resources.Resources(
         body.get("cpu_millis", 1000),
         body.get("memory_bytes", 0),
@@ -265,27 +264,34 @@
         urgent=body.get("urgent", False),
         idempotent=body.get("idempotent", False),
         deadline_s=float(body.get("deadline_s", 0.0)),
-        payload=body.get("payload", ""),
+        payload=bodies.check_encodable(body.get("payload", ""), "payload"),
     )
 
 
-def _spec_faults(body: typing.Any) -> list[str]:
+def _spec_faults(
+    body: typing.Mapping[str, typing.Any],
+) -> list[verdicts.Finding]:
     """Returns all faults of a submitted job."""
-    if not isinstance(body, dict):
-        return ["body: must be an object"]
     faults = []
     for field, value in body.items():
-        kind = _JOB_FIELDS.get(field)
-        if kind is None:
-            faults.append(f"{field}: unknown field")
-        elif kind in (bool, str):
-            if not isinstance(value, kind):
-                faults.append(f"{field}: must be of type {kind.__name__}")
-        elif not _is_amount(value, kind, field):
-            faults.append(f"{field}: must be a number from 0, not absurd")
+        message = _field_fault(field, value)
+        if message:
+            faults.append(verdicts.Finding(field, message))
     return faults
 
 
+def _field_fault(field: str, value: typing.Any) -> str:
+    kind = _JOB_FIELDS.get(field)
+    if kind is None:
+        return "unknown field"
+    if kind in (bool, str):
+        is_kind = isinstance(value, kind)
+        return "" if is_kind else f"must be of type {kind.__name__}"
+    if not _is_amount(value, kind, field):
+        return "must be a number from 0, not absurd"
+    return ""
+
+
 def _is_amount(value: typing.Any, kind: type, field: str) -> bool:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         return False
--- a/foxtaillock/api/middleware.py
+++ b/foxtaillock/api/middleware.py
@@ -1,6 +1,7 @@
 """Middleware: request ids, problem documents, and counts."""
 
 import secrets
+import traceback
 import typing
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 
 from foxtaillock.api import headers
 from foxtaillock.api import problems
+from foxtaillock.model import outcomes
 
 __all__ = ["REQUEST_ID_KEY", "create_middleware"]
 
@@ -72,10 +74,27 @@
     except web.HTTPException as error:
         code = _CODE_OF_STATUS.get(error.status, "bad-request")
         response = problems.problem_response(
-            problems.Problem(code, error.reason)
+            problems.Problem(code, error.reason), error.status
         )
-        response.set_status(error.status)
+        if "Allow" in error.headers:
+            response.headers["Allow"] = error.headers["Allow"]
         return response
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        return _internal_error(error)
+
+
+def _internal_error(error: Exception) -> web.Response:
+    """Logs the type and place alone: messages may quote secrets."""
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    logger.error("unexpected {} at {}", type(error).__name__, place)
+    return problems.problem_response(
+        problems.Problem(
+            problems.INTERNAL_ERROR,
+            "an unexpected error; the work may have run",
+            outcome=outcomes.OutcomeTag.UNKNOWN,
+        )
+    )
 
 
 def _route_of(request: web.Request) -> str:
--- a/foxtaillock/api/problems.py
+++ b/foxtaillock/api/problems.py
@@ -10,7 +10,9 @@
 from foxtaillock.model import outcomes
 from foxtaillock.model import verdicts
 
-__all__ = ["Problem", "from_outcome", "problem_response"]
+__all__ = ["INTERNAL_ERROR", "Problem", "from_outcome", "problem_response"]
+
+INTERNAL_ERROR = "internal-error"
 
 _STATUS_OF_CODE = {
     "bad-request": 400,
@@ -70,9 +72,11 @@
     )
 
 
-def problem_response(problem: Problem) -> web.Response:
-    """Returns the HTTP response for `problem`."""
-    status = _status_of(problem)
+def problem_response(
+    problem: Problem, status: int | None = None
+) -> web.Response:
+    """Returns the HTTP response for `problem`; its code sets the status."""
+    status = status or _status_of(problem)
     body: dict[str, typing.Any] = {
         "type": f"urn:foxtaillock:{problem.code}",
         "title": problem.code.replace("-", " "),
@@ -90,6 +94,8 @@
     )
     response.headers[headers.OUTCOME] = str(problem.outcome)
     response.headers[headers.ERROR_CODE] = problem.code
+    if status == 401:
+        response.headers["WWW-Authenticate"] = "Bearer"
     if problem.retry_after_s is not None:
         seconds = max(1, round(problem.retry_after_s))
         response.headers["Retry-After"] = str(seconds)
@@ -97,6 +103,8 @@
 
 
 def _status_of(problem: Problem) -> int:
+    if problem.code == INTERNAL_ERROR:
+        return 500
     if problem.outcome is outcomes.OutcomeTag.UNKNOWN:
         return 504
     return _STATUS_OF_CODE.get(problem.code, 503)
--- /dev/null
+++ b/foxtaillock/api/tests/test_callers.py
@@ -0,0 +1,205 @@
+"""Tests of bad input at the callers' interface."""
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+from hypothesis import strategies as st
+from loguru import logger
+
+from foxtaillock.api.tests import cases
+from foxtaillock.api.tests import fakes
+
+_JOBS = "/v1/queues/quotes/jobs"
+_CALL = "/v1/services/nest/call"
+
+
+class CallersTest(cases.EdgeCase):
+    """Every refusal is typed, and nothing reaches the backend."""
+
+    key = fakes.TEAM_KEY
+
+    async def test_bodies_are_refused(self) -> None:
+        """Malformed, mistyped and absurd jobs are refused."""
+        for raw in (
+            b"{",
+            b"\xff",
+            b"[]",
+            b"NaN",
+            b"[" * 50_000,
+            b'{"cpu_millis": NaN}',
+            b'{"run_time_s": Infinity}',
+            b'{"deadline_s": -1}',
+            b'{"memory_bytes": 1e3}',
+            b'{"cpu_millis": true}',
+            b'{"cpu_millis": ' + b"9" * 5000 + b"}",
+            b'{"urgent": 1}',
+            b'{"payload": "\\ud800"}',
+        ):
+            with self.subTest(raw[:40]):
+                await self.refused(400, "bad-request", "POST", _JOBS, data=raw)
+
+    async def test_findings_are_whole_and_bounded(self) -> None:
+        """All faults come together; a flood of them is cut."""
+        body = await self.refused(
+            400,
+            "bad-request",
+            "POST",
+            _JOBS,
+            json={"cpu_millis": -1, "urgent": "no", "color": 1},
+        )
+        self.assertEqual(
+            [finding["place"] for finding in body["findings"]],
+            ["cpu_millis", "urgent", "color"],
+        )
+        flood = {f"{i}" + "x" * 200: 1 for i in range(200)}
+        await self.refused(400, "bad-request", "POST", _JOBS, json=flood)
+
+    async def test_requests_are_refused(self) -> None:
+        """Wrong methods, paths, ids, keys and headers are refused."""
+        odd = {"Idempotency-Key": "x" * 201}
+        for status, code, method, path, sent in (
+            (404, "not-found", "GET", "/nothing", {}),
+            (404, "not-found", "POST", "/v1/services/other/call", {}),
+            (405, "method-not-allowed", "PUT", _JOBS, {}),
+            (403, "forbidden", "POST", "/v1/queues/bends/jobs", {}),
+            (400, "bad-request", "GET", "/v1/jobs/" + "j" * 201, {}),
+            (400, "bad-request", "DELETE", "/v1/jobs/%00", {}),
+            (400, "bad-request", "GET", "/v1/jobs/a?wait_s=nan", {}),
+            (400, "bad-request", "GET", _JOBS + "?limit=0", {}),
+            (400, "bad-request", "GET", _JOBS + "?limit=" + "9" * 5000, {}),
+            (400, "bad-request", "POST", _CALL, {"X-Deadline-S": "inf"}),
+            (400, "bad-request", "POST", _CALL, {"X-Idempotent": "1"}),
+            (400, "bad-request", "POST", _CALL, odd),
+            (400, "bad-request", "POST", _JOBS, odd),
+            (401, "key-required", "POST", _JOBS, {"Authorization": ""}),
+            (401, "key-rejected", "POST", _JOBS, {"Authorization": "Basic a"}),
+            (401, "key-rejected", "POST", _JOBS, {"Authorization": "Bearer"}),
+            (
+                401,
+                "key-rejected",
+                "DELETE",
+                "/v1/jobs/a",
+                {"Authorization": "Bearer x"},
+            ),
+        ):
+            with self.subTest(path=path[:40], sent=sent):
+                await self.refused(status, code, method, path, headers=sent)
+
+    async def test_bytes_outside_ascii_are_refused(self) -> None:
+        """Raw bytes in a key are refused, not an error of the encoding."""
+        for line, status in (
+            (b"Authorization: Bearer \xff\xfe", b"401"),
+            (
+                b"Authorization: Bearer team-secret\r\nIdempotency-Key: \xff",
+                b"400",
+            ),
+        ):
+            raw = await self._raw(
+                b"POST /v1/queues/quotes/jobs HTTP/1.1\r\nHost: a\r\n"
+                + line
+                + b"\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}"
+            )
+            self.assertIn(b" " + status + b" ", raw.split(b"\r\n")[0])
+            self.assertIn(b"X-Outcome: not-run", raw)
+        self.assertEqual(self.backend.calls, [])
+
+    async def test_oversized_body(self) -> None:
+        """The limit is told, with and without a stated length."""
+
+        async def _chunks() -> object:
+            for _ in range(40):
+                yield b"x" * 4096
+
+        for data in (b"x" * (fakes.MAX_BODY_BYTES + 1), _chunks()):
+            body = await self.refused(
+                413, "body-too-large", "POST", _CALL, data=data
+            )
+            self.assertIn(str(fakes.MAX_BODY_BYTES), body["detail"])
+
+    async def test_slow_body(self) -> None:
+        """A sender that never ends its body is refused in time."""
+        with mock.patch("foxtaillock.api.bodies._READ_TIMEOUT_S", 0.05):
+            raw = await self._raw(_half_request(b"Content-Length: 9"), 1)
+        self.assertIn(b"not whole within", raw)
+        self.assertEqual(self.backend.calls, [])
+
+    async def test_broken_bodies(self) -> None:
+        """Wrong chunks and wrong compression are refused; a cut is not run."""
+        for line in (
+            b"Transfer-Encoding: chunked",
+            b"Content-Encoding: gzip\r\nContent-Length: 2",
+        ):
+            raw = await self._raw(_half_request(line))
+            self.assertIn(b" 400 ", raw.split(b"\r\n")[0])
+        await self._raw(_half_request(b"Content-Length: 9"), 0)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.backend.calls, [])
+
+    async def test_backend_error_is_unknown(self) -> None:
+        """An unexpected error may have come after the work began."""
+        self.backend.error = RuntimeError(f"with {fakes.TEAM_KEY}")
+        lines: list[str] = []
+        sink = logger.add(lines.append, diagnose=True)
+        try:
+            await self.refused(
+                500, "internal-error", "POST", _CALL, "unknown", data=b"x"
+            )
+        finally:
+            logger.remove(sink)
+        self.assertIn("RuntimeError", "".join(lines))
+        self.assertNotIn(fakes.TEAM_KEY, "".join(lines))
+
+    async def test_malformed_header_is_not_logged(self) -> None:
+        """The parser's own refusal does not quote a key."""
+        lines: list[str] = []
+        sink = logger.add(lines.append, level="DEBUG")
+        try:
+            with self.assertNoLogs("aiohttp"):
+                raw = await self._raw(
+                    b"GET /v1/jobs/a HTTP/1.1\r\nHost: a\r\n"
+                    b"Authorization: Bearer hidden\x00key\r\n\r\n"
+                )
+        finally:
+            logger.remove(sink)
+        self.assertIn(b" 400 ", raw.split(b"\r\n")[0])
+        self.assertIn("connection closed", "".join(lines))
+        self.assertNotIn("hidden", "".join(lines))
+
+    async def test_any_job(self) -> None:
+        """Any JSON is either taken or refused as a problem."""
+        fields = st.sampled_from(["cpu_millis", "run_time_s", "urgent", "x"])
+        values = cases.JSON_VALUES | st.dictionaries(fields, cases.JSON_VALUES)
+        bodies = values.map(lambda value: json.dumps(value).encode())
+        bodies |= st.binary(max_size=40)
+        await self.take_or_refuse(_JOBS, 202, bodies)
+
+    async def _raw(self, sent: bytes, wait_s: float = 5) -> bytes:
+        reader, writer = await asyncio.open_connection(
+            self.client.host, self.client.port
+        )
+        writer.write(sent)
+        await writer.drain()
+        received = b""
+        try:
+            async with asyncio.timeout(wait_s or 0.01):
+                while chunk := await reader.read(65536):
+                    received += chunk
+        except TimeoutError:
+            pass
+        writer.close()
+        return received
+
+
+def _half_request(line: bytes) -> bytes:
+    return (
+        b"POST /v1/services/nest/call HTTP/1.1\r\nHost: a\r\n"
+        b"Authorization: Bearer team-secret\r\nConnection: close\r\n"
+        + line
+        + b"\r\n\r\nzz"
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -17,6 +17,7 @@
 from foxtaillock.api import callers
 from foxtaillock.api import health
 from foxtaillock.api import middleware
+from foxtaillock.api import server_log
 from foxtaillock.calls import service as call_service
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
@@ -267,7 +268,10 @@
         health.add_routes(app, self.registry, lambda: self._not_ready)
         self._add_gauges()
         self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=self.settings.drain_s
+            app,
+            access_log=None,
+            logger=server_log.create_logger(),
+            shutdown_timeout=self.settings.drain_s,
         )
 
     def _add_gauges(self) -> None:
