--- a/foxtaillock/api/problems.py
+++ b/foxtaillock/api/problems.py
@@ -15,20 +15,31 @@
 INTERNAL_ERROR = "internal-error"
 
 _STATUS_OF_CODE = {
+    "bad-path": 400,
     "bad-request": 400,
     "body-too-large": 413,
     "conflict": 409,
+    "deadline": 504,
     "duplicate-key": 409,
+    "finished": 409,
     "forbidden": 403,
     "invalid-note": 422,
-    "key-required": 401,
+    "invalid-reference": 422,
+    "key-exists": 409,
     "key-rejected": 401,
+    "key-required": 401,
+    "key-reused": 409,
     "method-not-allowed": 405,
     "not-found": 404,
-    "deadline": 504,
+    "not-unknown": 409,
     "over-limit": 429,
     "queue-full": 429,
     "shed": 503,
+    "team-limit": 429,
+    "unknown-job": 404,
+    "unknown-queue": 404,
+    "unknown-service": 404,
+    "unknown-team": 409,
 }
 
 
--- a/foxtaillock/api/tests/test_callers.py
+++ b/foxtaillock/api/tests/test_callers.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from foxtaillock.api import problems
 from foxtaillock.api.tests import cases
 from foxtaillock.api.tests import fakes
 
@@ -151,6 +152,19 @@
         self.assertIn("RuntimeError", "".join(lines))
         self.assertNotIn(fakes.TEAM_KEY, "".join(lines))
 
+    async def test_status_of_refusals(self) -> None:
+        """A fault of the request is not told as one of the server."""
+        for code, status in (
+            ("key-reused", 409),
+            ("finished", 409),
+            ("unknown-queue", 404),
+            ("team-limit", 429),
+            ("bad-path", 400),
+            ("not-owner", 503),
+        ):
+            response = problems.problem_response(problems.Problem(code))
+            self.assertEqual(response.status, status, code)
+
     async def test_malformed_header_is_not_logged(self) -> None:
         """The parser's own refusal does not quote a key."""
         lines: list[str] = []
--- a/foxtaillock/cli/client.py
+++ b/foxtaillock/cli/client.py
@@ -13,6 +13,7 @@
 _BASE_PATH = "/admin/v1/"
 _TIMEOUT_S = 30.0
 _PROBLEM_TYPE = "application/problem+json"
+_UNKNOWN_OUTCOME = "unknown"
 _UNKNOWN_CODES = ("outcome-unknown", "unknown")
 _BAD_INPUT_STATUSES = (400, 413, 415, 422)
 
@@ -116,8 +117,11 @@
             problem = {}
     if not isinstance(problem, dict) or not problem:
         return _without_problem(method, response.status)
+    exit_code = _exit_code(response.status, str(problem.get("code", "")))
+    if problem.get("outcome") == _UNKNOWN_OUTCOME:
+        exit_code = ExitCode.UNKNOWN
     return Failure(
-        _exit_code(response.status, str(problem.get("code", ""))),
+        exit_code,
         str(problem.get("code", "refused")),
         str(problem.get("detail") or problem.get("title") or ""),
         tuple(problem.get("findings") or ()),
--- a/foxtaillock/cli/tests/test_main.py
+++ b/foxtaillock/cli/tests/test_main.py
@@ -151,6 +151,7 @@
             (undo, _problem(409, code="conflict"), "note undo 9", 1),
             (undo, _problem(422, code="bad-note"), "note undo 9", 2),
             (undo, _problem(504, code="outcome-unknown"), "note undo 9", 4),
+            (undo, _problem(500, outcome="unknown"), "note undo 9", 4),
             (undo, web.Response(status=502), "note undo 9", 4),
             (undo, None, "note undo 9", 4),
             (status, None, "status", 3),
