--- a/foxtaillock/api/callers.py
+++ b/foxtaillock/api/callers.py
@@ -212,12 +212,17 @@
         deadline_s=deadline_s,
         idempotent=flag == "true",
         idempotency_key=_idempotency_key(request),
-        content_type=request.headers.get(
-            "Content-Type", "application/octet-stream"
-        ),
+        content_type=_content_type(request),
     )
 
 
+def _content_type(request: web.Request) -> str:
+    text = request.headers.get("Content-Type", "application/octet-stream")
+    if not text.isascii():
+        raise problems.Problem("bad-request", "Content-Type: not ASCII")
+    return text
+
+
 def _idempotency_key(request: web.Request) -> str:
     key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
     if len(key) > _MAX_KEY_CHARS:
--- a/foxtaillock/api/tests/test_callers.py
+++ b/foxtaillock/api/tests/test_callers.py
@@ -104,6 +104,10 @@
             )
             self.assertIn(b" " + status + b" ", raw.split(b"\r\n")[0])
             self.assertIn(b"X-Outcome: not-run", raw)
+        raw = await self._raw(
+            _half_request(b"Content-Type: \xff\r\nContent-Length: 2")
+        )
+        self.assertIn(b" 400 ", raw.split(b"\r\n")[0])
         self.assertEqual(self.backend.calls, [])
 
     async def test_oversized_body(self) -> None:
