Daemon: shared state in a module of its own; a diverged state ends the serving

Cause: node.py had grown past 500 lines, nothing reacted to a stopped replica, and grants were held on in an outage of the log also when a peer read on.

--- /dev/null
+++ b/foxtaillock/daemon/control_part.py
@@ -0,0 +1,132 @@
+"""State that all entry VMs share, and what keeps it: replica, snapshots,
+keys and session."""
+
+import random
+import secrets
+import typing
+
+from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.daemon import key_desk
+from foxtaillock.daemon import session_keeper
+from foxtaillock.leases import ownership
+from foxtaillock.leases import times as session_times
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.settings import settings as settings_lib
+from foxtaillock.state import budget as budgets
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+from foxtaillock.state import snapshotter
+
+__all__ = ["ControlPart", "create_control_part"]
+
+_CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
+_SNAPSHOT_READS = replicas.ReplicaSettings(poll_s=10.0)
+
+
+class ControlPart(typing.NamedTuple):
+    """Shared state of one entry VM.
+
+    Attributes:
+        incarnation: identity of this process among the writers of the log.
+        state: fold of the control stream.
+        replica: its replica.
+        snapshotter: loads and writes snapshots of the state.
+        keys: checks keys.
+        session: session of this entry VM.
+    """
+
+    incarnation: str
+    state: control_state.ControlState
+    replica: replicas.StreamReplica
+    snapshotter: snapshotter.Snapshotter
+    keys: key_desk.KeyDesk
+    session: session_keeper.SessionKeeper
+
+    def owns_fleet(self) -> bool:
+        """Returns whether this VM owns the fleet at this moment."""
+        return self.session.owns(records.FLEET_POOL, self.fleet_epoch())
+
+    def fleet_epoch(self) -> int:
+        """Returns the epoch of the fleet's last claim."""
+        return self.state.epoch(records.FLEET_POOL)
+
+
+def create_control_part(
+    settings: settings_lib.Settings,
+    clock: clocks.Clock,
+    rng: random.Random,
+    log: adapters.LogService,
+    budget: budgets.AppendBudget,
+) -> ControlPart:
+    """Returns the shared state of an entry VM, empty and not yet running."""
+    incarnation = secrets.token_hex(8)
+    state = control_state.ControlState()
+
+    def _follow(
+        stream: str, fold: typing.Any, reads: replicas.ReplicaSettings
+    ) -> replicas.StreamReplica:
+        return replicas.StreamReplica(
+            log,
+            stream,
+            fold,
+            writer=settings.node_name,
+            incarnation=incarnation,
+            clock=clock,
+            rng=rng,
+            budget=budget,
+            settings=reads,
+        )
+
+    replica = _follow(records.CONTROL_STREAM, state, _CONTROL_READS)
+    keys = key_desk.KeyDesk(
+        state,
+        replica,
+        clock,
+        settings.key_freshness_s,
+        settings.operator_key_digest,
+    )
+    session = _create_session(
+        settings, clock, rng, incarnation, state, replica, keys
+    )
+    fold = snapshots.SnapshotFold()
+    saver = snapshotter.Snapshotter(
+        log,
+        state,
+        replica,
+        _follow(records.SNAPSHOT_STREAM, fold, _SNAPSHOT_READS),
+        fold,
+        node=settings.node_name,
+        clock=clock,
+        rng=rng,
+        is_writer=lambda: part.owns_fleet(),
+    )
+    part = ControlPart(incarnation, state, replica, saver, keys, session)
+    return part
+
+
+def _create_session(
+    settings: settings_lib.Settings,
+    clock: clocks.Clock,
+    rng: random.Random,
+    incarnation: str,
+    state: control_state.ControlState,
+    replica: replicas.StreamReplica,
+    keys: key_desk.KeyDesk,
+) -> session_keeper.SessionKeeper:
+    times = session_times.make_times(
+        settings.session_lease_s,
+        settings.session_renew_s,
+        settings.drift_allowance_s,
+    )
+    return session_keeper.SessionKeeper(
+        ownership.Identity(settings.node_name, incarnation, settings.zone),
+        state,
+        replica,
+        clock,
+        rng,
+        times,
+        pools=lambda: [records.FLEET_POOL, *sorted(state.objects("pool"))],
+        is_peer_ahead=keys.is_peer_ahead,
+    )
--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -83,13 +83,17 @@
         peer_age_s = self._clock.monotonic_s() - self._peer_fresh_s
         return min(self._replica.age_s(), peer_age_s)
 
+    def is_peer_ahead(self) -> bool:
+        """Returns whether a peer has folded records that this VM has not."""
+        return self._peer_offset > self._replica.next_offset
+
     def may_honour(self) -> bool:
         """Returns whether the view is fresh enough to let keys work."""
         return keys.may_honour(
             self.view_age_s(),
             self._replica.log_refused_age_s(),
             self._freshness_s,
-            self._peer_offset > self._replica.next_offset,
+            self.is_peer_ahead(),
         )
 
     def submitter(self, secret: str) -> auth.Principal:
--- a/foxtaillock/daemon/main.py
+++ b/foxtaillock/daemon/main.py
@@ -14,6 +14,7 @@
 
 __all__ = ["main"]
 
+_EXIT_FAILED = 1
 _EXIT_BAD_SETTINGS = 2
 
 
@@ -29,11 +30,15 @@
             print(f"{finding.place}: {finding.message}", file=sys.stderr)
         sys.exit(_EXIT_BAD_SETTINGS)
     log_setup.configure(parsed.log_format, parsed.log_level)
-    asyncio.run(_run(parsed))
+    sys.exit(asyncio.run(_run(parsed)))
 
 
-async def _run(settings: settings_lib.Settings) -> None:
-    """Serves until SIGTERM or SIGINT, then stops gracefully."""
+async def _run(settings: settings_lib.Settings) -> int:
+    """Serves until SIGTERM or SIGINT, then stops gracefully.
+
+    Returns:
+        Zero after a graceful stop, else `_EXIT_FAILED`.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -42,17 +47,24 @@
         node = nodes.create_node(settings)
         start = asyncio.ensure_future(node.start())
         stopped = asyncio.ensure_future(stop.wait())
+        failed = asyncio.ensure_future(node.failed.wait())
         await asyncio.wait(
             (start, stopped), return_when=asyncio.FIRST_COMPLETED
         )
         if not start.done():
             start.cancel()
             await node.close()
-            return
+            return 0
         start.result()
-        await stopped
+        await asyncio.wait(
+            (stopped, failed), return_when=asyncio.FIRST_COMPLETED
+        )
         logger.info("stopping")
+        if not stopped.done():
+            await node.close()
+            return _EXIT_FAILED
         await node.stop()
+        return 0
 
 
 if __name__ == "__main__":
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -4,7 +4,6 @@
 import collections
 import contextlib
 import random
-import secrets
 import typing
 from collections.abc import Iterable
 
@@ -22,18 +21,15 @@
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
 from foxtaillock.daemon import call_claims
+from foxtaillock.daemon import control_part
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
-from foxtaillock.daemon import key_desk
 from foxtaillock.daemon import metrics
 from foxtaillock.daemon import peer_desk
 from foxtaillock.daemon import platform_links
 from foxtaillock.daemon import pool_keeper
-from foxtaillock.daemon import session_keeper
 from foxtaillock.daemon import vm_watch
 from foxtaillock.fleet import controller as fleet_controller
-from foxtaillock.leases import ownership
-from foxtaillock.leases import times as session_times
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
@@ -45,17 +41,11 @@
 from foxtaillock.peers import server
 from foxtaillock.settings import settings as settings_lib
 from foxtaillock.state import budget as budgets
-from foxtaillock.state import control_state
-from foxtaillock.state import replica as replicas
-from foxtaillock.state import snapshots
-from foxtaillock.state import snapshotter
 
 __all__ = ["EntryNode", "create_node"]
 
 _STOP_POLL_S = 0.05
 _START_RETRY_S = 0.5
-_SNAPSHOT_READS = replicas.ReplicaSettings(poll_s=10.0)
-_CONTROL_READS = replicas.ReplicaSettings(poll_s=0.8, pace_s=0.2)
 
 
 class EntryNode:
@@ -65,6 +55,9 @@
         settings: checked settings.
         clock: source of time.
         platform: adapters to the platform.
+
+    Attributes:
+        failed: set when this VM can serve no longer and has to start anew.
     """
 
     def __init__(
@@ -79,86 +72,25 @@
         self.api_port = 0
         self._not_ready = "starting"
         self._draining = False
+        self.failed = asyncio.Event()
         self._background = background.Background()
         self._requests_open = 0
         rng = random.Random(settings.seed if settings.seed >= 0 else None)
         budget = budgets.AppendBudget(
             settings.appends_per_s, settings.appends_per_s, clock.monotonic_s()
         )
-        self._build_state(rng, budget)
+        self.control = control_part.create_control_part(
+            settings, clock, rng, platform.log, budget
+        )
+        self.state = self.control.state
+        self.replica = self.control.replica
+        self.replica.on_batch(self._on_batch)
+        self.keys = self.control.keys
+        self.session = self.control.session
         self._build_decisions(rng, budget)
         self._build_desks(rng)
         self._build_http()
 
-    def _build_state(
-        self, rng: random.Random, budget: budgets.AppendBudget
-    ) -> None:
-        settings = self.settings
-        self.incarnation = secrets.token_hex(8)
-        self.state = control_state.ControlState()
-        self.replica = replicas.StreamReplica(
-            self.platform.log,
-            records.CONTROL_STREAM,
-            self.state,
-            writer=settings.node_name,
-            incarnation=self.incarnation,
-            clock=self.clock,
-            rng=rng,
-            budget=budget,
-            settings=_CONTROL_READS,
-        )
-        self.replica.on_batch(self._on_batch)
-        self._build_snapshots(rng, budget)
-        self.keys = key_desk.KeyDesk(
-            self.state,
-            self.replica,
-            self.clock,
-            settings.key_freshness_s,
-            settings.operator_key_digest,
-        )
-        self.session = session_keeper.SessionKeeper(
-            ownership.Identity(
-                settings.node_name, self.incarnation, settings.zone
-            ),
-            self.state,
-            self.replica,
-            self.clock,
-            rng,
-            session_times.make_times(
-                settings.session_lease_s,
-                settings.session_renew_s,
-                settings.drift_allowance_s,
-            ),
-            self._pool_names,
-        )
-
-    def _build_snapshots(
-        self, rng: random.Random, budget: budgets.AppendBudget
-    ) -> None:
-        fold = snapshots.SnapshotFold()
-        chunks = replicas.StreamReplica(
-            self.platform.log,
-            records.SNAPSHOT_STREAM,
-            fold,
-            writer=self.settings.node_name,
-            incarnation=self.incarnation,
-            clock=self.clock,
-            rng=rng,
-            budget=budget,
-            settings=_SNAPSHOT_READS,
-        )
-        self.snapshotter = snapshotter.Snapshotter(
-            self.platform.log,
-            self.state,
-            self.replica,
-            chunks,
-            fold,
-            node=self.settings.node_name,
-            clock=self.clock,
-            rng=rng,
-            is_writer=self._owns_fleet,
-        )
-
     def _build_decisions(
         self, rng: random.Random, budget: budgets.AppendBudget
     ) -> None:
@@ -169,7 +101,7 @@
         self.claims = call_claims.LogClaims(
             self.platform.log,
             settings.node_name,
-            self.incarnation,
+            self.control.incarnation,
             self.clock,
             rng,
             budget,
@@ -221,8 +153,8 @@
             self.platform.workers,
             self.clock,
             rng,
-            may_act=self._owns_fleet,
-            epoch=self._fleet_epoch,
+            may_act=self.control.owns_fleet,
+            epoch=self.control.fleet_epoch,
         )
         own = neighbours.Member(
             settings.node_name, settings.zone, settings.region, ""
@@ -292,9 +224,9 @@
         serve an older revision than one that was acknowledged.
         """
         settings = self.settings
-        await self._retry(self.snapshotter.start)
-        self._background.spawn(self.replica.run())
-        self._background.spawn(self.snapshotter.run())
+        await self._retry(self.control.snapshotter.start)
+        self._background.spawn(self._follow_control())
+        self._background.spawn(self.control.snapshotter.run())
         await self._retry(self.replica.catch_up)
         await self.vm_watch.poll()
         peer_port = await self.peer_server.start(
@@ -319,6 +251,15 @@
         self._not_ready = ""
         logger.info("serving on port {}", self.api_port)
 
+    async def _follow_control(self) -> None:
+        """Follows the control stream; a diverged state ends the serving."""
+        try:
+            await self.replica.run()
+        except exceptions.StateDivergedError as error:
+            logger.error("this VM has to start anew: {}", error)
+        self._not_ready = "diverged"
+        self.failed.set()
+
     async def _retry(
         self, action: typing.Callable[[], typing.Awaitable[None]]
     ) -> None:
@@ -411,7 +352,7 @@
     def _heartbeat(self) -> messages.Heartbeat:
         return messages.Heartbeat(
             self.settings.node_name,
-            self.incarnation,
+            self.control.incarnation,
             self.settings.zone,
             self.replica.next_offset,
             self.replica.age_s(),
@@ -427,15 +368,6 @@
         if self.keys.deny(key_id):
             self._spread()
 
-    def _fleet_epoch(self) -> int:
-        return self.state.epoch(records.FLEET_POOL)
-
-    def _owns_fleet(self) -> bool:
-        return self.session.owns(records.FLEET_POOL, self._fleet_epoch())
-
-    def _pool_names(self) -> list[str]:
-        return [records.FLEET_POOL, *sorted(self.state.objects("pool"))]
-
     def _waiting_by_team(self) -> typing.Mapping[str, int]:
         counts = collections.Counter(self.calls.waiting_by_team())
         for team in self.state.objects("team"):
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -34,6 +34,8 @@
         rng: source of jitter.
         times: times of sessions.
         pools: returns the names of the pools that need an owner.
+        is_peer_ahead: returns whether a peer has folded records that this VM
+            has not; the log is then not down for all.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         rng: random.Random,
         times: session_times.SessionTimes,
         pools: Callable[[], Iterable[str]],
+        is_peer_ahead: Callable[[], bool],
     ) -> None:
         self._identity = identity
         self._state = state
@@ -53,6 +56,7 @@
         self._rng = rng
         self._times = times
         self._pools = pools
+        self._is_peer_ahead = is_peer_ahead
         self._background = background.Background()
         self._grants_until_s = float("-inf")
         self._ownership = ownership.Ownership(
@@ -84,11 +88,13 @@
         While the log itself answers that it is unavailable nobody can end
         this session or take its grants: challengers count silence only while
         they can read. A session that was valid when the outage began then
-        goes on.
+        goes on, unless a peer has read on.
         """
         now_s = self._clock.monotonic_s()
         refused_age_s = self._replica.log_refused_age_s()
-        if refused_age_s <= _REFUSAL_HOLDS_S and now_s < self._grants_until_s:
+        is_down = refused_age_s <= _REFUSAL_HOLDS_S
+        is_down = is_down and not self._is_peer_ahead()
+        if is_down and now_s < self._grants_until_s:
             held_until_s = now_s - refused_age_s + self._times.held_s
             self._grants_until_s = max(self._grants_until_s, held_until_s)
         self._grants_until_s = max(self._grants_until_s, self.valid_until_s)
