Count the bytes of a replaced answer once

Read while looking over the store of answers: a key put again added its bytes without taking off the former ones.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -301,10 +301,16 @@
     ]
     named = (
         ("processor time, % of a core, by entry VMs", figures.cpu_per_node),
-        ("bytes a second with the log, by entry VMs", figures.log_bytes_per_node),
+        (
+            "bytes a second with the log, by entry VMs",
+            figures.log_bytes_per_node,
+        ),
         ("appends a second in all, by entry VMs", figures.appends_per_node),
         ("processor time, % of a core, by pools owned", figures.cpu_per_pool),
-        ("bytes a second with the log, by pools owned", figures.log_bytes_per_pool),
+        (
+            "bytes a second with the log, by pools owned",
+            figures.log_bytes_per_pool,
+        ),
     )
     for name, fit in named:
         lines.append(
@@ -359,7 +365,9 @@
         )
     )
     start_s = figures.values["fold.snapshot_start_s"]
-    lines.append(_limit_row("s to start from a snapshot", start_s, start_s, 3.0))
+    lines.append(
+        _limit_row("s to start from a snapshot", start_s, start_s, 3.0)
+    )
     plan_s = figures.values["planner.full_plan_s"]
     lines.append(_limit_row("s for a whole plan", plan_s, plan_s, 5.0))
     placement_ms = figures.values["placement.mean_us_w68_t61_j10000"] / 1000.0
--- a/foxtaillock/calls/answers.py
+++ b/foxtaillock/calls/answers.py
@@ -29,6 +29,9 @@
 
     def put(self, key: AnswerKey, answer: outcomes.Ran) -> None:
         """Keeps an answer; the oldest ones make room for it."""
+        former = self._answers.pop(key, None)
+        if former is not None:
+            self._bytes -= len(former.body)
         self._answers[key] = answer
         self._bytes += len(answer.body)
         while len(self._answers) > _MAX_ANSWERS or self._bytes > _MAX_BYTES:
