Keys and grants in an outage: a peer counts as ahead only by vital records

Cause: test_log_outage_refuses_jobs_truly_and_loses_nothing failed now and then: a VM that had not read the last renewals when an outage of the log began took its peers for ahead and refused keyed work as long as the outage lasted. Peers now tell the offset after the last record that takes rights away. A second try to take a pool over used the same incarnation, so that its records were taken for duplicates; each try has one of its own.

--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -2,12 +2,15 @@
 
 import hmac
 import itertools
+from collections.abc import Sequence
 
 from loguru import logger
 
 from foxtaillock.api import auth
 from foxtaillock.api import problems
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
 from foxtaillock.state import keys
 from foxtaillock.state import replica as replicas
@@ -16,6 +19,7 @@
 __all__ = ["KeyDesk"]
 
 BOOTSTRAP_KEY_ID = "bootstrap"
+_VITAL = (records.KeyWithdrawn, records.SessionEnded, records.NoteAccepted)
 _NEWS_S = 30.0
 _MAX_NEWS = 100
 
@@ -46,7 +50,9 @@
         self._operator_digest = operator_digest
         self._denied_s: dict[str, float] = {}
         self._peer_fresh_s = float("-inf")
-        self._peer_offset = 0
+        self._peer_vital_offset = 0
+        self.vital_offset = 0
+        replica.on_batch(self._on_batch)
 
     def recently_denied(self) -> tuple[str, ...]:
         """Returns the key ids that were withdrawn lately, for the peers.
@@ -71,11 +77,23 @@
         self._denied_s[key_id] = self._clock.monotonic_s()
         return True
 
-    def note_peer_view(self, next_offset: int, as_of_s: float) -> None:
-        """Takes a peer's statement that its view of `next_offset` was whole
-        at `as_of_s` on the own clock."""
-        self._peer_offset = max(self._peer_offset, next_offset)
-        if self._replica.next_offset >= next_offset:
+    def _on_batch(
+        self,
+        offset: int,
+        batch: records.Batch,
+        _verdicts: Sequence[verdicts.Verdict],
+    ) -> None:
+        if any(isinstance(record, _VITAL) for record in batch.records):
+            self.vital_offset = offset + 1
+
+    def note_peer_vital(self, vital_offset: int) -> None:
+        """Takes the offset after the last vital record that a peer folded."""
+        self._peer_vital_offset = max(self._peer_vital_offset, vital_offset)
+
+    def note_peer_view(self, vital_offset: int, as_of_s: float) -> None:
+        """Takes a peer's statement that no vital record from `vital_offset`
+        on stood at `as_of_s` on the own clock."""
+        if self._replica.next_offset >= vital_offset:
             self._peer_fresh_s = max(self._peer_fresh_s, as_of_s)
 
     def view_age_s(self) -> float:
@@ -84,8 +102,13 @@
         return min(self._replica.age_s(), peer_age_s)
 
     def is_peer_ahead(self) -> bool:
-        """Returns whether a peer has folded records that this VM has not."""
-        return self._peer_offset > self._replica.next_offset
+        """Returns whether a peer has folded a vital record that this VM has
+        not.
+
+        Other records do not count: a VM that had not read the last renewals
+        when an outage of the log began would refuse keys as long as it lasts.
+        """
+        return self._peer_vital_offset > self._replica.next_offset
 
     def may_honour(self) -> bool:
         """Returns whether the view is fresh enough to let keys work."""
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -359,6 +359,7 @@
             "",
             self._draining,
             self.keys.recently_denied(),
+            self.keys.vital_offset,
         )
 
     def _spread(self) -> None:
--- a/foxtaillock/daemon/peer_desk.py
+++ b/foxtaillock/daemon/peer_desk.py
@@ -42,10 +42,11 @@
         """Takes a neighbour's answer to a heartbeat sent after `sent_s`."""
         self.take_news(heartbeat)
         as_of_s = sent_s - heartbeat.view_age_s
-        self._keys.note_peer_view(heartbeat.next_offset, as_of_s)
+        self._keys.note_peer_view(heartbeat.vital_offset, as_of_s)
 
     def take_news(self, heartbeat: messages.Heartbeat) -> None:
         """Stops the keys that a peer knows to be withdrawn."""
+        self._keys.note_peer_vital(heartbeat.vital_offset)
         news = [self._keys.deny(key_id) for key_id in heartbeat.withdrawn_keys]
         if any(news):
             self._spread()
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import typing
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -114,6 +115,7 @@
         return (claim.node, claim.incarnation, claim.epoch) == mine
 
     async def _start(self, pool: str, epoch: int) -> None:
+        writer = f"{self._session.incarnation}.{epoch}.{secrets.token_hex(4)}"
         state = pool_state.PoolState()
         grants = pool_grants.PoolGrants(self._grants)
         replica = replicas.StreamReplica(
@@ -121,7 +123,7 @@
             f"pool.{pool}",
             state,
             writer=self._node,
-            incarnation=f"{self._session.incarnation}.{epoch}",
+            incarnation=writer,
             clock=self._clock,
             rng=self._rng,
             budget=self._budget,
@@ -146,7 +148,7 @@
             state,
             replica,
             node=self._node,
-            incarnation=f"{self._session.incarnation}.{epoch}",
+            incarnation=writer,
             clock=self._clock,
             rng=self._rng,
             is_writer=lambda: self._session.owns(pool, epoch),
--- a/foxtaillock/peers/messages.py
+++ b/foxtaillock/peers/messages.py
@@ -28,6 +28,8 @@
         view_age_s: how old the sender's view is at most.
         digest: digest of the state at `next_offset`, or empty.
         withdrawn_keys: key ids that were withdrawn lately.
+        vital_offset: offset after the last folded record that takes rights
+            away: a withdrawn key, an ended session, a note.
     """
 
     node: str
@@ -38,6 +40,7 @@
     digest: str = ""
     draining: bool = False
     withdrawn_keys: tuple[str, ...] = ()
+    vital_offset: int = 0
 
 
 class JobOrder(typing.NamedTuple):
@@ -84,6 +87,7 @@
     message.digest = heartbeat.digest
     message.draining = heartbeat.draining
     message.withdrawnKeys = list(heartbeat.withdrawn_keys)
+    message.vitalOffset = heartbeat.vital_offset
 
 
 def read_heartbeat(message: typing.Any) -> Heartbeat:
@@ -97,6 +101,7 @@
         digest=message.digest,
         draining=message.draining,
         withdrawn_keys=tuple(message.withdrawnKeys),
+        vital_offset=message.vitalOffset,
     )
 
 
--- a/foxtaillock/peers/peer.capnp
+++ b/foxtaillock/peers/peer.capnp
@@ -11,6 +11,7 @@
   digest @5 :Text;            # digest of the state at nextOffset, or empty
   draining @6 :Bool;
   withdrawnKeys @7 :List(Text);  # key ids withdrawn lately
+  vitalOffset @8 :UInt64;     # after the last record that takes rights away
 }
 
 struct JobOrder {
--- a/foxtaillock/peers/tests/test_peers.py
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -12,7 +12,7 @@
 from foxtaillock.peers import messages
 from foxtaillock.peers import server
 
-_BEAT = messages.Heartbeat("n1", "i1", "a", 7, 0.5, "d", True, ("k1", "k2"))
+_BEAT = messages.Heartbeat("n1", "i1", "a", 7, 0.5, "d", True, ("k1", "k2"), 5)
 _ORDER = messages.JobOrder(
     "bend",
     "trinidad",
