--- /dev/null
+++ b/foxtaillock/daemon/tests/test_key_desk.py
@@ -0,0 +1,83 @@
+"""Tests of when keys work, by the own view and by what peers tell."""
+
+import unittest
+from unittest import mock
+
+from foxtaillock.api import problems
+from foxtaillock.daemon import key_desk
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.state import control_state
+from foxtaillock.state import keys
+
+_SECRET = keys.format_secret("k", "secret")
+_TEAM = records.Change("added", "team", "nesting", 0, {"share": 1, "limit": 1})
+_NOTE = records.NoteAccepted("n", "op", "t", (_TEAM,))
+_GIVEN = records.KeyGiven("k", keys.digest_of(_SECRET), "nesting", "op")
+
+
+class KeyDeskTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(100.0)
+        self.state = control_state.ControlState()
+        self.state.apply(0, records.Batch("e", "i", 1, (_NOTE, _GIVEN)))
+        self.replica = mock.Mock(next_offset=1)
+        self.replica.age_s.return_value = 0.1
+        self.replica.log_refused_age_s.return_value = float("inf")
+        self.desk = key_desk.KeyDesk(
+            self.state, self.replica, self.clock, 2.0, ""
+        )
+        self.on_batch = self.replica.on_batch.call_args.args[0]
+
+    def _code(self) -> str:
+        try:
+            self.desk.submitter(_SECRET)
+        except problems.Problem as problem:
+            return problem.code
+        return ""
+
+    def test_view_past_the_bound_fails_closed(self) -> None:
+        self.assertEqual(self._code(), "")
+        self.replica.age_s.return_value = 2.1
+        self.assertEqual(self._code(), "stale-view")
+
+    def test_peer_whose_last_vital_record_is_folded_keeps_it_fresh(
+        self,
+    ) -> None:
+        self.replica.age_s.return_value = 60.0
+        self.desk.note_peer_view(1, as_of_s=99.0)
+        self.assertEqual(self._code(), "")
+        self.clock.advance(1.1)
+        self.assertEqual(self._code(), "stale-view")
+        self.desk.note_peer_view(2, as_of_s=101.0)
+        self.assertEqual(self._code(), "stale-view")
+
+    def test_outage_of_the_log_goes_on_unless_a_peer_read_a_vital_record(
+        self,
+    ) -> None:
+        self.replica.age_s.return_value = 60.0
+        self.replica.log_refused_age_s.return_value = 0.2
+        self.desk.note_peer_vital(1)
+        self.assertEqual(self._code(), "")
+        self.desk.note_peer_vital(2)
+        self.assertEqual(self._code(), "stale-view")
+
+    def test_only_records_that_take_rights_away_are_vital(self) -> None:
+        renewed = records.SessionRenewed("e", "i", 1, "a", "", "")
+        self.on_batch(7, records.Batch("e", "i", 2, (renewed,)), ())
+        self.assertEqual(self.desk.vital_offset, 0)
+        withdrawn = records.KeyWithdrawn("k", "op")
+        self.on_batch(8, records.Batch("e", "i", 3, (withdrawn,)), ())
+        self.assertEqual(self.desk.vital_offset, 9)
+
+    def test_news_of_a_withdrawal_stops_the_key_before_the_log(self) -> None:
+        self.assertTrue(self.desk.deny("k"))
+        self.assertEqual(self._code(), "key-rejected")
+        self.assertEqual(self.desk.recently_denied(), ("k",))
+        withdrawn = records.KeyWithdrawn("k", "op")
+        self.state.apply(1, records.Batch("e", "i", 2, (withdrawn,)))
+        self.clock.advance(60.0)
+        self.assertEqual(self.desk.recently_denied(), ())
+        self.assertEqual(self._code(), "key-rejected")
+        self.assertFalse(self.desk.deny("k"))
--- a/foxtaillock/daemon/tests/test_pool_keeper.py
+++ b/foxtaillock/daemon/tests/test_pool_keeper.py
@@ -6,9 +6,11 @@
 import unittest
 from unittest import mock
 
+from foxtaillock import exceptions
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.jobs import owner as owners
 from foxtaillock.limits import grants as limits
+from foxtaillock.state import replica as replicas
 from foxtaillock.state import tables
 from foxtaillock.state.tests import fake_log
 from foxtaillock.state.tests import virtual_loop
@@ -35,31 +37,67 @@
         await asyncio.Event().wait()
 
 
+def _make_keeper(
+    clock: virtual_loop.LoopClock, local: limits.LocalGrants
+) -> pool_keeper.PoolKeeper:
+    state = mock.MagicMock(vms={}, disruptions={})
+    state.claims = {"p": tables.Claim("p", "e1", "x", 1)}
+    state.claim.side_effect = state.claims.get
+    state.to_carry.return_value = None
+    state.objects.return_value = {}
+    session = mock.MagicMock(incarnation="x", release=mock.AsyncMock())
+    log = fake_log.LogClient(fake_log.FakeLog(), random.Random(1))
+    return pool_keeper.PoolKeeper(
+        "e1",
+        state,
+        mock.MagicMock(),
+        session,
+        log,
+        mock.MagicMock(),
+        clock,
+        random.Random(1),
+        local,
+        None,
+    )
+
+
 class PoolKeeperTest(unittest.TestCase):
 
+    def test_each_try_to_take_a_pool_over_writes_as_another(self) -> None:
+        class _Failing(_FakeOwner):
+            """Owner whose start has no verdict."""
+
+            async def start(self) -> None:
+                raise exceptions.OutcomeUnknownError("no verdict")
+
+        async def _run() -> None:
+            clock = virtual_loop.LoopClock()
+            local = limits.LocalGrants(clock, "e1", "x")
+            keeper = _make_keeper(clock, local)
+            for _ in range(3):
+                await keeper.step()
+                await asyncio.sleep(1.0)
+            await keeper.close()
+
+        spy = mock.Mock(wraps=replicas.StreamReplica)
+        with (
+            mock.patch.object(owners, "PoolOwner", _Failing),
+            mock.patch.object(replicas, "StreamReplica", spy),
+        ):
+            virtual_loop.run(_run())
+        tries = [
+            call.kwargs["incarnation"]
+            for call in spy.call_args_list
+            if call.args[1] == "pool.p"
+        ]
+        self.assertEqual(len(tries), 3)
+        self.assertEqual(len(set(tries)), 3)
+
     def test_attempts_stay_counted_through_a_hand_over(self) -> None:
         async def _run() -> tuple[int, int]:
             clock = virtual_loop.LoopClock()
             local = limits.LocalGrants(clock, "e1", "x")
-            state = mock.MagicMock(vms={}, disruptions={})
-            state.claims = {"p": tables.Claim("p", "e1", "x", 1)}
-            state.claim.side_effect = state.claims.get
-            state.to_carry.return_value = None
-            state.objects.return_value = {}
-            session = mock.MagicMock(incarnation="x", release=mock.AsyncMock())
-            log = fake_log.LogClient(fake_log.FakeLog(), random.Random(1))
-            keeper = pool_keeper.PoolKeeper(
-                "e1",
-                state,
-                mock.MagicMock(),
-                session,
-                log,
-                mock.MagicMock(),
-                clock,
-                random.Random(1),
-                local,
-                None,
-            )
+            keeper = _make_keeper(clock, local)
             await keeper.step()
             await asyncio.sleep(1.0)
             before = local.running("t")
