--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -11,6 +11,8 @@
 from foxtaillock.api import problems
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
+from foxtaillock.fleet import model as fleet_model
+from foxtaillock.fleet import preview
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
@@ -72,8 +74,31 @@
         return {"changes": [change._asdict() for change in note.changes]}
 
     def plan_note(self, text: str) -> admin.Row:
-        """Returns what a note would change."""
-        return self.check_note(text)
+        """Returns what a note would change, move and cost."""
+        note = self._checked(text)
+        pools = self._state.objects("pool")
+        made = preview.preview(
+            note.changes,
+            {name: row.body for name, row in pools.items()},
+            self._workers(),
+        )
+        return {
+            "changes": [change._asdict() for change in note.changes],
+            "moves": [move._asdict() for move in made.moves],
+            "shortfalls": made.shortfalls,
+            "spare": made.spare._asdict(),
+        }
+
+    def _workers(self) -> list[fleet_model.Vm]:
+        """Returns the worker VMs in their pools."""
+        workers = []
+        for vm in self._vms():
+            if vm.role is not world.VmRole.WORKER:
+                continue
+            stored = self._state.vms.get(vm.name)
+            pool = stored.pool if stored is not None else ""
+            workers.append(fleet_model.Vm(vm.name, vm.zone, vm.rack, pool))
+        return workers
 
     async def accept_note(self, text: str, author: str) -> admin.Row:
         """Puts a note in force."""
--- /dev/null
+++ b/foxtaillock/fleet/tests/test_preview.py
@@ -0,0 +1,30 @@
+"""Tests of what a note would move."""
+
+import unittest
+
+from foxtaillock.fleet import model
+from foxtaillock.fleet import preview
+from foxtaillock.model import records
+
+
+class PreviewTest(unittest.TestCase):
+
+    def test_new_pool_takes_free_vms_and_tells_what_it_lacks(self) -> None:
+        vms = [model.Vm(f"v{i}", "a", f"r{i}", "old") for i in range(2)]
+        vms += [model.Vm(f"f{i}", "a", f"r{i}") for i in range(3)]
+        old = {"size": 2, "zones": ["a"]}
+        new = {"size": 4, "zones": ["a"]}
+        added = records.Change("added", "pool", "new", 0, new)
+        made = preview.preview([added], {"old": old}, vms)
+        self.assertEqual({move.target for move in made.moves}, {"new"})
+        self.assertEqual(len(made.moves), 3)
+        self.assertEqual(made.shortfalls, {"new": 1})
+
+    def test_withdrawn_pool_gives_its_vms_back(self) -> None:
+        vms = [model.Vm(f"v{i}", "a", f"r{i}", "old") for i in range(2)]
+        gone = records.Change("withdrawn", "pool", "old", 3, {})
+        made = preview.preview(
+            [gone], {"old": {"size": 2, "zones": ["a"]}}, vms
+        )
+        self.assertEqual({move.target for move in made.moves}, {""})
+        self.assertEqual({move.source for move in made.moves}, {"old"})
