--- a/foxtaillock/api/admin.py
+++ b/foxtaillock/api/admin.py
@@ -39,10 +39,10 @@
     def keys(self) -> auth.KeyChecker:
         """Decides which keys work."""
 
-    def check_note(self, text: str) -> Row:
+    async def check_note(self, text: str) -> Row:
         """Returns the changes of a note, or raises with all findings."""
 
-    def plan_note(self, text: str) -> Row:
+    async def plan_note(self, text: str) -> Row:
         """Returns what a note would move and cost."""
 
     async def accept_note(self, text: str, author: str) -> Row:
@@ -124,12 +124,14 @@
     async def check_note(self, request: web.Request) -> web.Response:
         """Checks a note and changes nothing."""
         self._operator(request)
-        return _json(self._backend.check_note(await bodies.read_text(request)))
+        text = await bodies.read_text(request)
+        return _json(await self._backend.check_note(text))
 
     async def plan_note(self, request: web.Request) -> web.Response:
         """Shows what a note would do."""
         self._operator(request)
-        return _json(self._backend.plan_note(await bodies.read_text(request)))
+        text = await bodies.read_text(request)
+        return _json(await self._backend.plan_note(text))
 
     async def accept_note(self, request: web.Request) -> web.Response:
         """Accepts a note."""
--- a/foxtaillock/api/tests/fakes.py
+++ b/foxtaillock/api/tests/fakes.py
@@ -67,7 +67,7 @@
         """Returns a recorder for any other method of the interfaces."""
         if name.endswith("_job") or name == "list_jobs":
             return self._reply(name)
-        if name in ("check_note", "plan_note", "explain_vm", "status"):
+        if name in ("explain_vm", "status"):
             return lambda *args: self._recorded({}, name, *args)
         if name in ("list_notes", "list_keys"):
             return lambda *args: self._recorded([], name, *args)
--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -68,14 +68,14 @@
         self._explain = explain
         self.keys = key_checker
 
-    def check_note(self, text: str) -> admin.Row:
+    async def check_note(self, text: str) -> admin.Row:
         """Returns the changes of a note, or raises with all findings."""
-        note = self._checked(text)
+        note = await self._checked(text)
         return {"changes": [change._asdict() for change in note.changes]}
 
-    def plan_note(self, text: str) -> admin.Row:
+    async def plan_note(self, text: str) -> admin.Row:
         """Returns what a note would change, move and cost."""
-        note = self._checked(text)
+        note = await self._checked(text)
         pools = self._state.objects("pool")
         made = preview.preview(
             note.changes,
@@ -102,10 +102,10 @@
 
     async def accept_note(self, text: str, author: str) -> admin.Row:
         """Puts a note in force."""
-        return await self._accept(self._checked(text), author)
+        return await self._accept(await self._checked(text), author)
 
-    def _checked(self, text: str) -> check.CheckedNote:
-        parsed = parser.parse(text)
+    async def _checked(self, text: str) -> check.CheckedNote:
+        parsed = await parser.parse_async(text)
         if isinstance(parsed, parser.NoteFaults):
             raise _invalid(parsed.findings)
         checked = check.check(parsed, self._present())
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,6 +6,7 @@
 
 import concurrent.futures
 import io
+import os
 import pathlib
 import sys
 import typing
@@ -89,6 +90,7 @@
 
 def main(arguments: list[str]) -> int:
     """Runs the named test modules, or all; returns the exit code."""
+    os.environ.setdefault("LOGURU_AUTOINIT", "False")
     modules = arguments or find_modules()
     known = read_known_red()
     with concurrent.futures.ProcessPoolExecutor(
