--- a/foxtaillock/cli/output.py
+++ b/foxtaillock/cli/output.py
@@ -35,13 +35,27 @@
         return "(none)"
     names = list(dict.fromkeys(name for row in rows for name in row))
     lines = [[name.upper() for name in names]]
-    lines += [[_cell(row.get(name)) for name in names] for row in rows]
+    lines += [[_row_cell(row.get(name)) for name in names] for row in rows]
     return _align(lines)
 
 
+def _is_table(value: typing.Any) -> bool:
+    return isinstance(value, list) and any(isinstance(v, dict) for v in value)
+
+
+def _row_cell(value: typing.Any) -> str:
+    """A table inside a row is shown by its length."""
+    return f"{len(value)} entries" if _is_table(value) else _cell(value)
+
+
 def _render_fields(fields: dict[str, typing.Any]) -> str:
-    simple = [[name, _cell(value)] for name, value in fields.items()]
-    return _align(simple) if simple else "(empty)"
+    """Shows the plain fields, then each table under its name."""
+    plain = [[n, _cell(v)] for n, v in fields.items() if not _is_table(v)]
+    parts = [_align(plain)] if plain else []
+    for name, value in fields.items():
+        if _is_table(value):
+            parts.append(f"{name}:\n{_render_rows(value)}")
+    return "\n\n".join(parts) or "(empty)"
 
 
 def _align(lines: list[list[str]]) -> str:
