--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -235,11 +235,19 @@
         ]
 
     async def _list_jobs(self) -> Sequence[admin.Row]:
+        """Returns the jobs of all pools; refuses to show only some."""
         rows: list[admin.Row] = []
+        silent = []
         for pool in sorted(self._state.objects("pool")):
             reply = await self._jobs.list_jobs(pool, "", "", _JOBS_SHOWN)
             if reply.tag is messages.ReplyTag.DONE:
                 rows.extend(json.loads(reply.body)["items"])
+            else:
+                silent.append(f"{pool} ({reply.code})")
+        if silent:
+            raise problems.Problem(
+                "owner-unreachable", f"no jobs of pools {', '.join(silent)}"
+            )
         return rows
 
     def _list_vms(self) -> Sequence[admin.Row]:
