Daemon: renewals of known sessions no longer pass the whole world on

Cause: each renewal of each entry VM made calls, pools and links take over the whole list of VMs and configuration, ten times a second at nine entry VMs.

--- /dev/null
+++ b/bench/tests/test_capacity.py
@@ -0,0 +1,18 @@
+"""Tests of the capacity page's tables."""
+
+import unittest
+
+from bench import capacity
+
+
+class CapacityTest(unittest.TestCase):
+
+    def test_line_through_scattered_points(self) -> None:
+        fit = capacity.fit_line([(0.0, 0.0), (1.0, 2.0), (2.0, 1.0)])
+        self.assertAlmostEqual(fit.base, 0.5)
+        self.assertAlmostEqual(fit.slope, 0.5)
+        self.assertAlmostEqual(fit.r_squared, 0.25)
+
+    def test_level_points_fit_wholly(self) -> None:
+        fit = capacity.fit_line([(0.0, 3.0), (1.0, 3.0)])
+        self.assertEqual(fit, (3.0, 0.0, 1.0))
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -75,6 +75,7 @@
         self.failed = asyncio.Event()
         self._background = background.Background()
         self._requests_open = 0
+        self._known_sessions: set[str] = set()
         rng = random.Random(settings.seed if settings.seed >= 0 else None)
         budget = budgets.AppendBudget(
             settings.appends_per_s, settings.appends_per_s, clock.monotonic_s()
@@ -320,10 +321,16 @@
         batch: records.Batch,
         _verdicts: typing.Sequence[verdicts.Verdict],
     ) -> None:
-        kinds = {type(record) for record in batch.records}
-        if kinds & _WORLD_RECORDS:
+        if any(map(self._changes_world, batch.records)):
             self._on_world_change()
 
+    def _changes_world(self, record: records.Record) -> bool:
+        """Returns whether a record changes what calls, pools or links go by;
+        of a session's renewals only the first one seen does."""
+        if isinstance(record, records.SessionRenewed):
+            return record.incarnation not in self._known_sessions
+        return isinstance(record, _WORLD_RECORDS)
+
     def _on_world_change(self) -> None:
         """Passes a changed list of VMs or configuration on."""
         vms = self.vm_watch.vms
@@ -341,6 +348,11 @@
         )
         self.pools.update(vms)
         self.links.update_members(self._members())
+        self._known_sessions = {
+            key.incarnation
+            for key, row in self.state.sessions.items()
+            if not row.ended
+        }
 
     def _members(self) -> Iterable[neighbours.Member]:
         for key, row in self.state.sessions.items():
@@ -431,14 +443,13 @@
         return await self.jobs.cancel_job(job_id, team, by)
 
 
-_WORLD_RECORDS = {
+_WORLD_RECORDS = (
     records.NoteAccepted,
-    records.SessionRenewed,
     records.SessionEnded,
     records.VmStep,
     records.DisruptionGranted,
     records.DisruptionEnded,
-}
+)
 
 
 def create_node(settings: settings_lib.Settings) -> EntryNode:
