--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -115,7 +115,7 @@
     """
     values: dict[str, float] = {}
     points: dict[str, list[float]] = {}
-    for bench in ("node_cost", "peers", "fold", "planner", "placement"):
+    for bench in ("node_cost", "peers", "fold", "planner", "placement_cost"):
         text = (_RESULTS / f"{bench}.json").read_text(encoding="utf-8")
         for row in json.loads(text)["measurements"]:
             values[f"{bench}.{row['name']}"] = row["median"]
@@ -211,13 +211,13 @@
     pools = POOLS / ENTRIES
     jobs = WAITING_JOBS_PER_POOL * pools
     job_records = JOBS_PER_S_PER_POOL * pools * RECORDS_PER_JOB
-    placement_us = value["placement.68_workers_61_teams_10000_waiting_mean_us"]
+    placement_us = value["placement_cost.68_workers_10000_waiting_mean_us"]
     owner = Role(
         "pool owner with placement",
         jobs
         * (
-            value["placement.waiting_job_bytes"]
-            + value["placement.recorded_job_bytes"]
+            value["placement_cost.waiting_job_bytes"]
+            + value["placement_cost.recorded_job_bytes"]
         )
         / _MIB,
         figures.log_bytes_per_pool.slope * pools,
@@ -371,7 +371,7 @@
     plan_s = figures.values["planner.full_plan_s"]
     lines.append(_limit_row("s for a whole plan", plan_s, plan_s, 5.0))
     placement_ms = (
-        figures.values["placement.68_workers_61_teams_10000_waiting_mean_us"]
+        figures.values["placement_cost.68_workers_10000_waiting_mean_us"]
         / 1000.0
     )
     lines.append(
