--- a/foxtaillock/daemon/job_desk.py
+++ b/foxtaillock/daemon/job_desk.py
@@ -4,6 +4,8 @@
 import typing
 from collections.abc import Callable
 
+from loguru import logger
+
 from foxtaillock import exceptions
 from foxtaillock.jobs import job as jobs
 from foxtaillock.jobs import owner as owners
@@ -175,7 +177,9 @@
             return await self._local.read_job(job_id, team, wait_s)
         timeout_s = wait_s + _FORWARD_TIMEOUT_S
         return await self._forward(
-            pool, lambda c: c.read_job(job_id, team, wait_s, timeout_s)
+            pool,
+            lambda c: c.read_job(job_id, team, wait_s, timeout_s),
+            job_id,
         )
 
     async def list_jobs(
@@ -197,7 +201,9 @@
         if self._local.owns(pool):
             return await self._local.cancel_job(job_id, team, by)
         return await self._forward(
-            pool, lambda c: c.cancel_job(job_id, team, by, _FORWARD_TIMEOUT_S)
+            pool,
+            lambda c: c.cancel_job(job_id, team, by, _FORWARD_TIMEOUT_S),
+            job_id,
         )
 
     async def settle_job(
@@ -210,9 +216,16 @@
         return await self._forward(
             pool,
             lambda c: c.settle_job(job_id, succeeded, by, _FORWARD_TIMEOUT_S),
+            job_id,
         )
 
-    async def _forward(self, pool: str, send: _Send) -> messages.JobReply:
+    async def _forward(
+        self, pool: str, send: _Send, job_id: str = ""
+    ) -> messages.JobReply:
+        with logger.contextualize(pool=pool, job_id=job_id):
+            return await self._send(pool, send)
+
+    async def _send(self, pool: str, send: _Send) -> messages.JobReply:
         claim = self._state.claim(pool)
         if claim is None and self._state.object("pool", pool) is None:
             return messages.JobReply(messages.ReplyTag.MISSING)
@@ -225,12 +238,14 @@
         try:
             connection = await self._links.connection(claim.node)
         except exceptions.NotRunError as error:
+            logger.info("owner of the pool is unreachable: {}", error)
             return messages.JobReply(
                 messages.ReplyTag.REFUSED, "owner-unreachable", str(error)
             )
         try:
             return await send(connection)
         except exceptions.OutcomeUnknownError as error:
+            logger.warning("owner of the pool gave no answer: {}", error)
             return messages.JobReply(
                 messages.ReplyTag.UNKNOWN, "owner-silent", str(error)
             )
