--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,6 +20,7 @@
 _BEGIN = "<!-- tables: begin -->"
 _END = "<!-- tables: end -->"
 _MIB = 2**20
+_LEAST_FIT = 0.5
 
 WORKERS = 15_000
 POOLS = 220
@@ -315,7 +316,7 @@
     for name, fit in named:
         lines.append(
             f"| {name} | {fit.base:.3g} | {fit.slope:.3g}"
-            f" | {fit.r_squared:.2f} |"
+            f" | {_fit_text(fit)} |"
         )
     for name in sorted(figures.values):
         bench = name.split(".")[0]
@@ -324,6 +325,12 @@
     return lines
 
 
+def _fit_text(fit: Fit) -> str:
+    if fit.r_squared < _LEAST_FIT:
+        return f"{fit.r_squared:.2f}, **no fit**"
+    return f"{fit.r_squared:.2f}"
+
+
 def _role_table(rows: list[Role]) -> list[str]:
     lines = [
         "| Role | Memory MiB | Bytes/s | Core % | Appends/s | Mechanism"
@@ -346,8 +353,11 @@
         "| Limit | As built | With renewals split | Bound | Fits |",
         "| --- | --- | --- | --- | --- |",
     ]
+    cpu_name = "core % of an entry VM"
+    if figures.cpu_per_node.r_squared < _LEAST_FIT:
+        cpu_name += " (its slope has no fit)"
     for name, field, bound in (
-        ("core % of an entry VM", "cpu_percent", CPU_LIMIT_PERCENT),
+        (cpu_name, "cpu_percent", CPU_LIMIT_PERCENT),
         ("memory MiB", "memory_mib", MEMORY_LIMIT_MIB),
         ("bytes/s", "bytes_per_s", BYTES_LIMIT_PER_S),
     ):
