--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -353,11 +353,8 @@
         "| Limit | As built | With renewals split | Bound | Fits |",
         "| --- | --- | --- | --- | --- |",
     ]
-    cpu_name = "core % of an entry VM"
-    if figures.cpu_per_node.r_squared < _LEAST_FIT:
-        cpu_name += " (its slope has no fit)"
     for name, field, bound in (
-        (cpu_name, "cpu_percent", CPU_LIMIT_PERCENT),
+        (_cpu_name(figures), "cpu_percent", CPU_LIMIT_PERCENT),
         ("memory MiB", "memory_mib", MEMORY_LIMIT_MIB),
         ("bytes/s", "bytes_per_s", BYTES_LIMIT_PER_S),
     ):
@@ -390,6 +387,12 @@
     return lines
 
 
+def _cpu_name(figures: Figures) -> str:
+    if figures.cpu_per_node.r_squared < _LEAST_FIT:
+        return "core % of an entry VM (its slope has no fit)"
+    return "core % of an entry VM"
+
+
 def _limit_row(name: str, now: float, then: float, bound: float) -> str:
     if now <= bound:
         fits = "yes"
