--- a/foxtaillock/standins/runners.py
+++ b/foxtaillock/standins/runners.py
@@ -10,10 +10,10 @@
 
 from aiohttp import web
 
-from foxtaillock import exceptions
 from foxtaillock.model import clock as clock_lib
 from foxtaillock.model import world
 from foxtaillock.standins import faults
+from foxtaillock.standins import fleet
 from foxtaillock.standins import listener
 
 __all__ = ["RunEntry", "RunnerFaults", "RunnerFleet", "RunnerVm"]
@@ -234,7 +234,7 @@
         return await _truncate(request, status, headers, payload)
 
 
-class RunnerFleet:
+class RunnerFleet(fleet.VmFleet[RunnerVm]):
     """All runners of one process, with one admin socket and one journal.
 
     Args:
@@ -251,29 +251,12 @@
         slots: int = 8,
         max_connections: int = 64,
     ) -> None:
+        super().__init__("runner", host)
         self._clock = clock
-        self._host = host
         self._slots = slots
         self._max_connections = max_connections
-        self._listener = listener.Listener(self._add_routes, host)
-        self.vms: dict[str, RunnerVm] = {}
         self.journal: list[RunEntry] = []
 
-    @property
-    def admin_url(self) -> str:
-        """Root URL of the admin socket."""
-        return self._listener.url
-
-    async def open(self) -> None:
-        """Starts the admin socket."""
-        await self._listener.open()
-
-    async def close(self) -> None:
-        """Stops the admin socket and all runners."""
-        await self._listener.close()
-        for vm in self.vms.values():
-            await vm.close()
-
     async def add(self, entry: world.VmEntry) -> RunnerVm:
         """Returns a new runner that listens."""
         vm = RunnerVm(
@@ -288,32 +271,9 @@
         await vm.open()
         return vm
 
-    def set_faults(self, name: str, changes: dict[str, typing.Any]) -> None:
-        """Sets faults of the named runner, or of all for `*`.
-
-        Raises:
-            exceptions.InvalidInputError: no such runner or fault.
-        """
-        if name != "*" and name not in self.vms:
-            raise exceptions.InvalidInputError(f"no runner is named {name!r}")
-        for vm in self.vms.values():
-            if name in ("*", vm.entry.name):
-                vm.set_faults(changes)
-
-    def _add_routes(self, application: web.Application) -> None:
-        application.router.add_get("/admin/journal", self._get_journal)
-        application.router.add_post("/admin/faults", self._set_faults)
-
-    async def _get_journal(self, _request: web.Request) -> web.Response:
-        return web.json_response(self.journal)
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        changes = await request.json()
-        try:
-            self.set_faults(changes.pop("vm", "*"), changes)
-        except exceptions.InvalidInputError as error:
-            return web.Response(status=400, text=str(error))
-        return web.json_response({})
+    def read_journal(self) -> list[RunEntry]:
+        """Returns all runs until now."""
+        return self.journal
 
 
 def _parse_body(body: bytes) -> dict[str, typing.Any]:
--- a/foxtaillock/standins/workers.py
+++ b/foxtaillock/standins/workers.py
@@ -8,12 +8,12 @@
 
 from aiohttp import web
 
-from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces
 from foxtaillock.model import clock as clock_lib
 from foxtaillock.model import resources
 from foxtaillock.model import world
 from foxtaillock.standins import faults
+from foxtaillock.standins import fleet
 from foxtaillock.standins import listener
 from foxtaillock.standins import worker_model
 
@@ -183,7 +183,7 @@
         return {}
 
 
-class WorkerFleet:
+class WorkerFleet(fleet.VmFleet[WorkerVm]):
     """All workers of one process, with one admin socket and one journal.
 
     Args:
@@ -198,28 +198,11 @@
         host: str = "127.0.0.1",
         usage_lag_s: float = 1.0,
     ) -> None:
+        super().__init__("worker", host)
         self._clock = clock
-        self._host = host
         self._usage_lag_s = usage_lag_s
-        self._listener = listener.Listener(self._add_routes, host)
-        self.vms: dict[str, WorkerVm] = {}
         self.journal: list[worker_model.JournalEntry] = []
 
-    @property
-    def admin_url(self) -> str:
-        """Root URL of the admin socket."""
-        return self._listener.url
-
-    async def open(self) -> None:
-        """Starts the admin socket."""
-        await self._listener.open()
-
-    async def close(self) -> None:
-        """Stops the admin socket and all workers."""
-        await self._listener.close()
-        for vm in self.vms.values():
-            await vm.close()
-
     async def add(self, entry: world.VmEntry) -> WorkerVm:
         """Returns a new worker that listens."""
         vm = WorkerVm(
@@ -247,30 +230,3 @@
             vm.settle()
             total = resources.add(total, vm.model.used())
         return total
-
-    def set_faults(self, name: str, changes: _Json) -> None:
-        """Sets faults of the named worker, or of all for `*`.
-
-        Raises:
-            exceptions.InvalidInputError: no such worker or fault.
-        """
-        if name != "*" and name not in self.vms:
-            raise exceptions.InvalidInputError(f"no worker is named {name!r}")
-        for vm in self.vms.values():
-            if name in ("*", vm.entry.name):
-                vm.set_faults(changes)
-
-    def _add_routes(self, application: web.Application) -> None:
-        application.router.add_get("/admin/journal", self._get_journal)
-        application.router.add_post("/admin/faults", self._set_faults)
-
-    async def _get_journal(self, _request: web.Request) -> web.Response:
-        return web.json_response(self.read_journal())
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        changes = await request.json()
-        try:
-            self.set_faults(changes.pop("vm", "*"), changes)
-        except exceptions.InvalidInputError as error:
-            return web.Response(status=400, text=str(error))
-        return web.json_response({})
