Peers: a failed request leaves no reference cycle, so that no entry VM crashes

Cause: the daemon had died of a segmentation fault (exit code -11). The RPC library's objects crash the process when the cyclic collector frees them, and asyncio.wait_for keeps a failed request in a cycle (inner task, error, traceback, frame).

Ruled out: slow start (1.5 s at load 16), the log and its proxy (waits for them are logged), a taken port (its trace is in the output).

Change: asyncio.timeout in place of asyncio.wait_for, which needs no inner task. A start that fails closes what it opened and logs the reason. The proofs hold a range of ports per process and name the exit code.

Conclusion: failures of links leave nothing to the cyclic collector.

--- a/foxtaillock/daemon/main.py
+++ b/foxtaillock/daemon/main.py
@@ -55,7 +55,11 @@
             start.cancel()
             await node.close()
             return 0
-        start.result()
+        fault = start.exception()
+        if fault is not None:
+            logger.opt(exception=fault).error("this VM does not start")
+            await node.close()
+            return _EXIT_FAILED
         await asyncio.wait(
             (stopped, failed), return_when=asyncio.FIRST_COMPLETED
         )
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import asyncio.subprocess
+import fcntl
+import functools
 import hashlib
 import itertools
 import json
@@ -14,6 +16,7 @@
 import tempfile
 import typing
 import urllib.parse
+from collections.abc import Iterator
 
 import aiohttp
 
@@ -27,21 +30,21 @@
 _READY_TIMEOUT_S = 30.0
 _POLL_S = 0.05
 _FIRST_PORT = 12_000
-_PORT_COUNT = 20_000
-_PORTS = itertools.islice(
-    itertools.cycle(range(_FIRST_PORT, _FIRST_PORT + _PORT_COUNT)),
-    os.getpid() * 101 % _PORT_COUNT,
-    None,
-)
+_PORTS_PER_PROCESS = 200
+_PORT_RANGES = 100
 
 
 def free_port() -> int:
     """Returns a loopback port that nothing listens on.
 
-    Takes ports below those that the system gives to outgoing connections, and
-    no port twice.
+    Takes ports below those that the system gives to outgoing connections, in
+    turn, from a range that no other running process takes ports from.
+
+    Raises:
+        OSError: no port is left.
     """
-    for port in _PORTS:
+    ports = _own_ports()
+    for port in itertools.islice(ports, _PORTS_PER_PROCESS):
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -51,6 +54,24 @@
     raise OSError("no free port is left")
 
 
+@functools.cache
+def _own_ports() -> Iterator[int]:
+    """Returns the ports of this process; the lock of the range is held until
+    the process ends."""
+    for index in range(_PORT_RANGES):
+        name = f"foxtaillock-ports-{index}.lock"
+        path = os.path.join(tempfile.gettempdir(), name)
+        lock = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(lock)
+            continue
+        first = _FIRST_PORT + index * _PORTS_PER_PROCESS
+        return itertools.cycle(range(first, first + _PORTS_PER_PROCESS))
+    raise OSError("no range of ports is left")
+
+
 class Entry:
     """One entry VM: a real `foxtaillockd` and its ports."""
 
@@ -69,6 +90,11 @@
         """Address of the HTTP interface."""
         return f"http://127.0.0.1:{self.api_port}"
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the daemon; None while it runs or before its start."""
+        return self.process.returncode if self.process is not None else None
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process of this entry VM."""
         assert self.process is not None
@@ -174,8 +200,13 @@
         while asyncio.get_running_loop().time() < end_s:
             if await self.is_ready(entry):
                 return
+            if entry.exit_code is not None:
+                break
             await asyncio.sleep(_POLL_S)
-        raise TimeoutError(f"{entry.name} does not serve\n{self.output(entry)}")
+        raise TimeoutError(
+            f"{entry.name} does not serve, exit code {entry.exit_code}\n"
+            f"{self.output(entry)}"
+        )
 
     async def is_ready(self, entry: Entry) -> bool:
         """Returns whether an entry VM says that it serves."""
--- a/foxtaillock/peers/client.py
+++ b/foxtaillock/peers/client.py
@@ -96,7 +96,8 @@
 
     async def _send(self, request: typing.Any, timeout_s: float) -> typing.Any:
         try:
-            return await asyncio.wait_for(request.send(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await request.send()
         except (capnp.KjException, OSError, asyncio.TimeoutError) as error:
             self.close()
             raise exceptions.OutcomeUnknownError(
@@ -119,19 +120,16 @@
             that it knows the secret.
     """
     try:
-        stream = await asyncio.wait_for(
-            capnp.AsyncIoStream.create_connection(host, port),
-            _CONNECT_TIMEOUT_S,
-        )
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            stream = await capnp.AsyncIoStream.create_connection(host, port)
     except (OSError, capnp.KjException, asyncio.TimeoutError) as error:
         raise exceptions.NotRunError(
             f"no connection to peer {host}:{port}: {error}"
         ) from error
     rpc = capnp.TwoPartyClient(stream)
     try:
-        peer = await asyncio.wait_for(
-            _login(rpc, node, secret), _CONNECT_TIMEOUT_S
-        )
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            peer = await _login(rpc, node, secret)
     except BaseException as error:
         stream.close()
         if isinstance(error, (capnp.KjException, OSError, TimeoutError)):
--- a/foxtaillock/peers/tests/test_peers.py
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -1,7 +1,9 @@
 """Tests of login and messages between entry VMs."""
 
 import asyncio
+import gc
 import unittest
+from collections.abc import Awaitable
 
 import capnp
 
@@ -64,7 +66,8 @@
         return messages.JobReply(messages.ReplyTag.UNKNOWN)
 
 
-class PeersTest(unittest.IsolatedAsyncioTestCase):
+class _PeersTestCase(unittest.IsolatedAsyncioTestCase):
+    """Server of one entry VM."""
 
     async def asyncSetUp(self) -> None:
         await self.enterAsyncContext(capnp.kj_loop())
@@ -80,6 +83,9 @@
     ) -> client.PeerConnection:
         return await client.connect("127.0.0.1", self.port, "n1", secret)
 
+
+class PeersTest(_PeersTestCase):
+
     async def test_messages_arrive_whole(self) -> None:
         link = await self._connect()
         beat = await link.exchange(_BEAT, 5.0)
@@ -110,3 +116,72 @@
         await self.server.close()
         with self.assertRaises(exceptions.NotRunError):
             await self._connect()
+
+
+class GarbageTest(_PeersTestCase):
+    """The library's objects crash the process when the cyclic collector frees
+    them, so that no failure may leave them in a reference cycle."""
+
+    async def _check_no_cycle(self, failing: Awaitable[object]) -> None:
+        gc.collect()
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        self.addCleanup(gc.garbage.clear)
+        self.addCleanup(gc.set_debug, 0)
+        try:
+            await failing
+        except (exceptions.FoxtaillockError, asyncio.CancelledError):
+            pass
+        del failing
+        await self.server.close()
+        gc.collect()
+        found = {type(each) for each in gc.garbage}
+        names = [f"{each.__module__}.{each.__name__}" for each in found]
+        self.assertEqual([n for n in names if n.startswith("capnp")], [])
+
+    async def test_refused_login_leaves_no_cycle(self) -> None:
+        await self._check_no_cycle(self._connect(b"wrong"))
+
+    async def test_silent_peer_leaves_no_cycle(self) -> None:
+        async with await asyncio.start_server(
+            _stay_silent, "127.0.0.1"
+        ) as idle:
+            port = idle.sockets[0].getsockname()[1]
+            login = client.connect("127.0.0.1", port, "n1", b"secret")
+            await self._check_no_cycle(login)
+
+    async def test_closed_connection_leaves_no_cycle(self) -> None:
+        async with await asyncio.start_server(_hang_up, "127.0.0.1") as idle:
+            port = idle.sockets[0].getsockname()[1]
+            login = client.connect("127.0.0.1", port, "n1", b"secret")
+            await self._check_no_cycle(login)
+
+    async def test_no_answer_leaves_no_cycle(self) -> None:
+        self.handler.hang = True
+        link = await self._connect()
+        await self._check_no_cycle(link.exchange(_BEAT, 0.05))
+
+    async def test_failing_handler_leaves_no_cycle(self) -> None:
+        link = await self._connect()
+        await self._check_no_cycle(link.read_job("j", "t", 0.0, 5.0))
+
+    async def test_cancelled_request_leaves_no_cycle(self) -> None:
+        self.handler.hang = True
+        link = await self._connect()
+        request = asyncio.ensure_future(link.exchange(_BEAT, 5.0))
+        await asyncio.sleep(0.05)
+        request.cancel()
+        await self._check_no_cycle(request)
+
+
+async def _stay_silent(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.read()
+    writer.close()
+
+
+async def _hang_up(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.read(1)
+    writer.transport.abort()
