--- a/foxtaillock/peers/tests/test_peers.py
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import gc
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable
 
@@ -172,6 +174,22 @@
         request.cancel()
         await self._check_no_cycle(request)
 
+    async def test_reset_connection_leaves_no_cycle(self) -> None:
+        await self._check_no_cycle(self._send_and_reset(b""))
+
+    async def test_bytes_of_another_protocol_leave_no_cycle(self) -> None:
+        await self._check_no_cycle(self._send_and_reset(b"GET / HTTP/1.1\r\n"))
+
+    async def _send_and_reset(self, data: bytes) -> None:
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data * 1000)
+        await asyncio.sleep(0.05)
+        link = writer.get_extra_info("socket")
+        reset = struct.pack("ii", 1, 0)
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+
 
 async def _stay_silent(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
