State: a fresh VM asks its peers when the log no longer covers its start

Change: three entry VMs of the platform's list are asked over the peers' connection; the newest answer counts, and the view counts as infinitely old until all that the peer had folded is folded.

Left: a pool whose owner is lost within 30 s after such an outage.

--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -26,6 +26,7 @@
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import metrics
 from foxtaillock.daemon import peer_desk
+from foxtaillock.daemon import peer_snapshots
 from foxtaillock.daemon import platform_links
 from foxtaillock.daemon import pool_keeper
 from foxtaillock.daemon import vm_watch
@@ -70,6 +71,7 @@
         self.clock = clock
         self.platform = platform
         self.api_port = 0
+        self.peer_port = 0
         self._not_ready = "starting"
         self._draining = False
         self.failed = asyncio.Event()
@@ -77,6 +79,7 @@
         self._requests_open = 0
         self._known_sessions: set[str] = set()
         rng = random.Random(settings.seed if settings.seed >= 0 else None)
+        self._rng = rng
         budget = budgets.AppendBudget(
             settings.appends_per_s, settings.appends_per_s, clock.monotonic_s()
         )
@@ -161,7 +164,13 @@
             settings.node_name, settings.zone, settings.region, ""
         )
         self.peer_desk = peer_desk.PeerDesk(
-            self.pools.owners, self.keys, self._heartbeat, self._spread
+            self.pools.owners,
+            self.keys,
+            self._heartbeat,
+            self._spread,
+            peer_snapshots.SnapshotShelf(
+                self.control.snapshotter, self.replica, self.clock
+            ).take,
         )
         self.links = links.PeerLinks(
             own,
@@ -225,12 +234,12 @@
         serve an older revision than one that was acknowledged.
         """
         settings = self.settings
-        await self._retry(self.control.snapshotter.start)
+        await self.vm_watch.poll()
+        await self._retry(self._load_state)
         self._background.spawn(self._follow_control())
         self._background.spawn(self.control.snapshotter.run())
         await self._retry(self.replica.catch_up)
-        await self.vm_watch.poll()
-        peer_port = await self.peer_server.start(
+        self.peer_port = await self.peer_server.start(
             settings.peer_host, settings.peer_port
         )
         await self._runner.setup()
@@ -238,7 +247,7 @@
         await site.start()
         self.api_port = self._runner.addresses[0][1]
         await self.session.start(
-            f"{settings.peer_host}:{peer_port}",
+            f"{settings.peer_host}:{self.peer_port}",
             f"{settings.api_host}:{self.api_port}",
         )
         for loop in (
@@ -252,6 +261,26 @@
         self._not_ready = ""
         logger.info("serving on port {}", self.api_port)
 
+    async def _load_state(self) -> None:
+        """Loads a snapshot of the log, or else of a peer.
+
+        Raises:
+            exceptions.StateDivergedError: neither covers what has expired.
+        """
+        try:
+            await self.control.snapshotter.start()
+            return
+        except exceptions.StateDivergedError as error:
+            logger.warning("asking peers for a snapshot: {}", error)
+        settings = self.settings
+        peers = peer_snapshots.choose_peers(
+            self.vm_watch.vms, settings.node_name, settings.zone, self._rng
+        )
+        found = await peer_snapshots.ask_peers(
+            peers, settings.node_name, settings.peer_secret.encode()
+        )
+        await self.control.snapshotter.start(found)
+
     async def _follow_control(self) -> None:
         """Follows the control stream; a diverged state ends the serving."""
         try:
--- a/foxtaillock/daemon/peer_desk.py
+++ b/foxtaillock/daemon/peer_desk.py
@@ -17,6 +17,7 @@
         keys: checks keys; takes withdrawals that peers tell of.
         make_heartbeat: returns the own heartbeat.
         spread: sends news to the neighbours without delay.
+        take_snapshot: returns an encoded snapshot of the control state.
     """
 
     def __init__(
@@ -25,11 +26,13 @@
         keys: key_desk.KeyDesk,
         make_heartbeat: Callable[[], messages.Heartbeat],
         spread: Callable[[], None],
+        take_snapshot: Callable[[], bytes],
     ) -> None:
         super().__init__(owners)
         self._keys = keys
         self._make_heartbeat = make_heartbeat
         self._spread = spread
+        self._take_snapshot = take_snapshot
 
     async def exchange(
         self, heartbeat: messages.Heartbeat
@@ -38,6 +41,14 @@
         self.take_news(heartbeat)
         return self._make_heartbeat()
 
+    async def take_snapshot(self) -> bytes:
+        """Returns an encoded snapshot of the control state.
+
+        Raises:
+            exceptions.NotRunError: this VM must serve no state.
+        """
+        return self._take_snapshot()
+
     def take_answer(self, heartbeat: messages.Heartbeat, sent_s: float) -> None:
         """Takes a neighbour's answer to a heartbeat sent after `sent_s`."""
         self.take_news(heartbeat)
--- /dev/null
+++ b/foxtaillock/daemon/peer_snapshots.py
@@ -0,0 +1,122 @@
+"""Snapshots of the control state between entry VMs.
+
+A fresh VM asks its peers when the log's own snapshots do not cover what has
+expired, as after an outage of the log that outlasts its retention.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from loguru import logger
+
+from foxtaillock import exceptions
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import world
+from foxtaillock.peers import client
+from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshots
+from foxtaillock.state import snapshotter
+
+__all__ = ["SnapshotShelf", "ask_peers", "choose_peers"]
+
+_PEERS_ASKED = 3
+_ANSWER_TIMEOUT_S = 10.0
+_KEPT_S = 1.0
+
+
+class SnapshotShelf:
+    """Gives peers a snapshot of the own state; keeps the last for a second, so
+    that many fresh VMs at once cost one encoding.
+
+    Args:
+        saver: takes the snapshots.
+        replica: replica of the control stream.
+        clock: source of time.
+    """
+
+    def __init__(
+        self,
+        saver: snapshotter.Snapshotter,
+        replica: replicas.StreamReplica,
+        clock: clocks.Clock,
+    ) -> None:
+        self._saver = saver
+        self._replica = replica
+        self._clock = clock
+        self._taken_s = float("-inf")
+        self._data = b""
+
+    def take(self) -> bytes:
+        """Returns an encoded snapshot that is a second old at most.
+
+        Raises:
+            exceptions.NotRunError: the replica has stopped, its state must not
+                be served.
+        """
+        if self._replica.error is not None:
+            raise exceptions.NotRunError(f"no state: {self._replica.error}")
+        now_s = self._clock.monotonic_s()
+        if now_s - self._taken_s >= _KEPT_S:
+            self._data = snapshots.encode(self._saver.take())
+            self._taken_s = now_s
+        return self._data
+
+
+def choose_peers(
+    vms: Iterable[world.VmEntry], node: str, zone: str, rng: random.Random
+) -> list[world.VmEntry]:
+    """Returns the entry VMs to ask, those of the own zone first.
+
+    Args:
+        vms: the platform's list.
+        node: name of this VM, which is left out.
+        zone: zone of this VM.
+        rng: orders the VMs of a zone.
+    """
+    is_peer = [
+        vm
+        for vm in vms
+        if vm.role is world.VmRole.ENTRY and vm.name != node and vm.address
+    ]
+    rng.shuffle(is_peer)
+    is_peer.sort(
+        key=lambda vm: (vm.state is world.VmState.LEAVING, vm.zone != zone)
+    )
+    return is_peer[:_PEERS_ASKED]
+
+
+async def ask_peers(
+    peers: Sequence[world.VmEntry], node: str, secret: bytes
+) -> list[snapshots.Snapshot]:
+    """Returns the snapshots of the peers that gave one.
+
+    Args:
+        peers: rows of the list; `address` is that of the peer port.
+        node: name of this VM.
+        secret: shared secret of the entry VMs.
+    """
+    answers = await asyncio.gather(
+        *(_ask_peer(peer.address, node, secret) for peer in peers)
+    )
+    return [answer for answer in answers if answer is not None]
+
+
+async def _ask_peer(
+    address: str, node: str, secret: bytes
+) -> snapshots.Snapshot | None:
+    host, _, port = address.rpartition(":")
+    try:
+        connection = await client.connect(host, int(port), node, secret)
+    except (exceptions.FoxtaillockError, ValueError) as error:
+        logger.info("no snapshot of {}: {}", address, error)
+        return None
+    try:
+        data = await connection.take_snapshot(_ANSWER_TIMEOUT_S)
+        return snapshots.decode(data)
+    except exceptions.FoxtaillockError as error:
+        logger.info("no snapshot of {}: {}", address, error)
+        return None
+    finally:
+        connection.close()
--- a/foxtaillock/demo/fleet.py
+++ b/foxtaillock/demo/fleet.py
@@ -75,7 +75,7 @@
         entry = nodes.create_node(settings)
         await entry.start()
         world.register_entry(
-            settings.node_name, zone, f"127.0.0.1:{entry.api_port}"
+            settings.node_name, zone, f"127.0.0.1:{entry.peer_port}"
         )
         entries.append(entry)
     return DemoFleet(world, entries, operator_key)
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -144,6 +144,18 @@
         self.urls = json.loads(await self._standins.stdout.readline())
         for entry in self.entries:
             await self._put_proxy_before_log(entry)
+            await self._register(entry)
+
+    async def _register(self, entry: Entry) -> None:
+        row = {
+            "name": entry.name,
+            "incarnation": 1,
+            "role": "entry",
+            "zone": entry.zone,
+            "rack": f"{entry.zone}-e",
+            "address": f"127.0.0.1:{entry.peer_port}",
+        }
+        await self.admin_post(f"{self.urls['vm_list']}/admin/vms", row)
 
     async def _put_proxy_before_log(self, entry: Entry) -> None:
         log = urllib.parse.urlsplit(self.urls["log"])
--- a/foxtaillock/jobs/pool_snapshots.py
+++ b/foxtaillock/jobs/pool_snapshots.py
@@ -93,10 +93,10 @@
             pool_state.stream_of(self._pool)
         )
         candidates = [row.unpack() for row in self._fold.whole]
-        found = snapshots.choose(candidates, oldest_offset)
-        if found is not None:
-            self._state.restore(found.text)
-            self._replica.start_at(found.at_offset)
+        next_offset = snapshots.load_newest(
+            candidates, oldest_offset, self._state.restore
+        )
+        self._replica.start_at(next_offset)
 
     async def run(self) -> None:
         """Follows the snapshots and writes one when it is due."""
--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -161,15 +161,20 @@
     def restore(self, text: str) -> None:
         """Replaces the whole state by the one that `encode` gave.
 
+        A text that is refused changes nothing.
+
         Raises:
             exceptions.InvalidInputError: `text` is not an encoded state.
         """
+        fresh = type(self)()
+        fresh.on_change = self.on_change
         try:
-            self._restore(json.loads(text))
+            fresh._restore(json.loads(text))  # pylint: disable=protected-access
         except (ValueError, KeyError, TypeError, IndexError) as error:
             raise exceptions.InvalidInputError(
                 f"snapshot is not the state of a pool: {error}"
             ) from error
+        vars(self).update(vars(fresh))
 
     def _restore(self, fields: dict[str, typing.Any]) -> None:
         self._history_jobs = fields["history"]
@@ -179,13 +184,10 @@
         self._next_offset = fields["offset"]
         self._sequences.load_rows(fields["sequences"])
         self._kept = fields["kept"]
-        for table in (self._jobs, self._by_key, self._active, self._waiting):
-            table.clear()
         for row in fields["jobs"]:
             self._restore_job(_decode_job(row))
         for job_id in fields["waiting"]:
             self._waiting[job_id] = self._jobs[job_id]
-        self._finished.clear()
         self._finished.update((job_id, None) for job_id in fields["finished"])
 
     def _restore_job(self, job: jobs_job.Job) -> None:
--- a/foxtaillock/jobs/tests/test_pool_state.py
+++ b/foxtaillock/jobs/tests/test_pool_state.py
@@ -1,9 +1,11 @@
 """Tests of the fold of a pool's jobs."""
 
+import json
 import random
 import typing
 import unittest
 
+from foxtaillock import exceptions
 from foxtaillock.jobs import pool_state
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
@@ -101,7 +103,12 @@
     def test_record_of_a_later_version_is_kept(self) -> None:
         later = records.UnknownRecord("job-tagged", '["a"]')
         self.assertEqual(self._put(later).code, "unknown-kind")
-        copy = pool_state.PoolState.decode(self.state.encode())
+        text = self.state.encode()
+        with self.assertRaises(exceptions.InvalidInputError):
+            broken = json.loads(text) | {"epoch": 99, "waiting": ["nowhere"]}
+            self.state.restore(json.dumps(broken))
+        self.assertEqual(self.state.encode(), text)
+        copy = pool_state.PoolState.decode(text)
         self.assertIn("job-tagged", copy.encode())
 
     def test_history_expires_by_count_with_its_keys(self) -> None:
--- a/foxtaillock/peers/client.py
+++ b/foxtaillock/peers/client.py
@@ -94,6 +94,11 @@
         result = await self._send(request, timeout_s)
         return messages.read_reply(result.reply)
 
+    async def take_snapshot(self, timeout_s: float) -> bytes:
+        """Returns an encoded snapshot of the peer's control state."""
+        result = await self._send(self._peer.takeSnapshot_request(), timeout_s)
+        return bytes(result.snapshot)
+
     async def _send(self, request: typing.Any, timeout_s: float) -> typing.Any:
         try:
             async with asyncio.timeout(timeout_s):
--- a/foxtaillock/peers/peer.capnp
+++ b/foxtaillock/peers/peer.capnp
@@ -61,4 +61,5 @@
       -> (reply :JobReply);
   cancelJob @4 (jobId :Text, team :Text, by :Text) -> (reply :JobReply);
   settleJob @5 (jobId :Text, succeeded :Bool, by :Text) -> (reply :JobReply);
+  takeSnapshot @6 () -> (snapshot :Data);  # of the control state, compressed
 }
--- a/foxtaillock/peers/server.py
+++ b/foxtaillock/peers/server.py
@@ -52,6 +52,9 @@
     ) -> messages.JobReply:
         """Settles a job whose end is unknown."""
 
+    async def take_snapshot(self) -> bytes:
+        """Returns an encoded snapshot of the control state."""
+
 
 class _Peer(schema.PEER.Peer.Server):  # type: ignore[misc]
     """Methods for a peer that has logged in; the schema gives their names."""
@@ -105,6 +108,10 @@
         )
         messages.fill_reply(context.results.init("reply"), reply)
 
+    async def takeSnapshot_context(self, context: typing.Any) -> None:
+        """Answers `takeSnapshot`."""
+        context.results.snapshot = await self._handler.take_snapshot()
+
 
 class _Gate(schema.PEER.Gate.Server):  # type: ignore[misc]
     """What a stranger can reach: a challenge, and login."""
--- a/foxtaillock/peers/tests/test_peers.py
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -67,6 +67,9 @@
     ) -> messages.JobReply:
         return messages.JobReply(messages.ReplyTag.UNKNOWN)
 
+    async def take_snapshot(self) -> bytes:
+        return bytes(range(256)) * 8192
+
 
 class _PeersTestCase(unittest.IsolatedAsyncioTestCase):
     """Server of one entry VM."""
@@ -98,6 +101,12 @@
         self.assertEqual((await link.list_jobs("p", "t", "", 9, 5.0)).body, "9")
         link.close()
 
+    async def test_large_snapshot_arrives_whole(self) -> None:
+        link = await self._connect()
+        data = await link.take_snapshot(5.0)
+        self.assertEqual(data, bytes(range(256)) * 8192)
+        link.close()
+
     async def test_stranger_learns_and_changes_nothing(self) -> None:
         with self.assertRaises(exceptions.NotRunError):
             await self._connect(b"wrong")
--- a/foxtaillock/state/snapshots.py
+++ b/foxtaillock/state/snapshots.py
@@ -5,9 +5,12 @@
 import json
 import typing
 import zlib
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+from loguru import logger
+
 from foxtaillock import exceptions
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
@@ -24,6 +27,7 @@
     "digest_of",
     "encode",
     "is_due",
+    "load_newest",
     "split",
 ]
 
@@ -228,6 +232,38 @@
     )
 
 
+def load_newest(
+    candidates: Iterable[Snapshot],
+    oldest_offset: int,
+    restore: Callable[[str], None],
+) -> int:
+    """Restores the newest snapshot that this version can read.
+
+    Args:
+        candidates: snapshots from the log and from peers.
+        oldest_offset: offset of the oldest record that the log still keeps.
+        restore: loads a text; raises `exceptions.InvalidInputError` if this
+            version can not read it.
+
+    Returns:
+        Offset of the first record to fold after it; zero without a snapshot.
+
+    Raises:
+        exceptions.StateDivergedError: no candidate covers what has expired.
+    """
+    left = list(candidates)
+    found = choose(left, oldest_offset)
+    while found is not None:
+        try:
+            restore(found.text)
+            return found.at_offset
+        except exceptions.InvalidInputError as error:
+            logger.warning("{}: {}", found.snapshot_id, str(error))
+            left.remove(found)
+        found = choose(left, oldest_offset)
+    return 0
+
+
 class PolicySettings(typing.NamedTuple):
     """When snapshots are taken.
 
@@ -254,6 +290,7 @@
 ) -> bool:
     """Returns whether a snapshot must be taken now.
 
+    It is due at once if nobody could start from what the log keeps.
     Once the log drops records, a snapshot is due after each quarter of what
     it keeps, so that two or more always stand inside the retention.
 
@@ -265,7 +302,7 @@
         oldest_chunk_offset: likewise of the snapshots' stream.
         since_last_s: seconds since this node saw the last one or started.
     """
-    if since_last_s < settings.spacing_s or next_offset == 0:
+    if next_offset == 0:
         return False
     lasting = [
         row
@@ -273,6 +310,10 @@
         if row.at_offset >= oldest_offset
         and row.first_offset >= oldest_chunk_offset
     ]
+    if not lasting and oldest_offset > 0:
+        return True
+    if since_last_s < settings.spacing_s:
+        return False
     if len(lasting) < 2 or since_last_s >= settings.interval_s:
         return True
     after_newest = next_offset - lasting[-1].at_offset
--- a/foxtaillock/state/snapshotter.py
+++ b/foxtaillock/state/snapshotter.py
@@ -105,25 +105,13 @@
         await self._read_chunks()
         page = await self._log.read(records.CONTROL_STREAM, 0, 1, 0.0)
         from_log = [row.unpack() for row in self._fold.whole]
-        self._load([*from_log, *from_peers], page.oldest_offset)
+        next_offset = snapshots.load_newest(
+            [*from_log, *from_peers], page.oldest_offset, self._state.restore
+        )
+        self._control.start_at(next_offset)
         offsets = [row.at_offset for row in from_peers]
         self._control.require_offset(max([page.next_offset, *offsets]))
 
-    def _load(
-        self, candidates: list[snapshots.Snapshot], oldest_offset: int
-    ) -> None:
-        """Loads the newest candidate that this version can read."""
-        found = snapshots.choose(candidates, oldest_offset)
-        while found is not None:
-            try:
-                self._state.restore(found.text)
-                self._control.start_at(found.at_offset)
-                return
-            except exceptions.InvalidInputError as error:
-                loguru.logger.warning("{}: {}", found.snapshot_id, str(error))
-                candidates.remove(found)
-            found = snapshots.choose(candidates, oldest_offset)
-
     async def _read_chunks(self) -> None:
         page = await self._log.read(records.SNAPSHOT_STREAM, 0, 1, 0.0)
         self._chunks.start_at(page.oldest_offset)
--- a/foxtaillock/state/tests/test_snapshots.py
+++ b/foxtaillock/state/tests/test_snapshots.py
@@ -277,6 +277,27 @@
         self.assertFalse(due((5, 9), 10, oldest=1))
         self.assertTrue(due((5, 9), 12, oldest=1))
         self.assertTrue(due((5, 9), 12, since_s=100.0))
+        self.assertTrue(due((), 12, oldest=12, since_s=0.0))
+        self.assertTrue(due((5, 9), 12, oldest=10, since_s=0.0))
+        self.assertFalse(due((5, 9), 12, oldest=9, since_s=0.0))
+
+
+class LoadNewestTest(unittest.TestCase):
+
+    def _load(self, unreadable: set[str], oldest_offset: int) -> int:
+        def _restore(text: str) -> None:
+            if text in unreadable:
+                raise exceptions.InvalidInputError(text)
+
+        rows = [snapshots.Snapshot(f"s{n}", n, "", f"t{n}") for n in (5, 9, 7)]
+        return snapshots.load_newest(rows, oldest_offset, _restore)
+
+    def test_unreadable_snapshots_are_passed_over(self) -> None:
+        self.assertEqual(self._load(set(), 3), 9)
+        self.assertEqual(self._load({"t9"}, 3), 7)
+        self.assertEqual(self._load({"t5", "t7", "t9"}, 0), 0)
+        with self.assertRaises(exceptions.StateDivergedError):
+            self._load({"t7", "t9"}, 6)
 
 
 class ChooseTest(unittest.TestCase):
