--- a/foxtaillock/integration/tests/test_retention.py
+++ b/foxtaillock/integration/tests/test_retention.py
@@ -61,10 +61,10 @@
         await self.check_ran_once((job, after))
 
     async def test_without_a_peer_it_does_not_serve(self) -> None:
-        await self._expire_all()
+        for entry in self.fleet.entries:
+            await self.fleet.kill(entry)
+        await self._set_log(retention_records=0)
         replaced = self.fleet.entries[0]
-        replaced.peer_secret = "another-secret-of-the-proofs"
-        await self.fleet.kill(replaced)
         await self.fleet.start_entry(replaced)
         with self.assertRaisesRegex(TimeoutError, "exit code 1"):
             await self.fleet.await_ready(replaced)
