Peers: one end of a link sends a heartbeat, each 4 s, and keys go on without the log

Cause: each of two neighbours sent a heartbeat a second, 488 bytes each: about 5.9 KB/s for nine entry VMs, above the 5 KB/s of a node alone.

Change: membership.pacing decides: the lesser name sends each 4 s, the other if it hears nothing; news and an old view (1.2 s) send at once.

Found on the way: a VM cut off from the log alone refused all keys 3.5 s later, since its peers had folded the end of its own session, which counted as taking keys' rights away. The key offset leaves the ends of sessions out; the grants still go by all of them.

--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import pathlib
+import re
 import typing
 
 from bench import harness
@@ -17,6 +18,7 @@
 _ZONES = ("a", "b", "c")
 _MIB = 2**20
 _KEYS_AT_ONCE = 20
+_HEARTBEATS = r"^foxtaillock_heartbeats_sent (\S+)$"
 
 
 class Fleet(typing.NamedTuple):
@@ -87,8 +89,10 @@
     fleet: processes.ProcessFleet, size: Fleet, duration_s: float
 ) -> dict[str, float]:
     before = _read(fleet)
+    beats = await _heartbeats(fleet)
     offset = await _offset(fleet)
     await asyncio.sleep(duration_s)
+    beats = await _heartbeats(fleet) - beats
     after = _read(fleet)
     appends = await _offset(fleet) - offset
     count = len(fleet.entries)
@@ -100,6 +104,7 @@
         f"{name}_memory_mib": after["memory_bytes"] / count / _MIB,
         f"{name}_log_bytes_per_s": log_bytes / duration_s,
         f"{name}_control_appends_per_s": appends / duration_s,
+        f"{name}_heartbeats_per_s": beats / count / duration_s,
     }
 
 
@@ -108,6 +113,18 @@
     return int(answer.body["next_offset"])
 
 
+async def _heartbeats(fleet: processes.ProcessFleet) -> int:
+    """Returns the heartbeats that all entry VMs have sent."""
+    total = 0
+    for entry in fleet.entries:
+        async with fleet.session.get(f"{entry.url}/metrics") as answer:
+            found = re.search(_HEARTBEATS, await answer.text(), re.MULTILINE)
+        if found is None:
+            raise RuntimeError(f"{entry.name} counts no heartbeats")
+        total += int(float(found[1]))
+    return total
+
+
 def _read(fleet: processes.ProcessFleet) -> dict[str, float]:
     """Returns the sums over the processes of all entry VMs."""
     sums = {"cpu_s": 0.0, "memory_bytes": 0.0, "bytes": 0.0}
--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -19,7 +19,8 @@
 __all__ = ["KeyDesk"]
 
 BOOTSTRAP_KEY_ID = "bootstrap"
-_VITAL = (records.KeyWithdrawn, records.SessionEnded, records.NoteAccepted)
+_KEY_RECORDS = (records.KeyWithdrawn, records.NoteAccepted)
+_VITAL = (*_KEY_RECORDS, records.SessionEnded)
 _NEWS_S = 30.0
 _MAX_NEWS = 100
 
@@ -33,6 +34,11 @@
         clock: source of time.
         freshness_s: age of the view past which keys no longer work.
         operator_digest: digest of the first operator's key, or empty.
+
+    Attributes:
+        vital_offset: offset after the last folded record that takes rights
+            away: a withdrawn key, an ended session, a note.
+        key_offset: likewise without the ends of sessions.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         self._peer_fresh_s = float("-inf")
         self._peer_vital_offset = 0
         self.vital_offset = 0
+        self.key_offset = 0
         replica.on_batch(self._on_batch)
 
     def recently_denied(self) -> tuple[str, ...]:
@@ -85,15 +92,20 @@
     ) -> None:
         if any(isinstance(record, _VITAL) for record in batch.records):
             self.vital_offset = offset + 1
+        if any(isinstance(record, _KEY_RECORDS) for record in batch.records):
+            self.key_offset = offset + 1
 
     def note_peer_vital(self, vital_offset: int) -> None:
         """Takes the offset after the last vital record that a peer folded."""
         self._peer_vital_offset = max(self._peer_vital_offset, vital_offset)
 
-    def note_peer_view(self, vital_offset: int, as_of_s: float) -> None:
-        """Takes a peer's statement that no vital record from `vital_offset`
-        on stood at `as_of_s` on the own clock."""
-        if self._replica.next_offset >= vital_offset:
+    def note_peer_view(self, key_offset: int, as_of_s: float) -> None:
+        """Takes a peer's statement that nothing that takes a key's rights away
+        stood from `key_offset` on at `as_of_s` on the own clock.
+
+        The end of a session does not count, which takes no key's rights away.
+        """
+        if self._replica.next_offset >= key_offset:
             self._peer_fresh_s = max(self._peer_fresh_s, as_of_s)
 
     def view_age_s(self) -> float:
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -168,6 +168,7 @@
             self.keys,
             self._heartbeat,
             self._spread,
+            self._note_heartbeat,
             peer_snapshots.SnapshotShelf(
                 self.control.snapshotter, self.replica, self.clock
             ).take,
@@ -177,6 +178,7 @@
             settings.peer_secret.encode(),
             self.clock,
             self._heartbeat,
+            self.replica.age_s,
             self.peer_desk.take_answer,
         )
         self.peer_server = server.PeerServer(
@@ -223,6 +225,11 @@
             ("view_age_s", "Age of the view", self.keys.view_age_s),
             ("pools_owned", "Pools owned", lambda: len(self.pools.owners)),
             ("next_offset", "Next offset", lambda: self.replica.next_offset),
+            (
+                "heartbeats_sent",
+                "Heartbeats sent to neighbours",
+                lambda: self.links.heartbeats_sent,
+            ),
         )
         for name, text, read in gauges:
             metrics.add_gauge(self.registry, f"foxtaillock_{name}", text, read)
@@ -252,6 +259,7 @@
         )
         for loop in (
             self.vm_watch.run(),
+            self.links.watch_view(),
             self.pools.run(),
             self.grant_keeper.run(),
             self.fleet.run(),
@@ -401,11 +409,15 @@
             self._draining,
             self.keys.recently_denied(),
             self.keys.vital_offset,
+            self.keys.key_offset,
         )
 
     def _spread(self) -> None:
         self.links.spread_now()
 
+    def _note_heartbeat(self, node: str) -> None:
+        self.links.note_heartbeat(node)
+
     def _on_withdrawn(self, key_id: str) -> None:
         if self.keys.deny(key_id):
             self._spread()
--- a/foxtaillock/daemon/peer_desk.py
+++ b/foxtaillock/daemon/peer_desk.py
@@ -17,6 +17,7 @@
         keys: checks keys; takes withdrawals that peers tell of.
         make_heartbeat: returns the own heartbeat.
         spread: sends news to the neighbours without delay.
+        note_heartbeat: takes the name of a peer whose heartbeat came in.
         take_snapshot: returns an encoded snapshot of the control state.
     """
 
@@ -26,18 +27,21 @@
         keys: key_desk.KeyDesk,
         make_heartbeat: Callable[[], messages.Heartbeat],
         spread: Callable[[], None],
+        note_heartbeat: Callable[[str], None],
         take_snapshot: Callable[[], bytes],
     ) -> None:
         super().__init__(owners)
         self._keys = keys
         self._make_heartbeat = make_heartbeat
         self._spread = spread
+        self._note_heartbeat = note_heartbeat
         self._take_snapshot = take_snapshot
 
     async def exchange(
         self, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat:
         """Takes a peer's heartbeat and returns the own one."""
+        self._note_heartbeat(heartbeat.node)
         self.take_news(heartbeat)
         return self._make_heartbeat()
 
@@ -53,7 +57,7 @@
         """Takes a neighbour's answer to a heartbeat sent after `sent_s`."""
         self.take_news(heartbeat)
         as_of_s = sent_s - heartbeat.view_age_s
-        self._keys.note_peer_view(heartbeat.vital_offset, as_of_s)
+        self._keys.note_peer_view(heartbeat.key_offset, as_of_s)
 
     def take_news(self, heartbeat: messages.Heartbeat) -> None:
         """Stops the keys that a peer knows to be withdrawn."""
--- a/foxtaillock/daemon/tests/test_key_desk.py
+++ b/foxtaillock/daemon/tests/test_key_desk.py
@@ -70,6 +70,10 @@
         withdrawn = records.KeyWithdrawn("k", "op")
         self.on_batch(8, records.Batch("e", "i", 3, (withdrawn,)), ())
         self.assertEqual(self.desk.vital_offset, 9)
+        ended = records.SessionEnded("e", "i", 1, "f")
+        self.on_batch(9, records.Batch("e", "i", 4, (ended,)), ())
+        self.assertEqual(self.desk.vital_offset, 10)
+        self.assertEqual(self.desk.key_offset, 9)
 
     def test_news_of_a_withdrawal_stops_the_key_before_the_log(self) -> None:
         self.assertTrue(self.desk.deny("k"))
--- a/foxtaillock/decisions/catalogue.py
+++ b/foxtaillock/decisions/catalogue.py
@@ -14,6 +14,7 @@
 from foxtaillock.limits import decisions as limit_decisions
 from foxtaillock.limits import grants
 from foxtaillock.membership import liveness
+from foxtaillock.membership import pacing
 from foxtaillock.membership import neighbours
 from foxtaillock.placement import planner as placement_planner
 from foxtaillock.placement import quarantine
@@ -57,6 +58,7 @@
 _function("grant-changes", limit_decisions.decide)
 _function("key-check", keys.check_key)
 _function("key-freshness", keys.may_honour)
+_function("heartbeat-due", pacing.is_heartbeat_due)
 _function("move-step", membership.next_action)
 _function("neighbours", neighbours.choose_neighbours)
 _function("ownership-spread", spread.assign)
--- a/foxtaillock/integration/tests/test_partitions.py
+++ b/foxtaillock/integration/tests/test_partitions.py
@@ -61,6 +61,34 @@
         await scenario.until(_rejected, 10.0, "the zone knows")
 
 
+class CutOffFromLogTest(base.FleetTestCase):
+
+    async def test_peers_keep_keys_working_and_tell_of_withdrawals(
+        self,
+    ) -> None:
+        key_id, secret = await scenario.give_key(self.fleet, "trinidad")
+        sender = self.fleet.client(secret)
+
+        async def _answer_code() -> str:
+            answer = await sender.send("GET", "/v1/jobs/none.0", entry=2)
+            return answer.code
+
+        _set_log_faults(self.fleet.entries[2], _FREEZE)
+        codes = collections.Counter[str]()
+        for _ in range(40):
+            codes[await _answer_code()] += 1
+            await asyncio.sleep(0.15)
+        self.assertEqual(codes, {"not-found": 40})
+        path = f"/admin/v1/keys/{key_id}"
+        answer = await self.fleet.client().send("DELETE", path, entry=0)
+        self.assertEqual(answer.status, 200)
+
+        async def _rejected() -> bool:
+            return await _answer_code() == "key-rejected"
+
+        await scenario.until(_rejected, 5.0, "the key stops in the zone")
+
+
 class PartitionsTest(base.FleetTestCase):
 
     async def test_lost_answers_of_the_log_double_nothing(self) -> None:
--- a/foxtaillock/peers/links.py
+++ b/foxtaillock/peers/links.py
@@ -10,14 +10,15 @@
 from foxtaillock import exceptions
 from foxtaillock.membership import liveness
 from foxtaillock.membership import neighbours
+from foxtaillock.membership import pacing
 from foxtaillock.model import clock as clocks
 from foxtaillock.peers import client
 from foxtaillock.peers import messages
 
 __all__ = ["PeerLinks"]
 
-HEARTBEAT_S = 1.0
 _EXCHANGE_TIMEOUT_S = 1.0
+_VIEW_CHECK_S = 0.2
 
 
 class _Link(typing.NamedTuple):
@@ -34,8 +35,13 @@
         secret: shared secret of the entry VMs.
         clock: source of time.
         make_heartbeat: returns the heartbeat to send now.
+        view_age_s: returns how old the own view of the log is at most.
         on_answer: takes a neighbour's answer and the monotonic time, in
             seconds, before which the request was sent.
+
+    Attributes:
+        liveness: state of each neighbour.
+        heartbeats_sent: heartbeats sent so far.
     """
 
     def __init__(
@@ -44,18 +50,22 @@
         secret: bytes,
         clock: clocks.Clock,
         make_heartbeat: Callable[[], messages.Heartbeat],
+        view_age_s: Callable[[], float],
         on_answer: Callable[[messages.Heartbeat, float], None],
     ) -> None:
         self._own = own
         self._secret = secret
         self._clock = clock
         self._make_heartbeat = make_heartbeat
+        self._view_age_s = view_age_s
         self._on_answer = on_answer
         self._links: dict[str, _Link] = {}
         self._members: dict[str, neighbours.Member] = {}
         self._connections: dict[str, client.PeerConnection] = {}
+        self._heard_s: dict[str, float] = {}
         self._is_closed = False
-        self.liveness = liveness.create_liveness(HEARTBEAT_S)
+        self.heartbeats_sent = 0
+        self.liveness = liveness.create_liveness(pacing.HEARTBEAT_S)
 
     def update_members(self, members: Iterable[neighbours.Member]) -> None:
         """Takes the entry VMs known now; opens and closes links."""
@@ -79,6 +89,7 @@
     def _drop(self, node: str) -> None:
         self._links.pop(node).task.cancel()
         self.liveness.forget(node)
+        self._heard_s.pop(node, None)
         connection = self._connections.pop(node, None)
         if connection is not None:
             connection.close()
@@ -88,21 +99,54 @@
         for link in self._links.values():
             link.wake.set()
 
+    def note_heartbeat(self, node: str) -> None:
+        """Notes that a heartbeat of `node` has come in."""
+        if node not in self._links:
+            return
+        now_s = self._clock.monotonic_s()
+        self._heard_s[node] = now_s
+        self.liveness.heard(node, now_s)
+
+    async def watch_view(self) -> None:
+        """Asks all neighbours as soon as the own view gets old."""
+        was_old = False
+        while True:
+            is_old = pacing.is_view_old(self._view_age_s())
+            if is_old and not was_old:
+                self.spread_now()
+            was_old = is_old
+            await asyncio.sleep(_VIEW_CHECK_S)
+
     async def _exchange_forever(
         self, member: neighbours.Member, wake: asyncio.Event
     ) -> None:
+        await self._exchange_once(member)
         while True:
-            await self._exchange_once(member)
+            wait_s = pacing.heartbeat_wait_s(self._view_age_s())
             try:
-                await asyncio.wait_for(wake.wait(), HEARTBEAT_S)
-            except asyncio.TimeoutError:
+                async with asyncio.timeout(wait_s):
+                    await wake.wait()
+            except TimeoutError:
                 pass
-            wake.clear()
+            if self._is_due(member.node, wake.is_set()):
+                wake.clear()
+                await self._exchange_once(member)
+
+    def _is_due(self, node: str, has_news: bool) -> bool:
+        heard_s = self._heard_s.get(node, float("-inf"))
+        return pacing.is_heartbeat_due(
+            self._own.node,
+            node,
+            self._view_age_s(),
+            self._clock.monotonic_s() - heard_s,
+            has_news,
+        )
 
     async def _exchange_once(self, member: neighbours.Member) -> None:
         try:
             connection = await self.connection(member.node)
             sent_s = self._clock.monotonic_s()
+            self.heartbeats_sent += 1
             answer = await connection.exchange(
                 self._make_heartbeat(), _EXCHANGE_TIMEOUT_S
             )
--- a/foxtaillock/peers/messages.py
+++ b/foxtaillock/peers/messages.py
@@ -30,6 +30,8 @@
         withdrawn_keys: key ids that were withdrawn lately.
         vital_offset: offset after the last folded record that takes rights
             away: a withdrawn key, an ended session, a note.
+        key_offset: likewise without the ends of sessions; the same where the
+            sender does not know it.
     """
 
     node: str
@@ -41,6 +43,7 @@
     draining: bool = False
     withdrawn_keys: tuple[str, ...] = ()
     vital_offset: int = 0
+    key_offset: int = 0
 
 
 class JobOrder(typing.NamedTuple):
@@ -88,6 +91,7 @@
     message.draining = heartbeat.draining
     message.withdrawnKeys = list(heartbeat.withdrawn_keys)
     message.vitalOffset = heartbeat.vital_offset
+    message.keyOffset = heartbeat.key_offset
 
 
 def read_heartbeat(message: typing.Any) -> Heartbeat:
@@ -102,6 +106,7 @@
         draining=message.draining,
         withdrawn_keys=tuple(message.withdrawnKeys),
         vital_offset=message.vitalOffset,
+        key_offset=message.keyOffset or message.vitalOffset,
     )
 
 
--- a/foxtaillock/peers/peer.capnp
+++ b/foxtaillock/peers/peer.capnp
@@ -12,6 +12,7 @@
   draining @6 :Bool;
   withdrawnKeys @7 :List(Text);  # key ids withdrawn lately
   vitalOffset @8 :UInt64;     # after the last record that takes rights away
+  keyOffset @9 :UInt64;       # likewise, but for the ends of sessions
 }
 
 struct JobOrder {
--- a/foxtaillock/peers/tests/test_peers.py
+++ b/foxtaillock/peers/tests/test_peers.py
@@ -16,7 +16,9 @@
 from foxtaillock.peers import messages
 from foxtaillock.peers import server
 
-_BEAT = messages.Heartbeat("n1", "i1", "a", 7, 0.5, "d", True, ("k1", "k2"), 5)
+_BEAT = messages.Heartbeat(
+    "n1", "i1", "a", 7, 0.5, "d", True, ("k1", "k2"), 5, 4
+)
 _ORDER = messages.JobOrder(
     "bend",
     "trinidad",
