--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -254,7 +254,8 @@
         await site.start()
         self.api_port = self._runner.addresses[0][1]
         await self.session.start(
-            f"{settings.peer_host}:{self.peer_port}",
+            settings.peer_advertised
+            or f"{settings.peer_host}:{self.peer_port}",
             f"{settings.api_host}:{self.api_port}",
         )
         for loop in (
--- a/foxtaillock/integration/processes.py
+++ b/foxtaillock/integration/processes.py
@@ -83,6 +83,7 @@
         self.log_url = ""
         self.peer_secret = _PEER_SECRET
         self.log_proxy: fault_proxy.FaultProxy | None = None
+        self.peer_proxy: fault_proxy.FaultProxy | None = None
         self.process: asyncio.subprocess.Process | None = None  # pylint: disable=no-member
 
     @property
@@ -90,6 +91,12 @@
         """Address of the HTTP interface."""
         return f"http://127.0.0.1:{self.api_port}"
 
+    @property
+    def peer_address(self) -> str:
+        """Address at which other entry VMs reach this one, of a proxy."""
+        assert self.peer_proxy is not None
+        return self.peer_proxy.address
+
     @property
     def exit_code(self) -> int | None:
         """Exit code of the daemon; None while it runs or before its start."""
@@ -144,6 +151,9 @@
         self.urls = json.loads(await self._standins.stdout.readline())
         for entry in self.entries:
             await self._put_proxy_before_log(entry)
+            entry.peer_proxy = await fault_proxy.start_fault_proxy(
+                f"127.0.0.1:{entry.peer_port}"
+            )
             await self._register(entry)
 
     async def _register(self, entry: Entry) -> None:
@@ -153,7 +163,7 @@
             "role": "entry",
             "zone": entry.zone,
             "rack": f"{entry.zone}-e",
-            "address": f"127.0.0.1:{entry.peer_port}",
+            "address": entry.peer_address,
         }
         await self.admin_post(f"{self.urls['vm_list']}/admin/vms", row)
 
@@ -189,6 +199,7 @@
             "OPERATOR_KEY_DIGEST": digest,
             "API_PORT": str(entry.api_port),
             "PEER_PORT": str(entry.peer_port),
+            "PEER_ADVERTISED": entry.peer_address,
             "READY_DELAY_S": "0.5",
             "LOG_LEVEL": "INFO",
         }
@@ -276,8 +287,9 @@
                 process.kill()
                 await process.wait()
         for entry in self.entries:
-            if entry.log_proxy is not None:
-                await entry.log_proxy.close()
+            for proxy in (entry.log_proxy, entry.peer_proxy):
+                if proxy is not None:
+                    await proxy.close()
         if self._session is not None:
             await self._session.close()
         shutil.rmtree(self._folder)
--- a/foxtaillock/integration/scenario.py
+++ b/foxtaillock/integration/scenario.py
@@ -11,7 +11,15 @@
 from foxtaillock.demo import client
 from foxtaillock.integration import processes
 
-__all__ = ["NOTE", "WORLD", "accept_note", "give_key", "submit", "until"]
+__all__ = [
+    "NOTE",
+    "WORLD",
+    "accept_note",
+    "give_key",
+    "make_job",
+    "submit",
+    "until",
+]
 
 NOTE = """
 note: a small market
@@ -88,6 +96,16 @@
     return answer.body["key_id"], answer.body["secret"]
 
 
+def make_job(duration_s: float, idempotent: bool) -> dict[str, typing.Any]:
+    """Returns the body of a submission; the stand-in runs it so long."""
+    return {
+        "cpu_millis": 1000,
+        "run_time_s": duration_s,
+        "idempotent": idempotent,
+        "payload": json.dumps({"duration_s": duration_s}),
+    }
+
+
 async def submit(
     sender: client.Client,
     idempotency_key: str,
@@ -100,12 +118,7 @@
     Returns:
         The id of the job.
     """
-    body = {
-        "cpu_millis": 1000,
-        "run_time_s": duration_s,
-        "idempotent": idempotent,
-        "payload": json.dumps({"duration_s": duration_s}),
-    }
+    body = make_job(duration_s, idempotent)
     extra = {"Idempotency-Key": idempotency_key}
     answer = None
     for _ in range(tries):
--- a/foxtaillock/settings/converters.py
+++ b/foxtaillock/settings/converters.py
@@ -20,6 +20,7 @@
     "to_digest",
     "to_level",
     "to_name",
+    "to_optional_endpoint",
     "to_reachable_address",
     "to_secret",
     "to_url",
@@ -61,6 +62,16 @@
     return address
 
 
+def to_optional_endpoint(text: str) -> str:
+    """Returns `ADDRESS:PORT` that others can reach, or an empty text."""
+    if not text:
+        return ""
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdecimal() or not 0 < int(port) < 2**16:
+        raise BadValueError("must be ADDRESS:PORT")
+    return f"{to_reachable_address(host)}:{int(port)}"
+
+
 def to_url(text: str) -> str:
     """Returns an HTTP URL without a slash at its end."""
     try:
--- a/foxtaillock/settings/settings.py
+++ b/foxtaillock/settings/settings.py
@@ -42,6 +42,8 @@
         api_port: its port; zero lets the operating system choose.
         peer_host: address for other entry VMs; never a wildcard.
         peer_port: its port; zero lets the operating system choose.
+        peer_advertised: `ADDRESS:PORT` under which other entry VMs reach this
+            one; empty for `peer_host` and `peer_port`.
         log_adapter: implementation of the log interface.
         vm_list_adapter: implementation of the list of VMs.
         worker_adapter: implementation of the worker interface.
@@ -73,6 +75,7 @@
     api_port: int = 0
     peer_host: str = "127.0.0.1"
     peer_port: int = 0
+    peer_advertised: str = ""
     log_adapter: str = "http"
     vm_list_adapter: str = "http"
     worker_adapter: str = "http"
@@ -279,6 +282,7 @@
     "api_port": converters.integer(0, _MAX_PORT),
     "peer_host": converters.to_reachable_address,
     "peer_port": converters.integer(0, _MAX_PORT),
+    "peer_advertised": converters.to_optional_endpoint,
     "log_adapter": converters.adapter("log"),
     "vm_list_adapter": converters.adapter("vm-list"),
     "worker_adapter": converters.adapter("worker"),
--- a/foxtaillock/settings/tests/test_settings.py
+++ b/foxtaillock/settings/tests/test_settings.py
@@ -80,6 +80,11 @@
         self.assertEqual(
             self._faults(["--peer-host=0.0.0.0"], {}), ["--peer-host"]
         )
+        for wrong in ("10.0.0.1", "10.0.0.1:0", "0.0.0.0:7", "host:7", ":7"):
+            self.assertEqual(
+                self._faults([f"--peer-advertised={wrong}"], {}),
+                ["--peer-advertised"],
+            )
 
     def test_secret_is_never_shown(self) -> None:
         parsed = settings.parse([], _MINIMAL)
