Notes: objectives with a latency bound and a window, for teams too

A note could promise a share of good requests for queues and services alone, without saying what is late or over which time. Latency and window need an objective; the window is 1 to 30 days, as long as counts are kept.

--- a/foxtaillock/model/objects.py
+++ b/foxtaillock/model/objects.py
@@ -7,17 +7,22 @@
 KINDS = ("team", "pool", "queue", "service")
 
 
-class Team(typing.TypedDict):
+class Team(typing.TypedDict, total=False):
     """A team of submitters.
 
     Attributes:
         share: weight of the team when everything is full, from 1.
         limit: upper limit of what the team has running in the whole fleet,
             jobs and calls together.
+        objective, objective_latency_s, objective_window_days: see `Service`;
+            calls and jobs of the team together.
     """
 
     share: int
     limit: int
+    objective: float
+    objective_latency_s: float
+    objective_window_days: int
 
 
 class Pool(typing.TypedDict, total=False):
@@ -47,7 +52,8 @@
         open: whether submitters need no key; jobs then count for `team`.
         team: team that jobs without a key count for.
         max_waiting: jobs that may wait at most.
-        objective: fraction of jobs to start in time, for the burn report.
+        objective, objective_latency_s, objective_window_days: see `Service`;
+            a job is in time if its first attempt starts in time.
     """
 
     pool: str
@@ -56,6 +62,8 @@
     team: str
     max_waiting: int
     objective: float
+    objective_latency_s: float
+    objective_window_days: int
 
 
 class Service(typing.TypedDict, total=False):
@@ -67,7 +75,10 @@
         open: whether callers need no key; calls then count for `team`.
         team: team that calls without a key count for.
         max_deadline_s: longest deadline of a call, in seconds.
-        objective: fraction of calls to answer, for the burn report.
+        objective: share of good requests that is promised.
+        objective_latency_s: longest time of a good call until its answer, in
+            seconds; any is good if it is absent.
+        objective_window_days: days that the share is promised over.
     """
 
     slots: int
@@ -76,3 +87,5 @@
     team: str
     max_deadline_s: float
     objective: float
+    objective_latency_s: float
+    objective_window_days: int
--- a/foxtaillock/notes/rules.py
+++ b/foxtaillock/notes/rules.py
@@ -37,6 +37,9 @@
             faults.append(("open", message))
         if body.get("teams"):
             faults.append(("teams", "an open queue takes work of any team"))
+    for field in ("objective_latency_s", "objective_window_days"):
+        if is_whole and field in body and "objective" not in body:
+            faults.append((field, "needs an objective"))
     return faults
 
 
--- a/foxtaillock/notes/tests/test_notes.py
+++ b/foxtaillock/notes/tests/test_notes.py
@@ -128,6 +128,26 @@
             ],
         )
 
+    def test_objectives(self) -> None:
+        text = (
+            "note: x\n"
+            "added:\n"
+            "  teams:\n"
+            "    a: {share: 1, limit: 1, objective_latency_s: 2}\n"
+            "    b: {share: 1, limit: 1, objective: 1}\n"
+            "    c: {share: 1, limit: 1, objective: 0.9, objective_latency_s: 2,"
+            " objective_window_days: 31}\n"
+        )
+        places = [place for place, _, _ in _faults(parser.parse(text))]
+        self.assertEqual(
+            places, ["team/b.objective", "team/c.objective_window_days"]
+        )
+        text = text.replace("31", "30").replace("objective: 1}", "limit: 1}")
+        text = text.replace("limit: 1, limit: 1", "limit: 1")
+        self.assertEqual(
+            _faults(parser.parse(text)), [("team/a.objective_latency_s", 4, 29)]
+        )
+
     def test_duplicates_aliases_tags_and_depth_are_refused(self) -> None:
         for text, place in (
             ("note: a\nnote: b\n", ("note", 2, 1)),
