Report on burn: counts on each entry VM, alerts, metrics, command and page

Cause: nothing told operators how fast the promised service levels are used up. Counts live in bounded buckets on each entry VM; the command asks every entry VM and adds them up; alerts are the multiwindow, multi-burn-rate ones of the Site Reliability Workbook.

Guards taken out one by one, each seen failing: emptying of passed buckets, short window, older revisions left out, late job counted once, end of a job counted once, caller's faults, one process counted once, check of the file before anything is asked, check of the file when it is written (this one failed no test at first: a test was added), unknown arguments.

--- a/foxtaillock/api/admin.py
+++ b/foxtaillock/api/admin.py
@@ -80,6 +80,9 @@
     def explain_vm(self, name: str) -> Row:
         """Returns why a VM stands where it stands."""
 
+    async def burn_report(self) -> Row:
+        """Returns what this entry VM has counted for the report on burn."""
+
     def status(self) -> Row:
         """Returns the state of this entry VM and what it knows."""
 
@@ -103,6 +106,7 @@
     )
     router.add_get(f"{_PREFIX}/explain/vm/{{name}}", admin.explain_vm)
     router.add_get(f"{_PREFIX}/status", admin.status)
+    router.add_get(f"{_PREFIX}/reports/burn", admin.burn_report)
     for what in LISTS:
         router.add_get(f"{_PREFIX}/{what}", admin.list_rows)
         router.add_get(f"{_PREFIX}/{what}/{{name}}", admin.show_row)
@@ -200,6 +204,11 @@
         self._operator(request)
         return _json(self._backend.explain_vm(bodies.read_id(request, "name")))
 
+    async def burn_report(self, request: web.Request) -> web.Response:
+        """Shows what this entry VM has counted."""
+        self._operator(request)
+        return _json(await self._backend.burn_report())
+
     async def status(self, request: web.Request) -> web.Response:
         """Shows the state of this entry VM."""
         self._operator(request)
--- a/foxtaillock/cli/client.py
+++ b/foxtaillock/cli/client.py
@@ -8,10 +8,17 @@
 
 import aiohttp
 
-__all__ = ["Answer", "Client", "ExitCode", "Failure", "make_client"]
+__all__ = [
+    "Answer",
+    "Client",
+    "ExitCode",
+    "Failure",
+    "TIMEOUT_S",
+    "make_client",
+]
 
 _BASE_PATH = "/admin/v1/"
-_TIMEOUT_S = 30.0
+TIMEOUT_S = 30.0
 _PROBLEM_TYPE = "application/problem+json"
 _UNKNOWN_OUTCOME = "unknown"
 _UNKNOWN_CODES = ("outcome-unknown", "unknown")
@@ -55,9 +62,12 @@
 class Client:
     """Sends one request at a time and never tries again."""
 
-    def __init__(self, server: str, operator_key: str) -> None:
+    def __init__(
+        self, server: str, operator_key: str, timeout_s: float = TIMEOUT_S
+    ) -> None:
         self._base = server.rstrip("/") + _BASE_PATH
         self._headers = {"Authorization": f"Bearer {operator_key}"}
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
 
     async def request(
         self,
@@ -80,9 +90,8 @@
         headers = dict(self._headers)
         if text is not None:
             headers["Content-Type"] = "application/yaml"
-        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
         try:
-            async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with aiohttp.ClientSession(timeout=self._timeout) as session:
                 async with session.request(
                     method,
                     self._base + path,
@@ -150,7 +159,9 @@
     return Failure(ExitCode.UNKNOWN, "outcome-unknown", detail)
 
 
-def make_client(server: str, operator_key: str) -> Client | Failure:
+def make_client(
+    server: str, operator_key: str, timeout_s: float = TIMEOUT_S
+) -> Client | Failure:
     """Returns a client, or the failure that its arguments lead to."""
     parts = urllib.parse.urlsplit(server)
     if parts.scheme not in ("http", "https") or not parts.netloc:
@@ -159,4 +170,4 @@
     if not operator_key or not operator_key.isprintable():
         detail = "FOXTAILLOCK_OPERATOR_KEY or --key-file must hold a key"
         return Failure(ExitCode.BAD_INPUT, "no-key", detail)
-    return Client(server, operator_key)
+    return Client(server, operator_key, timeout_s)
--- a/foxtaillock/cli/main.py
+++ b/foxtaillock/cli/main.py
@@ -18,6 +18,7 @@
 
 from foxtaillock.cli import client
 from foxtaillock.cli import output
+from foxtaillock.cli import report
 
 __all__ = ["Commands", "main"]
 
@@ -30,8 +31,8 @@
     """Options of one run of the tool."""
 
     def __init__(self, server: str, output_format: str, key_file: str) -> None:
-        self._server = server
-        self._output_format = output_format
+        self.server = server
+        self.output_format = output_format
         self._key_file = key_file
 
     def run(
@@ -42,29 +43,39 @@
 
     def run_list(self, *parts: typing.Any) -> None:
         """Reads all pages of a list and prints them together."""
+        self.show({"items": self.fetch_list(*parts)})
+
+    def fetch_list(self, *parts: typing.Any) -> list[typing.Any]:
+        """Reads all pages of a list; ends the tool on failure."""
         items: list[typing.Any] = []
         query = {"limit": str(_PAGE_ITEMS)}
         while True:
             page = self.fetch("GET", *parts, query=query)
             items += page.get("items", [])
             if not page.get("next"):
-                break
+                return items
             query["after"] = page["next"]
-        self.show({"items": items})
 
     def fetch(
         self, method: str, *parts: typing.Any, **arguments: typing.Any
     ) -> typing.Any:
         """Sends a request and returns its data; ends the tool on failure."""
-        made = client.make_client(self._server, self._read_key())
-        if isinstance(made, client.Failure):
-            self.fail(made)
+        made = self.make_client(self.server)
         path = "/".join(urllib.parse.quote(str(p), safe="") for p in parts)
         answer = asyncio.run(made.request(method, path, **arguments))
         if isinstance(answer, client.Failure):
             self.fail(answer)
         return answer.data
 
+    def make_client(
+        self, server: str, timeout_s: float = client.TIMEOUT_S
+    ) -> client.Client:
+        """Returns a client of a server; ends the tool on bad arguments."""
+        made = client.make_client(server, self._read_key(), timeout_s)
+        if isinstance(made, client.Failure):
+            self.fail(made)
+        return made
+
     def read_file(self, path: str) -> str:
         """Returns the text of a file; ends the tool if it can't be read."""
         try:
@@ -77,13 +88,15 @@
                 client.Failure(client.ExitCode.BAD_INPUT, "bad-file", detail)
             )
 
-    def show(self, data: typing.Any) -> None:
-        """Prints the data of an answer."""
-        print(output.render(data, self._output_format), flush=True)
+    def show(self, data: typing.Any, output_format: str = "") -> None:
+        """Prints the data of an answer, in the format of --output if no other
+        is given."""
+        chosen = output_format or self.output_format
+        print(output.render(data, chosen), flush=True)
 
     def fail(self, failure: client.Failure) -> typing.NoReturn:
         """Prints a failure on standard error and ends the tool."""
-        text = output.render_failure(failure, self._output_format)
+        text = output.render_failure(failure, self.output_format)
         print(text, file=sys.stderr)
         raise SystemExit(int(failure.exit_code))
 
@@ -239,6 +252,7 @@
         self.job = _Jobs(session, "jobs")
         self.wave = _Waves(session, "waves")
         self.explain = _Explain(session)
+        self.report = report.Report(session)
 
     def status(self) -> None:
         """Shows the state of the system."""
--- /dev/null
+++ b/foxtaillock/cli/tests/test_report.py
@@ -0,0 +1,161 @@
+"""Tests of the report on burn, against entry VMs that answer from a script."""
+
+import contextlib
+import functools
+import io
+import json
+import os
+import pathlib
+import shutil
+import tempfile
+import types
+import typing
+import unittest
+from unittest import mock
+
+from foxtaillock.cli import client
+from foxtaillock.cli import main
+from foxtaillock.reports import burn
+from foxtaillock.reports import counts
+from foxtaillock.reports import merge
+from foxtaillock.reports import recorder
+
+
+def _report(incarnation: str, *numbers: int) -> client.Answer:
+    objective = burn.Objective(0.9)
+    row = recorder.Row(
+        "service",
+        "quotes",
+        1,
+        objective,
+        60.0,
+        {w: counts.Counts(*numbers) for w in burn.windows_of(objective)},
+    )
+    rows = [merge.encode_row(row)]
+    return client.Answer({"incarnation": incarnation, "objectives": rows})
+
+
+class ReportTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.asked: list[str] = []
+        self.appears = False
+        self.answers: dict[str, client.Answer | client.Failure] = {
+            "1.1.1.1:1": _report("i1", 8, 2),
+            "1.1.1.2:1": _report("i2", 10, 0, 10),
+        }
+        folder = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, folder)
+        self.page = pathlib.Path(folder) / "burn.html"
+
+    def _make_client(self, server: str, *_: typing.Any) -> typing.Any:
+        """Returns a client that answers from the script."""
+        request = functools.partial(self._request, server)
+        return types.SimpleNamespace(request=request)
+
+    async def _request(
+        self, server: str, _: str, path: str, **__: typing.Any
+    ) -> client.Answer | client.Failure:
+        self.asked.append(path)
+        if self.appears:
+            self.page.write_text("mine", encoding="utf-8")
+        if path == "nodes":
+            items = [
+                {"name": f"n{i}", "zone": "z", "api_address": address}
+                for i, address in enumerate(self.answers)
+            ]
+            return client.Answer({"items": items, "next": None})
+        return self.answers[server.removeprefix("http://")]
+
+    def _run(self, *arguments: str) -> tuple[int, str, str]:
+        out, err = io.StringIO(), io.StringIO()
+        code = 0
+        environment = {
+            "FOXTAILLOCK_SERVER": "http://1.1.1.1:1",
+            "FOXTAILLOCK_OPERATOR_KEY": "k",
+        }
+        with (
+            mock.patch.dict(os.environ, environment),
+            mock.patch.object(client, "Client", self._make_client),
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            try:
+                main.main(["report", "burn", *arguments])
+            except SystemExit as stop:
+                code = int(stop.code or 0)
+        return code, out.getvalue(), err.getvalue()
+
+    def test_counts_of_all_entry_vms_are_added(self) -> None:
+        code, out, _ = self._run("--format", "json")
+        (row,) = json.loads(out)["objectives"]
+        self.assertEqual(code, 0)
+        self.assertEqual((row["good"], row["late"], row["failed"]), (18, 2, 10))
+        self.assertEqual((row["alert"], row["nodes"]), ("slow", ["n0", "n1"]))
+        self.assertIn("slow", self._run()[1])
+
+    def test_silent_entry_vm_is_named(self) -> None:
+        self.answers["1.1.1.2:1"] = client.Failure(
+            client.ExitCode.UNREACHABLE, "unreachable", "refused"
+        )
+        self.answers["1.1.1.3:1"] = client.Answer({"incarnation": "x"})
+        code, out, _ = self._run("--format", "json")
+        made = json.loads(out)
+        self.assertEqual(code, 0)
+        self.assertEqual(made["objectives"][0]["nodes"], ["n0"])
+        answered = [row["answered"] for row in made["nodes"]]
+        self.assertEqual(answered, [True, False, False])
+
+    def test_no_counts_at_all_is_a_failure(self) -> None:
+        for address in self.answers:
+            self.answers[address] = client.Failure(
+                client.ExitCode.UNREACHABLE, "unreachable", "refused"
+            )
+        self.assertEqual(self._run()[:2], (3, ""))
+
+    def test_two_sessions_of_one_process_count_once(self) -> None:
+        self.answers["1.1.1.2:1"] = self.answers["1.1.1.1:1"]
+        _, out, _ = self._run("--format", "json")
+        self.assertEqual(json.loads(out)["objectives"][0]["good"], 8)
+
+    def test_bad_arguments_are_named_and_nothing_is_asked(self) -> None:
+        folder = self.page.parent
+        for arguments, named in (
+            (["--format", "xml"], "--format"),
+            (["--format"], "--format"),
+            (["--force=3"], "--force"),
+            (["--html"], "--html"),
+            (["--html", str(folder)], "--html"),
+            (["--html", str(folder / "none" / "x.html")], "--html"),
+            (["--window", "3"], "--window"),
+            (["json"], "json"),
+        ):
+            with self.subTest(arguments=arguments):
+                code, out, err = self._run(*arguments)
+                self.assertEqual((code, out), (2, ""))
+                self.assertIn(named, err)
+        self.assertEqual(self.asked, [])
+
+    def test_page_is_whole_and_overwrites_only_when_forced(self) -> None:
+        self.page.write_text("mine", encoding="utf-8")
+        code, out, err = self._run("--html", str(self.page))
+        self.assertEqual((code, out), (2, ""))
+        self.assertIn("--html", err)
+        self.assertEqual(self.page.read_text(encoding="utf-8"), "mine")
+        self.assertEqual(self.asked, [])
+        self.assertEqual(self._run("--html", str(self.page), "--force")[0], 0)
+        text = self.page.read_text(encoding="utf-8")
+        self.assertTrue(text.endswith("</html>\n"))
+        self.assertIn("<svg", text)
+        self.assertIn("service quotes", text)
+        for outside in ("src=", "<script", "<link", "@import"):
+            self.assertNotIn(outside, text)
+        self.assertEqual(os.listdir(self.page.parent), ["burn.html"])
+
+    def test_file_that_appears_meanwhile_is_kept(self) -> None:
+        self.appears = True
+        code, out, err = self._run("--html", str(self.page))
+        self.assertEqual((code, out), (2, ""))
+        self.assertIn("--html", err)
+        self.assertEqual(self.page.read_text(encoding="utf-8"), "mine")
+        self.assertEqual(os.listdir(self.page.parent), ["burn.html"])
--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -46,6 +46,7 @@
         on_withdrawn: called with each key id before its withdrawal is recorded.
         explain: returns why a VM is planned to move; only the owner of the
             fleet knows.
+        burn: returns the counts of this entry VM for the report on burn.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         status: Callable[[], admin.Row],
         on_withdrawn: Callable[[str], None],
         explain: Callable[[str], str],
+        burn: Callable[[], admin.Row],
     ) -> None:
         self._state = state
         self._replica = replica
@@ -66,6 +68,7 @@
         self._status = status
         self._on_withdrawn = on_withdrawn
         self._explain = explain
+        self._burn = burn
         self.keys = key_checker
 
     async def check_note(self, text: str) -> admin.Row:
@@ -316,6 +319,10 @@
                 return row
         raise problems.Problem("not-found", f"no VM {name!r}")
 
+    async def burn_report(self) -> admin.Row:
+        """Returns what this entry VM has counted for the report on burn."""
+        return self._burn()
+
     def status(self) -> admin.Row:
         """Returns the state of this entry VM and what it knows."""
         return self._status()
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -20,6 +20,7 @@
 from foxtaillock.calls import service as call_service
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
+from foxtaillock.daemon import burn_keeper
 from foxtaillock.daemon import call_claims
 from foxtaillock.daemon import control_part
 from foxtaillock.daemon import grant_keeper
@@ -116,6 +117,7 @@
             grants=self.grants,
             claims=self.claims,
         )
+        self.burn = burn_keeper.BurnKeeper(self.clock, self.state)
         self.pools = pool_keeper.PoolKeeper(
             settings.node_name,
             self.state,
@@ -127,6 +129,7 @@
             rng,
             self.grants,
             budget,
+            self.burn,
         )
         self.grant_keeper = grant_keeper.GrantKeeper(
             settings.node_name,
@@ -185,6 +188,7 @@
             self._status,
             self._on_withdrawn,
             self.fleet.explain,
+            self._burn_report,
         )
 
     def _build_http(self) -> None:
@@ -217,6 +221,7 @@
         )
         for name, text, read in gauges:
             metrics.add_gauge(self.registry, f"foxtaillock_{name}", text, read)
+        metrics.add_burn(self.registry, self.burn.rows)
 
     async def start(self) -> None:
         """Joins the fleet; returns once this VM serves.
@@ -246,6 +251,7 @@
             self.pools.run(),
             self.grant_keeper.run(),
             self.fleet.run(),
+            self.burn.run(),
         ):
             self._background.spawn(loop)
         self._on_world_change()
@@ -346,6 +352,7 @@
             typing.cast(typing.Any, services),
             typing.cast(typing.Any, teams),
         )
+        self.burn.update()
         self.pools.update(vms)
         self.links.update_members(self._members())
         self._known_sessions = {
@@ -407,6 +414,14 @@
             "not_ready": self._not_ready,
         }
 
+    def _burn_report(self) -> admin.Row:
+        return {
+            "node": self.settings.node_name,
+            "incarnation": self.control.incarnation,
+            "zone": self.settings.zone,
+            "objectives": self.burn.encoded_rows(),
+        }
+
     def find_object(
         self, kind: str, name: str
     ) -> typing.Mapping[str, typing.Any] | None:
@@ -418,11 +433,13 @@
         self, request: adapters.CallRequest, team: str
     ) -> outcomes.Outcome:
         """Runs one call for `team`."""
-        return await self.calls.call(request, team)
+        return await self.burn.call(self.calls.call, request, team)
 
     async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
         """Hands a job to the owner of its pool."""
-        return await self.jobs.submit_job(order)
+        reply = await self.jobs.submit_job(order)
+        self.burn.note_submission(order, reply)
+        return reply
 
     async def read_job(
         self, job_id: str, team: str, wait_s: float
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -12,8 +12,10 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.daemon import background
+from foxtaillock.daemon import burn_keeper
 from foxtaillock.daemon import pool_grants
 from foxtaillock.daemon import session_keeper
+from foxtaillock.jobs import job as jobs
 from foxtaillock.jobs import owner as owners
 from foxtaillock.jobs import pool_snapshots
 from foxtaillock.jobs import pool_state
@@ -56,6 +58,7 @@
         rng: source of jitter and ids.
         grants: this node's part of the teams' limits.
         budget: budget of appends.
+        burn: counts the jobs of the owned pools, if given.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         rng: random.Random,
         grants: limits.LocalGrants,
         budget: budgets.AppendBudget | None,
+        burn: burn_keeper.BurnKeeper | None = None,
     ) -> None:
         self._node = node
         self._state = state
@@ -81,6 +85,7 @@
         self._rng = rng
         self._grants = grants
         self._budget = budget
+        self._burn = burn
         self._held: dict[str, _Held] = {}
         self._starting: set[str] = set()
         self._background = background.Background()
@@ -167,6 +172,7 @@
             return
         finally:
             self._starting.discard(pool)
+        self._start_counting(pool, epoch, owner, state)
         work = self._background.spawn(owner.run())
         carry = self._background.spawn(self._carry(pool, epoch, grants))
         save = self._background.spawn(saved.run())
@@ -176,6 +182,25 @@
         self._update(pool, owner)
         logger.info("owner of pool {} with epoch {}", pool, epoch)
 
+    def _start_counting(
+        self,
+        pool: str,
+        epoch: int,
+        owner: owners.PoolOwner,
+        state: pool_state.PoolState,
+    ) -> None:
+        """Counts jobs while the pool is held, so that no two nodes do."""
+        if self._burn is None:
+            return
+        burn = self._burn
+
+        def _note(job: jobs.Job) -> None:
+            if self._session.owns(pool, epoch):
+                burn.note_job(pool, job)
+
+        burn.take_over(pool, (*state.waiting_jobs(), *state.active_jobs()))
+        owner.on_job = _note
+
     async def _carry(
         self, pool: str, epoch: int, grants: pool_grants.PoolGrants
     ) -> None:
@@ -210,6 +235,8 @@
         held = self._held.pop(pool)
         self.owners.pop(pool, None)
         await held.owner.stop()
+        if self._burn is not None:
+            self._burn.drop(pool)
         for task in held.tasks:
             task.cancel()
         logger.info("no longer owner of pool {}", pool)
--- /dev/null
+++ b/foxtaillock/integration/tests/test_reports.py
@@ -0,0 +1,90 @@
+"""Proof of the report on burn with three real entry VMs."""
+
+import asyncio
+import json
+import os
+import sys
+import typing
+
+from foxtaillock.integration import processes
+from foxtaillock.integration import scenario
+from foxtaillock.integration.tests import base
+
+_CALL = "/v1/services/quotes/call/x"
+_OBJECTIVE_NOTE = """
+note: objectives
+changed:
+  services:
+    quotes: {objective: 0.99, objective_latency_s: 5}
+  queues:
+    bend: {objective: 0.9, objective_latency_s: 30}
+  teams:
+    trinidad: {objective: 0.95}
+"""
+
+
+class BurnReportTest(base.FleetTestCase):
+
+    async def _report(
+        self, entry: processes.Entry
+    ) -> dict[tuple[str, str], dict[str, typing.Any]]:
+        """Returns the objectives as `report burn` at an entry VM shows them."""
+        environment = {
+            **os.environ,
+            "FOXTAILLOCK_SERVER": entry.url,
+            "FOXTAILLOCK_OPERATOR_KEY": processes.OPERATOR_KEY,
+        }
+        command = "-m foxtaillock.cli.main report burn --format json"
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *command.split(),
+            env=environment,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        out, _ = await process.communicate()
+        self.assertEqual(process.returncode, 0)
+        made = json.loads(out)
+        self.assertTrue(all(row["answered"] for row in made["nodes"]))
+        return {(row["kind"], row["name"]): row for row in made["objectives"]}
+
+    async def _send(self, sender: typing.Any, count: int) -> None:
+        extra = {"X-Idempotent": "true"}
+        for i in range(count):
+            await sender.send("POST", _CALL, "{}", extra, entry=i)
+
+    async def test_failing_runner_raises_the_alert_on_every_entry_vm(
+        self,
+    ) -> None:
+        accepted = await self.fleet.client().send(
+            "POST", "/admin/v1/notes/accept", _OBJECTIVE_NOTE
+        )
+        self.assertEqual(accepted.status, 200, accepted)
+        sender = await self.make_sender("trinidad")
+        await self._send(sender, 30)
+        job = await scenario.submit(sender, "k1")
+        await self.await_done(sender, [job])
+        before = await self._report(self.fleet.entries[0])
+        quotes = before["service", "quotes"]
+        self.assertEqual((quotes["good"], quotes["alert"]), (30, "none"))
+        self.assertEqual(before["queue", "bend"]["good"], 1)
+        self.assertEqual(before["team", "trinidad"]["good"], 31)
+        vms = await self.fleet.client().send("GET", "/admin/v1/vms?limit=500")
+        for row in vms.body["items"]:
+            if row["role"] == "runner":
+                await self.fleet.admin_post(
+                    f"{self.fleet.urls['runners_admin']}/admin/faults",
+                    {"vm": row["name"], "fail_all": True},
+                )
+        await self._send(sender, 30)
+        for entry in self.fleet.entries:
+            quotes = (await self._report(entry))["service", "quotes"]
+            self.assertEqual(quotes["good"] + quotes["bad"], 60)
+            self.assertEqual(quotes["failed"], 30)
+            self.assertEqual(quotes["alert"], "fast")
+            self.assertEqual(len(quotes["nodes"]), 3)
+        async with self.fleet.session.get(
+            f"{self.fleet.entries[0].url}/metrics"
+        ) as answer:
+            text = await answer.text()
+        labels = 'alert="fast",kind="service",name="quotes"'
+        self.assertIn(f"foxtaillock_objective_alert{{{labels}}} 1.0", text)
--- a/foxtaillock/jobs/owner.py
+++ b/foxtaillock/jobs/owner.py
@@ -61,6 +61,9 @@
         grants: this node's part of the teams' upper limits.
         node: name of this entry VM.
         settings: times of the owner.
+
+    Attributes:
+        on_job: called with each job that a record changed.
     """
 
     def __init__(
@@ -107,6 +110,7 @@
         )
         self._intake = intake.Intake(self._context)
         self._waiters: dict[str, list[asyncio.Future[None]]] = {}
+        self.on_job: Callable[[jobs_job.Job], None] = lambda _: None
 
     @property
     def is_deposed(self) -> bool:
@@ -301,6 +305,7 @@
             return
 
     def _on_change(self, job: jobs_job.Job) -> None:
+        self.on_job(job)
         if job.state in jobs_job.WAITING:
             self._backlog.add(job)
         else:
--- a/foxtaillock/reports/__init__.py
+++ b/foxtaillock/reports/__init__.py
@@ -1,1 +1,1 @@
-"""Service-level burn and the users' measures."""
+"""Reports for operators: burn of service levels and measures of the fleet."""
