--- /dev/null
+++ b/bench/burn_report.py
@@ -0,0 +1,81 @@
+"""Measures what the report on burn costs an entry VM."""
+
+import json
+import random
+import time
+import tracemalloc
+
+from bench import harness
+from foxtaillock.model import outcomes
+from foxtaillock.reports import merge
+from foxtaillock.reports import recorder
+
+__all__ = ["run"]
+
+_OBJECTIVES = (8, 80, 400)
+_MICROSECONDS = 1e6
+_MILLISECONDS = 1e3
+
+
+def run(quick: bool) -> harness.Result:
+    """Returns cost of a counted call, of an answer, and its size."""
+    calls = 2_000 if quick else 50_000
+
+    def _trial(rng: random.Random) -> dict[str, float]:
+        figures: dict[str, float] = {}
+        for count in _OBJECTIVES:
+            figures |= _measure(rng, count, calls)
+        return figures
+
+    measurements = harness.repeat(_trial, 1 if quick else 5)
+    return harness.result("burn_report", quick, {"calls": calls}, measurements)
+
+
+def _measure(rng: random.Random, count: int, calls: int) -> dict[str, float]:
+    """Returns the figures with `count` objectives, half of them teams'."""
+    half = count // 2
+    objects = _objects(half)
+    tracemalloc.start()
+    counted = recorder.BurnRecorder()
+    counted.update(objects, 0.0)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    call_us = _time_calls(rng, counted, half, calls)
+    begin_s = time.process_time()
+    rows = counted.rows(calls * 0.01)
+    text = json.dumps(list(map(merge.encode_row, rows)))
+    report_ms = (time.process_time() - begin_s) * _MILLISECONDS
+    return {
+        f"memory_{count}_objectives_bytes": float(memory_bytes),
+        f"call_{count}_objectives_us": call_us,
+        f"answer_{count}_objectives_ms": report_ms,
+        f"answer_{count}_objectives_bytes": float(len(text)),
+    }
+
+
+def _time_calls(
+    rng: random.Random, counted: recorder.BurnRecorder, half: int, calls: int
+) -> float:
+    """Returns microseconds to count one call for service and team."""
+    names = [
+        (f"s{rng.randrange(half)}", f"t{rng.randrange(half)}")
+        for _ in range(calls)
+    ]
+    ran = outcomes.Ran()
+    begin_s = time.process_time()
+    for i, (service, team) in enumerate(names):
+        counted.record_call(service, team, ran, rng.random() * 1.1, i * 0.01)
+    return (time.process_time() - begin_s) / calls * _MICROSECONDS
+
+
+def _objects(half: int) -> dict[recorder.Key, tuple[int, recorder.Body]]:
+    """Returns as many services as teams, all with an objective."""
+    body = {"objective": 0.99, "objective_latency_s": 1.0}
+    objects: dict[recorder.Key, tuple[int, recorder.Body]] = {}
+    for i in range(half):
+        objects["service", f"s{i}"] = objects["team", f"t{i}"] = (1, body)
+    return objects
+
+
+if __name__ == "__main__":
+    harness.main(run)
--- a/foxtaillock/reports/counts.py
+++ b/foxtaillock/reports/counts.py
@@ -111,9 +111,10 @@
 
     def add(self, column: int, now_s: float) -> None:
         """Counts one request in the bucket of now."""
-        self._advance(int(now_s // self._step_s))
-        assert self._newest is not None
-        self._columns[column][self._newest % self._size] += 1
+        index = int(now_s // self._step_s)
+        if index != self._newest:
+            self._advance(index)
+        self._columns[column][index % self._size] += 1
 
     def _advance(self, index: int) -> None:
         """Empties the buckets between the newest one and `index`."""
@@ -130,10 +131,9 @@
         self._advance(int(now_s // self._step_s))
         assert self._newest is not None
         buckets = min(int(-(-window_s // self._step_s)) + 1, self._size)
-        indexes = range(self._newest - buckets + 1, self._newest + 1)
-        return Counts(
-            *(
-                sum(column[i % self._size] for i in indexes)
-                for column in self._columns
-            )
-        )
+        end = self._newest % self._size + 1
+        begin = end - buckets
+        if begin >= 0:
+            return Counts(*(sum(c[begin:end]) for c in self._columns))
+        wrapped = begin + self._size
+        return Counts(*(sum(c[:end]) + sum(c[wrapped:]) for c in self._columns))
