Report on burn: spare capacity, roll-out, moves and shares

Cause: the four measures that users weigh were in no report. Every entry VM folds the same records, so each times what it sees folded; the command takes moves from the longest watcher and joins what any of them heard of the others' progress. What is not known is listed.

Guards taken out one by one, each seen failing: VMs in other pools, a VM replaced in its pool, offset reached, only who was live (no test at first; one added), ended entry VMs left out, verdict of the record, nothing before the watch begins, pools without an owner. A check for VMs on the way failed no test, since the sizes imply it, and was removed.

--- a/foxtaillock/cli/burn_page.py
+++ b/foxtaillock/cli/burn_page.py
@@ -8,6 +8,7 @@
 import matplotlib
 from matplotlib import figure
 
+from foxtaillock.cli import burn_rows
 from foxtaillock.reports import burn
 from foxtaillock.reports import merge
 
@@ -30,26 +31,21 @@
 _UNITS = ((86_400, "d"), (3_600, "h"), (60, "min"), (1, "s"))
 
 
-def render(
-    rows: Sequence[merge.FleetBurn], silent: Sequence[str], made_at: str
-) -> str:
+def render(report: burn_rows.FleetReport, made_at: str) -> str:
     """Returns the page.
 
     Args:
-        rows: burn of all objectives.
-        silent: entry VMs that gave no counts, with the reasons.
+        report: report of the fleet.
         made_at: time of the report, for display.
     """
+    rows = report.objectives
     lines = [
         "<!doctype html>",
         '<html lang="en"><head><meta charset="utf-8">',
         f"<title>Service-level burn</title><style>{_STYLE}</style></head>",
         f"<body><h1>Service-level burn</h1><p>{html.escape(made_at)}</p>",
     ]
-    lines += [
-        f"<p>No counts of entry VM {html.escape(text)}</p>" for text in silent
-    ]
-    lines.append(_table(rows))
+    lines.append(_burn_table(rows))
     worst = sorted(rows, key=lambda row: max(row.standing.rates.values()))
     worst = worst[: -PLOTTED_OBJECTIVES - 1 : -1]
     if worst:
@@ -59,11 +55,14 @@
             " that raise an alert.</p>"
         )
         lines.append(_plot(worst))
+    for title, table in burn_rows.as_tables(report).items():
+        if title != "objectives" and table:
+            lines.append(f"<h2>{html.escape(title)}</h2>{_table(table)}")
     lines.append("</body></html>\n")
     return "\n".join(lines)
 
 
-def _table(rows: Sequence[merge.FleetBurn]) -> str:
+def _burn_table(rows: Sequence[merge.FleetBurn]) -> str:
     heads = ("objective", "promised", "requests", "bad", "budget left", "alert")
     lines = ["<table><tr>", *(f"<th>{head}</th>" for head in heads), "</tr>"]
     for row in rows:
@@ -81,6 +80,17 @@
     return "".join([*lines, "</table>"])
 
 
+def _table(rows: Sequence[dict[str, typing.Any]]) -> str:
+    heads = [f"<th>{html.escape(name)}</th>" for name in rows[0]]
+    lines = ["<table><tr>", *heads, "</tr>"]
+    for row in rows:
+        cells = (html.escape(str(value)) for value in row.values())
+        lines.append("<tr>")
+        lines += [f"<td>{cell}</td>" for cell in cells]
+        lines.append("</tr>")
+    return "".join([*lines, "</table>"])
+
+
 def _plot(rows: Sequence[merge.FleetBurn]) -> str:
     """Returns one panel for each objective, as an SVG element."""
     columns = min(_COLUMNS, len(rows))
--- a/foxtaillock/cli/report.py
+++ b/foxtaillock/cli/report.py
@@ -9,11 +9,9 @@
 import tempfile
 import typing
 import urllib.parse
-from collections.abc import Sequence
 
+from foxtaillock.cli import burn_rows
 from foxtaillock.cli import client
-from foxtaillock.reports import merge
-from foxtaillock.reports import recorder
 
 __all__ = ["Report", "Session"]
 
@@ -41,22 +39,6 @@
         """Prints a failure and ends the tool."""
 
 
-class _NodeAnswer(typing.NamedTuple):
-    """What one entry VM answered.
-
-    Attributes:
-        incarnation: start of its process; empty if it did not answer.
-        detail: why there are no counts, or empty.
-    """
-
-    node: str
-    zone: str
-    address: str
-    incarnation: str
-    rows: tuple[recorder.Row, ...]
-    detail: str
-
-
 class Report:
     """Reports of the whole fleet."""
 
@@ -84,12 +66,15 @@
             self._refuse(f"{name}: no such argument")
         self._check_arguments(format, html, force)
         answers = self._ask_nodes()
-        rows = merge.merge(_rows_by_node(answers))
+        pools = [str(row["name"]) for row in self._session.fetch_list("pools")]
+        made = burn_rows.make_report(answers, pools)
         if html:
-            self._write_page(str(html), force, rows, answers)
+            self._write_page(str(html), force, made)
         chosen = format or self._session.output_format
-        shape = _as_json if chosen == "json" else _as_tables
-        self._session.show(shape(rows, answers), chosen)
+        shape = burn_rows.as_tables
+        if chosen == "json":
+            shape = burn_rows.as_json
+        self._session.show(shape(made), chosen)
 
     def _check_arguments(
         self, output_format: typing.Any, html: typing.Any, force: typing.Any
@@ -116,12 +101,12 @@
             client.Failure(client.ExitCode.BAD_INPUT, "bad-input", detail)
         )
 
-    def _ask_nodes(self) -> list[_NodeAnswer]:
+    def _ask_nodes(self) -> list[burn_rows.NodeAnswer]:
         """Asks every entry VM that the one asked knows of."""
         nodes = self._session.fetch_list("nodes")
         scheme = urllib.parse.urlsplit(self._session.server).scheme
 
-        async def _ask_all() -> list[_NodeAnswer]:
+        async def _ask_all() -> list[burn_rows.NodeAnswer]:
             asked = (self._ask(scheme, row) for row in nodes)
             return list(await asyncio.gather(*asked))
 
@@ -139,9 +124,9 @@
 
     async def _ask(
         self, scheme: str, row: dict[str, typing.Any]
-    ) -> _NodeAnswer:
+    ) -> burn_rows.NodeAnswer:
         node, address = str(row["name"]), str(row["api_address"])
-        silent = _NodeAnswer(node, str(row["zone"]), address, "", (), "")
+        silent = burn_rows.NodeAnswer(node, str(row["zone"]), address)
         asked = self._session.make_client(
             f"{scheme}://{address}", _NODE_TIMEOUT_S
         )
@@ -149,25 +134,21 @@
         if isinstance(answer, client.Failure):
             return silent._replace(detail=f"{answer.code}: {answer.detail}")
         try:
-            rows = tuple(map(merge.decode_row, answer.data["objectives"]))
-            incarnation = str(answer.data["incarnation"])
-        except (KeyError, TypeError, ValueError) as error:
+            return burn_rows.decode(silent, answer.data)
+        except ValueError as error:
             return silent._replace(detail=f"not a report: {error}")
-        return silent._replace(incarnation=incarnation, rows=rows)
 
     def _write_page(
         self,
         name: str,
         force: bool,
-        rows: Sequence[merge.FleetBurn],
-        answers: Sequence[_NodeAnswer],
+        made: burn_rows.FleetReport,
     ) -> None:
         """Writes the page as a whole or not at all."""
         # The plotting library takes long to load; other commands go without.
         page = importlib.import_module("foxtaillock.cli.burn_page")
         now = datetime.datetime.now(datetime.timezone.utc)
-        silent = [f"{a.node}: {a.detail}" for a in answers if a.detail]
-        text = page.render(rows, silent, now.strftime("%Y-%m-%d %H:%M UTC"))
+        text = page.render(made, now.strftime("%Y-%m-%d %H:%M UTC"))
         path = pathlib.Path(name)
         try:
             _write(path, text, force)
@@ -190,71 +171,3 @@
     finally:
         with contextlib.suppress(FileNotFoundError):
             os.unlink(made)
-
-
-def _rows_by_node(
-    answers: Sequence[_NodeAnswer],
-) -> dict[str, tuple[recorder.Row, ...]]:
-    """Returns the counts of each process once, whatever sessions it has."""
-    chosen = {}
-    seen = set()
-    for answer in answers:
-        if answer.incarnation and answer.incarnation not in seen:
-            seen.add(answer.incarnation)
-            chosen[f"{answer.node}/{answer.incarnation}"] = answer.rows
-    return chosen
-
-
-def _as_json(
-    rows: Sequence[merge.FleetBurn], answers: Sequence[_NodeAnswer]
-) -> dict[str, typing.Any]:
-    objectives = []
-    for row in rows:
-        fields: dict[str, typing.Any] = {"kind": row.kind, "name": row.name}
-        fields |= row.objective._asdict()
-        fields |= row.standing.counts._asdict()
-        fields["bad"] = row.standing.counts.bad
-        fields["budget_left"] = row.standing.budget_left
-        fields["burn_by_window_s"] = {
-            str(window_s): rate for window_s, rate in row.standing.rates.items()
-        }
-        fields["alert"] = row.standing.alert
-        fields["counted_s"] = row.counted_s
-        fields["nodes"] = [node.partition("/")[0] for node in row.nodes]
-        objectives.append(fields)
-    return {"objectives": objectives, "nodes": _node_rows(answers)}
-
-
-def _as_tables(
-    rows: Sequence[merge.FleetBurn], answers: Sequence[_NodeAnswer]
-) -> dict[str, typing.Any]:
-    objectives = [
-        {
-            "kind": row.kind,
-            "name": row.name,
-            "promised": row.objective.share,
-            "days": row.objective.window_days,
-            "requests": row.standing.counts.total,
-            "bad": row.standing.counts.bad,
-            "budget_left": round(row.standing.budget_left, 4),
-            "burn": " ".join(
-                f"{rate:.3g}" for rate in row.standing.rates.values()
-            ),
-            "alert": row.standing.alert,
-        }
-        for row in rows
-    ]
-    return {"objectives": objectives, "nodes": _node_rows(answers)}
-
-
-def _node_rows(answers: Sequence[_NodeAnswer]) -> list[dict[str, typing.Any]]:
-    return [
-        {
-            "node": answer.node,
-            "zone": answer.zone,
-            "address": answer.address,
-            "answered": bool(answer.incarnation),
-            "detail": answer.detail,
-        }
-        for answer in answers
-    ]
--- a/foxtaillock/cli/tests/test_report.py
+++ b/foxtaillock/cli/tests/test_report.py
@@ -17,6 +17,8 @@
 from foxtaillock.cli import main
 from foxtaillock.reports import burn
 from foxtaillock.reports import counts
+from foxtaillock.reports import fleet_watch
+from foxtaillock.reports import measures
 from foxtaillock.reports import merge
 from foxtaillock.reports import recorder
 
@@ -31,8 +33,20 @@
         60.0,
         {w: counts.Counts(*numbers) for w in burn.windows_of(objective)},
     )
-    rows = [merge.encode_row(row)]
-    return client.Answer({"incarnation": incarnation, "objectives": rows})
+    note = fleet_watch.NoteRow(
+        "n", 7, "t", 9.0, ("n0", "n1", "gone"), {"n0": 0.0}, 4.0, 2, 1
+    )
+    watch = fleet_watch.WatchRow(60.0, 2, 1, [note])
+    share = measures.TeamShare("p", "shops", 1, 3, 0.1, 0.4, 0.25)
+    return client.Answer(
+        {
+            "incarnation": incarnation,
+            "objectives": [merge.encode_row(row)],
+            "watch": measures.encode_watch(watch),
+            "shares": [share._asdict()],
+            "spare": {"needed": 2, "present": 3, "worst_rack": ["z", "r"]},
+        }
+    )
 
 
 class ReportTest(unittest.TestCase):
@@ -59,6 +73,9 @@
         self.asked.append(path)
         if self.appears:
             self.page.write_text("mine", encoding="utf-8")
+        if path == "pools":
+            items = [{"name": "p"}, {"name": "q"}]
+            return client.Answer({"items": items, "next": None})
         if path == "nodes":
             items = [
                 {"name": f"n{i}", "zone": "z", "api_address": address}
@@ -94,6 +111,21 @@
         self.assertEqual((row["alert"], row["nodes"]), ("slow", ["n0", "n1"]))
         self.assertIn("slow", self._run()[1])
 
+    def test_measures_and_what_is_not_known(self) -> None:
+        _, out, _ = self._run("--format", "json")
+        made = json.loads(out)
+        self.assertEqual(made["spare"]["present"], 3)
+        (note,) = made["moves"]["notes"]
+        self.assertEqual((note["moves"], note["moves_done_s"]), (2, 4.0))
+        self.assertEqual((note["in_force_s"], note["not_seen"]), (None, ["n1"]))
+        (share,) = made["shares"]
+        self.assertEqual((share["team"], share["nearness"]), ("shops", 0.25))
+        self.assertEqual(len(made["not_known"]), 3)
+        self.assertIn("without an owner here: q", made["not_known"][-1])
+        table = self._run()[1]
+        self.assertIn("worst_rack".upper(), table)
+        self.assertIn("not_known", table)
+
     def test_silent_entry_vm_is_named(self) -> None:
         self.answers["1.1.1.2:1"] = client.Failure(
             client.ExitCode.UNREACHABLE, "unreachable", "refused"
--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -13,6 +13,7 @@
 from foxtaillock.daemon import key_desk
 from foxtaillock.fleet import model as fleet_model
 from foxtaillock.fleet import preview
+from foxtaillock.fleet import spares
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
@@ -321,7 +322,15 @@
 
     async def burn_report(self) -> admin.Row:
         """Returns what this entry VM has counted for the report on burn."""
-        return self._burn()
+        specs = fleet_model.make_pool_specs(
+            {
+                name: row.body
+                for name, row in self._state.objects("pool").items()
+            }
+        )
+        in_waves = len(self._state.disruptions)
+        need = spares.compute_need(specs, self._workers(), in_waves)
+        return {**self._burn(), "spare": need._asdict()}
 
     def status(self) -> admin.Row:
         """Returns the state of this entry VM and what it knows."""
--- /dev/null
+++ b/foxtaillock/daemon/measures_keeper.py
@@ -0,0 +1,105 @@
+"""Watches the control stream for the measures of the fleet."""
+
+import typing
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from foxtaillock.jobs import owner as owners
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.peers import messages
+from foxtaillock.reports import fleet_watch
+from foxtaillock.reports import measures
+from foxtaillock.state import control_view
+
+__all__ = ["MeasuresKeeper"]
+
+
+class MeasuresKeeper:
+    """Feeds a `FleetWatch` from folded records and peers' heartbeats.
+
+    Args:
+        node: name of this entry VM.
+        clock: source of time.
+        state: fold of the control stream.
+        owners_by_pool: live mapping of the pools owned here.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        clock: clocks.Clock,
+        state: control_view.ControlView,
+        owners_by_pool: Mapping[str, owners.PoolOwner],
+    ) -> None:
+        self._node = node
+        self._clock = clock
+        self._state = state
+        self._owners = owners_by_pool
+        self._watch = fleet_watch.FleetWatch()
+
+    def begin(self) -> None:
+        """Starts to watch, once the state is caught up."""
+        places = {
+            name: fleet_watch.Place(vm.pool, vm.step)
+            for name, vm in self._state.vms.items()
+        }
+        now_s = self._clock.monotonic_s()
+        self._watch.begin(places, self._sizes(), now_s)
+
+    def _sizes(self) -> dict[str, int]:
+        pools = self._state.objects("pool")
+        return {name: int(row.body["size"]) for name, row in pools.items()}
+
+    def note_batch(
+        self,
+        offset: int,
+        batch: records.Batch,
+        found: Sequence[verdicts.Verdict],
+    ) -> None:
+        """Takes over a batch that was folded now."""
+        if not self._watch.is_watching:
+            return
+        now_s = self._clock.monotonic_s()
+        for record, verdict in zip(batch.records, found, strict=True):
+            if verdict != verdicts.ACCEPTED:
+                continue
+            if isinstance(record, records.NoteAccepted):
+                self._note_accepted(offset + 1, record, now_s)
+            elif isinstance(record, records.VmStep):
+                place = fleet_watch.Place(record.pool, record.step)
+                self._watch.vm_stepped(record.vm, place, now_s)
+
+    def _note_accepted(
+        self, revision: int, note: records.NoteAccepted, now_s: float
+    ) -> None:
+        sessions = self._state.sessions.items()
+        live = {key.node for key, row in sessions if not row.ended}
+        self._watch.note_accepted(
+            note.note_id, revision, note.title, live, self._sizes(), now_s
+        )
+        self._watch.heard(self._node, revision, now_s)
+
+    def note_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        """Takes over how far a peer has folded the control stream."""
+        self._watch.heard(
+            heartbeat.node, heartbeat.next_offset, self._clock.monotonic_s()
+        )
+
+    def report(self) -> dict[str, typing.Any]:
+        """Returns what this entry VM knows, as JSON."""
+        return {
+            "watch": measures.encode_watch(
+                self._watch.row(self._clock.monotonic_s())
+            ),
+            "shares": [
+                measures.TeamShare(
+                    pool,
+                    *team,
+                    measures.nearness(team.used, team.due, team.waiting),
+                )._asdict()
+                for pool, owner in sorted(self._owners.items())
+                for team in owner.status().teams
+            ],
+        }
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -25,6 +25,7 @@
 from foxtaillock.daemon import control_part
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
+from foxtaillock.daemon import measures_keeper
 from foxtaillock.daemon import metrics
 from foxtaillock.daemon import peer_desk
 from foxtaillock.daemon import platform_links
@@ -131,6 +132,9 @@
             budget,
             self.burn,
         )
+        self.measures = measures_keeper.MeasuresKeeper(
+            settings.node_name, self.clock, self.state, self.pools.owners
+        )
         self.grant_keeper = grant_keeper.GrantKeeper(
             settings.node_name,
             self.session,
@@ -164,7 +168,11 @@
             settings.node_name, settings.zone, settings.region, ""
         )
         self.peer_desk = peer_desk.PeerDesk(
-            self.pools.owners, self.keys, self._heartbeat, self._spread
+            self.pools.owners,
+            self.keys,
+            self._heartbeat,
+            self._spread,
+            self.measures.note_heartbeat,
         )
         self.links = links.PeerLinks(
             own,
@@ -234,6 +242,7 @@
         self._background.spawn(self._follow_control())
         self._background.spawn(self.control.snapshotter.run())
         await self._retry(self.replica.catch_up)
+        self.measures.begin()
         await self.vm_watch.poll()
         peer_port = await self.peer_server.start(
             settings.peer_host, settings.peer_port
@@ -323,10 +332,11 @@
 
     def _on_batch(
         self,
-        _offset: int,
+        offset: int,
         batch: records.Batch,
-        _verdicts: typing.Sequence[verdicts.Verdict],
+        found: typing.Sequence[verdicts.Verdict],
     ) -> None:
+        self.measures.note_batch(offset, batch, found)
         if any(map(self._changes_world, batch.records)):
             self._on_world_change()
 
@@ -420,6 +430,7 @@
             "incarnation": self.control.incarnation,
             "zone": self.settings.zone,
             "objectives": self.burn.encoded_rows(),
+            **self.measures.report(),
         }
 
     def find_object(
--- a/foxtaillock/daemon/peer_desk.py
+++ b/foxtaillock/daemon/peer_desk.py
@@ -17,6 +17,7 @@
         keys: checks keys; takes withdrawals that peers tell of.
         make_heartbeat: returns the own heartbeat.
         spread: sends news to the neighbours without delay.
+        on_heartbeat: called with each heartbeat of a peer.
     """
 
     def __init__(
@@ -25,11 +26,13 @@
         keys: key_desk.KeyDesk,
         make_heartbeat: Callable[[], messages.Heartbeat],
         spread: Callable[[], None],
+        on_heartbeat: Callable[[messages.Heartbeat], None] = lambda _: None,
     ) -> None:
         super().__init__(owners)
         self._keys = keys
         self._make_heartbeat = make_heartbeat
         self._spread = spread
+        self._on_heartbeat = on_heartbeat
 
     async def exchange(
         self, heartbeat: messages.Heartbeat
@@ -46,6 +49,7 @@
 
     def take_news(self, heartbeat: messages.Heartbeat) -> None:
         """Stops the keys that a peer knows to be withdrawn."""
+        self._on_heartbeat(heartbeat)
         self._keys.note_peer_vital(heartbeat.vital_offset)
         news = [self._keys.deny(key_id) for key_id in heartbeat.withdrawn_keys]
         if any(news):
--- /dev/null
+++ b/foxtaillock/daemon/tests/test_measures_keeper.py
@@ -0,0 +1,36 @@
+"""Tests of what the measures take from the control stream."""
+
+import unittest
+
+from foxtaillock.daemon import measures_keeper
+from foxtaillock.model import clock
+from foxtaillock.model import records
+from foxtaillock.state import control_state
+
+
+class MeasuresKeeperTest(unittest.TestCase):
+
+    def test_only_what_stands_is_counted(self) -> None:
+        state = control_state.ControlState()
+        keeper = measures_keeper.MeasuresKeeper(
+            "e1", clock.ManualClock(), state, {}
+        )
+        body = {"size": 1, "zones": ["a"]}
+        change = records.Change("added", "pool", "p", 0, body)
+        note = records.NoteAccepted("n1", "op", "t", (change,))
+        steps = (records.VmStep("v", 1, "p", "joined", 0),) * 2
+        sent: list[tuple[records.Record, ...]] = [
+            (records.NoteAccepted("n0", "op", "t", ()),),
+            (note, note._replace(note_id="n2"), note),
+            steps,
+        ]
+        for offset, batch_records in enumerate(sent):
+            batch = records.Batch("e1", "x", offset + 1, batch_records)
+            found = state.apply(offset, batch)
+            keeper.note_batch(offset, batch, found)
+            if not offset:
+                keeper.begin()
+        watch = keeper.report()["watch"]
+        self.assertEqual([n["note_id"] for n in watch["notes"]], ["n1"])
+        self.assertEqual(watch["placements_last_day"], 1)
+        self.assertEqual(watch["notes"][0]["moves_done_s"], 0.0)
--- a/foxtaillock/integration/tests/test_reports.py
+++ b/foxtaillock/integration/tests/test_reports.py
@@ -25,10 +25,8 @@
 
 class BurnReportTest(base.FleetTestCase):
 
-    async def _report(
-        self, entry: processes.Entry
-    ) -> dict[tuple[str, str], dict[str, typing.Any]]:
-        """Returns the objectives as `report burn` at an entry VM shows them."""
+    async def _report(self, entry: processes.Entry) -> dict[str, typing.Any]:
+        """Returns the report as an entry VM that is asked leads to it."""
         environment = {
             **os.environ,
             "FOXTAILLOCK_SERVER": entry.url,
@@ -45,13 +43,30 @@
         self.assertEqual(process.returncode, 0)
         made = json.loads(out)
         self.assertTrue(all(row["answered"] for row in made["nodes"]))
-        return {(row["kind"], row["name"]): row for row in made["objectives"]}
+        rows = made["objectives"]
+        made["objectives"] = {(row["kind"], row["name"]): row for row in rows}
+        return typing.cast(dict[str, typing.Any], made)
 
     async def _send(self, sender: typing.Any, count: int) -> None:
         extra = {"X-Idempotent": "true"}
         for i in range(count):
             await sender.send("POST", _CALL, "{}", extra, entry=i)
 
+    def _check_measures(self, report: dict[str, typing.Any]) -> None:
+        """Checks the measures after both notes: three workers were placed by
+        the first one, and the second one moved none."""
+        first, second = report["moves"]["notes"]
+        self.assertEqual((first["placements"], first["moves"]), (3, 0))
+        self.assertEqual((second["placements"], second["moves"]), (0, 0))
+        for note in (first, second):
+            self.assertEqual(note["not_seen"], [])
+            self.assertIsNotNone(note["in_force_s"])
+            self.assertIsNotNone(note["moves_done_s"])
+        self.assertEqual(report["spare"]["present"], 0)
+        self.assertEqual(report["spare"]["needed"], 0)
+        teams = {(row["pool"], row["team"]) for row in report["shares"]}
+        self.assertIn(("bending", "trinidad"), teams)
+
     async def test_failing_runner_raises_the_alert_on_every_entry_vm(
         self,
     ) -> None:
@@ -63,7 +78,9 @@
         await self._send(sender, 30)
         job = await scenario.submit(sender, "k1")
         await self.await_done(sender, [job])
-        before = await self._report(self.fleet.entries[0])
+        report = await self._report(self.fleet.entries[0])
+        self._check_measures(report)
+        before = report["objectives"]
         quotes = before["service", "quotes"]
         self.assertEqual((quotes["good"], quotes["alert"]), (30, "none"))
         self.assertEqual(before["queue", "bend"]["good"], 1)
@@ -77,7 +94,8 @@
                 )
         await self._send(sender, 30)
         for entry in self.fleet.entries:
-            quotes = (await self._report(entry))["service", "quotes"]
+            report = await self._report(entry)
+            quotes = report["objectives"]["service", "quotes"]
             self.assertEqual(quotes["good"] + quotes["bad"], 60)
             self.assertEqual(quotes["failed"], 30)
             self.assertEqual(quotes["alert"], "fast")
