--- a/foxtaillock/decisions/catalogue.py
+++ b/foxtaillock/decisions/catalogue.py
@@ -18,6 +18,7 @@
 from foxtaillock.placement import planner as placement_planner
 from foxtaillock.placement import quarantine
 from foxtaillock.placement import shares
+from foxtaillock.reports import burn
 from foxtaillock.retries import budget
 from foxtaillock.routing import table
 from foxtaillock.state import keys
@@ -52,6 +53,7 @@
 _decision("quarantine")(quarantine.Quarantine)
 _decision("retry-budget")(budget.RetryBudget)
 _decision("routing")(table.RunnerTable)
+_function("burn", burn.decide)
 _function("fair-shares", shares.fair_shares)
 _function("fleet-plan", fleet_planner.plan)
 _function("grant-changes", limit_decisions.decide)
