Report on burn: made in slices; jobs counted only while the pool is held

The answer no longer holds the event loop for all of its time. The check that the pool is still held had no test: with it out the new one fails (two jobs counted instead of one).

--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -3,6 +3,7 @@
 import json
 import secrets
 import typing
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -60,7 +61,7 @@
         status: Callable[[], admin.Row],
         on_withdrawn: Callable[[str], None],
         explain: Callable[[str], str],
-        burn: Callable[[], admin.Row],
+        burn: Callable[[], Awaitable[admin.Row]],
     ) -> None:
         self._state = state
         self._replica = replica
@@ -330,7 +331,7 @@
         )
         in_waves = len(self._state.disruptions)
         need = spares.compute_need(specs, self._workers(), in_waves)
-        return {**self._burn(), "spare": need._asdict()}
+        return {**await self._burn(), "spare": need._asdict()}
 
     def status(self) -> admin.Row:
         """Returns the state of this entry VM and what it knows."""
--- a/foxtaillock/daemon/burn_keeper.py
+++ b/foxtaillock/daemon/burn_keeper.py
@@ -19,6 +19,7 @@
 __all__ = ["BurnKeeper"]
 
 _SWEEP_INTERVAL_S = 1.0
+_ROWS_PER_SLICE = 10
 
 _Call = Callable[[adapters.CallRequest, str], Awaitable[outcomes.Outcome]]
 
@@ -106,6 +107,14 @@
         """Returns the counts of this entry VM."""
         return list(self._recorder.rows(self._clock.monotonic_s()))
 
-    def encoded_rows(self) -> list[dict[str, typing.Any]]:
-        """Returns the counts of this entry VM as JSON."""
-        return [merge.encode_row(row) for row in self.rows()]
+    async def encoded_rows(self) -> list[dict[str, typing.Any]]:
+        """Returns the counts of this entry VM as JSON.
+
+        The event loop goes on in between.
+        """
+        encoded = []
+        for row in self._recorder.rows(self._clock.monotonic_s()):
+            encoded.append(merge.encode_row(row))
+            if len(encoded) % _ROWS_PER_SLICE == 0:
+                await asyncio.sleep(0)
+        return encoded
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -424,12 +424,12 @@
             "not_ready": self._not_ready,
         }
 
-    def _burn_report(self) -> admin.Row:
+    async def _burn_report(self) -> admin.Row:
         return {
             "node": self.settings.node_name,
             "incarnation": self.control.incarnation,
             "zone": self.settings.zone,
-            "objectives": self.burn.encoded_rows(),
+            "objectives": await self.burn.encoded_rows(),
             **self.measures.report(),
         }
 
--- a/foxtaillock/daemon/tests/test_pool_keeper.py
+++ b/foxtaillock/daemon/tests/test_pool_keeper.py
@@ -38,14 +38,19 @@
 
 
 def _make_keeper(
-    clock: virtual_loop.LoopClock, local: limits.LocalGrants
+    clock: virtual_loop.LoopClock,
+    local: limits.LocalGrants,
+    session: typing.Any = None,
+    burn: typing.Any = None,
 ) -> pool_keeper.PoolKeeper:
     state = mock.MagicMock(vms={}, disruptions={})
     state.claims = {"p": tables.Claim("p", "e1", "x", 1)}
     state.claim.side_effect = state.claims.get
     state.to_carry.return_value = None
     state.objects.return_value = {}
-    session = mock.MagicMock(incarnation="x", release=mock.AsyncMock())
+    session = session or mock.MagicMock()
+    session.incarnation = "x"
+    session.release = mock.AsyncMock()
     log = fake_log.LogClient(fake_log.FakeLog(), random.Random(1))
     return pool_keeper.PoolKeeper(
         "e1",
@@ -58,6 +63,7 @@
         random.Random(1),
         local,
         None,
+        burn,
     )
 
 
@@ -108,3 +114,25 @@
 
         with mock.patch.object(owners, "PoolOwner", _FakeOwner):
             self.assertEqual(virtual_loop.run(_run()), (1, 1))
+
+    def test_jobs_are_counted_only_while_the_pool_is_held(self) -> None:
+        session, burn = mock.MagicMock(), mock.Mock()
+
+        async def _run() -> None:
+            clock = virtual_loop.LoopClock()
+            local = limits.LocalGrants(clock, "e1", "x")
+            keeper = _make_keeper(clock, local, session, burn)
+            await keeper.step()
+            await asyncio.sleep(1.0)
+            on_job: typing.Any = keeper.owners["p"].on_job
+            on_job("first")
+            session.owns.return_value = False
+            on_job("second")
+            await keeper.hand_over()
+            await keeper.close()
+
+        with mock.patch.object(owners, "PoolOwner", _FakeOwner):
+            virtual_loop.run(_run())
+        burn.take_over.assert_called_once_with("p", ())
+        burn.note_job.assert_called_once_with("p", "first")
+        burn.drop.assert_called_once_with("p")
