Command line: nothing is sent before the whole line was understood

Cause: fire calls a command as soon as it has its arguments. Commands are now made ready by fire and run when nothing of the line is left. Without the new step the new test fails for all four lines.

--- a/foxtaillock/cli/main.py
+++ b/foxtaillock/cli/main.py
@@ -17,6 +17,7 @@
 import fire
 
 from foxtaillock.cli import client
+from foxtaillock.cli import deferred
 from foxtaillock.cli import output
 from foxtaillock.cli import report
 
@@ -106,6 +107,7 @@
         return os.environ.get("FOXTAILLOCK_OPERATOR_KEY", "").strip()
 
 
+@deferred.deferring
 class _Notes:
     """Checks, plans, accepts and undoes release notes."""
 
@@ -137,6 +139,7 @@
         self._session.run("POST", "notes", verb, text=text)
 
 
+@deferred.deferring
 class _Keys:
     """Gives and withdraws keys."""
 
@@ -160,6 +163,7 @@
         self._session.run_list("keys")
 
 
+@deferred.deferring
 class _Objects:
     """Lists and shows objects of one kind."""
 
@@ -176,6 +180,7 @@
         self._session.run("GET", self._collection, name)
 
 
+@deferred.deferring
 class _Jobs(_Objects):
     """Lists, shows and settles jobs."""
 
@@ -190,6 +195,7 @@
         self._session.run("POST", "jobs", job_id, "settle", body=body)
 
 
+@deferred.deferring
 class _Waves(_Objects):
     """Starts and steers maintenance waves."""
 
@@ -210,6 +216,7 @@
         self._session.run("POST", "waves", wave_id, "cancel")
 
 
+@deferred.deferring
 class _Explain:
     """Explains decisions."""
 
@@ -221,6 +228,7 @@
         self._session.run("GET", "explain", "vm", name)
 
 
+@deferred.deferring
 class Commands:
     """Operates a fleet through its administration interface.
 
@@ -262,14 +270,19 @@
         """Shows the state again and again until it is interrupted."""
         with contextlib.suppress(KeyboardInterrupt):
             while True:
-                self.status()
+                self._session.run("GET", "status")
                 time.sleep(interval_s)
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Runs the command that the command line names."""
     command = None if arguments is None else list(arguments)
-    fire.Fire(Commands, command=command, name="foxtaillock")
+    fire.Fire(
+        Commands,
+        command=command,
+        name="foxtaillock",
+        serialize=deferred.finish,
+    )
 
 
 if __name__ == "__main__":
--- a/foxtaillock/cli/report.py
+++ b/foxtaillock/cli/report.py
@@ -12,6 +12,7 @@
 
 from foxtaillock.cli import burn_rows
 from foxtaillock.cli import client
+from foxtaillock.cli import deferred
 
 __all__ = ["Report", "Session"]
 
@@ -39,6 +40,7 @@
         """Prints a failure and ends the tool."""
 
 
+@deferred.deferring
 class Report:
     """Reports of the whole fleet."""
 
@@ -47,11 +49,10 @@
 
     def burn(
         self,
-        *extra: typing.Any,
+        *,
         format: str = "",
         html: str = "",
         force: bool = False,
-        **unknown: typing.Any,
     ) -> None:
         """Shows how fast the error budgets of all objectives burn.
 
@@ -59,11 +60,8 @@
             format: `table` or `json`; the one of --output if it is not given.
             html: file to write a page with plots to, besides.
             force: whether an existing file is overwritten.
-            *extra, **unknown: refused, before anything is asked.
         """
         # pylint: disable=redefined-builtin
-        for name in (*extra, *(f"--{name}" for name in unknown)):
-            self._refuse(f"{name}: no such argument")
         self._check_arguments(format, html, force)
         answers = self._ask_nodes()
         pools = [str(row["name"]) for row in self._session.fetch_list("pools")]
--- a/foxtaillock/cli/tests/test_main.py
+++ b/foxtaillock/cli/tests/test_main.py
@@ -165,6 +165,19 @@
                 self.server.answers[path] = answer
                 self.assertEqual(self._run(*command.split())[0], expected)
 
+    def test_unknown_argument_is_named_before_anything_is_sent(self) -> None:
+        for command, named in (
+            ("key withdraw k1 --bogus 3", "--bogus"),
+            ("key withdraw k1 k2", "k2"),
+            ("wave start p --force", "--force"),
+            ("status now", "now"),
+        ):
+            with self.subTest(command=command):
+                code, out, err = self._run(*command.split())
+                self.assertEqual((code, out), (2, ""))
+                self.assertIn(named, err)
+        self.assertEqual(self.server.seen, [])
+
     def test_refused_connection_is_not_an_unknown_outcome(self) -> None:
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
