Report on burn: calls that end in an unexpected error count as unknown

Cause: such a call was taken for one whose caller had gone away. The proof with real processes now kills an entry VM too: the report goes on with the counts of the others and names it.

--- a/foxtaillock/daemon/burn_keeper.py
+++ b/foxtaillock/daemon/burn_keeper.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.api import problems
 from foxtaillock.jobs import job as jobs
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import outcomes
@@ -60,13 +61,17 @@
     ) -> outcomes.Outcome:
         """Runs a call and counts how it ends.
 
-        One whose caller goes away counts only if it was late already.
+        One whose caller goes away counts only if it was late already; one
+        that ends in an unexpected error is answered, and counts, as unknown.
         """
         started_s = self._clock.monotonic_s()
         outcome: outcomes.Outcome | None = None
         try:
             outcome = await run(request, team)
             return outcome
+        except Exception:
+            outcome = outcomes.Unknown(problems.INTERNAL_ERROR)
+            raise
         finally:
             now_s = self._clock.monotonic_s()
             if request.deadline_s > 0:
--- a/foxtaillock/integration/tests/test_reports.py
+++ b/foxtaillock/integration/tests/test_reports.py
@@ -25,7 +25,9 @@
 
 class BurnReportTest(base.FleetTestCase):
 
-    async def _report(self, entry: processes.Entry) -> dict[str, typing.Any]:
+    async def _report(
+        self, entry: processes.Entry, answering: int = 3
+    ) -> dict[str, typing.Any]:
         """Returns the report as an entry VM that is asked leads to it."""
         environment = {
             **os.environ,
@@ -42,7 +44,9 @@
         out, _ = await process.communicate()
         self.assertEqual(process.returncode, 0)
         made = json.loads(out)
-        self.assertTrue(all(row["answered"] for row in made["nodes"]))
+        self.assertEqual(
+            sum(row["answered"] for row in made["nodes"]), answering
+        )
         rows = made["objectives"]
         made["objectives"] = {(row["kind"], row["name"]): row for row in rows}
         return typing.cast(dict[str, typing.Any], made)
@@ -106,3 +110,9 @@
             text = await answer.text()
         labels = 'alert="fast",kind="service",name="quotes"'
         self.assertIn(f"foxtaillock_objective_alert{{{labels}}} 1.0", text)
+        await self.fleet.kill(self.fleet.entries[0])
+        report = await self._report(self.fleet.entries[1], answering=2)
+        quotes = report["objectives"]["service", "quotes"]
+        self.assertEqual(quotes["failed"], 20)
+        self.assertEqual(quotes["alert"], "fast")
+        self.assertIn(self.fleet.entries[0].name, " ".join(report["not_known"]))
