Report on burn: an address that another entry VM has taken over is told

Cause: addresses of replaced VMs are used again, and a wildcard address leads back to the own machine; counts were then put down to the wrong entry VM. With the check taken out the test fails (n3 counted beside n0).

--- a/foxtaillock/cli/burn_rows.py
+++ b/foxtaillock/cli/burn_rows.py
@@ -70,9 +70,12 @@
         data: decoded body.
 
     Raises:
-        ValueError: it is not an answer.
+        ValueError: it is not an answer, or that of another entry VM, which
+            has taken over the address.
     """
     try:
+        if data["node"] != asked.node:
+            raise ValueError(f"entry VM {data['node']} has this address")
         return asked._replace(
             incarnation=str(data["incarnation"]),
             rows=tuple(map(merge.decode_row, data["objectives"])),
--- a/foxtaillock/cli/tests/test_report.py
+++ b/foxtaillock/cli/tests/test_report.py
@@ -23,7 +23,7 @@
 from foxtaillock.reports import recorder
 
 
-def _report(incarnation: str, *numbers: int) -> client.Answer:
+def _report(node: str, incarnation: str, *numbers: int) -> client.Answer:
     objective = burn.Objective(0.9)
     row = recorder.Row(
         "service",
@@ -40,6 +40,7 @@
     share = measures.TeamShare("p", "shops", 1, 3, 0.1, 0.4, 0.25)
     return client.Answer(
         {
+            "node": node,
             "incarnation": incarnation,
             "objectives": [merge.encode_row(row)],
             "watch": measures.encode_watch(watch),
@@ -54,9 +55,10 @@
     def setUp(self) -> None:
         self.asked: list[str] = []
         self.appears = False
+        self.names = ["n0", "n1"]
         self.answers: dict[str, client.Answer | client.Failure] = {
-            "1.1.1.1:1": _report("i1", 8, 2),
-            "1.1.1.2:1": _report("i2", 10, 0, 10),
+            "1.1.1.1:1": _report("n0", "i1", 8, 2),
+            "1.1.1.2:1": _report("n1", "i2", 10, 0, 10),
         }
         folder = tempfile.mkdtemp()
         self.addCleanup(shutil.rmtree, folder)
@@ -78,8 +80,8 @@
             return client.Answer({"items": items, "next": None})
         if path == "nodes":
             items = [
-                {"name": f"n{i}", "zone": "z", "api_address": address}
-                for i, address in enumerate(self.answers)
+                {"name": name, "zone": "z", "api_address": address}
+                for name, address in zip(self.names, self.answers, strict=True)
             ]
             return client.Answer({"items": items, "next": None})
         return self.answers[server.removeprefix("http://")]
@@ -130,13 +132,16 @@
         self.answers["1.1.1.2:1"] = client.Failure(
             client.ExitCode.UNREACHABLE, "unreachable", "refused"
         )
-        self.answers["1.1.1.3:1"] = client.Answer({"incarnation": "x"})
+        self.answers["1.1.1.3:1"] = client.Answer({"node": "n2"})
+        self.answers["1.1.1.4:1"] = _report("new", "i4", 9)
+        self.names += ["n2", "n3"]
         code, out, _ = self._run("--format", "json")
         made = json.loads(out)
         self.assertEqual(code, 0)
         self.assertEqual(made["objectives"][0]["nodes"], ["n0"])
         answered = [row["answered"] for row in made["nodes"]]
-        self.assertEqual(answered, [True, False, False])
+        self.assertEqual(answered, [True, False, False, False])
+        self.assertIn("new has this address", made["nodes"][3]["detail"])
 
     def test_no_counts_at_all_is_a_failure(self) -> None:
         for address in self.answers:
@@ -147,6 +152,7 @@
 
     def test_two_sessions_of_one_process_count_once(self) -> None:
         self.answers["1.1.1.2:1"] = self.answers["1.1.1.1:1"]
+        self.names[1] = "n0"
         _, out, _ = self._run("--format", "json")
         self.assertEqual(json.loads(out)["objectives"][0]["good"], 8)
 
