--- a/bench/burn_report.py
+++ b/bench/burn_report.py
@@ -6,7 +6,10 @@
 import tracemalloc
 
 from bench import harness
+from foxtaillock.jobs import job as jobs
 from foxtaillock.model import outcomes
+from foxtaillock.model import records
+from foxtaillock.reports import job_watch
 from foxtaillock.reports import merge
 from foxtaillock.reports import recorder
 
@@ -25,7 +28,7 @@
         figures: dict[str, float] = {}
         for count in _OBJECTIVES:
             figures |= _measure(rng, count, calls)
-        return figures
+        return figures | _time_sweeps(calls // 5)
 
     measurements = harness.repeat(_trial, 1 if quick else 5)
     return harness.result("burn_report", quick, {"calls": calls}, measurements)
@@ -68,6 +71,48 @@
     return (time.process_time() - begin_s) / calls * _MICROSECONDS
 
 
+def _time_sweeps(count: int) -> dict[str, float]:
+    """Returns the cost of looking for late jobs while `count` wait.
+
+    The queue has a latency bound and the team none; first all are late, then
+    all were found late before.
+    """
+    counted = recorder.BurnRecorder()
+    queue = {"objective": 0.9, "objective_latency_s": 1.0}
+    team = {"objective": 0.9}
+    counted.update({("queue", "q"): (1, queue), ("team", "t"): (1, team)}, 0.0)
+    watch = job_watch.JobWatch(counted)
+    waiting = [_job(f"p.{i}") for i in range(count)]
+    watch.take_over("p", waiting, 0.0)
+    figures = {}
+    for name, now_s in (("no_late", 0.5), ("all_late", 2.0), ("known", 3.0)):
+        begin_s = time.process_time()
+        watch.sweep(now_s)
+        took_s = time.process_time() - begin_s
+        figures[f"sweep_{name}_{count}_jobs_ms"] = took_s * _MILLISECONDS
+    return figures
+
+
+def _job(job_id: str) -> jobs.Job:
+    size, text = (1, 1, 0), ""
+    accepted = records.JobAccepted(
+        job_id,
+        "t",
+        text,
+        text,
+        "q",
+        size,
+        1.0,
+        False,
+        False,
+        0.0,
+        text,
+        text,
+        1,
+    )
+    return jobs.Job(accepted, 1)
+
+
 def _objects(half: int) -> dict[recorder.Key, tuple[int, recorder.Body]]:
     """Returns as many services as teams, all with an objective."""
     body = {"objective": 0.99, "objective_latency_s": 1.0}
--- a/foxtaillock/reports/job_watch.py
+++ b/foxtaillock/reports/job_watch.py
@@ -99,7 +99,8 @@
     def sweep(self, now_s: float) -> None:
         """Counts the jobs that wait past their bound; cost is linear in them.
 
-        Call it about once a second.
+        Call it about once a second. A job is looked at no more once no bound
+        of its objectives is left to pass.
         """
         shortest_s = self._recorder.shortest_latency_s()
         overdue = []
@@ -109,7 +110,8 @@
             overdue.append((job_id, row))
         for job_id, row in overdue:
             self._count_late(row, now_s)
-            if not row.keys:
+            bounds = [self._recorder.latency_s(key) for key in row.keys]
+            if all(bound_s is None for bound_s in bounds):
                 del self._unstarted[job_id]
 
     def _count_late(self, row: _Watched, now_s: float) -> None:
