Report: time until a note is in force everywhere is that of the slowest

Now only what others heard counts, and the longest time. With the shortest time, or without the case of a lone entry VM, the new test fails; the proof with real processes now asks for more than 0 s. What is not known of the objectives stands in one line; empty tables are left out.

--- a/foxtaillock/cli/burn_rows.py
+++ b/foxtaillock/cli/burn_rows.py
@@ -132,13 +132,17 @@
     for answer in answers:
         if not answer.incarnation:
             yield f"anything of entry VM {answer.node}: {answer.detail}"
-    for row in objectives:
-        if row.counted_s < row.objective.window_days * _DAY_S:
-            yield (
-                f"{row.kind} {row.name}: requests more than"
-                f" {row.counted_s:.0f} s ago, and those that replaced entry"
-                " VMs had counted"
-            )
+    short = [
+        row.counted_s
+        for row in objectives
+        if row.counted_s < row.objective.window_days * _DAY_S
+    ]
+    if short:
+        yield (
+            f"requests of {len(short)} objectives over their whole window:"
+            f" counts go back {min(short):.0f} to {max(short):.0f} s, without"
+            " those of entry VMs that were replaced"
+        )
     if moves is not None and moves.watched_s < _DAY_S:
         yield f"moves and notes more than {moves.watched_s:.0f} s ago"
     if pools:
@@ -194,7 +198,7 @@
         }
         for row in report.objectives
     ]
-    return {
+    tables: dict[str, Table] = {
         "objectives": objectives,
         "spare": _spare_table(report.spare),
         "moves": _moves_table(report.moves),
@@ -205,13 +209,14 @@
         "nodes": _node_table(report.nodes),
         "not_known": [{"what": text} for text in report.not_known],
     }
+    return {title: table for title, table in tables.items() if table}
 
 
 def _spare_table(spare: Mapping[str, typing.Any]) -> Table:
     if not spare:
         return []
     fields = dict(spare)
-    fields["worst_rack"] = "/".join(map(str, fields.get("worst_rack", ())))
+    fields["worst_rack"] = "/".join(filter(None, fields["worst_rack"])) or None
     return [_rounded(fields)]
 
 
--- a/foxtaillock/daemon/measures_keeper.py
+++ b/foxtaillock/daemon/measures_keeper.py
@@ -20,7 +20,6 @@
     """Feeds a `FleetWatch` from folded records and peers' heartbeats.
 
     Args:
-        node: name of this entry VM.
         clock: source of time.
         state: fold of the control stream.
         owners_by_pool: live mapping of the pools owned here.
@@ -28,12 +27,10 @@
 
     def __init__(
         self,
-        node: str,
         clock: clocks.Clock,
         state: control_view.ControlView,
         owners_by_pool: Mapping[str, owners.PoolOwner],
     ) -> None:
-        self._node = node
         self._clock = clock
         self._state = state
         self._owners = owners_by_pool
@@ -79,7 +76,6 @@
         self._watch.note_accepted(
             note.note_id, revision, note.title, live, self._sizes(), now_s
         )
-        self._watch.heard(self._node, revision, now_s)
 
     def note_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Takes over how far a peer has folded the control stream."""
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -133,7 +133,7 @@
             self.burn,
         )
         self.measures = measures_keeper.MeasuresKeeper(
-            settings.node_name, self.clock, self.state, self.pools.owners
+            self.clock, self.state, self.pools.owners
         )
         self.grant_keeper = grant_keeper.GrantKeeper(
             settings.node_name,
--- a/foxtaillock/daemon/tests/test_measures_keeper.py
+++ b/foxtaillock/daemon/tests/test_measures_keeper.py
@@ -12,9 +12,7 @@
 
     def test_only_what_stands_is_counted(self) -> None:
         state = control_state.ControlState()
-        keeper = measures_keeper.MeasuresKeeper(
-            "e1", clock.ManualClock(), state, {}
-        )
+        keeper = measures_keeper.MeasuresKeeper(clock.ManualClock(), state, {})
         body = {"size": 1, "zones": ["a"]}
         change = records.Change("added", "pool", "p", 0, body)
         note = records.NoteAccepted("n1", "op", "t", (change,))
--- a/foxtaillock/integration/tests/test_reports.py
+++ b/foxtaillock/integration/tests/test_reports.py
@@ -64,7 +64,7 @@
         self.assertEqual((second["placements"], second["moves"]), (0, 0))
         for note in (first, second):
             self.assertEqual(note["not_seen"], [])
-            self.assertIsNotNone(note["in_force_s"])
+            self.assertGreater(note["in_force_s"], 0.0)
             self.assertIsNotNone(note["moves_done_s"])
         self.assertEqual(report["spare"]["present"], 0)
         self.assertEqual(report["spare"]["needed"], 0)
--- a/foxtaillock/reports/fleet_watch.py
+++ b/foxtaillock/reports/fleet_watch.py
@@ -27,7 +27,7 @@
     Attributes:
         age_s: time since then.
         live: entry VMs that were live then.
-        seen_s: time until each of them was heard to have folded the note.
+        seen_s: time until each other one was heard to have folded the note.
         moves_done_s: time until every pool had its size and no VM was on its
             way; None if that was not so yet.
         moves: VMs that were taken out of a pool after this note and before
--- a/foxtaillock/reports/measures.py
+++ b/foxtaillock/reports/measures.py
@@ -23,7 +23,7 @@
 
     Attributes:
         in_force_s: time until every entry VM that was live then and is live
-            still had it in force; None if that is not known.
+            still was heard to have it in force; None if that is not known.
         not_seen: entry VMs that nobody has heard of yet.
         moves_done_s: time until all moves were done; None if not known.
     """
@@ -115,7 +115,8 @@
 
     All of them fold the same records: moves are those of the one that has
     watched longest. That a node had a note in force may have been heard by
-    any of them; the earliest hearing counts.
+    any of the others, each of which counts from its own fold. The longest
+    time counts: it holds the lag of that node, whoever folded first.
 
     Args:
         rows: one for each entry VM that answered.
@@ -144,12 +145,13 @@
         for other in row.notes:
             if other.note_id == note.note_id:
                 for node, at_s in other.seen_s.items():
-                    seen_s[node] = min(at_s, seen_s.get(node, at_s))
+                    seen_s[node] = max(at_s, seen_s.get(node, at_s))
     needed = live.intersection(note.live)
-    not_seen = tuple(sorted(needed - seen_s.keys()))
+    is_alone = len(needed) == 1
+    not_seen = () if is_alone else tuple(sorted(needed - seen_s.keys()))
     in_force_s = None
     if needed and not not_seen:
-        in_force_s = max(seen_s[node] for node in needed)
+        in_force_s = max(seen_s.get(node, 0.0) for node in needed)
     return NoteRollOut(
         note.note_id,
         note.title,
--- a/foxtaillock/reports/tests/test_measures.py
+++ b/foxtaillock/reports/tests/test_measures.py
@@ -90,6 +90,7 @@
         first.heard("late", 9, 51.0)
         self.assertEqual(set(first.row(52.0).notes[0].seen_s), {"a", "b"})
         second.heard("b", 9, 50.5)
+        second.heard("a", 9, 50.5)
         for seen_s, expected in ((None, None), (2.0, 2.0)):
             if seen_s is not None:
                 second.heard("c", 12, 50.0 + seen_s)
@@ -104,5 +105,20 @@
             missing = () if expected else ("c",)
             self.assertEqual(made.notes[0].not_seen, missing)
 
+    def test_lag_of_a_node_is_not_hidden_by_its_own_late_fold(self) -> None:
+        folds = {"a": 10.0, "b": 15.0, "c": 15.2}
+        watches = {name: _watch({}, {}) for name in folds}
+        for name, watch in watches.items():
+            watch.note_accepted("n", 9, "", "abc", {}, folds[name])
+            for other in folds.keys() - {name}:
+                watch.heard(other, 9, max(folds[other], folds[name]) + 0.5)
+        rows = [watch.row(20.0) for watch in watches.values()]
+        made = measures.merge_watches(rows, "abc")
+        assert made is not None
+        self.assertAlmostEqual(made.notes[0].in_force_s or 0.0, 5.7)
+        made = measures.merge_watches(rows[:1], ["a"])
+        assert made is not None
+        self.assertEqual(made.notes[0].in_force_s, 0.0)
+
     def test_nobody_answered(self) -> None:
         self.assertIsNone(measures.merge_watches([], ["a"]))
