--- a/bench/burn_report.py
+++ b/bench/burn_report.py
@@ -9,6 +9,7 @@
 from foxtaillock.jobs import job as jobs
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
+from foxtaillock.reports import fleet_watch
 from foxtaillock.reports import job_watch
 from foxtaillock.reports import merge
 from foxtaillock.reports import recorder
@@ -16,6 +17,9 @@
 __all__ = ["run"]
 
 _OBJECTIVES = (8, 80, 400)
+_VMS = 15_000
+_POOLS = 220
+_STEPS = 2_000
 _MICROSECONDS = 1e6
 _MILLISECONDS = 1e3
 
@@ -28,7 +32,7 @@
         figures: dict[str, float] = {}
         for count in _OBJECTIVES:
             figures |= _measure(rng, count, calls)
-        return figures | _time_sweeps(calls // 5)
+        return figures | _time_sweeps(calls // 5) | _measure_watch(rng)
 
     measurements = harness.repeat(_trial, 1 if quick else 5)
     return harness.result("burn_report", quick, {"calls": calls}, measurements)
@@ -93,6 +97,32 @@
     return figures
 
 
+def _measure_watch(rng: random.Random) -> dict[str, float]:
+    """Returns memory and cost of the watch of moves at the largest size."""
+    sizes = dict.fromkeys((f"p{i}" for i in range(_POOLS)), _VMS // _POOLS)
+    tracemalloc.start()
+    watch = fleet_watch.FleetWatch()
+    places = {
+        f"vm{i}": fleet_watch.Place(f"p{i % _POOLS}", "joined")
+        for i in range(_VMS)
+    }
+    watch.begin(places, sizes, 0.0)
+    places.clear()
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    sizes["p0"] += 1
+    watch.note_accepted("n", 1, "", (), sizes, 0.0)
+    begin_s = time.process_time()
+    for i in range(_STEPS):
+        vm = f"vm{rng.randrange(_VMS)}"
+        watch.vm_stepped(vm, fleet_watch.Place("p0", "withdrawn"), float(i))
+    step_us = (time.process_time() - begin_s) / _STEPS * _MICROSECONDS
+    return {
+        f"watch_{_VMS}_vms_bytes": float(memory_bytes),
+        f"watch_{_VMS}_vms_step_us": step_us,
+    }
+
+
 def _job(job_id: str) -> jobs.Job:
     size, text = (1, 1, 0), ""
     accepted = records.JobAccepted(
