--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -3,6 +3,7 @@
 import json
 import secrets
 import typing
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -13,6 +14,7 @@
 from foxtaillock.daemon import key_desk
 from foxtaillock.fleet import model as fleet_model
 from foxtaillock.fleet import preview
+from foxtaillock.fleet import spares
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
@@ -46,6 +48,7 @@
         on_withdrawn: called with each key id before its withdrawal is recorded.
         explain: returns why a VM is planned to move; only the owner of the
             fleet knows.
+        burn: returns the counts of this entry VM for the report on burn.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         status: Callable[[], admin.Row],
         on_withdrawn: Callable[[str], None],
         explain: Callable[[str], str],
+        burn: Callable[[], Awaitable[admin.Row]],
     ) -> None:
         self._state = state
         self._replica = replica
@@ -66,6 +70,7 @@
         self._status = status
         self._on_withdrawn = on_withdrawn
         self._explain = explain
+        self._burn = burn
         self.keys = key_checker
 
     async def check_note(self, text: str) -> admin.Row:
@@ -316,6 +321,18 @@
                 return row
         raise problems.Problem("not-found", f"no VM {name!r}")
 
+    async def burn_report(self) -> admin.Row:
+        """Returns what this entry VM has counted for the report on burn."""
+        specs = fleet_model.make_pool_specs(
+            {
+                name: row.body
+                for name, row in self._state.objects("pool").items()
+            }
+        )
+        in_waves = len(self._state.disruptions)
+        need = spares.compute_need(specs, self._workers(), in_waves)
+        return {**await self._burn(), "spare": need._asdict()}
+
     def status(self) -> admin.Row:
         """Returns the state of this entry VM and what it knows."""
         return self._status()
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -20,10 +20,12 @@
 from foxtaillock.calls import service as call_service
 from foxtaillock.daemon import admin_desk
 from foxtaillock.daemon import background
+from foxtaillock.daemon import burn_keeper
 from foxtaillock.daemon import call_claims
 from foxtaillock.daemon import control_part
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
+from foxtaillock.daemon import measures_keeper
 from foxtaillock.daemon import metrics
 from foxtaillock.daemon import peer_desk
 from foxtaillock.daemon import peer_snapshots
@@ -119,6 +121,7 @@
             grants=self.grants,
             claims=self.claims,
         )
+        self.burn = burn_keeper.BurnKeeper(self.clock, self.state)
         self.pools = pool_keeper.PoolKeeper(
             settings.node_name,
             self.state,
@@ -130,6 +133,10 @@
             rng,
             self.grants,
             budget,
+            self.burn,
+        )
+        self.measures = measures_keeper.MeasuresKeeper(
+            self.clock, self.state, self.pools.owners
         )
         self.grant_keeper = grant_keeper.GrantKeeper(
             settings.node_name,
@@ -168,7 +175,7 @@
             self.keys,
             self._heartbeat,
             self._spread,
-            self._note_heartbeat,
+            self._on_heartbeat,
             peer_snapshots.SnapshotShelf(
                 self.control.snapshotter, self.replica, self.clock
             ).take,
@@ -196,6 +203,7 @@
             self._status,
             self._on_withdrawn,
             self.fleet.explain,
+            self._burn_report,
         )
 
     def _build_http(self) -> None:
@@ -233,6 +241,7 @@
         )
         for name, text, read in gauges:
             metrics.add_gauge(self.registry, f"foxtaillock_{name}", text, read)
+        metrics.add_burn(self.registry, self.burn.rows)
 
     async def start(self) -> None:
         """Joins the fleet; returns once this VM serves.
@@ -246,6 +255,7 @@
         self._background.spawn(self._follow_control())
         self._background.spawn(self.control.snapshotter.run())
         await self._retry(self.replica.catch_up)
+        self.measures.begin()
         self.peer_port = await self.peer_server.start(
             settings.peer_host, settings.peer_port
         )
@@ -264,6 +274,7 @@
             self.pools.run(),
             self.grant_keeper.run(),
             self.fleet.run(),
+            self.burn.run(),
         ):
             self._background.spawn(loop)
         self._on_world_change()
@@ -355,12 +366,17 @@
 
     def _on_batch(
         self,
-        _offset: int,
+        offset: int,
         batch: records.Batch,
-        _verdicts: typing.Sequence[verdicts.Verdict],
+        found: typing.Sequence[verdicts.Verdict],
     ) -> None:
+        self.measures.note_batch(offset, batch, found)
         if any(map(self._changes_world, batch.records)):
             self._on_world_change()
+        if any(
+            isinstance(each, records.NoteAccepted) for each in batch.records
+        ):
+            self.links.spread_seldom()
 
     def _changes_world(self, record: records.Record) -> bool:
         """Returns whether a record changes what calls, pools or links go by;
@@ -384,6 +400,7 @@
             typing.cast(typing.Any, services),
             typing.cast(typing.Any, teams),
         )
+        self.burn.update()
         self.pools.update(vms)
         self.links.update_members(self._members())
         self._known_sessions = {
@@ -416,8 +433,9 @@
     def _spread(self) -> None:
         self.links.spread_now()
 
-    def _note_heartbeat(self, node: str) -> None:
-        self.links.note_heartbeat(node)
+    def _on_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        self.links.note_heartbeat(heartbeat.node)
+        self.measures.note_heartbeat(heartbeat)
 
     def _on_withdrawn(self, key_id: str) -> None:
         if self.keys.deny(key_id):
@@ -449,6 +467,15 @@
             "not_ready": self._not_ready,
         }
 
+    async def _burn_report(self) -> admin.Row:
+        return {
+            "node": self.settings.node_name,
+            "incarnation": self.control.incarnation,
+            "zone": self.settings.zone,
+            "objectives": await self.burn.encoded_rows(),
+            **self.measures.report(),
+        }
+
     def find_object(
         self, kind: str, name: str
     ) -> typing.Mapping[str, typing.Any] | None:
@@ -460,11 +487,13 @@
         self, request: adapters.CallRequest, team: str
     ) -> outcomes.Outcome:
         """Runs one call for `team`."""
-        return await self.calls.call(request, team)
+        return await self.burn.call(self.calls.call, request, team)
 
     async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
         """Hands a job to the owner of its pool."""
-        return await self.jobs.submit_job(order)
+        reply = await self.jobs.submit_job(order)
+        self.burn.note_submission(order, reply)
+        return reply
 
     async def read_job(
         self, job_id: str, team: str, wait_s: float
--- a/foxtaillock/daemon/peer_desk.py
+++ b/foxtaillock/daemon/peer_desk.py
@@ -17,7 +17,7 @@
         keys: checks keys; takes withdrawals that peers tell of.
         make_heartbeat: returns the own heartbeat.
         spread: sends news to the neighbours without delay.
-        note_heartbeat: takes the name of a peer whose heartbeat came in.
+        on_heartbeat: called with each heartbeat of a peer, asked for or not.
         take_snapshot: returns an encoded snapshot of the control state.
     """
 
@@ -27,21 +27,20 @@
         keys: key_desk.KeyDesk,
         make_heartbeat: Callable[[], messages.Heartbeat],
         spread: Callable[[], None],
-        note_heartbeat: Callable[[str], None],
+        on_heartbeat: Callable[[messages.Heartbeat], None],
         take_snapshot: Callable[[], bytes],
     ) -> None:
         super().__init__(owners)
         self._keys = keys
         self._make_heartbeat = make_heartbeat
         self._spread = spread
-        self._note_heartbeat = note_heartbeat
+        self._on_heartbeat = on_heartbeat
         self._take_snapshot = take_snapshot
 
     async def exchange(
         self, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat:
         """Takes a peer's heartbeat and returns the own one."""
-        self._note_heartbeat(heartbeat.node)
         self.take_news(heartbeat)
         return self._make_heartbeat()
 
@@ -61,6 +60,7 @@
 
     def take_news(self, heartbeat: messages.Heartbeat) -> None:
         """Stops the keys that a peer knows to be withdrawn."""
+        self._on_heartbeat(heartbeat)
         self._keys.note_peer_vital(heartbeat.vital_offset)
         news = [self._keys.deny(key_id) for key_id in heartbeat.withdrawn_keys]
         if any(news):
--- a/foxtaillock/integration/tests/test_one_way_cut.py
+++ b/foxtaillock/integration/tests/test_one_way_cut.py
@@ -16,9 +16,9 @@
 
 class OneWayCutTest(base.FleetTestCase):
 
-    async def _answers(self, index: int) -> list[typing.Any]:
+    async def _answers(self, key: str, index: int) -> list[typing.Any]:
         """Returns the answers of one entry VM to submissions of new jobs."""
-        sender = self.fleet.client(self.sender.key, [index])
+        sender = self.fleet.client(key, [index])
         body = scenario.make_job(0.1, False)
         found = []
         for number in range(4):
@@ -33,13 +33,15 @@
     async def test_owner_that_no_peer_reaches_loses_and_doubles_nothing(
         self,
     ) -> None:
-        self.sender = await self.make_sender("trinidad")
+        sender = await self.make_sender("trinidad")
         owner = await self.find_owner()
         own = self.fleet.entries.index(owner)
         _set_inbound(owner, "freeze")
-        direct = await self._answers(own)
+        direct = await self._answers(sender.key, own)
         self.assertEqual([row.status for row in direct], [202] * 4)
-        others = await asyncio.gather(*map(self._answers, self.others(owner)))
+        others = await asyncio.gather(
+            *(self._answers(sender.key, i) for i in self.others(owner))
+        )
         self.assertNotIn(202, [row.status for rows in others for row in rows])
         self.assertIs(await self.find_owner(), owner)
         _set_inbound(owner, "pass")
@@ -49,7 +51,7 @@
         for index in (0, 1, 2):
             for number in range(4):
                 key = f"cut-{index}-{number}"
-                jobs.append(await scenario.submit(self.sender, key, 0.1))
-        await self.await_done(self.sender, jobs)
+                jobs.append(await scenario.submit(sender, key, 0.1))
+        await self.await_done(sender, jobs)
         await self.check_ran_once(set(jobs))
         self.assertEqual(len(set(jobs)), 12)
--- a/foxtaillock/peers/links.py
+++ b/foxtaillock/peers/links.py
@@ -64,6 +64,7 @@
         self._connections: dict[str, client.PeerConnection] = {}
         self._heard_s: dict[str, float] = {}
         self._is_closed = False
+        self._spread_s = float("-inf")
         self.heartbeats_sent = 0
         self.liveness = liveness.create_liveness(pacing.HEARTBEAT_S)
 
@@ -99,8 +100,17 @@
         for link in self._links.values():
             link.wake.set()
 
+    def spread_seldom(self) -> None:
+        """Sends a heartbeat to every neighbour without delay, unless that was
+        done within the usual time between two."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._spread_s >= pacing.HEARTBEAT_S:
+            self._spread_s = now_s
+            self.spread_now()
+
     def note_heartbeat(self, node: str) -> None:
-        """Notes that a heartbeat of `node` has come in."""
+        """Notes that a heartbeat of `node` came in, asked for or not; call it
+        for each."""
         if node not in self._links:
             return
         now_s = self._clock.monotonic_s()
@@ -154,7 +164,6 @@
             logger.debug("no heartbeat from {}: {}", member.node, error)
             self.liveness.missed(member.node, self._clock.monotonic_s())
             return
-        self.liveness.heard(member.node, self._clock.monotonic_s())
         self._on_answer(answer, sent_s)
 
     async def connection(self, node: str) -> client.PeerConnection:
