Peers: a heartbeat after a note is put off, not left out

It now goes out 4 s after the one before. The test waits for the report to show that, 8 s at most, the bound of a change in force.

--- a/foxtaillock/integration/tests/test_reports.py
+++ b/foxtaillock/integration/tests/test_reports.py
@@ -56,6 +56,10 @@
         for i in range(count):
             await sender.send("POST", _CALL, "{}", extra, entry=i)
 
+    async def _notes_are_seen(self) -> bool:
+        report = await self._report(self.fleet.entries[0])
+        return not any(row["not_seen"] for row in report["moves"]["notes"])
+
     def _check_measures(self, report: dict[str, typing.Any]) -> None:
         """Checks the measures after both notes: three workers were placed by
         the first one, and the second one moved none."""
@@ -82,6 +86,7 @@
         await self._send(sender, 30)
         job = await scenario.submit(sender, "k1")
         await self.await_done(sender, [job])
+        await scenario.until(self._notes_are_seen, 8.0, "notes are seen")
         report = await self._report(self.fleet.entries[0])
         self._check_measures(report)
         before = report["objectives"]
--- a/foxtaillock/peers/links.py
+++ b/foxtaillock/peers/links.py
@@ -101,12 +101,14 @@
             link.wake.set()
 
     def spread_seldom(self) -> None:
-        """Sends a heartbeat to every neighbour without delay, unless that was
-        done within the usual time between two."""
+        """Sends a heartbeat to every neighbour, without delay if the last such
+        call is long ago, else once the usual time has passed since it."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._spread_s >= pacing.HEARTBEAT_S:
-            self._spread_s = now_s
-            self.spread_now()
+        due_s = max(now_s, self._spread_s + pacing.HEARTBEAT_S)
+        if self._spread_s <= now_s:
+            self._spread_s = due_s
+            loop = asyncio.get_running_loop()
+            loop.call_later(due_s - now_s, self.spread_now)
 
     def note_heartbeat(self, node: str) -> None:
         """Notes that a heartbeat of `node` came in, asked for or not; call it
