--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -48,6 +48,16 @@
 SHARE_OF_APPENDS = 0.1
 
 ENTRIES = ZONES * ENTRIES_PER_ZONE
+SCRAPE_S = 15.0
+
+_BENCHES = (
+    "node_cost",
+    "peers",
+    "fold",
+    "planner",
+    "placement_cost",
+    "burn_report",
+)
 
 
 class Fit(typing.NamedTuple):
@@ -120,7 +130,7 @@
     """
     values: dict[str, float] = {}
     points: dict[str, list[float]] = {}
-    for bench in ("node_cost", "peers", "fold", "planner", "placement_cost"):
+    for bench in _BENCHES:
         text = (_RESULTS / f"{bench}.json").read_text(encoding="utf-8")
         for row in json.loads(text)["measurements"]:
             values[f"{bench}.{row['name']}"] = row["median"]
@@ -301,7 +311,22 @@
         breaks="bytes: a zone lost at once",
         stage="later",
     )
-    return [member, whole, changes]
+    counted = Role(
+        "reports: counts of 400 objectives, watch of moves",
+        (
+            value["burn_report.memory_400_objectives_bytes"]
+            + value["burn_report.watch_15000_vms_bytes"]
+        )
+        / _MIB,
+        0.0,
+        0.1 * value["burn_report.answer_400_objectives_ms"] / SCRAPE_S,
+        0.0,
+        "buckets of time on each entry VM; added up by who asks",
+        "built; a call's count is part of the cost of the call; processor time"
+        " estimated for an answer each 15 s",
+        "a pause of the loop while an answer is made",
+    )
+    return [member, whole, changes, counted]
 
 
 def render(figures: Figures) -> str:
