--- a/tools/tests/test_documents.py
+++ b/tools/tests/test_documents.py
@@ -30,7 +30,7 @@
             for name in _TEST_NAME.findall(code)
         }
         self.assertGreater(len(named), 20)
-        self.assertEqual(sorted(named - existing), []))
+        self.assertEqual(sorted(named - existing), [])
 
     def test_every_named_module_exists(self) -> None:
         for path in _documents():
