Shares: accelerators are divided apart from processors and memory

Cause, first part: the reference. The mix of a team's jobs was taken as one demand, so that its plain jobs stopped in the reckoning where accelerators ran out. Small exact case in test_shares: 100 processors, 4 accelerators, a wants 100 plain and 4 accelerated jobs, b 4 accelerated ones. The old reference gives a 0.51 and leaves 47 processors to nobody.

Cause, second part: the order. A team with one accelerated job came last for plain room, and accelerators idled 11 to 36 % of the time while jobs waited. Accelerated jobs now have queues of their own and go first; credits may reach one job, so that teams take turns; plain jobs hold workers without accelerators. Holds cost 3 to 4 % of the pool with two kinds of jobs; they now have a budget of 1 %, and the longest wait is served first.

Tests: test_planner's twin now has accelerators and reckons from the running tasks; test_preemption's twin checks both accounts; test_shares keeps the old comparison and gains one for the accounts. Seen failing: the budget test with the budget out (7 % idle).

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -4,13 +4,14 @@
 virtual time; only cost and memory depend on the machine.
 """
 
+import collections
 import math
 import random
 import statistics
 import time
 import tracemalloc
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from bench import harness
 from bench import pool_model
@@ -20,6 +21,7 @@
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
 from foxtaillock.placement import fit
+from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
 __all__ = ["run"]
@@ -31,6 +33,11 @@
 URGENT_SIZE = resources.Resources(1000, 2 * pool_model.GIB, 0)
 MEAN_CPU_MILLIS = 3_100
 Figures = dict[str, float]
+_Row = tuple[shares.Account, str]
+_ERROR_NAMES = {
+    shares.Account.GENERAL: "share_error",
+    shares.Account.ACCELERATORS: "accelerator_share_error",
+}
 
 
 def _teams(count: int) -> dict[str, objects.Team]:
@@ -204,17 +211,18 @@
     """Returns share error and work conservation with peaks by turns.
 
     Each team in its turn asks five times its mean for `PEAK_S`, and a
-    twentieth of its mean in between. The error of a team is the difference
-    between the integrals of what it used and of what it was due, over the
-    latter, while jobs waited.
+    twentieth of its mean in between. The error of a team in an account is the
+    difference between the integrals of what it used and of what it was due,
+    over the latter, while jobs waited. Accelerators and the other resources
+    are two accounts, and both errors count.
     """
     rng = random.Random(seed)
     teams = _teams(share_run.teams)
     model = pool_model.PoolModel(
         share_run.workers, teams, share_run.accelerated
     )
-    used = dict.fromkeys(teams, 0.0)
-    due = dict.fromkeys(teams, 0.0)
+    used: dict[_Row, float] = collections.defaultdict(float)
+    due: dict[_Row, float] = collections.defaultdict(float)
     idle: list[float] = []
     ticks = int(share_run.teams * PEAK_S * share_run.rounds / TICK_S)
     for tick in range(ticks):
@@ -226,19 +234,33 @@
         if not model.planner.requests():
             continue
         idle.append(_usable_idle(model))
-        fair = model.planner.due_shares()
-        for team in teams:
-            used[team] += model.share_of(team)
-            due[team] += fair.get(team, 0.0)
-    errors = [abs(used[t] - due[t]) / due[t] for t in teams if due[t] > 0]
+        for account, fair in model.planner.due_shares().items():
+            for team in teams:
+                used[account, team] += model.share_of(team, account)
+                due[account, team] += fair.get(team, 0.0)
     return {
-        "mean_share_error": statistics.fmean(errors),
-        "worst_share_error": max(errors),
+        **_share_errors(used, due),
         "work_conservation": 1.0 - statistics.fmean(idle),
         "fraction_of_time_with_waiting_jobs": len(idle) / ticks,
     }
 
 
+def _share_errors(
+    used: Mapping[_Row, float], due: Mapping[_Row, float]
+) -> Figures:
+    """Returns mean and worst error of the teams in each account."""
+    figures = {}
+    for account in shares.Account:
+        rows = [row for row in due if row[0] is account and due[row] > 0]
+        errors = [abs(used[row] - due[row]) / due[row] for row in rows]
+        if not errors:
+            continue
+        name = _ERROR_NAMES[account]
+        figures[f"mean_{name}"] = statistics.fmean(errors)
+        figures[f"worst_{name}"] = max(errors)
+    return figures
+
+
 def _submit_tick(
     model: pool_model.PoolModel,
     share_run: ShareRun,
@@ -380,6 +402,9 @@
     "demand_1.5_times_without_preemption": ShareRun(1.5, preempt=False),
     "demand_3_times_the_pool": ShareRun(3.0),
     "tenth_needs_accelerators": ShareRun(1.5, accelerated=True),
+    "69_workers_tenth_needs_accelerators": ShareRun(
+        1.5, accelerated=True, workers=69, rounds=1
+    ),
 }
 
 
--- a/bench/pool_model.py
+++ b/bench/pool_model.py
@@ -10,6 +10,7 @@
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
 from foxtaillock.placement import planner
+from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
 __all__ = ["GIB", "PoolModel", "WORKER_SIZE", "random_size"]
@@ -119,9 +120,9 @@
             self.planner.add(request, self.now_s)
         return True
 
-    def share_of(self, team: str) -> float:
-        """Returns the dominant share that a team has reserved."""
-        return self.planner.used_share(team)
+    def share_of(self, team: str, account: shares.Account) -> float:
+        """Returns the share of an account that a team has reserved."""
+        return self.planner.used_share(team, account)
 
     def _start(self, assignment: planner.Assignment) -> None:
         request, worker = assignment
--- a/foxtaillock/jobs/owner.py
+++ b/foxtaillock/jobs/owner.py
@@ -24,6 +24,7 @@
 from foxtaillock.model import world
 from foxtaillock.placement import capacity
 from foxtaillock.placement import planner
+from foxtaillock.placement import shares
 from foxtaillock.state import interfaces as state_interfaces
 
 __all__ = ["ChangeResult", "Changed", "PoolOwner", "Submitted", "pool_of"]
@@ -258,6 +259,8 @@
         """Returns the standing of the pool and of its teams."""
         context = self._context
         due = context.waiting.due_shares()
+        general = due[shares.Account.GENERAL]
+        accelerators = due[shares.Account.ACCELERATORS]
         running = collections.Counter(
             task.team
             for worker in context.workers
@@ -269,9 +272,11 @@
                 running[team],
                 context.waiting.ready_count(team),
                 context.waiting.used_share(team),
-                due.get(team, 0.0),
+                general.get(team, 0.0),
+                context.waiting.used_share(team, shares.Account.ACCELERATORS),
+                accelerators.get(team, 0.0),
             )
-            for team in sorted({*self._intake.teams, *due})
+            for team in sorted({*self._intake.teams, *general})
         ]
         return results.PoolStatus(
             teams,
--- a/foxtaillock/jobs/results.py
+++ b/foxtaillock/jobs/results.py
@@ -60,8 +60,10 @@
     Attributes:
         running: attempts that hold a slot.
         waiting: jobs that could start if there were room.
-        used: dominant share that it has reserved.
-        due: dominant share that it is due now.
+        used: share of processors or memory that it has reserved, the larger.
+        due: share of them that it is due now.
+        accelerators_used: share of the accelerators that it has reserved.
+        accelerators_due: share of them that it is due now.
     """
 
     team: str
@@ -69,6 +71,8 @@
     waiting: int
     used: float
     due: float
+    accelerators_used: float = 0.0
+    accelerators_due: float = 0.0
 
 
 class PoolStatus(typing.NamedTuple):
--- a/foxtaillock/placement/capacity.py
+++ b/foxtaillock/placement/capacity.py
@@ -63,12 +63,14 @@
     Attributes:
         total: sum of the sizes of the workers.
         used: resources that each team has reserved.
+        used_accelerated: the part of it for tasks with accelerators.
         kind_counts: running tasks of each team and queue, by rack and zone.
     """
 
     def __init__(self) -> None:
         self.total = resources.ZERO
         self.used: dict[str, resources.Resources] = {}
+        self.used_accelerated: dict[str, resources.Resources] = {}
         self.kind_counts: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
@@ -162,8 +164,9 @@
         worker = self._workers[task.worker]
         worker.tasks[task.task_id] = task
         worker.free = resources.subtract(worker.free, task.size)
-        used = self.used.get(task.team, resources.ZERO)
-        self.used[task.team] = resources.add(used, task.size)
+        _add(self.used, task)
+        if task.size.accelerators:
+            _add(self.used_accelerated, task)
         self._count(worker, task, 1)
 
     def release(self, name: str, task_id: str) -> Task | None:
@@ -173,10 +176,9 @@
             return None
         task = worker.tasks.pop(task_id)
         worker.free = resources.add(worker.free, task.size)
-        left = resources.subtract(self.used[task.team], task.size)
-        self.used[task.team] = left
-        if left == resources.ZERO:
-            del self.used[task.team]
+        _subtract(self.used, task)
+        if task.size.accelerators:
+            _subtract(self.used_accelerated, task)
         self._count(worker, task, -1)
         self._note_growth(name)
         if worker.size == resources.ZERO and not worker.tasks:
@@ -197,3 +199,15 @@
             half = len(self._grown) // 2
             del self._grown[:half]
             self._grown_base += half
+
+
+def _add(used: dict[str, resources.Resources], task: Task) -> None:
+    before = used.get(task.team, resources.ZERO)
+    used[task.team] = resources.add(before, task.size)
+
+
+def _subtract(used: dict[str, resources.Resources], task: Task) -> None:
+    left = resources.subtract(used[task.team], task.size)
+    used[task.team] = left
+    if left == resources.ZERO:
+        del used[task.team]
--- a/foxtaillock/placement/claims.py
+++ b/foxtaillock/placement/claims.py
@@ -1,5 +1,6 @@
 """Claims of teams below their share on room that others have borrowed."""
 
+import itertools
 from collections.abc import Callable, Collection, Mapping
 
 from foxtaillock.model import resources
@@ -38,7 +39,7 @@
     def choose(
         self,
         now_s: float,
-        due_shares: Callable[[], Mapping[str, float]],
+        due_shares: Callable[[], Mapping[shares.Account, Mapping[str, float]]],
         may_claim: Callable[[str], bool],
         spared: Collection[str],
     ) -> preemption.Preemption | None:
@@ -46,19 +47,23 @@
 
         Args:
             now_s: time of the owner's clock.
-            due_shares: gives the dominant share that each team is due.
+            due_shares: gives the share that each team is due, by account.
             may_claim: whether a team may start jobs at all.
             spared: workers that must not be touched.
         """
         wanting = self._wanting(now_s, may_claim)
         if not wanting:
             return None
-        kept = self._kept_shares(due_shares())
+        kept = {
+            account: self._kept_shares(account, due)
+            for account, due in due_shares().items()
+        }
         for request in wanting:
+            account = shares.account_of(request.size)
             used = self._workers.used.get(request.team, resources.ZERO)
-            share = self._share(resources.add(used, request.size))
-            most = kept.get(request.team, 0.0) + preemption.SHARE_TOLERANCE
-            if share > most:
+            share = self._share(account, resources.add(used, request.size))
+            most = kept[account].get(request.team, 0.0)
+            if share > most + preemption.SHARE_TOLERANCE:
                 continue
             chosen = preemption.choose(request, self._workers, kept, spared)
             if chosen is not None:
@@ -69,12 +74,15 @@
     def _wanting(
         self, now_s: float, may_claim: Callable[[str], bool]
     ) -> list[waiting.Request]:
-        """Returns the first job of each team that may claim, urgent first."""
+        """Returns the first job of each queue that may claim, urgent first."""
         for job_id, claimed_s in list(self._claimed_s.items()):
             if now_s > claimed_s + RETURN_AFTER_S:
                 del self._claimed_s[job_id]
         wanting = []
-        for team, queue in self._jobs.teams.items():
+        queues = itertools.chain.from_iterable(
+            teams.items() for teams in self._jobs.teams.values()
+        )
+        for team, queue in queues:
             request = queue.first_urgent() or queue.first()
             if request is None or request.job_id in self._claimed_s:
                 continue
@@ -90,16 +98,18 @@
         if not request.urgent:
             self._next_claim_s = now_s + CLAIM_INTERVAL_S
 
-    def _kept_shares(self, due: Mapping[str, float]) -> dict[str, float]:
+    def _kept_shares(
+        self, account: shares.Account, due: Mapping[str, float]
+    ) -> dict[str, float]:
         """Returns the shares above which teams have borrowed.
 
         What can not be used because of fragments lowers the shares of the
         teams that ask for more than they are due, all alike.
         """
-        short = [team for team in due if not self._is_met(team, due[team])]
+        short = [t for t in due if not self._is_met(account, t, due[t])]
         wanted = sum(due[team] for team in short)
         used = sum(
-            self._share(self._workers.used.get(team, resources.ZERO))
+            self._share(account, self._workers.used.get(team, resources.ZERO))
             for team in short
         )
         efficiency = min(1.0, used / wanted) if wanted > 0 else 1.0
@@ -108,13 +118,15 @@
             kept[team] *= efficiency
         return kept
 
-    def _is_met(self, team: str, due: float) -> bool:
+    def _is_met(self, account: shares.Account, team: str, due: float) -> bool:
         """Returns whether a team is due all that it asks for."""
         asked = self._workers.used.get(team, resources.ZERO)
-        queue = self._jobs.teams.get(team)
+        queue = self._jobs.queue(account, team)
         if queue is not None:
             asked = resources.add(asked, queue.wanted)
-        return self._share(asked) <= due + preemption.SHARE_TOLERANCE
+        return self._share(account, asked) <= due + preemption.SHARE_TOLERANCE
 
-    def _share(self, used: resources.Resources) -> float:
-        return shares.dominant_share(used, self._workers.total)
+    def _share(
+        self, account: shares.Account, used: resources.Resources
+    ) -> float:
+        return shares.account_share(account, used, self._workers.total)
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -9,6 +9,7 @@
 from foxtaillock.placement import capacity
 from foxtaillock.placement import claims
 from foxtaillock.placement import fit
+from foxtaillock.placement import hold_budget
 from foxtaillock.placement import preemption
 from foxtaillock.placement import share_credits
 from foxtaillock.placement import shares
@@ -33,14 +34,19 @@
 class Planner:
     """Waiting jobs and workers of one pool.
 
-    The team with the smallest dominant share for its weight goes first; a
-    team with urgent work that is below its part of the weights goes ahead of
-    it. A team takes what others leave idle. A job that fitted nowhere for
+    Accelerators and the other resources are accounted for apart, and jobs that
+    need accelerators go before those that do not. In each account the team
+    with the smallest share for its weight goes first; a team with urgent work
+    that is below its part of the weights goes ahead of all. A team takes what
+    others leave idle. A job that fitted nowhere for
     `HOLD_AFTER_S` gets a worker held for it, so that small jobs can not keep
-    it out for ever.
+    it out for ever; what holds leave idle has a budget.
 
     Args:
         workers: workers of the pool.
+
+    Attributes:
+        account_credits: what teams lacked before, by account.
     """
 
     def __init__(self, workers: capacity.Capacity) -> None:
@@ -49,9 +55,12 @@
         self._jobs = waiting.WaitingJobs()
         self._teams: Mapping[str, objects.Team] = {}
         self._claims = claims.ShareClaims(workers, self._jobs)
-        self._credits = share_credits.ShareCredits()
+        self.account_credits = {
+            account: share_credits.ShareCredits() for account in shares.Account
+        }
         self._weights: dict[str, float] = {}
         self._hold_check_s = float("-inf")
+        self._hold_budget = hold_budget.HoldBudget()
         self._sizes: set[resources.Resources] = set()
         self._holds: dict[str, str] = {}
         self._limited: set[str] = set()
@@ -86,8 +95,8 @@
 
     def ready_count(self, team: str) -> int:
         """Returns the number of jobs of a team that could start with room."""
-        queue = self._jobs.teams.get(team)
-        return len(queue) if queue is not None else 0
+        queues = (self._jobs.queue(each, team) for each in shares.Account)
+        return sum(len(queue) for queue in queues if queue is not None)
 
     def can_ever_fit(self, size: resources.Resources) -> bool:
         """Returns whether some worker of the pool is large enough."""
@@ -156,25 +165,24 @@
             self._quiet_growth = growth
         return None
 
-    def due_shares(self) -> dict[str, float]:
-        """Returns the dominant share that each team is due now."""
-        demands = {}
-        for team in {*self._jobs.teams, *self._workers.used}:
-            total = self._workers.used.get(team, resources.ZERO)
-            queue = self._jobs.teams.get(team)
-            if queue is not None:
-                total = resources.add(total, queue.wanted)
-            demands[team] = shares.Demand(self._weight(team), total)
-        return shares.fair_shares(self._workers.total, demands)
-
-    def credit(self, team: str) -> float:
-        """Returns the dominant share that a team is owed from before."""
-        return self._credits.value(team)
-
-    def used_share(self, team: str) -> float:
-        """Returns the dominant share that a team has reserved."""
+    def due_shares(self) -> dict[shares.Account, dict[str, float]]:
+        """Returns the share that each team is due now, by account."""
+        teams = set(self._workers.used).union(*self._jobs.teams.values())
+        demands = {team: self._demand(team) for team in teams}
+        return shares.fair_accounts(self._workers.total, demands)
+
+    def credit(
+        self, team: str, account: shares.Account = shares.Account.GENERAL
+    ) -> float:
+        """Returns the share that a team is owed from before."""
+        return self.account_credits[account].value(team)
+
+    def used_share(
+        self, team: str, account: shares.Account = shares.Account.GENERAL
+    ) -> float:
+        """Returns the share that a team has reserved."""
         used = self._workers.used.get(team, resources.ZERO)
-        return shares.dominant_share(used, self._workers.total)
+        return shares.account_share(account, used, self._workers.total)
 
     def next_preemption(self, now_s: float) -> preemption.Preemption | None:
         """Returns tasks to checkpoint for a team that is below its share.
@@ -215,10 +223,11 @@
         sizes = self._sizes_with_room()
         if not sizes:
             return None
-        for team in self._team_order():
+        for account, team in self._queue_order():
             if team in self._limited or not self._may_run(team):
                 continue
-            assignment = self._first_fitting(team, sizes)
+            queue = self._jobs.teams[account][team]
+            assignment = self._first_fitting(queue, sizes)
             if assignment is None:
                 continue
             if may_start(team):
@@ -232,15 +241,14 @@
         return {size for size in self._jobs.sizes if has_room(size)}
 
     def _first_fitting(
-        self, team: str, sizes: set[resources.Resources]
+        self, queue: waiting.TeamQueue, sizes: set[resources.Resources]
     ) -> Assignment | None:
-        """Returns the first job of a team that fits, of the next few.
+        """Returns the first job of a queue that fits, of the next few.
 
         Args:
-            team: team with waiting jobs.
+            queue: waiting jobs of a team.
             sizes: sizes that some worker has room for.
         """
-        queue = self._jobs.teams[team]
         if queue.sizes.keys().isdisjoint(sizes):
             return None
         for request in itertools.islice(queue.ordered(), LOOK_AHEAD_JOBS):
@@ -251,36 +259,64 @@
                 return Assignment(request, worker)
         return None
 
-    def _team_order(self) -> list[str]:
-        """Returns the teams in the order in which they should get room.
+    def _queue_order(self) -> list[tuple[shares.Account, str]]:
+        """Returns the queues in the order in which they should get room.
 
         Half a job is added to what each team has, so that a team of small
         weight does not gain by the size of its jobs.
         """
-        active = {*self._jobs.teams, *self._workers.used}
-        weights = sum(self._weight(team) for team in active)
         keys = {}
-        for team, queue in self._jobs.teams.items():
-            weight = self._weight(team)
-            share = self.used_share(team)
-            is_below = share * weights < weight
-            goes_ahead = is_below and queue.first_urgent() is not None
-            half_job = 0.5 * self._mean_share(queue)
-            owed = share + half_job - self.credit(team)
-            keys[team] = (not goes_ahead, owed / weight, team)
+        for rank, account in enumerate(shares.Account):
+            weights = self._active_weight(account)
+            for team, queue in self._jobs.teams[account].items():
+                weight = self._weight(team)
+                share = self.used_share(team, account)
+                is_below = share * weights < weight
+                goes_ahead = is_below and queue.urgent_count > 0
+                job_share = self._mean_share(account, queue)
+                credit = self.account_credits[account].value(team, job_share)
+                owed = share + 0.5 * job_share - credit
+                keys[account, team] = (
+                    not goes_ahead,
+                    rank,
+                    owed / weight,
+                    team,
+                )
         return sorted(keys, key=keys.__getitem__)
 
+    def _active_weight(self, account: shares.Account) -> float:
+        """Returns the sum of the weights of teams that use or ask for some."""
+        used = self._workers.used
+        if account is shares.Account.ACCELERATORS:
+            used = self._workers.used_accelerated
+        active = {*self._jobs.teams[account], *used}
+        return sum(self._weight(team) for team in active)
+
     def _update_credits(self, now_s: float) -> None:
-        if not self._credits.is_due(now_s):
+        if not self.account_credits[shares.Account.GENERAL].is_due(now_s):
             return
-        due = self.due_shares()
-        used = {team: self.used_share(team) for team in due}
-        self._credits.update(now_s, due, used)
+        for account, due in self.due_shares().items():
+            used = {team: self.used_share(team, account) for team in due}
+            self.account_credits[account].update(now_s, due, used)
 
-    def _mean_share(self, queue: waiting.TeamQueue) -> float:
-        """Returns the dominant share of a job of mean size."""
+    def _demand(self, team: str) -> shares.KindDemand:
+        used = self._workers.used.get(team, resources.ZERO)
+        accelerated = self._workers.used_accelerated.get(team, resources.ZERO)
+        plain = resources.subtract(used, accelerated)
+        queue = self._jobs.queue(shares.Account.GENERAL, team)
+        if queue is not None:
+            plain = resources.add(plain, queue.wanted)
+        queue = self._jobs.queue(shares.Account.ACCELERATORS, team)
+        if queue is not None:
+            accelerated = resources.add(accelerated, queue.wanted)
+        return shares.KindDemand(self._weight(team), plain, accelerated)
+
+    def _mean_share(
+        self, account: shares.Account, queue: waiting.TeamQueue
+    ) -> float:
+        """Returns the share of a job of mean size."""
         total = self._workers.total
-        return shares.dominant_share(queue.wanted, total) / len(queue)
+        return shares.account_share(account, queue.wanted, total) / len(queue)
 
     def _may_run(self, team: str) -> bool:
         known = self._teams.get(team)
@@ -295,25 +331,51 @@
         return self._weights.get(team, 1.0)
 
     def _hold_for_first(self, now_s: float) -> None:
-        """Holds a worker for the team that is next, if it waits for long."""
-        if self._holds or now_s < self._hold_check_s:
+        """Holds a worker for a job that has its turn and waits for long.
+
+        One worker is held at a time, for the job that has waited longest of
+        those that are next in each account.
+        """
+        if now_s < self._hold_check_s:
             return
         self._hold_check_s = now_s + HOLD_CHECK_S
-        teams = (t for t in self._team_order() if self._may_hold(t, now_s))
-        team = next(teams, None)
-        if team is None:
+        self._hold_budget.update(now_s, self._held_idle())
+        if self._holds or not self._hold_budget.is_left:
             return
-        first = self._jobs.teams[team].first()
+        first = min(self._next_jobs(now_s), key=_since_s, default=None)
         if first is None or now_s - first.since_s < HOLD_AFTER_S:
             return
         worker = self._nearest_worker(first.size)
         if worker is not None:
             self._hold(first.job_id, worker)
 
+    def _next_jobs(self, now_s: float) -> list[waiting.Request]:
+        """Returns the first job of the team that is next in each account."""
+        found: dict[shares.Account, waiting.Request] = {}
+        for account, team in self._queue_order():
+            if account not in found and self._may_hold(team, now_s):
+                first = self._jobs.teams[account][team].first()
+                if first is not None:
+                    found[account] = first
+        return list(found.values())
+
+    def _held_idle(self) -> float:
+        """Returns the fraction of the processors that held workers idle."""
+        total = self._workers.total.cpu_millis
+        if total <= 0:
+            return 0.0
+        held = (self._workers.worker(name) for name in self._finder.held)
+        free = (worker.free.cpu_millis for worker in held if worker is not None)
+        return sum(max(0, cpu_millis) for cpu_millis in free) / total
+
     def _nearest_worker(self, size: resources.Resources) -> str | None:
-        """Returns the worker that lacks the least room for `size`."""
+        """Returns the worker that lacks the least room for `size`.
+
+        Workers with accelerators are left to the jobs that need them where
+        another is large enough.
+        """
         chosen: str | None = None
-        least = float("inf")
+        least = (True, float("inf"))
         for worker in self._workers:
             if not worker.usable or worker.idempotent_only:
                 continue
@@ -321,8 +383,9 @@
                 continue
             missing = resources.subtract(size, worker.free)
             lack = shares.dominant_share(missing, worker.size)
-            if lack < least:
-                chosen, least = worker.name, lack
+            is_scarce = worker.size.accelerators > size.accelerators == 0
+            if (is_scarce, lack) < least:
+                chosen, least = worker.name, (is_scarce, lack)
         return chosen
 
     def _hold(self, job_id: str, worker: str) -> None:
@@ -341,3 +404,7 @@
 
     def _max_held(self) -> int:
         return max(1, int(MAX_HELD_FRACTION * len(self._workers)))
+
+
+def _since_s(request: waiting.Request) -> float:
+    return request.since_s
--- a/foxtaillock/placement/preemption.py
+++ b/foxtaillock/placement/preemption.py
@@ -24,18 +24,19 @@
 def choose(
     request: waiting.Request,
     workers: capacity.Capacity,
-    due: Mapping[str, float],
+    due: Mapping[shares.Account, Mapping[str, float]],
     spared: Collection[str],
 ) -> Preemption | None:
     """Returns the cheapest preemption for a job, or None.
 
-    A team loses a task only while it has more than it is due, so that it
-    falls below by less than one task.
+    A team loses a task only while it has more than it is due in the account of
+    that task and, unless the job waits for accelerators, in the general one,
+    so that it falls below by less than one task.
 
     Args:
         request: job that fits nowhere, of a team below its share.
         workers: workers of the pool.
-        due: dominant share that each team is due.
+        due: share that each team is due, by account.
         spared: workers that must not be touched.
 
     Notes:
@@ -63,7 +64,7 @@
     request: waiting.Request,
     worker: capacity.Worker,
     workers: capacity.Capacity,
-    due: Mapping[str, float],
+    due: Mapping[shares.Account, Mapping[str, float]],
 ) -> list[capacity.Task]:
     """Returns tasks of borrowers that make room; empty if they can not."""
     free = worker.free
@@ -72,9 +73,16 @@
     for task in sorted(worker.tasks.values(), key=_latest_first):
         if resources.fits(request.size, free):
             break
-        share = shares.dominant_share(used[task.team], workers.total)
-        is_borrowed = share > due.get(task.team, 0.0) + SHARE_TOLERANCE
-        if task.team == request.team or not is_borrowed:
+        if task.team == request.team:
+            continue
+        accounts = {shares.account_of(task.size)}
+        if not request.size.accelerators:
+            accounts.add(shares.Account.GENERAL)
+        if not all(
+            shares.account_share(account, used[task.team], workers.total)
+            > due[account].get(task.team, 0.0) + SHARE_TOLERANCE
+            for account in accounts
+        ):
             continue
         used[task.team] = resources.subtract(used[task.team], task.size)
         free = resources.add(free, task.size)
--- a/foxtaillock/placement/share_credits.py
+++ b/foxtaillock/placement/share_credits.py
@@ -53,11 +53,17 @@
         self._lacked_s = lacked_s
         self._due = dict(due)
 
-    def value(self, team: str) -> float:
-        """Returns the dominant share to add to what the team is due.
+    def value(self, team: str, job_share: float = 0.0) -> float:
+        """Returns the share to add to what the team is due.
 
-        It is at most `MAX_FRACTION` of what the team is due, up or down.
+        It is at most `MAX_FRACTION` of what the team is due, up or down, or
+        one job where that is more: with few accelerators, one job is more than
+        a team is due, and teams take turns.
+
+        Args:
+            team: name of the team.
+            job_share: share of one job.
         """
-        most = MAX_FRACTION * self._due.get(team, 0.0)
+        most = max(MAX_FRACTION * self._due.get(team, 0.0), job_share)
         value = self._lacked_s.get(team, 0.0) / REPAY_S
         return min(max(value, -most), most)
--- a/foxtaillock/placement/shares.py
+++ b/foxtaillock/placement/shares.py
@@ -1,15 +1,54 @@
-"""Shares of teams: weighted max-min fairness over the dominant resource."""
+"""Shares of teams: weighted max-min fairness over the dominant resource.
 
+Accelerators are divided apart from processors and memory: a team has jobs with
+and without accelerators, and the latter can go on when accelerators run out.
+"""
+
+import enum
 import typing
 from collections.abc import Mapping
 
 from foxtaillock.model import resources
 
-__all__ = ["Demand", "dominant_share", "fair_shares"]
+__all__ = [
+    "Account",
+    "Demand",
+    "KindDemand",
+    "account_of",
+    "account_share",
+    "dominant_share",
+    "fair_accounts",
+    "fair_shares",
+]
 
 _EPSILON = 1e-12
 
 
+class Account(enum.Enum):
+    """Resources that are divided apart from others, scarce ones first.
+
+    `ACCELERATORS`: accelerators; jobs that need some wait for them.
+    `GENERAL`: processors and memory; all jobs count, others wait for them.
+    """
+
+    ACCELERATORS = "accelerators"
+    GENERAL = "general"
+
+
+class KindDemand(typing.NamedTuple):
+    """What a team runs and waits for, by kind of job.
+
+    Attributes:
+        weight: share of the team.
+        plain: sum over jobs without accelerators.
+        accelerated: sum over jobs with accelerators.
+    """
+
+    weight: float
+    plain: resources.Resources
+    accelerated: resources.Resources
+
+
 class Demand(typing.NamedTuple):
     """What a team runs and waits for.
 
@@ -54,6 +93,99 @@
     return share
 
 
+def account_of(size: resources.Resources) -> Account:
+    """Returns the account that decides when a job of this size starts."""
+    return Account.ACCELERATORS if size.accelerators else Account.GENERAL
+
+
+def account_share(
+    account: Account, used: resources.Resources, total: resources.Resources
+) -> float:
+    """Returns the largest fraction of a resource of `account` in `used`.
+
+    Example:
+        >>> whole = resources.Resources(10, 10, 2)
+        >>> account_share(
+        ...     Account.GENERAL, resources.Resources(1, 4, 2), whole
+        ... )
+        0.4
+    """
+    if account is Account.ACCELERATORS:
+        return used[2] / total[2] if total[2] > 0 else 0.0
+    cpu = used[0] / total[0] if total[0] > 0 else 0.0
+    memory = used[1] / total[1] if total[1] > 0 else 0.0
+    return max(cpu, memory, 0.0)
+
+
+def fair_accounts(
+    total: resources.Resources, demands: Mapping[str, KindDemand]
+) -> dict[Account, dict[str, float]]:
+    """Returns the share of each account that each team is due.
+
+    Accelerators are divided first. Processors and memory are then divided
+    between the plain jobs and those that accelerators are due for.
+
+    Args:
+        total: resources of the pool.
+        demands: demand of each team; weights are positive.
+
+    Example:
+        Accelerators run out, and the plain jobs of `a` take the rest:
+
+        >>> due = fair_accounts(
+        ...     resources.Resources(100, 100, 4),
+        ...     {
+        ...         "a": KindDemand(
+        ...             1,
+        ...             resources.Resources(100, 0, 0),
+        ...             resources.Resources(4, 0, 4),
+        ...         ),
+        ...         "b": KindDemand(
+        ...             1, resources.ZERO, resources.Resources(4, 0, 4)
+        ...         ),
+        ...     },
+        ... )
+        >>> due[Account.ACCELERATORS]
+        {'a': 0.5, 'b': 0.5}
+        >>> due[Account.GENERAL]
+        {'b': 0.02, 'a': 0.98}
+    """
+    accelerators = fair_shares(
+        resources.Resources(0, 0, total.accelerators),
+        {
+            team: Demand(
+                demand.weight,
+                resources.Resources(0, 0, demand.accelerated.accelerators),
+            )
+            for team, demand in demands.items()
+        },
+    )
+    general = fair_shares(
+        total._replace(accelerators=0),
+        {
+            team: Demand(
+                demand.weight,
+                _general_demand(demand, accelerators[team] * total[2]),
+            )
+            for team, demand in demands.items()
+        },
+    )
+    return {Account.ACCELERATORS: accelerators, Account.GENERAL: general}
+
+
+def _general_demand(
+    demand: KindDemand, accelerators: float
+) -> resources.Resources:
+    """Returns processors and memory of the jobs that are not held up."""
+    wanted = demand.accelerated
+    part = min(1.0, accelerators / wanted[2]) if wanted[2] > 0 else 0.0
+    return resources.Resources(
+        demand.plain[0] + round(wanted[0] * part),
+        demand.plain[1] + round(wanted[1] * part),
+        0,
+    )
+
+
 def fair_shares(
     total: resources.Resources, demands: Mapping[str, Demand]
 ) -> dict[str, float]:
--- a/foxtaillock/placement/tests/test_planner.py
+++ b/foxtaillock/placement/tests/test_planner.py
@@ -10,6 +10,7 @@
 from foxtaillock.placement import capacity
 from foxtaillock.placement import claims
 from foxtaillock.placement import fit
+from foxtaillock.placement import hold_budget
 from foxtaillock.placement import planner
 from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
@@ -26,14 +27,15 @@
         self.workers = workers
         self.teams = teams
         self.jobs: dict[str, waiting.Request] = {}
-        self.credit: Callable[[str], float] = lambda team: 0.0
+        self.credits = planner.Planner(workers).account_credits
 
     def next_assignment(
         self, may_start: Callable[[str], bool]
     ) -> tuple[str, str] | None:
         """Returns the next job and its worker."""
-        for team in sorted(self._waiting_teams(), key=self._team_key):
-            mine = [j for j in self.jobs.values() if j.team == team]
+        queues = {(_account(j), j.team) for j in self.jobs.values()}
+        for account, team in sorted(queues, key=self._queue_key):
+            mine = self._jobs_of(account, team)
             ordered = sorted(mine, key=_job_key)
             for job in ordered[: planner.LOOK_AHEAD_JOBS]:
                 names = [
@@ -49,24 +51,46 @@
                 return job.job_id, min(names)[1]
         return None
 
-    def _waiting_teams(self) -> set[str]:
-        return {job.team for job in self.jobs.values()}
-
-    def _team_key(self, team: str) -> tuple[bool, float, str]:
-        total = self.workers.total
-        used = self.workers.used.get(team, resources.ZERO)
-        share = shares.dominant_share(used, total)
-        active = self._waiting_teams() | set(self.workers.used)
+    def _jobs_of(
+        self, account: shares.Account, team: str
+    ) -> list[waiting.Request]:
+        jobs = self.jobs.values()
+        return [j for j in jobs if (_account(j), j.team) == (account, team)]
+
+    def _queue_key(
+        self, queue: tuple[shares.Account, str]
+    ) -> tuple[bool, bool, float, str]:
+        account, team = queue
+        running = [t for worker in self.workers for t in worker.tasks.values()]
+        needs = account is shares.Account.ACCELERATORS
+        active = {
+            job.team for job in self.jobs.values() if _account(job) is account
+        }
+        active |= {t.team for t in running if t.size.accelerators or not needs}
         weights = sum(self.teams[name]["share"] for name in active)
         weight = self.teams[team]["share"]
-        mine = [job for job in self.jobs.values() if job.team == team]
-        wanted = resources.ZERO
-        for job in mine:
-            wanted = resources.add(wanted, job.size)
-        half_job = shares.dominant_share(wanted, total) / len(mine) * 0.5
+        mine = self._jobs_of(account, team)
+        share = self._share(
+            account, [t.size for t in running if t.team == team]
+        )
+        job_share = self._share(account, [job.size for job in mine]) / len(mine)
         ahead = any(j.urgent for j in mine) and share * weights < weight
-        owed = share + half_job - self.credit(team)
-        return not ahead, owed / weight, team
+        credit = self.credits[account].value(team, job_share)
+        owed = share + 0.5 * job_share - credit
+        return not ahead, not needs, owed / weight, team
+
+    def _share(
+        self, account: shares.Account, sizes: list[resources.Resources]
+    ) -> float:
+        parts = (2,) if account is shares.Account.ACCELERATORS else (0, 1)
+        total = self.workers.total
+        return max(sum(size[i] for size in sizes) / total[i] for i in parts)
+
+
+def _account(job: waiting.Request) -> shares.Account:
+    if job.size.accelerators:
+        return shares.Account.ACCELERATORS
+    return shares.Account.GENERAL
 
 
 def _job_key(job: waiting.Request) -> float:
@@ -95,9 +119,9 @@
         self.planner.set_teams(self.teams)
         self.running: dict[str, tuple[str, waiting.Request]] = {}
 
-    def _add_workers(self, count: int) -> None:
+    def _add_workers(self, count: int, accelerators: int = 0) -> None:
         for i in range(count):
-            size = resources.Resources(8, 8, 0)
+            size = resources.Resources(8, 8, accelerators if i < 2 else 0)
             self.workers.set_worker(f"w{i}", f"z{i % 3}", f"r{i}", size, True)
         self.planner.workers_changed(0.0)
 
@@ -131,7 +155,7 @@
         return collections.Counter(r.team for _, r in self.running.values())
 
     def test_equals_planner_without_memory(self) -> None:
-        self._add_workers(5)
+        self._add_workers(5, accelerators=2)
         naive = _NaivePlanner(self.workers, self.teams)
         rng = random.Random(3)
         allowed = {"a": True, "b": True, "c": True}
@@ -141,7 +165,11 @@
                 request = _request(
                     f"j{step}",
                     rng.choice("abc"),
-                    resources.Resources(rng.randint(1, 4), rng.randint(1, 4)),
+                    resources.Resources(
+                        rng.randint(1, 4),
+                        rng.randint(1, 4),
+                        rng.choice((0, 0, 0, 1)),
+                    ),
                     now_s,
                     rng.random() < 0.3,
                 )
@@ -155,7 +183,7 @@
                 self._end(rng.choice(list(self.running)))
             allowed["a"] = rng.random() < 0.7
             got = self.planner.next_assignment(now_s, allowed.__getitem__)
-            naive.credit = self.planner.credit
+            naive.credits = self.planner.account_credits
             expected = naive.next_assignment(allowed.__getitem__)
             if got is None:
                 self.assertIsNone(expected)
@@ -187,6 +215,43 @@
         self._fill(5.1)
         self.assertGreater(self._counts()["c"], 18)
 
+    def test_plain_jobs_go_on_when_accelerators_run_out(self) -> None:
+        self._add_workers(6, accelerators=2)
+        needy = resources.Resources(1, 1, 1)
+        for i in range(40):
+            self.planner.add(_request(f"a{i}", "a", needy), 0.0)
+            self.planner.add(_request(f"ap{i}", "a"), 0.0)
+            self.planner.add(_request(f"c{i}", "c", needy), 0.0)
+            self.planner.add(_request(f"cp{i}", "c"), 0.0)
+        self._fill()
+        due = self.planner.due_shares()
+        for account, a_due in (
+            (shares.Account.ACCELERATORS, 0.25),
+            (shares.Account.GENERAL, 0.25),
+        ):
+            self.assertAlmostEqual(due[account]["a"], a_due)
+            used = self.planner.used_share("a", account)
+            self.assertAlmostEqual(used, a_due, delta=0.05)
+            self.assertGreater(self.planner.used_share("c", account), 0.65)
+
+    def test_holds_leave_idle_no_more_than_their_budget(self) -> None:
+        self._add_workers(6)
+        whole = resources.Resources(8, 8, 0)
+        idle = 0.0
+        for step in range(2000):
+            now_s = float(step)
+            for i in range(3):
+                self.planner.add(_request(f"b{step}.{i}", "b"), now_s)
+            if step % 4 == 0:
+                job = _request(f"a{step}", "a", whole, now_s)
+                self.planner.add(job, now_s)
+            self._fill(now_s)
+            idle += sum(worker.free.cpu_millis for worker in self.workers) / 48
+            for job_id in list(self.running)[:2]:
+                self._end(job_id)
+        self.assertLess(idle / 2000, 2.0 * hold_budget.HELD_FRACTION)
+        self.assertTrue(any(r.size == whole for _, r in self.running.values()))
+
     def test_idle_share_is_borrowed_and_given_back(self) -> None:
         self._add_workers(6)
         for i in range(40):
--- a/foxtaillock/placement/tests/test_preemption.py
+++ b/foxtaillock/placement/tests/test_preemption.py
@@ -11,7 +11,10 @@
 from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
-_DUE = {"a": 0.3, "b": 0.3, "c": 0.4}
+_DUE = {
+    shares.Account.GENERAL: {"a": 0.3, "b": 0.3, "c": 0.4},
+    shares.Account.ACCELERATORS: {"a": 0.3, "b": 0.3, "c": 0.4},
+}
 
 
 def _is_valid(
@@ -22,7 +25,9 @@
 ) -> bool:
     """Returns whether the job then fits and only borrowers lose tasks.
 
-    A team has borrowed if it has more than its due before its last loss.
+    A team has borrowed if it has more than its due before its last loss, in
+    the account of the lost task, and in the general one too if the job needs
+    no accelerator.
     """
     free = worker.free
     used = dict(workers.used)
@@ -35,10 +40,15 @@
         and request.team not in touched
         and all(
             any(
-                shares.dominant_share(
-                    resources.add(used[team], task.size), workers.total
+                all(
+                    shares.account_share(
+                        account,
+                        resources.add(used[team], task.size),
+                        workers.total,
+                    )
+                    > _DUE[account][team]
+                    for account in _accounts(request, task)
                 )
-                > _DUE[team]
                 for task in victims
                 if task.team == team
             )
@@ -47,6 +57,16 @@
     )
 
 
+def _accounts(
+    request: waiting.Request, task: capacity.Task
+) -> list[shares.Account]:
+    if not task.size.accelerators:
+        return [shares.Account.GENERAL]
+    if request.size.accelerators:
+        return [shares.Account.ACCELERATORS]
+    return list(shares.Account)
+
+
 class PreemptionTest(unittest.TestCase):
 
     def test_choice_is_valid_and_found_where_one_exists(self) -> None:
@@ -54,7 +74,9 @@
         possible = found = 0
         for _ in range(400):
             workers = self._random_workers(rng)
-            size = resources.Resources(rng.randint(2, 6), rng.randint(2, 6))
+            size = resources.Resources(
+                rng.randint(2, 6), rng.randint(2, 6), rng.randint(0, 1)
+            )
             request = waiting.Request("j", "c", "q", size, True, 0.0)
             if any(resources.fits(size, w.free) for w in workers):
                 continue
@@ -73,10 +95,12 @@
     def _random_workers(self, rng: random.Random) -> capacity.Capacity:
         workers = capacity.Capacity()
         for i in range(3):
-            size = resources.Resources(8, 8, 0)
+            size = resources.Resources(8, 8, 2)
             workers.set_worker(f"w{i}", "z", f"r{i}", size, True)
             for k in range(rng.randint(2, 5)):
-                size = resources.Resources(rng.randint(1, 4), rng.randint(1, 4))
+                size = resources.Resources(
+                    rng.randint(1, 4), rng.randint(1, 4), rng.randint(0, 1)
+                )
                 name = f"w{i}k{k}"
                 worker = workers.worker(f"w{i}")
                 if worker is not None and resources.fits(size, worker.free):
--- a/foxtaillock/placement/tests/test_shares.py
+++ b/foxtaillock/placement/tests/test_shares.py
@@ -1,5 +1,6 @@
 """Tests of fair shares against filling in small steps."""
 
+import itertools
 import random
 import unittest
 
@@ -33,8 +34,98 @@
     return granted
 
 
+def _naive_fair_accounts(
+    total: resources.Resources, demands: dict[str, shares.KindDemand]
+) -> dict[shares.Account, dict[str, float]]:
+    """Raises all teams in small steps, first by jobs with accelerators.
+
+    In the first pass a team gets a small part of an accelerator at a time; in
+    the second it gets the processors and memory of the jobs that then run and
+    of its plain ones, in proportion.
+    """
+    step = 1e-3
+    taken = dict.fromkeys(demands, 0.0)
+    growing = {t for t, d in demands.items() if d.accelerated[2]}
+    while growing:
+        for team in sorted(growing):
+            amount = step * demands[team].weight
+            room = total[2] - sum(taken.values())
+            wanted = demands[team].accelerated[2] - taken[team]
+            if amount > min(room, wanted):
+                growing.discard(team)
+            else:
+                taken[team] += amount
+    rest = {}
+    for team, demand in demands.items():
+        wanted = demand.accelerated[2]
+        part = taken[team] / wanted if wanted else 0.0
+        sums = [
+            round(p + a * part)
+            for p, a in zip(demand.plain, demand.accelerated)
+        ]
+        size = resources.Resources(sums[0], sums[1], 0)
+        rest[team] = shares.Demand(demand.weight, size)
+    return {
+        shares.Account.ACCELERATORS: {
+            t: n / total[2] for t, n in taken.items()
+        },
+        shares.Account.GENERAL: _naive_fair_shares(total, rest),
+    }
+
+
 class FairSharesTest(unittest.TestCase):
 
+    def test_accounts_equal_filling_in_small_steps(self) -> None:
+        rng = random.Random(12)
+        total = resources.Resources(1000, 1000, 10)
+        for _ in range(25):
+            demands = {
+                f"t{i}": shares.KindDemand(
+                    rng.randint(1, 5),
+                    resources.Resources(
+                        rng.randint(0, 900), rng.randint(0, 900)
+                    ),
+                    resources.Resources(
+                        rng.randint(1, 400),
+                        rng.randint(1, 400),
+                        rng.randint(1, 9),
+                    )
+                    if rng.random() < 0.6
+                    else resources.ZERO,
+                )
+                for i in range(rng.randint(1, 6))
+            }
+            exact = shares.fair_accounts(total, demands)
+            naive = _naive_fair_accounts(total, demands)
+            for account, team in itertools.product(shares.Account, demands):
+                self.assertAlmostEqual(
+                    exact[account][team], naive[account][team], delta=0.01
+                )
+
+    def test_processors_do_not_stay_idle_when_accelerators_run_out(
+        self,
+    ) -> None:
+        total = resources.Resources(100, 100, 4)
+        plain = resources.Resources(100, 0, 0)
+        needy = resources.Resources(4, 0, 4)
+        due = shares.fair_accounts(
+            total,
+            {
+                "a": shares.KindDemand(1, plain, needy),
+                "b": shares.KindDemand(1, resources.ZERO, needy),
+            },
+        )
+        self.assertEqual(due[shares.Account.ACCELERATORS], {"a": 0.5, "b": 0.5})
+        self.assertAlmostEqual(due[shares.Account.GENERAL]["a"], 0.98)
+        mixed = shares.fair_shares(
+            total,
+            {
+                "a": shares.Demand(1, resources.add(plain, needy)),
+                "b": shares.Demand(1, needy),
+            },
+        )
+        self.assertLess(mixed["a"], 0.52)
+
     def test_equals_filling_in_small_steps(self) -> None:
         rng = random.Random(11)
         total = resources.Resources(1000, 1000, 100)
--- a/foxtaillock/placement/waiting.py
+++ b/foxtaillock/placement/waiting.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from foxtaillock.model import resources
+from foxtaillock.placement import shares
 
 __all__ = ["PATIENCE_S", "Request", "TeamQueue", "WaitingJobs"]
 
@@ -38,7 +39,7 @@
 
 
 class TeamQueue:
-    """Waiting jobs of one team.
+    """Waiting jobs of one team in one account.
 
     An urgent job goes ahead of a patient one unless the patient one has
     waited `PATIENCE_S` longer.
@@ -82,6 +83,11 @@
         """Returns the job that should start first."""
         return next(self.ordered(), None)
 
+    @property
+    def urgent_count(self) -> int:
+        """Number of urgent jobs."""
+        return len(self._urgent)
+
     def first_urgent(self) -> Request | None:
         """Returns the first urgent job."""
         return next(iter(self._urgent.values()), None)
@@ -104,14 +110,16 @@
     set aside, so that they cost nothing and hold nobody up.
 
     Attributes:
-        teams: queue of each team that has jobs ready to start.
+        teams: queue of each team that has jobs ready to start, by account.
         sizes: number of jobs ready to start, of each size.
         stuck: jobs that no worker is large enough for.
         queue_counts: waiting jobs of each queue.
     """
 
     def __init__(self) -> None:
-        self.teams: dict[str, TeamQueue] = {}
+        self.teams: dict[shares.Account, dict[str, TeamQueue]] = {
+            account: {} for account in shares.Account
+        }
         self.sizes: dict[resources.Resources, int] = {}
         self.stuck: dict[str, Request] = {}
         self.queue_counts: collections.Counter[str] = collections.Counter()
@@ -149,6 +157,10 @@
         else:
             self._make_ready(request)
 
+    def queue(self, account: shares.Account, team: str) -> TeamQueue | None:
+        """Returns the jobs of a team ready to start, or None without any."""
+        return self.teams[account].get(team)
+
     def remove(self, job_id: str) -> Request | None:
         """Removes a job; returns its request, or None if it did not wait.
 
@@ -161,11 +173,12 @@
         self.queue_counts[request.queue] -= 1
         if self.stuck.pop(job_id, None) or self._delayed.pop(job_id, None):
             return request
-        queue = self.teams[request.team]
+        teams = self.teams[shares.account_of(request.size)]
+        queue = teams[request.team]
         queue.remove(request)
         _count(self.sizes, request.size, -1)
         if not queue:
-            del self.teams[request.team]
+            del teams[request.team]
         return request
 
     def release_due(self, now_s: float) -> bool:
@@ -189,9 +202,10 @@
         return list(dict.fromkeys(expired))
 
     def _make_ready(self, request: Request) -> None:
-        queue = self.teams.get(request.team)
+        teams = self.teams[shares.account_of(request.size)]
+        queue = teams.get(request.team)
         if queue is None:
-            queue = self.teams[request.team] = TeamQueue()
+            queue = teams[request.team] = TeamQueue()
         queue.add(request)
         _count(self.sizes, request.size, 1)
 
