Urgent work gets room beside holds, fragments and lagging usage

Causes, each with a test that failed before: - A worker held for a patient job counted against the one hold that a pool of six may have, so that no urgent job could claim room while the hold stood, for ever where the running jobs are long. Claims now count apart and may take over the worker that is held (test_hold_for_patient_work_does_not_keep_urgent_work_waiting). - Room lost in fragments was charged to the teams that are short of their due only as far as they use it, so that the kept share of a borrower equalled its use and it never counted as a borrower. Teams that are due all that they ask for now come first (test_urgent_work_gets_room_beside_unusable_fragments). - Reported usage lags and counted tasks that had just ended, so that sizes were learned too large (1200 for 1000) and no longer fitted the freed room. A worker teaches only after five seconds without a start or an end (test_usage_of_an_ended_task_teaches_nothing).

Ruled out: worker polls.

--- a/foxtaillock/jobs/standing.py
+++ b/foxtaillock/jobs/standing.py
@@ -20,6 +20,7 @@
     ) -> None:
         self._context = context
         self._links = links
+        self._steady: dict[str, tuple[int, float]] = {}
 
     def refresh(self, link: worker_links.WorkerLink) -> None:
         """Takes over whether a worker may get new tasks."""
@@ -45,6 +46,7 @@
         for worker in list(context.workers):
             if worker.name not in names:
                 context.workers.remove_worker(worker.name)
+                self._steady.pop(worker.name, None)
         for vm in listed:
             known = context.workers.worker(vm.name)
             is_usable = known is not None and known.usable
@@ -82,13 +84,20 @@
             self.refresh(link)
 
     def note_usage(self, report: interfaces.WorkerReport) -> None:
-        """Learns from the usage of a worker whose tasks are long settled."""
+        """Learns from the usage of a worker whose tasks are long settled.
+
+        Reported usage lags, so that it may still count a task that ended.
+        """
         context = self._context
         worker = context.workers.worker(report.name)
         if worker is None or not worker.tasks:
             return
-        newest_s = max(task.started_s for task in worker.tasks.values())
-        if context.now_s() - newest_s < USAGE_SETTLED_S:
+        now_s = context.now_s()
+        changes, since_s = self._steady.get(report.name, (-1, now_s))
+        if changes != worker.changes:
+            self._steady[report.name] = (worker.changes, now_s)
+            return
+        if now_s - since_s < USAGE_SETTLED_S:
             return
         cpu = sum(task.size.cpu_millis for task in worker.tasks.values())
         memory = sum(task.size.memory_bytes for task in worker.tasks.values())
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -243,6 +243,20 @@
         running = [_state(owner, job_id).value for job_id in small]
         self.assertEqual(running.count("running"), 2)
 
+    async def test_usage_of_an_ended_task_teaches_nothing(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        jobs = [await _submit(owner) for _ in range(2)]
+        site.workers.used = (2000, 2 * fakes.GIB, 0)
+        await site.turn(owner, 20)
+        for _ in range(3):
+            site.workers.end(f"{jobs.pop(0)}.1", "succeeded")
+            await site.turn(owner, 4)
+            jobs.append(await _submit(owner))
+            await site.turn(owner, 20)
+        newest = site.workers.order_of[f"{jobs[-1]}.1"]
+        self.assertEqual(newest.cpu_millis, 1000)
+
     async def test_refusals_of_all_workers_cost_few_records(self) -> None:
         site = fakes.Site(workers=6)
         owner = site.owner(settings=context.OwnerSettings())
--- a/foxtaillock/placement/capacity.py
+++ b/foxtaillock/placement/capacity.py
@@ -41,6 +41,7 @@
         penalty: makes the worker less attractive; grows with its failures.
         free: resources that no task has reserved; may be negative.
         tasks: tasks that hold reservations.
+        changes: counts the reservations made and released.
     """
 
     name: str
@@ -52,6 +53,7 @@
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     idempotent_only: bool = False
     penalty: float = 0.0
+    changes: int = 0
 
 
 class Capacity:
@@ -117,6 +119,7 @@
         worker = Worker(name, zone, rack, size, usable, size)
         if known is not None:
             worker.tasks = known.tasks
+            worker.changes = known.changes + 1
             worker.penalty = known.penalty
             worker.idempotent_only = known.idempotent_only
             self.total = resources.subtract(self.total, known.size)
@@ -163,6 +166,7 @@
             self.set_worker(task.worker, "", "", resources.ZERO, False)
         worker = self._workers[task.worker]
         worker.tasks[task.task_id] = task
+        worker.changes += 1
         worker.free = resources.subtract(worker.free, task.size)
         _add(self.used, task)
         if task.size.accelerators:
@@ -175,6 +179,7 @@
         if worker is None or task_id not in worker.tasks:
             return None
         task = worker.tasks.pop(task_id)
+        worker.changes += 1
         worker.free = resources.add(worker.free, task.size)
         _subtract(self.used, task)
         if task.size.accelerators:
--- a/foxtaillock/placement/claims.py
+++ b/foxtaillock/placement/claims.py
@@ -104,15 +104,16 @@
         """Returns the shares above which teams have borrowed.
 
         What can not be used because of fragments lowers the shares of the
-        teams that ask for more than they are due, all alike.
+        teams that ask for more than they are due, all alike. Teams that are
+        due all that they ask for come first.
         """
         short = [t for t in due if not self._is_met(account, t, due[t])]
         wanted = sum(due[team] for team in short)
-        used = sum(
-            self._share(account, self._workers.used.get(team, resources.ZERO))
-            for team in short
+        usable = sum(
+            self._share(account, used) for used in self._workers.used.values()
         )
-        efficiency = min(1.0, used / wanted) if wanted > 0 else 1.0
+        left = usable - (sum(due.values()) - wanted)
+        efficiency = min(1.0, max(0.0, left) / wanted) if wanted > 0 else 1.0
         kept = dict(due)
         for team in short:
             kept[team] *= efficiency
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -63,6 +63,7 @@
         self._hold_budget = hold_budget.HoldBudget()
         self._sizes: set[resources.Resources] = set()
         self._holds: dict[str, str] = {}
+        self._claims_held: set[str] = set()
         self._limited: set[str] = set()
         self._no_hold_until_s: dict[str, float] = {}
         self._quiet_growth = -1
@@ -187,18 +188,21 @@
     def next_preemption(self, now_s: float) -> preemption.Preemption | None:
         """Returns tasks to checkpoint for a team that is below its share.
 
-        The worker is held for the job that claims the room.
+        The worker is held for the job that claims the room, instead of a job
+        that it was held for without a claim.
         """
-        if len(self._holds) >= self._max_held():
+        if len(self._claims_held) >= self._max_held():
             return None
         chosen = self._claims.choose(
             now_s,
             self.due_shares,
             lambda team: self._may_hold(team, now_s),
-            self._finder.held,
+            {self._holds[job_id] for job_id in self._claims_held},
         )
         if chosen is not None:
+            self._drop_hold(chosen.job_id)
             self._hold(chosen.job_id, chosen.worker)
+            self._claims_held.add(chosen.job_id)
         return chosen
 
     def _assign_held(
@@ -398,6 +402,7 @@
 
     def _drop_hold(self, job_id: str) -> None:
         worker = self._holds.pop(job_id, None)
+        self._claims_held.discard(job_id)
         if worker is not None:
             del self._finder.held[worker]
             self._quiet_growth = -1
--- a/foxtaillock/placement/tests/test_planner.py
+++ b/foxtaillock/placement/tests/test_planner.py
@@ -283,6 +283,39 @@
         assert got is not None
         self.assertEqual(got.request.job_id, "c0")
 
+    def test_hold_for_patient_work_does_not_keep_urgent_work_waiting(
+        self,
+    ) -> None:
+        self._add_workers(2)
+        for i in range(40):
+            self.planner.add(_request(f"a{i}", "a"), 0.0)
+        self._fill()
+        late_s = planner.HOLD_AFTER_S + 1.0
+        self._fill(late_s)
+        self.planner.add(_request("c0", "c", _SIZE, late_s, True), late_s)
+        chosen = self.planner.next_preemption(late_s)
+        assert chosen is not None
+        for victim in chosen.task_ids:
+            self._end(victim)
+        self._fill(late_s)
+        self.assertIn("c0", self.running)
+
+    def test_urgent_work_gets_room_beside_unusable_fragments(self) -> None:
+        self._add_workers(6)
+        large = resources.Resources(3, 3, 0)
+        for i in range(40):
+            self.planner.add(_request(f"a{i}", "a", large), 0.0)
+        self._fill()
+        for i in range(8):
+            job_id = f"c{i}"
+            self.planner.add(_request(job_id, "c", large, 1.0, True), 1.0)
+            chosen = self.planner.next_preemption(1.0)
+            assert chosen is not None, job_id
+            for victim in chosen.task_ids:
+                self._end(victim)
+            self._fill(1.0)
+            self.assertIn(job_id, self.running)
+
     def test_each_urgent_job_within_the_share_gets_room(self) -> None:
         self._add_workers(6)
         small = resources.Resources(1, 1, 0)
