Deadlines of jobs count from acceptance across owners

A takeover gave each waiting job its whole deadline again. The new owner now takes the age of a job from the wall-clock time that its acceptance record carries, once, and counts on with its own monotonic clock.

Test with two takeovers: fails with the backlog before (the job still waited after 61 s of 60).

--- a/foxtaillock/jobs/backlog.py
+++ b/foxtaillock/jobs/backlog.py
@@ -1,5 +1,7 @@
 """Waiting jobs of one pool between their records and the planner."""
 
+import datetime
+
 from foxtaillock import exceptions
 from foxtaillock.jobs import context as jobs_context
 from foxtaillock.jobs import job as jobs_job
@@ -19,19 +21,18 @@
     def __init__(self, context: jobs_context.Context) -> None:
         self._context = context
         self._since_s: dict[str, float] = {}
+        self._deadlines_s: dict[str, float] = {}
 
     def add(self, job: jobs_job.Job) -> None:
         """Adds a waiting job.
 
         A job that waits again keeps the time at which this owner first saw it.
+        Its deadline counts from its acceptance, also by an earlier owner.
         """
         context = self._context
         now_s = context.now_s()
         accepted = job.accepted
         since_s = self._since_s.setdefault(job.job_id, now_s)
-        expires_s = float("inf")
-        if accepted.deadline_s > 0:
-            expires_s = since_s + accepted.deadline_s
         request = waiting.Request(
             job.job_id,
             job.team,
@@ -42,7 +43,7 @@
             now_s + self._backoff_s(job),
             accepted.idempotent,
             context.trust.workers_failed(job.job_id),
-            expires_s,
+            self._expires_s(job),
         )
         context.waiting.add(request, now_s)
 
@@ -51,6 +52,7 @@
         self._context.waiting.remove(job.job_id)
         if job.state in jobs_job.FINISHED:
             self._since_s.pop(job.job_id, None)
+            self._deadlines_s.pop(job.job_id, None)
 
     def expire(self) -> None:
         """Cancels the waiting jobs that have become of no use."""
@@ -71,6 +73,23 @@
         if job is not None and job.state in jobs_job.WAITING:
             self.add(job)
 
+    def _expires_s(self, job: jobs_job.Job) -> float:
+        """Returns when the job becomes of no use, on the owner's clock.
+
+        The age of a job that is seen first comes from the wall-clock time that
+        its record carries; from then on the monotonic clock counts.
+        """
+        context = self._context
+        accepted = job.accepted
+        if accepted.deadline_s <= 0:
+            return float("inf")
+        known_s = self._deadlines_s.get(job.job_id)
+        if known_s is None:
+            age_s = _age_s(accepted.accepted_at, context.clock.now())
+            known_s = context.now_s() + accepted.deadline_s - age_s
+            self._deadlines_s[job.job_id] = known_s
+        return known_s
+
     def _size(self, job: jobs_job.Job) -> resources.Resources:
         """Returns the corrected size, unless no worker is so large."""
         context = self._context
@@ -91,3 +110,12 @@
         span_s = settings.backoff_s * 2.0 ** min(tries - 1, MAX_DOUBLINGS)
         span_s = min(span_s, settings.max_backoff_s)
         return self._context.rng.uniform(0.0, span_s)
+
+
+def _age_s(accepted_at: str, now: datetime.datetime) -> float:
+    """Returns the age of an acceptance; zero if it is not known."""
+    try:
+        at = datetime.datetime.fromisoformat(accepted_at)
+        return max(0.0, (now - at).total_seconds())
+    except (TypeError, ValueError):
+        return 0.0
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -243,6 +243,23 @@
         running = [_state(owner, job_id).value for job_id in small]
         self.assertEqual(running.count("running"), 2)
 
+    async def test_deadline_counts_from_acceptance_across_owners(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        whole = fakes.spec(fakes.WORKER_SIZE)
+        await _submit(owner, whole)
+        await site.turn(owner)
+        late = await _submit(owner, whole._replace(deadline_s=60.0))
+        patient = await _submit(owner, whole._replace(deadline_s=600.0))
+        await site.turn(owner, 40)
+        for _ in range(2):
+            owner = await site.started()
+            await site.turn(owner, 8)
+        self.assertEqual(_state(owner, late), world.JobState.WAITING)
+        await site.turn(owner, 3)
+        self.assertEqual(_state(owner, late), world.JobState.CANCELLED)
+        self.assertEqual(_state(owner, patient), world.JobState.WAITING)
+
     async def test_usage_of_an_ended_task_teaches_nothing(self) -> None:
         site = fakes.Site(workers=1)
         owner = await site.started()
