--- a/foxtaillock/jobs/backlog.py
+++ b/foxtaillock/jobs/backlog.py
@@ -7,6 +7,7 @@
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.model import records
 from foxtaillock.model import resources
+from foxtaillock.model import world
 from foxtaillock.placement import waiting
 
 __all__ = ["Backlog"]
@@ -101,8 +102,11 @@
         """Returns a back-off with full jitter after failed attempts.
 
         The first few attempts that did not run are tried again at once, since
-        another worker may take the job.
+        another worker may take the job. A job that gave its worker back did
+        not fail and waits for nothing.
         """
+        if job.state is world.JobState.CHECKPOINTED:
+            return 0.0
         tries = max(job.failures, job.attempts - FREE_ATTEMPTS)
         if tries <= 0:
             return 0.0
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -209,6 +209,26 @@
         self.assertEqual(len(again), 1)
         self.assertEqual(site.workers.order_of[again[0]].checkpoint, "half")
 
+    async def test_checkpointed_job_starts_again_without_back_off(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = site.owner(settings=context.OwnerSettings())
+        await owner.start()
+        await site.turn(owner)
+        half = resources.Resources(2000, fakes.GIB, 0)
+        borrowed = [await _submit(owner, fakes.spec(half)) for _ in range(2)]
+        await site.turn(owner)
+        for _ in range(8):
+            urgent = fakes.spec(half, urgent=True)
+            result = await owner.submit(urgent, "quotes", "k")
+            assert isinstance(result, results.Submitted)
+            await site.turn(owner, 2, step_s=0.5)
+            attempt = f"{result.job_id}.1"
+            self.assertIn(attempt, site.workers.running())
+            site.workers.end(attempt, "succeeded")
+            await site.turn(owner, 2, step_s=0.5)
+            states = [_state(owner, job_id).value for job_id in borrowed]
+            self.assertEqual(states, ["running", "running"])
+
     async def test_worker_that_fails_everything_is_left_alone(self) -> None:
         site = fakes.Site(workers=6)
         owner = await site.started()
