--- a/bench/placement.py
+++ b/bench/placement.py
@@ -30,6 +30,8 @@
 MEAN_RUN_TIME_S = 5.0
 TICK_S = 0.1
 PEAK_S = 20.0
+WINDOW_S = 10.0
+SHARE_TARGET = 0.05
 URGENT_SIZE = resources.Resources(1000, 2 * pool_model.GIB, 0)
 MEAN_CPU_MILLIS = 3_100
 Figures = dict[str, float]
@@ -228,16 +230,16 @@
     twentieth of its mean in between. The error of a team in an account is the
     difference between the integrals of what it used and of what it was due,
     over the latter, while jobs waited. Accelerators and the other resources
-    are two accounts, and both errors count.
+    are two accounts, and both errors count. The same over each `WINDOW_S`
+    counts the windows in which a team is more than `SHARE_TARGET` off.
     """
     rng = random.Random(seed)
     teams = _teams(share_run.teams)
     model = pool_model.PoolModel(
         share_run.workers, teams, share_run.accelerated
     )
-    used: dict[_Row, float] = collections.defaultdict(float)
-    due: dict[_Row, float] = collections.defaultdict(float)
     idle: list[float] = []
+    windows = _Windows()
     ticks = int(share_run.teams * PEAK_S * share_run.rounds / TICK_S)
     for tick in range(ticks):
         _submit_tick(model, share_run, rng, tick)
@@ -250,15 +252,58 @@
         idle.append(_usable_idle(model))
         for account, fair in model.planner.due_shares().items():
             for team in teams:
-                used[account, team] += model.share_of(team, account)
-                due[account, team] += fair.get(team, 0.0)
+                used = model.share_of(team, account)
+                due = fair.get(team, 0.0)
+                windows.add((account, team), tick, used, due)
     return {
-        **_share_errors(used, due),
+        **_share_errors(*windows.totals()),
+        **windows.figures(),
         "work_conservation": 1.0 - statistics.fmean(idle),
         "fraction_of_time_with_waiting_jobs": len(idle) / ticks,
     }
 
 
+class _Windows:
+    """Use and dues of each team in each window of `WINDOW_S`."""
+
+    def __init__(self) -> None:
+        self._used: dict[tuple[_Row, int], float] = {}
+        self._due: dict[tuple[_Row, int], float] = {}
+
+    def add(self, row: _Row, tick: int, used: float, due: float) -> None:
+        """Adds one tick."""
+        key = row, int(tick * TICK_S / WINDOW_S)
+        self._used[key] = self._used.get(key, 0.0) + used
+        self._due[key] = self._due.get(key, 0.0) + due
+
+    def totals(self) -> tuple[dict[_Row, float], dict[_Row, float]]:
+        """Returns use and dues of each team over all windows."""
+        sums: list[dict[_Row, float]] = []
+        for parts in (self._used, self._due):
+            total: dict[_Row, float] = collections.defaultdict(float)
+            for (row, _), part in parts.items():
+                total[row] += part
+            sums.append(total)
+        return sums[0], sums[1]
+
+    def figures(self) -> Figures:
+        """Returns median error and the windows that are off, by account."""
+        figures = {}
+        for account in shares.Account:
+            errors = [
+                abs(self._used[key] - due) / due
+                for key, due in self._due.items()
+                if key[0][0] is account and due > 0
+            ]
+            if not errors:
+                continue
+            late = sum(error > SHARE_TARGET for error in errors)
+            name = _ERROR_NAMES[account]
+            figures[f"median_10s_{name}"] = statistics.median(errors)
+            figures[f"10s_{name}_above_target"] = late / len(errors)
+        return figures
+
+
 def _share_errors(
     used: Mapping[_Row, float], due: Mapping[_Row, float]
 ) -> Figures:
