--- a/bench/placement.py
+++ b/bench/placement.py
@@ -4,13 +4,14 @@
 virtual time; only cost and memory depend on the machine.
 """
 
+import collections
 import math
 import random
 import statistics
 import time
 import tracemalloc
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from bench import harness
 from bench import pool_model
@@ -20,6 +21,7 @@
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
 from foxtaillock.placement import fit
+from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
 __all__ = ["run"]
@@ -28,9 +30,16 @@
 MEAN_RUN_TIME_S = 5.0
 TICK_S = 0.1
 PEAK_S = 20.0
+WINDOW_S = 10.0
+SHARE_TARGET = 0.05
 URGENT_SIZE = resources.Resources(1000, 2 * pool_model.GIB, 0)
 MEAN_CPU_MILLIS = 3_100
 Figures = dict[str, float]
+_Row = tuple[shares.Account, str]
+_ERROR_NAMES = {
+    shares.Account.GENERAL: "share_error",
+    shares.Account.ACCELERATORS: "accelerator_share_error",
+}
 
 
 def _teams(count: int) -> dict[str, objects.Team]:
@@ -63,7 +72,11 @@
 
 
 def measure_cost(row: CostRow, seed: int) -> Figures:
-    """Returns processor time of one placement in a full pool, in us."""
+    """Returns processor time of one placement in a full pool, in us.
+
+    What the planner does four times a second for the shares is measured apart,
+    as `upkeep`; `with_upkeep` has both where they fall into one step.
+    """
     rng = random.Random(seed)
     model = pool_model.PoolModel(row.workers, _teams(row.teams))
     began = time.process_time()
@@ -76,13 +89,23 @@
     add_us = (time.process_time() - began) / row.jobs * 1e6
     model.fill()
     costs: list[float] = []
+    upkeep: list[float] = []
+    both: list[float] = []
     while len(costs) < PLACEMENTS and model.end_next():
+        began = time.process_time()
+        model.planner.advance(model.now_s)
+        upkeep.append((time.process_time() - began) * 1e6)
         began = time.process_time()
         started = model.fill()
         spent_us = (time.process_time() - began) * 1e6
         costs.append(spent_us / max(1, started))
+        both.append((spent_us + upkeep[-1]) / max(1, started))
     costs.sort()
+    upkeep.sort()
+    both.sort()
     return {
+        "with_upkeep_p99_us": both[int(0.99 * len(both))],
+        "upkeep_p99_us": upkeep[int(0.99 * len(upkeep))],
         "add_us": add_us,
         "median_us": statistics.median(costs),
         "p99_us": costs[int(0.99 * len(costs))],
@@ -204,18 +227,19 @@
     """Returns share error and work conservation with peaks by turns.
 
     Each team in its turn asks five times its mean for `PEAK_S`, and a
-    twentieth of its mean in between. The error of a team is the difference
-    between the integrals of what it used and of what it was due, over the
-    latter, while jobs waited.
+    twentieth of its mean in between. The error of a team in an account is the
+    difference between the integrals of what it used and of what it was due,
+    over the latter, while jobs waited. Accelerators and the other resources
+    are two accounts, and both errors count. The same over each `WINDOW_S`
+    counts the windows in which a team is more than `SHARE_TARGET` off.
     """
     rng = random.Random(seed)
     teams = _teams(share_run.teams)
     model = pool_model.PoolModel(
         share_run.workers, teams, share_run.accelerated
     )
-    used = dict.fromkeys(teams, 0.0)
-    due = dict.fromkeys(teams, 0.0)
     idle: list[float] = []
+    windows = _Windows()
     ticks = int(share_run.teams * PEAK_S * share_run.rounds / TICK_S)
     for tick in range(ticks):
         _submit_tick(model, share_run, rng, tick)
@@ -226,19 +250,76 @@
         if not model.planner.requests():
             continue
         idle.append(_usable_idle(model))
-        fair = model.planner.due_shares()
-        for team in teams:
-            used[team] += model.share_of(team)
-            due[team] += fair.get(team, 0.0)
-    errors = [abs(used[t] - due[t]) / due[t] for t in teams if due[t] > 0]
+        for account, fair in model.planner.due_shares().items():
+            for team in teams:
+                used = model.share_of(team, account)
+                due = fair.get(team, 0.0)
+                windows.add((account, team), tick, used, due)
     return {
-        "mean_share_error": statistics.fmean(errors),
-        "worst_share_error": max(errors),
+        **_share_errors(*windows.totals()),
+        **windows.figures(),
         "work_conservation": 1.0 - statistics.fmean(idle),
         "fraction_of_time_with_waiting_jobs": len(idle) / ticks,
     }
 
 
+class _Windows:
+    """Use and dues of each team in each window of `WINDOW_S`."""
+
+    def __init__(self) -> None:
+        self._used: dict[tuple[_Row, int], float] = {}
+        self._due: dict[tuple[_Row, int], float] = {}
+
+    def add(self, row: _Row, tick: int, used: float, due: float) -> None:
+        """Adds one tick."""
+        key = row, int(tick * TICK_S / WINDOW_S)
+        self._used[key] = self._used.get(key, 0.0) + used
+        self._due[key] = self._due.get(key, 0.0) + due
+
+    def totals(self) -> tuple[dict[_Row, float], dict[_Row, float]]:
+        """Returns use and dues of each team over all windows."""
+        sums: list[dict[_Row, float]] = []
+        for parts in (self._used, self._due):
+            total: dict[_Row, float] = collections.defaultdict(float)
+            for (row, _), part in parts.items():
+                total[row] += part
+            sums.append(total)
+        return sums[0], sums[1]
+
+    def figures(self) -> Figures:
+        """Returns median error and the windows that are off, by account."""
+        figures = {}
+        for account in shares.Account:
+            errors = [
+                abs(self._used[key] - due) / due
+                for key, due in self._due.items()
+                if key[0][0] is account and due > 0
+            ]
+            if not errors:
+                continue
+            late = sum(error > SHARE_TARGET for error in errors)
+            name = _ERROR_NAMES[account]
+            figures[f"median_10s_{name}"] = statistics.median(errors)
+            figures[f"10s_{name}_above_target"] = late / len(errors)
+        return figures
+
+
+def _share_errors(
+    used: Mapping[_Row, float], due: Mapping[_Row, float]
+) -> Figures:
+    """Returns mean and worst error of the teams in each account."""
+    figures = {}
+    for account in shares.Account:
+        rows = [row for row in due if row[0] is account and due[row] > 0]
+        errors = [abs(used[row] - due[row]) / due[row] for row in rows]
+        if not errors:
+            continue
+        name = _ERROR_NAMES[account]
+        figures[f"mean_{name}"] = statistics.fmean(errors)
+        figures[f"worst_{name}"] = max(errors)
+    return figures
+
+
 def _submit_tick(
     model: pool_model.PoolModel,
     share_run: ShareRun,
@@ -380,6 +461,9 @@
     "demand_1.5_times_without_preemption": ShareRun(1.5, preempt=False),
     "demand_3_times_the_pool": ShareRun(3.0),
     "tenth_needs_accelerators": ShareRun(1.5, accelerated=True),
+    "69_workers_tenth_needs_accelerators": ShareRun(
+        1.5, accelerated=True, workers=69, rounds=1
+    ),
 }
 
 
--- a/bench/pool_model.py
+++ b/bench/pool_model.py
@@ -10,6 +10,7 @@
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
 from foxtaillock.placement import planner
+from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
 __all__ = ["GIB", "PoolModel", "WORKER_SIZE", "random_size"]
@@ -77,6 +78,7 @@
 
     def fill(self) -> int:
         """Starts all that can start; returns the number of starts."""
+        self.planner.advance(self.now_s)
         count = 0
         while True:
             assignment = self.planner.next_assignment(
@@ -119,9 +121,9 @@
             self.planner.add(request, self.now_s)
         return True
 
-    def share_of(self, team: str) -> float:
-        """Returns the dominant share that a team has reserved."""
-        return self.planner.used_share(team)
+    def share_of(self, team: str, account: shares.Account) -> float:
+        """Returns the share of an account that a team has reserved."""
+        return self.planner.used_share(team, account)
 
     def _start(self, assignment: planner.Assignment) -> None:
         request, worker = assignment
--- a/foxtaillock/cli/tests/test_report.py
+++ b/foxtaillock/cli/tests/test_report.py
@@ -37,7 +37,7 @@
         "n", 7, "t", 9.0, ("n0", "n1", "gone"), {"n0": 0.0}, 4.0, 2, 1
     )
     watch = fleet_watch.WatchRow(60.0, 2, 1, [note])
-    share = measures.TeamShare("p", "shops", 1, 3, 0.1, 0.4, 0.25)
+    share = measures.TeamShare("p", "shops", 1, 3, 0.1, 0.4, 0.0, 0.0, 0.25)
     return client.Answer(
         {
             "node": node,
--- a/foxtaillock/jobs/tests/test_owner.py
+++ b/foxtaillock/jobs/tests/test_owner.py
@@ -209,6 +209,26 @@
         self.assertEqual(len(again), 1)
         self.assertEqual(site.workers.order_of[again[0]].checkpoint, "half")
 
+    async def test_checkpointed_job_starts_again_without_back_off(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = site.owner(settings=context.OwnerSettings())
+        await owner.start()
+        await site.turn(owner)
+        half = resources.Resources(2000, fakes.GIB, 0)
+        borrowed = [await _submit(owner, fakes.spec(half)) for _ in range(2)]
+        await site.turn(owner)
+        for _ in range(8):
+            urgent = fakes.spec(half, urgent=True)
+            result = await owner.submit(urgent, "quotes", "k")
+            assert isinstance(result, results.Submitted)
+            await site.turn(owner, 2, step_s=0.5)
+            attempt = f"{result.job_id}.1"
+            self.assertIn(attempt, site.workers.running())
+            site.workers.end(attempt, "succeeded")
+            await site.turn(owner, 2, step_s=0.5)
+            states = [_state(owner, job_id).value for job_id in borrowed]
+            self.assertEqual(states, ["running", "running"])
+
     async def test_worker_that_fails_everything_is_left_alone(self) -> None:
         site = fakes.Site(workers=6)
         owner = await site.started()
@@ -243,6 +263,37 @@
         running = [_state(owner, job_id).value for job_id in small]
         self.assertEqual(running.count("running"), 2)
 
+    async def test_deadline_counts_from_acceptance_across_owners(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        whole = fakes.spec(fakes.WORKER_SIZE)
+        await _submit(owner, whole)
+        await site.turn(owner)
+        late = await _submit(owner, whole._replace(deadline_s=60.0))
+        patient = await _submit(owner, whole._replace(deadline_s=600.0))
+        await site.turn(owner, 40)
+        for _ in range(2):
+            owner = await site.started()
+            await site.turn(owner, 8)
+        self.assertEqual(_state(owner, late), world.JobState.WAITING)
+        await site.turn(owner, 3)
+        self.assertEqual(_state(owner, late), world.JobState.CANCELLED)
+        self.assertEqual(_state(owner, patient), world.JobState.WAITING)
+
+    async def test_usage_of_an_ended_task_teaches_nothing(self) -> None:
+        site = fakes.Site(workers=1)
+        owner = await site.started()
+        jobs = [await _submit(owner) for _ in range(2)]
+        site.workers.used = (2000, 2 * fakes.GIB, 0)
+        await site.turn(owner, 20)
+        for _ in range(3):
+            site.workers.end(f"{jobs.pop(0)}.1", "succeeded")
+            await site.turn(owner, 4)
+            jobs.append(await _submit(owner))
+            await site.turn(owner, 20)
+        newest = site.workers.order_of[f"{jobs[-1]}.1"]
+        self.assertEqual(newest.cpu_millis, 1000)
+
     async def test_refusals_of_all_workers_cost_few_records(self) -> None:
         site = fakes.Site(workers=6)
         owner = site.owner(settings=context.OwnerSettings())
--- a/foxtaillock/placement/capacity.py
+++ b/foxtaillock/placement/capacity.py
@@ -41,6 +41,7 @@
         penalty: makes the worker less attractive; grows with its failures.
         free: resources that no task has reserved; may be negative.
         tasks: tasks that hold reservations.
+        changes: counts the reservations made and released.
     """
 
     name: str
@@ -52,6 +53,7 @@
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     idempotent_only: bool = False
     penalty: float = 0.0
+    changes: int = 0
 
 
 class Capacity:
@@ -63,12 +65,16 @@
     Attributes:
         total: sum of the sizes of the workers.
         used: resources that each team has reserved.
+        used_accelerated: the part of it for tasks with accelerators.
+        changed_teams: teams whose use changed since a reader cleared it.
         kind_counts: running tasks of each team and queue, by rack and zone.
     """
 
     def __init__(self) -> None:
         self.total = resources.ZERO
         self.used: dict[str, resources.Resources] = {}
+        self.used_accelerated: dict[str, resources.Resources] = {}
+        self.changed_teams: set[str] = set()
         self.kind_counts: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
@@ -115,6 +121,7 @@
         worker = Worker(name, zone, rack, size, usable, size)
         if known is not None:
             worker.tasks = known.tasks
+            worker.changes = known.changes + 1
             worker.penalty = known.penalty
             worker.idempotent_only = known.idempotent_only
             self.total = resources.subtract(self.total, known.size)
@@ -161,9 +168,12 @@
             self.set_worker(task.worker, "", "", resources.ZERO, False)
         worker = self._workers[task.worker]
         worker.tasks[task.task_id] = task
+        worker.changes += 1
         worker.free = resources.subtract(worker.free, task.size)
-        used = self.used.get(task.team, resources.ZERO)
-        self.used[task.team] = resources.add(used, task.size)
+        self.changed_teams.add(task.team)
+        _add(self.used, task)
+        if task.size.accelerators:
+            _add(self.used_accelerated, task)
         self._count(worker, task, 1)
 
     def release(self, name: str, task_id: str) -> Task | None:
@@ -172,11 +182,12 @@
         if worker is None or task_id not in worker.tasks:
             return None
         task = worker.tasks.pop(task_id)
+        worker.changes += 1
         worker.free = resources.add(worker.free, task.size)
-        left = resources.subtract(self.used[task.team], task.size)
-        self.used[task.team] = left
-        if left == resources.ZERO:
-            del self.used[task.team]
+        self.changed_teams.add(task.team)
+        _subtract(self.used, task)
+        if task.size.accelerators:
+            _subtract(self.used_accelerated, task)
         self._count(worker, task, -1)
         self._note_growth(name)
         if worker.size == resources.ZERO and not worker.tasks:
@@ -197,3 +208,15 @@
             half = len(self._grown) // 2
             del self._grown[:half]
             self._grown_base += half
+
+
+def _add(used: dict[str, resources.Resources], task: Task) -> None:
+    before = used.get(task.team, resources.ZERO)
+    used[task.team] = resources.add(before, task.size)
+
+
+def _subtract(used: dict[str, resources.Resources], task: Task) -> None:
+    left = resources.subtract(used[task.team], task.size)
+    used[task.team] = left
+    if left == resources.ZERO:
+        del used[task.team]
--- a/foxtaillock/reports/measures.py
+++ b/foxtaillock/reports/measures.py
@@ -56,9 +56,11 @@
     """Standing of a team in one pool at the moment of the report.
 
     Attributes:
-        used: dominant share of the pool that it has reserved.
-        due: dominant share that it is due.
-        nearness: part of what is due that it has; None if it asks for
+        used: share of processors or memory that it has reserved, the larger.
+        due: share of them that it is due.
+        accelerators_used: share of the accelerators that it has reserved.
+        accelerators_due: share of them that it is due.
+        nearness: part of `due` that it has; None if it asks for
             nothing.
     """
 
@@ -68,6 +70,8 @@
     waiting: int
     used: float
     due: float
+    accelerators_used: float
+    accelerators_due: float
     nearness: float | None
 
 
