Runners drain by a note: field draining of a service

Cause: update_runners(draining=...) had no caller, so that operators could take a runner out only through the platform's list.

The field is read where the body of the service is folded. A slot that is held while its call is claimed is looked at again before the request is sent; a service that is withdrawn starts nothing more, also no further try.

A withdrawn service end to end does not fail with the guard out, since its requests are refused earlier.

--- a/foxtaillock/calls/attempts.py
+++ b/foxtaillock/calls/attempts.py
@@ -86,7 +86,8 @@
         call = _Call(desk, request, team, expires_at_s, progress)
         self._budget.note_call(request.service, team)
         avoid: set[str] = set()
-        next_slot: desks.Slot | None = slot
+        outcome: outcomes.Outcome = outcomes.NotRun("no-runner")
+        next_slot = await desk.replace_leaving(slot, expires_at_s)
         while next_slot is not None:
             avoid.add(next_slot.runner.vm.name)
             outcome = await self._try_hedged(call, next_slot)
--- a/foxtaillock/calls/desk.py
+++ b/foxtaillock/calls/desk.py
@@ -57,6 +57,7 @@
         self._grants = grants
         self._futures: dict[int, asyncio.Future[_Admitted]] = {}
         self._last_number = 0
+        self._is_closed = False
 
     async def admit(self, team: str, expires_at_s: float) -> _Admitted:
         """Waits for a slot and a grant of the team.
@@ -116,8 +117,12 @@
     async def find_other(
         self, avoid: Collection[str], expires_at_s: float
     ) -> Slot | None:
-        """Waits for a slot for another try of an admitted call."""
-        while True:
+        """Waits for a slot for another try of an admitted call.
+
+        Returns:
+            None if there is none in time or the service is withdrawn.
+        """
+        while not self._is_closed:
             now_s = self._clock.monotonic_s()
             if now_s >= expires_at_s:
                 return None
@@ -125,6 +130,20 @@
             if slot is not None:
                 return slot
             await asyncio.sleep(_RETRY_POLL_S)
+        return None
+
+    async def replace_leaving(
+        self, slot: Slot, expires_at_s: float
+    ) -> Slot | None:
+        """Returns the slot, or another if its runner has begun to leave.
+
+        A slot is held while its call is claimed, which takes a turn of the
+        log; its runner may be told to leave meanwhile.
+        """
+        if not slot.runner.is_draining(self._clock.monotonic_s()):
+            return slot
+        self.end(slot, table.CANCELLED)
+        return await self.find_other({slot.runner.vm.name}, expires_at_s)
 
     def take_other(self, avoid: Collection[str]) -> Slot | None:
         """Returns a slot that is free now, if any."""
@@ -140,7 +159,12 @@
         slot.runner.end(slot.ticket, answer, now_s, self._rng)
 
     def close(self) -> None:
-        """Sheds all that wait, when the service is withdrawn."""
+        """Sheds all that wait and starts nothing more.
+
+        Calls that run go on to their ends.
+        """
+        self._is_closed = True
+        self.table.update((), 1, 1)
         for waiter in list(self.queue):
             self.queue.remove(waiter.number)
             self._settle(
--- a/foxtaillock/calls/service.py
+++ b/foxtaillock/calls/service.py
@@ -4,7 +4,6 @@
 import collections
 import random
 import typing
-from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -85,7 +84,6 @@
         vms: Sequence[world.VmEntry],
         services: Mapping[str, objects.Service],
         teams: Mapping[str, objects.Team] | None = None,
-        draining: Collection[str] = (),
     ) -> None:
         """Takes over the platform's list and the configuration in force.
 
@@ -93,7 +91,6 @@
             vms: all VMs of the list.
             services: services in force.
             teams: teams in force, for their shares.
-            draining: names of runners that leave by a note.
         """
         for name in sorted(set(self._desks) - set(services)):
             self._desks.pop(name).close()
@@ -114,7 +111,7 @@
                 body.get("slots", _DEFAULT_SLOTS),
                 body.get("connections", _DEFAULT_CONNECTIONS),
                 entry_count,
-                draining,
+                body.get("draining", ()),
             )
 
     def start_draining(self) -> None:
--- a/foxtaillock/calls/tests/test_service.py
+++ b/foxtaillock/calls/tests/test_service.py
@@ -1,6 +1,7 @@
 """Tests of the driver of calls."""
 
 import asyncio
+import functools
 import random
 import unittest
 from collections.abc import Awaitable
@@ -96,12 +97,14 @@
     def __init__(self, refusal: str = "") -> None:
         self.refusal = refusal
         self.ended: dict[str, str] = {}
+        self.on_claim: Callable[[], None] = lambda: None
 
     async def claim(
         self, service_name: str, team: str, key: str, request_id: str
     ) -> interfaces.ClaimResult:
         """Answers as the log would."""
         del service_name, team, request_id
+        self.on_claim()
         if self.refusal:
             return interfaces.Refused(self.refusal)
         if key in self.ended:
@@ -125,6 +128,11 @@
     ]
 
 
+def _drain(name: str, calls: service.CallService) -> None:
+    body = objects.Service(slots=8, draining=[name])
+    calls.update_runners(_make_runners(2), {"quote": body})
+
+
 def _make_request(number: int, **fields: object) -> adapters.CallRequest:
     request = adapters.CallRequest(f"q{number}", "quote", "/", b"", 2.0, True)
     return request._replace(**fields)  # type: ignore[arg-type]
@@ -235,6 +243,32 @@
         result = virtual_loop.run(_drain())
         self.assertEqual(result.tag, outcomes.OutcomeTag.NOT_RUN)
 
+    def _claim_during(
+        self, change: Callable[[service.CallService], None]
+    ) -> outcomes.Outcome:
+        """Makes a call whose claim is won only after a change."""
+
+        async def _call() -> outcomes.Outcome:
+            calls = self._make()
+            self.claims.on_claim = lambda: change(calls)
+            return await calls.call(_make_request(1, **_CHARGE), "t")
+
+        return virtual_loop.run(_call())
+
+    def test_claimed_call_avoids_a_runner_that_begins_to_leave(self) -> None:
+        for left, staying in (("r0", "r1"), ("r1", "r0")):
+            self.claims.ended.clear()
+            self.runners.runners.clear()
+            result = self._claim_during(functools.partial(_drain, left))
+            self.assertEqual(result.tag, outcomes.OutcomeTag.RAN)
+            self.assertEqual(self.runners.runners, [staying])
+
+    def test_claimed_call_of_a_withdrawn_service_does_not_run(self) -> None:
+        result = self._claim_during(lambda calls: calls.update_runners((), {}))
+        self.assertEqual(result, outcomes.NotRun("no-runner"))
+        self.assertEqual(self.runners.sent, [])
+        self.assertEqual(self.claims.ended, {"k1": "not-run"})
+
     def _leave_early(self, request: adapters.CallRequest) -> None:
         async def _leave() -> None:
             calls = self._make()
--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -87,6 +87,7 @@
             "moves": [move._asdict() for move in made.moves],
             "shortfalls": made.shortfalls,
             "spare": made.spare._asdict(),
+            "unknown_runners": _find_unknown_runners(note.changes, self._vms()),
         }
 
     def _workers(self) -> list[fleet_model.Vm]:
@@ -327,6 +328,23 @@
     )
 
 
+def _find_unknown_runners(
+    changes: Sequence[records.Change], vms: Sequence[world.VmEntry]
+) -> list[str]:
+    """Returns the draining runners of `changes` that the list does not show.
+
+    The list lags, so that this is shown and not refused.
+    """
+    known = {(vm.service, vm.name) for vm in vms}
+    return [
+        f"{change.kind}/{change.name}: {name}"
+        for change in changes
+        if change.kind == "service" and change.action != "withdrawn"
+        for name in change.body.get("draining", ())
+        if (change.name, name) not in known
+    ]
+
+
 def _bodies_after(
     history: Sequence[tables.HistoryEntry],
 ) -> dict[tuple[str, str], dict[str, typing.Any]]:
--- a/foxtaillock/model/objects.py
+++ b/foxtaillock/model/objects.py
@@ -67,6 +67,7 @@
         open: whether callers need no key; calls then count for `team`.
         team: team that calls without a key count for.
         max_deadline_s: longest deadline of a call, in seconds.
+        draining: names of runner VMs that get no new calls.
         objective: fraction of calls to answer, for the burn report.
     """
 
@@ -75,4 +76,5 @@
     open: bool
     team: str
     max_deadline_s: float
+    draining: list[str]
     objective: float
--- a/foxtaillock/notes/rules.py
+++ b/foxtaillock/notes/rules.py
@@ -42,7 +42,7 @@
 
 def _check_duplicates(body: Mapping[str, typing.Any]) -> list[tuple[str, str]]:
     faults = []
-    for field in ("zones", "teams"):
+    for field in ("zones", "teams", "draining"):
         names = body.get(field, ())
         for name in sorted({name for name in names if names.count(name) > 1}):
             faults.append((field, f"{name!r} stands more than once"))
--- a/foxtaillock/routing/table.py
+++ b/foxtaillock/routing/table.py
@@ -89,6 +89,10 @@
         self.slots = slots
         self.own_cap = max(1, min(slots, share))
 
+    def mark_leaving(self) -> None:
+        """Lets the runner get nothing new."""
+        self.vm = self.vm._replace(state=world.VmState.LEAVING)
+
     def start(self, now_s: float) -> int:
         """Counts one call; returns the ticket for `end`."""
         self._last_ticket += 1
@@ -190,6 +194,9 @@
             connections: connections that it takes from all entry VMs.
             entry_count: entry VMs in the list.
             draining: names of runners that leave by a note.
+
+        A runner that is no longer in the list, or replaced, is marked as
+        leaving: a slot of it may still be held by a call that is not sent yet.
         """
         share = connections // max(entry_count, _MIN_ENTRY_COUNT)
         is_first = not self._runners
@@ -202,6 +209,9 @@
                 vm = vm._replace(state=world.VmState.LEAVING)
             runner.update(vm, slots, share)
             kept[vm.name] = runner
+        for name, runner in self._runners.items():
+            if kept.get(name) is not runner:
+                runner.mark_leaving()
         self._runners = kept
         self._near = [r for r in kept.values() if r.vm.zone == self._zone]
         self._far = [r for r in kept.values() if r.vm.zone != self._zone]
