--- a/foxtaillock/adapters/http_runners.py
+++ b/foxtaillock/adapters/http_runners.py
@@ -6,6 +6,7 @@
 """
 
 import types
+from collections.abc import Sequence
 
 import aiohttp
 from aiohttp import connector as connector_lib
@@ -29,6 +30,8 @@
 _NOT_RUN = str(outcomes.OutcomeTag.NOT_RUN)
 
 _STATUSES_WITHOUT_BODY = (204, 304)
+_STATUSES_NOT_OFFERED = (404, 405, 501)
+_QUESTION_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 _REFUSAL_BYTES = 4096
 _KEEPALIVE_TIMEOUT_S = 15.0
 _DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -83,6 +86,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
         self._session = http_session.Session(self._make_session)
+        self._questions = http_session.Session(_make_question_session)
 
     async def call(
         self, vm: world.VmEntry, request: interfaces.CallRequest
@@ -105,8 +109,36 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return _failed(progress, "no-connection", error)
 
+    async def find_running(
+        self, vm: world.VmEntry, request_ids: Sequence[str]
+    ) -> interfaces.RunningReport:
+        """Asks a runner which of these requests run there.
+
+        A runner that answers 404, 405 or 501 does not offer the question.
+
+        Raises:
+            OSError: no whole answer came, or one that is an error.
+        """
+        url = f"http://{vm.address}/running"
+        body = {"request_ids": list(request_ids)}
+        try:
+            async with self._questions.get().post(
+                url, json=body, timeout=_QUESTION_TIMEOUT, allow_redirects=False
+            ) as response:
+                if response.status in _STATUSES_NOT_OFFERED:
+                    return interfaces.RunningReport(False)
+                value = await http_session.read_json(response)
+        except (aiohttp.ClientError, ValueError) as error:
+            raise OSError(f"{url}: {error!r}") from error
+        findings: list[str] = []
+        ids = http_session.Checker(value, "running", findings).array("running")
+        if findings:
+            raise http_session.PlatformAnswerError("; ".join(findings))
+        return interfaces.RunningReport(True, [str(each) for each in ids])
+
     async def close(self) -> None:
         """Closes the connections."""
+        await self._questions.close()
         await self._session.close()
 
     def _make_session(self) -> aiohttp.ClientSession:
@@ -183,6 +215,15 @@
     )
 
 
+def _make_question_session() -> aiohttp.ClientSession:
+    """Returns a session that keeps no connection open.
+
+    A runner takes few connections, and is asked only when it is at fault.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(connector=connector)
+
+
 async def _note_written(
     _session: aiohttp.ClientSession,
     context: types.SimpleNamespace,
--- a/foxtaillock/adapters/interfaces.py
+++ b/foxtaillock/adapters/interfaces.py
@@ -17,6 +17,7 @@
     "PoolService",
     "RunnerAnswer",
     "RunnerService",
+    "RunningReport",
     "TaskOrder",
     "TaskReport",
     "TaskState",
@@ -238,6 +239,18 @@
     draining: bool = False
 
 
+class RunningReport(typing.NamedTuple):
+    """Which of some requests run at a runner.
+
+    Attributes:
+        is_offered: whether the runner can tell at all.
+        request_ids: those that run or may yet start.
+    """
+
+    is_offered: bool
+    request_ids: Sequence[str] = ()
+
+
 class RunnerService(typing.Protocol):
     """Calls to runners."""
 
@@ -250,3 +263,15 @@
         the runner refused before it started; else it is *ran* with the whole
         answer of this request id, or *unknown*.
         """
+
+    async def find_running(
+        self, vm: world.VmEntry, request_ids: Sequence[str]
+    ) -> RunningReport:
+        """Asks a runner which of these requests run there.
+
+        The runner must refuse to start those that it leaves out, should they
+        arrive later.
+
+        Raises:
+            OSError: no whole answer came.
+        """
--- a/foxtaillock/calls/attempts.py
+++ b/foxtaillock/calls/attempts.py
@@ -10,6 +10,7 @@
 from foxtaillock.calls import interfaces
 from foxtaillock.model import clock as clock_lib
 from foxtaillock.model import outcomes
+from foxtaillock.model import world
 from foxtaillock.retries import budget as budgets
 from foxtaillock.retries import policy
 from foxtaillock.routing import health
@@ -28,13 +29,15 @@
         tries: tries sent to runners.
         grants: grants of the team that the call holds, one for each try that
             may run.
-        in_doubt: tries that may still run at their runner.
+        open_tries: runner of each try that may still run, by its request id.
         was_full: whether the last runner refused for lack of a slot.
     """
 
     tries: int = 0
     grants: int = 1
-    in_doubt: int = 0
+    open_tries: dict[str, world.VmEntry] = dataclasses.field(
+        default_factory=dict
+    )
     was_full: bool = False
 
 
@@ -115,7 +118,7 @@
     def _hold_grant(self, call: _Call) -> bool:
         """Takes another grant if all that the call holds may be in use."""
         progress = call.progress
-        if progress.in_doubt < progress.grants:
+        if len(progress.open_tries) < progress.grants:
             return True
         if not self._grants.try_start(call.team):
             return False
@@ -172,7 +175,7 @@
             request = request._replace(request_id=request_id)
         answer = table.CANCELLED
         started_s = self._clock.monotonic_s()
-        call.progress.in_doubt += 1
+        call.progress.open_tries[request.request_id] = slot.runner.vm
         try:
             result = await self._runner_service.call(slot.runner.vm, request)
             answer = _classify(result, slot.runner.slots)
@@ -181,7 +184,7 @@
             is_refusal = answer.result is health.Result.REFUSED
             call.progress.was_full = is_refusal and not answer.is_draining
         if not isinstance(result.outcome, outcomes.Unknown):
-            call.progress.in_doubt -= 1
+            del call.progress.open_tries[request.request_id]
         if isinstance(result.outcome, outcomes.Ran):
             now_s = self._clock.monotonic_s()
             call.desk.queue.note_run_time(now_s - started_s, now_s)
--- a/foxtaillock/calls/service.py
+++ b/foxtaillock/calls/service.py
@@ -11,6 +11,8 @@
 from foxtaillock.calls import answers
 from foxtaillock.calls import attempts
 from foxtaillock.calls import desk as desks
+from foxtaillock.calls import doubt_keeper
+from foxtaillock.calls import doubts
 from foxtaillock.calls import interfaces
 from foxtaillock.model import clock as clock_lib
 from foxtaillock.model import objects
@@ -39,12 +41,15 @@
         attempts: tries sent to runners.
         waiting: calls that wait now.
         running: calls that run now.
+        in_doubt: tries without a whole answer that may still run and count
+            against their teams.
     """
 
     outcomes: dict[str, int]
     attempts: int
     waiting: int
     running: int
+    in_doubt: int
 
 
 class CallService:
@@ -71,6 +76,7 @@
         self._attempts = attempts.Attempts(
             runner_service, clock, rng, grants, is_hedging
         )
+        self._doubts = doubt_keeper.DoubtKeeper(runner_service, clock, grants)
         self._answers = answers.AnswerStore()
         self._desks: dict[str, desks.ServiceDesk] = {}
         self._tasks: set[asyncio.Task[outcomes.Outcome]] = set()
@@ -92,6 +98,7 @@
             services: services in force.
             teams: teams in force, for their shares.
         """
+        self._doubts.note_vms(vms)
         for name in sorted(set(self._desks) - set(services)):
             self._desks.pop(name).close()
         entry_count = sum(vm.role is world.VmRole.ENTRY for vm in vms)
@@ -123,6 +130,10 @@
         while self._running or any(d.queue for d in self._desks.values()):
             await asyncio.sleep(_PUMP_INTERVAL_S)
 
+    async def close(self) -> None:
+        """Stops asking runners about tries in doubt."""
+        await self._doubts.close()
+
     def stats(self) -> CallStats:
         """Returns the counts of this entry VM."""
         return CallStats(
@@ -130,6 +141,7 @@
             attempts=self._attempts.sent,
             waiting=sum(len(desk.queue) for desk in self._desks.values()),
             running=self._running,
+            in_doubt=len(self._doubts),
         )
 
     def waiting_by_team(self) -> Mapping[str, int]:
@@ -207,16 +219,12 @@
     def _finish(
         self, team: str, expires_at_s: float, progress: attempts.Progress
     ) -> None:
-        """Gives the grants back, each once nothing can run under it.
-
-        A runner stops a call at its deadline, which it got with the request.
-        """
-        for _ in range(progress.grants - progress.in_doubt):
+        """Gives the grants back, each once nothing can run under it."""
+        for _ in range(progress.grants - len(progress.open_tries)):
             self._grants.finish(team)
-        delay_s = expires_at_s - self._clock.monotonic_s() + _DEADLINE_SLACK_S
-        loop = asyncio.get_running_loop()
-        for _ in range(progress.in_doubt):
-            loop.call_later(max(0.0, delay_s), self._grants.finish, team)
+        due_s = expires_at_s + _DEADLINE_SLACK_S
+        for request_id, vm in progress.open_tries.items():
+            self._doubts.add(doubts.Doubt(team, vm, request_id, due_s))
 
     def _pump(self) -> None:
         for desk in self._desks.values():
--- a/foxtaillock/calls/tests/test_service.py
+++ b/foxtaillock/calls/tests/test_service.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.calls import interfaces
@@ -46,6 +47,7 @@
         self.ended: list[str] = []
         self.most_at_once = 0
         self.scripts: list[_Script] = []
+        self.report = adapters.RunningReport(False)
 
     async def call(
         self, vm: world.VmEntry, request: adapters.CallRequest
@@ -60,6 +62,13 @@
         self.ended.append(request.request_id)
         return answer
 
+    async def find_running(
+        self, vm: world.VmEntry, request_ids: Sequence[str]
+    ) -> adapters.RunningReport:
+        """Tells what the test has set."""
+        del vm, request_ids
+        return self.report
+
 
 def _script(outcome: outcomes.Outcome) -> _Script:
     async def _say(
@@ -302,6 +311,40 @@
             (refused.tag, getattr(refused, "code")), ("not-run", "team-limit")
         )
 
+    def _lose_and_wait(
+        self, report: adapters.RunningReport, incarnation: int = 1
+    ) -> tuple[int, int]:
+        """Loses a call of 1 s whose runner then tells `report`.
+
+        Returns:
+            Free grants and tries in doubt, long after the deadline.
+        """
+
+        async def _lose() -> tuple[int, int]:
+            calls = self._make()
+            self.runners.report = report
+            self.runners.scripts = [_script(_LOST)]
+            request = _make_request(1, deadline_s=1.0, idempotent=False)
+            await calls.call(request, "t")
+            vms = [
+                vm._replace(incarnation=incarnation) for vm in _make_runners(2)
+            ]
+            calls.update_runners(vms, {"quote": {}})
+            await asyncio.sleep(60.0)
+            await calls.close()
+            return self.grants.free, calls.stats()["in_doubt"]
+
+        self.grants.free = 4
+        return virtual_loop.run(_lose())
+
+    def test_run_past_its_deadline_counts_until_it_is_over(self) -> None:
+        report = adapters.RunningReport
+        running = report(True, ["q1"])
+        self.assertEqual(self._lose_and_wait(running), (3, 1))
+        self.assertEqual(self._lose_and_wait(report(True, [])), (4, 0))
+        self.assertEqual(self._lose_and_wait(report(False)), (4, 0))
+        self.assertEqual(self._lose_and_wait(running, 2), (4, 0))
+
     def test_hedge_answers_for_a_hanging_runner(self) -> None:
         answers: list[_Script] = [_answer] * 6
         self.runners.scripts = [*answers, _hang]
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -307,6 +307,7 @@
         await self.peer_server.close()
         await self.pools.close()
         await self.session.close()
+        await self.calls.close()
         await self.claims.close()
         await self._background.close()
         await self._runner.cleanup()
--- a/foxtaillock/decisions/catalogue.py
+++ b/foxtaillock/decisions/catalogue.py
@@ -5,6 +5,7 @@
 
 from foxtaillock import exceptions
 from foxtaillock.admission import queue
+from foxtaillock.calls import doubts
 from foxtaillock.fleet import membership
 from foxtaillock.fleet import planner as fleet_planner
 from foxtaillock.fleet import spares
@@ -45,6 +46,7 @@
 
 
 _decision("admission")(queue.ServiceQueue)
+_decision("doubts")(doubts.Doubts)
 _decision("grants")(grants.LocalGrants)
 _decision("liveness")(liveness.create_liveness)
 _decision("ownership")(ownership.Ownership)
--- a/foxtaillock/integration/tests/test_promises.py
+++ b/foxtaillock/integration/tests/test_promises.py
@@ -63,6 +63,33 @@
         self.assertEqual(len(spans), 68)
         self.assertLessEqual(checker.greatest_overlap(spans), 4)
 
+    async def test_hung_runs_count_past_their_deadline(self) -> None:
+        sender = await self.make_sender("estimators")
+        faults = f"{self.fleet.urls['runners_admin']}/admin/faults"
+        path = "/v1/services/quotes/call/x"
+        extra = {"X-Idempotent": "true", "X-Deadline-S": "0.8"}
+
+        async def _call(entry: int) -> str:
+            answer = await sender.send("POST", path, "{}", extra, entry)
+            return answer.outcome
+
+        await self.fleet.admin_post(faults, {"vm": "*", "hang": True})
+        for _ in range(5):
+            found = await asyncio.gather(*(_call(i % 3) for i in range(6)))
+            self.assertNotIn("ran", found)
+        rows = await self.read_journal("runners_admin")
+        spans = [
+            checker.Span(row["request_id"], row["started_s"], row["ended_s"])
+            for row in rows
+        ]
+        self.assertEqual(checker.greatest_overlap(spans), 4)
+        await self.fleet.admin_post(faults, {"vm": "*", "hang": False})
+
+        async def _runs_again() -> bool:
+            return await _call(0) == "ran"
+
+        await scenario.until(_runs_again, 10.0, "grants are given back")
+
     async def test_whole_fleet_replaced_one_by_one_reverts_nothing(
         self,
     ) -> None:
--- a/foxtaillock/standins/runners.py
+++ b/foxtaillock/standins/runners.py
@@ -1,6 +1,7 @@
 """Stand-in for the runners of the services, each on its own socket."""
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import json
@@ -56,6 +57,7 @@
         truncate: answers end before their declared length.
         crossed: answers carry the id and body of the previous request.
         late_s: seconds that an answer waits after its work and slot ended.
+        tells_running: whether it says which requests run.
     """
 
     fail_all: bool = False
@@ -64,6 +66,7 @@
     truncate: bool = False
     crossed: bool = False
     late_s: float = 0.0
+    tells_running: bool = True
 
 
 class RunnerVm:
@@ -94,6 +97,8 @@
         self._slots = slots
         self._max_connections = max_connections
         self.busy_slots = 0
+        self._running: collections.Counter[str] = collections.Counter()
+        self._barred: set[str] = set()
         self.is_draining = False
         self.refused = 0
         self.faults = RunnerFaults()
@@ -132,6 +137,18 @@
 
     def _add_routes(self, application: web.Application) -> None:
         application.router.add_post("/run/{path:.*}", self._run)
+        application.router.add_post("/running", self._tell_running)
+
+    async def _tell_running(self, request: web.Request) -> web.StreamResponse:
+        """Tells which requests run and bars the others from starting."""
+        asked = (await request.json())["request_ids"]
+        if not await self.gate.enter():
+            return await listener.abort_connection(request)
+        if not self.faults.tells_running:
+            return web.Response(status=404)
+        running = [each for each in asked if self._running[each]]
+        self._barred.update(set(asked).difference(running))
+        return web.json_response({"running": running})
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
@@ -142,12 +159,14 @@
             return self._refuse(request, refusal)
         entry = self._begin(request, body)
         self.busy_slots += 1
+        self._running[entry["request_id"]] += 1
         try:
             await self._work(_parse_body(body))
             entry["state"] = "ended"
             entry["ended_s"] = self._clock.monotonic_s()
         finally:
             self.busy_slots -= 1
+            self._running[entry["request_id"]] -= 1
             if entry["state"] == "running":
                 entry["state"] = "cut"
                 entry["ended_s"] = self._clock.monotonic_s()
@@ -162,6 +181,8 @@
             return "unavailable"
         if self.is_draining:
             return "draining"
+        if request.headers.get("X-Request-Id", "") in self._barred:
+            return "barred"
         if self._listener.connections() > self._max_connections:
             return "connections"
         if self.busy_slots >= self._slots:
--- a/foxtaillock/standins/tests/test_runners.py
+++ b/foxtaillock/standins/tests/test_runners.py
@@ -66,6 +66,26 @@
             self.assertEqual(len(self.fleet.journal), number)
             self.vm.set_faults({name: off})
 
+    async def test_runner_tells_what_runs_and_bars_the_others(self) -> None:
+        self.vm.set_faults({"hang": True})
+        self.assertIsInstance(await self._call("r1", 0.1), outcomes.Unknown)
+        ask = self.client.find_running
+        report = await ask(self.vm.entry, ["r1", "r2"])
+        self.assertEqual(report, interfaces.RunningReport(True, ["r1"]))
+        self.vm.set_faults({"hang": False})
+        self.assertIsInstance(await self._call("r2"), outcomes.NotRun)
+        self.assertIsInstance(await self._call("r3"), outcomes.Ran)
+        while self.vm.busy_slots:
+            await asyncio.sleep(0.01)
+        report = await ask(self.vm.entry, ["r1"])
+        self.assertEqual(report, interfaces.RunningReport(True, []))
+        self.vm.set_faults({"tells_running": False})
+        report = await ask(self.vm.entry, ["r1"])
+        self.assertEqual(report, interfaces.RunningReport(False))
+        await self.vm.shut()
+        with self.assertRaises(OSError):
+            await ask(self.vm.entry, ["r1"])
+
     async def test_draining_runner_refuses_before_the_start(self) -> None:
         self.vm.drain()
         self.assertIsInstance(await self._call("r1"), outcomes.NotRun)
