--- /dev/null
+++ b/bench/tests/test_calls_faults.py
@@ -0,0 +1,67 @@
+"""Tests of the checker of calls, and a small run through the fault proxy."""
+
+import hashlib
+import json
+import typing
+import unittest
+
+from bench import call_checker
+from bench import calls_faults
+
+_BODY = b"body"
+
+
+def _answer(body: bytes = _BODY, filler: str = "xx") -> bytes:
+    digest = hashlib.sha256(body).hexdigest()
+    return json.dumps({"body_digest": digest, "filler": filler}).encode()
+
+
+def _call(**fields: typing.Any) -> call_checker.Call:
+    call = call_checker.Call(_BODY, 2, False, "q", "ran", "", _answer())
+    return call._replace(**fields)
+
+
+def _row(request_id: str = "q") -> call_checker.Row:
+    digest = hashlib.sha256(_BODY).hexdigest()
+    return {"body_digest": digest, "request_id": request_id}
+
+
+class CheckerTest(unittest.TestCase):
+
+    def _found(
+        self, call: call_checker.Call, *journal: call_checker.Row
+    ) -> list[str]:
+        findings = call_checker.check([call], journal)._asdict()
+        return [name for name, count in findings.items() if count]
+
+    def test_each_broken_promise_is_found(self) -> None:
+        row = _row()
+        self.assertEqual(self._found(_call(), row), [])
+        crossed = _call(answer=_answer(b"another"))
+        self.assertEqual(self._found(crossed, row), ["crossed"])
+        for answer in (_answer()[:-1], _answer(filler="x"), b"", b"[]"):
+            call = _call(answer=answer)
+            self.assertEqual(self._found(call, row), ["truncated"])
+        refused = _call(outcome="not-run", answer=b"")
+        self.assertEqual(self._found(refused, row), ["false_not_run"])
+        self.assertEqual(self._found(refused, _row("q-3")), ["false_not_run"])
+        self.assertEqual(self._found(refused, _row("another")), [])
+        self.assertEqual(self._found(_call()), ["ran_without_run"])
+        twice = (row, _row("other"))
+        self.assertEqual(self._found(_call(), *twice), ["extra_runs"])
+        self.assertEqual(self._found(_call(is_idempotent=True), *twice), [])
+        lost = _call(outcome="unknown", answer=b"")
+        self.assertEqual(self._found(lost, row), [])
+
+
+class FaultsTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_no_promise_is_broken(self) -> None:
+        found = await calls_faults.run_seed(7, 800)
+        broken = {k: v for k, v in found.items() if k.startswith("broken_")}
+        self.assertEqual(broken, dict.fromkeys(broken, 0.0))
+        self.assertEqual(len(broken), 5)
+        self.assertGreaterEqual(found["calls"], 800)
+        self.assertNotIn("calls_no_answer", found)
+        for name in ("ran", "unknown", "code_crossed-answer"):
+            self.assertGreater(found[f"calls_{name}"], 0, name)
