A refused try no longer hides an earlier one that may have run

Cause: the outcome of a call was that of its last try. An idempotent call whose first try was unknown and whose next was refused was told as not run, although it may have run; so was a hedged one.

A not-run try takes nothing back of an unknown one.

Connections are now doubled only before runners that never refuse, and refusals come from the others. Stand-in runners no longer log a traceback for each cut request.

--- a/bench/calls_faults.py
+++ b/bench/calls_faults.py
@@ -29,6 +29,8 @@
 _ZONES = ("a", "b")
 _SERVICES = ("quotes", "charges")
 _RUNNERS_PER_ZONE = 3
+_RUNNER_SLOTS = 64
+_RUNNER_CONNECTIONS = 1_000
 _AT_ONCE = 40
 _CALLS = 20_000
 _QUICK_CALLS = 1_000
@@ -78,6 +80,8 @@
             "workers": 0,
             "services": _SERVICES,
             "runners_per_zone": _RUNNERS_PER_ZONE,
+            "slots": _RUNNER_SLOTS,
+            "max_connections": _RUNNER_CONNECTIONS,
         }
         super().__init__(_ZONES, config)
         self._seed = seed
@@ -112,8 +116,9 @@
 class _FaultPlan:
     """Changes the faults of links, runners and the log all the time.
 
-    Connections are doubled only before runners of idempotent calls and before
-    the log: a runner can't know a copy of a request from a second one.
+    Connections are doubled before the log and before one runner of idempotent
+    calls in each zone. That runner never refuses: it can't know a copy from a
+    second request, and would run one and refuse the other.
 
     Args:
         fleet: fleet that runs.
@@ -132,9 +137,9 @@
     def start(self) -> None:
         """Begins to change faults."""
         for name, link in self._fleet.links.items():
-            can_double = "quotes" in name
-            self._spawn(self._change_link(link, can_double))
-            self._spawn(self._change_runner(name))
+            is_doubled = "quotes" in name and name.endswith("-0")
+            self._spawn(self._change_link(link, is_doubled))
+            self._spawn(self._change_runner(name, not is_doubled))
         for entry in self._fleet.entries:
             assert entry.log_proxy is not None
             self._spawn(self._change_log(entry.log_proxy))
@@ -161,15 +166,15 @@
         await asyncio.sleep(self._rng.uniform(_LEAST_CHANGE_S, _MOST_CHANGE_S))
 
     async def _change_link(
-        self, link: fault_proxy.FaultProxy, can_double: bool
+        self, link: fault_proxy.FaultProxy, is_doubled: bool
     ) -> None:
         while True:
             link.set_faults(_CLEAN)
             if self._rng.random() >= _CLEAN_SHARE:
-                link.set_faults(self._draw_link_fault(can_double))
+                link.set_faults(self._draw_link_fault(is_doubled))
             await self._wait()
 
-    def _draw_link_fault(self, can_double: bool) -> dict[str, typing.Any]:
+    def _draw_link_fault(self, is_doubled: bool) -> dict[str, typing.Any]:
         rng = self._rng
         cut_bytes = rng.randrange(_LONGEST_CUT_BYTES)
         faults: list[dict[str, typing.Any]] = [
@@ -181,16 +186,16 @@
             {"up": {"mode": "drop"}},
             {"down": {"mode": "drop"}},
             {"refuse": True},
-            {"duplicate": can_double},
+            {"duplicate": is_doubled},
         ]
         return rng.choice(faults)
 
-    async def _change_runner(self, name: str) -> None:
+    async def _change_runner(self, name: str, may_refuse: bool) -> None:
         faults = (
             {"crossed": True},
             {"truncate": True},
             {"late_s": 0.5},
-            {"unavailable": "charges" in name},
+            {"unavailable": may_refuse},
         )
         while True:
             changes = {"vm": name, **_CLEAN_RUNNER}
--- a/foxtaillock/calls/attempts.py
+++ b/foxtaillock/calls/attempts.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import typing
+from collections.abc import Iterable
 
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.calls import desk as desks
@@ -85,7 +87,10 @@
         expires_at_s: float,
         progress: Progress,
     ) -> outcomes.Outcome:
-        """Runs a call that has a slot, with retries, to its outcome."""
+        """Runs a call that has a slot, with retries, to its outcome.
+
+        It is *not run* only if that holds for each of its tries.
+        """
         call = _Call(desk, request, team, expires_at_s, progress)
         self._budget.note_call(request.service, team)
         avoid: set[str] = set()
@@ -93,8 +98,9 @@
         next_slot = await desk.replace_leaving(slot, expires_at_s)
         while next_slot is not None:
             avoid.add(next_slot.runner.vm.name)
-            outcome = await self._try_hedged(call, next_slot)
-            delay_s = self._find_retry_delay_s(call, outcome)
+            latest = await self._try_hedged(call, next_slot)
+            outcome = _merge(outcome, latest)
+            delay_s = self._find_retry_delay_s(call, latest)
             if delay_s is None or not self._hold_grant(call):
                 return outcome
             await asyncio.sleep(delay_s)
@@ -194,16 +200,34 @@
 async def _take_first_answer(
     tries: list["asyncio.Task[outcomes.Outcome]"],
 ) -> outcomes.Outcome:
-    """Returns the first answer, or the last outcome if there is none."""
+    """Returns the first answer, or what is known of all tries."""
     waiting = set(tries)
     while True:
         done, waiting = await asyncio.wait(
             waiting, return_when=asyncio.FIRST_COMPLETED
         )
-        results = [task.result() for task in done]
-        ran = [r for r in results if isinstance(r, outcomes.Ran)]
+        ran = [r for r in _results(done) if isinstance(r, outcomes.Ran)]
         if ran or not waiting:
-            return (ran or results)[0]
+            return ran[0] if ran else functools.reduce(_merge, _results(tries))
+
+
+def _results(
+    tasks: Iterable["asyncio.Task[outcomes.Outcome]"],
+) -> list[outcomes.Outcome]:
+    return [task.result() for task in tasks]
+
+
+def _merge(
+    earlier: outcomes.Outcome, later: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Returns the outcome of two tries of one call, neither or the later ran.
+
+    A try that is *not run* takes nothing back of one that is *unknown*.
+    """
+    if isinstance(earlier, outcomes.Unknown):
+        if isinstance(later, outcomes.NotRun):
+            return earlier
+    return later
 
 
 def _classify(answer: adapters.RunnerAnswer, slots: int) -> table.Answer:
--- a/foxtaillock/calls/tests/test_service.py
+++ b/foxtaillock/calls/tests/test_service.py
@@ -70,11 +70,12 @@
         return self.report
 
 
-def _script(outcome: outcomes.Outcome) -> _Script:
+def _script(outcome: outcomes.Outcome, late_s: float = 0.0) -> _Script:
     async def _say(
         vm: world.VmEntry, request: adapters.CallRequest
     ) -> adapters.RunnerAnswer:
         del vm, request
+        await asyncio.sleep(late_s)
         return adapters.RunnerAnswer(outcome)
 
     return _say
@@ -204,6 +205,21 @@
         self.assertEqual(result, _LOST)
         self.assertEqual(self.runners.sent, ["q1"])
 
+    def test_refused_try_does_not_hide_an_earlier_one_that_may_have_run(
+        self,
+    ) -> None:
+        self.runners.scripts = [_script(_LOST), *[_script(_REFUSED)] * 2]
+        (result,) = self._run(_make_request(1))
+        self.assertEqual(result, _LOST)
+
+    def test_refused_hedge_does_not_hide_a_try_that_may_have_run(self) -> None:
+        answers: list[_Script] = [_answer] * 6
+        late = [_script(_LOST, 0.05), _script(_REFUSED, 0.1)]
+        self.runners.scripts = [*answers, *late, *[_script(_REFUSED)] * 9]
+        requests = [_make_request(i, deadline_s=9.0) for i in range(7)]
+        results = self._run(*requests, is_hedging=True)
+        self.assertEqual(results[-1], _LOST)
+
     def test_charge_that_was_refused_is_tried_again(self) -> None:
         self.runners.scripts = [_script(_REFUSED)]
         (result,) = self._run(_make_request(1, **_CHARGE))
--- a/foxtaillock/standins/runners.py
+++ b/foxtaillock/standins/runners.py
@@ -141,7 +141,10 @@
 
     async def _tell_running(self, request: web.Request) -> web.StreamResponse:
         """Tells which requests run and bars the others from starting."""
-        asked = (await request.json())["request_ids"]
+        try:
+            asked = (await request.json())["request_ids"]
+        except ConnectionError:
+            return web.Response()
         if not await self.gate.enter():
             return await listener.abort_connection(request)
         if not self.faults.tells_running:
@@ -151,7 +154,10 @@
         return web.json_response({"running": running})
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
-        body = await request.read()
+        try:
+            body = await request.read()
+        except ConnectionError:
+            return web.Response()
         if not await self.gate.enter():
             return await listener.abort_connection(request)
         refusal = self._refusal(request)
