Call path: no tracing of requests, cheaper choice of a runner

The request class marks its try just before it sends; that is no later than the signal was. Loads are not computed for runners without room; ties are decided by a random number for each.

--- a/foxtaillock/adapters/http_runners.py
+++ b/foxtaillock/adapters/http_runners.py
@@ -5,7 +5,7 @@
 after the first byte leaves the outcome *unknown*.
 """
 
-import types
+import contextvars
 from collections.abc import Sequence
 
 import aiohttp
@@ -44,6 +44,24 @@
         self.was_written = False
 
 
+_CURRENT_TRY: contextvars.ContextVar[_Try] = contextvars.ContextVar("try")
+
+
+class _MarkedRequest(aiohttp.ClientRequest):
+    """Request that marks its try before its first byte can be written.
+
+    The try is that of the task which makes the request. Tracing would tell
+    the same, but costs a call of each of its signals.
+    """
+
+    async def send(
+        self, conn: connector_lib.Connection
+    ) -> aiohttp.ClientResponse:
+        """Sends the request on a connection."""
+        _CURRENT_TRY.get().was_written = True
+        return await super().send(conn)
+
+
 class _CheckedResponse(aiohttp.ClientResponse):
     """Response that closes its connection when the answer is another's.
 
@@ -100,8 +118,9 @@
         if refusal is not None:
             return interfaces.RunnerAnswer(refusal)
         progress = _Try()
+        _CURRENT_TRY.set(progress)
         try:
-            return await self._send(vm, request, progress)
+            return await self._send(vm, request)
         except TimeoutError as error:
             return _failed(progress, "timeout", error)
         except aiohttp.ClientPayloadError as error:
@@ -142,8 +161,6 @@
         await self._session.close()
 
     def _make_session(self) -> aiohttp.ClientSession:
-        trace = aiohttp.TraceConfig()
-        trace.on_request_headers_sent.append(_note_written)
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=self._connections_per_runner,
@@ -151,8 +168,8 @@
         )
         return aiohttp.ClientSession(
             connector=connector,
+            request_class=_MarkedRequest,
             response_class=_CheckedResponse,
-            trace_configs=[trace],
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent",),
         )
@@ -161,7 +178,6 @@
         self,
         vm: world.VmEntry,
         request: interfaces.CallRequest,
-        progress: _Try,
     ) -> interfaces.RunnerAnswer:
         timeout = aiohttp.ClientTimeout(
             total=request.deadline_s, sock_connect=self._connect_timeout_s
@@ -172,7 +188,6 @@
             headers=_headers_of(request),
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=progress,
         ) as response:
             try:
                 return await self._read_answer(response, request)
@@ -224,15 +239,6 @@
     return aiohttp.ClientSession(connector=connector)
 
 
-async def _note_written(
-    _session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    _parameters: aiohttp.TraceRequestHeadersSentParams,
-) -> None:
-    # aiohttp calls this just before it hands the first byte to the socket.
-    context.trace_request_ctx.was_written = True
-
-
 def _find_refusal(
     request: interfaces.CallRequest,
 ) -> outcomes.NotRun | None:
--- a/foxtaillock/routing/table.py
+++ b/foxtaillock/routing/table.py
@@ -125,8 +125,11 @@
         What others use was known at the last answer and counts half after
         each half-life.
         """
+        in_flight = len(self._started_s)
+        if not self._others:
+            return in_flight
         half_lives = (now_s - self._others_at_s) / _OTHERS_HALF_LIFE_S
-        return self.in_flight + self._others * math.exp2(-half_lives)
+        return in_flight + self._others * math.exp2(-half_lives)
 
     def has_room(self, now_s: float, is_trusted: bool) -> bool:
         """Returns whether one more call would find a slot.
@@ -135,10 +138,12 @@
             now_s: monotonic time.
             is_trusted: whether the window of the runner's health is ignored.
         """
-        cap = float(self.own_cap)
-        if not is_trusted:
-            cap = min(cap, self.health.window)
-        return self.in_flight < cap and self.load(now_s) <= self.slots - 0.5
+        in_flight = len(self._started_s)
+        if in_flight >= self.own_cap:
+            return False
+        if not is_trusted and in_flight >= self.health.window:
+            return False
+        return self.load(now_s) <= self.slots - 0.5
 
     def oldest_age_s(self, now_s: float) -> float:
         """Returns how long the oldest call in flight waits."""
@@ -152,8 +157,9 @@
         What others use is known late and counts less than the own calls; a
         runner slower than twice the usual latency counts as more loaded.
         """
-        others = self.load(now_s) - self.in_flight
-        load = 1.0 + self.in_flight + _OTHERS_WEIGHT * others
+        in_flight = len(self._started_s)
+        others = self.load(now_s) - in_flight
+        load = 1.0 + in_flight + _OTHERS_WEIGHT * others
         slowness = self.health.latency_s / (_SLOW_FACTOR * usual_latency_s)
         return load * max(1.0, slowness)
 
@@ -268,11 +274,11 @@
 
 
 def _sample(
-    runners: list[Runner], count: int, rng: random.Random
+    runners: Sequence[Runner], count: int, rng: random.Random
 ) -> list[Runner]:
     """Returns all runners, or `count` random ones of more."""
     if len(runners) <= count:
-        return runners[:]
+        return list(runners)
     return rng.sample(runners, count)
 
 
@@ -287,8 +293,11 @@
     runners: Sequence[Runner], rng: random.Random, now_s: float, usual_s: float
 ) -> Runner | None:
     """Returns the best of some random runners."""
-    if not runners:
-        return None
-    count = min(_MAX_COMPARED, len(runners))
-    compared = rng.sample(runners, count)
-    return min(compared, key=lambda runner: runner.score(now_s, usual_s))
+    best: Runner | None = None
+    best_key = (math.inf, 0.0)
+    for runner in _sample(runners, _MAX_COMPARED, rng):
+        # Equal scores are decided by chance.
+        key = (runner.score(now_s, usual_s), rng.random())
+        if best is None or key < best_key:
+            best, best_key = runner, key
+    return best
