--- a/foxtaillock/adapters/http_runners.py
+++ b/foxtaillock/adapters/http_runners.py
@@ -5,7 +5,8 @@
 after the first byte leaves the outcome *unknown*.
 """
 
-import types
+import contextvars
+from collections.abc import Sequence
 
 import aiohttp
 from aiohttp import connector as connector_lib
@@ -29,6 +30,8 @@
 _NOT_RUN = str(outcomes.OutcomeTag.NOT_RUN)
 
 _STATUSES_WITHOUT_BODY = (204, 304)
+_STATUSES_NOT_OFFERED = (404, 405, 501)
+_QUESTION_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 _REFUSAL_BYTES = 4096
 _KEEPALIVE_TIMEOUT_S = 15.0
 _DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -41,6 +44,24 @@
         self.was_written = False
 
 
+_CURRENT_TRY: contextvars.ContextVar[_Try] = contextvars.ContextVar("try")
+
+
+class _MarkedRequest(aiohttp.ClientRequest):
+    """Request that marks its try before its first byte can be written.
+
+    The try is that of the task which makes the request. Tracing would tell
+    the same, but costs a call of each of its signals.
+    """
+
+    async def send(
+        self, conn: connector_lib.Connection
+    ) -> aiohttp.ClientResponse:
+        """Sends the request on a connection."""
+        _CURRENT_TRY.get().was_written = True
+        return await super().send(conn)
+
+
 class _CheckedResponse(aiohttp.ClientResponse):
     """Response that closes its connection when the answer is another's.
 
@@ -83,6 +104,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
         self._session = http_session.Session(self._make_session)
+        self._questions = http_session.Session(_make_question_session)
 
     async def call(
         self, vm: world.VmEntry, request: interfaces.CallRequest
@@ -96,8 +118,9 @@
         if refusal is not None:
             return interfaces.RunnerAnswer(refusal)
         progress = _Try()
+        _CURRENT_TRY.set(progress)
         try:
-            return await self._send(vm, request, progress)
+            return await self._send(vm, request)
         except TimeoutError as error:
             return _failed(progress, "timeout", error)
         except aiohttp.ClientPayloadError as error:
@@ -105,13 +128,39 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return _failed(progress, "no-connection", error)
 
+    async def find_running(
+        self, vm: world.VmEntry, request_ids: Sequence[str]
+    ) -> interfaces.RunningReport:
+        """Asks a runner which of these requests run there.
+
+        A runner that answers 404, 405 or 501 does not offer the question.
+
+        Raises:
+            OSError: no whole answer came, or one that is an error.
+        """
+        url = f"http://{vm.address}/running"
+        body = {"request_ids": list(request_ids)}
+        try:
+            async with self._questions.get().post(
+                url, json=body, timeout=_QUESTION_TIMEOUT, allow_redirects=False
+            ) as response:
+                if response.status in _STATUSES_NOT_OFFERED:
+                    return interfaces.RunningReport(False)
+                value = await http_session.read_json(response)
+        except (aiohttp.ClientError, ValueError) as error:
+            raise OSError(f"{url}: {error!r}") from error
+        findings: list[str] = []
+        ids = http_session.Checker(value, "running", findings).array("running")
+        if findings:
+            raise http_session.PlatformAnswerError("; ".join(findings))
+        return interfaces.RunningReport(True, [str(each) for each in ids])
+
     async def close(self) -> None:
         """Closes the connections."""
+        await self._questions.close()
         await self._session.close()
 
     def _make_session(self) -> aiohttp.ClientSession:
-        trace = aiohttp.TraceConfig()
-        trace.on_request_headers_sent.append(_note_written)
         connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=self._connections_per_runner,
@@ -119,8 +168,8 @@
         )
         return aiohttp.ClientSession(
             connector=connector,
+            request_class=_MarkedRequest,
             response_class=_CheckedResponse,
-            trace_configs=[trace],
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent",),
         )
@@ -129,7 +178,6 @@
         self,
         vm: world.VmEntry,
         request: interfaces.CallRequest,
-        progress: _Try,
     ) -> interfaces.RunnerAnswer:
         timeout = aiohttp.ClientTimeout(
             total=request.deadline_s, sock_connect=self._connect_timeout_s
@@ -140,7 +188,6 @@
             headers=_headers_of(request),
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=progress,
         ) as response:
             try:
                 return await self._read_answer(response, request)
@@ -183,13 +230,13 @@
     )
 
 
-async def _note_written(
-    _session: aiohttp.ClientSession,
-    context: types.SimpleNamespace,
-    _parameters: aiohttp.TraceRequestHeadersSentParams,
-) -> None:
-    # aiohttp calls this just before it hands the first byte to the socket.
-    context.trace_request_ctx.was_written = True
+def _make_question_session() -> aiohttp.ClientSession:
+    """Returns a session that keeps no connection open.
+
+    A runner takes few connections, and is asked only when it is at fault.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(connector=connector)
 
 
 def _find_refusal(
--- a/foxtaillock/calls/attempts.py
+++ b/foxtaillock/calls/attempts.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import typing
+from collections.abc import Iterable
 
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.calls import desk as desks
 from foxtaillock.calls import interfaces
 from foxtaillock.model import clock as clock_lib
 from foxtaillock.model import outcomes
+from foxtaillock.model import world
 from foxtaillock.retries import budget as budgets
 from foxtaillock.retries import policy
 from foxtaillock.routing import health
@@ -28,13 +31,15 @@
         tries: tries sent to runners.
         grants: grants of the team that the call holds, one for each try that
             may run.
-        in_doubt: tries that may still run at their runner.
+        open_tries: runner of each try that may still run, by its request id.
         was_full: whether the last runner refused for lack of a slot.
     """
 
     tries: int = 0
     grants: int = 1
-    in_doubt: int = 0
+    open_tries: dict[str, world.VmEntry] = dataclasses.field(
+        default_factory=dict
+    )
     was_full: bool = False
 
 
@@ -82,15 +87,20 @@
         expires_at_s: float,
         progress: Progress,
     ) -> outcomes.Outcome:
-        """Runs a call that has a slot, with retries, to its outcome."""
+        """Runs a call that has a slot, with retries, to its outcome.
+
+        It is *not run* only if that holds for each of its tries.
+        """
         call = _Call(desk, request, team, expires_at_s, progress)
         self._budget.note_call(request.service, team)
         avoid: set[str] = set()
-        next_slot: desks.Slot | None = slot
+        outcome: outcomes.Outcome = outcomes.NotRun("no-runner")
+        next_slot = await desk.replace_leaving(slot, expires_at_s)
         while next_slot is not None:
             avoid.add(next_slot.runner.vm.name)
-            outcome = await self._try_hedged(call, next_slot)
-            delay_s = self._find_retry_delay_s(call, outcome)
+            latest = await self._try_hedged(call, next_slot)
+            outcome = _merge(outcome, latest)
+            delay_s = self._find_retry_delay_s(call, latest)
             if delay_s is None or not self._hold_grant(call):
                 return outcome
             await asyncio.sleep(delay_s)
@@ -114,7 +124,7 @@
     def _hold_grant(self, call: _Call) -> bool:
         """Takes another grant if all that the call holds may be in use."""
         progress = call.progress
-        if progress.in_doubt < progress.grants:
+        if len(progress.open_tries) < progress.grants:
             return True
         if not self._grants.try_start(call.team):
             return False
@@ -171,7 +181,7 @@
             request = request._replace(request_id=request_id)
         answer = table.CANCELLED
         started_s = self._clock.monotonic_s()
-        call.progress.in_doubt += 1
+        call.progress.open_tries[request.request_id] = slot.runner.vm
         try:
             result = await self._runner_service.call(slot.runner.vm, request)
             answer = _classify(result, slot.runner.slots)
@@ -180,7 +190,7 @@
             is_refusal = answer.result is health.Result.REFUSED
             call.progress.was_full = is_refusal and not answer.is_draining
         if not isinstance(result.outcome, outcomes.Unknown):
-            call.progress.in_doubt -= 1
+            del call.progress.open_tries[request.request_id]
         if isinstance(result.outcome, outcomes.Ran):
             now_s = self._clock.monotonic_s()
             call.desk.queue.note_run_time(now_s - started_s, now_s)
@@ -190,16 +200,34 @@
 async def _take_first_answer(
     tries: list["asyncio.Task[outcomes.Outcome]"],
 ) -> outcomes.Outcome:
-    """Returns the first answer, or the last outcome if there is none."""
+    """Returns the first answer, or what is known of all tries."""
     waiting = set(tries)
     while True:
         done, waiting = await asyncio.wait(
             waiting, return_when=asyncio.FIRST_COMPLETED
         )
-        results = [task.result() for task in done]
-        ran = [r for r in results if isinstance(r, outcomes.Ran)]
+        ran = [r for r in _results(done) if isinstance(r, outcomes.Ran)]
         if ran or not waiting:
-            return (ran or results)[0]
+            return ran[0] if ran else functools.reduce(_merge, _results(tries))
+
+
+def _results(
+    tasks: Iterable["asyncio.Task[outcomes.Outcome]"],
+) -> list[outcomes.Outcome]:
+    return [task.result() for task in tasks]
+
+
+def _merge(
+    earlier: outcomes.Outcome, later: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Returns the outcome of two tries of one call, neither or the later ran.
+
+    A try that is *not run* takes nothing back of one that is *unknown*.
+    """
+    if isinstance(earlier, outcomes.Unknown):
+        if isinstance(later, outcomes.NotRun):
+            return earlier
+    return later
 
 
 def _classify(answer: adapters.RunnerAnswer, slots: int) -> table.Answer:
--- a/foxtaillock/calls/tests/test_service.py
+++ b/foxtaillock/calls/tests/test_service.py
@@ -1,10 +1,12 @@
 """Tests of the driver of calls."""
 
 import asyncio
+import functools
 import random
 import unittest
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.calls import interfaces
@@ -45,6 +47,7 @@
         self.ended: list[str] = []
         self.most_at_once = 0
         self.scripts: list[_Script] = []
+        self.report = adapters.RunningReport(False)
 
     async def call(
         self, vm: world.VmEntry, request: adapters.CallRequest
@@ -59,12 +62,20 @@
         self.ended.append(request.request_id)
         return answer
 
+    async def find_running(
+        self, vm: world.VmEntry, request_ids: Sequence[str]
+    ) -> adapters.RunningReport:
+        """Tells what the test has set."""
+        del vm, request_ids
+        return self.report
 
-def _script(outcome: outcomes.Outcome) -> _Script:
+
+def _script(outcome: outcomes.Outcome, late_s: float = 0.0) -> _Script:
     async def _say(
         vm: world.VmEntry, request: adapters.CallRequest
     ) -> adapters.RunnerAnswer:
         del vm, request
+        await asyncio.sleep(late_s)
         return adapters.RunnerAnswer(outcome)
 
     return _say
@@ -96,12 +107,14 @@
     def __init__(self, refusal: str = "") -> None:
         self.refusal = refusal
         self.ended: dict[str, str] = {}
+        self.on_claim: Callable[[], None] = lambda: None
 
     async def claim(
         self, service_name: str, team: str, key: str, request_id: str
     ) -> interfaces.ClaimResult:
         """Answers as the log would."""
         del service_name, team, request_id
+        self.on_claim()
         if self.refusal:
             return interfaces.Refused(self.refusal)
         if key in self.ended:
@@ -125,6 +138,11 @@
     ]
 
 
+def _drain(name: str, calls: service.CallService) -> None:
+    body = objects.Service(slots=8, draining=[name])
+    calls.update_runners(_make_runners(2), {"quote": body})
+
+
 def _make_request(number: int, **fields: object) -> adapters.CallRequest:
     request = adapters.CallRequest(f"q{number}", "quote", "/", b"", 2.0, True)
     return request._replace(**fields)  # type: ignore[arg-type]
@@ -187,6 +205,21 @@
         self.assertEqual(result, _LOST)
         self.assertEqual(self.runners.sent, ["q1"])
 
+    def test_refused_try_does_not_hide_an_earlier_one_that_may_have_run(
+        self,
+    ) -> None:
+        self.runners.scripts = [_script(_LOST), *[_script(_REFUSED)] * 2]
+        (result,) = self._run(_make_request(1))
+        self.assertEqual(result, _LOST)
+
+    def test_refused_hedge_does_not_hide_a_try_that_may_have_run(self) -> None:
+        answers: list[_Script] = [_answer] * 6
+        late = [_script(_LOST, 0.05), _script(_REFUSED, 0.1)]
+        self.runners.scripts = [*answers, *late, *[_script(_REFUSED)] * 9]
+        requests = [_make_request(i, deadline_s=9.0) for i in range(7)]
+        results = self._run(*requests, is_hedging=True)
+        self.assertEqual(results[-1], _LOST)
+
     def test_charge_that_was_refused_is_tried_again(self) -> None:
         self.runners.scripts = [_script(_REFUSED)]
         (result,) = self._run(_make_request(1, **_CHARGE))
@@ -235,6 +268,32 @@
         result = virtual_loop.run(_drain())
         self.assertEqual(result.tag, outcomes.OutcomeTag.NOT_RUN)
 
+    def _claim_during(
+        self, change: Callable[[service.CallService], None]
+    ) -> outcomes.Outcome:
+        """Makes a call whose claim is won only after a change."""
+
+        async def _call() -> outcomes.Outcome:
+            calls = self._make()
+            self.claims.on_claim = lambda: change(calls)
+            return await calls.call(_make_request(1, **_CHARGE), "t")
+
+        return virtual_loop.run(_call())
+
+    def test_claimed_call_avoids_a_runner_that_begins_to_leave(self) -> None:
+        for left, staying in (("r0", "r1"), ("r1", "r0")):
+            self.claims.ended.clear()
+            self.runners.runners.clear()
+            result = self._claim_during(functools.partial(_drain, left))
+            self.assertEqual(result.tag, outcomes.OutcomeTag.RAN)
+            self.assertEqual(self.runners.runners, [staying])
+
+    def test_claimed_call_of_a_withdrawn_service_does_not_run(self) -> None:
+        result = self._claim_during(lambda calls: calls.update_runners((), {}))
+        self.assertEqual(result, outcomes.NotRun("no-runner"))
+        self.assertEqual(self.runners.sent, [])
+        self.assertEqual(self.claims.ended, {"k1": "not-run"})
+
     def _leave_early(self, request: adapters.CallRequest) -> None:
         async def _leave() -> None:
             calls = self._make()
@@ -268,6 +327,40 @@
             (refused.tag, getattr(refused, "code")), ("not-run", "team-limit")
         )
 
+    def _lose_and_wait(
+        self, report: adapters.RunningReport, incarnation: int = 1
+    ) -> tuple[int, int]:
+        """Loses a call of 1 s whose runner then tells `report`.
+
+        Returns:
+            Free grants and tries in doubt, long after the deadline.
+        """
+
+        async def _lose() -> tuple[int, int]:
+            calls = self._make()
+            self.runners.report = report
+            self.runners.scripts = [_script(_LOST)]
+            request = _make_request(1, deadline_s=1.0, idempotent=False)
+            await calls.call(request, "t")
+            vms = [
+                vm._replace(incarnation=incarnation) for vm in _make_runners(2)
+            ]
+            calls.update_runners(vms, {"quote": {}})
+            await asyncio.sleep(60.0)
+            await calls.close()
+            return self.grants.free, calls.stats()["in_doubt"]
+
+        self.grants.free = 4
+        return virtual_loop.run(_lose())
+
+    def test_run_past_its_deadline_counts_until_it_is_over(self) -> None:
+        report = adapters.RunningReport
+        running = report(True, ["q1"])
+        self.assertEqual(self._lose_and_wait(running), (3, 1))
+        self.assertEqual(self._lose_and_wait(report(True, [])), (4, 0))
+        self.assertEqual(self._lose_and_wait(report(False)), (4, 0))
+        self.assertEqual(self._lose_and_wait(running, 2), (4, 0))
+
     def test_hedge_answers_for_a_hanging_runner(self) -> None:
         answers: list[_Script] = [_answer] * 6
         self.runners.scripts = [*answers, _hang]
--- a/foxtaillock/model/objects.py
+++ b/foxtaillock/model/objects.py
@@ -75,6 +75,7 @@
         open: whether callers need no key; calls then count for `team`.
         team: team that calls without a key count for.
         max_deadline_s: longest deadline of a call, in seconds.
+        draining: names of runner VMs that get no new calls.
         objective: share of good requests that is promised.
         objective_latency_s: longest time of a good call until its answer, in
             seconds; any is good if it is absent.
@@ -86,6 +87,7 @@
     open: bool
     team: str
     max_deadline_s: float
+    draining: list[str]
     objective: float
     objective_latency_s: float
     objective_window_days: int
--- a/foxtaillock/routing/table.py
+++ b/foxtaillock/routing/table.py
@@ -89,6 +89,10 @@
         self.slots = slots
         self.own_cap = max(1, min(slots, share))
 
+    def mark_leaving(self) -> None:
+        """Lets the runner get nothing new."""
+        self.vm = self.vm._replace(state=world.VmState.LEAVING)
+
     def start(self, now_s: float) -> int:
         """Counts one call; returns the ticket for `end`."""
         self._last_ticket += 1
@@ -121,8 +125,11 @@
         What others use was known at the last answer and counts half after
         each half-life.
         """
+        in_flight = len(self._started_s)
+        if not self._others:
+            return in_flight
         half_lives = (now_s - self._others_at_s) / _OTHERS_HALF_LIFE_S
-        return self.in_flight + self._others * math.exp2(-half_lives)
+        return in_flight + self._others * math.exp2(-half_lives)
 
     def has_room(self, now_s: float, is_trusted: bool) -> bool:
         """Returns whether one more call would find a slot.
@@ -131,10 +138,12 @@
             now_s: monotonic time.
             is_trusted: whether the window of the runner's health is ignored.
         """
-        cap = float(self.own_cap)
-        if not is_trusted:
-            cap = min(cap, self.health.window)
-        return self.in_flight < cap and self.load(now_s) <= self.slots - 0.5
+        in_flight = len(self._started_s)
+        if in_flight >= self.own_cap:
+            return False
+        if not is_trusted and in_flight >= self.health.window:
+            return False
+        return self.load(now_s) <= self.slots - 0.5
 
     def oldest_age_s(self, now_s: float) -> float:
         """Returns how long the oldest call in flight waits."""
@@ -148,8 +157,9 @@
         What others use is known late and counts less than the own calls; a
         runner slower than twice the usual latency counts as more loaded.
         """
-        others = self.load(now_s) - self.in_flight
-        load = 1.0 + self.in_flight + _OTHERS_WEIGHT * others
+        in_flight = len(self._started_s)
+        others = self.load(now_s) - in_flight
+        load = 1.0 + in_flight + _OTHERS_WEIGHT * others
         slowness = self.health.latency_s / (_SLOW_FACTOR * usual_latency_s)
         return load * max(1.0, slowness)
 
@@ -190,6 +200,9 @@
             connections: connections that it takes from all entry VMs.
             entry_count: entry VMs in the list.
             draining: names of runners that leave by a note.
+
+        A runner that is no longer in the list, or replaced, is marked as
+        leaving: a slot of it may still be held by a call that is not sent yet.
         """
         share = connections // max(entry_count, _MIN_ENTRY_COUNT)
         is_first = not self._runners
@@ -202,6 +215,9 @@
                 vm = vm._replace(state=world.VmState.LEAVING)
             runner.update(vm, slots, share)
             kept[vm.name] = runner
+        for name, runner in self._runners.items():
+            if kept.get(name) is not runner:
+                runner.mark_leaving()
         self._runners = kept
         self._near = [r for r in kept.values() if r.vm.zone == self._zone]
         self._far = [r for r in kept.values() if r.vm.zone != self._zone]
@@ -258,11 +274,11 @@
 
 
 def _sample(
-    runners: list[Runner], count: int, rng: random.Random
+    runners: Sequence[Runner], count: int, rng: random.Random
 ) -> list[Runner]:
     """Returns all runners, or `count` random ones of more."""
     if len(runners) <= count:
-        return runners[:]
+        return list(runners)
     return rng.sample(runners, count)
 
 
@@ -277,8 +293,11 @@
     runners: Sequence[Runner], rng: random.Random, now_s: float, usual_s: float
 ) -> Runner | None:
     """Returns the best of some random runners."""
-    if not runners:
-        return None
-    count = min(_MAX_COMPARED, len(runners))
-    compared = rng.sample(runners, count)
-    return min(compared, key=lambda runner: runner.score(now_s, usual_s))
+    best: Runner | None = None
+    best_key = (math.inf, 0.0)
+    for runner in _sample(runners, _MAX_COMPARED, rng):
+        # Equal scores are decided by chance.
+        key = (runner.score(now_s, usual_s), rng.random())
+        if best is None or key < best_key:
+            best, best_key = runner, key
+    return best
