--- a/bench/grants.py
+++ b/bench/grants.py
@@ -26,6 +26,7 @@
 _SHIFT_S = 10.0
 _END_S = 20.0
 _MEAN_CALL_S = 0.2
+_HOLD_S = 900.0
 _SCENARIOS: dict[str, tuple[list[int], list[int]]] = {
     "five_times_the_mean": ([8] * 9, [40] * 9),
     "peak_moves_to_another_zone": (
@@ -33,6 +34,10 @@
         [3] * 3 + [60] * 3 + [3] * 3,
     ),
     "one_node_asks_for_all": ([20] * 9, [200] + [2] * 8),
+    "one_node_asks_for_all_and_others_for_nothing": (
+        [20] * 9,
+        [200] + [0] * 8,
+    ),
 }
 
 
@@ -101,7 +106,7 @@
         self._fold("op", (records.NoteAccepted("n", "op", "", (change,)),), 1)
         for node in range(_NODES):
             name = f"e{node}"
-            local = grants.LocalGrants(self.clock, name, "x")
+            local = grants.LocalGrants(self.clock, name, "x", _HOLD_S)
             local.set_session_valid_until(_END_S)
             self.locals.append(local)
             self._commit(
@@ -138,11 +143,15 @@
             self.appends_s.append(self.clock.monotonic_s())
             self.at(_LOG_DELAY_S, lambda: self._end(node, changes))
 
-    def _end(self, node: int, changes: list[records.GrantChanged]) -> None:
+    def _end(
+        self, node: int, changes: list[records.StandingGrantChanged]
+    ) -> None:
         self._commit(node, tuple(changes))
         for change in changes:
-            granted = self.state.grant("t", f"e{node}", "x")
-            self.locals[node].end_change(change, granted)
+            holder = ("t", f"e{node}", "x")
+            granted = self.state.grant(*holder)
+            standing = granted - self.state.lent_grant(*holder)
+            self.locals[node].end_change(change, granted, standing)
         self._start_calls(node)
 
     def _folded(self) -> dict[str, decisions.FoldedTeam]:
@@ -150,7 +159,7 @@
             (key.node, key.incarnation): decisions.Grant(*row)
             for key, row in self.state.session_grants("t").items()
         }
-        return {"t": decisions.FoldedTeam(_LIMIT, rows)}
+        return {"t": decisions.FoldedTeam(_LIMIT, rows, True)}
 
     def _live(self) -> list[tuple[str, str]]:
         return [(f"e{node}", "x") for node in range(_NODES)]
@@ -201,6 +210,7 @@
         "log_delay_s": _LOG_DELAY_S,
         "tick_s": _TICK_S,
         "mean_call_s": _MEAN_CALL_S,
+        "hold_s": _HOLD_S,
     }
     return harness.result("grants", quick, parameters, measurements)
 
--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -16,6 +16,7 @@
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
+from foxtaillock.state import tables
 
 __all__ = ["GrantKeeper"]
 
@@ -33,7 +34,10 @@
         local: counts of what runs here.
         clock: source of time.
         waiting_by_team: returns how much of each team waits here.
-        reclaim_wait_s: time after which nothing of an ended session runs.
+        attempts_waiting: returns how many of these are job attempts.
+        reclaim_wait_s: time after which nothing of an ended session runs,
+            but for calls under its standing parts.
+        hold_s: time for which standing parts are held; none at zero.
     """
 
     def __init__(
@@ -46,7 +50,9 @@
         clock: clocks.Clock,
         *,
         waiting_by_team: Callable[[], Mapping[str, int]],
+        attempts_waiting: Callable[[], Mapping[str, int]],
         reclaim_wait_s: float,
+        hold_s: float = 0.0,
     ) -> None:
         self._node = node
         self._session = session
@@ -55,7 +61,10 @@
         self._local = local
         self._clock = clock
         self._waiting_by_team = waiting_by_team
+        self._attempts_waiting = attempts_waiting
         self._reclaim_wait_s = reclaim_wait_s
+        self._hold_s = hold_s
+        self._own_sessions: set[str] = set()
         self._ended_seen_s: dict[tuple[str, str], float] = {}
         self._background = background.Background()
         self._reclaiming = False
@@ -70,12 +79,26 @@
         """Begins the changes that are due now."""
         incarnation = self._session.incarnation
         self._local.set_holder(self._node, incarnation)
+        self._own_sessions.add(incarnation)
         self._local.set_session_valid_until(self._session.grants_until_s())
+        self._local.set_standing_until(
+            self._session.standing_until_s(self._hold_s)
+        )
         waiting = self._waiting_by_team()
+        attempts = self._attempts_waiting()
         teams = sorted(self._state.objects("team"))
         for team in teams:
-            self._local.set_waiting(team, waiting.get(team, 0))
-        folded = {team: self._folded(team) for team in teams}
+            self._local.set_waiting(
+                team, waiting.get(team, 0), attempts.get(team, 0)
+            )
+        open_teams = {
+            row.body.get("team")
+            for row in self._state.objects("service").values()
+            if row.body.get("open")
+        }
+        folded = {
+            team: self._folded(team, team in open_teams) for team in teams
+        }
         for change in self._local.plan(folded, self._live()):
             self._background.spawn(self._commit(change))
         self._reclaim()
@@ -87,26 +110,32 @@
             if not session.ended
         )
 
-    def _folded(self, team: str) -> decisions.FoldedTeam:
+    def _folded(self, team: str, is_open: bool) -> decisions.FoldedTeam:
         grants = {
             (key.node, key.incarnation): decisions.Grant(*row)
             for key, row in self._state.session_grants(team).items()
         }
-        return decisions.FoldedTeam(self._state.team_limit(team), grants)
+        limit = self._state.team_limit(team)
+        return decisions.FoldedTeam(limit, grants, is_open)
 
-    async def _commit(self, change: records.GrantChanged) -> None:
+    async def _commit(self, change: records.StandingGrantChanged) -> None:
+        record: records.Record = change
+        if not self._hold_s:
+            record = records.GrantChanged(*change[:5])
         try:
-            await self._replica.commit(change)
+            await self._replica.commit(record)
         except exceptions.FoxtaillockError as error:
             logger.debug("grant of {} has no verdict: {}", change.team, error)
             self._local.lose_change(change)
             return
-        granted = self._state.grant(change.team, self._node, change.incarnation)
-        self._local.end_change(change, granted)
+        holder = (change.team, self._node, change.incarnation)
+        granted = self._state.grant(*holder)
+        standing = granted - self._state.lent_grant(*holder)
+        self._local.end_change(change, granted, standing)
 
     def _reclaim(self) -> None:
         now_s = self._clock.monotonic_s()
-        holders = set(self._ended_holders())
+        holders = self._ended_holders()
         for holder in list(self._ended_seen_s):
             if holder not in holders:
                 del self._ended_seen_s[holder]
@@ -114,22 +143,37 @@
         for node, incarnation in sorted(holders):
             seen_s = self._ended_seen_s.setdefault((node, incarnation), now_s)
             is_open = self._state.has_open_pools(node, incarnation)
+            rows = holders[node, incarnation]
             ended.append(
-                decisions.EndedSession(node, incarnation, seen_s, is_open)
+                decisions.EndedSession(
+                    node,
+                    incarnation,
+                    seen_s,
+                    is_open,
+                    sum(row.lent for row in rows),
+                    max(row.hold_s if row.standing else 0.0 for row in rows),
+                    incarnation in self._own_sessions,
+                )
             )
-        due = decisions.decide_reclaims(ended, now_s, self._reclaim_wait_s)
+        due = decisions.decide_reclaims(
+            ended, now_s, self._reclaim_wait_s, self._session.drift
+        )
         if due and not self._reclaiming:
             self._reclaiming = True
             self._background.spawn(self._commit_reclaims(due))
 
-    def _ended_holders(self) -> Iterable[tuple[str, str]]:
+    def _ended_holders(self) -> dict[tuple[str, str], list[tables.Grant]]:
+        holders: dict[tuple[str, str], list[tables.Grant]] = {}
         for team in self._state.objects("team"):
             for key, row in self._state.session_grants(team).items():
                 if row.amount and not self._state.is_live(*key):
-                    yield (key.node, key.incarnation)
+                    holder = (key.node, key.incarnation)
+                    holders.setdefault(holder, []).append(row)
+        return holders
 
     async def _commit_reclaims(
-        self, due: Iterable[records.GrantReclaimed]
+        self,
+        due: Iterable[records.GrantReclaimed | records.LentGrantsReclaimed],
     ) -> None:
         try:
             for record in due:
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -97,7 +97,10 @@
     ) -> None:
         settings = self.settings
         self.grants = limits.LocalGrants(
-            self.clock, settings.node_name, self.session.incarnation
+            self.clock,
+            settings.node_name,
+            self.session.incarnation,
+            settings.isolation_hold_s,
         )
         self.claims = call_claims.LogClaims(
             self.platform.log,
@@ -136,9 +139,11 @@
             self.grants,
             self.clock,
             waiting_by_team=self._waiting_by_team,
+            attempts_waiting=self._attempts_waiting,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
             + call_service.LONGEST_HOLD_S,
+            hold_s=settings.isolation_hold_s,
         )
 
     def _build_desks(self, rng: random.Random) -> None:
@@ -383,6 +388,11 @@
 
     def _waiting_by_team(self) -> typing.Mapping[str, int]:
         counts = collections.Counter(self.calls.waiting_by_team())
+        counts.update(self._attempts_waiting())
+        return counts
+
+    def _attempts_waiting(self) -> typing.Mapping[str, int]:
+        counts: collections.Counter[str] = collections.Counter()
         for team in self.state.objects("team"):
             for owner in self.pools.owners.values():
                 counts[team] += owner.ready_count(team)
--- a/foxtaillock/daemon/pool_grants.py
+++ b/foxtaillock/daemon/pool_grants.py
@@ -32,7 +32,7 @@
 
     def try_start(self, team: str) -> bool:
         """Counts one more attempt of the team if its grant allows."""
-        if not self.may_start or not self._local.try_start(team):
+        if not self.may_start or not self._local.try_start_attempt(team):
             return False
         self._counts[team] += 1
         return True
@@ -41,7 +41,7 @@
         """Counts one attempt less."""
         if not self._is_dropped:
             self._counts[team] -= 1
-            self._local.finish(team)
+            self._local.finish_attempt(team)
 
     def adopt(self, team: str) -> None:
         """Counts an attempt that runs already."""
@@ -52,6 +52,6 @@
         """Stops counting, since the pool has gone to another owner."""
         for team, count in self._counts.items():
             for _ in range(count):
-                self._local.finish(team)
+                self._local.finish_attempt(team)
         self._is_dropped = True
         self.may_start = False
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -182,7 +182,7 @@
         """Moves the grants of adopted attempts here, then lets jobs start."""
         while (source := self._state.to_carry(pool)) is not None:
             amounts = {
-                team: min(count, self._state.grant(team, *source))
+                team: min(count, self._state.lent_grant(team, *source))
                 for team, count in grants.counts.items()
             }
             record = records.GrantsCarried(
--- a/foxtaillock/daemon/session_keeper.py
+++ b/foxtaillock/daemon/session_keeper.py
@@ -100,6 +100,20 @@
         self._grants_until_s = max(self._grants_until_s, self.valid_until_s)
         return self._grants_until_s
 
+    def standing_until_s(self, hold_s: float) -> float:
+        """Returns the time up to which standing parts of grants may be used.
+
+        Whoever takes them back counts `hold_s` from the end of this session,
+        which is later than the last moment at which it provably stood.
+        """
+        stood_s = self.grants_until_s() - self._times.held_s
+        return stood_s + hold_s * (1.0 - self._times.drift)
+
+    @property
+    def drift(self) -> float:
+        """Greatest difference of two clocks' rates, as a fraction."""
+        return self._times.drift
+
     async def start(self, peer_address: str, api_address: str) -> None:
         """Opens the session; returns once it stands."""
         identity = self._identity._replace(
--- a/foxtaillock/integration/tests/test_partitions.py
+++ b/foxtaillock/integration/tests/test_partitions.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import collections
+import functools
 import json
 import typing
 
 import aiohttp
 
+from foxtaillock.api import headers
+from foxtaillock.demo import client
+from foxtaillock.integration import checker
 from foxtaillock.integration import processes
 from foxtaillock.integration import scenario
 from foxtaillock.integration.tests import base
 
 _FREEZE = {"up": {"mode": "freeze"}, "down": {"mode": "freeze"}}
 _PASS = {"up": {"mode": "pass"}, "down": {"mode": "pass"}}
+_LIMIT = 4
+_STALE = ("stale-view", "not-run")
+_STANDING_SETTLES_S = 2.0
 _CALL = "/v1/services/quotes/call/x"
 
 
@@ -61,6 +68,89 @@
         await scenario.until(_rejected, 10.0, "the zone knows")
 
 
+class CutOffOpenServiceTest(base.FleetTestCase):
+    """A service open to all, while one zone is cut off in silence."""
+
+    def change_fleet(self) -> None:
+        """Peers do not know the last entry VM, so only the log tells it."""
+        self.fleet.entries[2].peer_secret = "another-secret-of-the-proofs"
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        note = """
+note: quotes for everyone
+changed:
+  services:
+    quotes: {open: true, team: estimators}
+"""
+        admin = self.fleet.client()
+        answer = await admin.send("POST", "/admin/v1/notes/accept", note)
+        self.assertEqual(answer.status, 200, answer)
+        self.open = self.fleet.client("")
+        await scenario.until(self._all_answer, 10.0, "all zones answer")
+        self._load_stops = asyncio.Event()
+
+    async def _all_answer(self) -> bool:
+        answers = [await self._call(i) for i in range(3)]
+        return all(a.status == 200 for a in answers)
+
+    async def _call(
+        self, entry: int, work_s: float = 0.05, **extra: str
+    ) -> client.Answer:
+        sent = extra or {headers.IDEMPOTENT: "true"}
+        sent[headers.DEADLINE_S] = "4"
+        body = json.dumps({"work_s": work_s})
+        return await self.open.send("POST", _CALL, body, sent, entry=entry)
+
+    async def _load(self, entry: int) -> collections.Counter[str]:
+        """Calls without a pause until it is told to stop."""
+        seen: collections.Counter[str] = collections.Counter()
+        while not self._load_stops.is_set():
+            seen[(await self._call(entry)).outcome] += 1
+        return seen
+
+    async def test_cut_off_zone_goes_on_within_the_limit(self) -> None:
+        _, secret = await scenario.give_key(self.fleet, "trinidad")
+        keyed = self.fleet.client(secret)
+        await asyncio.sleep(_STANDING_SETTLES_S)
+        _set_log_faults(self.fleet.entries[2], _FREEZE)
+        await asyncio.sleep(10.0)
+        loads = [
+            asyncio.ensure_future(self._load(entry))
+            for entry in (0, 0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 2)
+        ]
+        refused = await keyed.send("POST", _CALL, b"{}", entry=2)
+        self.assertEqual((refused.code, refused.outcome), _STALE, refused)
+        extra = {"Idempotency-Key": "charge-cut-off"}
+        charge = await self._call(2, **extra)
+        self.assertEqual(charge.outcome, "not-run", charge)
+        await asyncio.sleep(5.0)
+        self._load_stops.set()
+        seen = await asyncio.gather(*loads)
+        self.assertGreater(sum(row["ran"] for row in seen[8:]), 20, seen)
+        self.assertGreater(sum(row["ran"] for row in seen[:8]), 20, seen)
+        self.assertEqual(sum(row["unknown"] for row in seen), 0, seen)
+        rows = await self.read_journal("runners_admin")
+        spans = [
+            checker.Span(row["request_id"], row["started_s"], row["ended_s"])
+            for row in rows
+        ]
+        self.assertLessEqual(checker.greatest_overlap(spans), _LIMIT)
+        self.assertNotIn(
+            "charge-cut-off", [row["idempotency_key"] for row in rows]
+        )
+        _set_log_faults(self.fleet.entries[2], _PASS)
+        await scenario.until(
+            functools.partial(self._is_normal, keyed), 15.0, "all is normal"
+        )
+
+    async def _is_normal(self, keyed: client.Client) -> bool:
+        """Returns whether the zone serves keys and charges again."""
+        job = await keyed.send("GET", "/v1/jobs/none.0", entry=2)
+        charge = await self._call(2, **{"Idempotency-Key": "charge-healed"})
+        return job.code == "not-found" and charge.outcome == "ran"
+
+
 class PartitionsTest(base.FleetTestCase):
 
     async def test_lost_answers_of_the_log_double_nothing(self) -> None:
--- a/foxtaillock/limits/decisions.py
+++ b/foxtaillock/limits/decisions.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from foxtaillock.model import records
+from foxtaillock.state import grants_fold
 
 __all__ = [
     "EndedSession",
@@ -14,11 +15,14 @@
     "TeamView",
     "decide",
     "decide_reclaims",
+    "decide_standing",
     "split_limit",
 ]
 
 _WANTED_CHANGE = 0.25
 _HEADROOM = 0.25
+_STANDING_FRACTION = 0.25
+_FLOOR_FRACTION = 0.05
 
 
 class Grant(typing.NamedTuple):
@@ -27,17 +31,26 @@
     Attributes:
         amount: calls and job attempts that the node may have running.
         wanted: what the node last said it could use.
+        standing: part of `amount` for calls while the node is cut off.
+        hold_s: time after its last renewal for which that part stands.
     """
 
     amount: int
     wanted: int
+    standing: int = 0
+    hold_s: float = 0.0
 
 
 class FoldedTeam(typing.NamedTuple):
-    """What the fold knows of one team: its limit and the recorded grants."""
+    """What the fold knows of one team.
+
+    Attributes:
+        is_open: whether calls without a key may count for the team.
+    """
 
     limit: int
     grants: Mapping[tuple[str, str], Grant]
+    is_open: bool = False
 
 
 class TeamView(typing.NamedTuple):
@@ -53,6 +66,12 @@
         wanted: what this node could use now.
         leaving: whether this node stops and gives back what it needs no
             more.
+        attempts: those of `running` that are job attempts.
+        waiting_attempts: job attempts that could start now.
+        is_open: whether calls without a key may count for the team.
+        hold_s: time for which standing parts are held; none at zero.
+        may_raise_standing: whether a change may be written just to raise the
+            standing part.
     """
 
     team: str
@@ -62,6 +81,11 @@
     running: int
     wanted: int
     leaving: bool = False
+    attempts: int = 0
+    waiting_attempts: int = 0
+    is_open: bool = False
+    hold_s: float = 0.0
+    may_raise_standing: bool = True
 
 
 class EndedSession(typing.NamedTuple):
@@ -71,12 +95,19 @@
         ended_seen_s: when this process folded the end, by its own clock.
         pools_open: whether a pool that it owned has no new owner that has
             carried the running attempts over.
+        lent: what it holds beside its standing parts, of all teams.
+        hold_s: longest hold of its standing parts; zero if it has none.
+        is_own: whether this very process had it and has another now, so that
+            nothing starts under its standing parts.
     """
 
     node: str
     incarnation: str
     ended_seen_s: float
     pools_open: bool
+    lent: int = 1
+    hold_s: float = 0.0
+    is_own: bool = False
 
 
 def split_limit(limit: int, wanted: Mapping[str, int]) -> dict[str, int]:
@@ -104,7 +135,7 @@
 
 def decide(
     node: str, incarnation: str, views: Sequence[TeamView]
-) -> list[records.GrantChanged]:
+) -> list[records.StandingGrantChanged]:
     """Returns the changes of this node's grants that are due.
 
     A change that lowers the grant may only be committed once no more runs
@@ -125,11 +156,12 @@
 
 def _decide_team(
     holder: tuple[str, str], view: TeamView
-) -> records.GrantChanged | None:
+) -> records.StandingGrantChanged | None:
     if holder not in view.live:
         return None
     own = view.grants.get(holder, Grant(0, 0))
-    wanted = min(_with_headroom(view.wanted), view.limit)
+    wanted = max(_with_headroom(view.wanted), _find_floor(view))
+    wanted = min(wanted, view.limit)
     if view.leaving:
         wanted = 0
     target = _find_target(holder, view, wanted)
@@ -140,10 +172,52 @@
     if amount < target and free > 0 and not view.leaving:
         if wanted > own.amount or own.amount == 0:
             amount += _take_part(holder, view, target - amount, free)
-    if amount == own.amount and not _must_tell(holder, view, own, wanted):
+    standing = decide_standing(holder, view, amount)
+    if amount <= own.amount and not view.may_raise_standing:
+        standing = min(standing, own.standing)
+    is_told = not _must_tell(holder, view, own, wanted)
+    if amount == own.amount and is_told and _is_near(own.standing, standing):
         return None
-    node, incarnation = holder
-    return records.GrantChanged(view.team, node, incarnation, amount, wanted)
+    return records.StandingGrantChanged(
+        view.team, *holder, amount, wanted, standing, view.hold_s
+    )
+
+
+def decide_standing(
+    holder: tuple[str, str], view: TeamView, amount: int
+) -> int:
+    """Returns the standing part of a grant of `amount`.
+
+    It leaves room for the job attempts that run and, but for the floor, for
+    those that wait: attempts never run under a standing part.
+    """
+    if not view.hold_s or not view.is_open or view.leaving:
+        return 0
+    nodes = max(1, len(view.live))
+    fair = max(1, int(view.limit * _STANDING_FRACTION) // nodes)
+    others = sum(
+        grant.standing
+        for other, grant in view.grants.items()
+        if other != holder
+    )
+    room = grants_fold.standing_limit(view.limit) - others
+    free = amount - view.attempts
+    unclaimed = max(free - view.waiting_attempts, _find_floor(view))
+    return max(0, min(fair, room, free, unclaimed))
+
+
+def _find_floor(view: TeamView) -> int:
+    """Returns what each node keeps of a team with open services, if all of
+    these together are a small part of the limit."""
+    if not view.hold_s or not view.is_open or view.leaving:
+        return 0
+    return int(len(view.live) <= view.limit * _FLOOR_FRACTION)
+
+
+def _is_near(old: int, new: int) -> bool:
+    if 0 in (old, new):
+        return old == new
+    return abs(new - old) <= _WANTED_CHANGE * old
 
 
 def _with_headroom(wanted: int) -> int:
@@ -199,19 +273,32 @@
 
 
 def decide_reclaims(
-    ended: Sequence[EndedSession], now_s: float, wait_s: float
-) -> list[records.GrantReclaimed]:
+    ended: Sequence[EndedSession],
+    now_s: float,
+    wait_s: float,
+    drift: float = 0.0,
+) -> list[records.GrantReclaimed | records.LentGrantsReclaimed]:
     """Returns the ended sessions whose grants may be used by others again.
 
+    A standing part is free only after its hold and `wait_s`: the holder may
+    be cut off and start calls under it until the hold is over.
+
     Args:
         ended: ended sessions with grants left.
         now_s: monotonic time.
         wait_s: lease, longest deadline of a call and allowance together; after
             it nothing that the session started can still run, but for job
             attempts, which the new owners of its pools carry on.
+        drift: greatest difference of two clocks' rates, as a fraction.
     """
-    return [
-        records.GrantReclaimed(session.node, session.incarnation)
-        for session in ended
-        if now_s - session.ended_seen_s >= wait_s and not session.pools_open
-    ]
+    due: list[records.GrantReclaimed | records.LentGrantsReclaimed] = []
+    for session in ended:
+        over_s = now_s - session.ended_seen_s - wait_s
+        if over_s < 0.0 or session.pools_open:
+            continue
+        holder = (session.node, session.incarnation)
+        if session.is_own or over_s >= session.hold_s * (1.0 + drift):
+            due.append(records.GrantReclaimed(*holder))
+        elif session.lent:
+            due.append(records.LentGrantsReclaimed(*holder))
+    return due
--- a/foxtaillock/limits/tests/model.py
+++ b/foxtaillock/limits/tests/model.py
@@ -21,6 +21,7 @@
 LEASE_S = 5.0
 ALLOWANCE_S = 1.0
 CALL_DEADLINE_S = 8.0
+HOLD_S = 20.0
 RECLAIM_WAIT_S = LEASE_S + CALL_DEADLINE_S + ALLOWANCE_S
 TEAM = "nesting"
 POOLS = ("p0", "p1")
@@ -54,7 +55,8 @@
 
     def folded(self) -> dict[str, decisions.FoldedTeam]:
         """Returns what `LocalGrants.plan` reads."""
-        return {TEAM: decisions.FoldedTeam(self.limit, dict(self.amounts))}
+        amounts = dict(self.amounts)
+        return {TEAM: decisions.FoldedTeam(self.limit, amounts, True)}
 
     def total(self) -> int:
         """Returns the sum of the recorded grants."""
@@ -77,15 +79,25 @@
         self.ended[holder] = offset
         return True
 
-    def _apply_grant_changed(
+    def _apply_standing_grant_changed(
         self, _: int, writer: Holder, r: typing.Any
     ) -> bool:
         if writer in self.ended or writer not in self.counters:
             return False
-        own = self.amounts.get(writer, decisions.Grant(0, 0)).amount
-        if r.amount > own and self.total() - own + r.amount > self.limit:
+        own = self.amounts.get(writer, decisions.Grant(0, 0))
+        total = self.total() - own.amount + r.amount
+        if r.amount > own.amount and total > self.limit:
             return False
-        self.amounts[writer] = decisions.Grant(r.amount, r.wanted)
+        most = self.limit // 2 if self.limit > 6 else min(3, self.limit - 1)
+        room = max(0, most) - sum(
+            grant.standing for h, grant in self.amounts.items() if h != writer
+        )
+        standing = min(r.standing, r.amount)
+        if standing > own.standing:
+            standing = max(own.standing, min(standing, room))
+        self.amounts[writer] = decisions.Grant(
+            r.amount, r.wanted, standing, r.hold_s
+        )
         return True
 
     def _apply_pool_claimed(
@@ -110,7 +122,7 @@
         count = r.amounts.get(TEAM, 0)
         given = self.amounts.get(source, decisions.Grant(0, 0))
         own = self.amounts.get(writer, decisions.Grant(0, 0))
-        if given.amount < count:
+        if given.amount - given.standing < count:
             return False
         self.amounts[source] = given._replace(amount=given.amount - count)
         self.amounts[writer] = own._replace(amount=own.amount + count)
@@ -129,6 +141,19 @@
         self.amounts.pop(holder, None)
         return True
 
+    def _apply_lent_grants_reclaimed(
+        self, _: int, __: Holder, r: typing.Any
+    ) -> bool:
+        holder = (r.node, r.incarnation)
+        if holder not in self.ended or self.pools_open(holder):
+            return False
+        if holder in self.amounts:
+            standing = self.amounts[holder].standing
+            self.amounts[holder] = self.amounts[holder]._replace(
+                amount=standing, wanted=0
+            )
+        return True
+
     def _apply_int(self, _: int, __: Holder, r: int) -> bool:
         self.limit = r
         return True
@@ -141,13 +166,14 @@
         self, holder: Holder, local: grants.LocalGrants, limit: int
     ) -> None:
         self.holder = holder
+        self.former: set[Holder] = set()
         self.local = local
         self.fold = NaiveFold(limit)
         self.next_offset = 0
         self.sequence = 0
         self.counter = 0
         self.renewals: dict[int, float] = {}
-        self.awaited: dict[int, records.GrantChanged] = {}
+        self.awaited: dict[int, records.StandingGrantChanged] = {}
         self.seen: dict[Holder, tuple[int, float]] = {}
         self.ended_seen_s: dict[Holder, float] = {}
         self.calls: list[float] = []
@@ -155,6 +181,7 @@
         self.cut_until_s = 0.0
         self.adopted: dict[str, int] = {}
         self.counted: set[tuple[str, int]] = set()
+        self.valid_until_s = 0.0
         self.pool_counts: collections.Counter[str] = collections.Counter()
 
 
@@ -168,9 +195,15 @@
         node_count: int = 3,
         local_class: type[grants.LocalGrants] = grants.LocalGrants,
         reclaim_wait_s: float = RECLAIM_WAIT_S,
+        hold_wait_s: float = HOLD_S,
+        longest_cut_s: float = 20.0,
+        cut_probability: float = 0.01,
     ) -> None:
         self._local_class = local_class
         self._reclaim_wait_s = reclaim_wait_s
+        self._hold_wait_s = hold_wait_s
+        self._longest_cut_s = longest_cut_s
+        self._cut_probability = cut_probability
         self.rng = random.Random(seed)
         self.clock = clock_lib.ManualClock()
         self.log: list[tuple[Holder, typing.Any]] = []
@@ -182,13 +215,16 @@
         self.attempts: dict[str, int] = dict.fromkeys(POOLS, 0)
         self.incarnations = 0
         self.max_running = 0
+        self.started_cut_off = 0
+        self.started_uncovered = 0
+        self.is_disturbed = True
         for index in range(node_count):
             self._start_node(f"e{index}")
 
     def _start_node(self, name: str) -> None:
         self.incarnations += 1
         holder = (name, f"i{self.incarnations}")
-        local = self._local_class(self.clock, *holder)
+        local = self._local_class(self.clock, *holder, HOLD_S)
         node = _Node(holder, local, self.first_limit)
         self.nodes.append(node)
 
@@ -210,7 +246,8 @@
         if self.late and self.rng.random() < 0.3:
             index = self.rng.randrange(len(self.late))
             self._append(*self.late.pop(index))
-        self._disturb(now_s)
+        if self.is_disturbed:
+            self._disturb(now_s)
         self.max_running = max(self.max_running, self.running())
 
     def _disturb(self, now_s: float) -> None:
@@ -222,8 +259,8 @@
             self._start_node(node.holder[0])
         elif event < 0.02:
             node.paused_until_s = now_s + self.rng.random() * 20.0
-        elif event < 0.03:
-            node.cut_until_s = now_s + self.rng.random() * 20.0
+        elif event < 0.02 + self._cut_probability:
+            node.cut_until_s = now_s + self.rng.random() * self._longest_cut_s
 
     def change_limit(self, limit: int) -> None:
         """Lets an operator change the team's limit."""
@@ -269,15 +306,18 @@
     def _restart_session(self, node: _Node) -> None:
         """Opens another session in a process that lost its own."""
         for _ in range(node.pool_counts.total()):
-            node.local.finish(TEAM)
+            node.local.finish_attempt(TEAM)
         node.pool_counts.clear()
         node.adopted.clear()
         node.counted.clear()
         node.renewals.clear()
         node.sequence = 0
         self.incarnations += 1
+        node.former.add(node.holder)
         node.holder = (node.holder[0], f"i{self.incarnations}")
+        node.valid_until_s = -1.0
         node.local.set_session_valid_until(-1.0)
+        node.local.set_standing_until(-1.0)
         node.local.set_holder(*node.holder)
 
     def _renew(self, node: _Node, now_s: float) -> None:
@@ -291,7 +331,9 @@
     def _plan(self, node: _Node) -> None:
         if node.holder not in node.fold.live():
             return
-        node.local.set_waiting(TEAM, self.rng.choice((0, 2, 12)))
+        waiting = self.rng.choice((0, 2, 12))
+        attempts = self.rng.choice((0, 0, waiting))
+        node.local.set_waiting(TEAM, waiting, attempts)
         for change in node.local.plan(node.fold.folded(), node.fold.live()):
             sequence = self._send(node, change)
             if sequence > 0:
@@ -316,19 +358,21 @@
         if isinstance(record, records.SessionRenewed) and stands:
             node.seen[writer] = (record.counter, now_s)
             if writer == node.holder:
-                node.local.set_session_valid_until(
-                    node.renewals[record.counter] + LEASE_S
-                )
+                stood_s = node.renewals[record.counter]
+                node.valid_until_s = stood_s + LEASE_S
+                node.local.set_session_valid_until(stood_s + LEASE_S)
+                node.local.set_standing_until(stood_s + HOLD_S)
         if isinstance(record, records.SessionEnded) and stands:
             node.ended_seen_s[record.node, record.incarnation] = now_s
         if isinstance(record, records.GrantsCarried) and stands:
             if writer == node.holder:
                 node.adopted[record.pool] = 1
-        own = node.fold.amounts.get(node.holder, decisions.Grant(0, 0)).amount
+        own = node.fold.amounts.get(node.holder, decisions.Grant(0, 0))
         if writer == node.holder and sequence in node.awaited:
-            node.local.end_change(node.awaited.pop(sequence), own)
+            change = node.awaited.pop(sequence)
+            node.local.end_change(change, own.amount, own.standing)
         else:
-            node.local.set_granted(TEAM, own)
+            node.local.set_granted(TEAM, own.amount, own.standing)
 
     def _watch(self, node: _Node, now_s: float) -> None:
         """Ends silent sessions and reclaims what surely runs no more."""
@@ -341,7 +385,7 @@
                     )
                     self._send(node, record)
         ended = [
-            decisions.EndedSession(*h, since_s, node.fold.pools_open(h))
+            self._describe_ended(node, h, since_s)
             for h, since_s in sorted(node.ended_seen_s.items())
             if h in node.fold.amounts
         ]
@@ -349,6 +393,19 @@
         for reclaim in decisions.decide_reclaims(ended, now_s, wait_s):
             self._send(node, reclaim)
 
+    def _describe_ended(
+        self, node: _Node, holder: Holder, since_s: float
+    ) -> decisions.EndedSession:
+        grant = node.fold.amounts[holder]
+        return decisions.EndedSession(
+            *holder,
+            since_s,
+            node.fold.pools_open(holder),
+            grant.amount - grant.standing,
+            self._hold_wait_s if grant.standing else 0.0,
+            holder in node.former,
+        )
+
     def _own_pools(self, node: _Node) -> None:
         for pool in POOLS:
             owner, epoch = node.fold.owners.get(pool, (("", ""), 0))
@@ -373,21 +430,41 @@
                     claim = records.PoolClaimed(pool, *node.holder, epoch + 1)
                     self._send(node, claim)
 
+    def _note_cut_off_start(self, node: _Node) -> None:
+        """Compares a start of a node whose lease lapsed with the log."""
+        self.started_cut_off += 1
+        grant = self.head.amounts.get(node.holder, decisions.Grant(0, 0))
+        attempts = sum(
+            count
+            for pool, count in self.attempts.items()
+            if node.holder
+            == self.head.to_carry.get(
+                pool, self.head.owners.get(pool, (None,))[0]
+            )
+        )
+        is_above = len(node.calls) > grant.standing
+        is_above |= len(node.calls) + attempts > grant.amount
+        self.started_uncovered += is_above
+
     def _work(self, node: _Node, now_s: float) -> None:
         for _ in range(self.rng.randrange(8)):
-            if not node.local.try_start(TEAM):
-                break
             pools = sorted(node.adopted)
             if pools and self.rng.random() < 0.5:
+                if not node.local.try_start_attempt(TEAM):
+                    break
                 pool = self.rng.choice(pools)
                 self.attempts[pool] += 1
                 node.pool_counts[pool] += 1
             else:
+                if not node.local.try_start(TEAM):
+                    break
                 length_s = self.rng.random() * CALL_DEADLINE_S
                 node.calls.append(now_s + length_s)
+                if now_s >= node.valid_until_s:
+                    self._note_cut_off_start(node)
         for pool in sorted(node.adopted):
             owns = self.head.owners[pool][0] == node.holder
             if owns and self.attempts[pool] and self.rng.random() < 0.03:
                 self.attempts[pool] -= 1
                 node.pool_counts[pool] -= 1
-                node.local.finish(TEAM)
+                node.local.finish_attempt(TEAM)
--- a/foxtaillock/limits/tests/test_grants.py
+++ b/foxtaillock/limits/tests/test_grants.py
@@ -12,6 +12,13 @@
 
 _SEEDS = 240
 _STEPS = 400
+_CUT_SEEDS = 200
+_CUT_STEPS = 800
+_LONG_CUTS: dict[str, typing.Any] = {
+    "limit": 24,
+    "longest_cut_s": 80.0,
+    "cut_probability": 0.03,
+}
 
 
 class _NoShrinkFirst(grants.LocalGrants):
@@ -45,13 +52,44 @@
     return fold.to_carry.pop(record.pool, None) is not None
 
 
-def _find_breach(seed: int, **guards: typing.Any) -> str:
+class _NoHold(grants.LocalGrants):
+    """Uses the standing part without end."""
+
+    def set_standing_until(self, standing_until_s: float) -> None:
+        super().set_standing_until(1e9)
+
+
+class _AllIsStanding(grants.LocalGrants):
+    """Uses the whole grant while it is cut off."""
+
+    def find_standing_cap(self, team: str) -> int:
+        return self.find_cap(team)
+
+
+class _AttemptsUseAll(grants.LocalGrants):
+    """Starts job attempts under the standing part too."""
+
+    def try_start_attempt(self, team: str) -> bool:
+        count = self._team(team)
+        if self._clock.monotonic_s() >= self._valid_until_s:
+            return False
+        if count.running >= self.find_cap(team):
+            return False
+        count.running += 1
+        count.attempts += 1
+        return True
+
+
+def _find_breach(
+    seed: int, limit: int = 10, steps: int = _STEPS, **guards: typing.Any
+) -> str:
     """Returns the first breach of a random schedule, or nothing."""
-    fleet = model.Fleet(seed, limit=10, **guards)
+    fleet = model.Fleet(seed, limit, **guards)
     before = fleet.head.total()
-    for step in range(_STEPS):
+    for step in range(steps):
         if seed % 3 == 0 and step % 100 == 50:
-            fleet.change_limit(fleet.rng.choice((4, 7, 10)))
+            change = fleet.rng.choice((4, 7, 10)) * limit // 10
+            fleet.change_limit(change)
             before = fleet.head.total()
         fleet.step()
         total = fleet.head.total()
@@ -60,6 +98,8 @@
         before = total
         if fleet.running() > total:
             return f"step {step}: {fleet.running()} running, {total} granted"
+        if fleet.started_uncovered:
+            return f"step {step}: a cut-off start above the standing part"
     return ""
 
 
@@ -86,11 +126,43 @@
         ):
             self.assertTrue(any(_find_breach(s) for s in range(_SEEDS)))
 
+    def test_cut_off_nodes_go_on_and_never_exceed_the_limit(self) -> None:
+        for seed in range(_CUT_SEEDS):
+            with self.subTest(seed=seed):
+                self.assertEqual(
+                    _find_breach(seed, steps=_CUT_STEPS, **_LONG_CUTS), ""
+                )
+        fleet = model.Fleet(3, **_LONG_CUTS)
+        for _ in range(4 * _STEPS):
+            fleet.step()
+        self.assertGreater(fleet.started_cut_off, 0)
+
+    def test_long_cuts_catch_a_missing_guard(self) -> None:
+        cases: dict[str, dict[str, typing.Any]] = {
+            "end of the hold": {"local_class": _NoHold},
+            "only the standing part": {"local_class": _AllIsStanding},
+            "wait for the hold": {"hold_wait_s": -1000.0},
+            "attempts beside it": {"local_class": _AttemptsUseAll},
+        }
+        for name, guards in cases.items():
+            with self.subTest(removed=name):
+                cuts = {**_LONG_CUTS, **guards, "steps": _CUT_STEPS}
+                seeds = range(_CUT_SEEDS)
+                self.assertTrue(any(_find_breach(s, **cuts) for s in seeds))
+
     def test_dead_nodes_leave_the_limit_to_the_living(self) -> None:
         fleet = model.Fleet(7, limit=10)
         for _ in range(_STEPS):
             fleet.step()
         self.assertGreater(len(fleet.head.ended), 2)
+        fleet.is_disturbed = False
+        for _ in range(2 * _STEPS):
+            fleet.step()
+        standing = sum(g.standing for g in fleet.head.amounts.values())
+        self.assertLessEqual(standing, 3)
+        fleet.max_running = 0
+        for _ in range(_STEPS):
+            fleet.step()
         self.assertEqual(fleet.max_running, 10)
 
 
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -36,6 +36,7 @@
     "JobSettled",
     "KeyGiven",
     "KeyWithdrawn",
+    "LentGrantsReclaimed",
     "NoteAccepted",
     "PoolClaimed",
     "PoolEpochRaised",
@@ -47,6 +48,7 @@
     "SNAPSHOT_STREAM",
     "SnapshotChunk",
     "SnapshotMarked",
+    "StandingGrantChanged",
     "UnknownRecord",
     "VmStep",
     "WaveChanged",
@@ -55,7 +57,7 @@
     "register_record",
 ]
 
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
 CONTROL_STREAM = "control"
 SNAPSHOT_STREAM = "snapshots"
 FLEET_POOL = "_fleet"
@@ -225,9 +227,39 @@
     wanted: int
 
 
+@register_record("standing-grant-changed")
+class StandingGrantChanged(typing.NamedTuple):
+    """As `GrantChanged`, with a part that a node may use while it is cut off.
+
+    The fold gives no more of `standing` than `amount`, and no raise above what
+    the standing parts of all sessions may be together.
+
+    Attributes:
+        standing: part of `amount` under which calls may start up to `hold_s`
+            after the renewal that last stood.
+        hold_s: time that nobody may take the standing part back.
+    """
+
+    team: str
+    node: str
+    incarnation: str
+    amount: int
+    wanted: int
+    standing: int
+    hold_s: float
+
+
+@register_record("lent-grants-reclaimed")
+class LentGrantsReclaimed(typing.NamedTuple):
+    """Grants of an ended session are free again but for the standing part."""
+
+    node: str
+    incarnation: str
+
+
 @register_record("grant-reclaimed")
 class GrantReclaimed(typing.NamedTuple):
-    """Grants of an ended session are free again."""
+    """Grants of an ended session are free again, the standing part too."""
 
     node: str
     incarnation: str
--- a/foxtaillock/settings/settings.py
+++ b/foxtaillock/settings/settings.py
@@ -53,6 +53,10 @@
         session_renew_s: mean time between two renewals of the session.
         drift_allowance_s: allowance for clock drift and pauses.
         key_freshness_s: greatest age of the view that keys are checked with.
+        isolation_hold_s: time after its last sign of life on the log for
+            which a node that is cut off may start calls of open services,
+            and for which the part of the limits that it holds for them is not
+            used by others if it is dead; zero for none.
         appends_per_s: budget of appends of this node.
         ready_delay_s: time between the failing of readiness and the closing
             of the listener, so that the balancer has looked in between.
@@ -84,6 +88,7 @@
     session_renew_s: float = 0.8
     drift_allowance_s: float = 0.5
     key_freshness_s: float = 2.0
+    isolation_hold_s: float = 900.0
     appends_per_s: float = 30.0
     ready_delay_s: float = 2.0
     drain_s: float = 10.0
@@ -290,6 +295,7 @@
     "session_renew_s": converters.number(0.05, 20.0),
     "drift_allowance_s": converters.number(0.0, 20.0),
     "key_freshness_s": converters.number(0.2, 5.0),
+    "isolation_hold_s": converters.number(0.0, 86_400.0),
     "appends_per_s": converters.number(0.1, 1000.0),
     "drain_s": converters.number(0.0, 3600.0),
     "ready_delay_s": converters.number(0.0, 3600.0),
--- a/foxtaillock/state/control_view.py
+++ b/foxtaillock/state/control_view.py
@@ -102,6 +102,12 @@
         row = rows.get(tables.SessionKey(node, incarnation))
         return row.amount if row is not None else 0
 
+    def lent_grant(self, team: str, node: str, incarnation: str) -> int:
+        """Returns what one session holds beside its standing part."""
+        rows = self._tables.grants.get(team, {})
+        row = rows.get(tables.SessionKey(node, incarnation))
+        return row.lent if row is not None else 0
+
     def wanted(self, team: str) -> dict[str, int]:
         """Returns what each node with a live session wants."""
         totals: dict[str, int] = {}
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -104,10 +104,22 @@
 
 
 class Grant(typing.NamedTuple):
-    """Part of a team's limit that a session may use, and what it wants."""
+    """Part of a team's limit that a session may use, and what it wants.
+
+    Attributes:
+        standing: part of `amount` that it may use while it is cut off.
+        hold_s: time after its last renewal for which it may.
+    """
 
     amount: int
     wanted: int
+    standing: int = 0
+    hold_s: float = 0.0
+
+    @property
+    def lent(self) -> int:
+        """Part of `amount` that is not standing."""
+        return self.amount - self.standing
 
 
 class StoredVm(typing.NamedTuple):
