--- a/foxtaillock/limits/grants.py
+++ b/foxtaillock/limits/grants.py
@@ -215,16 +215,20 @@
         adopted attempts among it: the amount is absolute, and a carried grant
         that is not folded yet must not be undone by it.
 
+        Nothing is planned without a valid session: the view may be stale, and
+        a change without a verdict would keep the caps down.
+
         Args:
             folded: limit and grants of each team.
             live: holders whose session has not ended, in a fixed order.
         """
         due = []
+        is_valid = self._clock.monotonic_s() < self._valid_until_s
         for team in sorted(folded):
             count = self._team(team)
             own = self._read_own(folded[team].grants)
             count.granted, count.standing = own.amount, own.standing
-            if count.in_flight:
+            if count.in_flight or not is_valid:
                 continue
             change = self._plan_team(team, folded[team], live)
             if change is not None and change.amount >= count.running:
