--- /dev/null
+++ b/foxtaillock/daemon/tests/test_grant_keeper.py
@@ -0,0 +1,150 @@
+"""Tests of the keeper of grants: what it writes, and when it reclaims."""
+
+import asyncio
+import typing
+import unittest
+
+from foxtaillock.daemon import grant_keeper
+from foxtaillock.limits import grants as limits
+from foxtaillock.model import clock as clocks
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+from foxtaillock.state import control_state
+
+_HOLD_S = 60.0
+_WAIT_S = 10.0
+
+
+class _Session:
+    """Session of the keeper's process."""
+
+    incarnation = "x1"
+    drift = 0.0
+
+    def __init__(self, clock: clocks.ManualClock) -> None:
+        self._clock = clock
+
+    def grants_until_s(self) -> float:
+        """Always valid."""
+        return self._clock.monotonic_s() + 3.0
+
+    def standing_until_s(self, hold_s: float) -> float:
+        """Always stands."""
+        return self._clock.monotonic_s() + hold_s
+
+
+class _Log:
+    """Folds each record at once, in the name of one writer."""
+
+    def __init__(self, state: control_state.ControlState) -> None:
+        self._state = state
+        self.written: list[records.Record] = []
+
+    async def commit(
+        self, record: records.Record, urgent: bool = False
+    ) -> verdicts.Verdict:
+        """Folds one record."""
+        del urgent
+        self.written.append(record)
+        number = len(self.written)
+        batch = records.Batch("e", "x", number, (record,))
+        return self._state.apply(number, batch)[0]
+
+
+class _Site:
+    """A keeper with all that it needs."""
+
+    def __init__(self, hold_s: float, is_open: bool = True) -> None:
+        self.clock = clocks.ManualClock()
+        self.state = control_state.ControlState()
+        self.log = _Log(self.state)
+        self.session = _Session(self.clock)
+        self.local = limits.LocalGrants(self.clock, "e1", "x1", hold_s)
+        self.keeper = grant_keeper.GrantKeeper(
+            "e1",
+            typing.cast(typing.Any, self.session),
+            typing.cast(typing.Any, self.log),
+            self.state,
+            self.local,
+            self.clock,
+            waiting_by_team=lambda: {},
+            attempts_waiting=lambda: {},
+            reclaim_wait_s=_WAIT_S,
+            hold_s=hold_s,
+        )
+        service = {"slots": 8, "open": is_open, "team": "t"}
+        self.first = (
+            records.Change("added", "team", "t", 0, {"limit": 8}),
+            records.Change("added", "service", "s", 0, service),
+        )
+
+    async def start(self) -> None:
+        """Adds a team and a service, and opens the session."""
+        await self.log.commit(records.NoteAccepted("n", "op", "", self.first))
+        await self.open_session("x1")
+
+    async def open_session(self, incarnation: str) -> None:
+        """Opens a session of the keeper's node."""
+        await self.log.commit(
+            records.SessionRenewed("e1", incarnation, 1, "z", "", "")
+        )
+
+    async def step(self, after_s: float = 0.0) -> list[str]:
+        """Returns the kinds of the records that one step wrote."""
+        count = len(self.log.written)
+        self.clock.advance(after_s)
+        self.keeper.step()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return [type(row).__name__ for row in self.log.written[count:]]
+
+
+class GrantKeeperTest(unittest.IsolatedAsyncioTestCase):
+
+    async def test_open_team_gets_a_standing_part(self) -> None:
+        site = _Site(_HOLD_S)
+        await site.start()
+        self.assertEqual(await site.step(), ["StandingGrantChanged"])
+        self.assertEqual(site.state.grant("t", "e1", "x1"), 8)
+        self.assertEqual(site.state.lent_grant("t", "e1", "x1"), 6)
+        self.assertEqual(site.local.find_standing_cap("t"), 2)
+
+    async def test_team_without_open_services_gets_none(self) -> None:
+        site = _Site(_HOLD_S, is_open=False)
+        await site.start()
+        await site.step()
+        self.assertEqual(site.state.lent_grant("t", "e1", "x1"), 8)
+
+    async def test_without_a_hold_older_versions_can_read_all(self) -> None:
+        site = _Site(0.0)
+        await site.start()
+        self.assertEqual(await site.step(), ["GrantChanged"])
+
+    async def test_own_former_session_is_reclaimed_without_the_hold(
+        self,
+    ) -> None:
+        site = _Site(_HOLD_S)
+        await site.start()
+        await site.step()
+        await site.log.commit(records.SessionEnded("e1", "x1", 1, "e2"))
+        site.session.incarnation = "x2"
+        await site.open_session("x2")
+        await site.step()
+        self.assertIn("GrantReclaimed", await site.step(_WAIT_S))
+
+    async def test_standing_part_of_another_is_kept_for_its_hold(self) -> None:
+        site = _Site(_HOLD_S)
+        await site.start()
+        other = ("e2", "y")
+        for record in (
+            records.SessionRenewed(*other, 1, "z", "", ""),
+            records.StandingGrantChanged("t", *other, 5, 5, 2, _HOLD_S),
+            records.SessionEnded(*other, 1, "e1"),
+        ):
+            await site.log.commit(record)
+        await site.step()
+        self.assertIn("LentGrantsReclaimed", await site.step(_WAIT_S))
+        self.assertEqual(site.state.grant("t", *other), 2)
+        self.assertNotIn("GrantReclaimed", await site.step(_HOLD_S - 1.0))
+        self.assertIn("GrantReclaimed", await site.step(1.0))
+        self.assertEqual(site.state.grant("t", *other), 0)
--- a/foxtaillock/integration/tests/test_partitions.py
+++ b/foxtaillock/integration/tests/test_partitions.py
@@ -95,11 +95,14 @@
         return all(a.status == 200 for a in answers)
 
     async def _call(
-        self, entry: int, work_s: float = 0.05, **extra: str
+        self, entry: int, idempotency_key: str = ""
     ) -> client.Answer:
-        sent = extra or {headers.IDEMPOTENT: "true"}
-        sent[headers.DEADLINE_S] = "4"
-        body = json.dumps({"work_s": work_s})
+        """Calls without a key; one that may run again unless it is named."""
+        sent = {headers.IDEMPOTENT: "true", headers.DEADLINE_S: "4"}
+        if idempotency_key:
+            sent[headers.IDEMPOTENT] = "false"
+            sent[headers.IDEMPOTENCY_KEY] = idempotency_key
+        body = json.dumps({"work_s": 0.05})
         return await self.open.send("POST", _CALL, body, sent, entry=entry)
 
     async def _load(self, entry: int) -> collections.Counter[str]:
@@ -119,10 +122,11 @@
             asyncio.ensure_future(self._load(entry))
             for entry in (0, 0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 2)
         ]
+        for load in loads:
+            self.addCleanup(load.cancel)
         refused = await keyed.send("POST", _CALL, b"{}", entry=2)
         self.assertEqual((refused.code, refused.outcome), _STALE, refused)
-        extra = {"Idempotency-Key": "charge-cut-off"}
-        charge = await self._call(2, **extra)
+        charge = await self._call(2, "charge-cut-off")
         self.assertEqual(charge.outcome, "not-run", charge)
         await asyncio.sleep(5.0)
         self._load_stops.set()
@@ -147,7 +151,7 @@
     async def _is_normal(self, keyed: client.Client) -> bool:
         """Returns whether the zone serves keys and charges again."""
         job = await keyed.send("GET", "/v1/jobs/none.0", entry=2)
-        charge = await self._call(2, **{"Idempotency-Key": "charge-healed"})
+        charge = await self._call(2, "charge-healed")
         return job.code == "not-found" and charge.outcome == "ran"
 
 
--- /dev/null
+++ b/foxtaillock/limits/tests/test_standing.py
@@ -0,0 +1,152 @@
+"""Tests of the standing parts of grants and of when they are free again."""
+
+import random
+import typing
+import unittest
+
+from foxtaillock.limits import decisions
+from foxtaillock.limits import grants
+from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import records
+
+_SELF = ("e0", "x")
+_HOLD_S = 60.0
+
+
+def _find_standing_naively(view: decisions.TeamView, amount: int) -> int:
+    """Adds one after the other until a rule forbids the next."""
+    standing = 0
+    if not view.is_open or view.leaving or not view.hold_s:
+        return standing
+    most = view.limit // 2 if view.limit > 6 else min(3, view.limit - 1)
+    is_floor_small = 20 * len(view.live) <= view.limit
+    while True:
+        after = standing + 1
+        everyone = after * len(view.live)
+        total = after + sum(
+            grant.standing for h, grant in view.grants.items() if h != _SELF
+        )
+        left = amount - view.attempts - after
+        is_floor = after == 1 and is_floor_small
+        if total > most or left < 0:
+            return standing
+        if left < view.waiting_attempts and not is_floor:
+            return standing
+        if after > 1 and everyone > view.limit // 4:
+            return standing
+        standing = after
+
+
+def _draw_view(rng: random.Random) -> decisions.TeamView:
+    live = [(f"e{i}", "x") for i in range(rng.randrange(1, 10))]
+    amounts = [rng.randrange(9) for _ in live]
+    rows = {
+        holder: decisions.Grant(amount, 0, rng.randint(0, amount // 2), 9.0)
+        for holder, amount in zip(live, amounts)
+    }
+    limit = rng.choice((0, 1, 2, 5, 20, 100, 300))
+    attempts = rng.randrange(4)
+    view = decisions.TeamView("t", limit, rows, live, attempts, attempts)
+    return view._replace(
+        leaving=rng.random() < 0.1,
+        attempts=attempts,
+        waiting_attempts=rng.choice((0, 0, 3, 50)),
+        is_open=rng.random() < 0.9,
+        hold_s=rng.choice((0.0, 9.0, 9.0, 9.0)),
+    )
+
+
+class DecideStandingTest(unittest.TestCase):
+
+    def test_agrees_with_the_naive_rule(self) -> None:
+        rng = random.Random(11)
+        seen = set()
+        for _ in range(5000):
+            view = _draw_view(rng)
+            amount = rng.randrange(30)
+            found = decisions.decide_standing(_SELF, view, amount)
+            expected = _find_standing_naively(view, amount)
+            self.assertEqual(found, expected, (view, amount))
+            seen.add(found)
+        self.assertGreater(len(seen), 4)
+
+    def test_idle_node_keeps_one_of_a_large_limit(self) -> None:
+        live = [_SELF, ("e1", "x")]
+        rows = {
+            live[0]: decisions.Grant(0, 0),
+            live[1]: decisions.Grant(39, 90),
+        }
+        view = decisions.TeamView("t", 40, rows, live, 0, 0)
+        view = view._replace(is_open=True, hold_s=_HOLD_S)
+        change = decisions.decide(*_SELF, [view])[0]
+        self.assertEqual((change.amount, change.standing), (1, 1))
+
+
+class DecideReclaimsTest(unittest.TestCase):
+
+    def _kinds(self, now_s: float, **fields: typing.Any) -> list[str]:
+        ended = decisions.EndedSession("e1", "y", 100.0, False, 3, _HOLD_S)
+        due = decisions.decide_reclaims(
+            [ended._replace(**fields)], now_s, 10.0, 0.01
+        )
+        return [type(record).__name__ for record in due]
+
+    def test_standing_part_is_free_only_after_its_hold(self) -> None:
+        self.assertEqual(self._kinds(109.9), [])
+        self.assertEqual(self._kinds(110.0), ["LentGrantsReclaimed"])
+        self.assertEqual(self._kinds(110.0, lent=0), [])
+        self.assertEqual(self._kinds(170.5, lent=0), [])
+        self.assertEqual(self._kinds(170.7, lent=0), ["GrantReclaimed"])
+
+    def test_own_former_session_and_none_standing_need_no_hold(self) -> None:
+        self.assertEqual(self._kinds(110.0, is_own=True), ["GrantReclaimed"])
+        self.assertEqual(self._kinds(110.0, hold_s=0.0), ["GrantReclaimed"])
+        self.assertEqual(self._kinds(900.0, pools_open=True), [])
+
+
+class CutOffNodeTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.local = grants.LocalGrants(self.clock, *_SELF, _HOLD_S)
+        self.local.set_session_valid_until(3.0)
+        self.local.set_standing_until(_HOLD_S)
+        self.local.set_granted("t", 4, 2)
+
+    def test_calls_go_on_under_the_standing_part_until_the_hold(self) -> None:
+        self.assertTrue(all(self.local.try_start("t") for _ in range(4)))
+        self.clock.advance(3.0)
+        self.assertFalse(self.local.try_start("t"))
+        for _ in range(3):
+            self.local.finish("t")
+        self.assertTrue(self.local.try_start("t"))
+        self.assertFalse(self.local.try_start("t"))
+        self.local.finish("t")
+        self.clock.advance(_HOLD_S)
+        self.assertFalse(self.local.try_start("t"))
+
+    def test_attempts_leave_the_standing_part_alone(self) -> None:
+        starts = [self.local.try_start_attempt("t") for _ in range(4)]
+        self.assertEqual(starts, [True, True, False, False])
+        self.local.finish_attempt("t")
+        self.clock.advance(3.0)
+        self.assertFalse(self.local.try_start_attempt("t"))
+
+    def test_plans_nothing_on_a_stale_view(self) -> None:
+        rows = {
+            _SELF: decisions.Grant(4, 4, 2, _HOLD_S),
+            ("e1", "y"): decisions.Grant(1, 9),
+        }
+        folded = {"t": decisions.FoldedTeam(5, rows, True)}
+        self.clock.advance(3.0)
+        self.assertEqual(self.local.plan(folded, sorted(rows)), [])
+        self.assertEqual(self.local.find_standing_cap("t"), 2)
+
+    def test_a_change_without_verdict_keeps_the_lower_part(self) -> None:
+        rows = {_SELF: decisions.Grant(4, 4, 2, _HOLD_S)}
+        folded = {"t": decisions.FoldedTeam(5, rows, False)}
+        change = self.local.plan(folded, [_SELF])[0]
+        self.assertIsInstance(change, records.StandingGrantChanged)
+        self.local.lose_change(change)
+        self.clock.advance(3.0)
+        self.assertFalse(self.local.try_start("t"))
--- a/foxtaillock/state/tests/test_snapshots.py
+++ b/foxtaillock/state/tests/test_snapshots.py
@@ -153,7 +153,11 @@
             own = living.snapshotter.take()
             await _write_keys(living, 5, 5)
             later = living.snapshotter.take()
-            text = later.text.replace('"schema":1', '"schema":2')
+            version = records.SCHEMA_VERSION
+            text = later.text.replace(
+                f'"schema":{version}', f'"schema":{version + 1}'
+            )
+            self.assertNotEqual(text, later.text)
             fresh = _Node(log, "b")
             await fresh.snapshotter.start([own, later._replace(text=text)])
             self.assertEqual(fresh.control.next_offset, own.at_offset)
