--- a/foxtaillock/state/codec.py
+++ b/foxtaillock/state/codec.py
@@ -39,6 +39,7 @@
         "disruptions": _encode_rows(state.disruptions),
         "waves": [[name, *row] for name, row in state.waves.items()],
         "kept": state.kept,
+        "kept_dropped": state.kept_dropped,
     }
 
 
@@ -101,6 +102,8 @@
     state.disruptions = _decode_rows(tables.Disruption, fields["disruptions"])
     state.waves = _decode_rows(tables.Wave, fields["waves"])
     state.kept = [tables.KeptRecord(*row) for row in fields["kept"]]
+    state.kept_bytes = sum(row.size_bytes for row in state.kept)
+    state.kept_dropped = fields.get("kept_dropped", 0)
     return state
 
 
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -161,6 +161,11 @@
     kind: str
     body: str
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of kind and body in UTF-8."""
+        return len(f"{self.kind}{self.body}".encode("utf-8", "replace"))
+
 
 @dataclasses.dataclass(slots=True)
 class ControlTables:
@@ -172,6 +177,10 @@
         grants: grants by team and session.
         to_carry: former owner of each pool whose running attempts still count
             under that owner's grants.
+        kept: records of kinds that this version does not know, the oldest
+            first.
+        kept_bytes: their sizes together; not encoded.
+        kept_dropped: how many older ones were dropped.
     """
 
     revision: int = 0
@@ -192,6 +201,8 @@
     disruptions: dict[str, Disruption] = dataclasses.field(default_factory=dict)
     waves: dict[str, Wave] = dataclasses.field(default_factory=dict)
     kept: list[KeptRecord] = dataclasses.field(default_factory=list)
+    kept_bytes: int = 0
+    kept_dropped: int = 0
 
     def find(self, kind: str, name: str) -> StoredObject | None:
         """Returns an object, or None."""
--- a/foxtaillock/state/tests/test_control_state.py
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -1,10 +1,13 @@
 """Tests of the fold of the control stream."""
 
+import json
+import random
 import unittest
 
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
+from foxtaillock.state import vms_fold
 
 Change = records.Change
 
@@ -320,6 +323,28 @@
         self.assertEqual(again.apply(9, batch), self.state.apply(9, batch))
         self.assertEqual(again.digest(), self.state.digest())
 
+    def test_unknown_records_are_kept_up_to_a_bound(self) -> None:
+        rng = random.Random(4)
+        sizes: list[int] = []
+        for number in range(60):
+            size = rng.choice((10, 30_000, 200_000, 2_000_000))
+            size = size if number > 20 else min(size, 30_000)
+            row = records.UnknownRecord("later", json.dumps(["x" * size]))
+            self.assertEqual(self._codes(row), ["unknown-kind"])
+            sizes.append(len("later") + len(row.body))
+            if number == 30:
+                self.state.restore(self.state.encode())
+            fitting = [
+                i
+                for i in range(number + 1)
+                if sum(sizes[i:]) <= vms_fold.KEPT_BYTES
+            ]
+            fields = json.loads(self.state.encode())
+            first = min(fitting, default=number + 1)
+            self.assertEqual(fields["kept_dropped"], first)
+            offsets = [kept[0] for kept in fields["kept"]]
+            self.assertEqual(offsets, list(range(first, number + 1)))
+
     def test_malformed_record_does_not_stop_the_fold(self) -> None:
         self._fold(_renewed("a", 1))
         bad = _renewed("a")._replace(counter="many")  # type: ignore[arg-type]
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "FINISHED_WAVES",
+    "KEPT_BYTES",
     "fold_disruption_ended",
     "fold_disruption_granted",
     "fold_unknown",
@@ -16,6 +17,7 @@
 ]
 
 FINISHED_WAVES = 1000
+KEPT_BYTES = 1024 * 1024
 _FINAL_STATES = ("done", "cancelled")
 _STEP_BEFORE = {
     "withdrawn": "joined",
@@ -143,6 +145,17 @@
 def fold_unknown(
     state: tables.ControlTables, offset: int, record: records.UnknownRecord
 ) -> verdicts.Verdict:
-    """Keeps a record that a newer version wrote, without an effect."""
-    state.kept.append(tables.KeptRecord(offset, record.kind, record.body))
+    """Keeps a record that a newer version wrote, without an effect.
+
+    The oldest are dropped, and counted, once all are above `KEPT_BYTES`.
+    """
+    kept = tables.KeptRecord(offset, record.kind, record.body)
+    state.kept.append(kept)
+    state.kept_bytes += kept.size_bytes
+    excess = 0
+    while state.kept_bytes > KEPT_BYTES:
+        state.kept_bytes -= state.kept[excess].size_bytes
+        excess += 1
+    del state.kept[:excess]
+    state.kept_dropped += excess
     return verdicts.Verdict(False, "unknown-kind")
