--- a/bench/grants.py
+++ b/bench/grants.py
@@ -27,6 +27,7 @@
 _END_S = 20.0
 _MEAN_CALL_S = 0.2
 _HOLD_S = 900.0
+_JOBS = "jobs_of_one_node_ask_for_all"
 _SCENARIOS: dict[str, tuple[list[int], list[int]]] = {
     "five_times_the_mean": ([8] * 9, [40] * 9),
     "peak_moves_to_another_zone": (
@@ -38,6 +39,7 @@
         [20] * 9,
         [200] + [0] * 8,
     ),
+    _JOBS: ([20] * 9, [200] + [0] * 8),
 }
 
 
@@ -59,9 +61,23 @@
 
 
 class _Fleet:
-    """Entry VMs, their calls and the log, on a queue of events."""
+    """Entry VMs, their calls and the log, on a queue of events.
 
-    def __init__(self, seed: int, before: list[int], after: list[int]) -> None:
+    Args:
+        seed: seed of all random choices.
+        before: calls that each node wants to run before the shift.
+        after: the same after it.
+        are_jobs: whether job attempts run in place of calls.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        before: list[int],
+        after: list[int],
+        are_jobs: bool = False,
+    ) -> None:
+        self.are_jobs = are_jobs
         self.rng = random.Random(seed)
         self.clock = clock_lib.ManualClock()
         self.before = before
@@ -137,7 +153,7 @@
         self._start_calls(node)
         waiting = max(0, self._demand(node) - self.running[node])
         local = self.locals[node]
-        local.set_waiting("t", waiting)
+        local.set_waiting("t", waiting, waiting * self.are_jobs)
         changes = local.plan(self._folded(), self._live())
         if changes:
             self.appends_s.append(self.clock.monotonic_s())
@@ -170,7 +186,12 @@
 
     def _start_calls(self, node: int) -> None:
         while self.running[node] < self._demand(node):
-            if not self.locals[node].try_start("t"):
+            local = self.locals[node]
+            if not (
+                local.try_start_attempt("t")
+                if self.are_jobs
+                else local.try_start("t")
+            ):
                 return
             self.running[node] += 1
             self.at(
@@ -180,7 +201,10 @@
 
     def _end_call(self, node: int) -> None:
         self.running[node] -= 1
-        self.locals[node].finish("t")
+        if self.are_jobs:
+            self.locals[node].finish_attempt("t")
+        else:
+            self.locals[node].finish("t")
         self._start_calls(node)
 
     def _check(self) -> None:
@@ -198,7 +222,8 @@
     def _trial(rng: random.Random) -> dict[str, float]:
         figures: dict[str, float] = {}
         for name, shift in _SCENARIOS.items():
-            found = _Fleet(rng.randrange(1_000_000), *shift).run()
+            seed = rng.randrange(1_000_000)
+            found = _Fleet(seed, *shift, name == _JOBS).run()
             for field, value in found._asdict().items():
                 figures[f"{name}_{field}"] = value
         return figures
