--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -104,10 +104,22 @@
 
 
 class Grant(typing.NamedTuple):
-    """Part of a team's limit that a session may use, and what it wants."""
+    """Part of a team's limit that a session may use, and what it wants.
+
+    Attributes:
+        standing: part of `amount` that it may use while it is cut off.
+        hold_s: time after its last renewal for which it may.
+    """
 
     amount: int
     wanted: int
+    standing: int = 0
+    hold_s: float = 0.0
+
+    @property
+    def lent(self) -> int:
+        """Part of `amount` that is not standing."""
+        return self.amount - self.standing
 
 
 class StoredVm(typing.NamedTuple):
@@ -149,6 +161,11 @@
     kind: str
     body: str
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of kind and body in UTF-8."""
+        return len(f"{self.kind}{self.body}".encode("utf-8", "replace"))
+
 
 @dataclasses.dataclass(slots=True)
 class ControlTables:
@@ -160,6 +177,10 @@
         grants: grants by team and session.
         to_carry: former owner of each pool whose running attempts still count
             under that owner's grants.
+        kept: records of kinds that this version does not know, the oldest
+            first.
+        kept_bytes: their sizes together; not encoded.
+        kept_dropped: how many older ones were dropped.
     """
 
     revision: int = 0
@@ -180,6 +201,8 @@
     disruptions: dict[str, Disruption] = dataclasses.field(default_factory=dict)
     waves: dict[str, Wave] = dataclasses.field(default_factory=dict)
     kept: list[KeptRecord] = dataclasses.field(default_factory=list)
+    kept_bytes: int = 0
+    kept_dropped: int = 0
 
     def find(self, kind: str, name: str) -> StoredObject | None:
         """Returns an object, or None."""
