Fleet: the owner carries out the calendar of maintenance

Cause: operators had to start every wave; the calendar was a function that nobody called, and no end of a maintenance stood anywhere.

A pool with `maintenance_days` (0 or absent: off) is maintained by the owner of the fleet. The end of each VM's maintenance is a record of its own and stands before the disruption ends; a wave over the due VMs begins a lead before the first is due, and runs as one that an operator starts: canary, rack by rack, budgets, evidence for a pause.

Changed tests: `decide` takes the wall-clock time (schedule); the naive fold knows the new record (15 kinds in place of 14); pools of the calendar test state their 21 days, since a pool without the setting has no calendar any more.

--- a/bench/maintenance_day.py
+++ b/bench/maintenance_day.py
@@ -130,7 +130,7 @@
         now_s = tick * _TICK_S
         self.sightings.update(self.entries.values(), answers, now_s)
         started_s = time.process_time()
-        made = self.decider.decide(now_s, 1)
+        made = self.decider.decide(now_s, 1, int(now_s))
         self.decide_s.append(time.process_time() - started_s)
         if made.commits:
             self._fold(made.commits)
--- a/foxtaillock/fleet/controller.py
+++ b/foxtaillock/fleet/controller.py
@@ -113,7 +113,8 @@
         await self._look(epoch)
         if not self._may_act() or self._epoch() != epoch:
             return
-        made = self._decider.decide(self._clock.monotonic_s(), epoch)
+        utc_s = int(self._clock.now().timestamp())
+        made = self._decider.decide(self._clock.monotonic_s(), epoch, utc_s)
         await self._commit_all(made.commits)
         await asyncio.gather(*map(self._operate, made.operations))
 
--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 from foxtaillock.fleet import budgets
+from foxtaillock.fleet import calendar
 from foxtaillock.fleet import membership
 from foxtaillock.fleet import model
 from foxtaillock.fleet import planner
@@ -21,6 +22,7 @@
 __all__ = ["Decider", "Decisions", "Operation"]
 
 PLAN_INTERVAL_S = 1.0
+CALENDAR_INTERVAL_S = 10.0
 MAX_MOVES = 200
 
 
@@ -63,19 +65,61 @@
         self._sightings = sightings
         self._waves = wave_keeper.WaveKeeper(state, base_rate_per_s)
         self._planned_at_s = float("-inf")
+        self._looked_up_at_s = float("-inf")
         self.explanations: dict[str, str] = {}
         self.shortfalls: dict[str, int] = {}
 
-    def decide(self, now_s: float, epoch: int) -> Decisions:
+    def decide(self, now_s: float, epoch: int, utc_s: int) -> Decisions:
         """Returns what to do now.
 
         Cost is linear in the VMs; the plan of places is made anew once in
-        `PLAN_INTERVAL_S`.
+        `PLAN_INTERVAL_S`, the calendar is looked up in `CALENDAR_INTERVAL_S`.
+
+        Args:
+            now_s: monotonic time.
+            epoch: epoch of the owner of the fleet.
+            utc_s: wall-clock time, in seconds of UTC; periods of days outlive
+                any process, so they can't be measured by `now_s`.
         """
         pools = self._pools()
         vms = self._list_vms(now_s)
         held = budgets.make_budgets(pools, vms, self._holdings())
         moves = self._plan(pools, vms, now_s)
+        placed = self._place(vms, moves, held, now_s, epoch)
+        begun = self._follow_calendar(pools, vms, now_s, epoch, utc_s)
+        waves = self._waves.decide(pools, vms, held, now_s, epoch)
+        disrupted = self._state.disruptions.keys() - waves.taken_back
+        carried = [
+            self._carry_on(vm, held.get(vm.pool), now_s, epoch, utc_s)
+            for vm in vms
+            if vm.name in disrupted
+        ]
+        undrained = [
+            Operation("undrain", vm) for vm in sorted(waves.taken_back)
+        ]
+        return Decisions(
+            (
+                *placed.commits,
+                *begun,
+                *waves.commits,
+                *(record for found in carried for record in found.commits),
+            ),
+            (
+                *placed.operations,
+                *undrained,
+                *(action for found in carried for action in found.operations),
+            ),
+        )
+
+    def _place(
+        self,
+        vms: Iterable[model.Vm],
+        moves: Mapping[str, planner.Move],
+        held: Mapping[str, budgets.PoolBudget],
+        now_s: float,
+        epoch: int,
+    ) -> Decisions:
+        """Returns the next step of each VM towards its place."""
         commits: list[records.Record] = []
         operations: list[Operation] = []
         for vm in vms:
@@ -85,17 +129,6 @@
                 operations.append(action)
             elif action is not None:
                 commits.append(action)
-        waves = self._waves.decide(pools, vms, held, now_s, epoch)
-        commits += waves.commits
-        operations += [
-            Operation("undrain", vm) for vm in sorted(waves.taken_back)
-        ]
-        disrupted = self._state.disruptions.keys() - waves.taken_back
-        for vm in vms:
-            if vm.name in disrupted:
-                found = self._carry_on(vm, held.get(vm.pool), now_s, epoch)
-                commits += found.commits
-                operations += found.operations
         return Decisions(tuple(commits), tuple(operations))
 
     def _holdings(self) -> list[budgets.Holding]:
@@ -150,6 +183,71 @@
         self.explanations = {move.vm: move.reason for move in made.moves}
         return {move.vm: move for move in made.moves}
 
+    def _follow_calendar(
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        vms: Iterable[model.Vm],
+        now_s: float,
+        epoch: int,
+        utc_s: int,
+    ) -> list[records.Record]:
+        """Returns waves that begin, and times of VMs of which none stands."""
+        if now_s - self._looked_up_at_s < CALENDAR_INTERVAL_S:
+            return []
+        self._looked_up_at_s = now_s
+        members: dict[str, list[model.Vm]] = {}
+        for vm in vms:
+            if vm.pool and vm.name not in self._state.disruptions:
+                members.setdefault(vm.pool, []).append(vm)
+        ended_at_s = {
+            vm: row.ended_at_s for vm, row in self._state.maintained.items()
+        }
+        missing = calendar.find_missing(pools, members, ended_at_s, utc_s)
+        if missing:
+            return [
+                records.MaintenanceRecorded(pool, rows, epoch)
+                for pool, rows in missing.items()
+            ]
+        return self._begin_waves(pools, members, ended_at_s, epoch, utc_s)
+
+    def _begin_waves(
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        members: calendar.Members,
+        ended_at_s: Mapping[str, int],
+        epoch: int,
+        utc_s: int,
+    ) -> list[records.Record]:
+        standing = self._state.waves
+        unfinished = {
+            wave_id: wave.pool
+            for wave_id, wave in standing.items()
+            if wave.state in ("running", "paused")
+        }
+        due = calendar.find_due(
+            pools,
+            members,
+            ended_at_s,
+            utc_s,
+            open_pools=frozenset(unfinished.values()),
+            known_waves=standing.keys(),
+            open_count=sum(
+                wave_id.startswith(calendar.WAVE_PREFIX)
+                for wave_id in unfinished
+            ),
+        )
+        return [
+            records.WaveChanged(
+                wave.wave_id,
+                wave.pool,
+                "running",
+                "by the calendar",
+                epoch,
+                wave_keeper.encode_base(wave.vms),
+            )
+            for wave in due
+        ]
+
     def _target(
         self,
         vm: model.Vm,
@@ -195,19 +293,37 @@
         base = self._waves.base_of(held.reason).get(vm.name, 0)
         return vm.incarnation > base
 
+    def _lacks_time(self, vm: model.Vm) -> bool:
+        """Returns whether the wave that maintained a VM is not recorded."""
+        held = self._state.disruptions[vm.name]
+        row = self._state.maintained.get(vm.name)
+        is_recorded = row is not None and row.offset > held.offset
+        return vm.name in self._waves.base_of(held.reason) and not is_recorded
+
     def _carry_on(
         self,
         vm: model.Vm,
         budget: budgets.PoolBudget | None,
         now_s: float,
         epoch: int,
+        utc_s: int,
     ) -> Decisions:
-        """Ends a disruption once the VM is back and serves, or goes on."""
+        """Ends a disruption once the VM is back and serves, or goes on.
+
+        The time of the maintenance stands before its disruption ends, so no
+        owner that dies in between leaves the VM due again.
+        """
         is_serving = vm.health is model.Health.SERVING
         if is_serving and not vm.is_busy and self._is_back(vm):
             pool = self._state.disruptions[vm.name].pool
-            ended = records.DisruptionEnded(vm.name, pool, epoch)
-            return Decisions((ended,), ())
+            record: records.Record
+            if self._lacks_time(vm):
+                record = records.MaintenanceRecorded(
+                    pool, {vm.name: utc_s}, epoch
+                )
+            else:
+                record = records.DisruptionEnded(vm.name, pool, epoch)
+            return Decisions((record,), ())
         return Decisions((), tuple(self._disrupt(vm, budget, now_s)))
 
     def _disrupt(
--- a/foxtaillock/fleet/model.py
+++ b/foxtaillock/fleet/model.py
@@ -6,7 +6,6 @@
 
 __all__ = ["Health", "PoolSpec", "Vm", "make_pool_specs", "zone_quota"]
 
-_DEFAULT_MAINTENANCE_DAYS = 21
 _DEFAULT_DISRUPTED_PART = 6
 
 
@@ -19,14 +18,19 @@
 
 
 class PoolSpec(typing.NamedTuple):
-    """What operators ask of a pool; see `foxtaillock.model.objects.Pool`."""
+    """What operators ask of a pool; see `foxtaillock.model.objects.Pool`.
+
+    Attributes:
+        maintenance_days: days between two maintenances of a VM; zero when
+            only operators start waves.
+    """
 
     name: str
     size: int
     zones: tuple[str, ...]
     min_available: int
     is_spare: bool = False
-    maintenance_days: int = _DEFAULT_MAINTENANCE_DAYS
+    maintenance_days: int = 0
 
 
 class Vm(typing.NamedTuple):
@@ -64,7 +68,7 @@
             tuple(body.get("zones", ())),
             body.get("min_available", max(0, size - spare_part)),
             body.get("spare", False),
-            body.get("maintenance_days", _DEFAULT_MAINTENANCE_DAYS),
+            body.get("maintenance_days", 0),
         )
     return specs
 
--- a/foxtaillock/fleet/tests/schedule.py
+++ b/foxtaillock/fleet/tests/schedule.py
@@ -166,7 +166,7 @@
     def _pause_owner(self) -> None:
         """The owner decides, sleeps through a takeover, wakes and acts."""
         self._see()
-        made = self.decider.decide(self._now_s(), self.epoch)
+        made = self.decider.decide(self._now_s(), self.epoch, self._utc_s())
         self._take_over()
         for record in made.commits:
             if self._append(record):
@@ -205,6 +205,9 @@
     def _now_s(self) -> float:
         return self.tick * TICK_S
 
+    def _utc_s(self) -> int:
+        return int(self._now_s())
+
     def _see(self) -> None:
         lag = self.random.randrange(1, 5)
         answers = {
@@ -222,7 +225,7 @@
         if self.unresolved:
             return
         self._see()
-        made = decider.decide(self._now_s(), epoch)
+        made = decider.decide(self._now_s(), epoch, self._utc_s())
         for record in made.commits:
             self._commit(record)
         for operation in made.operations:
--- a/foxtaillock/fleet/tests/test_controller.py
+++ b/foxtaillock/fleet/tests/test_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import datetime
 import random
 import typing
 import unittest
@@ -22,6 +23,7 @@
 from foxtaillock.state.tests import virtual_loop
 
 _REBOOT_S = 3.0
+_FAST_FACTOR = 600
 
 
 class _Vm:
@@ -104,6 +106,15 @@
         vm.is_draining = False
 
 
+class _FastClock(virtual_loop.LoopClock):
+    """Clock whose days pass within minutes of the virtual loop."""
+
+    def now(self) -> datetime.datetime:
+        """Returns a wall-clock time that runs ahead."""
+        passed_s = self.monotonic_s() * _FAST_FACTOR
+        return datetime.datetime.fromtimestamp(passed_s, datetime.timezone.utc)
+
+
 class _Node:
     """A node that may own the fleet."""
 
@@ -112,7 +123,7 @@
     ) -> None:
         self.name = name
         rng = random.Random(name)
-        clock = virtual_loop.LoopClock()
+        clock = _FastClock()
         self.client = fake_log.LogClient(log, rng)
         self.state = control_state.ControlState()
         self.replica = replicas.StreamReplica(
@@ -274,6 +285,33 @@
 
         virtual_loop.run(_check())
 
+    def test_calendar_goes_on_with_the_next_owner(self) -> None:
+        async def _check() -> None:
+            log, platform = fake_log.FakeLog(), _Platform(3)
+            note = _pools(p=6)
+            note.changes[0].body["maintenance_days"] = 1
+            first, second = (_Node(log, platform, n) for n in ("e1", "e2"))
+            async with first.running():
+                await first.claim(1)
+                await first.replica.commit(note)
+                # The first wave begins 18 hours on; it is cut off within.
+                while not first.state.disruptions:
+                    await asyncio.sleep(1)
+                await asyncio.sleep(12)
+            async with second.running():
+                await second.replica.catch_up()
+                ended = records.SessionEnded("e1", "x", 1, "e2")
+                await second.replica.commit(ended)
+                await second.claim(2)
+                await asyncio.sleep(60)
+                states = [w.state for w in second.state.waves.values()]
+                self.assertEqual(states, ["done"])
+            self.assertEqual(platform.least_up, 8)
+            for name in second.state.vms:
+                self.assertEqual(platform.vms[name].entry.incarnation, 2)
+
+        virtual_loop.run(_check())
+
     def _assert_spread(self, node: _Node, platform: _Platform) -> None:
         zones = collections.Counter(
             platform.vms[name].entry.zone for name in node.state.vms
--- a/foxtaillock/fleet/tests/test_waves.py
+++ b/foxtaillock/fleet/tests/test_waves.py
@@ -121,7 +121,9 @@
     def test_calendar_is_even_and_stable(self) -> None:
         sizes = [random.Random(2).randrange(10, 120) for _ in range(220)]
         pools = {
-            f"p{n}": model.PoolSpec(f"p{n}", size, ("a",), 0)
+            f"p{n}": model.PoolSpec(
+                f"p{n}", size, ("a",), 0, maintenance_days=21
+            )
             for n, size in enumerate(sizes)
         }
         days = waves.make_calendar(pools, {})
--- a/foxtaillock/fleet/wave_keeper.py
+++ b/foxtaillock/fleet/wave_keeper.py
@@ -11,7 +11,7 @@
 from foxtaillock.state import control_view
 from foxtaillock.state import tables
 
-__all__ = ["BASE_RATE_PER_S", "WaveDecisions", "WaveKeeper"]
+__all__ = ["BASE_RATE_PER_S", "WaveDecisions", "WaveKeeper", "encode_base"]
 
 BASE_RATE_PER_S = 250 / 15_000 / waves.SECONDS_PER_DAY
 RETURN_TIMEOUT_S = 600.0
@@ -129,7 +129,7 @@
         if wave.state == "paused":
             return []
         if not wave.base:
-            text = _encode_base(members)
+            text = encode_base(members)
             if not text:
                 return [_change(wave_id, wave, "done", epoch)]
             return [_change(wave_id, wave, "running", epoch, base=text)]
@@ -253,6 +253,11 @@
         return stopped + [holding.vm for holding in yielding]
 
 
+def encode_base(members: Iterable[model.Vm]) -> str:
+    """Returns the incarnations of VMs as `records.WaveChanged` keeps them."""
+    return ",".join(f"{vm.name}={vm.incarnation}" for vm in members)
+
+
 def _change(
     wave_id: str,
     wave: tables.Wave,
@@ -265,10 +270,6 @@
     return records.WaveChanged(wave_id, wave.pool, state, text, epoch, base)
 
 
-def _encode_base(members: Iterable[model.Vm]) -> str:
-    return ",".join(f"{vm.name}={vm.incarnation}" for vm in members)
-
-
 def _decode_base(text: str) -> dict[str, int]:
     pairs = (item.rpartition("=") for item in text.split(",") if item)
     return {name: int(incarnation) for name, _, incarnation in pairs}
--- a/foxtaillock/model/objects.py
+++ b/foxtaillock/model/objects.py
@@ -28,7 +28,8 @@
         zones: zones that the workers stand in.
         min_available: workers that must stay available in maintenance.
         spare: whether the pool is held as spare capacity.
-        maintenance_days: days between two maintenances of a VM.
+        maintenance_days: days between two maintenances of a VM; without it,
+            or with zero, only operators start waves.
     """
 
     size: int
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -36,6 +36,7 @@
     "JobSettled",
     "KeyGiven",
     "KeyWithdrawn",
+    "MaintenanceRecorded",
     "NoteAccepted",
     "PoolClaimed",
     "PoolEpochRaised",
@@ -292,6 +293,20 @@
     epoch: int
 
 
+@register_record("maintenance-recorded")
+class MaintenanceRecorded(typing.NamedTuple):
+    """VMs were maintained, or count as such until they are due again.
+
+    Attributes:
+        ended_at_s: time by VM, in whole seconds of UTC by the clock of the
+            owner of the fleet.
+    """
+
+    pool: str
+    ended_at_s: dict[str, int]
+    epoch: int
+
+
 @register_record("wave-changed")
 class WaveChanged(typing.NamedTuple):
     """A maintenance wave of a pool changes its state.
--- a/foxtaillock/state/codec.py
+++ b/foxtaillock/state/codec.py
@@ -18,7 +18,7 @@
     Named tables are sorted by name; bounded tables keep the order in which
     their rows are dropped.
     """
-    return {
+    fields = {
         "revision": state.revision,
         "objects": [
             [kind, name, stored.revision, stored.body]
@@ -40,6 +40,10 @@
         "waves": [[name, *row] for name, row in state.waves.items()],
         "kept": state.kept,
     }
+    if state.maintained:
+        # Earlier versions have no such table and compare digests.
+        fields["maintained"] = _encode_rows(state.maintained)
+    return fields
 
 
 def _encode_rows(rows: dict[str, typing.Any]) -> list[list[typing.Any]]:
@@ -99,6 +103,9 @@
     state.to_carry = _decode_rows(tables.SessionKey, fields["to_carry"])
     state.vms = _decode_rows(tables.StoredVm, fields["vms"])
     state.disruptions = _decode_rows(tables.Disruption, fields["disruptions"])
+    state.maintained = _decode_rows(
+        tables.Maintenance, fields.get("maintained", [])
+    )
     state.waves = _decode_rows(tables.Wave, fields["waves"])
     state.kept = [tables.KeptRecord(*row) for row in fields["kept"]]
     return state
--- a/foxtaillock/state/control_view.py
+++ b/foxtaillock/state/control_view.py
@@ -44,6 +44,11 @@
         """Disruptions that are held, by VM."""
         return self._tables.disruptions
 
+    @property
+    def maintained(self) -> Mapping[str, tables.Maintenance]:
+        """Last maintenance of each VM of which one is known."""
+        return self._tables.maintained
+
     @property
     def waves(self) -> Mapping[str, tables.Wave]:
         """Maintenance waves, by id."""
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -12,6 +12,7 @@
     "Grant",
     "HistoryEntry",
     "KeptRecord",
+    "Maintenance",
     "SessionKey",
     "StoredKey",
     "StoredObject",
@@ -132,6 +133,13 @@
     offset: int
 
 
+class Maintenance(typing.NamedTuple):
+    """Last maintenance of a VM; see `records.MaintenanceRecorded`."""
+
+    ended_at_s: int
+    offset: int
+
+
 class Wave(typing.NamedTuple):
     """A maintenance wave of a pool; see `records.WaveChanged`."""
 
@@ -178,6 +186,7 @@
     to_carry: dict[str, SessionKey] = dataclasses.field(default_factory=dict)
     vms: dict[str, StoredVm] = dataclasses.field(default_factory=dict)
     disruptions: dict[str, Disruption] = dataclasses.field(default_factory=dict)
+    maintained: dict[str, Maintenance] = dataclasses.field(default_factory=dict)
     waves: dict[str, Wave] = dataclasses.field(default_factory=dict)
     kept: list[KeptRecord] = dataclasses.field(default_factory=list)
 
--- a/foxtaillock/state/tests/naive_control.py
+++ b/foxtaillock/state/tests/naive_control.py
@@ -269,6 +269,22 @@
             and held.pool == row.pool
         )
 
+    def maintained(self, vm: str) -> int | None:
+        """Returns the recorded end of a VM's last maintenance."""
+        pool, found = "", None
+        for row in self._all(records.VmStep, records.MaintenanceRecorded):
+            if isinstance(row, records.VmStep):
+                if row.vm == vm:
+                    pool = "" if row.step == "left" else row.pool
+            elif vm in row.ended_at_s and row.pool == pool:
+                found = row.ended_at_s[vm]
+        return found
+
+    def _may_maintenance_recorded(
+        self, row: records.MaintenanceRecorded
+    ) -> bool:
+        return self._holds_epoch(row.epoch)
+
     def _may_wave_changed(self, row: records.WaveChanged) -> bool:
         states = [
             wave.state
--- a/foxtaillock/state/tests/test_control_differential.py
+++ b/foxtaillock/state/tests/test_control_differential.py
@@ -133,6 +133,9 @@
             return records.DisruptionGranted(vm, pool, "k", "z", "", epoch)
         if kind < 0.4:
             return records.DisruptionEnded(vm, pool, epoch)
+        if kind < 0.5:
+            ended_at_s = {vm: self._rng.randrange(9)}
+            return records.MaintenanceRecorded(pool, ended_at_s, epoch)
         step = self._rng.choice(_STEPS)
         return records.VmStep(vm, self._rng.randint(1, 2), pool, step, epoch)
 
@@ -154,7 +157,7 @@
         for seed in range(_RUNS):
             self._compare(random.Random(seed), accepted)
         self.assertGreater(min(accepted.values()), 20, accepted)
-        self.assertEqual(len(accepted), 14)
+        self.assertEqual(len(accepted), 15)
 
     def _compare(self, rng: random.Random, accepted: dict[str, int]) -> None:
         naive = naive_control.NaiveControl()
@@ -201,3 +204,6 @@
         for vm in ("v", "w"):
             step = naive.vm(vm)
             self.assertEqual(state.vm_pool(vm), step.pool if step else None)
+            row = state.maintained.get(vm)
+            ended_at_s = row.ended_at_s if row else None
+            self.assertEqual(ended_at_s, naive.maintained(vm))
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -7,14 +7,17 @@
 from foxtaillock.state import tables
 
 __all__ = [
+    "ABSENT_MAINTAINED",
     "FINISHED_WAVES",
     "fold_disruption_ended",
     "fold_disruption_granted",
+    "fold_maintenance_recorded",
     "fold_unknown",
     "fold_vm_step",
     "fold_wave_changed",
 ]
 
+ABSENT_MAINTAINED = 1000
 FINISHED_WAVES = 1000
 _FINAL_STATES = ("done", "cancelled")
 _STEP_BEFORE = {
@@ -113,6 +116,39 @@
     return verdicts.ACCEPTED
 
 
+@handlers.register_handler(records.MaintenanceRecorded)
+def fold_maintenance_recorded(
+    state: tables.ControlTables,
+    offset: int,
+    record: records.MaintenanceRecorded,
+) -> verdicts.Verdict:
+    """Keeps the time of the last maintenance of VMs that are in the pool.
+
+    A VM that moves keeps its time. Of VMs that are in no pool only the last
+    `ABSENT_MAINTAINED` are remembered.
+    """
+    stale = sessions_fold.find_stale_epoch(state, record.epoch)
+    if stale is not None:
+        return stale
+    for vm, ended_at_s in sorted(record.ended_at_s.items()):
+        stored = state.vms.get(vm)
+        if stored is not None and stored.pool == record.pool:
+            state.maintained[vm] = tables.Maintenance(ended_at_s, offset)
+    if len(state.maintained) > len(state.vms) + ABSENT_MAINTAINED:
+        _forget_absent(state)
+    return verdicts.ACCEPTED
+
+
+def _forget_absent(state: tables.ControlTables) -> None:
+    absent = sorted(
+        (row.ended_at_s, vm)
+        for vm, row in state.maintained.items()
+        if vm not in state.vms
+    )
+    for _, vm in absent[:-ABSENT_MAINTAINED]:
+        del state.maintained[vm]
+
+
 @handlers.register_handler(records.WaveChanged)
 def fold_wave_changed(
     state: tables.ControlTables, offset: int, record: records.WaveChanged
