Notes: a withdrawn pool is drained before it goes

Cause: a note that withdrew a pool took it away at once. Its accepted jobs had no owner any more, and the grants of what ran were given out again.

Ruled out: refusing such notes. Jobs stand on the pool's stream, so a refusal would rest on an answer that may be old when the note stands.

The fold keeps a pool that had an owner or has a VM until its owner records that no job is left (`drained`), its VMs have left and results were kept (`removed`).

--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -120,6 +120,7 @@
             (kind, name): (row.revision, row.body)
             for kind in objects.KINDS
             for name, row in self._state.objects(kind).items()
+            if objects.is_in_force(row.body)
         }
 
     async def undo_note(self, note_id: str, author: str) -> admin.Row:
--- a/foxtaillock/daemon/pool_keeper.py
+++ b/foxtaillock/daemon/pool_keeper.py
@@ -13,6 +13,7 @@
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.daemon import background
 from foxtaillock.daemon import pool_grants
+from foxtaillock.daemon import pool_withdrawal
 from foxtaillock.daemon import session_keeper
 from foxtaillock.jobs import owner as owners
 from foxtaillock.jobs import pool_snapshots
@@ -167,10 +168,22 @@
             return
         finally:
             self._starting.discard(pool)
-        work = self._background.spawn(owner.run())
-        carry = self._background.spawn(self._carry(pool, epoch, grants))
-        save = self._background.spawn(saved.run())
-        tasks = (follow, work, carry, save)
+        withdrawal = pool_withdrawal.PoolWithdrawal(
+            (pool, self._node, self._session.incarnation, epoch),
+            owner,
+            state,
+            replica,
+            self._state,
+            self._control,
+            self._clock,
+        )
+        tasks = (
+            follow,
+            self._background.spawn(owner.run()),
+            self._background.spawn(self._carry(pool, epoch, grants)),
+            self._background.spawn(saved.run()),
+            self._background.spawn(withdrawal.run()),
+        )
         self._held[pool] = _Held(epoch, owner, grants, tasks)
         self.owners[pool] = owner
         self._update(pool, owner)
--- /dev/null
+++ b/foxtaillock/daemon/tests/test_pool_withdrawal.py
@@ -0,0 +1,165 @@
+"""Tests of the end of a withdrawn pool, over real replicas."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from foxtaillock.daemon import pool_withdrawal
+from foxtaillock.jobs import pool_state
+from foxtaillock.model import records
+from foxtaillock.state import control_state
+from foxtaillock.state import replica as replicas
+from foxtaillock.state.tests import fake_log
+from foxtaillock.state.tests import virtual_loop
+
+_BODY = {"size": 1, "zones": ["a"]}
+
+
+def _job(job_id: str) -> records.JobAccepted:
+    size = (1, 1, 0)
+    return records.JobAccepted(
+        job_id, "t", "k", "", "q", size, 1.0, False, False, 0.0, "", "", 1
+    )
+
+
+class _Site:
+    """A pool with one VM, owned by `e1`."""
+
+    def __init__(self) -> None:
+        self.log = fake_log.FakeLog()
+        self.clock = virtual_loop.LoopClock()
+        self.state = control_state.ControlState()
+        self.jobs = pool_state.PoolState()
+        self.control = self._replica(records.CONTROL_STREAM, self.state)
+        self.stream = self._replica("pool.p", self.jobs)
+        self.owner = mock.MagicMock()
+        self.withdrawal = pool_withdrawal.PoolWithdrawal(
+            ("p", "e1", "x", 1),
+            self.owner,
+            self.jobs,
+            self.stream,
+            self.state,
+            self.control,
+            self.clock,
+        )
+
+    def _replica(
+        self, name: str, fold: control_state.ControlState | pool_state.PoolState
+    ) -> replicas.StreamReplica:
+        rng = random.Random(name)
+        return replicas.StreamReplica(
+            fake_log.LogClient(self.log, rng),
+            name,
+            fold,
+            writer="e1",
+            incarnation="x",
+            clock=self.clock,
+            rng=rng,
+        )
+
+    async def start(self) -> list["asyncio.Task[None]"]:
+        """Puts a pool with an owner and a VM in force."""
+        runs = (self.control.run(), self.stream.run(), self.withdrawal.run())
+        tasks = [asyncio.create_task(run) for run in runs]
+        added = records.Change("added", "pool", "p", 0, _BODY)
+        for record in (
+            records.NoteAccepted("n", "op", "", (added,)),
+            records.SessionRenewed("e1", "x", 1, "a", "h:1", "h:2"),
+            records.PoolClaimed("p", "e1", "x", 1),
+            records.PoolClaimed(records.FLEET_POOL, "e1", "x", 1),
+            records.VmStep("v", 1, "p", "joined", 1),
+        ):
+            assert (await self.control.commit(record)).accepted
+        await self.stream.commit(records.PoolEpochRaised(1, "e1"))
+        return tasks
+
+    async def change(self, action: str) -> bool:
+        """Withdraws the pool or adds it again."""
+        revision = self.state.objects("pool")["p"].revision
+        body = _BODY if action == "added" else {}
+        change = records.Change(action, "pool", "p", revision, body)
+        note = records.NoteAccepted(action, "op", "", (change,))
+        return (await self.control.commit(note)).accepted
+
+    def standing(self) -> str:
+        """Returns how far the withdrawal is."""
+        stored = self.state.object("pool", "p")
+        if stored is None:
+            return "removed"
+        return str(stored.body.get("withdrawal", "in force"))
+
+
+class PoolWithdrawalTest(unittest.TestCase):
+
+    def test_job_on_its_way_is_waited_for(self) -> None:
+        async def _check() -> None:
+            site = _Site()
+            tasks = await site.start()
+            await site.change("withdrawn")
+            accepting = asyncio.create_task(site.stream.commit(_job("p.1")))
+            await asyncio.sleep(0)
+            self.assertEqual(site.jobs.waiting_jobs(), [])
+            await site.withdrawal.step()
+            self.assertTrue((await accepting).accepted)
+            await asyncio.sleep(30)
+            self.assertEqual(site.standing(), "draining")
+            self.assertEqual(site.state.vms["v"].pool, "p")
+            for task in tasks:
+                task.cancel()
+
+        virtual_loop.run(_check())
+
+    def test_withdrawal_goes_on_to_its_end(self) -> None:
+        async def _check() -> None:
+            site = _Site()
+            tasks = await site.start()
+            for job_id in ("p.1", "p.2"):
+                await site.stream.commit(_job(job_id))
+            self.assertTrue(await site.change("withdrawn"))
+            self.assertFalse(await site.change("withdrawn"))
+            started = records.AttemptStarted("p.1", 1, "v", 1, 1)
+            await site.stream.commit(started)
+            await site.stream.commit(records.JobCancelled("p.2", "t", 1))
+            await asyncio.sleep(5)
+            self.assertEqual(site.standing(), "draining")
+            ended = records.AttemptEnded("p.1", 1, "unknown", False, "", 1)
+            await site.stream.commit(ended)
+            await asyncio.sleep(5)
+            self.assertEqual(site.standing(), "drained")
+            for step in ("withdrawn", "drained", "left"):
+                await asyncio.sleep(2 * pool_withdrawal.RESULTS_KEPT_S)
+                self.assertEqual(site.standing(), "drained")
+                record = records.VmStep("v", 1, "p", step, 1)
+                await site.control.commit(record)
+            await asyncio.sleep(2 * pool_withdrawal.RESULTS_KEPT_S)
+            self.assertEqual(site.standing(), "drained")
+            settled = records.JobSettled("p.1", "op", True, 1)
+            await site.stream.commit(settled)
+            await asyncio.sleep(pool_withdrawal.RESULTS_KEPT_S - 5)
+            self.assertEqual(site.standing(), "drained")
+            await asyncio.sleep(10)
+            self.assertEqual(site.standing(), "removed")
+            self.assertIsNone(site.state.claim("p"))
+            for task in tasks:
+                task.cancel()
+
+        virtual_loop.run(_check())
+
+    def test_pool_that_is_added_again_stays(self) -> None:
+        async def _check() -> None:
+            site = _Site()
+            tasks = await site.start()
+            await site.stream.commit(_job("p.1"))
+            await site.change("withdrawn")
+            revision = site.state.objects("pool")["p"].revision
+            self.assertTrue(await site.change("added"))
+            await site.change("withdrawn")
+            late = records.PoolRetired("p", "e1", "x", 1, revision, "drained")
+            verdict = await site.control.commit(late)
+            self.assertEqual(verdict.code, "conflict")
+            self.assertEqual(site.standing(), "draining")
+            for task in tasks:
+                task.cancel()
+
+        virtual_loop.run(_check())
--- a/foxtaillock/model/objects.py
+++ b/foxtaillock/model/objects.py
@@ -1,10 +1,29 @@
 """Bodies of the objects that a release note adds, changes or withdraws."""
 
 import typing
-
-__all__ = ["KINDS", "Pool", "Queue", "Service", "Team"]
+from collections.abc import Mapping
+
+__all__ = [
+    "DRAINED",
+    "DRAINING",
+    "KINDS",
+    "Pool",
+    "Queue",
+    "Service",
+    "Team",
+    "WITHDRAWAL",
+    "is_in_force",
+]
 
 KINDS = ("team", "pool", "queue", "service")
+WITHDRAWAL = "withdrawal"
+DRAINING = "draining"
+DRAINED = "drained"
+
+
+def is_in_force(body: Mapping[str, typing.Any]) -> bool:
+    """Returns whether an object is in force and not being withdrawn."""
+    return WITHDRAWAL not in body
 
 
 class Team(typing.TypedDict):
@@ -30,6 +49,8 @@
         spare: whether the pool is held as spare capacity.
         maintenance_days: days between two maintenances of a VM; without it,
             or with zero, only operators start waves.
+        withdrawal: set by the system, never by a note, once the pool is
+            withdrawn: `draining` while jobs are left, then `drained`.
     """
 
     size: int
@@ -37,6 +58,7 @@
     min_available: int
     spare: bool
     maintenance_days: int
+    withdrawal: str
 
 
 class Queue(typing.TypedDict, total=False):
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -41,6 +41,7 @@
     "PoolClaimed",
     "PoolEpochRaised",
     "PoolReleased",
+    "PoolRetired",
     "Record",
     "SCHEMA_VERSION",
     "SessionEnded",
@@ -211,6 +212,24 @@
     successor: str = ""
 
 
+@register_record("pool-retired")
+class PoolRetired(typing.NamedTuple):
+    """The owner of a withdrawn pool goes on to the end of the withdrawal.
+
+    Attributes:
+        revision: revision of the note that withdrew the pool.
+        step: `drained` when no job is left that must run; `removed` when no VM
+            is left either and results were kept for long enough.
+    """
+
+    pool: str
+    node: str
+    incarnation: str
+    epoch: int
+    revision: int
+    step: str
+
+
 @register_record("grant-changed")
 class GrantChanged(typing.NamedTuple):
     """A node sets the part of a team's upper limit that it may use.
--- a/foxtaillock/state/control_state.py
+++ b/foxtaillock/state/control_state.py
@@ -12,6 +12,7 @@
 from foxtaillock.state import handlers
 from foxtaillock.state import keys_fold
 from foxtaillock.state import notes_fold
+from foxtaillock.state import pools_fold
 from foxtaillock.state import sequences
 from foxtaillock.state import sessions_fold
 from foxtaillock.state import snapshots_fold
@@ -25,6 +26,7 @@
     grants_fold,
     keys_fold,
     notes_fold,
+    pools_fold,
     sessions_fold,
     vms_fold,
     snapshots_fold,
--- a/foxtaillock/state/grants_fold.py
+++ b/foxtaillock/state/grants_fold.py
@@ -91,7 +91,8 @@
     """Returns whether attempts of a pool may count under a session's grants,
     since the pool has no new owner that carried them.
 
-    A withdrawn pool gets no new owner, so it keeps nothing open.
+    A withdrawn pool keeps its owners until nothing of it runs; once it is
+    removed it keeps nothing open.
     """
     pools = state.objects.get("pool", {})
     for pool, former in state.to_carry.items():
--- a/foxtaillock/state/notes_fold.py
+++ b/foxtaillock/state/notes_fold.py
@@ -24,7 +24,7 @@
     A note stands when each of its changes names the revision that its object
     still has, and all references hold afterwards. A note that was accepted
     before, under the same id and with the same changes, is accepted again
-    without effect.
+    without effect. A pool that is being withdrawn can be added again.
     """
     if _is_known(state, note):
         return verdicts.Verdict(True, "already-accepted")
@@ -64,7 +64,7 @@
 def _conflict_of(state: tables.ControlTables, change: records.Change) -> str:
     if change.kind not in objects.KINDS:
         return f"unknown kind {change.kind!r}"
-    stored = state.find(change.kind, change.name)
+    stored = state.find_in_force(change.kind, change.name)
     if change.action == "added":
         return "exists already" if stored else ""
     if change.action not in ("changed", "withdrawn"):
@@ -126,7 +126,7 @@
     change = overlay.get((kind, name))
     if change is not None:
         return change.action != "withdrawn"
-    return state.find(kind, name) is not None
+    return state.find_in_force(kind, name) is not None
 
 
 def _check_users(
@@ -157,13 +157,33 @@
             )
 
 
+def _withdraw(
+    state: tables.ControlTables, revision: int, change: records.Change
+) -> None:
+    """Takes an object away; a pool in use is drained by its owner first."""
+    rows = state.objects[change.kind]
+    if change.kind == "pool" and _is_in_use(state, change.name):
+        body = rows[change.name].body
+        marked = {**body, objects.WITHDRAWAL: objects.DRAINING}
+        rows[change.name] = tables.StoredObject(revision, marked)
+    else:
+        del rows[change.name]
+
+
+def _is_in_use(state: tables.ControlTables, pool: str) -> bool:
+    """Returns whether a pool may hold jobs or VMs: it had an owner, or has a
+    VM."""
+    has_vms = any(vm.pool == pool for vm in state.vms.values())
+    return pool in state.claims or has_vms
+
+
 def _store(
     state: tables.ControlTables, revision: int, note: records.NoteAccepted
 ) -> None:
     for change in note.changes:
         rows = state.objects.setdefault(change.kind, {})
         if change.action == "withdrawn":
-            del rows[change.name]
+            _withdraw(state, revision, change)
         else:
             rows[change.name] = tables.StoredObject(revision, change.body)
     state.revision = revision
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from foxtaillock.model import objects
 from foxtaillock.model import records
 
 __all__ = [
@@ -194,6 +195,13 @@
         """Returns an object, or None."""
         return self.objects.get(kind, {}).get(name)
 
+    def find_in_force(self, kind: str, name: str) -> StoredObject | None:
+        """Returns an object that is not being withdrawn, or None."""
+        stored = self.find(kind, name)
+        if stored is None or not objects.is_in_force(stored.body):
+            return None
+        return stored
+
     def is_live(self, session: SessionKey) -> bool:
         """Returns whether a session stands and has not ended."""
         row = self.sessions.get(session)
