Waves: progress and estimated end; a command for the need of spares

Cause: `wave show` gave the raw incarnations at the start of the wave, and the need of spare VMs could be seen in `note plan` only.

Both are computed from the folded state on any entry VM. A wave keeps the offset of its first record, so that only ends recorded since count.

--- a/foxtaillock/api/admin.py
+++ b/foxtaillock/api/admin.py
@@ -77,6 +77,12 @@
     async def change_wave(self, wave_id: str, action: str, author: str) -> Row:
         """Pauses, resumes or cancels a wave."""
 
+    def show_wave(self, wave_id: str) -> Row:
+        """Returns a wave with its VMs and the estimate of its end."""
+
+    def show_spare(self) -> Row:
+        """Returns the spare VMs that are needed and present."""
+
     def explain_vm(self, name: str) -> Row:
         """Returns why a VM stands where it stands."""
 
@@ -103,9 +109,12 @@
     )
     router.add_get(f"{_PREFIX}/explain/vm/{{name}}", admin.explain_vm)
     router.add_get(f"{_PREFIX}/status", admin.status)
+    router.add_get(f"{_PREFIX}/spare", admin.show_spare)
+    router.add_get(f"{_PREFIX}/waves/{{name}}", admin.show_wave)
     for what in LISTS:
         router.add_get(f"{_PREFIX}/{what}", admin.list_rows)
-        router.add_get(f"{_PREFIX}/{what}/{{name}}", admin.show_row)
+        if what != "waves":
+            router.add_get(f"{_PREFIX}/{what}/{{name}}", admin.show_row)
 
 
 class _Admin:
@@ -195,6 +204,16 @@
         wave_id = bodies.read_id(request, "wave_id")
         return _json(await self._backend.change_wave(wave_id, action, author))
 
+    async def show_wave(self, request: web.Request) -> web.Response:
+        """Shows a wave, its VMs and when it will end."""
+        self._operator(request)
+        return _json(self._backend.show_wave(bodies.read_id(request, "name")))
+
+    async def show_spare(self, request: web.Request) -> web.Response:
+        """Shows the need of spare VMs."""
+        self._operator(request)
+        return _json(self._backend.show_spare())
+
     async def explain_vm(self, request: web.Request) -> web.Response:
         """Explains where a VM stands."""
         self._operator(request)
--- a/foxtaillock/api/tests/fakes.py
+++ b/foxtaillock/api/tests/fakes.py
@@ -67,7 +67,7 @@
         """Returns a recorder for any other method of the interfaces."""
         if name.endswith("_job") or name == "list_jobs":
             return self._reply(name)
-        if name in ("explain_vm", "status"):
+        if name in ("explain_vm", "show_wave", "show_spare", "status"):
             return lambda *args: self._recorded({}, name, *args)
         if name in ("list_notes", "list_keys"):
             return lambda *args: self._recorded([], name, *args)
--- a/foxtaillock/cli/main.py
+++ b/foxtaillock/cli/main.py
@@ -244,6 +244,10 @@
         """Shows the state of the system."""
         self._session.run("GET", "status")
 
+    def spare(self) -> None:
+        """Shows the spare VMs that are needed, and what pools lack."""
+        self._session.run("GET", "spare")
+
     def watch(self, interval_s: float = _WATCH_INTERVAL_S) -> None:
         """Shows the state again and again until it is interrupted."""
         with contextlib.suppress(KeyboardInterrupt):
--- a/foxtaillock/cli/tests/test_main.py
+++ b/foxtaillock/cli/tests/test_main.py
@@ -110,6 +110,8 @@
             ("wave resume w", ("POST", "/admin/v1/waves/w/resume", "")),
             ("explain vm v1", ("GET", "/admin/v1/explain/vm/v1", "")),
             ("status", ("GET", "/admin/v1/status", "")),
+            ("spare", ("GET", "/admin/v1/spare", "")),
+            ("wave show w", ("GET", "/admin/v1/waves/w", "")),
         ):
             with self.subTest(command=command):
                 code, _, err = self._run(*command.split())
--- a/foxtaillock/daemon/admin_desk.py
+++ b/foxtaillock/daemon/admin_desk.py
@@ -9,10 +9,12 @@
 from foxtaillock import exceptions
 from foxtaillock.api import admin
 from foxtaillock.api import problems
+from foxtaillock.daemon import fleet_views
 from foxtaillock.daemon import job_desk
 from foxtaillock.daemon import key_desk
 from foxtaillock.fleet import model as fleet_model
 from foxtaillock.fleet import preview
+from foxtaillock.model import clock as clocks
 from foxtaillock.model import objects
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
@@ -46,6 +48,7 @@
         on_withdrawn: called with each key id before its withdrawal is recorded.
         explain: returns why a VM is planned to move; only the owner of the
             fleet knows.
+        clock: source of time.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         status: Callable[[], admin.Row],
         on_withdrawn: Callable[[str], None],
         explain: Callable[[str], str],
+        clock: clocks.Clock,
     ) -> None:
         self._state = state
         self._replica = replica
@@ -66,6 +70,7 @@
         self._status = status
         self._on_withdrawn = on_withdrawn
         self._explain = explain
+        self._clock = clock
         self.keys = key_checker
 
     async def check_note(self, text: str) -> admin.Row:
@@ -97,7 +102,13 @@
                 continue
             stored = self._state.vms.get(vm.name)
             pool = stored.pool if stored is not None else ""
-            workers.append(fleet_model.Vm(vm.name, vm.zone, vm.rack, pool))
+            is_leaving = vm.state is world.VmState.LEAVING
+            health = fleet_model.Health.SERVING
+            if is_leaving:
+                health = fleet_model.Health.FAILED
+            workers.append(
+                fleet_model.Vm(vm.name, vm.zone, vm.rack, pool, health)
+            )
         return workers
 
     async def accept_note(self, text: str, author: str) -> admin.Row:
@@ -225,16 +236,16 @@
         if what == "nodes":
             return self._list_nodes()
         if what == "waves":
-            return [
-                {"name": name, **wave._asdict()}
-                for name, wave in sorted(self._state.waves.items())
-            ]
+            return fleet_views.list_waves(self._state, self._utc_s())
         kind = what[:-1]
         return [
             {"name": name, "revision": row.revision, **row.body}
             for name, row in sorted(self._state.objects(kind).items())
         ]
 
+    def _utc_s(self) -> int:
+        return int(self._clock.now().timestamp())
+
     async def _list_jobs(self) -> Sequence[admin.Row]:
         """Returns the jobs of all pools; refuses to show only some."""
         rows: list[admin.Row] = []
@@ -283,6 +294,17 @@
         wave_id = f"wave-{secrets.token_hex(4)}"
         return await self._change_wave(wave_id, pool, "running", author)
 
+    def show_wave(self, wave_id: str) -> admin.Row:
+        """Returns a wave with its VMs and the estimate of its end."""
+        row = fleet_views.show_wave(self._state, wave_id, self._utc_s())
+        if row is None:
+            raise problems.Problem("not-found", f"no wave {wave_id!r}")
+        return row
+
+    def show_spare(self) -> admin.Row:
+        """Returns the spare VMs that are needed and present."""
+        return fleet_views.show_spare(self._state, self._workers())
+
     async def change_wave(
         self, wave_id: str, action: str, author: str
     ) -> admin.Row:
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -185,6 +185,7 @@
             self._status,
             self._on_withdrawn,
             self.fleet.explain,
+            self.clock,
         )
 
     def _build_http(self) -> None:
--- a/foxtaillock/decisions/catalogue.py
+++ b/foxtaillock/decisions/catalogue.py
@@ -5,8 +5,10 @@
 
 from foxtaillock import exceptions
 from foxtaillock.admission import queue
+from foxtaillock.fleet import calendar
 from foxtaillock.fleet import membership
 from foxtaillock.fleet import planner as fleet_planner
+from foxtaillock.fleet import progress
 from foxtaillock.fleet import spares
 from foxtaillock.fleet import waves
 from foxtaillock.leases import ownership
@@ -53,6 +55,7 @@
 _decision("retry-budget")(budget.RetryBudget)
 _decision("routing")(table.RunnerTable)
 _function("fair-shares", shares.fair_shares)
+_function("calendar", calendar.find_due)
 _function("fleet-plan", fleet_planner.plan)
 _function("grant-changes", limit_decisions.decide)
 _function("key-check", keys.check_key)
@@ -63,6 +66,7 @@
 _function("spare-need", spares.compute_need)
 _function("wave-next", waves.pick_next)
 _function("wave-pause", waves.find_pause_reason)
+_function("wave-progress", progress.compute_progress)
 
 
 def names() -> list[str]:
--- a/foxtaillock/fleet/spares.py
+++ b/foxtaillock/fleet/spares.py
@@ -2,12 +2,13 @@
 
 import collections
 import typing
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 
 from foxtaillock.fleet import model
 
-__all__ = ["SpareNeed", "compute_need"]
+__all__ = ["SpareNeed", "compute_need", "count_wave_stops"]
 
 _Rack = tuple[str, str]
 _RackCounts = collections.Counter[_Rack]
@@ -66,6 +67,26 @@
     )
 
 
+def count_wave_stops(
+    pools: Mapping[str, model.PoolSpec],
+    vms: Iterable[model.Vm],
+    pools_with_waves: Collection[str],
+) -> int:
+    """Returns how many VMs the waves of some pools stop at one time at most.
+
+    A wave stops VMs of one rack, and leaves `min_available` of its pool.
+    """
+    racks: dict[str, _RackCounts] = collections.defaultdict(collections.Counter)
+    for vm in vms:
+        if vm.pool in pools_with_waves and vm.pool in pools:
+            racks[vm.pool][vm.zone, vm.rack] += 1
+    total = 0
+    for pool, counts in racks.items():
+        room = counts.total() - pools[pool].min_available
+        total += max(0, min(room, max(counts.values())))
+    return total
+
+
 def _count_racks(
     pools: Mapping[str, model.PoolSpec], serving: Iterable[model.Vm]
 ) -> tuple[_RackCounts, _RackCounts]:
--- a/foxtaillock/fleet/wave_keeper.py
+++ b/foxtaillock/fleet/wave_keeper.py
@@ -11,7 +11,13 @@
 from foxtaillock.state import control_view
 from foxtaillock.state import tables
 
-__all__ = ["BASE_RATE_PER_S", "WaveDecisions", "WaveKeeper", "encode_base"]
+__all__ = [
+    "BASE_RATE_PER_S",
+    "WaveDecisions",
+    "WaveKeeper",
+    "decode_base",
+    "encode_base",
+]
 
 BASE_RATE_PER_S = 250 / 15_000 / waves.SECONDS_PER_DAY
 RETURN_TIMEOUT_S = 600.0
@@ -59,7 +65,7 @@
     def base_of(self, wave_id: str) -> dict[str, int]:
         """Returns the incarnation of each VM when the wave began."""
         wave = self._state.waves.get(wave_id)
-        return _decode_base(wave.base) if wave is not None else {}
+        return decode_base(wave.base) if wave is not None else {}
 
     def note_begun(self, vm: str, now_s: float) -> None:
         """Notes that a reboot was asked; it can't be taken back."""
@@ -121,7 +127,7 @@
         epoch: int,
     ) -> list[records.Record]:
         progress = self._progress.setdefault(wave_id, _Progress(now_s))
-        base = _decode_base(wave.base)
+        base = decode_base(wave.base)
         self._observe(wave_id, base, members, progress, now_s)
         if wave.state == "running" and progress.last_state == "paused":
             progress.skipped |= progress.failed
@@ -258,6 +264,12 @@
     return ",".join(f"{vm.name}={vm.incarnation}" for vm in members)
 
 
+def decode_base(text: str) -> dict[str, int]:
+    """Returns the incarnations that `encode_base` wrote."""
+    pairs = (item.rpartition("=") for item in text.split(",") if item)
+    return {name: int(incarnation) for name, _, incarnation in pairs}
+
+
 def _change(
     wave_id: str,
     wave: tables.Wave,
@@ -268,8 +280,3 @@
 ) -> records.WaveChanged:
     text = reason or wave.reason
     return records.WaveChanged(wave_id, wave.pool, state, text, epoch, base)
-
-
-def _decode_base(text: str) -> dict[str, int]:
-    pairs = (item.rpartition("=") for item in text.split(",") if item)
-    return {name: int(incarnation) for name, _, incarnation in pairs}
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -142,13 +142,19 @@
 
 
 class Wave(typing.NamedTuple):
-    """A maintenance wave of a pool; see `records.WaveChanged`."""
+    """A maintenance wave of a pool; see `records.WaveChanged`.
+
+    Attributes:
+        offset: offset of its last change.
+        begun_offset: offset of its first record.
+    """
 
     pool: str
     state: str
     reason: str
     offset: int
     base: str = ""
+    begun_offset: int = 0
 
 
 class KeptRecord(typing.NamedTuple):
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -168,6 +168,7 @@
         record.reason,
         offset,
         record.base or kept_base,
+        stored.begun_offset if stored is not None else offset,
     )
     finished = [k for k, w in state.waves.items() if w.state in _FINAL_STATES]
     for wave_id in finished[:-FINISHED_WAVES]:
