Fleet: decisions cost by what changed, not by all VMs

The roster describes VMs anew when their rows change; budgets are made for pools that are asked for; the plan counts places that are kept up to date and does not search twice from pools without a source; the calendar looks at a few pools at a time. A new owner takes the fleet in by parts of 500 VMs.

Restarts are part of the base rate now, as both look alike. Seen to fail in fleet.tests.test_waves with either guard out.

--- a/foxtaillock/fleet/budgets.py
+++ b/foxtaillock/fleet/budgets.py
@@ -5,15 +5,15 @@
 in one rack, and so in one zone, at a time.
 """
 
-import collections
 import typing
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 
 from foxtaillock.fleet import model
 from foxtaillock.model import verdicts
 
-__all__ = ["Holding", "PoolBudget", "find_yielding", "make_budgets"]
+__all__ = ["Holding", "PoolBudget", "PoolBudgets", "find_yielding"]
 
 
 class Holding(typing.NamedTuple):
@@ -44,18 +44,20 @@
         self.spec = spec
         self._holdings = {holding.vm: holding for holding in holdings}
         self._members = {vm.name: vm for vm in members}
+        self._available = sum(map(self._is_available, self._members.values()))
 
-    @property
-    def available(self) -> int:
-        """Number of VMs that surely serve and that nothing will stop."""
-        return sum(
-            1
-            for vm in self._members.values()
-            if vm.health is model.Health.SERVING
+    def _is_available(self, vm: model.Vm) -> bool:
+        return (
+            vm.health is model.Health.SERVING
             and not vm.is_busy
             and vm.name not in self._holdings
         )
 
+    @property
+    def available(self) -> int:
+        """Number of VMs that surely serve and that nothing will stop."""
+        return self._available
+
     @property
     def is_kept(self) -> bool:
         """Whether enough VMs are available as things stand."""
@@ -73,6 +75,9 @@
     def grant(self, vm: model.Vm) -> Holding:
         """Counts a disruption as held; record it before it begins."""
         holding = Holding(vm.name, self.spec.name, vm.rack, vm.zone)
+        member = self._members.get(vm.name)
+        if member is not None and self._is_available(member):
+            self._available -= 1
         self._holdings[vm.name] = holding
         return holding
 
@@ -99,22 +104,45 @@
         return found
 
 
-def make_budgets(
-    pools: Mapping[str, model.PoolSpec],
-    vms: Iterable[model.Vm],
-    holdings: Iterable[Holding],
-) -> dict[str, PoolBudget]:
-    """Returns the budget of every pool, in linear time."""
-    members: dict[str, list[model.Vm]] = collections.defaultdict(list)
-    for vm in vms:
-        members[vm.pool].append(vm)
-    held: dict[str, list[Holding]] = collections.defaultdict(list)
-    for holding in holdings:
-        held[holding.pool].append(holding)
-    return {
-        name: PoolBudget(spec, members[name], held[name])
-        for name, spec in pools.items()
-    }
+class PoolBudgets(Mapping[str, PoolBudget]):
+    """Budgets of all pools; each is made when it is asked for first.
+
+    Args:
+        pools: specifications of all pools.
+        members: VMs of each pool, by name.
+        holdings: disruptions that are held.
+    """
+
+    def __init__(
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        members: Mapping[str, Mapping[str, model.Vm]],
+        holdings: Iterable[Holding],
+    ) -> None:
+        self._pools = pools
+        self._members = members
+        self._held: dict[str, list[Holding]] = {}
+        for holding in holdings:
+            self._held.setdefault(holding.pool, []).append(holding)
+        self._made: dict[str, PoolBudget] = {}
+
+    def __getitem__(self, name: str) -> PoolBudget:
+        budget = self._made.get(name)
+        if budget is None:
+            members = self._members.get(name, {})
+            held = self._held.get(name, ())
+            budget = PoolBudget(self._pools[name], members.values(), held)
+            self._made[name] = budget
+        return budget
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._pools
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._pools)
+
+    def __len__(self) -> int:
+        return len(self._pools)
 
 
 def find_yielding(
--- a/foxtaillock/fleet/calendar.py
+++ b/foxtaillock/fleet/calendar.py
@@ -22,6 +22,7 @@
     "WAVE_PREFIX",
     "find_due",
     "find_missing",
+    "is_due",
     "lead_s",
     "max_open_waves",
     "wave_id",
@@ -53,6 +54,11 @@
     return spec.maintenance_days * waves.SECONDS_PER_DAY
 
 
+def is_due(spec: model.PoolSpec, ended_s: int, utc_s: int) -> bool:
+    """Returns whether a VM that was maintained then makes a wave begin."""
+    return ended_s + _period_s(spec) - utc_s <= lead_s(spec)
+
+
 def wave_id(spec: model.PoolSpec, utc_s: int) -> str:
     """Returns the id of the one wave that a pool may begin within a lead.
 
@@ -81,6 +87,7 @@
     members: Members,
     ended_at_s: Ends,
     utc_s: int,
+    first_ended_at_s: Ends | None = None,
 ) -> dict[str, dict[str, int]]:
     """Returns the times to record for VMs of which none is known.
 
@@ -93,20 +100,20 @@
         ended_at_s: end of the last maintenance of VMs, in seconds of UTC; one
             that is more than a day ahead is no longer believed.
         utc_s: present time, in seconds of UTC.
+        first_ended_at_s: earliest known time of each pool that has one; found
+            here if it is not given.
 
     Returns:
         Times by pool and VM.
     """
     scheduled = {n: s for n, s in pools.items() if s.maintenance_days}
-    known = {
-        name: [
-            ended_at_s[vm.name]
-            for vm in members.get(name, ())
-            if _is_known(ended_at_s, vm.name, utc_s)
-        ]
-        for name in scheduled
-    }
-    starts = _spread(scheduled, known, utc_s)
+    if first_ended_at_s is None:
+        first_ended_at_s = {
+            name: min(ends)
+            for name in scheduled
+            if (ends := _find_known(members.get(name, ()), ended_at_s, utc_s))
+        }
+    starts = _spread(scheduled, first_ended_at_s, utc_s)
     missing: dict[str, dict[str, int]] = {}
     for name in sorted(scheduled):
         rows = {
@@ -119,6 +126,16 @@
     return missing
 
 
+def _find_known(
+    vms: Iterable[model.Vm], ended_at_s: Ends, utc_s: int
+) -> list[int]:
+    return [
+        ended_at_s[vm.name]
+        for vm in vms
+        if _is_known(ended_at_s, vm.name, utc_s)
+    ]
+
+
 def _is_known(ended_at_s: Ends, vm: str, utc_s: int) -> bool:
     ended_s = ended_at_s.get(vm)
     return ended_s is not None and ended_s <= utc_s + MAX_CLOCK_ERROR_S
@@ -126,16 +143,16 @@
 
 def _spread(
     scheduled: Mapping[str, model.PoolSpec],
-    known: Mapping[str, Sequence[int]],
+    first_ended_at_s: Ends,
     utc_s: int,
 ) -> dict[str, int]:
     """Returns the time that stands for the last maintenance of each pool."""
-    starts = {name: min(ends) for name, ends in known.items() if ends}
-    present = {
-        name: (start_s + _period_s(scheduled[name]) - utc_s)
-        // waves.SECONDS_PER_DAY
-        for name, start_s in starts.items()
-    }
+    starts = {n: s for n, s in first_ended_at_s.items() if n in scheduled}
+    present = {}
+    for name, start_s in starts.items():
+        spec = scheduled[name]
+        wait_s = start_s + _period_s(spec) - lead_s(spec) - utc_s
+        present[name] = wait_s // waves.SECONDS_PER_DAY
     days = waves.make_calendar(scheduled, present)
     for name, spec in scheduled.items():
         if name not in starts:
--- a/foxtaillock/fleet/controller.py
+++ b/foxtaillock/fleet/controller.py
@@ -1,6 +1,7 @@
 """Carries out the decisions on the fleet while this node owns it."""
 
 import asyncio
+import gc
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -79,6 +80,7 @@
         self._sightings = sightings.Sightings()
         self._decider = decisions.Decider(self._state, self._sightings)
         self._unresolved = []
+        self._is_prepared = False
 
     def explain(self, vm: str) -> str:
         """Returns why a VM is planned to move, or an empty text."""
@@ -111,6 +113,7 @@
         if self._unresolved:
             return
         await self._look(epoch)
+        await self._prepare()
         if not self._may_act() or self._epoch() != epoch:
             return
         utc_s = int(self._clock.now().timestamp())
@@ -118,6 +121,19 @@
         await self._commit_all(made.commits)
         await asyncio.gather(*map(self._operate, made.operations))
 
+    async def _prepare(self) -> None:
+        """Takes over what changed in parts, so that the loop goes on.
+
+        A new owner describes the whole fleet once. What then lives on is
+        taken out of the collector's sight: a full collection over it holds
+        the loop longer than any decision.
+        """
+        while not self._decider.prepare(self._clock.monotonic_s()):
+            await asyncio.sleep(0)
+        if not self._is_prepared:
+            self._is_prepared = True
+            gc.freeze()
+
     async def _look(self, epoch: int) -> None:
         listed = self._list_vms()
         workers = [vm for vm in listed if vm.role is world.VmRole.WORKER]
--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -10,10 +10,11 @@
 from collections.abc import Mapping
 
 from foxtaillock.fleet import budgets
-from foxtaillock.fleet import calendar
+from foxtaillock.fleet import calendar_keeper
 from foxtaillock.fleet import membership
 from foxtaillock.fleet import model
 from foxtaillock.fleet import planner
+from foxtaillock.fleet import roster as rosters
 from foxtaillock.fleet import sightings as sightings_lib
 from foxtaillock.fleet import wave_keeper
 from foxtaillock.model import records
@@ -22,8 +23,8 @@
 __all__ = ["Decider", "Decisions", "Operation"]
 
 PLAN_INTERVAL_S = 1.0
-CALENDAR_INTERVAL_S = 10.0
 MAX_MOVES = 200
+MAX_DESCRIBED = 500
 
 
 class Operation(typing.NamedTuple):
@@ -63,17 +64,28 @@
     ) -> None:
         self._state = state
         self._sightings = sightings
+        self._roster = rosters.Roster(state, sightings)
+        self._calendar = calendar_keeper.CalendarKeeper(state)
         self._waves = wave_keeper.WaveKeeper(state, base_rate_per_s)
         self._planned_at_s = float("-inf")
-        self._looked_up_at_s = float("-inf")
+        self._settled_for: tuple[int, Mapping[str, model.PoolSpec]] | None
+        self._settled_for = None
         self.explanations: dict[str, str] = {}
         self.shortfalls: dict[str, int] = {}
 
+    def prepare(self, now_s: float) -> bool:
+        """Takes over a bounded part of what changed.
+
+        Returns:
+            Whether nothing is left; `decide` takes over the rest at once.
+        """
+        return self._roster.refresh(now_s, MAX_DESCRIBED)
+
     def decide(self, now_s: float, epoch: int, utc_s: int) -> Decisions:
         """Returns what to do now.
 
-        Cost is linear in the VMs; the plan of places is made anew once in
-        `PLAN_INTERVAL_S`, the calendar is looked up in `CALENDAR_INTERVAL_S`.
+        Cost is linear in the VMs that changed, move or are disrupted, and in
+        the pools. The plan of places is made anew once in `PLAN_INTERVAL_S`.
 
         Args:
             now_s: monotonic time.
@@ -82,17 +94,23 @@
                 any process, so they can't be measured by `now_s`.
         """
         pools = self._pools()
-        vms = self._list_vms(now_s)
-        held = budgets.make_budgets(pools, vms, self._holdings())
-        moves = self._plan(pools, vms, now_s)
-        placed = self._place(vms, moves, held, now_s, epoch)
-        begun = self._follow_calendar(pools, vms, now_s, epoch, utc_s)
-        waves = self._waves.decide(pools, vms, held, now_s, epoch)
+        self._roster.refresh(now_s)
+        vms, members = self._roster.vms, self._roster.members
+        held = budgets.PoolBudgets(pools, members, self._holdings())
+        moves = self._plan(pools, now_s)
+        placed = self._place(
+            map(vms.__getitem__, self._find_unplaced(pools, moves)),
+            moves,
+            held,
+            now_s,
+            epoch,
+        )
+        begun = self._calendar.step(pools, members, now_s, epoch, utc_s)
+        waves = self._waves.decide(pools, members, held, now_s, epoch)
         disrupted = self._state.disruptions.keys() - waves.taken_back
         carried = [
-            self._carry_on(vm, held.get(vm.pool), now_s, epoch, utc_s)
-            for vm in vms
-            if vm.name in disrupted
+            self._carry_on(vms[vm], held.get(vms[vm].pool), now_s, epoch, utc_s)
+            for vm in sorted(disrupted & vms.keys())
         ]
         undrained = [
             Operation("undrain", vm) for vm in sorted(waves.taken_back)
@@ -131,6 +149,18 @@
                 commits.append(action)
         return Decisions(tuple(commits), tuple(operations))
 
+    def _find_unplaced(
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        moves: Mapping[str, planner.Move],
+    ) -> list[str]:
+        """Returns the VMs that may need a step, sorted."""
+        found = self._roster.unsettled | moves.keys()
+        for pool, members in self._roster.members.items():
+            if pool and pool not in pools:
+                found |= members.keys()
+        return sorted(found)
+
     def _holdings(self) -> list[budgets.Holding]:
         return [
             budgets.Holding(vm, row.pool, row.rack, row.zone, row.offset)
@@ -141,113 +171,21 @@
         stored = self._state.objects("pool")
         return model.make_pool_specs({n: row.body for n, row in stored.items()})
 
-    def _list_vms(self, now_s: float) -> list[model.Vm]:
-        """Returns all VMs of the log and of the list, sorted by name."""
-        names = sorted({*self._state.vms, *self._sightings.listed})
-        return [self._describe(name, now_s) for name in names]
-
-    def _describe(self, name: str, now_s: float) -> model.Vm:
-        place = self._state.vms.get(name)
-        entry = self._sightings.listed.get(name)
-        held = self._state.disruptions.get(name)
-        zone = entry.zone if entry else (held.zone if held else "")
-        rack = entry.rack if entry else (held.rack if held else "")
-        incarnation = self._sightings.incarnation(name)
-        if place is None:
-            health = self._sightings.health(name, incarnation, now_s)
-            return model.Vm(name, zone, rack, "", health, False, incarnation)
-        is_busy = place.step != "joined"
-        health = self._sightings.health(name, place.incarnation, now_s)
-        return model.Vm(
-            name, zone, rack, place.pool, health, is_busy, place.incarnation
-        )
-
     def _plan(
-        self,
-        pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
-        now_s: float,
+        self, pools: Mapping[str, model.PoolSpec], now_s: float
     ) -> dict[str, planner.Move]:
         if now_s - self._planned_at_s < PLAN_INTERVAL_S:
             return {}
         self._planned_at_s = now_s
-        # A VM on its way out is planned for like a free one.
-        seen = [
-            vm._replace(pool="", is_busy=False, health=model.Health.SERVING)
-            if vm.is_busy
-            else vm._replace(is_busy=vm.name in self._state.disruptions)
-            for vm in vms
-        ]
-        made = planner.plan(pools, seen, MAX_MOVES)
+        planned_for = (self._roster.version, pools)
+        if planned_for == self._settled_for:
+            return {}
+        made = planner.plan_places(pools, self._roster.places, MAX_MOVES)
         self.shortfalls = made.shortfalls
         self.explanations = {move.vm: move.reason for move in made.moves}
+        self._settled_for = None if made.moves else planned_for
         return {move.vm: move for move in made.moves}
 
-    def _follow_calendar(
-        self,
-        pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
-        now_s: float,
-        epoch: int,
-        utc_s: int,
-    ) -> list[records.Record]:
-        """Returns waves that begin, and times of VMs of which none stands."""
-        if now_s - self._looked_up_at_s < CALENDAR_INTERVAL_S:
-            return []
-        self._looked_up_at_s = now_s
-        members: dict[str, list[model.Vm]] = {}
-        for vm in vms:
-            if vm.pool and vm.name not in self._state.disruptions:
-                members.setdefault(vm.pool, []).append(vm)
-        ended_at_s = {
-            vm: row.ended_at_s for vm, row in self._state.maintained.items()
-        }
-        missing = calendar.find_missing(pools, members, ended_at_s, utc_s)
-        if missing:
-            return [
-                records.MaintenanceRecorded(pool, rows, epoch)
-                for pool, rows in missing.items()
-            ]
-        return self._begin_waves(pools, members, ended_at_s, epoch, utc_s)
-
-    def _begin_waves(
-        self,
-        pools: Mapping[str, model.PoolSpec],
-        members: calendar.Members,
-        ended_at_s: Mapping[str, int],
-        epoch: int,
-        utc_s: int,
-    ) -> list[records.Record]:
-        standing = self._state.waves
-        unfinished = {
-            wave_id: wave.pool
-            for wave_id, wave in standing.items()
-            if wave.state in ("running", "paused")
-        }
-        due = calendar.find_due(
-            pools,
-            members,
-            ended_at_s,
-            utc_s,
-            open_pools=frozenset(unfinished.values()),
-            known_waves=standing.keys(),
-            open_count=sum(
-                wave_id.startswith(calendar.WAVE_PREFIX)
-                for wave_id in unfinished
-            ),
-        )
-        return [
-            records.WaveChanged(
-                wave.wave_id,
-                wave.pool,
-                "running",
-                "by the calendar",
-                epoch,
-                wave_keeper.encode_base(wave.vms),
-            )
-            for wave in due
-        ]
-
     def _target(
         self,
         vm: model.Vm,
--- a/foxtaillock/fleet/planner.py
+++ b/foxtaillock/fleet/planner.py
@@ -14,7 +14,16 @@
 
 from foxtaillock.fleet import model
 
-__all__ = ["JOIN_COST", "MOVE_COST", "Move", "Plan", "SKEW_COST", "plan"]
+__all__ = [
+    "JOIN_COST",
+    "MOVE_COST",
+    "Move",
+    "Places",
+    "Plan",
+    "SKEW_COST",
+    "plan",
+    "plan_places",
+]
 
 MOVE_COST = 10
 JOIN_COST = 1
@@ -48,28 +57,56 @@
     shortfalls: dict[str, int]
 
 
+class Places:
+    """VMs counted by pool and zone; kept up to date as VMs change.
+
+    Attributes:
+        counts: VMs of each pool and zone.
+        movable: those of them that serve and are not busy, by name.
+    """
+
+    def __init__(self, vms: Iterable[model.Vm] = ()) -> None:
+        self.counts: collections.Counter[_Place] = collections.Counter()
+        self.movable: dict[_Place, dict[str, model.Vm]] = {}
+        for vm in vms:
+            self.put(vm)
+
+    def put(self, vm: model.Vm) -> None:
+        """Counts a VM."""
+        place = (vm.pool, vm.zone)
+        self.counts[place] += 1
+        if vm.health is model.Health.SERVING and not vm.is_busy:
+            self.movable.setdefault(place, {})[vm.name] = vm
+
+    def remove(self, vm: model.Vm) -> None:
+        """Counts a VM no more."""
+        place = (vm.pool, vm.zone)
+        self.counts[place] -= 1
+        if not self.counts[place]:
+            del self.counts[place]
+        self.movable.get(place, {}).pop(vm.name, None)
+
+
 class _Draft:
     """Places of VMs while a plan is made."""
 
     def __init__(
         self,
         pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
+        places: Places,
         max_moves: int | None,
     ) -> None:
         self.pools = pools
         self._max_moves = max_moves
         self.moved: dict[str, tuple[model.Vm, str, str]] = {}
-        self._members: dict[_Place, list[model.Vm]] = {}
+        self._members: dict[_Place, list[Mapping[str, model.Vm]]] = {}
         self._racks: dict[_Place, dict[str, list[model.Vm]]] = {}
-        places = []
-        serving = model.Health.SERVING
-        for vm in vms:
-            place = (vm.pool if vm.pool in pools else FREE, vm.zone)
-            places.append(place)
-            if vm.health is serving and not vm.is_busy:
-                self._members.setdefault(place, []).append(vm)
-        self.zone_counts = collections.Counter(places)
+        self.zone_counts: collections.Counter[_Place] = collections.Counter()
+        for (pool, zone), count in sorted(places.counts.items()):
+            place = (pool if pool in pools else FREE, zone)
+            self.zone_counts[place] += count
+            if found := places.movable.get((pool, zone)):
+                self._members.setdefault(place, []).append(found)
         self.counts: dict[str, int] = dict.fromkeys(pools, 0)
         self._zones: dict[str, set[str]] = {}
         self._pools_in: dict[str, dict[str, None]] = {}
@@ -121,7 +158,10 @@
         racks = self._racks.get(place)
         if racks is None:
             racks = self._racks[place] = {}
-            for vm in self._members.get(place, ()):
+            found: dict[str, model.Vm] = {}
+            for members in self._members.get(place, ()):
+                found.update(members)
+            for _, vm in sorted(found.items()):
                 racks.setdefault(vm.rack, []).append(vm)
         return racks
 
@@ -161,14 +201,28 @@
         The moves. Cost is linear in the VMs, and in the sources of each
         missing VM.
     """
-    draft = _Draft(pools, vms, max_moves)
+    return plan_places(pools, Places(vms), max_moves)
+
+
+def plan_places(
+    pools: Mapping[str, model.PoolSpec],
+    places: Places,
+    max_moves: int | None = None,
+) -> Plan:
+    """Returns the plan for VMs that are counted already; see `plan`.
+
+    Cost is linear in the pools and their zones, and in the VMs of places that
+    a VM leaves.
+    """
+    draft = _Draft(pools, places, max_moves)
     order = sorted(pools, key=lambda name: (pools[name].is_spare, name))
     order.sort(key=lambda name: (pools[name].is_spare, len(pools[name].zones)))
     for name in order:
         while _is_open(draft, name) and _fill(draft, name):
             pass
+    exhausted: set[tuple[str, bool]] = set()
     for name in order:
-        while _is_open(draft, name) and _fill_by_chain(draft, name):
+        while _is_open(draft, name) and _fill_by_chain(draft, name, exhausted):
             pass
     for name in order:
         _release(draft, name)
@@ -236,14 +290,23 @@
     return text + f"{source} is spare capacity"
 
 
-def _fill_by_chain(draft: _Draft, pool: str) -> bool:
-    """Fills a place through the shortest chain of pools that pass VMs on."""
+def _fill_by_chain(
+    draft: _Draft, pool: str, exhausted: set[tuple[str, bool]]
+) -> bool:
+    """Fills a place through the shortest chain of pools that pass VMs on.
+
+    Pools from which a search found no source are noted in `exhausted`, with
+    whether it took spares: all that pass VMs on to them are among them, so no
+    move of the same plan gives them one.
+    """
     # A spare pool is not filled from another one, by no chain either.
     takes_spares = not draft.pools[pool].is_spare
     parents: dict[str, tuple[str, str]] = {pool: ("", "")}
     queue = collections.deque([pool])
     while queue:
         receiver = queue.popleft()
+        if (receiver, takes_spares) in exhausted:
+            continue
         for zone in draft.pools[receiver].zones:
             sources = _sources(draft, receiver, zone, takes_spares)
             found = min(sources, default=None)
@@ -254,6 +317,7 @@
             if giver not in parents:
                 parents[giver] = (receiver, zone)
                 queue.append(giver)
+    exhausted.update((name, takes_spares) for name in parents)
     return False
 
 
--- a/foxtaillock/fleet/sightings.py
+++ b/foxtaillock/fleet/sightings.py
@@ -41,8 +41,10 @@
     def __init__(self) -> None:
         self.listed: dict[str, world.VmEntry] = {}
         self._answers: dict[str, Answer] = {}
+        self._updated_s = float("-inf")
         self._seen_s: dict[str, float] = {}
         self._answered_s: dict[str, float] = {}
+        self._changed: set[str] = set()
 
     def update(
         self,
@@ -51,16 +53,35 @@
         now_s: float,
     ) -> None:
         """Takes the present list and the answers since the last update."""
-        self.listed = {
-            vm.name: vm for vm in listed if vm.role is world.VmRole.WORKER
-        }
+        before, answered = self.listed, self._answers
+        worker = world.VmRole.WORKER
+        self.listed = {vm.name: vm for vm in listed if vm.role is worker}
         self._answers = dict(answers)
-        for name in self.listed:
-            self._seen_s[name] = now_s
+        for name in _differing(before, self.listed):
+            self._changed.add(name)
             self._answered_s.setdefault(name, now_s)
-        for name in answers:
-            self._seen_s[name] = now_s
-            self._answered_s[name] = now_s
+        self._changed.update(_differing(answered, self._answers))
+        for name in answered.keys() - self._answers.keys():
+            self._answered_s[name] = self._updated_s
+            self._note_absent(name)
+        for name in before.keys() - self.listed.keys():
+            self._note_absent(name)
+        self._updated_s = now_s
+
+    def _note_absent(self, name: str) -> None:
+        self._changed.add(name)
+        if name not in self.listed and name not in self._answers:
+            self._seen_s[name] = self._updated_s
+
+    def take_changed(self) -> set[str]:
+        """Returns the VMs that changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def is_draining(self, vm: str) -> bool:
+        """Returns whether a VM is known to take no new work."""
+        answer = self._answers.get(vm)
+        return answer is not None and answer.is_draining
 
     def incarnation(self, vm: str) -> int:
         """Returns the highest incarnation that is seen; zero if none."""
@@ -85,17 +106,25 @@
                 return model.Health.FAILED
             is_out = answer.is_draining
             return model.Health.UNKNOWN if is_out else model.Health.SERVING
-        silent_s = now_s - self._answered_s.setdefault(vm, now_s)
-        if silent_s >= FAILED_AFTER_S:
+        if now_s >= self.fails_at_s(vm, now_s):
             return model.Health.FAILED
         return model.Health.UNKNOWN
 
+    def fails_at_s(self, vm: str, now_s: float) -> float:
+        """Returns when a VM counts as failed if it stays silent."""
+        answered_s = self._updated_s
+        if vm not in self._answers:
+            answered_s = self._answered_s.setdefault(vm, now_s)
+        return answered_s + FAILED_AFTER_S
+
     def facts(
         self, vm: str, now_s: float, is_disrupted: bool = False
     ) -> membership.Facts:
         """Returns what the next step of a move needs to know."""
         answer = self._answers.get(vm)
-        seen_s = self._seen_s.setdefault(vm, now_s)
+        seen_s = self._updated_s
+        if answer is None and vm not in self.listed:
+            seen_s = self._seen_s.setdefault(vm, now_s)
         return membership.Facts(
             incarnation=self.incarnation(vm),
             is_gone=now_s - seen_s >= GONE_AFTER_S,
@@ -103,3 +132,14 @@
             is_draining=answer.is_draining if answer else False,
             is_disrupted=is_disrupted,
         )
+
+
+def _differing(
+    before: Mapping[str, typing.Any], after: Mapping[str, typing.Any]
+) -> list[str]:
+    """Returns the names whose value in `after` is new or another one."""
+    return [
+        name
+        for name, value in after.items()
+        if (old := before.get(name)) is not value and old != value
+    ]
--- a/foxtaillock/fleet/tests/test_waves.py
+++ b/foxtaillock/fleet/tests/test_waves.py
@@ -9,8 +9,10 @@
 from foxtaillock.fleet import budgets
 from foxtaillock.fleet import membership
 from foxtaillock.fleet import model
+from foxtaillock.fleet import wave_keeper
 from foxtaillock.fleet import waves
 from foxtaillock.model import records
+from foxtaillock.state import control_state
 
 _SPEC = model.PoolSpec("p", 6, ("a", "b"), 4)
 
@@ -178,3 +180,57 @@
         facts = membership.Facts(1, False, 0, True)
         made = membership.next_action("v", None, facts, "", 7)
         self.assertEqual(made, membership.Undrain())
+
+
+class WaveKeeperTest(unittest.TestCase):
+
+    def setUp(self) -> None:
+        self.state = control_state.ControlState()
+        self._offset = 0
+        body = {"size": 6, "zones": ["a", "b"], "min_available": 4}
+        change = records.Change("added", "pool", "p", 0, body)
+        self._fold(records.NoteAccepted("n", "op", "", (change,)))
+        self.vms = {vm.name: vm for vm in _members()}
+        for vm in self.vms:
+            self._fold(records.VmStep(vm, 1, "p", "joined", 0))
+        base = wave_keeper.encode_base(self.vms.values())
+        self._fold(records.WaveChanged("w", "p", "running", "", 0, base))
+        self.keeper = wave_keeper.WaveKeeper(
+            self.state, wave_keeper.BASE_RATE_PER_S
+        )
+
+    def _fold(self, record: records.Record) -> None:
+        self._offset += 1
+        batch = records.Batch("e", "x", self._offset, (record,))
+        self.assertTrue(self.state.apply(self._offset, batch)[0].accepted)
+
+    def _decide(self, now_s: float) -> list[records.Record]:
+        members = {"p": self.vms}
+        held = [
+            budgets.Holding(vm, row.pool, row.rack, row.zone, row.offset)
+            for vm, row in self.state.disruptions.items()
+        ]
+        found = budgets.PoolBudgets({"p": _SPEC}, members, held)
+        pools = {"p": _SPEC}
+        made = self.keeper.decide(pools, members, found, now_s, 0)
+        return list(made.commits)
+
+    def test_vm_that_is_back_in_time_has_not_failed(self) -> None:
+        (granted,) = self._decide(0.0)
+        self._fold(granted)
+        self.keeper.note_begun("v0", 0.0)
+        late_s = wave_keeper.RETURN_TIMEOUT_S
+        self.vms["v0"] = self.vms["v0"]._replace(incarnation=2)
+        self.assertEqual(self._decide(late_s), [])
+        self.vms["v0"] = self.vms["v0"]._replace(health=model.Health.FAILED)
+        (paused,) = self._decide(late_s)
+        self.assertEqual(paused.state, "paused")
+
+    def test_failure_of_a_vm_that_was_not_stopped_is_no_evidence(self) -> None:
+        for vm in ("v1", "v2", "v3"):
+            self.vms[vm] = self.vms[vm]._replace(
+                incarnation=2, health=model.Health.FAILED
+            )
+        self.assertNotIn(
+            "WaveChanged", [type(row).__name__ for row in self._decide(0.0)]
+        )
--- a/foxtaillock/fleet/wave_keeper.py
+++ b/foxtaillock/fleet/wave_keeper.py
@@ -19,7 +19,13 @@
     "encode_base",
 ]
 
-BASE_RATE_PER_S = 250 / 15_000 / waves.SECONDS_PER_DAY
+FLEET_VMS = 15_000
+FAILURES_PER_DAY = 250
+RESTARTS_PER_DAY = 2_100
+# A VM that restarts is silent like one that failed.
+BASE_RATE_PER_S = (
+    (FAILURES_PER_DAY + RESTARTS_PER_DAY) / FLEET_VMS / waves.SECONDS_PER_DAY
+)
 RETURN_TIMEOUT_S = 600.0
 
 
@@ -74,7 +80,7 @@
     def decide(
         self,
         pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
+        members: Mapping[str, Mapping[str, model.Vm]],
         held: Mapping[str, budgets.PoolBudget],
         now_s: float,
         epoch: int,
@@ -83,13 +89,15 @@
 
         Of several waves of a pool only the first goes on.
         """
-        members: dict[str, list[model.Vm]] = {}
-        for vm in vms:
-            members.setdefault(vm.pool, []).append(vm)
         commits = self._step_all(pools, members, held, now_s, epoch)
         taken_back: list[str] = []
-        for name, spec in pools.items():
-            names = self._yield(spec, held[name], members.get(name, []))
+        disrupted: dict[str, list[model.Vm]] = {}
+        for vm, row in sorted(self._state.disruptions.items()):
+            if row.pool in pools and vm in members.get(row.pool, {}):
+                found = disrupted.setdefault(row.pool, [])
+                found.append(members[row.pool][vm])
+        for name, vms in sorted(disrupted.items()):
+            names = self._yield(pools[name], held[name], vms)
             taken_back += names
             commits += [records.DisruptionEnded(n, name, epoch) for n in names]
         return WaveDecisions(tuple(commits), frozenset(taken_back))
@@ -97,7 +105,7 @@
     def _step_all(
         self,
         pools: Mapping[str, model.PoolSpec],
-        members: Mapping[str, list[model.Vm]],
+        members: Mapping[str, Mapping[str, model.Vm]],
         held: Mapping[str, budgets.PoolBudget],
         now_s: float,
         epoch: int,
@@ -111,7 +119,7 @@
                 commits.append(_change(wave_id, wave, "cancelled", epoch))
             elif wave.pool not in active:
                 active.add(wave.pool)
-                found = members.get(wave.pool, [])
+                found = sorted(members.get(wave.pool, {}).values())
                 commits += self._step(
                     wave_id, wave, found, held[wave.pool], now_s, epoch
                 )
@@ -154,21 +162,36 @@
         progress: _Progress,
         now_s: float,
     ) -> None:
-        """Notes which VMs of the wave serve again and which have failed."""
+        """Notes which VMs of the wave serve again and which have failed.
+
+        What happens to a VM that the wave has not stopped says nothing of it.
+        """
         for vm in members:
             held = self._state.disruptions.get(vm.name)
             is_held = held is not None and held.reason == wave_id
-            is_done = vm.name in base and vm.incarnation > base[vm.name]
+            is_back = vm.name in base and vm.incarnation > base[vm.name]
+            is_done = is_back and self._was_stopped(wave_id, vm, progress)
             if is_held or is_done:
                 progress.held_since_s.setdefault(vm.name, now_s)
                 failed = vm.health is model.Health.FAILED
                 if is_held:
-                    failed = self._is_late(vm, now_s)
+                    # One that serves again waits only for its records.
+                    serves = is_back and vm.health is model.Health.SERVING
+                    failed = not serves and self._is_late(vm, now_s)
                 if failed:
                     progress.failed.add(vm.name)
             if is_done and not is_held:
                 progress.served.add(vm.name)
 
+    def _was_stopped(
+        self, wave_id: str, vm: model.Vm, progress: _Progress
+    ) -> bool:
+        """Returns whether the wave stopped a VM, also under earlier owners."""
+        row = self._state.maintained.get(vm.name)
+        begun_offset = self._state.waves[wave_id].begun_offset
+        is_recorded = row is not None and row.offset > begun_offset
+        return is_recorded or vm.name in progress.held_since_s
+
     def _is_late(self, vm: model.Vm, now_s: float) -> bool:
         """Returns whether a VM is not back in time from its reboot."""
         if vm.health is model.Health.FAILED:
