--- a/foxtaillock/fleet/calendar_keeper.py
+++ b/foxtaillock/fleet/calendar_keeper.py
@@ -113,10 +113,7 @@
         A pool of which times are written begins no wave in the same step.
         """
         found = self._round
-        first = found.first_ended_at_s
-        by_time = sorted(found.suspects, key=lambda pool: first.get(pool, 0))
-        taken = by_time[:POOLS_PER_STEP]
-        found.suspects.difference_update(taken)
+        taken = self._take_suspects()
         disrupted = self._state.disruptions
         chosen = {
             pool: [
@@ -144,6 +141,14 @@
             *self._begin_waves(pools, chosen, ended_at_s, epoch, utc_s),
         ]
 
+    def _take_suspects(self) -> list[str]:
+        first = self._round.first_ended_at_s
+        suspects = self._round.suspects
+        by_time = sorted(suspects, key=lambda pool: first.get(pool, 0))
+        taken = by_time[:POOLS_PER_STEP]
+        suspects.difference_update(taken)
+        return taken
+
     def _begin_waves(
         self,
         pools: Mapping[str, model.PoolSpec],
--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -68,6 +68,8 @@
         self._calendar = calendar_keeper.CalendarKeeper(state)
         self._waves = wave_keeper.WaveKeeper(state, base_rate_per_s)
         self._planned_at_s = float("-inf")
+        self._is_prepared = False
+        self._is_calendars_turn = True
         self._settled_for: tuple[int, Mapping[str, model.PoolSpec]] | None
         self._settled_for = None
         self.explanations: dict[str, str] = {}
@@ -77,9 +79,11 @@
         """Takes over a bounded part of what changed.
 
         Returns:
-            Whether nothing is left; `decide` takes over the rest at once.
+            Whether nothing is left; `decide` has then to be called before
+            anything changes. Otherwise it takes over the rest at once.
         """
-        return self._roster.refresh(now_s, MAX_DESCRIBED)
+        self._is_prepared = self._roster.refresh(now_s, MAX_DESCRIBED)
+        return self._is_prepared
 
     def decide(self, now_s: float, epoch: int, utc_s: int) -> Decisions:
         """Returns what to do now.
@@ -94,10 +98,20 @@
                 any process, so they can't be measured by `now_s`.
         """
         pools = self._pools()
-        self._roster.refresh(now_s)
+        if not self._is_prepared:
+            self._roster.refresh(now_s)
+        self._is_prepared = False
         vms, members = self._roster.vms, self._roster.members
         held = budgets.PoolBudgets(pools, members, self._holdings())
-        moves = self._plan(pools, now_s)
+        # Plan and calendar take turns, so that no decision holds the loop for
+        # both.
+        self._is_calendars_turn = not self._is_calendars_turn
+        begun: list[records.Record] = []
+        moves: dict[str, planner.Move] = {}
+        if self._is_calendars_turn:
+            begun = self._calendar.step(pools, members, now_s, epoch, utc_s)
+        else:
+            moves = self._plan(pools, now_s)
         placed = self._place(
             map(vms.__getitem__, self._find_unplaced(pools, moves)),
             moves,
@@ -105,7 +119,6 @@
             now_s,
             epoch,
         )
-        begun = self._calendar.step(pools, members, now_s, epoch, utc_s)
         waves = self._waves.decide(pools, members, held, now_s, epoch)
         disrupted = self._state.disruptions.keys() - waves.taken_back
         carried = [
