--- a/foxtaillock/fleet/planner.py
+++ b/foxtaillock/fleet/planner.py
@@ -114,6 +114,8 @@
             self._note_zone(pool, zone)
             if pool != FREE:
                 self.counts[pool] += count
+        self._givers: dict[str, list[str]] = {}
+        self._offering = {pool for pool in pools if self._offers(pool)}
 
     def _note_zone(self, pool: str, zone: str) -> None:
         self._zones.setdefault(pool, set()).add(zone)
@@ -122,9 +124,22 @@
 
     def givers(self, zone: str) -> list[str]:
         """Returns the pools that have a VM in a zone that may move."""
-        pools = self._pools_in.get(zone, ())
+        found = self._givers.get(zone)
+        if found is None:
+            pools = self._pools_in.get(zone, ())
+            found = [pool for pool in pools if self.has_movable(pool, zone)]
+            self._givers[zone] = found
+        return found
+
+    def offering(self, zone: str) -> list[str]:
+        """Returns the pools with a VM in a zone that they can do without:
+        spare pools, and those that are too large."""
+        pools = self._offering
         return [pool for pool in pools if self.has_movable(pool, zone)]
 
+    def _offers(self, pool: str) -> bool:
+        return self.pools[pool].is_spare or self.lacks(pool) < 0
+
     def has_movable(self, pool: str, zone: str) -> bool:
         """Returns whether a VM of a pool, or a free one, may move."""
         place = (pool, zone)
@@ -165,6 +180,14 @@
                 racks.setdefault(vm.rack, []).append(vm)
         return racks
 
+    def _note_offers(self, source: str, target: str) -> None:
+        self._givers.clear()
+        for pool in {source, target} - {FREE}:
+            if self._offers(pool):
+                self._offering.add(pool)
+            else:
+                self._offering.discard(pool)
+
     def move(self, source: str, zone: str, target: str, reason: str) -> None:
         """Moves one VM of a place, out of its fullest rack."""
         racks = self._racks_of((source, zone))
@@ -180,6 +203,7 @@
         if target != FREE:
             self.counts[target] += 1
             self.zone_counts[target, zone] += 1
+        self._note_offers(source, target)
         self.moved[vm.name] = (vm, target, reason)
 
 
@@ -254,7 +278,7 @@
     """Yields cost, VMs in the zone (negated) and name of the sources."""
     if draft.has_movable(FREE, zone):
         yield JOIN_COST, 0, FREE
-    for name in draft.givers(zone):
+    for name in draft.offering(zone):
         if name == pool:
             continue
         surplus = -draft.lacks(name)
