Proof: the calendar goes on when the owner of the fleet is killed

Not seen failing: with the record of the end out it passes too, as the wave's own incarnations cover one wave; `fleet.tests.test_calendar` is the test that fails then.

--- /dev/null
+++ b/foxtaillock/integration/tests/test_calendar.py
@@ -0,0 +1,95 @@
+"""Proof that the calendar of maintenance outlives the owner of the fleet."""
+
+import time
+import typing
+
+from foxtaillock.integration import scenario
+from foxtaillock.integration.tests import base
+from foxtaillock.model import records
+
+_NOTE = """
+note: maintain every day
+changed:
+  pools:
+    bending: {maintenance_days: 1}
+"""
+_WORKERS = 3
+
+
+class CalendarTest(base.FleetTestCase):
+
+    admin_entries: typing.Sequence[int] = ()
+
+    async def test_each_vm_is_maintained_once_through_a_takeover(self) -> None:
+        admin = self.fleet.client()
+        answer = await admin.send("POST", "/admin/v1/notes/accept", _NOTE)
+        self.assertEqual(answer.status, 200, answer)
+        first = {name: row["incarnation"] for name, row in await self._vms()}
+        await scenario.until(self._has_times, 30.0, "times are recorded")
+        await self._make_due(sorted(first))
+        await scenario.until(self._is_disrupted, 30.0, "a wave begins")
+        claim = (await self._claims())[-1]
+        owner = next(e for e in self.fleet.entries if e.name == claim.node)
+        await self.fleet.kill(owner)
+        self.admin_entries = self.others(owner)
+        await scenario.until(self._is_done, 90.0, "the wave is done")
+        self.assertGreater((await self._claims())[-1].epoch, claim.epoch)
+        last = {name: row["incarnation"] for name, row in await self._vms()}
+        self.assertEqual(last, {name: n + 1 for name, n in first.items()})
+        self.assertEqual(len(await self._rows("waves")), 1)
+
+    async def _rows(self, what: str) -> list[dict[str, typing.Any]]:
+        admin = self.fleet.client(entries=self.admin_entries)
+        answer = await admin.send("GET", f"/admin/v1/{what}?limit=500")
+        items: list[dict[str, typing.Any]] = answer.body["items"]
+        return items
+
+    async def _vms(self) -> list[tuple[str, dict[str, typing.Any]]]:
+        rows = await self._rows("vms")
+        return [(row["name"], row) for row in rows if row["role"] == "worker"]
+
+    async def _read_control(self) -> list[records.Record]:
+        found: list[records.Record] = []
+        offset = 0
+        while True:
+            query = f"?offset={offset}&limit=500&wait_s=0"
+            page = await self.fleet.admin_get(self._control_url() + query)
+            for text in page["records"]:
+                found += records.decode_batch(text).records
+            if not page["records"]:
+                return found
+            offset = page["next_offset"]
+
+    def _control_url(self) -> str:
+        stream = records.CONTROL_STREAM
+        return f"{self.fleet.urls['log']}/streams/{stream}/records"
+
+    async def _claims(self) -> list[records.PoolClaimed]:
+        return [
+            row
+            for row in await self._read_control()
+            if isinstance(row, records.PoolClaimed)
+            and row.pool == records.FLEET_POOL
+        ]
+
+    async def _has_times(self) -> bool:
+        kind = records.MaintenanceRecorded
+        return any(isinstance(r, kind) for r in await self._read_control())
+
+    async def _make_due(self, vms: list[str]) -> None:
+        """Writes older times than those that the owner wrote."""
+        epoch = max(claim.epoch for claim in await self._claims())
+        ended_at_s = int(time.time()) - 2 * 86_400
+        rows = dict.fromkeys(vms, ended_at_s)
+        row = records.MaintenanceRecorded("bending", rows, epoch)
+        text = records.encode_batch(records.Batch("test", "x", 1, (row,)))
+        url = self._control_url()
+        async with self.fleet.session.post(url, data=text) as answer:
+            self.assertEqual(answer.status, 200)
+
+    async def _is_disrupted(self) -> bool:
+        return any(row["disrupted"] for _, row in await self._vms())
+
+    async def _is_done(self) -> bool:
+        waves = await self._rows("waves")
+        return [wave["state"] for wave in waves] == ["done"]
