--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -210,6 +210,7 @@
             self._on_withdrawn,
             self.fleet.explain,
             self._burn_report,
+            self.clock,
         )
 
     def _build_http(self) -> None:
--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -10,9 +10,11 @@
 from collections.abc import Mapping
 
 from foxtaillock.fleet import budgets
+from foxtaillock.fleet import calendar_keeper
 from foxtaillock.fleet import membership
 from foxtaillock.fleet import model
 from foxtaillock.fleet import planner
+from foxtaillock.fleet import roster as rosters
 from foxtaillock.fleet import sightings as sightings_lib
 from foxtaillock.fleet import wave_keeper
 from foxtaillock.model import records
@@ -22,6 +24,7 @@
 
 PLAN_INTERVAL_S = 1.0
 MAX_MOVES = 200
+MAX_DESCRIBED = 500
 
 
 class Operation(typing.NamedTuple):
@@ -61,21 +64,93 @@
     ) -> None:
         self._state = state
         self._sightings = sightings
+        self._roster = rosters.Roster(state, sightings)
+        self._calendar = calendar_keeper.CalendarKeeper(state)
         self._waves = wave_keeper.WaveKeeper(state, base_rate_per_s)
         self._planned_at_s = float("-inf")
+        self._is_prepared = False
+        self._is_calendars_turn = True
+        self._settled_for: tuple[int, Mapping[str, model.PoolSpec]] | None
+        self._settled_for = None
         self.explanations: dict[str, str] = {}
         self.shortfalls: dict[str, int] = {}
 
-    def decide(self, now_s: float, epoch: int) -> Decisions:
+    def prepare(self, now_s: float) -> bool:
+        """Takes over a bounded part of what changed.
+
+        Returns:
+            Whether nothing is left; `decide` has then to be called before
+            anything changes. Otherwise it takes over the rest at once.
+        """
+        self._is_prepared = self._roster.refresh(now_s, MAX_DESCRIBED)
+        return self._is_prepared
+
+    def decide(self, now_s: float, epoch: int, utc_s: int) -> Decisions:
         """Returns what to do now.
 
-        Cost is linear in the VMs; the plan of places is made anew once in
-        `PLAN_INTERVAL_S`.
+        Cost is linear in the VMs that changed, move or are disrupted, and in
+        the pools. The plan of places is made anew once in `PLAN_INTERVAL_S`.
+
+        Args:
+            now_s: monotonic time.
+            epoch: epoch of the owner of the fleet.
+            utc_s: wall-clock time, in seconds of UTC; periods of days outlive
+                any process, so they can't be measured by `now_s`.
         """
         pools = self._pools()
-        vms = self._list_vms(now_s)
-        held = budgets.make_budgets(pools, vms, self._holdings())
-        moves = self._plan(pools, vms, now_s)
+        if not self._is_prepared:
+            self._roster.refresh(now_s)
+        self._is_prepared = False
+        vms, members = self._roster.vms, self._roster.members
+        held = budgets.PoolBudgets(pools, members, self._holdings())
+        # Plan and calendar take turns, so that no decision holds the loop for
+        # both.
+        self._is_calendars_turn = not self._is_calendars_turn
+        begun: list[records.Record] = []
+        moves: dict[str, planner.Move] = {}
+        if self._is_calendars_turn:
+            begun = self._calendar.step(pools, members, now_s, epoch, utc_s)
+        else:
+            moves = self._plan(pools, now_s)
+        placed = self._place(
+            map(vms.__getitem__, self._find_unplaced(pools, moves)),
+            moves,
+            held,
+            now_s,
+            epoch,
+        )
+        waves = self._waves.decide(pools, members, held, now_s, epoch)
+        disrupted = self._state.disruptions.keys() - waves.taken_back
+        carried = [
+            self._carry_on(vms[vm], held.get(vms[vm].pool), now_s, epoch, utc_s)
+            for vm in sorted(disrupted & vms.keys())
+        ]
+        undrained = [
+            Operation("undrain", vm) for vm in sorted(waves.taken_back)
+        ]
+        return Decisions(
+            (
+                *placed.commits,
+                *begun,
+                *waves.commits,
+                *(record for found in carried for record in found.commits),
+            ),
+            (
+                *placed.operations,
+                *undrained,
+                *(action for found in carried for action in found.operations),
+            ),
+        )
+
+    def _place(
+        self,
+        vms: Iterable[model.Vm],
+        moves: Mapping[str, planner.Move],
+        held: Mapping[str, budgets.PoolBudget],
+        now_s: float,
+        epoch: int,
+    ) -> Decisions:
+        """Returns the next step of each VM towards its place."""
         commits: list[records.Record] = []
         operations: list[Operation] = []
         for vm in vms:
@@ -85,19 +160,20 @@
                 operations.append(action)
             elif action is not None:
                 commits.append(action)
-        waves = self._waves.decide(pools, vms, held, now_s, epoch)
-        commits += waves.commits
-        operations += [
-            Operation("undrain", vm) for vm in sorted(waves.taken_back)
-        ]
-        disrupted = self._state.disruptions.keys() - waves.taken_back
-        for vm in vms:
-            if vm.name in disrupted:
-                found = self._carry_on(vm, held.get(vm.pool), now_s, epoch)
-                commits += found.commits
-                operations += found.operations
         return Decisions(tuple(commits), tuple(operations))
 
+    def _find_unplaced(
+        self,
+        pools: Mapping[str, model.PoolSpec],
+        moves: Mapping[str, planner.Move],
+    ) -> list[str]:
+        """Returns the VMs that may need a step, sorted."""
+        found = self._roster.unsettled | moves.keys()
+        for pool, members in self._roster.members.items():
+            if pool and pool not in pools:
+                found |= members.keys()
+        return sorted(found)
+
     def _holdings(self) -> list[budgets.Holding]:
         return [
             budgets.Holding(vm, row.pool, row.rack, row.zone, row.offset)
@@ -108,46 +184,19 @@
         stored = self._state.objects("pool")
         return model.make_pool_specs({n: row.body for n, row in stored.items()})
 
-    def _list_vms(self, now_s: float) -> list[model.Vm]:
-        """Returns all VMs of the log and of the list, sorted by name."""
-        names = sorted({*self._state.vms, *self._sightings.listed})
-        return [self._describe(name, now_s) for name in names]
-
-    def _describe(self, name: str, now_s: float) -> model.Vm:
-        place = self._state.vms.get(name)
-        entry = self._sightings.listed.get(name)
-        held = self._state.disruptions.get(name)
-        zone = entry.zone if entry else (held.zone if held else "")
-        rack = entry.rack if entry else (held.rack if held else "")
-        incarnation = self._sightings.incarnation(name)
-        if place is None:
-            health = self._sightings.health(name, incarnation, now_s)
-            return model.Vm(name, zone, rack, "", health, False, incarnation)
-        is_busy = place.step != "joined"
-        health = self._sightings.health(name, place.incarnation, now_s)
-        return model.Vm(
-            name, zone, rack, place.pool, health, is_busy, place.incarnation
-        )
-
     def _plan(
-        self,
-        pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
-        now_s: float,
+        self, pools: Mapping[str, model.PoolSpec], now_s: float
     ) -> dict[str, planner.Move]:
         if now_s - self._planned_at_s < PLAN_INTERVAL_S:
             return {}
         self._planned_at_s = now_s
-        # A VM on its way out is planned for like a free one.
-        seen = [
-            vm._replace(pool="", is_busy=False, health=model.Health.SERVING)
-            if vm.is_busy
-            else vm._replace(is_busy=vm.name in self._state.disruptions)
-            for vm in vms
-        ]
-        made = planner.plan(pools, seen, MAX_MOVES)
+        planned_for = (self._roster.version, pools)
+        if planned_for == self._settled_for:
+            return {}
+        made = planner.plan_places(pools, self._roster.places, MAX_MOVES)
         self.shortfalls = made.shortfalls
         self.explanations = {move.vm: move.reason for move in made.moves}
+        self._settled_for = None if made.moves else planned_for
         return {move.vm: move for move in made.moves}
 
     def _target(
@@ -195,19 +244,37 @@
         base = self._waves.base_of(held.reason).get(vm.name, 0)
         return vm.incarnation > base
 
+    def _lacks_time(self, vm: model.Vm) -> bool:
+        """Returns whether the wave that maintained a VM is not recorded."""
+        held = self._state.disruptions[vm.name]
+        row = self._state.maintained.get(vm.name)
+        is_recorded = row is not None and row.offset > held.offset
+        return vm.name in self._waves.base_of(held.reason) and not is_recorded
+
     def _carry_on(
         self,
         vm: model.Vm,
         budget: budgets.PoolBudget | None,
         now_s: float,
         epoch: int,
+        utc_s: int,
     ) -> Decisions:
-        """Ends a disruption once the VM is back and serves, or goes on."""
+        """Ends a disruption once the VM is back and serves, or goes on.
+
+        The time of the maintenance stands before its disruption ends, so no
+        owner that dies in between leaves the VM due again.
+        """
         is_serving = vm.health is model.Health.SERVING
         if is_serving and not vm.is_busy and self._is_back(vm):
             pool = self._state.disruptions[vm.name].pool
-            ended = records.DisruptionEnded(vm.name, pool, epoch)
-            return Decisions((ended,), ())
+            record: records.Record
+            if self._lacks_time(vm):
+                record = records.MaintenanceRecorded(
+                    pool, {vm.name: utc_s}, epoch
+                )
+            else:
+                record = records.DisruptionEnded(vm.name, pool, epoch)
+            return Decisions((record,), ())
         return Decisions((), tuple(self._disrupt(vm, budget, now_s)))
 
     def _disrupt(
--- a/foxtaillock/fleet/planner.py
+++ b/foxtaillock/fleet/planner.py
@@ -14,7 +14,16 @@
 
 from foxtaillock.fleet import model
 
-__all__ = ["JOIN_COST", "MOVE_COST", "Move", "Plan", "SKEW_COST", "plan"]
+__all__ = [
+    "JOIN_COST",
+    "MOVE_COST",
+    "Move",
+    "Places",
+    "Plan",
+    "SKEW_COST",
+    "plan",
+    "plan_places",
+]
 
 MOVE_COST = 10
 JOIN_COST = 1
@@ -48,28 +57,56 @@
     shortfalls: dict[str, int]
 
 
+class Places:
+    """VMs counted by pool and zone; kept up to date as VMs change.
+
+    Attributes:
+        counts: VMs of each pool and zone.
+        movable: those of them that serve and are not busy, by name.
+    """
+
+    def __init__(self, vms: Iterable[model.Vm] = ()) -> None:
+        self.counts: collections.Counter[_Place] = collections.Counter()
+        self.movable: dict[_Place, dict[str, model.Vm]] = {}
+        for vm in vms:
+            self.put(vm)
+
+    def put(self, vm: model.Vm) -> None:
+        """Counts a VM."""
+        place = (vm.pool, vm.zone)
+        self.counts[place] += 1
+        if vm.health is model.Health.SERVING and not vm.is_busy:
+            self.movable.setdefault(place, {})[vm.name] = vm
+
+    def remove(self, vm: model.Vm) -> None:
+        """Counts a VM no more."""
+        place = (vm.pool, vm.zone)
+        self.counts[place] -= 1
+        if not self.counts[place]:
+            del self.counts[place]
+        self.movable.get(place, {}).pop(vm.name, None)
+
+
 class _Draft:
     """Places of VMs while a plan is made."""
 
     def __init__(
         self,
         pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
+        places: Places,
         max_moves: int | None,
     ) -> None:
         self.pools = pools
         self._max_moves = max_moves
         self.moved: dict[str, tuple[model.Vm, str, str]] = {}
-        self._members: dict[_Place, list[model.Vm]] = {}
+        self._members: dict[_Place, list[Mapping[str, model.Vm]]] = {}
         self._racks: dict[_Place, dict[str, list[model.Vm]]] = {}
-        places = []
-        serving = model.Health.SERVING
-        for vm in vms:
-            place = (vm.pool if vm.pool in pools else FREE, vm.zone)
-            places.append(place)
-            if vm.health is serving and not vm.is_busy:
-                self._members.setdefault(place, []).append(vm)
-        self.zone_counts = collections.Counter(places)
+        self.zone_counts: collections.Counter[_Place] = collections.Counter()
+        for (pool, zone), count in sorted(places.counts.items()):
+            place = (pool if pool in pools else FREE, zone)
+            self.zone_counts[place] += count
+            if found := places.movable.get((pool, zone)):
+                self._members.setdefault(place, []).append(found)
         self.counts: dict[str, int] = dict.fromkeys(pools, 0)
         self._zones: dict[str, set[str]] = {}
         self._pools_in: dict[str, dict[str, None]] = {}
@@ -77,6 +114,8 @@
             self._note_zone(pool, zone)
             if pool != FREE:
                 self.counts[pool] += count
+        self._givers: dict[str, list[str]] = {}
+        self._offering = {pool for pool in pools if self._offers(pool)}
 
     def _note_zone(self, pool: str, zone: str) -> None:
         self._zones.setdefault(pool, set()).add(zone)
@@ -85,9 +124,22 @@
 
     def givers(self, zone: str) -> list[str]:
         """Returns the pools that have a VM in a zone that may move."""
-        pools = self._pools_in.get(zone, ())
+        found = self._givers.get(zone)
+        if found is None:
+            pools = self._pools_in.get(zone, ())
+            found = [pool for pool in pools if self.has_movable(pool, zone)]
+            self._givers[zone] = found
+        return found
+
+    def offering(self, zone: str) -> list[str]:
+        """Returns the pools with a VM in a zone that they can do without:
+        spare pools, and those that are too large."""
+        pools = self._offering
         return [pool for pool in pools if self.has_movable(pool, zone)]
 
+    def _offers(self, pool: str) -> bool:
+        return self.pools[pool].is_spare or self.lacks(pool) < 0
+
     def has_movable(self, pool: str, zone: str) -> bool:
         """Returns whether a VM of a pool, or a free one, may move."""
         place = (pool, zone)
@@ -121,10 +173,21 @@
         racks = self._racks.get(place)
         if racks is None:
             racks = self._racks[place] = {}
-            for vm in self._members.get(place, ()):
+            found: dict[str, model.Vm] = {}
+            for members in self._members.get(place, ()):
+                found.update(members)
+            for _, vm in sorted(found.items()):
                 racks.setdefault(vm.rack, []).append(vm)
         return racks
 
+    def _note_offers(self, source: str, target: str) -> None:
+        self._givers.clear()
+        for pool in {source, target} - {FREE}:
+            if self._offers(pool):
+                self._offering.add(pool)
+            else:
+                self._offering.discard(pool)
+
     def move(self, source: str, zone: str, target: str, reason: str) -> None:
         """Moves one VM of a place, out of its fullest rack."""
         racks = self._racks_of((source, zone))
@@ -140,6 +203,7 @@
         if target != FREE:
             self.counts[target] += 1
             self.zone_counts[target, zone] += 1
+        self._note_offers(source, target)
         self.moved[vm.name] = (vm, target, reason)
 
 
@@ -161,14 +225,28 @@
         The moves. Cost is linear in the VMs, and in the sources of each
         missing VM.
     """
-    draft = _Draft(pools, vms, max_moves)
+    return plan_places(pools, Places(vms), max_moves)
+
+
+def plan_places(
+    pools: Mapping[str, model.PoolSpec],
+    places: Places,
+    max_moves: int | None = None,
+) -> Plan:
+    """Returns the plan for VMs that are counted already; see `plan`.
+
+    Cost is linear in the pools and their zones, and in the VMs of places that
+    a VM leaves.
+    """
+    draft = _Draft(pools, places, max_moves)
     order = sorted(pools, key=lambda name: (pools[name].is_spare, name))
     order.sort(key=lambda name: (pools[name].is_spare, len(pools[name].zones)))
     for name in order:
         while _is_open(draft, name) and _fill(draft, name):
             pass
+    exhausted: set[tuple[str, bool]] = set()
     for name in order:
-        while _is_open(draft, name) and _fill_by_chain(draft, name):
+        while _is_open(draft, name) and _fill_by_chain(draft, name, exhausted):
             pass
     for name in order:
         _release(draft, name)
@@ -200,7 +278,7 @@
     """Yields cost, VMs in the zone (negated) and name of the sources."""
     if draft.has_movable(FREE, zone):
         yield JOIN_COST, 0, FREE
-    for name in draft.givers(zone):
+    for name in draft.offering(zone):
         if name == pool:
             continue
         surplus = -draft.lacks(name)
@@ -236,14 +314,23 @@
     return text + f"{source} is spare capacity"
 
 
-def _fill_by_chain(draft: _Draft, pool: str) -> bool:
-    """Fills a place through the shortest chain of pools that pass VMs on."""
+def _fill_by_chain(
+    draft: _Draft, pool: str, exhausted: set[tuple[str, bool]]
+) -> bool:
+    """Fills a place through the shortest chain of pools that pass VMs on.
+
+    Pools from which a search found no source are noted in `exhausted`, with
+    whether it took spares: all that pass VMs on to them are among them, so no
+    move of the same plan gives them one.
+    """
     # A spare pool is not filled from another one, by no chain either.
     takes_spares = not draft.pools[pool].is_spare
     parents: dict[str, tuple[str, str]] = {pool: ("", "")}
     queue = collections.deque([pool])
     while queue:
         receiver = queue.popleft()
+        if (receiver, takes_spares) in exhausted:
+            continue
         for zone in draft.pools[receiver].zones:
             sources = _sources(draft, receiver, zone, takes_spares)
             found = min(sources, default=None)
@@ -254,6 +341,7 @@
             if giver not in parents:
                 parents[giver] = (receiver, zone)
                 queue.append(giver)
+    exhausted.update((name, takes_spares) for name in parents)
     return False
 
 
--- a/foxtaillock/fleet/wave_keeper.py
+++ b/foxtaillock/fleet/wave_keeper.py
@@ -11,9 +11,21 @@
 from foxtaillock.state import control_view
 from foxtaillock.state import tables
 
-__all__ = ["BASE_RATE_PER_S", "WaveDecisions", "WaveKeeper"]
-
-BASE_RATE_PER_S = 250 / 15_000 / waves.SECONDS_PER_DAY
+__all__ = [
+    "BASE_RATE_PER_S",
+    "WaveDecisions",
+    "WaveKeeper",
+    "decode_base",
+    "encode_base",
+]
+
+FLEET_VMS = 15_000
+FAILURES_PER_DAY = 250
+RESTARTS_PER_DAY = 2_100
+# A VM that restarts is silent like one that failed.
+BASE_RATE_PER_S = (
+    (FAILURES_PER_DAY + RESTARTS_PER_DAY) / FLEET_VMS / waves.SECONDS_PER_DAY
+)
 RETURN_TIMEOUT_S = 600.0
 
 
@@ -59,7 +71,7 @@
     def base_of(self, wave_id: str) -> dict[str, int]:
         """Returns the incarnation of each VM when the wave began."""
         wave = self._state.waves.get(wave_id)
-        return _decode_base(wave.base) if wave is not None else {}
+        return decode_base(wave.base) if wave is not None else {}
 
     def note_begun(self, vm: str, now_s: float) -> None:
         """Notes that a reboot was asked; it can't be taken back."""
@@ -68,7 +80,7 @@
     def decide(
         self,
         pools: Mapping[str, model.PoolSpec],
-        vms: Iterable[model.Vm],
+        members: Mapping[str, Mapping[str, model.Vm]],
         held: Mapping[str, budgets.PoolBudget],
         now_s: float,
         epoch: int,
@@ -77,13 +89,15 @@
 
         Of several waves of a pool only the first goes on.
         """
-        members: dict[str, list[model.Vm]] = {}
-        for vm in vms:
-            members.setdefault(vm.pool, []).append(vm)
         commits = self._step_all(pools, members, held, now_s, epoch)
         taken_back: list[str] = []
-        for name, spec in pools.items():
-            names = self._yield(spec, held[name], members.get(name, []))
+        disrupted: dict[str, list[model.Vm]] = {}
+        for vm, row in sorted(self._state.disruptions.items()):
+            if row.pool in pools and vm in members.get(row.pool, {}):
+                found = disrupted.setdefault(row.pool, [])
+                found.append(members[row.pool][vm])
+        for name, vms in sorted(disrupted.items()):
+            names = self._yield(pools[name], held[name], vms)
             taken_back += names
             commits += [records.DisruptionEnded(n, name, epoch) for n in names]
         return WaveDecisions(tuple(commits), frozenset(taken_back))
@@ -91,7 +105,7 @@
     def _step_all(
         self,
         pools: Mapping[str, model.PoolSpec],
-        members: Mapping[str, list[model.Vm]],
+        members: Mapping[str, Mapping[str, model.Vm]],
         held: Mapping[str, budgets.PoolBudget],
         now_s: float,
         epoch: int,
@@ -105,7 +119,7 @@
                 commits.append(_change(wave_id, wave, "cancelled", epoch))
             elif wave.pool not in active:
                 active.add(wave.pool)
-                found = members.get(wave.pool, [])
+                found = sorted(members.get(wave.pool, {}).values())
                 commits += self._step(
                     wave_id, wave, found, held[wave.pool], now_s, epoch
                 )
@@ -121,7 +135,7 @@
         epoch: int,
     ) -> list[records.Record]:
         progress = self._progress.setdefault(wave_id, _Progress(now_s))
-        base = _decode_base(wave.base)
+        base = decode_base(wave.base)
         self._observe(wave_id, base, members, progress, now_s)
         if wave.state == "running" and progress.last_state == "paused":
             progress.skipped |= progress.failed
@@ -129,7 +143,7 @@
         if wave.state == "paused":
             return []
         if not wave.base:
-            text = _encode_base(members)
+            text = encode_base(members)
             if not text:
                 return [_change(wave_id, wave, "done", epoch)]
             return [_change(wave_id, wave, "running", epoch, base=text)]
@@ -148,21 +162,36 @@
         progress: _Progress,
         now_s: float,
     ) -> None:
-        """Notes which VMs of the wave serve again and which have failed."""
+        """Notes which VMs of the wave serve again and which have failed.
+
+        What happens to a VM that the wave has not stopped says nothing of it.
+        """
         for vm in members:
             held = self._state.disruptions.get(vm.name)
             is_held = held is not None and held.reason == wave_id
-            is_done = vm.name in base and vm.incarnation > base[vm.name]
+            is_back = vm.name in base and vm.incarnation > base[vm.name]
+            is_done = is_back and self._was_stopped(wave_id, vm, progress)
             if is_held or is_done:
                 progress.held_since_s.setdefault(vm.name, now_s)
                 failed = vm.health is model.Health.FAILED
                 if is_held:
-                    failed = self._is_late(vm, now_s)
+                    # One that serves again waits only for its records.
+                    serves = is_back and vm.health is model.Health.SERVING
+                    failed = not serves and self._is_late(vm, now_s)
                 if failed:
                     progress.failed.add(vm.name)
             if is_done and not is_held:
                 progress.served.add(vm.name)
 
+    def _was_stopped(
+        self, wave_id: str, vm: model.Vm, progress: _Progress
+    ) -> bool:
+        """Returns whether the wave stopped a VM, also under earlier owners."""
+        row = self._state.maintained.get(vm.name)
+        begun_offset = self._state.waves[wave_id].begun_offset
+        is_recorded = row is not None and row.offset > begun_offset
+        return is_recorded or vm.name in progress.held_since_s
+
     def _is_late(self, vm: model.Vm, now_s: float) -> bool:
         """Returns whether a VM is not back in time from its reboot."""
         if vm.health is model.Health.FAILED:
@@ -253,6 +282,17 @@
         return stopped + [holding.vm for holding in yielding]
 
 
+def encode_base(members: Iterable[model.Vm]) -> str:
+    """Returns the incarnations of VMs as `records.WaveChanged` keeps them."""
+    return ",".join(f"{vm.name}={vm.incarnation}" for vm in members)
+
+
+def decode_base(text: str) -> dict[str, int]:
+    """Returns the incarnations that `encode_base` wrote."""
+    pairs = (item.rpartition("=") for item in text.split(",") if item)
+    return {name: int(incarnation) for name, _, incarnation in pairs}
+
+
 def _change(
     wave_id: str,
     wave: tables.Wave,
@@ -263,12 +303,3 @@
 ) -> records.WaveChanged:
     text = reason or wave.reason
     return records.WaveChanged(wave_id, wave.pool, state, text, epoch, base)
-
-
-def _encode_base(members: Iterable[model.Vm]) -> str:
-    return ",".join(f"{vm.name}={vm.incarnation}" for vm in members)
-
-
-def _decode_base(text: str) -> dict[str, int]:
-    pairs = (item.rpartition("=") for item in text.split(",") if item)
-    return {name: int(incarnation) for name, _, incarnation in pairs}
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -37,10 +37,12 @@
     "KeyGiven",
     "KeyWithdrawn",
     "LentGrantsReclaimed",
+    "MaintenanceRecorded",
     "NoteAccepted",
     "PoolClaimed",
     "PoolEpochRaised",
     "PoolReleased",
+    "PoolRetired",
     "Record",
     "SCHEMA_VERSION",
     "SessionEnded",
@@ -212,6 +214,24 @@
     successor: str = ""
 
 
+@register_record("pool-retired")
+class PoolRetired(typing.NamedTuple):
+    """The owner of a withdrawn pool goes on to the end of the withdrawal.
+
+    Attributes:
+        revision: revision of the note that withdrew the pool.
+        step: `drained` when no job is left that must run; `removed` when no VM
+            is left either and results were kept for long enough.
+    """
+
+    pool: str
+    node: str
+    incarnation: str
+    epoch: int
+    revision: int
+    step: str
+
+
 @register_record("grant-changed")
 class GrantChanged(typing.NamedTuple):
     """A node sets the part of a team's upper limit that it may use.
@@ -324,6 +344,20 @@
     epoch: int
 
 
+@register_record("maintenance-recorded")
+class MaintenanceRecorded(typing.NamedTuple):
+    """VMs were maintained, or count as such until they are due again.
+
+    Attributes:
+        ended_at_s: time by VM, in whole seconds of UTC by the clock of the
+            owner of the fleet.
+    """
+
+    pool: str
+    ended_at_s: dict[str, int]
+    epoch: int
+
+
 @register_record("wave-changed")
 class WaveChanged(typing.NamedTuple):
     """A maintenance wave of a pool changes its state.
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from foxtaillock.model import objects
 from foxtaillock.model import records
 
 __all__ = [
@@ -12,6 +13,7 @@
     "Grant",
     "HistoryEntry",
     "KeptRecord",
+    "Maintenance",
     "SessionKey",
     "StoredKey",
     "StoredObject",
@@ -144,14 +146,27 @@
     offset: int
 
 
+class Maintenance(typing.NamedTuple):
+    """Last maintenance of a VM; see `records.MaintenanceRecorded`."""
+
+    ended_at_s: int
+    offset: int
+
+
 class Wave(typing.NamedTuple):
-    """A maintenance wave of a pool; see `records.WaveChanged`."""
+    """A maintenance wave of a pool; see `records.WaveChanged`.
+
+    Attributes:
+        offset: offset of its last change.
+        begun_offset: offset of its first record.
+    """
 
     pool: str
     state: str
     reason: str
     offset: int
     base: str = ""
+    begun_offset: int = 0
 
 
 class KeptRecord(typing.NamedTuple):
@@ -199,6 +214,7 @@
     to_carry: dict[str, SessionKey] = dataclasses.field(default_factory=dict)
     vms: dict[str, StoredVm] = dataclasses.field(default_factory=dict)
     disruptions: dict[str, Disruption] = dataclasses.field(default_factory=dict)
+    maintained: dict[str, Maintenance] = dataclasses.field(default_factory=dict)
     waves: dict[str, Wave] = dataclasses.field(default_factory=dict)
     kept: list[KeptRecord] = dataclasses.field(default_factory=list)
     kept_bytes: int = 0
@@ -208,6 +224,13 @@
         """Returns an object, or None."""
         return self.objects.get(kind, {}).get(name)
 
+    def find_in_force(self, kind: str, name: str) -> StoredObject | None:
+        """Returns an object that is not being withdrawn, or None."""
+        stored = self.find(kind, name)
+        if stored is None or not objects.is_in_force(stored.body):
+            return None
+        return stored
+
     def is_live(self, session: SessionKey) -> bool:
         """Returns whether a session stands and has not ended."""
         row = self.sessions.get(session)
