--- a/foxtaillock/jobs/pool_snapshots.py
+++ b/foxtaillock/jobs/pool_snapshots.py
@@ -6,11 +6,11 @@
 
 from loguru import logger
 
-from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces
 from foxtaillock.jobs import pool_state
 from foxtaillock.model import clock as model_clock
 from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshot_schedule
 from foxtaillock.state import snapshots
 
 __all__ = ["PoolSnapshots", "snapshot_stream_of"]
@@ -61,11 +61,7 @@
         self._state = state
         self._replica = replica
         self._node = node
-        self._clock = clock
         self._rng = rng
-        self._is_writer = is_writer
-        self._settings = settings
-        self._last_s = clock.monotonic_s()
         self._fold = snapshots.SnapshotFold()
         self._chunks = replicas.StreamReplica(
             log,
@@ -77,6 +73,17 @@
             rng=rng,
             settings=_READS,
         )
+        self._schedule = snapshot_schedule.SnapshotSchedule(
+            log,
+            pool_state.stream_of(pool),
+            snapshot_stream_of(pool),
+            self._fold,
+            clock=clock,
+            is_writer=is_writer,
+            write=self._write,
+            check_s=_CHECK_S,
+            settings=settings,
+        )
 
     async def load(self) -> None:
         """Loads the newest usable snapshot and sets where to read on.
@@ -86,11 +93,13 @@
             exceptions.LogUnreachableError: no answer.
             exceptions.StateDivergedError: no snapshot covers what expired.
         """
-        stream = snapshot_stream_of(self._pool)
-        self._chunks.start_at(await self._oldest_offset(stream))
+        oldest_offset = await snapshot_schedule.read_oldest_offset(
+            self._log, snapshot_stream_of(self._pool)
+        )
+        self._chunks.start_at(oldest_offset)
         await self._chunks.read_to_end()
-        oldest_offset = await self._oldest_offset(
-            pool_state.stream_of(self._pool)
+        oldest_offset = await snapshot_schedule.read_oldest_offset(
+            self._log, pool_state.stream_of(self._pool)
         )
         candidates = [row.unpack() for row in self._fold.whole]
         next_offset = snapshots.load_newest(
@@ -102,28 +111,7 @@
         """Follows the snapshots and writes one when it is due."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._chunks.run())
-            group.create_task(self._write_forever())
-
-    async def _write_forever(self) -> None:
-        while True:
-            await asyncio.sleep(_CHECK_S)
-            try:
-                if self._is_writer() and await self._is_due():
-                    await self._write()
-            except exceptions.FoxtaillockError as error:
-                logger.warning("pool {}: no snapshot: {}", self._pool, error)
-
-    async def _is_due(self) -> bool:
-        stream = pool_state.stream_of(self._pool)
-        oldest_chunk = await self._oldest_offset(snapshot_stream_of(self._pool))
-        return snapshots.is_due(
-            self._settings,
-            self._fold.whole,
-            next_offset=self._replica.next_offset,
-            oldest_offset=await self._oldest_offset(stream),
-            oldest_chunk_offset=oldest_chunk,
-            since_last_s=self._clock.monotonic_s() - self._last_s,
-        )
+            group.create_task(self._schedule.run())
 
     async def _write(self) -> None:
         """Writes the state as it is now; no record is folded meanwhile."""
@@ -134,11 +122,7 @@
             snapshots.digest_of(text),
             text,
         )
-        self._last_s = self._clock.monotonic_s()
+        self._schedule.note_snapshot()
         for chunk in snapshots.split(snapshot):
             await self._chunks.commit(chunk)
         logger.info("snapshot of pool {} is written", self._pool)
-
-    async def _oldest_offset(self, stream: str) -> int:
-        page = await self._log.read(stream, 0, 1, 0.0)
-        return page.oldest_offset
--- a/foxtaillock/state/snapshotter.py
+++ b/foxtaillock/state/snapshotter.py
@@ -16,6 +16,7 @@
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
+from foxtaillock.state import snapshot_schedule
 from foxtaillock.state import snapshots
 
 __all__ = ["Snapshotter"]
@@ -62,16 +63,23 @@
         self._chunks = chunks
         self._fold = fold
         self._node = node
-        self._clock = clock
         self._rng = rng
-        self._is_writer = is_writer
-        self._settings = settings
-        self._last_s = clock.monotonic_s()
         self._newest_id = ""
         self._digests: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
         self._taken: snapshots.Snapshot | None = None
+        self._schedule = snapshot_schedule.SnapshotSchedule(
+            log,
+            records.CONTROL_STREAM,
+            records.SNAPSHOT_STREAM,
+            fold,
+            clock=clock,
+            is_writer=is_writer,
+            write=self._write,
+            check_s=_CHECK_S,
+            settings=settings,
+        )
         control.on_batch(self._on_control_batch)
         chunks.on_batch(self._on_chunk_batch)
 
@@ -113,36 +121,17 @@
         self._control.require_offset(max([page.next_offset, *offsets]))
 
     async def _read_chunks(self) -> None:
-        page = await self._log.read(records.SNAPSHOT_STREAM, 0, 1, 0.0)
-        self._chunks.start_at(page.oldest_offset)
+        oldest_offset = await snapshot_schedule.read_oldest_offset(
+            self._log, records.SNAPSHOT_STREAM
+        )
+        self._chunks.start_at(oldest_offset)
         await self._chunks.read_to_end()
 
     async def run(self) -> None:
         """Follows the snapshots' stream and writes snapshots when due."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._chunks.run())
-            group.create_task(self._write_forever())
-
-    async def _write_forever(self) -> None:
-        while True:
-            await asyncio.sleep(_CHECK_S)
-            try:
-                if self._is_writer() and await self._is_due():
-                    await self._write()
-            except exceptions.FoxtaillockError as error:
-                loguru.logger.warning("no snapshot: {}", error)
-
-    async def _is_due(self) -> bool:
-        control = await self._log.read(records.CONTROL_STREAM, 0, 1, 0.0)
-        chunks = await self._log.read(records.SNAPSHOT_STREAM, 0, 1, 0.0)
-        return snapshots.is_due(
-            self._settings,
-            self._fold.whole,
-            next_offset=control.next_offset,
-            oldest_offset=control.oldest_offset,
-            oldest_chunk_offset=chunks.oldest_offset,
-            since_last_s=self._clock.monotonic_s() - self._last_s,
-        )
+            group.create_task(self._schedule.run())
 
     async def _write(self) -> None:
         snapshot_id = f"{self._node}-{self._rng.getrandbits(48):012x}"
@@ -190,7 +179,7 @@
         newest_id = whole[-1].snapshot_id if whole else ""
         if newest_id != self._newest_id:
             self._newest_id = newest_id
-            self._last_s = self._clock.monotonic_s()
+            self._schedule.note_snapshot()
         self._compare()
 
     def _compare(self) -> None:
