--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -262,6 +262,7 @@
         self._background.spawn(self._follow_control())
         self._background.spawn(self.control.snapshotter.run())
         await self._retry(self.replica.catch_up)
+        logger.info("state is read up to offset {}", self.replica.next_offset)
         self.measures.begin()
         self.peer_port = await self.peer_server.start(
             settings.peer_host, settings.peer_port
