Limits: idle nodes give up grants for nodes that have none

Cause: with a limit of 4 and three VMs an idle VM gave its only grant up for what another said it wanted, and told of that less only if others lacked something. Nobody lacks in an idle fleet, so that the VM stayed without a grant and without a standing part. Ruled out: the time to settle, load.

--- a/foxtaillock/limits/decisions.py
+++ b/foxtaillock/limits/decisions.py
@@ -72,6 +72,7 @@
         hold_s: time for which standing parts are held; none at zero.
         may_raise_standing: whether a change may be written just to raise the
             standing part.
+        may_yield: whether idle grants may be given up to nodes without any.
     """
 
     team: str
@@ -86,6 +87,7 @@
     is_open: bool = False
     hold_s: float = 0.0
     may_raise_standing: bool = True
+    may_yield: bool = True
 
 
 class EndedSession(typing.NamedTuple):
@@ -169,6 +171,10 @@
     amount = own.amount
     if view.leaving or free < 0 or _find_lack(holder, view) > free:
         amount = min(own.amount, target)
+    if amount == own.amount and view.may_yield:
+        amount = _yield_idle(holder, view, amount, wanted, free)
+    if own.amount == 0 and _may_stand(view):
+        target = max(target, 1)
     if amount < target and free > 0 and not view.leaving:
         if wanted > own.amount or own.amount == 0:
             amount += _take_part(holder, view, target - amount, free)
@@ -191,7 +197,7 @@
     It leaves room for the job attempts that run and, but for the floor, for
     those that wait: attempts never run under a standing part.
     """
-    if not view.hold_s or not view.is_open or view.leaving:
+    if not _may_stand(view):
         return 0
     nodes = max(1, len(view.live))
     fair = max(1, int(view.limit * _STANDING_FRACTION) // nodes)
@@ -206,10 +212,38 @@
     return max(0, min(fair, room, free, unclaimed))
 
 
+def _may_stand(view: TeamView) -> bool:
+    """Returns whether this node may have a standing part of the team."""
+    return view.hold_s > 0.0 and view.is_open and not view.leaving
+
+
+def _yield_idle(
+    holder: tuple[str, str],
+    view: TeamView,
+    amount: int,
+    wanted: int,
+    free: int,
+) -> int:
+    """Returns what is left of `amount` for nodes that have no grant at all.
+
+    They lost it to a demand that has passed, and a zone of theirs that is cut
+    off could start nothing. Only what this node could not use is given up.
+    """
+    if not _may_stand(view):
+        return amount
+    starved = sum(
+        view.grants.get(other, Grant(0, 0)).amount == 0
+        for other in view.live
+        if other != holder
+    )
+    given = max(0, starved - max(0, free))
+    return min(amount, max(wanted, 1, amount - given))
+
+
 def _find_floor(view: TeamView) -> int:
     """Returns what each node keeps of a team with open services, if all of
     these together are a small part of the limit."""
-    if not view.hold_s or not view.is_open or view.leaving:
+    if not _may_stand(view):
         return 0
     return int(len(view.live) <= view.limit * _FLOOR_FRACTION)
 
--- a/foxtaillock/limits/grants.py
+++ b/foxtaillock/limits/grants.py
@@ -264,6 +264,7 @@
             folded.is_open,
             self._hold_s,
             now_s - count.standing_raised_at_s >= _STANDING_INTERVAL_S,
+            now_s - count.lowered_at_s >= _STANDING_INTERVAL_S,
         )
         for change in decisions.decide(*self._holder, [view]):
             if change.amount < count.granted:
--- a/foxtaillock/limits/tests/test_standing.py
+++ b/foxtaillock/limits/tests/test_standing.py
@@ -82,6 +82,45 @@
         self.assertEqual((change.amount, change.standing), (1, 1))
 
 
+class IdleFleetTest(unittest.TestCase):
+    """Idle nodes whose last demand left one of them without any grant."""
+
+    _LIMIT = 4
+    _LIVE = (("e0", "x"), ("e1", "x"), ("e2", "x"))
+
+    def _run_rounds(
+        self, rows: dict[tuple[str, str], decisions.Grant], count: int
+    ) -> int:
+        """Lets each node decide in turn; returns the number of changes."""
+        changes = 0
+        for holder in self._LIVE * count:
+            view = decisions.TeamView(
+                "t", self._LIMIT, dict(rows), self._LIVE, 0, 0
+            )
+            view = view._replace(is_open=True, hold_s=_HOLD_S)
+            for change in decisions.decide(*holder, [view]):
+                changes += 1
+                rows[holder] = decisions.Grant(*change[3:])
+                total = sum(grant.amount for grant in rows.values())
+                self.assertLessEqual(total, self._LIMIT)
+        return changes
+
+    def test_each_gets_a_standing_part_back_and_keeps_it(self) -> None:
+        for amounts in ((2, 2, 0), (4, 0, 0), (0, 0, 4), (1, 3, 0), (0, 4, 0)):
+            for wants in ((0, 0, 0), (2, 2, 0), (0, 2, 0), (4, 0, 0)):
+                rows = {
+                    holder: decisions.Grant(amount, wanted, 0, _HOLD_S)
+                    for holder, amount, wanted in zip(
+                        self._LIVE, amounts, wants
+                    )
+                }
+                with self.subTest(amounts=amounts, wants=wants):
+                    self._run_rounds(rows, 10)
+                    parts = [grant.standing for grant in rows.values()]
+                    self.assertEqual(parts, [1, 1, 1])
+                    self.assertEqual(self._run_rounds(rows, 5), 0)
+
+
 class DecideReclaimsTest(unittest.TestCase):
 
     def _kinds(self, now_s: float, **fields: typing.Any) -> list[str]:
--- a/foxtaillock/notes/tests/test_notes.py
+++ b/foxtaillock/notes/tests/test_notes.py
@@ -135,8 +135,8 @@
             "  teams:\n"
             "    a: {share: 1, limit: 1, objective_latency_s: 2}\n"
             "    b: {share: 1, limit: 1, objective: 1}\n"
-            "    c: {share: 1, limit: 1, objective: 0.9, objective_latency_s: 2,"
-            " objective_window_days: 31}\n"
+            "    c: {share: 1, limit: 1, objective: 0.9,"
+            " objective_latency_s: 2, objective_window_days: 31}\n"
         )
         places = [place for place, _, _ in _faults(parser.parse(text))]
         self.assertEqual(
