Keys: a withdrawn key is rejected by any view, also a stale one

Cause: after the end of its session peers push no news to a VM; it hears of the withdrawal when it asks, up to a second later. By then its view can be stale, which was looked at first. A withdrawn id is never given again, so that knowing it is enough. Ruled out: that the key went on working.

--- a/foxtaillock/state/keys.py
+++ b/foxtaillock/state/keys.py
@@ -93,6 +93,8 @@
     """Returns whether a key works for `role`.
 
     The digest is compared in constant time, also when the key id is unknown.
+    A withdrawn key is known to be so by any view, as its id is never given
+    again.
 
     Args:
         secret: whole text of the key that was shown.
@@ -104,12 +106,12 @@
     stored = lookup(key_id) if key_id else None
     expected = stored.digest if stored and stored.digest else _DUMMY_DIGEST
     matches = hmac.compare_digest(digest_of(secret), expected)
+    if stored is not None and stored.withdrawn:
+        return KeyRejected(KeyRejection.WITHDRAWN)
     if not is_view_fresh:
         return KeyRejected(KeyRejection.STALE_VIEW)
     if stored is None:
         return KeyRejected(KeyRejection.UNKNOWN)
-    if stored.withdrawn:
-        return KeyRejected(KeyRejection.WITHDRAWN)
     if not matches:
         return KeyRejected(KeyRejection.WRONG_SECRET)
     if (role is KeyRole.OPERATOR) == bool(stored.team):
--- a/foxtaillock/state/tests/test_keys.py
+++ b/foxtaillock/state/tests/test_keys.py
@@ -51,6 +51,12 @@
                 _check(_SECRET, _STORED._replace(withdrawn=True)),
                 rejection.WITHDRAWN,
             ),
+            (
+                _check(
+                    _SECRET, _STORED._replace(withdrawn=True), is_fresh=False
+                ),
+                rejection.WITHDRAWN,
+            ),
             (
                 _check(_SECRET, _STORED, is_fresh=False),
                 rejection.STALE_VIEW,
