--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -17,6 +17,12 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 _WORKERS = 5
+_SLOW_PACKAGES = (
+    "foxtaillock.integration.",
+    "foxtaillock.state.",
+    "foxtaillock.fleet.",
+    "foxtaillock.limits.",
+)
 
 
 class ModuleResult(typing.NamedTuple):
@@ -56,13 +62,21 @@
 
 
 def find_modules() -> list[str]:
-    """Returns the dotted names of all test modules, sorted."""
-    paths = sorted(_ROOT.glob("*/**/tests/test_*.py"))
-    return [
+    """Returns the dotted names of all test modules.
+
+    Packages with slow modules come first, so that no process is left alone
+    with one at the end; else they are sorted.
+    """
+    names = [
         ".".join(path.relative_to(_ROOT).with_suffix("").parts)
-        for path in paths
+        for path in _ROOT.glob("*/**/tests/test_*.py")
         if ".venv" not in path.parts
     ]
+    return sorted(names, key=lambda name: (not _is_slow(name), name))
+
+
+def _is_slow(name: str) -> bool:
+    return name.startswith(_SLOW_PACKAGES)
 
 
 def read_known_red() -> set[str]:
