--- /dev/null
+++ b/foxtaillock/jobs/tests/fake_log.py
@@ -0,0 +1,152 @@
+"""Fakes of the log, of an owner's replica of it, and of its grants."""
+
+import asyncio
+import collections
+
+from foxtaillock import exceptions
+from foxtaillock.jobs import pool_state
+from foxtaillock.model import records
+from foxtaillock.model import verdicts
+
+__all__ = ["FakeGrants", "FakeLog", "FakeReplica", "Gate"]
+
+
+class Gate:
+    """Holds one process up at a chosen step, for a while or for ever.
+
+    Args:
+        point: name of the steps at one of which it is held up, or empty.
+        countdown: steps of this name that pass before.
+
+    Attributes:
+        held: whether it is held up now.
+    """
+
+    def __init__(self, point: str = "", countdown: int = 0) -> None:
+        self.point = point
+        self.held = False
+        self._countdown = countdown
+        self._open = asyncio.Event()
+
+    async def step(self, point: str) -> None:
+        """Returns at once, or when the process goes on."""
+        await asyncio.sleep(0)
+        if point == self.point:
+            self.held = self.held or self._countdown == 0
+            self._countdown -= 1
+        if self.held:
+            await self._open.wait()
+
+    def resume(self) -> None:
+        """Lets the process go on."""
+        self.held = False
+        self._open.set()
+
+
+class FakeLog:
+    """Batches of one stream.
+
+    Attributes:
+        down: whether appends are refused.
+        faults: what happens to the next appends: `ok`, `lost-answer` (it
+            stands), `lost-request` (it does not), `late` (it stands only
+            after the next append).
+    """
+
+    def __init__(self) -> None:
+        self.batches: list[records.Batch] = []
+        self.down = False
+        self.faults: collections.deque[str] = collections.deque()
+        self.late: list[records.Batch] = []
+
+    def append(self, batch: records.Batch) -> None:
+        """Appends a batch, or does what the next fault says."""
+        if self.down:
+            raise exceptions.NotRunError("log is down")
+        fault = self.faults.popleft() if self.faults else "ok"
+        if fault == "late":
+            self.late.append(batch)
+        elif fault != "lost-request":
+            self.batches.append(batch)
+            self.batches.extend(self.late)
+            self.late.clear()
+        if fault != "ok":
+            raise exceptions.OutcomeUnknownError("log gave no answer")
+
+
+class FakeReplica:
+    """Replica of a `FakeLog`; one for each process."""
+
+    def __init__(
+        self, log: FakeLog, writer: str, incarnation: str, gate: Gate
+    ) -> None:
+        self.state = pool_state.PoolState()
+        self._gate = gate
+        self.commits = 0
+        self._log = log
+        self._writer = (writer, incarnation)
+        self._sequence = 0
+        self._verdicts: list[list[verdicts.Verdict]] = []
+
+    async def commit(
+        self, record: records.Record, *, urgent: bool = False
+    ) -> verdicts.Verdict:
+        """Appends one record and reads it back."""
+        del urgent
+        kind = type(record).__name__
+        await self._gate.step(f"before {kind} is recorded")
+        self._sequence += 1
+        self.commits += 1
+        batch = records.Batch(*self._writer, self._sequence, (record,))
+        self._log.append(batch)
+        await self._gate.step(f"after {kind} is recorded")
+        self.fold()
+        at = self._log.batches.index(batch)
+        return self._verdicts[at][0]
+
+    async def catch_up(self) -> None:
+        """Folds all that stands."""
+        self.fold()
+
+    def age_s(self) -> float:
+        """Returns zero."""
+        return 0.0
+
+    def log_refused_age_s(self) -> float:
+        """Returns zero while the log is down, else infinity."""
+        return 0.0 if self._log.down else float("inf")
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next batch to fold."""
+        return len(self._verdicts)
+
+    def fold(self) -> None:
+        """Folds the batches that are new."""
+        for offset in range(self.next_offset, len(self._log.batches)):
+            given = self.state.apply(offset, self._log.batches[offset])
+            self._verdicts.append(list(given))
+
+
+class FakeGrants:
+    """Grants with one limit for each team; remembers the largest use."""
+
+    def __init__(self, limits: dict[str, int]) -> None:
+        self.limits = limits
+        self.used: collections.Counter[str] = collections.Counter()
+
+    def try_start(self, team: str) -> bool:
+        """Counts one more if the limit allows."""
+        if self.used[team] >= self.limits.get(team, 0):
+            return False
+        self.used[team] += 1
+        return True
+
+    def finish(self, team: str) -> None:
+        """Counts one less."""
+        self.used[team] -= 1
+        assert self.used[team] >= 0, f"usage of {team} is below zero"
+
+    def adopt(self, team: str) -> None:
+        """Counts one more."""
+        self.used[team] += 1
--- a/foxtaillock/jobs/tests/test_recovery.py
+++ b/foxtaillock/jobs/tests/test_recovery.py
@@ -15,6 +15,8 @@
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.jobs import results
 from foxtaillock.jobs import supervisor
+from foxtaillock.jobs.tests import fake_log
+from foxtaillock.jobs.tests import fake_workers
 from foxtaillock.jobs.tests import fakes
 from foxtaillock.model import outcomes
 
@@ -43,7 +45,7 @@
 class _Process:
     """One entry VM that owns the pool for some time."""
 
-    def __init__(self, site: fakes.Site, gate: fakes.Gate) -> None:
+    def __init__(self, site: fakes.Site, gate: fake_log.Gate) -> None:
         self._site = site
         self.gate = gate
         self.lease_end_s = 0.0
@@ -111,7 +113,7 @@
 
     async def _take_over(self, faulty: bool) -> _Process:
         point = self.rng.choice(_POINTS) if faulty else ""
-        gate = fakes.Gate(point, self.rng.randrange(6))
+        gate = fake_log.Gate(point, self.rng.randrange(6))
         process = _Process(self.site, gate)
         process.turn()
         await _let_run()
@@ -256,14 +258,16 @@
             self.assertGreater(points[point], 0, point)
 
     def test_schedules_find_a_missing_fence(self) -> None:
-        original = fakes.FakeWorkers.__init__
+        original = fake_workers.FakeWorkers.__init__
 
-        def _unfenced(self: fakes.FakeWorkers, *arguments: object) -> None:
+        def _unfenced(
+            self: fake_workers.FakeWorkers, *arguments: object
+        ) -> None:
             original(self, *arguments)  # type: ignore[arg-type]
             self.is_fenced = False
 
         with unittest.mock.patch.object(
-            fakes.FakeWorkers, "__init__", _unfenced
+            fake_workers.FakeWorkers, "__init__", _unfenced
         ):
             self.assertTrue(_finds("times"))
 
