--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import sys
+import time
 import typing
 import unittest
 
@@ -17,6 +18,7 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 _WORKERS = 5
+_SLOWEST_SHOWN = 5
 _SLOW_PACKAGES = (
     "foxtaillock.integration.",
     "foxtaillock.state.",
@@ -33,12 +35,14 @@
         passed: ids of the tests that passed.
         failed: ids of the tests that failed, with the report of each.
         skipped: ids of the tests that were skipped.
+        duration_s: time that the module took.
     """
 
     module: str
     passed: list[str]
     failed: list[tuple[str, str]]
     skipped: list[str]
+    duration_s: float
 
 
 class _LineStream(io.StringIO):
@@ -92,6 +96,7 @@
 
 def run_module(module: str) -> ModuleResult:
     """Runs one test module in this process."""
+    started_s = time.monotonic()
     suite = unittest.defaultTestLoader.loadTestsFromName(module)
     collector = _Collector(_LineStream())
     suite.run(collector)
@@ -99,7 +104,8 @@
     failed = [(test.id(), report) for test, report in bad]
     failed += [(t.id(), "passed") for t in collector.unexpectedSuccesses]
     skipped = [test.id() for test, _ in collector.skipped]
-    return ModuleResult(module, collector.passed, failed, skipped)
+    duration_s = time.monotonic() - started_s
+    return ModuleResult(module, collector.passed, failed, skipped, duration_s)
 
 
 def main(arguments: list[str]) -> int:
@@ -119,6 +125,9 @@
         print(f"{label} {name}\n{report}")
     for name in skipped:
         print(f"SKIPPED {name}")
+    slowest = sorted(results, key=lambda result: -result.duration_s)
+    for result in slowest[:_SLOWEST_SHOWN]:
+        print(f"slow: {result.module} {result.duration_s:.0f} s")
     counted = [name for name, _ in failures if name not in known]
     print(f"{passed} passed, {len(counted)} failed")
     return 1 if counted or not passed else 0
