--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -37,6 +37,7 @@
 WAITING_JOBS_PER_POOL = 10_000
 JOBS_PER_S_PER_POOL = 1.0
 RECORDS_PER_JOB = 3.0
+UPKEEPS_PER_S = 4.0
 RENEW_S = 1.0
 LINKS_OF_NINE = 6
 LIST_CHANGES_PER_EVENT = 2
@@ -229,6 +230,7 @@
     jobs = WAITING_JOBS_PER_POOL * pools
     job_records = JOBS_PER_S_PER_POOL * pools * RECORDS_PER_JOB
     placement_us = value["placement_cost.68_workers_10000_waiting_mean_us"]
+    upkeep_us = value["placement_cost.68_workers_10000_waiting_upkeep_p99_us"]
     owner = Role(
         "pool owner with placement",
         jobs
@@ -239,10 +241,11 @@
         / _MIB,
         figures.log_bytes_per_pool.slope * pools,
         figures.cpu_per_pool.slope * pools
-        + 100.0 * JOBS_PER_S_PER_POOL * pools * placement_us / 1e6,
+        + 100.0 * JOBS_PER_S_PER_POOL * pools * placement_us / 1e6
+        + 100.0 * UPKEEPS_PER_S * pools * upkeep_us / 1e6,
         job_records,
         "owners per pool; a stream a pool; group commit",
-        "built",
+        "built; the upkeep of shares counts four times a second at its p99",
         "appends: jobs a second over all pools, before batching",
     )
     planner = Role(
@@ -431,13 +434,14 @@
     )
     plan_s = figures.values["planner.full_plan_s"]
     lines.append(_limit_row("s for a whole plan", plan_s, plan_s, 5.0))
-    placement_ms = (
-        figures.values["placement_cost.68_workers_10000_waiting_mean_us"]
-        / 1000.0
-    )
-    lines.append(
-        _limit_row("ms for a placement", placement_ms, placement_ms, 1.0)
-    )
+    for name, figure in (
+        ("ms for a placement, mean", "mean_us"),
+        ("ms for a placement, p99", "p99_us"),
+        ("ms for a placement with the upkeep, p99", "with_upkeep_p99_us"),
+    ):
+        key = f"placement_cost.68_workers_10000_waiting_{figure}"
+        cost_ms = figures.values[key] / 1000.0
+        lines.append(_limit_row(name, cost_ms, cost_ms, 1.0))
     return lines
 
 
