--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -434,6 +434,11 @@
     )
     plan_s = figures.values["planner.full_plan_s"]
     lines.append(_limit_row("s for a whole plan", plan_s, plan_s, 5.0))
+    return lines + _placement_rows(figures)
+
+
+def _placement_rows(figures: Figures) -> list[str]:
+    rows = []
     for name, figure in (
         ("ms for a placement, mean", "mean_us"),
         ("ms for a placement, p99", "p99_us"),
@@ -441,8 +446,8 @@
     ):
         key = f"placement_cost.68_workers_10000_waiting_{figure}"
         cost_ms = figures.values[key] / 1000.0
-        lines.append(_limit_row(name, cost_ms, cost_ms, 1.0))
-    return lines
+        rows.append(_limit_row(name, cost_ms, cost_ms, 1.0))
+    return rows
 
 
 def _cpu_name(figures: Figures) -> str:
