--- a/bench/placement_curve.py
+++ b/bench/placement_curve.py
@@ -12,7 +12,8 @@
 from collections.abc import Mapping
 
 from bench import harness
-from bench import placement
+from bench import placement_cost
+from bench import pool_model
 
 __all__ = ["run"]
 
@@ -21,7 +22,7 @@
 _OF_WAITING, _OF_WORKERS = 68, 10_000
 _TEAMS = 61
 _FIELDS = ("median_us", "p99_us", "upkeep_p99_us", "with_upkeep_p99_us")
-_Curve = dict[int, placement.Figures]
+_Curve = dict[int, pool_model.Figures]
 
 
 def run(quick: bool) -> harness.Result:
@@ -33,17 +34,17 @@
     waiting = _WAITING[:2] if quick else _WAITING
     workers = _WORKERS[:2] if quick else _WORKERS
 
-    def _trial(rng: random.Random) -> placement.Figures:
+    def _trial(rng: random.Random) -> pool_model.Figures:
         seed = rng.randrange(1_000_000)
         over_waiting = {
-            n: placement.measure_cost(
-                placement.CostRow(_OF_WAITING, _TEAMS, n), seed
+            n: placement_cost.measure_cost(
+                placement_cost.CostRow(_OF_WAITING, _TEAMS, n), seed
             )
             for n in waiting
         }
         over_workers = {
-            n: placement.measure_cost(
-                placement.CostRow(n, _TEAMS, _OF_WORKERS), seed
+            n: placement_cost.measure_cost(
+                placement_cost.CostRow(n, _TEAMS, _OF_WORKERS), seed
             )
             for n in workers
         }
@@ -63,7 +64,7 @@
     return harness.result("placement_curve", quick, parameters, measurements)
 
 
-def _figures(name: str, curve: _Curve) -> placement.Figures:
+def _figures(name: str, curve: _Curve) -> pool_model.Figures:
     figures = {}
     for n, found in curve.items():
         for field in _FIELDS:
@@ -74,7 +75,7 @@
     return figures
 
 
-def _fit(points: Mapping[int, float]) -> placement.Figures:
+def _fit(points: Mapping[int, float]) -> pool_model.Figures:
     """Returns the fit of the points against n log n, and the exponent."""
     sizes = [n * math.log2(n) for n in points]
     costs = list(points.values())
--- a/bench/pool_model.py
+++ b/bench/pool_model.py
@@ -13,11 +13,23 @@
 from foxtaillock.placement import shares
 from foxtaillock.placement import waiting
 
-__all__ = ["GIB", "PoolModel", "WORKER_SIZE", "random_size"]
-
+__all__ = [
+    "Figures",
+    "GIB",
+    "MEAN_RUN_TIME_S",
+    "PoolModel",
+    "TICK_S",
+    "WORKER_SIZE",
+    "make_teams",
+    "random_size",
+]
+
+MEAN_RUN_TIME_S = 5.0
+TICK_S = 0.1
 GIB = 2**30
 WORKER_SIZE = resources.Resources(16_000, 64 * GIB, 0)
 _ACCELERATED_SIZE = resources.Resources(16_000, 64 * GIB, 2)
+Figures = dict[str, float]
 
 
 class _Running(typing.NamedTuple):
@@ -151,6 +163,11 @@
         self.workers.release(worker, job_id)
 
 
+def make_teams(count: int) -> dict[str, objects.Team]:
+    """Returns teams with shares of 1 to 3 and no limit that binds."""
+    return {f"t{i}": {"share": 1 + i % 3, "limit": 10**6} for i in range(count)}
+
+
 def random_size(rng: random.Random) -> resources.Resources:
     """Returns the size of a random job; one in ten needs an accelerator."""
     cpu_millis = rng.choice((500, 1000, 2000, 4000, 8000))
