--- a/foxtaillock/adapters/http_log.py
+++ b/foxtaillock/adapters/http_log.py
@@ -17,25 +17,12 @@
 _REQUEST_TIMEOUT = 408
 
 
-class HttpLog:
+class HttpLog(http_session.HttpClient):
     """Client of the log; see `interfaces.LogService`.
 
-    Args:
-        url: root URL of the log.
-        timeout_s: longest wait for an answer, past the wait of a long poll.
-        session_factory: makes the client session.
+    A long poll may take its own wait longer than the timeout.
     """
 
-    def __init__(
-        self,
-        url: str,
-        timeout_s: float = 5.0,
-        session_factory: http_session.SessionFactory | None = None,
-    ) -> None:
-        self._url = url.rstrip("/")
-        self._timeout_s = timeout_s
-        self._session = http_session.Session(session_factory)
-
     async def append(self, stream: str, record: str) -> int:
         """Appends one record and returns its offset."""
         url = self._records_url(stream)
@@ -70,10 +57,6 @@
                 f"read of {stream} at {offset}: {error!r}"
             ) from error
 
-    async def close(self) -> None:
-        """Closes the connections."""
-        await self._session.close()
-
     def _records_url(self, stream: str) -> str:
         name = urllib.parse.quote(stream, safe="")
         return f"{self._url}/streams/{name}/records"
--- a/foxtaillock/adapters/http_pools.py
+++ b/foxtaillock/adapters/http_pools.py
@@ -9,24 +9,8 @@
 __all__ = ["HttpPools", "create_http_pools"]
 
 
-class HttpPools:
-    """Client of the service; see `interfaces.PoolService`.
-
-    Args:
-        url: root URL of the service.
-        timeout_s: longest wait for an answer.
-        session_factory: makes the client session.
-    """
-
-    def __init__(
-        self,
-        url: str,
-        timeout_s: float = 5.0,
-        session_factory: http_session.SessionFactory | None = None,
-    ) -> None:
-        self._url = url.rstrip("/")
-        self._timeout_s = timeout_s
-        self._session = http_session.Session(session_factory)
+class HttpPools(http_session.HttpClient):
+    """Client of the service; see `interfaces.PoolService`."""
 
     async def drain(self, vm: world.VmEntry) -> None:
         """Asks the VM to take no new work."""
@@ -40,10 +24,6 @@
         """Lets the VM take work again."""
         await self._post(vm, "undrain", {})
 
-    async def close(self) -> None:
-        """Closes the connections."""
-        await self._session.close()
-
     async def _post(
         self, vm: world.VmEntry, action: str, body: dict[str, str]
     ) -> None:
--- a/foxtaillock/adapters/http_session.py
+++ b/foxtaillock/adapters/http_session.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "Checker",
+    "HttpClient",
     "PlatformAnswerError",
     "Session",
     "SessionFactory",
@@ -121,6 +122,30 @@
             raise OSError(f"{url}: {error!r}") from error
 
 
+class HttpClient:
+    """Client of one HTTP service of the platform.
+
+    Args:
+        url: root URL of the service.
+        timeout_s: longest wait for an answer.
+        session_factory: makes the client session.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float = 5.0,
+        session_factory: SessionFactory | None = None,
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._session = Session(session_factory)
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._session.close()
+
+
 class Checker:
     """Reads typed fields of a JSON object and collects the findings.
 
--- a/foxtaillock/adapters/http_vm_list.py
+++ b/foxtaillock/adapters/http_vm_list.py
@@ -14,7 +14,7 @@
 _SIZE_FIELDS = len(resources.ZERO)
 
 
-class HttpVmList:
+class HttpVmList(http_session.HttpClient):
     """Client of the list; see `interfaces.VmList`.
 
     Args:
@@ -29,9 +29,7 @@
         timeout_s: float = 5.0,
         session_factory: http_session.SessionFactory | None = None,
     ) -> None:
-        self._url = url.rstrip("/")
-        self._timeout_s = timeout_s
-        self._session = http_session.Session(session_factory)
+        super().__init__(url, timeout_s, session_factory)
         self._tag = ""
         self._vms: Sequence[world.VmEntry] = ()
 
@@ -45,14 +43,10 @@
         )
         if changed is not None:
             value, tag = changed
-            self._vms = parse_vms(value)
+            self._vms = tuple(parse_vms(value))
             self._tag = tag
         return self._vms
 
-    async def close(self) -> None:
-        """Closes the connections."""
-        await self._session.close()
-
 
 @registry.register("vm-list", "http")
 def create_http_vm_list(
