Folds: the check of the epoch and the look for the job stand once

Five handlers of VMs and waves began with the same check of the fleet's epoch, five of a pool with the same look for the job; a decorator does it for each.

--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -26,6 +26,9 @@
 KEPT_RECORDS = 1_000
 
 _Handler = Callable[["PoolState", typing.Any], verdicts.Verdict]
+_JobHandler = Callable[
+    ["PoolState", typing.Any, jobs_job.Job], verdicts.Verdict
+]
 _HANDLERS: dict[type, _Handler] = {}
 
 
@@ -42,6 +45,22 @@
     return _register
 
 
+def _handles_job(record_class: type) -> Callable[[_JobHandler], _JobHandler]:
+    """Registers a handler that takes the job which the record names."""
+
+    def _register(handler: _JobHandler) -> _JobHandler:
+        def _handle(state: "PoolState", record: typing.Any) -> verdicts.Verdict:
+            job = state.job(record.job_id)
+            if job is None:
+                return _refused("unknown-job")
+            return handler(state, record, job)
+
+        _HANDLERS[record_class] = _handle
+        return handler
+
+    return _register
+
+
 def _refused(code: str) -> verdicts.Verdict:
     return verdicts.Verdict(False, code)
 
@@ -234,13 +253,10 @@
         self._set_state(job, world.JobState.WAITING)
         return verdicts.ACCEPTED
 
-    @_handles(records.AttemptStarted)
+    @_handles_job(records.AttemptStarted)
     def _start_attempt(
-        self, record: records.AttemptStarted
+        self, record: records.AttemptStarted, job: jobs_job.Job
     ) -> verdicts.Verdict:
-        job = self._jobs.get(record.job_id)
-        if job is None:
-            return _refused("unknown-job")
         if job.state not in jobs_job.WAITING:
             return _refused("not-waiting")
         if record.attempt != job.attempts + 1:
@@ -251,11 +267,10 @@
         self._set_state(job, world.JobState.STARTING)
         return verdicts.ACCEPTED
 
-    @_handles(records.AttemptEnded)
-    def _end_attempt(self, record: records.AttemptEnded) -> verdicts.Verdict:
-        job = self._jobs.get(record.job_id)
-        if job is None:
-            return _refused("unknown-job")
+    @_handles_job(records.AttemptEnded)
+    def _end_attempt(
+        self, record: records.AttemptEnded, job: jobs_job.Job
+    ) -> verdicts.Verdict:
         if record.attempt != job.attempts:
             return _refused("wrong-attempt")
         is_late = job.state == world.JobState.UNKNOWN
@@ -267,11 +282,10 @@
         self._set_state(job, _state_after(job, record))
         return verdicts.ACCEPTED
 
-    @_handles(records.JobCheckpointed)
-    def _checkpoint(self, record: records.JobCheckpointed) -> verdicts.Verdict:
-        job = self._jobs.get(record.job_id)
-        if job is None:
-            return _refused("unknown-job")
+    @_handles_job(records.JobCheckpointed)
+    def _checkpoint(
+        self, record: records.JobCheckpointed, job: jobs_job.Job
+    ) -> verdicts.Verdict:
         if job.state not in jobs_job.ACTIVE or record.attempt != job.attempts:
             return _refused("not-running")
         job.checkpoint = record.checkpoint
@@ -281,11 +295,10 @@
         self._set_state(job, state)
         return verdicts.ACCEPTED
 
-    @_handles(records.JobCancelled)
-    def _cancel(self, record: records.JobCancelled) -> verdicts.Verdict:
-        job = self._jobs.get(record.job_id)
-        if job is None:
-            return _refused("unknown-job")
+    @_handles_job(records.JobCancelled)
+    def _cancel(
+        self, record: records.JobCancelled, job: jobs_job.Job
+    ) -> verdicts.Verdict:
         if job.state in jobs_job.FINISHED:
             return _refused("finished")
         job.cancelled = True
@@ -296,11 +309,10 @@
         self._set_state(job, state)
         return verdicts.ACCEPTED
 
-    @_handles(records.JobSettled)
-    def _settle(self, record: records.JobSettled) -> verdicts.Verdict:
-        job = self._jobs.get(record.job_id)
-        if job is None:
-            return _refused("unknown-job")
+    @_handles_job(records.JobSettled)
+    def _settle(
+        self, record: records.JobSettled, job: jobs_job.Job
+    ) -> verdicts.Verdict:
         if job.state != world.JobState.UNKNOWN:
             return _refused("not-unknown")
         job.result = f"settled by {record.by}"
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -1,5 +1,8 @@
 """Fold of sessions and pool claims."""
 
+import functools
+import typing
+
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import handlers
@@ -7,11 +10,11 @@
 
 __all__ = [
     "ENDED_SESSIONS",
-    "find_stale_epoch",
     "fold_pool_claimed",
     "fold_pool_released",
     "fold_session_ended",
     "fold_session_renewed",
+    "requires_fleet_epoch",
 ]
 
 ENDED_SESSIONS = 4096
@@ -115,18 +118,31 @@
     return verdicts.ACCEPTED
 
 
-def find_stale_epoch(
-    state: tables.ControlTables, epoch: int
-) -> verdicts.Verdict | None:
-    """Returns a refusal unless `epoch` is that of the fleet's present owner.
+def requires_fleet_epoch(
+    handler: handlers.Handler,
+) -> handlers.Handler:
+    """Lets a handler refuse records that the fleet's present owner did not
+    write in its epoch.
 
     Moves, disruptions and waves touch several pools and shared racks; one
     owner, of the pool `records.FLEET_POOL`, decides them all. A fleet that was
     never claimed has epoch zero.
     """
+
+    @functools.wraps(handler)
+    def _check(
+        state: tables.ControlTables, offset: int, record: typing.Any
+    ) -> verdicts.Verdict:
+        if not _is_fleet_epoch(state, record.epoch):
+            message = f"epoch {record.epoch}"
+            return handlers.refuse("stale-epoch", "fleet", message)
+        return handler(state, offset, record)
+
+    return _check
+
+
+def _is_fleet_epoch(state: tables.ControlTables, epoch: int) -> bool:
     stored = state.claims.get(records.FLEET_POOL)
-    if stored is None and epoch == 0:
-        return None
-    if stored is not None and stored.node and stored.epoch == epoch:
-        return None
-    return handlers.refuse("stale-epoch", "fleet", f"epoch {epoch}")
+    if stored is None:
+        return epoch == 0
+    return bool(stored.node) and stored.epoch == epoch
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -30,14 +30,12 @@
 
 
 @handlers.register_handler(records.VmStep)
+@sessions_fold.requires_fleet_epoch
 def fold_vm_step(
     state: tables.ControlTables, offset: int, record: records.VmStep
 ) -> verdicts.Verdict:
     """Moves a VM one step; it is in one pool from `joined` until `left`."""
     del offset
-    stale = sessions_fold.find_stale_epoch(state, record.epoch)
-    if stale is not None:
-        return stale
     if record.step == "joined":
         return _join(state, record)
     return _advance(state, record)
@@ -82,13 +80,11 @@
 
 
 @handlers.register_handler(records.DisruptionGranted)
+@sessions_fold.requires_fleet_epoch
 def fold_disruption_granted(
     state: tables.ControlTables, offset: int, record: records.DisruptionGranted
 ) -> verdicts.Verdict:
     """Grants a disruption to a VM of the pool that has none."""
-    stale = sessions_fold.find_stale_epoch(state, record.epoch)
-    if stale is not None:
-        return stale
     place = f"vm/{record.vm}"
     stored = state.vms.get(record.vm)
     if stored is None or stored.pool != record.pool:
@@ -102,14 +98,12 @@
 
 
 @handlers.register_handler(records.DisruptionEnded)
+@sessions_fold.requires_fleet_epoch
 def fold_disruption_ended(
     state: tables.ControlTables, offset: int, record: records.DisruptionEnded
 ) -> verdicts.Verdict:
     """Ends a disruption of a VM of the pool."""
     del offset
-    stale = sessions_fold.find_stale_epoch(state, record.epoch)
-    if stale is not None:
-        return stale
     stored = state.disruptions.get(record.vm)
     if stored is None or stored.pool != record.pool:
         place = f"vm/{record.vm}"
@@ -119,6 +113,7 @@
 
 
 @handlers.register_handler(records.MaintenanceRecorded)
+@sessions_fold.requires_fleet_epoch
 def fold_maintenance_recorded(
     state: tables.ControlTables,
     offset: int,
@@ -129,9 +124,6 @@
     A VM that moves keeps its time. Of VMs that are in no pool only the last
     `ABSENT_MAINTAINED` are remembered.
     """
-    stale = sessions_fold.find_stale_epoch(state, record.epoch)
-    if stale is not None:
-        return stale
     for vm, ended_at_s in sorted(record.ended_at_s.items()):
         stored = state.vms.get(vm)
         if stored is not None and stored.pool == record.pool:
@@ -152,13 +144,11 @@
 
 
 @handlers.register_handler(records.WaveChanged)
+@sessions_fold.requires_fleet_epoch
 def fold_wave_changed(
     state: tables.ControlTables, offset: int, record: records.WaveChanged
 ) -> verdicts.Verdict:
     """Changes the state of a wave that is not over."""
-    stale = sessions_fold.find_stale_epoch(state, record.epoch)
-    if stale is not None:
-        return stale
     stored = state.waves.pop(record.wave_id, None)
     if stored is not None and stored.state in _FINAL_STATES:
         state.waves[record.wave_id] = stored
