--- a/foxtaillock/standins/listener.py
+++ b/foxtaillock/standins/listener.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-__all__ = ["Listener", "abort_connection"]
+__all__ = ["Listener", "ListeningServer", "abort_connection"]
 
 _SHUTDOWN_TIMEOUT_S = 0.01
 _KEEPALIVE_TIMEOUT_S = 3600.0
@@ -14,6 +14,38 @@
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
+class ListeningServer:
+    """Stand-in with a socket of its own; its class adds the routes.
+
+    Args:
+        host: IP number to listen on.
+        port: port, or zero to let the operating system choose.
+    """
+
+    def __init__(self, host: str, port: int = 0) -> None:
+        self._listener = Listener(self._add_routes, host, port)
+
+    @property
+    def url(self) -> str:
+        """Root URL of the service."""
+        return self._listener.url
+
+    async def open(self) -> None:
+        """Starts to listen."""
+        await self._listener.open()
+
+    async def shut(self) -> None:
+        """Refuses connections, cuts the open ones and keeps the state."""
+        await self._listener.shut()
+
+    async def close(self) -> None:
+        """Stops for good."""
+        await self._listener.close()
+
+    def _add_routes(self, application: web.Application) -> None:
+        raise NotImplementedError
+
+
 class Listener:
     """HTTP server on a port that stays reserved while it is shut.
 
--- a/foxtaillock/standins/log.py
+++ b/foxtaillock/standins/log.py
@@ -81,7 +81,7 @@
             pass
 
 
-class LogServer:
+class LogServer(listener.ListeningServer):
     """HTTP server of the log.
 
     Args:
@@ -91,28 +91,11 @@
     """
 
     def __init__(self, host: str, seed: int, port: int = 0) -> None:
+        super().__init__(host, port)
         self.faults = LogFaults()
         self.gate = faults.FaultGate(self.faults, random.Random(seed))
         self.streams: dict[str, LogStream] = {}
         self.appends = 0
-        self._listener = listener.Listener(self._add_routes, host, port)
-
-    @property
-    def url(self) -> str:
-        """Root URL of the log."""
-        return self._listener.url
-
-    async def open(self) -> None:
-        """Starts to listen."""
-        await self._listener.open()
-
-    async def shut(self) -> None:
-        """Refuses connections and keeps the records."""
-        await self._listener.shut()
-
-    async def close(self) -> None:
-        """Stops for good."""
-        await self._listener.close()
 
     def stream(self, name: str) -> LogStream:
         """Returns the stream of this name, a new one if need be."""
--- a/foxtaillock/standins/pools.py
+++ b/foxtaillock/standins/pools.py
@@ -35,7 +35,7 @@
         """Loses all work and returns the row of the new incarnation."""
 
 
-class PoolServer:
+class PoolServer(listener.ListeningServer):
     """HTTP server of the service.
 
     Args:
@@ -54,31 +54,22 @@
         host: str,
         seed: int,
     ) -> None:
+        super().__init__(host)
         self._find = find
         self._on_reboot = on_reboot
         self._reboot_s = reboot_s
         self._operations: set[tuple[str, str]] = set()
         self._reboots: set[asyncio.Task[None]] = set()
-        self._listener = listener.Listener(self._add_routes, host)
         self.faults = faults.Faults()
         self.gate = faults.FaultGate(self.faults, random.Random(seed))
         self.reboots = 0
 
-    @property
-    def url(self) -> str:
-        """Root URL of the service."""
-        return self._listener.url
-
-    async def open(self) -> None:
-        """Starts to listen."""
-        await self._listener.open()
-
     async def close(self) -> None:
         """Stops for good and gives up reboots in progress."""
         for task in self._reboots:
             task.cancel()
         await asyncio.gather(*self._reboots, return_exceptions=True)
-        await self._listener.close()
+        await super().close()
 
     def set_faults(self, changes: Mapping[str, typing.Any]) -> None:
         """Sets the named faults and leaves the others."""
--- a/foxtaillock/standins/runners.py
+++ b/foxtaillock/standins/runners.py
@@ -69,7 +69,7 @@
     tells_running: bool = True
 
 
-class RunnerVm:
+class RunnerVm(listener.ListeningServer):
     """One runner behind its own listening socket.
 
     Args:
@@ -90,7 +90,7 @@
         slots: int,
         max_connections: int,
     ) -> None:
-        self._listener = listener.Listener(self._add_routes, host)
+        super().__init__(host)
         self.entry = entry._replace(address=self._listener.address)
         self._journal = journal
         self._clock = clock
@@ -105,18 +105,6 @@
         self.gate = faults.FaultGate(self.faults, random.Random(entry.name))
         self._previous = ("none", b"{}")
 
-    async def open(self) -> None:
-        """Starts to listen."""
-        await self._listener.open()
-
-    async def shut(self) -> None:
-        """Refuses connections and cuts the open ones."""
-        await self._listener.shut()
-
-    async def close(self) -> None:
-        """Stops for good."""
-        await self._listener.close()
-
     def drain(self) -> None:
         """Refuses new requests from now on."""
         self.is_draining = True
--- a/foxtaillock/standins/vm_list.py
+++ b/foxtaillock/standins/vm_list.py
@@ -85,7 +85,7 @@
             self._visible[name] = entry
 
 
-class VmListServer:
+class VmListServer(listener.ListeningServer):
     """HTTP server of the list.
 
     A viewer that reads below `/viewers/{viewer}` sees other addresses where
@@ -93,25 +93,12 @@
     """
 
     def __init__(self, rows: LaggingList, host: str, seed: int) -> None:
+        super().__init__(host)
         self.rows = rows
         self.faults = faults.Faults()
         self.lists_sent = 0
         self.gate = faults.FaultGate(self.faults, random.Random(seed))
         self._aliases: dict[tuple[str, str], str] = {}
-        self._listener = listener.Listener(self._add_routes, host)
-
-    @property
-    def url(self) -> str:
-        """Root URL of the list."""
-        return self._listener.url
-
-    async def open(self) -> None:
-        """Starts to listen."""
-        await self._listener.open()
-
-    async def close(self) -> None:
-        """Stops for good."""
-        await self._listener.close()
 
     def set_alias(self, viewer: str, address: str, alias: str) -> None:
         """Shows `alias` instead of `address` to `viewer`."""
--- a/foxtaillock/standins/workers.py
+++ b/foxtaillock/standins/workers.py
@@ -37,7 +37,7 @@
     pause: bool = False
 
 
-class WorkerVm:
+class WorkerVm(listener.ListeningServer):
     """One worker behind its own listening socket.
 
     Args:
@@ -59,7 +59,7 @@
         seed: int,
     ) -> None:
         self._clock = clock
-        self._listener = listener.Listener(self._add_routes, host)
+        super().__init__(host)
         self.entry = entry._replace(address=self._listener.address)
         self.model = worker_model.WorkerModel(
             entry.name,
@@ -75,18 +75,6 @@
         self._running.set()
         self._paused_s = 0.0
 
-    async def open(self) -> None:
-        """Starts to listen."""
-        await self._listener.open()
-
-    async def shut(self) -> None:
-        """Refuses connections and cuts the open ones."""
-        await self._listener.shut()
-
-    async def close(self) -> None:
-        """Stops for good."""
-        await self._listener.close()
-
     def drain(self) -> None:
         """Takes no new task from now on."""
         self.model.is_draining = True
