Daemon: callers' desk, one protocol for requests on jobs, no work done twice

The protocols of callers and of peers named the same four requests on jobs, and the node passed them on itself. It computed the waiting job attempts twice in each step of the grants.

--- a/foxtaillock/api/callers.py
+++ b/foxtaillock/api/callers.py
@@ -16,6 +16,7 @@
 from foxtaillock.model import resources
 from foxtaillock.model import verdicts
 from foxtaillock.model import world
+from foxtaillock.peers import job_requests
 from foxtaillock.peers import messages
 
 __all__ = ["CallersBackend", "add_routes"]
@@ -30,7 +31,7 @@
 _MAX_AMOUNT = 2**50
 
 
-class CallersBackend(typing.Protocol):
+class CallersBackend(job_requests.JobRequests, typing.Protocol):
     """What the callers' interface needs of an entry VM."""
 
     @property
@@ -47,24 +48,6 @@
     ) -> outcomes.Outcome:
         """Runs one call for `team`."""
 
-    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
-        """Hands a job to the owner of its pool."""
-
-    async def read_job(
-        self, job_id: str, team: str, wait_s: float
-    ) -> messages.JobReply:
-        """Reads a job at the owner of its pool."""
-
-    async def list_jobs(
-        self, pool: str, team: str, after: str, limit: int
-    ) -> messages.JobReply:
-        """Reads a page of a team's jobs."""
-
-    async def cancel_job(
-        self, job_id: str, team: str, by: str
-    ) -> messages.JobReply:
-        """Cancels a job."""
-
 
 def add_routes(app: web.Application, backend: CallersBackend) -> None:
     """Adds the routes of the callers' interface to `app`."""
--- /dev/null
+++ b/foxtaillock/daemon/callers_desk.py
@@ -0,0 +1,62 @@
+"""What an entry VM does for callers: calls of services, and jobs."""
+
+import typing
+
+from foxtaillock.adapters import interfaces as adapters
+from foxtaillock.calls import service as call_service
+from foxtaillock.daemon import burn_keeper
+from foxtaillock.daemon import job_desk
+from foxtaillock.daemon import key_desk
+from foxtaillock.model import outcomes
+from foxtaillock.peers import messages
+from foxtaillock.state import control_state
+
+__all__ = ["CallersDesk"]
+
+
+class CallersDesk:
+    """Implements `callers.CallersBackend`; counts what the report needs.
+
+    Args:
+        keys: decides which keys work.
+        state: fold of the control stream.
+        calls: runs calls.
+        jobs: hands requests on jobs to the owners of the pools.
+        burn: counts calls and refused jobs.
+    """
+
+    def __init__(
+        self,
+        keys: key_desk.KeyDesk,
+        state: control_state.ControlState,
+        calls: call_service.CallService,
+        jobs: job_desk.JobDesk,
+        burn: burn_keeper.BurnKeeper,
+    ) -> None:
+        self.keys = keys
+        self._state = state
+        self._calls = calls
+        self._jobs = jobs
+        self._burn = burn
+        self.read_job = jobs.read_job
+        self.list_jobs = jobs.list_jobs
+        self.cancel_job = jobs.cancel_job
+
+    def find_object(
+        self, kind: str, name: str
+    ) -> typing.Mapping[str, typing.Any] | None:
+        """Returns the body of an object of the configuration."""
+        stored = self._state.object(kind, name)
+        return stored.body if stored is not None else None
+
+    async def call(
+        self, request: adapters.CallRequest, team: str
+    ) -> outcomes.Outcome:
+        """Runs one call for `team`."""
+        return await self._burn.call(self._calls.call, request, team)
+
+    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
+        """Hands a job to the owner of its pool."""
+        reply = await self._jobs.submit_job(order)
+        self._burn.note_submission(order, reply)
+        return reply
--- a/foxtaillock/daemon/grant_keeper.py
+++ b/foxtaillock/daemon/grant_keeper.py
@@ -33,8 +33,8 @@
         state: its fold.
         local: counts of what runs here.
         clock: source of time.
-        waiting_by_team: returns how much of each team waits here.
-        attempts_waiting: returns how many of these are job attempts.
+        calls_waiting: returns how many calls of each team wait here.
+        attempts_waiting: returns how many job attempts of each team do.
         reclaim_wait_s: time after which nothing of an ended session runs,
             but for calls under its standing parts.
         hold_s: time for which standing parts are held; none at zero.
@@ -49,7 +49,7 @@
         local: limits.LocalGrants,
         clock: clocks.Clock,
         *,
-        waiting_by_team: Callable[[], Mapping[str, int]],
+        calls_waiting: Callable[[], Mapping[str, int]],
         attempts_waiting: Callable[[], Mapping[str, int]],
         reclaim_wait_s: float,
         hold_s: float = 0.0,
@@ -60,7 +60,7 @@
         self._state = state
         self._local = local
         self._clock = clock
-        self._waiting_by_team = waiting_by_team
+        self._calls_waiting = calls_waiting
         self._attempts_waiting = attempts_waiting
         self._reclaim_wait_s = reclaim_wait_s
         self._hold_s = hold_s
@@ -84,13 +84,12 @@
         self._local.set_standing_until(
             self._session.standing_until_s(self._hold_s)
         )
-        waiting = self._waiting_by_team()
+        calls = self._calls_waiting()
         attempts = self._attempts_waiting()
         teams = sorted(self._state.objects("team"))
         for team in teams:
-            self._local.set_waiting(
-                team, waiting.get(team, 0), attempts.get(team, 0)
-            )
+            count = attempts.get(team, 0)
+            self._local.set_waiting(team, calls.get(team, 0) + count, count)
         open_teams = {
             row.body.get("team")
             for row in self._state.objects("service").values()
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -11,7 +11,6 @@
 from loguru import logger
 
 from foxtaillock import exceptions
-from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.api import admin
 from foxtaillock.api import callers
 from foxtaillock.api import health
@@ -22,6 +21,7 @@
 from foxtaillock.daemon import background
 from foxtaillock.daemon import burn_keeper
 from foxtaillock.daemon import call_claims
+from foxtaillock.daemon import callers_desk
 from foxtaillock.daemon import control_part
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.daemon import job_desk
@@ -36,7 +36,6 @@
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
-from foxtaillock.model import outcomes
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.peers import links
@@ -80,26 +79,23 @@
         self._background = background.Background()
         self._requests_open = 0
         self._known_sessions: set[str] = set()
-        rng = random.Random(settings.seed if settings.seed >= 0 else None)
-        self._rng = rng
+        self._rng = random.Random(settings.seed if settings.seed >= 0 else None)
         budget = budgets.AppendBudget(
             settings.appends_per_s, settings.appends_per_s, clock.monotonic_s()
         )
         self.control = control_part.create_control_part(
-            settings, clock, rng, platform.log, budget
+            settings, clock, self._rng, platform.log, budget
         )
         self.state = self.control.state
         self.replica = self.control.replica
         self.replica.on_batch(self._on_batch)
         self.keys = self.control.keys
         self.session = self.control.session
-        self._build_decisions(rng, budget)
-        self._build_desks(rng)
+        self._build_decisions(budget)
+        self._build_desks()
         self._build_http()
 
-    def _build_decisions(
-        self, rng: random.Random, budget: budgets.AppendBudget
-    ) -> None:
+    def _build_decisions(self, budget: budgets.AppendBudget) -> None:
         settings = self.settings
         self.grants = limits.LocalGrants(
             self.clock,
@@ -112,14 +108,14 @@
             settings.node_name,
             self.control.incarnation,
             self.clock,
-            rng,
+            self._rng,
             budget,
             may_claim=self.session.has_grants,
         )
         self.calls = call_service.CallService(
             self.platform.runners,
             self.clock,
-            rng,
+            self._rng,
             node=settings.node_name,
             zone=settings.zone,
             grants=self.grants,
@@ -134,7 +130,7 @@
             self.platform.log,
             self.platform.workers,
             self.clock,
-            rng,
+            self._rng,
             self.grants,
             budget,
             self.burn,
@@ -149,7 +145,7 @@
             self.state,
             self.grants,
             self.clock,
-            waiting_by_team=self._waiting_by_team,
+            calls_waiting=self.calls.waiting_by_team,
             attempts_waiting=self._attempts_waiting,
             reclaim_wait_s=settings.session_lease_s
             + settings.drift_allowance_s
@@ -157,7 +153,7 @@
             hold_s=settings.isolation_hold_s,
         )
 
-    def _build_desks(self, rng: random.Random) -> None:
+    def _build_desks(self) -> None:
         settings = self.settings
         self.vm_watch = vm_watch.VmWatch(
             self.platform.vm_list, self._on_world_change
@@ -169,7 +165,7 @@
             self.platform.pools,
             self.platform.workers,
             self.clock,
-            rng,
+            self._rng,
             may_act=self.control.owns_fleet,
             epoch=self.control.fleet_epoch,
         )
@@ -224,7 +220,12 @@
             ],
             client_max_size=self.settings.max_body_bytes,
         )
-        callers.add_routes(app, self)
+        callers.add_routes(
+            app,
+            callers_desk.CallersDesk(
+                self.keys, self.state, self.calls, self.jobs, self.burn
+            ),
+        )
         admin.add_routes(app, self.admin)
         health.add_routes(app, self.registry, lambda: self._not_ready)
         self._add_gauges()
@@ -258,7 +259,11 @@
         """
         settings = self.settings
         await self.vm_watch.poll()
-        await self._retry(self._load_state)
+        await self._retry(
+            lambda: peer_snapshots.load_state(
+                self.control.snapshotter, self.vm_watch.vms, settings, self._rng
+            )
+        )
         self._background.spawn(self._follow_control())
         self._background.spawn(self.control.snapshotter.run())
         await self._retry(self.replica.catch_up)
@@ -289,26 +294,6 @@
         self._not_ready = ""
         logger.info("serving on port {}", self.api_port)
 
-    async def _load_state(self) -> None:
-        """Loads a snapshot of the log, or else of a peer.
-
-        Raises:
-            exceptions.StateDivergedError: neither covers what has expired.
-        """
-        try:
-            await self.control.snapshotter.start()
-            return
-        except exceptions.StateDivergedError as error:
-            logger.warning("asking peers for a snapshot: {}", error)
-        settings = self.settings
-        peers = peer_snapshots.choose_peers(
-            self.vm_watch.vms, settings.node_name, settings.zone, self._rng
-        )
-        found = await peer_snapshots.ask_peers(
-            peers, settings.node_name, settings.peer_secret.encode()
-        )
-        await self.control.snapshotter.start(found)
-
     async def _follow_control(self) -> None:
         """Follows the control stream; a diverged state ends the serving."""
         try:
@@ -450,11 +435,6 @@
         if self.keys.deny(key_id):
             self._spread()
 
-    def _waiting_by_team(self) -> typing.Mapping[str, int]:
-        counts = collections.Counter(self.calls.waiting_by_team())
-        counts.update(self._attempts_waiting())
-        return counts
-
     def _attempts_waiting(self) -> typing.Mapping[str, int]:
         counts: collections.Counter[str] = collections.Counter()
         for team in self.state.objects("team"):
@@ -490,43 +470,6 @@
             **self.measures.report(),
         }
 
-    def find_object(
-        self, kind: str, name: str
-    ) -> typing.Mapping[str, typing.Any] | None:
-        """Returns the body of an object of the configuration."""
-        stored = self.state.object(kind, name)
-        return stored.body if stored is not None else None
-
-    async def call(
-        self, request: adapters.CallRequest, team: str
-    ) -> outcomes.Outcome:
-        """Runs one call for `team`."""
-        return await self.burn.call(self.calls.call, request, team)
-
-    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
-        """Hands a job to the owner of its pool."""
-        reply = await self.jobs.submit_job(order)
-        self.burn.note_submission(order, reply)
-        return reply
-
-    async def read_job(
-        self, job_id: str, team: str, wait_s: float
-    ) -> messages.JobReply:
-        """Reads a job at the owner of its pool."""
-        return await self.jobs.read_job(job_id, team, wait_s)
-
-    async def list_jobs(
-        self, pool: str, team: str, after: str, limit: int
-    ) -> messages.JobReply:
-        """Reads a page of a team's jobs."""
-        return await self.jobs.list_jobs(pool, team, after, limit)
-
-    async def cancel_job(
-        self, job_id: str, team: str, by: str
-    ) -> messages.JobReply:
-        """Cancels a job."""
-        return await self.jobs.cancel_job(job_id, team, by)
-
 
 _WORLD_RECORDS = (
     records.NoteAccepted,
--- a/foxtaillock/daemon/peer_snapshots.py
+++ b/foxtaillock/daemon/peer_snapshots.py
@@ -15,11 +15,12 @@
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import world
 from foxtaillock.peers import client
+from foxtaillock.settings import settings as settings_lib
 from foxtaillock.state import replica as replicas
 from foxtaillock.state import snapshots
 from foxtaillock.state import snapshotter
 
-__all__ = ["SnapshotShelf", "ask_peers", "choose_peers"]
+__all__ = ["SnapshotShelf", "ask_peers", "choose_peers", "load_state"]
 
 _PEERS_ASKED = 3
 _ANSWER_TIMEOUT_S = 10.0
@@ -64,6 +65,35 @@
         return self._data
 
 
+async def load_state(
+    saver: snapshotter.Snapshotter,
+    vms: Iterable[world.VmEntry],
+    settings: settings_lib.Settings,
+    rng: random.Random,
+) -> None:
+    """Loads a snapshot of the log, or else of a peer.
+
+    Args:
+        saver: loads it.
+        vms: the platform's list.
+        settings: settings of this VM.
+        rng: orders the peers of a zone.
+
+    Raises:
+        exceptions.LogUnavailableError: the log answered so.
+        exceptions.LogUnreachableError: no answer.
+        exceptions.StateDivergedError: neither covers what has expired.
+    """
+    try:
+        await saver.start()
+        return
+    except exceptions.StateDivergedError as error:
+        logger.warning("asking peers for a snapshot: {}", error)
+    peers = choose_peers(vms, settings.node_name, settings.zone, rng)
+    secret = settings.peer_secret.encode()
+    await saver.start(await ask_peers(peers, settings.node_name, secret))
+
+
 def choose_peers(
     vms: Iterable[world.VmEntry], node: str, zone: str, rng: random.Random
 ) -> list[world.VmEntry]:
--- a/foxtaillock/daemon/tests/test_grant_keeper.py
+++ b/foxtaillock/daemon/tests/test_grant_keeper.py
@@ -67,7 +67,7 @@
             self.state,
             self.local,
             self.clock,
-            waiting_by_team=lambda: {},
+            calls_waiting=lambda: {},
             attempts_waiting=lambda: {},
             reclaim_wait_s=_WAIT_S,
             hold_s=hold_s,
--- a/foxtaillock/peers/client.py
+++ b/foxtaillock/peers/client.py
@@ -46,8 +46,7 @@
         """Hands a job to the owner of its pool."""
         request = self._peer.submitJob_request()
         messages.fill_order(request.init("order"), order)
-        result = await self._send(request, timeout_s)
-        return messages.read_reply(result.reply)
+        return await self._ask(request, timeout_s)
 
     async def read_job(
         self, job_id: str, team: str, wait_s: float, timeout_s: float
@@ -57,8 +56,7 @@
         request.jobId = job_id
         request.team = team
         request.waitS = wait_s
-        result = await self._send(request, timeout_s)
-        return messages.read_reply(result.reply)
+        return await self._ask(request, timeout_s)
 
     async def list_jobs(
         self, pool: str, team: str, after: str, limit: int, timeout_s: float
@@ -69,8 +67,7 @@
         request.team = team
         request.after = after
         request.limit = limit
-        result = await self._send(request, timeout_s)
-        return messages.read_reply(result.reply)
+        return await self._ask(request, timeout_s)
 
     async def cancel_job(
         self, job_id: str, team: str, by: str, timeout_s: float
@@ -80,8 +77,7 @@
         request.jobId = job_id
         request.team = team
         request.by = by
-        result = await self._send(request, timeout_s)
-        return messages.read_reply(result.reply)
+        return await self._ask(request, timeout_s)
 
     async def settle_job(
         self, job_id: str, succeeded: bool, by: str, timeout_s: float
@@ -91,14 +87,19 @@
         request.jobId = job_id
         request.succeeded = succeeded
         request.by = by
-        result = await self._send(request, timeout_s)
-        return messages.read_reply(result.reply)
+        return await self._ask(request, timeout_s)
 
     async def take_snapshot(self, timeout_s: float) -> bytes:
         """Returns an encoded snapshot of the peer's control state."""
         result = await self._send(self._peer.takeSnapshot_request(), timeout_s)
         return bytes(result.snapshot)
 
+    async def _ask(
+        self, request: typing.Any, timeout_s: float
+    ) -> messages.JobReply:
+        result = await self._send(request, timeout_s)
+        return messages.read_reply(result.reply)
+
     async def _send(self, request: typing.Any, timeout_s: float) -> typing.Any:
         try:
             async with asyncio.timeout(timeout_s):
--- a/foxtaillock/peers/server.py
+++ b/foxtaillock/peers/server.py
@@ -11,6 +11,7 @@
 import capnp
 from loguru import logger
 
+from foxtaillock.peers import job_requests
 from foxtaillock.peers import messages
 from foxtaillock.peers import proofs
 from foxtaillock.peers import schema
@@ -21,32 +22,14 @@
 _MAX_STRANGERS = 64
 
 
-class PeerHandler(typing.Protocol):
-    """What an entry VM does for its peers."""
+class PeerHandler(job_requests.JobRequests, typing.Protocol):
+    """What an entry VM does for its peers; jobs are those of own pools."""
 
     async def exchange(
         self, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat:
         """Takes a peer's heartbeat and returns the own one."""
 
-    async def submit_job(self, order: messages.JobOrder) -> messages.JobReply:
-        """Accepts a job if this VM owns its pool."""
-
-    async def read_job(
-        self, job_id: str, team: str, wait_s: float
-    ) -> messages.JobReply:
-        """Returns a job, after waiting for its end up to `wait_s`."""
-
-    async def list_jobs(
-        self, pool: str, team: str, after: str, limit: int
-    ) -> messages.JobReply:
-        """Returns a page of jobs."""
-
-    async def cancel_job(
-        self, job_id: str, team: str, by: str
-    ) -> messages.JobReply:
-        """Cancels a job."""
-
     async def settle_job(
         self, job_id: str, succeeded: bool, by: str
     ) -> messages.JobReply:
