--- /dev/null
+++ b/foxtaillock/batch/decision_log.py
@@ -0,0 +1,131 @@
+"""Structured log: one line of JSON for each decision.
+
+Lines are bounded by a budget for each event, with a count of what was left
+out, and by a buffer: a slow or closed reader never holds the program up.
+"""
+
+import collections
+import os
+import typing
+
+import msgspec
+
+from foxtaillock.model import clock as model_clock
+
+__all__ = ["DecisionLog", "LineWriter", "create_log"]
+
+# Lines of one event in a second. The busiest event, a placed task, comes some
+# 150 times a second on a machine of one core.
+_LINES_PER_S = 200
+
+# Text that waits for a slow reader.
+_BUFFER_BYTES = 256 * 1024
+
+
+class LineWriter:
+    """Writes lines to a file descriptor that may not take them.
+
+    Args:
+        descriptor: where the lines go; it is made non-blocking.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Writes a line, or keeps it, or counts it as dropped."""
+        if self._waiting_bytes + len(line) > _BUFFER_BYTES:
+            self.dropped += 1
+            return
+        self._waiting.append(line)
+        self._waiting_bytes += len(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes what waits, as far as the reader takes it."""
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.dropped += len(self._waiting)
+                self._waiting.clear()
+                self._waiting_bytes = 0
+                return
+            self._waiting_bytes -= written
+            if written == len(line):
+                self._waiting.popleft()
+            else:
+                self._waiting[0] = line[written:]
+
+
+class DecisionLog:
+    """Log of one process.
+
+    Args:
+        writer: where the lines go.
+        clock: source of time.
+        node: name of this entry VM.
+    """
+
+    def __init__(
+        self, writer: LineWriter, clock: model_clock.Clock, node: str
+    ) -> None:
+        self._writer = writer
+        self._clock = clock
+        self._node = node
+        self._second = 0
+        self._lines: collections.Counter[str] = collections.Counter()
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+
+    @property
+    def dropped(self) -> int:
+        """Lines that the reader did not take."""
+        return self._writer.dropped
+
+    def __call__(self, event: str, **fields: typing.Any) -> None:
+        """Writes a line.
+
+        Args:
+            event: name of the decision.
+            fields: its inputs, their age or version, and its outcome.
+        """
+        now = self._clock.now()
+        second = int(now.timestamp())
+        if second != self._second:
+            self._report_left_out()
+            self._second = second
+        self._lines[event] += 1
+        if self._lines[event] > _LINES_PER_S:
+            return
+        line = {
+            "time": now.isoformat(timespec="milliseconds"),
+            "node": self._node,
+            "event": event,
+            **fields,
+        }
+        self._writer.write(self._encoder.encode(line) + b"\n")
+
+    def _report_left_out(self) -> None:
+        left_out = {
+            event: count - _LINES_PER_S
+            for event, count in self._lines.items()
+            if count > _LINES_PER_S
+        }
+        self._lines.clear()
+        if left_out:
+            line = {"node": self._node, "event": "lines-left-out", **left_out}
+            self._writer.write(self._encoder.encode(line) + b"\n")
+
+
+def create_log(
+    node: str, clock: model_clock.Clock, descriptor: int = 1
+) -> DecisionLog:
+    """Returns a log to a file descriptor, by default standard output."""
+    return DecisionLog(LineWriter(descriptor), clock, node)
--- /dev/null
+++ b/foxtaillock/batch/desk.py
@@ -0,0 +1,256 @@
+"""Serves the calls of submitters on one entry VM.
+
+Every entry VM takes every call: a job is accepted once it stands in the
+journal, and its state is answered from this VM's fold of the journal.
+"""
+
+import typing
+from collections.abc import Callable
+
+from foxtaillock.batch import appender
+from foxtaillock.batch import directory
+from foxtaillock.batch import follower
+from foxtaillock.batch import freshness
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import outcomes
+from foxtaillock.batch import records
+from foxtaillock.batch import view
+from foxtaillock.model import clock as model_clock
+
+__all__ = ["Call", "Desk"]
+
+# Another entry VM may reach what this one can't: come back soon.
+_RETRY_ELSEWHERE_S = 0.2
+
+# A VM that has just started reads the configuration and the journal.
+_RETRY_STARTING_S = 0.5
+
+# Age of the journal past which an unknown job is not called unknown.
+_JOURNAL_AGE_S = 2.0
+
+_ID_LENGTH = 16
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+
+class Call(typing.NamedTuple):
+    """A submitter's call.
+
+    Attributes:
+        host: host that it names.
+        path: path that it names.
+        key: key that came with it; empty for none.
+    """
+
+    host: str
+    path: str
+    key: str
+
+
+class _Admitted(typing.NamedTuple):
+    """A call that may go on: its queue, team and the rest of its path."""
+
+    queue: model.Queue
+    team: str
+    rest: str
+
+
+class Desk:
+    """Calls of submitters.
+
+    Args:
+        clock: source of time.
+        journal_view: fold of the journal.
+        journal_follower: what keeps that fold up to date.
+        journal_appender: appends records of calls.
+        config_age: how old this VM's knowledge of the configuration is.
+        log: receiver of a line for each decision.
+
+    Attributes:
+        directory: the configuration in force.
+    """
+
+    def __init__(
+        self,
+        clock: model_clock.Clock,
+        journal_view: view.JournalView,
+        journal_follower: follower.Follower,
+        journal_appender: appender.GroupAppender,
+        config_age: freshness.Freshness,
+        log: Callable[..., None],
+    ) -> None:
+        self._clock = clock
+        self._view = journal_view
+        self._follower = journal_follower
+        self._appender = journal_appender
+        self._config_age = config_age
+        self._log = log
+        self.directory = directory.EMPTY
+
+    async def submit(
+        self,
+        call: Call,
+        create_spec: Callable[[str, str, str, int], model.JobSpec],
+    ) -> outcomes.CallOutcome:
+        """Takes a job in.
+
+        Args:
+            call: the call.
+            create_spec: makes the job of its id, queue, team and the time of
+                acceptance; raises ValueError if it is malformed.
+        """
+        admitted = self._admit(call)
+        if not isinstance(admitted, _Admitted):
+            return self._answered("submit", call, admitted)
+        if not _is_job_id(admitted.rest):
+            return self._answered(
+                "submit", call, outcomes.Malformed("not the id of a job")
+            )
+        known = self._view.spec(admitted.rest)
+        if known is not None:
+            outcome = self._submitted_before(known, admitted)
+            return self._answered("submit", call, outcome)
+        accepted_ms = int(self._clock.now().timestamp() * 1000)
+        try:
+            spec = create_spec(
+                admitted.rest, admitted.queue.name, admitted.team, accepted_ms
+            )
+        except ValueError as error:
+            return self._answered(
+                "submit", call, outcomes.Malformed(str(error))
+            )
+        outcome = await self._store(records.encode(spec), outcomes.Accepted())
+        if isinstance(outcome, outcomes.Accepted) and not self._may_succeed(
+            admitted
+        ):
+            outcome = outcomes.Unknown("configuration too old by now")
+        return self._answered("submit", call, outcome)
+
+    async def state(self, call: Call) -> outcomes.CallOutcome:
+        """Tells the state of a job, or how many jobs of a queue wait."""
+        admitted = self._admit(call)
+        if not isinstance(admitted, _Admitted):
+            return self._answered("state", call, admitted)
+        if not admitted.rest:
+            count = self._view.waiting_count(admitted.queue.name)
+            return outcomes.WaitingCount(count)
+        job = await self._find(admitted)
+        if not isinstance(job, view.JobView):
+            return self._answered("state", call, job)
+        if not self._may_succeed(admitted):
+            return self._answered("state", call, self._too_old())
+        return outcomes.State(job.state)
+
+    async def cancel(self, call: Call) -> outcomes.CallOutcome:
+        """Cancels a job."""
+        admitted = self._admit(call)
+        if not isinstance(admitted, _Admitted):
+            return self._answered("cancel", call, admitted)
+        job = await self._find(admitted)
+        if not isinstance(job, view.JobView):
+            return self._answered("cancel", call, job)
+        if job.state in model.FINISHED_STATES:
+            return self._answered("cancel", call, outcomes.Cancelled())
+        cancelled_ms = int(self._clock.now().timestamp() * 1000)
+        record = records.Cancel(job.spec.job_id, cancelled_ms)
+        outcome = await self._store(
+            records.encode(record), outcomes.Cancelled()
+        )
+        if isinstance(outcome, outcomes.Cancelled) and not self._may_succeed(
+            admitted
+        ):
+            outcome = outcomes.Unknown("configuration too old by now")
+        return self._answered("cancel", call, outcome)
+
+    def _admit(self, call: Call) -> _Admitted | outcomes.CallOutcome:
+        if self.directory.version < 0 or not self._follower.is_caught_up:
+            return outcomes.NotStored("starting", _RETRY_STARTING_S)
+        is_fresh = self._config_age.is_fresh(self._clock.monotonic_s())
+        route = self.directory.find_route(call.host, call.path)
+        if route is None:
+            return outcomes.NoSuchQueue() if is_fresh else self._too_old()
+        queue = self.directory.queues[route.queue]
+        rest = call.path[len(route.prefix) :]
+        if queue.is_open:
+            return _Admitted(queue, "", rest)
+        if not is_fresh:
+            return self._too_old()
+        team = self.directory.team_of(call.key) if call.key else None
+        if team is None:
+            return outcomes.NoKey()
+        return _Admitted(queue, team, rest)
+
+    def _may_succeed(self, admitted: _Admitted) -> bool:
+        """Returns whether the configuration is still fresh enough."""
+        return admitted.queue.is_open or self._config_age.is_fresh(
+            self._clock.monotonic_s()
+        )
+
+    def _too_old(self) -> outcomes.NotStored:
+        return outcomes.NotStored("configuration-too-old", _RETRY_ELSEWHERE_S)
+
+    def _submitted_before(
+        self, known: model.JobSpec, admitted: _Admitted
+    ) -> outcomes.CallOutcome:
+        if known.team != admitted.team:
+            return outcomes.Malformed("the id is in use")
+        return outcomes.Accepted()
+
+    async def _find(
+        self, admitted: _Admitted
+    ) -> view.JobView | outcomes.CallOutcome:
+        """Returns a job of the caller's team."""
+        if not _is_job_id(admitted.rest):
+            return outcomes.NoSuchJob()
+        job = self._view.job(admitted.rest)
+        if job is None:
+            try:
+                await self._follower.catch_up()
+            except interfaces.StoreError:
+                age_s = self._clock.monotonic_s() - self._follower.confirmed_s
+                if age_s > _JOURNAL_AGE_S:
+                    return outcomes.NotStored(
+                        "journal-too-old", _RETRY_ELSEWHERE_S
+                    )
+            job = self._view.job(admitted.rest)
+        if job is None or job.spec.team != admitted.team:
+            return outcomes.NoSuchJob()
+        return job
+
+    async def _store(
+        self, record: records.KeyedRecord, stored: outcomes.CallOutcome
+    ) -> outcomes.CallOutcome:
+        try:
+            await self._appender.append(record)
+        except interfaces.StoreRefusedError as error:
+            self._log("append-refused", key=record.key, error=str(error))
+            return outcomes.NotStored("store-unavailable", _RETRY_ELSEWHERE_S)
+        except interfaces.StoreUnreachableError as error:
+            self._log("append-unknown", key=record.key, error=str(error))
+            return outcomes.Unknown("store gave no answer")
+        return stored
+
+    def _answered(
+        self, kind: str, call: Call, outcome: outcomes.CallOutcome
+    ) -> outcomes.CallOutcome:
+        now_s = self._clock.monotonic_s()
+        self._log(
+            "call",
+            kind=kind,
+            request=call.path,
+            outcome=type(outcome).__name__,
+            detail=_detail(outcome),
+            config_version=self.directory.version,
+            config_age_s=round(self._config_age.age_s(now_s), 2),
+        )
+        return outcome
+
+
+def _is_job_id(text: str) -> bool:
+    return len(text) == _ID_LENGTH and _HEX_DIGITS.issuperset(text)
+
+
+def _detail(outcome: outcomes.CallOutcome) -> str:
+    if isinstance(outcome, (outcomes.NotStored, outcomes.Unknown)):
+        return outcome.code
+    return getattr(outcome, "reason", "")
--- /dev/null
+++ b/foxtaillock/batch/directory.py
@@ -0,0 +1,112 @@
+"""The configuration in force: routes, queues, pools, teams and their keys."""
+
+import hashlib
+import typing
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from foxtaillock.batch import model
+
+__all__ = ["Directory", "EMPTY", "Route", "create_directory", "digest_of"]
+
+
+class Route(typing.NamedTuple):
+    """Where jobs of a queue are handed in.
+
+    Attributes:
+        host: host that the submitter names.
+        prefix: beginning of the path; the job's id follows it.
+        queue: name of the queue.
+    """
+
+    host: str
+    prefix: str
+    queue: str
+
+
+class Directory(typing.NamedTuple):
+    """One version of the configuration; all of it holds together.
+
+    Attributes:
+        version: number of the version; a newer one has a higher number.
+        routes: routes of each host, the longest prefix first.
+        queues: queues by name.
+        pools: pools by name.
+        teams: teams by name.
+        key_teams: team of each key, by the key's digest.
+        max_body_bytes: largest body of a call.
+    """
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    queues: Mapping[str, model.Queue]
+    pools: Mapping[str, model.Pool]
+    teams: Mapping[str, model.Team]
+    key_teams: Mapping[bytes, str]
+    max_body_bytes: int
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path, or None.
+
+        Cost: O(n) for n routes of the host.
+        """
+        for route in self.routes.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def team_of(self, key: str) -> str | None:
+        """Returns the team that a key belongs to, or None.
+
+        Keys are found by their digest, so that the time of the search tells
+        nothing about a key.
+        """
+        return self.key_teams.get(digest_of(key))
+
+
+EMPTY = Directory(-1, {}, {}, {}, {}, {}, 0)
+
+
+def create_directory(
+    version: int,
+    routes: Iterable[Route],
+    queues: Iterable[model.Queue],
+    pools: Iterable[model.Pool],
+    teams: Iterable[tuple[model.Team, Iterable[str]]],
+    max_body_bytes: int,
+) -> Directory:
+    """Returns the directory of one version.
+
+    Args:
+        version: number of the version.
+        routes: routes in any order.
+        queues: queues in any order.
+        pools: pools in any order.
+        teams: each team with its keys.
+        max_body_bytes: largest body of a call.
+    """
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    for of_host in by_host.values():
+        of_host.sort(key=lambda route: -len(route.prefix))
+    named_teams: dict[str, model.Team] = {}
+    key_teams: dict[bytes, str] = {}
+    for team, keys in teams:
+        named_teams[team.name] = team
+        for key in keys:
+            key_teams[digest_of(key)] = team.name
+    return Directory(
+        version,
+        {host: tuple(of_host) for host, of_host in by_host.items()},
+        {queue.name: queue for queue in queues},
+        {pool.name: pool for pool in pools},
+        named_teams,
+        key_teams,
+        max_body_bytes,
+    )
+
+
+def digest_of(key: str) -> bytes:
+    """Returns the digest by which a key is kept and found."""
+    return hashlib.sha256(key.encode()).digest()
--- /dev/null
+++ b/foxtaillock/batch/follower.py
@@ -0,0 +1,156 @@
+"""Follows a stream of keyed records as it grows."""
+
+import asyncio
+import typing
+from collections.abc import Callable
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import records
+from foxtaillock.model import clock as model_clock
+
+__all__ = ["Follower", "RecordSink"]
+
+# Longest wait of a read for a record. Each read that finds the end is the
+# evidence that what this VM knows is the newest.
+_READ_WAIT_S = 1.0
+
+_FIRST_RETRY_S = 0.05
+_MAX_RETRY_S = 0.5
+
+
+class RecordSink(typing.Protocol):
+    """Receiver of records."""
+
+    def __call__(self, offset: int, record: records.KeyedRecord) -> None:
+        """Takes a record with its offset in."""
+
+
+class Follower:
+    """Reads a stream to its end, again and again.
+
+    Args:
+        name: name of the stream, for the log.
+        journal: the stream.
+        clock: source of time.
+        sink: receiver of each record.
+        log: receiver of a line when the stream is lost or regained.
+
+    Attributes:
+        next_offset: where the next read begins.
+        confirmed_s: when the latest read that reached the end was sent.
+        pause_s: time between two reads that found records; a longer one
+            batches them.
+        on_read: called with the time of sending of each read to the end.
+        on_failure: called when a read failed.
+        on_newest: called after all newest records were read anew, with
+            their keys.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        journal: interfaces.Journal,
+        clock: model_clock.Clock,
+        sink: RecordSink,
+        log: Callable[..., None],
+    ) -> None:
+        self._name = name
+        self._journal = journal
+        self._clock = clock
+        self._sink = sink
+        self._log = log
+        self.next_offset: int | None = None
+        self.confirmed_s = float("-inf")
+        self.pause_s = 0.0
+        self.on_read: Callable[[float], None] = lambda _: None
+        self.on_failure: Callable[[], None] = lambda: None
+        self.on_newest: Callable[[set[str]], None] = lambda _: None
+        self._failures = 0
+        self._moved = asyncio.Event()
+        self._skip_pause = asyncio.Event()
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether it has reached the stream's end at least once."""
+        return self.confirmed_s > float("-inf")
+
+    async def run(self) -> None:
+        """Follows the stream until it is cancelled."""
+        while True:
+            try:
+                found = await self._read_once(_READ_WAIT_S)
+            except interfaces.StoreError as error:
+                await self._failed(error)
+                continue
+            if self._failures:
+                self._log(
+                    "stream-regained", stream=self._name, after=self._failures
+                )
+                self._failures = 0
+            if found and self.pause_s:
+                await self._pause()
+
+    async def catch_up(self) -> None:
+        """Reads what stands now; returns once it has been taken in.
+
+        Raises:
+            interfaces.StoreError: the stream could not be read.
+        """
+        while await self._read_once(0.0):
+            pass
+
+    async def wait_for(self, offset: int, timeout_s: float) -> bool:
+        """Waits until all records before `offset` have been taken in."""
+        deadline_s = self._clock.monotonic_s() + timeout_s
+        while (self.next_offset or 0) < offset:
+            left_s = deadline_s - self._clock.monotonic_s()
+            if left_s <= 0:
+                return False
+            self._moved.clear()
+            self._skip_pause.set()
+            try:
+                await asyncio.wait_for(self._moved.wait(), left_s)
+            except TimeoutError:
+                return False
+        return True
+
+    async def _read_once(self, wait_s: float) -> bool:
+        """Reads one page; returns whether there may be more at once."""
+        sent_s = self._clock.monotonic_s()
+        if self.next_offset is None:
+            page = await self._journal.read_newest()
+            self._take(page)
+            self.on_newest({record.key for _, record in page.records})
+            return True
+        page = await self._journal.read(self.next_offset, wait_s)
+        if page.is_expired:
+            self._log("stream-expired", stream=self._name, at=self.next_offset)
+            self.next_offset = None
+            return True
+        self._take(page)
+        if page.next_offset >= page.end_offset:
+            self.confirmed_s = max(self.confirmed_s, sent_s)
+            self.on_read(sent_s)
+        return bool(page.records)
+
+    def _take(self, page: interfaces.JournalPage) -> None:
+        for offset, record in page.records:
+            self._sink(offset, record)
+        if self.next_offset is None or page.next_offset > self.next_offset:
+            self.next_offset = page.next_offset
+        self._moved.set()
+
+    async def _failed(self, error: interfaces.StoreError) -> None:
+        if not self._failures:
+            self._log("stream-lost", stream=self._name, error=str(error))
+        self._failures += 1
+        self.on_failure()
+        pause_s = min(_MAX_RETRY_S, _FIRST_RETRY_S * 2**self._failures)
+        await asyncio.sleep(pause_s)
+
+    async def _pause(self) -> None:
+        self._skip_pause.clear()
+        try:
+            await asyncio.wait_for(self._skip_pause.wait(), self.pause_s)
+        except TimeoutError:
+            return
--- /dev/null
+++ b/foxtaillock/batch/metrics.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of one entry VM."""
+
+import prometheus_client
+
+__all__ = ["Metrics"]
+
+_LATENCIES_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+_DURATIONS_S = (0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 13.0, 21.0, 34.0)
+
+
+class Metrics:
+    """Metrics of one process.
+
+    Attributes:
+        registry: what the metrics address serves.
+        calls: calls of submitters by kind and outcome.
+        call_latency: their time to the answer, by kind.
+        store_latency: time of calls to the store, by call and outcome.
+        order_latency: time of orders to workers, by order and outcome.
+        job_duration: time from acceptance to the end of a job, by state.
+        decisions: decisions by event.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.calls = prometheus_client.Counter(
+            "foxtaillock_calls",
+            "Calls of submitters",
+            ("kind", "outcome"),
+            registry=self.registry,
+        )
+        self.call_latency = self._histogram(
+            "call_seconds", "Time to the answer of a call", ("kind",)
+        )
+        self.store_latency = self._histogram(
+            "store_seconds", "Time of a call to the store", ("call", "outcome")
+        )
+        self.order_latency = self._histogram(
+            "order_seconds", "Time of an order", ("order", "outcome")
+        )
+        self.job_duration = prometheus_client.Histogram(
+            "foxtaillock_job_seconds",
+            "Time from acceptance to the end of a job",
+            ("state",),
+            registry=self.registry,
+            buckets=_DURATIONS_S,
+        )
+        self.decisions = prometheus_client.Counter(
+            "foxtaillock_decisions",
+            "Decisions by event",
+            ("event",),
+            registry=self.registry,
+        )
+
+    def add_gauge(self, name: str, text: str, read: object) -> None:
+        """Adds a gauge whose value `read` returns at each scrape."""
+        gauge = prometheus_client.Gauge(
+            f"foxtaillock_{name}", text, registry=self.registry
+        )
+        gauge.set_function(read)  # type: ignore[arg-type]
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _histogram(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"foxtaillock_{name}",
+            text,
+            labels,
+            registry=self.registry,
+            buckets=_LATENCIES_S,
+        )
--- /dev/null
+++ b/foxtaillock/batch/node.py
@@ -0,0 +1,320 @@
+"""One entry VM: follows the streams, serves calls, and owns if need be."""
+
+import asyncio
+import typing
+from collections.abc import Callable
+
+from foxtaillock.batch import appender
+from foxtaillock.batch import desk
+from foxtaillock.batch import directory
+from foxtaillock.batch import follower
+from foxtaillock.batch import freshness
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import metrics as batch_metrics
+from foxtaillock.batch import model
+from foxtaillock.batch import owner as owners
+from foxtaillock.batch import ownership
+from foxtaillock.batch import records
+from foxtaillock.batch import view
+from foxtaillock.batch import workers
+from foxtaillock.model import clock as model_clock
+
+__all__ = ["Node", "NodeServices"]
+
+# Time between two decisions whether to claim the ownership.
+_CLAIM_CHECK_S = 0.1
+
+# Time for the record of a claim to be read back.
+_CLAIM_READ_S = 2.0
+
+# An entry VM that does not own reads the journal in groups of records.
+_FOLLOWER_PAUSE_S = 0.12
+
+# Calls are refused this much before the bound of the platform, since an
+# answer takes its time to arrive.
+_KEY_AGE_MARGIN_S = 0.8
+
+# Age of the journal past which this VM asks for no new connections.
+_READY_AGE_S = 3.0
+
+
+class NodeServices(typing.NamedTuple):
+    """What an entry VM works with.
+
+    Attributes:
+        journal: the journal of jobs.
+        operators: stream of what operators have written.
+        registry: stream of what workers have registered.
+        decode_config: decodes a record of the operators; None if it holds no
+            configuration.
+        decode_wave: decodes one; None if it holds no maintenance wave.
+        decode_worker: decodes a record of the registry.
+        worker_orders: orders to workers.
+        clock: source of time.
+        log: receiver of a line for each decision.
+        metrics: metrics of this process.
+    """
+
+    journal: interfaces.Journal
+    operators: interfaces.Journal
+    registry: interfaces.Journal
+    decode_config: Callable[[str, bytes], directory.Directory | None]
+    decode_wave: Callable[[str, bytes], model.Wave | None]
+    decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
+    worker_orders: interfaces.WorkerOrders
+    clock: model_clock.Clock
+    log: Callable[..., None]
+    metrics: batch_metrics.Metrics
+
+
+class Node:
+    """One entry VM.
+
+    Args:
+        name: its name.
+        incarnation: start of this process.
+        key_age_s: age of the configuration past which no call with a key may
+            succeed.
+        services: what it works with.
+
+    Attributes:
+        desk: serves the calls of submitters.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        key_age_s: float,
+        services: NodeServices,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._services = services
+        clock = services.clock
+        self._view = view.JournalView()
+        self._view.on_record = self._on_record
+        self._ownership = ownership.Ownership(
+            name, incarnation, clock.monotonic_s()
+        )
+        self._freshness = freshness.Freshness(key_age_s - _KEY_AGE_MARGIN_S)
+        self._journal_follower = follower.Follower(
+            "journal", services.journal, clock, self._view.apply, services.log
+        )
+        self._journal_follower.pause_s = _FOLLOWER_PAUSE_S
+        self._journal_follower.on_read = self._ownership.checked
+        self._journal_follower.on_failure = self._on_journal_failure
+        self._operator_follower = follower.Follower(
+            "operators",
+            services.operators,
+            clock,
+            self._on_operator_record,
+            services.log,
+        )
+        self._operator_follower.on_read = self._freshness.confirm
+        self.desk = desk.Desk(
+            clock,
+            self._view,
+            self._journal_follower,
+            appender.GroupAppender(services.journal),
+            self._freshness,
+            services.log,
+        )
+        self._waves: dict[int, model.Wave] = {}
+        self._owner: owners.Owner | None = None
+        self._is_stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._add_gauges()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this VM ought to be given new connections."""
+        now_s = self._services.clock.monotonic_s()
+        return (
+            not self._is_stopping
+            and self.desk.directory.version >= 0
+            and self._freshness.is_fresh(now_s)
+            and now_s - self._journal_follower.confirmed_s <= _READY_AGE_S
+        )
+
+    def start(self) -> None:
+        """Begins to follow the streams."""
+        for work in (
+            self._operator_follower.run(),
+            self._journal_follower.run(),
+            self._own(),
+        ):
+            self._tasks.append(asyncio.ensure_future(work))
+
+    async def give_up(self, timeout_s: float) -> None:
+        """Stops to own, so that another VM goes on at once."""
+        self._is_stopping = True
+        owner = self._owner
+        if owner is None:
+            return
+        owner.stop()
+        deadline_s = self._services.clock.monotonic_s() + timeout_s
+        while (
+            self._owner is not None
+            and self._services.clock.monotonic_s() < deadline_s
+        ):
+            await asyncio.sleep(_CLAIM_CHECK_S / 2)
+
+    async def close(self) -> None:
+        """Ends everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # Ownership.
+
+    async def _own(self) -> None:
+        """Claims the ownership when nobody else has it, and owns."""
+        services = self._services
+        while not self._is_stopping:
+            await asyncio.sleep(_CLAIM_CHECK_S)
+            if not self._journal_follower.is_caught_up or (
+                self.desk.directory.version < 0
+            ):
+                continue
+            decision = self._ownership.decide(services.clock.monotonic_s())
+            if not decision.epoch:
+                continue
+            services.log(
+                "ownership-claimed",
+                epoch=decision.epoch,
+                silence_s=round(decision.silence_s, 2),
+                reason=decision.reason,
+            )
+            heard_s = self._ownership.heard_s
+            if await self._claim(decision.epoch):
+                await self._run_owner(decision.epoch, heard_s)
+
+    async def _claim(self, epoch: int) -> bool:
+        """Writes a claim; returns whether it is the one that counts."""
+        services = self._services
+        claim = records.OwnerRecord(epoch, self._name, self._incarnation)
+        try:
+            appended = await services.journal.append(
+                [records.encode(claim)], interfaces.Producer(epoch, 0)
+            )
+        except interfaces.StoreError as error:
+            services.log("claim-failed", epoch=epoch, error=str(error))
+            self._ownership.read_failed(services.clock.monotonic_s())
+            return False
+        if appended.outcome is not interfaces.AppendOutcome.STORED:
+            services.log(
+                "claim-lost", epoch=epoch, outcome=appended.outcome.value
+            )
+            return False
+        is_read = await self._journal_follower.wait_for(
+            appended.next_offset, _CLAIM_READ_S
+        )
+        holder = self._ownership.owner
+        is_won = (
+            is_read
+            and self._ownership.is_mine()
+            and holder is not None
+            and holder.epoch == epoch
+        )
+        if not is_won:
+            services.log("claim-lost", epoch=epoch, outcome="read back")
+        return is_won
+
+    async def _run_owner(self, epoch: int, heard_s: float) -> None:
+        services = self._services
+        # An earlier owner renews for a while after it could write last, and
+        # what it renewed last still has to run out.
+        unsure_until_s = (
+            heard_s
+            + workers.RENEW_LIMIT_S
+            + workers.LEASE_S / (1 - workers.CLOCK_DRIFT)
+            + 0.5
+        )
+        owner = owners.Owner(
+            self._name,
+            self._incarnation,
+            epoch,
+            self._view,
+            unsure_until_s,
+            owners.OwnerServices(
+                services.journal,
+                services.registry,
+                services.decode_worker,
+                services.worker_orders,
+                services.clock,
+                services.log,
+                services.metrics,
+            ),
+        )
+        owner.configure(self.desk.directory)
+        self._owner = owner
+        self._journal_follower.pause_s = 0.0
+        try:
+            await owner.run()
+        finally:
+            self._owner = None
+            self._journal_follower.pause_s = _FOLLOWER_PAUSE_S
+        if owner.has_given_up:
+            self._ownership.step_back(services.clock.monotonic_s())
+
+    # Streams.
+
+    def _on_record(self, record: records.Record) -> None:
+        if isinstance(record, records.OwnerRecord):
+            now_s = self._services.clock.monotonic_s()
+            self._ownership.heard(record, now_s)
+        if self._owner is not None:
+            self._owner.on_record(record)
+
+    def _on_journal_failure(self) -> None:
+        self._ownership.read_failed(self._services.clock.monotonic_s())
+
+    def _on_operator_record(self, _: int, record: records.KeyedRecord) -> None:
+        if not record.value:
+            return
+        config = self._services.decode_config(record.key, record.value)
+        if config is not None:
+            self._take_config(config)
+            return
+        wave = self._services.decode_wave(record.key, record.value)
+        if wave is not None:
+            self._waves[wave.number] = wave
+            return
+        self._services.log("operator-record-unreadable", key=record.key)
+
+    def _take_config(self, config: directory.Directory) -> None:
+        if config.version <= self.desk.directory.version:
+            return
+        self._services.log(
+            "config-in-force",
+            version=config.version,
+            before=self.desk.directory.version,
+            queues=len(config.queues),
+        )
+        self.desk.directory = config
+        if self._owner is not None:
+            self._owner.configure(config)
+
+    def _add_gauges(self) -> None:
+        clock, metrics = self._services.clock, self._services.metrics
+        metrics.add_gauge(
+            "config_age_seconds",
+            "Age of this VM's knowledge of the configuration",
+            lambda: self._freshness.age_s(clock.monotonic_s()),
+        )
+        metrics.add_gauge(
+            "journal_age_seconds",
+            "Time since this VM has read the journal's end",
+            lambda: clock.monotonic_s() - self._journal_follower.confirmed_s,
+        )
+        metrics.add_gauge(
+            "owns",
+            "Whether this VM owns",
+            lambda: float(self._owner is not None),
+        )
+        metrics.add_gauge(
+            "config_version",
+            "Version of the configuration in force",
+            lambda: float(self.desk.directory.version),
+        )
--- /dev/null
+++ b/foxtaillock/batch/records.py
@@ -0,0 +1,171 @@
+"""Records of the journal, and how each is written as a key and a value.
+
+The journal is a stream of keyed records of which the platform keeps the
+newest of each key for good. So the newest records together are the whole
+state, and no snapshots are needed.
+"""
+
+import typing
+
+import msgspec
+
+from foxtaillock.batch import model
+
+__all__ = [
+    "Cancel",
+    "JobEnd",
+    "KeyedRecord",
+    "OwnerRecord",
+    "Record",
+    "StepProgress",
+    "TaskRow",
+    "WaveProgress",
+    "decode",
+    "encode",
+    "erase",
+]
+
+
+class OwnerRecord(typing.NamedTuple):
+    """Who owns the fleet's work; written again as its heartbeat.
+
+    Attributes:
+        epoch: number of this ownership; each owner has a higher one.
+        node: entry VM that owns.
+        incarnation: start of that entry VM's process.
+        is_released: whether the owner has given the ownership up.
+        renewal: count of its heartbeats.
+    """
+
+    epoch: int
+    node: str
+    incarnation: str
+    is_released: bool = False
+    renewal: int = 0
+
+
+class Cancel(typing.NamedTuple):
+    """Wish of the submitter that a job be cancelled."""
+
+    job_id: str
+    cancelled_ms: int
+
+
+class TaskRow(typing.NamedTuple):
+    """A task that has run or may run.
+
+    Attributes:
+        index: number of the task in its step.
+        run: number of its latest run.
+        failures: runs that ended as failed.
+        worker_id: worker of the latest run; empty once that run has ended.
+        worker_born_ms: life of that worker.
+        saved: progress to resume from; empty for none.
+    """
+
+    index: int
+    run: int
+    failures: int = 0
+    worker_id: str = ""
+    worker_born_ms: int = 0
+    saved: str = ""
+
+
+class StepProgress(typing.NamedTuple):
+    """How far the tasks of one step are.
+
+    Attributes:
+        step_id: the step.
+        epoch: epoch of the owner that wrote it.
+        done: bit set of the tasks that have ended well, lowest bit first.
+        rows: tasks that have run and are not done.
+    """
+
+    step_id: model.StepId
+    epoch: int
+    done: bytes
+    rows: tuple[TaskRow, ...]
+
+
+class JobEnd(typing.NamedTuple):
+    """Final state of a job."""
+
+    job_id: str
+    state: str
+    ended_ms: int
+
+
+class WaveProgress(typing.NamedTuple):
+    """VMs of a maintenance wave whose upkeep has begun."""
+
+    number: int
+    begun: tuple[str, ...]
+    is_complete: bool
+
+
+Record = (
+    OwnerRecord | model.JobSpec | Cancel | StepProgress | JobEnd | WaveProgress
+)
+
+
+class KeyedRecord(typing.NamedTuple):
+    """A record as the journal holds it; no value erases the key."""
+
+    key: str
+    value: bytes
+
+
+_OWNER, _JOB, _CANCEL, _STEP, _END, _WAVE = "o", "j", "c", "s", "e", "w"
+_TYPES: dict[str, typing.Any] = {
+    _OWNER: OwnerRecord,
+    _JOB: model.JobSpec,
+    _CANCEL: Cancel,
+    _STEP: StepProgress,
+    _END: JobEnd,
+    _WAVE: WaveProgress,
+}
+_DECODERS = {
+    prefix: msgspec.msgpack.Decoder(kind) for prefix, kind in _TYPES.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(record: Record) -> KeyedRecord:
+    """Returns the key and the value of a record."""
+    return KeyedRecord(_key_of(record), _ENCODER.encode(record))
+
+
+def erase(record: Record) -> KeyedRecord:
+    """Returns what makes the journal forget a record."""
+    return KeyedRecord(_key_of(record), b"")
+
+
+def decode(key: str, value: bytes) -> Record | None:
+    """Returns the record, or None if its kind or content is not known.
+
+    Example:
+        >>> decode(*encode(Cancel("5c0e", 7)))
+        Cancel(job_id='5c0e', cancelled_ms=7)
+    """
+    decoder = _DECODERS.get(key[:1])
+    if decoder is None:
+        return None
+    try:
+        return typing.cast(Record, decoder.decode(value))
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+
+
+def _key_of(record: Record) -> str:
+    if isinstance(record, OwnerRecord):
+        return _OWNER
+    if isinstance(record, StepProgress):
+        job_id, occurrence, step = record.step_id
+        return f"{_STEP}{job_id}.{occurrence}.{step}"
+    if isinstance(record, model.JobSpec):
+        return _JOB + record.job_id
+    if isinstance(record, Cancel):
+        return _CANCEL + record.job_id
+    if isinstance(record, JobEnd):
+        return _END + record.job_id
+    return _WAVE + str(record.number)
--- /dev/null
+++ b/foxtaillock/batch/view.py
@@ -0,0 +1,178 @@
+"""State of all jobs, folded from the journal's newest records."""
+
+import collections
+import typing
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from foxtaillock.batch import model
+from foxtaillock.batch import records
+
+__all__ = ["JobView", "JournalView"]
+
+
+class JobView(typing.NamedTuple):
+    """A job as the journal tells it.
+
+    Attributes:
+        spec: the job.
+        state: its state.
+        progress: progress of each step that has begun.
+        is_cancelled: whether its submitter cancelled it.
+    """
+
+    spec: model.JobSpec
+    state: model.JobState
+    progress: dict[model.StepId, records.StepProgress]
+    is_cancelled: bool
+
+
+class JournalView:
+    """Fold of the journal: the newest record of each key counts.
+
+    Records may come twice and out of order, since pages of newest records
+    are no snapshot: one with a lower offset than the record that is known
+    for its key is passed over.
+
+    Attributes:
+        on_record: called with each record that changed the state.
+    """
+
+    def __init__(self) -> None:
+        self._offsets: dict[str, int] = {}
+        self._jobs: dict[str, model.JobSpec] = {}
+        self._cancels: dict[str, records.Cancel] = {}
+        self._progress: dict[str, dict[model.StepId, records.StepProgress]] = {}
+        self._ends: dict[str, records.JobEnd] = {}
+        self._waves: dict[int, records.WaveProgress] = {}
+        self._waiting: collections.Counter[str] = collections.Counter()
+        self.owner: records.OwnerRecord | None = None
+        self.on_record: Callable[[records.Record], None] = lambda _: None
+
+    def apply(self, offset: int, keyed: records.KeyedRecord) -> None:
+        """Takes a record in."""
+        if self._offsets.get(keyed.key, -1) >= offset:
+            return
+        self._offsets[keyed.key] = offset
+        if not keyed.value:
+            self._forget(keyed.key)
+            return
+        record = records.decode(keyed.key, keyed.value)
+        if record is None:
+            return
+        self._fold(record)
+        self.on_record(record)
+
+    def job(self, job_id: str) -> JobView | None:
+        """Returns what is known of a job, or None."""
+        spec = self._jobs.get(job_id)
+        if spec is None:
+            return None
+        return JobView(
+            spec,
+            self._state(job_id),
+            self._progress.get(job_id, {}),
+            job_id in self._cancels,
+        )
+
+    def spec(self, job_id: str) -> model.JobSpec | None:
+        """Returns a job as it was accepted, or None."""
+        return self._jobs.get(job_id)
+
+    def jobs(self) -> Iterable[model.JobSpec]:
+        """Returns all jobs that the journal holds."""
+        return self._jobs.values()
+
+    def ends(self) -> Iterable[records.JobEnd]:
+        """Returns the final states of the jobs that have ended."""
+        return self._ends.values()
+
+    def end(self, job_id: str) -> records.JobEnd | None:
+        """Returns the final state of a job, or None."""
+        return self._ends.get(job_id)
+
+    def cancel(self, job_id: str) -> records.Cancel | None:
+        """Returns the submitter's wish to cancel a job, or None."""
+        return self._cancels.get(job_id)
+
+    def steps(self, job_id: str) -> Iterable[records.StepProgress]:
+        """Returns the progress of a job's steps that have begun."""
+        return self._progress.get(job_id, {}).values()
+
+    def waves(self) -> dict[int, records.WaveProgress]:
+        """Returns how far the maintenance waves are."""
+        return dict(self._waves)
+
+    def waiting_count(self, queue: str) -> int:
+        """Returns the jobs of a queue of which no task has begun."""
+        return self._waiting[queue]
+
+    def _state(self, job_id: str) -> model.JobState:
+        end = self._ends.get(job_id)
+        if end is not None:
+            return model.JobState(end.state)
+        if job_id in self._cancels:
+            return model.JobState.CANCELLED
+        if job_id in self._progress:
+            return model.JobState.RUNNING
+        return model.JobState.QUEUED
+
+    def _is_waiting(self, job_id: str) -> bool:
+        return (
+            job_id in self._jobs
+            and self._state(job_id) is model.JobState.QUEUED
+        )
+
+    def _fold(self, record: records.Record) -> None:
+        if isinstance(record, records.OwnerRecord):
+            self.owner = record
+        elif isinstance(record, records.WaveProgress):
+            self._waves[record.number] = record
+        elif isinstance(record, records.StepProgress):
+            job_id = record.step_id.job_id
+            was_waiting = self._is_waiting(job_id)
+            steps = self._progress.setdefault(job_id, {})
+            steps[record.step_id] = record
+            self._recount(job_id, was_waiting)
+        elif isinstance(record, model.JobSpec):
+            was_waiting = self._is_waiting(record.job_id)
+            self._jobs[record.job_id] = record
+            self._recount(record.job_id, was_waiting)
+        elif isinstance(record, records.Cancel):
+            was_waiting = self._is_waiting(record.job_id)
+            self._cancels[record.job_id] = record
+            self._recount(record.job_id, was_waiting)
+        else:
+            was_waiting = self._is_waiting(record.job_id)
+            self._ends[record.job_id] = record
+            self._recount(record.job_id, was_waiting)
+
+    def _recount(self, job_id: str, was_waiting: bool) -> None:
+        is_waiting = self._is_waiting(job_id)
+        if is_waiting != was_waiting:
+            queue = self._jobs[job_id].queue
+            self._waiting[queue] += 1 if is_waiting else -1
+
+    def _forget(self, key: str) -> None:
+        kind, rest = key[:1], key[1:]
+        job_id = rest.split(".", 1)[0]
+        was_waiting = self._is_waiting(job_id)
+        queue = self._jobs[job_id].queue if was_waiting else ""
+        if kind == "j":
+            self._jobs.pop(job_id, None)
+        elif kind == "c":
+            self._cancels.pop(job_id, None)
+        elif kind == "e":
+            self._ends.pop(job_id, None)
+        elif kind == "s":
+            steps = self._progress.get(job_id, {})
+            for step_id in [s for s in steps if _ends_with(rest, s)]:
+                del steps[step_id]
+            if not steps:
+                self._progress.pop(job_id, None)
+        if was_waiting and not self._is_waiting(job_id):
+            self._waiting[queue] -= 1
+
+
+def _ends_with(rest: str, step_id: model.StepId) -> bool:
+    return rest == f"{step_id.job_id}.{step_id.occurrence}.{step_id.step}"
--- /dev/null
+++ b/foxtaillock/platform/daemon.py
@@ -0,0 +1,158 @@
+"""Program of an entry VM on the users' platform."""
+
+import asyncio
+import os
+import signal
+import sys
+import uuid
+
+from foxtaillock import exceptions
+from foxtaillock.batch import decision_log
+from foxtaillock.batch import directory
+from foxtaillock.batch import metrics as batch_metrics
+from foxtaillock.batch import node as nodes
+from foxtaillock.model import clock as model_clock
+from foxtaillock.platform import front as fronts
+from foxtaillock.platform import http
+from foxtaillock.platform import registry
+from foxtaillock.platform import settings as platform_settings
+from foxtaillock.platform import store
+from foxtaillock.platform import workers
+
+__all__ = ["main"]
+
+_SETTINGS_VARIABLE = "FOXTAILLOCK_SETTINGS"
+_DEFAULT_SETTINGS = "/etc/foxtaillock/settings.conf"
+_EXIT_BAD_SETTINGS = 2
+
+_JOURNAL_TOPIC = "keyed.journal"
+_OPERATORS_TOPIC = "keyed.op"
+_WORKERS_TOPIC = "keyed.servers"
+_PRODUCER = "owner"
+
+# Of the 64 connections that a worker takes, the owner uses a few; more would
+# be opened at a price only to be idle.
+_ORDER_CONNECTIONS = 4
+_LOOK_CONNECTIONS = 2
+_STORE_CONNECTIONS = 8
+
+# The balancer sees within two of its questions, one a second, that a VM
+# leaves; calls on open connections go on for as long.
+_LEAVE_LEAST_S = 3.0
+
+# Left over of the time between SIGTERM and SIGKILL.
+_LEAVE_SPARE_S = 0.7
+
+_HAND_OVER_S = 1.0
+
+
+def main() -> None:
+    """Entry point of the program."""
+    path = os.environ.get(_SETTINGS_VARIABLE, _DEFAULT_SETTINGS)
+    try:
+        settings = platform_settings.load(path)
+    except exceptions.InvalidInputError as error:
+        print(f"foxtaillockd: {error}", file=sys.stderr)
+        sys.exit(_EXIT_BAD_SETTINGS)
+    asyncio.run(_run(settings, path))
+
+
+async def _run(settings: platform_settings.VmSettings, path: str) -> None:
+    clock = model_clock.SystemClock()
+    log = decision_log.create_log(settings.node, clock)
+    metrics = batch_metrics.Metrics()
+    callers = [
+        http.Caller(_STORE_CONNECTIONS),
+        http.Caller(_ORDER_CONNECTIONS),
+        http.Caller(_LOOK_CONNECTIONS),
+    ]
+    incarnation = uuid.uuid4().hex[:8]
+    node = nodes.Node(
+        settings.node,
+        incarnation,
+        settings.key_age_s,
+        _services(settings, callers, clock, log, metrics),
+    )
+    front = fronts.Front(node.desk, lambda: node.is_ready, clock, metrics)
+    node.start()
+    await front.listen(settings.readiness, front.serve_readiness)
+    await front.listen(settings.callers, front.serve_call)
+    try:
+        await front.listen(settings.metrics, front.serve_metrics)
+    except OSError as error:
+        log("metrics-not-served", error=str(error))
+    log("started", incarnation=incarnation, zone=settings.zone)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
+    await stop.wait()
+    asked_s = clock.monotonic_s()
+    log("stopping", incarnation=incarnation)
+    await node.give_up(_HAND_OVER_S)
+    await front.leave(
+        asked_s + settings.grace_s - _LEAVE_SPARE_S, asked_s + _LEAVE_LEAST_S
+    )
+    log("stopped", incarnation=incarnation)
+    await front.close()
+    await node.close()
+    for caller in callers:
+        await caller.close()
+
+
+def _services(
+    settings: platform_settings.VmSettings,
+    callers: list[http.Caller],
+    clock: model_clock.Clock,
+    log: decision_log.DecisionLog,
+    metrics: batch_metrics.Metrics,
+) -> nodes.NodeServices:
+    store_caller, order_caller, look_caller = callers
+
+    def _topic(name: str) -> store.KeyedTopic:
+        return store.KeyedTopic(
+            store_caller, settings.store.text, name, _PRODUCER
+        )
+
+    return nodes.NodeServices(
+        _topic(_JOURNAL_TOPIC),
+        _topic(_OPERATORS_TOPIC),
+        _topic(_WORKERS_TOPIC),
+        _decode_config,
+        registry.decode_wave,
+        registry.decode_worker,
+        workers.HttpWorkers(order_caller, look_caller),
+        clock,
+        log,
+        metrics,
+    )
+
+
+def _decode_config(key: str, value: bytes) -> directory.Directory | None:
+    if not registry.is_config_key(key):
+        return None
+    return registry.decode_config(value)
+
+
+def _reload(
+    before: platform_settings.VmSettings,
+    path: str,
+    log: decision_log.DecisionLog,
+) -> None:
+    """Reads the settings again and tells what differs."""
+    try:
+        after = platform_settings.load(path)
+    except exceptions.InvalidInputError as error:
+        log("reload-failed", error=str(error))
+        return
+    changed = [
+        name
+        for name in before._fields
+        if getattr(before, name) != getattr(after, name)
+    ]
+    log("reloaded", changed=changed)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/foxtaillock/platform/front.py
@@ -0,0 +1,148 @@
+"""HTTP interface of an entry VM: submitters, readiness and metrics."""
+
+import asyncio
+import functools
+import math
+import typing
+from collections.abc import Callable
+
+from aiohttp import web
+
+from foxtaillock.batch import desk
+from foxtaillock.batch import metrics as batch_metrics
+from foxtaillock.batch import outcomes
+from foxtaillock.model import clock as model_clock
+from foxtaillock.platform import settings as platform_settings
+from foxtaillock.platform import submissions
+
+__all__ = ["Front"]
+
+_KEY_PREFIX = "Bearer "
+_READINESS_PATH = "/-/readiness"
+_METRICS_PATH = "/metrics"
+_KEEPALIVE_S = 75.0
+_BACKLOG = 512
+_SECOND_S = 1.0
+
+
+class Front:
+    """Servers of one entry VM.
+
+    Args:
+        callers_desk: serves the calls.
+        is_ready: whether this VM ought to be given new connections.
+        clock: source of time.
+        metrics: metrics of this process.
+    """
+
+    def __init__(
+        self,
+        callers_desk: desk.Desk,
+        is_ready: Callable[[], bool],
+        clock: model_clock.Clock,
+        metrics: batch_metrics.Metrics,
+    ) -> None:
+        self._desk = callers_desk
+        self._is_ready = is_ready
+        self._clock = clock
+        self._metrics = metrics
+        self._runners: list[web.ServerRunner] = []
+        self._under_way = 0
+        self._is_leaving = False
+
+    async def listen(
+        self,
+        endpoint: platform_settings.Endpoint,
+        handler: Callable[[web.BaseRequest], typing.Any],
+    ) -> None:
+        """Serves `handler` at an address.
+
+        Raises:
+            OSError: the address can't be listened at.
+        """
+        server = web.Server(handler, access_log=None)
+        runner = web.ServerRunner(server, keepalive_timeout=_KEEPALIVE_S)
+        await runner.setup()
+        site = web.TCPSite(
+            runner,
+            endpoint.host,
+            endpoint.port,
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+        await site.start()
+        self._runners.append(runner)
+
+    async def leave(self, until_s: float, least_s: float) -> None:
+        """Serves on until no call is under way, then returns.
+
+        Each answer from now on closes its connection.
+
+        Args:
+            until_s: time at which it returns in any case.
+            least_s: time before which it does not return.
+        """
+        self._is_leaving = True
+        while (now_s := self._clock.monotonic_s()) < until_s:
+            if now_s >= least_s and not self._under_way:
+                return
+            await asyncio.sleep(0.05)
+
+    async def close(self) -> None:
+        """Closes all servers."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def serve_call(self, request: web.BaseRequest) -> web.Response:
+        """Serves a submitter's call."""
+        started_s = self._clock.monotonic_s()
+        self._under_way += 1
+        try:
+            outcome = await self._outcome(request)
+        finally:
+            self._under_way -= 1
+        encoded = submissions.encode_outcome(outcome)
+        took_s = self._clock.monotonic_s() - started_s
+        self._metrics.calls.labels(request.method, type(outcome).__name__).inc()
+        self._metrics.call_latency.labels(request.method).observe(took_s)
+        headers = {"Content-Type": "application/json"}
+        if encoded.retry_after_s is not None:
+            headers["Retry-After"] = str(
+                max(1, math.ceil(encoded.retry_after_s))
+            )
+        response = web.Response(
+            status=encoded.status, body=encoded.body, headers=headers
+        )
+        if self._is_leaving:
+            response.force_close()
+        return response
+
+    async def serve_readiness(self, request: web.BaseRequest) -> web.Response:
+        """Tells the balancer whether this VM ought to be used."""
+        if request.path != _READINESS_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def serve_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Tells the metrics of this process."""
+        if request.path != _METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(
+            body=self._metrics.render(), content_type="text/plain"
+        )
+
+    async def _outcome(self, request: web.BaseRequest) -> outcomes.CallOutcome:
+        key = request.headers.get("Authorization", "")
+        key = key[len(_KEY_PREFIX) :] if key.startswith(_KEY_PREFIX) else ""
+        host = request.headers.get("Host", "").partition(":")[0]
+        call = desk.Call(host, request.path, key)
+        if request.method == "GET":
+            return await self._desk.state(call)
+        if request.method == "DELETE":
+            return await self._desk.cancel(call)
+        if request.method != "POST":
+            return outcomes.Malformed(f"method {request.method}")
+        body = await request.read()
+        return await self._desk.submit(
+            call, functools.partial(submissions.create_spec, body)
+        )
--- /dev/null
+++ b/foxtaillock/platform/http.py
@@ -0,0 +1,142 @@
+"""The one HTTP client for everything that the platform offers."""
+
+import asyncio
+import socket
+import typing
+from collections.abc import Mapping
+
+import aiohttp
+
+__all__ = ["Answer", "Caller", "NoAnswerError", "NotSentError"]
+
+# Time for a new connection; the platform's links take a few milliseconds, and
+# a lost opening packet is sent again after one second.
+_CONNECT_TIMEOUT_S = 0.7
+
+_KEEPALIVE_S = 20.0
+
+# Unacknowledged bytes for so long mean that the other side is cut off.
+_USER_TIMEOUT_MS = 3_000
+
+
+class NotSentError(Exception):
+    """No connection could be made: nothing of the request was sent."""
+
+
+class NoAnswerError(Exception):
+    """No whole answer came; the request may have taken effect."""
+
+
+class Answer(typing.NamedTuple):
+    """Whole answer to a request."""
+
+    status: int
+    body: bytes
+
+
+class Caller:
+    """Requests over kept connections, each sent once.
+
+    A connection whose request got no answer is closed. Connections may have
+    gone silent together, so after a timeout all idle ones are given up too.
+
+    Args:
+        connections_per_host: open connections to one address at most.
+    """
+
+    def __init__(self, connections_per_host: int) -> None:
+        self._connections_per_host = connections_per_host
+        self._session: aiohttp.ClientSession | None = None
+        self._retired: list[aiohttp.ClientSession] = []
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        *,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Sends one request and returns its answer.
+
+        Raises:
+            NotSentError: no connection could be made.
+            NoAnswerError: no whole answer came in time.
+        """
+        session = self._get_session()
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        try:
+            async with session.request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return Answer(response.status, await response.read())
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise NotSentError(f"{url}: {error!r}") from error
+        except TimeoutError as error:
+            await self._retire(session)
+            raise NoAnswerError(f"{url}: no answer in {timeout_s} s") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise NoAnswerError(f"{url}: {error!r}") from error
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        sessions = [*self._retired, self._session]
+        self._retired, self._session = [], None
+        for session in sessions:
+            if session is not None:
+                await session.close()
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=self._connections_per_host,
+                keepalive_timeout=_KEEPALIVE_S,
+                use_dns_cache=False,
+                socket_factory=_make_socket,
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+            )
+        return self._session
+
+    async def _retire(self, session: aiohttp.ClientSession) -> None:
+        """Makes later requests use new connections."""
+        if session is not self._session:
+            return
+        self._session = None
+        self._retired.append(session)
+        asyncio.get_running_loop().call_later(
+            _KEEPALIVE_S, lambda: asyncio.ensure_future(self._close_retired())
+        )
+
+    async def _close_retired(self) -> None:
+        if self._retired:
+            await self._retired.pop(0).close()
+
+
+def _make_socket(
+    address_info: tuple[typing.Any, ...],
+) -> socket.socket:
+    family, kind, protocol = address_info[:3]
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+    )
+    return made
--- /dev/null
+++ b/foxtaillock/platform/registry.py
@@ -0,0 +1,218 @@
+"""What workers and operators have written to the store, decoded."""
+
+import typing
+
+import msgspec
+
+from foxtaillock.batch import directory
+from foxtaillock.batch import model
+from foxtaillock.model import resources
+
+__all__ = [
+    "decode_config",
+    "decode_size",
+    "decode_wave",
+    "decode_worker",
+    "is_config_key",
+    "wave_status",
+    "wave_status_key",
+]
+
+_CONFIG_KEY = "config"
+_WAVE_PREFIX = "wave/"
+_MEBIBYTE = 1024 * 1024
+_DEFAULT_BODY_BYTES = 262_144
+
+
+class _Size(typing.TypedDict, total=False):
+    cpu: int
+    mem_mb: int
+    gpu: int
+
+
+class _Worker(typing.TypedDict):
+    service: str
+    address: str
+    zone: str
+    state: typing.Literal["ready", "draining"]
+    capacity: _Size
+    labels: list[str]
+    clock_ms: int
+    born: typing.NotRequired[int]
+    drain_remaining_ms: typing.NotRequired[float]
+
+
+class _Advice(typing.TypedDict, total=False):
+    valid_ms: int
+
+
+class _Route(typing.TypedDict):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: typing.NotRequired[int]
+    target_duration_ms: typing.NotRequired[float]
+    priority: typing.NotRequired[int]
+    max_attempts: typing.NotRequired[int]
+    stretch: typing.NotRequired[float]
+    public: typing.NotRequired[bool]
+    advice: typing.NotRequired[_Advice | None]
+
+
+class _Service(typing.TypedDict):
+    name: str
+    admission_check: typing.NotRequired[bool]
+    spare: typing.NotRequired[bool]
+
+
+class _Tenant(typing.TypedDict):
+    name: str
+    api_keys: typing.NotRequired[list[str]]
+    weight: typing.NotRequired[float]
+    cap: typing.NotRequired[_Size]
+
+
+class _Limits(typing.TypedDict, total=False):
+    max_body_bytes: int
+
+
+class _Config(typing.TypedDict):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: typing.NotRequired[_Limits]
+    tenants: typing.NotRequired[list[_Tenant]]
+
+
+class _Wave(typing.TypedDict):
+    wave: int
+    machines: list[str]
+    complete_by_s: float
+    cap: int
+
+
+_worker_decoder = msgspec.json.Decoder(_Worker)
+_config_decoder = msgspec.json.Decoder(_Config)
+_wave_decoder = msgspec.json.Decoder(_Wave)
+
+
+def decode_size(size: typing.Any) -> resources.Resources:
+    """Returns the resources of a `cpu`, `mem_mb`, `gpu` table."""
+    return resources.Resources(
+        int(size.get("cpu", 0)),
+        int(size.get("mem_mb", 0)) * _MEBIBYTE,
+        int(size.get("gpu", 0)),
+    )
+
+
+def decode_worker(key: str, value: bytes) -> model.WorkerEntry | None:
+    """Returns a worker's entry, or None if it names none to use."""
+    try:
+        entry = _worker_decoder.decode(value)
+    except msgspec.DecodeError:
+        return None
+    return model.WorkerEntry(
+        key,
+        entry.get("born", 0),
+        # What the page calls a service is the pool of workers that serve it.
+        entry["service"],
+        entry["address"],
+        entry["zone"],
+        tuple(entry["labels"]),
+        decode_size(entry["capacity"]),
+        entry["state"] == "draining",
+        int(entry.get("drain_remaining_ms", 0)),
+        entry["clock_ms"],
+    )
+
+
+def is_config_key(key: str) -> bool:
+    """Returns whether a key of the operators holds the configuration."""
+    return key == _CONFIG_KEY
+
+
+def decode_config(value: bytes) -> directory.Directory | None:
+    """Returns the configuration, or None if it can't be read."""
+    try:
+        config = _config_decoder.decode(value)
+    except msgspec.DecodeError:
+        return None
+    routes = [
+        directory.Route(each["host"], each["path_prefix"], each["name"])
+        for each in config["routes"]
+    ]
+    teams = [
+        (_decode_team(each), each.get("api_keys", []))
+        for each in config.get("tenants", [])
+    ]
+    limits = config.get("limits", {})
+    return directory.create_directory(
+        config["version"],
+        routes,
+        [_decode_queue(each) for each in config["routes"]],
+        [_decode_pool(each) for each in config["services"]],
+        teams,
+        limits.get("max_body_bytes", _DEFAULT_BODY_BYTES),
+    )
+
+
+def decode_wave(key: str, value: bytes) -> model.Wave | None:
+    """Returns a maintenance wave, or None if the key holds none."""
+    if not key.startswith(_WAVE_PREFIX):
+        return None
+    try:
+        wave = _wave_decoder.decode(value)
+    except msgspec.DecodeError:
+        return None
+    return model.Wave(
+        wave["wave"],
+        tuple(wave["machines"]),
+        wave["complete_by_s"],
+        # Here the page's `cap` is a number of VMs, not of resources.
+        wave["cap"],
+    )
+
+
+def wave_status_key(number: int) -> str:
+    """Returns the key under which operators look for a wave's state."""
+    return f"{_WAVE_PREFIX}{number}"
+
+
+def wave_status(number: int, is_complete: bool) -> bytes:
+    """Returns a wave's state as operators read it."""
+    state = "completed" if is_complete else "running"
+    return msgspec.json.encode({"wave": number, "state": state})
+
+
+def _decode_queue(route: _Route) -> model.Queue:
+    advice = route.get("advice") or {}
+    return model.Queue(
+        route["name"],
+        route["service"],
+        route.get("priority", 0),
+        route.get("max_attempts", 1),
+        route.get("stretch", 1.0),
+        # Not the duration of a target, but what the objective adds to the
+        # stretched chain of tasks.
+        int(route.get("target_duration_ms", 0)),
+        route.get("public", False),
+        advice.get("valid_ms", 0),
+        route.get("timeout_ms", 0),
+    )
+
+
+def _decode_pool(service: _Service) -> model.Pool:
+    return model.Pool(
+        service["name"],
+        service.get("admission_check", False),
+        service.get("spare", False),
+    )
+
+
+def _decode_team(tenant: _Tenant) -> model.Team:
+    return model.Team(
+        tenant["name"],
+        tenant.get("weight", 1.0),
+        decode_size(tenant.get("cap", {})),
+    )
--- /dev/null
+++ b/foxtaillock/platform/store.py
@@ -0,0 +1,233 @@
+"""The platform's store: its keyed topics as journals."""
+
+import base64
+import struct
+import typing
+from collections.abc import Sequence
+from urllib import parse
+
+import msgspec
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import records
+from foxtaillock.platform import http
+
+__all__ = ["KeyedTopic", "decode_records", "encode_records"]
+
+# Time for an answer beside what the call itself waits for. The slowest that
+# the store is said to be while it still serves is some 300 ms.
+_ANSWER_S = 1.3
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+_OK, _CONFLICT, _GONE, _PRECONDITION = 200, 409, 410, 412
+_NOTHING_DONE = frozenset((400, 403, 404, 412, 429, 503, 507))
+
+
+class _AppendAnswer(typing.TypedDict):
+    end_offset: int
+
+
+class _ConflictAnswer(typing.TypedDict, total=False):
+    reason: str
+
+
+class _NewestItem(typing.TypedDict):
+    key: str
+    value: str
+    offset: int
+
+
+class _NewestPage(typing.TypedDict):
+    items: list[_NewestItem]
+    has_more: bool
+    end_offset: int
+
+
+_append_decoder = msgspec.json.Decoder(_AppendAnswer)
+_conflict_decoder = msgspec.json.Decoder(_ConflictAnswer)
+_newest_decoder = msgspec.json.Decoder(_NewestPage)
+
+
+class KeyedTopic:
+    """One partition of a keyed topic as a journal.
+
+    Args:
+        caller: HTTP client.
+        address: `HOST:PORT` of the store.
+        topic: name of the topic.
+        producer: name under which an owner's appends are fenced.
+        batch_bytes: largest sum of records of one append.
+    """
+
+    def __init__(
+        self,
+        caller: http.Caller,
+        address: str,
+        topic: str,
+        producer: str = "",
+        batch_bytes: int = 2_097_152,
+    ) -> None:
+        self._caller = caller
+        self._address = address
+        self._topic = topic
+        self._producer = producer
+        self.batch_bytes = batch_bytes
+
+    async def append(
+        self,
+        batch: Sequence[records.KeyedRecord],
+        producer: interfaces.Producer | None = None,
+    ) -> interfaces.Appended:
+        """Appends all records or none; see `interfaces.Journal`."""
+        query = self._query()
+        if producer is not None:
+            query["producer"] = self._producer
+            query["epoch"] = str(producer.epoch)
+            query["sequence"] = str(producer.sequence)
+        url = f"http://{self._address}/-/log-append?{parse.urlencode(query)}"
+        answer = await self._call("POST", url, _ANSWER_S, encode_records(batch))
+        if answer.status == _OK:
+            appended = _append_decoder.decode(answer.body)
+            return interfaces.Appended(
+                interfaces.AppendOutcome.STORED, appended["end_offset"]
+            )
+        if answer.status == _CONFLICT:
+            return interfaces.Appended(_conflict_outcome(answer.body))
+        raise self._error(answer)
+
+    async def read(self, offset: int, wait_s: float) -> interfaces.JournalPage:
+        """Reads from `offset` on; see `interfaces.Journal`."""
+        query = self._query()
+        # The page's `from` is an offset.
+        query["from"] = str(offset)
+        if wait_s > 0:
+            query["wait_ms"] = str(int(wait_s * 1000))
+        url = f"http://{self._address}/-/log-read?{parse.urlencode(query)}"
+        answer = await self._call("GET", url, wait_s + _ANSWER_S)
+        if answer.status == _GONE:
+            return interfaces.JournalPage((), offset, offset, is_expired=True)
+        if answer.status != _OK:
+            raise self._error(answer)
+        try:
+            end_offset, _ = _OFFSETS.unpack_from(answer.body)
+            found = decode_records(answer.body[_OFFSETS.size :])
+        except (struct.error, ValueError) as error:
+            raise interfaces.StoreUnreachableError(
+                f"{self._topic}: malformed answer: {error}"
+            ) from error
+        numbered = [
+            (offset + place, record)
+            for place, record in enumerate(found)
+            if record is not None
+        ]
+        return interfaces.JournalPage(numbered, offset + len(found), end_offset)
+
+    async def read_newest(self) -> interfaces.JournalPage:
+        """Reads the newest record of each key; see `interfaces.Journal`."""
+        found: list[tuple[int, records.KeyedRecord]] = []
+        first_end: int | None = None
+        after = ""
+        while True:
+            page = await self._newest_page(after)
+            if first_end is None:
+                first_end = page["end_offset"]
+            for item in page["items"]:
+                value = base64.b64decode(item["value"])
+                record = records.KeyedRecord(item["key"], value)
+                found.append((item["offset"], record))
+            if not page["has_more"] or not page["items"]:
+                return interfaces.JournalPage(found, first_end, first_end)
+            after = page["items"][-1]["key"]
+
+    async def _newest_page(self, after: str) -> _NewestPage:
+        query = self._query()
+        if after:
+            # Here the page's `depends_on` is the key to continue behind.
+            query["depends_on"] = after
+        url = f"http://{self._address}/-/log-newest?{parse.urlencode(query)}"
+        answer = await self._call("GET", url, 2 * _ANSWER_S)
+        if answer.status != _OK:
+            raise self._error(answer)
+        try:
+            return _newest_decoder.decode(answer.body)
+        except msgspec.DecodeError as error:
+            raise interfaces.StoreUnreachableError(
+                f"{self._topic}: malformed answer: {error}"
+            ) from error
+
+    def _query(self) -> dict[str, str]:
+        return {"topic": self._topic, "part": "0"}
+
+    async def _call(
+        self, method: str, url: str, timeout_s: float, body: bytes | None = None
+    ) -> http.Answer:
+        try:
+            return await self._caller.request(method, url, timeout_s, body=body)
+        except http.NotSentError as error:
+            raise interfaces.StoreRefusedError(str(error)) from error
+        except http.NoAnswerError as error:
+            raise interfaces.StoreUnreachableError(str(error)) from error
+
+    def _error(self, answer: http.Answer) -> interfaces.StoreError:
+        text = f"{self._topic}: status {answer.status}"
+        if answer.status in _NOTHING_DONE:
+            return interfaces.StoreRefusedError(text)
+        return interfaces.StoreUnreachableError(text)
+
+
+def encode_records(batch: Sequence[records.KeyedRecord]) -> bytes:
+    """Returns the body of an append.
+
+    Example:
+        >>> encode_records([records.KeyedRecord("k", b"v")]).hex()
+        '00000003016b76'
+    """
+    parts = []
+    for record in batch:
+        key = record.key.encode()
+        content = bytes((len(key),)) + key + record.value
+        parts.append(_LENGTH.pack(len(content)) + content)
+    return b"".join(parts)
+
+
+def decode_records(body: bytes) -> list[records.KeyedRecord | None]:
+    """Returns the records of a read; None stands for one without a key.
+
+    Raises:
+        ValueError: the body ends inside a record.
+    """
+    found: list[records.KeyedRecord | None] = []
+    place = 0
+    while place < len(body):
+        if place + _LENGTH.size > len(body):
+            raise ValueError("the body ends inside a length")
+        (length,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        content = body[place : place + length]
+        if len(content) < length:
+            raise ValueError("the body ends inside a record")
+        place += length
+        found.append(_decode_content(content))
+    return found
+
+
+def _decode_content(content: bytes) -> records.KeyedRecord | None:
+    if not content or len(content) < 1 + content[0]:
+        return None
+    end = 1 + content[0]
+    try:
+        key = content[1:end].decode()
+    except UnicodeDecodeError:
+        return None
+    return records.KeyedRecord(key, content[end:])
+
+
+def _conflict_outcome(body: bytes) -> interfaces.AppendOutcome:
+    try:
+        reason = _conflict_decoder.decode(body).get("reason", "")
+    except msgspec.DecodeError:
+        reason = ""
+    if reason == "seq":
+        return interfaces.AppendOutcome.OUT_OF_SEQUENCE
+    return interfaces.AppendOutcome.FENCED
--- /dev/null
+++ b/foxtaillock/platform/submissions.py
@@ -0,0 +1,144 @@
+"""Bodies of submitters' calls, decoded, and bodies of answers, encoded."""
+
+import typing
+
+import msgspec
+
+from foxtaillock.batch import model
+from foxtaillock.batch import outcomes
+from foxtaillock.platform import registry
+
+__all__ = ["create_spec", "encode_outcome"]
+
+_MAX_TASKS = 20_000
+_MAX_PAYLOAD_BYTES = 4_000
+
+
+class _Step(typing.TypedDict):
+    count: typing.NotRequired[int]
+    cpu: typing.NotRequired[int]
+    mem_mb: typing.NotRequired[int]
+    gpu: typing.NotRequired[int]
+    estimate_ms: typing.NotRequired[float]
+    depends_on: typing.NotRequired[list[int]]
+    checkpoint: typing.NotRequired[bool]
+    gang: typing.NotRequired[bool]
+    same_rack: typing.NotRequired[bool]
+    needs: typing.NotRequired[str]
+    affinity: typing.NotRequired[str]
+    max_per_server: typing.NotRequired[int]
+    speculative: typing.NotRequired[bool]
+    persistent: typing.NotRequired[bool]
+    image: typing.NotRequired[str]
+    target_ms: typing.NotRequired[float]
+    filled: typing.NotRequired[bool]
+    may_miss: typing.NotRequired[int]
+
+
+class _Job(typing.TypedDict):
+    workload: str
+    steps: list[_Step]
+    times: typing.NotRequired[int]
+    first_ms: typing.NotRequired[int]
+    interval_ms: typing.NotRequired[int]
+
+
+_job_decoder = msgspec.json.Decoder(_Job)
+
+
+class EncodedAnswer(typing.NamedTuple):
+    """Status, body and `Retry-After` of an answer."""
+
+    status: int
+    body: bytes
+    retry_after_s: float | None = None
+
+
+def create_spec(
+    body: bytes, job_id: str, queue: str, team: str, accepted_ms: int
+) -> model.JobSpec:
+    """Returns the job that a body describes.
+
+    Raises:
+        ValueError: the body describes no job.
+    """
+    try:
+        job = _job_decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise ValueError(str(error)) from error
+    if len(job["workload"].encode()) > _MAX_PAYLOAD_BYTES:
+        raise ValueError("the payload is too long")
+    steps = tuple(
+        _decode_step(step, number) for number, step in enumerate(job["steps"])
+    )
+    occurrences = job.get("times", 0)
+    tasks = sum(step.task_count for step in steps) * max(1, occurrences)
+    if not 0 < tasks <= _MAX_TASKS:
+        raise ValueError(f"a job of {tasks} tasks")
+    return model.JobSpec(
+        job_id,
+        queue,
+        team,
+        accepted_ms,
+        job["workload"],
+        steps,
+        occurrences,
+        job.get("first_ms", 0),
+        job.get("interval_ms", 0),
+    )
+
+
+def encode_outcome(outcome: outcomes.CallOutcome) -> EncodedAnswer:
+    """Returns the answer that tells a submitter an outcome."""
+    match outcome:
+        case outcomes.Accepted() | outcomes.Cancelled():
+            return EncodedAnswer(200, b"{}")
+        case outcomes.State(state):
+            return EncodedAnswer(200, msgspec.json.encode({"state": state}))
+        case outcomes.WaitingCount(count):
+            return EncodedAnswer(200, msgspec.json.encode({"waiting": count}))
+        case outcomes.NoSuchJob():
+            return EncodedAnswer(410, _error("no such job"))
+        case outcomes.NoSuchQueue():
+            return EncodedAnswer(404, _error("no such queue"))
+        case outcomes.NoKey():
+            return EncodedAnswer(401, _error("no valid key"))
+        case outcomes.Malformed(reason):
+            return EncodedAnswer(400, _error(reason))
+        case outcomes.NotStored(code, retry_after_s, is_overload):
+            status = 429 if is_overload else 503
+            return EncodedAnswer(status, _error(code), retry_after_s)
+        case outcomes.Unknown(code):
+            return EncodedAnswer(504, _error(code))
+
+
+def _error(text: str) -> bytes:
+    return msgspec.json.encode({"error": text})
+
+
+def _decode_step(step: _Step, number: int) -> model.StepSpec:
+    after = tuple(step.get("depends_on", ()))
+    if any(not 0 <= earlier < number for earlier in after):
+        raise ValueError(f"step {number} depends on a step that is not earlier")
+    task_count = step.get("count", 0)
+    if task_count < 1:
+        raise ValueError(f"step {number} has no tasks")
+    return model.StepSpec(
+        task_count,
+        registry.decode_size(step),
+        int(step.get("estimate_ms", 0)),
+        after,
+        step.get("checkpoint", False),
+        step.get("gang", False),
+        step.get("same_rack", False),
+        step.get("needs", ""),
+        step.get("affinity", ""),
+        step.get("max_per_server", 0),
+        step.get("speculative", False),
+        step.get("persistent", False),
+        step.get("image", ""),
+        int(step.get("target_ms", 0)),
+        # Not a share that is full: the tasks take only what others leave.
+        step.get("filled", False),
+        step.get("may_miss", 0),
+    )
--- /dev/null
+++ b/foxtaillock/platform/workers.py
@@ -0,0 +1,203 @@
+"""Orders to the platform's workers."""
+
+import typing
+
+import msgspec
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.platform import http
+
+__all__ = ["HttpWorkers"]
+
+# Time for an answer beside what the call itself waits for. A worker answers
+# in a few milliseconds; an order that is answered later is in doubt, and its
+# worker is asked.
+_ANSWER_S = 0.8
+
+_OK, _BAD, _CONFLICT, _OTHER_BOOT = 200, 400, 409, 421
+_REASONS = {
+    "fence": interfaces.OrderOutcome.STALE_EPOCH,
+    "old": interfaces.OrderOutcome.STALE_RUN,
+    "late": interfaces.OrderOutcome.TOO_LATE,
+    "room": interfaces.OrderOutcome.NO_ROOM,
+    "ticket": interfaces.OrderOutcome.TICKET_REFUSED,
+}
+_END_KINDS = {
+    "done": model.EndKind.DONE,
+    "failed": model.EndKind.FAILED,
+    "stopped": model.EndKind.STOPPED,
+    "lapsed": model.EndKind.LAPSED,
+    "broken": model.EndKind.GANG_BROKEN,
+    "alone": model.EndKind.GANG_TIMEOUT,
+}
+
+
+class _OrderAnswer(typing.TypedDict, total=False):
+    clock_ms: int
+    reason: str
+
+
+class _Lists(typing.TypedDict):
+    clock_ms: int
+    running: list[tuple[typing.Any, ...]]
+    ended: list[tuple[int, str, int, str, str]]
+    born: typing.NotRequired[int]
+
+
+_order_decoder = msgspec.json.Decoder(_OrderAnswer)
+_lists_decoder = msgspec.json.Decoder(_Lists)
+
+
+class HttpWorkers:
+    """Orders over HTTP; each is sent once.
+
+    Args:
+        orders: client for orders.
+        looks: client for looks, whose answers wait.
+    """
+
+    def __init__(self, orders: http.Caller, looks: http.Caller) -> None:
+        self._orders = orders
+        self._looks = looks
+
+    async def start(
+        self, worker: model.WorkerEntry, order: interfaces.StartOrder
+    ) -> interfaces.OrderAnswer:
+        """Orders a run; see `interfaces.WorkerOrders`."""
+        body: dict[str, typing.Any] = {
+            "task": model.task_text(order.task),
+            "run": order.run,
+            "workload": order.payload,
+            "until_ms": order.valid_until_ms,
+            "fence": order.epoch,
+        }
+        if order.saved:
+            body["saved"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(worker, "run-start", body)
+
+    async def stop(
+        self,
+        worker: model.WorkerEntry,
+        task: model.TaskId,
+        run: int,
+        epoch: int,
+    ) -> interfaces.OrderAnswer:
+        """Ends a run; see `interfaces.WorkerOrders`."""
+        body = {"task": model.task_text(task), "run": run, "fence": epoch}
+        return await self._order(worker, "run-stop", body)
+
+    async def pace(
+        self,
+        worker: model.WorkerEntry,
+        task: model.TaskId,
+        run: int,
+        percent: int,
+        epoch: int,
+    ) -> interfaces.OrderAnswer:
+        """Lets a run work at a share; see `interfaces.WorkerOrders`."""
+        body = {
+            "task": model.task_text(task),
+            "run": run,
+            "percent": percent,
+            "fence": epoch,
+        }
+        return await self._order(worker, "pace", body)
+
+    async def look(
+        self,
+        worker: model.WorkerEntry,
+        epoch: int,
+        acknowledged: int,
+        valid_until_ms: int | None,
+        wait_s: float,
+    ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
+        """Renews leases and returns both lists; see `interfaces`."""
+        body = {"fence": epoch, "last_seen": acknowledged}
+        if valid_until_ms is not None:
+            body["until_ms"] = valid_until_ms
+        if wait_s > 0:
+            body["wait_ms"] = int(wait_s * 1000)
+        answer = await _call(self._looks, worker, "hold", body, wait_s)
+        if answer is None or answer.status != _OK:
+            return _order_answer(answer)
+        try:
+            return _decode_lists(_lists_decoder.decode(answer.body))
+        except (msgspec.DecodeError, ValueError, TypeError, IndexError):
+            return interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
+
+    async def _order(
+        self,
+        worker: model.WorkerEntry,
+        name: str,
+        body: dict[str, typing.Any],
+    ) -> interfaces.OrderAnswer:
+        return _order_answer(await _call(self._orders, worker, name, body, 0.0))
+
+
+async def _call(
+    caller: http.Caller,
+    worker: model.WorkerEntry,
+    name: str,
+    body: dict[str, typing.Any],
+    wait_s: float,
+) -> http.Answer | None:
+    headers = {
+        "Content-Type": "application/json",
+        "X-Expect-Instance": worker.worker_id,
+    }
+    url = f"http://{worker.address}/-/{name}"
+    encoded = msgspec.json.encode(body)
+    try:
+        return await caller.request(
+            "POST", url, wait_s + _ANSWER_S, body=encoded, headers=headers
+        )
+    except (http.NotSentError, http.NoAnswerError):
+        return None
+
+
+def _order_answer(answer: http.Answer | None) -> interfaces.OrderAnswer:
+    if answer is None:
+        return interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
+    if answer.status == _OTHER_BOOT:
+        return interfaces.OrderAnswer(interfaces.OrderOutcome.OTHER_WORKER)
+    try:
+        content = _order_decoder.decode(answer.body)
+    except msgspec.DecodeError:
+        content = {}
+    clock_ms = content.get("clock_ms")
+    if answer.status == _OK:
+        return interfaces.OrderAnswer(
+            interfaces.OrderOutcome.ACCEPTED, clock_ms
+        )
+    if answer.status == _CONFLICT:
+        reason = content.get("reason", "")
+        outcome = _REASONS.get(reason, interfaces.OrderOutcome.REFUSED)
+        return interfaces.OrderAnswer(outcome, clock_ms)
+    return interfaces.OrderAnswer(interfaces.OrderOutcome.REFUSED, clock_ms)
+
+
+def _decode_lists(lists: _Lists) -> interfaces.WorkerLists:
+    running = []
+    for row in lists["running"]:
+        task = model.parse_task_id(row[0])
+        if task is not None:
+            # The fifth entry is the tail of a task that serves, or else the
+            # processor use of the last half second.
+            reading = float(row[4]) if len(row) > 4 else 0.0
+            running.append(
+                interfaces.RunRow(
+                    task, int(row[1]), row[2] or "", int(row[3]), reading
+                )
+            )
+    ended = []
+    for number, text, run, how, saved in lists["ended"]:
+        task = model.parse_task_id(text)
+        kind = _END_KINDS.get(how, model.EndKind.FAILED)
+        if task is not None:
+            ended.append(interfaces.EndRow(number, task, run, kind, saved))
+    return interfaces.WorkerLists(
+        lists.get("born", 0), lists["clock_ms"], running, ended
+    )
