--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -5,10 +5,12 @@
 new run only when its latest run has provably ended.
 """
 
+import math
 import typing
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
@@ -117,7 +119,7 @@
     ) -> None:
         self.epoch = epoch
         self._unsure_until_s = unsure_until_s
-        self._started_s = now_s
+        self._now_s = now_s
         self._log = log
         self.jobs: dict[str, tasks.Job] = {}
         self.workers: dict[str, workers.Worker] = {}
@@ -207,6 +209,22 @@
         for step in job.steps.values():
             if step.waiting:
                 self._waiting[step.step_id] = step
+        self._log(
+            "job-taken",
+            job=spec.job_id,
+            queue=spec.queue,
+            team=spec.team,
+            age_s=round(now_s - job.accepted_s, 2),
+            steps=[
+                (
+                    step.task_count,
+                    step.size.cpu_millis,
+                    step.estimate_ms,
+                    step.after,
+                )
+                for step in spec.steps
+            ],
+        )
         self._check_job(job, now_s)
         self.needs_plan = True
 
@@ -320,6 +338,8 @@
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Decides what is due by time alone."""
+        self._now_s = now_s
+        self.evacuate(now_s)
         for worker in list(self.workers.values()):
             if worker.tasks and now_s >= worker.ends_by_s():
                 self._lapse(worker, now_s)
@@ -364,6 +384,99 @@
             for each in chosen:
                 self._begin(candidate, each, now_s)
 
+    def evacuate(self, now_s: float) -> None:
+        """Stops tasks that last on workers that are leaving.
+
+        They start again elsewhere, as many at a time as their step may miss.
+        """
+        for worker in self.workers.values():
+            if not (worker.is_leaving or worker.entry.is_draining):
+                continue
+            for task in list(worker.tasks.values()):
+                step = self._step(task)
+                if (
+                    step.spec.is_lasting
+                    and task.phase is tasks.Phase.RUNNING
+                    and not task.is_stopping
+                    and self._may_be_away(step, task)
+                    and self._has_place(step, worker, now_s)
+                ):
+                    self._log(
+                        "task-evacuated",
+                        task=model.task_text(task.task_id),
+                        run=task.run,
+                        worker=worker.worker_id,
+                        may_miss=step.spec.may_miss,
+                    )
+                    self._order_stop(worker, task, now_s)
+
+    def set_leaving(self, worker_ids: Iterable[str]) -> None:
+        """Sets which workers are emptied for orders to their VMs."""
+        leaving = set(worker_ids)
+        for worker in self.workers.values():
+            is_leaving = worker.worker_id in leaving
+            if is_leaving != worker.is_leaving:
+                self._log_worker(worker, "worker-leaving", leaving=is_leaving)
+                worker.is_leaving = is_leaving
+                self.needs_plan = True
+
+    def vm_was_ordered(self, worker_id: str, now_s: float) -> None:
+        """Takes in that the VM of a worker was moved or maintained."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            self._lose_worker(worker, now_s, "its VM was ordered away")
+
+    def vm_use(self, worker_id: str, now_s: float) -> fleet.VmUse | None:
+        """Returns what runs on a worker; None if it is not known."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return None
+        lasting = sum(
+            1
+            for task in worker.tasks.values()
+            if self._step(task).spec.is_lasting
+        )
+        idle_s = 0.0 if worker.tasks else now_s - worker.idle_from_s
+        return fleet.VmUse(len(worker.tasks), lasting, idle_s)
+
+    def pool_loads(self, now_s: float) -> dict[str, fleet.PoolLoad]:
+        """Returns the work of each pool that serves queues."""
+        waiting: dict[str, int] = {}
+        waited_s: dict[str, float] = {}
+        spread: dict[str, int] = {}
+        for step in self._waiting.values():
+            candidate = self._candidate(step, now_s)
+            if candidate is None or step.spec.is_filler:
+                continue
+            pool = candidate.queue.pool
+            millis = len(step.waiting) * step.spec.size.cpu_millis
+            waiting[pool] = waiting.get(pool, 0) + millis
+            since_s = now_s - (step.ready_s or now_s)
+            waited_s[pool] = max(waited_s.get(pool, 0.0), since_s)
+        for job in self.jobs.values():
+            queue = self.queues.get(job.spec.queue)
+            if job.is_lasting and not job.is_over and queue is not None:
+                widest = max(
+                    math.ceil(step.task_count / (step.max_per_worker or 8))
+                    for step in job.spec.steps
+                )
+                spread[queue.pool] = max(spread.get(queue.pool, 0), widest)
+        capacity: dict[str, int] = {}
+        for worker in self.workers.values():
+            pool = worker.entry.pool
+            millis = worker.entry.capacity.cpu_millis
+            capacity[pool] = max(capacity.get(pool, 0), millis)
+        return {
+            pool.name: fleet.PoolLoad(
+                waiting.get(pool.name, 0),
+                waited_s.get(pool.name, 0.0),
+                capacity.get(pool.name, 0),
+                spread.get(pool.name, 0),
+            )
+            for pool in self.pools.values()
+            if not pool.is_spare
+        }
+
     def take_stops(self) -> list[StopPlan]:
         """Returns the runs that are to be stopped now."""
         stops, self._stops = self._stops, []
@@ -484,6 +597,39 @@
 
     # Steps of the decisions.
 
+    def _may_be_away(self, step: tasks.Step, task: tasks.Task) -> bool:
+        """Returns whether one more task of a step may be kept away.
+
+        A task whose step states no bound may always; the bound counts all
+        tasks of the step that are not fully at work, for whatever reason.
+        """
+        if not step.spec.may_miss:
+            return True
+        away = sum(
+            1
+            for other in step.tasks
+            if other is not task
+            and (
+                other.phase is not tasks.Phase.RUNNING
+                or other.is_stopping
+                or other.percent < _WHOLE_PERCENT
+            )
+        )
+        return away < step.spec.may_miss
+
+    def _has_place(
+        self, step: tasks.Step, leaving: workers.Worker, now_s: float
+    ) -> bool:
+        """Returns whether another worker has room for a task of a step."""
+        counts = {task.worker_id for task in step.active()}
+        return any(
+            other.is_usable(now_s)
+            and other.entry.pool == leaving.entry.pool
+            and resources.fits(step.spec.held_size, other.free)
+            and not (step.spec.max_per_worker and other.worker_id in counts)
+            for other in self.workers.values()
+        )
+
     def _add_worker(self, entry: model.WorkerEntry, now_s: float) -> None:
         worker = workers.Worker(entry, self._unsure_until_s)
         worker.registered(entry, now_s)
@@ -537,7 +683,7 @@
         task.pace_percent = _WHOLE_PERCENT
         task.over_target_s = None
         self._set_phase(task, tasks.Phase.RECORDING, now_s)
-        step.waiting.discard(task.task_id.index)
+        step.waiting.discard(task.task_id.number)
         if not step.waiting:
             self._waiting.pop(step.step_id, None)
         self._dirty[step.step_id] = step
@@ -642,7 +788,7 @@
                 continue
             if member.is_active:
                 self._release(member)
-            step.waiting.discard(member.task_id.index)
+            step.waiting.discard(member.task_id.number)
             self._set_phase(member, tasks.Phase.DONE, now_s)
             step.done_count += 1
         if not step.waiting:
@@ -762,6 +908,7 @@
         worker = self.workers.get(task.worker_id)
         if worker is not None:
             worker.remove(task, step.spec.held_size)
+            worker.idle_from_s = self._now_s
         self._orphans.get(task.worker_id, {}).pop(task.task_id, None)
         team = self.jobs[task.task_id.job_id].spec.team
         self._count(team, step.spec.size, -1)
@@ -774,7 +921,7 @@
     ) -> None:
         self._set_phase(task, tasks.Phase.WAITING, now_s)
         self._dirty[step.step_id] = step
-        step.waiting.add(task.task_id.index)
+        step.waiting.add(task.task_id.number)
         job = self.jobs[step.step_id.job_id]
         if not job.is_over:
             self._waiting[step.step_id] = step
--- /dev/null
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -0,0 +1,175 @@
+"""Carries out the owner's decisions on VMs of the fleet."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from foxtaillock.batch import engine as engines
+from foxtaillock.batch import fleet
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import records
+from foxtaillock.model import clock as model_clock
+
+__all__ = ["FleetKeeper"]
+
+# Time between two decisions.
+_STEP_S = 0.2
+
+# Age of the list of VMs past which it is read again while orders are open.
+_LIST_AGE_S = 0.5
+
+# Age past which it is read again before any other decision.
+_QUIET_LIST_AGE_S = 5.0
+
+# A new owner waits before its first order for a VM, so that it and the owner
+# before it do not take turns at one VM within the platform's lease of 3 s.
+_FIRST_ORDER_S = 3.3
+
+# The ownership must have been confirmed this recently for an order.
+_CONFIRMED_S = 1.4
+
+
+class FleetKeeper:
+    """Orders for VMs of one ownership.
+
+    Args:
+        epoch: epoch of the ownership.
+        engine: the owner's decisions on tasks.
+        orders: the platform's service; None if there is none.
+        clock: source of time.
+        log: receiver of a line for each decision.
+        confirmed_s: returns when the ownership was last confirmed.
+        record: takes what is to be recorded of a wave.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        engine: engines.Engine,
+        orders: interfaces.VmOrders | None,
+        clock: model_clock.Clock,
+        log: Callable[..., None],
+        confirmed_s: Callable[[], float],
+        record: Callable[[records.WaveProgress], None],
+    ) -> None:
+        self._epoch = epoch
+        self._engine = engine
+        self._orders = orders
+        self._clock = clock
+        self._log = log
+        self._confirmed_s = confirmed_s
+        self._record = record
+        self._fleet = fleet.Fleet()
+        self._started_s = clock.monotonic_s()
+        self._running: set[asyncio.Task[None]] = set()
+        self._has_failed = False
+
+    def add_wave(
+        self, wave: model.Wave, progress: records.WaveProgress | None
+    ) -> None:
+        """Takes a maintenance wave in."""
+        begun = progress.begun if progress is not None else ()
+        is_complete = progress is not None and progress.is_complete
+        self._fleet.add_wave(
+            wave, begun, is_complete, self._clock.monotonic_s()
+        )
+        if progress is None:
+            self._record(records.WaveProgress(wave.number, (), False))
+
+    async def run(self) -> None:
+        """Decides and orders until it is cancelled."""
+        orders = self._orders
+        if orders is None:
+            return
+        try:
+            while True:
+                await asyncio.sleep(_STEP_S)
+                await self._step(orders)
+        finally:
+            for task in self._running:
+                task.cancel()
+
+    async def _step(self, orders: interfaces.VmOrders) -> None:
+        now_s = self._clock.monotonic_s()
+        loads = self._engine.pool_loads(now_s)
+        has_work = self._fleet.needs_list or any(
+            load.waiting_millis for load in loads.values()
+        )
+        age_s = now_s - self._fleet.listed_s
+        limit_s = _LIST_AGE_S if has_work else _QUIET_LIST_AGE_S
+        if age_s > limit_s and not await self._list(orders):
+            return
+        now_s = self._clock.monotonic_s()
+        for number in self._fleet.completed_waves():
+            self._record_wave(number, is_complete=True)
+        may_order = (
+            now_s - self._started_s >= _FIRST_ORDER_S
+            and now_s - self._confirmed_s() <= _CONFIRMED_S
+        )
+        if not may_order:
+            return
+        uses = self._uses(now_s)
+        due = self._fleet.next_upkeep(uses, loads, now_s)
+        self._engine.set_leaving(self._fleet.leaving)
+        due += self._fleet.next_moves(uses, loads, now_s)
+        for order in due:
+            task = asyncio.ensure_future(self._carry_out(orders, order))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _list(self, orders: interfaces.VmOrders) -> bool:
+        sent_s = self._clock.monotonic_s()
+        try:
+            rows = await orders.list_vms()
+        except interfaces.StoreError as error:
+            if not self._has_failed:
+                self._log("vm-list-lost", error=str(error))
+            self._has_failed = True
+            return False
+        if self._has_failed:
+            self._log("vm-list-regained")
+        self._has_failed = False
+        self._fleet.listed(rows, self._spare_pool(), sent_s)
+        return True
+
+    async def _carry_out(
+        self, orders: interfaces.VmOrders, order: fleet.VmOrder
+    ) -> None:
+        if order.wave:
+            sent = orders.maintain(order.vm, order.wave, self._epoch)
+        else:
+            sent = orders.move(order.vm, order.pool, self._epoch)
+        outcome = await sent
+        now_s = self._clock.monotonic_s()
+        self._log(
+            "vm-ordered",
+            vm=order.vm,
+            pool=order.pool,
+            wave=order.wave,
+            worker=order.worker_id,
+            reason=order.reason,
+            outcome=outcome.value,
+        )
+        if self._fleet.answered(order, outcome, now_s):
+            self._engine.vm_was_ordered(order.worker_id, now_s)
+            if order.wave:
+                self._record_wave(order.wave, is_complete=False)
+
+    def _record_wave(self, number: int, *, is_complete: bool) -> None:
+        if is_complete:
+            self._log("wave-complete", wave=number)
+        begun = self._fleet.begun(number)
+        self._record(records.WaveProgress(number, begun, is_complete))
+
+    def _uses(self, now_s: float) -> Mapping[str, fleet.VmUse]:
+        uses = {}
+        for row in self._fleet.vms.values():
+            use = self._engine.vm_use(row.worker_id, now_s)
+            if use is not None:
+                uses[row.vm] = use
+        return uses
+
+    def _spare_pool(self) -> str:
+        names = [p.name for p in self._engine.pools.values() if p.is_spare]
+        return names[0] if names else ""
--- a/foxtaillock/batch/follower.py
+++ b/foxtaillock/batch/follower.py
@@ -1,7 +1,6 @@
 """Follows a stream of keyed records as it grows."""
 
 import asyncio
-import typing
 from collections.abc import Callable
 
 from foxtaillock.batch import interfaces
@@ -18,11 +17,7 @@
 _MAX_RETRY_S = 0.5
 
 
-class RecordSink(typing.Protocol):
-    """Receiver of records."""
-
-    def __call__(self, offset: int, record: records.KeyedRecord) -> None:
-        """Takes a record with its offset in."""
+RecordSink = Callable[[int, records.KeyedRecord], None]
 
 
 class Follower:
--- a/foxtaillock/batch/model.py
+++ b/foxtaillock/batch/model.py
@@ -142,7 +142,7 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    number: int
 
     @property
     def step_id(self) -> StepId:
@@ -256,14 +256,14 @@
         >>> task_text(TaskId("5c0e", 0, 1, 17))
         '5c0e.0.1.17'
     """
-    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
 def parse_task_id(text: str) -> TaskId | None:
     """Returns the task that a name stands for; None if it is not one.
 
     Example:
-        >>> parse_task_id("5c0e.0.1.17").index
+        >>> parse_task_id("5c0e.0.1.17").number
         17
     """
     parts = text.split(".")
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -50,6 +50,9 @@
         decode_wave: decodes one; None if it holds no maintenance wave.
         decode_worker: decodes a record of the registry.
         worker_orders: orders to workers.
+        vm_orders: orders for VMs of the fleet; None if there are none.
+        statuses: stream of what operators read.
+        encode_wave: encodes a wave's state for that stream.
         clock: source of time.
         log: receiver of a line for each decision.
         metrics: metrics of this process.
@@ -62,6 +65,9 @@
     decode_wave: Callable[[str, bytes], model.Wave | None]
     decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
     worker_orders: interfaces.WorkerOrders
+    vm_orders: interfaces.VmOrders | None
+    statuses: interfaces.Journal
+    encode_wave: Callable[[int, bool], records.KeyedRecord]
     clock: model_clock.Clock
     log: Callable[..., None]
     metrics: batch_metrics.Metrics
@@ -242,12 +248,17 @@
                 services.registry,
                 services.decode_worker,
                 services.worker_orders,
+                services.vm_orders,
+                services.statuses,
+                services.encode_wave,
                 services.clock,
                 services.log,
                 services.metrics,
             ),
         )
         owner.configure(self.desk.directory)
+        for wave in self._waves.values():
+            owner.add_wave(wave)
         self._owner = owner
         self._journal_follower.pause_s = 0.0
         try:
@@ -279,7 +290,7 @@
             return
         wave = self._services.decode_wave(record.key, record.value)
         if wave is not None:
-            self._waves[wave.number] = wave
+            self._take_wave(wave)
             return
         self._services.log("operator-record-unreadable", key=record.key)
 
@@ -296,6 +307,20 @@
         if self._owner is not None:
             self._owner.configure(config)
 
+    def _take_wave(self, wave: model.Wave) -> None:
+        if wave.number in self._waves:
+            return
+        self._waves[wave.number] = wave
+        self._services.log(
+            "wave-ordered",
+            wave=wave.number,
+            vms=len(wave.vms),
+            within_s=wave.within_s,
+            max_down=wave.max_down,
+        )
+        if self._owner is not None:
+            self._owner.add_wave(wave)
+
     def _add_gauges(self) -> None:
         clock, metrics = self._services.clock, self._services.metrics
         metrics.add_gauge(
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -8,6 +8,7 @@
 
 from foxtaillock.batch import directory
 from foxtaillock.batch import engine as engines
+from foxtaillock.batch import fleet_keeper
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import metrics as batch_metrics
@@ -23,6 +24,9 @@
 # Longest time between two steps when nothing happens.
 _STEP_S = 0.05
 
+# Time between two looks for waves whose state operators have to be told.
+_STATUS_S = 0.2
+
 _FIRST_RETRY_S = 0.05
 _MAX_RETRY_S = 0.4
 
@@ -43,6 +47,9 @@
         registry: stream of what workers have registered.
         decode_worker: decodes a record of that stream.
         worker_orders: orders to workers.
+        vm_orders: orders for VMs of the fleet; None if there are none.
+        statuses: stream of what operators read.
+        encode_wave: encodes a wave's state for that stream.
         clock: source of time.
         log: receiver of a line for each decision.
         metrics: metrics of this process.
@@ -52,6 +59,9 @@
     registry: interfaces.Journal
     decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
     worker_orders: interfaces.WorkerOrders
+    vm_orders: interfaces.VmOrders | None
+    statuses: interfaces.Journal
+    encode_wave: Callable[[int, bool], records.KeyedRecord]
     clock: model_clock.Clock
     log: Callable[..., None]
     metrics: batch_metrics.Metrics
@@ -85,6 +95,16 @@
         self._services = services
         now_s = services.clock.monotonic_s()
         self.engine = engines.Engine(epoch, now_s, unsure_until_s, services.log)
+        self._fleet_keeper = fleet_keeper.FleetKeeper(
+            epoch,
+            self.engine,
+            services.vm_orders,
+            services.clock,
+            services.log,
+            lambda: self._written_s,
+            self._on_wave_progress,
+        )
+        self._wave_progress: dict[int, records.WaveProgress] = {}
         # The claim was the first append of this epoch.
         self._sequence = 1
         self._renewal = 0
@@ -116,6 +136,11 @@
         self.engine.configure(config.queues, config.pools, config.teams)
         self._wake.set()
 
+    def add_wave(self, wave: model.Wave) -> None:
+        """Takes a maintenance wave in."""
+        progress = self._view.waves().get(wave.number)
+        self._fleet_keeper.add_wave(wave, progress)
+
     def on_record(self, record: records.Record) -> None:
         """Takes a record of the journal in that others have written."""
         now_s = self._services.clock.monotonic_s()
@@ -136,7 +161,11 @@
     async def run(self) -> None:
         """Owns until another owner takes over, or until `stop`."""
         self._take_over()
-        registry = asyncio.ensure_future(self._registry_follower.run())
+        helpers = [
+            asyncio.ensure_future(self._registry_follower.run()),
+            asyncio.ensure_future(self._fleet_keeper.run()),
+            asyncio.ensure_future(self._write_statuses()),
+        ]
         try:
             while not self._is_over:
                 self._step()
@@ -145,8 +174,7 @@
                 self._check_reach()
                 await self._sleep()
         finally:
-            registry.cancel()
-            for task in [*self._watchers.values(), *self._running]:
+            for task in [*helpers, *self._watchers.values(), *self._running]:
                 task.cancel()
 
     def stop(self) -> None:
@@ -185,10 +213,15 @@
         """Appends what has to stand, then begins what it allows."""
         now_s = self._services.clock.monotonic_s()
         is_due = now_s - self._renewed_s >= ownership.HEARTBEAT_S
-        if not (is_due or self._gives_up or self.engine.has_batch()):
+        has_records = self.engine.has_batch() or self._wave_progress
+        if not (is_due or self._gives_up or has_records):
             return
         batch = self.engine.take_batch()
         entries = list(batch.records)
+        entries += [
+            records.encode(each) for each in self._wave_progress.values()
+        ]
+        self._wave_progress = {}
         if is_due or self._gives_up:
             self._renewal += 1
             self._renewed_s = now_s
@@ -406,6 +439,33 @@
         for worker_id in set(self.engine.workers) - keys:
             self.engine.unregister(worker_id)
 
+    # Waves.
+
+    def _on_wave_progress(self, progress: records.WaveProgress) -> None:
+        self._wave_progress[progress.number] = progress
+        self._wake.set()
+
+    async def _write_statuses(self) -> None:
+        """Tells operators how far the waves are, once that is recorded."""
+        services = self._services
+        told: dict[int, bool] = {}
+        while True:
+            await asyncio.sleep(_STATUS_S)
+            for number, progress in self._view.waves().items():
+                if told.get(number) == progress.is_complete:
+                    continue
+                record = services.encode_wave(number, progress.is_complete)
+                try:
+                    await services.statuses.append([record])
+                except interfaces.StoreError as error:
+                    services.log(
+                        "wave-status-not-written",
+                        wave=number,
+                        error=str(error),
+                    )
+                    continue
+                told[number] = progress.is_complete
+
     # Helpers.
 
     def _now_ms(self) -> int:
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -55,7 +55,7 @@
     """A task that has run or may run.
 
     Attributes:
-        index: number of the task in its step.
+        number: number of the task in its step.
         run: number of its latest run.
         failures: runs that ended as failed.
         worker_id: worker of the latest run; empty once that run has ended.
@@ -63,7 +63,7 @@
         saved: progress to resume from; empty for none.
     """
 
-    index: int
+    number: int
     run: int
     failures: int = 0
     worker_id: str = ""
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -81,7 +81,7 @@
     def row(self) -> records.TaskRow:
         """Returns what the journal keeps of it."""
         return records.TaskRow(
-            self.task_id.index,
+            self.task_id.number,
             self.run,
             self.failures,
             self.worker_id,
@@ -132,7 +132,7 @@
         rows = []
         for task in self.tasks:
             if task.phase is Phase.DONE:
-                bits |= 1 << task.task_id.index
+                bits |= 1 << task.task_id.number
             elif task.run:
                 rows.append(task.row())
         done = bits.to_bytes((len(self.tasks) + 7) // 8, "little")
@@ -142,21 +142,21 @@
         """Takes the record of an earlier owner over."""
         bits = int.from_bytes(progress.done, "little")
         for task in self.tasks:
-            if bits >> task.task_id.index & 1:
+            if bits >> task.task_id.number & 1:
                 task.phase = Phase.DONE
-                self.waiting.discard(task.task_id.index)
+                self.waiting.discard(task.task_id.number)
                 self.done_count += 1
         for row in progress.rows:
-            if row.index >= len(self.tasks):
+            if row.number >= len(self.tasks):
                 continue
-            task = self.tasks[row.index]
+            task = self.tasks[row.number]
             task.run, task.failures = row.run, row.failures
             task.saved = row.saved
             if row.worker_id:
                 task.worker_id = row.worker_id
                 task.worker_born_ms = row.worker_born_ms
                 task.phase = Phase.ADOPTED
-                self.waiting.discard(row.index)
+                self.waiting.discard(row.number)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -49,6 +49,7 @@
         looked_s: time at which the latest look was sent.
         closed_until_s: time until which it gets no new tasks.
         is_leaving: whether it is being emptied for an order to its VM.
+        idle_from_s: time since which it has had no task.
     """
 
     entry: model.WorkerEntry
@@ -69,6 +70,7 @@
     looked_s: float = float("-inf")
     closed_until_s: float = float("-inf")
     is_leaving: bool = False
+    idle_from_s: float = float("-inf")
 
     @property
     def worker_id(self) -> str:
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -11,9 +11,11 @@
 from foxtaillock.batch import directory
 from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import node as nodes
+from foxtaillock.batch import records
 from foxtaillock.model import clock as model_clock
 from foxtaillock.platform import front as fronts
 from foxtaillock.platform import http
+from foxtaillock.platform import machines
 from foxtaillock.platform import registry
 from foxtaillock.platform import settings as platform_settings
 from foxtaillock.platform import store
@@ -28,6 +30,7 @@
 _JOURNAL_TOPIC = "keyed.journal"
 _OPERATORS_TOPIC = "keyed.op"
 _WORKERS_TOPIC = "keyed.servers"
+_STATUS_TOPIC = "keyed.status"
 _PRODUCER = "owner"
 
 # Of the 64 connections that a worker takes, the owner uses a few; more would
@@ -123,6 +126,9 @@
         registry.decode_wave,
         registry.decode_worker,
         workers.HttpWorkers(order_caller, look_caller),
+        _vm_orders(settings, store_caller),
+        _topic(_STATUS_TOPIC),
+        _encode_wave,
         clock,
         log,
         metrics,
@@ -135,6 +141,21 @@
     return registry.decode_config(value)
 
 
+def _vm_orders(
+    settings: platform_settings.VmSettings, caller: http.Caller
+) -> machines.HttpVmOrders | None:
+    if settings.fleet is None:
+        return None
+    return machines.HttpVmOrders(caller, settings.fleet.text, settings.node)
+
+
+def _encode_wave(number: int, is_complete: bool) -> records.KeyedRecord:
+    return records.KeyedRecord(
+        registry.wave_status_key(number),
+        registry.wave_status(number, is_complete),
+    )
+
+
 def _reload(
     before: platform_settings.VmSettings,
     path: str,
--- a/foxtaillock/platform/registry.py
+++ b/foxtaillock/platform/registry.py
@@ -9,6 +9,7 @@
 from foxtaillock.model import resources
 
 __all__ = [
+    "WireSize",
     "decode_config",
     "decode_size",
     "decode_wave",
@@ -24,7 +25,9 @@
 _DEFAULT_BODY_BYTES = 262_144
 
 
-class _Size(typing.TypedDict, total=False):
+class WireSize(typing.TypedDict, total=False):
+    """Resources as the platform writes them."""
+
     cpu: int
     mem_mb: int
     gpu: int
@@ -35,7 +38,7 @@
     address: str
     zone: str
     state: typing.Literal["ready", "draining"]
-    capacity: _Size
+    capacity: WireSize
     labels: list[str]
     clock_ms: int
     born: typing.NotRequired[int]
@@ -70,7 +73,7 @@
     name: str
     api_keys: typing.NotRequired[list[str]]
     weight: typing.NotRequired[float]
-    cap: typing.NotRequired[_Size]
+    cap: typing.NotRequired[WireSize]
 
 
 class _Limits(typing.TypedDict, total=False):
