--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -39,6 +39,9 @@
 # Longest wait of a look for an end. The lease is renewed as often.
 _LOOK_WAIT_S = 1.0
 
+# Waiting tasks are looked at again after this time though nothing happened.
+_PLAN_AGAIN_S = 0.2
+
 # A job that has ended is forgotten after this time; submitters may ask for it
 # for 120 s at least.
 _FORGET_AFTER_S = 150.0
@@ -120,6 +123,7 @@
         self.epoch = epoch
         self._unsure_until_s = unsure_until_s
         self._now_s = now_s
+        self._planned_s = now_s
         self._log = log
         self.jobs: dict[str, tasks.Job] = {}
         self.workers: dict[str, workers.Worker] = {}
@@ -340,6 +344,10 @@
         """Decides what is due by time alone."""
         self._now_s = now_s
         self.evacuate(now_s)
+        self._lapse_orphans(now_s)
+        if self._waiting and now_s - self._planned_s >= _PLAN_AGAIN_S:
+            # Workers are closed for a time, and occurrences become due.
+            self.needs_plan = True
         for worker in list(self.workers.values()):
             if worker.tasks and now_s >= worker.ends_by_s():
                 self._lapse(worker, now_s)
@@ -356,6 +364,7 @@
     def plan(self, now_s: float) -> None:
         """Chooses which waiting tasks start."""
         self.needs_plan = False
+        self._planned_s = now_s
         candidates = [
             candidate
             for step in list(self._waiting.values())
@@ -656,7 +665,7 @@
             else:
                 worker.add(task, step.spec.held_size)
 
-    def lapse_orphans(self, now_s: float) -> None:
+    def _lapse_orphans(self, now_s: float) -> None:
         """Gives up runs on workers that never registered with this owner."""
         if now_s < self._unsure_until_s or not self._orphans:
             return
--- /dev/null
+++ b/foxtaillock/batch/tests/fake_worker.py
@@ -0,0 +1,177 @@
+"""Worker by the platform's rules, with its own clock and no network."""
+
+import dataclasses
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.model import resources
+
+__all__ = ["FakeWorker", "Run"]
+
+STOP_S = 0.05
+MAX_LEASE_S = 6.0
+
+
+@dataclasses.dataclass
+class Run:
+    """One run on a worker, as a checker sees it."""
+
+    task: model.TaskId
+    number: int
+    worker_id: str
+    began_s: float
+    lasts_s: float
+    ended_s: float | None = None
+    kind: model.EndKind | None = None
+    stop_at_s: float | None = None
+
+
+class FakeWorker:
+    """One life of a worker.
+
+    Args:
+        entry: what it has registered.
+        now_s: true time of its start.
+        drift: how much its clock is slow, as a fraction.
+    """
+
+    def __init__(
+        self, entry: model.WorkerEntry, now_s: float, drift: float
+    ) -> None:
+        self.entry = entry
+        self._born_s = now_s
+        self._drift = drift
+        self.epoch = 0
+        self.until_ms = 0
+        self.running: dict[model.TaskId, Run] = {}
+        self.history: list[Run] = []
+        self.ended: list[interfaces.EndRow] = []
+        self.acknowledged = 0
+        self._burned: dict[model.TaskId, int] = {}
+        self._ends = 0
+        self.is_dead = False
+        self.failing: set[model.TaskId] = set()
+
+    def clock_ms(self, now_s: float) -> int:
+        """Returns the worker's own clock."""
+        return int((now_s - self._born_s) * (1 - self._drift) * 1000) + 1
+
+    def advance(self, now_s: float) -> None:
+        """Ends what is over by time."""
+        if self.is_dead:
+            return
+        for run in list(self.running.values()):
+            if run.stop_at_s is not None and now_s >= run.stop_at_s:
+                self._end(run, model.EndKind.STOPPED, run.stop_at_s)
+            elif now_s >= run.began_s + run.lasts_s:
+                failed = run.task in self.failing
+                kind = model.EndKind.FAILED if failed else model.EndKind.DONE
+                self._end(run, kind, run.began_s + run.lasts_s)
+        if self.running and self.clock_ms(now_s) > self.until_ms:
+            for run in list(self.running.values()):
+                self._end(run, model.EndKind.LAPSED, now_s)
+
+    def start(
+        self, order: interfaces.StartOrder, lasts_s: float, now_s: float
+    ) -> interfaces.OrderAnswer:
+        """Carries an order to start out."""
+        self.advance(now_s)
+        clock_ms = self.clock_ms(now_s)
+        outcome = self._judge(order, clock_ms)
+        if outcome is interfaces.OrderOutcome.ACCEPTED and not (
+            order.task in self.running
+        ):
+            run = Run(
+                order.task, order.run, self.entry.worker_id, now_s, lasts_s
+            )
+            self.running[order.task] = run
+            self.history.append(run)
+        return interfaces.OrderAnswer(outcome, clock_ms)
+
+    def stop(
+        self, task: model.TaskId, run: int, epoch: int, now_s: float
+    ) -> interfaces.OrderAnswer:
+        """Carries an order to stop out."""
+        self.advance(now_s)
+        clock_ms = self.clock_ms(now_s)
+        if epoch < self.epoch:
+            stale = interfaces.OrderOutcome.STALE_EPOCH
+            return interfaces.OrderAnswer(stale, clock_ms)
+        self.epoch = epoch
+        current = self.running.get(task)
+        if current is not None and current.number == run:
+            current.stop_at_s = now_s + STOP_S
+        self._burned[task] = max(self._burned.get(task, 0), run)
+        return interfaces.OrderAnswer(
+            interfaces.OrderOutcome.ACCEPTED, clock_ms
+        )
+
+    def look(
+        self,
+        epoch: int,
+        acknowledged: int,
+        valid_until_ms: int | None,
+        now_s: float,
+    ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
+        """Renews the lease and tells both lists."""
+        self.advance(now_s)
+        clock_ms = self.clock_ms(now_s)
+        if epoch < self.epoch:
+            stale = interfaces.OrderOutcome.STALE_EPOCH
+            return interfaces.OrderAnswer(stale, clock_ms)
+        self.epoch = epoch
+        self._extend(valid_until_ms, clock_ms)
+        self.acknowledged = max(self.acknowledged, acknowledged)
+        self.ended = [
+            end for end in self.ended if end.number > self.acknowledged
+        ]
+        running = [
+            interfaces.RunRow(run.task, run.number, "", 100, 0.0)
+            for run in self.running.values()
+        ]
+        return interfaces.WorkerLists(
+            self.entry.born_ms, clock_ms, running, list(self.ended)
+        )
+
+    def die(self, now_s: float) -> None:
+        """Ends this life of the worker."""
+        self.advance(now_s)
+        for run in list(self.running.values()):
+            run.ended_s = now_s
+        self.running.clear()
+        self.is_dead = True
+
+    def _judge(
+        self, order: interfaces.StartOrder, clock_ms: int
+    ) -> interfaces.OrderOutcome:
+        if order.epoch < self.epoch:
+            return interfaces.OrderOutcome.STALE_EPOCH
+        self.epoch = order.epoch
+        if order.valid_until_ms <= clock_ms:
+            return interfaces.OrderOutcome.TOO_LATE
+        current = self.running.get(order.task)
+        if current is not None and current.number == order.run:
+            return interfaces.OrderOutcome.ACCEPTED
+        self._extend(order.valid_until_ms, clock_ms)
+        if order.run <= self._burned.get(order.task, 0) or current is not None:
+            return interfaces.OrderOutcome.STALE_RUN
+        return interfaces.OrderOutcome.ACCEPTED
+
+    def _extend(self, until_ms: int | None, clock_ms: int) -> None:
+        if until_ms is not None:
+            longest = clock_ms + int(MAX_LEASE_S * 1000)
+            self.until_ms = max(self.until_ms, min(until_ms, longest))
+
+    def _end(self, run: Run, kind: model.EndKind, now_s: float) -> None:
+        del self.running[run.task]
+        run.ended_s, run.kind = now_s, kind
+        self._burned[run.task] = max(self._burned.get(run.task, 0), run.number)
+        self._ends += 1
+        self.ended.append(
+            interfaces.EndRow(self._ends, run.task, run.number, kind, "")
+        )
+
+
+def capacity(cpu_millis: int) -> resources.Resources:
+    """Returns the capacity of a worker with ample memory."""
+    return resources.Resources(cpu_millis, 1 << 40, 8)
--- /dev/null
+++ b/foxtaillock/batch/tests/simulation.py
@@ -0,0 +1,539 @@
+"""Seeded schedules of owners, workers and store, without a network.
+
+Messages are delayed, lost, or carried out late; workers die and are cut off;
+owners pause, are cut off from the store, and are replaced. The owners are real
+`Engine`s, driven as `batch.owner` drives them.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from foxtaillock.batch import engine as engines
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import records
+from foxtaillock.batch import view
+from foxtaillock.batch import workers
+from foxtaillock.batch.tests import fake_worker
+from foxtaillock.model import resources
+
+__all__ = ["Simulation"]
+
+_STEP_S = 0.02
+_HEARTBEAT_S = 0.6
+_LOST = 0.04
+_LATE = 0.03
+_CPU = 8000
+_QUEUE = model.Queue("q", "pool", 0, 3, 1.6, 600, True)
+_POOL = model.Pool("pool", False, False)
+
+
+class SimulatedOwner:
+    """One ownership in the simulation."""
+
+    def __init__(
+        self, simulation: "Simulation", epoch: int, heard_s: float
+    ) -> None:
+        self._simulation = simulation
+        self.epoch = epoch
+        now_s = simulation.now_s
+        unsure_until_s = (
+            heard_s
+            + workers.RENEW_LIMIT_S
+            + workers.LEASE_S / (1 - workers.CLOCK_DRIFT)
+            + 0.5
+        )
+        self.engine = engines.Engine(
+            epoch, now_s, unsure_until_s, lambda *_, **__: None
+        )
+        self.engine.configure({"q": _QUEUE}, {"pool": _POOL}, {})
+        self.written_s = now_s
+        self.paused_until_s = 0.0
+        self.is_over = False
+        self._is_writing = False
+        self._renewed_s = now_s
+        self._looking: set[str] = set()
+        folded = simulation.view
+        for spec in list(folded.jobs()):
+            self.submit(spec)
+        for worker in simulation.workers.values():
+            if not worker.is_dead:
+                self.engine.register(worker.entry, now_s)
+
+    def submit(self, spec: model.JobSpec) -> None:
+        """Takes a job in as `Owner` does."""
+        folded = self._simulation.view
+        now_s = self._simulation.now_s
+        now_ms = int(now_s * 1000)
+        self.engine.submit(spec, folded.steps(spec.job_id), now_s, now_ms)
+        if folded.cancel(spec.job_id) is not None:
+            self.engine.cancel(spec.job_id, now_s)
+        end = folded.end(spec.job_id)
+        if end is not None:
+            self.engine.finished(spec.job_id, end, now_s, now_ms)
+
+    def step(self) -> None:
+        """Decides, records and orders once."""
+        simulation = self._simulation
+        now_s = simulation.now_s
+        if self.is_over or now_s < self.paused_until_s:
+            return
+        self.engine.tick(now_s, int(now_s * 1000))
+        if self.engine.needs_plan:
+            self.engine.plan(now_s)
+        for stop in self.engine.take_stops():
+            self._send_stop(stop)
+        self._write()
+        if now_s - self.written_s <= workers.RENEW_LIMIT_S:
+            for worker in list(self.engine.workers.values()):
+                self._look(worker)
+
+    def _write(self) -> None:
+        simulation = self._simulation
+        is_due = simulation.now_s - self._renewed_s >= _HEARTBEAT_S
+        if self._is_writing or not (is_due or self.engine.has_batch()):
+            return
+        batch = self.engine.take_batch()
+        owner = records.OwnerRecord(self.epoch, str(self.epoch), "")
+        entries = [records.encode(owner), *batch.records]
+        self._renewed_s = simulation.now_s
+        self._is_writing = True
+        self._append(batch, entries)
+
+    def _append(
+        self, batch: engines.Batch, entries: list[records.KeyedRecord]
+    ) -> None:
+        """Appends until it stands, as `Owner` does."""
+        simulation = self._simulation
+        sent_s = simulation.now_s
+
+        def _answered() -> None:
+            if self.is_over:
+                return
+            if not simulation.store_works(self.epoch):
+                simulation.later(0.2, lambda: self._append(batch, entries))
+                return
+            if not simulation.append(self.epoch, entries):
+                self.is_over = True
+                return
+            self.written_s = sent_s
+            self._is_writing = False
+            simulation.when_awake(self, lambda: self._committed(batch))
+
+        simulation.later(simulation.delay_s(), _answered)
+
+    def _committed(self, batch: engines.Batch) -> None:
+        now_s = self._simulation.now_s
+        for plan in self.engine.committed(batch, now_s):
+            self._send_start(plan)
+
+    def _send_start(self, plan: engines.StartPlan) -> None:
+        simulation = self._simulation
+        order = self.engine.start_order(plan, simulation.now_s)
+        if order is None:
+            return
+        worker_id = plan.worker.worker_id
+
+        def _act(worker: fake_worker.FakeWorker) -> interfaces.OrderAnswer:
+            lasts_s = simulation.duration_s(order.task)
+            return worker.start(order, lasts_s, simulation.now_s)
+
+        def _answered(answer: interfaces.OrderAnswer) -> None:
+            self._check(answer)
+            self.engine.start_answered(plan, answer, simulation.now_s)
+
+        simulation.order(self, worker_id, _act, _answered)
+
+    def _send_stop(self, stop: engines.StopPlan) -> None:
+        simulation = self._simulation
+
+        def _act(worker: fake_worker.FakeWorker) -> interfaces.OrderAnswer:
+            return worker.stop(
+                stop.task_id, stop.run, self.epoch, simulation.now_s
+            )
+
+        def _answered(answer: interfaces.OrderAnswer) -> None:
+            self._check(answer)
+            self.engine.stop_answered(stop, answer, simulation.now_s)
+
+        simulation.order(self, stop.worker.worker_id, _act, _answered)
+
+    def _look(self, worker: workers.Worker) -> None:
+        simulation = self._simulation
+        worker_id = worker.worker_id
+        now_s = simulation.now_s
+        waits_for_record = worker.seen_end > worker.noted
+        if worker_id in self._looking or waits_for_record:
+            return
+        if now_s - worker.looked_s < 0.1:
+            return
+        plan = self.engine.look_plan(worker, now_s)
+        if plan is None:
+            return
+        self._looking.add(worker_id)
+
+        def _act(
+            real: fake_worker.FakeWorker,
+        ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
+            return real.look(
+                self.epoch,
+                plan.acknowledged,
+                plan.valid_until_ms,
+                simulation.now_s,
+            )
+
+        def _answered(
+            answer: interfaces.WorkerLists | interfaces.OrderAnswer,
+        ) -> None:
+            self._looking.discard(worker_id)
+            if isinstance(answer, interfaces.OrderAnswer):
+                self._check(answer)
+            self.engine.looked(worker_id, plan, answer, now_s, simulation.now_s)
+
+        simulation.order(self, worker_id, _act, _answered)
+
+    def _check(self, answer: interfaces.OrderAnswer) -> None:
+        if answer.outcome is interfaces.OrderOutcome.STALE_EPOCH:
+            self.is_over = True
+
+
+class Simulation:
+    """One schedule.
+
+    Args:
+        seed: seed of everything that happens.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self.now_s = 100.0
+        self.view = view.JournalView()
+        self.workers: dict[str, fake_worker.FakeWorker] = {}
+        self.all_workers: list[fake_worker.FakeWorker] = []
+        self.owners: list[SimulatedOwner] = []
+        self.noted_done: dict[model.TaskId, float] = {}
+        self.findings: list[str] = []
+        self._offset = 0
+        self._epoch = 0
+        self._heard_s = self.now_s
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._cut_from_store: dict[int, float] = {}
+        self._cut: dict[tuple[int, str], float] = {}
+        self._names = itertools.count()
+        self._cancelled: set[str] = set()
+        for _ in range(4):
+            self.add_worker(f"10.0.0.{len(self.workers)}:80")
+
+    # What the owners use.
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Runs an action after a while."""
+        entry = (self.now_s + delay_s, next(self._order), action)
+        heapq.heappush(self._events, entry)
+
+    def when_awake(
+        self, owner: SimulatedOwner, action: Callable[[], None]
+    ) -> None:
+        """Runs an action once an owner is not paused."""
+        if self.now_s < owner.paused_until_s:
+            wait_s = owner.paused_until_s - self.now_s
+            self.later(wait_s, lambda: self.when_awake(owner, action))
+        else:
+            action()
+
+    def delay_s(self) -> float:
+        """Returns the time of a message both ways."""
+        return self._random.uniform(0.002, 0.03)
+
+    def duration_s(self, task: model.TaskId) -> float:
+        """Returns how long a task runs."""
+        spec = self.view.spec(task.job_id)
+        assert spec is not None
+        if spec.steps[task.step].is_lasting:
+            return 1000.0
+        return random.Random(str(task)).uniform(0.2, 2.0)
+
+    def store_works(self, epoch: int) -> bool:
+        """Returns whether an owner reaches the store."""
+        return self.now_s >= self._cut_from_store.get(epoch, 0.0)
+
+    def append(self, epoch: int, entries: list[records.KeyedRecord]) -> bool:
+        """Appends unless a later owner has written."""
+        if epoch < self._epoch:
+            return False
+        self._epoch = epoch
+        self._heard_s = self.now_s
+        for entry in entries:
+            self.view.apply(self._offset, entry)
+            self._offset += 1
+        return True
+
+    def order(
+        self,
+        owner: SimulatedOwner,
+        worker_id: str,
+        act: Callable[..., object],
+        answered: Callable[..., None],
+    ) -> None:
+        """Delivers an order; its answer may get lost, or it may be late."""
+        unknown = interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
+
+        def _answer(answer: object) -> None:
+            self.when_awake(owner, lambda: answered(answer))
+
+        def _arrive(is_answered: bool) -> None:
+            worker = self.workers.get(worker_id)
+            if worker is None or worker.is_dead:
+                return
+            answer = act(worker)
+            if is_answered:
+                self.later(self.delay_s(), lambda: _answer(answer))
+
+        is_cut = self.now_s < self._cut.get((owner.epoch, worker_id), 0.0)
+        worker = self.workers.get(worker_id)
+        if is_cut or worker is None or worker.is_dead:
+            self.later(0.8, lambda: _answer(unknown))
+            return
+        chance = self._random.random()
+        if chance < _LATE:
+            late_s = self._random.uniform(1.0, 12.0)
+            self.later(late_s, lambda: _arrive(False))
+            self.later(0.8, lambda: _answer(unknown))
+        elif chance < _LATE + _LOST:
+            self.later(self.delay_s(), lambda: _arrive(False))
+            self.later(0.8, lambda: _answer(unknown))
+        else:
+            self.later(self.delay_s(), lambda: _arrive(True))
+
+    # What happens.
+
+    def add_worker(self, address: str) -> None:
+        """Starts a worker."""
+        number = next(self._names)
+        entry = model.WorkerEntry(
+            f"w{number}",
+            int(self.now_s * 1000) + number,
+            "pool",
+            address,
+            "zone",
+            ("a", "rack"),
+            fake_worker.capacity(_CPU),
+            False,
+            0,
+            1,
+        )
+        drift = self._random.uniform(0.0, 0.02)
+        worker = fake_worker.FakeWorker(entry, self.now_s, drift)
+        self.workers[entry.worker_id] = worker
+        self.all_workers.append(worker)
+        for owner in self.owners:
+            if not owner.is_over:
+                owner.engine.register(entry, self.now_s)
+
+    def submit(self) -> None:
+        """Accepts a job of one or two steps."""
+        job_id = f"{next(self._names):016x}"
+        size = resources.Resources(self._random.choice((500, 1000, 2500)), 1, 0)
+        is_lasting = self._random.random() < 0.05
+        steps = [
+            model.StepSpec(
+                self._random.randint(1, 6), size, 900, is_lasting=is_lasting
+            )
+        ]
+        if not is_lasting and self._random.random() < 0.5:
+            steps.append(
+                model.StepSpec(self._random.randint(1, 3), size, 900, (0,))
+            )
+        spec = model.JobSpec(
+            job_id, "q", "", int(self.now_s * 1000), "text", tuple(steps)
+        )
+        self.view.apply(self._offset, records.encode(spec))
+        self._offset += 1
+        for owner in self.owners:
+            if not owner.is_over and owner.epoch == self._epoch:
+                owner.submit(spec)
+
+    def cancel(self) -> None:
+        """Cancels some job."""
+        specs = [
+            spec
+            for spec in self.view.jobs()
+            if self.view.end(spec.job_id) is None
+        ]
+        if not specs:
+            return
+        job_id = self._random.choice(specs).job_id
+        self._cancelled.add(job_id)
+        record = records.Cancel(job_id, int(self.now_s * 1000))
+        self.view.apply(self._offset, records.encode(record))
+        self._offset += 1
+        for owner in self.owners:
+            if not owner.is_over and owner.epoch == self._epoch:
+                owner.engine.cancel(job_id, self.now_s)
+
+    def run(self, length_s: float) -> None:
+        """Plays the schedule, with trouble in its first two thirds."""
+        end_s = self.now_s + length_s
+        calm_s = self.now_s + length_s * 0.6
+        while self.now_s < end_s:
+            self._advance_to(self.now_s + _STEP_S)
+            if self.now_s < calm_s:
+                self._trouble()
+            self._replace_owner()
+            for owner in self.owners:
+                owner.step()
+            self._check()
+
+    def _advance_to(self, until_s: float) -> None:
+        while self._events and self._events[0][0] <= until_s:
+            at_s, _, action = heapq.heappop(self._events)
+            self.now_s = max(self.now_s, at_s)
+            action()
+        self.now_s = until_s
+        for worker in self.workers.values():
+            worker.advance(self.now_s)
+
+    def _trouble(self) -> None:
+        chance = self._random.random
+        if chance() < 0.02:
+            self.submit()
+        if chance() < 0.004:
+            self.cancel()
+        if chance() < 0.002:
+            self._kill_worker()
+        owner = self.owners[-1] if self.owners else None
+        if owner is None:
+            return
+        if chance() < 0.003:
+            pause_s = self._random.uniform(0.5, 8.0)
+            owner.paused_until_s = self.now_s + pause_s
+        if chance() < 0.003:
+            away_s = self._random.uniform(1.0, 10.0)
+            self._cut_from_store[owner.epoch] = self.now_s + away_s
+        if chance() < 0.004 and self.workers:
+            worker_id = self._random.choice(list(self.workers))
+            away_s = self._random.uniform(0.5, 9.0)
+            self._cut[owner.epoch, worker_id] = self.now_s + away_s
+
+    def _kill_worker(self) -> None:
+        alive = [w for w in self.workers.values() if not w.is_dead]
+        if not alive:
+            return
+        worker = self._random.choice(alive)
+        worker.die(self.now_s)
+        worker_id = worker.entry.worker_id
+
+        def _unlist() -> None:
+            for owner in self.owners:
+                if not owner.is_over:
+                    owner.engine.unregister(worker_id)
+
+        self.later(4.5, _unlist)
+        back_s = self._random.uniform(1.0, 8.0)
+        self.later(back_s, lambda: self.add_worker(worker.entry.address))
+
+    def _replace_owner(self) -> None:
+        if self.owners and self.now_s - self._heard_s < 2.0:
+            return
+        epoch = self._epoch + 1
+        heard_s = self._heard_s
+        owner_record = records.OwnerRecord(epoch, str(epoch), "")
+        self.append(epoch, [records.encode(owner_record)])
+        self.owners.append(SimulatedOwner(self, epoch, heard_s))
+
+    # What must hold.
+
+    def _check(self) -> None:
+        for worker in self.workers.values():
+            used = 0
+            for task in worker.running:
+                spec = self.view.spec(task.job_id)
+                assert spec is not None
+                used += spec.steps[task.step].size.cpu_millis
+            if used > _CPU:
+                self.findings.append(f"{self.now_s:.2f} LIMIT {used}")
+
+    def check_runs(self) -> list[str]:
+        """Returns what was broken, from what the workers saw."""
+        findings = list(self.findings)
+        by_task: dict[model.TaskId, list[fake_worker.Run]] = (
+            collections.defaultdict(list)
+        )
+        for worker in self.all_workers:
+            for run in worker.history:
+                by_task[run.task].append(run)
+        for task, runs in by_task.items():
+            findings += _check_task(task, runs)
+            findings += self._check_order(task, runs, by_task)
+        return findings
+
+    def unfinished(self) -> list[str]:
+        """Returns the jobs that ought to have ended by now."""
+        return [
+            spec.job_id
+            for spec in self.view.jobs()
+            if spec.job_id not in self._cancelled
+            and not spec.steps[0].is_lasting
+            and self.view.end(spec.job_id) is None
+        ]
+
+    def idle_lasting(self) -> list[model.TaskId]:
+        """Returns tasks that last and are not at work."""
+        running = {
+            task for worker in self.workers.values() for task in worker.running
+        }
+        idle = []
+        for spec in self.view.jobs():
+            if spec.job_id in self._cancelled or not spec.steps[0].is_lasting:
+                continue
+            for number in range(spec.steps[0].task_count):
+                task = model.TaskId(spec.job_id, 0, 0, number)
+                if task not in running:
+                    idle.append(task)
+        return idle
+
+    def still_cancelled(self) -> list[model.TaskId]:
+        """Returns tasks of cancelled jobs that are at work."""
+        return [
+            task
+            for worker in self.workers.values()
+            for task in worker.running
+            if task.job_id in self._cancelled
+        ]
+
+    def _check_order(
+        self,
+        task: model.TaskId,
+        runs: list[fake_worker.Run],
+        by_task: dict[model.TaskId, list[fake_worker.Run]],
+    ) -> list[str]:
+        spec = self.view.spec(task.job_id)
+        assert spec is not None
+        findings = []
+        for earlier in spec.steps[task.step].after:
+            for number in range(spec.steps[earlier].task_count):
+                before = by_task[
+                    model.TaskId(task.job_id, task.occurrence, earlier, number)
+                ]
+                done = [
+                    run.ended_s
+                    for run in before
+                    if run.kind is model.EndKind.DONE and run.ended_s
+                ]
+                first_s = min(run.began_s for run in runs)
+                if not done or min(done) > first_s:
+                    findings.append(f"ORDER {task}")
+        return findings
+
+
+def _check_task(task: model.TaskId, runs: list[fake_worker.Run]) -> list[str]:
+    findings = []
+    runs.sort(key=lambda run: run.began_s)
+    for before, after in itertools.pairwise(runs):
+        if before.ended_s is None or before.ended_s > after.began_s:
+            findings.append(f"TWICE {task} {before} {after}")
+    return findings
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -93,7 +93,15 @@
         )
 
     def heard(self, clock_ms: int, now_s: float) -> None:
-        """Takes an answer in."""
+        """Takes an answer under this owner's epoch in.
+
+        From the first one on, earlier owners can extend no lease; what they
+        gave before lasts no longer than a lease that begins now.
+        """
+        if not self.has_answered:
+            longest_ms = LEASE_S * (1 + CLOCK_DRIFT) * 1000
+            earlier_ms = clock_ms + int(longest_ms)
+            self.valid_until_ms = max(self.valid_until_ms, earlier_ms)
         self.clock_ms = clock_ms
         self.answered_s = now_s
         self.unanswered = 0
