--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -570,8 +570,10 @@
             or task.stopped_s is not None
             for task in worker.tasks.values()
         )
+        # A look that gets no answer may have renewed the lease. A worker that
+        # is silent is only asked, so that its lease comes to a known end.
         valid_until_ms = None
-        if worker.tasks:
+        if worker.tasks and not worker.unanswered:
             valid_until_ms = worker.lease_end_ms(now_s)
         if valid_until_ms is not None:
             worker.valid_until_ms = max(worker.valid_until_ms, valid_until_ms)
