--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -585,6 +585,8 @@
         """Returns whether a worker has to be asked what it runs."""
         if worker.noted > worker.acknowledged:
             return True
+        if worker.unanswered and worker.is_listed:
+            return True
         return any(
             task.phase is not tasks.Phase.RECORDING
             for task in worker.tasks.values()
--- a/foxtaillock/platform/http.py
+++ b/foxtaillock/platform/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import typing
 from collections.abc import Mapping
 
@@ -18,6 +19,8 @@
 # Unacknowledged bytes for so long mean that the other side is cut off.
 _USER_TIMEOUT_MS = 3_000
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class NotSentError(Exception):
     """No connection could be made: nothing of the request was sent."""
@@ -139,4 +142,7 @@
     made.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
     )
+    # Closing drops what was not yet sent: an order that a partition holds back
+    # must not arrive after its sender has given it up.
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     return made
