--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import uuid
+from collections.abc import Callable
 
 from foxtaillock import exceptions
 from foxtaillock.batch import decision_log
@@ -21,7 +22,7 @@
 from foxtaillock.platform import store
 from foxtaillock.platform import workers
 
-__all__ = ["main"]
+__all__ = ["create_services", "main"]
 
 _SETTINGS_VARIABLE = "FOXTAILLOCK_SETTINGS"
 _DEFAULT_SETTINGS = "/etc/foxtaillock/settings.conf"
@@ -74,7 +75,7 @@
         settings.node,
         incarnation,
         settings.key_age_s,
-        _services(settings, callers, clock, log, metrics),
+        create_services(settings, callers, clock, log, metrics),
     )
     front = fronts.Front(node.desk, lambda: node.is_ready, clock, metrics)
     node.start()
@@ -104,13 +105,22 @@
         await caller.close()
 
 
-def _services(
+def create_services(
     settings: platform_settings.VmSettings,
     callers: list[http.Caller],
     clock: model_clock.Clock,
-    log: decision_log.DecisionLog,
+    log: Callable[..., None],
     metrics: batch_metrics.Metrics,
 ) -> nodes.NodeServices:
+    """Returns what an entry VM works with on the platform.
+
+    Args:
+        settings: settings of this entry VM.
+        callers: HTTP clients for the store, for orders and for looks.
+        clock: source of time.
+        log: receiver of a line for each decision.
+        metrics: metrics of this process.
+    """
     store_caller, order_caller, look_caller = callers
 
     def _topic(name: str) -> store.KeyedTopic:
--- a/foxtaillock/platform/front.py
+++ b/foxtaillock/platform/front.py
@@ -54,8 +54,8 @@
         self,
         endpoint: platform_settings.Endpoint,
         handler: Callable[[web.BaseRequest], typing.Any],
-    ) -> None:
-        """Serves `handler` at an address.
+    ) -> platform_settings.Endpoint:
+        """Serves `handler` at an address; returns the one in use.
 
         Raises:
             OSError: the address can't be listened at.
@@ -72,6 +72,8 @@
         )
         await site.start()
         self._runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        return platform_settings.Endpoint(host, port)
 
     async def leave(self, until_s: float, least_s: float) -> None:
         """Serves on until no call is under way, then returns.
--- /dev/null
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -0,0 +1,141 @@
+"""One entry VM against the stand-in platform, for tests."""
+
+import typing
+
+import aiohttp
+
+from foxtaillock.batch import metrics as batch_metrics
+from foxtaillock.batch import node as nodes
+from foxtaillock.model import clock as model_clock
+from foxtaillock.platform import daemon
+from foxtaillock.platform import front as fronts
+from foxtaillock.platform import http
+from foxtaillock.platform import settings as platform_settings
+from foxtaillock.platform.tests import standin
+
+__all__ = ["EntryVm", "config"]
+
+CALLERS_TIMEOUT_S = 5.0
+
+
+class Reply(typing.NamedTuple):
+    """Answer to a submitter."""
+
+    status: int
+    body: typing.Any
+    retry_after: str | None
+
+
+def config(version: int, keys: list[str]) -> dict[str, typing.Any]:
+    """Returns a configuration with one open queue and one with keys."""
+
+    def _route(name: str, prefix: str, public: bool) -> dict[str, typing.Any]:
+        return {
+            "name": name,
+            "host": "jobs.example",
+            "path_prefix": prefix,
+            "service": "pool",
+            "timeout_ms": 3000,
+            "target_duration_ms": 600,
+            "max_attempts": 2,
+            "stretch": 1.6,
+            "public": public,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            _route("open", "/open/", True),
+            _route("keyed", "/keyed/", False),
+        ],
+        "services": [{"name": "pool"}, {"name": "spare", "spare": True}],
+        "limits": {"max_body_bytes": 262144},
+        "tenants": [
+            {"name": "team", "api_keys": keys, "cap": {"cpu": 100000}}
+        ],
+    }
+
+
+class EntryVm:
+    """Node and front, in this process.
+
+    Args:
+        platform: the platform that it runs on.
+        name: its name.
+
+    Attributes:
+        lines: its log, as name and fields of each decision.
+    """
+
+    def __init__(
+        self,
+        platform: standin.StandInPlatform,
+        name: str = "vm-1",
+        key_age_s: float = 5.0,
+    ) -> None:
+        self.lines: list[tuple[str, dict[str, typing.Any]]] = []
+        self._callers = [http.Caller(8), http.Caller(4), http.Caller(2)]
+        self._clock = model_clock.SystemClock()
+        metrics = batch_metrics.Metrics()
+        text = (
+            f"node={name}\nzone=z\nlisten.front=127.0.0.1:1\n"
+            f"listen.readiness=127.0.0.1:2\nplatform.address={platform.address}\n"
+            f"cloud.address={platform.address}\n"
+            f"bounds.revoke_ms={int(key_age_s * 1000)}\n"
+        )
+        self.settings = platform_settings.parse(text, "test")
+        services = daemon.create_services(
+            self.settings, self._callers, self._clock, self.log, metrics
+        )
+        self.node = nodes.Node(
+            name, f"{name}-1", self.settings.key_age_s, services
+        )
+        self.front = fronts.Front(
+            self.node.desk, lambda: self.node.is_ready, self._clock, metrics
+        )
+        self._session: aiohttp.ClientSession | None = None
+        self._url = ""
+
+    def log(self, event: str, **fields: typing.Any) -> None:
+        """Keeps a line of the log."""
+        self.lines.append((event, fields))
+
+    def events(self, event: str) -> list[dict[str, typing.Any]]:
+        """Returns the fields of all lines of one kind."""
+        return [fields for name, fields in self.lines if name == event]
+
+    async def start(self) -> None:
+        """Begins to serve."""
+        self.node.start()
+        endpoint = platform_settings.Endpoint("127.0.0.1", 0)
+        address = await self.front.listen(endpoint, self.front.serve_call)
+        self._url = f"http://{address.text}"
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALLERS_TIMEOUT_S)
+        )
+
+    async def stop(self) -> None:
+        """Ends at once."""
+        await self.node.close()
+        if self._session is not None:
+            await self._session.close()
+        await self.front.close()
+        for caller in self._callers:
+            await caller.close()
+
+    async def call(
+        self, method: str, path: str, key: str = "", body: typing.Any = None
+    ) -> Reply:
+        """Calls as a submitter does."""
+        assert self._session is not None
+        headers = {"Host": "jobs.example"}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        async with self._session.request(
+            method, self._url + path, headers=headers, json=body
+        ) as response:
+            return Reply(
+                response.status,
+                await response.json(),
+                response.headers.get("Retry-After"),
+            )
--- /dev/null
+++ b/foxtaillock/platform/tests/standin.py
@@ -0,0 +1,381 @@
+"""Small stand-in for the platform: store, workers and VMs, over HTTP.
+
+It speaks the published protocol and can lose answers, refuse, and carry
+requests out late, so that tests reach every line of the adapter.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+import typing
+
+from aiohttp import web
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch.tests import fake_worker
+from foxtaillock.model import resources
+
+__all__ = ["StandInPlatform"]
+
+_MEBIBYTE = 1024 * 1024
+_REASONS = {
+    interfaces.OrderOutcome.STALE_EPOCH: "fence",
+    interfaces.OrderOutcome.STALE_RUN: "old",
+    interfaces.OrderOutcome.TOO_LATE: "late",
+    interfaces.OrderOutcome.NO_ROOM: "room",
+}
+_HOWS = {
+    model.EndKind.DONE: "done",
+    model.EndKind.FAILED: "failed",
+    model.EndKind.STOPPED: "stopped",
+    model.EndKind.LAPSED: "lapsed",
+}
+
+
+class Topic:
+    """One partition of a keyed topic."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[bytes] = []
+        self.epoch = -1
+        self.sequence = -1
+        self.answers: dict[tuple[int, int], dict[str, int]] = {}
+        self.newest: dict[str, tuple[int, bytes]] = {}
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, content: bytes) -> None:
+        """Appends one record."""
+        length = content[0]
+        key = content[1 : 1 + length].decode()
+        value = content[1 + length :]
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append(content)
+
+    def expire(self) -> None:
+        """Forgets all records but the newest of each key."""
+        self.first = self.end
+        self.records = []
+
+
+class StandInPlatform:
+    """The platform in this process.
+
+    Attributes:
+        address: `HOST:PORT` of the store.
+        topics: topics of the store.
+        fail_next: statuses with which the next appends are refused.
+        lose_next: appends whose answers get lost, though they take effect.
+        is_away: whether the store refuses everything.
+        workers: workers by id, by the platform's rules.
+        durations_s: how long the tasks of each worker take.
+        vm_calls: orders for VMs as they came.
+    """
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.topics: dict[str, Topic] = {}
+        self.fail_next: list[int] = []
+        self.lose_next = 0
+        self.is_away = False
+        self.workers: dict[str, fake_worker.FakeWorker] = {}
+        self.payloads: list[tuple[str, str]] = []
+        self.lasts_s = 0.05
+        self.vms: list[dict[str, typing.Any]] = []
+        self.vm_calls: list[tuple[str, dict[str, typing.Any], str]] = []
+        self.advice_good: list[list[str]] = []
+        self._changed = asyncio.Event()
+        self._runners: list[web.ServerRunner] = []
+
+    async def start(self) -> None:
+        """Listens for store, VMs and advice on one address."""
+        self.address = await self._listen(self._serve_store)
+
+    async def stop(self) -> None:
+        """Closes all servers."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def topic(self, name: str) -> Topic:
+        """Returns a topic, made if need be."""
+        return self.topics.setdefault(name, Topic())
+
+    def write(self, topic: str, key: str, value: typing.Any) -> None:
+        """Writes as an operator or a worker does."""
+        encoded = value if isinstance(value, bytes) else _dump(value)
+        self.topic(topic).append(_keyed(key, encoded))
+        self._wake()
+
+    def newest(self, topic: str, key: str) -> bytes | None:
+        """Returns the newest value of a key."""
+        found = self.topic(topic).newest.get(key)
+        return None if found is None else found[1]
+
+    async def add_worker(self, worker_id: str, pool: str) -> str:
+        """Starts a worker and registers it; returns its address."""
+        address = await self._listen(
+            lambda request: self._serve_worker(worker_id, request)
+        )
+        entry = model.WorkerEntry(
+            worker_id,
+            int(time.time() * 1000),
+            pool,
+            address,
+            "z",
+            ("a", "rack-1"),
+            resources.Resources(4000, 1 << 33, 0),
+            False,
+            0,
+            1,
+        )
+        self.workers[worker_id] = fake_worker.FakeWorker(entry, _now_s(), 0.0)
+        self.write("keyed.servers", worker_id, self.registration(worker_id))
+        return address
+
+    def registration(self, worker_id: str) -> dict[str, typing.Any]:
+        """Returns what a worker writes about itself."""
+        worker = self.workers[worker_id]
+        return {
+            "service": worker.entry.pool,
+            "address": worker.entry.address,
+            "zone": "z",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0},
+            "labels": ["a", "rack-1"],
+            "clock_ms": worker.clock_ms(_now_s()),
+            "sequence": 1,
+            "born": worker.entry.born_ms,
+        }
+
+    # Store.
+
+    async def _serve_store(self, request: web.BaseRequest) -> web.Response:
+        path = request.path
+        if path == "/-/machines":
+            return _json({"machines": self.vms, "next_token": None})
+        if path.startswith("/-/machine-"):
+            return await self._serve_vm_order(request)
+        if path == "/-/advise":
+            return _json({"good": self.advice_good, "valid_ms": 3000})
+        if self.is_away:
+            return web.Response(status=503)
+        if path == "/-/log-append":
+            return await self._serve_append(request)
+        if path == "/-/log-read":
+            return await self._serve_read(request)
+        if path == "/-/log-newest":
+            return self._serve_newest(request)
+        return web.Response(status=404)
+
+    async def _serve_append(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        if self.fail_next:
+            return web.Response(status=self.fail_next.pop(0))
+        topic = self.topic(request.query["topic"])
+        answer = self._append(topic, request, body)
+        self._wake()
+        if self.lose_next:
+            self.lose_next -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return answer
+
+    def _append(
+        self, topic: Topic, request: web.BaseRequest, body: bytes
+    ) -> web.Response:
+        if "producer" in request.query:
+            epoch = int(request.query["epoch"])
+            sequence = int(request.query["sequence"])
+            if (epoch, sequence) in topic.answers and epoch == topic.epoch:
+                return _json(topic.answers[epoch, sequence])
+            if epoch < topic.epoch:
+                return _json({"reason": "fenced"}, 409)
+            if epoch == topic.epoch and sequence != topic.sequence + 1:
+                wanted = topic.sequence + 1
+                return _json({"reason": "seq", "sequence": wanted}, 409)
+            topic.epoch, topic.sequence = epoch, sequence
+        offset = topic.end
+        for content in _split(body):
+            topic.append(content)
+        answer = {"offset": offset, "end_offset": topic.end}
+        if "producer" in request.query:
+            topic.answers[topic.epoch, topic.sequence] = answer
+        return _json(answer)
+
+    async def _serve_read(self, request: web.BaseRequest) -> web.Response:
+        topic = self.topic(request.query["topic"])
+        offset = int(request.query["from"])
+        if offset < topic.first:
+            return _json({"first_offset": topic.first}, 410)
+        wait_s = int(request.query.get("wait_ms", 0)) / 1000
+        deadline_s = _now_s() + wait_s
+        while offset >= topic.end and _now_s() < deadline_s:
+            await self._wait(deadline_s - _now_s())
+        found = topic.records[offset - topic.first :]
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for content in found:
+            body += struct.pack(">I", len(content)) + content
+        return web.Response(body=body)
+
+    def _serve_newest(self, request: web.BaseRequest) -> web.Response:
+        topic = self.topic(request.query["topic"])
+        after = request.query.get("depends_on", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "offset": topic.newest[key][0],
+            }
+            for key in keys[:3]
+        ]
+        more = len(keys) > 3
+        return _json(
+            {"items": items, "has_more": more, "end_offset": topic.end}
+        )
+
+    async def _wait(self, timeout_s: float) -> None:
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            return
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    # VMs.
+
+    async def _serve_vm_order(self, request: web.BaseRequest) -> web.Response:
+        body = json.loads(await request.read())
+        epoch = request.headers["X-Fence-Token"]
+        self.vm_calls.append((request.path, body, epoch))
+        return _json({})
+
+    # Workers.
+
+    async def _serve_worker(
+        self, worker_id: str, request: web.BaseRequest
+    ) -> web.Response:
+        worker = self.workers[worker_id]
+        if worker.is_dead:
+            return web.Response(status=500)
+        if request.headers.get("X-Expect-Instance") != worker_id:
+            return web.Response(status=421)
+        body = json.loads(await request.read())
+        if request.path == "/-/run-start":
+            return self._start(worker, body)
+        if request.path == "/-/run-stop":
+            task = _task(body["task"])
+            answer = worker.stop(task, body["run"], body["fence"], _now_s())
+            return _order_answer(answer)
+        if request.path == "/-/hold":
+            return await self._look(worker, body)
+        clock_ms = worker.clock_ms(_now_s())
+        return _json({"clock_ms": clock_ms})
+
+    def _start(
+        self, worker: fake_worker.FakeWorker, body: dict[str, typing.Any]
+    ) -> web.Response:
+        order = interfaces.StartOrder(
+            _task(body["task"]),
+            body["run"],
+            body["workload"],
+            body["until_ms"],
+            body["fence"],
+        )
+        self.payloads.append((body["task"], body["workload"]))
+        return _order_answer(worker.start(order, self.lasts_s, _now_s()))
+
+    async def _look(
+        self, worker: fake_worker.FakeWorker, body: dict[str, typing.Any]
+    ) -> web.Response:
+        deadline_s = _now_s() + body.get("wait_ms", 0) / 1000
+        while True:
+            lists = worker.look(
+                body["fence"], body["last_seen"], body.get("until_ms"), _now_s()
+            )
+            if isinstance(lists, interfaces.OrderAnswer):
+                return _order_answer(lists)
+            if lists.ended or _now_s() >= deadline_s:
+                break
+            await asyncio.sleep(0.01)
+        running = [
+            [model.task_text(row.task), row.run, "", row.percent, 0]
+            for row in lists.running
+        ]
+        ended = [
+            [row.number, model.task_text(row.task), row.run, _HOWS[row.kind], ""]
+            for row in lists.ended
+        ]
+        return _json(
+            {
+                "clock_ms": lists.clock_ms,
+                "running": running,
+                "ended": ended,
+                "born": lists.born_ms,
+            }
+        )
+
+    async def _listen(self, handler: typing.Any) -> str:
+        runner = web.ServerRunner(web.Server(handler))
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        await site.start()
+        self._runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+
+def _now_s() -> float:
+    return time.monotonic()
+
+
+def _task(text: str) -> model.TaskId:
+    task = model.parse_task_id(text)
+    assert task is not None
+    return task
+
+
+def _keyed(key: str, value: bytes) -> bytes:
+    return bytes((len(key),)) + key.encode() + value
+
+
+def _split(body: bytes) -> list[bytes]:
+    found, place = [], 0
+    while place < len(body):
+        (length,) = struct.unpack_from(">I", body, place)
+        found.append(body[place + 4 : place + 4 + length])
+        place += 4 + length
+    return found
+
+
+def _dump(value: typing.Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def _json(value: typing.Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=_dump(value), content_type="application/json"
+    )
+
+
+def _order_answer(answer: interfaces.OrderAnswer) -> web.Response:
+    body: dict[str, typing.Any] = {"clock_ms": answer.clock_ms}
+    if answer.outcome is interfaces.OrderOutcome.ACCEPTED:
+        return _json(body)
+    body["reason"] = _REASONS[answer.outcome]
+    return _json(body, 409)
--- /dev/null
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -0,0 +1,256 @@
+"""Whole path of jobs on one and two entry VMs against the stand-in."""
+
+import asyncio
+import typing
+import unittest
+from collections.abc import Callable
+
+from foxtaillock.platform.tests import entry_vm
+from foxtaillock.platform.tests import standin
+
+_JOB = {
+    "workload": "text",
+    "steps": [
+        {"count": 3, "cpu": 500, "mem_mb": 64, "estimate_ms": 50},
+        {"count": 1, "cpu": 500, "estimate_ms": 50, "depends_on": [0]},
+    ],
+}
+_LASTING = {
+    "workload": "text",
+    "steps": [{"count": 2, "cpu": 500, "persistent": True}],
+}
+_ID = "5c0e7a21d94b36f8"
+_PATIENCE_S = 15.0
+
+
+class EntryVmTest(unittest.IsolatedAsyncioTestCase):
+    """Each test has a platform with one worker, and one entry VM."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = standin.StandInPlatform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
+        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+        await self.platform.add_worker("i-1", "pool")
+        self.vm = await self._start_vm("vm-1")
+
+    async def _start_vm(
+        self, name: str, key_age_s: float = 5.0
+    ) -> entry_vm.EntryVm:
+        vm = entry_vm.EntryVm(self.platform, name, key_age_s)
+        await vm.start()
+        self.addAsyncCleanup(vm.stop)
+        await self._until(lambda: vm.node.is_ready)
+        return vm
+
+    async def _until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(_PATIENCE_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def _until_state(
+        self, vm: entry_vm.EntryVm, path: str, state: str, key: str = ""
+    ) -> None:
+        async with asyncio.timeout(_PATIENCE_S):
+            while True:
+                reply = await vm.call("GET", path, key)
+                if reply.body.get("state") == state:
+                    return
+                await asyncio.sleep(0.05)
+
+    async def test_job_runs_to_its_end(self) -> None:
+        reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        self.assertEqual(reply.status, 200)
+        await self._until_state(self.vm, "/open/" + _ID, "completed")
+        worker = self.platform.workers["i-1"]
+        started = [run.task.number for run in worker.history]
+        self.assertEqual(sorted(started), [0, 0, 1, 2])
+        self.assertEqual({text for _, text in self.platform.payloads}, {"text"})
+
+    async def test_ends_are_recorded_before_they_are_acknowledged(self) -> None:
+        await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        await self._until_state(self.vm, "/open/" + _ID, "completed")
+        worker = self.platform.workers["i-1"]
+        await self._until(lambda: worker.acknowledged == 4)
+
+    async def test_same_id_again_is_one_job(self) -> None:
+        for _ in range(2):
+            reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+            self.assertEqual(reply.status, 200)
+        await self._until_state(self.vm, "/open/" + _ID, "completed")
+        reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(len(self.platform.workers["i-1"].history), 4)
+
+    async def test_keys_and_routes(self) -> None:
+        calls: list[tuple[str, str, str, int]] = [
+            ("POST", "/keyed/" + _ID, "", 401),
+            ("POST", "/keyed/" + _ID, "wrong", 401),
+            ("POST", "/nowhere/" + _ID, "k1", 404),
+            ("GET", "/keyed/" + _ID, "k1", 410),
+            ("DELETE", "/keyed/" + _ID, "k1", 410),
+            ("POST", "/keyed/" + _ID, "k1", 200),
+            ("POST", "/keyed/short", "k1", 400),
+        ]
+        for method, path, key, status in calls:
+            reply = await self.vm.call(method, path, key, _JOB)
+            self.assertEqual(reply.status, status, (method, path, key))
+
+    async def test_malformed_job_is_refused(self) -> None:
+        bodies: list[typing.Any] = [
+            {},
+            {"workload": "t", "steps": []},
+            {"workload": "t", "steps": [{"count": 1, "depends_on": [0]}]},
+            {"workload": "t" * 5000, "steps": [{"count": 1}]},
+        ]
+        for body in bodies:
+            reply = await self.vm.call("POST", "/open/" + _ID, body=body)
+            self.assertEqual(reply.status, 400, body)
+
+    async def test_withdrawn_key_is_refused(self) -> None:
+        self.platform.write("keyed.op", "config", entry_vm.config(5, ["k2"]))
+        await self._until(lambda: self.vm.node.desk.directory.version == 5)
+        reply = await self.vm.call("POST", "/keyed/" + _ID, "k1", _JOB)
+        self.assertEqual(reply.status, 401)
+
+    async def test_older_configuration_never_comes_back(self) -> None:
+        self.platform.write("keyed.op", "config", entry_vm.config(2, ["k9"]))
+        self.platform.write("keyed.op", "config", b"garbage")
+        await self._until(
+            lambda: bool(self.vm.events("operator-record-unreadable"))
+        )
+        self.assertEqual(self.vm.node.desk.directory.version, 3)
+
+    async def test_key_is_refused_once_the_configuration_is_too_old(
+        self,
+    ) -> None:
+        vm = await self._start_vm("vm-2", key_age_s=2.5)
+        await vm.call("POST", "/keyed/" + _ID, "k1", _JOB)
+        self.platform.is_away = True
+        await self._until(lambda: not vm.node.is_ready)
+        reply = await vm.call("GET", "/keyed/" + _ID, "k1")
+        self.assertEqual((reply.status, reply.retry_after), (503, "1"))
+        self.platform.is_away = False
+        await self._until(lambda: vm.node.is_ready)
+        reply = await vm.call("GET", "/keyed/" + _ID, "k1")
+        self.assertEqual(reply.status, 200)
+
+    async def test_refused_append_is_told_as_not_stored(self) -> None:
+        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        self.platform.is_away = True
+        reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        self.assertEqual((reply.status, reply.retry_after), (503, "1"))
+
+    async def test_lost_answer_of_an_append_leaves_one_job(self) -> None:
+        self.platform.lose_next = 1
+        reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        self.assertIn(reply.status, (200, 504))
+        await self._until_state(self.vm, "/open/" + _ID, "completed")
+        self.assertEqual(len(self.platform.workers["i-1"].history), 4)
+
+    async def test_cancelled_job_is_stopped(self) -> None:
+        self.platform.lasts_s = 1000.0
+        await self.vm.call("POST", "/open/" + _ID, body=_LASTING)
+        worker = self.platform.workers["i-1"]
+        await self._until(lambda: len(worker.running) == 2)
+        reply = await self.vm.call("DELETE", "/open/" + _ID)
+        self.assertEqual(reply.status, 200)
+        await self._until(lambda: not worker.running)
+        await self._until_state(self.vm, "/open/" + _ID, "cancelled")
+
+    async def test_failing_job_ends_as_failed(self) -> None:
+        worker = self.platform.workers["i-1"]
+        original = worker.start
+
+        def _start(order: typing.Any, *rest: typing.Any) -> typing.Any:
+            worker.failing.add(order.task)
+            return original(order, *rest)
+
+        worker.start = _start  # type: ignore[method-assign]
+        await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        await self._until_state(self.vm, "/open/" + _ID, "failed")
+        runs = [run.number for run in worker.history if run.task.number == 0]
+        self.assertLessEqual(max(runs), 2)
+
+    async def test_waiting_jobs_are_counted(self) -> None:
+        huge = {"workload": "t", "steps": [{"count": 1, "cpu": 10**6}]}
+        await self.vm.call("POST", "/open/" + _ID, body=huge)
+        reply = await self.vm.call("GET", "/open/")
+        await self._until_state(self.vm, "/open/" + _ID, "queued")
+        reply = await self.vm.call("GET", "/open/")
+        self.assertEqual(reply.body, {"waiting": 1})
+
+    async def test_another_vm_takes_over(self) -> None:
+        self.platform.lasts_s = 1000.0
+        await self.vm.call("POST", "/open/" + _ID, body=_LASTING)
+        worker = self.platform.workers["i-1"]
+        await self._until(lambda: len(worker.running) == 2)
+        other = await self._start_vm("vm-2")
+        await self.vm.node.close()
+        await self._until(lambda: bool(other.events("ownership-taken")))
+        await self._until(lambda: worker.epoch == 2)
+        await asyncio.sleep(1.0)
+        self.assertEqual(len(worker.history), 2)
+        self.assertEqual(len(worker.running), 2)
+        await self._until_state(other, "/open/" + _ID, "running")
+
+    async def test_hand_over_leaves_no_gap(self) -> None:
+        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        other = await self._start_vm("vm-2")
+        await self.vm.node.give_up(2.0)
+        await self._until(lambda: bool(other.events("ownership-taken")))
+        claim = other.events("ownership-claimed")[0]
+        self.assertEqual(claim["reason"], "released by its owner")
+
+    async def test_expired_journal_is_read_anew(self) -> None:
+        await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        await self._until_state(self.vm, "/open/" + _ID, "completed")
+        for topic in self.platform.topics.values():
+            topic.expire()
+        other = await self._start_vm("vm-2")
+        reply = await other.call("GET", "/open/" + _ID)
+        self.assertEqual(reply.body, {"state": "completed"})
+
+    async def test_worker_started_again_under_its_id(self) -> None:
+        self.platform.lasts_s = 1000.0
+        await self.vm.call("POST", "/open/" + _ID, body=_LASTING)
+        worker = self.platform.workers["i-1"]
+        await self._until(lambda: len(worker.running) == 2)
+        await self._restart_worker(worker)
+        new = self.platform.workers["i-1"]
+        await self._until(lambda: len(new.running) == 2)
+        self.assertEqual({run.number for run in new.history}, {2})
+
+    async def _restart_worker(self, worker: typing.Any) -> None:
+        entry = worker.entry._replace(born_ms=worker.entry.born_ms + 5)
+        self.platform.workers["i-1"] = type(worker)(entry, 0.0, 0.0)
+        self.platform.write(
+            "keyed.servers", "i-1", self.platform.registration("i-1")
+        )
+
+    async def test_wave_is_carried_out_and_told(self) -> None:
+        self.platform.vms = [
+            {
+                "machine": f"m-{number}",
+                "pool": "spare",
+                "state": "up",
+                "zone": "z",
+                "labels": ["a"],
+                "capacity": {"cpu": 4000, "mem_mb": 1024, "gpu": 0},
+                "id": None,
+            }
+            for number in range(3)
+        ]
+        wave = {
+            "wave": 7,
+            "machines": ["m-0", "m-1", "m-9"],
+            "complete_by_s": 20,
+            "cap": 1,
+        }
+        self.platform.write("keyed.op", "wave/7", wave)
+        await self._until(
+            lambda: self.platform.newest("keyed.status", "wave/7")
+            == b'{"wave":7,"state":"completed"}'
+        )
+        vms = [body["machine"] for _, body, _ in self.platform.vm_calls]
+        self.assertEqual(sorted(vms), ["m-0", "m-1"])
