Waits: a cancellation that comes with the event goes through

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that comes when the event has just been set, so that an entry VM that was closed went on to own: two whole runs of the entry VM's tests hung in node.close() on a busy machine. Ruled out: a loop without awaits (the traceback stood in select).

--- a/foxtaillock/batch/follower.py
+++ b/foxtaillock/batch/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from foxtaillock.batch import events
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import records
 from foxtaillock.model import clock as model_clock
@@ -103,9 +104,7 @@
                 return False
             self._moved.clear()
             self._skip_pause.set()
-            try:
-                await asyncio.wait_for(self._moved.wait(), left_s)
-            except TimeoutError:
+            if not await events.wait_for_event(self._moved, left_s):
                 return False
         return True
 
@@ -145,7 +144,4 @@
 
     async def _pause(self) -> None:
         self._skip_pause.clear()
-        try:
-            await asyncio.wait_for(self._skip_pause.wait(), self.pause_s)
-        except TimeoutError:
-            return
+        await events.wait_for_event(self._skip_pause, self.pause_s)
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -8,6 +8,7 @@
 
 from foxtaillock.batch import directory
 from foxtaillock.batch import engine as engines
+from foxtaillock.batch import events
 from foxtaillock.batch import fleet_keeper
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
@@ -310,10 +311,7 @@
         if self.engine.has_batch() or self.engine.needs_plan:
             await asyncio.sleep(0)
             return
-        try:
-            await asyncio.wait_for(self._wake.wait(), _STEP_S)
-        except TimeoutError:
-            pass
+        await events.wait_for_event(self._wake, _STEP_S)
         self._wake.clear()
 
     # Orders.
--- a/foxtaillock/platform/tests/standin.py
+++ b/foxtaillock/platform/tests/standin.py
@@ -331,9 +331,9 @@
         )
 
     async def _listen(self, handler: typing.Any) -> str:
-        runner = web.ServerRunner(web.Server(handler))
+        runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
         await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
         self._runners.append(runner)
         host, port = runner.addresses[0][:2]
