--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -5,17 +5,18 @@
 new run only when its latest run has provably ended.
 """
 
-import math
 import typing
 from collections.abc import Iterable
 from collections.abc import Mapping
 
 from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import load_meter
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
+from foxtaillock.batch import team_pace
 from foxtaillock.batch import trust
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
@@ -131,6 +132,7 @@
         self.pools: Mapping[str, model.Pool] = {}
         self.teams: Mapping[str, model.Team] = {}
         self.trust = trust.WorkerTrust()
+        self._paces: dict[str, team_pace.TeamPace] = {}
         self._used: dict[str, resources.Resources] = {}
         self._waiting: dict[model.StepId, tasks.Step] = {}
         self._orphans: dict[str, dict[model.TaskId, tasks.Task]] = {}
@@ -204,6 +206,7 @@
         if spec.job_id in self.jobs or spec.job_id in self._over:
             return
         job = tasks.create_job(spec, now_s, now_ms)
+        job.is_excess = self._is_excess(spec.team, job.accepted_s)
         self.jobs[spec.job_id] = job
         for each in progress:
             step = job.steps.get((each.step_id.occurrence, each.step_id.step))
@@ -450,41 +453,28 @@
 
     def pool_loads(self, now_s: float) -> dict[str, fleet.PoolLoad]:
         """Returns the work of each pool that serves queues."""
-        waiting: dict[str, int] = {}
-        waited_s: dict[str, float] = {}
-        spread: dict[str, int] = {}
-        for step in self._waiting.values():
-            candidate = self._candidate(step, now_s)
-            if candidate is None or step.spec.is_filler:
-                continue
-            pool = candidate.queue.pool
-            millis = len(step.waiting) * step.spec.size.cpu_millis
-            waiting[pool] = waiting.get(pool, 0) + millis
-            since_s = now_s - (step.ready_s or now_s)
-            waited_s[pool] = max(waited_s.get(pool, 0.0), since_s)
-        for job in self.jobs.values():
-            queue = self.queues.get(job.spec.queue)
-            if job.is_lasting and not job.is_over and queue is not None:
-                widest = max(
-                    math.ceil(step.task_count / (step.max_per_worker or 8))
-                    for step in job.spec.steps
-                )
-                spread[queue.pool] = max(spread.get(queue.pool, 0), widest)
-        capacity: dict[str, int] = {}
-        for worker in self.workers.values():
-            pool = worker.entry.pool
-            millis = worker.entry.capacity.cpu_millis
-            capacity[pool] = max(capacity.get(pool, 0), millis)
-        return {
-            pool.name: fleet.PoolLoad(
-                waiting.get(pool.name, 0),
-                waited_s.get(pool.name, 0.0),
-                capacity.get(pool.name, 0),
-                spread.get(pool.name, 0),
-            )
+        meters = {
+            pool.name: load_meter.LoadMeter()
             for pool in self.pools.values()
             if not pool.is_spare
         }
+        for job in self.jobs.values():
+            queue = self.queues.get(job.spec.queue)
+            if job.is_over or queue is None or queue.pool not in meters:
+                continue
+            meter = meters[queue.pool]
+            if job.is_lasting:
+                meter.add_lasting(job)
+                continue
+            for step in job.steps.values():
+                if step.is_done:
+                    continue
+                candidate = self._candidate(step, now_s)
+                meter.add_step(step, candidate, job.is_excess, now_s)
+        for worker in self.workers.values():
+            if worker.entry.pool in meters:
+                meters[worker.entry.pool].add_worker(worker)
+        return {pool: meter.load() for pool, meter in meters.items()}
 
     def take_stops(self) -> list[StopPlan]:
         """Returns the runs that are to be stopped now."""
@@ -610,6 +600,13 @@
 
     # Steps of the decisions.
 
+    def _is_excess(self, team: str, accepted_s: float) -> bool:
+        """Returns whether a job is beyond its team's part of the load."""
+        if team not in self.teams:
+            return False
+        pace = self._paces.setdefault(team, team_pace.TeamPace())
+        return not pace.take(self.teams[team].weight, accepted_s)
+
     def _may_be_away(self, step: tasks.Step, task: tasks.Task) -> bool:
         """Returns whether one more task of a step may be kept away.
 
@@ -621,15 +618,21 @@
         away = sum(
             1
             for other in step.tasks
-            if other is not task
-            and (
-                other.phase is not tasks.Phase.RUNNING
-                or other.is_stopping
-                or other.percent < _WHOLE_PERCENT
-            )
+            if other is not task and not self._is_at_work(other)
         )
         return away < step.spec.may_miss
 
+    def _is_at_work(self, task: tasks.Task) -> bool:
+        """Returns whether a task works at its full speed, as far as known."""
+        worker = self.workers.get(task.worker_id)
+        return (
+            task.phase is tasks.Phase.RUNNING
+            and not task.is_stopping
+            and task.percent >= _WHOLE_PERCENT
+            and worker is not None
+            and not worker.unanswered
+        )
+
     def _has_place(
         self, step: tasks.Step, leaving: workers.Worker, now_s: float
     ) -> bool:
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -56,6 +56,10 @@
 # takes 1.5 s, so that shorter waits end before it helps.
 _BACKLOG_S = 0.35
 
+# Time in which a pool ought to work off the jobs that can still be timely. The
+# objective leaves a job its own length and about this much.
+_WORK_OFF_S = 1.5
+
 # VMs that a pool keeps beyond those in use.
 _KEPT_VMS = 1
 
@@ -83,14 +87,19 @@
     Attributes:
         waiting_millis: processors that waiting tasks ask for, in thousandths.
         waiting_s: how long the first of them has waited.
+        timely_cpu_s: processor seconds of all tasks to come of jobs that can
+            still meet their objective.
         capacity_millis: processors of one VM of the pool, in thousandths.
+        usable_millis: processors of its workers that tasks which last leave.
         spread: VMs that tasks which last need, one each.
     """
 
-    waiting_millis: int
-    waiting_s: float
-    capacity_millis: int
-    spread: int
+    waiting_millis: int = 0
+    waiting_s: float = 0.0
+    timely_cpu_s: float = 0.0
+    capacity_millis: int = 0
+    usable_millis: int = 0
+    spread: int = 0
 
 
 class VmOrder(typing.NamedTuple):
@@ -424,16 +433,23 @@
         ]
 
     def _wanted(self, pool: str, load: PoolLoad) -> int:
-        """Returns the VMs that a pool lacks for what waits."""
-        if load.waiting_s < _BACKLOG_S or not load.capacity_millis:
+        """Returns the VMs that a pool lacks.
+
+        It lacks VMs for tasks that wait, and before they do, for jobs that
+        could not meet their objective with what it has.
+        """
+        if not load.capacity_millis:
             return 0
         on_way = sum(
             1
             for pending in self._pending.values()
             if pending.order.pool == pool
         )
-        lacking = math.ceil(load.waiting_millis / load.capacity_millis)
-        return lacking - on_way
+        needed_millis = load.timely_cpu_s / _WORK_OFF_S * 1000
+        lacking_millis = needed_millis - load.usable_millis
+        if load.waiting_s >= _BACKLOG_S:
+            lacking_millis = max(lacking_millis, load.waiting_millis)
+        return math.ceil(lacking_millis / load.capacity_millis) - on_way
 
 
 def _is_idle(use: VmUse | None) -> bool:
--- a/foxtaillock/batch/interfaces.py
+++ b/foxtaillock/batch/interfaces.py
@@ -64,10 +64,18 @@
 
 
 class Appended(typing.NamedTuple):
-    """Answer to an append; the offset counts only if it was stored."""
+    """Answer to an append.
+
+    Attributes:
+        outcome: what the store made of it.
+        next_offset: offset behind the batch, if it was stored.
+        expected_sequence: the number that the store waits for, if the batch
+            was out of sequence; -1 if it did not tell.
+    """
 
     outcome: AppendOutcome
     next_offset: int = 0
+    expected_sequence: int = -1
 
 
 class JournalPage(typing.NamedTuple):
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -267,6 +267,13 @@
                 "append", appended.outcome.value
             ).observe(took_s)
             if appended.outcome is not interfaces.AppendOutcome.STORED:
+                services.log(
+                    "journal-append-refused",
+                    outcome=appended.outcome.value,
+                    sequence=self._sequence,
+                    expected=appended.expected_sequence,
+                    tries=tries,
+                )
                 self._end(f"append answered: {appended.outcome.value}")
                 return False
             if tries:
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -15,12 +15,12 @@
 
 # An owner writes at least this often; a third of its lease, so that one lost
 # append does not cost it the ownership.
-HEARTBEAT_S = 0.6
+HEARTBEAT_S = 0.45
 
 # Silence after which others may claim. Together with the time of a claim and
 # of the first orders it must stay under the lease of what runs on the workers
-# (6 s), of which an owner that died may have used up one second and a half.
-LEASE_S = 2.0
+# (4 s), of which an owner that died may have used up one second.
+LEASE_S = 1.5
 
 # The entry VMs wait for a little different times, so that one claim is enough.
 _STAGGER_S = 0.08
@@ -107,10 +107,19 @@
     def decide(self, now_s: float) -> ClaimDecision:
         """Decides whether to claim now, in a process that does not own.
 
-        A record of its own then stands for a claim whose answer it never got;
-        it is treated like another's.
+        A record of this VM then stands for an owner that is no more: an
+        earlier process, a claim whose answer never came, or an ownership that
+        ended with an append out of sequence. So it claims at once.
         """
         silence_s = now_s - self._heard_s
+        owner = self._owner
+        if (
+            owner is not None
+            and owner.node == self._node
+            and not owner.is_released
+        ):
+            reason = "this VM's own owner is no more"
+            return ClaimDecision(owner.epoch + 1, silence_s, reason)
         wait_s = self._wait_s(now_s)
         if silence_s < wait_s:
             return ClaimDecision(0, silence_s, "owner's lease is not over")
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -92,8 +92,9 @@
 
     Tasks that serve users until they are cancelled go first, since they earn
     all the time; then by the queue's priority; then what can still meet its
-    objective, the nearest one first; then what is late, the oldest first.
-    Fillers take what is left.
+    objective, the nearest one first; then what is late, the oldest first;
+    then jobs that a team has handed in beyond its part of the load, so that
+    a flood makes no other team wait. Fillers take what is left.
 
     Cost: O(n log n) for n steps.
     """
@@ -146,9 +147,11 @@
 def _rank(candidate: Candidate, now_s: float) -> tuple[float, ...]:
     spec = candidate.step.spec
     if spec.is_filler:
-        return (3.0, candidate.job.accepted_s)
+        return (4.0, candidate.job.accepted_s)
     if spec.is_lasting:
         return (0.0, candidate.job.accepted_s)
+    if candidate.job.is_excess:
+        return (3.0, candidate.queue.priority, candidate.job.accepted_s)
     is_late = now_s + candidate.remaining_s > candidate.objective_s
     if is_late:
         return (2.0, candidate.queue.priority, candidate.job.accepted_s)
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -170,6 +170,7 @@
         is_cancelled: whether its submitter cancelled it.
         final_state: its final state once that is decided.
         chain_ms: estimated longest chain of tasks of an occurrence.
+        is_excess: whether its team had handed in more than its part by then.
     """
 
     spec: model.JobSpec
@@ -178,6 +179,7 @@
     is_cancelled: bool = False
     final_state: model.JobState | None = None
     chain_ms: float = 0.0
+    is_excess: bool = False
 
     @property
     def is_over(self) -> bool:
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -339,6 +339,9 @@
         job_id = f"{next(self._names):016x}"
         size = resources.Resources(self._random.choice((500, 1000, 2500)), 1, 0)
         is_lasting = self._random.random() < 0.05
+        if is_lasting:
+            # Small, so that what lasts can't fill the pool for good.
+            size = resources.Resources(250, 1, 0)
         steps = [
             model.StepSpec(
                 self._random.randint(1, 6), size, 900, is_lasting=is_lasting
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -8,10 +8,10 @@
 
 __all__ = ["CLOCK_DRIFT", "LEASE_S", "RENEW_LIMIT_S", "Worker"]
 
-# Lease of what runs on a worker. A takeover takes 3 s at most, and the last
+# Lease of what runs on a worker. A takeover takes 2.4 s at most, and the last
 # renewal may be 1.2 s old; shorter, the tasks of a dead worker start again
 # elsewhere sooner.
-LEASE_S = 4.6
+LEASE_S = 4.0
 
 # A worker's clock may be this much slow, by the platform's contract.
 CLOCK_DRIFT = 0.02
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -30,6 +30,7 @@
 
 class _ConflictAnswer(typing.TypedDict, total=False):
     reason: str
+    sequence: int
 
 
 class _NewestItem(typing.TypedDict):
@@ -93,7 +94,7 @@
                 interfaces.AppendOutcome.STORED, appended["end_offset"]
             )
         if answer.status == _CONFLICT:
-            return interfaces.Appended(_conflict_outcome(answer.body))
+            return _conflict(answer.body)
         raise self._error(answer)
 
     async def read(self, offset: int, wait_s: float) -> interfaces.JournalPage:
@@ -223,11 +224,14 @@
     return records.KeyedRecord(key, content[end:])
 
 
-def _conflict_outcome(body: bytes) -> interfaces.AppendOutcome:
+def _conflict(body: bytes) -> interfaces.Appended:
     try:
-        reason = _conflict_decoder.decode(body).get("reason", "")
+        conflict = _conflict_decoder.decode(body)
     except msgspec.DecodeError:
-        reason = ""
-    if reason == "seq":
-        return interfaces.AppendOutcome.OUT_OF_SEQUENCE
-    return interfaces.AppendOutcome.FENCED
+        conflict = {}
+    if conflict.get("reason") != "seq":
+        return interfaces.Appended(interfaces.AppendOutcome.FENCED)
+    return interfaces.Appended(
+        interfaces.AppendOutcome.OUT_OF_SEQUENCE,
+        expected_sequence=conflict.get("sequence", -1),
+    )
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -50,9 +50,7 @@
         ],
         "services": [{"name": "pool"}, {"name": "spare", "spare": True}],
         "limits": {"max_body_bytes": 262144},
-        "tenants": [
-            {"name": "team", "api_keys": keys, "cap": {"cpu": 100000}}
-        ],
+        "tenants": [{"name": "team", "api_keys": keys, "cap": {"cpu": 100000}}],
     }
 
 
--- a/foxtaillock/platform/tests/standin.py
+++ b/foxtaillock/platform/tests/standin.py
@@ -318,7 +318,13 @@
             for row in lists.running
         ]
         ended = [
-            [row.number, model.task_text(row.task), row.run, _HOWS[row.kind], ""]
+            [
+                row.number,
+                model.task_text(row.task),
+                row.run,
+                _HOWS[row.kind],
+                "",
+            ]
             for row in lists.ended
         ]
         return _json(
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -166,7 +166,7 @@
             worker.failing.add(order.task)
             return original(order, *rest)
 
-        worker.start = _start  # type: ignore[method-assign]
+        worker.start = _start  # type: ignore[method-assign,assignment]
         await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         await self._until_state(self.vm, "/open/" + _ID, "failed")
         runs = [run.number for run in worker.history if run.task.number == 0]
