--- /dev/null
+++ b/foxtaillock/batch/tests/builders.py
@@ -0,0 +1,116 @@
+"""Makes jobs, workers and engines for tests."""
+
+import typing
+
+from foxtaillock.batch import engine as engines
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import workers
+from foxtaillock.model import resources
+
+__all__ = [
+    "create_engine",
+    "entry",
+    "job",
+    "lists",
+    "pool_worker",
+    "queue",
+    "start_all",
+    "step",
+]
+
+GIB = 1 << 30
+
+
+def queue(
+    name: str = "q", priority: int = 0, max_attempts: int = 2
+) -> model.Queue:
+    """Returns a queue of the pool `pool`."""
+    return model.Queue(name, "pool", priority, max_attempts, 1.6, 600, True)
+
+
+def step(
+    count: int = 1, cpu: int = 1000, **fields: typing.Any
+) -> model.StepSpec:
+    """Returns a step of tasks of one second."""
+    size = resources.Resources(cpu, GIB, 0)
+    return model.StepSpec(count, size, 1000, **fields)
+
+
+def job(
+    job_id: str, *steps: model.StepSpec, team: str = "", **fields: typing.Any
+) -> model.JobSpec:
+    """Returns a job of the queue `q`, accepted at 10 s."""
+    return model.JobSpec(job_id, "q", team, 10_000, "text", steps, **fields)
+
+
+def entry(
+    worker_id: str, cpu: int = 4000, **fields: typing.Any
+) -> model.WorkerEntry:
+    """Returns a worker of the pool `pool`."""
+    known: dict[str, typing.Any] = {
+        "born_ms": 1,
+        "pool": "pool",
+        "address": f"10.0.0.1:{worker_id}",
+        "zone": "zone",
+        "labels": ("a", "rack-1"),
+        "capacity": resources.Resources(cpu, 64 * GIB, 0),
+        "is_draining": False,
+        "drain_left_ms": 0,
+        "clock_ms": 5000,
+    }
+    return model.WorkerEntry(worker_id, **{**known, **fields})
+
+
+def pool_worker(worker_id: str, **fields: typing.Any) -> workers.Worker:
+    """Returns a worker as an owner knows it, without tasks."""
+    worker = workers.Worker(entry(worker_id, **fields), 0.0)
+    worker.registered(worker.entry, 10.0)
+    return worker
+
+
+def create_engine(
+    *entries: model.WorkerEntry,
+    teams: dict[str, model.Team] | None = None,
+    log: engines.DecisionLog | None = None,
+) -> engines.Engine:
+    """Returns the decisions of an owner that begins at 10 s."""
+    made = engines.Engine(1, 10.0, 10.0, log or _no_log)
+    pools = {
+        "pool": model.Pool("pool", False, False),
+        "spare": model.Pool("spare", False, True),
+    }
+    made.configure({"q": queue()}, pools, teams or {})
+    for each in entries:
+        made.register(each, 10.0)
+    return made
+
+
+def start_all(engine: engines.Engine, now_s: float) -> list[engines.StartPlan]:
+    """Plans, records and starts what can start; returns what did."""
+    engine.plan(now_s)
+    plans = engine.committed(engine.take_batch(), now_s)
+    for plan in plans:
+        assert engine.start_order(plan, now_s) is not None
+        accepted = interfaces.OrderOutcome.ACCEPTED
+        engine.start_answered(
+            plan, interfaces.OrderAnswer(accepted, 5000), now_s
+        )
+    return plans
+
+
+def lists(
+    running: list[tuple[model.TaskId, int]] | None = None,
+    ended: list[interfaces.EndRow] | None = None,
+    born_ms: int = 1,
+) -> interfaces.WorkerLists:
+    """Returns a worker's lists."""
+    rows = [
+        interfaces.RunRow(task, run, "", 100, 0.0)
+        for task, run in running or []
+    ]
+    return interfaces.WorkerLists(born_ms, 6000, rows, ended or [])
+
+
+def _no_log(event: str, **fields: typing.Any) -> None:
+    del event, fields
--- /dev/null
+++ b/foxtaillock/batch/tests/naive_view.py
@@ -0,0 +1,55 @@
+"""Fold of the journal that keeps every record and looks through them all."""
+
+from foxtaillock.batch import model
+from foxtaillock.batch import records
+
+__all__ = ["NaiveView"]
+
+
+class NaiveView:
+    """Twin of `JournalView`."""
+
+    def __init__(self) -> None:
+        self._records: list[tuple[int, records.KeyedRecord]] = []
+
+    def apply(self, offset: int, keyed: records.KeyedRecord) -> None:
+        """Takes a record in."""
+        self._records.append((offset, keyed))
+
+    def _newest(self) -> dict[str, records.Record]:
+        newest: dict[str, records.KeyedRecord] = {}
+        for _, keyed in sorted(self._records, key=lambda each: each[0]):
+            newest[keyed.key] = keyed
+        found = {}
+        for key, keyed in newest.items():
+            record = records.decode(*keyed) if keyed.value else None
+            if record is not None:
+                found[key] = record
+        return found
+
+    def state(self, job_id: str) -> str | None:
+        """Returns a job's state, or None."""
+        newest = self._newest()
+        if "j" + job_id not in newest:
+            return None
+        end = newest.get("e" + job_id)
+        if isinstance(end, records.JobEnd):
+            return end.state
+        if "c" + job_id in newest:
+            return "cancelled"
+        has_begun = any(
+            isinstance(each, records.StepProgress)
+            and each.step_id.job_id == job_id
+            for each in newest.values()
+        )
+        return "running" if has_begun else "queued"
+
+    def waiting_count(self, queue: str) -> int:
+        """Returns the jobs of a queue of which nothing has begun."""
+        return sum(
+            1
+            for record in self._newest().values()
+            if isinstance(record, model.JobSpec)
+            and record.queue == queue
+            and self.state(record.job_id) == "queued"
+        )
--- /dev/null
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -0,0 +1,345 @@
+"""Decisions of the owner on tasks, one at a time."""
+
+import unittest
+
+from foxtaillock.batch import engine as engines
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import records
+from foxtaillock.batch import tasks
+from foxtaillock.batch.tests import builders
+from foxtaillock.model import resources
+
+_JOB = "00000000000000aa"
+
+
+def _look(
+    engine: engines.Engine,
+    worker_id: str,
+    answer: interfaces.WorkerLists | interfaces.OrderAnswer,
+    now_s: float,
+) -> None:
+    worker = engine.workers[worker_id]
+    plan = engine.look_plan(worker, now_s)
+    assert plan is not None
+    engine.looked(worker_id, plan, answer, now_s, now_s + 0.01)
+
+
+def _unknown() -> interfaces.OrderAnswer:
+    return interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
+
+
+class EngineTest(unittest.TestCase):
+    """One owner and few workers."""
+
+    def _task(self, engine: engines.Engine, number: int = 0) -> tasks.Task:
+        return engine.jobs[_JOB].steps[0, 0].tasks[number]
+
+    def _running(self, *steps: model.StepSpec) -> engines.Engine:
+        """Returns an owner whose only job has begun."""
+        engine = builders.create_engine(builders.entry("1"))
+        engine.submit(builders.job(_JOB, *steps), (), 10.0, 10_000)
+        builders.start_all(engine, 10.0)
+        return engine
+
+    def test_start_is_recorded_before_it_is_ordered(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
+        engine.plan(10.0)
+        batch = engine.take_batch()
+        record = records.decode(*batch.records[0])
+        assert isinstance(record, records.StepProgress)
+        self.assertEqual(record.rows[0].worker_id, "1")
+        self.assertEqual(len(engine.committed(batch, 10.0)), 1)
+
+    def test_recorded_start_is_not_sent_once_the_job_is_cancelled(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
+        engine.plan(10.0)
+        batch = engine.take_batch()
+        engine.cancel(_JOB, 10.0)
+        self.assertEqual(engine.committed(batch, 10.0), [])
+
+    def test_recorded_start_is_not_sent_to_a_worker_that_drains(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
+        engine.plan(10.0)
+        batch = engine.take_batch()
+        engine.register(builders.entry("1", is_draining=True), 10.0)
+        self.assertEqual(engine.committed(batch, 10.0), [])
+
+    def test_recorded_start_is_not_sent_late(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
+        engine.plan(10.0)
+        batch = engine.take_batch()
+        self.assertEqual(engine.committed(batch, 15.0), [])
+
+    def test_step_waits_for_the_steps_before_it(self) -> None:
+        engine = self._running(builders.step(2), builders.step(after=(0,)))
+        self.assertEqual(len(engine.workers["1"].tasks), 2)
+        ends = [
+            interfaces.EndRow(
+                number,
+                model.TaskId(_JOB, 0, 0, number - 1),
+                1,
+                model.EndKind.DONE,
+                "",
+            )
+            for number in (1, 2)
+        ]
+        _look(
+            engine,
+            "1",
+            builders.lists(
+                ended=ends[:1], running=[(model.TaskId(_JOB, 0, 0, 1), 1)]
+            ),
+            11.0,
+        )
+        self.assertEqual(builders.start_all(engine, 11.1), [])
+        _look(engine, "1", builders.lists(ended=ends), 11.2)
+        started = builders.start_all(engine, 11.3)
+        self.assertEqual([plan.task.task_id.step for plan in started], [1])
+
+    def test_end_is_acknowledged_only_once_recorded(self) -> None:
+        engine = self._running(builders.step())
+        end = interfaces.EndRow(
+            1, model.TaskId(_JOB, 0, 0, 0), 1, model.EndKind.DONE, ""
+        )
+        _look(engine, "1", builders.lists(ended=[end]), 11.0)
+        worker = engine.workers["1"]
+        self.assertEqual(worker.noted, 0)
+        batch = engine.take_batch()
+        kinds = {type(records.decode(*each)) for each in batch.records}
+        self.assertEqual(kinds, {records.StepProgress, records.JobEnd})
+        engine.committed(batch, 11.1)
+        plan = engine.look_plan(worker, 11.1)
+        assert plan is not None
+        self.assertEqual(plan.acknowledged, 1)
+
+    def test_job_fails_after_its_attempts(self) -> None:
+        engine = self._running(builders.step())
+        for run in (1, 2):
+            end = interfaces.EndRow(
+                run, model.TaskId(_JOB, 0, 0, 0), run, model.EndKind.FAILED, ""
+            )
+            _look(engine, "1", builders.lists(ended=[end]), 10.0 + run)
+            builders.start_all(engine, 10.5 + run)
+        self.assertIs(engine.jobs[_JOB].final_state, model.JobState.FAILED)
+        self.assertEqual(self._task(engine).run, 2)
+
+    def test_lasting_task_starts_again_however_it_ended(self) -> None:
+        engine = self._running(builders.step(is_lasting=True))
+        kinds = [
+            model.EndKind.FAILED,
+            model.EndKind.DONE,
+            model.EndKind.FAILED,
+            model.EndKind.LAPSED,
+        ]
+        for run, kind in enumerate(kinds, 1):
+            task = model.TaskId(_JOB, 0, 0, 0)
+            end = interfaces.EndRow(run, task, run, kind, "")
+            _look(engine, "1", builders.lists(ended=[end]), 10.0 + 5 * run)
+            self.assertEqual(len(builders.start_all(engine, 13.0 + 5 * run)), 1)
+
+    def test_start_in_doubt_is_stopped_before_another_run(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
+        engine.plan(10.0)
+        (plan,) = engine.committed(engine.take_batch(), 10.0)
+        engine.start_order(plan, 10.0)
+        engine.start_answered(plan, _unknown(), 10.8)
+        _look(engine, "1", builders.lists(), 10.9)
+        self.assertIs(self._task(engine).phase, tasks.Phase.IN_DOUBT)
+        (stop,) = engine.take_stops()
+        accepted = interfaces.OrderOutcome.ACCEPTED
+        engine.stop_answered(stop, interfaces.OrderAnswer(accepted, 6000), 11.0)
+        _look(engine, "1", builders.lists(), 11.1)
+        self.assertIs(self._task(engine).phase, tasks.Phase.WAITING)
+
+    def test_silent_worker_is_not_renewed_and_its_lease_ends(self) -> None:
+        engine = self._running(builders.step())
+        _look(engine, "1", _unknown(), 11.0)
+        worker = engine.workers["1"]
+        plan = engine.look_plan(worker, 12.0)
+        assert plan is not None
+        self.assertIsNone(plan.valid_until_ms)
+        engine.tick(12.5, 12_500)
+        self.assertIs(self._task(engine).phase, tasks.Phase.RUNNING)
+        engine.tick(worker.ends_by_s() + 0.01, 20_000)
+        self.assertIs(self._task(engine).phase, tasks.Phase.WAITING)
+
+    def test_silent_worker_without_tasks_is_asked_until_it_answers(
+        self,
+    ) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        worker = engine.workers["1"]
+        worker.unanswered = 3
+        self.assertTrue(engine.needs_look(worker))
+        _look(engine, "1", builders.lists(), 12.0)
+        self.assertTrue(worker.is_usable(12.1))
+        self.assertFalse(engine.needs_look(worker))
+
+    def test_unknown_run_is_stopped(self) -> None:
+        engine = self._running(builders.step())
+        stray = model.TaskId("00000000000000bb", 0, 0, 0)
+        rows = [(stray, 4), (model.TaskId(_JOB, 0, 0, 0), 1)]
+        _look(engine, "1", builders.lists(running=rows), 11.0)
+        (stop,) = engine.take_stops()
+        self.assertEqual((stop.task_id, stop.run), (stray, 4))
+
+    def test_cancelled_job_is_stopped_again_until_it_ends(self) -> None:
+        engine = self._running(builders.step())
+        engine.cancel(_JOB, 11.0)
+        self.assertEqual(len(engine.take_stops()), 1)
+        engine.tick(12.0, 12_000)
+        self.assertEqual(len(engine.take_stops()), 1)
+
+    def test_gang_starts_as_a_whole_or_not_at_all(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        gang = builders.step(5, is_gang=True)
+        engine.submit(builders.job(_JOB, gang), (), 10.0, 10_000)
+        self.assertEqual(builders.start_all(engine, 10.0), [])
+        self.assertEqual(engine.workers["1"].held, resources.ZERO)
+        engine.register(builders.entry("2"), 10.0)
+        self.assertEqual(len(builders.start_all(engine, 10.1)), 5)
+
+    def test_one_end_of_a_gang_stands_for_all(self) -> None:
+        engine = self._running(builders.step(3, is_gang=True))
+        end = interfaces.EndRow(
+            1, model.TaskId(_JOB, 0, 0, 1), 1, model.EndKind.DONE, ""
+        )
+        _look(engine, "1", builders.lists(ended=[end]), 11.0)
+        self.assertIs(engine.jobs[_JOB].final_state, model.JobState.COMPLETED)
+
+    def test_occurrences_start_when_they_are_due(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        spec = builders.job(
+            _JOB,
+            builders.step(),
+            occurrences=2,
+            first_ms=11_000,
+            interval_ms=2_000,
+        )
+        engine.submit(spec, (), 10.0, 10_000)
+        counts = [
+            len(builders.start_all(engine, now_s))
+            for now_s in (10.9, 11.0, 12.9, 13.1)
+        ]
+        self.assertEqual(counts, [0, 1, 0, 1])
+
+    def test_team_stays_within_its_limit(self) -> None:
+        limit = resources.Resources(2500, 0, 0)
+        team = model.Team("team", 10.0, limit)
+        engine = builders.create_engine(
+            builders.entry("1"), teams={"team": team}
+        )
+        spec = builders.job(_JOB, builders.step(4), team="team")
+        engine.submit(spec, (), 10.0, 10_000)
+        self.assertEqual(len(builders.start_all(engine, 10.0)), 2)
+
+    def test_task_over_half_the_limit_runs_alone(self) -> None:
+        limit = resources.Resources(900, 0, 0)
+        team = model.Team("team", 10.0, limit)
+        engine = builders.create_engine(
+            builders.entry("1"), teams={"team": team}
+        )
+        spec = builders.job(_JOB, builders.step(2), team="team")
+        engine.submit(spec, (), 10.0, 10_000)
+        self.assertEqual(len(builders.start_all(engine, 10.0)), 1)
+
+
+class TakeoverTest(unittest.TestCase):
+    """An owner takes over what an earlier one has left."""
+
+    def _taken_over(self, entry: model.WorkerEntry | None) -> engines.Engine:
+        step_id = model.StepId(_JOB, 0, 0)
+        row = records.TaskRow(1, 3, 1, "1", 1, "progress")
+        progress = records.StepProgress(step_id, 1, b"\x01", (row,))
+        engine = engines.Engine(2, 10.0, 20.0, lambda *_, **__: None)
+        pool = model.Pool("pool", False, False)
+        engine.configure({"q": builders.queue()}, {"pool": pool}, {})
+        spec = builders.job(_JOB, builders.step(3))
+        engine.submit(spec, [progress], 10.0, 10_000)
+        if entry is not None:
+            engine.register(entry, 10.0)
+        return engine
+
+    def test_run_is_adopted_if_its_worker_tells_it(self) -> None:
+        engine = self._taken_over(builders.entry("1"))
+        task = engine.jobs[_JOB].steps[0, 0].tasks[1]
+        rows = [(task.task_id, 3)]
+        _look(engine, "1", builders.lists(running=rows), 10.1)
+        self.assertEqual((task.phase, task.run), (tasks.Phase.RUNNING, 3))
+        self.assertEqual(engine.jobs[_JOB].steps[0, 0].done_count, 1)
+
+    def test_run_that_its_worker_does_not_know_never_began(self) -> None:
+        engine = self._taken_over(builders.entry("1"))
+        task = engine.jobs[_JOB].steps[0, 0].tasks[1]
+        _look(engine, "1", builders.lists(), 10.1)
+        self.assertEqual((task.phase, task.run), (tasks.Phase.WAITING, 3))
+        self.assertEqual(task.saved, "progress")
+
+    def test_lease_of_an_earlier_owner_counts(self) -> None:
+        engine = self._taken_over(builders.entry("1"))
+        worker = engine.workers["1"]
+        rows = [(engine.jobs[_JOB].steps[0, 0].tasks[1].task_id, 3)]
+        _look(engine, "1", builders.lists(running=rows), 10.1)
+        self.assertGreater(worker.ends_by_s(), 14.0)
+
+    def test_run_on_a_worker_that_never_comes_back_is_given_up(self) -> None:
+        engine = self._taken_over(None)
+        task = engine.jobs[_JOB].steps[0, 0].tasks[1]
+        engine.tick(19.9, 19_900)
+        self.assertIs(task.phase, tasks.Phase.ADOPTED)
+        engine.tick(20.1, 20_100)
+        self.assertIs(task.phase, tasks.Phase.WAITING)
+
+    def test_run_of_an_earlier_life_of_its_worker_has_ended(self) -> None:
+        engine = self._taken_over(builders.entry("1", born_ms=9))
+        task = engine.jobs[_JOB].steps[0, 0].tasks[1]
+        self.assertIs(task.phase, tasks.Phase.WAITING)
+
+
+class EvacuationTest(unittest.TestCase):
+    """Tasks that last leave a worker as their step allows."""
+
+    def _engine(self) -> engines.Engine:
+        engine = builders.create_engine(
+            *(builders.entry(str(number)) for number in range(4))
+        )
+        lasting = builders.step(
+            3, is_lasting=True, may_miss=1, max_per_worker=1
+        )
+        engine.submit(builders.job(_JOB, lasting), (), 10.0, 10_000)
+        builders.start_all(engine, 10.0)
+        for worker in engine.workers.values():
+            rows = [(task, 1) for task in worker.tasks]
+            if rows:
+                _look(engine, worker.worker_id, builders.lists(rows), 11.0)
+        return engine
+
+    def _with_tasks(self, engine: engines.Engine) -> list[str]:
+        return [w.worker_id for w in engine.workers.values() if w.tasks]
+
+    def test_one_at_a_time(self) -> None:
+        engine = self._engine()
+        engine.set_leaving(self._with_tasks(engine)[:2])
+        engine.tick(12.0, 12_000)
+        self.assertEqual(len(engine.take_stops()), 1)
+
+    def test_none_while_another_is_on_a_silent_worker(self) -> None:
+        engine = self._engine()
+        first, second, _ = self._with_tasks(engine)
+        engine.workers[second].unanswered = 1
+        engine.set_leaving([first])
+        engine.tick(12.0, 12_000)
+        self.assertEqual(engine.take_stops(), [])
+
+    def test_none_without_a_place_to_go(self) -> None:
+        engine = self._engine()
+        engine.set_leaving(self._with_tasks(engine)[:1])
+        (idle,) = [w for w in engine.workers.values() if not w.tasks]
+        engine.unregister(idle.worker_id)
+        engine.tick(12.0, 12_000)
+        self.assertEqual(engine.take_stops(), [])
--- /dev/null
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -0,0 +1,197 @@
+"""Decisions on VMs: waves and moves."""
+
+import unittest
+
+from foxtaillock.batch import fleet
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+
+_DONE = interfaces.MachineOutcome.DONE
+_IDLE = fleet.VmUse(0, 0, 10.0)
+_BUSY = fleet.VmUse(3, 0, 0.0)
+
+
+def _row(vm: str, pool: str, is_up: bool = True) -> interfaces.VmRow:
+    worker_id = "" if pool == "spare" else f"w-{vm}"
+    return interfaces.VmRow(vm, pool, is_up, "z", (), None, worker_id)
+
+
+def _load(**fields: float) -> fleet.PoolLoad:
+    return fleet.PoolLoad(capacity_millis=16_000)._replace(**fields)
+
+
+class WaveTest(unittest.TestCase):
+    """A wave of four VMs of a pool, two at once at most."""
+
+    def setUp(self) -> None:
+        self.fleet = fleet.Fleet()
+        self.rows = [_row(f"m{number}", "pool") for number in range(4)]
+        self.fleet.listed(self.rows, "spare", 10.0)
+        vms = tuple(row.vm for row in self.rows)
+        self.fleet.add_wave(model.Wave(1, vms, 60.0, 2), (), False, 10.0)
+        self.loads = {"pool": _load()}
+
+    def _due(
+        self, uses: dict[str, fleet.VmUse], now_s: float = 10.0
+    ) -> list[str]:
+        return [
+            order.vm
+            for order in self.fleet.next_upkeep(uses, self.loads, now_s)
+        ]
+
+    def test_vm_is_emptied_before_its_upkeep(self) -> None:
+        uses = {row.vm: _BUSY for row in self.rows}
+        self.assertEqual(self._due(uses), [])
+        (leaving,) = self.fleet.leaving
+        uses[leaving.removeprefix("w-")] = _IDLE
+        self.assertEqual(self._due(uses), [leaving.removeprefix("w-")])
+
+    def test_one_vm_of_a_pool_at_a_time(self) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        self.assertEqual(len(self._due(uses)), 1)
+        self.assertEqual(self._due(uses), [])
+
+    def test_none_while_tasks_of_the_pool_wait(self) -> None:
+        self.loads["pool"] = _load(waiting_millis=5000)
+        self.assertEqual(self._due({row.vm: _BUSY for row in self.rows}), [])
+        self.assertEqual(self.fleet.leaving, frozenset())
+
+    def test_short_of_time_more_at_once_but_never_more_than_allowed(
+        self,
+    ) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        self.assertEqual(len(self._due(uses, 60.0)), 2)
+        self.assertEqual(self._due(uses, 60.1), [])
+
+    def test_tasks_that_last_are_never_cut_off(self) -> None:
+        uses = {row.vm: fleet.VmUse(1, 1, 0.0) for row in self.rows}
+        self.assertEqual(self._due(uses, 69.0), [])
+
+    def test_tasks_are_cut_off_at_the_very_end(self) -> None:
+        uses = {row.vm: _BUSY for row in self.rows}
+        self.assertEqual(len(self._due(uses, 68.0)), 2)
+
+    def test_vm_counts_as_down_until_it_is_seen_back(self) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        (order,) = self.fleet.next_upkeep(uses, self.loads, 10.0)
+        self.fleet.answered(order, _DONE, 10.1)
+        self.fleet.listed(self.rows, "spare", 10.2)
+        self.assertEqual(self._due(uses, 10.3), [])
+        self.fleet.listed(self.rows, "spare", 12.5)
+        self.assertEqual(len(self._due(uses, 12.6)), 1)
+
+    def test_unanswered_order_counts_as_down(self) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        (order,) = self.fleet.next_upkeep(uses, self.loads, 60.0)[:1]
+        unknown = interfaces.MachineOutcome.UNKNOWN
+        self.assertFalse(self.fleet.answered(order, unknown, 61.5))
+        self.fleet.listed(self.rows, "spare", 63.0)
+        self.assertEqual(len(self._due(uses, 63.1)), 0)
+
+    def test_wave_is_complete_once_all_that_stay_have_begun(self) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        now_s = 10.0
+        for _ in range(3):
+            (order,) = self.fleet.next_upkeep(uses, self.loads, now_s)
+            self.fleet.answered(order, _DONE, now_s)
+            now_s += 3.0
+            self.fleet.listed(self.rows, "spare", now_s)
+            self.assertEqual(self.fleet.completed_waves(), [])
+        left = [row for row in self.rows if row.vm in self.fleet.begun(1)]
+        self.fleet.listed(left, "spare", now_s)
+        self.assertEqual(self.fleet.completed_waves(), [1])
+        self.assertEqual(self.fleet.completed_waves(), [])
+
+
+class MoveTest(unittest.TestCase):
+    """Two pools of four VMs and a spare pool of three."""
+
+    def setUp(self) -> None:
+        self.fleet = fleet.Fleet()
+        self.rows = [
+            *(_row(f"a{number}", "a") for number in range(4)),
+            *(_row(f"b{number}", "b") for number in range(4)),
+            *(_row(f"s{number}", "spare") for number in range(3)),
+        ]
+        self.fleet.listed(self.rows, "spare", 0.0)
+
+    def _moves(
+        self,
+        loads: dict[str, fleet.PoolLoad],
+        uses: dict[str, fleet.VmUse] | None = None,
+        now_s: float = 5.0,
+    ) -> list[tuple[str, str]]:
+        orders = self.fleet.next_moves(uses or {}, loads, now_s)
+        return [(order.vm, order.pool) for order in orders]
+
+    def test_spare_vms_go_where_tasks_wait(self) -> None:
+        loads = {"a": _load(waiting_millis=20_000, waiting_s=1.0), "b": _load()}
+        self.assertEqual(self._moves(loads), [("s0", "a"), ("s1", "a")])
+        self.assertEqual(self._moves(loads), [])
+
+    def test_vms_are_lent_before_tasks_wait(self) -> None:
+        loads = {"a": _load(timely_cpu_s=80.0, usable_millis=40_000)}
+        self.assertEqual(self._moves(loads), [("s0", "a")])
+
+    def test_short_waits_move_nothing(self) -> None:
+        loads = {"a": _load(waiting_millis=20_000, waiting_s=0.1)}
+        self.assertEqual(self._moves(loads), [])
+
+    def test_idle_vms_of_another_pool_go_first(self) -> None:
+        loads = {
+            "a": _load(waiting_millis=9_000, waiting_s=1.0),
+            "b": _load(spread=1),
+        }
+        moves = self._moves(loads, {"b2": _IDLE})
+        self.assertEqual(moves, [("b2", "a")])
+
+    def test_pool_keeps_the_vms_that_lasting_tasks_need(self) -> None:
+        loads = {
+            "a": _load(waiting_millis=9_000, waiting_s=1.0),
+            "b": _load(spread=4),
+        }
+        self.assertEqual(self._moves(loads, {"b2": _IDLE}), [("s0", "a")])
+
+    def test_idle_vms_are_switched_off_once_the_load_is_known(self) -> None:
+        loads = {"a": _load(), "b": _load()}
+        uses = {"a3": _IDLE}
+        self.assertEqual(self._moves(loads, uses), [])
+        moves = self._moves(loads, uses, now_s=30.0)
+        self.assertEqual(moves, [("a3", "spare")])
+
+    def test_load_of_turns_is_served_sooner_than_by_fixed_pools(self) -> None:
+        """Plays one turn of a queue that asks for twice its pool."""
+        fixed = self._play(may_move=False)
+        moving = self._play(may_move=True)
+        self.assertLess(moving, 0.7 * fixed)
+
+    def _play(self, may_move: bool) -> float:
+        """Returns the time after which a turn's work is done.
+
+        For 4 s work of 128 processors arrives at a pool of four VMs with 16
+        each; a VM that moves helps after 1.5 s.
+        """
+        played = fleet.Fleet()
+        played.listed(self.rows, "spare", 0.0)
+        arrivals_s, step_s = 4.0, 0.2
+        vms, backlog, now_s = 4, 0.0, 0.0
+        due: list[float] = []
+        waiting_s = 0.0
+        while now_s < arrivals_s or backlog > 0:
+            now_s += step_s
+            if now_s <= arrivals_s:
+                backlog += 128 * step_s
+            vms += sum(1 for at_s in due if at_s <= now_s)
+            due = [at_s for at_s in due if at_s > now_s]
+            backlog = max(0.0, backlog - 16 * vms * step_s)
+            waiting_s = waiting_s + step_s if backlog else 0.0
+            load = _load(
+                waiting_millis=int(backlog * 1000),
+                waiting_s=waiting_s,
+                timely_cpu_s=backlog,
+                usable_millis=16_000 * vms,
+            )
+            if may_move:
+                orders = played.next_moves({}, {"a": load}, now_s)
+                due += [now_s + 1.5 for _ in orders]
+        return now_s
--- /dev/null
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -0,0 +1,60 @@
+"""When an entry VM claims the ownership."""
+
+import unittest
+
+from foxtaillock.batch import ownership
+from foxtaillock.batch import records
+
+_OTHER = records.OwnerRecord(4, "vm-2", "b")
+
+
+class OwnershipTest(unittest.TestCase):
+    """Decisions of `vm-1`."""
+
+    def setUp(self) -> None:
+        self.known = ownership.Ownership("vm-1", "a", 0.0)
+
+    def _decide(self, now_s: float) -> int:
+        self.known.checked(now_s - 0.01)
+        return self.known.decide(now_s).epoch
+
+    def test_first_owner_has_epoch_one(self) -> None:
+        self.assertEqual(self._decide(1.0), 1)
+
+    def test_living_owner_is_left_alone(self) -> None:
+        self.known.heard(_OTHER, 10.0)
+        self.assertEqual(self._decide(10.0 + ownership.LEASE_S - 0.1), 0)
+
+    def test_silent_owner_is_replaced(self) -> None:
+        self.known.heard(_OTHER, 10.0)
+        self.assertEqual(self._decide(10.0 + ownership.LEASE_S + 0.7), 5)
+
+    def test_silence_counts_only_if_the_journal_was_read(self) -> None:
+        self.known.heard(_OTHER, 10.0)
+        self.assertEqual(self.known.decide(30.0).epoch, 0)
+
+    def test_owner_has_time_after_an_outage_of_the_store(self) -> None:
+        self.known.heard(_OTHER, 10.0)
+        self.known.read_failed(20.0)
+        self.assertEqual(self._decide(20.1), 0)
+
+    def test_released_ownership_is_claimed_at_once(self) -> None:
+        self.known.heard(_OTHER._replace(is_released=True), 10.0)
+        self.assertEqual(self._decide(10.7), 5)
+
+    def test_who_gave_up_leaves_the_claim_to_others(self) -> None:
+        mine = records.OwnerRecord(4, "vm-1", "a", is_released=True)
+        self.known.heard(mine, 10.0)
+        self.known.step_back(10.0)
+        self.assertEqual(self._decide(10.7), 0)
+        self.assertEqual(self._decide(13.0), 5)
+
+    def test_owner_of_an_earlier_process_is_replaced_at_once(self) -> None:
+        self.known.heard(records.OwnerRecord(4, "vm-1", "z"), 10.0)
+        self.assertEqual(self._decide(10.1), 5)
+
+    def test_record_of_an_earlier_owner_changes_nothing(self) -> None:
+        self.known.heard(_OTHER, 10.0)
+        self.known.heard(records.OwnerRecord(3, "vm-3", "c"), 11.0)
+        self.assertEqual(self.known.owner, _OTHER)
+        self.assertEqual(self.known.heard_s, 10.0)
--- /dev/null
+++ b/foxtaillock/batch/tests/test_placement.py
@@ -0,0 +1,142 @@
+"""Order and place of tasks."""
+
+import random
+import unittest
+
+from foxtaillock.batch import model
+from foxtaillock.batch import placement
+from foxtaillock.batch import tasks
+from foxtaillock.batch import team_pace
+from foxtaillock.batch import trust
+from foxtaillock.batch.tests import builders
+
+_SEEDS = 100
+
+
+def _candidate(
+    job: model.JobSpec, objective_s: float, remaining_s: float = 1.0
+) -> placement.Candidate:
+    made = tasks.create_job(job, 10.0, 10_000)
+    return placement.Candidate(
+        made.steps[0, 0], made, builders.queue(), objective_s, remaining_s
+    )
+
+
+class OrderTest(unittest.TestCase):
+    """Which steps take room first."""
+
+    def test_timely_before_late_before_excess(self) -> None:
+        late = _candidate(builders.job("late", builders.step()), 10.5)
+        timely = _candidate(builders.job("timely", builders.step()), 13.0)
+        urgent = _candidate(builders.job("urgent", builders.step()), 12.0)
+        flood = _candidate(builders.job("flood", builders.step()), 13.0)
+        flood.job.is_excess = True
+        lasting = _candidate(
+            builders.job("lasting", builders.step(is_lasting=True)), 9.0
+        )
+        mixed = [flood, late, timely, lasting, urgent]
+        ordered = placement.order(mixed, 10.0)
+        self.assertEqual(
+            [each.job.spec.job_id for each in ordered],
+            ["lasting", "urgent", "timely", "late", "flood"],
+        )
+
+    def test_flood_of_a_team_makes_no_other_team_late(self) -> None:
+        """Plays a pool in which one team sends nine tenths of the jobs."""
+        pace = {"flood": team_pace.TeamPace(), "calm": team_pace.TeamPace()}
+        waiting: list[placement.Candidate] = []
+        done_s: dict[str, list[float]] = {"flood": [], "calm": []}
+        now_s = 10.0
+        for turn in range(200):
+            now_s += 0.1
+            for number in range(10):
+                team = "calm" if number == 0 and turn < 100 else "flood"
+                if turn >= 100:
+                    continue
+                spec = builders.job(f"{turn}-{number}", builders.step())
+                made = _candidate(spec._replace(team=team), now_s + 2.0, 0.1)
+                made.job.accepted_s = now_s
+                made.job.is_excess = not pace[team].take(15.0, now_s)
+                waiting.append(made)
+            waiting = placement.order(waiting, now_s)
+            for served in waiting[:4]:
+                took_s = now_s - served.job.accepted_s
+                done_s[served.job.spec.team].append(took_s)
+            del waiting[:4]
+        self.assertEqual(len(done_s["calm"]), 100)
+        self.assertLess(max(done_s["calm"]), 2.0)
+
+
+class ChooseTest(unittest.TestCase):
+    """Which workers tasks go to."""
+
+    def test_never_over_capacity_or_limits(self) -> None:
+        for seed in range(_SEEDS):
+            rng = random.Random(seed)
+            pool = [
+                builders.pool_worker(str(number), cpu=rng.randint(500, 4000))
+                for number in range(5)
+            ]
+            limit = builders.step(cpu=rng.randint(1000, 9000)).size
+            team = model.Team("t", 1.0, limit._replace(memory_bytes=0))
+            usage = placement.Usage({"t": team}, {})
+            used = 0
+            for number in range(10):
+                spec = builders.step(
+                    rng.randint(1, 5),
+                    rng.randint(200, 2500),
+                    max_per_worker=rng.choice((0, 1)),
+                )
+                job = builders.job(f"{number}", spec, team="t")
+                candidate = _candidate(job, 20.0)
+                chosen = placement.choose(
+                    candidate, pool, usage, lambda _: True
+                )
+                for each in chosen:
+                    before, cpu = used, spec.size.cpu_millis
+                    used += cpu
+                    is_allowed = used <= limit.cpu_millis
+                    self.assertTrue(is_allowed or 2 * before < limit.cpu_millis)
+                if spec.max_per_worker:
+                    places = [each.worker.worker_id for each in chosen]
+                    self.assertEqual(len(places), len(set(places)))
+            for worker in pool:
+                self.assertGreaterEqual(worker.free.cpu_millis, 0)
+
+    def test_near_the_data_if_there_is_room(self) -> None:
+        far = builders.pool_worker("1")
+        near = builders.pool_worker("2", labels=("a", "rack-2"))
+        step = builders.step(5, rack="rack-2")
+        candidate = _candidate(builders.job("j", step), 20.0)
+        usage = placement.Usage({}, {})
+        chosen = placement.choose(candidate, [far, near], usage, lambda _: True)
+        places = [each.worker.worker_id for each in chosen]
+        self.assertEqual(places, ["2", "2", "2", "2", "1"])
+
+    def test_label_is_needed(self) -> None:
+        step = builders.step(1, label="gpu")
+        candidate = _candidate(builders.job("j", step), 20.0)
+        usage = placement.Usage({}, {})
+        worker = builders.pool_worker("1")
+        self.assertEqual(
+            placement.choose(candidate, [worker], usage, lambda _: True), []
+        )
+
+
+class TrustTest(unittest.TestCase):
+    """Workers that fail what they start."""
+
+    def test_worker_that_fails_several_jobs_is_left_alone(self) -> None:
+        known = trust.WorkerTrust()
+        known.failed("w", "job-1", False, 10.0)
+        self.assertTrue(known.may_use("w", 10.0))
+        known.failed("w", "job-2", False, 10.0)
+        self.assertFalse(known.may_use("w", 10.1))
+        self.assertTrue(known.may_use("w", 30.0))
+
+    def test_job_that_fails_everywhere_blames_nobody(self) -> None:
+        known = trust.WorkerTrust()
+        for worker in ("1", "2", "3", "4"):
+            known.failed(worker, "poison", False, 10.0)
+        known.failed("4", "other", False, 10.0)
+        self.assertTrue(known.may_use("4", 10.1))
--- /dev/null
+++ b/foxtaillock/batch/tests/test_view.py
@@ -0,0 +1,73 @@
+"""Fold of the journal, against a naive twin."""
+
+import random
+import unittest
+
+from foxtaillock.batch import model
+from foxtaillock.batch import records
+from foxtaillock.batch import view
+from foxtaillock.batch.tests import builders
+from foxtaillock.batch.tests import naive_view
+
+_SEEDS = 60
+_RECORDS = 60
+_JOBS = [f"{number:016x}" for number in range(5)]
+
+
+def _random_record(rng: random.Random) -> records.KeyedRecord:
+    job_id = rng.choice(_JOBS)
+    step_id = model.StepId(job_id, 0, rng.randrange(2))
+    made: list[records.Record] = [
+        builders.job(job_id, builders.step()),
+        records.Cancel(job_id, 5),
+        records.StepProgress(step_id, 1, b"", ()),
+        records.JobEnd(job_id, "completed", 9),
+    ]
+    record = rng.choice(made)
+    if rng.random() < 0.25:
+        return records.erase(record)
+    return records.encode(record)
+
+
+class JournalViewTest(unittest.TestCase):
+    """States of jobs."""
+
+    def test_agrees_with_the_naive_fold_in_any_order(self) -> None:
+        for seed in range(_SEEDS):
+            rng = random.Random(seed)
+            numbered = list(
+                enumerate(_random_record(rng) for _ in range(_RECORDS))
+            )
+            # Pages of newest records overlap with what is read after them.
+            shuffled = numbered + rng.sample(numbered, 20)
+            if seed % 2:
+                rng.shuffle(shuffled)
+            folded, naive = view.JournalView(), naive_view.NaiveView()
+            for offset, record in shuffled:
+                folded.apply(offset, record)
+                naive.apply(offset, record)
+            for job_id in _JOBS:
+                job = folded.job(job_id)
+                state = None if job is None else job.state.value
+                self.assertEqual(state, naive.state(job_id), seed)
+            self.assertEqual(
+                folded.waiting_count("q"), naive.waiting_count("q"), seed
+            )
+
+    def test_unknown_records_are_passed_over(self) -> None:
+        folded = view.JournalView()
+        folded.apply(0, records.KeyedRecord("x1", b"abc"))
+        folded.apply(1, records.KeyedRecord("j1", b"\xff\xff"))
+        self.assertEqual(list(folded.jobs()), [])
+
+    def test_records_come_back_as_they_were_written(self) -> None:
+        row = records.TaskRow(2, 3, 1, "worker", 99, "saved")
+        made: list[records.Record] = [
+            builders.job(_JOBS[0], builders.step(3, after=(0,)), team="t"),
+            records.OwnerRecord(3, "vm", "a", True, 4),
+            records.StepProgress(model.StepId("a", 1, 2), 3, b"\x05", (row,)),
+            records.WaveProgress(7, ("m-1",), True),
+            records.JobEnd("a", "failed", 5),
+        ]
+        for record in made:
+            self.assertEqual(records.decode(*records.encode(record)), record)
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -157,7 +157,7 @@
         kind, rest = key[:1], key[1:]
         job_id = rest.split(".", 1)[0]
         was_waiting = self._is_waiting(job_id)
-        queue = self._jobs[job_id].queue if was_waiting else ""
+        known = self._jobs.get(job_id)
         if kind == "j":
             self._jobs.pop(job_id, None)
         elif kind == "c":
@@ -170,8 +170,9 @@
                 del steps[step_id]
             if not steps:
                 self._progress.pop(job_id, None)
-        if was_waiting and not self._is_waiting(job_id):
-            self._waiting[queue] -= 1
+        is_waiting = self._is_waiting(job_id)
+        if known is not None and is_waiting != was_waiting:
+            self._waiting[known.queue] += 1 if is_waiting else -1
 
 
 def _ends_with(rest: str, step_id: model.StepId) -> bool:
