--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -373,21 +373,14 @@
         for row in due:
             if not row.is_up or row.vm in self._pending:
                 continue
-            use = uses.get(row.vm)
-            pool = row.pool
-            is_short = left_s < due_of[pool] * _VM_UPKEEP_S
-            load = loads.get(pool)
-            is_busy = load is not None and load.waiting_millis > 0
-            if row.pool == self._spare_pool or use is None:
-                at_once = wave.wave.max_down
-            elif is_short:
-                at_once = _AT_ONCE_SHORT
-            else:
-                at_once = 0 if is_busy else 1
+            at_once = wave.wave.max_down
+            if row.pool != self._spare_pool and row.vm in uses:
+                is_short = left_s < due_of[row.pool] * _VM_UPKEEP_S
+                at_once = _at_once(loads.get(row.pool), is_short)
             is_leaving = row.vm in self._leaving
-            if leaving_of[pool] >= at_once and not is_leaving:
+            if leaving_of[row.pool] >= at_once and not is_leaving:
                 continue
-            leaving_of[pool] += 1
+            leaving_of[row.pool] += 1
             self._leaving.add(row.vm)
             chosen.append((row, left_s < _LAST_S))
         return chosen
@@ -452,6 +445,14 @@
         return math.ceil(lacking_millis / load.capacity_millis) - on_way
 
 
+def _at_once(load: PoolLoad | None, is_short: bool) -> int:
+    """Returns how many VMs of a pool in service may be emptied together."""
+    if is_short:
+        return _AT_ONCE_SHORT
+    has_backlog = load is not None and load.waiting_millis > 0
+    return 0 if has_backlog else 1
+
+
 def _is_idle(use: VmUse | None) -> bool:
     return use is not None and not use.tasks and use.idle_s >= _IDLE_S
 
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -92,7 +92,7 @@
 
     async def _step(self, orders: interfaces.VmOrders) -> None:
         now_s = self._clock.monotonic_s()
-        loads = self._engine.pool_loads(now_s)
+        loads = self._engine.vms.pool_loads(now_s)
         has_work = self._fleet.needs_list or any(
             load.waiting_millis for load in loads.values()
         )
@@ -111,7 +111,7 @@
             return
         uses = self._uses(now_s)
         due = self._fleet.next_upkeep(uses, loads, now_s)
-        self._engine.set_leaving(self._fleet.leaving)
+        self._engine.vms.set_leaving(self._fleet.leaving)
         due += self._fleet.next_moves(uses, loads, now_s)
         for order in due:
             task = asyncio.ensure_future(self._carry_out(orders, order))
@@ -152,7 +152,7 @@
             outcome=outcome.value,
         )
         if self._fleet.answered(order, outcome, now_s):
-            self._engine.vm_was_ordered(order.worker_id, now_s)
+            self._engine.vms.vm_was_ordered(order.worker_id, now_s)
             if order.wave:
                 self._record_wave(order.wave, is_complete=False)
 
@@ -165,7 +165,7 @@
     def _uses(self, now_s: float) -> Mapping[str, fleet.VmUse]:
         uses = {}
         for row in self._fleet.vms.values():
-            use = self._engine.vm_use(row.worker_id, now_s)
+            use = self._engine.vms.vm_use(row.worker_id, now_s)
             if use is not None:
                 uses[row.vm] = use
         return uses
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -15,6 +15,7 @@
 from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
+from foxtaillock.batch import plans
 from foxtaillock.batch import records
 from foxtaillock.batch import view
 from foxtaillock.batch import workers
@@ -204,7 +205,7 @@
 
     def _step(self) -> None:
         now_s = self._services.clock.monotonic_s()
-        self.engine.tick(now_s, self._now_ms())
+        self.engine.tick(now_s)
         if self.engine.needs_plan and self._registry_follower.is_caught_up:
             self.engine.plan(now_s)
         for stop in self.engine.take_stops():
@@ -323,7 +324,7 @@
 
     # Orders.
 
-    async def _start(self, plan: engines.StartPlan) -> None:
+    async def _start(self, plan: plans.StartPlan) -> None:
         services = self._services
         order = self.engine.start_order(plan, services.clock.monotonic_s())
         if order is None:
@@ -332,11 +333,13 @@
         answer = await self._timed(
             "start", services.worker_orders.start(plan.worker.entry, order)
         )
-        self.engine.start_answered(plan, answer, services.clock.monotonic_s())
+        self.engine.answers.start_answered(
+            plan, answer, services.clock.monotonic_s()
+        )
         self._watch()
         self._wake.set()
 
-    async def _stop(self, plan: engines.StopPlan) -> None:
+    async def _stop(self, plan: plans.StopPlan) -> None:
         services = self._services
         answer = await self._timed(
             "stop",
@@ -352,7 +355,9 @@
             outcome=answer.outcome.value,
         )
         self._check_epoch(answer)
-        self.engine.stop_answered(plan, answer, services.clock.monotonic_s())
+        self.engine.answers.stop_answered(
+            plan, answer, services.clock.monotonic_s()
+        )
         self._wake.set()
 
     async def _timed(
@@ -379,9 +384,9 @@
         """Begins to look at workers that nobody looks at."""
         for worker in self.engine.workers.values():
             known = self._watchers.get(worker.worker_id)
-            if (known is None or known.done()) and self.engine.needs_look(
-                worker
-            ):
+            if (
+                known is None or known.done()
+            ) and self.engine.answers.needs_look(worker):
                 self._watchers[worker.worker_id] = asyncio.ensure_future(
                     self._watch_worker(worker)
                 )
@@ -394,7 +399,7 @@
                 return
             if now_s - self._written_s > workers.RENEW_LIMIT_S:
                 return
-            plan = self.engine.look_plan(worker, now_s)
+            plan = self.engine.answers.look_plan(worker, now_s)
             if plan is None:
                 return
             answer = await services.worker_orders.look(
@@ -406,7 +411,7 @@
             )
             if isinstance(answer, interfaces.OrderAnswer):
                 self._check_epoch(answer)
-            self.engine.looked(
+            self.engine.answers.looked(
                 worker.worker_id,
                 plan,
                 answer,
@@ -422,7 +427,7 @@
         if worker.seen_end > worker.noted:
             await committed.wait()
             return
-        pause_s = self.engine.look_pause_s(worker)
+        pause_s = self.engine.answers.look_pause_s(worker)
         if pause_s:
             await asyncio.sleep(pause_s)
 
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -4,7 +4,9 @@
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import ledger
 from foxtaillock.batch import model
+from foxtaillock.batch import plans
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
@@ -72,7 +74,7 @@
 def create_engine(
     *entries: model.WorkerEntry,
     teams: dict[str, model.Team] | None = None,
-    log: engines.DecisionLog | None = None,
+    log: ledger.DecisionLog | None = None,
 ) -> engines.Engine:
     """Returns the decisions of an owner that begins at 10 s."""
     made = engines.Engine(1, 10.0, 10.0, log or _no_log)
@@ -86,17 +88,17 @@
     return made
 
 
-def start_all(engine: engines.Engine, now_s: float) -> list[engines.StartPlan]:
+def start_all(engine: engines.Engine, now_s: float) -> list[plans.StartPlan]:
     """Plans, records and starts what can start; returns what did."""
     engine.plan(now_s)
-    plans = engine.committed(engine.take_batch(), now_s)
-    for plan in plans:
+    started = engine.committed(engine.take_batch(), now_s)
+    for plan in started:
         assert engine.start_order(plan, now_s) is not None
         accepted = interfaces.OrderOutcome.ACCEPTED
-        engine.start_answered(
+        engine.answers.start_answered(
             plan, interfaces.OrderAnswer(accepted, 5000), now_s
         )
-    return plans
+    return started
 
 
 def lists(
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -14,6 +14,7 @@
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
+from foxtaillock.batch import plans
 from foxtaillock.batch import records
 from foxtaillock.batch import view
 from foxtaillock.batch import workers
@@ -81,7 +82,7 @@
         now_s = simulation.now_s
         if self.is_over or now_s < self.paused_until_s:
             return
-        self.engine.tick(now_s, int(now_s * 1000))
+        self.engine.tick(now_s)
         if self.engine.needs_plan:
             self.engine.plan(now_s)
         for stop in self.engine.take_stops():
@@ -104,7 +105,7 @@
         self._append(batch, entries)
 
     def _append(
-        self, batch: engines.Batch, entries: list[records.KeyedRecord]
+        self, batch: plans.Batch, entries: list[records.KeyedRecord]
     ) -> None:
         """Appends until it stands, as `Owner` does."""
         simulation = self._simulation
@@ -125,12 +126,12 @@
 
         simulation.later(simulation.delay_s(), _answered)
 
-    def _committed(self, batch: engines.Batch) -> None:
+    def _committed(self, batch: plans.Batch) -> None:
         now_s = self._simulation.now_s
         for plan in self.engine.committed(batch, now_s):
             self._send_start(plan)
 
-    def _send_start(self, plan: engines.StartPlan) -> None:
+    def _send_start(self, plan: plans.StartPlan) -> None:
         simulation = self._simulation
         order = self.engine.start_order(plan, simulation.now_s)
         if order is None:
@@ -143,11 +144,11 @@
 
         def _answered(answer: interfaces.OrderAnswer) -> None:
             self._check(answer)
-            self.engine.start_answered(plan, answer, simulation.now_s)
+            self.engine.answers.start_answered(plan, answer, simulation.now_s)
 
         simulation.order(self, worker_id, _act, _answered)
 
-    def _send_stop(self, stop: engines.StopPlan) -> None:
+    def _send_stop(self, stop: plans.StopPlan) -> None:
         simulation = self._simulation
 
         def _act(worker: fake_worker.FakeWorker) -> interfaces.OrderAnswer:
@@ -157,7 +158,7 @@
 
         def _answered(answer: interfaces.OrderAnswer) -> None:
             self._check(answer)
-            self.engine.stop_answered(stop, answer, simulation.now_s)
+            self.engine.answers.stop_answered(stop, answer, simulation.now_s)
 
         simulation.order(self, stop.worker.worker_id, _act, _answered)
 
@@ -170,7 +171,7 @@
             return
         if now_s - worker.looked_s < 0.1:
             return
-        plan = self.engine.look_plan(worker, now_s)
+        plan = self.engine.answers.look_plan(worker, now_s)
         if plan is None:
             return
         self._looking.add(worker_id)
@@ -191,7 +192,9 @@
             self._looking.discard(worker_id)
             if isinstance(answer, interfaces.OrderAnswer):
                 self._check(answer)
-            self.engine.looked(worker_id, plan, answer, now_s, simulation.now_s)
+            self.engine.answers.looked(
+                worker_id, plan, answer, now_s, simulation.now_s
+            )
 
         simulation.order(self, worker_id, _act, _answered)
 
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -20,9 +20,9 @@
     now_s: float,
 ) -> None:
     worker = engine.workers[worker_id]
-    plan = engine.look_plan(worker, now_s)
+    plan = engine.answers.look_plan(worker, now_s)
     assert plan is not None
-    engine.looked(worker_id, plan, answer, now_s, now_s + 0.01)
+    engine.answers.looked(worker_id, plan, answer, now_s, now_s + 0.01)
 
 
 def _unknown() -> interfaces.OrderAnswer:
@@ -113,7 +113,7 @@
         kinds = {type(records.decode(*each)) for each in batch.records}
         self.assertEqual(kinds, {records.StepProgress, records.JobEnd})
         engine.committed(batch, 11.1)
-        plan = engine.look_plan(worker, 11.1)
+        plan = engine.answers.look_plan(worker, 11.1)
         assert plan is not None
         self.assertEqual(plan.acknowledged, 1)
 
@@ -146,14 +146,16 @@
         engine = builders.create_engine(builders.entry("1"))
         engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
         engine.plan(10.0)
-        (plan,) = engine.committed(engine.take_batch(), 10.0)
+        plan = engine.committed(engine.take_batch(), 10.0)[0]
         engine.start_order(plan, 10.0)
-        engine.start_answered(plan, _unknown(), 10.8)
+        engine.answers.start_answered(plan, _unknown(), 10.8)
         _look(engine, "1", builders.lists(), 10.9)
         self.assertIs(self._task(engine).phase, tasks.Phase.IN_DOUBT)
         (stop,) = engine.take_stops()
         accepted = interfaces.OrderOutcome.ACCEPTED
-        engine.stop_answered(stop, interfaces.OrderAnswer(accepted, 6000), 11.0)
+        engine.answers.stop_answered(
+            stop, interfaces.OrderAnswer(accepted, 6000), 11.0
+        )
         _look(engine, "1", builders.lists(), 11.1)
         self.assertIs(self._task(engine).phase, tasks.Phase.WAITING)
 
@@ -161,12 +163,12 @@
         engine = self._running(builders.step())
         _look(engine, "1", _unknown(), 11.0)
         worker = engine.workers["1"]
-        plan = engine.look_plan(worker, 12.0)
+        plan = engine.answers.look_plan(worker, 12.0)
         assert plan is not None
         self.assertIsNone(plan.valid_until_ms)
-        engine.tick(12.5, 12_500)
+        engine.tick(12.5)
         self.assertIs(self._task(engine).phase, tasks.Phase.RUNNING)
-        engine.tick(worker.ends_by_s() + 0.01, 20_000)
+        engine.tick(worker.ends_by_s() + 0.01)
         self.assertIs(self._task(engine).phase, tasks.Phase.WAITING)
 
     def test_silent_worker_without_tasks_is_asked_until_it_answers(
@@ -175,10 +177,10 @@
         engine = builders.create_engine(builders.entry("1"))
         worker = engine.workers["1"]
         worker.unanswered = 3
-        self.assertTrue(engine.needs_look(worker))
+        self.assertTrue(engine.answers.needs_look(worker))
         _look(engine, "1", builders.lists(), 12.0)
         self.assertTrue(worker.is_usable(12.1))
-        self.assertFalse(engine.needs_look(worker))
+        self.assertFalse(engine.answers.needs_look(worker))
 
     def test_unknown_run_is_stopped(self) -> None:
         engine = self._running(builders.step())
@@ -192,7 +194,7 @@
         engine = self._running(builders.step())
         engine.cancel(_JOB, 11.0)
         self.assertEqual(len(engine.take_stops()), 1)
-        engine.tick(12.0, 12_000)
+        engine.tick(12.0)
         self.assertEqual(len(engine.take_stops()), 1)
 
     def test_gang_starts_as_a_whole_or_not_at_all(self) -> None:
@@ -290,9 +292,9 @@
     def test_run_on_a_worker_that_never_comes_back_is_given_up(self) -> None:
         engine = self._taken_over(None)
         task = engine.jobs[_JOB].steps[0, 0].tasks[1]
-        engine.tick(19.9, 19_900)
+        engine.tick(19.9)
         self.assertIs(task.phase, tasks.Phase.ADOPTED)
-        engine.tick(20.1, 20_100)
+        engine.tick(20.1)
         self.assertIs(task.phase, tasks.Phase.WAITING)
 
     def test_run_of_an_earlier_life_of_its_worker_has_ended(self) -> None:
@@ -324,22 +326,22 @@
 
     def test_one_at_a_time(self) -> None:
         engine = self._engine()
-        engine.set_leaving(self._with_tasks(engine)[:2])
-        engine.tick(12.0, 12_000)
+        engine.vms.set_leaving(self._with_tasks(engine)[:2])
+        engine.tick(12.0)
         self.assertEqual(len(engine.take_stops()), 1)
 
     def test_none_while_another_is_on_a_silent_worker(self) -> None:
         engine = self._engine()
         first, second, _ = self._with_tasks(engine)
         engine.workers[second].unanswered = 1
-        engine.set_leaving([first])
-        engine.tick(12.0, 12_000)
+        engine.vms.set_leaving([first])
+        engine.tick(12.0)
         self.assertEqual(engine.take_stops(), [])
 
     def test_none_without_a_place_to_go(self) -> None:
         engine = self._engine()
-        engine.set_leaving(self._with_tasks(engine)[:1])
+        engine.vms.set_leaving(self._with_tasks(engine)[:1])
         (idle,) = [w for w in engine.workers.values() if not w.tasks]
         engine.unregister(idle.worker_id)
-        engine.tick(12.0, 12_000)
+        engine.tick(12.0)
         self.assertEqual(engine.take_stops(), [])
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Decisions on VMs: waves and moves."""
 
+import typing
 import unittest
 
 from foxtaillock.batch import fleet
@@ -16,7 +17,7 @@
     return interfaces.VmRow(vm, pool, is_up, "z", (), None, worker_id)
 
 
-def _load(**fields: float) -> fleet.PoolLoad:
+def _load(**fields: typing.Any) -> fleet.PoolLoad:
     return fleet.PoolLoad(capacity_millis=16_000)._replace(**fields)
 
 
--- a/foxtaillock/batch/tests/test_placement.py
+++ b/foxtaillock/batch/tests/test_placement.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_pace
 from foxtaillock.batch import trust
+from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
 
 _SEEDS = 100
@@ -77,32 +78,37 @@
                 builders.pool_worker(str(number), cpu=rng.randint(500, 4000))
                 for number in range(5)
             ]
-            limit = builders.step(cpu=rng.randint(1000, 9000)).size
-            team = model.Team("t", 1.0, limit._replace(memory_bytes=0))
-            usage = placement.Usage({"t": team}, {})
-            used = 0
-            for number in range(10):
-                spec = builders.step(
-                    rng.randint(1, 5),
-                    rng.randint(200, 2500),
-                    max_per_worker=rng.choice((0, 1)),
-                )
-                job = builders.job(f"{number}", spec, team="t")
-                candidate = _candidate(job, 20.0)
-                chosen = placement.choose(
-                    candidate, pool, usage, lambda _: True
-                )
-                for each in chosen:
-                    before, cpu = used, spec.size.cpu_millis
-                    used += cpu
-                    is_allowed = used <= limit.cpu_millis
-                    self.assertTrue(is_allowed or 2 * before < limit.cpu_millis)
-                if spec.max_per_worker:
-                    places = [each.worker.worker_id for each in chosen]
-                    self.assertEqual(len(places), len(set(places)))
+            limit = rng.randint(1000, 9000)
+            size = builders.step(cpu=limit).size._replace(memory_bytes=0)
+            usage = placement.Usage({"t": model.Team("t", 1.0, size)}, {})
+            self._fill(rng, pool, usage, limit)
             for worker in pool:
                 self.assertGreaterEqual(worker.free.cpu_millis, 0)
 
+    def _fill(
+        self,
+        rng: random.Random,
+        pool: list[workers.Worker],
+        usage: placement.Usage,
+        limit: int,
+    ) -> None:
+        """Places random steps and checks each task against the limit."""
+        used = 0
+        for number in range(10):
+            cpu = rng.randint(200, 2500)
+            spread = rng.choice((0, 1))
+            spec = builders.step(rng.randint(1, 5), cpu, max_per_worker=spread)
+            job = builders.job(f"{number}", spec, team="t")
+            chosen = placement.choose(
+                _candidate(job, 20.0), pool, usage, lambda _: True
+            )
+            for _ in chosen:
+                before, used = used, used + cpu
+                self.assertTrue(used <= limit or 2 * before < limit)
+            places = [each.worker.worker_id for each in chosen]
+            if spread:
+                self.assertEqual(len(places), len(set(places)))
+
     def test_near_the_data_if_there_is_room(self) -> None:
         far = builders.pool_worker("1")
         near = builders.pool_worker("2", labels=("a", "rack-2"))
--- a/foxtaillock/batch/tests/test_schedules.py
+++ b/foxtaillock/batch/tests/test_schedules.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from foxtaillock.batch import engine
+from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers
 from foxtaillock.batch.tests import simulation
 
@@ -41,5 +41,5 @@
             self.assertTrue(self._finds_fault())
 
     def test_a_run_in_doubt_is_stopped_before_it_counts_as_absent(self) -> None:
-        with mock.patch.object(engine, "_is_absent", lambda *_: True):
+        with mock.patch.object(worker_answers, "_is_absent", lambda *_: True):
             self.assertTrue(self._finds_fault())
--- /dev/null
+++ b/foxtaillock/batch/vm_duties.py
@@ -0,0 +1,147 @@
+"""What the owner's tasks mean for orders to VMs, and these for its tasks."""
+
+from collections.abc import Iterable
+
+from foxtaillock.batch import fleet
+from foxtaillock.batch import ledger as ledgers
+from foxtaillock.batch import load_meter
+from foxtaillock.batch import model
+from foxtaillock.batch import tasks
+from foxtaillock.batch import workers
+from foxtaillock.model import resources
+
+__all__ = ["VmDuties"]
+
+_WHOLE_PERCENT = 100
+
+
+class VmDuties:
+    """Emptying of workers, and the load of pools.
+
+    Args:
+        ledger: jobs and workers of the owner.
+    """
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        self._ledger = ledger
+
+    def evacuate(self, now_s: float) -> None:
+        """Stops tasks that last on workers that are leaving.
+
+        They start again elsewhere, as many at a time as their step may miss.
+        """
+        for worker in self._ledger.workers.values():
+            if not (worker.is_leaving or worker.entry.is_draining):
+                continue
+            for task in list(worker.tasks.values()):
+                step = self._ledger.step(task)
+                if (
+                    step.spec.is_lasting
+                    and task.phase is tasks.Phase.RUNNING
+                    and not task.is_stopping
+                    and self._may_be_away(step, task)
+                    and self._has_place(step, worker, now_s)
+                ):
+                    self._ledger.log(
+                        "task-evacuated",
+                        task=model.task_text(task.task_id),
+                        run=task.run,
+                        worker=worker.worker_id,
+                        may_miss=step.spec.may_miss,
+                    )
+                    self._ledger.order_stop(worker, task, now_s)
+
+    def set_leaving(self, worker_ids: Iterable[str]) -> None:
+        """Sets which workers are emptied for orders to their VMs."""
+        leaving = set(worker_ids)
+        for worker in self._ledger.workers.values():
+            is_leaving = worker.worker_id in leaving
+            if is_leaving != worker.is_leaving:
+                self._ledger.log_worker(
+                    worker, "worker-leaving", leaving=is_leaving
+                )
+                worker.is_leaving = is_leaving
+                self._ledger.needs_plan = True
+
+    def vm_was_ordered(self, worker_id: str, now_s: float) -> None:
+        """Takes in that the VM of a worker was moved or maintained."""
+        worker = self._ledger.workers.get(worker_id)
+        if worker is not None:
+            self._ledger.lose_worker(worker, now_s, "its VM was ordered away")
+
+    def vm_use(self, worker_id: str, now_s: float) -> fleet.VmUse | None:
+        """Returns what runs on a worker; None if it is not known."""
+        worker = self._ledger.workers.get(worker_id)
+        if worker is None:
+            return None
+        lasting = sum(
+            1
+            for task in worker.tasks.values()
+            if self._ledger.step(task).spec.is_lasting
+        )
+        idle_s = 0.0 if worker.tasks else now_s - worker.idle_from_s
+        return fleet.VmUse(len(worker.tasks), lasting, idle_s)
+
+    def pool_loads(self, now_s: float) -> dict[str, fleet.PoolLoad]:
+        """Returns the work of each pool that serves queues."""
+        meters = {
+            pool.name: load_meter.LoadMeter()
+            for pool in self._ledger.pools.values()
+            if not pool.is_spare
+        }
+        for job in self._ledger.jobs.values():
+            queue = self._ledger.queues.get(job.spec.queue)
+            if job.is_over or queue is None or queue.pool not in meters:
+                continue
+            meter = meters[queue.pool]
+            if job.is_lasting:
+                meter.add_lasting(job)
+                continue
+            for step in job.steps.values():
+                if step.is_done:
+                    continue
+                candidate = self._ledger.candidate(step, now_s)
+                meter.add_step(step, candidate, job.is_excess, now_s)
+        for worker in self._ledger.workers.values():
+            if worker.entry.pool in meters:
+                meters[worker.entry.pool].add_worker(worker)
+        return {pool: meter.load() for pool, meter in meters.items()}
+
+    def _may_be_away(self, step: tasks.Step, task: tasks.Task) -> bool:
+        """Returns whether one more task of a step may be kept away.
+
+        A task whose step states no bound may always; the bound counts all
+        tasks of the step that are not fully at work, for whatever reason.
+        """
+        if not step.spec.may_miss:
+            return True
+        away = sum(
+            1
+            for other in step.tasks
+            if other is not task and not self._is_at_work(other)
+        )
+        return away < step.spec.may_miss
+
+    def _is_at_work(self, task: tasks.Task) -> bool:
+        """Returns whether a task works at its full speed, as far as known."""
+        worker = self._ledger.workers.get(task.worker_id)
+        return (
+            task.phase is tasks.Phase.RUNNING
+            and not task.is_stopping
+            and task.percent >= _WHOLE_PERCENT
+            and worker is not None
+            and not worker.unanswered
+        )
+
+    def _has_place(
+        self, step: tasks.Step, leaving: workers.Worker, now_s: float
+    ) -> bool:
+        """Returns whether another worker has room for a task of a step."""
+        counts = {task.worker_id for task in step.active()}
+        return any(
+            other.is_usable(now_s)
+            and other.entry.pool == leaving.entry.pool
+            and resources.fits(step.spec.held_size, other.free)
+            and not (step.spec.max_per_worker and other.worker_id in counts)
+            for other in self._ledger.workers.values()
+        )
--- /dev/null
+++ b/foxtaillock/batch/worker_answers.py
@@ -0,0 +1,305 @@
+"""Draws conclusions from what workers answer, and from their silence."""
+
+from collections.abc import Iterable
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import ledger as ledgers
+from foxtaillock.batch import model
+from foxtaillock.batch import plans
+from foxtaillock.batch import tasks
+from foxtaillock.batch import workers
+
+__all__ = ["WorkerAnswers"]
+
+# Time without new tasks for a worker that refused one for want of room.
+_REFUSAL_HOLD_S = 1.0
+
+# Time that a worker that gives no answer is left alone between two calls.
+_RETRY_S = 0.25
+_MAX_RETRY_S = 1.0
+
+# Longest wait of a look for an end. The lease is renewed as often.
+_LOOK_WAIT_S = 1.0
+
+
+class WorkerAnswers:
+    """Answers to starts, stops and looks.
+
+    Args:
+        ledger: jobs and workers of the owner.
+    """
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        self._ledger = ledger
+
+    def start_answered(
+        self,
+        plan: plans.StartPlan,
+        answer: interfaces.OrderAnswer,
+        now_s: float,
+    ) -> None:
+        """Takes the answer to an order to start in."""
+        task, worker = plan.task, plan.worker
+        self._note_clock(worker, answer, now_s)
+        if task.run != plan.run or task.phase is not tasks.Phase.STARTING:
+            return
+        outcome = answer.outcome
+        if outcome is interfaces.OrderOutcome.ACCEPTED:
+            self._ledger.set_phase(task, tasks.Phase.RUNNING, now_s)
+            return
+        self._ledger.log(
+            "start-not-accepted",
+            task=model.task_text(task.task_id),
+            run=task.run,
+            worker=worker.worker_id,
+            outcome=outcome.value,
+        )
+        if outcome is interfaces.OrderOutcome.UNKNOWN:
+            worker.unanswered += 1
+            self._ledger.set_phase(task, tasks.Phase.IN_DOUBT, now_s)
+            return
+        if outcome is interfaces.OrderOutcome.OTHER_WORKER:
+            self._ledger.lose_worker(
+                worker, now_s, "another worker answers there"
+            )
+        elif outcome is not interfaces.OrderOutcome.STALE_RUN:
+            worker.closed_until_s = now_s + _REFUSAL_HOLD_S
+        self._ledger.not_run(task, now_s)
+
+    def stop_answered(
+        self,
+        plan: plans.StopPlan,
+        answer: interfaces.OrderAnswer,
+        now_s: float,
+    ) -> None:
+        """Takes the answer to an order to stop in."""
+        worker = self._ledger.workers.get(plan.worker.worker_id)
+        if worker is None:
+            return
+        self._note_clock(worker, answer, now_s)
+        if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
+            self._ledger.lose_worker(
+                worker, now_s, "another worker answers there"
+            )
+            return
+        task = worker.tasks.get(plan.task_id)
+        if task is None or task.run != plan.run:
+            return
+        if answer.outcome is interfaces.OrderOutcome.UNKNOWN:
+            worker.unanswered += 1
+        else:
+            task.stopped_s = now_s
+
+    def looked(
+        self,
+        worker_id: str,
+        plan: plans.LookPlan,
+        answer: interfaces.WorkerLists | interfaces.OrderAnswer,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Takes a worker's lists in, or that it gave none."""
+        worker = self._ledger.workers.get(worker_id)
+        if worker is None:
+            return
+        if isinstance(answer, interfaces.OrderAnswer):
+            self._look_failed(worker, answer, now_s)
+            return
+        if answer.born_ms and answer.born_ms != worker.entry.born_ms:
+            self._ledger.lose_worker(worker, now_s, "it was started again")
+            return
+        if not worker.has_answered or worker.unanswered:
+            self._ledger.log_worker(
+                worker, "worker-reached", running=len(answer.running)
+            )
+            self._ledger.needs_plan = True
+        worker.heard(answer.clock_ms, now_s)
+        worker.acknowledged = max(worker.acknowledged, plan.acknowledged)
+        self._take_ends(worker, answer.ended, now_s)
+        self._compare(worker, answer.running, sent_s, now_s)
+
+    def look_plan(
+        self, worker: workers.Worker, now_s: float
+    ) -> plans.LookPlan | None:
+        """Returns the look at a worker that is due; None if none is."""
+        if not self.needs_look(worker):
+            return None
+        is_settling = any(
+            task.phase in (tasks.Phase.IN_DOUBT, tasks.Phase.ADOPTED)
+            or task.stopped_s is not None
+            for task in worker.tasks.values()
+        )
+        # A look that gets no answer may have renewed the lease. A worker that
+        # is silent is only asked, so that its lease comes to a known end.
+        valid_until_ms = None
+        if worker.tasks and not worker.unanswered:
+            valid_until_ms = worker.lease_end_ms(now_s)
+        if valid_until_ms is not None:
+            worker.valid_until_ms = max(worker.valid_until_ms, valid_until_ms)
+        wait_s = 0.0 if is_settling or not worker.tasks else _LOOK_WAIT_S
+        worker.looked_s = now_s
+        return plans.LookPlan(
+            worker.entry, worker.noted, valid_until_ms, wait_s
+        )
+
+    def needs_look(self, worker: workers.Worker) -> bool:
+        """Returns whether a worker has to be asked what it runs."""
+        if worker.noted > worker.acknowledged:
+            return True
+        if worker.unanswered and worker.is_listed:
+            return True
+        return any(
+            task.phase is not tasks.Phase.RECORDING
+            for task in worker.tasks.values()
+        )
+
+    def look_pause_s(self, worker: workers.Worker) -> float:
+        """Returns the time until the next look at a worker."""
+        if worker.seen_end > worker.noted:
+            return 0.005
+        if worker.unanswered:
+            return min(_MAX_RETRY_S, _RETRY_S * worker.unanswered)
+        return 0.0
+
+    def _take_ends(
+        self,
+        worker: workers.Worker,
+        ended: Iterable[interfaces.EndRow],
+        now_s: float,
+    ) -> None:
+        for end in ended:
+            if end.number <= worker.seen_end:
+                continue
+            worker.seen_end = end.number
+            self._ledger.noted[worker.worker_id] = end.number
+            self._take_end(worker, end, now_s)
+
+    def _take_end(
+        self, worker: workers.Worker, end: interfaces.EndRow, now_s: float
+    ) -> None:
+        task = worker.tasks.get(end.task)
+        is_current = task is not None and task.run == end.run
+        self._ledger.log(
+            "run-ended",
+            task=model.task_text(end.task),
+            run=end.run,
+            worker=worker.worker_id,
+            kind=end.kind.value,
+            current=is_current,
+        )
+        if task is None or not is_current:
+            return
+        step = self._ledger.step(task)
+        if end.saved:
+            task.saved = end.saved
+        if end.kind is model.EndKind.DONE and not step.spec.is_lasting:
+            self._ledger.trust.succeeded(worker.worker_id)
+            self._ledger.task_done(task, step, now_s)
+            return
+        if end.kind is model.EndKind.FAILED:
+            task.failures += 1
+            self._ledger.trust.failed(
+                worker.worker_id,
+                task.task_id.job_id,
+                step.spec.is_lasting,
+                now_s,
+            )
+        self._ledger.release(task)
+        self._ledger.wait_again(task, step, now_s)
+
+    def _compare(
+        self,
+        worker: workers.Worker,
+        running: Iterable[interfaces.RunRow],
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Holds what the worker runs against what it ought to run."""
+        present: set[model.TaskId] = set()
+        for row in running:
+            task = worker.tasks.get(row.task)
+            if task is None or task.run != row.run:
+                self._ledger.log(
+                    "run-not-expected",
+                    task=model.task_text(row.task),
+                    run=row.run,
+                    worker=worker.worker_id,
+                )
+                self._ledger.stops.append(
+                    plans.StopPlan(worker.entry, row.task, row.run)
+                )
+                continue
+            present.add(row.task)
+            self._take_running(task, row, now_s)
+        for task in list(worker.tasks.values()):
+            if task.task_id in present:
+                continue
+            if _is_absent(task, sent_s):
+                self._ledger.run_lost(
+                    task, now_s, f"not on the worker, {task.phase.value}"
+                )
+            elif task.phase is tasks.Phase.IN_DOUBT and not task.is_stopping:
+                self._ledger.order_stop(worker, task, now_s)
+
+    def _take_running(
+        self, task: tasks.Task, row: interfaces.RunRow, now_s: float
+    ) -> None:
+        task.percent = row.percent
+        task.reading = row.reading
+        if row.saved:
+            task.saved = row.saved
+        if task.phase in (
+            tasks.Phase.IN_DOUBT,
+            tasks.Phase.ADOPTED,
+            tasks.Phase.STARTING,
+        ):
+            self._ledger.set_phase(task, tasks.Phase.RUNNING, now_s)
+        job = self._ledger.jobs.get(task.task_id.job_id)
+        if job is not None and job.is_over and not task.is_stopping:
+            self._ledger.order_stop(
+                self._ledger.workers[task.worker_id], task, now_s
+            )
+
+    def _look_failed(
+        self,
+        worker: workers.Worker,
+        answer: interfaces.OrderAnswer,
+        now_s: float,
+    ) -> None:
+        if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
+            self._ledger.lose_worker(
+                worker, now_s, "another worker answers there"
+            )
+            return
+        if not worker.unanswered:
+            self._ledger.log_worker(
+                worker,
+                "worker-unreached",
+                outcome=answer.outcome.value,
+                tasks=len(worker.tasks),
+            )
+        worker.unanswered += 1
+
+    def _note_clock(
+        self,
+        worker: workers.Worker,
+        answer: interfaces.OrderAnswer,
+        now_s: float,
+    ) -> None:
+        if answer.clock_ms is not None:
+            worker.clock_ms = answer.clock_ms
+            worker.answered_s = now_s
+            worker.unanswered = 0
+
+
+def _is_absent(task: tasks.Task, sent_s: float) -> bool:
+    """Returns whether a run that a look did not list has surely ended.
+
+    A look tells of what came before it was sent: a run that had begun, or
+    whose stop was confirmed, or that only an earlier epoch could begin.
+    """
+    if task.phase is tasks.Phase.ADOPTED:
+        return True
+    if task.phase is tasks.Phase.RUNNING and task.changed_s < sent_s:
+        return True
+    return task.stopped_s is not None and task.stopped_s < sent_s
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -12,7 +12,12 @@
 from foxtaillock.batch import records
 from foxtaillock.platform import http
 
-__all__ = ["KeyedTopic", "decode_records", "encode_records"]
+__all__ = [
+    "KeyedTopic",
+    "decode_conflict",
+    "decode_records",
+    "encode_records",
+]
 
 # Time for an answer beside what the call itself waits for. The slowest that
 # the store is said to be while it still serves is some 300 ms.
@@ -94,7 +99,7 @@
                 interfaces.AppendOutcome.STORED, appended["end_offset"]
             )
         if answer.status == _CONFLICT:
-            return _conflict(answer.body)
+            return decode_conflict(answer.body)
         raise self._error(answer)
 
     async def read(self, offset: int, wait_s: float) -> interfaces.JournalPage:
@@ -224,7 +229,8 @@
     return records.KeyedRecord(key, content[end:])
 
 
-def _conflict(body: bytes) -> interfaces.Appended:
+def decode_conflict(body: bytes) -> interfaces.Appended:
+    """Returns why the store refused an append of an owner."""
     try:
         conflict = _conflict_decoder.decode(body)
     except msgspec.DecodeError:
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -77,7 +77,8 @@
         metrics = batch_metrics.Metrics()
         text = (
             f"node={name}\nzone=z\nlisten.front=127.0.0.1:1\n"
-            f"listen.readiness=127.0.0.1:2\nplatform.address={platform.address}\n"
+            "listen.readiness=127.0.0.1:2\n"
+            f"platform.address={platform.address}\n"
             f"cloud.address={platform.address}\n"
             f"bounds.revoke_ms={int(key_age_s * 1000)}\n"
         )
--- /dev/null
+++ b/foxtaillock/platform/tests/test_translation.py
@@ -0,0 +1,242 @@
+"""Decoding of what the platform writes, and encoding of answers."""
+
+import json
+import typing
+import unittest
+
+from foxtaillock import exceptions
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import outcomes
+from foxtaillock.batch import records
+from foxtaillock.model import resources
+from foxtaillock.platform import registry
+from foxtaillock.platform import settings
+from foxtaillock.platform import store
+from foxtaillock.platform import submissions
+from foxtaillock.platform.tests import entry_vm
+
+_WORKER: dict[str, typing.Any] = {
+    "service": "pool",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "born": 1700000000000,
+}
+
+
+def _encode(value: typing.Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+class WorkerEntryTest(unittest.TestCase):
+    """Entries of workers."""
+
+    def test_entry(self) -> None:
+        entry = registry.decode_worker("i-1", _encode(_WORKER))
+        assert entry is not None
+        self.assertEqual((entry.worker_id, entry.pool), ("i-1", "pool"))
+        self.assertEqual(entry.capacity.memory_bytes, 32768 << 20)
+        self.assertFalse(entry.is_draining)
+
+    def test_entry_of_another_writer_names_no_worker(self) -> None:
+        bad: list[typing.Any] = [
+            b"\xff\xfe",
+            b"[]",
+            _encode({**_WORKER, "state": "gone"}),
+            _encode({**_WORKER, "capacity": "large"}),
+            _encode({**_WORKER, "labels": [1]}),
+            _encode({**_WORKER, "clock_ms": "late"}),
+            _encode({k: v for k, v in _WORKER.items() if k != "address"}),
+        ]
+        for value in bad:
+            self.assertIsNone(registry.decode_worker("i-1", value), value)
+
+
+class ConfigTest(unittest.TestCase):
+    """The operators' configuration."""
+
+    def test_longest_prefix_wins(self) -> None:
+        config = entry_vm.config(1, ["k"])
+        config["routes"].append(
+            {
+                **config["routes"][0],
+                "name": "deep",
+                "path_prefix": "/open/deep/",
+            }
+        )
+        decoded = registry.decode_config(_encode(config))
+        assert decoded is not None
+        route = decoded.find_route("JOBS.example", "/open/deep/x")
+        assert route is not None
+        self.assertEqual(route.queue, "deep")
+        self.assertIsNone(decoded.find_route("other.example", "/open/x"))
+
+    def test_keys_are_kept_as_digests(self) -> None:
+        decoded = registry.decode_config(_encode(entry_vm.config(1, ["k"])))
+        assert decoded is not None
+        self.assertEqual(decoded.team_of("k"), "team")
+        self.assertIsNone(decoded.team_of("K"))
+        self.assertNotIn("k", str(decoded.key_teams))
+
+    def test_unreadable_configuration(self) -> None:
+        for value in (b"", b"{}", b'{"version":"x","routes":[],"services":[]}'):
+            self.assertIsNone(registry.decode_config(value))
+
+    def test_wave(self) -> None:
+        value = _encode(
+            {"wave": 3, "machines": ["m"], "complete_by_s": 20, "cap": 1}
+        )
+        self.assertEqual(
+            registry.decode_wave("wave/3", value),
+            model.Wave(3, ("m",), 20.0, 1),
+        )
+        self.assertIsNone(registry.decode_wave("config", value))
+        self.assertIsNone(registry.decode_wave("wave/3", b"?"))
+
+
+class SubmissionTest(unittest.TestCase):
+    """Bodies of jobs and answers."""
+
+    def test_every_field_of_a_step(self) -> None:
+        step = {
+            "count": 4,
+            "cpu": 500,
+            "mem_mb": 256,
+            "gpu": 1,
+            "estimate_ms": 900,
+            "checkpoint": True,
+            "gang": True,
+            "same_rack": True,
+            "needs": "b",
+            "affinity": "r1",
+            "max_per_server": 2,
+            "speculative": True,
+            "persistent": True,
+            "image": "i",
+            "target_ms": 40,
+            "filled": True,
+            "may_miss": 1,
+        }
+        body = _encode({"workload": "w", "steps": [step], "times": 2})
+        spec = submissions.create_spec(body, "id", "queue", "team", 7)
+        size = resources.Resources(500, 256 << 20, 1)
+        expected = model.StepSpec(
+            4,
+            size,
+            900,
+            (),
+            True,
+            True,
+            True,
+            "b",
+            "r1",
+            2,
+            True,
+            True,
+            "i",
+            40,
+            True,
+            1,
+        )
+        self.assertEqual(spec.steps, (expected,))
+        self.assertEqual((spec.occurrences, spec.accepted_ms), (2, 7))
+
+    def test_answers(self) -> None:
+        cases: list[tuple[outcomes.CallOutcome, int]] = [
+            (outcomes.Accepted(), 200),
+            (outcomes.Cancelled(), 200),
+            (outcomes.State(model.JobState.RUNNING), 200),
+            (outcomes.WaitingCount(3), 200),
+            (outcomes.NoSuchJob(), 410),
+            (outcomes.NoSuchQueue(), 404),
+            (outcomes.NoKey(), 401),
+            (outcomes.Malformed("why"), 400),
+            (outcomes.NotStored("store-unavailable", 0.2), 503),
+            (outcomes.NotStored("too-many", 2.0, True), 429),
+            (outcomes.Unknown("no answer"), 504),
+        ]
+        for outcome, status in cases:
+            encoded = submissions.encode_outcome(outcome)
+            self.assertEqual(encoded.status, status)
+            json.loads(encoded.body)
+
+
+class StoreCodecTest(unittest.TestCase):
+    """Records of the store."""
+
+    def test_records_come_back(self) -> None:
+        batch = [
+            records.KeyedRecord("key", b"value"),
+            records.KeyedRecord("erased", b""),
+        ]
+        body = store.encode_records(batch)
+        self.assertEqual(store.decode_records(body), batch)
+
+    def test_cut_body_is_an_error(self) -> None:
+        body = store.encode_records([records.KeyedRecord("key", b"value")])
+        for length in range(1, len(body)):
+            with self.assertRaises(ValueError):
+                store.decode_records(body[:length])
+
+    def test_record_without_a_key_counts_as_one(self) -> None:
+        body = b"\x00\x00\x00\x02\x09x" + store.encode_records(
+            [records.KeyedRecord("k", b"v")]
+        )
+        self.assertEqual(
+            store.decode_records(body),
+            [None, records.KeyedRecord("k", b"v")],
+        )
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    _LINES = (
+        "node=vm-1",
+        "zone=z",
+        "listen.front=10.1.0.2:8340",
+        "listen.readiness=10.1.0.2:8343",
+        "internal_ports=7000,7015",
+        "platform.address=10.2.0.1:8344",
+        "platform.keep_s=300",
+        "cloud.address=",
+        "bounds.revoke_ms=4000",
+        "something.new=1",
+    )
+
+    def test_settings(self) -> None:
+        parsed = settings.parse("\n".join(self._LINES), "file")
+        self.assertEqual(parsed.callers.text, "10.1.0.2:8340")
+        self.assertEqual(parsed.metrics.port, 7003)
+        self.assertEqual(parsed.key_age_s, 4.0)
+        self.assertIsNone(parsed.fleet)
+
+    def test_all_findings_are_told_together(self) -> None:
+        text = "node=\nlisten.front=nowhere\nbounds.grace_s=soon\n"
+        with self.assertRaises(exceptions.InvalidInputError) as raised:
+            settings.parse(text, "file")
+        told = str(raised.exception)
+        for name in ("node", "zone", "listen.front", "bounds.grace_s"):
+            self.assertIn(name, told)
+
+    def test_missing_file(self) -> None:
+        with self.assertRaises(exceptions.InvalidInputError):
+            settings.load("/nonexistent/settings.conf")
+
+
+class ConflictTest(unittest.TestCase):
+    """Answers of the store to appends that it refuses."""
+
+    def test_out_of_sequence_tells_what_was_expected(self) -> None:
+        decoded = store.decode_conflict(b'{"reason":"seq","sequence":7}')
+        outcome = interfaces.AppendOutcome.OUT_OF_SEQUENCE
+        self.assertEqual(decoded, interfaces.Appended(outcome, 0, 7))
+
+    def test_anything_else_ends_the_ownership(self) -> None:
+        for body in (b'{"reason":"fenced"}', b"?", b"{}"):
+            decoded = store.decode_conflict(body)
+            self.assertIs(decoded.outcome, interfaces.AppendOutcome.FENCED)
