--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -5,6 +5,7 @@
 new run only when its latest run has provably ended.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -16,6 +17,7 @@
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_pace
+from foxtaillock.batch import tickets
 from foxtaillock.batch import vm_duties
 from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers as batch_workers
@@ -213,9 +215,13 @@
             if shape in full and not spec.label:
                 continue
             chosen = placement.choose(
-                candidate, by_pool.get(pool, []), usage, lambda _: True
+                candidate,
+                by_pool.get(pool, []),
+                usage,
+                self._permission(candidate, now_s),
             )
-            if not chosen and not spec.max_per_worker:
+            is_free = not spec.max_per_worker and not candidate.queue.is_advised
+            if not chosen and is_free:
                 full.add(shape)
             if spec.is_gang and chosen:
                 run = max(task.run for task in candidate.step.tasks)
@@ -224,6 +230,45 @@
             for each in chosen:
                 self._begin(candidate, each, now_s)
 
+    def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
+        """Returns the requests for advice that are due, oldest job first."""
+        by_pool = self._usable_by_pool(now_s)
+        requests = []
+        for step in list(self._ledger.waiting.values()):
+            candidate = self._ledger.candidate(step, now_s)
+            if candidate is None or not candidate.queue.is_advised:
+                continue
+            pool = by_pool.get(candidate.queue.pool, [])
+            worker_ids = [worker.worker_id for worker in pool]
+            request = self._ledger.tickets.request(
+                step.step_id, worker_ids, now_s
+            )
+            if request is not None:
+                requests.append(request)
+        return requests
+
+    def advised(
+        self,
+        request: tickets.AdviceRequest,
+        advice: interfaces.Advice | None,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Takes advice in; None stands for no answer."""
+        self._ledger.log(
+            "advice",
+            step=request.step_id,
+            asked=len(request.worker_ids),
+            allowed=None if advice is None else len(advice.tickets),
+        )
+        self._ledger.tickets.answered(request, advice, sent_s, now_s)
+        self._ledger.needs_plan = True
+
+    def take_paces(self) -> list[plans.PacePlan]:
+        """Returns the runs whose share of speed is to change now."""
+        paces, self._ledger.paces = self._ledger.paces, []
+        return paces
+
     def take_stops(self) -> list[plans.StopPlan]:
         """Returns the runs that are to be stopped now."""
         stops, self._ledger.stops = self._ledger.stops, []
@@ -294,6 +339,15 @@
         if valid_until_ms is None or job.is_over or is_late:
             self._ledger.not_run(task, now_s)
             return None
+        ticket = ""
+        queue = self._ledger.queues.get(job.spec.queue)
+        if queue is not None and queue.is_advised:
+            step_id = task.task_id.step_id
+            found = self._ledger.tickets.find(step_id, worker.worker_id, now_s)
+            if found is None:
+                self._ledger.not_run(task, now_s)
+                return None
+            ticket = found
         worker.valid_until_ms = max(worker.valid_until_ms, valid_until_ms)
         return interfaces.StartOrder(
             task.task_id,
@@ -302,6 +356,7 @@
             valid_until_ms,
             self._ledger.epoch,
             task.saved,
+            ticket,
         )
 
     def unreached_fraction(self) -> float:
@@ -321,6 +376,18 @@
         pace = self._paces.setdefault(team, team_pace.TeamPace())
         return not pace.take(self._ledger.teams[team].weight, accepted_s)
 
+    def _permission(
+        self, candidate: placement.Candidate, now_s: float
+    ) -> Callable[[batch_workers.Worker], bool]:
+        """Returns what tells whether a worker may run a step."""
+        if not candidate.queue.is_advised:
+            return lambda _: True
+        step_id = candidate.step.step_id
+        known = self._ledger.tickets
+        return lambda worker: (
+            known.find(step_id, worker.worker_id, now_s) is not None
+        )
+
     def _begin(
         self,
         candidate: placement.Candidate,
--- a/foxtaillock/batch/ledger.py
+++ b/foxtaillock/batch/ledger.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import plans
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
+from foxtaillock.batch import tickets
 from foxtaillock.batch import trust
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
@@ -52,6 +53,8 @@
         noted: highest end of each worker that the next records cover.
         erasable: records that the journal may forget.
         stops: runs that are to be stopped.
+        paces: runs whose share of speed is to change.
+        tickets: advice on steps whose queues allow only some workers.
         needs_plan: whether waiting tasks may find room now.
     """
 
@@ -81,6 +84,8 @@
         self.noted: dict[str, int] = {}
         self.erasable: list[records.KeyedRecord] = []
         self.stops: list[plans.StopPlan] = []
+        self.paces: list[plans.PacePlan] = []
+        self.tickets = tickets.Tickets()
         self.needs_plan = True
 
     def register(self, entry: model.WorkerEntry, now_s: float) -> None:
--- a/foxtaillock/batch/model.py
+++ b/foxtaillock/batch/model.py
@@ -161,8 +161,8 @@
         stretch: factor of the objective over the longest chain of tasks.
         slack_ms: time that the objective adds to that.
         is_open: whether it takes jobs without a key.
-        advice_valid_ms: how long advice on its steps holds; 0 if its tasks
-            may run on any worker.
+        is_advised: whether only the advisor knows which workers may run its
+            tasks.
         call_timeout_ms: bound of one call of a submitter.
     """
 
@@ -173,7 +173,7 @@
     stretch: float
     slack_ms: int
     is_open: bool
-    advice_valid_ms: int = 0
+    is_advised: bool = False
     call_timeout_ms: int = 0
 
 
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -51,6 +51,7 @@
         decode_worker: decodes a record of the registry.
         worker_orders: orders to workers.
         vm_orders: orders for VMs of the fleet; None if there are none.
+        advisor: tells which workers may run a step; None if there is none.
         statuses: stream of what operators read.
         encode_wave: encodes a wave's state for that stream.
         clock: source of time.
@@ -66,6 +67,7 @@
     decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
     worker_orders: interfaces.WorkerOrders
     vm_orders: interfaces.VmOrders | None
+    advisor: interfaces.Advisor | None
     statuses: interfaces.Journal
     encode_wave: Callable[[int, bool], records.KeyedRecord]
     clock: model_clock.Clock
@@ -249,6 +251,7 @@
                 services.decode_worker,
                 services.worker_orders,
                 services.vm_orders,
+                services.advisor,
                 services.statuses,
                 services.encode_wave,
                 services.clock,
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -26,6 +26,9 @@
 # Longest time between two steps when nothing happens.
 _STEP_S = 0.05
 
+# Time between two looks for steps that need advice.
+_ADVICE_S = 0.05
+
 # Time between two looks for waves whose state operators have to be told.
 _STATUS_S = 0.2
 
@@ -50,6 +53,7 @@
         decode_worker: decodes a record of that stream.
         worker_orders: orders to workers.
         vm_orders: orders for VMs of the fleet; None if there are none.
+        advisor: tells which workers may run a step; None if there is none.
         statuses: stream of what operators read.
         encode_wave: encodes a wave's state for that stream.
         clock: source of time.
@@ -62,6 +66,7 @@
     decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
     worker_orders: interfaces.WorkerOrders
     vm_orders: interfaces.VmOrders | None
+    advisor: interfaces.Advisor | None
     statuses: interfaces.Journal
     encode_wave: Callable[[int, bool], records.KeyedRecord]
     clock: model_clock.Clock
@@ -167,6 +172,7 @@
             asyncio.ensure_future(self._registry_follower.run()),
             asyncio.ensure_future(self._fleet_keeper.run()),
             asyncio.ensure_future(self._write_statuses()),
+            asyncio.ensure_future(self._ask_advice()),
         ]
         try:
             while not self._is_over:
@@ -210,6 +216,8 @@
             self.engine.plan(now_s)
         for stop in self.engine.take_stops():
             self._spawn(self._stop(stop))
+        for pace in self.engine.take_paces():
+            self._spawn(self._pace(pace))
 
     async def _record(self) -> None:
         """Appends what has to stand, then begins what it allows."""
@@ -360,6 +368,31 @@
         )
         self._wake.set()
 
+    async def _pace(self, plan: plans.PacePlan) -> None:
+        await self._timed(
+            "pace",
+            self._services.worker_orders.pace(
+                plan.worker, plan.task_id, plan.run, plan.percent, self._epoch
+            ),
+        )
+
+    async def _ask_advice(self) -> None:
+        """Asks for advice, one request at a time as the service takes them."""
+        services = self._services
+        advisor = services.advisor
+        while advisor is not None:
+            now_s = services.clock.monotonic_s()
+            requests = self.engine.advice_requests(now_s)
+            if not requests:
+                await asyncio.sleep(_ADVICE_S)
+                continue
+            request = requests[0]
+            advice = await advisor.advise(request.step_id, request.worker_ids)
+            self.engine.advised(
+                request, advice, now_s, services.clock.monotonic_s()
+            )
+            self._wake.set()
+
     async def _timed(
         self,
         order: str,
--- a/foxtaillock/batch/plans.py
+++ b/foxtaillock/batch/plans.py
@@ -7,7 +7,7 @@
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
-__all__ = ["Batch", "LookPlan", "StartPlan", "StopPlan"]
+__all__ = ["Batch", "LookPlan", "PacePlan", "StartPlan", "StopPlan"]
 
 
 class StartPlan(typing.NamedTuple):
@@ -27,6 +27,15 @@
     run: int
 
 
+class PacePlan(typing.NamedTuple):
+    """A run that a worker is to let work at a share of its speed."""
+
+    worker: model.WorkerEntry
+    task_id: model.TaskId
+    run: int
+    percent: int
+
+
 class LookPlan(typing.NamedTuple):
     """A look at a worker's lists.
 
--- /dev/null
+++ b/foxtaillock/batch/tests/test_sharing.py
@@ -0,0 +1,104 @@
+"""Fillers beside tasks that serve, and queues that need advice."""
+
+import unittest
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import pacing
+from foxtaillock.batch import tickets
+from foxtaillock.batch.tests import builders
+
+_JOB = "00000000000000aa"
+_TARGET_MS = 40
+
+
+class PacingTest(unittest.TestCase):
+    """Share of fillers, by the response times of tasks that serve."""
+
+    def test_disturbed_task_is_under_its_target_within_two_seconds(
+        self,
+    ) -> None:
+        """Plays a load whose disturbance steps up and down again."""
+        percent, over_s = 100, 0.0
+        history = []
+        for turn in range(80):
+            disturbance = 90.0 if 10 <= turn < 50 else 5.0
+            reading = 15.0 + disturbance * percent / 100
+            history.append(percent)
+            over_s = over_s + 0.5 if reading > _TARGET_MS else 0.0
+            self.assertLess(over_s, 2.0, turn)
+            percent = pacing.next_percent(percent, [(reading, _TARGET_MS)])
+        self.assertEqual(history[9], 100)
+        self.assertEqual(history[-1], 100)
+
+    def test_fillers_alone_work_at_full_speed(self) -> None:
+        self.assertEqual(pacing.next_percent(30, [(900.0, 0)]), 100)
+
+    def test_owner_orders_the_pace(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        serving = builders.step(is_lasting=True, target_ms=_TARGET_MS)
+        filler = builders.step(is_lasting=True, is_filler=True)
+        spec = builders.job(_JOB, serving, filler)
+        engine.submit(spec, (), 10.0, 10_000)
+        builders.start_all(engine, 10.0)
+        worker = engine.workers["1"]
+        self.assertEqual(worker.held.cpu_millis, 1000)
+        plan = engine.answers.look_plan(worker, 11.0)
+        assert plan is not None
+        rows = [
+            interfaces.RunRow(model.TaskId(_JOB, 0, 0, 0), 1, "", 100, 55.0),
+            interfaces.RunRow(model.TaskId(_JOB, 0, 1, 0), 1, "", 100, 900.0),
+        ]
+        answer = interfaces.WorkerLists(1, 6000, rows, [])
+        engine.answers.looked("1", plan, answer, 11.0, 11.1)
+        (pace,) = engine.take_paces()
+        self.assertEqual((pace.task_id.step, pace.percent), (1, 50))
+
+
+class AdviceTest(unittest.TestCase):
+    """A queue whose policy only the advisor knows."""
+
+    def setUp(self) -> None:
+        self.engine = builders.create_engine(
+            builders.entry("1"), builders.entry("2")
+        )
+        queue = builders.queue()._replace(is_advised=True)
+        pool = model.Pool("pool", False, False)
+        self.engine.configure({"q": queue}, {"pool": pool}, {})
+        spec = builders.job(_JOB, builders.step(2))
+        self.engine.submit(spec, (), 10.0, 10_000)
+
+    def test_nothing_starts_without_advice(self) -> None:
+        self.assertEqual(builders.start_all(self.engine, 10.0), [])
+
+    def test_tasks_start_where_advice_allows_with_its_ticket(self) -> None:
+        request = self.engine.advice_requests(10.0)[0]
+        self.assertEqual(request.worker_ids, ("1", "2"))
+        advice = interfaces.Advice({"2": "ticket"}, 3.0)
+        self.engine.advised(request, advice, 10.0, 10.1)
+        self.engine.plan(10.1)
+        plans = self.engine.committed(self.engine.take_batch(), 10.1)
+        orders = [self.engine.start_order(plan, 10.1) for plan in plans]
+        self.assertEqual(
+            [(plan.worker.worker_id) for plan in plans], ["2", "2"]
+        )
+        self.assertEqual(
+            {order.ticket for order in orders if order is not None}, {"ticket"}
+        )
+
+    def test_ticket_runs_out(self) -> None:
+        request = self.engine.advice_requests(10.0)[0]
+        advice = interfaces.Advice({"2": "ticket"}, 3.0)
+        self.engine.advised(request, advice, 10.0, 10.1)
+        self.assertEqual(self.engine.advice_requests(10.2), [])
+        self.assertEqual(builders.start_all(self.engine, 13.1), [])
+        self.assertEqual(len(self.engine.advice_requests(13.1)), 1)
+
+    def test_no_answer_is_asked_again_after_a_while(self) -> None:
+        known = tickets.Tickets()
+        step_id = model.StepId(_JOB, 0, 0)
+        request = known.request(step_id, ["1"], 10.0)
+        assert request is not None
+        known.answered(request, None, 10.0, 12.0)
+        self.assertIsNone(known.request(step_id, ["1"], 12.1))
+        self.assertIsNotNone(known.request(step_id, ["1"], 12.6))
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -5,6 +5,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import ledger as ledgers
 from foxtaillock.batch import model
+from foxtaillock.batch import pacing
 from foxtaillock.batch import plans
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
@@ -62,6 +63,8 @@
             self._ledger.lose_worker(
                 worker, now_s, "another worker answers there"
             )
+        elif outcome is interfaces.OrderOutcome.TICKET_REFUSED:
+            self._ledger.tickets.drop(task.task_id.step_id)
         elif outcome is not interfaces.OrderOutcome.STALE_RUN:
             worker.closed_until_s = now_s + _REFUSAL_HOLD_S
         self._ledger.not_run(task, now_s)
@@ -117,6 +120,7 @@
         worker.acknowledged = max(worker.acknowledged, plan.acknowledged)
         self._take_ends(worker, answer.ended, now_s)
         self._compare(worker, answer.running, sent_s, now_s)
+        self._pace_fillers(worker)
 
     def look_plan(
         self, worker: workers.Worker, now_s: float
@@ -260,6 +264,34 @@
                 self._ledger.workers[task.worker_id], task, now_s
             )
 
+    def _pace_fillers(self, worker: workers.Worker) -> None:
+        """Sets the share of the worker's fillers by those that serve."""
+        running = [
+            (task, self._ledger.step(task).spec)
+            for task in worker.tasks.values()
+            if task.phase is tasks.Phase.RUNNING
+        ]
+        fillers = [task for task, spec in running if spec.is_filler]
+        if not fillers:
+            return
+        readings = [(task.reading, spec.target_ms) for task, spec in running]
+        for task in fillers:
+            percent = pacing.next_percent(task.pace_percent, readings)
+            if percent == task.pace_percent:
+                continue
+            self._ledger.log(
+                "filler-paced",
+                task=model.task_text(task.task_id),
+                worker=worker.worker_id,
+                percent=percent,
+                before=task.pace_percent,
+                readings=readings,
+            )
+            task.pace_percent = percent
+            self._ledger.paces.append(
+                plans.PacePlan(worker.entry, task.task_id, task.run, percent)
+            )
+
     def _look_failed(
         self,
         worker: workers.Worker,
--- /dev/null
+++ b/foxtaillock/platform/advice.py
@@ -0,0 +1,68 @@
+"""The platform's service that advises on workers."""
+
+import typing
+from collections.abc import Sequence
+
+import msgspec
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.platform import http
+
+__all__ = ["HttpAdvisor"]
+
+# Time for an answer; a call takes as long as its parts, one for each worker.
+_ANSWER_S = 2.0
+
+_OK = 200
+
+
+class _Answer(typing.TypedDict):
+    good: list[tuple[str, str]]
+    valid_ms: typing.NotRequired[float]
+
+
+_decoder = msgspec.json.Decoder(_Answer)
+
+
+class HttpAdvisor:
+    """Advice over HTTP; calls wait for each other at the service.
+
+    Args:
+        caller: HTTP client.
+        address: `HOST:PORT` of the service.
+        default_valid_s: how long advice holds that does not tell.
+    """
+
+    def __init__(
+        self, caller: http.Caller, address: str, default_valid_s: float = 1.0
+    ) -> None:
+        self._caller = caller
+        self._address = address
+        self._default_valid_s = default_valid_s
+
+    async def advise(
+        self, step_id: model.StepId, worker_ids: Sequence[str]
+    ) -> interfaces.Advice | None:
+        """Returns the advice; see `interfaces.Advisor`."""
+        name = f"{step_id.job_id}.{step_id.occurrence}.{step_id.step}"
+        body = {"step_id": name, "workers": list(worker_ids)}
+        try:
+            answer = await self._caller.request(
+                "POST",
+                f"http://{self._address}/-/advise",
+                _ANSWER_S,
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+            )
+        except (http.NotSentError, http.NoAnswerError):
+            return None
+        if answer.status != _OK:
+            return None
+        try:
+            decoded = _decoder.decode(answer.body)
+        except msgspec.DecodeError:
+            return None
+        valid_ms = decoded.get("valid_ms")
+        valid_s = self._default_valid_s if valid_ms is None else valid_ms / 1000
+        return interfaces.Advice(dict(decoded["good"]), valid_s)
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -14,6 +14,7 @@
 from foxtaillock.batch import node as nodes
 from foxtaillock.batch import records
 from foxtaillock.model import clock as model_clock
+from foxtaillock.platform import advice
 from foxtaillock.platform import front as fronts
 from foxtaillock.platform import http
 from foxtaillock.platform import machines
@@ -137,6 +138,7 @@
         registry.decode_worker,
         workers.HttpWorkers(order_caller, look_caller),
         _vm_orders(settings, store_caller),
+        _advisor(settings, order_caller),
         _topic(_STATUS_TOPIC),
         _encode_wave,
         clock,
@@ -159,6 +161,14 @@
     return machines.HttpVmOrders(caller, settings.fleet.text, settings.node)
 
 
+def _advisor(
+    settings: platform_settings.VmSettings, caller: http.Caller
+) -> advice.HttpAdvisor | None:
+    if settings.advisor is None:
+        return None
+    return advice.HttpAdvisor(caller, settings.advisor.text)
+
+
 def _encode_wave(number: int, is_complete: bool) -> records.KeyedRecord:
     return records.KeyedRecord(
         registry.wave_status_key(number),
--- a/foxtaillock/platform/registry.py
+++ b/foxtaillock/platform/registry.py
@@ -45,10 +45,6 @@
     drain_remaining_ms: typing.NotRequired[float]
 
 
-class _Advice(typing.TypedDict, total=False):
-    valid_ms: int
-
-
 class _Route(typing.TypedDict):
     name: str
     host: str
@@ -60,7 +56,7 @@
     max_attempts: typing.NotRequired[int]
     stretch: typing.NotRequired[float]
     public: typing.NotRequired[bool]
-    advice: typing.NotRequired[_Advice | None]
+    advice: typing.NotRequired[dict[str, typing.Any] | None]
 
 
 class _Service(typing.TypedDict):
@@ -189,7 +185,6 @@
 
 
 def _decode_queue(route: _Route) -> model.Queue:
-    advice = route.get("advice") or {}
     return model.Queue(
         route["name"],
         route["service"],
@@ -200,7 +195,7 @@
         # stretched chain of tasks.
         int(route.get("target_duration_ms", 0)),
         route.get("public", False),
-        advice.get("valid_ms", 0),
+        bool(route.get("advice")),
         route.get("timeout_ms", 0),
     )
 
