Calls: a VM that has lost the store refuses at once; placing finishes many jobs rather than all late

And of jobs that could be timely the nearest objective went first, so that in overload each ran late. Ruled out: slow moves of VMs (ordered within 0.6 s of the flood).

--- a/foxtaillock/batch/appender.py
+++ b/foxtaillock/batch/appender.py
@@ -6,6 +6,7 @@
 
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import records
+from foxtaillock.model import clock as model_clock
 
 __all__ = ["GroupAppender"]
 
@@ -15,6 +16,10 @@
 # one tells apart such a moment from a store that is away.
 _TRIES = 2
 
+# A first try that failed later than this leaves a submitter no time for the
+# second; another entry VM may serve it.
+_QUICK_S = 0.3
+
 
 class _Waiting(typing.NamedTuple):
     record: records.KeyedRecord
@@ -28,10 +33,14 @@
 
     Args:
         journal: where the records go.
+        clock: source of time.
     """
 
-    def __init__(self, journal: interfaces.Journal) -> None:
+    def __init__(
+        self, journal: interfaces.Journal, clock: model_clock.Clock
+    ) -> None:
         self._journal = journal
+        self._clock = clock
         self._waiting: list[_Waiting] = []
         self._runner: asyncio.Task[None] | None = None
 
@@ -65,12 +74,14 @@
 
     async def _append(self, batch: Sequence[records.KeyedRecord]) -> int:
         is_doubtful = False
+        began_s = self._clock.monotonic_s()
         for attempt in range(_TRIES):
             try:
                 return (await self._journal.append(batch)).next_offset
             except interfaces.StoreUnreachableError:
                 is_doubtful = True
-                if attempt + 1 == _TRIES:
+                took_s = self._clock.monotonic_s() - began_s
+                if attempt + 1 == _TRIES or took_s > _QUICK_S:
                     raise
             except interfaces.StoreRefusedError as error:
                 if not is_doubtful:
--- a/foxtaillock/batch/desk.py
+++ b/foxtaillock/batch/desk.py
@@ -220,6 +220,8 @@
     async def _store(
         self, record: records.KeyedRecord, stored: outcomes.CallOutcome
     ) -> outcomes.CallOutcome:
+        if self._follower.is_failing:
+            return outcomes.NotStored("store-lost", _RETRY_ELSEWHERE_S)
         try:
             await self._appender.append(record)
         except interfaces.StoreRefusedError as error:
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -41,6 +41,9 @@
 
 _WHOLE_PERCENT = 100
 
+# Part of each new job in the mean work of its queue.
+_MEAN_GAIN = 0.1
+
 
 class Engine:
     """Decisions of one ownership.
@@ -68,6 +71,7 @@
         self.vms = vm_duties.VmDuties(self._ledger)
         self._planned_s = now_s
         self._paces: dict[str, team_pace.TeamPace] = {}
+        self._mean_cpu_s: dict[str, float] = {}
         self._starts: list[plans.StartPlan] = []
 
     @property
@@ -123,6 +127,7 @@
             return
         job = tasks.create_job(spec, now_s, now_ms)
         job.is_excess = self._is_excess(spec.team, job.accepted_s)
+        job.relative_work = self._relative_work(job)
         self._ledger.jobs[spec.job_id] = job
         for each in progress:
             step = job.steps.get((each.step_id.occurrence, each.step_id.step))
@@ -369,6 +374,14 @@
         silent = sum(1 for each in with_tasks if each.unanswered >= 2)
         return silent / len(with_tasks)
 
+    def _relative_work(self, job: tasks.Job) -> float:
+        """Returns a job's work against the mean of its queue so far."""
+        work_cpu_s = job.work_cpu_s
+        mean_cpu_s = self._mean_cpu_s.get(job.spec.queue, work_cpu_s)
+        mean_cpu_s += _MEAN_GAIN * (work_cpu_s - mean_cpu_s)
+        self._mean_cpu_s[job.spec.queue] = mean_cpu_s
+        return work_cpu_s / mean_cpu_s if mean_cpu_s else 1.0
+
     def _is_excess(self, team: str, accepted_s: float) -> bool:
         """Returns whether a job is beyond its team's part of the load."""
         if team not in self._ledger.teams:
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -113,11 +113,27 @@
         due = self._fleet.next_upkeep(uses, loads, now_s)
         self._engine.vms.set_leaving(self._fleet.leaving)
         due += self._fleet.next_moves(uses, loads, now_s)
+        self._log_loads(loads, len(due))
         for order in due:
             task = asyncio.ensure_future(self._carry_out(orders, order))
             self._running.add(task)
             task.add_done_callback(self._running.discard)
 
+    def _log_loads(
+        self, loads: Mapping[str, fleet.PoolLoad], orders: int
+    ) -> None:
+        for pool, load in loads.items():
+            if load.waiting_millis:
+                self._log(
+                    "pool-weighed",
+                    pool=pool,
+                    orders=orders,
+                    list_age_s=round(
+                        self._clock.monotonic_s() - self._fleet.listed_s, 2
+                    ),
+                    **load._asdict(),
+                )
+
     async def _list(self, orders: interfaces.VmOrders) -> bool:
         sent_s = self._clock.monotonic_s()
         try:
--- a/foxtaillock/batch/follower.py
+++ b/foxtaillock/batch/follower.py
@@ -12,7 +12,7 @@
 
 # Longest wait of a read for a record. Each read that finds the end is the
 # evidence that what this VM knows is the newest.
-_READ_WAIT_S = 1.0
+_READ_WAIT_S = 0.7
 
 _FIRST_RETRY_S = 0.05
 _MAX_RETRY_S = 0.5
@@ -70,6 +70,11 @@
         """Whether it has reached the stream's end at least once."""
         return self.confirmed_s > float("-inf")
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether its latest read got no answer, or a refusal."""
+        return self._failures > 0
+
     async def run(self) -> None:
         """Follows the stream until it is cancelled."""
         while True:
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -124,7 +124,7 @@
             clock,
             self._view,
             self._journal_follower,
-            appender.GroupAppender(services.journal),
+            appender.GroupAppender(services.journal, clock),
             self._freshness,
             services.log,
         )
@@ -142,6 +142,7 @@
             not self._is_stopping
             and self.desk.directory.version >= 0
             and self._freshness.is_fresh(now_s)
+            and not self._journal_follower.is_failing
             and now_s - self._journal_follower.confirmed_s <= _READY_AGE_S
         )
 
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -19,6 +19,13 @@
 __all__ = ["Candidate", "Placement", "Usage", "choose", "order"]
 
 
+# Part of a job's worth that does not depend on its size: a submitter waits for
+# an answer, whatever it takes.
+_SAME_WORTH = 0.3
+
+_LEAST_CPU_S = 0.001
+
+
 class Candidate(typing.NamedTuple):
     """A step with tasks that wait.
 
@@ -91,11 +98,14 @@
     """Returns the steps in the order in which they may take room.
 
     Tasks that serve users until they are cancelled go first, since they earn
-    all the time; then by the queue's priority; then what can still meet its
-    objective, the nearest one first; then what is late, the oldest first;
-    then jobs that a team has handed in beyond its part of the load, so that
+    all the time; then by the queue's priority what can still meet its
+    objective; then what is late, the oldest first; then jobs that a team has handed in beyond its part of the load, so that
     a flood makes no other team wait. Fillers take what is left.
 
+    Of the jobs that can still be timely those go first that serve most for the
+    processor time which they still need: when a pool can't serve all of them,
+    it finishes many rather than all a little late.
+
     Cost: O(n log n) for n steps.
     """
     return sorted(candidates, key=lambda each: _rank(each, now_s))
@@ -155,7 +165,19 @@
     is_late = now_s + candidate.remaining_s > candidate.objective_s
     if is_late:
         return (2.0, candidate.queue.priority, candidate.job.accepted_s)
-    return (1.0, candidate.queue.priority, candidate.objective_s)
+    return (1.0, candidate.queue.priority, -_density(candidate))
+
+
+def _density(candidate: Candidate) -> float:
+    """Returns what a job is worth for the work that it still needs.
+
+    Part of a job's worth is the same for all, the rest grows with its work.
+    """
+    job = candidate.job
+    worth = _SAME_WORTH + (1 - _SAME_WORTH) * job.relative_work
+    left_cpu_s = job.left_cpu_s(candidate.step.step_id.occurrence)
+    left = left_cpu_s * job.relative_work / max(job.work_cpu_s, _LEAST_CPU_S)
+    return worth / max(left, _LEAST_CPU_S)
 
 
 def _counts(
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -171,6 +171,7 @@
         final_state: its final state once that is decided.
         chain_ms: estimated longest chain of tasks of an occurrence.
         is_excess: whether its team had handed in more than its part by then.
+        relative_work: its work against the mean of its queue.
     """
 
     spec: model.JobSpec
@@ -180,6 +181,26 @@
     final_state: model.JobState | None = None
     chain_ms: float = 0.0
     is_excess: bool = False
+    relative_work: float = 1.0
+
+    @property
+    def work_cpu_s(self) -> float:
+        """Estimated processor seconds of an occurrence."""
+        return sum(
+            step.task_count * step.size.cpu_millis * step.estimate_ms / 1e6
+            for step in self.spec.steps
+        )
+
+    def left_cpu_s(self, occurrence: int) -> float:
+        """Returns the processor seconds of an occurrence still to come."""
+        return sum(
+            (len(step.tasks) - step.done_count)
+            * step.spec.size.cpu_millis
+            * step.spec.estimate_ms
+            / 1e6
+            for (number, _), step in self.steps.items()
+            if number == occurrence
+        )
 
     @property
     def is_over(self) -> bool:
--- a/foxtaillock/platform/http.py
+++ b/foxtaillock/platform/http.py
@@ -10,9 +10,8 @@
 
 __all__ = ["Answer", "Caller", "NoAnswerError", "NotSentError"]
 
-# Time for a new connection; the platform's links take a few milliseconds, and
-# a lost opening packet is sent again after one second.
-_CONNECT_TIMEOUT_S = 0.7
+# Time for a new connection; the platform's links take a few milliseconds.
+_CONNECT_TIMEOUT_S = 0.5
 
 _KEEPALIVE_S = 20.0
 
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -19,9 +19,9 @@
     "encode_records",
 ]
 
-# Time for an answer beside what the call itself waits for. The slowest that
-# the store is said to be while it still serves is some 300 ms.
-_ANSWER_S = 1.3
+# Time for an answer beside what the call itself waits for. A store that is
+# slow but serves takes some 300 ms.
+_ANSWER_S = 0.9
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
--- a/foxtaillock/platform/tests/standin.py
+++ b/foxtaillock/platform/tests/standin.py
@@ -77,6 +77,7 @@
         fail_next: statuses with which the next appends are refused.
         lose_next: appends whose answers get lost, though they take effect.
         is_away: whether the store refuses everything.
+        is_silent: whether the store answers nothing.
         workers: workers by id, by the platform's rules.
         durations_s: how long the tasks of each worker take.
         vm_calls: orders for VMs as they came.
@@ -88,6 +89,7 @@
         self.fail_next: list[int] = []
         self.lose_next = 0
         self.is_away = False
+        self.is_silent = False
         self.workers: dict[str, fake_worker.FakeWorker] = {}
         self.payloads: list[tuple[str, str]] = []
         self.lasts_s = 0.05
@@ -170,6 +172,8 @@
             return await self._serve_vm_order(request)
         if path == "/-/advise":
             return _json({"good": self.advice_good, "valid_ms": 3000})
+        while self.is_silent:
+            await asyncio.sleep(0.05)
         if self.is_away:
             return web.Response(status=503)
         if path == "/-/log-append":
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -141,6 +141,20 @@
         reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         self.assertEqual((reply.status, reply.retry_after), (503, "1"))
 
+    async def test_vm_that_has_lost_the_store_refuses_at_once(self) -> None:
+        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        self.platform.is_silent = True
+        await self._until(lambda: bool(self.vm.events("stream-lost")))
+        began_s = asyncio.get_running_loop().time()
+        reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        took_s = asyncio.get_running_loop().time() - began_s
+        self.assertEqual((reply.status, reply.retry_after), (503, "1"))
+        # Far less than the wait for an answer of the store.
+        self.assertLess(took_s, 0.5)
+        self.assertFalse(self.vm.node.is_ready)
+        self.platform.is_silent = False
+        await self._until(lambda: self.vm.node.is_ready)
+
     async def test_lost_answer_of_an_append_leaves_one_job(self) -> None:
         self.platform.lose_next = 1
         reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
