--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -1,7 +1,9 @@
 """One entry VM: follows the streams, serves calls, and owns if need be."""
 
 import asyncio
+import traceback
 import typing
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from foxtaillock.batch import appender
@@ -27,6 +29,9 @@
 # Time for the record of a claim to be read back.
 _CLAIM_READ_S = 2.0
 
+# Pause after an internal error before its work is begun again.
+_AFTER_ERROR_S = 0.5
+
 # An entry VM that does not own reads the journal in groups of records.
 _FOLLOWER_PAUSE_S = 0.12
 
@@ -149,11 +154,11 @@
     def start(self) -> None:
         """Begins to follow the streams."""
         for work in (
-            self._operator_follower.run(),
-            self._journal_follower.run(),
-            self._own(),
+            self._operator_follower.run,
+            self._journal_follower.run,
+            self._own,
         ):
-            self._tasks.append(asyncio.ensure_future(work))
+            self._tasks.append(asyncio.ensure_future(self._keep_up(work)))
 
     async def give_up(self, timeout_s: float) -> None:
         """Stops to own, so that another VM goes on at once."""
@@ -175,6 +180,20 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _keep_up(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Begins a work again after an error that nothing expected."""
+        while not self._is_stopping:
+            try:
+                await work()
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                self._services.log(
+                    "internal-error",
+                    work=work.__qualname__,
+                    error=repr(error),
+                    trace=traceback.format_exc(limit=-4),
+                )
+                await asyncio.sleep(_AFTER_ERROR_S)
+
     # Ownership.
 
     async def _own(self) -> None:
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -1,6 +1,7 @@
 """Runs one ownership: records the engine's decisions, then carries them out."""
 
 import asyncio
+import traceback
 import typing
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -174,6 +175,8 @@
             asyncio.ensure_future(self._write_statuses()),
             asyncio.ensure_future(self._ask_advice()),
         ]
+        for helper in helpers:
+            helper.add_done_callback(self._on_helper_done)
         try:
             while not self._is_over:
                 self._step()
@@ -420,9 +423,9 @@
             if (
                 known is None or known.done()
             ) and self.engine.answers.needs_look(worker):
-                self._watchers[worker.worker_id] = asyncio.ensure_future(
-                    self._watch_worker(worker)
-                )
+                watcher = asyncio.ensure_future(self._watch_worker(worker))
+                watcher.add_done_callback(self._on_helper_done)
+                self._watchers[worker.worker_id] = watcher
 
     async def _watch_worker(self, worker: workers.Worker) -> None:
         services = self._services
@@ -521,8 +524,17 @@
 
     def _on_done(self, task: asyncio.Task[typing.Any]) -> None:
         self._running.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._services.log("internal-error", error=repr(task.exception()))
+        self._on_helper_done(task)
+
+    def _on_helper_done(self, task: asyncio.Task[typing.Any]) -> None:
+        """Ends the ownership if a part of it broke: the next begins anew."""
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            trace = traceback.format_exception(error, limit=-4)
+            self._services.log(
+                "internal-error", error=repr(error), trace="".join(trace)
+            )
+            self._end("internal error")
 
 
 def _split(
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -98,9 +98,10 @@
     """Returns the steps in the order in which they may take room.
 
     Tasks that serve users until they are cancelled go first, since they earn
-    all the time; then by the queue's priority what can still meet its
-    objective; then what is late, the oldest first; then jobs that a team has handed in beyond its part of the load, so that
-    a flood makes no other team wait. Fillers take what is left.
+    all the time; then, by the queue's priority, what can still meet its
+    objective; then what is late, the oldest first; then jobs that a team has
+    handed in beyond its part of the load, so that a flood makes no other team
+    wait. Fillers take what is left.
 
     Of the jobs that can still be timely those go first that serve most for the
     processor time which they still need: when a pool can't serve all of them,
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -4,7 +4,9 @@
 import typing
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
+from foxtaillock.batch import engine
 from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import standin
 
@@ -216,6 +218,25 @@
         claim = other.events("ownership-claimed")[0]
         self.assertEqual(claim["reason"], "released by its owner")
 
+    async def test_internal_error_is_told_and_the_owner_begins_anew(
+        self,
+    ) -> None:
+        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        original = engine.Engine.plan
+        broken = [True]
+
+        def _plan(self: engine.Engine, now_s: float) -> None:
+            if broken.pop() if broken else False:
+                raise RuntimeError("broken on purpose")
+            original(self, now_s)
+
+        with mock.patch.object(engine.Engine, "plan", _plan):
+            await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+            await self._until_state(self.vm, "/open/" + _ID, "completed")
+        (error,) = self.vm.events("internal-error")
+        self.assertIn("broken on purpose", error["error"])
+        self.assertEqual(len(self.vm.events("ownership-taken")), 2)
+
     async def test_expired_journal_is_read_anew(self) -> None:
         await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         await self._until_state(self.vm, "/open/" + _ID, "completed")
