--- a/foxtaillock/batch/metrics.py
+++ b/foxtaillock/batch/metrics.py
@@ -1,5 +1,8 @@
 """Counters and latency histograms of one entry VM."""
 
+import typing
+from collections.abc import Callable
+
 import prometheus_client
 
 __all__ = ["Metrics"]
@@ -52,12 +55,26 @@
             registry=self.registry,
         )
 
-    def add_gauge(self, name: str, text: str, read: object) -> None:
+    def add_gauge(
+        self, name: str, text: str, read: Callable[[], float]
+    ) -> None:
         """Adds a gauge whose value `read` returns at each scrape."""
         gauge = prometheus_client.Gauge(
             f"foxtaillock_{name}", text, registry=self.registry
         )
-        gauge.set_function(read)  # type: ignore[arg-type]
+        gauge.set_function(read)
+
+    def counting(self, log: Callable[..., None]) -> Callable[..., None]:
+        """Returns a log that also counts the decisions."""
+
+        def _log(event: str, **fields: typing.Any) -> None:
+            self.decisions.labels(event).inc()
+            if event == "job-ended":
+                ended = self.job_duration.labels(fields["state"])
+                ended.observe(fields["took_s"])
+            log(event, **fields)
+
+        return _log
 
     def render(self) -> bytes:
         """Returns all metrics as text."""
--- a/foxtaillock/cli/main.py
+++ b/foxtaillock/cli/main.py
@@ -18,6 +18,7 @@
 
 from foxtaillock.cli import client
 from foxtaillock.cli import deferred
+from foxtaillock.cli import log_story
 from foxtaillock.cli import output
 from foxtaillock.cli import report
 
@@ -227,6 +228,27 @@
         """Explains why a VM is in its pool or on its way to another."""
         self._session.run("GET", "explain", "vm", name)
 
+    def logs(self, wanted: str, *paths: str) -> None:
+        """Tells the story of a job, task, worker or VM from collected logs.
+
+        Args:
+            wanted: its id.
+            paths: files with the logs of entry VMs; `-` for standard input.
+        """
+        lines: list[log_story.LogLine] = []
+        for path in paths or ("-",):
+            text = self._session.read_file(path)
+            try:
+                lines += log_story.parse_lines(str(path), text)
+            except log_story.MalformedLogError as error:
+                self._session.fail(
+                    client.Failure(
+                        client.ExitCode.BAD_INPUT, "bad-log", str(error)
+                    )
+                )
+        found = log_story.story(lines, str(wanted))
+        self._session.show(log_story.rows(found))
+
 
 @deferred.deferring
 class Commands:
--- /dev/null
+++ b/foxtaillock/cli/tests/test_log_story.py
@@ -0,0 +1,101 @@
+"""The three ways of docs/OPERATIONS.md, on logs of entry VMs."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import typing
+import unittest
+
+from foxtaillock.cli import log_story
+from foxtaillock.cli import main
+
+_JOB = "5c0e7a21d94b36f8"
+
+
+def _line(second: float, node: str, event: str, **fields: typing.Any) -> str:
+    time = f"2026-01-15T17:30:{second:06.3f}+00:00"
+    line = {"time": time, "node": node, "event": event, **fields}
+    return f" {second:8.4f} {node} {json.dumps(line)}"
+
+
+class LogStoryTest(unittest.TestCase):
+    """Stories from lines of several processes."""
+
+    def _events(self, *texts: str, wanted: str = _JOB) -> list[str]:
+        lines = [
+            line
+            for number, text in enumerate(texts)
+            for line in log_story.parse_lines(f"log-{number}", text)
+        ]
+        return [line.event for line in log_story.story(lines, wanted)]
+
+    def test_refused_request_leads_to_the_lost_store(self) -> None:
+        text = "\n".join(
+            [
+                _line(7.5, "vm-1", "stream-lost", stream="journal", error="x"),
+                _line(
+                    7.9,
+                    "vm-1",
+                    "call",
+                    request=f"/q/{_JOB}",
+                    outcome="NotStored",
+                    detail="store-lost",
+                ),
+                _line(8.0, "vm-1", "call", request="/q/other", outcome="x"),
+                _line(20.0, "vm-1", "stream-regained", stream="journal"),
+            ]
+        )
+        self.assertEqual(self._events(text), ["stream-lost", "call"])
+
+    def test_late_job_leads_to_the_dead_owner_across_files(self) -> None:
+        first = _line(1.0, "vm-1", "job-taken", job=_JOB)
+        second = "\n".join(
+            [
+                _line(2.9, "vm-2", "ownership-claimed", silence_s=1.6),
+                _line(3.1, "vm-2", "task-placed", task=f"{_JOB}.0.0.1"),
+            ]
+        )
+        self.assertEqual(
+            self._events(second, first),
+            ["job-taken", "ownership-claimed", "task-placed"],
+        )
+
+    def test_rejected_key_shows_the_version_that_decided(self) -> None:
+        text = _line(
+            5.0,
+            "vm-1",
+            "call",
+            request=f"/q/{_JOB}",
+            outcome="NoKey",
+            config_version=7,
+            config_age_s=0.4,
+        )
+        (line,) = log_story.parse_lines("log", text)
+        (row,) = log_story.rows([line])
+        self.assertIn("config_version=7", row["what"])
+
+    def test_unknown_id_has_no_story(self) -> None:
+        text = _line(5.0, "vm-1", "started")
+        self.assertEqual(self._events(text, wanted="nothing"), [])
+
+    def test_wrong_input_names_file_and_line(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "log"
+            path.write_text(_line(1.0, "vm-1", "started") + "\nnonsense\n")
+            told = io.StringIO()
+            with contextlib.redirect_stderr(told):
+                with self.assertRaises(SystemExit) as ended:
+                    main.main(["explain", "logs", _JOB, str(path)])
+        self.assertEqual(ended.exception.code, 2)
+        self.assertIn("log:2", told.getvalue())
+
+    def test_command_prints_the_story(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "log"
+            path.write_text(_line(1.0, "vm-1", "job-taken", job=_JOB))
+            printed = io.StringIO()
+            with contextlib.redirect_stdout(printed):
+                main.main(["explain", "logs", _JOB, str(path)])
+        self.assertIn("job-taken", printed.getvalue())
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -64,8 +64,14 @@
 
 async def _run(settings: platform_settings.VmSettings, path: str) -> None:
     clock = model_clock.SystemClock()
-    log = decision_log.create_log(settings.node, clock)
+    writer = decision_log.create_log(settings.node, clock)
     metrics = batch_metrics.Metrics()
+    metrics.add_gauge(
+        "log_lines_dropped",
+        "Lines that the reader of the log did not take",
+        lambda: float(writer.dropped),
+    )
+    log = metrics.counting(writer)
     callers = [
         http.Caller(_STORE_CONNECTIONS),
         http.Caller(_ORDER_CONNECTIONS),
@@ -179,7 +185,7 @@
 def _reload(
     before: platform_settings.VmSettings,
     path: str,
-    log: decision_log.DecisionLog,
+    log: Callable[..., None],
 ) -> None:
     """Reads the settings again and tells what differs."""
     try:
--- /dev/null
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -0,0 +1,148 @@
+"""The daemon as a process of its own, with signals."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import typing
+import unittest
+
+import aiohttp
+
+from foxtaillock.platform.tests import entry_vm
+from foxtaillock.platform.tests import standin
+
+_ID = "5c0e7a21d94b36f8"
+_PATIENCE_S = 20.0
+_LASTING = {
+    "workload": "text",
+    "steps": [{"count": 1, "cpu": 500, "persistent": True}],
+}
+
+
+def _free_ports(count: int) -> list[int]:
+    """Returns ports that nothing listens at."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class DaemonTest(unittest.IsolatedAsyncioTestCase):
+    """One process against the stand-in platform."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = standin.StandInPlatform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
+        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+        await self.platform.add_worker("i-1", "pool")
+        self.platform.lasts_s = 1000.0
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = pathlib.Path(folder.name) / "settings.conf"
+        self.callers, self.readiness, metrics = _free_ports(3)
+        self.metrics = metrics + 3
+        self._write_settings("4")
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "foxtaillock.platform.daemon",
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "FOXTAILLOCK_SETTINGS": str(self.settings)},
+        )
+        self.addAsyncCleanup(self._end)
+        await self._until_status(self.readiness, "/-/readiness", 200)
+
+    def _write_settings(self, grace_s: str) -> None:
+        lines = [
+            "node=vm-1",
+            "zone=z",
+            f"listen.front=127.0.0.1:{self.callers}",
+            f"listen.readiness=127.0.0.1:{self.readiness}",
+            f"internal_ports={self.metrics - 3},{self.metrics + 9}",
+            f"platform.address={self.platform.address}",
+            f"bounds.grace_s={grace_s}",
+        ]
+        self.settings.write_text("\n".join(lines), encoding="utf-8")
+
+    async def _end(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def _until_status(self, port: int, path: str, status: int) -> None:
+        async with asyncio.timeout(_PATIENCE_S):
+            while True:
+                try:
+                    url = f"http://127.0.0.1:{port}{path}"
+                    async with self.session.get(url) as response:
+                        if response.status == status:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def _submit(self) -> int:
+        url = f"http://127.0.0.1:{self.callers}/open/{_ID}"
+        headers = {"Host": "jobs.example"}
+        async with self.session.post(
+            url, json=_LASTING, headers=headers
+        ) as response:
+            return response.status
+
+    async def _rest_of_the_log(self) -> list[dict[str, typing.Any]]:
+        assert self.process.stdout is not None
+        text = await self.process.stdout.read()
+        return [json.loads(line) for line in text.splitlines()]
+
+    async def test_sigterm_is_a_graceful_stop(self) -> None:
+        self.assertEqual(await self._submit(), 200)
+        worker = self.platform.workers["i-1"]
+        async with asyncio.timeout(_PATIENCE_S):
+            while not worker.running:
+                await asyncio.sleep(0.02)
+        self.process.send_signal(signal.SIGTERM)
+        await self._until_status(self.readiness, "/-/readiness", 503)
+        # Calls on open connections are served until the process ends.
+        self.assertEqual(await self._submit(), 200)
+        async with asyncio.timeout(_PATIENCE_S):
+            self.assertEqual(await self.process.wait(), 0)
+        events = [line["event"] for line in await self._rest_of_the_log()]
+        for event in ("started", "ownership-over", "stopping", "stopped"):
+            self.assertIn(event, events)
+        self.assertEqual(len(worker.running), 1)
+
+    async def test_sighup_tells_what_differs(self) -> None:
+        self._write_settings("5")
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_PATIENCE_S):
+            await self.process.wait()
+        lines = await self._rest_of_the_log()
+        (reloaded,) = [line for line in lines if line["event"] == "reloaded"]
+        self.assertEqual(reloaded["changed"], ["grace_s"])
+
+    async def test_metrics_are_served(self) -> None:
+        url = f"http://127.0.0.1:{self.metrics}/metrics"
+        await self._submit()
+        async with self.session.get(url) as response:
+            text = await response.text()
+        for name in (
+            "foxtaillock_calls_total",
+            "foxtaillock_call_seconds_bucket",
+            "foxtaillock_decisions_total",
+            "foxtaillock_config_age_seconds",
+            "foxtaillock_log_lines_dropped",
+        ):
+            self.assertIn(name, text)
