--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import ledger as ledgers
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
@@ -64,11 +64,11 @@
         epoch: int,
         now_s: float,
         unsure_until_s: float,
-        log: ledgers.DecisionLog,
+        log: owner_state.DecisionLog,
     ) -> None:
-        self._ledger = ledgers.Ledger(epoch, now_s, unsure_until_s, log)
-        self.answers = worker_answers.WorkerAnswers(self._ledger)
-        self.vms = vm_duties.VmDuties(self._ledger)
+        self._state = owner_state.OwnerState(epoch, now_s, unsure_until_s, log)
+        self.answers = worker_answers.WorkerAnswers(self._state)
+        self.vms = vm_duties.VmDuties(self._state)
         self._planned_s = now_s
         self._paces: dict[str, team_pace.TeamPace] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -77,30 +77,30 @@
     @property
     def jobs(self) -> Mapping[str, tasks.Job]:
         """Jobs by id, also those that are over until they are forgotten."""
-        return self._ledger.jobs
+        return self._state.jobs
 
     @property
     def workers(self) -> Mapping[str, batch_workers.Worker]:
         """Workers by id."""
-        return self._ledger.workers
+        return self._state.workers
 
     @property
     def pools(self) -> Mapping[str, model.Pool]:
         """Pools by name."""
-        return self._ledger.pools
+        return self._state.pools
 
     @property
     def needs_plan(self) -> bool:
         """Whether waiting tasks may find room now."""
-        return self._ledger.needs_plan
+        return self._state.needs_plan
 
     def register(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Takes in what a worker has registered."""
-        self._ledger.register(entry, now_s)
+        self._state.register(entry, now_s)
 
     def unregister(self, worker_id: str) -> None:
         """Takes in that a worker is registered no more; it may run on."""
-        self._ledger.unregister(worker_id)
+        self._state.unregister(worker_id)
 
     def configure(
         self,
@@ -110,10 +110,10 @@
     ) -> None:
         """Takes a new configuration over."""
         # Accepted jobs of a queue that was withdrawn run on as before.
-        self._ledger.queues.update(queues)
-        self._ledger.pools = pools
-        self._ledger.teams = teams
-        self._ledger.needs_plan = True
+        self._state.queues.update(queues)
+        self._state.pools = pools
+        self._state.teams = teams
+        self._state.needs_plan = True
 
     def submit(
         self,
@@ -123,21 +123,21 @@
         now_ms: int,
     ) -> None:
         """Takes a job in, as far as earlier owners have got with it."""
-        if spec.job_id in self._ledger.jobs or spec.job_id in self._ledger.over:
+        if spec.job_id in self._state.jobs or spec.job_id in self._state.over:
             return
         job = tasks.create_job(spec, now_s, now_ms)
         job.is_excess = self._is_excess(spec.team, job.accepted_s)
         job.relative_work = self._relative_work(job)
-        self._ledger.jobs[spec.job_id] = job
+        self._state.jobs[spec.job_id] = job
         for each in progress:
             step = job.steps.get((each.step_id.occurrence, each.step_id.step))
             if step is not None:
                 step.restore(each)
-                self._ledger.adopt(job, step, now_s)
+                self._state.adopt(job, step, now_s)
         for step in job.steps.values():
             if step.waiting:
-                self._ledger.waiting[step.step_id] = step
-        self._ledger.log(
+                self._state.waiting[step.step_id] = step
+        self._state.log(
             "job-taken",
             job=spec.job_id,
             queue=spec.queue,
@@ -153,65 +153,65 @@
                 for step in spec.steps
             ],
         )
-        self._ledger.check_job(job, now_s)
-        self._ledger.needs_plan = True
+        self._state.check_job(job, now_s)
+        self._state.needs_plan = True
 
     def finished(
         self, job_id: str, end: records.JobEnd, now_s: float, now_ms: int
     ) -> None:
         """Takes in that a job has ended under an earlier owner."""
-        job = self._ledger.jobs.get(job_id)
+        job = self._state.jobs.get(job_id)
         if job is None:
             return
         if job.final_state is None:
             job.final_state = model.JobState(end.state)
-            self._ledger.end_job(job, now_s)
+            self._state.end_job(job, now_s)
         age_s = max(0.0, (now_ms - end.ended_ms) / 1000)
-        self._ledger.over[job_id] = (now_s - age_s, job)
+        self._state.over[job_id] = (now_s - age_s, job)
 
     def cancel(self, job_id: str, now_s: float) -> None:
         """Takes in that a job's submitter cancelled it."""
-        job = self._ledger.jobs.get(job_id)
+        job = self._state.jobs.get(job_id)
         if job is None or job.is_over:
             return
         job.is_cancelled = True
-        self._ledger.log(
+        self._state.log(
             "job-cancelled", job=job_id, running=sum(1 for _ in job.active())
         )
-        self._ledger.end_job(job, now_s)
+        self._state.end_job(job, now_s)
 
     def tick(self, now_s: float) -> None:
         """Decides what is due by time alone."""
-        self._ledger.now_s = now_s
+        self._state.now_s = now_s
         self.vms.evacuate(now_s)
-        self._ledger.lapse_orphans(now_s)
-        if self._ledger.waiting and now_s - self._planned_s >= _PLAN_AGAIN_S:
+        self._state.lapse_orphans(now_s)
+        if self._state.waiting and now_s - self._planned_s >= _PLAN_AGAIN_S:
             # Workers are closed for a time, and occurrences become due.
-            self._ledger.needs_plan = True
-        for worker in list(self._ledger.workers.values()):
+            self._state.needs_plan = True
+        for worker in list(self._state.workers.values()):
             if worker.tasks and now_s >= worker.ends_by_s():
-                self._ledger.lapse(worker, now_s)
-            self._ledger.drop_if_gone(worker)
+                self._state.lapse(worker, now_s)
+            self._state.drop_if_gone(worker)
             for task in list(worker.tasks.values()):
                 if _is_stop_due(task, now_s):
-                    self._ledger.order_stop(worker, task, now_s)
-        for job_id, (ended_s, job) in list(self._ledger.over.items()):
+                    self._state.order_stop(worker, task, now_s)
+        for job_id, (ended_s, job) in list(self._state.over.items()):
             if now_s - ended_s >= _FORGET_AFTER_S and not any(job.active()):
-                self._ledger.forget(job_id, job)
+                self._state.forget(job_id, job)
 
     def plan(self, now_s: float) -> None:
         """Chooses which waiting tasks start."""
-        self._ledger.needs_plan = False
+        self._state.needs_plan = False
         self._planned_s = now_s
         candidates = [
             candidate
-            for step in list(self._ledger.waiting.values())
-            if (candidate := self._ledger.candidate(step, now_s)) is not None
+            for step in list(self._state.waiting.values())
+            if (candidate := self._state.candidate(step, now_s)) is not None
         ]
         if not candidates:
             return
         by_pool = self._usable_by_pool(now_s)
-        usage = placement.Usage(self._ledger.teams, self._ledger.used)
+        usage = placement.Usage(self._state.teams, self._state.used)
         full: set[tuple[str, resources.Resources, str]] = set()
         for candidate in placement.order(candidates, now_s):
             pool = candidate.queue.pool
@@ -239,13 +239,13 @@
         """Returns the requests for advice that are due, oldest job first."""
         by_pool = self._usable_by_pool(now_s)
         requests = []
-        for step in list(self._ledger.waiting.values()):
-            candidate = self._ledger.candidate(step, now_s)
+        for step in list(self._state.waiting.values()):
+            candidate = self._state.candidate(step, now_s)
             if candidate is None or not candidate.queue.is_advised:
                 continue
             pool = by_pool.get(candidate.queue.pool, [])
             worker_ids = [worker.worker_id for worker in pool]
-            request = self._ledger.tickets.request(
+            request = self._state.tickets.request(
                 step.step_id, worker_ids, now_s
             )
             if request is not None:
@@ -260,70 +260,70 @@
         now_s: float,
     ) -> None:
         """Takes advice in; None stands for no answer."""
-        self._ledger.log(
+        self._state.log(
             "advice",
             step=request.step_id,
             asked=len(request.worker_ids),
             allowed=None if advice is None else len(advice.tickets),
         )
-        self._ledger.tickets.answered(request, advice, sent_s, now_s)
-        self._ledger.needs_plan = True
+        self._state.tickets.answered(request, advice, sent_s, now_s)
+        self._state.needs_plan = True
 
     def take_paces(self) -> list[plans.PacePlan]:
         """Returns the runs whose share of speed is to change now."""
-        paces, self._ledger.paces = self._ledger.paces, []
+        paces, self._state.paces = self._state.paces, []
         return paces
 
     def take_stops(self) -> list[plans.StopPlan]:
         """Returns the runs that are to be stopped now."""
-        stops, self._ledger.stops = self._ledger.stops, []
+        stops, self._state.stops = self._state.stops, []
         return stops
 
     def has_batch(self) -> bool:
         """Returns whether there is something to record."""
         return bool(
-            self._ledger.dirty
-            or self._ledger.ends
-            or self._ledger.noted
-            or self._ledger.erasable
+            self._state.dirty
+            or self._state.ends
+            or self._state.recorded_ends
+            or self._state.erasable
         )
 
     def take_batch(self) -> plans.Batch:
         """Returns what has to be recorded next."""
         entries = [
-            records.encode(step.progress(self._ledger.epoch))
-            for step in self._ledger.dirty.values()
+            records.encode(step.progress(self._state.epoch))
+            for step in self._state.dirty.values()
         ]
-        entries += [records.encode(end) for end in self._ledger.ends]
-        entries += self._ledger.erasable
-        batch = plans.Batch(entries, self._starts, self._ledger.noted)
-        self._ledger.dirty, self._ledger.ends, self._starts = {}, [], []
-        self._ledger.noted, self._ledger.erasable = {}, []
+        entries += [records.encode(end) for end in self._state.ends]
+        entries += self._state.erasable
+        batch = plans.Batch(entries, self._starts, self._state.recorded_ends)
+        self._state.dirty, self._state.ends, self._starts = {}, [], []
+        self._state.recorded_ends, self._state.erasable = {}, []
         return batch
 
     def committed(
         self, batch: plans.Batch, now_s: float
     ) -> list[plans.StartPlan]:
         """Takes in that a batch stands; returns the runs to start."""
-        for worker_id, number in batch.noted.items():
-            worker = self._ledger.workers.get(worker_id)
+        for worker_id, number in batch.recorded_ends.items():
+            worker = self._state.workers.get(worker_id)
             if worker is not None:
-                worker.noted = max(worker.noted, number)
+                worker.recorded_end = max(worker.recorded_end, number)
         due = []
         for plan in batch.starts:
             task = plan.task
             if task.run != plan.run or task.phase is not tasks.Phase.RECORDING:
                 continue
-            job = self._ledger.jobs[task.task_id.job_id]
+            job = self._state.jobs[task.task_id.job_id]
             is_due = (
                 not job.is_over
                 and plan.worker.is_usable(now_s)
                 and now_s - plan.planned_s <= _SEND_WITHIN_S
             )
             if not is_due:
-                self._ledger.not_run(task, now_s)
+                self._state.not_run(task, now_s)
                 continue
-            self._ledger.set_phase(task, tasks.Phase.STARTING, now_s)
+            self._state.set_phase(task, tasks.Phase.STARTING, now_s)
             task.sent_s = now_s
             due.append(plan)
         return due
@@ -339,18 +339,18 @@
         if task.run != plan.run or task.phase is not tasks.Phase.STARTING:
             return None
         valid_until_ms = worker.lease_end_ms(now_s)
-        job = self._ledger.jobs[task.task_id.job_id]
+        job = self._state.jobs[task.task_id.job_id]
         is_late = now_s - plan.planned_s > _SEND_WITHIN_S
         if valid_until_ms is None or job.is_over or is_late:
-            self._ledger.not_run(task, now_s)
+            self._state.not_run(task, now_s)
             return None
         ticket = ""
-        queue = self._ledger.queues.get(job.spec.queue)
+        queue = self._state.queues.get(job.spec.queue)
         if queue is not None and queue.is_advised:
             step_id = task.task_id.step_id
-            found = self._ledger.tickets.find(step_id, worker.worker_id, now_s)
+            found = self._state.tickets.find(step_id, worker.worker_id, now_s)
             if found is None:
-                self._ledger.not_run(task, now_s)
+                self._state.not_run(task, now_s)
                 return None
             ticket = found
         worker.valid_until_ms = max(worker.valid_until_ms, valid_until_ms)
@@ -359,7 +359,7 @@
             task.run,
             job.spec.payload,
             valid_until_ms,
-            self._ledger.epoch,
+            self._state.epoch,
             task.saved,
             ticket,
         )
@@ -367,7 +367,7 @@
     def unreached_fraction(self) -> float:
         """Returns the part of the workers with tasks that do not answer."""
         with_tasks = [
-            each for each in self._ledger.workers.values() if each.tasks
+            each for each in self._state.workers.values() if each.tasks
         ]
         if not with_tasks:
             return 0.0
@@ -384,10 +384,10 @@
 
     def _is_excess(self, team: str, accepted_s: float) -> bool:
         """Returns whether a job is beyond its team's part of the load."""
-        if team not in self._ledger.teams:
+        if team not in self._state.teams:
             return False
         pace = self._paces.setdefault(team, team_pace.TeamPace())
-        return not pace.take(self._ledger.teams[team].weight, accepted_s)
+        return not pace.take(self._state.teams[team].weight, accepted_s)
 
     def _permission(
         self, candidate: placement.Candidate, now_s: float
@@ -396,7 +396,7 @@
         if not candidate.queue.is_advised:
             return lambda _: True
         step_id = candidate.step.step_id
-        known = self._ledger.tickets
+        known = self._state.tickets
         return lambda worker: (
             known.find(step_id, worker.worker_id, now_s) is not None
         )
@@ -412,19 +412,17 @@
         task.run += 1
         task.worker_id = worker.worker_id
         task.worker_born_ms = worker.entry.born_ms
-        task.last_worker_id = worker.worker_id
         task.is_stopping = False
         task.stopped_s = None
         task.percent = 0
         task.pace_percent = _WHOLE_PERCENT
-        task.over_target_s = None
-        self._ledger.set_phase(task, tasks.Phase.RECORDING, now_s)
+        self._state.set_phase(task, tasks.Phase.RECORDING, now_s)
         step.waiting.discard(task.task_id.number)
         if not step.waiting:
-            self._ledger.waiting.pop(step.step_id, None)
-        self._ledger.dirty[step.step_id] = step
+            self._state.waiting.pop(step.step_id, None)
+        self._state.dirty[step.step_id] = step
         self._starts.append(plans.StartPlan(task, task.run, worker, now_s))
-        self._ledger.log(
+        self._state.log(
             "task-placed",
             task=model.task_text(task.task_id),
             run=task.run,
@@ -439,11 +437,11 @@
         self, now_s: float
     ) -> dict[str, list[batch_workers.Worker]]:
         by_pool: dict[str, list[batch_workers.Worker]] = {}
-        for worker in self._ledger.workers.values():
-            pool = self._ledger.pools.get(worker.entry.pool)
+        for worker in self._state.workers.values():
+            pool = self._state.pools.get(worker.entry.pool)
             if pool is None or pool.is_spare:
                 continue
-            is_trusted = self._ledger.trust.may_use(worker.worker_id, now_s)
+            is_trusted = self._state.trust.may_use(worker.worker_id, now_s)
             if worker.is_usable(now_s) and is_trusted:
                 by_pool.setdefault(pool.name, []).append(worker)
         return by_pool
--- a/foxtaillock/batch/interfaces.py
+++ b/foxtaillock/batch/interfaces.py
@@ -246,7 +246,7 @@
     ) -> OrderAnswer:
         """Lets a run work at a share of its speed."""
 
-    async def look(
+    async def poll(
         self,
         worker: model.WorkerEntry,
         epoch: int,
--- a/foxtaillock/batch/model.py
+++ b/foxtaillock/batch/model.py
@@ -163,7 +163,6 @@
         is_open: whether it takes jobs without a key.
         is_advised: whether only the advisor knows which workers may run its
             tasks.
-        call_timeout_ms: bound of one call of a submitter.
     """
 
     name: str
@@ -174,7 +173,6 @@
     slack_ms: int
     is_open: bool
     is_advised: bool = False
-    call_timeout_ms: int = 0
 
 
 class Pool(typing.NamedTuple):
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -158,7 +158,9 @@
             self._journal_follower.run,
             self._own,
         ):
-            self._tasks.append(asyncio.ensure_future(self._keep_up(work)))
+            self._tasks.append(
+                asyncio.ensure_future(self._run_again_after_errors(work))
+            )
 
     async def give_up(self, timeout_s: float) -> None:
         """Stops to own, so that another VM goes on at once."""
@@ -180,7 +182,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _keep_up(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def _run_again_after_errors(
+        self, work: Callable[[], Awaitable[None]]
+    ) -> None:
         """Begins a work again after an error that nothing expected."""
         while not self._is_stopping:
             try:
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -27,10 +27,10 @@
 # Longest time between two steps when nothing happens.
 _STEP_S = 0.05
 
-# Time between two looks for steps that need advice.
+# Time between two polls for steps that need advice.
 _ADVICE_S = 0.05
 
-# Time between two looks for waves whose state operators have to be told.
+# Time between two polls for waves whose state operators have to be told.
 _STATUS_S = 0.2
 
 _FIRST_RETRY_S = 0.05
@@ -414,15 +414,15 @@
         if answer.outcome is interfaces.OrderOutcome.STALE_EPOCH:
             self._end("a worker has seen a later owner")
 
-    # Looks.
+    # Polls.
 
     def _watch(self) -> None:
-        """Begins to look at workers that nobody looks at."""
+        """Begins to poll workers that nobody polls."""
         for worker in self.engine.workers.values():
             known = self._watchers.get(worker.worker_id)
             if (
                 known is None or known.done()
-            ) and self.engine.answers.needs_look(worker):
+            ) and self.engine.answers.needs_poll(worker):
                 watcher = asyncio.ensure_future(self._watch_worker(worker))
                 watcher.add_done_callback(self._on_helper_done)
                 self._watchers[worker.worker_id] = watcher
@@ -435,10 +435,10 @@
                 return
             if now_s - self._written_s > workers.RENEW_LIMIT_S:
                 return
-            plan = self.engine.answers.look_plan(worker, now_s)
+            plan = self.engine.answers.poll_plan(worker, now_s)
             if plan is None:
                 return
-            answer = await services.worker_orders.look(
+            answer = await services.worker_orders.poll(
                 plan.entry,
                 self._epoch,
                 plan.acknowledged,
@@ -447,7 +447,7 @@
             )
             if isinstance(answer, interfaces.OrderAnswer):
                 self._check_epoch(answer)
-            self.engine.answers.looked(
+            self.engine.answers.polled(
                 worker.worker_id,
                 plan,
                 answer,
@@ -458,12 +458,12 @@
             await self._pause(worker)
 
     async def _pause(self, worker: workers.Worker) -> None:
-        """Waits until the ends that a look told have been recorded."""
+        """Waits until the ends that a poll told have been recorded."""
         committed = self._committed
-        if worker.seen_end > worker.noted:
+        if worker.received_end > worker.recorded_end:
             await committed.wait()
             return
-        pause_s = self.engine.answers.look_pause_s(worker)
+        pause_s = self.engine.answers.poll_pause_s(worker)
         if pause_s:
             await asyncio.sleep(pause_s)
 
--- a/foxtaillock/batch/ledger.py
+++ b/foxtaillock/batch/owner_state.py
@@ -17,7 +17,7 @@
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
-__all__ = ["DecisionLog", "Ledger"]
+__all__ = ["DecisionLog", "OwnerState"]
 
 
 class DecisionLog(typing.Protocol):
@@ -27,7 +27,7 @@
         """Takes the name of the decision, its inputs and its outcome."""
 
 
-class Ledger:
+class OwnerState:
     """Jobs that have not been forgotten, and workers.
 
     Args:
@@ -50,7 +50,7 @@
         over: jobs that are over, with the time of their end.
         dirty: steps whose progress has to be recorded.
         ends: final states that have to be recorded.
-        noted: highest end of each worker that the next records cover.
+        recorded_ends: highest end of each worker that the next records cover.
         erasable: records that the journal may forget.
         stops: runs that are to be stopped.
         paces: runs whose share of speed is to change.
@@ -81,7 +81,7 @@
         self.over: dict[str, tuple[float, tasks.Job]] = {}
         self.dirty: dict[model.StepId, tasks.Step] = {}
         self.ends: list[records.JobEnd] = []
-        self.noted: dict[str, int] = {}
+        self.recorded_ends: dict[str, int] = {}
         self.erasable: list[records.KeyedRecord] = []
         self.stops: list[plans.StopPlan] = []
         self.paces: list[plans.PacePlan] = []
@@ -219,14 +219,14 @@
             self.run_lost(task, now_s, reason)
         if self.workers.get(worker.worker_id) is worker:
             del self.workers[worker.worker_id]
-        self.noted.pop(worker.worker_id, None)
+        self.recorded_ends.pop(worker.worker_id, None)
         self.needs_plan = True
 
     def drop_if_gone(self, worker: workers.Worker) -> None:
         """Forgets a worker that is registered no more and runs nothing."""
         if not worker.is_listed and not worker.tasks:
             self.workers.pop(worker.worker_id, None)
-            self.noted.pop(worker.worker_id, None)
+            self.recorded_ends.pop(worker.worker_id, None)
 
     def run_lost(self, task: tasks.Task, now_s: float, reason: str) -> None:
         """Takes in that a run has ended without an end that was listed."""
--- a/foxtaillock/batch/pacing.py
+++ b/foxtaillock/batch/pacing.py
@@ -6,12 +6,9 @@
 that changes within seconds does not make the share swing.
 """
 
-import typing
 from collections.abc import Iterable
 
-from foxtaillock.batch import tasks
-
-__all__ = ["NEAR_TARGET", "PacedTask", "next_percent"]
+__all__ = ["NEAR_TARGET", "next_percent"]
 
 # Part of its target from which a serving task's fillers are slowed down.
 NEAR_TARGET = 0.85
@@ -26,13 +23,6 @@
 _LEAST_PERCENT = 10
 
 
-class PacedTask(typing.NamedTuple):
-    """A filler and the share that it is to work at."""
-
-    task: tasks.Task
-    percent: int
-
-
 def next_percent(percent: int, readings: Iterable[tuple[float, int]]) -> int:
     """Returns the share for the fillers of a worker.
 
--- a/foxtaillock/batch/plans.py
+++ b/foxtaillock/batch/plans.py
@@ -1,4 +1,4 @@
-"""What an owner is to do next: records, starts, stops and looks."""
+"""What an owner is to do next: records, starts, stops and polls."""
 
 import typing
 
@@ -7,7 +7,7 @@
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
-__all__ = ["Batch", "LookPlan", "PacePlan", "StartPlan", "StopPlan"]
+__all__ = ["Batch", "PollPlan", "PacePlan", "StartPlan", "StopPlan"]
 
 
 class StartPlan(typing.NamedTuple):
@@ -36,13 +36,13 @@
     percent: int
 
 
-class LookPlan(typing.NamedTuple):
-    """A look at a worker's lists.
+class PollPlan(typing.NamedTuple):
+    """A poll of a worker's lists.
 
     Attributes:
         entry: the worker.
         acknowledged: ends that it may forget.
-        valid_until_ms: end of the lease that the look renews, if any.
+        valid_until_ms: end of the lease that the poll renews, if any.
         wait_s: longest wait for an end.
     """
 
@@ -58,9 +58,9 @@
     Attributes:
         records: in the order in which they are to be appended.
         starts: runs that may begin once the records stand.
-        noted: highest end of each worker that the records cover.
+        recorded_ends: highest end of each worker that the records cover.
     """
 
     records: list[records.KeyedRecord]
     starts: list[StartPlan]
-    noted: dict[str, int]
+    recorded_ends: dict[str, int]
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -53,7 +53,6 @@
         percent: share of the worker's speed that the run has reached.
         reading: the worker's latest reading of the run.
         pace_percent: share that the owner has set.
-        over_target_s: since when it has been over its target; None if not.
     """
 
     task_id: model.TaskId
@@ -70,8 +69,6 @@
     percent: int = 0
     reading: float = 0.0
     pace_percent: int = _EVERYTHING_PERCENT
-    over_target_s: float | None = None
-    last_worker_id: str = ""
 
     @property
     def is_active(self) -> bool:
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -4,7 +4,7 @@
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import ledger
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch import workers
@@ -74,7 +74,7 @@
 def create_engine(
     *entries: model.WorkerEntry,
     teams: dict[str, model.Team] | None = None,
-    log: ledger.DecisionLog | None = None,
+    log: owner_state.DecisionLog | None = None,
 ) -> engines.Engine:
     """Returns the decisions of an owner that begins at 10 s."""
     made = engines.Engine(1, 10.0, 10.0, log or _no_log)
--- a/foxtaillock/batch/tests/fake_worker.py
+++ b/foxtaillock/batch/tests/fake_worker.py
@@ -106,7 +106,7 @@
             interfaces.OrderOutcome.ACCEPTED, clock_ms
         )
 
-    def look(
+    def poll(
         self,
         epoch: int,
         acknowledged: int,
--- a/foxtaillock/batch/tests/naive_view.py
+++ b/foxtaillock/batch/tests/naive_view.py
@@ -1,4 +1,4 @@
-"""Fold of the journal that keeps every record and looks through them all."""
+"""Fold of the journal that keeps every record and polls through them all."""
 
 from foxtaillock.batch import model
 from foxtaillock.batch import records
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -56,7 +56,7 @@
         self.is_over = False
         self._is_writing = False
         self._renewed_s = now_s
-        self._looking: set[str] = set()
+        self._polling: set[str] = set()
         folded = simulation.view
         for spec in list(folded.jobs()):
             self.submit(spec)
@@ -90,7 +90,7 @@
         self._write()
         if now_s - self.written_s <= workers.RENEW_LIMIT_S:
             for worker in list(self.engine.workers.values()):
-                self._look(worker)
+                self._poll(worker)
 
     def _write(self) -> None:
         simulation = self._simulation
@@ -162,24 +162,24 @@
 
         simulation.order(self, stop.worker.worker_id, _act, _answered)
 
-    def _look(self, worker: workers.Worker) -> None:
+    def _poll(self, worker: workers.Worker) -> None:
         simulation = self._simulation
         worker_id = worker.worker_id
         now_s = simulation.now_s
-        waits_for_record = worker.seen_end > worker.noted
-        if worker_id in self._looking or waits_for_record:
+        waits_for_record = worker.received_end > worker.recorded_end
+        if worker_id in self._polling or waits_for_record:
             return
-        if now_s - worker.looked_s < 0.1:
+        if now_s - worker.polled_s < 0.1:
             return
-        plan = self.engine.answers.look_plan(worker, now_s)
+        plan = self.engine.answers.poll_plan(worker, now_s)
         if plan is None:
             return
-        self._looking.add(worker_id)
+        self._polling.add(worker_id)
 
         def _act(
             real: fake_worker.FakeWorker,
         ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
-            return real.look(
+            return real.poll(
                 self.epoch,
                 plan.acknowledged,
                 plan.valid_until_ms,
@@ -189,10 +189,10 @@
         def _answered(
             answer: interfaces.WorkerLists | interfaces.OrderAnswer,
         ) -> None:
-            self._looking.discard(worker_id)
+            self._polling.discard(worker_id)
             if isinstance(answer, interfaces.OrderAnswer):
                 self._check(answer)
-            self.engine.answers.looked(
+            self.engine.answers.polled(
                 worker_id, plan, answer, now_s, simulation.now_s
             )
 
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -13,16 +13,16 @@
 _JOB = "00000000000000aa"
 
 
-def _look(
+def _poll(
     engine: engines.Engine,
     worker_id: str,
     answer: interfaces.WorkerLists | interfaces.OrderAnswer,
     now_s: float,
 ) -> None:
     worker = engine.workers[worker_id]
-    plan = engine.answers.look_plan(worker, now_s)
+    plan = engine.answers.poll_plan(worker, now_s)
     assert plan is not None
-    engine.answers.looked(worker_id, plan, answer, now_s, now_s + 0.01)
+    engine.answers.polled(worker_id, plan, answer, now_s, now_s + 0.01)
 
 
 def _unknown() -> interfaces.OrderAnswer:
@@ -88,7 +88,7 @@
             )
             for number in (1, 2)
         ]
-        _look(
+        _poll(
             engine,
             "1",
             builders.lists(
@@ -97,7 +97,7 @@
             11.0,
         )
         self.assertEqual(builders.start_all(engine, 11.1), [])
-        _look(engine, "1", builders.lists(ended=ends), 11.2)
+        _poll(engine, "1", builders.lists(ended=ends), 11.2)
         started = builders.start_all(engine, 11.3)
         self.assertEqual([plan.task.task_id.step for plan in started], [1])
 
@@ -106,14 +106,14 @@
         end = interfaces.EndRow(
             1, model.TaskId(_JOB, 0, 0, 0), 1, model.EndKind.DONE, ""
         )
-        _look(engine, "1", builders.lists(ended=[end]), 11.0)
+        _poll(engine, "1", builders.lists(ended=[end]), 11.0)
         worker = engine.workers["1"]
-        self.assertEqual(worker.noted, 0)
+        self.assertEqual(worker.recorded_end, 0)
         batch = engine.take_batch()
         kinds = {type(records.decode(*each)) for each in batch.records}
         self.assertEqual(kinds, {records.StepProgress, records.JobEnd})
         engine.committed(batch, 11.1)
-        plan = engine.answers.look_plan(worker, 11.1)
+        plan = engine.answers.poll_plan(worker, 11.1)
         assert plan is not None
         self.assertEqual(plan.acknowledged, 1)
 
@@ -123,7 +123,7 @@
             end = interfaces.EndRow(
                 run, model.TaskId(_JOB, 0, 0, 0), run, model.EndKind.FAILED, ""
             )
-            _look(engine, "1", builders.lists(ended=[end]), 10.0 + run)
+            _poll(engine, "1", builders.lists(ended=[end]), 10.0 + run)
             builders.start_all(engine, 10.5 + run)
         self.assertIs(engine.jobs[_JOB].final_state, model.JobState.FAILED)
         self.assertEqual(self._task(engine).run, 2)
@@ -139,7 +139,7 @@
         for run, kind in enumerate(kinds, 1):
             task = model.TaskId(_JOB, 0, 0, 0)
             end = interfaces.EndRow(run, task, run, kind, "")
-            _look(engine, "1", builders.lists(ended=[end]), 10.0 + 5 * run)
+            _poll(engine, "1", builders.lists(ended=[end]), 10.0 + 5 * run)
             self.assertEqual(len(builders.start_all(engine, 13.0 + 5 * run)), 1)
 
     def test_start_in_doubt_is_stopped_before_another_run(self) -> None:
@@ -149,21 +149,21 @@
         plan = engine.committed(engine.take_batch(), 10.0)[0]
         engine.start_order(plan, 10.0)
         engine.answers.start_answered(plan, _unknown(), 10.8)
-        _look(engine, "1", builders.lists(), 10.9)
+        _poll(engine, "1", builders.lists(), 10.9)
         self.assertIs(self._task(engine).phase, tasks.Phase.IN_DOUBT)
         (stop,) = engine.take_stops()
         accepted = interfaces.OrderOutcome.ACCEPTED
         engine.answers.stop_answered(
             stop, interfaces.OrderAnswer(accepted, 6000), 11.0
         )
-        _look(engine, "1", builders.lists(), 11.1)
+        _poll(engine, "1", builders.lists(), 11.1)
         self.assertIs(self._task(engine).phase, tasks.Phase.WAITING)
 
     def test_silent_worker_is_not_renewed_and_its_lease_ends(self) -> None:
         engine = self._running(builders.step())
-        _look(engine, "1", _unknown(), 11.0)
+        _poll(engine, "1", _unknown(), 11.0)
         worker = engine.workers["1"]
-        plan = engine.answers.look_plan(worker, 12.0)
+        plan = engine.answers.poll_plan(worker, 12.0)
         assert plan is not None
         self.assertIsNone(plan.valid_until_ms)
         engine.tick(12.5)
@@ -177,16 +177,16 @@
         engine = builders.create_engine(builders.entry("1"))
         worker = engine.workers["1"]
         worker.unanswered = 3
-        self.assertTrue(engine.answers.needs_look(worker))
-        _look(engine, "1", builders.lists(), 12.0)
+        self.assertTrue(engine.answers.needs_poll(worker))
+        _poll(engine, "1", builders.lists(), 12.0)
         self.assertTrue(worker.is_usable(12.1))
-        self.assertFalse(engine.answers.needs_look(worker))
+        self.assertFalse(engine.answers.needs_poll(worker))
 
     def test_unknown_run_is_stopped(self) -> None:
         engine = self._running(builders.step())
         stray = model.TaskId("00000000000000bb", 0, 0, 0)
         rows = [(stray, 4), (model.TaskId(_JOB, 0, 0, 0), 1)]
-        _look(engine, "1", builders.lists(running=rows), 11.0)
+        _poll(engine, "1", builders.lists(running=rows), 11.0)
         (stop,) = engine.take_stops()
         self.assertEqual((stop.task_id, stop.run), (stray, 4))
 
@@ -211,7 +211,7 @@
         end = interfaces.EndRow(
             1, model.TaskId(_JOB, 0, 0, 1), 1, model.EndKind.DONE, ""
         )
-        _look(engine, "1", builders.lists(ended=[end]), 11.0)
+        _poll(engine, "1", builders.lists(ended=[end]), 11.0)
         self.assertIs(engine.jobs[_JOB].final_state, model.JobState.COMPLETED)
 
     def test_occurrences_start_when_they_are_due(self) -> None:
@@ -271,14 +271,14 @@
         engine = self._taken_over(builders.entry("1"))
         task = engine.jobs[_JOB].steps[0, 0].tasks[1]
         rows = [(task.task_id, 3)]
-        _look(engine, "1", builders.lists(running=rows), 10.1)
+        _poll(engine, "1", builders.lists(running=rows), 10.1)
         self.assertEqual((task.phase, task.run), (tasks.Phase.RUNNING, 3))
         self.assertEqual(engine.jobs[_JOB].steps[0, 0].done_count, 1)
 
     def test_run_that_its_worker_does_not_know_never_began(self) -> None:
         engine = self._taken_over(builders.entry("1"))
         task = engine.jobs[_JOB].steps[0, 0].tasks[1]
-        _look(engine, "1", builders.lists(), 10.1)
+        _poll(engine, "1", builders.lists(), 10.1)
         self.assertEqual((task.phase, task.run), (tasks.Phase.WAITING, 3))
         self.assertEqual(task.saved, "progress")
 
@@ -286,7 +286,7 @@
         engine = self._taken_over(builders.entry("1"))
         worker = engine.workers["1"]
         rows = [(engine.jobs[_JOB].steps[0, 0].tasks[1].task_id, 3)]
-        _look(engine, "1", builders.lists(running=rows), 10.1)
+        _poll(engine, "1", builders.lists(running=rows), 10.1)
         self.assertGreater(worker.ends_by_s(), 14.0)
 
     def test_run_on_a_worker_that_never_comes_back_is_given_up(self) -> None:
@@ -318,7 +318,7 @@
         for worker in engine.workers.values():
             rows = [(task, 1) for task in worker.tasks]
             if rows:
-                _look(engine, worker.worker_id, builders.lists(rows), 11.0)
+                _poll(engine, worker.worker_id, builders.lists(rows), 11.0)
         return engine
 
     def _with_tasks(self, engine: engines.Engine) -> list[str]:
--- a/foxtaillock/batch/tests/test_sharing.py
+++ b/foxtaillock/batch/tests/test_sharing.py
@@ -43,14 +43,14 @@
         builders.start_all(engine, 10.0)
         worker = engine.workers["1"]
         self.assertEqual(worker.held.cpu_millis, 1000)
-        plan = engine.answers.look_plan(worker, 11.0)
+        plan = engine.answers.poll_plan(worker, 11.0)
         assert plan is not None
         rows = [
             interfaces.RunRow(model.TaskId(_JOB, 0, 0, 0), 1, "", 100, 55.0),
             interfaces.RunRow(model.TaskId(_JOB, 0, 1, 0), 1, "", 100, 900.0),
         ]
         answer = interfaces.WorkerLists(1, 6000, rows, [])
-        engine.answers.looked("1", plan, answer, 11.0, 11.1)
+        engine.answers.polled("1", plan, answer, 11.0, 11.1)
         (pace,) = engine.take_paces()
         self.assertEqual((pace.task_id.step, pace.percent), (1, 50))
 
--- a/foxtaillock/batch/vm_duties.py
+++ b/foxtaillock/batch/vm_duties.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from foxtaillock.batch import fleet
-from foxtaillock.batch import ledger as ledgers
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import load_meter
 from foxtaillock.batch import model
 from foxtaillock.batch import tasks
@@ -19,22 +19,22 @@
     """Emptying of workers, and the load of pools.
 
     Args:
-        ledger: jobs and workers of the owner.
+        state: jobs and workers of the owner.
     """
 
-    def __init__(self, ledger: ledgers.Ledger) -> None:
-        self._ledger = ledger
+    def __init__(self, state: owner_state.OwnerState) -> None:
+        self._state = state
 
     def evacuate(self, now_s: float) -> None:
         """Stops tasks that last on workers that are leaving.
 
         They start again elsewhere, as many at a time as their step may miss.
         """
-        for worker in self._ledger.workers.values():
+        for worker in self._state.workers.values():
             if not (worker.is_leaving or worker.entry.is_draining):
                 continue
             for task in list(worker.tasks.values()):
-                step = self._ledger.step(task)
+                step = self._state.step(task)
                 if (
                     step.spec.is_lasting
                     and task.phase is tasks.Phase.RUNNING
@@ -42,42 +42,42 @@
                     and self._may_be_away(step, task)
                     and self._has_place(step, worker, now_s)
                 ):
-                    self._ledger.log(
+                    self._state.log(
                         "task-evacuated",
                         task=model.task_text(task.task_id),
                         run=task.run,
                         worker=worker.worker_id,
                         may_miss=step.spec.may_miss,
                     )
-                    self._ledger.order_stop(worker, task, now_s)
+                    self._state.order_stop(worker, task, now_s)
 
     def set_leaving(self, worker_ids: Iterable[str]) -> None:
         """Sets which workers are emptied for orders to their VMs."""
         leaving = set(worker_ids)
-        for worker in self._ledger.workers.values():
+        for worker in self._state.workers.values():
             is_leaving = worker.worker_id in leaving
             if is_leaving != worker.is_leaving:
-                self._ledger.log_worker(
+                self._state.log_worker(
                     worker, "worker-leaving", leaving=is_leaving
                 )
                 worker.is_leaving = is_leaving
-                self._ledger.needs_plan = True
+                self._state.needs_plan = True
 
     def vm_was_ordered(self, worker_id: str, now_s: float) -> None:
         """Takes in that the VM of a worker was moved or maintained."""
-        worker = self._ledger.workers.get(worker_id)
+        worker = self._state.workers.get(worker_id)
         if worker is not None:
-            self._ledger.lose_worker(worker, now_s, "its VM was ordered away")
+            self._state.lose_worker(worker, now_s, "its VM was ordered away")
 
     def vm_use(self, worker_id: str, now_s: float) -> fleet.VmUse | None:
         """Returns what runs on a worker; None if it is not known."""
-        worker = self._ledger.workers.get(worker_id)
+        worker = self._state.workers.get(worker_id)
         if worker is None:
             return None
         lasting = sum(
             1
             for task in worker.tasks.values()
-            if self._ledger.step(task).spec.is_lasting
+            if self._state.step(task).spec.is_lasting
         )
         idle_s = 0.0 if worker.tasks else now_s - worker.idle_from_s
         return fleet.VmUse(len(worker.tasks), lasting, idle_s)
@@ -86,11 +86,11 @@
         """Returns the work of each pool that serves queues."""
         meters = {
             pool.name: load_meter.LoadMeter()
-            for pool in self._ledger.pools.values()
+            for pool in self._state.pools.values()
             if not pool.is_spare
         }
-        for job in self._ledger.jobs.values():
-            queue = self._ledger.queues.get(job.spec.queue)
+        for job in self._state.jobs.values():
+            queue = self._state.queues.get(job.spec.queue)
             if job.is_over or queue is None or queue.pool not in meters:
                 continue
             meter = meters[queue.pool]
@@ -100,9 +100,9 @@
             for step in job.steps.values():
                 if step.is_done:
                     continue
-                candidate = self._ledger.candidate(step, now_s)
+                candidate = self._state.candidate(step, now_s)
                 meter.add_step(step, candidate, job.is_excess, now_s)
-        for worker in self._ledger.workers.values():
+        for worker in self._state.workers.values():
             if worker.entry.pool in meters:
                 meters[worker.entry.pool].add_worker(worker)
         return {pool: meter.load() for pool, meter in meters.items()}
@@ -124,7 +124,7 @@
 
     def _is_at_work(self, task: tasks.Task) -> bool:
         """Returns whether a task works at its full speed, as far as known."""
-        worker = self._ledger.workers.get(task.worker_id)
+        worker = self._state.workers.get(task.worker_id)
         return (
             task.phase is tasks.Phase.RUNNING
             and not task.is_stopping
@@ -143,5 +143,5 @@
             and other.entry.pool == leaving.entry.pool
             and resources.fits(step.spec.held_size, other.free)
             and not (step.spec.max_per_worker and other.worker_id in counts)
-            for other in self._ledger.workers.values()
+            for other in self._state.workers.values()
         )
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import ledger as ledgers
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import model
 from foxtaillock.batch import pacing
 from foxtaillock.batch import plans
@@ -19,19 +19,19 @@
 _RETRY_S = 0.25
 _MAX_RETRY_S = 1.0
 
-# Longest wait of a look for an end. The lease is renewed as often.
-_LOOK_WAIT_S = 1.0
+# Longest wait of a poll for an end. The lease is renewed as often.
+_POLL_WAIT_S = 1.0
 
 
 class WorkerAnswers:
-    """Answers to starts, stops and looks.
+    """Answers to starts, stops and polls.
 
     Args:
-        ledger: jobs and workers of the owner.
+        state: jobs and workers of the owner.
     """
 
-    def __init__(self, ledger: ledgers.Ledger) -> None:
-        self._ledger = ledger
+    def __init__(self, state: owner_state.OwnerState) -> None:
+        self._state = state
 
     def start_answered(
         self,
@@ -46,9 +46,9 @@
             return
         outcome = answer.outcome
         if outcome is interfaces.OrderOutcome.ACCEPTED:
-            self._ledger.set_phase(task, tasks.Phase.RUNNING, now_s)
+            self._state.set_phase(task, tasks.Phase.RUNNING, now_s)
             return
-        self._ledger.log(
+        self._state.log(
             "start-not-accepted",
             task=model.task_text(task.task_id),
             run=task.run,
@@ -57,17 +57,17 @@
         )
         if outcome is interfaces.OrderOutcome.UNKNOWN:
             worker.unanswered += 1
-            self._ledger.set_phase(task, tasks.Phase.IN_DOUBT, now_s)
+            self._state.set_phase(task, tasks.Phase.IN_DOUBT, now_s)
             return
         if outcome is interfaces.OrderOutcome.OTHER_WORKER:
-            self._ledger.lose_worker(
+            self._state.lose_worker(
                 worker, now_s, "another worker answers there"
             )
         elif outcome is interfaces.OrderOutcome.TICKET_REFUSED:
-            self._ledger.tickets.drop(task.task_id.step_id)
+            self._state.tickets.drop(task.task_id.step_id)
         elif outcome is not interfaces.OrderOutcome.STALE_RUN:
             worker.closed_until_s = now_s + _REFUSAL_HOLD_S
-        self._ledger.not_run(task, now_s)
+        self._state.not_run(task, now_s)
 
     def stop_answered(
         self,
@@ -76,12 +76,12 @@
         now_s: float,
     ) -> None:
         """Takes the answer to an order to stop in."""
-        worker = self._ledger.workers.get(plan.worker.worker_id)
+        worker = self._state.workers.get(plan.worker.worker_id)
         if worker is None:
             return
         self._note_clock(worker, answer, now_s)
         if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
-            self._ledger.lose_worker(
+            self._state.lose_worker(
                 worker, now_s, "another worker answers there"
             )
             return
@@ -93,62 +93,64 @@
         else:
             task.stopped_s = now_s
 
-    def looked(
+    def polled(
         self,
         worker_id: str,
-        plan: plans.LookPlan,
+        plan: plans.PollPlan,
         answer: interfaces.WorkerLists | interfaces.OrderAnswer,
         sent_s: float,
         now_s: float,
     ) -> None:
         """Takes a worker's lists in, or that it gave none."""
-        worker = self._ledger.workers.get(worker_id)
+        worker = self._state.workers.get(worker_id)
         if worker is None:
             return
         if isinstance(answer, interfaces.OrderAnswer):
-            self._look_failed(worker, answer, now_s)
+            self._poll_failed(worker, answer, now_s)
             return
         if answer.born_ms and answer.born_ms != worker.entry.born_ms:
-            self._ledger.lose_worker(worker, now_s, "it was started again")
+            self._state.lose_worker(worker, now_s, "it was started again")
             return
         if not worker.has_answered or worker.unanswered:
-            self._ledger.log_worker(
+            self._state.log_worker(
                 worker, "worker-reached", running=len(answer.running)
             )
-            self._ledger.needs_plan = True
+            self._state.needs_plan = True
         worker.heard(answer.clock_ms, now_s)
-        worker.acknowledged = max(worker.acknowledged, plan.acknowledged)
+        worker.acknowledged_end = max(
+            worker.acknowledged_end, plan.acknowledged
+        )
         self._take_ends(worker, answer.ended, now_s)
         self._compare(worker, answer.running, sent_s, now_s)
         self._pace_fillers(worker)
 
-    def look_plan(
+    def poll_plan(
         self, worker: workers.Worker, now_s: float
-    ) -> plans.LookPlan | None:
-        """Returns the look at a worker that is due; None if none is."""
-        if not self.needs_look(worker):
+    ) -> plans.PollPlan | None:
+        """Returns the poll at a worker that is due; None if none is."""
+        if not self.needs_poll(worker):
             return None
         is_settling = any(
             task.phase in (tasks.Phase.IN_DOUBT, tasks.Phase.ADOPTED)
             or task.stopped_s is not None
             for task in worker.tasks.values()
         )
-        # A look that gets no answer may have renewed the lease. A worker that
+        # A poll that gets no answer may have renewed the lease. A worker that
         # is silent is only asked, so that its lease comes to a known end.
         valid_until_ms = None
         if worker.tasks and not worker.unanswered:
             valid_until_ms = worker.lease_end_ms(now_s)
         if valid_until_ms is not None:
             worker.valid_until_ms = max(worker.valid_until_ms, valid_until_ms)
-        wait_s = 0.0 if is_settling or not worker.tasks else _LOOK_WAIT_S
-        worker.looked_s = now_s
-        return plans.LookPlan(
-            worker.entry, worker.noted, valid_until_ms, wait_s
+        wait_s = 0.0 if is_settling or not worker.tasks else _POLL_WAIT_S
+        worker.polled_s = now_s
+        return plans.PollPlan(
+            worker.entry, worker.recorded_end, valid_until_ms, wait_s
         )
 
-    def needs_look(self, worker: workers.Worker) -> bool:
+    def needs_poll(self, worker: workers.Worker) -> bool:
         """Returns whether a worker has to be asked what it runs."""
-        if worker.noted > worker.acknowledged:
+        if worker.recorded_end > worker.acknowledged_end:
             return True
         if worker.unanswered and worker.is_listed:
             return True
@@ -157,9 +159,9 @@
             for task in worker.tasks.values()
         )
 
-    def look_pause_s(self, worker: workers.Worker) -> float:
-        """Returns the time until the next look at a worker."""
-        if worker.seen_end > worker.noted:
+    def poll_pause_s(self, worker: workers.Worker) -> float:
+        """Returns the time until the next poll at a worker."""
+        if worker.received_end > worker.recorded_end:
             return 0.005
         if worker.unanswered:
             return min(_MAX_RETRY_S, _RETRY_S * worker.unanswered)
@@ -172,10 +174,10 @@
         now_s: float,
     ) -> None:
         for end in ended:
-            if end.number <= worker.seen_end:
+            if end.number <= worker.received_end:
                 continue
-            worker.seen_end = end.number
-            self._ledger.noted[worker.worker_id] = end.number
+            worker.received_end = end.number
+            self._state.recorded_ends[worker.worker_id] = end.number
             self._take_end(worker, end, now_s)
 
     def _take_end(
@@ -183,7 +185,7 @@
     ) -> None:
         task = worker.tasks.get(end.task)
         is_current = task is not None and task.run == end.run
-        self._ledger.log(
+        self._state.log(
             "run-ended",
             task=model.task_text(end.task),
             run=end.run,
@@ -193,23 +195,23 @@
         )
         if task is None or not is_current:
             return
-        step = self._ledger.step(task)
+        step = self._state.step(task)
         if end.saved:
             task.saved = end.saved
         if end.kind is model.EndKind.DONE and not step.spec.is_lasting:
-            self._ledger.trust.succeeded(worker.worker_id)
-            self._ledger.task_done(task, step, now_s)
+            self._state.trust.succeeded(worker.worker_id)
+            self._state.task_done(task, step, now_s)
             return
         if end.kind is model.EndKind.FAILED:
             task.failures += 1
-            self._ledger.trust.failed(
+            self._state.trust.failed(
                 worker.worker_id,
                 task.task_id.job_id,
                 step.spec.is_lasting,
                 now_s,
             )
-        self._ledger.release(task)
-        self._ledger.wait_again(task, step, now_s)
+        self._state.release(task)
+        self._state.wait_again(task, step, now_s)
 
     def _compare(
         self,
@@ -223,13 +225,13 @@
         for row in running:
             task = worker.tasks.get(row.task)
             if task is None or task.run != row.run:
-                self._ledger.log(
+                self._state.log(
                     "run-not-expected",
                     task=model.task_text(row.task),
                     run=row.run,
                     worker=worker.worker_id,
                 )
-                self._ledger.stops.append(
+                self._state.stops.append(
                     plans.StopPlan(worker.entry, row.task, row.run)
                 )
                 continue
@@ -239,11 +241,11 @@
             if task.task_id in present:
                 continue
             if _is_absent(task, sent_s):
-                self._ledger.run_lost(
+                self._state.run_lost(
                     task, now_s, f"not on the worker, {task.phase.value}"
                 )
             elif task.phase is tasks.Phase.IN_DOUBT and not task.is_stopping:
-                self._ledger.order_stop(worker, task, now_s)
+                self._state.order_stop(worker, task, now_s)
 
     def _take_running(
         self, task: tasks.Task, row: interfaces.RunRow, now_s: float
@@ -257,17 +259,17 @@
             tasks.Phase.ADOPTED,
             tasks.Phase.STARTING,
         ):
-            self._ledger.set_phase(task, tasks.Phase.RUNNING, now_s)
-        job = self._ledger.jobs.get(task.task_id.job_id)
+            self._state.set_phase(task, tasks.Phase.RUNNING, now_s)
+        job = self._state.jobs.get(task.task_id.job_id)
         if job is not None and job.is_over and not task.is_stopping:
-            self._ledger.order_stop(
-                self._ledger.workers[task.worker_id], task, now_s
+            self._state.order_stop(
+                self._state.workers[task.worker_id], task, now_s
             )
 
     def _pace_fillers(self, worker: workers.Worker) -> None:
         """Sets the share of the worker's fillers by those that serve."""
         running = [
-            (task, self._ledger.step(task).spec)
+            (task, self._state.step(task).spec)
             for task in worker.tasks.values()
             if task.phase is tasks.Phase.RUNNING
         ]
@@ -279,7 +281,7 @@
             percent = pacing.next_percent(task.pace_percent, readings)
             if percent == task.pace_percent:
                 continue
-            self._ledger.log(
+            self._state.log(
                 "filler-paced",
                 task=model.task_text(task.task_id),
                 worker=worker.worker_id,
@@ -288,23 +290,23 @@
                 readings=readings,
             )
             task.pace_percent = percent
-            self._ledger.paces.append(
+            self._state.paces.append(
                 plans.PacePlan(worker.entry, task.task_id, task.run, percent)
             )
 
-    def _look_failed(
+    def _poll_failed(
         self,
         worker: workers.Worker,
         answer: interfaces.OrderAnswer,
         now_s: float,
     ) -> None:
         if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
-            self._ledger.lose_worker(
+            self._state.lose_worker(
                 worker, now_s, "another worker answers there"
             )
             return
         if not worker.unanswered:
-            self._ledger.log_worker(
+            self._state.log_worker(
                 worker,
                 "worker-unreached",
                 outcome=answer.outcome.value,
@@ -325,9 +327,9 @@
 
 
 def _is_absent(task: tasks.Task, sent_s: float) -> bool:
-    """Returns whether a run that a look did not list has surely ended.
+    """Returns whether a run that a poll did not list has surely ended.
 
-    A look tells of what came before it was sent: a run that had begun, or
+    A poll tells of what came before it was sent: a run that had begun, or
     whose stop was confirmed, or that only an earlier epoch could begin.
     """
     if task.phase is tasks.Phase.ADOPTED:
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -43,10 +43,10 @@
             owner's orders.
         unsure_until_s: time by which leases of earlier owners are over.
         unanswered: calls in a row that got no answer.
-        noted: highest end whose record stands in the journal.
-        acknowledged: highest end that the worker was told to forget.
-        seen_end: highest end that was taken in.
-        looked_s: time at which the latest look was sent.
+        recorded_end: highest end whose record stands in the journal.
+        acknowledged_end: highest end that the worker was told to forget.
+        received_end: highest end that was taken in.
+        polled_s: time at which the latest poll was sent.
         closed_until_s: time until which it gets no new tasks.
         is_leaving: whether it is being emptied for an order to its VM.
         idle_from_s: time since which it has had no task.
@@ -64,10 +64,10 @@
     answered_s: float = float("-inf")
     valid_until_ms: int = 0
     unanswered: int = 0
-    noted: int = 0
-    acknowledged: int = 0
-    seen_end: int = 0
-    looked_s: float = float("-inf")
+    recorded_end: int = 0
+    acknowledged_end: int = 0
+    received_end: int = 0
+    polled_s: float = float("-inf")
     closed_until_s: float = float("-inf")
     is_leaving: bool = False
     idle_from_s: float = float("-inf")
--- a/foxtaillock/cli/tests/test_log_story.py
+++ b/foxtaillock/cli/tests/test_log_story.py
@@ -72,8 +72,7 @@
             config_version=7,
             config_age_s=0.4,
         )
-        (line,) = log_story.parse_lines("log", text)
-        (row,) = log_story.rows([line])
+        row = log_story.rows(log_story.parse_lines("log", text))[0]
         self.assertIn("config_version=7", row["what"])
 
     def test_unknown_id_has_no_story(self) -> None:
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -38,7 +38,7 @@
 # Of the 64 connections that a worker takes, the owner uses a few; more would
 # be opened at a price only to be idle.
 _ORDER_CONNECTIONS = 4
-_LOOK_CONNECTIONS = 2
+_POLL_CONNECTIONS = 2
 _STORE_CONNECTIONS = 8
 
 # The balancer sees within two of its questions, one a second, that a VM
@@ -75,7 +75,7 @@
     callers = [
         http.Caller(_STORE_CONNECTIONS),
         http.Caller(_ORDER_CONNECTIONS),
-        http.Caller(_LOOK_CONNECTIONS),
+        http.Caller(_POLL_CONNECTIONS),
     ]
     incarnation = uuid.uuid4().hex[:8]
     node = nodes.Node(
@@ -123,12 +123,12 @@
 
     Args:
         settings: settings of this entry VM.
-        callers: HTTP clients for the store, for orders and for looks.
+        callers: HTTP clients for the store, for orders and for polls.
         clock: source of time.
         log: receiver of a line for each decision.
         metrics: metrics of this process.
     """
-    store_caller, order_caller, look_caller = callers
+    store_caller, order_caller, poll_caller = callers
 
     def _topic(name: str) -> store.KeyedTopic:
         return store.KeyedTopic(
@@ -142,7 +142,7 @@
         _decode_config,
         registry.decode_wave,
         registry.decode_worker,
-        workers.HttpWorkers(order_caller, look_caller),
+        workers.HttpWorkers(order_caller, poll_caller),
         _vm_orders(settings, store_caller),
         _advisor(settings, order_caller),
         _topic(_STATUS_TOPIC),
--- a/foxtaillock/platform/front.py
+++ b/foxtaillock/platform/front.py
@@ -144,6 +144,11 @@
             return await self._desk.cancel(call)
         if request.method != "POST":
             return outcomes.Malformed(f"method {request.method}")
+        config = self._desk.directory
+        if config.version >= 0 and (request.content_length or 0) > (
+            config.max_body_bytes
+        ):
+            return outcomes.Malformed("the body is too large")
         body = await request.read()
         return await self._desk.submit(
             call, functools.partial(submissions.create_spec, body)
--- a/foxtaillock/platform/registry.py
+++ b/foxtaillock/platform/registry.py
@@ -50,7 +50,6 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: typing.NotRequired[int]
     target_duration_ms: typing.NotRequired[float]
     priority: typing.NotRequired[int]
     max_attempts: typing.NotRequired[int]
@@ -196,7 +195,6 @@
         int(route.get("target_duration_ms", 0)),
         route.get("public", False),
         bool(route.get("advice")),
-        route.get("timeout_ms", 0),
     )
 
 
--- a/foxtaillock/platform/settings.py
+++ b/foxtaillock/platform/settings.py
@@ -6,7 +6,7 @@
 
 from foxtaillock import exceptions
 
-__all__ = ["Endpoint", "StoreLimits", "VmSettings", "load", "parse"]
+__all__ = ["Endpoint", "VmSettings", "load", "parse"]
 
 
 class Endpoint(typing.NamedTuple):
@@ -21,20 +21,6 @@
         return f"{self.host}:{self.port}"
 
 
-class StoreLimits(typing.NamedTuple):
-    """What the platform's store takes.
-
-    Attributes:
-        record_bytes: largest record.
-        batch_bytes: largest sum of the records of one append.
-        keep_s: time after which records other than the newest of a key go.
-    """
-
-    record_bytes: int = 262_144
-    batch_bytes: int = 2_097_152
-    keep_s: float = 20.0
-
-
 class VmSettings(typing.NamedTuple):
     """Settings of one entry VM.
 
@@ -45,15 +31,12 @@
         readiness: where the balancer asks whether this VM is ready.
         metrics: where metrics are served.
         store: address of the platform's store.
-        store_limits: what it takes.
         fleet: address of the service that moves and maintains VMs; None if
             there is none.
-        vm_orders_per_s: orders for VMs that it takes from all entry VMs.
         advisor: address of the advisor; None if there is none.
         grace_s: time between SIGTERM and SIGKILL.
         key_age_s: age of the configuration past which no call with a key may
             succeed.
-        orders_are_fenced: whether orders for VMs are refused by epoch.
     """
 
     node: str
@@ -62,13 +45,10 @@
     readiness: Endpoint
     metrics: Endpoint
     store: Endpoint
-    store_limits: StoreLimits
     fleet: Endpoint | None
-    vm_orders_per_s: float
     advisor: Endpoint | None
     grace_s: float
     key_age_s: float
-    orders_are_fenced: bool
 
 
 # Port for metrics inside the range that the platform leaves to the program.
@@ -112,17 +92,10 @@
             callers.host, int(ports[0] or 0) + _METRICS_PORT_OFFSET
         ),
         store=reader.endpoint("platform.address"),
-        store_limits=StoreLimits(
-            int(reader.number("platform.record_bytes", 262_144)),
-            int(reader.number("platform.call_bytes", 2_097_152)),
-            reader.number("platform.keep_s", 20.0),
-        ),
         fleet=reader.optional_endpoint("cloud.address"),
-        vm_orders_per_s=reader.number("cloud.duty_per_s", 10.0),
         advisor=reader.optional_endpoint("advice"),
         grace_s=reader.number("bounds.grace_s", 6.0),
         key_age_s=reader.number("bounds.revoke_ms", 5_000.0) / 1000,
-        orders_are_fenced=reader.flag("bounds.require_fence"),
     )
     if reader.findings:
         findings = "; ".join(reader.findings)
@@ -166,10 +139,6 @@
             self.findings.append(f"{name}: {value!r} is not a number")
             return default
 
-    def flag(self, name: str) -> bool:
-        """Returns whether a field says `true`."""
-        return self._fields.get(name, "").lower() == "true"
-
     def endpoint(self, name: str) -> Endpoint:
         """Returns a field's address."""
         value = self.text(name)
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -63,7 +63,6 @@
         address: `HOST:PORT` of the store.
         topic: name of the topic.
         producer: name under which an owner's appends are fenced.
-        batch_bytes: largest sum of records of one append.
     """
 
     def __init__(
@@ -72,13 +71,11 @@
         address: str,
         topic: str,
         producer: str = "",
-        batch_bytes: int = 2_097_152,
     ) -> None:
         self._caller = caller
         self._address = address
         self._topic = topic
         self._producer = producer
-        self.batch_bytes = batch_bytes
 
     async def append(
         self,
--- a/foxtaillock/platform/tests/standin.py
+++ b/foxtaillock/platform/tests/standin.py
@@ -287,7 +287,7 @@
             answer = worker.stop(task, body["run"], body["fence"], _now_s())
             return _order_answer(answer)
         if request.path == "/-/hold":
-            return await self._look(worker, body)
+            return await self._poll(worker, body)
         clock_ms = worker.clock_ms(_now_s())
         return _json({"clock_ms": clock_ms})
 
@@ -304,12 +304,12 @@
         self.payloads.append((body["task"], body["workload"]))
         return _order_answer(worker.start(order, self.lasts_s, _now_s()))
 
-    async def _look(
+    async def _poll(
         self, worker: fake_worker.FakeWorker, body: dict[str, typing.Any]
     ) -> web.Response:
         deadline_s = _now_s() + body.get("wait_ms", 0) / 1000
         while True:
-            lists = worker.look(
+            lists = worker.poll(
                 body["fence"], body["last_seen"], body.get("until_ms"), _now_s()
             )
             if isinstance(lists, interfaces.OrderAnswer):
--- a/foxtaillock/platform/tests/test_daemon.py
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import sys
@@ -45,9 +46,9 @@
         self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
         await self.platform.add_worker("i-1", "pool")
         self.platform.lasts_s = 1000.0
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.settings = pathlib.Path(folder.name) / "settings.conf"
+        folder = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, folder)
+        self.settings = pathlib.Path(folder) / "settings.conf"
         self.callers, self.readiness, metrics = _free_ports(3)
         self.metrics = metrics + 3
         self._write_settings("4")
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -104,6 +104,7 @@
             {"workload": "t", "steps": []},
             {"workload": "t", "steps": [{"count": 1, "depends_on": [0]}]},
             {"workload": "t" * 5000, "steps": [{"count": 1}]},
+            {"workload": "t" * 300_000, "steps": [{"count": 1}]},
         ]
         for body in bodies:
             reply = await self.vm.call("POST", "/open/" + _ID, body=body)
--- a/foxtaillock/platform/workers.py
+++ b/foxtaillock/platform/workers.py
@@ -54,12 +54,12 @@
 
     Args:
         orders: client for orders.
-        looks: client for looks, whose answers wait.
+        polls: client for polls, whose answers wait.
     """
 
-    def __init__(self, orders: http.Caller, looks: http.Caller) -> None:
+    def __init__(self, orders: http.Caller, polls: http.Caller) -> None:
         self._orders = orders
-        self._looks = looks
+        self._polls = polls
 
     async def start(
         self, worker: model.WorkerEntry, order: interfaces.StartOrder
@@ -106,7 +106,7 @@
         }
         return await self._order(worker, "pace", body)
 
-    async def look(
+    async def poll(
         self,
         worker: model.WorkerEntry,
         epoch: int,
@@ -120,7 +120,7 @@
             body["until_ms"] = valid_until_ms
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        answer = await _call(self._looks, worker, "hold", body, wait_s)
+        answer = await _call(self._polls, worker, "hold", body, wait_s)
         if answer is None or answer.status != _OK:
             return _order_answer(answer)
         try:
