Owner: a release is written though an append was under way when it was asked for

Ruled out: a lost record (the owner's next append was fenced, not repeated). The new test fails before.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -10,8 +10,8 @@
 from collections.abc import Mapping
 
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import owner_state
 from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
 from foxtaillock.batch import records
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -227,7 +227,10 @@
         now_s = self._services.clock.monotonic_s()
         is_due = now_s - self._renewed_s >= ownership.HEARTBEAT_S
         has_records = self.engine.has_batch() or self._wave_progress
-        if not (is_due or self._gives_up or has_records):
+        # It may be told to give up while the append is under way; only what
+        # the append says counts.
+        gives_up = self._gives_up
+        if not (is_due or gives_up or has_records):
             return
         batch = self.engine.take_batch()
         entries = list(batch.records)
@@ -235,10 +238,10 @@
             records.encode(each) for each in self._wave_progress.values()
         ]
         self._wave_progress = {}
-        if is_due or self._gives_up:
+        if is_due or gives_up:
             self._renewal += 1
             self._renewed_s = now_s
-            entries.insert(0, records.encode(self._owner_record()))
+            entries.insert(0, records.encode(self._owner_record(gives_up)))
         for part in _split(entries):
             if not await self._append(part):
                 return
@@ -247,7 +250,7 @@
             self._spawn(self._start(plan))
         self._committed.set()
         self._committed = asyncio.Event()
-        if self._gives_up:
+        if gives_up:
             self._end("given up")
 
     async def _append(self, entries: Sequence[records.KeyedRecord]) -> bool:
@@ -295,12 +298,12 @@
             return True
         return False
 
-    def _owner_record(self) -> records.OwnerRecord:
+    def _owner_record(self, is_released: bool) -> records.OwnerRecord:
         return records.OwnerRecord(
             self._epoch,
             self._node,
             self._incarnation,
-            self._gives_up,
+            is_released,
             self._renewal,
         )
 
@@ -314,6 +317,8 @@
 
     def _check_reach(self) -> None:
         """Gives up when most workers with tasks are out of reach."""
+        if self._is_over:
+            return
         now_s = self._services.clock.monotonic_s()
         fraction = self.engine.unreached_fraction()
         if fraction <= _UNREACHED_FRACTION:
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -4,8 +4,8 @@
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import owner_state
 from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import plans
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -16,9 +16,9 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch import records
+from foxtaillock.batch.tests import fake_worker
 from foxtaillock.batch import view
 from foxtaillock.batch import workers
-from foxtaillock.batch.tests import fake_worker
 from foxtaillock.model import resources
 
 __all__ = ["Simulation"]
--- /dev/null
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -0,0 +1,111 @@
+"""One ownership over a journal in memory."""
+
+import asyncio
+import typing
+import unittest
+from collections.abc import Sequence
+
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import metrics
+from foxtaillock.batch import owner
+from foxtaillock.batch import records
+from foxtaillock.batch import view
+from foxtaillock.model import clock as model_clock
+
+
+class _MemoryJournal:
+    """Journal whose appends wait until they are let through.
+
+    Attributes:
+        appended: records that stand.
+        sequences: numbers of the appends, also of repeats.
+        waits: whether appends wait.
+        failures: appends that get no answer before one does.
+    """
+
+    def __init__(self) -> None:
+        self.appended: list[records.KeyedRecord] = []
+        self.sequences: list[int] = []
+        self.waits = asyncio.Event()
+        self.waits.set()
+        self.under_way = asyncio.Event()
+        self.failures = 0
+
+    async def append(
+        self,
+        batch: Sequence[records.KeyedRecord],
+        producer: interfaces.Producer | None = None,
+    ) -> interfaces.Appended:
+        """Appends once it is let through."""
+        self.under_way.set()
+        await self.waits.wait()
+        if producer is not None:
+            self.sequences.append(producer.sequence)
+        if self.failures:
+            self.failures -= 1
+            raise interfaces.StoreUnreachableError("no answer")
+        self.appended += batch
+        stored = interfaces.AppendOutcome.STORED
+        return interfaces.Appended(stored, len(self.appended))
+
+    async def read(self, offset: int, wait_s: float) -> interfaces.JournalPage:
+        """Finds nothing."""
+        await asyncio.sleep(wait_s)
+        return interfaces.JournalPage((), offset, offset)
+
+    async def read_newest(self) -> interfaces.JournalPage:
+        """Finds nothing."""
+        return interfaces.JournalPage((), 0, 0)
+
+    def owners(self) -> list[records.OwnerRecord]:
+        """Returns the records of the owner."""
+        decoded = [records.decode(*each) for each in self.appended]
+        return [
+            each for each in decoded if isinstance(each, records.OwnerRecord)
+        ]
+
+
+class OwnerTest(unittest.IsolatedAsyncioTestCase):
+    """Hand-over and repeats of appends."""
+
+    async def asyncSetUp(self) -> None:
+        self.journal = _MemoryJournal()
+        empty = _MemoryJournal()
+        services = owner.OwnerServices(
+            journal=self.journal,
+            registry=empty,
+            decode_worker=lambda *_: None,
+            worker_orders=typing.cast(interfaces.WorkerOrders, None),
+            vm_orders=None,
+            advisor=None,
+            statuses=empty,
+            encode_wave=lambda *_: records.KeyedRecord("", b""),
+            clock=model_clock.SystemClock(),
+            log=lambda *_, **__: None,
+            metrics=metrics.Metrics(),
+        )
+        self.owner = owner.Owner(
+            "vm-1", "a", 3, view.JournalView(), 0.0, services
+        )
+
+    async def test_release_stands_though_an_append_was_under_way(self) -> None:
+        self.journal.waits.clear()
+        running = asyncio.ensure_future(self.owner.run())
+        await self.journal.under_way.wait()
+        self.owner.stop()
+        self.journal.waits.set()
+        await asyncio.wait_for(running, 10.0)
+        self.assertFalse(self.journal.owners()[0].is_released)
+        self.assertTrue(self.journal.owners()[-1].is_released)
+
+    async def test_append_without_an_answer_is_repeated_under_its_number(
+        self,
+    ) -> None:
+        self.journal.failures = 2
+        running = asyncio.ensure_future(self.owner.run())
+        async with asyncio.timeout(10.0):
+            while len(self.journal.sequences) < 4:
+                await asyncio.sleep(0.02)
+        self.owner.stop()
+        await asyncio.wait_for(running, 10.0)
+        self.assertEqual(self.journal.sequences[:4], [1, 1, 1, 2])
--- a/foxtaillock/batch/tests/test_placement.py
+++ b/foxtaillock/batch/tests/test_placement.py
@@ -8,9 +8,9 @@
 from foxtaillock.batch import placement
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_pace
+from foxtaillock.batch.tests import builders
 from foxtaillock.batch import trust
 from foxtaillock.batch import workers
-from foxtaillock.batch.tests import builders
 
 _SEEDS = 100
 
--- a/foxtaillock/batch/tests/test_schedules.py
+++ b/foxtaillock/batch/tests/test_schedules.py
@@ -3,9 +3,9 @@
 import unittest
 from unittest import mock
 
+from foxtaillock.batch.tests import simulation
 from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers
-from foxtaillock.batch.tests import simulation
 
 _SEEDS = 200
 _LENGTH_S = 60.0
--- a/foxtaillock/batch/tests/test_sharing.py
+++ b/foxtaillock/batch/tests/test_sharing.py
@@ -5,8 +5,8 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import pacing
-from foxtaillock.batch import tickets
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch import tickets
 
 _JOB = "00000000000000aa"
 _TARGET_MS = 40
--- a/foxtaillock/batch/tests/test_view.py
+++ b/foxtaillock/batch/tests/test_view.py
@@ -5,9 +5,9 @@
 
 from foxtaillock.batch import model
 from foxtaillock.batch import records
-from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import naive_view
+from foxtaillock.batch import view
 
 _SEEDS = 60
 _RECORDS = 60
--- a/foxtaillock/batch/vm_duties.py
+++ b/foxtaillock/batch/vm_duties.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 
 from foxtaillock.batch import fleet
-from foxtaillock.batch import owner_state
 from foxtaillock.batch import load_meter
 from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import owner_state
 from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import pacing
 from foxtaillock.batch import plans
 from foxtaillock.batch import tasks
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -7,12 +7,12 @@
 import uuid
 from collections.abc import Callable
 
-from foxtaillock import exceptions
 from foxtaillock.batch import decision_log
 from foxtaillock.batch import directory
 from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import node as nodes
 from foxtaillock.batch import records
+from foxtaillock import exceptions
 from foxtaillock.model import clock as model_clock
 from foxtaillock.platform import advice
 from foxtaillock.platform import front as fronts
--- a/foxtaillock/platform/tests/test_translation.py
+++ b/foxtaillock/platform/tests/test_translation.py
@@ -4,11 +4,11 @@
 import typing
 import unittest
 
-from foxtaillock import exceptions
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import outcomes
 from foxtaillock.batch import records
+from foxtaillock import exceptions
 from foxtaillock.model import resources
 from foxtaillock.platform import registry
 from foxtaillock.platform import settings
