--- a/foxtaillock/batch/desk.py
+++ b/foxtaillock/batch/desk.py
@@ -26,9 +26,6 @@
 # A VM that has just started reads the configuration and the journal.
 _RETRY_STARTING_S = 0.5
 
-# Age of the journal past which an unknown job is not called unknown.
-_JOURNAL_AGE_S = 2.0
-
 _ID_LENGTH = 16
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
@@ -207,11 +204,8 @@
             try:
                 await self._follower.catch_up()
             except interfaces.StoreError:
-                age_s = self._clock.monotonic_s() - self._follower.confirmed_s
-                if age_s > _JOURNAL_AGE_S:
-                    return outcomes.NotStored(
-                        "journal-too-old", _RETRY_ELSEWHERE_S
-                    )
+                # It may have been accepted since this VM read last.
+                return outcomes.NotStored("journal-lost", _RETRY_ELSEWHERE_S)
             job = self._view.job(admitted.rest)
         if job is None or job.spec.team != admitted.team:
             return outcomes.NoSuchJob()
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -218,9 +218,11 @@
                 silence_s=round(decision.silence_s, 2),
                 reason=decision.reason,
             )
-            heard_s = self._ownership.heard_s
+            leases_over_s = workers.leases_over_s(
+                self._ownership.heard_s, self._ownership.has_ended()
+            )
             if await self._claim(decision.epoch):
-                await self._run_owner(decision.epoch, heard_s)
+                await self._run_owner(decision.epoch, leases_over_s)
 
     async def _claim(self, epoch: int) -> bool:
         """Writes a claim; returns whether it is the one that counts."""
@@ -253,22 +255,14 @@
             services.log("claim-lost", epoch=epoch, outcome="read back")
         return is_won
 
-    async def _run_owner(self, epoch: int, heard_s: float) -> None:
+    async def _run_owner(self, epoch: int, leases_over_s: float) -> None:
         services = self._services
-        # An earlier owner renews for a while after it could write last, and
-        # what it renewed last still has to run out.
-        unsure_until_s = (
-            heard_s
-            + workers.RENEW_LIMIT_S
-            + workers.LEASE_S / (1 - workers.CLOCK_DRIFT)
-            + 0.5
-        )
         owner = owners.Owner(
             self._name,
             self._incarnation,
             epoch,
             self._view,
-            unsure_until_s,
+            leases_over_s,
             owners.OwnerServices(
                 services.journal,
                 services.registry,
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -545,12 +545,16 @@
 def _split(
     entries: Sequence[records.KeyedRecord],
 ) -> list[list[records.KeyedRecord]]:
-    """Returns the records in parts that one append takes each."""
-    parts: list[list[records.KeyedRecord]] = [[]]
+    """Returns the records in parts that one append takes each.
+
+    There are none without records: an append of nothing would not be counted
+    by the store, and the next one would be out of sequence.
+    """
+    parts: list[list[records.KeyedRecord]] = []
     part_bytes = 0
     for entry in entries:
         entry_bytes = len(entry.key) + len(entry.value) + 8
-        if part_bytes + entry_bytes > _APPEND_BYTES and parts[-1]:
+        if not parts or part_bytes + entry_bytes > _APPEND_BYTES:
             parts.append([])
             part_bytes = 0
         parts[-1].append(entry)
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -81,6 +81,14 @@
             == (self._node, self._incarnation)
         )
 
+    def has_ended(self) -> bool:
+        """Returns whether the owner that was heard of certainly owns no more.
+
+        It has released, or it was an earlier process or ownership of this VM.
+        """
+        owner = self._owner
+        return owner is None or owner.is_released or owner.node == self._node
+
     def heard(self, owner: records.OwnerRecord, now_s: float) -> None:
         """Takes a record of an owner in."""
         if self._owner is not None and owner.epoch < self._owner.epoch:
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -7,9 +7,11 @@
 
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import metrics
+from foxtaillock.batch import model
 from foxtaillock.batch import owner
 from foxtaillock.batch import records
 from foxtaillock.batch import view
+from foxtaillock.batch.tests import builders
 from foxtaillock.model import clock as model_clock
 
 
@@ -19,6 +21,7 @@
     Attributes:
         appended: records that stand.
         sequences: numbers of the appends, also of repeats.
+        sizes: number of records of each append.
         waits: whether appends wait.
         failures: appends that get no answer before one does.
     """
@@ -26,6 +29,7 @@
     def __init__(self) -> None:
         self.appended: list[records.KeyedRecord] = []
         self.sequences: list[int] = []
+        self.sizes: list[int] = []
         self.waits = asyncio.Event()
         self.waits.set()
         self.under_way = asyncio.Event()
@@ -41,6 +45,7 @@
         await self.waits.wait()
         if producer is not None:
             self.sequences.append(producer.sequence)
+            self.sizes.append(len(batch))
         if self.failures:
             self.failures -= 1
             raise interfaces.StoreUnreachableError("no answer")
@@ -98,6 +103,33 @@
         self.assertFalse(self.journal.owners()[0].is_released)
         self.assertTrue(self.journal.owners()[-1].is_released)
 
+    async def test_ends_that_need_no_record_are_not_appended(self) -> None:
+        entry = builders.entry("1")
+        self.owner.engine.register(entry, 0.0)
+        worker = self.owner.engine.workers["1"]
+        worker.acknowledged_end = -1
+        stray = interfaces.EndRow(
+            1,
+            model.TaskId("00000000000000aa", 0, 0, 0),
+            1,
+            model.EndKind.DONE,
+            "",
+        )
+        plan = self.owner.engine.answers.poll_plan(worker, 0.0)
+        assert plan is not None
+        self.owner.engine.answers.polled(
+            "1", plan, builders.lists(ended=[stray]), 0.0, 0.1
+        )
+        self.assertTrue(self.owner.engine.has_batch())
+        running = asyncio.ensure_future(self.owner.run())
+        async with asyncio.timeout(10.0):
+            while len(self.journal.sequences) < 2:
+                await asyncio.sleep(0.02)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(worker.recorded_end, 1)
+        self.assertNotIn(0, self.journal.sizes)
+
     async def test_append_without_an_answer_is_repeated_under_its_number(
         self,
     ) -> None:
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -4,6 +4,7 @@
 
 from foxtaillock.batch import ownership
 from foxtaillock.batch import records
+from foxtaillock.batch import workers
 
 _OTHER = records.OwnerRecord(4, "vm-2", "b")
 
@@ -53,6 +54,20 @@
         self.known.heard(records.OwnerRecord(4, "vm-1", "z"), 10.0)
         self.assertEqual(self._decide(10.1), 5)
 
+    def test_owner_that_may_still_renew_is_told_from_one_that_has_ended(
+        self,
+    ) -> None:
+        self.known.heard(_OTHER, 10.0)
+        self.assertFalse(self.known.has_ended())
+        self.known.heard(_OTHER._replace(is_released=True), 11.0)
+        self.assertTrue(self.known.has_ended())
+        self.known.heard(records.OwnerRecord(5, "vm-1", "z"), 12.0)
+        self.assertTrue(self.known.has_ended())
+        silent_s = workers.leases_over_s(10.0, False)
+        ended_s = workers.leases_over_s(10.0, True)
+        self.assertEqual(silent_s - ended_s, workers.RENEW_LIMIT_S)
+        self.assertGreater(ended_s, 10.0 + workers.LEASE_S)
+
     def test_record_of_an_earlier_owner_changes_nothing(self) -> None:
         self.known.heard(_OTHER, 10.0)
         self.known.heard(records.OwnerRecord(3, "vm-3", "c"), 11.0)
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -6,7 +6,7 @@
 from foxtaillock.batch import tasks as batch_tasks
 from foxtaillock.model import resources
 
-__all__ = ["CLOCK_DRIFT", "LEASE_S", "RENEW_LIMIT_S", "Worker"]
+__all__ = ["LEASE_S", "RENEW_LIMIT_S", "Worker", "leases_over_s"]
 
 # Lease of what runs on a worker. A takeover takes 2.4 s at most, and the last
 # renewal may be 1.2 s old; shorter, the tasks of a dead worker start again
@@ -18,7 +18,8 @@
 
 # An owner that could write nothing for so long renews no leases, so that a
 # new owner knows when the tasks on a worker that it can't reach have ended.
-RENEW_LIMIT_S = 6.0
+# With the lease it covers outages of the store of 7 s.
+RENEW_LIMIT_S = 3.5
 
 # Allowance for the time between reading the clock and sending.
 _ALLOWANCE_S = 0.1
@@ -27,6 +28,23 @@
 _SUSPECT_AFTER = 1
 
 
+# Allowance for what an earlier owner had under way when it was last heard of.
+_UNDER_WAY_S = 0.5
+
+
+def leases_over_s(heard_s: float, has_ended: bool) -> float:
+    """Returns a time by which leases that an earlier owner gave are over.
+
+    Args:
+        heard_s: when a record of that owner was last read.
+        has_ended: whether it certainly renews no more; an owner that is only
+            silent may renew for a while on workers that this VM can't reach.
+    """
+    renews_s = 0.0 if has_ended else RENEW_LIMIT_S
+    lease_s = LEASE_S / (1 - CLOCK_DRIFT)
+    return heard_s + renews_s + lease_s + _UNDER_WAY_S
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """One life of a worker.
