Batch: one tail for calls that store a record, one rule for VMs that may move, dead code gone

Found on reading the whole change. An answer to a stop was checked for a later owner twice; a pause for ends that wait for their record could not be reached; fields and status constants that nothing read. Behaviour as before.

--- a/foxtaillock/batch/desk.py
+++ b/foxtaillock/batch/desk.py
@@ -116,11 +116,9 @@
             return self._answered(
                 "submit", call, outcomes.Malformed(str(error))
             )
-        outcome = await self._store(records.encode(spec), outcomes.Accepted())
-        if isinstance(outcome, outcomes.Accepted) and not self._may_succeed(
-            admitted
-        ):
-            outcome = outcomes.Unknown("configuration too old by now")
+        outcome = await self._store(
+            admitted, records.encode(spec), outcomes.Accepted()
+        )
         return self._answered("submit", call, outcome)
 
     async def state(self, call: Call) -> outcomes.CallOutcome:
@@ -151,12 +149,8 @@
         cancelled_ms = int(self._clock.now().timestamp() * 1000)
         record = records.Cancel(job.spec.job_id, cancelled_ms)
         outcome = await self._store(
-            records.encode(record), outcomes.Cancelled()
+            admitted, records.encode(record), outcomes.Cancelled()
         )
-        if isinstance(outcome, outcomes.Cancelled) and not self._may_succeed(
-            admitted
-        ):
-            outcome = outcomes.Unknown("configuration too old by now")
         return self._answered("cancel", call, outcome)
 
     def _admit(self, call: Call) -> _Admitted | outcomes.CallOutcome:
@@ -212,7 +206,10 @@
         return job
 
     async def _store(
-        self, record: records.KeyedRecord, stored: outcomes.CallOutcome
+        self,
+        admitted: _Admitted,
+        record: records.KeyedRecord,
+        stored: outcomes.CallOutcome,
     ) -> outcomes.CallOutcome:
         if self._follower.is_failing:
             return outcomes.NotStored("store-lost", _RETRY_ELSEWHERE_S)
@@ -224,6 +221,8 @@
         except interfaces.StoreUnreachableError as error:
             self._log("append-unknown", key=record.key, error=str(error))
             return outcomes.Unknown("store gave no answer")
+        if not self._may_succeed(admitted):
+            return outcomes.Unknown("configuration too old by now")
         return stored
 
     def _answered(
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -324,7 +324,6 @@
                 self._state.not_run(task, now_s)
                 continue
             self._state.set_phase(task, tasks.Phase.STARTING, now_s)
-            task.sent_s = now_s
             due.append(plan)
         return due
 
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -402,9 +402,7 @@
             free = [
                 row
                 for row in rows
-                if row.vm not in self._leaving
-                and now_s >= self._not_before_s.get(row.vm, 0.0)
-                and _is_idle(uses.get(row.vm))
+                if self._may_move(row, now_s) and _is_idle(uses.get(row.vm))
             ]
             least = max(load.spread + _KEPT_VMS, _LEAST_VMS)
             surplus = max(0, len(rows) - least)
@@ -412,11 +410,15 @@
         idle += [
             row
             for row in self._steady_rows(self._spare_pool)
-            if row.vm not in self._leaving
-            and now_s >= self._not_before_s.get(row.vm, 0.0)
+            if self._may_move(row, now_s)
         ]
         return idle
 
+    def _may_move(self, row: interfaces.VmRow, now_s: float) -> bool:
+        """Returns whether no wave and no refused order holds a VM."""
+        is_held = now_s < self._not_before_s.get(row.vm, 0.0)
+        return row.vm not in self._leaving and not is_held
+
     def _steady_rows(self, pool: str) -> list[interfaces.VmRow]:
         """VMs of a pool that are up, without an order under way."""
         return [
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -370,7 +370,6 @@
             worker=plan.worker.worker_id,
             outcome=answer.outcome.value,
         )
-        self._check_epoch(answer)
         self.engine.answers.stop_answered(
             plan, answer, services.clock.monotonic_s()
         )
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -47,7 +47,6 @@
         worker_born_ms: life of that worker.
         saved: progress to resume from.
         changed_s: time of the last change of the phase.
-        sent_s: time at which the order to start was sent.
         is_stopping: whether an order to stop it is due or under way.
         stopped_s: time at which the worker confirmed the stop; None before.
         percent: share of the worker's speed that the run has reached.
@@ -63,7 +62,6 @@
     worker_born_ms: int = 0
     saved: str = ""
     changed_s: float = 0.0
-    sent_s: float = 0.0
     is_stopping: bool = False
     stopped_s: float | None = None
     percent: int = 0
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -161,8 +161,6 @@
 
     def poll_pause_s(self, worker: workers.Worker) -> float:
         """Returns the time until the next poll at a worker."""
-        if worker.received_end > worker.recorded_end:
-            return 0.005
         if worker.unanswered:
             return min(_MAX_RETRY_S, _RETRY_S * worker.unanswered)
         return 0.0
--- a/foxtaillock/platform/front.py
+++ b/foxtaillock/platform/front.py
@@ -22,7 +22,6 @@
 _METRICS_PATH = "/metrics"
 _KEEPALIVE_S = 75.0
 _BACKLOG = 512
-_SECOND_S = 1.0
 
 
 class Front:
--- a/foxtaillock/platform/machines.py
+++ b/foxtaillock/platform/machines.py
@@ -15,7 +15,7 @@
 # Time for an answer; the service is near, but may be slow.
 _ANSWER_S = 1.5
 
-_OK, _BAD, _CONFLICT, _THROTTLED = 200, 400, 409, 429
+_OK, _CONFLICT, _THROTTLED = 200, 409, 429
 
 
 class _Machine(typing.TypedDict):
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -25,7 +25,7 @@
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
-_OK, _CONFLICT, _GONE, _PRECONDITION = 200, 409, 410, 412
+_OK, _CONFLICT, _GONE = 200, 409, 410
 _NOTHING_DONE = frozenset((400, 403, 404, 412, 429, 503, 507))
 
 
--- a/foxtaillock/platform/workers.py
+++ b/foxtaillock/platform/workers.py
@@ -15,7 +15,7 @@
 # worker is asked.
 _ANSWER_S = 0.8
 
-_OK, _BAD, _CONFLICT, _OTHER_BOOT = 200, 400, 409, 421
+_OK, _CONFLICT, _OTHER_BOOT = 200, 409, 421
 _REASONS = {
     "fence": interfaces.OrderOutcome.STALE_EPOCH,
     "old": interfaces.OrderOutcome.STALE_RUN,
