--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -89,6 +89,7 @@
         key_age_s: age of the configuration past which no call with a key may
             succeed.
         services: what it works with.
+        capacity: what it can carry as owner; see `ownership.capacity_of`.
 
     Attributes:
         desk: serves the calls of submitters.
@@ -100,6 +101,7 @@
         incarnation: str,
         key_age_s: float,
         services: NodeServices,
+        capacity: float = 0.0,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -108,8 +110,9 @@
         self._view = view.JournalView()
         self._view.on_record = self._on_record
         self._ownership = ownership.Ownership(
-            name, incarnation, clock.monotonic_s()
+            name, incarnation, clock.monotonic_s(), capacity
         )
+        self._capacity = capacity
         self._freshness = freshness.Freshness(key_age_s - _KEY_AGE_MARGIN_S)
         self._journal_follower = follower.Follower(
             "journal", services.journal, clock, self._view.apply, services.log
@@ -211,6 +214,7 @@
                 continue
             decision = self._ownership.decide(services.clock.monotonic_s())
             if not decision.epoch:
+                await self._offer()
                 continue
             services.log(
                 "ownership-claimed",
@@ -224,10 +228,26 @@
             if await self._claim(decision.epoch):
                 await self._run_owner(decision.epoch, leases_over_s)
 
+    async def _offer(self) -> None:
+        """Offers to relieve an owner whose VM can carry much less."""
+        services = self._services
+        offer = self._ownership.take_offer(services.clock.monotonic_s())
+        if offer is None:
+            return
+        services.log(
+            "ownership-offered", epoch=offer.epoch, capacity=offer.capacity
+        )
+        try:
+            await services.journal.append([records.encode(offer)])
+        except interfaces.StoreError as error:
+            services.log("offer-failed", error=str(error))
+
     async def _claim(self, epoch: int) -> bool:
         """Writes a claim; returns whether it is the one that counts."""
         services = self._services
-        claim = records.OwnerRecord(epoch, self._name, self._incarnation)
+        claim = records.OwnerRecord(
+            epoch, self._name, self._incarnation, capacity=self._capacity
+        )
         try:
             appended = await services.journal.append(
                 [records.encode(claim)], interfaces.Producer(epoch, 0)
@@ -260,6 +280,7 @@
         owner = owners.Owner(
             self._name,
             self._incarnation,
+            self._capacity,
             epoch,
             self._view,
             leases_over_s,
@@ -296,6 +317,10 @@
         if isinstance(record, records.OwnerRecord):
             now_s = self._services.clock.monotonic_s()
             self._ownership.heard(record, now_s)
+        elif isinstance(record, records.Candidacy):
+            self._ownership.offer_heard(
+                record, self._services.clock.monotonic_s()
+            )
         if self._owner is not None:
             self._owner.on_record(record)
 
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -27,6 +27,10 @@
 # Longest time between two steps when nothing happens.
 _STEP_S = 0.05
 
+# Time between two looks for workers that nobody polls. A worker is polled from
+# the first start on, so only what an earlier owner left there waits for it.
+_WATCH_S = 0.05
+
 # Time between two polls for steps that need advice.
 _ADVICE_S = 0.05
 
@@ -81,6 +85,7 @@
     Args:
         node: name of this entry VM.
         incarnation: start of its process.
+        capacity: what its VM can carry; see `ownership.capacity_of`.
         epoch: epoch of this ownership; its claim stands in the journal.
         journal_view: fold of the journal, caught up to the claim.
         unsure_until_s: time by which leases of earlier owners are over.
@@ -91,6 +96,7 @@
         self,
         node: str,
         incarnation: str,
+        capacity: float,
         epoch: int,
         journal_view: view.JournalView,
         unsure_until_s: float,
@@ -98,6 +104,8 @@
     ) -> None:
         self._node = node
         self._incarnation = incarnation
+        self._capacity = capacity
+        self._successor = ""
         self._epoch = epoch
         self._view = journal_view
         self._services = services
@@ -112,6 +120,7 @@
             lambda: self._written_s,
             self._on_wave_progress,
         )
+        self._watched_s = float("-inf")
         self._wave_progress: dict[int, records.WaveProgress] = {}
         # The claim was the first append of this epoch.
         self._sequence = 1
@@ -162,6 +171,9 @@
             if record.epoch > self._epoch:
                 self._end("another owner's record")
             return
+        elif isinstance(record, records.Candidacy):
+            self._consider(record)
+            return
         else:
             return
         self._wake.set()
@@ -305,6 +317,8 @@
             self._incarnation,
             is_released,
             self._renewal,
+            self._capacity,
+            self._successor if is_released else "",
         )
 
     def _end(self, reason: str) -> None:
@@ -315,6 +329,23 @@
         self._is_over = True
         self._wake.set()
 
+    def _consider(self, offer: records.Candidacy) -> None:
+        """Hands the ownership over to a VM that can carry much more."""
+        is_for_this = offer.epoch == self._epoch and not self._gives_up
+        if not is_for_this or not ownership.can_relieve(
+            offer.capacity, self._capacity
+        ):
+            return
+        self._services.log(
+            "ownership-handed-over",
+            epoch=self._epoch,
+            successor=offer.node,
+            capacity=self._capacity,
+            offered=offer.capacity,
+        )
+        self._successor = offer.node
+        self.stop()
+
     def _check_reach(self) -> None:
         """Gives up when most workers with tasks are out of reach."""
         if self._is_over:
@@ -352,7 +383,7 @@
         self.engine.answers.start_answered(
             plan, answer, services.clock.monotonic_s()
         )
-        self._watch()
+        self._watch_if_needed(plan.worker)
         self._wake.set()
 
     async def _stop(self, plan: plans.StopPlan) -> None:
@@ -422,14 +453,21 @@
 
     def _watch(self) -> None:
         """Begins to poll workers that nobody polls."""
+        now_s = self._services.clock.monotonic_s()
+        if now_s - self._watched_s < _WATCH_S:
+            return
+        self._watched_s = now_s
         for worker in self.engine.workers.values():
-            known = self._watchers.get(worker.worker_id)
-            if (
-                known is None or known.done()
-            ) and self.engine.answers.needs_poll(worker):
-                watcher = asyncio.ensure_future(self._watch_worker(worker))
-                watcher.add_done_callback(self._on_helper_done)
-                self._watchers[worker.worker_id] = watcher
+            self._watch_if_needed(worker)
+
+    def _watch_if_needed(self, worker: workers.Worker) -> None:
+        known = self._watchers.get(worker.worker_id)
+        is_watched = known is not None and not known.done()
+        if is_watched or not self.engine.answers.needs_poll(worker):
+            return
+        watcher = asyncio.ensure_future(self._watch_worker(worker))
+        watcher.add_done_callback(self._on_helper_done)
+        self._watchers[worker.worker_id] = watcher
 
     async def _watch_worker(self, worker: workers.Worker) -> None:
         services = self._services
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -11,7 +11,14 @@
 
 from foxtaillock.batch import records
 
-__all__ = ["ClaimDecision", "Ownership", "HEARTBEAT_S", "LEASE_S"]
+__all__ = [
+    "ClaimDecision",
+    "HEARTBEAT_S",
+    "LEASE_S",
+    "Ownership",
+    "can_relieve",
+    "capacity_of",
+]
 
 # An owner writes at least this often; a third of its lease, so that one lost
 # append does not cost it the ownership.
@@ -26,6 +33,22 @@
 _STAGGER_S = 0.08
 _STAGGER_STEPS = 8
 
+# What the owner's VM sends and reads for each processor that it uses: 300
+# starts a second with their payloads, answers and records.
+_LINK_MBIT_S = 10.0
+
+# A VM offers to take over from one that can carry this much less. The hand-over
+# stops new starts for some tenths of a second, so a little more is no reason.
+_RELIEVES = 1.5
+
+# Additional silence before a VM claims that can carry much less than the last
+# owner's, so that one of its kind comes first if any lives.
+_SMALLER_S = 0.4
+
+# Time that an owner is left before the first offer, and between two offers.
+_OFFER_S = 1.0
+_OFFER_AGAIN_S = 4.0
+
 # After it gave up for want of reach, an owner leaves the claim to others.
 YIELD_S = 8.0
 
@@ -44,6 +67,24 @@
     reason: str
 
 
+def capacity_of(processors: float, link_mbit_s: float) -> float:
+    """Returns what a VM can carry as an owner, in processors.
+
+    An owner's work takes processor time and the VM's link in a fixed relation,
+    so the scarcer one counts.
+
+    Example:
+        >>> capacity_of(2.0, 5.0)
+        0.5
+    """
+    return min(processors, link_mbit_s / _LINK_MBIT_S)
+
+
+def can_relieve(capacity: float, owner_capacity: float) -> bool:
+    """Returns whether a VM can carry so much more that it ought to own."""
+    return owner_capacity > 0 and capacity >= _RELIEVES * owner_capacity
+
+
 class Ownership:
     """What one entry VM knows of the owner.
 
@@ -51,11 +92,17 @@
         node: name of this entry VM.
         incarnation: start of its process.
         now_s: time at which it starts to listen.
+        capacity: what it can carry; see `capacity_of`.
     """
 
-    def __init__(self, node: str, incarnation: str, now_s: float) -> None:
+    def __init__(
+        self, node: str, incarnation: str, now_s: float, capacity: float = 0.0
+    ) -> None:
         self._node = node
         self._incarnation = incarnation
+        self._capacity = capacity
+        self._owned_s = now_s
+        self._offered_s = float("-inf")
         self._owner: records.OwnerRecord | None = None
         self._heard_s = now_s
         self._checked_s = float("-inf")
@@ -93,6 +140,8 @@
         """Takes a record of an owner in."""
         if self._owner is not None and owner.epoch < self._owner.epoch:
             return
+        if self._owner is None or owner.epoch > self._owner.epoch:
+            self._owned_s = now_s
         self._owner = owner
         self._heard_s = now_s
 
@@ -108,6 +157,24 @@
         """
         self._heard_s = max(self._heard_s, now_s - LEASE_S / 2)
 
+    def offer_heard(self, offer: records.Candidacy, now_s: float) -> None:
+        """Takes in that a VM offers to own; the others need not."""
+        if offer.capacity >= self._capacity:
+            self._offered_s = now_s
+
+    def take_offer(self, now_s: float) -> records.Candidacy | None:
+        """Returns an offer to relieve the owner that is due now, or None."""
+        owner = self._owner
+        if owner is None or owner.is_released or now_s < self._yield_until_s:
+            return None
+        if not can_relieve(self._capacity, owner.capacity):
+            return None
+        is_due = now_s - self._owned_s >= _OFFER_S + self._stagger_s()
+        if not is_due or now_s - self._offered_s < _OFFER_AGAIN_S:
+            return None
+        self._offered_s = now_s
+        return records.Candidacy(self._node, owner.epoch, self._capacity)
+
     def step_back(self, now_s: float) -> None:
         """Leaves the next claims to other entry VMs for a while."""
         self._yield_until_s = now_s + YIELD_S
@@ -137,18 +204,30 @@
         return ClaimDecision(epoch, silence_s, self._claim_reason())
 
     def _wait_s(self, now_s: float) -> float:
+        owner = self._owner
+        wait_s = self._stagger_s()
+        if now_s < self._yield_until_s:
+            wait_s += LEASE_S
+        if owner is None:
+            return wait_s
+        if can_relieve(owner.capacity, self._capacity):
+            wait_s += _SMALLER_S
+        if not owner.is_released:
+            return LEASE_S + wait_s
+        if not owner.successor:
+            return wait_s
+        return 0.0 if owner.successor == self._node else LEASE_S + wait_s
+
+    def _stagger_s(self) -> float:
         seed = f"{self._node}/{self._owner.epoch if self._owner else 0}"
         place = zlib.crc32(seed.encode()) % _STAGGER_STEPS
-        stagger_s = place * _STAGGER_S
-        if now_s < self._yield_until_s:
-            stagger_s += LEASE_S
-        if self._owner is None or self._owner.is_released:
-            return stagger_s
-        return LEASE_S + stagger_s
+        return place * _STAGGER_S
 
     def _claim_reason(self) -> str:
         if self._owner is None:
             return "no owner yet"
         if self._owner.is_released:
+            if self._owner.successor == self._node:
+                return "released to this VM"
             return "released by its owner"
         return "owner is silent"
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "Cancel",
+    "Candidacy",
     "JobEnd",
     "KeyedRecord",
     "OwnerRecord",
@@ -35,6 +36,8 @@
         incarnation: start of that entry VM's process.
         is_released: whether the owner has given the ownership up.
         renewal: count of its heartbeats.
+        capacity: what its VM can carry; see `ownership.capacity_of`.
+        successor: entry VM that is to claim after the release; empty for any.
     """
 
     epoch: int
@@ -42,6 +45,22 @@
     incarnation: str
     is_released: bool = False
     renewal: int = 0
+    capacity: float = 0.0
+    successor: str = ""
+
+
+class Candidacy(typing.NamedTuple):
+    """Offer of an entry VM that can carry more than the owner's.
+
+    Attributes:
+        node: entry VM that offers to own.
+        epoch: epoch of the owner that it would follow.
+        capacity: what it can carry.
+    """
+
+    node: str
+    epoch: int
+    capacity: float
 
 
 class Cancel(typing.NamedTuple):
@@ -104,7 +123,13 @@
 
 
 Record = (
-    OwnerRecord | model.JobSpec | Cancel | StepProgress | JobEnd | WaveProgress
+    OwnerRecord
+    | Candidacy
+    | model.JobSpec
+    | Cancel
+    | StepProgress
+    | JobEnd
+    | WaveProgress
 )
 
 
@@ -115,9 +140,11 @@
     value: bytes
 
 
-_OWNER, _JOB, _CANCEL, _STEP, _END, _WAVE = "o", "j", "c", "s", "e", "w"
+_OWNER, _CANDIDACY, _WAVE = "o", "n", "w"
+_JOB, _CANCEL, _STEP, _END = "j", "c", "s", "e"
 _TYPES: dict[str, typing.Any] = {
     _OWNER: OwnerRecord,
+    _CANDIDACY: Candidacy,
     _JOB: model.JobSpec,
     _CANCEL: Cancel,
     _STEP: StepProgress,
@@ -159,6 +186,8 @@
 def _key_of(record: Record) -> str:
     if isinstance(record, OwnerRecord):
         return _OWNER
+    if isinstance(record, Candidacy):
+        return _CANDIDACY
     if isinstance(record, StepProgress):
         job_id, occurrence, step = record.step_id
         return f"{_STEP}{job_id}.{occurrence}.{step}"
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -90,7 +90,7 @@
             metrics=metrics.Metrics(),
         )
         self.owner = owner.Owner(
-            "vm-1", "a", 3, view.JournalView(), 0.0, services
+            "vm-1", "a", 1.0, 3, view.JournalView(), 0.0, services
         )
 
     async def test_release_stands_though_an_append_was_under_way(self) -> None:
@@ -103,6 +103,18 @@
         self.assertFalse(self.journal.owners()[0].is_released)
         self.assertTrue(self.journal.owners()[-1].is_released)
 
+    async def test_only_much_more_capacity_relieves_this_owner(self) -> None:
+        running = asyncio.ensure_future(self.owner.run())
+        self.owner.on_record(records.Candidacy("vm-2", 2, 9.0))
+        self.owner.on_record(records.Candidacy("vm-3", 3, 1.4))
+        self.assertFalse(self.owner.has_given_up)
+        self.owner.on_record(records.Candidacy("vm-4", 3, 1.5))
+        self.owner.on_record(records.Candidacy("vm-5", 3, 9.0))
+        await asyncio.wait_for(running, 10.0)
+        release = self.journal.owners()[-1]
+        self.assertTrue(release.is_released)
+        self.assertEqual(release.successor, "vm-4")
+
     async def test_ends_that_need_no_record_are_not_appended(self) -> None:
         entry = builders.entry("1")
         self.owner.engine.register(entry, 0.0)
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -73,3 +73,61 @@
         self.known.heard(records.OwnerRecord(3, "vm-3", "c"), 11.0)
         self.assertEqual(self.known.owner, _OTHER)
         self.assertEqual(self.known.heard_s, 10.0)
+
+
+class CapacityTest(unittest.TestCase):
+    """Owners of different size."""
+
+    def setUp(self) -> None:
+        self.large = ownership.Ownership("vm-1", "a", 0.0, 2.0)
+        self.small = ownership.Ownership("vm-1", "a", 0.0, 0.5)
+
+    def test_the_scarcer_of_processor_and_link_counts(self) -> None:
+        self.assertEqual(ownership.capacity_of(2.0, 1000.0), 2.0)
+        self.assertEqual(ownership.capacity_of(2.0, 5.0), 0.5)
+
+    def test_larger_vm_offers_once_and_again_later(self) -> None:
+        self.large.heard(_OTHER._replace(capacity=0.5), 10.0)
+        self.assertIsNone(self.large.take_offer(10.5))
+        offer = self.large.take_offer(12.0)
+        self.assertEqual(offer, records.Candidacy("vm-1", 4, 2.0))
+        self.assertIsNone(self.large.take_offer(13.0))
+        self.assertIsNotNone(self.large.take_offer(17.0))
+
+    def test_no_offer_to_an_equal_or_while_another_has_offered(self) -> None:
+        self.large.heard(_OTHER._replace(capacity=2.0), 10.0)
+        self.assertIsNone(self.large.take_offer(12.0))
+        self.large.heard(_OTHER._replace(epoch=5, capacity=0.5), 20.0)
+        self.large.offer_heard(records.Candidacy("vm-3", 5, 2.0), 21.0)
+        self.assertIsNone(self.large.take_offer(22.0))
+
+    def test_no_offer_after_it_gave_up_for_want_of_reach(self) -> None:
+        self.large.heard(_OTHER._replace(capacity=0.5), 10.0)
+        self.large.step_back(10.0)
+        self.assertIsNone(self.large.take_offer(12.0))
+
+    def test_named_successor_claims_and_the_others_wait(self) -> None:
+        released = _OTHER._replace(
+            is_released=True, capacity=0.5, successor="vm-1"
+        )
+        self.large.heard(released, 10.0)
+        self.large.checked(10.0)
+        self.assertEqual(self.large.decide(10.0).epoch, 5)
+        self.large.heard(released._replace(epoch=5, successor="vm-7"), 11.0)
+        self.large.checked(12.0)
+        self.assertEqual(self.large.decide(12.0).epoch, 0)
+        self.large.checked(13.9)
+        self.assertEqual(self.large.decide(13.9).epoch, 6)
+
+    def test_smaller_vm_claims_after_those_of_the_last_owners_size(
+        self,
+    ) -> None:
+        for known in (self.large, self.small):
+            known.heard(_OTHER._replace(capacity=2.0), 10.0)
+            known.checked(13.0)
+        for tenths in range(100, 130):
+            now_s = tenths / 10
+            if self.large.decide(now_s).epoch:
+                self.assertFalse(self.small.decide(now_s).epoch)
+                break
+        self.assertTrue(self.small.decide(13.0).epoch)
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -126,6 +126,9 @@
     def _fold(self, record: records.Record) -> None:
         if isinstance(record, records.OwnerRecord):
             self.owner = record
+        elif isinstance(record, records.Candidacy):
+            # Only a fresh one counts, as it is read; it is no state.
+            return
         elif isinstance(record, records.WaveProgress):
             self._waves[record.number] = record
         elif isinstance(record, records.StepProgress):
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -11,6 +11,7 @@
 from foxtaillock.batch import directory
 from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import node as nodes
+from foxtaillock.batch import ownership
 from foxtaillock.batch import records
 from foxtaillock import exceptions
 from foxtaillock.model import clock as model_clock
@@ -23,7 +24,7 @@
 from foxtaillock.platform import store
 from foxtaillock.platform import workers
 
-__all__ = ["create_services", "main"]
+__all__ = ["create_node", "create_services", "main"]
 
 _SETTINGS_VARIABLE = "FOXTAILLOCK_SETTINGS"
 _DEFAULT_SETTINGS = "/etc/foxtaillock/settings.conf"
@@ -78,12 +79,8 @@
         http.Caller(_POLL_CONNECTIONS),
     ]
     incarnation = uuid.uuid4().hex[:8]
-    node = nodes.Node(
-        settings.node,
-        incarnation,
-        settings.key_age_s,
-        create_services(settings, callers, clock, log, metrics),
-    )
+    services = create_services(settings, callers, clock, log, metrics)
+    node = create_node(settings, incarnation, services)
     front = fronts.Front(node.desk, lambda: node.is_ready, clock, metrics)
     node.start()
     await front.listen(settings.readiness, front.serve_readiness)
@@ -112,6 +109,27 @@
         await caller.close()
 
 
+def create_node(
+    settings: platform_settings.VmSettings,
+    incarnation: str,
+    services: nodes.NodeServices,
+) -> nodes.Node:
+    """Returns the entry VM that the settings describe.
+
+    Args:
+        settings: its settings.
+        incarnation: start of its process.
+        services: what it works with.
+    """
+    return nodes.Node(
+        settings.node,
+        incarnation,
+        settings.key_age_s,
+        services,
+        ownership.capacity_of(settings.processors, settings.link_mbit_s),
+    )
+
+
 def create_services(
     settings: platform_settings.VmSettings,
     callers: list[http.Caller],
--- a/foxtaillock/platform/settings.py
+++ b/foxtaillock/platform/settings.py
@@ -37,6 +37,8 @@
         grace_s: time between SIGTERM and SIGKILL.
         key_age_s: age of the configuration past which no call with a key may
             succeed.
+        processors: processor time of this VM, in processors.
+        link_mbit_s: bandwidth of its link.
     """
 
     node: str
@@ -49,6 +51,8 @@
     advisor: Endpoint | None
     grace_s: float
     key_age_s: float
+    processors: float
+    link_mbit_s: float
 
 
 # Port for metrics inside the range that the platform leaves to the program.
@@ -83,6 +87,8 @@
     reader = _Reader(_fields(text))
     callers = reader.endpoint("listen.front")
     ports = reader.text("internal_ports", "7000,7015").split(",")
+    # The page's `cores` is how many times as fast as one the processor is.
+    speed = reader.number("limits.cores", 1.0)
     settings = VmSettings(
         node=reader.text("node"),
         zone=reader.text("zone"),
@@ -96,6 +102,8 @@
         advisor=reader.optional_endpoint("advice"),
         grace_s=reader.number("bounds.grace_s", 6.0),
         key_age_s=reader.number("bounds.revoke_ms", 5_000.0) / 1000,
+        processors=reader.number("limits.cpu_share", 1.0) * speed,
+        link_mbit_s=reader.number("limits.link_mbps", 1_000.0),
     )
     if reader.findings:
         findings = "; ".join(reader.findings)
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -5,7 +5,6 @@
 import aiohttp
 
 from foxtaillock.batch import metrics as batch_metrics
-from foxtaillock.batch import node as nodes
 from foxtaillock.model import clock as model_clock
 from foxtaillock.platform import daemon
 from foxtaillock.platform import front as fronts
@@ -70,6 +69,7 @@
         platform: standin.StandInPlatform,
         name: str = "vm-1",
         key_age_s: float = 5.0,
+        processors: float = 1.0,
     ) -> None:
         self.lines: list[tuple[str, dict[str, typing.Any]]] = []
         self._callers = [http.Caller(8), http.Caller(4), http.Caller(2)]
@@ -81,14 +81,13 @@
             f"platform.address={platform.address}\n"
             f"cloud.address={platform.address}\n"
             f"bounds.revoke_ms={int(key_age_s * 1000)}\n"
+            f"limits.cpu_share={processors}\nlimits.cores=1\n"
         )
         self.settings = platform_settings.parse(text, "test")
         services = daemon.create_services(
             self.settings, self._callers, self._clock, self.log, metrics
         )
-        self.node = nodes.Node(
-            name, f"{name}-1", self.settings.key_age_s, services
-        )
+        self.node = daemon.create_node(self.settings, f"{name}-1", services)
         self.front = fronts.Front(
             self.node.desk, lambda: self.node.is_ready, self._clock, metrics
         )
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -37,9 +37,9 @@
         self.vm = await self._start_vm("vm-1")
 
     async def _start_vm(
-        self, name: str, key_age_s: float = 5.0
+        self, name: str, key_age_s: float = 5.0, processors: float = 1.0
     ) -> entry_vm.EntryVm:
-        vm = entry_vm.EntryVm(self.platform, name, key_age_s)
+        vm = entry_vm.EntryVm(self.platform, name, key_age_s, processors)
         await vm.start()
         self.addAsyncCleanup(vm.stop)
         await self._until(lambda: vm.node.is_ready)
@@ -69,6 +69,17 @@
         self.assertEqual(sorted(started), [0, 0, 1, 2])
         self.assertEqual({text for _, text in self.platform.payloads}, {"text"})
 
+    async def test_larger_vm_takes_the_ownership_over(self) -> None:
+        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        larger = await self._start_vm("vm-9", processors=2.0)
+        await self._until(lambda: bool(larger.events("ownership-taken")))
+        (claim,) = larger.events("ownership-claimed")
+        self.assertEqual(claim["reason"], "released to this VM")
+        reply = await larger.call("POST", "/open/" + _ID, body=_JOB)
+        self.assertEqual(reply.status, 200)
+        await self._until_state(larger, "/open/" + _ID, "completed")
+        self.assertEqual(len(self.vm.events("ownership-taken")), 1)
+
     async def test_ends_are_recorded_before_they_are_acknowledged(self) -> None:
         await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         await self._until_state(self.vm, "/open/" + _ID, "completed")
