Pools: VMs move by what a pool will be asked for when they arrive

For turns of four times a pool's size. Before, VMs were lent once tasks had waited for 0.35 s, and a pool kept idle ones for 20 s after a new owner began. Now the growth of demand over 0.8 s counts, and what a pool was asked for within 1.5 s is kept. A VM under an order gets no new tasks. Waves empty as many VMs at once as the time asks for. Two tests of the old rule (short waits, jobs that could be timely) are replaced by ones of demand; a play of four turns checks what callers get: of jobs in turns of four times a pool over 95 % begin within their slack, under 50 % with fixed pools.

--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -2,9 +2,9 @@
 
 For two loads. Demand rises and falls by turns: a queue asks several times
 what its pool holds for some seconds, while others are nearly idle. VMs that
-nothing runs on are lent to the pool whose tasks wait, and go back to the spare
-pool, where they are switched off. And maintenance waves, in which each VM is
-first emptied, so that no task is cut off.
+nothing runs on go to the pool that is about to need them, and what no pool
+needs goes to the spare pool, where VMs are switched off. And maintenance
+waves, in which each VM is first emptied, so that no task is cut off.
 
 Nothing here does I/O or reads a clock.
 """
@@ -17,6 +17,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+from foxtaillock.batch import demand
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 
@@ -35,33 +36,30 @@
 # some seconds, the upkeep of 2 s, and the start of its worker.
 _VM_UPKEEP_S = 6.0
 
-# VMs of a pool that are emptied together when the wave's time is short.
-_AT_ONCE_SHORT = 2
-
 # Time before the end of a wave from which tasks are cut off for it.
 _LAST_S = 4.0
 
 # VMs that a pool keeps in any case.
-_LEAST_VMS = 3
+_LEAST_VMS = 2
 
 # An owner gives VMs of a pool away only after it has seen this much of the
 # pool's load.
-_LEARN_S = 20.0
+_LEARN_S = 4.0
 
 # Time for which a VM must have had nothing to do before it is given away;
-# demand of a queue comes in bursts with gaps of some tenths of a second.
-_IDLE_S = 2.0
+# the next step of a job comes some hundredths of a second after the last.
+_IDLE_S = 0.5
 
-# Time that a pool's tasks may wait for room before VMs are lent to it. A move
-# takes 1.5 s, so that shorter waits end before it helps.
-_BACKLOG_S = 0.35
+# VMs that a pool keeps beyond those of its tasks that last.
+_KEPT_VMS = 1
 
-# Time in which a pool ought to work off the jobs that can still be timely. The
-# objective leaves a job its own length and about this much.
-_WORK_OFF_S = 1.5
+# Room that a pool has beyond what its tasks ask for, since tasks of different
+# size never fill its VMs to the last processor.
+_HEADROOM = 1.15
 
-# VMs that a pool keeps beyond those in use.
-_KEPT_VMS = 1
+# Part of an equal share of the fleet that each pool keeps ready for the start
+# of its turn, until the first VMs that move arrive.
+_RESERVE_FRACTION = 0.25
 
 # Time after a refused or unanswered order before the next for the same VM.
 _AGAIN_S = 0.5
@@ -86,17 +84,15 @@
 
     Attributes:
         waiting_millis: processors that waiting tasks ask for, in thousandths.
-        waiting_s: how long the first of them has waited.
-        timely_cpu_s: processor seconds of all tasks to come of jobs that can
-            still meet their objective.
+        demand_millis: processors that these and the running tasks ask for,
+            without those that last.
         capacity_millis: processors of one VM of the pool, in thousandths.
         usable_millis: processors of its workers that tasks which last leave.
         spread: VMs that tasks which last need, one each.
     """
 
     waiting_millis: int = 0
-    waiting_s: float = 0.0
-    timely_cpu_s: float = 0.0
+    demand_millis: int = 0
     capacity_millis: int = 0
     usable_millis: int = 0
     spread: int = 0
@@ -152,6 +148,7 @@
         self._leaving: set[str] = set()
         self._spare_pool = ""
         self._started_s: float | None = None
+        self._demands: dict[str, demand.Demand] = {}
 
     @property
     def vms(self) -> Mapping[str, interfaces.VmRow]:
@@ -165,12 +162,17 @@
 
     @property
     def leaving(self) -> frozenset[str]:
-        """Workers that get no new tasks, since their VMs are to be emptied."""
-        return frozenset(
+        """Workers that get no new tasks.
+
+        Their VMs are to be emptied, or an order for them is under way.
+        """
+        emptied = (
             row.worker_id
             for vm in self._leaving
-            if (row := self._vms.get(vm)) is not None and row.worker_id
+            if (row := self._vms.get(vm)) is not None
         )
+        ordered = (each.order.worker_id for each in self._pending.values())
+        return frozenset(filter(None, (*emptied, *ordered)))
 
     @property
     def needs_list(self) -> bool:
@@ -257,6 +259,12 @@
                 done.append(number)
         return done
 
+    def observe(self, loads: Mapping[str, PoolLoad], now_s: float) -> None:
+        """Takes in what the pools are asked for now."""
+        for pool, load in loads.items():
+            seen = self._demands.setdefault(pool, demand.Demand())
+            seen.observe(now_s, load.demand_millis)
+
     def next_upkeep(
         self,
         uses: Mapping[str, VmUse],
@@ -283,17 +291,12 @@
             return []
         idle = self._idle_vms(uses, loads, now_s)
         orders: list[VmOrder] = []
-        by_need = sorted(
-            loads.items(), key=lambda item: -item[1].waiting_millis
-        )
-        for pool, load in by_need:
-            wanted = self._wanted(pool, load)
+        lacking = {pool: self._lacking(pool, loads[pool]) for pool in loads}
+        for pool in sorted(loads, key=lambda pool: -lacking[pool]):
             lendable = [row for row in idle if row.pool != pool]
-            for row in lendable[: max(0, wanted)]:
+            for row in lendable[: max(0, lacking[pool])]:
                 idle.remove(row)
-                orders.append(
-                    VmOrder(row.vm, pool, 0, row.worker_id, "tasks wait")
-                )
+                orders.append(VmOrder(row.vm, pool, 0, row.worker_id, "demand"))
         if now_s - self._started_s >= _LEARN_S:
             orders += [
                 VmOrder(row.vm, self._spare_pool, 0, row.worker_id, "idle")
@@ -375,8 +378,7 @@
                 continue
             at_once = wave.wave.max_down
             if row.pool != self._spare_pool and row.vm in uses:
-                is_short = left_s < due_of[row.pool] * _VM_UPKEEP_S
-                at_once = _at_once(loads.get(row.pool), is_short)
+                at_once = self._at_once(row.pool, loads, due_of, left_s)
             is_leaving = row.vm in self._leaving
             if leaving_of[row.pool] >= at_once and not is_leaving:
                 continue
@@ -404,9 +406,7 @@
                 for row in rows
                 if self._may_move(row, now_s) and _is_idle(uses.get(row.vm))
             ]
-            least = max(load.spread + _KEPT_VMS, _LEAST_VMS)
-            surplus = max(0, len(rows) - least)
-            idle += free[:surplus]
+            idle += free[: self._surplus(pool, load, len(rows))]
         idle += [
             row
             for row in self._steady_rows(self._spare_pool)
@@ -427,32 +427,60 @@
             if row.pool == pool and row.is_up and row.vm not in self._pending
         ]
 
-    def _wanted(self, pool: str, load: PoolLoad) -> int:
-        """Returns the VMs that a pool lacks.
-
-        It lacks VMs for tasks that wait, and before they do, for jobs that
-        could not meet their objective with what it has.
-        """
+    def _lacking(self, pool: str, load: PoolLoad) -> int:
+        """Returns the VMs that a pool lacks for what it will be asked for."""
         if not load.capacity_millis:
             return 0
+        expected = self._demands.get(pool, demand.Demand()).expected()
+        needed_millis = max(expected * _HEADROOM, self._reserve_millis(load))
+        lacking_millis = needed_millis - load.usable_millis
         on_way = sum(
             1
             for pending in self._pending.values()
             if pending.order.pool == pool
         )
-        needed_millis = load.timely_cpu_s / _WORK_OFF_S * 1000
-        lacking_millis = needed_millis - load.usable_millis
-        if load.waiting_s >= _BACKLOG_S:
-            lacking_millis = max(lacking_millis, load.waiting_millis)
-        return math.ceil(lacking_millis / load.capacity_millis) - on_way
+        lacking = math.ceil(lacking_millis / load.capacity_millis)
+        for_lasting = load.spread - len(self._steady_rows(pool))
+        return max(lacking, for_lasting) - on_way
 
+    def _surplus(self, pool: str, load: PoolLoad, vms: int) -> int:
+        """Returns the VMs of a pool that it can do without."""
+        if not load.capacity_millis:
+            return 0
+        kept = self._demands.get(pool, demand.Demand()).kept()
+        kept_millis = max(kept * _HEADROOM, self._reserve_millis(load))
+        free_millis = load.usable_millis - kept_millis
+        least = max(load.spread + _KEPT_VMS, _LEAST_VMS)
+        return max(0, min(int(free_millis / load.capacity_millis), vms - least))
+
+    def _reserve_millis(self, load: PoolLoad) -> float:
+        """Returns the processors that a pool keeps ready without demand."""
+        pools = {row.pool for row in self._vms.values()}
+        share = len(self._vms) / max(1, len(pools))
+        return _RESERVE_FRACTION * share * load.capacity_millis
+
+    def _at_once(
+        self,
+        pool: str,
+        loads: Mapping[str, PoolLoad],
+        due_of: Mapping[str, int],
+        left_s: float,
+    ) -> int:
+        """Returns how many VMs of a pool in service may be emptied together.
 
-def _at_once(load: PoolLoad | None, is_short: bool) -> int:
-    """Returns how many VMs of a pool in service may be emptied together."""
-    if is_short:
-        return _AT_ONCE_SHORT
-    has_backlog = load is not None and load.waiting_millis > 0
-    return 0 if has_backlog else 1
+        One, or none while tasks wait; more of those that the pool can do
+        without, and as many as it takes when the wave's time is short.
+        """
+        load = loads.get(pool)
+        in_time = math.ceil(due_of[pool] * _VM_UPKEEP_S / max(left_s, 1.0))
+        if in_time > 1:
+            return in_time
+        if load is None:
+            return 1
+        if load.waiting_millis:
+            return 0
+        vms = len(self._steady_rows(pool))
+        return max(1, self._surplus(pool, load, vms))
 
 
 def _is_idle(use: VmUse | None) -> bool:
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -93,6 +93,7 @@
     async def _step(self, orders: interfaces.VmOrders) -> None:
         now_s = self._clock.monotonic_s()
         loads = self._engine.vms.pool_loads(now_s)
+        self._fleet.observe(loads, now_s)
         has_work = self._fleet.needs_list or any(
             load.waiting_millis for load in loads.values()
         )
@@ -111,8 +112,8 @@
             return
         uses = self._uses(now_s)
         due = self._fleet.next_upkeep(uses, loads, now_s)
-        self._engine.vms.set_leaving(self._fleet.leaving)
         due += self._fleet.next_moves(uses, loads, now_s)
+        self._engine.vms.set_leaving(self._fleet.leaving)
         self._log_loads(loads, len(due))
         for order in due:
             task = asyncio.ensure_future(self._carry_out(orders, order))
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -1,6 +1,8 @@
 """Adds up the work of one pool, for the decision on its VMs."""
 
+import collections
 import math
+from collections.abc import Mapping
 
 from foxtaillock.batch import fleet
 from foxtaillock.batch import placement
@@ -9,20 +11,22 @@
 
 __all__ = ["LoadMeter"]
 
-# Part of a running task that is still to come, on the average.
-_RUNNING_LEFT = 0.5
-
 # Tasks that last of a step without a bound for a worker that share one.
 _LASTING_TOGETHER = 8
 
 
 class LoadMeter:
-    """Work of one pool."""
+    """Work of one pool.
+
+    Args:
+        limits_millis: processors that each team may use, in thousandths; 0 or
+            absent for any.
+    """
 
-    def __init__(self) -> None:
-        self._waiting_millis = 0
-        self._waiting_s = 0.0
-        self._timely_cpu_s = 0.0
+    def __init__(self, limits_millis: Mapping[str, int]) -> None:
+        self._limits_millis = limits_millis
+        self._waiting_millis: collections.Counter[str] = collections.Counter()
+        self._running_millis: collections.Counter[str] = collections.Counter()
         self._capacity_millis = 0
         self._pool_millis = 0
         self._lasting_millis = 0
@@ -41,31 +45,22 @@
         self,
         step: tasks.Step,
         candidate: placement.Candidate | None,
-        is_excess: bool,
-        now_s: float,
+        team: str,
     ) -> None:
-        """Counts a step that is not done.
+        """Counts a step that is not done; after the workers.
+
+        Tasks that are larger than a VM of the pool ask in vain for more VMs.
 
         Args:
             step: the step.
             candidate: the step if its turn has come; None before.
-            is_excess: whether its team had handed in more than its part.
-            now_s: time on the owner's clock.
+            team: team of its job.
         """
+        millis = step.spec.held_size.cpu_millis
         active = sum(1 for _ in step.active())
-        waiting = len(step.waiting)
-        millis = step.spec.size.cpu_millis
-        is_late = candidate is not None and (
-            now_s + candidate.remaining_s > candidate.objective_s
-        )
-        if not is_late and not is_excess:
-            tasks_to_come = waiting + active * _RUNNING_LEFT
-            cpu_ms = millis / 1000 * step.spec.estimate_ms
-            self._timely_cpu_s += tasks_to_come * cpu_ms / 1000
-        if candidate is not None and waiting:
-            self._waiting_millis += waiting * millis
-            since_s = now_s - (step.ready_s or now_s)
-            self._waiting_s = max(self._waiting_s, since_s)
+        self._running_millis[team] += millis * active
+        if candidate is not None and millis <= self._capacity_millis:
+            self._waiting_millis[team] += len(step.waiting) * millis
 
     def add_worker(self, worker: workers.Worker) -> None:
         """Counts a worker of the pool."""
@@ -75,11 +70,21 @@
             self._pool_millis += millis
 
     def load(self) -> fleet.PoolLoad:
-        """Returns the sums."""
+        """Returns the sums.
+
+        What a team may not have running because of its limit asks for nothing.
+        """
+        waiting_millis, demand_millis = 0, 0
+        for team, running in self._running_millis.items():
+            waiting = self._waiting_millis[team]
+            limit = self._limits_millis.get(team, 0)
+            if limit:
+                waiting = max(0, min(waiting, limit - running))
+            waiting_millis += waiting
+            demand_millis += running + waiting
         return fleet.PoolLoad(
-            self._waiting_millis,
-            self._waiting_s,
-            self._timely_cpu_s,
+            waiting_millis,
+            demand_millis,
             self._capacity_millis,
             max(0, self._pool_millis - self._lasting_millis),
             self._spread,
--- /dev/null
+++ b/foxtaillock/batch/tests/test_demand.py
@@ -0,0 +1,196 @@
+"""Demand of a pool, and pools that follow it."""
+
+import random
+import typing
+import unittest
+
+from foxtaillock.batch import demand
+from foxtaillock.batch import fleet
+from foxtaillock.batch import interfaces
+
+_STEP_S = 0.2
+_MOVE_S = 1.5
+_VM_MILLIS = 16_000
+_POOLS = ("a", "b", "c", "d")
+_VMS_OF_A_POOL = 6
+_TURN_S = 8.0
+
+# A job has one task of this size and length and may wait for so long.
+_TASK_MILLIS = 4_000
+_TASK_S = 1.6
+_SLACK_S = 1.5
+
+
+class Served(typing.NamedTuple):
+    """What a play of turns gave.
+
+    Attributes:
+        timely: part of the jobs that began within their slack.
+        vm_s: seconds of VMs in pools.
+    """
+
+    timely: float
+    vm_s: float
+
+
+class DemandTest(unittest.TestCase):
+    """Growth counts at once, a lull only after a while."""
+
+    def setUp(self) -> None:
+        self.demand = demand.Demand()
+
+    def test_nothing_is_expected_without_samples(self) -> None:
+        self.assertEqual(self.demand.expected(), 0.0)
+        self.assertEqual(self.demand.kept(), 0.0)
+
+    def test_growth_goes_on_until_a_vm_arrives(self) -> None:
+        self.demand.observe(0.0, 1_000)
+        self.demand.observe(0.8, 2_000)
+        self.assertAlmostEqual(self.demand.expected(), 2_000 + 1_250 * 1.8)
+
+    def test_one_sample_after_a_gap_is_no_growth(self) -> None:
+        self.demand.observe(0.0, 1_000)
+        self.demand.observe(9.0, 5_000)
+        self.assertEqual(self.demand.expected(), 5_000)
+
+    def test_growth_between_two_close_samples_is_damped(self) -> None:
+        self.demand.observe(0.0, 0)
+        self.demand.observe(0.2, 800)
+        self.assertAlmostEqual(self.demand.expected(), 800 + 1_000 * 1.8)
+
+    def test_lull_is_bridged(self) -> None:
+        self.demand.observe(0.0, 6_000)
+        self.demand.observe(1.4, 0)
+        self.assertEqual(self.demand.kept(), 6_000)
+        self.demand.observe(1.6, 0)
+        self.assertEqual(self.demand.kept(), 0)
+
+
+class TurnsTest(unittest.TestCase):
+    """Four queues ask in turn; a pool of six VMs holds 24 tasks."""
+
+    def test_turns_of_four_times_a_pool_are_served(self) -> None:
+        for seed in range(5):
+            fixed = _play(seed, 60.0, may_move=False)
+            moving = _play(seed, 60.0, may_move=True)
+            with self.subTest(seed=seed, fixed=fixed, moving=moving):
+                self.assertLess(fixed.timely, 0.5)
+                self.assertGreater(moving.timely, 0.95)
+                self.assertLess(moving.vm_s, 1.25 * fixed.vm_s)
+
+    def test_turns_that_a_pool_holds_are_served_with_fewer_vms(self) -> None:
+        for seed in range(5):
+            fixed = _play(seed, 12.0, may_move=False)
+            moving = _play(seed, 12.0, may_move=True)
+            with self.subTest(seed=seed, fixed=fixed, moving=moving):
+                self.assertGreater(moving.timely, 0.98)
+                self.assertLess(moving.vm_s, 0.75 * fixed.vm_s)
+
+
+class _Pool:
+    """Jobs of one pool of the play."""
+
+    def __init__(self) -> None:
+        self.waiting_s: list[float] = []
+        self.ends_s: list[float] = []
+
+    def advance(self, now_s: float, vms: int) -> list[float]:
+        """Starts what fits; returns how long each of those has waited."""
+        self.ends_s = [each for each in self.ends_s if each > now_s]
+        room = vms * _VM_MILLIS // _TASK_MILLIS - len(self.ends_s)
+        begun = self.waiting_s[: max(0, room)]
+        del self.waiting_s[: max(0, room)]
+        self.ends_s += [now_s + _TASK_S] * len(begun)
+        return [now_s - each for each in begun]
+
+    def load(self, vms: int) -> fleet.PoolLoad:
+        """Returns the pool's load as the owner measures it."""
+        waiting = len(self.waiting_s) * _TASK_MILLIS
+        running = len(self.ends_s) * _TASK_MILLIS
+        return fleet.PoolLoad(
+            waiting, waiting + running, _VM_MILLIS, vms * _VM_MILLIS, 1
+        )
+
+
+def _play(seed: int, peak_per_s: float, may_move: bool) -> Served:
+    """Plays four turns, each with `peak_per_s` jobs in its middle."""
+    chance = random.Random(seed)
+    played = fleet.Fleet()
+    pool_of = {
+        f"{pool}{number}": pool
+        for pool in _POOLS
+        for number in range(_VMS_OF_A_POOL)
+    } | {f"s{number}": "spare" for number in range(_VMS_OF_A_POOL)}
+    arrives_s: dict[str, float] = {}
+    pools = {pool: _Pool() for pool in _POOLS}
+    waits_s: list[float] = []
+    vm_s, now_s = 0.0, -8.0
+    while now_s < _TURN_S * len(_POOLS):
+        now_s += _STEP_S
+        counts = {
+            pool: sum(
+                1
+                for vm, where in pool_of.items()
+                if where == pool and arrives_s.get(vm, now_s) <= now_s
+            )
+            for pool in _POOLS
+        }
+        vm_s += sum(1 for where in pool_of.values() if where != "spare") * (
+            _STEP_S
+        )
+        for number, (name, pool) in enumerate(pools.items()):
+            pool.waiting_s += [now_s] * _arrivals(
+                number, now_s, peak_per_s, chance
+            )
+            waits_s += pool.advance(now_s, counts[name])
+        if not may_move:
+            continue
+        loads = {name: pools[name].load(counts[name]) for name in _POOLS}
+        played.listed(
+            [_row(vm, pool_of[vm], arrives_s, now_s) for vm in pool_of],
+            "spare",
+            now_s,
+        )
+        played.observe(loads, now_s)
+        uses = _uses(pool_of, pools)
+        for order in played.next_moves(uses, loads, now_s):
+            played.answered(order, interfaces.MachineOutcome.DONE, now_s)
+            pool_of[order.vm] = order.pool
+            arrives_s[order.vm] = now_s + _MOVE_S
+    unserved = sum(len(pool.waiting_s) for pool in pools.values())
+    timely = sum(1 for wait_s in waits_s if wait_s <= _SLACK_S)
+    return Served(timely / (len(waits_s) + unserved), vm_s)
+
+
+def _arrivals(
+    number: int, now_s: float, peak_per_s: float, chance: random.Random
+) -> int:
+    """Returns the jobs that arrive in a step: a ramp up and down in a turn."""
+    place = (now_s - number * _TURN_S) / _TURN_S
+    if not 0 <= place < 1:
+        return int(chance.random() < 0.05)
+    mean = peak_per_s * (1 - abs(2 * place - 1)) * _STEP_S
+    return sum(1 for _ in range(40) if chance.random() < mean / 40)
+
+
+def _row(
+    vm: str, pool: str, arrives_s: dict[str, float], now_s: float
+) -> interfaces.VmRow:
+    is_up = arrives_s.get(vm, now_s) <= now_s
+    worker_id = f"w-{vm}" if is_up and pool != "spare" else ""
+    return interfaces.VmRow(vm, pool, is_up, "z", (), None, worker_id)
+
+
+def _uses(
+    pool_of: dict[str, str], pools: dict[str, _Pool]
+) -> dict[str, fleet.VmUse]:
+    """Returns the use of each VM: tasks fill one VM after the other."""
+    uses = {}
+    left = {name: len(pool.ends_s) for name, pool in pools.items()}
+    for vm, pool in pool_of.items():
+        if pool == "spare":
+            continue
+        tasks = min(left[pool], _VM_MILLIS // _TASK_MILLIS)
+        left[pool] -= tasks
+        uses[vm] = fleet.VmUse(tasks, 0, 0.0 if tasks else 1.0)
+    return uses
--- a/foxtaillock/batch/vm_duties.py
+++ b/foxtaillock/batch/vm_duties.py
@@ -84,11 +84,18 @@
 
     def pool_loads(self, now_s: float) -> dict[str, fleet.PoolLoad]:
         """Returns the work of each pool that serves queues."""
+        limits_millis = {
+            team.name: team.limit.cpu_millis
+            for team in self._state.teams.values()
+        }
         meters = {
-            pool.name: load_meter.LoadMeter()
+            pool.name: load_meter.LoadMeter(limits_millis)
             for pool in self._state.pools.values()
             if not pool.is_spare
         }
+        for worker in self._state.workers.values():
+            if worker.entry.pool in meters:
+                meters[worker.entry.pool].add_worker(worker)
         for job in self._state.jobs.values():
             queue = self._state.queues.get(job.spec.queue)
             if job.is_over or queue is None or queue.pool not in meters:
@@ -98,13 +105,9 @@
                 meter.add_lasting(job)
                 continue
             for step in job.steps.values():
-                if step.is_done:
-                    continue
-                candidate = self._state.candidate(step, now_s)
-                meter.add_step(step, candidate, job.is_excess, now_s)
-        for worker in self._state.workers.values():
-            if worker.entry.pool in meters:
-                meters[worker.entry.pool].add_worker(worker)
+                if not step.is_done:
+                    candidate = self._state.candidate(step, now_s)
+                    meter.add_step(step, candidate, job.spec.team)
         return {pool: meter.load() for pool, meter in meters.items()}
 
     def _may_be_away(self, step: tasks.Step, task: tasks.Task) -> bool:
