--- a/foxtaillock/batch/demand.py
+++ b/foxtaillock/batch/demand.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import itertools
 
 __all__ = ["LEAD_S", "Demand"]
 
@@ -19,6 +20,8 @@
 # ones swing.
 _GROWTH_S = 0.8
 
+_ROUNDING_S = 1e-6
+
 # Time for which a pool keeps what it needed. Moving a VM away and back costs
 # as much as 3.5 s of it in a pool.
 _KEEP_S = 1.5
@@ -41,25 +44,29 @@
     def expected(self) -> float:
         """Returns what will be asked for when a VM that moves now is there.
 
+        Growth that came in one leap, as with one large job, is no trend: the
+        largest step between two samples is left out.
+
         Example:
             >>> demand = Demand()
-            >>> demand.observe(0.0, 1000)
-            >>> demand.observe(0.8, 2000)
+            >>> for tenths in range(0, 9, 2):
+            ...     demand.observe(tenths / 10, 100 * tenths)
             >>> demand.expected()
-            4250.0
+            2150.0
         """
         if not self._samples:
             return 0.0
-        now_s, millis = self._samples[-1]
-        before_s, before = next(
-            sample
-            for sample in self._samples
-            if sample[0] >= now_s - _GROWTH_S - 1e-9
-        )
-        if now_s <= before_s or millis <= before:
-            return float(millis)
-        growth = (millis - before) / max(now_s - before_s, _GROWTH_S)
-        return millis + growth * LEAD_S
+        now_s, now_millis = self._samples[-1]
+        recent = [
+            millis
+            for at_s, millis in self._samples
+            if at_s >= now_s - _GROWTH_S - _ROUNDING_S
+        ]
+        steps = [after - before for before, after in itertools.pairwise(recent)]
+        if not steps:
+            return float(now_millis)
+        grown = sum(steps) - max(steps)
+        return now_millis + max(0.0, grown / _GROWTH_S * LEAD_S)
 
     def kept(self) -> float:
         """Returns what the pool keeps: the most that it was asked for lately.
