--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -338,6 +338,14 @@
         engine.tick(12.0)
         self.assertEqual(engine.take_stops(), [])
 
+    def test_none_while_what_is_known_of_another_is_old(self) -> None:
+        engine = self._engine()
+        first, second, _ = self._with_tasks(engine)
+        engine.workers[second].answered_s = 10.0
+        engine.vms.set_leaving([first])
+        engine.tick(12.0)
+        self.assertEqual(engine.take_stops(), [])
+
     def test_none_without_a_place_to_go(self) -> None:
         engine = self._engine()
         engine.vms.set_leaving(self._with_tasks(engine)[:1])
--- a/foxtaillock/batch/vm_duties.py
+++ b/foxtaillock/batch/vm_duties.py
@@ -14,6 +14,11 @@
 
 _WHOLE_PERCENT = 100
 
+# Age of a worker's answer past which its tasks don't count as at work. A poll
+# answers within 1.0 s; an owner that is behind with its polls would otherwise
+# stop a task while another one has already ended.
+_FRESH_S = 1.5
+
 
 class VmDuties:
     """Emptying of workers, and the load of pools.
@@ -39,7 +44,7 @@
                     step.spec.is_lasting
                     and task.phase is tasks.Phase.RUNNING
                     and not task.is_stopping
-                    and self._may_be_away(step, task)
+                    and self._may_be_away(step, task, now_s)
                     and self._has_place(step, worker, now_s)
                 ):
                     self._state.log(
@@ -110,7 +115,9 @@
                     meter.add_step(step, candidate, job.spec.team)
         return {pool: meter.load() for pool, meter in meters.items()}
 
-    def _may_be_away(self, step: tasks.Step, task: tasks.Task) -> bool:
+    def _may_be_away(
+        self, step: tasks.Step, task: tasks.Task, now_s: float
+    ) -> bool:
         """Returns whether one more task of a step may be kept away.
 
         A task whose step states no bound may always; the bound counts all
@@ -121,11 +128,11 @@
         away = sum(
             1
             for other in step.tasks
-            if other is not task and not self._is_at_work(other)
+            if other is not task and not self._is_at_work(other, now_s)
         )
         return away < step.spec.may_miss
 
-    def _is_at_work(self, task: tasks.Task) -> bool:
+    def _is_at_work(self, task: tasks.Task, now_s: float) -> bool:
         """Returns whether a task works at its full speed, as far as known."""
         worker = self._state.workers.get(task.worker_id)
         return (
@@ -134,6 +141,7 @@
             and task.percent >= _WHOLE_PERCENT
             and worker is not None
             and not worker.unanswered
+            and now_s - worker.answered_s <= _FRESH_S
         )
 
     def _has_place(
