--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import traceback
-import typing
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -12,16 +11,15 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import freshness
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import owner as owners
 from foxtaillock.batch import ownership
 from foxtaillock.batch import records
+from foxtaillock.batch import services as batch_services
 from foxtaillock.batch import view
 from foxtaillock.batch import workers
-from foxtaillock.model import clock as model_clock
 
-__all__ = ["Node", "NodeServices"]
+__all__ = ["Node"]
 
 # Time between two decisions whether to claim the ownership.
 _CLAIM_CHECK_S = 0.1
@@ -43,43 +41,6 @@
 _READY_AGE_S = 3.0
 
 
-class NodeServices(typing.NamedTuple):
-    """What an entry VM works with.
-
-    Attributes:
-        journal: the journal of jobs.
-        operators: stream of what operators have written.
-        registry: stream of what workers have registered.
-        decode_config: decodes a record of the operators; None if it holds no
-            configuration.
-        decode_wave: decodes one; None if it holds no maintenance wave.
-        decode_worker: decodes a record of the registry.
-        worker_orders: orders to workers.
-        vm_orders: orders for VMs of the fleet; None if there are none.
-        advisor: tells which workers may run a step; None if there is none.
-        statuses: stream of what operators read.
-        encode_wave: encodes a wave's state for that stream.
-        clock: source of time.
-        log: receiver of a line for each decision.
-        metrics: metrics of this process.
-    """
-
-    journal: interfaces.Journal
-    operators: interfaces.Journal
-    registry: interfaces.Journal
-    decode_config: Callable[[str, bytes], directory.Directory | None]
-    decode_wave: Callable[[str, bytes], model.Wave | None]
-    decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
-    worker_orders: interfaces.WorkerOrders
-    vm_orders: interfaces.VmOrders | None
-    advisor: interfaces.Advisor | None
-    statuses: interfaces.Journal
-    encode_wave: Callable[[int, bool], records.KeyedRecord]
-    clock: model_clock.Clock
-    log: Callable[..., None]
-    metrics: batch_metrics.Metrics
-
-
 class Node:
     """One entry VM.
 
@@ -100,13 +61,15 @@
         name: str,
         incarnation: str,
         key_age_s: float,
-        services: NodeServices,
+        services: batch_services.NodeServices,
         capacity: float = 0.0,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
-        self._services = services
-        clock = services.clock
+        self._services = services.owner
+        self._decode_config = services.decode_config
+        self._decode_wave = services.decode_wave
+        clock = self._services.clock
         self._view = view.JournalView()
         self._view.on_record = self._on_record
         self._ownership = ownership.Ownership(
@@ -115,7 +78,11 @@
         self._capacity = capacity
         self._freshness = freshness.Freshness(key_age_s - _KEY_AGE_MARGIN_S)
         self._journal_follower = follower.Follower(
-            "journal", services.journal, clock, self._view.apply, services.log
+            "journal",
+            services.owner.journal,
+            clock,
+            self._view.apply,
+            services.owner.log,
         )
         self._journal_follower.pause_s = _FOLLOWER_PAUSE_S
         self._journal_follower.on_read = self._ownership.checked
@@ -125,16 +92,16 @@
             services.operators,
             clock,
             self._on_operator_record,
-            services.log,
+            services.owner.log,
         )
         self._operator_follower.on_read = self._freshness.confirm
         self.desk = desk.Desk(
             clock,
             self._view,
             self._journal_follower,
-            appender.GroupAppender(services.journal, clock),
+            appender.GroupAppender(services.owner.journal, clock),
             self._freshness,
-            services.log,
+            services.owner.log,
         )
         self._waves: dict[int, model.Wave] = {}
         self._owner: owners.Owner | None = None
@@ -225,8 +192,9 @@
             leases_over_s = workers.leases_over_s(
                 self._ownership.heard_s, self._ownership.has_ended()
             )
-            if await self._claim(decision.epoch):
-                await self._run_owner(decision.epoch, leases_over_s)
+            claim = await self._claim(decision.epoch)
+            if claim is not None:
+                await self._run_owner(claim, leases_over_s)
 
     async def _offer(self) -> None:
         """Offers to relieve an owner whose VM can carry much less."""
@@ -242,8 +210,8 @@
         except interfaces.StoreError as error:
             services.log("offer-failed", error=str(error))
 
-    async def _claim(self, epoch: int) -> bool:
-        """Writes a claim; returns whether it is the one that counts."""
+    async def _claim(self, epoch: int) -> records.OwnerRecord | None:
+        """Writes a claim; returns it if it is the one that counts."""
         services = self._services
         claim = records.OwnerRecord(
             epoch, self._name, self._incarnation, capacity=self._capacity
@@ -255,12 +223,12 @@
         except interfaces.StoreError as error:
             services.log("claim-failed", epoch=epoch, error=str(error))
             self._ownership.read_failed(services.clock.monotonic_s())
-            return False
+            return None
         if appended.outcome is not interfaces.AppendOutcome.STORED:
             services.log(
                 "claim-lost", epoch=epoch, outcome=appended.outcome.value
             )
-            return False
+            return None
         is_read = await self._journal_follower.wait_for(
             appended.next_offset, _CLAIM_READ_S
         )
@@ -273,31 +241,14 @@
         )
         if not is_won:
             services.log("claim-lost", epoch=epoch, outcome="read back")
-        return is_won
+            return None
+        return claim
 
-    async def _run_owner(self, epoch: int, leases_over_s: float) -> None:
+    async def _run_owner(
+        self, claim: records.OwnerRecord, leases_over_s: float
+    ) -> None:
         services = self._services
-        owner = owners.Owner(
-            self._name,
-            self._incarnation,
-            self._capacity,
-            epoch,
-            self._view,
-            leases_over_s,
-            owners.OwnerServices(
-                services.journal,
-                services.registry,
-                services.decode_worker,
-                services.worker_orders,
-                services.vm_orders,
-                services.advisor,
-                services.statuses,
-                services.encode_wave,
-                services.clock,
-                services.log,
-                services.metrics,
-            ),
-        )
+        owner = owners.Owner(claim, self._view, leases_over_s, services)
         owner.configure(self.desk.directory)
         for wave in self._waves.values():
             owner.add_wave(wave)
@@ -330,11 +281,11 @@
     def _on_operator_record(self, _: int, record: records.KeyedRecord) -> None:
         if not record.value:
             return
-        config = self._services.decode_config(record.key, record.value)
+        config = self._decode_config(record.key, record.value)
         if config is not None:
             self._take_config(config)
             return
-        wave = self._services.decode_wave(record.key, record.value)
+        wave = self._decode_wave(record.key, record.value)
         if wave is not None:
             self._take_wave(wave)
             return
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -3,9 +3,7 @@
 import asyncio
 import traceback
 import typing
-from collections.abc import Callable
 from collections.abc import Coroutine
-from collections.abc import Sequence
 
 from foxtaillock.batch import directory
 from foxtaillock.batch import engine as engines
@@ -13,80 +11,36 @@
 from foxtaillock.batch import fleet_keeper
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import metrics as batch_metrics
+from foxtaillock.batch import journal_writer
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
 from foxtaillock.batch import records
+from foxtaillock.batch import services as batch_services
 from foxtaillock.batch import view
+from foxtaillock.batch import wave_status
+from foxtaillock.batch import worker_polls
 from foxtaillock.batch import workers
-from foxtaillock.model import clock as model_clock
 
-__all__ = ["Owner", "OwnerServices"]
+__all__ = ["Owner"]
 
 # Longest time between two steps when nothing happens.
 _STEP_S = 0.05
 
-# Time between two looks for workers that nobody polls. A worker is polled from
-# the first start on, so only what an earlier owner left there waits for it.
-_WATCH_S = 0.05
-
 # Time between two polls for steps that need advice.
 _ADVICE_S = 0.05
 
-# Time between two polls for waves whose state operators have to be told.
-_STATUS_S = 0.2
-
-_FIRST_RETRY_S = 0.05
-_MAX_RETRY_S = 0.4
-
-# Records of one append; a larger batch goes in several.
-_APPEND_BYTES = 512 * 1024
-
 # Part of the workers with tasks that must be out of reach, and for how long,
 # before the ownership is given up to a VM that may reach more.
 _UNREACHED_FRACTION = 0.5
 _UNREACHED_S = 1.2
 
 
-class OwnerServices(typing.NamedTuple):
-    """What an owner works with.
-
-    Attributes:
-        journal: the journal.
-        registry: stream of what workers have registered.
-        decode_worker: decodes a record of that stream.
-        worker_orders: orders to workers.
-        vm_orders: orders for VMs of the fleet; None if there are none.
-        advisor: tells which workers may run a step; None if there is none.
-        statuses: stream of what operators read.
-        encode_wave: encodes a wave's state for that stream.
-        clock: source of time.
-        log: receiver of a line for each decision.
-        metrics: metrics of this process.
-    """
-
-    journal: interfaces.Journal
-    registry: interfaces.Journal
-    decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
-    worker_orders: interfaces.WorkerOrders
-    vm_orders: interfaces.VmOrders | None
-    advisor: interfaces.Advisor | None
-    statuses: interfaces.Journal
-    encode_wave: Callable[[int, bool], records.KeyedRecord]
-    clock: model_clock.Clock
-    log: Callable[..., None]
-    metrics: batch_metrics.Metrics
-
-
 class Owner:
     """One ownership of the fleet's work, from its claim to its end.
 
     Args:
-        node: name of this entry VM.
-        incarnation: start of its process.
-        capacity: what its VM can carry; see `ownership.capacity_of`.
-        epoch: epoch of this ownership; its claim stands in the journal.
+        claim: its claim, which stands in the journal.
         journal_view: fold of the journal, caught up to the claim.
         unsure_until_s: time by which leases of earlier owners are over.
         services: what it works with.
@@ -94,45 +48,47 @@
 
     def __init__(
         self,
-        node: str,
-        incarnation: str,
-        capacity: float,
-        epoch: int,
+        claim: records.OwnerRecord,
         journal_view: view.JournalView,
         unsure_until_s: float,
-        services: OwnerServices,
+        services: batch_services.OwnerServices,
     ) -> None:
-        self._node = node
-        self._incarnation = incarnation
-        self._capacity = capacity
+        self._claim = claim
         self._successor = ""
-        self._epoch = epoch
+        self._epoch = claim.epoch
         self._view = journal_view
         self._services = services
         now_s = services.clock.monotonic_s()
-        self.engine = engines.Engine(epoch, now_s, unsure_until_s, services.log)
+        self.engine = engines.Engine(
+            claim.epoch, now_s, unsure_until_s, services.log
+        )
+        self._writer = journal_writer.JournalWriter(
+            claim.epoch, services, self._end
+        )
+        self._polls = worker_polls.WorkerPolls(
+            claim.epoch,
+            self.engine,
+            services,
+            self._may_renew,
+            self._on_poll_answer,
+            self._on_helper_done,
+        )
         self._fleet_keeper = fleet_keeper.FleetKeeper(
-            epoch,
+            claim.epoch,
             self.engine,
             services.vm_orders,
             services.clock,
             services.log,
-            lambda: self._written_s,
+            lambda: self._writer.written_s,
             self._on_wave_progress,
         )
-        self._watched_s = float("-inf")
         self._wave_progress: dict[int, records.WaveProgress] = {}
-        # The claim was the first append of this epoch.
-        self._sequence = 1
         self._renewal = 0
-        self._written_s = now_s
         self._renewed_s = now_s
         self._reached_s = now_s
         self._is_over = False
         self._gives_up = False
         self._wake = asyncio.Event()
-        self._committed = asyncio.Event()
-        self._watchers: dict[str, asyncio.Task[None]] = {}
         self._running: set[asyncio.Task[typing.Any]] = set()
         self._registry_follower = follower.Follower(
             "registry",
@@ -184,7 +140,9 @@
         helpers = [
             asyncio.ensure_future(self._registry_follower.run()),
             asyncio.ensure_future(self._fleet_keeper.run()),
-            asyncio.ensure_future(self._write_statuses()),
+            asyncio.ensure_future(
+                wave_status.write_statuses(self._view, self._services)
+            ),
             asyncio.ensure_future(self._ask_advice()),
         ]
         for helper in helpers:
@@ -193,11 +151,11 @@
             while not self._is_over:
                 self._step()
                 await self._record()
-                self._watch()
+                self._polls.begin_all()
                 self._check_reach()
                 await self._sleep()
         finally:
-            for task in [*helpers, *self._watchers.values(), *self._running]:
+            for task in [*helpers, *self._polls.tasks(), *self._running]:
                 task.cancel()
 
     def stop(self) -> None:
@@ -254,71 +212,20 @@
             self._renewal += 1
             self._renewed_s = now_s
             entries.insert(0, records.encode(self._owner_record(gives_up)))
-        for part in _split(entries):
-            if not await self._append(part):
-                return
+        if not await self._writer.append(entries):
+            return
         now_s = self._services.clock.monotonic_s()
         for plan in self.engine.committed(batch, now_s):
             self._spawn(self._start(plan))
-        self._committed.set()
-        self._committed = asyncio.Event()
+        self._polls.committed()
         if gives_up:
             self._end("given up")
 
-    async def _append(self, entries: Sequence[records.KeyedRecord]) -> bool:
-        """Appends until it stands; returns whether this is still the owner.
-
-        A repeat under the same number is stored once, so that an append that
-        got no answer is simply sent again.
-        """
-        services = self._services
-        producer = interfaces.Producer(self._epoch, self._sequence)
-        tries = 0
-        while not self._is_over:
-            sent_s = services.clock.monotonic_s()
-            try:
-                appended = await services.journal.append(entries, producer)
-            except interfaces.StoreError as error:
-                if not tries:
-                    services.log(
-                        "journal-append-failed",
-                        sequence=self._sequence,
-                        error=str(error),
-                    )
-                tries += 1
-                pause_s = min(_MAX_RETRY_S, _FIRST_RETRY_S * 2**tries)
-                await asyncio.sleep(pause_s)
-                continue
-            took_s = services.clock.monotonic_s() - sent_s
-            services.metrics.store_latency.labels(
-                "append", appended.outcome.value
-            ).observe(took_s)
-            if appended.outcome is not interfaces.AppendOutcome.STORED:
-                services.log(
-                    "journal-append-refused",
-                    outcome=appended.outcome.value,
-                    sequence=self._sequence,
-                    expected=appended.expected_sequence,
-                    tries=tries,
-                )
-                self._end(f"append answered: {appended.outcome.value}")
-                return False
-            if tries:
-                services.log("journal-append-works", tries=tries)
-            self._written_s = sent_s
-            self._sequence += 1
-            return True
-        return False
-
     def _owner_record(self, is_released: bool) -> records.OwnerRecord:
-        return records.OwnerRecord(
-            self._epoch,
-            self._node,
-            self._incarnation,
-            is_released,
-            self._renewal,
-            self._capacity,
-            self._successor if is_released else "",
+        return self._claim._replace(
+            is_released=is_released,
+            renewal=self._renewal,
+            successor=self._successor if is_released else "",
         )
 
     def _end(self, reason: str) -> None:
@@ -327,20 +234,21 @@
                 "ownership-over", epoch=self._epoch, reason=reason
             )
         self._is_over = True
+        self._writer.close()
         self._wake.set()
 
     def _consider(self, offer: records.Candidacy) -> None:
         """Hands the ownership over to a VM that can carry much more."""
         is_for_this = offer.epoch == self._epoch and not self._gives_up
         if not is_for_this or not ownership.can_relieve(
-            offer.capacity, self._capacity
+            offer.capacity, self._claim.capacity
         ):
             return
         self._services.log(
             "ownership-handed-over",
             epoch=self._epoch,
             successor=offer.node,
-            capacity=self._capacity,
+            capacity=self._claim.capacity,
             offered=offer.capacity,
         )
         self._successor = offer.node
@@ -383,7 +291,7 @@
         self.engine.answers.start_answered(
             plan, answer, services.clock.monotonic_s()
         )
-        self._watch_if_needed(plan.worker)
+        self._polls.begin(plan.worker)
         self._wake.set()
 
     async def _stop(self, plan: plans.StopPlan) -> None:
@@ -445,69 +353,24 @@
         self._check_epoch(answer)
         return answer
 
-    def _check_epoch(self, answer: interfaces.OrderAnswer) -> None:
-        if answer.outcome is interfaces.OrderOutcome.STALE_EPOCH:
-            self._end("a worker has seen a later owner")
-
-    # Polls.
+    def _may_renew(self) -> bool:
+        """Returns whether leases may be renewed.
 
-    def _watch(self) -> None:
-        """Begins to poll workers that nobody polls."""
+        A new owner counts on it that an owner which could not write for so
+        long, or which is over, renews none.
+        """
         now_s = self._services.clock.monotonic_s()
-        if now_s - self._watched_s < _WATCH_S:
-            return
-        self._watched_s = now_s
-        for worker in self.engine.workers.values():
-            self._watch_if_needed(worker)
-
-    def _watch_if_needed(self, worker: workers.Worker) -> None:
-        known = self._watchers.get(worker.worker_id)
-        is_watched = known is not None and not known.done()
-        if is_watched or not self.engine.answers.needs_poll(worker):
-            return
-        watcher = asyncio.ensure_future(self._watch_worker(worker))
-        watcher.add_done_callback(self._on_helper_done)
-        self._watchers[worker.worker_id] = watcher
+        silent_s = now_s - self._writer.written_s
+        return not self._is_over and silent_s <= workers.RENEW_LIMIT_S
 
-    async def _watch_worker(self, worker: workers.Worker) -> None:
-        services = self._services
-        while not self._is_over:
-            now_s = services.clock.monotonic_s()
-            if self.engine.workers.get(worker.worker_id) is not worker:
-                return
-            if now_s - self._written_s > workers.RENEW_LIMIT_S:
-                return
-            plan = self.engine.answers.poll_plan(worker, now_s)
-            if plan is None:
-                return
-            answer = await services.worker_orders.poll(
-                plan.entry,
-                self._epoch,
-                plan.acknowledged,
-                plan.valid_until_ms,
-                plan.wait_s,
-            )
-            if isinstance(answer, interfaces.OrderAnswer):
-                self._check_epoch(answer)
-            self.engine.answers.polled(
-                worker.worker_id,
-                plan,
-                answer,
-                now_s,
-                services.clock.monotonic_s(),
-            )
-            self._wake.set()
-            await self._pause(worker)
+    def _on_poll_answer(self, answer: object) -> None:
+        if isinstance(answer, interfaces.OrderAnswer):
+            self._check_epoch(answer)
+        self._wake.set()
 
-    async def _pause(self, worker: workers.Worker) -> None:
-        """Waits until the ends that a poll told have been recorded."""
-        committed = self._committed
-        if worker.received_end > worker.recorded_end:
-            await committed.wait()
-            return
-        pause_s = self.engine.answers.poll_pause_s(worker)
-        if pause_s:
-            await asyncio.sleep(pause_s)
+    def _check_epoch(self, answer: interfaces.OrderAnswer) -> None:
+        if answer.outcome is interfaces.OrderOutcome.STALE_EPOCH:
+            self._end("a worker has seen a later owner")
 
     # Registry.
 
@@ -533,27 +396,6 @@
         self._wave_progress[progress.number] = progress
         self._wake.set()
 
-    async def _write_statuses(self) -> None:
-        """Tells operators how far the waves are, once that is recorded."""
-        services = self._services
-        told: dict[int, bool] = {}
-        while True:
-            await asyncio.sleep(_STATUS_S)
-            for number, progress in self._view.waves().items():
-                if told.get(number) == progress.is_complete:
-                    continue
-                record = services.encode_wave(number, progress.is_complete)
-                try:
-                    await services.statuses.append([record])
-                except interfaces.StoreError as error:
-                    services.log(
-                        "wave-status-not-written",
-                        wave=number,
-                        error=str(error),
-                    )
-                    continue
-                told[number] = progress.is_complete
-
     # Helpers.
 
     def _now_ms(self) -> int:
@@ -577,23 +419,3 @@
                 "internal-error", error=repr(error), trace="".join(trace)
             )
             self._end("internal error")
-
-
-def _split(
-    entries: Sequence[records.KeyedRecord],
-) -> list[list[records.KeyedRecord]]:
-    """Returns the records in parts that one append takes each.
-
-    There are none without records: an append of nothing would not be counted
-    by the store, and the next one would be out of sequence.
-    """
-    parts: list[list[records.KeyedRecord]] = []
-    part_bytes = 0
-    for entry in entries:
-        entry_bytes = len(entry.key) + len(entry.value) + 8
-        if not parts or part_bytes + entry_bytes > _APPEND_BYTES:
-            parts.append([])
-            part_bytes = 0
-        parts[-1].append(entry)
-        part_bytes += entry_bytes
-    return parts
--- a/foxtaillock/batch/tests/test_demand.py
+++ b/foxtaillock/batch/tests/test_demand.py
@@ -14,6 +14,7 @@
 _POOLS = ("a", "b", "c", "d")
 _VMS_OF_A_POOL = 6
 _TURN_S = 8.0
+_QUIET_S = 8.0
 
 # A job has one task of this size and length and may wait for so long.
 _TASK_MILLIS = 4_000
@@ -79,8 +80,8 @@
 
     def test_turns_of_four_times_a_pool_are_served(self) -> None:
         for seed in range(5):
-            fixed = _play(seed, 60.0, may_move=False)
-            moving = _play(seed, 60.0, may_move=True)
+            fixed = _Play(seed, 60.0).run(may_move=False)
+            moving = _Play(seed, 60.0).run(may_move=True)
             with self.subTest(seed=seed, fixed=fixed, moving=moving):
                 self.assertLess(fixed.timely, 0.5)
                 self.assertGreater(moving.timely, 0.95)
@@ -88,8 +89,8 @@
 
     def test_turns_that_a_pool_holds_are_served_with_fewer_vms(self) -> None:
         for seed in range(5):
-            fixed = _play(seed, 12.0, may_move=False)
-            moving = _play(seed, 12.0, may_move=True)
+            fixed = _Play(seed, 12.0).run(may_move=False)
+            moving = _Play(seed, 12.0).run(may_move=True)
             with self.subTest(seed=seed, fixed=fixed, moving=moving):
                 self.assertGreater(moving.timely, 0.98)
                 self.assertLess(moving.vm_s, 0.75 * fixed.vm_s)
@@ -120,54 +121,71 @@
         )
 
 
-def _play(seed: int, peak_per_s: float, may_move: bool) -> Served:
-    """Plays four turns, each with `peak_per_s` jobs in its middle."""
-    chance = random.Random(seed)
-    played = fleet.Fleet()
-    pool_of = {
-        f"{pool}{number}": pool
-        for pool in _POOLS
-        for number in range(_VMS_OF_A_POOL)
-    } | {f"s{number}": "spare" for number in range(_VMS_OF_A_POOL)}
-    arrives_s: dict[str, float] = {}
-    pools = {pool: _Pool() for pool in _POOLS}
-    waits_s: list[float] = []
-    vm_s, now_s = 0.0, -8.0
-    while now_s < _TURN_S * len(_POOLS):
-        now_s += _STEP_S
-        counts = {
-            pool: sum(
-                1
-                for vm, where in pool_of.items()
-                if where == pool and arrives_s.get(vm, now_s) <= now_s
-            )
-            for pool in _POOLS
+class _Play:
+    """Four pools of six VMs and six spare ones, through four turns.
+
+    Args:
+        seed: seed of the arrivals.
+        peak_per_s: jobs that arrive in a second in the middle of a turn.
+    """
+
+    def __init__(self, seed: int, peak_per_s: float) -> None:
+        self._chance = random.Random(seed)
+        self._peak_per_s = peak_per_s
+        self._fleet = fleet.Fleet()
+        self._pool_of = {
+            f"{pool}{number}": pool
+            for pool in (*_POOLS, "spare")
+            for number in range(_VMS_OF_A_POOL)
         }
-        vm_s += sum(1 for where in pool_of.values() if where != "spare") * (
-            _STEP_S
-        )
-        for number, (name, pool) in enumerate(pools.items()):
-            pool.waiting_s += [now_s] * _arrivals(
-                number, now_s, peak_per_s, chance
-            )
-            waits_s += pool.advance(now_s, counts[name])
-        if not may_move:
-            continue
-        loads = {name: pools[name].load(counts[name]) for name in _POOLS}
-        played.listed(
-            [_row(vm, pool_of[vm], arrives_s, now_s) for vm in pool_of],
-            "spare",
-            now_s,
-        )
-        played.observe(loads, now_s)
-        uses = _uses(pool_of, pools)
-        for order in played.next_moves(uses, loads, now_s):
-            played.answered(order, interfaces.MachineOutcome.DONE, now_s)
-            pool_of[order.vm] = order.pool
-            arrives_s[order.vm] = now_s + _MOVE_S
-    unserved = sum(len(pool.waiting_s) for pool in pools.values())
-    timely = sum(1 for wait_s in waits_s if wait_s <= _SLACK_S)
-    return Served(timely / (len(waits_s) + unserved), vm_s)
+        self._arrives_s: dict[str, float] = {}
+        self._pools = {pool: _Pool() for pool in _POOLS}
+        self._waits_s: list[float] = []
+        self._vm_s = 0.0
+
+    def run(self, may_move: bool) -> Served:
+        """Plays all turns after some seconds without traffic."""
+        steps = int((_QUIET_S + _TURN_S * len(_POOLS)) / _STEP_S)
+        for step in range(steps):
+            now_s = step * _STEP_S - _QUIET_S
+            counts = self._count_vms(now_s)
+            for number, (name, pool) in enumerate(self._pools.items()):
+                arrived = _arrivals(
+                    number, now_s, self._peak_per_s, self._chance
+                )
+                pool.waiting_s += [now_s] * arrived
+                self._waits_s += pool.advance(now_s, counts[name])
+            if may_move:
+                self._move(counts, now_s)
+        unserved = sum(len(pool.waiting_s) for pool in self._pools.values())
+        timely = sum(1 for wait_s in self._waits_s if wait_s <= _SLACK_S)
+        return Served(timely / (len(self._waits_s) + unserved), self._vm_s)
+
+    def _count_vms(self, now_s: float) -> dict[str, int]:
+        """Returns the VMs at work in each pool; those on the way cost too."""
+        counts = dict.fromkeys(_POOLS, 0)
+        for vm, pool in self._pool_of.items():
+            if pool != "spare":
+                self._vm_s += _STEP_S
+                counts[pool] += self._arrives_s.get(vm, now_s) <= now_s
+        return counts
+
+    def _move(self, counts: dict[str, int], now_s: float) -> None:
+        loads = {
+            name: pool.load(counts[name]) for name, pool in self._pools.items()
+        }
+        rows = [
+            _row(vm, pool, self._arrives_s, now_s)
+            for vm, pool in self._pool_of.items()
+        ]
+        self._fleet.listed(rows, "spare", now_s)
+        self._fleet.observe(loads, now_s)
+        uses = _uses(self._pool_of, self._pools)
+        for order in self._fleet.next_moves(uses, loads, now_s):
+            done = interfaces.MachineOutcome.DONE
+            self._fleet.answered(order, done, now_s)
+            self._pool_of[order.vm] = order.pool
+            self._arrives_s[order.vm] = now_s + _MOVE_S
 
 
 def _arrivals(
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -10,6 +10,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import owner
 from foxtaillock.batch import records
+from foxtaillock.batch import services
 from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 from foxtaillock.model import clock as model_clock
@@ -76,7 +77,7 @@
     async def asyncSetUp(self) -> None:
         self.journal = _MemoryJournal()
         empty = _MemoryJournal()
-        services = owner.OwnerServices(
+        works_with = services.OwnerServices(
             journal=self.journal,
             registry=empty,
             decode_worker=lambda *_: None,
@@ -90,7 +91,10 @@
             metrics=metrics.Metrics(),
         )
         self.owner = owner.Owner(
-            "vm-1", "a", 1.0, 3, view.JournalView(), 0.0, services
+            records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
+            view.JournalView(),
+            0.0,
+            works_with,
         )
 
     async def test_release_stands_though_an_append_was_under_way(self) -> None:
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -13,6 +13,7 @@
 from foxtaillock.batch import node as nodes
 from foxtaillock.batch import ownership
 from foxtaillock.batch import records
+from foxtaillock.batch import services as batch_services
 from foxtaillock import exceptions
 from foxtaillock.model import clock as model_clock
 from foxtaillock.platform import advice
@@ -79,8 +80,11 @@
         http.Caller(_POLL_CONNECTIONS),
     ]
     incarnation = uuid.uuid4().hex[:8]
-    services = create_services(settings, callers, clock, log, metrics)
-    node = create_node(settings, incarnation, services)
+    node = create_node(
+        settings,
+        incarnation,
+        create_services(settings, callers, clock, log, metrics),
+    )
     front = fronts.Front(node.desk, lambda: node.is_ready, clock, metrics)
     node.start()
     await front.listen(settings.readiness, front.serve_readiness)
@@ -112,7 +116,7 @@
 def create_node(
     settings: platform_settings.VmSettings,
     incarnation: str,
-    services: nodes.NodeServices,
+    services: batch_services.NodeServices,
 ) -> nodes.Node:
     """Returns the entry VM that the settings describe.
 
@@ -136,7 +140,7 @@
     clock: model_clock.Clock,
     log: Callable[..., None],
     metrics: batch_metrics.Metrics,
-) -> nodes.NodeServices:
+) -> batch_services.NodeServices:
     """Returns what an entry VM works with on the platform.
 
     Args:
@@ -153,21 +157,23 @@
             store_caller, settings.store.text, name, _PRODUCER
         )
 
-    return nodes.NodeServices(
-        _topic(_JOURNAL_TOPIC),
-        _topic(_OPERATORS_TOPIC),
-        _topic(_WORKERS_TOPIC),
-        _decode_config,
-        registry.decode_wave,
-        registry.decode_worker,
-        workers.HttpWorkers(order_caller, poll_caller),
-        _vm_orders(settings, store_caller),
-        _advisor(settings, order_caller),
-        _topic(_STATUS_TOPIC),
-        _encode_wave,
-        clock,
-        log,
-        metrics,
+    return batch_services.NodeServices(
+        operators=_topic(_OPERATORS_TOPIC),
+        decode_config=_decode_config,
+        decode_wave=registry.decode_wave,
+        owner=batch_services.OwnerServices(
+            journal=_topic(_JOURNAL_TOPIC),
+            registry=_topic(_WORKERS_TOPIC),
+            decode_worker=registry.decode_worker,
+            worker_orders=workers.HttpWorkers(order_caller, poll_caller),
+            vm_orders=_vm_orders(settings, store_caller),
+            advisor=_advisor(settings, order_caller),
+            statuses=_topic(_STATUS_TOPIC),
+            encode_wave=_encode_wave,
+            clock=clock,
+            log=log,
+            metrics=metrics,
+        ),
     )
 
 
