--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -198,6 +198,11 @@
         """Returns the VMs of a wave whose upkeep has begun."""
         return tuple(sorted(self._waves[number].begun))
 
+    def hold(self, vms: Iterable[str], until_s: float) -> None:
+        """Lets VMs alone that an earlier owner may just have ordered."""
+        for vm in vms:
+            self._not_before_s[vm] = until_s
+
     def listed(
         self,
         rows: Sequence[interfaces.VmRow],
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from foxtaillock.batch import engine as engines
@@ -22,9 +23,13 @@
 # Age past which it is read again before any other decision.
 _QUIET_LIST_AGE_S = 5.0
 
-# A new owner waits before its first order for a VM, so that it and the owner
-# before it do not take turns at one VM within the platform's lease of 3 s.
-_FIRST_ORDER_S = 3.3
+# A new owner lets a VM alone for so long that the owner before it may just have
+# ordered, so that they do not take turns within the platform's lease of 3 s.
+_HOLD_S = 3.3
+
+# An order stays in the record of orders for longer than that hold and the
+# time of a takeover.
+_RECORDED_S = 5.0
 
 # The ownership must have been confirmed this recently for an order.
 _CONFIRMED_S = 1.4
@@ -39,8 +44,10 @@
         orders: the platform's service; None if there is none.
         clock: source of time.
         log: receiver of a line for each decision.
+        ordered_vms: VMs that an earlier owner may just have ordered.
         confirmed_s: returns when the ownership was last confirmed.
         record: takes what is to be recorded of a wave.
+        on_due: called when there are orders to be recorded.
     """
 
     def __init__(
@@ -50,8 +57,10 @@
         orders: interfaces.VmOrders | None,
         clock: model_clock.Clock,
         log: Callable[..., None],
+        ordered_vms: Iterable[str],
         confirmed_s: Callable[[], float],
         record: Callable[[records.WaveProgress], None],
+        on_due: Callable[[], None],
     ) -> None:
         self._epoch = epoch
         self._engine = engine
@@ -60,8 +69,12 @@
         self._log = log
         self._confirmed_s = confirmed_s
         self._record = record
+        self._on_due = on_due
         self._fleet = fleet.Fleet()
-        self._started_s = clock.monotonic_s()
+        self._fleet.hold(ordered_vms, clock.monotonic_s() + _HOLD_S)
+        self._due: list[fleet.VmOrder] = []
+        self._under_way: list[fleet.VmOrder] = []
+        self._ordered_s: dict[str, float] = {}
         self._running: set[asyncio.Task[None]] = set()
         self._has_failed = False
 
@@ -77,6 +90,36 @@
         if progress is None:
             self._record(records.WaveProgress(wave.number, (), False))
 
+    @property
+    def has_orders(self) -> bool:
+        """Whether there are orders that have to be recorded first."""
+        return bool(self._due)
+
+    def take_orders(self) -> records.VmOrders | None:
+        """Returns what has to stand before the orders that are due are sent."""
+        if not self._due:
+            return None
+        now_s = self._clock.monotonic_s()
+        self._under_way, self._due = self._due, []
+        for order in self._under_way:
+            self._ordered_s[order.vm] = now_s
+        self._ordered_s = {
+            vm: at_s
+            for vm, at_s in self._ordered_s.items()
+            if now_s - at_s <= _RECORDED_S
+        }
+        return records.VmOrders(self._epoch, tuple(self._ordered_s))
+
+    def orders_stand(self) -> None:
+        """Sends the orders that are recorded now."""
+        orders = self._orders
+        recorded, self._under_way = self._under_way, []
+        for order in recorded:
+            assert orders is not None
+            task = asyncio.ensure_future(self._carry_out(orders, order))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
     async def run(self) -> None:
         """Decides and orders until it is cancelled."""
         orders = self._orders
@@ -104,21 +147,20 @@
         now_s = self._clock.monotonic_s()
         for number in self._fleet.completed_waves():
             self._record_wave(number, is_complete=True)
-        may_order = (
-            now_s - self._started_s >= _FIRST_ORDER_S
-            and now_s - self._confirmed_s() <= _CONFIRMED_S
-        )
-        if not may_order:
+        if not self._is_confirmed():
             return
         uses = self._uses(now_s)
         due = self._fleet.next_upkeep(uses, loads, now_s)
         due += self._fleet.next_moves(uses, loads, now_s)
         self._engine.vms.set_leaving(self._fleet.leaving)
         self._log_loads(loads, len(due))
-        for order in due:
-            task = asyncio.ensure_future(self._carry_out(orders, order))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
+        self._due += due
+        if due:
+            self._on_due()
+
+    def _is_confirmed(self) -> bool:
+        age_s = self._clock.monotonic_s() - self._confirmed_s()
+        return age_s <= _CONFIRMED_S
 
     def _log_loads(
         self, loads: Mapping[str, fleet.PoolLoad], orders: int
@@ -153,6 +195,12 @@
     async def _carry_out(
         self, orders: interfaces.VmOrders, order: fleet.VmOrder
     ) -> None:
+        if not self._is_confirmed():
+            # This VM has slept since: another one may own by now.
+            outcome = interfaces.MachineOutcome.REFUSED
+            self._log("vm-order-dropped", vm=order.vm, pool=order.pool)
+            self._fleet.answered(order, outcome, self._clock.monotonic_s())
+            return
         if order.wave:
             sent = orders.maintain(order.vm, order.wave, self._epoch)
         else:
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -73,14 +73,17 @@
             self._on_poll_answer,
             self._on_helper_done,
         )
+        self._wake = asyncio.Event()
         self._fleet_keeper = fleet_keeper.FleetKeeper(
             claim.epoch,
             self.engine,
             services.vm_orders,
             services.clock,
             services.log,
+            journal_view.ordered_vms,
             lambda: self._writer.written_s,
             self._on_wave_progress,
+            self._wake.set,
         )
         self._wave_progress: dict[int, records.WaveProgress] = {}
         self._renewal = 0
@@ -88,7 +91,6 @@
         self._reached_s = now_s
         self._is_over = False
         self._gives_up = False
-        self._wake = asyncio.Event()
         self._running: set[asyncio.Task[typing.Any]] = set()
         self._registry_follower = follower.Follower(
             "registry",
@@ -196,7 +198,11 @@
         """Appends what has to stand, then begins what it allows."""
         now_s = self._services.clock.monotonic_s()
         is_due = now_s - self._renewed_s >= ownership.HEARTBEAT_S
-        has_records = self.engine.has_batch() or self._wave_progress
+        has_records = (
+            self.engine.has_batch()
+            or self._wave_progress
+            or self._fleet_keeper.has_orders
+        )
         # It may be told to give up while the append is under way; only what
         # the append says counts.
         gives_up = self._gives_up
@@ -208,6 +214,9 @@
             records.encode(each) for each in self._wave_progress.values()
         ]
         self._wave_progress = {}
+        vm_orders = self._fleet_keeper.take_orders()
+        if vm_orders is not None:
+            entries.append(records.encode(vm_orders))
         if is_due or gives_up:
             self._renewal += 1
             self._renewed_s = now_s
@@ -218,6 +227,7 @@
         for plan in self.engine.committed(batch, now_s):
             self._spawn(self._start(plan))
         self._polls.committed()
+        self._fleet_keeper.orders_stand()
         if gives_up:
             self._end("given up")
 
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -20,6 +20,7 @@
     "Record",
     "StepProgress",
     "TaskRow",
+    "VmOrders",
     "WaveProgress",
     "decode",
     "encode",
@@ -122,6 +123,18 @@
     is_complete: bool
 
 
+class VmOrders(typing.NamedTuple):
+    """VMs for which an owner has orders, recorded before it sends them.
+
+    Attributes:
+        epoch: epoch of the owner.
+        vms: VMs that it has ordered in the last seconds or is about to.
+    """
+
+    epoch: int
+    vms: tuple[str, ...]
+
+
 Record = (
     OwnerRecord
     | Candidacy
@@ -129,6 +142,7 @@
     | Cancel
     | StepProgress
     | JobEnd
+    | VmOrders
     | WaveProgress
 )
 
@@ -140,11 +154,12 @@
     value: bytes
 
 
-_OWNER, _CANDIDACY, _WAVE = "o", "n", "w"
+_OWNER, _CANDIDACY, _VM_ORDERS, _WAVE = "o", "n", "v", "w"
 _JOB, _CANCEL, _STEP, _END = "j", "c", "s", "e"
 _TYPES: dict[str, typing.Any] = {
     _OWNER: OwnerRecord,
     _CANDIDACY: Candidacy,
+    _VM_ORDERS: VmOrders,
     _JOB: model.JobSpec,
     _CANCEL: Cancel,
     _STEP: StepProgress,
@@ -188,6 +203,8 @@
         return _OWNER
     if isinstance(record, Candidacy):
         return _CANDIDACY
+    if isinstance(record, VmOrders):
+        return _VM_ORDERS
     if isinstance(record, StepProgress):
         job_id, occurrence, step = record.step_id
         return f"{_STEP}{job_id}.{occurrence}.{step}"
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -35,6 +35,8 @@
     for its key is passed over.
 
     Attributes:
+        owner: newest record of an owner.
+        ordered_vms: VMs that the latest owner may have ordered last.
         on_record: called with each record that changed the state.
     """
 
@@ -47,6 +49,7 @@
         self._waves: dict[int, records.WaveProgress] = {}
         self._waiting: collections.Counter[str] = collections.Counter()
         self.owner: records.OwnerRecord | None = None
+        self.ordered_vms: tuple[str, ...] = ()
         self.on_record: Callable[[records.Record], None] = lambda _: None
 
     def apply(self, offset: int, keyed: records.KeyedRecord) -> None:
@@ -129,6 +132,8 @@
         elif isinstance(record, records.Candidacy):
             # Only a fresh one counts, as it is read; it is no state.
             return
+        elif isinstance(record, records.VmOrders):
+            self.ordered_vms = record.vms
         elif isinstance(record, records.WaveProgress):
             self._waves[record.number] = record
         elif isinstance(record, records.StepProgress):
