--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -174,6 +174,16 @@
         ordered = (each.order.worker_id for each in self._pending.values())
         return frozenset(filter(None, (*emptied, *ordered)))
 
+    @property
+    def due(self) -> frozenset[str]:
+        """Workers whose VMs a wave will have emptied."""
+        return frozenset(
+            row.worker_id
+            for wave in self._waves.values()
+            if not wave.is_complete
+            for row in self._due_rows(wave)
+        )
+
     @property
     def needs_list(self) -> bool:
         """Whether the list of VMs has to be read again."""
@@ -361,7 +371,9 @@
         """Marks the VMs that are to be emptied.
 
         One VM of a pool at a time, and none while tasks of the pool wait,
-        unless the time that is left is short for the pool's VMs.
+        unless the time that is left is short for the pool's VMs. Of VMs with
+        tasks that last one is emptied besides, from the beginning: these tasks
+        leave one after the other, which takes the longest.
 
         Returns:
             The VMs that are being emptied, those that nothing runs on first,
@@ -370,7 +382,7 @@
         due = self._due_rows(wave)
         due_of = collections.Counter(row.pool for row in due)
         leaving_of = collections.Counter(
-            self._vms[vm].pool
+            (self._vms[vm].pool, False)
             for vm, pending in self._pending.items()
             if pending.order.wave and vm in self._vms
         )
@@ -384,10 +396,14 @@
             at_once = wave.wave.max_down
             if row.pool != self._spare_pool and row.vm in uses:
                 at_once = self._at_once(row.pool, loads, due_of, left_s)
+            has_lasting = row.vm in uses and uses[row.vm].lasting > 0
+            if has_lasting:
+                at_once = max(1, at_once)
+            group = (row.pool, has_lasting)
             is_leaving = row.vm in self._leaving
-            if leaving_of[row.pool] >= at_once and not is_leaving:
+            if leaving_of[group] >= at_once and not is_leaving:
                 continue
-            leaving_of[row.pool] += 1
+            leaving_of[group] += 1
             self._leaving.add(row.vm)
             chosen.append((row, left_s < _LAST_S))
         return chosen
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -152,7 +152,7 @@
         uses = self._uses(now_s)
         due = self._fleet.next_upkeep(uses, loads, now_s)
         due += self._fleet.next_moves(uses, loads, now_s)
-        self._engine.vms.set_leaving(self._fleet.leaving)
+        self._engine.vms.set_leaving(self._fleet.leaving, self._fleet.due)
         self._log_loads(loads, len(due))
         self._due += due
         if due:
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -5,15 +5,13 @@
 from collections.abc import Mapping
 
 from foxtaillock.batch import fleet
+from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
 __all__ = ["LoadMeter"]
 
-# Tasks that last of a step without a bound for a worker that share one.
-_LASTING_TOGETHER = 8
-
 
 class LoadMeter:
     """Work of one pool.
@@ -35,7 +33,7 @@
     def add_lasting(self, job: tasks.Job) -> None:
         """Counts a job whose tasks run until it is cancelled."""
         for step in job.spec.steps:
-            together = step.max_per_worker or _LASTING_TOGETHER
+            together = model.lasting_together(step)
             vms = math.ceil(step.task_count / together)
             self._spread = max(self._spread, vms)
             held = step.held_size.cpu_millis
--- a/foxtaillock/batch/model.py
+++ b/foxtaillock/batch/model.py
@@ -22,11 +22,18 @@
     "Team",
     "Wave",
     "WorkerEntry",
+    "lasting_together",
     "parse_task_id",
     "task_text",
 ]
 
 
+# Workers over which the tasks of a step that lasts are spread at least, and
+# tasks that may share one in any case.
+_LASTING_PARTS = 4
+_LEAST_TOGETHER = 3
+
+
 class JobState(enum.StrEnum):
     """State of a job as its submitter sees it."""
 
@@ -247,6 +254,23 @@
     clock_ms: int
 
 
+def lasting_together(step: StepSpec) -> int:
+    """Returns how many tasks of a step that lasts may share a worker.
+
+    A quarter of them or a few, so that the loss of a worker leaves most at
+    work, unless the step states a smaller bound.
+
+    Example:
+        >>> size = resources.Resources(1000, 0, 0)
+        >>> lasting_together(StepSpec(24, size)), lasting_together(
+        ...     StepSpec(5, size)
+        ... )
+        (6, 3)
+    """
+    quarter = max(_LEAST_TOGETHER, -(-step.task_count // _LASTING_PARTS))
+    return min(quarter, step.max_per_worker or quarter)
+
+
 def task_text(task: TaskId) -> str:
     """Returns the name of a task as workers know it.
 
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -133,7 +133,7 @@
         orphans = self.orphans.pop(entry.worker_id, {})
         for task in orphans.values():
             if task.worker_born_ms in (0, entry.born_ms):
-                worker.add(task, self.held_size(task))
+                worker.add(task, self.step(task).spec)
             else:
                 self.run_lost(task, now_s, "its worker was started again")
 
@@ -149,7 +149,7 @@
             elif worker.entry.born_ms != task.worker_born_ms:
                 self.run_lost(task, now_s, "its worker was started again")
             else:
-                worker.add(task, step.spec.held_size)
+                worker.add(task, step.spec)
 
     def lapse_orphans(self, now_s: float) -> None:
         """Gives up runs on workers that never registered with this owner."""
@@ -250,7 +250,7 @@
         step = self.step(task)
         worker = self.workers.get(task.worker_id)
         if worker is not None:
-            worker.remove(task, step.spec.held_size)
+            worker.remove(task, step.spec)
             worker.idle_from_s = self.now_s
         self.orphans.get(task.worker_id, {}).pop(task.task_id, None)
         team = self.jobs[task.task_id.job_id].spec.team
@@ -333,10 +333,6 @@
         job = self.jobs[task_id.job_id]
         return job.steps[task_id.occurrence, task_id.step]
 
-    def held_size(self, task: tasks.Task) -> resources.Resources:
-        """Returns what a task holds of its worker's capacity."""
-        return self.step(task).spec.held_size
-
     def count(self, team: str, size: resources.Resources, sign: int) -> None:
         """Counts what a team may have running."""
         used = self.used.get(team, resources.ZERO)
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -143,13 +143,13 @@
         if worker is None or not usage.allows(team, size):
             break
         task = step.tasks[index]
-        worker.add(task, held)
+        worker.add(task, step.spec)
         usage.add(team, size)
         counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
         placements.append(Placement(task, worker, held))
     if step.spec.is_gang and len(placements) < len(step.tasks):
         for placement in placements:
-            placement.worker.remove(placement.task, held)
+            placement.worker.remove(placement.task, step.spec)
             usage.remove(team, size)
         return []
     return placements
@@ -190,7 +190,7 @@
     step: tasks.Step, usable: Sequence[workers.Worker]
 ) -> dict[str, int]:
     """Returns the tasks of the step on each worker, if there is a bound."""
-    if not step.spec.max_per_worker:
+    if not step.spec.max_per_worker and not step.spec.is_lasting:
         return {}
     counts: dict[str, int] = {worker.worker_id: 0 for worker in usable}
     for task in step.active():
@@ -205,11 +205,7 @@
     usable: Sequence[workers.Worker],
     counts: Mapping[str, int],
 ) -> workers.Worker | None:
-    """Returns the worker that a task fits best, or None.
-
-    Tasks that last are spread; others fill the fullest worker that has room,
-    so that large tasks find room elsewhere.
-    """
+    """Returns the worker that a task fits best, or None."""
     best = None
     best_score: tuple[float, ...] = ()
     for worker in usable:
@@ -221,13 +217,46 @@
         used = counts.get(worker.worker_id, 0)
         if spec.max_per_worker and used >= spec.max_per_worker:
             continue
-        far = bool(spec.rack) and spec.rack not in worker.entry.labels
-        left = free.cpu_millis - held.cpu_millis
-        score = (
-            float(far),
-            float(used),
-            float(-left if spec.is_lasting else left),
-        )
+        if spec.is_lasting:
+            score = _score_for_lasting(spec, worker, used)
+        else:
+            score = _score(spec, held, worker, used)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
+
+
+def _score(
+    spec: model.StepSpec,
+    held: resources.Resources,
+    worker: workers.Worker,
+    used: int,
+) -> tuple[float, ...]:
+    """Returns how well a worker fits; the fullest with room does best.
+
+    So large tasks find room elsewhere, and VMs become empty that can be
+    switched off.
+    """
+    far = bool(spec.rack) and spec.rack not in worker.entry.labels
+    left_millis = worker.free.cpu_millis - held.cpu_millis
+    return (float(far), float(used), float(left_millis))
+
+
+def _score_for_lasting(
+    spec: model.StepSpec, worker: workers.Worker, used: int
+) -> tuple[float, ...]:
+    """Returns how well a worker fits a task that lasts.
+
+    Such a task holds its VM in the pool, so these tasks share workers; but not
+    all tasks of a step share one, whose loss would take them all. A worker
+    that is to be emptied soon would only have to pass the task on.
+    """
+    far = bool(spec.rack) and spec.rack not in worker.entry.labels
+    is_crowded = used >= model.lasting_together(spec)
+    return (
+        float(worker.is_due),
+        float(far),
+        float(is_crowded),
+        float(used if is_crowded else -worker.lasting_count),
+        float(-worker.free.cpu_millis),
+    )
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -326,7 +326,7 @@
 
     def test_one_at_a_time(self) -> None:
         engine = self._engine()
-        engine.vms.set_leaving(self._with_tasks(engine)[:2])
+        engine.vms.set_leaving(self._with_tasks(engine)[:2], ())
         engine.tick(12.0)
         self.assertEqual(len(engine.take_stops()), 1)
 
@@ -334,7 +334,7 @@
         engine = self._engine()
         first, second, _ = self._with_tasks(engine)
         engine.workers[second].unanswered = 1
-        engine.vms.set_leaving([first])
+        engine.vms.set_leaving([first], ())
         engine.tick(12.0)
         self.assertEqual(engine.take_stops(), [])
 
@@ -342,13 +342,13 @@
         engine = self._engine()
         first, second, _ = self._with_tasks(engine)
         engine.workers[second].answered_s = 10.0
-        engine.vms.set_leaving([first])
+        engine.vms.set_leaving([first], ())
         engine.tick(12.0)
         self.assertEqual(engine.take_stops(), [])
 
     def test_none_without_a_place_to_go(self) -> None:
         engine = self._engine()
-        engine.vms.set_leaving(self._with_tasks(engine)[:1])
+        engine.vms.set_leaving(self._with_tasks(engine)[:1], ())
         (idle,) = [w for w in engine.workers.values() if not w.tasks]
         engine.unregister(idle.worker_id)
         engine.tick(12.0)
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -68,6 +68,16 @@
         uses = {row.vm: fleet.VmUse(1, 1, 0.0) for row in self.rows}
         self.assertEqual(self._due(uses, 69.0), [])
 
+    def test_vm_with_tasks_that_last_is_emptied_from_the_beginning(
+        self,
+    ) -> None:
+        uses = {row.vm: _BUSY for row in self.rows}
+        uses["m3"] = fleet.VmUse(4, 2, 0.0)
+        self.loads["pool"] = _load(waiting_millis=5000)
+        self.assertEqual(self._due(uses), [])
+        self.assertEqual(self.fleet.leaving, {"w-m3"})
+        self.assertEqual(self.fleet.due, {row.worker_id for row in self.rows})
+
     def test_tasks_are_cut_off_at_the_very_end(self) -> None:
         uses = {row.vm: _BUSY for row in self.rows}
         self.assertEqual(len(self._due(uses, 68.0)), 2)
--- a/foxtaillock/batch/tests/test_placement.py
+++ b/foxtaillock/batch/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Order and place of tasks."""
 
+import collections
 import random
 import unittest
 from collections.abc import Callable
@@ -207,6 +208,36 @@
         places = [each.worker.worker_id for each in chosen]
         self.assertEqual(places, ["2", "2", "2", "2", "1"])
 
+    def _places_of_lasting(
+        self, pool: list[workers.Worker], count: int
+    ) -> dict[str, int]:
+        step = builders.step(count, cpu=200, is_lasting=True)
+        candidate = _candidate(builders.job("j", step), 20.0)
+        usage = placement.Usage({}, {})
+        chosen = placement.choose(candidate, pool, usage, lambda _: True)
+        places = collections.Counter(each.worker.worker_id for each in chosen)
+        return dict(places)
+
+    def test_tasks_that_last_share_workers_but_not_a_single_one(self) -> None:
+        pool = [builders.pool_worker(str(number)) for number in range(8)]
+        self.assertEqual(
+            sorted(self._places_of_lasting(pool, 5).values()), [2, 3]
+        )
+        pool = [builders.pool_worker(str(number)) for number in range(8)]
+        self.assertEqual(
+            sorted(self._places_of_lasting(pool, 24).values()), [6, 6, 6, 6]
+        )
+
+    def test_tasks_that_last_join_those_of_other_jobs(self) -> None:
+        pool = [builders.pool_worker(str(number)) for number in range(8)]
+        first = self._places_of_lasting(pool, 5)
+        self.assertEqual(self._places_of_lasting(pool, 5).keys(), first.keys())
+
+    def test_tasks_that_last_avoid_a_worker_that_is_due(self) -> None:
+        pool = [builders.pool_worker(str(number)) for number in range(3)]
+        pool[0].is_due = True
+        self.assertNotIn("0", self._places_of_lasting(pool, 12))
+
     def test_label_is_needed(self) -> None:
         step = builders.step(1, label="gpu")
         candidate = _candidate(builders.job("j", step), 20.0)
--- a/foxtaillock/batch/vm_duties.py
+++ b/foxtaillock/batch/vm_duties.py
@@ -56,10 +56,18 @@
                     )
                     self._state.order_stop(worker, task, now_s)
 
-    def set_leaving(self, worker_ids: Iterable[str]) -> None:
-        """Sets which workers are emptied for orders to their VMs."""
-        leaving = set(worker_ids)
+    def set_leaving(
+        self, worker_ids: Iterable[str], due_ids: Iterable[str]
+    ) -> None:
+        """Sets which workers are emptied for orders to their VMs.
+
+        Args:
+            worker_ids: workers that are emptied now.
+            due_ids: workers that will have to be.
+        """
+        leaving, due = set(worker_ids), set(due_ids)
         for worker in self._state.workers.values():
+            worker.is_due = worker.worker_id in due
             is_leaving = worker.worker_id in leaving
             if is_leaving != worker.is_leaving:
                 self._state.log_worker(
@@ -79,13 +87,8 @@
         worker = self._state.workers.get(worker_id)
         if worker is None:
             return None
-        lasting = sum(
-            1
-            for task in worker.tasks.values()
-            if self._state.step(task).spec.is_lasting
-        )
         idle_s = 0.0 if worker.tasks else now_s - worker.idle_from_s
-        return fleet.VmUse(len(worker.tasks), lasting, idle_s)
+        return fleet.VmUse(len(worker.tasks), worker.lasting_count, idle_s)
 
     def pool_loads(self, now_s: float) -> dict[str, fleet.PoolLoad]:
         """Returns the work of each pool that serves queues."""
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -67,6 +67,8 @@
         polled_s: time at which the latest poll was sent.
         closed_until_s: time until which it gets no new tasks.
         is_leaving: whether it is being emptied for an order to its VM.
+        is_due: whether it will have to be emptied soon.
+        lasting_count: tasks there that run until they are cancelled.
         idle_from_s: time since which it has had no task.
     """
 
@@ -88,6 +90,8 @@
     polled_s: float = float("-inf")
     closed_until_s: float = float("-inf")
     is_leaving: bool = False
+    is_due: bool = False
+    lasting_count: int = 0
     idle_from_s: float = float("-inf")
 
     @property
@@ -156,12 +160,14 @@
             return ends_s
         return max(ends_s, self.unsure_until_s)
 
-    def add(self, task: batch_tasks.Task, size: resources.Resources) -> None:
-        """Counts a task of which a run may begin."""
+    def add(self, task: batch_tasks.Task, spec: model.StepSpec) -> None:
+        """Counts a task of a step of which a run may begin."""
         self.tasks[task.task_id] = task
-        self.held = resources.add(self.held, size)
+        self.held = resources.add(self.held, spec.held_size)
+        self.lasting_count += spec.is_lasting
 
-    def remove(self, task: batch_tasks.Task, size: resources.Resources) -> None:
-        """Counts a task no more."""
+    def remove(self, task: batch_tasks.Task, spec: model.StepSpec) -> None:
+        """Counts a task of a step no more."""
         if self.tasks.pop(task.task_id, None) is not None:
-            self.held = resources.subtract(self.held, size)
+            self.held = resources.subtract(self.held, spec.held_size)
+            self.lasting_count -= spec.is_lasting
