--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -191,6 +191,10 @@
             not wave.is_complete for wave in self._waves.values()
         )
 
+    def pool_sizes(self) -> collections.Counter[str]:
+        """Returns the VMs of each pool, also those that are down."""
+        return collections.Counter(row.pool for row in self._vms.values())
+
     def add_wave(
         self,
         wave: model.Wave,
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -1,6 +1,7 @@
 """Carries out the owner's decisions on VMs of the fleet."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -77,6 +78,7 @@
         self._ordered_s: dict[str, float] = {}
         self._running: set[asyncio.Task[None]] = set()
         self._has_failed = False
+        self._sizes: collections.Counter[str] = collections.Counter()
 
     def add_wave(
         self, wave: model.Wave, progress: records.WaveProgress | None
@@ -165,17 +167,21 @@
     def _log_loads(
         self, loads: Mapping[str, fleet.PoolLoad], orders: int
     ) -> None:
+        sizes = self._fleet.pool_sizes()
         for pool, load in loads.items():
-            if load.waiting_millis:
+            has_changed = sizes[pool] != self._sizes[pool]
+            if load.waiting_millis or has_changed:
                 self._log(
                     "pool-weighed",
                     pool=pool,
+                    vms=sizes[pool],
                     orders=orders,
                     list_age_s=round(
                         self._clock.monotonic_s() - self._fleet.listed_s, 2
                     ),
                     **load._asdict(),
                 )
+        self._sizes = sizes
 
     async def _list(self, orders: interfaces.VmOrders) -> bool:
         sent_s = self._clock.monotonic_s()
