--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -59,7 +59,7 @@
 
 # Part of an equal share of the fleet that each pool keeps ready for the start
 # of its turn, until the first VMs that move arrive.
-_RESERVE_FRACTION = 0.25
+_RESERVE_FRACTION = 0.3
 
 # Time after a refused or unanswered order before the next for the same VM.
 _AGAIN_S = 0.5
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -16,7 +16,7 @@
 __all__ = ["FleetKeeper"]
 
 # Time between two decisions.
-_STEP_S = 0.2
+_STEP_S = 0.1
 
 # Age of the list of VMs past which it is read again while orders are open.
 _LIST_AGE_S = 0.5
