--- a/foxtaillock/batch/appender.py
+++ b/foxtaillock/batch/appender.py
@@ -21,6 +21,12 @@
 _QUICK_S = 0.3
 
 
+# An append that is under way for longer means a slow store. What comes then
+# would wait for that append and another one; another entry VM may be quicker,
+# and the store works off what it has.
+_SLOW_S = 0.3
+
+
 class _Waiting(typing.NamedTuple):
     record: records.KeyedRecord
     done: asyncio.Future[int]
@@ -43,14 +49,21 @@
         self._clock = clock
         self._waiting: list[_Waiting] = []
         self._runner: asyncio.Task[None] | None = None
+        self._sent_s = float("inf")
 
     async def append(self, record: records.KeyedRecord) -> int:
         """Appends a record; returns an offset behind it.
 
         Raises:
-            interfaces.StoreRefusedError: it does not stand and never will.
+            interfaces.StoreRefusedError: it does not stand and never will; also
+                at once while the store is slow.
             interfaces.StoreUnreachableError: it may stand, also later.
         """
+        under_way_s = self._clock.monotonic_s() - self._sent_s
+        if under_way_s > _SLOW_S:
+            raise interfaces.StoreRefusedError(
+                f"an append is under way for {under_way_s:.2f} s"
+            )
         done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self._waiting.append(_Waiting(record, done))
         if self._runner is None or self._runner.done():
@@ -61,6 +74,7 @@
         while self._waiting:
             group = self._waiting[:_MAX_RECORDS]
             del self._waiting[:_MAX_RECORDS]
+            self._sent_s = self._clock.monotonic_s()
             try:
                 offset = await self._append([each.record for each in group])
             except interfaces.StoreError as error:
@@ -68,6 +82,8 @@
                     if not each.done.done():
                         each.done.set_exception(error)
                 continue
+            finally:
+                self._sent_s = float("inf")
             for each in group:
                 if not each.done.done():
                     each.done.set_result(offset)
--- a/foxtaillock/batch/desk.py
+++ b/foxtaillock/batch/desk.py
@@ -58,8 +58,10 @@
     Args:
         clock: source of time.
         journal_view: fold of the journal.
-        journal_follower: what keeps that fold up to date.
-        journal_appender: appends records of calls.
+        submission_follower: what reads the jobs of that fold.
+        submission_appender: appends records of calls.
+        is_store_lost: returns whether the store has just failed a read of
+            this VM.
         config_age: how old this VM's knowledge of the configuration is.
         log: receiver of a line for each decision.
 
@@ -71,15 +73,17 @@
         self,
         clock: model_clock.Clock,
         journal_view: view.JournalView,
-        journal_follower: follower.Follower,
-        journal_appender: appender.GroupAppender,
+        submission_follower: follower.Follower,
+        submission_appender: appender.GroupAppender,
+        is_store_lost: Callable[[], bool],
         config_age: freshness.Freshness,
         log: Callable[..., None],
     ) -> None:
         self._clock = clock
         self._view = journal_view
-        self._follower = journal_follower
-        self._appender = journal_appender
+        self._follower = submission_follower
+        self._appender = submission_appender
+        self._is_store_lost = is_store_lost
         self._config_age = config_age
         self._log = log
         self.directory = directory.EMPTY
@@ -199,7 +203,9 @@
                 await self._follower.catch_up()
             except interfaces.StoreError:
                 # It may have been accepted since this VM read last.
-                return outcomes.NotStored("journal-lost", _RETRY_ELSEWHERE_S)
+                return outcomes.NotStored(
+                    "submissions-lost", _RETRY_ELSEWHERE_S
+                )
             job = self._view.job(admitted.rest)
         if job is None or job.spec.team != admitted.team:
             return outcomes.NoSuchJob()
@@ -211,7 +217,7 @@
         record: records.KeyedRecord,
         stored: outcomes.CallOutcome,
     ) -> outcomes.CallOutcome:
-        if self._follower.is_failing:
+        if self._is_store_lost():
             return outcomes.NotStored("store-lost", _RETRY_ELSEWHERE_S)
         try:
             await self._appender.append(record)
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -197,7 +197,7 @@
                     self._state.order_stop(worker, task, now_s)
         for job_id, (ended_s, job) in list(self._state.over.items()):
             if now_s - ended_s >= _FORGET_AFTER_S and not any(job.active()):
-                self._state.forget(job_id, job)
+                self._state.forgettable.add(job_id)
 
     def plan(self, now_s: float) -> None:
         """Chooses which waiting tasks start."""
@@ -279,6 +279,17 @@
         stops, self._state.stops = self._state.stops, []
         return stops
 
+    def take_forgettable(self) -> list[str]:
+        """Returns the jobs that submissions need hold no longer."""
+        found, self._state.forgettable = self._state.forgettable, set()
+        return list(found)
+
+    def forget(self, job_ids: Iterable[str]) -> None:
+        """Forgets jobs that submissions hold no longer."""
+        for job_id in job_ids:
+            if job_id in self._state.over:
+                self._state.forget(job_id, self._state.jobs[job_id])
+
     def has_batch(self) -> bool:
         """Returns whether there is something to record."""
         return bool(
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -84,7 +84,14 @@
             self._view.apply,
             services.owner.log,
         )
-        self._journal_follower.pause_s = _FOLLOWER_PAUSE_S
+        self._submission_follower = follower.Follower(
+            "submissions",
+            services.owner.submissions,
+            clock,
+            self._view.apply,
+            services.owner.log,
+        )
+        self._read_in_groups(True)
         self._journal_follower.on_read = self._ownership.checked
         self._journal_follower.on_failure = self._on_journal_failure
         self._operator_follower = follower.Follower(
@@ -98,8 +105,9 @@
         self.desk = desk.Desk(
             clock,
             self._view,
-            self._journal_follower,
-            appender.GroupAppender(services.owner.journal, clock),
+            self._submission_follower,
+            appender.GroupAppender(services.owner.submissions, clock),
+            self._is_store_lost,
             self._freshness,
             services.owner.log,
         )
@@ -117,8 +125,11 @@
             not self._is_stopping
             and self.desk.directory.version >= 0
             and self._freshness.is_fresh(now_s)
-            and not self._journal_follower.is_failing
-            and now_s - self._journal_follower.confirmed_s <= _READY_AGE_S
+            and not self._is_store_lost()
+            and all(
+                now_s - each.confirmed_s <= _READY_AGE_S
+                for each in (self._journal_follower, self._submission_follower)
+            )
         )
 
     def start(self) -> None:
@@ -126,6 +137,7 @@
         for work in (
             self._operator_follower.run,
             self._journal_follower.run,
+            self._submission_follower.run,
             self._own,
         ):
             self._tasks.append(
@@ -168,6 +180,12 @@
                 )
                 await asyncio.sleep(_AFTER_ERROR_S)
 
+    def _is_store_lost(self) -> bool:
+        return (
+            self._journal_follower.is_failing
+            or self._submission_follower.is_failing
+        )
+
     # Ownership.
 
     async def _own(self) -> None:
@@ -175,9 +193,7 @@
         services = self._services
         while not self._is_stopping:
             await asyncio.sleep(_CLAIM_CHECK_S)
-            if not self._journal_follower.is_caught_up or (
-                self.desk.directory.version < 0
-            ):
+            if not self._is_caught_up():
                 continue
             decision = self._ownership.decide(services.clock.monotonic_s())
             if not decision.epoch:
@@ -196,6 +212,20 @@
             if claim is not None:
                 await self._run_owner(claim, leases_over_s)
 
+    def _is_caught_up(self) -> bool:
+        """Returns whether all streams have been read to their end once."""
+        return (
+            self._journal_follower.is_caught_up
+            and self._submission_follower.is_caught_up
+            and self.desk.directory.version >= 0
+        )
+
+    def _read_in_groups(self, is_grouped: bool) -> None:
+        """Sets whether records are read as they come or in groups."""
+        pause_s = _FOLLOWER_PAUSE_S if is_grouped else 0.0
+        self._journal_follower.pause_s = pause_s
+        self._submission_follower.pause_s = pause_s
+
     async def _offer(self) -> None:
         """Offers to relieve an owner whose VM can carry much less."""
         services = self._services
@@ -222,7 +252,7 @@
             )
         except interfaces.StoreError as error:
             services.log("claim-failed", epoch=epoch, error=str(error))
-            self._ownership.read_failed(services.clock.monotonic_s())
+            self._ownership.claim_failed(services.clock.monotonic_s())
             return None
         if appended.outcome is not interfaces.AppendOutcome.STORED:
             services.log(
@@ -253,12 +283,12 @@
         for wave in self._waves.values():
             owner.add_wave(wave)
         self._owner = owner
-        self._journal_follower.pause_s = 0.0
+        self._read_in_groups(False)
         try:
             await owner.run()
         finally:
             self._owner = None
-            self._journal_follower.pause_s = _FOLLOWER_PAUSE_S
+            self._read_in_groups(True)
         if owner.has_given_up:
             self._ownership.step_back(services.clock.monotonic_s())
 
@@ -325,6 +355,11 @@
             "Age of this VM's knowledge of the configuration",
             lambda: self._freshness.age_s(clock.monotonic_s()),
         )
+        metrics.add_gauge(
+            "submissions_age_seconds",
+            "Time since this VM has read the submissions' end",
+            lambda: clock.monotonic_s() - self._submission_follower.confirmed_s,
+        )
         metrics.add_gauge(
             "journal_age_seconds",
             "Time since this VM has read the journal's end",
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -30,6 +30,9 @@
 # Time between two polls for steps that need advice.
 _ADVICE_S = 0.05
 
+# Time between two looks for jobs that may be forgotten.
+_FORGET_S = 1.0
+
 # Part of the workers with tasks that must be out of reach, and for how long,
 # before the ownership is given up to a VM that may reach more.
 _UNREACHED_FRACTION = 0.5
@@ -120,9 +123,7 @@
         """Takes a record of the journal in that others have written."""
         now_s = self._services.clock.monotonic_s()
         if isinstance(record, model.JobSpec):
-            self.engine.submit(record, (), now_s, self._now_ms())
-            if self._view.cancel(record.job_id) is not None:
-                self.engine.cancel(record.job_id, now_s)
+            self._take_in(record)
         elif isinstance(record, records.Cancel):
             self.engine.cancel(record.job_id, now_s)
         elif isinstance(record, records.OwnerRecord):
@@ -146,6 +147,7 @@
                 wave_status.write_statuses(self._view, self._services)
             ),
             asyncio.ensure_future(self._ask_advice()),
+            asyncio.ensure_future(self._forget()),
         ]
         for helper in helpers:
             helper.add_done_callback(self._on_helper_done)
@@ -169,21 +171,29 @@
 
     def _take_over(self) -> None:
         """Takes over all jobs as earlier owners have left them."""
-        now_s, now_ms = self._services.clock.monotonic_s(), self._now_ms()
         for spec in list(self._view.jobs()):
-            job_id = spec.job_id
-            self.engine.submit(spec, self._view.steps(job_id), now_s, now_ms)
-            if self._view.cancel(job_id) is not None:
-                self.engine.cancel(job_id, now_s)
-            end = self._view.end(job_id)
-            if end is not None:
-                self.engine.finished(job_id, end, now_s, now_ms)
+            self._take_in(spec)
         self._services.log(
             "ownership-taken",
             epoch=self._epoch,
             jobs=len(self.engine.jobs),
         )
 
+    def _take_in(self, spec: model.JobSpec) -> None:
+        """Takes a job in, with all that the journal tells of it.
+
+        Also one that is read now: submissions may be read behind the journal,
+        and an earlier owner may have run it.
+        """
+        now_s, now_ms = self._services.clock.monotonic_s(), self._now_ms()
+        job_id = spec.job_id
+        self.engine.submit(spec, self._view.steps(job_id), now_s, now_ms)
+        if self._view.cancel(job_id) is not None:
+            self.engine.cancel(job_id, now_s)
+        end = self._view.end(job_id)
+        if end is not None:
+            self.engine.finished(job_id, end, now_s, now_ms)
+
     def _step(self) -> None:
         now_s = self._services.clock.monotonic_s()
         self.engine.tick(now_s)
@@ -349,6 +359,26 @@
             )
             self._wake.set()
 
+    async def _forget(self) -> None:
+        """Lets the streams forget jobs that have been over for long."""
+        services = self._services
+        while True:
+            await asyncio.sleep(_FORGET_S)
+            job_ids = self.engine.take_forgettable()
+            if not job_ids:
+                continue
+            erased = []
+            for job_id in job_ids:
+                erased.append(records.erase(self.engine.jobs[job_id].spec))
+                erased.append(records.erase(records.Cancel(job_id, 0)))
+            try:
+                await services.submissions.append(erased)
+            except interfaces.StoreError as error:
+                # They come again with the next look.
+                services.log("forget-failed", error=str(error))
+                continue
+            self.engine.forget(job_ids)
+
     async def _timed(
         self,
         order: str,
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -52,6 +52,7 @@
         ends: final states that have to be recorded.
         recorded_ends: highest end of each worker that the next records cover.
         erasable: records that the journal may forget.
+        forgettable: jobs that have been over for long enough.
         stops: runs that are to be stopped.
         paces: runs whose share of speed is to change.
         tickets: advice on steps whose queues allow only some workers.
@@ -83,6 +84,7 @@
         self.ends: list[records.JobEnd] = []
         self.recorded_ends: dict[str, int] = {}
         self.erasable: list[records.KeyedRecord] = []
+        self.forgettable: set[str] = set()
         self.stops: list[plans.StopPlan] = []
         self.paces: list[plans.PacePlan] = []
         self.tickets = tickets.Tickets()
@@ -316,13 +318,19 @@
         self.stops.append(plans.StopPlan(worker.entry, task.task_id, task.run))
 
     def forget(self, job_id: str, job: tasks.Job) -> None:
-        """Lets the journal forget a job."""
+        """Lets the journal forget a job that was withdrawn from submissions.
+
+        In this order: a job that still stood there without its end would run
+        once more.
+        """
         del self.over[job_id]
         del self.jobs[job_id]
-        begun = [step for step in job.steps.values() if step.tasks[0].run]
+        begun = [
+            step
+            for step in job.steps.values()
+            if any(task.run for task in step.tasks)
+        ]
         self.erasable += [
-            records.erase(job.spec),
-            records.erase(records.Cancel(job_id, 0)),
             *(records.erase(step.progress(self.epoch)) for step in begun),
             records.erase(records.JobEnd(job_id, "", 0)),
         ]
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -29,9 +29,14 @@
 # (4 s), of which an owner that died may have used up one second.
 LEASE_S = 1.5
 
-# The entry VMs wait for a little different times, so that one claim is enough.
-_STAGGER_S = 0.08
-_STAGGER_STEPS = 8
+# The entry VMs wait for up to this much more, each for its own time, so that one
+# claim is enough.
+_STAGGER_S = 0.6
+_STAGGER_STEPS = 1_000
+
+# A claim that failed is repeated after up to this much more: a store that is
+# slow takes only a few claims a second of all VMs together.
+_CLAIM_AGAIN_S = 3.0
 
 # What the owner's VM sends and reads for each processor that it uses: 300
 # starts a second with their payloads, answers and records.
@@ -107,6 +112,7 @@
         self._heard_s = now_s
         self._checked_s = float("-inf")
         self._yield_until_s = float("-inf")
+        self._claim_from_s = float("-inf")
 
     @property
     def heard_s(self) -> float:
@@ -175,6 +181,11 @@
         self._offered_s = now_s
         return records.Candidacy(self._node, owner.epoch, self._capacity)
 
+    def claim_failed(self, now_s: float) -> None:
+        """Notes that the store took no claim; the next one waits."""
+        again_s = self._stagger_s() / _STAGGER_S * _CLAIM_AGAIN_S
+        self._claim_from_s = now_s + LEASE_S / 2 + again_s
+
     def step_back(self, now_s: float) -> None:
         """Leaves the next claims to other entry VMs for a while."""
         self._yield_until_s = now_s + YIELD_S
@@ -187,6 +198,8 @@
         ended with an append out of sequence. So it claims at once.
         """
         silence_s = now_s - self._heard_s
+        if now_s < self._claim_from_s:
+            return ClaimDecision(0, silence_s, "a claim has just failed")
         owner = self._owner
         if (
             owner is not None
@@ -221,7 +234,7 @@
     def _stagger_s(self) -> float:
         seed = f"{self._node}/{self._owner.epoch if self._owner else 0}"
         place = zlib.crc32(seed.encode()) % _STAGGER_STEPS
-        return place * _STAGGER_S
+        return place / _STAGGER_STEPS * _STAGGER_S
 
     def _claim_reason(self) -> str:
         if self._owner is None:
--- a/foxtaillock/batch/services.py
+++ b/foxtaillock/batch/services.py
@@ -17,7 +17,9 @@
     """What an owner works with.
 
     Attributes:
-        journal: the journal.
+        journal: the journal: what the owners write.
+        submissions: the second stream of the same fold: jobs and cancels, as
+            entry VMs take them in.
         registry: stream of what workers have registered.
         decode_worker: decodes a record of that stream.
         worker_orders: orders to workers.
@@ -31,6 +33,7 @@
     """
 
     journal: interfaces.Journal
+    submissions: interfaces.Journal
     registry: interfaces.Journal
     decode_worker: Callable[[str, bytes], model.WorkerEntry | None]
     worker_orders: interfaces.WorkerOrders
--- /dev/null
+++ b/foxtaillock/batch/tests/test_appender.py
@@ -0,0 +1,76 @@
+"""Appends of calls, gathered in groups."""
+
+import asyncio
+import typing
+import unittest
+from collections.abc import Sequence
+
+from foxtaillock.batch import appender
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import records
+
+_RECORD = records.KeyedRecord("j1", b"x")
+
+
+class _Clock:
+    """Time that a test sets."""
+
+    now_s = 100.0
+
+    def monotonic_s(self) -> float:
+        """Returns the time."""
+        return self.now_s
+
+
+class _Journal:
+    """Takes appends one at a time, when a test lets it."""
+
+    def __init__(self) -> None:
+        self.sizes: list[int] = []
+        self.lets = asyncio.Event()
+
+    async def append(
+        self, batch: Sequence[records.KeyedRecord]
+    ) -> interfaces.Appended:
+        """Takes records."""
+        self.sizes.append(len(batch))
+        await self.lets.wait()
+        return interfaces.Appended(interfaces.AppendOutcome.STORED, 7)
+
+
+class GroupAppenderTest(unittest.IsolatedAsyncioTestCase):
+    """One append at a time; what comes meanwhile goes in the next."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = _Clock()
+        self.journal = _Journal()
+        self.appender = appender.GroupAppender(
+            typing.cast(interfaces.Journal, self.journal),
+            typing.cast(typing.Any, self.clock),
+        )
+
+    async def _begin(self, count: int) -> list[asyncio.Task[int]]:
+        begun = [
+            asyncio.ensure_future(self.appender.append(_RECORD))
+            for _ in range(count)
+        ]
+        await asyncio.sleep(0.01)
+        return begun
+
+    async def test_records_that_come_meanwhile_go_together(self) -> None:
+        begun = await self._begin(1)
+        begun += await self._begin(3)
+        self.journal.lets.set()
+        self.assertEqual(await asyncio.gather(*begun), [7] * 4)
+        self.assertEqual(self.journal.sizes, [1, 3])
+
+    async def test_slow_store_refuses_at_once_until_it_has_answered(
+        self,
+    ) -> None:
+        first = await self._begin(1)
+        self.clock.now_s += 0.31
+        with self.assertRaises(interfaces.StoreRefusedError):
+            await self.appender.append(_RECORD)
+        self.journal.lets.set()
+        self.assertEqual(await first[0], 7)
+        self.assertEqual(await self.appender.append(_RECORD), 7)
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -76,9 +76,12 @@
 
     async def asyncSetUp(self) -> None:
         self.journal = _MemoryJournal()
+        self.submissions = _MemoryJournal()
+        self.view = view.JournalView()
         empty = _MemoryJournal()
         works_with = services.OwnerServices(
             journal=self.journal,
+            submissions=self.submissions,
             registry=empty,
             decode_worker=lambda *_: None,
             worker_orders=typing.cast(interfaces.WorkerOrders, None),
@@ -92,7 +95,7 @@
         )
         self.owner = owner.Owner(
             records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
-            view.JournalView(),
+            self.view,
             0.0,
             works_with,
         )
@@ -107,6 +110,48 @@
         self.assertFalse(self.journal.owners()[0].is_released)
         self.assertTrue(self.journal.owners()[-1].is_released)
 
+    async def test_job_that_is_read_late_is_not_run_again(self) -> None:
+        """Its end stands in the journal before its submission is read."""
+        job = builders.job("00000000000000aa", builders.step(1))
+        progress = records.StepProgress(
+            model.StepId(job.job_id, 0, 0), 2, b"\x01", ()
+        )
+        end = records.JobEnd(job.job_id, "completed", 20_000)
+        self.view.apply(0, records.encode(progress))
+        self.view.apply(1, records.encode(end))
+        running = asyncio.ensure_future(self.owner.run())
+        await asyncio.sleep(0.05)
+        self.view.apply(0, records.encode(job))
+        self.owner.on_record(job)
+        self.assertTrue(self.owner.engine.jobs[job.job_id].is_over)
+        self.assertTrue(
+            all(
+                step.is_done
+                for step in self.owner.engine.jobs[job.job_id].steps.values()
+            )
+        )
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    async def test_submission_is_withdrawn_before_its_end_is_forgotten(
+        self,
+    ) -> None:
+        job = builders.job("00000000000000aa", builders.step(1))
+        end = records.JobEnd(job.job_id, "completed", 20_000)
+        self.view.apply(0, records.encode(job))
+        self.view.apply(1, records.encode(end))
+        self.submissions.failures = 1
+        running = asyncio.ensure_future(self.owner.run())
+        async with asyncio.timeout(10.0):
+            while self.submissions.failures:
+                await asyncio.sleep(0.02)
+            self.assertNotIn(records.erase(end), [*self.journal.appended])
+            while records.erase(end) not in self.journal.appended:
+                await asyncio.sleep(0.02)
+        self.assertIn(records.erase(job), self.submissions.appended)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
     async def test_only_much_more_capacity_relieves_this_owner(self) -> None:
         running = asyncio.ensure_future(self.owner.run())
         self.owner.on_record(records.Candidacy("vm-2", 2, 9.0))
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -68,6 +68,20 @@
         self.assertEqual(silent_s - ended_s, workers.RENEW_LIMIT_S)
         self.assertGreater(ended_s, 10.0 + workers.LEASE_S)
 
+    def test_vms_repeat_a_claim_that_failed_at_different_times(self) -> None:
+        again = set()
+        for number in range(40):
+            known = ownership.Ownership(f"vm-{number}", "a", 0.0)
+            known.heard(_OTHER, 10.0)
+            known.claim_failed(12.0)
+            for tenths in range(120, 160):
+                known.checked(tenths / 10)
+                if known.decide(tenths / 10).epoch:
+                    again.add(tenths)
+                    break
+        self.assertGreater(min(again), 126)
+        self.assertGreater(len(again), 15)
+
     def test_record_of_an_earlier_owner_changes_nothing(self) -> None:
         self.known.heard(_OTHER, 10.0)
         self.known.heard(records.OwnerRecord(3, "vm-3", "c"), 11.0)
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -32,7 +32,9 @@
 
     Records may come twice and out of order, since pages of newest records
     are no snapshot: one with a lower offset than the record that is known
-    for its key is passed over.
+    for its key is passed over. The journal is two streams: what owners write,
+    and jobs and cancels. Each key stands in one of them, and either may be read
+    ahead of the other.
 
     Attributes:
         owner: newest record of an owner.
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -32,6 +32,7 @@
 _EXIT_BAD_SETTINGS = 2
 
 _JOURNAL_TOPIC = "keyed.journal"
+_SUBMISSIONS_TOPIC = "keyed.submissions"
 _OPERATORS_TOPIC = "keyed.op"
 _WORKERS_TOPIC = "keyed.servers"
 _STATUS_TOPIC = "keyed.status"
@@ -163,6 +164,7 @@
         decode_wave=registry.decode_wave,
         owner=batch_services.OwnerServices(
             journal=_topic(_JOURNAL_TOPIC),
+            submissions=_topic(_SUBMISSIONS_TOPIC),
             registry=_topic(_WORKERS_TOPIC),
             decode_worker=registry.decode_worker,
             worker_orders=workers.HttpWorkers(order_caller, poll_caller),
