--- a/foxtaillock/batch/tests/fake_worker.py
+++ b/foxtaillock/batch/tests/fake_worker.py
@@ -24,6 +24,7 @@
     ended_s: float | None = None
     kind: model.EndKind | None = None
     stop_at_s: float | None = None
+    end_number: int = 0
 
 
 class FakeWorker:
@@ -167,6 +168,7 @@
         run.ended_s, run.kind = now_s, kind
         self._burned[run.task] = max(self._burned.get(run.task, 0), run.number)
         self._ends += 1
+        run.end_number = self._ends
         self.ended.append(
             interfaces.EndRow(self._ends, run.task, run.number, kind, "")
         )
--- /dev/null
+++ b/foxtaillock/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak: real entry VMs as processes, faults from outside."""
--- /dev/null
+++ b/foxtaillock/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
