Entry VMs: jobs are taken in before a VM has read all others; completed jobs are kept small

Now a submission needs the configuration only, a completed job keeps its end, and its id, queue and team among the submissions. Ruled out: the restart itself, the owner (taken after 1.8 s).

--- a/foxtaillock/batch/desk.py
+++ b/foxtaillock/batch/desk.py
@@ -100,7 +100,9 @@
             create_spec: makes the job of its id, queue, team and the time of
                 acceptance; raises ValueError if it is malformed.
         """
-        admitted = self._admit(call)
+        # A VM that has just started need not know the other jobs: the same
+        # job stands once, however often it is written.
+        admitted = self._admit(call, needs_jobs=False)
         if not isinstance(admitted, _Admitted):
             return self._answered("submit", call, admitted)
         if not _is_job_id(admitted.rest):
@@ -157,8 +159,11 @@
         )
         return self._answered("cancel", call, outcome)
 
-    def _admit(self, call: Call) -> _Admitted | outcomes.CallOutcome:
-        if self.directory.version < 0 or not self._follower.is_caught_up:
+    def _admit(
+        self, call: Call, needs_jobs: bool = True
+    ) -> _Admitted | outcomes.CallOutcome:
+        is_read = self._follower.is_caught_up or not needs_jobs
+        if self.directory.version < 0 or not is_read:
             return outcomes.NotStored("starting", _RETRY_STARTING_S)
         is_fresh = self._config_age.is_fresh(self._clock.monotonic_s())
         route = self.directory.find_route(call.host, call.path)
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -125,6 +125,9 @@
         """Takes a job in, as far as earlier owners have got with it."""
         if spec.job_id in self._state.jobs or spec.job_id in self._state.over:
             return
+        if not spec.steps:
+            self._state.log("job-without-steps", job=spec.job_id)
+            return
         job = tasks.create_job(spec, now_s, now_ms)
         job.is_excess = self._is_excess(spec.team, job.accepted_s)
         job.relative_work = self._relative_work(job)
@@ -156,6 +159,19 @@
         self._state.check_job(job, now_s)
         self._state.needs_plan = True
 
+    def take_ended(
+        self,
+        spec: model.JobSpec,
+        end: records.JobEnd,
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        """Takes in a job of which only its end is kept."""
+        if spec.job_id not in self._state.jobs:
+            job = tasks.create_job(spec, now_s, now_ms)
+            self._state.jobs[spec.job_id] = job
+            self.finished(spec.job_id, end, now_s, now_ms)
+
     def finished(
         self, job_id: str, end: records.JobEnd, now_s: float, now_ms: int
     ) -> None:
@@ -279,6 +295,11 @@
         stops, self._state.stops = self._state.stops, []
         return stops
 
+    def take_settled(self) -> list[str]:
+        """Returns the completed jobs of which only the end is needed now."""
+        settled, self._state.settled = self._state.settled, []
+        return settled
+
     def take_forgettable(self) -> list[str]:
         """Returns the jobs that submissions need hold no longer."""
         found, self._state.forgettable = self._state.forgettable, set()
@@ -307,7 +328,14 @@
         ]
         entries += [records.encode(end) for end in self._state.ends]
         entries += self._state.erasable
-        batch = plans.Batch(entries, self._starts, self._state.recorded_ends)
+        completed = [
+            end.job_id
+            for end in self._state.ends
+            if end.state == model.JobState.COMPLETED
+        ]
+        batch = plans.Batch(
+            entries, self._starts, self._state.recorded_ends, completed
+        )
         self._state.dirty, self._state.ends, self._starts = {}, [], []
         self._state.recorded_ends, self._state.erasable = {}, []
         return batch
@@ -320,6 +348,7 @@
             worker = self._state.workers.get(worker_id)
             if worker is not None:
                 worker.recorded_end = max(worker.recorded_end, number)
+        self._state.settled += batch.completed
         due = []
         for plan in batch.starts:
             task = plan.task
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -30,8 +30,8 @@
 # Time between two polls for steps that need advice.
 _ADVICE_S = 0.05
 
-# Time between two looks for jobs that may be forgotten.
-_FORGET_S = 1.0
+# Time between two looks for submissions that need not be kept as they are.
+_CLEAR_S = 1.0
 
 # Part of the workers with tasks that must be out of reach, and for how long,
 # before the ownership is given up to a VM that may reach more.
@@ -147,7 +147,7 @@
                 wave_status.write_statuses(self._view, self._services)
             ),
             asyncio.ensure_future(self._ask_advice()),
-            asyncio.ensure_future(self._forget()),
+            asyncio.ensure_future(self._clear_submissions()),
         ]
         for helper in helpers:
             helper.add_done_callback(self._on_helper_done)
@@ -187,10 +187,13 @@
         """
         now_s, now_ms = self._services.clock.monotonic_s(), self._now_ms()
         job_id = spec.job_id
+        end = self._view.end(job_id)
+        if end is not None and not spec.steps:
+            self.engine.take_ended(spec, end, now_s, now_ms)
+            return
         self.engine.submit(spec, self._view.steps(job_id), now_s, now_ms)
         if self._view.cancel(job_id) is not None:
             self.engine.cancel(job_id, now_s)
-        end = self._view.end(job_id)
         if end is not None:
             self.engine.finished(job_id, end, now_s, now_ms)
 
@@ -359,25 +362,36 @@
             )
             self._wake.set()
 
-    async def _forget(self) -> None:
-        """Lets the streams forget jobs that have been over for long."""
-        services = self._services
+    async def _clear_submissions(self) -> None:
+        """Keeps the submissions small, since each VM that starts reads them.
+
+        Of a completed job only its id, queue and team are kept; a job that has
+        been over for long is forgotten.
+        """
+        services, jobs = self._services, self.engine.jobs
+        settled: list[str] = []
         while True:
-            await asyncio.sleep(_FORGET_S)
-            job_ids = self.engine.take_forgettable()
-            if not job_ids:
+            await asyncio.sleep(_CLEAR_S)
+            settled += self.engine.take_settled()
+            forgettable = self.engine.take_forgettable()
+            entries = [
+                records.encode(jobs[each].spec._replace(payload="", steps=()))
+                for each in settled
+                if each in jobs
+            ]
+            for each in forgettable:
+                entries.append(records.erase(jobs[each].spec))
+                entries.append(records.erase(records.Cancel(each, 0)))
+            if not entries:
                 continue
-            erased = []
-            for job_id in job_ids:
-                erased.append(records.erase(self.engine.jobs[job_id].spec))
-                erased.append(records.erase(records.Cancel(job_id, 0)))
             try:
-                await services.submissions.append(erased)
+                await services.submissions.append(entries)
             except interfaces.StoreError as error:
-                # They come again with the next look.
-                services.log("forget-failed", error=str(error))
+                # Both come again with the next look.
+                services.log("submissions-not-cleared", error=str(error))
                 continue
-            self.engine.forget(job_ids)
+            settled = []
+            self.engine.forget(forgettable)
 
     async def _timed(
         self,
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -53,6 +53,7 @@
         recorded_ends: highest end of each worker that the next records cover.
         erasable: records that the journal may forget.
         forgettable: jobs that have been over for long enough.
+        settled: completed jobs whose end stands in the journal.
         stops: runs that are to be stopped.
         paces: runs whose share of speed is to change.
         tickets: advice on steps whose queues allow only some workers.
@@ -85,6 +86,7 @@
         self.recorded_ends: dict[str, int] = {}
         self.erasable: list[records.KeyedRecord] = []
         self.forgettable: set[str] = set()
+        self.settled: list[str] = []
         self.stops: list[plans.StopPlan] = []
         self.paces: list[plans.PacePlan] = []
         self.tickets = tickets.Tickets()
@@ -298,6 +300,11 @@
         self.ends.append(
             records.JobEnd(job.spec.job_id, job.final_state.value, ended_ms)
         )
+        if job.final_state is model.JobState.COMPLETED:
+            # Nothing of it runs, and its end says all that is needed.
+            for step in job.steps.values():
+                self.dirty.pop(step.step_id, None)
+            self.erase_progress(job)
 
     def end_job(self, job: tasks.Job, now_s: float) -> None:
         """Stops what still runs of a job that is over."""
@@ -325,14 +332,18 @@
         """
         del self.over[job_id]
         del self.jobs[job_id]
-        begun = [
-            step
-            for step in job.steps.values()
-            if any(task.run for task in step.tasks)
-        ]
+        self.erase_progress(job)
+        self.erasable.append(records.erase(records.JobEnd(job_id, "", 0)))
+
+    def erase_progress(self, job: tasks.Job) -> None:
+        """Lets the journal forget how far the steps of a job had got."""
         self.erasable += [
-            *(records.erase(step.progress(self.epoch)) for step in begun),
-            records.erase(records.JobEnd(job_id, "", 0)),
+            records.erase(step.progress(self.epoch))
+            for step in job.steps.values()
+            if any(
+                task.run or task.phase is tasks.Phase.DONE
+                for task in step.tasks
+            )
         ]
 
     def step(self, task: tasks.Task) -> tasks.Step:
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -29,8 +29,8 @@
 # (4 s), of which an owner that died may have used up one second.
 LEASE_S = 1.5
 
-# The entry VMs wait for up to this much more, each for its own time, so that one
-# claim is enough.
+# The entry VMs wait for up to this much more, each for a time of its own, so
+# that one claim is enough.
 _STAGGER_S = 0.6
 _STAGGER_STEPS = 1_000
 
--- a/foxtaillock/batch/plans.py
+++ b/foxtaillock/batch/plans.py
@@ -59,8 +59,10 @@
         records: in the order in which they are to be appended.
         starts: runs that may begin once the records stand.
         recorded_ends: highest end of each worker that the records cover.
+        completed: jobs whose completion the records tell.
     """
 
     records: list[records.KeyedRecord]
     starts: list[StartPlan]
     recorded_ends: dict[str, int]
+    completed: list[str]
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from unittest import mock
 
+from foxtaillock.batch import records
+from foxtaillock.batch import model
 from foxtaillock.batch import engine
 from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import standin
@@ -95,6 +97,32 @@
         self.assertEqual(reply.status, 200)
         self.assertEqual(len(self.platform.workers["i-1"].history), 4)
 
+    async def test_completed_job_is_kept_small_and_known_to_all(self) -> None:
+        await self.vm.call("POST", "/open/" + _ID, body=_JOB)
+        await self._until_state(self.vm, "/open/" + _ID, "completed")
+
+        def _kept() -> records.Record | None:
+            key = "j" + _ID
+            value = self.platform.newest("keyed.submissions", key)
+            return None if value is None else records.decode(key, value)
+
+        def _is_small() -> bool:
+            kept = _kept()
+            return isinstance(kept, model.JobSpec) and not kept.steps
+
+        await self._until(_is_small)
+        progress = self.platform.newest("keyed.journal", f"s{_ID}.0.0")
+        self.assertIsNone(progress)
+        second = await self._start_vm("vm-2")
+        await self.vm.stop()
+        await self._until(lambda: bool(second.events("ownership-taken")))
+        for method in ("POST", "GET"):
+            reply = await second.call(method, "/open/" + _ID, body=_JOB)
+            self.assertEqual(reply.status, 200)
+        await self._until_state(second, "/open/" + _ID, "completed")
+        await asyncio.sleep(0.5)
+        self.assertEqual(len(self.platform.workers["i-1"].history), 4)
+
     async def test_keys_and_routes(self) -> None:
         calls: list[tuple[str, str, str, int]] = [
             ("POST", "/keyed/" + _ID, "", 401),
