--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -33,7 +33,7 @@
 _RECORDED_S = 5.0
 
 # The ownership must have been confirmed this recently for an order.
-_CONFIRMED_S = 1.4
+_CONFIRMED_S = 1.0
 
 
 class FleetKeeper:
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -22,12 +22,12 @@
 
 # An owner writes at least this often; a third of its lease, so that one lost
 # append does not cost it the ownership.
-HEARTBEAT_S = 0.45
+HEARTBEAT_S = 0.3
 
 # Silence after which others may claim. Together with the time of a claim and
 # of the first orders it must stay under the lease of what runs on the workers
 # (4 s), of which an owner that died may have used up one second.
-LEASE_S = 1.5
+LEASE_S = 1.1
 
 # The entry VMs wait for up to this much more, each for a time of its own, so
 # that one claim is enough.
