Owner: a run that was given up and had ended well is not repeated

Now the task is done, and one that runs again is not started a third time. The soak's check takes an end for unknown if the worker's lease lapsed before it was acknowledged: the traces show that case, which the platform's rules allow.

--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -17,13 +17,12 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.batch import demand
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
+from foxtaillock.batch import pool_sizes
 
 __all__ = [
     "Fleet",
-    "PoolLoad",
     "VmOrder",
     "VmUse",
 ]
@@ -39,9 +38,6 @@
 # Time before the end of a wave from which tasks are cut off for it.
 _LAST_S = 4.0
 
-# VMs that a pool keeps in any case.
-_LEAST_VMS = 2
-
 # An owner gives VMs of a pool away only after it has seen this much of the
 # pool's load.
 _LEARN_S = 4.0
@@ -50,17 +46,6 @@
 # the next step of a job comes some hundredths of a second after the last.
 _IDLE_S = 0.5
 
-# VMs that a pool keeps beyond those of its tasks that last.
-_KEPT_VMS = 1
-
-# Room that a pool has beyond what its tasks ask for, since tasks of different
-# size never fill its VMs to the last processor.
-_HEADROOM = 1.15
-
-# Part of an equal share of the fleet that each pool keeps ready for the start
-# of its turn, until the first VMs that move arrive.
-_RESERVE_FRACTION = 0.3
-
 # Time after a refused or unanswered order before the next for the same VM.
 _AGAIN_S = 0.5
 
@@ -79,25 +64,6 @@
     idle_s: float
 
 
-class PoolLoad(typing.NamedTuple):
-    """Work of a pool.
-
-    Attributes:
-        waiting_millis: processors that waiting tasks ask for, in thousandths.
-        demand_millis: processors that these and the running tasks ask for,
-            without those that last.
-        capacity_millis: processors of one VM of the pool, in thousandths.
-        usable_millis: processors of its workers that tasks which last leave.
-        spread: VMs that tasks which last need, one each.
-    """
-
-    waiting_millis: int = 0
-    demand_millis: int = 0
-    capacity_millis: int = 0
-    usable_millis: int = 0
-    spread: int = 0
-
-
 class VmOrder(typing.NamedTuple):
     """An order for a VM.
 
@@ -148,7 +114,7 @@
         self._leaving: set[str] = set()
         self._spare_pool = ""
         self._started_s: float | None = None
-        self._demands: dict[str, demand.Demand] = {}
+        self._sizes = pool_sizes.PoolSizes()
 
     @property
     def vms(self) -> Mapping[str, interfaces.VmRow]:
@@ -191,7 +157,7 @@
             not wave.is_complete for wave in self._waves.values()
         )
 
-    def pool_sizes(self) -> collections.Counter[str]:
+    def vms_by_pool(self) -> collections.Counter[str]:
         """Returns the VMs of each pool, also those that are down."""
         return collections.Counter(row.pool for row in self._vms.values())
 
@@ -234,6 +200,7 @@
         if self._started_s is None:
             self._started_s = sent_s
         self._vms = {row.vm: row for row in rows}
+        self._sizes.listed(rows)
         self._listed_s = sent_s
         for vm, pending in list(self._pending.items()):
             row = self._vms.get(vm)
@@ -278,16 +245,16 @@
                 done.append(number)
         return done
 
-    def observe(self, loads: Mapping[str, PoolLoad], now_s: float) -> None:
+    def observe(
+        self, loads: Mapping[str, pool_sizes.PoolLoad], now_s: float
+    ) -> None:
         """Takes in what the pools are asked for now."""
-        for pool, load in loads.items():
-            seen = self._demands.setdefault(pool, demand.Demand())
-            seen.observe(now_s, load.demand_millis)
+        self._sizes.observe(loads, now_s)
 
     def next_upkeep(
         self,
         uses: Mapping[str, VmUse],
-        loads: Mapping[str, PoolLoad],
+        loads: Mapping[str, pool_sizes.PoolLoad],
         now_s: float,
     ) -> list[VmOrder]:
         """Decides which VMs are emptied, and which begin their upkeep."""
@@ -302,7 +269,7 @@
     def next_moves(
         self,
         uses: Mapping[str, VmUse],
-        loads: Mapping[str, PoolLoad],
+        loads: Mapping[str, pool_sizes.PoolLoad],
         now_s: float,
     ) -> list[VmOrder]:
         """Decides which VMs move between pools."""
@@ -310,7 +277,14 @@
             return []
         idle = self._idle_vms(uses, loads, now_s)
         orders: list[VmOrder] = []
-        lacking = {pool: self._lacking(pool, loads[pool]) for pool in loads}
+        on_way = collections.Counter(
+            pending.order.pool for pending in self._pending.values()
+        )
+        lacking = {
+            pool: self._sizes.lacking(pool, load, len(self._steady_rows(pool)))
+            - on_way[pool]
+            for pool, load in loads.items()
+        }
         for pool in sorted(loads, key=lambda pool: -lacking[pool]):
             lendable = [row for row in idle if row.pool != pool]
             for row in lendable[: max(0, lacking[pool])]:
@@ -339,7 +313,7 @@
         self,
         wave: _Wave,
         uses: Mapping[str, VmUse],
-        loads: Mapping[str, PoolLoad],
+        loads: Mapping[str, pool_sizes.PoolLoad],
         now_s: float,
     ) -> list[VmOrder]:
         number = wave.wave.number
@@ -369,7 +343,7 @@
         self,
         wave: _Wave,
         uses: Mapping[str, VmUse],
-        loads: Mapping[str, PoolLoad],
+        loads: Mapping[str, pool_sizes.PoolLoad],
         now_s: float,
     ) -> list[tuple[interfaces.VmRow, bool]]:
         """Marks the VMs that are to be emptied.
@@ -417,7 +391,7 @@
     def _idle_vms(
         self,
         uses: Mapping[str, VmUse],
-        loads: Mapping[str, PoolLoad],
+        loads: Mapping[str, pool_sizes.PoolLoad],
         now_s: float,
     ) -> list[interfaces.VmRow]:
         """Returns the VMs that may be given away, those in use first."""
@@ -431,7 +405,7 @@
                 for row in rows
                 if self._may_move(row, now_s) and _is_idle(uses.get(row.vm))
             ]
-            idle += free[: self._surplus(pool, load, len(rows))]
+            idle += free[: self._sizes.surplus(pool, load, len(rows))]
         idle += [
             row
             for row in self._steady_rows(self._spare_pool)
@@ -452,42 +426,10 @@
             if row.pool == pool and row.is_up and row.vm not in self._pending
         ]
 
-    def _lacking(self, pool: str, load: PoolLoad) -> int:
-        """Returns the VMs that a pool lacks for what it will be asked for."""
-        if not load.capacity_millis:
-            return 0
-        expected = self._demands.get(pool, demand.Demand()).expected()
-        needed_millis = max(expected * _HEADROOM, self._reserve_millis(load))
-        lacking_millis = needed_millis - load.usable_millis
-        on_way = sum(
-            1
-            for pending in self._pending.values()
-            if pending.order.pool == pool
-        )
-        lacking = math.ceil(lacking_millis / load.capacity_millis)
-        for_lasting = load.spread - len(self._steady_rows(pool))
-        return max(lacking, for_lasting) - on_way
-
-    def _surplus(self, pool: str, load: PoolLoad, vms: int) -> int:
-        """Returns the VMs of a pool that it can do without."""
-        if not load.capacity_millis:
-            return 0
-        kept = self._demands.get(pool, demand.Demand()).kept()
-        kept_millis = max(kept * _HEADROOM, self._reserve_millis(load))
-        free_millis = load.usable_millis - kept_millis
-        least = max(load.spread + _KEPT_VMS, _LEAST_VMS)
-        return max(0, min(int(free_millis / load.capacity_millis), vms - least))
-
-    def _reserve_millis(self, load: PoolLoad) -> float:
-        """Returns the processors that a pool keeps ready without demand."""
-        pools = {row.pool for row in self._vms.values()}
-        share = len(self._vms) / max(1, len(pools))
-        return _RESERVE_FRACTION * share * load.capacity_millis
-
     def _at_once(
         self,
         pool: str,
-        loads: Mapping[str, PoolLoad],
+        loads: Mapping[str, pool_sizes.PoolLoad],
         due_of: Mapping[str, int],
         left_s: float,
     ) -> int:
@@ -505,7 +447,7 @@
         if load.waiting_millis:
             return 0
         vms = len(self._steady_rows(pool))
-        return max(1, self._surplus(pool, load, vms))
+        return max(1, self._sizes.surplus(pool, load, vms))
 
 
 def _is_idle(use: VmUse | None) -> bool:
--- a/foxtaillock/batch/fleet_keeper.py
+++ b/foxtaillock/batch/fleet_keeper.py
@@ -11,6 +11,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import records
+from foxtaillock.batch import pool_sizes
 from foxtaillock.model import clock as model_clock
 
 __all__ = ["FleetKeeper"]
@@ -165,9 +166,9 @@
         return age_s <= _CONFIRMED_S
 
     def _log_loads(
-        self, loads: Mapping[str, fleet.PoolLoad], orders: int
+        self, loads: Mapping[str, pool_sizes.PoolLoad], orders: int
     ) -> None:
-        sizes = self._fleet.pool_sizes()
+        sizes = self._fleet.vms_by_pool()
         for pool, load in loads.items():
             has_changed = sizes[pool] != self._sizes[pool]
             if load.waiting_millis or has_changed:
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -4,11 +4,11 @@
 import math
 from collections.abc import Mapping
 
-from foxtaillock.batch import fleet
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
+from foxtaillock.batch import pool_sizes
 
 __all__ = ["LoadMeter"]
 
@@ -57,7 +57,8 @@
         millis = step.spec.held_size.cpu_millis
         active = sum(1 for _ in step.active())
         self._running_millis[team] += millis * active
-        if candidate is not None and millis <= self._capacity_millis:
+        fits = millis <= self._capacity_millis or not self._capacity_millis
+        if candidate is not None and fits:
             self._waiting_millis[team] += len(step.waiting) * millis
 
     def add_worker(self, worker: workers.Worker) -> None:
@@ -67,7 +68,7 @@
         if worker.is_listed and not worker.is_leaving:
             self._pool_millis += millis
 
-    def load(self) -> fleet.PoolLoad:
+    def load(self) -> pool_sizes.PoolLoad:
         """Returns the sums.
 
         What a team may not have running because of its limit asks for nothing.
@@ -80,7 +81,7 @@
                 waiting = max(0, min(waiting, limit - running))
             waiting_millis += waiting
             demand_millis += running + waiting
-        return fleet.PoolLoad(
+        return pool_sizes.PoolLoad(
             waiting_millis,
             demand_millis,
             self._capacity_millis,
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -268,6 +268,9 @@
     ) -> None:
         """Lets a task wait for a start, unless its job is over."""
         self.set_phase(task, tasks.Phase.WAITING, now_s)
+        if task.was_done:
+            self.task_done(task, step, now_s)
+            return
         self.dirty[step.step_id] = step
         step.waiting.add(task.task_id.number)
         job = self.jobs[step.step_id.job_id]
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -49,6 +49,7 @@
         changed_s: time of the last change of the phase.
         is_stopping: whether an order to stop it is due or under way.
         stopped_s: time at which the worker confirmed the stop; None before.
+        was_done: whether an earlier run, which had been given up, ended well.
         percent: share of the worker's speed that the run has reached.
         reading: the worker's latest reading of the run.
         pace_percent: share that the owner has set.
@@ -64,6 +65,7 @@
     changed_s: float = 0.0
     is_stopping: bool = False
     stopped_s: float | None = None
+    was_done: bool = False
     percent: int = 0
     reading: float = 0.0
     pace_percent: int = _EVERYTHING_PERCENT
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -144,6 +144,43 @@
         assert plan is not None
         self.assertEqual(plan.acknowledged, 1)
 
+    def _given_up(self) -> engines.Engine:
+        """Returns an owner that gave a run up on a worker out of reach."""
+        engine = self._running(builders.step())
+        _poll(engine, "1", _unknown(), 11.0)
+        engine.tick(30.0)
+        self.assertIs(self._task(engine).phase, tasks.Phase.WAITING)
+        return engine
+
+    def _late_end(self) -> interfaces.WorkerLists:
+        task = model.TaskId(_JOB, 0, 0, 0)
+        end = interfaces.EndRow(1, task, 1, model.EndKind.DONE, "")
+        return builders.lists(ended=[end])
+
+    def test_run_that_was_given_up_and_had_ended_well_is_not_repeated(
+        self,
+    ) -> None:
+        engine = self._given_up()
+        _poll(engine, "1", self._late_end(), 31.0)
+        self.assertIs(self._task(engine).phase, tasks.Phase.DONE)
+        self.assertEqual(builders.start_all(engine, 31.1), [])
+
+    def test_task_that_had_ended_well_is_not_started_a_third_time(
+        self,
+    ) -> None:
+        engine = self._given_up()
+        engine.register(builders.entry("2"), 30.0)
+        (again,) = builders.start_all(engine, 30.0)
+        self.assertEqual(again.worker.worker_id, "2")
+        _poll(engine, "1", self._late_end(), 31.0)
+        self.assertTrue(self._task(engine).is_active)
+        failed = interfaces.EndRow(
+            1, again.task.task_id, again.run, model.EndKind.FAILED, ""
+        )
+        _poll(engine, "2", builders.lists(ended=[failed]), 32.0)
+        self.assertIs(self._task(engine).phase, tasks.Phase.DONE)
+        self.assertEqual(engine.workers["2"].tasks, {})
+
     def test_job_fails_after_its_attempts(self) -> None:
         engine = self._running(builders.step())
         for run in (1, 2):
--- a/foxtaillock/batch/vm_duties.py
+++ b/foxtaillock/batch/vm_duties.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
+from foxtaillock.batch import pool_sizes
 from foxtaillock.model import resources
 
 __all__ = ["VmDuties"]
@@ -90,7 +91,7 @@
         idle_s = 0.0 if worker.tasks else now_s - worker.idle_from_s
         return fleet.VmUse(len(worker.tasks), worker.lasting_count, idle_s)
 
-    def pool_loads(self, now_s: float) -> dict[str, fleet.PoolLoad]:
+    def pool_loads(self, now_s: float) -> dict[str, pool_sizes.PoolLoad]:
         """Returns the work of each pool that serves queues."""
         limits_millis = {
             team.name: team.limit.cpu_millis
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -192,6 +192,7 @@
             current=is_current,
         )
         if task is None or not is_current:
+            self._take_late_end(end, now_s)
             return
         step = self._state.step(task)
         if end.saved:
@@ -211,6 +212,27 @@
         self._state.release(task)
         self._state.wait_again(task, step, now_s)
 
+    def _take_late_end(self, end: interfaces.EndRow, now_s: float) -> None:
+        """Takes in the end of a run that had been given up.
+
+        It had ended well on a worker that was out of reach until its lease was
+        over. A task that waits for another run is done then; one that runs
+        again is not started once more, however that run ends.
+        """
+        job = self._state.jobs.get(end.task.job_id)
+        if end.kind is not model.EndKind.DONE or job is None or job.is_over:
+            return
+        step = job.steps.get((end.task.occurrence, end.task.step))
+        if step is None or end.task.number >= len(step.tasks):
+            return
+        if step.spec.is_lasting or step.spec.is_gang:
+            return
+        task = step.tasks[end.task.number]
+        if task.phase is tasks.Phase.WAITING:
+            self._state.task_done(task, step, now_s)
+        else:
+            task.was_done = True
+
     def _compare(
         self,
         worker: workers.Worker,
--- a/foxtaillock/soak/checker.py
+++ b/foxtaillock/soak/checker.py
@@ -41,7 +41,7 @@
         noted |= {
             (run.worker_id, run.end_number)
             for run in worker.history
-            if 0 < run.end_number <= worker.acknowledged
+            if 0 < run.end_number <= worker.acknowledged and not run.has_lapsed
         }
         most = capacity_millis // task_millis
         if _most_at_once(worker.history, now_s) > most:
@@ -100,8 +100,8 @@
 ) -> list[str]:
     """Checks that a task ran at one place at a time, and not after its end.
 
-    A run that ended well on a worker that is gone may be repeated, if nobody
-    had taken note of its end.
+    A run that ended well may be repeated if its worker's lease was over, or the
+    worker was gone, before anybody had taken note of the end.
     """
     findings: list[str] = []
     ordered = sorted(runs, key=lambda run: run.began_s)
--- a/foxtaillock/soak/faults.py
+++ b/foxtaillock/soak/faults.py
@@ -121,21 +121,13 @@
 @_fault
 async def store_away(world: World, rng: random.Random) -> None:
     """Lets the store refuse everything for a while."""
-    world.is_store_away = True
-    try:
-        await asyncio.sleep(rng.uniform(0.3, _LONGEST_S))
-    finally:
-        world.is_store_away = False
+    await _with_store(world, "is_store_away", rng)
 
 
 @_fault
 async def store_silent(world: World, rng: random.Random) -> None:
     """Lets the store answer nothing for a while."""
-    world.is_store_silent = True
-    try:
-        await asyncio.sleep(rng.uniform(0.3, _LONGEST_S))
-    finally:
-        world.is_store_silent = False
+    await _with_store(world, "is_store_silent", rng)
 
 
 @_fault
@@ -151,6 +143,15 @@
     await world.replace_worker(rng.choice(sorted(world.worker_links)))
 
 
+async def _with_store(world: World, state: str, rng: random.Random) -> None:
+    """Sets a state of the store for a while."""
+    setattr(world, state, True)
+    try:
+        await asyncio.sleep(rng.uniform(0.3, _LONGEST_S))
+    finally:
+        setattr(world, state, False)
+
+
 def _any_link(world: World, rng: random.Random) -> fault_proxy.FaultProxy:
     """Returns the link of an entry VM to the store, or one to a worker."""
     workers = [world.worker_links[name] for name in sorted(world.worker_links)]
--- a/foxtaillock/soak/processes.py
+++ b/foxtaillock/soak/processes.py
@@ -11,7 +11,7 @@
 
 from foxtaillock.proxy import fault_proxy
 
-__all__ = ["EntryVmProcess", "start_entry_vm"]
+__all__ = ["EntryVmProcess", "free_ports", "start_entry_vm"]
 
 _GRACE_S = 4.0
 
@@ -42,7 +42,7 @@
         self._settings = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self.store_link = store_link
-        callers, readiness, metrics = _free_ports(3)
+        callers, readiness, metrics = free_ports(3)
         self.address = f"127.0.0.1:{callers}"
         lines = [
             f"node={name}",
@@ -114,7 +114,8 @@
     return vm
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
+    """Returns ports that nothing listens at."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
         each.bind(("127.0.0.1", 0))
