--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -111,6 +111,7 @@
         self._waves: dict[int, _Wave] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before_s: dict[str, float] = {}
+        self._held_until_s: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._spare_pool = ""
         self._started_s: float | None = None
@@ -181,6 +182,7 @@
     def hold(self, vms: Iterable[str], until_s: float) -> None:
         """Lets VMs alone that an earlier owner may just have ordered."""
         for vm in vms:
+            self._held_until_s[vm] = until_s
             self._not_before_s[vm] = until_s
 
     def listed(
@@ -317,12 +319,7 @@
         now_s: float,
     ) -> list[VmOrder]:
         number = wave.wave.number
-        down = sum(
-            1
-            for pending in self._pending.values()
-            if pending.order.wave == number
-        )
-        room = wave.wave.max_down - down
+        room = wave.wave.max_down - self._count_down(wave, now_s)
         orders = []
         for row, is_urgent in self._choose_leaving(wave, uses, loads, now_s):
             if room <= 0:
@@ -339,6 +336,33 @@
             room -= 1
         return self._begin(orders, now_s)
 
+    def _count_down(self, wave: _Wave, now_s: float) -> int:
+        """Returns the VMs that may be down for a wave.
+
+        These are the VMs with an order of this owner and, for the first
+        seconds, those that an earlier owner may have ordered just before, or
+        whose upkeep it began and that are not back yet.
+        """
+        down = sum(
+            1
+            for pending in self._pending.values()
+            if pending.order.wave == wave.wave.number
+        )
+        if self._started_s is None or now_s - self._started_s > _VM_UPKEEP_S:
+            return down
+        others = (vm for vm in wave.wave.vms if vm not in self._pending)
+        return down + sum(
+            1 for vm in others if self._was_ordered_before(wave, vm, now_s)
+        )
+
+    def _was_ordered_before(self, wave: _Wave, vm: str, now_s: float) -> bool:
+        row = self._vms.get(vm)
+        if row is None:
+            return False
+        is_held = now_s < self._held_until_s.get(vm, float("-inf"))
+        is_back = _is_in_place(row, self._spare_pool)
+        return is_held or (vm in wave.begun and not is_back)
+
     def _choose_leaving(
         self,
         wave: _Wave,
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -101,6 +101,22 @@
         self.fleet.listed(self.rows, "spare", 63.0)
         self.assertEqual(len(self._due(uses, 63.1)), 0)
 
+    def test_new_owner_counts_what_an_earlier_one_has_ordered(self) -> None:
+        """`m0` is held, the upkeep of `m1` has begun: both may be down."""
+        taken_over = fleet.Fleet()
+        taken_over.hold(["m0"], 13.3)
+        back = [_row(f"m{number}", "spare") for number in range(4)]
+        rows = [*back]
+        rows[1] = _row("m1", "spare", is_up=False)
+        taken_over.listed(rows, "spare", 10.0)
+        vms = tuple(row.vm for row in rows)
+        taken_over.add_wave(model.Wave(1, vms, 60.0, 2), ("m1",), False, 10.0)
+        self.assertEqual(taken_over.next_upkeep({}, self.loads, 10.0), [])
+        taken_over.listed(back, "spare", 12.5)
+        (order,) = taken_over.next_upkeep({}, self.loads, 12.5)
+        self.assertEqual(order.vm, "m2")
+        self.assertEqual(taken_over.next_upkeep({}, self.loads, 12.6), [])
+
     def test_wave_is_complete_once_all_that_stay_have_begun(self) -> None:
         uses = {row.vm: _IDLE for row in self.rows}
         now_s = 10.0
