--- a/bench/fold.py
+++ b/bench/fold.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from bench import harness
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state import snapshots
@@ -121,15 +122,15 @@
         for start in range(0, len(numbers), _BATCH_RECORDS):
             rows = numbers[start : start + _BATCH_RECORDS]
             sequence += 1
-            batch = records.Batch(
+            batch = record_batches.Batch(
                 "bench", "x", sequence, tuple(factory(n) for n in rows)
             )
-            texts.append(records.encode_batch(batch))
+            texts.append(record_batches.encode_batch(batch))
         return texts
 
     def fold(self, text: str) -> None:
         """Folds one encoded batch."""
-        self.state.apply(self.offset, records.decode_batch(text))
+        self.state.apply(self.offset, record_batches.decode_batch(text))
         self.offset += 1
 
 
@@ -171,13 +172,15 @@
     digest_s = time.process_time() - started_s
     chunks = snapshots.split(snapshots.Snapshot("s", 0, digest, text))
     batches = [
-        records.encode_batch(records.Batch("bench", "x", n + 1, (chunk,)))
+        record_batches.encode_batch(
+            record_batches.Batch("bench", "x", n + 1, (chunk,))
+        )
         for n, chunk in enumerate(chunks)
     ]
     started_s = time.process_time()
     fold = snapshots.SnapshotFold()
     for offset, batch in enumerate(batches):
-        fold.apply(offset, records.decode_batch(batch))
+        fold.apply(offset, record_batches.decode_batch(batch))
     loaded = control_state.ControlState.decode(fold.whole[0].unpack().text)
     start_s = time.process_time() - started_s
     assert loaded.digest() == digest
@@ -194,8 +197,12 @@
     """Returns the bytes on the log of records that come in any quiet hour."""
     sizes = {}
     for name, factory in (("renewal", _renewal), ("grant", _grant)):
-        batch = records.Batch("entry-56", "a" * 16, 10**6, (factory(10**6),))
-        sizes[f"{name}_log_bytes"] = float(len(records.encode_batch(batch)))
+        batch = record_batches.Batch(
+            "entry-56", "a" * 16, 10**6, (factory(10**6),)
+        )
+        sizes[f"{name}_log_bytes"] = float(
+            len(record_batches.encode_batch(batch))
+        )
     return sizes
 
 
--- a/bench/grants.py
+++ b/bench/grants.py
@@ -14,6 +14,7 @@
 from foxtaillock.limits import decisions
 from foxtaillock.limits import grants
 from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 
@@ -134,7 +135,7 @@
         self, writer: str, batch: tuple[records.Record, ...], sequence: int
     ) -> None:
         self.state.apply(
-            self.offset, records.Batch(writer, "x", sequence, batch)
+            self.offset, record_batches.Batch(writer, "x", sequence, batch)
         )
         self.offset += 1
 
--- a/bench/maintenance_day.py
+++ b/bench/maintenance_day.py
@@ -21,6 +21,7 @@
 from foxtaillock.fleet import model
 from foxtaillock.fleet import sightings
 from foxtaillock.fleet import waves
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import world
 from foxtaillock.state import control_state
@@ -100,7 +101,7 @@
         self.offset += 1
         self.records += len(batch)
         self.state.apply(
-            self.offset, records.Batch("e1", "x", self.offset, batch)
+            self.offset, record_batches.Batch("e1", "x", self.offset, batch)
         )
 
     def _take_over(self) -> None:
--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -13,6 +13,7 @@
 from bench import harness
 from bench import pool_model
 from foxtaillock.jobs import pool_state
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
@@ -108,11 +109,11 @@
     def _state() -> pool_state.PoolState:
         state = pool_state.PoolState()
         raised = records.PoolEpochRaised(1, "e")
-        state.apply(0, records.Batch("e", "i", 1, (raised,)))
+        state.apply(0, record_batches.Batch("e", "i", 1, (raised,)))
         for i in range(count):
-            batch = records.Batch("e", "i", i + 2, (_accepted(i),))
-            text = records.encode_batch(batch)
-            state.apply(i + 1, records.decode_batch(text))
+            batch = record_batches.Batch("e", "i", i + 2, (_accepted(i),))
+            text = record_batches.encode_batch(batch)
+            state.apply(i + 1, record_batches.decode_batch(text))
         return state
 
     def _waiting() -> waiting.WaitingJobs:
--- a/foxtaillock/calls/claims.py
+++ b/foxtaillock/calls/claims.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from foxtaillock.model import outcomes
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import sequences
@@ -43,7 +44,8 @@
     Example:
         >>> state = ClaimsState()
         >>> claim = records.CallClaimed("t", "digest", "e1", "q1")
-        >>> state.apply(0, records.Batch("e1", "x", 1, (claim,)))[0].accepted
+        >>> batch = record_batches.Batch("e1", "x", 1, (claim,))
+        >>> state.apply(0, batch)[0].accepted
         True
         >>> state.outcome("t", "digest")
         'unknown'
@@ -67,7 +69,7 @@
         return claim.outcome if claim and claim.outcome else _UNKNOWN
 
     def apply(
-        self, offset: int, batch: records.Batch
+        self, offset: int, batch: record_batches.Batch
     ) -> Sequence[verdicts.Verdict]:
         """Applies one batch; see `state.interfaces.Fold`."""
         writer = (batch.writer, batch.incarnation)
--- a/foxtaillock/calls/tests/test_claims.py
+++ b/foxtaillock/calls/tests/test_claims.py
@@ -7,6 +7,7 @@
 from foxtaillock.calls import claims
 from foxtaillock.calls import interfaces
 from foxtaillock.daemon import call_claims
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state.tests import fake_log
 from foxtaillock.state.tests import virtual_loop
@@ -50,7 +51,7 @@
                 )
                 if rng.random() < 0.5:
                     record = records.CallEnded("t", key, request, outcome)
-                batch = records.Batch("e", "x", offset + 1, (record,))
+                batch = record_batches.Batch("e", "x", offset + 1, (record,))
                 verdict = state.apply(offset, batch)[0]
                 self.assertEqual(verdict.accepted, naive.apply(record))
                 self.assertEqual(len(state), len(naive.rows))
@@ -59,9 +60,9 @@
         state = claims.ClaimsState()
         claim = records.CallClaimed("t", "k", "e", "q1")
         ended = records.CallEnded("t", "k", "q1", "not-run")
-        state.apply(0, records.Batch("e", "x", 1, (claim,)))
-        state.apply(1, records.Batch("e", "x", 2, (ended,)))
-        state.apply(2, records.Batch("e", "x", 1, (claim,)))
+        state.apply(0, record_batches.Batch("e", "x", 1, (claim,)))
+        state.apply(1, record_batches.Batch("e", "x", 2, (ended,)))
+        state.apply(2, record_batches.Batch("e", "x", 1, (claim,)))
         self.assertIsNone(state.find("t", "k"))
 
 
--- a/foxtaillock/daemon/key_desk.py
+++ b/foxtaillock/daemon/key_desk.py
@@ -9,6 +9,7 @@
 from foxtaillock.api import auth
 from foxtaillock.api import problems
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
@@ -87,7 +88,7 @@
     def _on_batch(
         self,
         offset: int,
-        batch: records.Batch,
+        batch: record_batches.Batch,
         _verdicts: Sequence[verdicts.Verdict],
     ) -> None:
         if any(isinstance(record, _VITAL) for record in batch.records):
--- a/foxtaillock/daemon/measures_keeper.py
+++ b/foxtaillock/daemon/measures_keeper.py
@@ -6,6 +6,7 @@
 
 from foxtaillock.jobs import owner as owners
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.peers import messages
@@ -52,7 +53,7 @@
     def note_batch(
         self,
         offset: int,
-        batch: records.Batch,
+        batch: record_batches.Batch,
         found: Sequence[verdicts.Verdict],
     ) -> None:
         """Takes over a batch that was folded now."""
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -36,6 +36,7 @@
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.peers import links
@@ -361,7 +362,7 @@
     def _on_batch(
         self,
         offset: int,
-        batch: records.Batch,
+        batch: record_batches.Batch,
         found: typing.Sequence[verdicts.Verdict],
     ) -> None:
         self.measures.note_batch(offset, batch, found)
--- a/foxtaillock/daemon/tests/test_burn_keeper.py
+++ b/foxtaillock/daemon/tests/test_burn_keeper.py
@@ -8,6 +8,7 @@
 from foxtaillock.daemon import burn_keeper
 from foxtaillock.model import clock
 from foxtaillock.model import outcomes
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import resources
 from foxtaillock.model import world
@@ -33,7 +34,7 @@
             for kind, body in _BODIES.items()
         )
         note = records.NoteAccepted("n", "op", "", changes)
-        state.apply(0, records.Batch("e", "x", 1, (note,)))
+        state.apply(0, record_batches.Batch("e", "x", 1, (note,)))
         self.keeper = burn_keeper.BurnKeeper(self.clock, state)
         self.keeper.update()
 
--- a/foxtaillock/daemon/tests/test_fleet_views.py
+++ b/foxtaillock/daemon/tests/test_fleet_views.py
@@ -5,6 +5,7 @@
 from foxtaillock.cli import output
 from foxtaillock.daemon import fleet_views
 from foxtaillock.fleet import model
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 
@@ -35,7 +36,7 @@
 
     def _fold(self, record: records.Record) -> None:
         self._offset += 1
-        batch = records.Batch("e", "x", self._offset, (record,))
+        batch = record_batches.Batch("e", "x", self._offset, (record,))
         verdicts = self.state.apply(self._offset, batch)
         self.assertTrue(verdicts[0].accepted, verdicts)
 
--- a/foxtaillock/daemon/tests/test_grant_keeper.py
+++ b/foxtaillock/daemon/tests/test_grant_keeper.py
@@ -7,6 +7,7 @@
 from foxtaillock.daemon import grant_keeper
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
@@ -47,7 +48,7 @@
         del urgent
         self.written.append(record)
         number = len(self.written)
-        batch = records.Batch("e", "x", number, (record,))
+        batch = record_batches.Batch("e", "x", number, (record,))
         return self._state.apply(number, batch)[0]
 
 
--- a/foxtaillock/daemon/tests/test_measures_keeper.py
+++ b/foxtaillock/daemon/tests/test_measures_keeper.py
@@ -4,6 +4,7 @@
 
 from foxtaillock.daemon import measures_keeper
 from foxtaillock.model import clock
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 
@@ -23,7 +24,7 @@
             steps,
         ]
         for offset, batch_records in enumerate(sent):
-            batch = records.Batch("e1", "x", offset + 1, batch_records)
+            batch = record_batches.Batch("e1", "x", offset + 1, batch_records)
             found = state.apply(offset, batch)
             keeper.note_batch(offset, batch, found)
             if not offset:
--- a/foxtaillock/fleet/tests/schedule.py
+++ b/foxtaillock/fleet/tests/schedule.py
@@ -11,6 +11,7 @@
 
 from foxtaillock.fleet import decisions
 from foxtaillock.fleet import sightings
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import world
 from foxtaillock.state import control_state
@@ -262,7 +263,7 @@
 
     def _append(self, record: records.Record) -> bool:
         self.offset += 1
-        batch = records.Batch("w", "x", self.offset, (record,))
+        batch = record_batches.Batch("w", "x", self.offset, (record,))
         verdict = self.state.apply(self.offset, batch)[0]
         if verdict.accepted:
             self._check_record(record)
--- a/foxtaillock/fleet/tests/test_calendar.py
+++ b/foxtaillock/fleet/tests/test_calendar.py
@@ -10,6 +10,7 @@
 from foxtaillock.fleet import decisions
 from foxtaillock.fleet import model
 from foxtaillock.fleet import sightings
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import world
 from foxtaillock.state import control_state
@@ -161,7 +162,7 @@
         change = records.Change("added", "pool", "p", 0, pools)
         state.apply(
             0,
-            records.Batch(
+            record_batches.Batch(
                 "e", "x", 1, (records.NoteAccepted("n", "", "", (change,)),)
             ),
         )
@@ -174,7 +175,7 @@
                 ]
                 ended = records.MaintenanceRecorded("p", {vm: number}, 0)
                 rows = (steps[0], ended, *steps[1:])
-                batch = records.Batch("e", "x", number + 1, rows)
+                batch = record_batches.Batch("e", "x", number + 1, rows)
                 verdicts = state.apply(number, batch)
                 self.assertTrue(all(v.accepted for v in verdicts))
         self.assertEqual(sorted(state.maintained), ["v6", "v7", "v8"])
@@ -219,7 +220,7 @@
 
     def _append(self, record: records.Record) -> None:
         self.offset += 1
-        batch = records.Batch("e", "x", self.offset, (record,))
+        batch = record_batches.Batch("e", "x", self.offset, (record,))
         self.state.apply(self.offset, batch)
 
     def _take_over(self) -> None:
@@ -337,7 +338,7 @@
         )
         run.state.apply(
             run.offset + 1,
-            records.Batch(
+            record_batches.Batch(
                 "op", "x", 1, (records.NoteAccepted("m", "", "", changes),)
             ),
         )
--- a/foxtaillock/fleet/tests/test_waves.py
+++ b/foxtaillock/fleet/tests/test_waves.py
@@ -11,6 +11,7 @@
 from foxtaillock.fleet import model
 from foxtaillock.fleet import wave_keeper
 from foxtaillock.fleet import waves
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 
@@ -201,7 +202,7 @@
 
     def _fold(self, record: records.Record) -> None:
         self._offset += 1
-        batch = records.Batch("e", "x", self._offset, (record,))
+        batch = record_batches.Batch("e", "x", self._offset, (record,))
         self.assertTrue(self.state.apply(self._offset, batch)[0].accepted)
 
     def _decide(self, now_s: float) -> list[records.Record]:
--- a/foxtaillock/integration/tests/test_calendar.py
+++ b/foxtaillock/integration/tests/test_calendar.py
@@ -5,6 +5,7 @@
 
 from foxtaillock.integration import scenario
 from foxtaillock.integration.tests import base
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 
 _NOTE = """
@@ -55,7 +56,7 @@
             query = f"?offset={offset}&limit=500&wait_s=0"
             page = await self.fleet.admin_get(self._control_url() + query)
             for text in page["records"]:
-                found += records.decode_batch(text).records
+                found += record_batches.decode_batch(text).records
             if not page["records"]:
                 return found
             offset = page["next_offset"]
@@ -82,7 +83,9 @@
         ended_at_s = int(time.time()) - 2 * 86_400
         rows = dict.fromkeys(vms, ended_at_s)
         row = records.MaintenanceRecorded("bending", rows, epoch)
-        text = records.encode_batch(records.Batch("test", "x", 1, (row,)))
+        text = record_batches.encode_batch(
+            record_batches.Batch("test", "x", 1, (row,))
+        )
         url = self._control_url()
         async with self.fleet.session.post(url, data=text) as answer:
             self.assertEqual(answer.status, 200)
--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -8,6 +8,7 @@
 
 from foxtaillock import exceptions
 from foxtaillock.jobs import job as jobs_job
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.model import world
@@ -86,7 +87,7 @@
     Example:
         >>> state = PoolState()
         >>> raised = records.PoolEpochRaised(1, "entry-1")
-        >>> state.apply(0, records.Batch("entry-1", "x", 1, (raised,)))
+        >>> state.apply(0, record_batches.Batch("entry-1", "x", 1, (raised,)))
         [Verdict(accepted=True, code='', findings=())]
         >>> state.epoch
         1
@@ -110,7 +111,7 @@
         )
 
     def apply(
-        self, offset: int, batch: records.Batch
+        self, offset: int, batch: record_batches.Batch
     ) -> Sequence[verdicts.Verdict]:
         """Applies one batch; returns one verdict for each of its records."""
         self._next_offset = offset + 1
--- a/foxtaillock/jobs/tests/fake_log.py
+++ b/foxtaillock/jobs/tests/fake_log.py
@@ -5,6 +5,7 @@
 
 from foxtaillock import exceptions
 from foxtaillock.jobs import pool_state
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 
@@ -54,12 +55,12 @@
     """
 
     def __init__(self) -> None:
-        self.batches: list[records.Batch] = []
+        self.batches: list[record_batches.Batch] = []
         self.down = False
         self.faults: collections.deque[str] = collections.deque()
-        self.late: list[records.Batch] = []
+        self.late: list[record_batches.Batch] = []
 
-    def append(self, batch: records.Batch) -> None:
+    def append(self, batch: record_batches.Batch) -> None:
         """Appends a batch, or does what the next fault says."""
         if self.down:
             raise exceptions.NotRunError("log is down")
@@ -97,7 +98,7 @@
         await self._gate.step(f"before {kind} is recorded")
         self._sequence += 1
         self.commits += 1
-        batch = records.Batch(*self._writer, self._sequence, (record,))
+        batch = record_batches.Batch(*self._writer, self._sequence, (record,))
         self._log.append(batch)
         await self._gate.step(f"after {kind} is recorded")
         self.fold()
--- a/foxtaillock/jobs/tests/test_pool_state.py
+++ b/foxtaillock/jobs/tests/test_pool_state.py
@@ -7,6 +7,7 @@
 
 from foxtaillock import exceptions
 from foxtaillock.jobs import pool_state
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.model import world
@@ -45,7 +46,7 @@
         if sequence is None:
             self.sequence += 1
             sequence = self.sequence
-        batch = records.Batch("e1", "x", sequence, (record,))
+        batch = record_batches.Batch("e1", "x", sequence, (record,))
         return self.state.apply(sequence, batch)[0]
 
     def _state_of(self, job_id: str) -> world.JobState:
--- a/foxtaillock/leases/tests/fleet.py
+++ b/foxtaillock/leases/tests/fleet.py
@@ -7,6 +7,7 @@
 from foxtaillock import exceptions
 from foxtaillock.leases import ownership
 from foxtaillock.leases import times as session_times
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
@@ -198,7 +199,9 @@
         note = records.NoteAccepted("pools", "op", "", pools)
         self.log.store(
             records.CONTROL_STREAM,
-            records.encode_batch(records.Batch("op", "x", 1, (note,))),
+            record_batches.encode_batch(
+                record_batches.Batch("op", "x", 1, (note,))
+            ),
         )
         self.faults: list[str] = []
         self.acknowledged: list[tuple[str, records.Record]] = []
@@ -278,7 +281,7 @@
         again = control_state.ControlState()
         rows = self.log.streams[records.CONTROL_STREAM]
         for offset, text in enumerate(rows):
-            again.apply(offset, records.decode_batch(text))
+            again.apply(offset, record_batches.decode_batch(text))
             digests.get(offset + 1, set()).add(again.digest())
         if any(len(found) > 1 for found in digests.values()):
             self.faults.append("digests differ")
--- a/foxtaillock/leases/tests/test_ownership.py
+++ b/foxtaillock/leases/tests/test_ownership.py
@@ -9,6 +9,7 @@
 from foxtaillock.leases import silence
 from foxtaillock.leases import spread
 from foxtaillock.leases import times as session_times
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
@@ -31,7 +32,7 @@
         return ownership.Ownership(identity, _TIMES, random.Random(1), 0.0)
 
     def _fold(self, record: records.Record) -> verdicts.Verdict:
-        batch = records.Batch("e", "x", self.offset + 1, (record,))
+        batch = record_batches.Batch("e", "x", self.offset + 1, (record,))
         self.offset += 1
         return self.state.apply(self.offset - 1, batch)[0]
 
--- /dev/null
+++ b/foxtaillock/model/record_batches.py
@@ -0,0 +1,80 @@
+"""Batches of records, and how one is written on the platform's log.
+
+One log record is a batch: the writer, its incarnation, a sequence number and
+the records that were committed together. A batch with a sequence number that
+is not above the last one of the same writer and incarnation is a duplicate,
+left by a retried append, and has no effect.
+"""
+
+import json
+import typing
+
+from foxtaillock import exceptions
+from foxtaillock.model import records as model_records
+
+__all__ = ["Batch", "decode_batch", "encode_batch"]
+
+
+class Batch(typing.NamedTuple):
+    """Records that one writer committed in one append.
+
+    Attributes:
+        writer: name of the entry VM.
+        incarnation: random identity of the process that wrote.
+        sequence: counts the batches of this incarnation on the stream from 1.
+        records: the records, in order.
+        schema: schema version of the writer.
+    """
+
+    writer: str
+    incarnation: str
+    sequence: int
+    records: tuple[model_records.Record, ...]
+    schema: int = model_records.SCHEMA_VERSION
+
+
+def encode_batch(batch: Batch) -> str:
+    """Returns `batch` as one line of JSON."""
+    rows = [_encode_record(record) for record in batch.records]
+    fields = {
+        "v": batch.schema,
+        "w": batch.writer,
+        "i": batch.incarnation,
+        "s": batch.sequence,
+        "r": rows,
+    }
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def _encode_record(record: model_records.Record) -> list[typing.Any]:
+    if isinstance(record, model_records.UnknownRecord):
+        return [record.kind, *json.loads(record.body)]
+    return [model_records.kind_of(record), *record]
+
+
+def decode_batch(text: str) -> Batch:
+    """Returns the batch that `text` encodes.
+
+    Raises:
+        exceptions.InvalidInputError: `text` is not an encoded batch.
+    """
+    try:
+        fields = json.loads(text)
+        rows = tuple(_decode_record(row) for row in fields["r"])
+        return Batch(fields["w"], fields["i"], fields["s"], rows, fields["v"])
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise exceptions.InvalidInputError(
+            f"log record is not a batch: {error}"
+        ) from error
+
+
+def _decode_record(row: list[typing.Any]) -> model_records.Record:
+    record_class = model_records.class_of(row[0])
+    if record_class is None:
+        return model_records.UnknownRecord(row[0], json.dumps(row[1:]))
+    if record_class is model_records.NoteAccepted:
+        changes = tuple(model_records.Change(*change) for change in row[4])
+        return model_records.NoteAccepted(row[1], row[2], row[3], changes)
+    if record_class is model_records.JobAccepted:
+        row[6] = tuple(row[6])
+    return record_class(*row[1:])
--- a/foxtaillock/model/records.py
+++ b/foxtaillock/model/records.py
@@ -1,25 +1,18 @@
-"""Typed records that stand on the platform's log, and their encoding.
+"""Typed records that stand on the platform's log.
 
-One log record is a batch: the writer, its incarnation, a sequence number and
-the records that were committed together. A batch with a sequence number that
-is not above the last one of the same writer and incarnation is a duplicate,
-left by a retried append, and has no effect.
+`record_batches` tells how they are written there.
 
 Streams: `control` carries what every entry VM needs (configuration, keys,
 sessions, claims, grants, moves); `pool.<name>` the jobs of one pool, read by
 its owner; `calls.<service>` the claims of non-idempotent calls.
 """
 
-import json
 import typing
 from collections.abc import Callable
 
-from foxtaillock import exceptions
-
 __all__ = [
     "AttemptEnded",
     "AttemptStarted",
-    "Batch",
     "CONTROL_STREAM",
     "CallClaimed",
     "CallEnded",
@@ -54,8 +47,8 @@
     "UnknownRecord",
     "VmStep",
     "WaveChanged",
-    "decode_batch",
-    "encode_batch",
+    "class_of",
+    "kind_of",
     "register_record",
 ]
 
@@ -70,24 +63,6 @@
 _KIND_OF_CLASS: dict[type, str] = {}
 
 
-class Batch(typing.NamedTuple):
-    """Records that one writer committed in one append.
-
-    Attributes:
-        writer: name of the entry VM.
-        incarnation: random identity of the process that wrote.
-        sequence: counts the batches of this incarnation on the stream from 1.
-        records: the records, in order.
-        schema: schema version of the writer.
-    """
-
-    writer: str
-    incarnation: str
-    sequence: int
-    records: tuple[Record, ...]
-    schema: int = SCHEMA_VERSION
-
-
 class UnknownRecord(typing.NamedTuple):
     """A record of a kind that this version does not know; it is kept."""
 
@@ -95,6 +70,16 @@
     body: str
 
 
+def kind_of(record: Record) -> str:
+    """Returns the kind under which the class of a record is registered."""
+    return _KIND_OF_CLASS[type(record)]
+
+
+def class_of(kind: str) -> type | None:
+    """Returns the class of a kind; None if this version does not know it."""
+    return _KINDS.get(kind)
+
+
 def register_record(kind: str) -> Callable[[_RecordT], _RecordT]:
     """Returns a decorator that registers a record class under `kind`."""
 
@@ -513,50 +498,3 @@
     key_digest: str
     request_id: str
     outcome: str
-
-
-def encode_batch(batch: Batch) -> str:
-    """Returns `batch` as one line of JSON."""
-    rows = [_encode_record(record) for record in batch.records]
-    fields = {
-        "v": batch.schema,
-        "w": batch.writer,
-        "i": batch.incarnation,
-        "s": batch.sequence,
-        "r": rows,
-    }
-    return json.dumps(fields, separators=(",", ":"))
-
-
-def _encode_record(record: Record) -> list[typing.Any]:
-    if isinstance(record, UnknownRecord):
-        return [record.kind, *json.loads(record.body)]
-    return [_KIND_OF_CLASS[type(record)], *record]
-
-
-def decode_batch(text: str) -> Batch:
-    """Returns the batch that `text` encodes.
-
-    Raises:
-        exceptions.InvalidInputError: `text` is not an encoded batch.
-    """
-    try:
-        fields = json.loads(text)
-        rows = tuple(_decode_record(row) for row in fields["r"])
-        return Batch(fields["w"], fields["i"], fields["s"], rows, fields["v"])
-    except (ValueError, KeyError, TypeError, IndexError) as error:
-        raise exceptions.InvalidInputError(
-            f"log record is not a batch: {error}"
-        ) from error
-
-
-def _decode_record(row: list[typing.Any]) -> Record:
-    record_class = _KINDS.get(row[0])
-    if record_class is None:
-        return UnknownRecord(row[0], json.dumps(row[1:]))
-    if record_class is NoteAccepted:
-        changes = tuple(Change(*change) for change in row[4])
-        return NoteAccepted(row[1], row[2], row[3], changes)
-    if record_class is JobAccepted:
-        row[6] = tuple(row[6])
-    return record_class(*row[1:])
--- a/foxtaillock/model/tests/test_records.py
+++ b/foxtaillock/model/tests/test_records.py
@@ -3,6 +3,7 @@
 import unittest
 
 from foxtaillock import exceptions
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 
 
@@ -11,17 +12,17 @@
     def test_note_survives_encoding(self) -> None:
         change = records.Change("added", "team", "nesting", 0, {"share": 2})
         note = records.NoteAccepted("n1", "op", "market", (change,))
-        batch = records.Batch("e1", "x", 1, (note,))
-        text = records.encode_batch(batch)
-        self.assertEqual(records.decode_batch(text), batch)
+        batch = record_batches.Batch("e1", "x", 1, (note,))
+        text = record_batches.encode_batch(batch)
+        self.assertEqual(record_batches.decode_batch(text), batch)
 
     def test_unknown_kind_is_kept(self) -> None:
         text = '{"v":2,"w":"e1","i":"x","s":1,"r":[["later",1,"two"]]}'
-        batch = records.decode_batch(text)
+        batch = record_batches.decode_batch(text)
         self.assertEqual(batch.records[0].kind, "later")
-        self.assertEqual(records.encode_batch(batch), text)
+        self.assertEqual(record_batches.encode_batch(batch), text)
 
     def test_malformed_batch_is_refused(self) -> None:
         for text in ("", "[]", "{}", '{"v":1,"w":"e","i":"x","s":1,"r":[[]]}'):
             with self.assertRaises(exceptions.InvalidInputError):
-                records.decode_batch(text)
+                record_batches.decode_batch(text)
--- a/foxtaillock/state/control_state.py
+++ b/foxtaillock/state/control_state.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Sequence
 
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import codec
@@ -43,7 +44,8 @@
     Example:
         >>> state = ControlState()
         >>> given = records.KeyGiven("k1", "00", "", "root")
-        >>> state.apply(0, records.Batch("e1", "x", 1, (given,)))[0].accepted
+        >>> batch = record_batches.Batch("e1", "x", 1, (given,))
+        >>> state.apply(0, batch)[0].accepted
         True
         >>> state.key("k1").withdrawn
         False
@@ -54,7 +56,7 @@
         self._sequences = sequences.Sequences()
 
     def apply(
-        self, offset: int, batch: records.Batch
+        self, offset: int, batch: record_batches.Batch
     ) -> Sequence[verdicts.Verdict]:
         """Folds one batch; returns one verdict for each of its records."""
         if not self._sequences.admit(
--- a/foxtaillock/state/interfaces.py
+++ b/foxtaillock/state/interfaces.py
@@ -3,6 +3,7 @@
 import typing
 from collections.abc import Sequence
 
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 
@@ -13,7 +14,7 @@
     """Deterministic state that follows from the records of one stream."""
 
     def apply(
-        self, offset: int, batch: records.Batch
+        self, offset: int, batch: record_batches.Batch
     ) -> Sequence[verdicts.Verdict]:
         """Applies one batch; returns one verdict for each of its records.
 
--- a/foxtaillock/state/pending.py
+++ b/foxtaillock/state/pending.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from foxtaillock import exceptions
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 
@@ -47,7 +48,7 @@
         folded: set once the batch was read back.
     """
 
-    batch: records.Batch
+    batch: record_batches.Batch
     entries: list[Entry]
     may_stand: bool = False
     folded: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/foxtaillock/state/replica.py
+++ b/foxtaillock/state/replica.py
@@ -11,6 +11,7 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import budget as budgets
@@ -21,7 +22,9 @@
 
 __all__ = ["BatchCallback", "ReplicaSettings", "StreamReplica"]
 
-BatchCallback = Callable[[int, records.Batch, Sequence[verdicts.Verdict]], None]
+BatchCallback = Callable[
+    [int, record_batches.Batch, Sequence[verdicts.Verdict]], None
+]
 
 
 ReplicaSettings = replica_settings.ReplicaSettings
@@ -285,7 +288,7 @@
             return
         self._next_offset = offset + 1
         try:
-            batch = records.decode_batch(text)
+            batch = record_batches.decode_batch(text)
         except exceptions.InvalidInputError as error:
             loguru.logger.warning(
                 "{} at {}: {}", self._stream, offset, str(error)
--- a/foxtaillock/state/sender.py
+++ b/foxtaillock/state/sender.py
@@ -10,6 +10,7 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import budget as budgets
@@ -106,7 +107,7 @@
         raise exceptions.NotRunError("record was not sent in time")
 
     def settle(
-        self, batch: records.Batch, results: Sequence[verdicts.Verdict]
+        self, batch: record_batches.Batch, results: Sequence[verdicts.Verdict]
     ) -> None:
         """Hands the verdicts of a folded batch to its callers, if it is the
         one in flight."""
@@ -163,7 +164,7 @@
         self._on_send()
         for entry in entries:
             entry.sent = True
-        batch = records.Batch(
+        batch = record_batches.Batch(
             self._writer,
             self._incarnation,
             self._sequence + 1,
@@ -175,7 +176,7 @@
     async def _deliver(self, flight: pending.Flight) -> bool:
         """Returns True once the batch was read back, False if no append of it
         can have taken effect."""
-        text = records.encode_batch(flight.batch)
+        text = record_batches.encode_batch(flight.batch)
         failures = 0
         while not flight.folded.is_set():
             try:
--- a/foxtaillock/state/snapshots.py
+++ b/foxtaillock/state/snapshots.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from foxtaillock import exceptions
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import sequences
@@ -146,7 +147,7 @@
         return tuple(self._whole)
 
     def apply(
-        self, offset: int, batch: records.Batch
+        self, offset: int, batch: record_batches.Batch
     ) -> Sequence[verdicts.Verdict]:
         """Folds one batch of chunks."""
         if not self._sequences.admit(offset, *batch[:3]):
--- a/foxtaillock/state/snapshotter.py
+++ b/foxtaillock/state/snapshotter.py
@@ -12,6 +12,7 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
@@ -147,7 +148,7 @@
     def _on_control_batch(
         self,
         offset: int,
-        batch: records.Batch,
+        batch: record_batches.Batch,
         results: Sequence[verdicts.Verdict],
     ) -> None:
         del offset
@@ -157,7 +158,7 @@
                 self._note_mark(batch, record)
 
     def _note_mark(
-        self, batch: records.Batch, mark: records.SnapshotMarked
+        self, batch: record_batches.Batch, mark: records.SnapshotMarked
     ) -> None:
         taken = self._take(mark.snapshot_id)
         if mark.node == self._node:
@@ -171,7 +172,7 @@
     def _on_chunk_batch(
         self,
         offset: int,
-        batch: records.Batch,
+        batch: record_batches.Batch,
         results: Sequence[verdicts.Verdict],
     ) -> None:
         del offset, batch, results
--- a/foxtaillock/state/tests/naive_control.py
+++ b/foxtaillock/state/tests/naive_control.py
@@ -3,6 +3,7 @@
 import re
 import typing
 
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 
 __all__ = ["NaiveControl"]
@@ -15,9 +16,9 @@
 
     def __init__(self) -> None:
         self.accepted: list[_Row] = []
-        self._seen: list[records.Batch] = []
+        self._seen: list[record_batches.Batch] = []
 
-    def apply(self, offset: int, batch: records.Batch) -> list[bool]:
+    def apply(self, offset: int, batch: record_batches.Batch) -> list[bool]:
         """Returns for each record whether it has its effect."""
         newest = max(
             (b.sequence for b in self._seen if b[:2] == batch[:2]), default=0
--- a/foxtaillock/state/tests/test_control_differential.py
+++ b/foxtaillock/state/tests/test_control_differential.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state.tests import naive_control
@@ -183,7 +184,7 @@
         for offset in range(_BATCHES):
             rows = tuple(draw() for _ in range(rng.randint(1, 3)))
             sequence = offset + 1 - rng.choice((0, 0, 0, 0, 1, 2))
-            batch = records.Batch("e", "x", sequence, rows)
+            batch = record_batches.Batch("e", "x", sequence, rows)
             expected = naive.apply(offset, batch)
             results = state.apply(offset, batch)
             self.assertEqual(
--- a/foxtaillock/state/tests/test_control_state.py
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
@@ -19,9 +20,11 @@
         self.offset = 0
 
     def _fold(self, *rows: records.Record) -> list[verdicts.Verdict]:
-        batch = records.Batch("e", "x", self.offset + 1, rows)
-        text = records.encode_batch(batch)
-        results = self.state.apply(self.offset, records.decode_batch(text))
+        batch = record_batches.Batch("e", "x", self.offset + 1, rows)
+        text = record_batches.encode_batch(batch)
+        results = self.state.apply(
+            self.offset, record_batches.decode_batch(text)
+        )
         self.offset += 1
         return list(results)
 
@@ -306,7 +309,9 @@
 
     def test_duplicate_batch_has_no_effect(self) -> None:
         self._set_up_pool()
-        batch = records.Batch("e", "x", 1, (records.KeyWithdrawn("k", ""),))
+        batch = record_batches.Batch(
+            "e", "x", 1, (records.KeyWithdrawn("k", ""),)
+        )
         results = self.state.apply(self.offset, batch)
         self.assertEqual([row.code for row in results], ["duplicate"])
         self.assertIsNone(self.state.key("k"))
@@ -327,7 +332,7 @@
         self.assertEqual(again.encode(), text)
         self.assertEqual(again.digest(), self.state.digest())
         rows = (_renewed("a", 2), _granted("a", 8), _claimed("r", "b", 1))
-        batch = records.Batch("e", "x", 99, rows)
+        batch = record_batches.Batch("e", "x", 99, rows)
         self.assertEqual(again.apply(9, batch), self.state.apply(9, batch))
         self.assertEqual(again.digest(), self.state.digest())
 
--- a/foxtaillock/state/tests/test_replica.py
+++ b/foxtaillock/state/tests/test_replica.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 
 from foxtaillock import exceptions
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
@@ -61,7 +62,7 @@
     return [
         record.key_id
         for text in log.streams.get(records.CONTROL_STREAM, [])
-        for record in records.decode_batch(text).records
+        for record in record_batches.decode_batch(text).records
     ]
 
 
@@ -99,7 +100,7 @@
             await asyncio.sleep(1.0)
             await node.replica.catch_up()
         sequence = [
-            records.decode_batch(text).sequence
+            record_batches.decode_batch(text).sequence
             for text in log.streams[records.CONTROL_STREAM]
         ]
         self.assertEqual(set(sequence), {1, 2})
@@ -260,9 +261,11 @@
     def test_expired_records_stop_the_replica(self) -> None:
         async def scenario() -> None:
             log = fake_log.FakeLog(retention=5)
-            batch = records.Batch("f", "y", 1, ())
+            batch = record_batches.Batch("f", "y", 1, ())
             for _ in range(10):
-                log.store(records.CONTROL_STREAM, records.encode_batch(batch))
+                log.store(
+                    records.CONTROL_STREAM, record_batches.encode_batch(batch)
+                )
             node = Node(log)
             with self.assertRaises(exceptions.StateDivergedError):
                 async with asyncio.timeout(5.0):
--- a/foxtaillock/state/tests/test_snapshots.py
+++ b/foxtaillock/state/tests/test_snapshots.py
@@ -6,6 +6,7 @@
 import unittest
 
 from foxtaillock import exceptions
+from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
@@ -178,7 +179,7 @@
                 node.run()
             await _write_keys(nodes[0], 0, 3)
             foreign = records.KeyWithdrawn("k0", "op")
-            batch = records.Batch("c", "x", 1, (foreign,))
+            batch = record_batches.Batch("c", "x", 1, (foreign,))
             nodes[1].state.apply(3, batch)
             await asyncio.sleep(30.0)
             self.assertIsNone(nodes[0].control.error)
@@ -221,9 +222,9 @@
         for _ in range(rng.choice((0, 1, 3))):
             rows.pop()
         for offset, row in enumerate(rows):
-            batch = records.Batch("e", "x", offset + 1, (row,))
-            text = records.encode_batch(batch)
-            fold.apply(offset, records.decode_batch(text))
+            batch = record_batches.Batch("e", "x", offset + 1, (row,))
+            text = record_batches.encode_batch(batch)
+            fold.apply(offset, record_batches.decode_batch(text))
         naive = _naive_whole(rows)
         self.assertEqual([row.snapshot_id for row in fold.whole], naive)
         return len(naive)
