--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -106,7 +106,7 @@
 
     @property
     def has_given_up(self) -> bool:
-        """Whether it gave the ownership up for want of reach."""
+        """Whether it gave the ownership up to another VM."""
         return self._gives_up
 
     def configure(self, config: directory.Directory) -> None:
