Owner: no lease is renewed from the wish to release on

By reading: an owner renewed on while its release was under way; the release may stand long before its answer, and the next owner takes leases for over by the time at which it was heard. The test fails before.

--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -411,11 +411,13 @@
         """Returns whether leases may be renewed.
 
         A new owner counts on it that an owner which could not write for so
-        long, or which is over, renews none.
+        long, or which is over, renews none. A release may stand before its
+        answer arrives, so none is renewed from the wish to release on.
         """
         now_s = self._services.clock.monotonic_s()
         silent_s = now_s - self._writer.written_s
-        return not self._is_over and silent_s <= workers.RENEW_LIMIT_S
+        has_ended = self._is_over or self._gives_up
+        return not has_ended and silent_s <= workers.RENEW_LIMIT_S
 
     def _on_poll_answer(self, answer: object) -> None:
         if isinstance(answer, interfaces.OrderAnswer):
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -1,6 +1,7 @@
 """One ownership over a journal in memory."""
 
 import asyncio
+import time
 import typing
 import unittest
 from collections.abc import Sequence
@@ -71,12 +72,35 @@
         ]
 
 
+class _Polls:
+    """Workers that answer polls after a moment, with what they run."""
+
+    def __init__(self) -> None:
+        self.renewals = 0
+
+    async def poll(
+        self,
+        worker: model.WorkerEntry,
+        epoch: int,
+        acknowledged: int,
+        valid_until_ms: int | None,
+        wait_s: float,
+    ) -> interfaces.WorkerLists:
+        """Counts renewals."""
+        del worker, epoch, acknowledged, wait_s
+        self.renewals += valid_until_ms is not None
+        await asyncio.sleep(0.02)
+        task = model.TaskId("00000000000000aa", 0, 0, 0)
+        return builders.lists(running=[(task, 1)])
+
+
 class OwnerTest(unittest.IsolatedAsyncioTestCase):
     """Hand-over and repeats of appends."""
 
     async def asyncSetUp(self) -> None:
         self.journal = _MemoryJournal()
         self.submissions = _MemoryJournal()
+        self.polls = _Polls()
         self.view = view.JournalView()
         empty = _MemoryJournal()
         works_with = services.OwnerServices(
@@ -84,7 +108,7 @@
             submissions=self.submissions,
             registry=empty,
             decode_worker=lambda *_: None,
-            worker_orders=typing.cast(interfaces.WorkerOrders, None),
+            worker_orders=typing.cast(interfaces.WorkerOrders, self.polls),
             vm_orders=None,
             advisor=None,
             statuses=empty,
@@ -164,6 +188,26 @@
         self.assertTrue(release.is_released)
         self.assertEqual(release.successor, "vm-4")
 
+    async def test_nothing_is_renewed_while_a_release_is_written(self) -> None:
+        pools = {"pool": model.Pool("pool", False, False)}
+        self.owner.engine.configure({"q": builders.queue()}, pools, {})
+        self.owner.engine.register(builders.entry("1"), 100.0)
+        job = builders.job("00000000000000aa", builders.step(1))
+        self.owner.on_record(job)
+        builders.start_all(self.owner.engine, time.monotonic())
+        running = asyncio.ensure_future(self.owner.run())
+        async with asyncio.timeout(10.0):
+            while not self.polls.renewals:
+                await asyncio.sleep(0.01)
+        self.journal.waits.clear()
+        self.owner.stop()
+        await asyncio.sleep(0.05)
+        before = self.polls.renewals
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(self.polls.renewals, before)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
     async def test_ends_that_need_no_record_are_not_appended(self) -> None:
         entry = builders.entry("1")
         self.owner.engine.register(entry, 0.0)
