Observability: lag of the event loop, speed of the processor, load of the owner

The logs could not tell whether an owner's starts are late because its processor is slow, because it has too much to do, because its appends wait, or because the pool lacks room; nor why one VM claimed before another. A line a second tells the first, the line of a claim the second. Metrics of every VM: loop lag and processor speed.

--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -18,6 +18,7 @@
 from collections.abc import Sequence
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import load_monitor
 from foxtaillock.batch import metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import owner as owners
@@ -259,7 +260,13 @@
         metrics=metrics.Metrics(),
     )
     claim = records.OwnerRecord(1, "vm-1", "a", capacity=1.0)
-    owner = owners.Owner(claim, view.JournalView(), float("-inf"), dependencies)
+    owner = owners.Owner(
+        claim,
+        view.JournalView(),
+        float("-inf"),
+        load_monitor.LoadMonitor(dependencies.clock),
+        dependencies,
+    )
     pools = [f"pool-{number}" for number in range(_POOLS)]
     queues = [
         model.Queue(f"queue-{number}", pool, 0, 2, 1.6, 600, True)
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -5,6 +5,7 @@
 task gets a new run only after its latest run has provably ended.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -431,6 +432,23 @@
             ticket,
         )
 
+    def load_summary(self) -> plans.LoadSummary:
+        """Returns how many tasks wait, are being started, and run."""
+        phases = collections.Counter(
+            task.phase
+            for worker in self._state.workers.values()
+            for task in worker.tasks.values()
+        )
+        return plans.LoadSummary(
+            waiting_tasks=sum(
+                len(step.waiting) for step in self._state.waiting.values()
+            ),
+            starting_tasks=phases[tasks.TaskPhase.RECORDING]
+            + phases[tasks.TaskPhase.STARTING],
+            in_doubt_tasks=phases[tasks.TaskPhase.IN_DOUBT],
+            running_tasks=phases[tasks.TaskPhase.RUNNING],
+        )
+
     def unreachable_fraction(self) -> float:
         """Returns the fraction of unreachable workers, of those with tasks.
 
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -11,6 +11,7 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import config_freshness
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
 from foxtaillock.batch import owner as owners
 from foxtaillock.batch import ownership
@@ -115,6 +116,7 @@
             services.owner.log,
         )
         self._waves: dict[int, model.Wave] = {}
+        self._load = load_monitor.LoadMonitor(clock)
         self._owner: owners.Owner | None = None
         self._is_stopping = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -141,6 +143,7 @@
             self._operator_follower.run,
             self._journal_follower.run,
             self._submission_follower.run,
+            self._load.run,
             self._own,
         ):
             self._tasks.append(
@@ -213,6 +216,10 @@
                 epoch=decision.epoch,
                 silence_s=round(decision.silence_s, 2),
                 reason=decision.reason,
+                capacity=self._capacity,
+                journal_age_s=round(self._journal_age_s(), 2),
+                lag_s=round(self._load.lag_s, 3),
+                speed=round(self._load.speed, 2),
             )
             claim = await self._claim(decision.epoch)
             if claim is not None:
@@ -312,7 +319,11 @@
         # The claim has been read back, and with it all that earlier owners
         # have written.
         owner = owners.Owner(
-            claim, self._view, self._ownership.earlier_leases_end_s, services
+            claim,
+            self._view,
+            self._ownership.earlier_leases_end_s,
+            self._load,
+            services,
         )
         owner.configure(self.call_handler.config)
         for wave in self._waves.values():
@@ -383,6 +394,10 @@
         if self._owner is not None:
             self._owner.add_wave(wave)
 
+    def _journal_age_s(self) -> float:
+        now_s = self._services.clock.monotonic_s()
+        return now_s - self._journal_follower.caught_up_s
+
     def _add_gauges(self) -> None:
         clock, metrics = self._services.clock, self._services.metrics
         metrics.add_gauge(
@@ -398,7 +413,17 @@
         metrics.add_gauge(
             "journal_age_seconds",
             "Time since this VM has read the journal's end",
-            lambda: clock.monotonic_s() - self._journal_follower.caught_up_s,
+            self._journal_age_s,
+        )
+        metrics.add_gauge(
+            "loop_lag_seconds",
+            "Longest delay of the event loop within the last second",
+            lambda: self._load.lag_s,
+        )
+        metrics.add_gauge(
+            "processor_speed",
+            "Speed of the processor as a fraction of the best one seen",
+            lambda: self._load.speed,
         )
         metrics.add_gauge(
             "owns",
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -13,6 +13,7 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import journal_writer
+from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
@@ -35,6 +36,9 @@
 # Interval at which submissions of ended jobs are compacted or erased.
 _COMPACTION_INTERVAL_S = 1.0
 
+# Interval of the log line on the owner's load.
+_LOAD_REPORT_INTERVAL_S = 1.0
+
 # The ownership is released once more than this fraction of the workers with
 # tasks has been unreachable for the timeout: another entry VM may reach more of
 # them.
@@ -50,6 +54,7 @@
         journal_view: state folded from the journal, caught up to the claim.
         prior_leases_end_s: time by which all leases granted by earlier
             owners have expired.
+        load: measures this VM's event loop and processor.
         services: dependencies of the owner.
     """
 
@@ -58,6 +63,7 @@
         claim: records.OwnerRecord,
         journal_view: view.JournalView,
         prior_leases_end_s: float,
+        load: load_monitor.LoadMonitor,
         services: batch_services.OwnerServices,
     ) -> None:
         self._claim = claim
@@ -65,6 +71,7 @@
         self._successor = ""
         self._epoch = claim.epoch
         self._view = journal_view
+        self._load = load
         self._services = services
         now_s = services.clock.monotonic_s()
         self.engine = engines.Engine(
@@ -160,6 +167,7 @@
             ),
             asyncio.ensure_future(self._request_advice()),
             asyncio.ensure_future(self._compact_submissions()),
+            asyncio.ensure_future(self._report_load()),
         ]
         for background_task in background_tasks:
             background_task.add_done_callback(self._on_background_done)
@@ -431,6 +439,26 @@
             compactable_jobs = []
             self.engine.forget(expired_jobs)
 
+    async def _report_load(self) -> None:
+        """Logs once a second how this owner keeps up with its work."""
+        while True:
+            await asyncio.sleep(_LOAD_REPORT_INTERVAL_S)
+            summary = self.engine.load_summary()
+            if not summary.waiting_tasks and not summary.starting_tasks:
+                continue
+            self._services.log(
+                "owner-load",
+                epoch=self._epoch,
+                lag_s=round(self._load.lag_s, 3),
+                speed=round(self._load.speed, 2),
+                append_age_s=round(
+                    self._services.clock.monotonic_s()
+                    - self._writer.last_append_s,
+                    2,
+                ),
+                **summary._asdict(),
+            )
+
     async def _send_timed(
         self,
         order: str,
--- a/foxtaillock/batch/plans.py
+++ b/foxtaillock/batch/plans.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "JournalBatch",
+    "LoadSummary",
     "PollPlan",
     "SpeedLimitPlan",
     "StartPlan",
@@ -73,3 +74,19 @@
     starts: list[StartPlan]
     recorded_ends: dict[str, int]
     completed: list[str]
+
+
+class LoadSummary(typing.NamedTuple):
+    """Number of an owner's tasks by what they wait for.
+
+    Attributes:
+        waiting_tasks: tasks without a run, whether they are ready or not.
+        starting_tasks: tasks whose start is being recorded or ordered.
+        in_doubt_tasks: tasks whose start order got no answer.
+        running_tasks: tasks whose run was confirmed.
+    """
+
+    waiting_tasks: int
+    starting_tasks: int
+    in_doubt_tasks: int
+    running_tasks: int
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import load_monitor
 from foxtaillock.batch import metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import owner
@@ -122,6 +123,7 @@
             records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
             self.view,
             0.0,
+            load_monitor.LoadMonitor(dependencies.clock),
             dependencies,
         )
 
