Takeover: a silent owner is confirmed by a read of its own, not by the end of a long one

Only the follower's reads counted, which wait up to 0.7 s for records. So the confirmation came up to 1.9 s after the last record instead of 1.1 s, 0.85 s after each release, and the phase of these reads chose the new owner: at 19.08 s a VM with a capacity of 0.5 claimed while five with 2.15 were alive, of which three were due 0.5 s earlier.

Both tests ended in a timeout without the change.

Ruled out: the delays by which VMs spread their claims. Computed from their names they are 0.06 to 0.10 s for three of the five large VMs.

--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -207,7 +207,7 @@
             await asyncio.sleep(_CLAIM_CHECK_INTERVAL_S)
             if not self._is_caught_up():
                 continue
-            decision = self._ownership.decide(services.clock.monotonic_s())
+            decision = await self._decide_claim()
             if not decision.epoch:
                 await self._send_offer()
                 continue
@@ -225,6 +225,23 @@
             if claim is not None:
                 await self._run_owner(claim)
 
+    async def _decide_claim(self) -> ownership.ClaimDecision:
+        """Decides on a claim; reads the journal first if that is missing.
+
+        The follower's reads wait for records, so that they would confirm the
+        silence of an owner late, and on each VM at a time of their own.
+        """
+        clock = self._services.clock
+        decision = self._ownership.decide(clock.monotonic_s())
+        if not decision.needs_read or self._journal_follower.is_failing:
+            return decision
+        try:
+            await self._journal_follower.catch_up()
+        except interfaces.StoreError as error:
+            self._services.log("silence-not-confirmed", error=str(error))
+            self._on_journal_failure()
+        return self._ownership.decide(clock.monotonic_s())
+
     def _is_caught_up(self) -> bool:
         """Returns whether every stream was read to its end at least once."""
         return (
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -69,11 +69,14 @@
         epoch: epoch to claim; 0 for no claim.
         silence_s: time since the last record of the owner.
         reason: reason for the log.
+        needs_read: whether the journal has to be read to its end first, since
+            a record of the owner may stand there.
     """
 
     epoch: int
     silence_s: float
     reason: str
+    needs_read: bool = False
 
 
 def capacity_of(processors: float, link_mbit_s: float) -> float:
@@ -243,7 +246,10 @@
             wait_s, OWNER_LEASE_S / 2
         ):
             return ClaimDecision(
-                0, silence_s, "the journal has not been read since"
+                0,
+                silence_s,
+                "the journal has not been read since",
+                needs_read=True,
             )
         epoch = 1 if self._owner is None else self._owner.epoch + 1
         return ClaimDecision(epoch, silence_s, self._claim_reason())
--- /dev/null
+++ b/foxtaillock/batch/tests/test_node.py
@@ -0,0 +1,85 @@
+"""Tests of how an entry VM comes to own, with in-memory streams."""
+
+import asyncio
+import typing
+import unittest
+
+from foxtaillock.batch import configuration
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import metrics
+from foxtaillock.batch import node as nodes
+from foxtaillock.batch import records
+from foxtaillock.batch import services
+from foxtaillock.batch.tests import memory_stream
+from foxtaillock.model import clock as model_clock
+
+_OTHER = records.OwnerRecord(4, "vm-2", "b", capacity=1.0)
+
+
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    """`vm-1` follows a journal in which `vm-2` owns."""
+
+    async def asyncSetUp(self) -> None:
+        self.lines: list[tuple[str, dict[str, typing.Any]]] = []
+        self.journal = memory_stream.MemoryStream()
+        self.journal.write(records.encode(_OTHER))
+        operators = memory_stream.MemoryStream()
+        operators.write(records.KeyedRecord("config", b"1"))
+        config = configuration.create_configuration(1, [], [], [], [], 1)
+        dependencies = services.OwnerServices(
+            journal=self.journal,
+            submissions=memory_stream.MemoryStream(),
+            registry=memory_stream.MemoryStream(),
+            decode_worker=lambda *_: None,
+            worker_client=typing.cast(interfaces.WorkerClient, None),
+            fleet_client=None,
+            advisor=None,
+            statuses=memory_stream.MemoryStream(),
+            encode_wave=lambda *_: records.KeyedRecord("", b""),
+            clock=model_clock.SystemClock(),
+            log=lambda event, **fields: self.lines.append((event, fields)),
+            metrics=metrics.Metrics(),
+        )
+        self.node = nodes.Node(
+            "vm-1",
+            "a",
+            5.0,
+            services.NodeServices(
+                operators, lambda *_: config, lambda *_: None, dependencies
+            ),
+            capacity=1.0,
+        )
+        self.node.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.node.close()
+
+    async def _wait_until_ready(self) -> None:
+        async with asyncio.timeout(10.0):
+            while not self.node.is_ready:
+                await asyncio.sleep(0.02)
+
+    async def _wait_for(self, event: str) -> dict[str, typing.Any]:
+        async with asyncio.timeout(10.0):
+            while True:
+                for name, fields in self.lines:
+                    if name == event:
+                        return fields
+                await asyncio.sleep(0.02)
+
+    async def test_claim_does_not_wait_for_the_end_of_a_long_read(
+        self,
+    ) -> None:
+        await self._wait_until_ready()
+        self.journal.holds_long_reads = True
+        self.journal.write(records.encode(_OTHER._replace(heartbeat=1)))
+        claim = await self._wait_for("ownership-claimed")
+        self.assertEqual(claim["reason"], "owner is silent")
+
+    async def test_successor_claims_before_a_long_read_ends(self) -> None:
+        await self._wait_until_ready()
+        self.journal.holds_long_reads = True
+        released = _OTHER._replace(is_released=True, successor="vm-1")
+        self.journal.write(records.encode(released))
+        claim = await self._wait_for("ownership-claimed")
+        self.assertEqual(claim["reason"], "released to this VM")
