Handover: a VM that has released does not claim before it has read its release

The test at the entry VM and both at the decision fail without the change.

A VM without the store no longer sends claims that the store refuses.

--- a/foxtaillock/batch/events.py
+++ b/foxtaillock/batch/events.py
@@ -5,7 +5,7 @@
 __all__ = ["wait_for_event"]
 
 
-async def wait_for_event(event: asyncio.Event, timeout_s: float) -> bool:
+async def wait_for_event(event: asyncio.Event, timeout_s: float | None) -> bool:
     """Waits until an event is set; returns whether it was set in time.
 
     A cancellation always propagates, even if the event is set at the same time;
@@ -14,7 +14,7 @@
 
     Args:
         event: the event.
-        timeout_s: maximum time to wait.
+        timeout_s: maximum time to wait; None for no limit.
     """
     try:
         async with asyncio.timeout(timeout_s):
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -352,6 +352,7 @@
         finally:
             self._owner = None
             self._set_batched_reads(True)
+            self._ownership.ownership_ended(services.clock.monotonic_s())
         if owner.has_released:
             self._ownership.defer_claims(services.clock.monotonic_s())
 
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -121,6 +121,7 @@
         self._journal_read_s = float("-inf")
         self._claims_deferred_until_s = float("-inf")
         self._claim_retry_s = float("-inf")
+        self._ownership_ended_s = float("-inf")
 
     @property
     def last_heard_s(self) -> float:
@@ -215,6 +216,13 @@
         retry_s = self._stagger_s() / _STAGGER_S * _CLAIM_RETRY_SPREAD_S
         self._claim_retry_s = now_s + OWNER_LEASE_S / 2 + retry_s
 
+    def ownership_ended(self, now_s: float) -> None:
+        """Records that an ownership of this process has ended.
+
+        Its last record, a release, may not have been read yet.
+        """
+        self._ownership_ended_s = now_s
+
     def defer_claims(self, now_s: float) -> None:
         """Delays claims and offers, so that another entry VM takes over."""
         self._claims_deferred_until_s = now_s + _CLAIM_DEFERRAL_S
@@ -235,8 +243,7 @@
             and owner.node == self._node
             and not owner.is_released
         ):
-            reason = "this VM's earlier ownership has ended"
-            return ClaimDecision(owner.epoch + 1, silence_s, reason)
+            return self._decide_after_own(owner, silence_s)
         wait_s = self._claim_silence_s(now_s)
         if silence_s < wait_s:
             return ClaimDecision(
@@ -254,6 +261,20 @@
         epoch = 1 if self._owner is None else self._owner.epoch + 1
         return ClaimDecision(epoch, silence_s, self._claim_reason())
 
+    def _decide_after_own(
+        self, owner: records.OwnerRecord, silence_s: float
+    ) -> ClaimDecision:
+        """Decides on a claim after an ownership of this VM has ended."""
+        if self._journal_read_s < self._ownership_ended_s:
+            return ClaimDecision(
+                0,
+                silence_s,
+                "this VM's last records have not been read",
+                needs_read=True,
+            )
+        reason = "this VM's earlier ownership has ended"
+        return ClaimDecision(owner.epoch + 1, silence_s, reason)
+
     def _leases_end_s(self) -> float:
         """Returns a time by which all leases granted so far have expired."""
         owner = self._owner
--- a/foxtaillock/batch/tests/memory_stream.py
+++ b/foxtaillock/batch/tests/memory_stream.py
@@ -1,8 +1,10 @@
 """In-memory stream of keyed records for tests of an entry VM."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 
+from foxtaillock.batch import events
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import records
 
@@ -10,19 +12,23 @@
 
 
 class MemoryStream:
-    """Stream whose readers can be kept from seeing what was appended.
+    """Stream whose long reads can be held.
 
     Attributes:
         appended: all records.
-        visible_end: offset up to which reads return records; None for all.
         holds_long_reads: whether a read that waits for records returns only
             once there are some, whatever time it asks for.
+        is_stalled: whether such a read does not return at all.
+        on_append: called with each batch before it is stored.
     """
 
     def __init__(self) -> None:
         self.appended: list[records.KeyedRecord] = []
-        self.visible_end: int | None = None
         self.holds_long_reads = False
+        self.is_stalled = False
+        self.on_append: Callable[[Sequence[records.KeyedRecord]], None] = (
+            lambda _: None
+        )
         self._changed = asyncio.Event()
 
     async def append(
@@ -32,36 +38,32 @@
     ) -> interfaces.AppendResult:
         """Appends all records."""
         del append_id
+        self.on_append(batch)
         self.write(*batch)
         stored = interfaces.AppendOutcome.STORED
         return interfaces.AppendResult(stored, len(self.appended))
 
     async def read(self, offset: int, wait_s: float) -> interfaces.StreamPage:
-        """Returns the visible records from `offset` on."""
-        if wait_s and offset >= self._end():
+        """Returns the records from `offset` on; waits for one if asked to."""
+        if wait_s and offset >= len(self.appended):
             timeout_s = None if self.holds_long_reads else wait_s
-            changed = self._changed
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await changed.wait()
-            except TimeoutError:
-                pass
-        end = self._end()
-        page = list(enumerate(self.appended))[offset:end]
-        return interfaces.StreamPage(page, max(offset, end), max(offset, end))
+            await events.wait_for_event(self._changed, timeout_s)
+            while self.is_stalled:
+                await asyncio.sleep(0.01)
+        end = len(self.appended)
+        page = list(enumerate(self.appended))[offset:]
+        return interfaces.StreamPage(page, end, end)
 
     async def read_newest(self) -> interfaces.StreamPage:
-        """Returns all visible records, older ones of a key included."""
-        end = self._end()
-        page = list(enumerate(self.appended))[:end]
-        return interfaces.StreamPage(page, end, end)
+        """Returns all records, older ones of a key included."""
+        end = len(self.appended)
+        return interfaces.StreamPage(list(enumerate(self.appended)), end, end)
 
     def write(self, *batch: records.KeyedRecord) -> None:
         """Appends records of another entry VM."""
         self.appended += batch
-        if self.visible_end is None:
-            self._changed.set()
-            self._changed = asyncio.Event()
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def owners(self, node: str) -> list[records.OwnerRecord]:
         """Returns the owner records of an entry VM, in order."""
@@ -71,8 +73,3 @@
             for each in decoded
             if isinstance(each, records.OwnerRecord) and each.node == node
         ]
-
-    def _end(self) -> int:
-        if self.visible_end is None:
-            return len(self.appended)
-        return self.visible_end
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 import unittest
+from collections.abc import Sequence
 
 from foxtaillock.batch import configuration
 from foxtaillock.batch import interfaces
@@ -83,3 +84,21 @@
         self.journal.write(records.encode(released))
         claim = await self._wait_for("ownership-claimed")
         self.assertEqual(claim["reason"], "released to this VM")
+
+    async def test_vm_that_hands_over_does_not_claim_its_ownership_again(
+        self,
+    ) -> None:
+        await self._wait_for("ownership-taken")
+        self.journal.on_append = self._stall_at_a_release
+        offer = records.HandoverOffer("vm-2", 5, 9.0)
+        self.journal.write(records.encode(offer))
+        await self._wait_for("ownership-over")
+        await asyncio.sleep(0.5)
+        self.assertTrue(self.journal.owners("vm-1")[-1].is_released)
+
+    def _stall_at_a_release(self, batch: Sequence[records.KeyedRecord]) -> None:
+        decoded = [records.decode(*each) for each in batch]
+        self.journal.is_stalled = any(
+            isinstance(each, records.OwnerRecord) and each.is_released
+            for each in decoded
+        )
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -55,6 +55,23 @@
         self.monitor.observe(records.OwnerRecord(4, "vm-1", "z"), 10.0)
         self.assertEqual(self._decide(10.1), 5)
 
+    def test_vm_that_hands_over_does_not_claim_before_it_reads_its_release(
+        self,
+    ) -> None:
+        self.monitor.observe(_MINE, 10.0)
+        self.monitor.journal_read(10.0)
+        self.monitor.ownership_ended(10.1)
+        decision = self.monitor.decide(10.2)
+        self.assertEqual((decision.epoch, decision.needs_read), (0, True))
+
+    def test_ownership_that_ended_by_an_error_is_claimed_again_at_once(
+        self,
+    ) -> None:
+        self.monitor.observe(_MINE, 10.0)
+        self.monitor.ownership_ended(10.1)
+        self.monitor.journal_read(10.15)
+        self.assertEqual(self.monitor.decide(10.2).epoch, 6)
+
     def test_leases_of_a_silent_owner_end_later_than_those_of_an_ended_one(
         self,
     ) -> None:
