Ownership: an owner whose processor turns slow hands over

An owner that turned slow kept the highest capacity on paper, so that no VM offered to take over, and a slow VM claimed like a fast one.

Ruled out: lag alone as the sign. The lag of an overloaded but fast owner says nothing about whether another VM would do better.

Change: every VM measures its processor's speed against its own best. Capacity follows it in claims, heartbeats and offers, so that the existing handover by name does the rest. A VM offers after its own delay from the moment at which the owner has become weak, so that not all offer at once.

Tests: the owner's and both of the monitor's fail without the change.

--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -264,6 +264,7 @@
         claim,
         view.JournalView(),
         float("-inf"),
+        claim.capacity,
         load_monitor.LoadMonitor(dependencies.clock),
         dependencies,
     )
--- a/foxtaillock/batch/load_monitor.py
+++ b/foxtaillock/batch/load_monitor.py
@@ -17,8 +17,8 @@
 # Interval between two measurements.
 _INTERVAL_S = 0.25
 
-# Measurements over which the lag and the speed are taken: the last second.
-_WINDOW = 4
+# Measurements over which the lag and the speed are taken: the last 1.5 s.
+_WINDOW = 6
 
 # Records that are encoded and decoded for one measurement of the speed.
 _PROBE_RECORDS = 60
@@ -51,7 +51,7 @@
 
         Example:
             >>> estimate = SpeedEstimate()
-            >>> for duration_s in [0.001] * 4 + [0.004] * 4:
+            >>> for duration_s in [0.001] * 6 + [0.004] * 6:
             ...     estimate.observe(duration_s)
             >>> estimate.speed
             0.25
@@ -78,7 +78,7 @@
 
     @property
     def lag_s(self) -> float:
-        """Longest delay of a timer within the last second."""
+        """Longest delay of a timer within the last measurements."""
         return max(self._lags_s, default=0.0)
 
     @property
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -216,7 +216,7 @@
                 epoch=decision.epoch,
                 silence_s=round(decision.silence_s, 2),
                 reason=decision.reason,
-                capacity=self._capacity,
+                capacity=self._ownership.capacity,
                 journal_age_s=round(self._journal_age_s(), 2),
                 lag_s=round(self._load.lag_s, 3),
                 speed=round(self._load.speed, 2),
@@ -232,6 +232,7 @@
         silence of an owner late, and on each VM at a time of their own.
         """
         clock = self._services.clock
+        self._ownership.set_speed(self._load.speed)
         decision = self._ownership.decide(clock.monotonic_s())
         if not decision.needs_read or self._journal_follower.is_failing:
             return decision
@@ -279,7 +280,7 @@
             epoch,
             self._name,
             self._incarnation,
-            capacity=self._capacity,
+            capacity=self._ownership.capacity,
             earlier_leases_ms=self._ownership.remaining_leases_ms(
                 services.clock.monotonic_s()
             ),
@@ -339,6 +340,7 @@
             claim,
             self._view,
             self._ownership.earlier_leases_end_s,
+            self._capacity,
             self._load,
             services,
         )
@@ -435,7 +437,7 @@
         )
         metrics.add_gauge(
             "loop_lag_seconds",
-            "Longest delay of the event loop within the last second",
+            "Longest delay of the event loop within the last 1.5 s",
             lambda: self._load.lag_s,
         )
         metrics.add_gauge(
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -54,6 +54,8 @@
         journal_view: state folded from the journal, caught up to the claim.
         prior_leases_end_s: time by which all leases granted by earlier
             owners have expired.
+        capacity: capacity of this VM at full speed; see
+            `ownership.capacity_of`.
         load: measures this VM's event loop and processor.
         services: dependencies of the owner.
     """
@@ -63,6 +65,7 @@
         claim: records.OwnerRecord,
         journal_view: view.JournalView,
         prior_leases_end_s: float,
+        capacity: float,
         load: load_monitor.LoadMonitor,
         services: batch_services.OwnerServices,
     ) -> None:
@@ -71,6 +74,7 @@
         self._successor = ""
         self._epoch = claim.epoch
         self._view = journal_view
+        self._full_capacity = capacity
         self._load = load
         self._services = services
         now_s = services.clock.monotonic_s()
@@ -124,6 +128,13 @@
         """Whether the owner has begun to release the ownership."""
         return self._is_releasing
 
+    @property
+    def _capacity(self) -> float:
+        """Capacity at the present speed of this VM's processor."""
+        return ownership.capacity_at_speed(
+            self._full_capacity, self._load.speed
+        )
+
     def configure(self, config: configuration.Configuration) -> None:
         """Applies a new configuration."""
         self.engine.configure(config.queues, config.pools, config.teams)
@@ -290,6 +301,7 @@
         return self._claim._replace(
             is_released=is_released,
             heartbeat=self._heartbeat,
+            capacity=self._capacity,
             successor=self._successor if is_released else "",
             earlier_leases_ms=math.ceil(leases_s * 1000),
         )
@@ -307,14 +319,14 @@
         """Hands over to an entry VM with a much higher capacity."""
         is_relevant = offer.epoch == self._epoch and not self._is_releasing
         if not is_relevant or not ownership.warrants_handover(
-            offer.capacity, self._claim.capacity
+            offer.capacity, self._capacity
         ):
             return
         self._services.log(
             "ownership-handed-over",
             epoch=self._epoch,
             successor=offer.node,
-            capacity=self._claim.capacity,
+            capacity=self._capacity,
             offered=offer.capacity,
         )
         self._successor = offer.node
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -18,6 +18,7 @@
     "HEARTBEAT_INTERVAL_S",
     "OWNER_LEASE_S",
     "OwnerMonitor",
+    "capacity_at_speed",
     "capacity_of",
     "warrants_handover",
 ]
@@ -92,6 +93,20 @@
     return min(processors, link_mbit_s / _LINK_MBIT_S_PER_PROCESSOR)
 
 
+def capacity_at_speed(capacity: float, speed: float) -> float:
+    """Returns the capacity of a VM whose processor has slowed down.
+
+    Args:
+        capacity: capacity at full speed.
+        speed: present speed as a fraction of the full one.
+
+    Example:
+        >>> capacity_at_speed(2.0, 0.125)
+        0.25
+    """
+    return round(capacity * speed, 3)
+
+
 def warrants_handover(capacity: float, owner_capacity: float) -> bool:
     """Returns whether a VM has enough more capacity to replace the owner."""
     return owner_capacity > 0 and capacity >= _HANDOVER_RATIO * owner_capacity
@@ -104,7 +119,8 @@
         node: name of this entry VM.
         incarnation: identifies the start of its process.
         now_s: time at which it begins to follow the journal.
-        capacity: capacity of this VM as owner; see `capacity_of`.
+        capacity: capacity of this VM as owner at full speed; see
+            `capacity_of`.
     """
 
     def __init__(
@@ -112,8 +128,10 @@
     ) -> None:
         self._node = node
         self._incarnation = incarnation
+        self._full_capacity = capacity
         self._capacity = capacity
         self._epoch_seen_s = now_s
+        self._weak_since_s: float | None = None
         self._last_offer_s = float("-inf")
         self._owner: records.OwnerRecord | None = None
         self._earlier_leases_end_s = float("-inf")
@@ -123,6 +141,11 @@
         self._claim_retry_s = float("-inf")
         self._ownership_ended_s = float("-inf")
 
+    @property
+    def capacity(self) -> float:
+        """Capacity of this VM at its present speed."""
+        return self._capacity
+
     @property
     def last_heard_s(self) -> float:
         """Time at which the owner was last heard from."""
@@ -143,6 +166,10 @@
         """Record of the owner with the highest epoch; None before the first."""
         return self._owner
 
+    def set_speed(self, speed: float) -> None:
+        """Sets the speed of this VM's processor as a fraction of its best."""
+        self._capacity = capacity_at_speed(self._full_capacity, speed)
+
     def remaining_leases_ms(self, now_s: float) -> int:
         """Returns the time until all leases granted so far have expired."""
         remaining_s = max(0.0, self._leases_end_s() - now_s)
@@ -201,11 +228,14 @@
         ):
             return None
         if not warrants_handover(self._capacity, owner.capacity):
+            self._weak_since_s = None
             return None
-        is_due = (
-            now_s - self._epoch_seen_s
-            >= _FIRST_OFFER_DELAY_S + self._stagger_s()
+        if self._weak_since_s is None:
+            self._weak_since_s = now_s
+        first_s = max(
+            self._weak_since_s, self._epoch_seen_s + _FIRST_OFFER_DELAY_S
         )
+        is_due = now_s >= first_s + self._stagger_s()
         if not is_due or now_s - self._last_offer_s < _OFFER_INTERVAL_S:
             return None
         self._last_offer_s = now_s
--- a/foxtaillock/batch/tests/test_load_monitor.py
+++ b/foxtaillock/batch/tests/test_load_monitor.py
@@ -15,16 +15,16 @@
         self,
     ) -> None:
         estimate = load_monitor.SpeedEstimate()
-        for duration_s in [0.001] * 4 + [0.008] * 4:
+        for duration_s in [0.001] * 6 + [0.008] * 6:
             estimate.observe(duration_s)
         self.assertAlmostEqual(estimate.speed, 1 / 8)
-        for _ in range(4):
+        for _ in range(6):
             estimate.observe(0.001)
         self.assertEqual(estimate.speed, 1.0)
 
-    def test_single_slow_measurement_does_not_count(self) -> None:
+    def test_two_slow_measurements_do_not_count(self) -> None:
         estimate = load_monitor.SpeedEstimate()
-        for duration_s in [0.001] * 6 + [0.5]:
+        for duration_s in [0.001] * 6 + [0.5, 0.5]:
             estimate.observe(duration_s)
         self.assertEqual(estimate.speed, 1.0)
 
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -5,6 +5,7 @@
 import typing
 import unittest
 from collections.abc import Sequence
+from unittest import mock
 
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import load_monitor
@@ -119,11 +120,13 @@
             log=lambda *_, **__: None,
             metrics=metrics.Metrics(),
         )
+        self.load = load_monitor.LoadMonitor(dependencies.clock)
         self.owner = owner.Owner(
             records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
             self.view,
             0.0,
-            load_monitor.LoadMonitor(dependencies.clock),
+            1.0,
+            self.load,
             dependencies,
         )
 
@@ -212,6 +215,22 @@
         self.assertTrue(release.is_released)
         self.assertEqual(release.successor, "vm-4")
 
+    async def test_slow_owner_hands_over_to_an_equal_vm(self) -> None:
+        with mock.patch.object(
+            load_monitor.LoadMonitor,
+            "speed",
+            new_callable=mock.PropertyMock,
+            return_value=0.125,
+        ):
+            running = asyncio.ensure_future(self.owner.run())
+            async with asyncio.timeout(10.0):
+                while not self.journal.owners():
+                    await asyncio.sleep(0.01)
+            self.assertEqual(self.journal.owners()[-1].capacity, 0.125)
+            self.owner.on_record(records.HandoverOffer("vm-2", 3, 1.0))
+            await asyncio.wait_for(running, 10.0)
+        self.assertEqual(self.journal.owners()[-1].successor, "vm-2")
+
     async def test_no_lease_is_renewed_while_a_release_is_written(self) -> None:
         pools = {"pool": model.Pool("pool", False, False)}
         self.owner.engine.configure({"q": builders.queue()}, pools, {})
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -183,6 +183,30 @@
         self.assertIsNone(self.large.next_offer(13.0))
         self.assertIsNotNone(self.large.next_offer(17.0))
 
+    def test_owner_that_turns_slow_gets_an_offer_of_an_equal_vm(self) -> None:
+        slow = _OTHER._replace(capacity=0.25)
+        self.large.observe(_OTHER._replace(capacity=2.0), 10.0)
+        self.assertIsNone(self.large.next_offer(29.9))
+        self.large.observe(slow, 30.0)
+        self.assertIsNone(self.large.next_offer(30.0))
+        self.assertEqual(
+            self.large.next_offer(30.7), records.HandoverOffer("vm-1", 4, 2.0)
+        )
+
+    def test_slow_vm_makes_no_offer_and_claims_after_fast_ones(self) -> None:
+        fast = ownership.OwnerMonitor("vm-1", "a", 0.0, 2.0)
+        self.large.set_speed(0.125)
+        for monitor in (fast, self.large):
+            monitor.observe(_OTHER._replace(capacity=1.0), 10.0)
+            monitor.journal_read(13.0)
+        self.assertIsNone(self.large.next_offer(13.0))
+        for tenths in range(100, 130):
+            now_s = tenths / 10
+            if fast.decide(now_s).epoch:
+                self.assertFalse(self.large.decide(now_s).epoch)
+                break
+        self.assertTrue(self.large.decide(13.0).epoch)
+
     def test_no_offer_to_an_equal_owner_or_after_the_offer_of_an_equal_vm(
         self,
     ) -> None:
