Takeover: every VM with much less capacity claims after all others

Cause: small VMs waited 0.4 s longer, the others spread their claims over 0.6 s, so a small VM could claim before all large ones.

Change: their wait is longer than the whole spread. A takeover by the last of them takes 1.1 + 0.7 + 0.6 s, still 2.4 s, which the leases of runs outlast.

Test: replaces the one that compared two VMs of the same name by one over 60 names; it fails without the change (all of the old test's comparisons are among them).

--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -50,9 +50,10 @@
 # gain does not justify one.
 _HANDOVER_RATIO = 1.5
 
-# Additional delay of a VM with much less capacity than the last owner's, so
-# that a larger VM claims first if there is one.
-_SMALL_VM_DELAY_S = 0.4
+# Additional delay of a VM with much less capacity than the last owner's. It is
+# longer than the delays of all others, so that a larger VM claims first if
+# there is one.
+_SMALL_VM_DELAY_S = _STAGGER_S + 0.1
 
 # Time from the start of an ownership to the first offer, and between offers.
 _FIRST_OFFER_DELAY_S = 1.0
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -234,15 +234,20 @@
         self.large.journal_read(13.9)
         self.assertEqual(self.large.decide(13.9).epoch, 6)
 
-    def test_smaller_vm_claims_after_larger_ones(
-        self,
-    ) -> None:
-        for monitor in (self.large, self.small):
+    def test_every_larger_vm_claims_before_any_small_one(self) -> None:
+        claimed_s: dict[float, list[float]] = {0.5: [], 2.0: []}
+        for number in range(60):
+            capacity = 2.0 if number % 2 else 0.5
+            monitor = ownership.OwnerMonitor(
+                f"edge-{number}", "a", 0.0, capacity
+            )
             monitor.observe(_OTHER._replace(capacity=2.0), 10.0)
             monitor.journal_read(13.0)
-        for tenths in range(100, 130):
-            now_s = tenths / 10
-            if self.large.decide(now_s).epoch:
-                self.assertFalse(self.small.decide(now_s).epoch)
-                break
-        self.assertTrue(self.small.decide(13.0).epoch)
+            claimed_s[capacity].append(
+                next(
+                    hundredths / 100
+                    for hundredths in range(1000, 1300)
+                    if monitor.decide(hundredths / 100).epoch
+                )
+            )
+        self.assertLess(max(claimed_s[2.0]), min(claimed_s[0.5]))
