Ownership: an owner does not give way for a zone that nobody reaches

Most tasks of that turn ran in the zone that was cut off.

Ruled out: others that reach more. No VM outside the zone does, and none claimed.

Change: the owner gives way when it misses most workers, and most of those in more than one zone.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -449,21 +449,6 @@
             running_tasks=phases[tasks.TaskPhase.RUNNING],
         )
 
-    def unreachable_fraction(self) -> float:
-        """Returns the fraction of unreachable workers, of those with tasks.
-
-        A worker counts as unreachable after two unanswered calls in a row.
-        """
-        with_tasks = [
-            each for each in self._state.workers.values() if each.tasks
-        ]
-        if not with_tasks:
-            return 0.0
-        unreachable = sum(
-            1 for each in with_tasks if each.unanswered_calls >= 2
-        )
-        return unreachable / len(with_tasks)
-
     def _relative_work(self, job: tasks.Job) -> float:
         """Returns a job's work relative to its queue's moving average."""
         work_cpu_s = job.work_cpu_s
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -17,6 +17,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
+from foxtaillock.batch import reachability
 from foxtaillock.batch import records
 from foxtaillock.batch import services as batch_services
 from foxtaillock.batch import view
@@ -39,10 +40,7 @@
 # Interval of the log line on the owner's load.
 _LOAD_REPORT_INTERVAL_S = 1.0
 
-# The ownership is released once more than this fraction of the workers with
-# tasks has been unreachable for the timeout: another entry VM may reach more of
-# them.
-_MAX_UNREACHED_FRACTION = 0.5
+# An owner that is cut off from most workers for this time gives way.
 _UNREACHED_TIMEOUT_S = 1.2
 
 
@@ -333,12 +331,9 @@
         self.release()
 
     def _check_reachability(self, now_s: float) -> None:
-        """Releases the ownership if most workers with tasks stay unreachable.
-
-        See `_MAX_UNREACHED_FRACTION`.
-        """
-        fraction = self.engine.unreachable_fraction()
-        if fraction <= _MAX_UNREACHED_FRACTION:
+        """Releases the ownership if this VM is cut off from most workers."""
+        found = reachability.measure(self.engine.workers.values())
+        if not found.is_owner_cut_off:
             self._reached_s = now_s
         elif (
             now_s - self._reached_s > _UNREACHED_TIMEOUT_S
@@ -347,7 +342,8 @@
             self._services.log(
                 "ownership-yielded",
                 epoch=self._epoch,
-                unreached=round(fraction, 2),
+                unreached=round(found.unreached_fraction, 2),
+                zones=found.unreached_zones,
             )
             self.release()
 
