Fleet: an order for a VM without an answer is sent again

What callers would see: room that is gone for the rest of an ownership.

Cause: an order whose answer was lost stayed pending for good. Its VM got neither tasks nor orders, and its wave could not end.

Change: it is sent again every 0.5 s until it is answered; the platform carries out an order once. While it may still be carried out late, a refusal of the repetition does not free the VM. Both tests fail without the change.

--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -47,9 +47,13 @@
 # job starts some hundredths of a second after the previous one ends.
 _MIN_IDLE_S = 0.5
 
-# Interval after a refused order before the next for the same VM.
+# Interval after an order that was not carried out, as far as known, before the
+# next for the same VM.
 _RETRY_INTERVAL_S = 0.5
 
+# An order without an answer may still be carried out after this time.
+_LATE_ORDER_S = 12.0
+
 
 class VmUse(typing.NamedTuple):
     """What runs on a VM.
@@ -101,6 +105,8 @@
     order: VmOrder
     sent_s: float
     is_done: bool = False
+    repeat_s: float | None = None
+    in_doubt_until_s: float = float("-inf")
 
 
 class Fleet:
@@ -240,13 +246,27 @@
                 self._waves[order.wave].begun.add(order.vm)
             return True
         self._not_before_s[order.vm] = now_s + _RETRY_INTERVAL_S
-        if outcome is interfaces.VmOrderOutcome.UNKNOWN:
-            # The order may have been carried out, so it stays pending, and the
-            # VM counts as unavailable.
-            return False
+        if pending is not None:
+            if outcome is interfaces.VmOrderOutcome.UNKNOWN:
+                pending.in_doubt_until_s = now_s + _LATE_ORDER_S
+            if now_s < pending.in_doubt_until_s:
+                # The order may still be carried out, so it stays pending, and
+                # the VM counts as unavailable. The platform carries out an
+                # order once, however often it is sent.
+                pending.repeat_s = now_s + _RETRY_INTERVAL_S
+                return False
         self._pending.pop(order.vm, None)
         return False
 
+    def repeated_orders(self, now_s: float) -> list[VmOrder]:
+        """Returns the orders without an answer that are due again."""
+        due = []
+        for pending in self._pending.values():
+            if pending.repeat_s is not None and now_s >= pending.repeat_s:
+                pending.repeat_s = None
+                due.append(pending.order)
+        return due
+
     def completed_waves(self) -> list[int]:
         """Returns the waves that became complete since the last call."""
         done = []
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -106,6 +106,29 @@
         self.fleet.update_vms(self.rows, "spare", 63.0)
         self.assertEqual(len(self._next_vms(uses, 63.1)), 0)
 
+    def test_order_without_an_answer_is_sent_again(self) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        (order,) = self.fleet.next_maintenance(uses, self.loads, 10.0)
+        unknown = interfaces.VmOrderOutcome.UNKNOWN
+        self.fleet.order_answered(order, unknown, 11.0)
+        self.assertEqual(self.fleet.repeated_orders(11.1), [])
+        self.assertEqual(self.fleet.repeated_orders(12.0), [order])
+        self.assertEqual(self.fleet.repeated_orders(12.1), [])
+        self.fleet.order_answered(order, _DONE, 12.2)
+        self.assertEqual(self.fleet.repeated_orders(20.0), [])
+        self.assertEqual(self.fleet.begun(1), (order.vm,))
+
+    def test_order_that_may_be_carried_out_late_stays_pending(self) -> None:
+        uses = {row.vm: _IDLE for row in self.rows}
+        (order,) = self.fleet.next_maintenance(uses, self.loads, 10.0)
+        unknown = interfaces.VmOrderOutcome.UNKNOWN
+        refused = interfaces.VmOrderOutcome.REFUSED
+        self.fleet.order_answered(order, unknown, 11.0)
+        self.fleet.order_answered(order, refused, 12.0)
+        self.assertIn(f"w-{order.vm}", self.fleet.cordoned_workers)
+        self.fleet.order_answered(order, refused, 23.1)
+        self.assertEqual(self.fleet.repeated_orders(30.0), [])
+
     def test_new_owner_counts_the_orders_of_an_earlier_one(self) -> None:
         """Counts `m0`, which is held, and `m1`, whose maintenance has begun."""
         new_owner = fleet.Fleet()
