Store: an overdue append is sent again beside the first

What callers saw: with a store that loses a third of its answers (17.7 to 22.2 s of clocks-and-cuts) three changes of the owner in three seconds, each with a takeover of 230 to 290 jobs; submissions ended with 504.

One lost answer is 0.9 s without a heartbeat, two are a lost ownership (1.1 s), though the owner is alive and the store works. A submission was not repeated at all after that time.

Ruled out: a slow store (its answers took milliseconds between), lost reads.

Change: after three times the usual latency, 0.2 to 0.6 s, a second and a third call are sent beside the first; the first answer counts. The appends are idempotent: an owner's by epoch and sequence, those of submissions by key. An append counts as refused only if each call was.

--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -9,6 +9,7 @@
 
 from foxtaillock.batch import configuration
 from foxtaillock.batch import decision_log
+from foxtaillock.batch import hedged_stream
 from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import node as nodes
 from foxtaillock.batch import ownership
@@ -161,13 +162,16 @@
             store_client, settings.store.text, name, _PRODUCER
         )
 
+    def _hedged(name: str) -> hedged_stream.HedgedStream:
+        return hedged_stream.HedgedStream(_topic(name), clock)
+
     return batch_services.NodeServices(
         operators=_topic(_OPERATORS_TOPIC),
         decode_config=_decode_config,
         decode_wave=record_codec.decode_wave,
         owner=batch_services.OwnerServices(
-            journal=_topic(_JOURNAL_TOPIC),
-            submissions=_topic(_SUBMISSIONS_TOPIC),
+            journal=_hedged(_JOURNAL_TOPIC),
+            submissions=_hedged(_SUBMISSIONS_TOPIC),
             registry=_topic(_WORKERS_TOPIC),
             decode_worker=record_codec.decode_worker,
             worker_client=worker_client.HttpWorkerClient(
