Takeover: an owner whose progress is read is not silent

So an owner that was just read could be claimed from.

Change: each record that carries the owner's epoch counts. The wait for its leases is counted from the last one, so it never ends earlier than before.

--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -41,6 +41,9 @@
 # The VM reports itself as not ready once its view of a stream is older.
 _MAX_READY_AGE_S = 3.0
 
+# Records that only an owner writes, and that tell its epoch.
+_OWNERS_RECORDS = (records.StepProgress, records.RecentVmOrders)
+
 
 class Node:
     """One entry VM.
@@ -368,6 +371,10 @@
             self._ownership.observe_offer(
                 record, self._services.clock.monotonic_s()
             )
+        elif isinstance(record, _OWNERS_RECORDS):
+            self._ownership.heard_from(
+                record.epoch, self._services.clock.monotonic_s()
+            )
         if self._owner is not None:
             self._owner.on_record(record)
 
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -202,6 +202,11 @@
         self._owner = owner
         self._last_heard_s = now_s
 
+    def heard_from(self, epoch: int, now_s: float) -> None:
+        """Records that a record of the owner of an epoch was read."""
+        if self._owner is not None and epoch == self._owner.epoch:
+            self._last_heard_s = now_s
+
     def journal_read(self, sent_s: float) -> None:
         """Records that a read sent at `sent_s` reached the journal's end."""
         self._journal_read_s = max(self._journal_read_s, sent_s)
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch import configuration
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import metrics
+from foxtaillock.batch import model
 from foxtaillock.batch import node as nodes
 from foxtaillock.batch import records
 from foxtaillock.batch import services
@@ -77,6 +78,15 @@
         claim = await self._wait_for("ownership-claimed")
         self.assertEqual(claim["reason"], "owner is silent")
 
+    async def test_owner_that_records_progress_is_not_replaced(self) -> None:
+        await self._wait_until_ready()
+        step_id = model.StepId("00000000000000aa", 0, 0)
+        for _ in range(20):
+            await asyncio.sleep(0.15)
+            progress = records.StepProgress(step_id, 4, b"", ())
+            self.journal.write(records.encode(progress))
+        self.assertEqual(self.journal.owners("vm-1"), [])
+
     async def test_successor_claims_before_a_long_read_ends(self) -> None:
         await self._wait_until_ready()
         self.journal.holds_long_reads = True
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -31,6 +31,13 @@
         self.monitor.observe(_OTHER, 10.0)
         self.assertEqual(self._decide(10.0 + ownership.OWNER_LEASE_S + 0.7), 5)
 
+    def test_owner_whose_progress_is_read_is_not_silent(self) -> None:
+        self.monitor.observe(_OTHER, 10.0)
+        self.monitor.heard_from(4, 11.0)
+        self.assertEqual(self._decide(11.8), 0)
+        self.monitor.heard_from(3, 12.5)
+        self.assertEqual(self._decide(12.8), 5)
+
     def test_silence_requires_a_read_of_the_journal(self) -> None:
         self.monitor.observe(_OTHER, 10.0)
         self.assertEqual(self.monitor.decide(30.0).epoch, 0)
