Owner: fewer starts under way while its event loop is late

If its processor does not keep up, answers wait in its own event loop for longer than an order's timeout of 0.8 s. It takes them for lost, stops the runs and starts them again: three orders in place of one, when it can least afford them.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
@@ -234,8 +235,19 @@
             ):
                 self._state.expired_jobs.add(job_id)
 
-    def plan(self, now_s: float) -> None:
-        """Places waiting tasks on workers and queues their starts."""
+    @property
+    def starting_count(self) -> int:
+        """Number of starts under way."""
+        return self._state.starting_count
+
+    def plan(self, now_s: float, max_starts: int | None = None) -> None:
+        """Places waiting tasks on workers and queues their starts.
+
+        Args:
+            now_s: current time.
+            max_starts: number of starts after which no further step is placed;
+                None for no limit.
+        """
         self._state.needs_plan = False
         self._planned_s = now_s
         candidates = [
@@ -248,7 +260,11 @@
         by_pool = self._usable_by_pool(now_s)
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         exhausted: set[tuple[str, resources.Resources, str]] = set()
+        starts = 0
         for candidate in placement.prioritize(candidates, now_s):
+            if max_starts is not None and starts >= max_starts:
+                self._state.needs_plan = True
+                break
             pool = candidate.queue.pool
             spec = candidate.step.spec
             shape = (pool, spec.held_size, candidate.job.spec.team)
@@ -265,12 +281,8 @@
             )
             if not chosen and is_unconstrained:
                 exhausted.add(shape)
-            if spec.is_gang and chosen:
-                run = max(task.run for task in candidate.step.tasks)
-                for each in chosen:
-                    each.task.run = run
-            for each in chosen:
-                self._place(candidate, each, now_s)
+            self._place_all(candidate, chosen, now_s)
+            starts += len(chosen)
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
@@ -480,6 +492,20 @@
             ticket_cache.find(step_id, worker.worker_id, now_s) is not None
         )
 
+    def _place_all(
+        self,
+        candidate: placement.Candidate,
+        chosen: Sequence[placement.Placement],
+        now_s: float,
+    ) -> None:
+        """Plans the starts of a step's tasks; those of a gang share a run."""
+        if candidate.step.spec.is_gang and chosen:
+            run = max(task.run for task in candidate.step.tasks)
+            for each in chosen:
+                each.task.run = run
+        for each in chosen:
+            self._place(candidate, each, now_s)
+
     def _place(
         self,
         candidate: placement.Candidate,
--- a/foxtaillock/batch/load_monitor.py
+++ b/foxtaillock/batch/load_monitor.py
@@ -81,6 +81,11 @@
         """Longest delay of a timer within the last measurements."""
         return max(self._lags_s, default=0.0)
 
+    @property
+    def latest_lag_s(self) -> float:
+        """Delay of the latest timer."""
+        return self._lags_s[-1] if self._lags_s else 0.0
+
     @property
     def speed(self) -> float:
         """Speed of the processor; see `SpeedEstimate.speed`."""
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -20,6 +20,7 @@
 from foxtaillock.batch import reachability
 from foxtaillock.batch import records
 from foxtaillock.batch import services as batch_services
+from foxtaillock.batch import start_window
 from foxtaillock.batch import view
 from foxtaillock.batch import wave_status
 from foxtaillock.batch import worker_poller
@@ -90,6 +91,7 @@
             self._on_poll_answer,
             self._on_background_done,
         )
+        self._start_window = start_window.StartWindow()
         self._wake = asyncio.Event()
         self._vm_order_controller = vm_order_controller.VmOrderController(
             claim.epoch,
@@ -247,8 +249,9 @@
             self._ticked_s = now_s
             self.engine.tick(now_s)
             self._check_reachability(now_s)
-        if self.engine.needs_plan and self._registry_follower.is_caught_up:
-            self.engine.plan(now_s)
+            self._adjust_start_window(now_s)
+        if self._may_plan():
+            self.engine.plan(now_s, self._room_for_starts())
         for stop in self.engine.take_stops():
             self._spawn(self._stop(stop))
         for limit in self.engine.take_speed_limits():
@@ -347,8 +350,31 @@
             )
             self.release()
 
+    def _adjust_start_window(self, now_s: float) -> None:
+        under_way = self.engine.starting_count
+        lag_s = self._load.latest_lag_s
+        before = self._start_window.limit
+        if self._start_window.observe(lag_s, under_way, now_s):
+            self._services.log(
+                "start-window",
+                limit=self._start_window.limit,
+                before=before,
+                lag_s=round(lag_s, 3),
+                under_way=under_way,
+            )
+
+    def _room_for_starts(self) -> int:
+        return self._start_window.room(self.engine.starting_count)
+
+    def _may_plan(self) -> bool:
+        return (
+            self.engine.needs_plan
+            and self._registry_follower.is_caught_up
+            and self._room_for_starts() > 0
+        )
+
     async def _wait_for_work(self) -> None:
-        if self.engine.has_batch() or self.engine.needs_plan:
+        if self.engine.has_batch() or self._may_plan():
             await asyncio.sleep(0)
             return
         await events.wait_for_event(self._wake, _TICK_INTERVAL_S)
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -65,6 +65,8 @@
         tickets: the advisor's tickets for steps whose queues allow only some
             workers.
         needs_plan: whether an event may have made it possible to place a task.
+        starting_count: number of starts under way: being recorded, or ordered
+            without an answer so far.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self.speed_limits: list[plans.SpeedLimitPlan] = []
         self.tickets = tickets.TicketCache()
         self.needs_plan = True
+        self.starting_count = 0
 
     def register(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Adds or updates a worker from its registry entry."""
@@ -377,6 +380,8 @@
         self, task: tasks.Task, phase: tasks.TaskPhase, now_s: float
     ) -> None:
         """Sets the phase of a task's latest run."""
+        self.starting_count += phase in tasks.STARTING_PHASES
+        self.starting_count -= task.phase in tasks.STARTING_PHASES
         task.phase = phase
         task.changed_s = now_s
 
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -7,7 +7,15 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 
-__all__ = ["ACTIVE_PHASES", "Job", "TaskPhase", "Step", "Task", "create_job"]
+__all__ = [
+    "ACTIVE_PHASES",
+    "STARTING_PHASES",
+    "Job",
+    "Step",
+    "Task",
+    "TaskPhase",
+    "create_job",
+]
 
 _FULL_SPEED_PERCENT = 100
 
@@ -41,6 +49,9 @@
     )
 )
 
+# Phases of a start that is under way.
+STARTING_PHASES = frozenset((TaskPhase.RECORDING, TaskPhase.STARTING))
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -256,6 +256,26 @@
         self.assertTrue(worker.is_usable(12.1))
         self.assertFalse(engine.answers.needs_poll(worker))
 
+    def test_starts_under_way_are_limited_and_counted(self) -> None:
+        engine = builders.create_engine(builders.entry("1", cpu=64_000))
+        for number in range(6):
+            job = builders.job(f"{number:016d}", builders.step(4))
+            engine.submit(job, [], 10.0, 10_000)
+        engine.plan(10.0, 7)
+        self.assertEqual(engine.starting_count, 8)
+        self.assertTrue(engine.needs_plan)
+        started = engine.batch_recorded(engine.take_batch(), 10.1)
+        for plan in started:
+            accepted = interfaces.OrderAnswer(
+                interfaces.OrderOutcome.ACCEPTED, 5000
+            )
+            engine.answers.start_answered(plan, accepted, 10.2)
+        self.assertEqual(engine.starting_count, 0)
+        engine.plan(10.3)
+        engine.cancel("0000000000000005", 10.3)
+        engine.batch_recorded(engine.take_batch(), 10.4)
+        self.assertEqual(engine.starting_count, 12)
+
     def test_unexpected_run_is_stopped(self) -> None:
         engine = self._engine_with_running_job(builders.step())
         unexpected = model.TaskId("00000000000000bb", 0, 0, 0)
