--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -14,6 +14,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import outcomes
+from foxtaillock.batch import overload
 from foxtaillock.batch import records
 from foxtaillock.batch import view
 from foxtaillock.model import clock as model_clock
@@ -66,6 +67,7 @@
 
     Attributes:
         config: the configuration in force.
+        admission: decides whether the owner can serve more jobs.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self._config_freshness = freshness
         self._log = log
         self.config = configuration.EMPTY
+        self.admission = overload.AdmissionControl()
 
     async def submit(
         self,
@@ -125,6 +128,13 @@
             return self._log_outcome(
                 "submit", call, outcomes.Malformed(str(error))
             )
+        retry_after_s = self.admission.retry_after_s(
+            any(step.is_persistent for step in spec.steps),
+            self._clock.monotonic_s(),
+        )
+        if retry_after_s is not None:
+            outcome = outcomes.NotStored("owner-overloaded", retry_after_s)
+            return self._log_outcome("submit", call, outcome)
         outcome = await self._store_record(
             admitted, records.encode(spec), outcomes.Accepted()
         )
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -42,7 +42,11 @@
 _MAX_READY_AGE_S = 3.0
 
 # Records that only an owner writes, and that tell its epoch.
-_OWNERS_RECORDS = (records.StepProgress, records.RecentVmOrders)
+_OWNERS_RECORDS = (
+    records.StepProgress,
+    records.RecentVmOrders,
+    records.OwnerBacklog,
+)
 
 
 class Node:
@@ -372,9 +376,11 @@
                 record, self._services.clock.monotonic_s()
             )
         elif isinstance(record, _OWNERS_RECORDS):
-            self._ownership.heard_from(
-                record.epoch, self._services.clock.monotonic_s()
-            )
+            now_s = self._services.clock.monotonic_s()
+            self._ownership.heard_from(record.epoch, now_s)
+            if isinstance(record, records.OwnerBacklog):
+                backlog_s = record.backlog_ms / 1000
+                self.call_handler.admission.observe(backlog_s, now_s)
         if self._owner is not None:
             self._owner.on_record(record)
 
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -15,6 +15,7 @@
 from foxtaillock.batch import journal_writer
 from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
+from foxtaillock.batch import overload
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
 from foxtaillock.batch import reachability
@@ -38,6 +39,9 @@
 # Interval at which submissions of ended jobs are compacted or erased.
 _COMPACTION_INTERVAL_S = 1.0
 
+# Interval between two records on the owner's backlog while it does not keep up.
+_BACKLOG_INTERVAL_S = 0.5
+
 # Interval of the log line on the owner's load.
 _LOAD_REPORT_INTERVAL_S = 1.0
 
@@ -92,6 +96,9 @@
             self._on_background_done,
         )
         self._start_window = start_window.StartWindow()
+        self._start_rate = overload.StartRate(now_s)
+        self._backlog_ms = 0
+        self._backlog_due_s = now_s
         self._wake = asyncio.Event()
         self._vm_order_controller = vm_order_controller.VmOrderController(
             claim.epoch,
@@ -280,6 +287,8 @@
             for each in self._pending_wave_progress.values()
         ]
         self._pending_wave_progress = {}
+        if self._is_backlog_due(now_s):
+            entries.append(records.encode(self._backlog_record(now_s)))
         vm_orders = self._vm_order_controller.take_orders()
         if vm_orders is not None:
             entries.append(records.encode(vm_orders))
@@ -297,6 +306,27 @@
         if is_releasing:
             self._end("given up")
 
+    def _is_backlog_due(self, now_s: float) -> bool:
+        """Returns whether a record on the backlog goes with this append.
+
+        An owner that keeps up writes none, but for one that says so.
+        """
+        is_relevant = (
+            self._start_window.is_starved(now_s) or self._backlog_ms > 0
+        )
+        return is_relevant and now_s >= self._backlog_due_s
+
+    def _backlog_record(self, now_s: float) -> records.OwnerBacklog:
+        self._backlog_due_s = now_s + _BACKLOG_INTERVAL_S
+        self._backlog_ms = 0
+        if self._start_window.is_starved(now_s):
+            backlog = overload.Backlog(
+                self.engine.load_summary().waiting_tasks,
+                self._start_rate.per_s(now_s),
+            )
+            self._backlog_ms = int(backlog.duration_s * 1000)
+        return records.OwnerBacklog(self._epoch, self._backlog_ms)
+
     def _owner_record(self, is_released: bool) -> records.OwnerRecord:
         leases_s = max(0.0, self._prior_leases_end_s - self._heartbeat_s)
         return self._claim._replace(
@@ -391,9 +421,10 @@
         answer = await self._send_timed(
             "start", services.worker_client.start(plan.worker.entry, order)
         )
-        self.engine.answers.start_answered(
-            plan, answer, services.clock.monotonic_s()
-        )
+        now_s = services.clock.monotonic_s()
+        if answer.outcome is interfaces.OrderOutcome.ACCEPTED:
+            self._start_rate.record(now_s)
+        self.engine.answers.start_answered(plan, answer, now_s)
         self._poller.ensure_polling(plan.worker)
         self._wake.set()
 
@@ -485,6 +516,7 @@
                 epoch=self._epoch,
                 lag_s=round(self._load.lag_s, 3),
                 speed=round(self._load.speed, 2),
+                backlog_s=round(self._backlog_ms / 1000, 1),
                 append_age_s=round(
                     self._services.clock.monotonic_s()
                     - self._writer.last_append_s,
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -16,6 +16,7 @@
     "HandoverOffer",
     "JobEnd",
     "KeyedRecord",
+    "OwnerBacklog",
     "OwnerRecord",
     "Record",
     "StepProgress",
@@ -67,6 +68,19 @@
     capacity: float
 
 
+class OwnerBacklog(typing.NamedTuple):
+    """How far an owner is behind with the starts of accepted jobs.
+
+    Attributes:
+        epoch: epoch of the owner.
+        backlog_ms: time that it needs to start what has been accepted; 0 while
+            it keeps up.
+    """
+
+    epoch: int
+    backlog_ms: int
+
+
 class Cancellation(typing.NamedTuple):
     """Request of a submitter to cancel a job."""
 
@@ -148,6 +162,7 @@
 Record = (
     OwnerRecord
     | HandoverOffer
+    | OwnerBacklog
     | model.JobSpec
     | Cancellation
     | StepProgress
@@ -165,10 +180,12 @@
 
 
 _OWNER, _OFFER, _RECENT_VM_ORDERS, _WAVE = "o", "n", "v", "w"
+_BACKLOG = "b"
 _JOB, _CANCEL, _STEP, _END = "j", "c", "s", "e"
 _TYPES: dict[str, typing.Any] = {
     _OWNER: OwnerRecord,
     _OFFER: HandoverOffer,
+    _BACKLOG: OwnerBacklog,
     _RECENT_VM_ORDERS: RecentVmOrders,
     _JOB: model.JobSpec,
     _CANCEL: Cancellation,
@@ -213,6 +230,8 @@
         return _OWNER
     if isinstance(record, HandoverOffer):
         return _OFFER
+    if isinstance(record, OwnerBacklog):
+        return _BACKLOG
     if isinstance(record, RecentVmOrders):
         return _RECENT_VM_ORDERS
     if isinstance(record, StepProgress):
--- a/foxtaillock/batch/start_window.py
+++ b/foxtaillock/batch/start_window.py
@@ -21,6 +21,9 @@
 _SHRINK_FACTOR = 0.6
 _GROWTH_FACTOR = 1.5
 
+# An owner counts as starved once its window has been smaller for this time.
+_STARVED_AFTER_S = 4.0
+
 # Interval between two changes: that of the measurements of the lag.
 _ADJUSTMENT_INTERVAL_S = 0.25
 
@@ -31,12 +34,21 @@
     def __init__(self) -> None:
         self._limit = float(_MAX_STARTS)
         self._adjusted_s = float("-inf")
+        self._unlimited_s = float("inf")
 
     @property
     def limit(self) -> int:
         """Number of starts that may be under way."""
         return int(self._limit)
 
+    def is_starved(self, now_s: float) -> bool:
+        """Returns whether the owner has not kept up for some seconds.
+
+        After a single delay of the event loop, the window is back at its
+        largest within that time.
+        """
+        return now_s - self._unlimited_s > _STARVED_AFTER_S
+
     def observe(self, lag_s: float, under_way: int, now_s: float) -> bool:
         """Adjusts the window; returns whether it has changed.
 
@@ -49,6 +61,8 @@
             return False
         self._adjusted_s = now_s
         before = self.limit
+        if before == _MAX_STARTS:
+            self._unlimited_s = now_s
         if lag_s > _LATE_S:
             # What is under way was too much, not what might have been.
             in_use = min(self._limit, float(max(under_way, _MIN_STARTS)))
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -14,6 +14,7 @@
 from foxtaillock.batch import owner
 from foxtaillock.batch import records
 from foxtaillock.batch import services
+from foxtaillock.batch import start_window
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch import view
 from foxtaillock.model import clock as model_clock
@@ -215,6 +216,29 @@
         self.assertTrue(release.is_released)
         self.assertEqual(release.successor, "vm-4")
 
+    async def test_starved_owner_reports_its_backlog(self) -> None:
+        job = builders.job("00000000000000aa", builders.step(5))
+        self.owner.on_record(job)
+        with mock.patch.object(
+            start_window.StartWindow, "is_starved", return_value=True
+        ):
+            running = asyncio.ensure_future(self.owner.run())
+            async with asyncio.timeout(10.0):
+                while not self._backlogs():
+                    await asyncio.sleep(0.01)
+        self.assertEqual(self._backlogs()[0].backlog_ms, 5_000)
+        async with asyncio.timeout(10.0):
+            while self._backlogs()[-1].backlog_ms:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    def _backlogs(self) -> list[records.OwnerBacklog]:
+        decoded = [records.decode(*each) for each in self.journal.appended]
+        return [
+            each for each in decoded if isinstance(each, records.OwnerBacklog)
+        ]
+
     async def test_slow_owner_hands_over_to_an_equal_vm(self) -> None:
         with mock.patch.object(
             load_monitor.LoadMonitor,
--- a/foxtaillock/batch/tests/test_start_window.py
+++ b/foxtaillock/batch/tests/test_start_window.py
@@ -33,6 +33,24 @@
             window.observe(0.0, 10, step * _INTERVAL_S)
         self.assertGreater(window.limit, 8 * shrunk)
 
+    def test_single_delay_is_no_starvation(self) -> None:
+        window = start_window.StartWindow()
+        window.observe(0.0, 5, 0.0)
+        window.observe(0.9, 5, 0.25)
+        starved = []
+        for step in range(2, 40):
+            now_s = step * _INTERVAL_S
+            window.observe(0.0, 5, now_s)
+            starved.append(window.is_starved(now_s))
+        self.assertNotIn(True, starved)
+
+    def test_owner_that_stays_late_is_starved(self) -> None:
+        window = start_window.StartWindow()
+        self.assertFalse(window.is_starved(0.0))
+        for step in range(20):
+            window.observe(0.3, 5, step * _INTERVAL_S)
+        self.assertTrue(window.is_starved(5.0))
+
 
 class StarvedOwnerTest(unittest.TestCase):
     """An owner that can handle a tenth of the starts that its load asks for.
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -131,8 +131,8 @@
     def _fold(self, record: records.Record) -> None:
         if isinstance(record, records.OwnerRecord):
             self.owner = record
-        elif isinstance(record, records.HandoverOffer):
-            # An offer only matters when it is read; it is not part of the
+        elif isinstance(record, (records.HandoverOffer, records.OwnerBacklog)):
+            # These only matter when they are read; they are not part of the
             # state.
             return
         elif isinstance(record, records.RecentVmOrders):
