Bench: processor time of an owner per order and poll over HTTP

owner_cost leaves HTTP out. The workers are a program of their own on 60 loopback addresses, so the figures hold only the client.

--- a/bench/run.py
+++ b/bench/run.py
@@ -27,6 +27,7 @@
     "run",
     "comparison",
     "programs",
+    "order_server",
     "call_fleet",
     "pool_model",
 )
