Plans: workers by pool are kept, not collected for each plan

The members of a pool change only with the registry, so they are collected anew only after that; a plan looks at the pools of its ready steps, and, unless a worker counts as slow, only at workers with room for the smallest of their tasks. The order of the workers, and so each placement, is as before.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -19,6 +19,7 @@
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
 from foxtaillock.batch import tickets
+from foxtaillock.batch import usable_workers
 from foxtaillock.batch import vm_coordinator
 from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers as batch_workers
@@ -75,6 +76,9 @@
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self._slow_runs = slow_runs.SlowRuns(self._state)
+        self._usable = usable_workers.UsableWorkers(
+            self._state, self._slow_runs
+        )
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -244,7 +248,10 @@
         ]
         if not candidates:
             return
-        by_pool = self._usable_by_pool(now_s)
+        by_pool = {
+            pool: self._usable.find(pool, now_s, least_millis)
+            for pool, least_millis in _least_millis(candidates).items()
+        }
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         exhausted: set[tuple[str, resources.Resources, str]] = set()
         for candidate in placement.prioritize(candidates, now_s):
@@ -255,7 +262,7 @@
                 continue
             chosen = placement.assign(
                 candidate,
-                by_pool.get(pool, []),
+                by_pool[pool],
                 usage,
                 self._eligibility(candidate, now_s),
             )
@@ -273,16 +280,18 @@
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
-        by_pool = self._usable_by_pool(now_s)
+        worker_ids: dict[str, list[str]] = {}
         requests = []
         for step in list(self._state.waiting.values()):
             candidate = self._state.candidate(step, now_s)
             if candidate is None or not candidate.queue.is_advised:
                 continue
-            pool = by_pool.get(candidate.queue.pool, [])
-            worker_ids = [worker.worker_id for worker in pool]
+            pool = candidate.queue.pool
+            if pool not in worker_ids:
+                usable = self._usable.find(pool, now_s)
+                worker_ids[pool] = [worker.worker_id for worker in usable]
             request = self._state.tickets.due_request(
-                step.step_id, worker_ids, now_s
+                step.step_id, worker_ids[pool], now_s
             )
             if request is not None:
                 requests.append(request)
@@ -510,23 +519,17 @@
             ),
         )
 
-    def _usable_by_pool(
-        self, now_s: float
-    ) -> dict[str, list[batch_workers.Worker]]:
-        by_pool: dict[str, list[batch_workers.Worker]] = {}
-        for worker in self._state.workers.values():
-            pool = self._state.pools.get(worker.entry.pool)
-            if pool is None or pool.is_spare:
-                continue
-            is_allowed = self._state.quarantine.is_allowed(
-                worker.worker_id, now_s
-            )
-            if worker.is_usable(now_s) and is_allowed:
-                by_pool.setdefault(pool.name, []).append(worker)
-        return {
-            pool: self._slow_runs.without_slow(usable, now_s)
-            for pool, usable in by_pool.items()
-        }
+
+def _least_millis(
+    candidates: Iterable[placement.Candidate],
+) -> dict[str, int]:
+    """Returns, for each pool, the least processor time that a task needs."""
+    least_millis: dict[str, int] = {}
+    for candidate in candidates:
+        pool = candidate.queue.pool
+        millis = candidate.step.spec.held_size.cpu_millis
+        least_millis[pool] = min(millis, least_millis.get(pool, millis))
+    return least_millis
 
 
 def _is_stop_due(task: tasks.Task, now_s: float) -> bool:
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -10,6 +10,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
+from foxtaillock.batch import pool_members
 from foxtaillock.batch import quarantine
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
@@ -42,6 +43,7 @@
         now_s: time of the latest tick.
         jobs: jobs by id, including finished jobs within their retention time.
         workers: workers by id.
+        pool_members: workers by pool.
         queues: queues by name, including withdrawn ones, whose accepted jobs
             keep running.
         pools: pools by name.
@@ -80,6 +82,7 @@
         self.log = log
         self.jobs: dict[str, tasks.Job] = {}
         self.workers: dict[str, workers.Worker] = {}
+        self.pool_members = pool_members.PoolMembers(self.workers)
         self.queues: dict[str, model.Queue] = {}
         self.pools: Mapping[str, model.Pool] = {}
         self.teams: Mapping[str, model.Team] = {}
@@ -124,6 +127,8 @@
                 )
             if known.entry.pool != entry.pool or not known.is_registered:
                 self.log_worker(known, "worker-listed", pool=entry.pool)
+            if known.entry.pool != entry.pool:
+                self.pool_members.invalidate()
             known.update_entry(entry, now_s)
         self.needs_plan = True
 
@@ -141,6 +146,7 @@
         worker = workers.Worker(entry, self.prior_leases_end_s)
         worker.update_entry(entry, now_s)
         self.workers[entry.worker_id] = worker
+        self.pool_members.invalidate()
         self.log_worker(worker, "worker-new", pool=entry.pool)
         orphans = self.orphans.pop(entry.worker_id, {})
         for task in orphans.values():
@@ -231,6 +237,7 @@
             self.lose_run(task, now_s, reason)
         if self.workers.get(worker.worker_id) is worker:
             del self.workers[worker.worker_id]
+            self.pool_members.invalidate()
         self.recorded_ends.pop(worker.worker_id, None)
         self.needs_plan = True
 
@@ -238,6 +245,7 @@
         """Removes a worker that is unregistered and runs nothing."""
         if not worker.is_registered and not worker.tasks:
             self.workers.pop(worker.worker_id, None)
+            self.pool_members.invalidate()
             self.recorded_ends.pop(worker.worker_id, None)
 
     def lose_run(self, task: tasks.Task, now_s: float, reason: str) -> None:
--- /dev/null
+++ b/foxtaillock/batch/pool_members.py
@@ -0,0 +1,34 @@
+"""Keeps the workers of each pool at hand, so that no plan scans all workers."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from foxtaillock.batch import workers
+
+__all__ = ["PoolMembers"]
+
+
+class PoolMembers:
+    """Workers by pool, in the order in which they were added.
+
+    Args:
+        by_id: all workers by id; whoever adds or removes one, or moves it to
+            another pool, has to call `invalidate`.
+    """
+
+    def __init__(self, by_id: Mapping[str, workers.Worker]) -> None:
+        self._by_id = by_id
+        self._by_pool: dict[str, list[workers.Worker]] | None = None
+
+    def invalidate(self) -> None:
+        """Makes the next use read all workers again."""
+        self._by_pool = None
+
+    def of(self, pool: str) -> Sequence[workers.Worker]:
+        """Returns the workers of a pool."""
+        if self._by_pool is None:
+            self._by_pool = {}
+            for worker in self._by_id.values():
+                members = self._by_pool.setdefault(worker.entry.pool, [])
+                members.append(worker)
+        return self._by_pool.get(pool, ())
--- a/foxtaillock/batch/worker_speed.py
+++ b/foxtaillock/batch/worker_speed.py
@@ -59,6 +59,12 @@
         record = self._records.get(worker_id)
         return record is not None and now_s < record.paused_until_s
 
+    def has_slow(self, now_s: float) -> bool:
+        """Returns whether any worker should get no tasks for now."""
+        return any(
+            now_s < record.paused_until_s for record in self._records.values()
+        )
+
     def record_run(
         self,
         worker_id: str,
