Plans: steps whose dependencies are not done are skipped by a flag

Dependencies change only when a step is done, so the flag is updated there, and for the progress that earlier owners recorded.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -151,6 +151,7 @@
             if step is not None:
                 step.restore(each)
                 self._state.adopt(job, step, now_s)
+                job.dependencies_changed(each.step_id.occurrence)
         for step in job.steps.values():
             if step.waiting:
                 self._state.waiting[step.step_id] = step
@@ -241,11 +242,7 @@
         """Places waiting tasks on workers and queues their starts."""
         self._state.needs_plan = False
         self._planned_s = now_s
-        candidates = [
-            candidate
-            for step in list(self._state.waiting.values())
-            if (candidate := self._state.candidate(step, now_s)) is not None
-        ]
+        candidates = self._state.candidates(now_s)
         if not candidates:
             return
         by_pool = {
@@ -282,16 +279,15 @@
         """Returns the advice requests that are due, oldest job first."""
         worker_ids: dict[str, list[str]] = {}
         requests = []
-        for step in list(self._state.waiting.values()):
-            candidate = self._state.candidate(step, now_s)
-            if candidate is None or not candidate.queue.is_advised:
+        for candidate in self._state.candidates(now_s):
+            if not candidate.queue.is_advised:
                 continue
             pool = candidate.queue.pool
             if pool not in worker_ids:
                 usable = self._usable.find(pool, now_s)
                 worker_ids[pool] = [worker.worker_id for worker in usable]
             request = self._state.tickets.due_request(
-                step.step_id, worker_ids[pool], now_s
+                candidate.step.step_id, worker_ids[pool], now_s
             )
             if request is not None:
                 requests.append(request)
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -178,6 +178,15 @@
             for task in by_task.values():
                 self.lose_run(task, now_s, "its worker never registered")
 
+    def candidates(self, now_s: float) -> list[placement.Candidate]:
+        """Returns the waiting steps that are ready, in a stable order."""
+        return [
+            candidate
+            for step in self.waiting.values()
+            if not step.is_blocked
+            and (candidate := self.candidate(step, now_s)) is not None
+        ]
+
     def candidate(
         self, step: tasks.Step, now_s: float
     ) -> placement.Candidate | None:
@@ -219,6 +228,8 @@
             self.waiting.pop(step.step_id, None)
         self.dirty[step.step_id] = step
         job = self.jobs[step.step_id.job_id]
+        if step.is_done:
+            job.dependencies_changed(step.step_id.occurrence)
         self.needs_plan = True
         self.check_completion(job, now_s)
 
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -110,6 +110,8 @@
         waiting: indices of the tasks that wait to be placed.
         done_count: number of tasks that are done.
         ready_s: time at which it became ready; None before.
+        is_blocked: whether a step that it depends on is not done; see
+            `Job.dependencies_changed`.
         durations_s: durations of its first runs that completed; see
             `worker_speed.MAX_PEERS`.
         typical_s: median of them; None while there are too few.
@@ -122,6 +124,7 @@
     waiting: set[int]
     done_count: int = 0
     ready_s: float | None = None
+    is_blocked: bool = False
     durations_s: list[float] = dataclasses.field(default_factory=list)
     typical_s: float | None = None
 
@@ -234,13 +237,16 @@
 
     def is_ready(self, step: Step, now_s: float) -> bool:
         """Returns whether a step is due and its dependencies are done."""
-        if now_s < step.due_s:
-            return False
-        occurrence = step.step_id.occurrence
-        return all(
-            self.steps[occurrence, earlier].is_done
-            for earlier in step.spec.dependencies
-        )
+        return now_s >= step.due_s and not step.is_blocked
+
+    def dependencies_changed(self, occurrence: int) -> None:
+        """Updates `is_blocked` after steps of an occurrence were done."""
+        for number, spec in enumerate(self.spec.steps):
+            if spec.dependencies:
+                self.steps[occurrence, number].is_blocked = not all(
+                    self.steps[occurrence, earlier].is_done
+                    for earlier in spec.dependencies
+                )
 
 
 def create_job(spec: model.JobSpec, now_s: float, now_ms: int) -> Job:
@@ -265,7 +271,12 @@
             ]
             waiting = set(range(step.task_count))
             steps[occurrence, number] = Step(
-                step_id, step, due_s, tasks, waiting
+                step_id,
+                step,
+                due_s,
+                tasks,
+                waiting,
+                is_blocked=bool(step.dependencies),
             )
     age_s = max(0.0, (now_ms - spec.accepted_ms) / 1000)
     return Job(
