Orders, polls, appends: over aiohttp's connector, without the session's steps

An owner sends three requests for each run that starts and ends. A POST request with a parsed URL now takes a connection from the session's connector and lets aiohttp's request and response use it. What is sent, the reuse, the limit and the end of connections, and the errors are as before. GET requests, which the session repeats once on a new connection, go the way they went.

send, start, connect and set_response_params are names without underscore, but aiohttp's manual does not describe all of them; PostRequest overrides as adapters/http_runners does.

--- a/foxtaillock/platform/http_client.py
+++ b/foxtaillock/platform/http_client.py
@@ -1,18 +1,23 @@
 """HTTP client for all services of the platform."""
 
 import asyncio
+import functools
 import socket
 import struct
 import typing
 from collections.abc import Mapping
 
 import aiohttp
+import yarl
+
+from foxtaillock.platform import http_post
 
 __all__ = [
     "HttpResponse",
     "NoAnswerError",
     "NotSentError",
     "PlatformHttpClient",
+    "parse_url",
 ]
 
 # Connecting takes a few milliseconds on the platform's network.
@@ -35,6 +40,17 @@
     """No complete response arrived; the request may have taken effect."""
 
 
+def parse_url(text: str) -> str | yarl.URL:
+    """Returns a parsed URL, or the text itself if it is none.
+
+    A request to such a text fails with `NoAnswerError`.
+    """
+    try:
+        return yarl.URL(text)
+    except ValueError:
+        return text
+
+
 class HttpResponse(typing.NamedTuple):
     """Complete response to a request."""
 
@@ -60,7 +76,7 @@
     async def request(
         self,
         method: str,
-        url: str,
+        url: str | yarl.URL,
         timeout_s: float,
         *,
         body: bytes | None = None,
@@ -68,15 +84,22 @@
     ) -> HttpResponse:
         """Sends one request and returns its response.
 
+        A POST request with a body costs least if its URL was parsed before; see
+        `parse_url`.
+
         Raises:
             NotSentError: no connection was established.
             NoAnswerError: no complete response arrived in time.
         """
         session = self._get_session()
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
-        )
+        timeout = _timeout(timeout_s)
         try:
+            is_post = method == "POST" and body is not None
+            if is_post and isinstance(url, yarl.URL):
+                status, answer = await http_post.post(
+                    session, url, body or b"", headers, timeout
+                )
+                return HttpResponse(status, answer)
             async with session.request(
                 method,
                 url,
@@ -139,6 +162,13 @@
             await self._retired.pop(0).close()
 
 
+@functools.lru_cache(maxsize=256)
+def _timeout(timeout_s: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+    )
+
+
 def _create_socket(
     address_info: tuple[typing.Any, ...],
 ) -> socket.socket:
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -6,6 +6,8 @@
 from collections.abc import Sequence
 from urllib import parse
 
+import yarl
+
 from foxtaillock import exceptions
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import records
@@ -90,7 +92,10 @@
             query["sequence"] = str(append_id.sequence)
         url = f"http://{self._address}/-/log-append?{parse.urlencode(query)}"
         answer = await self._call(
-            "POST", url, _ANSWER_TIMEOUT_S, encode_records(batch)
+            "POST",
+            http_client.parse_url(url),
+            _ANSWER_TIMEOUT_S,
+            encode_records(batch),
         )
         if answer.status == _OK:
             return interfaces.AppendResult(
@@ -176,7 +181,11 @@
         return {"topic": self._topic, "part": "0"}
 
     async def _call(
-        self, method: str, url: str, timeout_s: float, body: bytes | None = None
+        self,
+        method: str,
+        url: str | yarl.URL,
+        timeout_s: float,
+        body: bytes | None = None,
     ) -> http_client.HttpResponse:
         try:
             return await self._client.request(method, url, timeout_s, body=body)
--- a/foxtaillock/platform/worker_client.py
+++ b/foxtaillock/platform/worker_client.py
@@ -1,8 +1,10 @@
 """Client of the platform's workers."""
 
+import functools
 import typing
 
 import msgspec
+import yarl
 
 from foxtaillock import exceptions
 from foxtaillock.batch import interfaces
@@ -17,6 +19,9 @@
 # the worker is polled.
 _ANSWER_TIMEOUT_S = 0.8
 
+# URLs of the latest calls; a worker has up to four.
+_MAX_CACHED_URLS = 4_096
+
 _OK, _CONFLICT, _MISDIRECTED = 200, 409, 421
 
 # With these statuses, a worker has done nothing. Any other status leaves the
@@ -181,12 +186,11 @@
         "Content-Type": "application/json",
         "X-Expect-Instance": worker.worker_id,
     }
-    url = f"http://{worker.address}/-/{name}"
     encoded = msgspec.json.encode(body)
     try:
         return await client.request(
             "POST",
-            url,
+            _url(worker.address, name),
             wait_s + _ANSWER_TIMEOUT_S,
             body=encoded,
             headers=headers,
@@ -195,6 +199,11 @@
         return None
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_URLS)
+def _url(address: str, name: str) -> str | yarl.URL:
+    return http_client.parse_url(f"http://{address}/-/{name}")
+
+
 def _decode_order_answer(
     answer: http_client.HttpResponse | None,
 ) -> interfaces.OrderAnswer:
