Decision log: fewer steps for a line

Each line looked up its counter by label, which checks and locks, and formatted the whole time. The counters are kept, and the time up to the second is formatted once a second. The lines are the same (test over several fractions of a second and seconds; passes before too).

20,000 lines of task-placed to /dev/null, processor time a line, load 20: 13.9, 13.9 and 14.0 µs before; 9.4, 10.9 and 9.2 µs after.

--- a/foxtaillock/batch/decision_log.py
+++ b/foxtaillock/batch/decision_log.py
@@ -21,6 +21,9 @@
 # Maximum size of the lines that are buffered for a slow reader.
 _MAX_BUFFER_BYTES = 256 * 1024
 
+# Characters of a time in ISO format up to its seconds.
+_TIME_LENGTH = len("2026-01-01T00:00:00")
+
 
 class LineWriter:
     """Writes lines to a file descriptor without blocking.
@@ -83,7 +86,8 @@
         self._writer = writer
         self._clock = clock
         self._node = node
-        self._second = 0
+        self._second: int | None = None
+        self._time, self._utc_offset = "", ""
         self._line_counts: collections.Counter[str] = collections.Counter()
         self._encoder = msgspec.json.Encoder(enc_hook=str)
 
@@ -105,11 +109,16 @@
         if second != self._second:
             self._report_suppressed()
             self._second = second
-        self._line_counts[event] += 1
-        if self._line_counts[event] > _MAX_LINES_PER_S:
+            text = now.isoformat(timespec="seconds")
+            self._time = text[:_TIME_LENGTH]
+            self._utc_offset = text[_TIME_LENGTH:]
+        count = self._line_counts.get(event, 0) + 1
+        self._line_counts[event] = count
+        if count > _MAX_LINES_PER_S:
             return
+        milliseconds = now.microsecond // 1000
         line = {
-            "time": now.isoformat(timespec="milliseconds"),
+            "time": f"{self._time}.{milliseconds:03}{self._utc_offset}",
             "node": self._node,
             "event": event,
             **fields,
--- a/foxtaillock/batch/metrics.py
+++ b/foxtaillock/batch/metrics.py
@@ -67,8 +67,14 @@
     def counting_log(self, log: Callable[..., None]) -> Callable[..., None]:
         """Returns a log that counts the decisions and passes them to `log`."""
 
+        # Each lookup of a label checks and locks.
+        counters: dict[str, prometheus_client.Counter] = {}
+
         def _log(event: str, **fields: typing.Any) -> None:
-            self.decisions.labels(event).inc()
+            counter = counters.get(event)
+            if counter is None:
+                counter = counters[event] = self.decisions.labels(event)
+            counter.inc()
             if event == "job-ended":
                 ended = self.job_duration.labels(fields["state"])
                 ended.observe(fields["took_s"])
--- a/foxtaillock/batch/tests/test_decision_log.py
+++ b/foxtaillock/batch/tests/test_decision_log.py
@@ -37,6 +37,14 @@
         self.assertEqual(line["request"], "/q/1")
         self.assertIn("1970-01-01T00:16:40", str(line["time"]))
 
+    def test_time_is_that_of_the_clock_in_iso_format(self) -> None:
+        expected = []
+        for step_s in (0.0, 0.0004, 0.0006, 0.25, 0.7489, 0.0002, 59.0, 3600.5):
+            self.clock.advance(step_s)
+            expected.append(self.clock.now().isoformat(timespec="milliseconds"))
+            self.log("call")
+        self.assertEqual([line["time"] for line in self._lines()], expected)
+
     def test_lines_of_one_event_are_rate_limited_and_counted(self) -> None:
         for _ in range(500):
             self.log("busy")
