Ticks and loads of pools: no work for idle workers and finished jobs

A tick, 20 times a second, computed the end of leases, copied the tasks and looked for crawling runs of every worker, and copied the list of jobs that ended in the last 150 s. The load of the pools, 10 times a second, looked up the queue of those jobs and built a candidate for each step only to see that there is one. Workers without tasks are now passed over, a run is looked up only once it has been active for the least time of a crawl, and steps are asked whether they are placeable.

The differential tests compare the placeable steps with a check of all that decides on them, and check the bound on crawls for medians up to 5 s.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -227,12 +227,14 @@
         for worker in list(self._state.workers.values()):
             if worker.tasks and now_s >= worker.leases_expire_s():
                 self._state.expire_lease(worker, now_s)
-            self._state.remove_if_unused(worker)
-            for task in list(worker.tasks.values()):
-                if _is_stop_due(task, now_s):
+            if not worker.tasks:
+                self._state.remove_if_unused(worker)
+                continue
+            for task in worker.tasks.values():
+                if task.is_stopping and _is_stop_due(task, now_s):
                     self._state.order_stop(worker, task, now_s)
             self._slow_runs.stop_crawling(worker, now_s)
-        for job_id, (ended_s, job) in list(self._state.finished_jobs.items()):
+        for job_id, (ended_s, job) in self._state.finished_jobs.items():
             if now_s - ended_s >= _JOB_RETENTION_S and not any(
                 job.active_tasks()
             ):
@@ -529,8 +531,8 @@
 
 
 def _is_stop_due(task: tasks.Task, now_s: float) -> bool:
+    """Returns whether the stop order of a task is due to be repeated."""
     return (
-        task.is_stopping
-        and task.phase is not tasks.TaskPhase.RECORDING
+        task.phase is not tasks.TaskPhase.RECORDING
         and now_s - task.changed_s >= _STOP_RETRY_S
     )
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 
 from foxtaillock.batch import model
-from foxtaillock.batch import placement
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 from foxtaillock.batch import pool_sizes
@@ -42,7 +41,7 @@
     def add_step(
         self,
         step: tasks.Step,
-        candidate: placement.Candidate | None,
+        is_placeable: bool,
         team: str,
     ) -> None:
         """Adds a step that is not done; all workers have to be added before.
@@ -52,14 +51,14 @@
 
         Args:
             step: the step.
-            candidate: the step as a candidate; None if it is not ready.
+            is_placeable: whether the step is a candidate for placement.
             team: team of its job.
         """
         millis = step.spec.held_size.cpu_millis
         active = sum(1 for _ in step.active_tasks())
         self._running_millis[team] += millis * active
         fits = millis <= self._capacity_millis or not self._capacity_millis
-        if candidate is not None and fits:
+        if is_placeable and fits:
             self._waiting_millis[team] += len(step.waiting) * millis
 
     def add_worker(self, worker: workers.Worker) -> None:
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -192,13 +192,9 @@
     ) -> placement.Candidate | None:
         """Returns a step as a candidate for placement; None if not ready."""
         job = self.jobs.get(step.step_id.job_id)
-        if job is None or job.is_finished or not job.is_ready(step, now_s):
-            return None
-        queue = self.queues.get(job.spec.queue)
-        if queue is None:
-            return None
-        if step.spec.is_gang and len(step.waiting) < len(step.tasks):
+        if job is None or not self.is_placeable(job, step, now_s):
             return None
+        queue = self.queues[job.spec.queue]
         if step.ready_s is None:
             step.ready_s = now_s
         due_s = max(step.due_s, job.accepted_s)
@@ -211,6 +207,16 @@
             _remaining_ms(job, step) / 1000,
         )
 
+    def is_placeable(
+        self, job: tasks.Job, step: tasks.Step, now_s: float
+    ) -> bool:
+        """Returns whether a step is a candidate for placement."""
+        if job.is_finished or not job.is_ready(step, now_s):
+            return False
+        if job.spec.queue not in self.queues:
+            return False
+        return not step.spec.is_gang or len(step.waiting) == len(step.tasks)
+
     def complete_task(
         self, task: tasks.Task, step: tasks.Step, now_s: float
     ) -> None:
--- a/foxtaillock/batch/slow_runs.py
+++ b/foxtaillock/batch/slow_runs.py
@@ -83,14 +83,18 @@
         """
         if worker.unanswered_calls:
             return
-        for task in list(worker.tasks.values()):
+        for task in worker.tasks.values():
+            if task.began_s is None:
+                continue
+            elapsed_s = worker.listed_s - task.began_s
+            if elapsed_s <= worker_speed.MIN_CRAWL_S:
+                continue
             if task.phase is not tasks.TaskPhase.RUNNING or task.is_stopping:
                 continue
             step = self._state.step_of(task)
-            if task.began_s is None or step.typical_s is None:
-                continue
-            elapsed_s = worker.listed_s - task.began_s
-            if not worker_speed.is_crawling(elapsed_s, step.typical_s):
+            if step.typical_s is None or not worker_speed.is_crawling(
+                elapsed_s, step.typical_s
+            ):
                 continue
             if not _is_comparable(step, task) or not self._has_room_elsewhere(
                 step.spec, worker, now_s
--- a/foxtaillock/batch/tests/test_ready_steps.py
+++ b/foxtaillock/batch/tests/test_ready_steps.py
@@ -27,17 +27,26 @@
     state: owner_state.OwnerState, now_s: float
 ) -> list[model.StepId]:
     """Returns the ready steps by a scan of all waiting ones."""
-    found = []
-    for step in state.waiting.values():
-        job = state.jobs.get(step.step_id.job_id)
-        if job is None or job.is_finished or not _is_ready(job, step, now_s):
-            continue
-        is_partial = len(step.waiting) < len(step.tasks)
-        if job.spec.queue not in state.queues:
-            continue
-        if not (step.spec.is_gang and is_partial):
-            found.append(step.step_id)
-    return found
+    return [
+        step.step_id
+        for step in state.waiting.values()
+        if (job := state.jobs.get(step.step_id.job_id)) is not None
+        and _is_placeable(state, job, step, now_s)
+    ]
+
+
+def _is_placeable(
+    state: owner_state.OwnerState,
+    job: tasks.Job,
+    step: tasks.Step,
+    now_s: float,
+) -> bool:
+    """Returns whether a step is a candidate, from all that decides on it."""
+    if job.is_finished or not _is_ready(job, step, now_s):
+        return False
+    if state.queues.get(job.spec.queue) is None:
+        return False
+    return not (step.spec.is_gang and len(step.waiting) < len(step.tasks))
 
 
 class ReadyStepsTest(unittest.TestCase):
@@ -56,6 +65,12 @@
                 [each.step.step_id for each in found],
                 _naive_ready(state, now_s),
             )
+            for job in state.jobs.values():
+                for step in job.steps.values():
+                    self.assertEqual(
+                        state.is_placeable(job, step, now_s),
+                        _is_placeable(state, job, step, now_s),
+                    )
             blocked_count += sum(
                 step.is_blocked for step in state.waiting.values()
             )
--- a/foxtaillock/batch/tests/test_slow_runs.py
+++ b/foxtaillock/batch/tests/test_slow_runs.py
@@ -252,3 +252,14 @@
         self._engine.answers.poll_answered(
             worker_id, poll, lists, self._now_s, self._now_s
         )
+
+
+class CrawlBoundTest(unittest.TestCase):
+    """The bound below which the median of a step is not looked up."""
+
+    def test_no_run_within_the_bound_crawls(self) -> None:
+        for hundredths in range(500):
+            median_s = hundredths / 100
+            self.assertFalse(
+                worker_speed.is_crawling(worker_speed.MIN_CRAWL_S, median_s)
+            )
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -109,8 +109,10 @@
             if worker.entry.pool in meters:
                 meters[worker.entry.pool].add_worker(worker)
         for job in self._state.jobs.values():
+            if job.is_finished:
+                continue
             queue = self._state.queues.get(job.spec.queue)
-            if job.is_finished or queue is None or queue.pool not in meters:
+            if queue is None or queue.pool not in meters:
                 continue
             meter = meters[queue.pool]
             if job.is_persistent:
@@ -118,8 +120,8 @@
                 continue
             for step in job.steps.values():
                 if not step.is_done:
-                    candidate = self._state.candidate(step, now_s)
-                    meter.add_step(step, candidate, job.spec.team)
+                    is_placeable = self._state.is_placeable(job, step, now_s)
+                    meter.add_step(step, is_placeable, job.spec.team)
         return {pool: meter.load() for pool, meter in meters.items()}
 
     def _may_interrupt(
--- a/foxtaillock/batch/worker_speed.py
+++ b/foxtaillock/batch/worker_speed.py
@@ -11,7 +11,13 @@
 
 from foxtaillock.batch import model
 
-__all__ = ["MAX_PEERS", "WorkerSpeeds", "is_crawling", "typical_s"]
+__all__ = [
+    "MAX_PEERS",
+    "MIN_CRAWL_S",
+    "WorkerSpeeds",
+    "is_crawling",
+    "typical_s",
+]
 
 # Runs of a step that are needed for a comparison.
 _MIN_PEERS = 3
@@ -33,7 +39,7 @@
 # least this much longer, since a stop and a new start take some tenths of a
 # second.
 _CRAWL_RATIO = 4.0
-_MIN_CRAWL_S = 1.0
+MIN_CRAWL_S = 1.0
 
 # Time without tasks of a slow worker; each further one doubles it, up to the
 # maximum.
@@ -123,7 +129,7 @@
         >>> is_crawling(4.0, 0.8), is_crawling(1.2, 0.2)
         (True, False)
     """
-    return elapsed_s > max(_CRAWL_RATIO * median_s, median_s + _MIN_CRAWL_S)
+    return elapsed_s > max(_CRAWL_RATIO * median_s, median_s + MIN_CRAWL_S)
 
 
 def _pause(record: _SpeedRecord, now_s: float) -> None:
