--- a/foxtaillock/platform/worker_client.py
+++ b/foxtaillock/platform/worker_client.py
@@ -22,6 +22,8 @@
 # URLs of the latest calls; a worker has up to four.
 _MAX_CACHED_URLS = 4_096
 
+_MAX_CACHED_TASKS = 8_192
+
 _OK, _CONFLICT, _MISDIRECTED = 200, 409, 421
 
 # With these statuses, a worker has done nothing. Any other status leaves the
@@ -77,6 +79,11 @@
     born: typing.NotRequired[json_codec.Count]
 
 
+# A worker lists a run at each poll, from its start to its end.
+_parse_task_id = functools.lru_cache(maxsize=_MAX_CACHED_TASKS)(
+    model.parse_task_id
+)
+
 _order_decoder = json_codec.Decoder(_OrderAnswer)
 _lists_decoder = json_codec.Decoder(_Lists)
 
@@ -234,7 +241,7 @@
 def _decode_lists(lists: _Lists) -> interfaces.WorkerLists:
     running = []
     for active in lists["running"]:
-        task = model.parse_task_id(active.task)
+        task = _parse_task_id(active.task)
         if task is not None:
             running.append(
                 interfaces.ActiveRun(
@@ -247,7 +254,7 @@
             )
     ended = []
     for end in lists["ended"]:
-        task = model.parse_task_id(end.task)
+        task = _parse_task_id(end.task)
         kind = _END_KINDS_BY_NAME.get(end.kind, model.EndKind.FAILED)
         if task is not None:
             ended.append(
