HTTP client: tests of repeated reads and of long answers

A read whose connection ends without an answer is repeated once, an order never. The tests pass on the code as it is; they come before a change to reads.

--- a/foxtaillock/platform/tests/test_http_client.py
+++ b/foxtaillock/platform/tests/test_http_client.py
@@ -26,6 +26,8 @@
     Attributes:
         answer: bytes of the answer; empty for none.
         closes: whether it closes the connection after a request.
+        dropped: numbers of the requests after which it closes the connection
+            without an answer, counted from 1.
         requests: bytes of each request.
         connections: number of connections so far.
         ended: number of connections that the client has ended.
@@ -34,6 +36,7 @@
     def __init__(self) -> None:
         self.answer = _ANSWER
         self.closes = False
+        self.dropped: frozenset[int] = frozenset()
         self.requests: list[bytes] = []
         self.connections = 0
         self.ended = 0
@@ -57,6 +60,8 @@
         try:
             while True:
                 self.requests.append(await self._read(reader))
+                if len(self.requests) in self.dropped:
+                    break
                 writer.write(self.answer)
                 if self.closes:
                     break
@@ -100,6 +105,11 @@
             while not is_met():
                 await asyncio.sleep(0.01)
 
+    async def _get(self) -> http_client.HttpResponse:
+        url = f"http://{self.address}/-/log-read?topic=keyed.a&part=0"
+        parsed = http_client.parse_url(url)
+        return await self.client.request("GET", parsed, _TIMEOUT_S)
+
     async def test_bytes_of_an_order(self) -> None:
         self.assertEqual(await self._post(), (200, b"{}"))
         expected = (
@@ -123,8 +133,7 @@
         )
 
     async def test_bytes_of_a_read(self) -> None:
-        url = f"http://{self.address}/-/log-read?topic=keyed.a&part=0"
-        await self.client.request("GET", url, _TIMEOUT_S)
+        await self._get()
         expected = (
             "GET /-/log-read?topic=keyed.a&part=0 HTTP/1.1\r\n"
             f"Host: {self.address}\r\n\r\n"
@@ -205,3 +214,27 @@
         for result in results:
             self.assertIsInstance(result, http_client.NoAnswerError)
         self.assertEqual(len(self.server.requests), 2)
+
+    async def test_read_is_repeated_once(self) -> None:
+        self.server.dropped = frozenset((2, 4, 5))
+        await self._get()
+        self.assertEqual(await self._get(), (200, b"{}"))
+        self.assertEqual(len(self.server.requests), 3)
+        with self.assertRaises(http_client.NoAnswerError):
+            await self._get()
+        self.assertEqual(len(self.server.requests), 5)
+
+    async def test_order_is_not_repeated(self) -> None:
+        self.server.dropped = frozenset((2,))
+        await self._post()
+        with self.assertRaises(http_client.NoAnswerError):
+            await self._post()
+        self.assertEqual(len(self.server.requests), 2)
+
+    async def test_long_answer(self) -> None:
+        content = bytes(range(256)) * 4_000
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n\r\n"
+        self.server.answer = head.encode() + content
+        for call in (self._get, self._post, self._get):
+            self.assertEqual(await call(), (200, content))
+        self.assertEqual(self.server.connections, 1)
