Reads of streams: over aiohttp's connector too

They now go the way of orders. All platform calls with a parsed URL take this way, so http_post becomes lean_request.

order_cost now has reads too.

The test of an order that waits for a connection let three orders time out at the same moment, and the third could get the connection of the first: 3 requests instead of 2 in 4 of some 30 runs. The first two now have a longer timeout, so that only the third times out; what it asserts is the same.

--- a/bench/order_cost.py
+++ b/bench/order_cost.py
@@ -1,4 +1,4 @@
-"""Processor time of an owner for each order and each poll sent to a worker.
+"""Processor time of an owner for each order, poll and read of a stream.
 
 The workers are a program of their own, so that the figures hold only the
 client: encoding, HTTP, event loop and decoding.
@@ -20,6 +20,7 @@
 from foxtaillock.model import resources
 from foxtaillock.platform import allocator
 from foxtaillock.platform import http_client
+from foxtaillock.platform import store
 from foxtaillock.platform import worker_client
 
 __all__ = ["run"]
@@ -35,7 +36,7 @@
 
 
 async def run(quick: bool) -> harness.Result:
-    """Measures start orders and polls.
+    """Measures start orders, polls and reads.
 
     Args:
         quick: whether to send fewer of them.
@@ -63,10 +64,16 @@
         answer = await client.poll(worker, 3, number, 1_002_000, 1.0)
         assert isinstance(answer, interfaces.WorkerLists)
 
+    async def _read(worker: model.WorkerEntry, number: int) -> None:
+        topic = store.KeyedTopic(clients[0], worker.address, "keyed.journal")
+        page = await topic.read(number, 0.7)
+        assert len(page.records) == 2
+
     async def _trial(_: random.Random) -> dict[str, float]:
         return {
             "start_cpu_us": await _measure(_start, workers, calls),
             "poll_cpu_us": await _measure(_poll, workers, calls),
+            "read_cpu_us": await _measure(_read, workers, calls),
         }
 
     try:
--- a/bench/order_server.py
+++ b/bench/order_server.py
@@ -1,16 +1,20 @@
 """Program that answers orders and polls as workers do, on many addresses.
 
-It decides nothing: each order is accepted, and each poll returns the same two
-runs and one end.
+It decides nothing: each order is accepted, each poll returns the same two runs
+and one end, and each read of a stream the same two records.
 """
 
 import asyncio
 import json
 import signal
+import struct
 
 from aiohttp import web
 import fire
 
+from foxtaillock.batch import records
+from foxtaillock.platform import store
+
 __all__ = ["main"]
 
 _ORDER_ANSWER = json.dumps({"clock_ms": 1_000_000}).encode()
@@ -25,15 +29,16 @@
         "born": 1,
     }
 ).encode()
+_PAGE = struct.pack(">QQ", 2, 0) + store.encode_records(
+    [records.KeyedRecord(f"sjob.0.{number}", bytes(60)) for number in range(2)]
+)
+_ANSWERS = {"/-/hold": _POLL_ANSWER, "/-/log-read": _PAGE}
 
 
 async def _answer(request: web.BaseRequest) -> web.Response:
     await request.read()
-    is_poll = request.path == "/-/hold"
-    return web.Response(
-        body=_POLL_ANSWER if is_poll else _ORDER_ANSWER,
-        content_type="application/json",
-    )
+    body = _ANSWERS.get(request.path, _ORDER_ANSWER)
+    return web.Response(body=body, content_type="application/json")
 
 
 async def _serve(addresses: int) -> None:
--- a/foxtaillock/platform/http_client.py
+++ b/foxtaillock/platform/http_client.py
@@ -10,7 +10,7 @@
 import aiohttp
 import yarl
 
-from foxtaillock.platform import http_post
+from foxtaillock.platform import lean_request
 
 __all__ = [
     "HttpResponse",
@@ -84,8 +84,7 @@
     ) -> HttpResponse:
         """Sends one request and returns its response.
 
-        A POST request with a body costs least if its URL was parsed before; see
-        `parse_url`.
+        A request costs least if its URL was parsed before; see `parse_url`.
 
         Raises:
             NotSentError: no connection was established.
@@ -94,10 +93,9 @@
         session = self._get_session()
         timeout = _timeout(timeout_s)
         try:
-            is_post = method == "POST" and body is not None
-            if is_post and isinstance(url, yarl.URL):
-                status, answer = await http_post.post(
-                    session, url, body or b"", headers, timeout
+            if isinstance(url, yarl.URL):
+                status, answer = await lean_request.send(
+                    session, method, url, body, headers, timeout
                 )
                 return HttpResponse(status, answer)
             async with session.request(
--- a/foxtaillock/platform/http_post.py
+++ b/foxtaillock/platform/lean_request.py
@@ -1,9 +1,9 @@
-"""Sends a POST request with few steps, over the connections of a session.
+"""Sends a request with few steps, over the connections of a session.
 
 `ClientSession.request` prepares each request for cookies, redirects, proxies,
-authentication, tracing and retries. The platform uses none of them, and an
-owner sends some hundred orders a second, so this module takes a connection from
-the session's connector and lets aiohttp's own request and response use it.
+authentication and tracing. The platform uses none of them, and an owner sends
+some hundred requests a second, so this module takes a connection from the
+session's connector and lets aiohttp's own request and response use it.
 """
 
 import asyncio
@@ -18,11 +18,11 @@
 import multidict
 import yarl
 
-__all__ = ["PostRequest", "post"]
+__all__ = ["LeanRequest", "send"]
 
 
-class PostRequest(aiohttp.ClientRequest):
-    """POST request whose body is written at once, without a task of its own.
+class LeanRequest(aiohttp.ClientRequest):
+    """Request whose body is written at once, without a task of its own.
 
     From Python 3.12 on, aiohttp itself writes a small body at once.
     """
@@ -68,45 +68,68 @@
         )
 
 
-async def post(
+async def send(
     session: aiohttp.ClientSession,
+    method: str,
     url: yarl.URL,
-    body: bytes,
+    body: bytes | None,
     headers: Mapping[str, str] | None,
     timeout: aiohttp.ClientTimeout,
 ) -> tuple[int, bytes]:
     """Sends a request and returns the status and the body of its response.
 
     The whole call is limited by `timeout.total`, and connecting by
-    `timeout.sock_connect`.
+    `timeout.sock_connect`. As with a session, a GET request whose connection
+    ends without an answer is repeated once: the server may have closed a
+    connection that was idle.
 
     Raises:
         aiohttp.ConnectionTimeoutError: no connection was established in time.
         TimeoutError: no complete response arrived in time.
         aiohttp.ClientError, OSError: any other failure.
     """
-    connector = session.connector
-    if connector is None:
-        raise aiohttp.ClientConnectionError("the session is closed")
     async with asyncio.timeout(timeout.total):
-        request = PostRequest(
-            hdrs.METH_POST,
-            url,
-            data=body,
-            headers=headers,
-            loop=asyncio.get_running_loop(),
-            session=session,
-        )
+        arguments = (session, method, url, body, headers, timeout)
         try:
-            connection = await connector.connect(request, [], timeout)
-        except TimeoutError as error:
-            raise aiohttp.ConnectionTimeoutError(f"{url}") from error
-        response = await _exchange(request, connection)
+            response = await _attempt(*arguments)
+        except aiohttp.ClientConnectorError:
+            raise
+        except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError):
+            if method != hdrs.METH_GET:
+                raise
+            response = await _attempt(*arguments)
         return response.status, await response.read()
 
 
+async def _attempt(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: yarl.URL,
+    body: bytes | None,
+    headers: Mapping[str, str] | None,
+    timeout: aiohttp.ClientTimeout,
+) -> aiohttp.ClientResponse:
+    """Sends a request once; returns the response without its body."""
+    connector = session.connector
+    if connector is None:
+        raise aiohttp.ClientConnectionError("the session is closed")
+    request = LeanRequest(
+        method,
+        url,
+        data=body,
+        headers=headers,
+        loop=asyncio.get_running_loop(),
+        session=session,
+    )
+    try:
+        connection = await connector.connect(request, [], timeout)
+    except TimeoutError as error:
+        raise aiohttp.ConnectionTimeoutError(f"{url}") from error
+    return await _exchange(request, connection)
+
+
 async def _exchange(
-    request: PostRequest, connection: connector_lib.Connection
+    request: LeanRequest, connection: connector_lib.Connection
 ) -> aiohttp.ClientResponse:
     """Sends the request; returns the response once its headers are read."""
     response = None
--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -112,7 +112,9 @@
         if wait_s > 0:
             query["wait_ms"] = str(int(wait_s * 1000))
         url = f"http://{self._address}/-/log-read?{parse.urlencode(query)}"
-        answer = await self._call("GET", url, wait_s + _ANSWER_TIMEOUT_S)
+        answer = await self._call(
+            "GET", http_client.parse_url(url), wait_s + _ANSWER_TIMEOUT_S
+        )
         if answer.status == _GONE:
             return interfaces.StreamPage((), offset, offset, is_expired=True)
         if answer.status != _OK:
--- a/foxtaillock/platform/tests/test_http_client.py
+++ b/foxtaillock/platform/tests/test_http_client.py
@@ -88,11 +88,13 @@
         self.client = http_client.PlatformHttpClient(2)
         self.addAsyncCleanup(self.client.close)
 
-    async def _post(self) -> http_client.HttpResponse:
+    async def _post(
+        self, timeout_s: float = _TIMEOUT_S
+    ) -> http_client.HttpResponse:
         return await self.client.request(
             "POST",
             http_client.parse_url(f"http://{self.address}/-/run-start"),
-            _TIMEOUT_S,
+            timeout_s,
             body=b'{"run":1}',
             headers={
                 "Content-Type": "application/json",
@@ -209,11 +211,14 @@
 
     async def test_order_that_waits_for_a_connection_times_out(self) -> None:
         self.server.answer = b""
-        orders = [asyncio.ensure_future(self._post()) for _ in range(3)]
-        results = await asyncio.gather(*orders, return_exceptions=True)
-        for result in results:
-            self.assertIsInstance(result, http_client.NoAnswerError)
+        first = [asyncio.ensure_future(self._post(_WAIT_S)) for _ in range(2)]
+        await self._until(lambda: len(self.server.requests) > 1)
+        with self.assertRaises(http_client.NoAnswerError):
+            await self._post()
         self.assertEqual(len(self.server.requests), 2)
+        for order in first:
+            order.cancel()
+        await asyncio.gather(*first, return_exceptions=True)
 
     async def test_read_is_repeated_once(self) -> None:
         self.server.dropped = frozenset((2, 4, 5))
