--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -21,6 +21,7 @@
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
 from foxtaillock.batch import tickets
+from foxtaillock.batch import usable_workers
 from foxtaillock.batch import vm_coordinator
 from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers as batch_workers
@@ -77,6 +78,9 @@
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self._slow_runs = slow_runs.SlowRuns(self._state)
+        self._usable = usable_workers.UsableWorkers(
+            self._state, self._slow_runs
+        )
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -149,6 +153,7 @@
             if step is not None:
                 step.restore(each)
                 self._state.adopt(job, step, now_s)
+                job.dependencies_changed(each.step_id.occurrence)
         for step in job.steps.values():
             if step.waiting:
                 self._state.waiting[step.step_id] = step
@@ -224,12 +229,14 @@
         for worker in list(self._state.workers.values()):
             if worker.tasks and now_s >= worker.leases_expire_s():
                 self._state.expire_lease(worker, now_s)
-            self._state.remove_if_unused(worker)
-            for task in list(worker.tasks.values()):
-                if _is_stop_due(task, now_s):
+            if not worker.tasks:
+                self._state.remove_if_unused(worker)
+                continue
+            for task in worker.tasks.values():
+                if task.is_stopping and _is_stop_due(task, now_s):
                     self._state.order_stop(worker, task, now_s)
             self._slow_runs.stop_crawling(worker, now_s)
-        for job_id, (ended_s, job) in list(self._state.finished_jobs.items()):
+        for job_id, (ended_s, job) in self._state.finished_jobs.items():
             if now_s - ended_s >= _JOB_RETENTION_S and not any(
                 job.active_tasks()
             ):
@@ -250,14 +257,13 @@
         """
         self._state.needs_plan = False
         self._planned_s = now_s
-        candidates = [
-            candidate
-            for step in list(self._state.waiting.values())
-            if (candidate := self._state.candidate(step, now_s)) is not None
-        ]
+        candidates = self._state.candidates(now_s)
         if not candidates:
             return
-        by_pool = self._usable_by_pool(now_s)
+        by_pool = {
+            pool: self._usable.find(pool, now_s, least_millis)
+            for pool, least_millis in _least_millis(candidates).items()
+        }
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         exhausted: set[tuple[str, resources.Resources, str]] = set()
         starts = 0
@@ -272,7 +278,7 @@
                 continue
             chosen = placement.assign(
                 candidate,
-                by_pool.get(pool, []),
+                by_pool[pool],
                 usage,
                 self._eligibility(candidate, now_s),
             )
@@ -286,16 +292,17 @@
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
-        by_pool = self._usable_by_pool(now_s)
+        worker_ids: dict[str, list[str]] = {}
         requests = []
-        for step in list(self._state.waiting.values()):
-            candidate = self._state.candidate(step, now_s)
-            if candidate is None or not candidate.queue.is_advised:
+        for candidate in self._state.candidates(now_s):
+            if not candidate.queue.is_advised:
                 continue
-            pool = by_pool.get(candidate.queue.pool, [])
-            worker_ids = [worker.worker_id for worker in pool]
+            pool = candidate.queue.pool
+            if pool not in worker_ids:
+                usable = self._usable.find(pool, now_s)
+                worker_ids[pool] = [worker.worker_id for worker in usable]
             request = self._state.tickets.due_request(
-                step.step_id, worker_ids, now_s
+                candidate.step.step_id, worker_ids[pool], now_s
             )
             if request is not None:
                 requests.append(request)
@@ -539,28 +546,22 @@
             ),
         )
 
-    def _usable_by_pool(
-        self, now_s: float
-    ) -> dict[str, list[batch_workers.Worker]]:
-        by_pool: dict[str, list[batch_workers.Worker]] = {}
-        for worker in self._state.workers.values():
-            pool = self._state.pools.get(worker.entry.pool)
-            if pool is None or pool.is_spare:
-                continue
-            is_allowed = self._state.quarantine.is_allowed(
-                worker.worker_id, now_s
-            )
-            if worker.is_usable(now_s) and is_allowed:
-                by_pool.setdefault(pool.name, []).append(worker)
-        return {
-            pool: self._slow_runs.without_slow(usable, now_s)
-            for pool, usable in by_pool.items()
-        }
+
+def _least_millis(
+    candidates: Iterable[placement.Candidate],
+) -> dict[str, int]:
+    """Returns, for each pool, the least processor time that a task needs."""
+    least_millis: dict[str, int] = {}
+    for candidate in candidates:
+        pool = candidate.queue.pool
+        millis = candidate.step.spec.held_size.cpu_millis
+        least_millis[pool] = min(millis, least_millis.get(pool, millis))
+    return least_millis
 
 
 def _is_stop_due(task: tasks.Task, now_s: float) -> bool:
+    """Returns whether the stop order of a task is due to be repeated."""
     return (
-        task.is_stopping
-        and task.phase is not tasks.TaskPhase.RECORDING
+        task.phase is not tasks.TaskPhase.RECORDING
         and now_s - task.changed_s >= _STOP_RETRY_S
     )
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -10,6 +10,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
+from foxtaillock.batch import pool_members
 from foxtaillock.batch import quarantine
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
@@ -42,6 +43,7 @@
         now_s: time of the latest tick.
         jobs: jobs by id, including finished jobs within their retention time.
         workers: workers by id.
+        pool_members: workers by pool.
         queues: queues by name, including withdrawn ones, whose accepted jobs
             keep running.
         pools: pools by name.
@@ -82,6 +84,7 @@
         self.log = log
         self.jobs: dict[str, tasks.Job] = {}
         self.workers: dict[str, workers.Worker] = {}
+        self.pool_members = pool_members.PoolMembers(self.workers)
         self.queues: dict[str, model.Queue] = {}
         self.pools: Mapping[str, model.Pool] = {}
         self.teams: Mapping[str, model.Team] = {}
@@ -127,6 +130,8 @@
                 )
             if known.entry.pool != entry.pool or not known.is_registered:
                 self.log_worker(known, "worker-listed", pool=entry.pool)
+            if known.entry.pool != entry.pool:
+                self.pool_members.invalidate()
             known.update_entry(entry, now_s)
         self.needs_plan = True
 
@@ -144,6 +149,7 @@
         worker = workers.Worker(entry, self.prior_leases_end_s)
         worker.update_entry(entry, now_s)
         self.workers[entry.worker_id] = worker
+        self.pool_members.invalidate()
         self.log_worker(worker, "worker-new", pool=entry.pool)
         orphans = self.orphans.pop(entry.worker_id, {})
         for task in orphans.values():
@@ -175,18 +181,23 @@
             for task in by_task.values():
                 self.lose_run(task, now_s, "its worker never registered")
 
+    def candidates(self, now_s: float) -> list[placement.Candidate]:
+        """Returns the waiting steps that are ready, in a stable order."""
+        return [
+            candidate
+            for step in self.waiting.values()
+            if not step.is_blocked
+            and (candidate := self.candidate(step, now_s)) is not None
+        ]
+
     def candidate(
         self, step: tasks.Step, now_s: float
     ) -> placement.Candidate | None:
         """Returns a step as a candidate for placement; None if not ready."""
         job = self.jobs.get(step.step_id.job_id)
-        if job is None or job.is_finished or not job.is_ready(step, now_s):
-            return None
-        queue = self.queues.get(job.spec.queue)
-        if queue is None:
-            return None
-        if step.spec.is_gang and len(step.waiting) < len(step.tasks):
+        if job is None or not self.is_placeable(job, step, now_s):
             return None
+        queue = self.queues[job.spec.queue]
         if step.ready_s is None:
             step.ready_s = now_s
         due_s = max(step.due_s, job.accepted_s)
@@ -199,6 +210,16 @@
             _remaining_ms(job, step) / 1000,
         )
 
+    def is_placeable(
+        self, job: tasks.Job, step: tasks.Step, now_s: float
+    ) -> bool:
+        """Returns whether a step is a candidate for placement."""
+        if job.is_finished or not job.is_ready(step, now_s):
+            return False
+        if job.spec.queue not in self.queues:
+            return False
+        return not step.spec.is_gang or len(step.waiting) == len(step.tasks)
+
     def complete_task(
         self, task: tasks.Task, step: tasks.Step, now_s: float
     ) -> None:
@@ -216,6 +237,8 @@
             self.waiting.pop(step.step_id, None)
         self.dirty[step.step_id] = step
         job = self.jobs[step.step_id.job_id]
+        if step.is_done:
+            job.dependencies_changed(step.step_id.occurrence)
         self.needs_plan = True
         self.check_completion(job, now_s)
 
@@ -234,6 +257,7 @@
             self.lose_run(task, now_s, reason)
         if self.workers.get(worker.worker_id) is worker:
             del self.workers[worker.worker_id]
+            self.pool_members.invalidate()
         self.recorded_ends.pop(worker.worker_id, None)
         self.needs_plan = True
 
@@ -241,6 +265,7 @@
         """Removes a worker that is unregistered and runs nothing."""
         if not worker.is_registered and not worker.tasks:
             self.workers.pop(worker.worker_id, None)
+            self.pool_members.invalidate()
             self.recorded_ends.pop(worker.worker_id, None)
 
     def lose_run(self, task: tasks.Task, now_s: float, reason: str) -> None:
--- a/foxtaillock/platform/worker_client.py
+++ b/foxtaillock/platform/worker_client.py
@@ -1,8 +1,10 @@
 """Client of the platform's workers."""
 
+import functools
 import typing
 
 import msgspec
+import yarl
 
 from foxtaillock import exceptions
 from foxtaillock.batch import interfaces
@@ -17,6 +19,11 @@
 # the worker is polled.
 _ANSWER_TIMEOUT_S = 0.8
 
+# URLs of the latest calls; a worker has up to four.
+_MAX_CACHED_URLS = 4_096
+
+_MAX_CACHED_TASKS = 8_192
+
 _OK, _CONFLICT, _MISDIRECTED = 200, 409, 421
 
 # With these statuses, a worker has done nothing. Any other status leaves the
@@ -72,6 +79,11 @@
     born: typing.NotRequired[json_codec.Count]
 
 
+# A worker lists a run at each poll, from its start to its end.
+_parse_task_id = functools.lru_cache(maxsize=_MAX_CACHED_TASKS)(
+    model.parse_task_id
+)
+
 _order_decoder = json_codec.Decoder(_OrderAnswer)
 _lists_decoder = json_codec.Decoder(_Lists)
 
@@ -181,12 +193,11 @@
         "Content-Type": "application/json",
         "X-Expect-Instance": worker.worker_id,
     }
-    url = f"http://{worker.address}/-/{name}"
     encoded = msgspec.json.encode(body)
     try:
         return await client.request(
             "POST",
-            url,
+            _url(worker.address, name),
             wait_s + _ANSWER_TIMEOUT_S,
             body=encoded,
             headers=headers,
@@ -195,6 +206,11 @@
         return None
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_URLS)
+def _url(address: str, name: str) -> str | yarl.URL:
+    return http_client.parse_url(f"http://{address}/-/{name}")
+
+
 def _decode_order_answer(
     answer: http_client.HttpResponse | None,
 ) -> interfaces.OrderAnswer:
@@ -225,7 +241,7 @@
 def _decode_lists(lists: _Lists) -> interfaces.WorkerLists:
     running = []
     for active in lists["running"]:
-        task = model.parse_task_id(active.task)
+        task = _parse_task_id(active.task)
         if task is not None:
             running.append(
                 interfaces.ActiveRun(
@@ -238,7 +254,7 @@
             )
     ended = []
     for end in lists["ended"]:
-        task = model.parse_task_id(end.task)
+        task = _parse_task_id(end.task)
         kind = _END_KINDS_BY_NAME.get(end.kind, model.EndKind.FAILED)
         if task is not None:
             ended.append(
