A move or maintenance without an answer withheld its worker for good

When the platform did not answer an order for a VM (a slow store, lost answers), the owner kept the order as pending for the rest of the ownership: its worker got no new task, its persistent tasks were moved away, and it counted against the wave's limit, so a wave with a limit of one never went on. With several such VMs a pool has room that no waiting job gets, which is one of the ways to lose a job.

Cause: an order without an answer stays pending, since it may have been carried out, and only an answer settles it; but nothing asked for one.

Evidence: test_order_without_an_answer_withholds_its_worker_for_good and test_move_without_an_answer_is_never_settled fail on (no second order).

The change: such an order is recorded and sent again every half a second until it is accepted; the platform accepts one that is done already. A refusal of a repeat settles nothing, since the platform refuses orders for a VM that is busy with the first one. The worker stays withheld meanwhile, so that a late execution interrupts no new task. A VM that is no longer listed is dropped.

--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -101,6 +101,8 @@
     order: VmOrder
     sent_s: float
     is_done: bool = False
+    is_repeat: bool = False
+    is_unanswered: bool = False
 
 
 class Fleet:
@@ -214,7 +216,8 @@
             row = self._vms.get(vm)
             is_back = row is None or _is_in_service(row, self._spare_pool)
             is_shown = sent_s - pending.sent_s > _LIST_LAG_S
-            if pending.is_done and is_back and is_shown:
+            is_settled = pending.is_done or row is None
+            if is_settled and is_back and is_shown:
                 del self._pending[vm]
         for vm in list(self._cordoned_vms):
             if vm not in self._vms:
@@ -237,13 +240,32 @@
                 self._waves[order.wave].begun.add(order.vm)
             return True
         self._not_before_s[order.vm] = now_s + _RETRY_INTERVAL_S
-        if outcome is interfaces.VmOrderOutcome.UNKNOWN:
+        is_unknown = outcome is interfaces.VmOrderOutcome.UNKNOWN
+        if pending is not None and (is_unknown or pending.is_repeat):
             # The order may have been carried out, so it stays pending, and the
-            # VM counts as unavailable.
+            # VM counts as unavailable, until a repeat of it is answered: the
+            # platform refuses it while the VM is busy with the first one.
+            pending.is_unanswered = True
             return False
         self._pending.pop(order.vm, None)
         return False
 
+    def next_repeats(self, now_s: float) -> list[VmOrder]:
+        """Returns the unanswered orders that have to be sent again.
+
+        The platform accepts an order that was carried out before.
+        """
+        due = [
+            pending
+            for vm, pending in self._pending.items()
+            if pending.is_unanswered and now_s >= self._not_before_s[vm]
+        ]
+        for pending in due:
+            pending.is_unanswered = False
+            pending.is_repeat = True
+            pending.sent_s = now_s
+        return [pending.order for pending in due]
+
     def completed_waves(self) -> list[int]:
         """Returns the waves that became complete since the last call."""
         done = []
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -106,6 +106,28 @@
         self.fleet.update_vms(self.rows, "spare", 63.0)
         self.assertEqual(len(self._next_vms(uses, 63.1)), 0)
 
+    def test_order_without_an_answer_withholds_its_worker_for_good(
+        self,
+    ) -> None:
+        """A repeat settles it, also one refused while the VM is busy."""
+        uses = {row.vm: _IDLE for row in self.rows}
+        (order,) = self.fleet.next_maintenance(uses, self.loads, 10.0)
+        unknown = interfaces.VmOrderOutcome.UNKNOWN
+        refused = interfaces.VmOrderOutcome.REFUSED
+        now_s = 11.0
+        for outcome in (unknown, refused, unknown):
+            self.fleet.order_answered(order, outcome, now_s)
+            self.assertEqual(self.fleet.next_repeats(now_s), [])
+            now_s += 0.6
+            self.fleet.update_vms(self.rows, "spare", now_s)
+            self.assertEqual(self.fleet.cordoned_workers, {order.worker_id})
+            self.assertEqual(self.fleet.next_repeats(now_s), [order])
+            self.assertEqual(self.fleet.next_repeats(now_s), [])
+        self.assertTrue(self.fleet.order_answered(order, _DONE, now_s))
+        self.fleet.update_vms(self.rows, "spare", now_s + 3.0)
+        self.assertEqual(self.fleet.cordoned_workers, set())
+        self.assertEqual(self.fleet.begun(1), (order.vm,))
+
     def test_new_owner_counts_the_orders_of_an_earlier_one(self) -> None:
         """Counts `m0`, which is held, and `m1`, whose maintenance has begun."""
         new_owner = fleet.Fleet()
--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/tests/test_vm_order_controller.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.sent: list[str] = []
+        self.outcome = interfaces.VmOrderOutcome.DONE
 
     async def list_vms(self) -> list[interfaces.VmStatus]:
         """Returns the spare VMs."""
@@ -42,7 +43,7 @@
         """Records an order to move a VM."""
         del pool, epoch
         self.sent.append(vm)
-        return interfaces.VmOrderOutcome.DONE
+        return self.outcome
 
     async def maintain(
         self, vm: str, wave: int, epoch: int
@@ -50,7 +51,7 @@
         """Records an order to maintain a VM."""
         del wave, epoch
         self.sent.append(vm)
-        return interfaces.VmOrderOutcome.DONE
+        return self.outcome
 
 
 class VmOrderControllerTest(unittest.IsolatedAsyncioTestCase):
@@ -94,6 +95,23 @@
         await asyncio.sleep(0.05)
         self.assertEqual(sorted(self.fleet.sent), list(_VMS))
 
+    async def test_move_without_an_answer_is_never_settled(self) -> None:
+        """It is recorded and sent again until it is answered."""
+        self.fleet.outcome = interfaces.VmOrderOutcome.UNKNOWN
+        controller = await self._start_controller()
+        controller.take_orders()
+        controller.orders_recorded()
+        await asyncio.sleep(0.05)
+        self.fleet.outcome = interfaces.VmOrderOutcome.DONE
+        self.clock.now_s += 0.6
+        self.confirmed_s = self.clock.now_s
+        await asyncio.sleep(0.5)
+        self.assertTrue(controller.has_orders)
+        controller.take_orders()
+        controller.orders_recorded()
+        await asyncio.sleep(0.05)
+        self.assertEqual(sorted(self.fleet.sent), sorted(2 * _VMS))
+
     async def test_suspended_owner_sends_no_order(self) -> None:
         controller = await self._start_controller()
         controller.take_orders()
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -157,7 +157,8 @@
         if not self._is_confirmed():
             return
         uses = self._vm_uses(now_s)
-        due = self._fleet.next_maintenance(uses, loads, now_s)
+        due = self._fleet.next_repeats(now_s)
+        due += self._fleet.next_maintenance(uses, loads, now_s)
         due += self._fleet.next_moves(uses, loads, now_s)
         self._engine.vms.set_cordoned(
             self._fleet.cordoned_workers, self._fleet.maintenance_due_workers
