A step that doesn't fit blocked other steps of the same size

A job had nothing at work although the pool was empty, as long as another job of the same team asked for tasks of the same size with a label that no worker has, or as a gang that didn't fit as a whole.

Cause: a plan remembers the sizes of which no task fits, so that it doesn't try each step of an overloaded pool. It noted a size also when the step failed for a reason of its own: its label, or because a gang is placed whole or not at all.

Ruled out: limits on tasks per worker and advised queues were left out already; a team at its limit is part of the key.

The change: the label is part of what is remembered, and a gang notes nothing. Steps with a label are now skipped too once one of their label didn't fit.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -246,12 +246,14 @@
             return
         by_pool = self._usable_by_pool(now_s)
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
-        exhausted: set[tuple[str, resources.Resources, str]] = set()
+        # Sizes, for each pool, team and label, of which no task fits any more.
+        exhausted: set[tuple[str, resources.Resources, str, str]] = set()
         for candidate in placement.prioritize(candidates, now_s):
             pool = candidate.queue.pool
             spec = candidate.step.spec
-            shape = (pool, spec.held_size, candidate.job.spec.team)
-            if shape in exhausted and not spec.label:
+            team = candidate.job.spec.team
+            shape = (pool, spec.held_size, team, spec.label)
+            if shape in exhausted:
                 continue
             chosen = placement.assign(
                 candidate,
@@ -259,8 +261,10 @@
                 usage,
                 self._eligibility(candidate, now_s),
             )
-            is_unconstrained = (
-                not spec.max_per_worker and not candidate.queue.is_advised
+            is_unconstrained = not (
+                spec.max_per_worker
+                or spec.is_gang
+                or candidate.queue.is_advised
             )
             if not chosen and is_unconstrained:
                 exhausted.add(shape)
