Reserve workers for persistent tasks that starve in a full pool

What callers saw: an accepted job counts as lost when one of its persistent tasks is away for longer than 6 s, however full the pool is.

Cause: a plan tries persistent tasks first, but what doesn't fit now is skipped, and each bit of room that frees up goes to small batch tasks at once. A task that needs the room of several others never finds it on one worker. Fillers wait in the same way for memory, and come last besides.

Ruled out: the order of the steps (persistent ones come first already).

Evidence: FullPoolTest on eight workers of 16 processors and 64 GiB, under batch tasks of 3 to 8 GiB without end.

The change: Reservations keeps a worker free of other new tasks for each persistent task that has waited for 1 s: the worker whose runs are expected to leave enough room first. At most a quarter of a pool's usable workers; none for a team at its limit. A reservation ends with the wait, or when its worker can't have the room any more. The expected time has a naive version in its test.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
@@ -15,6 +16,7 @@
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
 from foxtaillock.batch import records
+from foxtaillock.batch import reservations
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
@@ -75,6 +77,7 @@
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self._slow_runs = slow_runs.SlowRuns(self._state)
+        self._reservations = reservations.Reservations(self._state)
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -245,6 +248,7 @@
         if not candidates:
             return
         by_pool = self._usable_by_pool(now_s)
+        self._reservations.drop_settled()
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         # Sizes, for each pool, team and label, of which no task fits any more.
         exhausted: set[tuple[str, resources.Resources, str, str]] = set()
@@ -253,27 +257,19 @@
             spec = candidate.step.spec
             team = candidate.job.spec.team
             shape = (pool, spec.held_size, team, spec.label)
-            if shape in exhausted:
+            is_holder = self._reservations.is_holder(candidate.step.step_id)
+            if shape in exhausted and not is_holder:
                 continue
-            chosen = placement.assign(
-                candidate,
-                by_pool.get(pool, []),
-                usage,
-                self._eligibility(candidate, now_s),
+            is_placed = self._place_step(
+                candidate, by_pool.get(pool, []), usage, now_s
             )
             is_unconstrained = not (
                 spec.max_per_worker
                 or spec.is_gang
                 or candidate.queue.is_advised
             )
-            if not chosen and is_unconstrained:
+            if not is_placed and is_unconstrained:
                 exhausted.add(shape)
-            if spec.is_gang and chosen:
-                run = max(task.run for task in candidate.step.tasks)
-                for each in chosen:
-                    each.task.run = run
-            for each in chosen:
-                self._place(candidate, each, now_s)
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
@@ -481,6 +477,33 @@
             ticket_cache.find(step_id, worker.worker_id, now_s) is not None
         )
 
+    def _place_step(
+        self,
+        candidate: placement.Candidate,
+        pool_workers: Sequence[batch_workers.Worker],
+        usage: placement.TeamUsage,
+        now_s: float,
+    ) -> bool:
+        """Places the tasks of a step that fit; returns whether any did."""
+        step = candidate.step
+        is_eligible = self._eligibility(candidate, now_s)
+        chosen = placement.assign(
+            candidate,
+            self._reservations.open_to(step.step_id, pool_workers),
+            usage,
+            is_eligible,
+        )
+        if step.spec.is_gang and chosen:
+            run = max(task.run for task in step.tasks)
+            for each in chosen:
+                each.task.run = run
+        for each in chosen:
+            self._place(candidate, each, now_s)
+        self._reservations.update(
+            candidate, pool_workers, is_eligible, usage, now_s
+        )
+        return bool(chosen)
+
     def _place(
         self,
         candidate: placement.Candidate,
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -16,7 +16,14 @@
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
-__all__ = ["Candidate", "Placement", "TeamUsage", "assign", "prioritize"]
+__all__ = [
+    "Candidate",
+    "Placement",
+    "TeamUsage",
+    "assign",
+    "may_run",
+    "prioritize",
+]
 
 
 # Part of a job's value that does not depend on its size: a submitter waits for
@@ -166,6 +173,15 @@
     return placements
 
 
+def may_run(step: tasks.Step, worker: workers.Worker) -> bool:
+    """Returns whether a worker with enough room may run a task of a step."""
+    spec = step.spec
+    if spec.label and spec.label not in worker.entry.labels:
+        return False
+    used = _count_per_worker(step, [worker]).get(worker.worker_id, 0)
+    return not spec.max_per_worker or used < spec.max_per_worker
+
+
 def _rank(candidate: Candidate, now_s: float) -> tuple[float, ...]:
     spec = candidate.step.spec
     if spec.is_filler:
--- /dev/null
+++ b/foxtaillock/batch/reservations.py
@@ -0,0 +1,227 @@
+"""Reserves workers for tasks that need more room than frees up at a time.
+
+In a full pool, each task that ends leaves room for one of its size, which the
+next small task takes. A task that needs the room of several others would wait
+for as long as there are small ones. So a worker is kept free of other new tasks
+until that task fits: the one that is expected to have the room first.
+"""
+
+import math
+import typing
+from collections.abc import Callable
+from collections.abc import Container
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
+from foxtaillock.batch import placement
+from foxtaillock.batch import tasks
+from foxtaillock.batch import workers
+from foxtaillock.model import resources
+
+__all__ = ["Release", "Reservations", "room_expected_s"]
+
+# Persistent tasks have to run again within 6 s. The longest batch tasks that a
+# reserved worker may still run take about 4 s.
+_PERSISTENT_PATIENCE_S = 1.0
+
+# Reserved workers do less work meanwhile, so at most this fraction of a pool's
+# usable workers is reserved.
+_MAX_RESERVED_FRACTION = 0.25
+
+# A run that exceeds its estimate is expected to take this fraction of its
+# elapsed time longer.
+_OVERRUN_FRACTION = 0.25
+
+# Expected time until a run that is being stopped has ended.
+_STOP_S = 0.2
+
+
+class Release(typing.NamedTuple):
+    """Resources that a run is expected to release."""
+
+    at_s: float
+    size: resources.Resources
+
+
+class Reservations:
+    """Workers that are reserved for the waiting tasks of steps.
+
+    Args:
+        state: jobs and workers of the owner.
+    """
+
+    def __init__(self, state: owner_state.OwnerState) -> None:
+        self._state = state
+        self._holders: dict[str, model.StepId] = {}
+
+    def is_holder(self, step_id: model.StepId) -> bool:
+        """Returns whether a worker is reserved for a step."""
+        return step_id in self._holders.values()
+
+    def open_to(
+        self,
+        step_id: model.StepId,
+        pool_workers: Sequence[workers.Worker],
+    ) -> Sequence[workers.Worker]:
+        """Returns the workers that are not reserved for other steps."""
+        if not self._holders:
+            return pool_workers
+        return [
+            worker
+            for worker in pool_workers
+            if self._holders.get(worker.worker_id, step_id) == step_id
+        ]
+
+    def drop_settled(self) -> None:
+        """Drops reservations of steps that wait no more."""
+        for worker_id, step_id in list(self._holders.items()):
+            worker = self._state.workers.get(worker_id)
+            if step_id not in self._state.waiting or worker is None:
+                self._drop(worker_id, "settled")
+
+    def update(
+        self,
+        candidate: placement.Candidate,
+        pool_workers: Sequence[workers.Worker],
+        is_eligible: Callable[[workers.Worker], bool],
+        usage: placement.TeamUsage,
+        now_s: float,
+    ) -> None:
+        """Reserves workers for a step's tasks that did not fit.
+
+        Args:
+            candidate: the step.
+            pool_workers: usable workers of the step's pool.
+            is_eligible: returns whether a worker may run tasks of this step.
+            usage: resources in use by the teams.
+            now_s: current time.
+        """
+        step = candidate.step
+        overdue = _overdue_count(step, now_s)
+        if not usage.allows(candidate.job.spec.team, step.spec.size):
+            overdue = 0
+        if not overdue and not self.is_holder(step.step_id):
+            return
+        expected_s = {
+            worker.worker_id: room_s
+            for worker in pool_workers
+            if is_eligible(worker)
+            and placement.may_run(step, worker)
+            and (room_s := self._room_expected_s(step, worker, now_s))
+            is not None
+        }
+        self._drop_unneeded(step.step_id, expected_s, overdue)
+        reserved = sum(
+            worker.worker_id in self._holders for worker in pool_workers
+        )
+        limit = math.ceil(_MAX_RESERVED_FRACTION * len(pool_workers))
+        missing = overdue - len(self._reserved_for(step.step_id))
+        soonest = sorted(
+            (room_s, worker_id)
+            for worker_id, room_s in expected_s.items()
+            if worker_id not in self._holders
+        )
+        for room_s, worker_id in soonest[
+            : max(0, min(missing, limit - reserved))
+        ]:
+            self._holders[worker_id] = step.step_id
+            self._state.log(
+                "worker-reserved",
+                worker=worker_id,
+                step=step.step_id,
+                waiting=len(step.waiting),
+                expected_s=round(room_s - now_s, 2),
+            )
+
+    def _drop_unneeded(
+        self, step_id: model.StepId, usable: Container[str], count: int
+    ) -> None:
+        """Keeps at most `count` usable workers reserved for a step."""
+        for worker_id in self._reserved_for(step_id):
+            if worker_id not in usable:
+                self._drop(worker_id, "unusable")
+        for worker_id in self._reserved_for(step_id)[count:]:
+            self._drop(worker_id, "not needed")
+
+    def _room_expected_s(
+        self, step: tasks.Step, worker: workers.Worker, now_s: float
+    ) -> float | None:
+        """Returns when a worker is expected to have room; None for never."""
+        return room_expected_s(
+            worker.free,
+            self._releases(worker, now_s),
+            step.spec.held_size,
+            now_s,
+        )
+
+    def _reserved_for(self, step_id: model.StepId) -> list[str]:
+        return [
+            worker_id
+            for worker_id, holder in self._holders.items()
+            if holder == step_id
+        ]
+
+    def _drop(self, worker_id: str, reason: str) -> None:
+        step_id = self._holders.pop(worker_id)
+        self._state.log(
+            "reservation-over", worker=worker_id, step=step_id, reason=reason
+        )
+
+    def _releases(
+        self, worker: workers.Worker, now_s: float
+    ) -> Iterable[Release]:
+        """Returns what the runs on a worker are expected to release."""
+        for task in worker.tasks.values():
+            step = self._state.step_of(task)
+            if task.is_stopping:
+                yield Release(now_s + _STOP_S, step.spec.held_size)
+            elif not step.spec.is_persistent:
+                yield Release(
+                    _expected_end_s(task, step, now_s), step.spec.held_size
+                )
+
+
+def room_expected_s(
+    free: resources.Resources,
+    releases: Iterable[Release],
+    size: resources.Resources,
+    now_s: float,
+) -> float | None:
+    """Returns when a worker without new tasks is expected to have room.
+
+    Returns None if it will not have it. Cost: O(n log n) for n releases.
+
+    Example:
+        >>> one = resources.Resources(1000, 0, 0)
+        >>> releases = [Release(12.0, one), Release(11.0, one)]
+        >>> room_expected_s(resources.ZERO, releases, one, 10.0)
+        11.0
+    """
+    if resources.fits(size, free):
+        return now_s
+    for release in sorted(releases, key=lambda each: each.at_s):
+        free = resources.add(free, release.size)
+        if resources.fits(size, free):
+            return release.at_s
+    return None
+
+
+def _expected_end_s(task: tasks.Task, step: tasks.Step, now_s: float) -> float:
+    began_s = now_s if task.began_s is None else task.began_s
+    expected_s = step.typical_s or step.spec.estimate_ms / 1000
+    overrun_s = _OVERRUN_FRACTION * (now_s - began_s)
+    return max(began_s + expected_s, now_s + overrun_s)
+
+
+def _overdue_count(step: tasks.Step, now_s: float) -> int:
+    """Returns how many tasks of a step have waited for too long."""
+    if not step.spec.is_persistent or step.spec.is_gang:
+        return 0
+    ready_s = now_s if step.ready_s is None else step.ready_s
+    return sum(
+        now_s - max(ready_s, step.tasks[number].changed_s)
+        >= _PERSISTENT_PATIENCE_S
+        for number in step.waiting
+    )
--- a/foxtaillock/batch/tests/test_starvation.py
+++ b/foxtaillock/batch/tests/test_starvation.py
@@ -1,12 +1,26 @@
 """Tests that no waiting task is passed over for ever."""
 
+import itertools
+import random
+import typing
 import unittest
 
 from foxtaillock.batch import engine as engines
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import plans
+from foxtaillock.batch import reservations
+from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
+from foxtaillock.model import resources
 
 _FIRST = "00000000000000aa"
 _SECOND = "00000000000000bb"
+_WORKERS = 8
+_TICK_S = 0.1
+
+# A persistent task has to run again within this time, however full the pool is.
+_PERSISTENT_LIMIT_S = 6.0
 
 
 class SameSizeTest(unittest.TestCase):
@@ -34,3 +48,272 @@
             spec = spec._replace(accepted_ms=accepted_ms)
             engine.submit(spec, (), 10.0, 10_000)
         self.assertEqual(self._placed_jobs(engine), {_SECOND})
+
+
+def _size(cpu_millis: int, gib: float) -> resources.Resources:
+    return resources.Resources(cpu_millis, int(gib * builders.GIB), 0)
+
+
+class _Pool:
+    """Workers that carry out all orders, under small jobs without end.
+
+    Attributes:
+        now_s: current time.
+        done: number of tasks that were completed.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._ids = (f"{number:016x}" for number in itertools.count(1000))
+        entries = [
+            builders.entry(str(number), cpu=16_000)
+            for number in range(_WORKERS)
+        ]
+        self.engine = builders.create_engine(*entries)
+        self._runs: dict[str, dict[model.TaskId, tuple[int, float]]] = {
+            entry.worker_id: {} for entry in entries
+        }
+        self._ends = dict.fromkeys(self._runs, 0)
+        self.now_s = 10.0
+        self.done = 0
+
+    def submit(self, job_id: str, step: model.StepSpec) -> None:
+        """Submits a job with one step."""
+        now_ms = int(self.now_s * 1000)
+        spec = builders.job(job_id, step)._replace(accepted_ms=now_ms)
+        self.engine.submit(spec, (), self.now_s, now_ms)
+
+    def run(self, duration_s: float) -> None:
+        """Runs the pool for a while."""
+        until_s = self.now_s + duration_s
+        while self.now_s < until_s:
+            self._tick()
+
+    def active(self, job_id: str) -> int:
+        """Returns how many tasks of a job run."""
+        return sum(
+            task.job_id == job_id
+            for runs in self._runs.values()
+            for task in runs
+        )
+
+    def fail_all(self, job_id: str) -> None:
+        """Ends all runs of a job."""
+        for runs in self._runs.values():
+            for task, (run, _) in list(runs.items()):
+                if task.job_id == job_id:
+                    runs[task] = (run, self.now_s)
+
+    def _tick(self) -> None:
+        self.now_s += _TICK_S
+        while len(self._waiting_jobs()) < 30:
+            self._submit_small_job()
+        self.engine.tick(self.now_s)
+        for plan in builders.start_all(self.engine, self.now_s):
+            task = plan.task.task_id
+            step = self.engine.jobs[task.job_id].spec.steps[0]
+            ends_s = self.now_s + self._rng.uniform(0.5, 1.5)
+            if step.is_persistent:
+                ends_s = float("inf")
+            runs = self._runs[plan.worker.worker_id]
+            runs[task] = (plan.run, ends_s)
+        for worker_id in self._runs:
+            self._poll(worker_id)
+
+    def _waiting_jobs(self) -> list[str]:
+        return [
+            job_id
+            for job_id, job in self.engine.jobs.items()
+            if job.steps[0, 0].waiting and not job.is_finished
+        ]
+
+    def _submit_small_job(self) -> None:
+        cpu_millis = self._rng.randrange(800, 2200)
+        size = _size(cpu_millis, self._rng.uniform(3, 8))
+        self.submit(next(self._ids), model.StepSpec(8, size, 1000))
+
+    def _poll(self, worker_id: str) -> None:
+        worker = self.engine.workers[worker_id]
+        plan = self.engine.answers.poll_plan(worker, self.now_s)
+        if plan is None:
+            return
+        runs = self._runs[worker_id]
+        ended = []
+        for task, (run, ends_s) in list(runs.items()):
+            if ends_s > self.now_s:
+                continue
+            del runs[task]
+            self._ends[worker_id] += 1
+            self.done += 1
+            ended.append(
+                interfaces.EndedRun(
+                    self._ends[worker_id], task, run, model.EndKind.DONE, ""
+                )
+            )
+        running = [(task, run) for task, (run, _) in runs.items()]
+        self.engine.answers.poll_answered(
+            worker_id,
+            plan,
+            builders.lists(running, ended),
+            self.now_s + 0.01,
+            self.now_s + 0.02,
+        )
+
+
+class FullPoolTest(unittest.TestCase):
+    """Small batch tasks take each bit of room that frees up in a full pool."""
+
+    def test_persistent_tasks_starve_in_a_full_pool(self) -> None:
+        for seed in range(5):
+            for size in (_size(2400, 15), _size(2400, 30), _size(3600, 45)):
+                with self.subTest(seed=seed, size=size):
+                    pool = _Pool(seed)
+                    pool.run(2.0)
+                    pool.submit(
+                        _FIRST, model.StepSpec(3, size, is_persistent=True)
+                    )
+                    pool.run(_PERSISTENT_LIMIT_S)
+                    self.assertEqual(pool.active(_FIRST), 3)
+                    pool.fail_all(_FIRST)
+                    pool.run(_PERSISTENT_LIMIT_S)
+                    self.assertEqual(pool.active(_FIRST), 3)
+
+    def test_persistent_fillers_starve_in_a_full_pool(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                pool = _Pool(seed)
+                pool.run(2.0)
+                step = model.StepSpec(
+                    3, _size(2000, 30), is_persistent=True, is_filler=True
+                )
+                pool.submit(_FIRST, step)
+                pool.run(_PERSISTENT_LIMIT_S)
+                self.assertEqual(pool.active(_FIRST), 3)
+
+
+class ReservationTest(unittest.TestCase):
+    """A persistent task as large as a worker, and workers that are full."""
+
+    def setUp(self) -> None:
+        self.events: list[tuple[str, dict[str, typing.Any]]] = []
+        team = model.Team("t", 1.0, _size(9000, 64))
+        self.engine = builders.create_engine(log=self._log, teams={"t": team})
+        for number, estimate_ms in enumerate((3000, 1000, 2000)):
+            label = f"only-{number}"
+            self.engine.register(
+                builders.entry(str(number), labels=("a", label)), 10.0
+            )
+            step = builders.step(2, cpu=2000, label=label)
+            self._submit(number, step._replace(estimate_ms=estimate_ms))
+        builders.start_all(self.engine, 10.0)
+
+    def _log(self, event: str, **fields: typing.Any) -> None:
+        self.events.append((event, fields))
+
+    def _submit(self, number: int, step: model.StepSpec, team: str = "") -> str:
+        job_id = f"{number:016x}"
+        spec = builders.job(job_id, step, team=team)
+        self.engine.submit(spec, (), 10.0, 10_000)
+        return job_id
+
+    def _reserved(self) -> list[str]:
+        reserved = []
+        for event, fields in self.events:
+            if event == "worker-reserved":
+                reserved.append(fields["worker"])
+            elif event == "reservation-over":
+                reserved.remove(fields["worker"])
+        return reserved
+
+    def test_worker_that_empties_first_is_kept_for_an_overdue_task(
+        self,
+    ) -> None:
+        job_id = self._submit(9, builders.step(cpu=4000, is_persistent=True))
+        builders.start_all(self.engine, 10.1)
+        self.assertEqual(self._reserved(), [])
+        builders.start_all(self.engine, 11.2)
+        self.assertEqual(self._reserved(), ["1"])
+        small = self._submit(10, builders.step(cpu=500))
+        self.engine.cancel(f"{1:016x}", 11.3)
+        worker = self.engine.workers["1"]
+        for task in list(worker.tasks.values())[:1]:
+            self.engine.answers.poll_answered(
+                "1",
+                self._plan(worker),
+                builders.lists([(task.task_id, task.run)]),
+                11.4,
+                11.4,
+            )
+        self.assertEqual(worker.free.cpu_millis, 2000)
+        self.assertEqual(builders.start_all(self.engine, 11.5), [])
+        self.engine.answers.poll_answered(
+            "1", self._plan(worker), builders.lists(), 11.6, 11.6
+        )
+        started = builders.start_all(self.engine, 11.7)
+        self.assertEqual(
+            [plan.task.task_id.job_id for plan in started], [job_id]
+        )
+        self.assertEqual(self._reserved(), [])
+        self.assertTrue(self.engine.jobs[small].steps[0, 0].waiting)
+
+    def _plan(self, worker: workers.Worker) -> plans.PollPlan:
+        plan = self.engine.answers.poll_plan(worker, 11.4)
+        assert plan is not None
+        return plan
+
+    def test_reservation_ends_with_the_job(self) -> None:
+        job_id = self._submit(9, builders.step(cpu=4000, is_persistent=True))
+        builders.start_all(self.engine, 10.1)
+        builders.start_all(self.engine, 11.2)
+        self.engine.cancel(job_id, 11.3)
+        self._submit(10, builders.step())
+        builders.start_all(self.engine, 11.4)
+        self.assertEqual(self._reserved(), [])
+
+    def test_nothing_is_reserved_for_a_team_at_its_limit(self) -> None:
+        first = builders.step(2, cpu=2500, label="only-3")
+        self.engine.register(
+            builders.entry("3", cpu=5000, labels=("a", "only-3")), 10.0
+        )
+        self._submit(8, first, team="t")
+        self._submit(9, builders.step(cpu=4500, is_persistent=True), team="t")
+        builders.start_all(self.engine, 10.1)
+        builders.start_all(self.engine, 11.2)
+        self.assertEqual(self._reserved(), [])
+
+    def test_expected_room_equals_that_of_the_naive_version(self) -> None:
+        for seed in range(300):
+            rng = random.Random(seed)
+            free = _size(rng.randrange(0, 3000), rng.randrange(0, 8))
+            size = _size(rng.randrange(0, 9000), rng.randrange(0, 40))
+            releases = [
+                reservations.Release(
+                    10.0 + rng.randrange(10) / 2,
+                    _size(rng.randrange(500, 3000), rng.randrange(1, 9)),
+                )
+                for _ in range(rng.randrange(8))
+            ]
+            self.assertEqual(
+                reservations.room_expected_s(free, releases, size, 10.0),
+                _naive_room_expected_s(free, releases, size, 10.0),
+            )
+
+
+def _naive_room_expected_s(
+    free: resources.Resources,
+    releases: list[reservations.Release],
+    size: resources.Resources,
+    now_s: float,
+) -> float | None:
+    times_s = {now_s, *(release.at_s for release in releases)}
+    enough_s = [
+        at_s
+        for at_s in times_s
+        if all(
+            wanted
+            <= present
+            + sum(each.size[kind] for each in releases if each.at_s <= at_s)
+            for kind, (wanted, present) in enumerate(zip(size, free))
+        )
+    ]
+    return min(enough_s, default=None)
