A persistent task waited although a quarantined or slow worker had room

What callers saw: as before, a persistent task away for longer than 6 s counts as a lost job while there is capacity for it.

Cause: workers whose runs fail are kept out of use for 2 to 16 s, and slow ones while two thirds of the pool are sound. If only those have room, the task waits until the quarantine is over, long after what made the runs fail has ended. For batch tasks that is meant, since each failed run uses up an attempt; a persistent task has no limit of attempts.

Evidence: test_persistent_task_waits_for_the_end_of_a_quarantine fails without the change. That batch tasks are still kept off is tested beside it.

The change: a persistent task that has waited for 1 s is also tried on the usable workers of its pool that are kept out of use. A failing worker thus gets at most one run a second of each such task.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -487,22 +487,49 @@
         """Places the tasks of a step that fit; returns whether any did."""
         step = candidate.step
         is_eligible = self._eligibility(candidate, now_s)
-        chosen = placement.assign(
-            candidate,
-            self._reservations.open_to(step.step_id, pool_workers),
-            usage,
-            is_eligible,
+        open_workers = self._reservations.open_to(step.step_id, pool_workers)
+        chosen = placement.assign(candidate, open_workers, usage, is_eligible)
+        self._place_all(candidate, chosen, now_s)
+        if reservations.overdue_count(step, now_s):
+            # Better on a slow or failing worker than on none.
+            others = self._set_aside(candidate.queue.pool, pool_workers, now_s)
+            last = placement.assign(candidate, others, usage, is_eligible)
+            self._place_all(candidate, last, now_s)
+            chosen += last
+        self._reservations.update(
+            candidate, pool_workers, is_eligible, usage, now_s
         )
+        return bool(chosen)
+
+    def _set_aside(
+        self,
+        pool: str,
+        pool_workers: Iterable[batch_workers.Worker],
+        now_s: float,
+    ) -> list[batch_workers.Worker]:
+        """Returns the workers that are kept out of use as slow or failing."""
+        in_use = {worker.worker_id for worker in pool_workers}
+        return [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry.pool == pool
+            and worker.worker_id not in in_use
+            and worker.is_usable(now_s)
+        ]
+
+    def _place_all(
+        self,
+        candidate: placement.Candidate,
+        chosen: Sequence[placement.Placement],
+        now_s: float,
+    ) -> None:
+        step = candidate.step
         if step.spec.is_gang and chosen:
             run = max(task.run for task in step.tasks)
             for each in chosen:
                 each.task.run = run
         for each in chosen:
             self._place(candidate, each, now_s)
-        self._reservations.update(
-            candidate, pool_workers, is_eligible, usage, now_s
-        )
-        return bool(chosen)
 
     def _place(
         self,
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -20,7 +20,7 @@
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
-__all__ = ["Release", "Reservations", "room_expected_s"]
+__all__ = ["Release", "Reservations", "overdue_count", "room_expected_s"]
 
 # Persistent tasks have to run again within 6 s. The longest batch tasks that a
 # reserved worker may still run take about 4 s.
@@ -99,7 +99,7 @@
             now_s: current time.
         """
         step = candidate.step
-        overdue = _overdue_count(step, now_s)
+        overdue = overdue_count(step, now_s)
         if not usage.allows(candidate.job.spec.team, step.spec.size):
             overdue = 0
         if not overdue and not self.is_holder(step.step_id):
@@ -215,7 +215,7 @@
     return max(began_s + expected_s, now_s + overrun_s)
 
 
-def _overdue_count(step: tasks.Step, now_s: float) -> int:
+def overdue_count(step: tasks.Step, now_s: float) -> int:
     """Returns how many tasks of a step have waited for too long."""
     if not step.spec.is_persistent or step.spec.is_gang:
         return 0
--- a/foxtaillock/batch/tests/test_starvation.py
+++ b/foxtaillock/batch/tests/test_starvation.py
@@ -18,6 +18,7 @@
 _SECOND = "00000000000000bb"
 _WORKERS = 8
 _TICK_S = 0.1
+_FAILED = model.EndKind.FAILED
 
 # A persistent task has to run again within this time, however full the pool is.
 _PERSISTENT_LIMIT_S = 6.0
@@ -191,6 +192,49 @@
                 self.assertEqual(pool.active(_FIRST), 3)
 
 
+class ExcludedWorkerTest(unittest.TestCase):
+    """A pool in which only a worker that is kept out of use has room."""
+
+    def setUp(self) -> None:
+        self.engine = builders.create_engine(
+            builders.entry("1", labels=("a", "only-1")),
+            builders.entry("2", labels=("a", "only-2"), cpu=1000),
+        )
+
+    def _start(self, job_id: str, now_s: float, step: model.StepSpec) -> int:
+        self.engine.submit(builders.job(job_id, step), (), now_s, 10_000)
+        return len(builders.start_all(self.engine, now_s))
+
+    def _fail_two_jobs(self) -> None:
+        """Makes the engine put worker 1 under quarantine at 10 s."""
+        worker = self.engine.workers["1"]
+        for number in (1, 2):
+            job_id = f"{number:016x}"
+            step = builders.step(label="only-1")
+            self.assertEqual(self._start(job_id, 10.0, step), 1)
+            plan = self.engine.answers.poll_plan(worker, 10.0)
+            assert plan is not None
+            end = interfaces.EndedRun(
+                number, model.TaskId(job_id, 0, 0, 0), 1, _FAILED, ""
+            )
+            lists = builders.lists(ended=[end])
+            self.engine.answers.poll_answered("1", plan, lists, 10.0, 10.0)
+            self.engine.cancel(job_id, 10.0)
+
+    def test_persistent_task_waits_for_the_end_of_a_quarantine(self) -> None:
+        self._fail_two_jobs()
+        step = builders.step(cpu=3000, is_persistent=True)
+        self.assertEqual(self._start(_FIRST, 10.1, step), 0)
+        self.assertEqual(len(builders.start_all(self.engine, 10.5)), 0)
+        self.assertEqual(len(builders.start_all(self.engine, 11.2)), 1)
+
+    def test_batch_task_is_kept_off_a_worker_under_quarantine(self) -> None:
+        self._fail_two_jobs()
+        step = builders.step(cpu=3000)
+        self.assertEqual(self._start(_FIRST, 10.1, step), 0)
+        self.assertEqual(len(builders.start_all(self.engine, 11.2)), 0)
+
+
 class ReservationTest(unittest.TestCase):
     """A persistent task as large as a worker, and workers that are full."""
 
