SIGHUP during the start ended the process

A VM that is told to reload its settings while its process starts was gone; it counts as a process that ended by itself, and its load went to the others until it was started again.

Cause: until the daemon sets its handlers, SIGHUP has its default effect. The imports take 0.66 s here, and several seconds on a VM of half a processor that is slowed down.

The change: the platform starts foxtaillock.platform, a launcher that ignores SIGHUP before it imports the daemon. The settings are read later than that, so no change of them is missed. What remains is the start of the interpreter itself (0.05 s here). The daemon's test now starts what deploy/system.toml names.

--- a/foxtaillock/platform/tests/test_daemon.py
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+import tomllib
 import typing
 import unittest
 
@@ -19,12 +20,24 @@
 
 _ID = "5c0e7a21d94b36f8"
 _TIMEOUT_S = 20.0
+_DEPLOY_FILE = pathlib.Path(__file__).parents[3] / "deploy" / "system.toml"
+
+# A library that is loaded while the daemon's modules are being imported.
+_IMPORTED_EARLY = "_asyncio."
 _SERVING_JOB = {
     "workload": "text",
     "steps": [{"count": 1, "cpu": 500, "persistent": True}],
 }
 
 
+def _run_arguments() -> list[str]:
+    """Returns the arguments with which the platform starts the daemon."""
+    deploy = tomllib.loads(_DEPLOY_FILE.read_text(encoding="utf-8"))
+    run = deploy["roles"]["entry"]["run"].split()
+    assert run[0] == "python3"
+    return list(run[1:])
+
+
 class DaemonTest(unittest.IsolatedAsyncioTestCase):
     """One process against the fake platform."""
 
@@ -43,15 +56,17 @@
         self._write_settings("4")
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
+        await self._start()
+        await self._until_status(self.readiness, "/-/readiness", 200)
+
+    async def _start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "foxtaillock.platform.daemon",
+            *_run_arguments(),
             stdout=asyncio.subprocess.PIPE,
             env={**os.environ, "FOXTAILLOCK_SETTINGS": str(self.settings)},
         )
-        self.addAsyncCleanup(self._end)
-        await self._until_status(self.readiness, "/-/readiness", 200)
+        self.addAsyncCleanup(self._end, self.process)
 
     def _write_settings(self, grace_s: str) -> None:
         lines = [
@@ -65,10 +80,10 @@
         ]
         self.settings.write_text("\n".join(lines), encoding="utf-8")
 
-    async def _end(self) -> None:
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
+    async def _end(self, process: typing.Any) -> None:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
 
     async def _until_status(self, port: int, path: str, status: int) -> None:
         async with asyncio.timeout(_TIMEOUT_S):
@@ -123,6 +138,16 @@
         (reloaded,) = [line for line in lines if line["event"] == "reloaded"]
         self.assertEqual(reloaded["changed"], ["grace_s"])
 
+    async def test_sighup_during_the_start_ends_the_process(self) -> None:
+        await self._end(self.process)
+        await self._start()
+        maps = pathlib.Path(f"/proc/{self.process.pid}/maps")
+        async with asyncio.timeout(_TIMEOUT_S):
+            while _IMPORTED_EARLY not in maps.read_text(encoding="utf-8"):
+                await asyncio.sleep(0.001)
+        self.process.send_signal(signal.SIGHUP)
+        await self._until_status(self.readiness, "/-/readiness", 200)
+
     async def test_metrics_are_served(self) -> None:
         url = f"http://127.0.0.1:{self.metrics}/metrics"
         await self._submit()
--- a/foxtaillock/soak/processes.py
+++ b/foxtaillock/soak/processes.py
@@ -84,7 +84,7 @@
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
-                    "foxtaillock.platform.daemon",
+                    "foxtaillock.platform",
                     stdout=log,
                     stderr=log,
                     env={
