SIGTERM right after the listen cut calls

A process that is stopped just after its start ended at once, with the calls that it had already read.

Cause: the listeners were opened before the signal handlers were set.

Evidence: test_sigterm_right_after_the_listen_cuts_calls fails before the change (SIGTERM has its default effect when the first address is bound).

The change: the handlers are set before the first address is bound.

--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -25,7 +25,7 @@
 from foxtaillock.platform import store
 from foxtaillock.platform import worker_client
 
-__all__ = ["create_node", "create_services", "main"]
+__all__ = ["create_node", "create_services", "main", "run"]
 
 _SETTINGS_VARIABLE = "FOXTAILLOCK_SETTINGS"
 _DEFAULT_SETTINGS = "/etc/foxtaillock/settings.conf"
@@ -62,10 +62,19 @@
     except exceptions.InvalidInputError as error:
         print(f"foxtaillockd: {error}", file=sys.stderr)
         sys.exit(_EXIT_BAD_SETTINGS)
-    asyncio.run(_run(settings, path))
+    asyncio.run(run(settings, path))
 
 
-async def _run(settings: platform_settings.VmSettings, path: str) -> None:
+async def run(settings: platform_settings.VmSettings, path: str) -> None:
+    """Runs the daemon until it is told to stop.
+
+    Args:
+        settings: settings of this entry VM.
+        path: file from which they were read.
+
+    Raises:
+        OSError: the address for calls or for readiness could not be bound.
+    """
     clock = model_clock.SystemClock()
     json_log = decision_log.create_log(settings.node, clock)
     metrics = batch_metrics.Metrics()
@@ -89,6 +98,11 @@
     server = http_server.HttpServer(
         node.call_handler, lambda: node.is_ready, clock, metrics
     )
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
     node.start()
     await server.listen(settings.readiness, server.serve_readiness)
     await server.listen(settings.callers, server.serve_call)
@@ -97,11 +111,6 @@
     except OSError as error:
         log("metrics-not-served", error=str(error))
     log("started", incarnation=incarnation, zone=settings.zone)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
     await stop.wait()
     stop_requested_s = clock.monotonic_s()
     log("stopping", incarnation=incarnation)
--- a/foxtaillock/platform/tests/test_daemon.py
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -11,9 +11,13 @@
 import tomllib
 import typing
 import unittest
+from unittest import mock
 
 import aiohttp
 
+from foxtaillock.platform import daemon
+from foxtaillock.platform import http_server
+from foxtaillock.platform import settings as platform_settings
 from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import fake_platform
 from foxtaillock.soak import processes
@@ -161,3 +165,25 @@
             "foxtaillock_log_lines_dropped",
         ):
             self.assertIn(name, text)
+
+
+class SignalOrderTest(unittest.IsolatedAsyncioTestCase):
+    """The daemon in this process, whose listeners are replaced."""
+
+    async def test_sigterm_right_after_the_listen_cuts_calls(self) -> None:
+        handlers: list[typing.Any] = []
+
+        async def _listen(*_: typing.Any) -> None:
+            handlers.append(signal.getsignal(signal.SIGTERM))
+            raise OSError("no address")
+
+        settings = platform_settings.parse(
+            "node=vm-1\nzone=z\nlisten.front=127.0.0.1:1\n"
+            "listen.readiness=127.0.0.1:2\nplatform.address=127.0.0.1:3\n",
+            "test",
+        )
+        listen = mock.patch.object(http_server.HttpServer, "listen", _listen)
+        with listen, self.assertRaises(OSError):
+            await daemon.run(settings, "settings.conf")
+        self.assertNotIn(signal.SIG_DFL, handlers)
+        self.assertEqual(len(handlers), 1)
