A stopped process cut calls while new connections arrived

It needs a slow store and new connections until the end, which the load balancer still makes when fewer than half of a zone's VMs are in rotation.

Cause: the drain ended once no call was active, but new connections went on bringing calls. With appends of 0.75 s there was no such moment, so the drain lasted to its deadline 0.7 s before SIGKILL, and the calls of that time took longer than that.

Ruled out: calls that were read and whose handlers had not begun when the server closed; aiohttp waits for them. Calls on open connections: each answer closes its connection during the drain (the second test, which passed before).

The change: the process accepts new connections until 2.3 s (the longest time of a call) before the end of the drain, 3 s at most, and refuses them from then on. So the calls come to an end within the grace time. A refused connection has carried no call.

--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -45,8 +45,11 @@
 _STORE_CONNECTIONS = 8
 
 # The load balancer probes readiness once a second and notices within two probes
-# that a VM is stopping; until then calls arrive on open connections.
-_MIN_DRAIN_S = 3.0
+# that a VM is stopping; until then it forwards new connections.
+_ACCEPT_S = 3.0
+
+# Longest time that a call takes while the store is slow.
+_MAX_CALL_S = 2.3
 
 # Part of the time between SIGTERM and SIGKILL that is kept for the exit itself.
 _EXIT_MARGIN_S = 0.7
@@ -112,13 +115,8 @@
         log("metrics-not-served", error=str(error))
     log("started", incarnation=incarnation, zone=settings.zone)
     await stop.wait()
-    stop_requested_s = clock.monotonic_s()
     log("stopping", incarnation=incarnation)
-    await node.release_ownership(_HANDOVER_TIMEOUT_S)
-    await server.drain(
-        stop_requested_s + settings.grace_s - _EXIT_MARGIN_S,
-        stop_requested_s + _MIN_DRAIN_S,
-    )
+    await _drain(node, server, clock, settings.grace_s)
     log("stopped", incarnation=incarnation)
     await server.close()
     await node.close()
@@ -126,6 +124,27 @@
         await client.close()
 
 
+async def _drain(
+    node: nodes.Node,
+    server: http_server.HttpServer,
+    clock: model_clock.Clock,
+    grace_s: float,
+) -> None:
+    """Releases the ownership and answers the calls that still arrive.
+
+    Args:
+        node: the entry VM.
+        server: its HTTP server.
+        clock: source of time.
+        grace_s: time between SIGTERM and SIGKILL.
+    """
+    stop_requested_s = clock.monotonic_s()
+    drain_s = grace_s - _EXIT_MARGIN_S
+    accept_s = max(0.0, min(_ACCEPT_S, drain_s - _MAX_CALL_S))
+    await node.release_ownership(_HANDOVER_TIMEOUT_S)
+    await server.drain(stop_requested_s + drain_s, stop_requested_s + accept_s)
+
+
 def create_node(
     settings: platform_settings.VmSettings,
     incarnation: str,
--- a/foxtaillock/platform/http_server.py
+++ b/foxtaillock/platform/http_server.py
@@ -74,21 +74,31 @@
         host, port = runner.addresses[0][:2]
         return platform_settings.Endpoint(host, port)
 
-    async def drain(self, deadline_s: float, earliest_s: float) -> None:
+    async def drain(self, deadline_s: float, accept_until_s: float) -> None:
         """Keeps serving until no call is active.
 
-        Each response from now on closes its connection.
+        Each response from now on closes its connection. New connections are
+        accepted for a while, and refused from then on: otherwise there might
+        be no moment without a call.
 
         Args:
             deadline_s: time at which the drain ends in any case.
-            earliest_s: time before which the drain does not end.
+            accept_until_s: time until which new connections are accepted, and
+                before which the drain does not end.
         """
         self._is_draining = True
         while (now_s := self._clock.monotonic_s()) < deadline_s:
-            if now_s >= earliest_s and not self._active_calls:
-                return
+            if now_s >= accept_until_s:
+                await self._stop_listening()
+                if not self._active_calls:
+                    return
             await asyncio.sleep(0.05)
 
+    async def _stop_listening(self) -> None:
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+
     async def close(self) -> None:
         """Closes all servers."""
         for runner in self._runners:
--- /dev/null
+++ b/foxtaillock/platform/tests/entry_process.py
@@ -0,0 +1,103 @@
+"""Process of an entry VM on the fake platform, for tests."""
+
+import asyncio
+import os
+import pathlib
+import shutil
+import signal
+import sys
+import tempfile
+import typing
+
+import aiohttp
+
+from foxtaillock.platform.tests import entry_vm
+from foxtaillock.platform.tests import fake_platform
+from foxtaillock.soak import processes
+
+__all__ = ["EntryProcess", "start"]
+
+_START_TIMEOUT_S = 20.0
+
+
+class EntryProcess:
+    """Running process of an entry VM.
+
+    Attributes:
+        callers_port: port for the calls of submitters.
+    """
+
+    def __init__(
+        self, process: typing.Any, callers_port: int, folder: pathlib.Path
+    ) -> None:
+        self._process = process
+        self._folder = folder
+        self.callers_port = callers_port
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        if self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Waits for the end of the process; returns whether it has ended."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._process.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def end(self) -> None:
+        """Kills the process and removes its settings."""
+        self.signal(signal.SIGKILL)
+        await self._process.wait()
+        shutil.rmtree(self._folder)
+
+
+async def start(
+    platform: fake_platform.FakePlatform, grace_s: float
+) -> EntryProcess:
+    """Starts an entry VM with an open queue and waits until it is ready."""
+    platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+    callers, readiness, metrics = processes.free_ports(3)
+    folder = pathlib.Path(tempfile.mkdtemp())
+    settings = folder / "settings.conf"
+    lines = [
+        "node=vm-1",
+        "zone=z",
+        f"listen.front=127.0.0.1:{callers}",
+        f"listen.readiness=127.0.0.1:{readiness}",
+        f"internal_ports={metrics},{metrics + 9}",
+        f"platform.address={platform.address}",
+        f"bounds.grace_s={grace_s}",
+    ]
+    settings.write_text("\n".join(lines), encoding="utf-8")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "foxtaillock.platform",
+        stdout=asyncio.subprocess.DEVNULL,
+        env={**os.environ, "FOXTAILLOCK_SETTINGS": str(settings)},
+    )
+    started = EntryProcess(process, callers, folder)
+    try:
+        await _until_ready(readiness)
+    except TimeoutError:
+        await started.end()
+        raise
+    return started
+
+
+async def _until_ready(port: int) -> None:
+    url = f"http://127.0.0.1:{port}/-/readiness"
+    async with aiohttp.ClientSession() as session:
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while True:
+                try:
+                    async with session.get(url) as response:
+                        if response.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -75,6 +75,7 @@
         address: `HOST:PORT` of the store.
         topics: topics of the store.
         append_failures: statuses with which the next appends are refused.
+        append_delay_s: time that each append takes.
         lost_answers: number of coming appends that take effect but whose
             answers are lost.
         is_away: whether the store refuses all requests.
@@ -92,6 +93,7 @@
         self.address = ""
         self.topics: dict[str, Topic] = {}
         self.append_failures: list[int] = []
+        self.append_delay_s = 0.0
         self.lost_answers = 0
         self.is_away = False
         self.is_silent = False
@@ -191,6 +193,7 @@
 
     async def _serve_append(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
+        await asyncio.sleep(self.append_delay_s)
         if self.append_failures:
             return web.Response(status=self.append_failures.pop(0))
         topic = self.topic(request.query["topic"])
