A job was unknown once its queue was opened or closed

What callers saw: 410 (400 for a repeat of the submission) for an accepted job after a configuration that makes its queue public or ends that.

Cause: a call's team is compared with the job's. A call on an open queue names no team, and a job accepted there has none.

Evidence: test_job_is_unknown_once_its_queue_is_opened_or_closed fails on the old code.

The change: a call on an open queue may see the jobs of that queue, and a job without a team may be seen by any call that is admitted. A job of a team stays unknown to calls on another open queue, which the test checks.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -200,7 +200,7 @@
     def _resubmission_outcome(
         self, known: model.JobSpec, admitted: _AdmittedCall
     ) -> outcomes.CallOutcome:
-        if known.team != admitted.team:
+        if not _may_see(admitted, known):
             return outcomes.Malformed("the id is in use")
         return outcomes.Accepted()
 
@@ -218,7 +218,7 @@
                 # The job may have been accepted since the latest read.
                 return outcomes.NotStored("submissions-lost", _RETRY_OTHER_VM_S)
             job = self._view.job(admitted.path_suffix)
-        if job is None or job.spec.team != admitted.team:
+        if job is None or not _may_see(admitted, job.spec):
             return outcomes.NoSuchJob()
         return job
 
@@ -258,6 +258,17 @@
         return outcome
 
 
+def _may_see(admitted: _AdmittedCall, spec: model.JobSpec) -> bool:
+    """Returns whether a call may see a job.
+
+    A queue may have been opened or closed since the job was accepted: a job of
+    an open queue has no team, and a call on an open queue names none.
+    """
+    if admitted.queue.is_open and admitted.queue.name == spec.queue:
+        return True
+    return spec.team in ("", admitted.team)
+
+
 def _is_job_id(text: str) -> bool:
     return len(text) == _JOB_ID_LENGTH and _HEX_DIGITS.issuperset(text)
 
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -26,6 +26,7 @@
     "steps": [{"count": 2, "cpu": 500, "persistent": True}],
 }
 _ID = "5c0e7a21d94b36f8"
+_OTHER_ID = "5c0e7a21d94b36f9"
 _TIMEOUT_S = 15.0
 
 
@@ -141,6 +142,23 @@
             reply = await self.vm.call(method, path, key, _JOB)
             self.assertEqual(reply.status, status, (method, path, key))
 
+    async def test_job_is_unknown_once_its_queue_is_opened_or_closed(
+        self,
+    ) -> None:
+        await self.vm.call("POST", "/keyed/" + _ID, "k1", _SERVING_JOB)
+        await self.vm.call("POST", "/open/" + _OTHER_ID, body=_SERVING_JOB)
+        reply = await self.vm.call("GET", "/open/" + _ID)
+        self.assertEqual(reply.status, 410)
+        changed = entry_vm.config(5, ["k1"])
+        for route in changed["routes"]:
+            route["public"] = not route["public"]
+        self.platform.write("keyed.op", "config", changed)
+        await self._until(lambda: self.vm.node.call_handler.config.version == 5)
+        for path, key in (("/keyed/" + _ID, ""), ("/open/" + _OTHER_ID, "k1")):
+            for method, body in (("POST", _SERVING_JOB), ("GET", None)):
+                reply = await self.vm.call(method, path, key, body)
+                self.assertEqual(reply.status, 200, (method, path))
+
     async def test_malformed_job_is_refused(self) -> None:
         bodies: list[typing.Any] = [
             {},
