Test of the drain of a process whose loop lags

A process that is stopped, and paused again and again meanwhile, cuts no call on open connections. The test has not been seen failing: aiohttp answers calls that it has read before it closes a connection, so this hypothesis is refuted.

--- a/foxtaillock/platform/tests/test_drain.py
+++ b/foxtaillock/platform/tests/test_drain.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 import signal
 import time
 import unittest
@@ -33,15 +34,26 @@
         self.cut: list[str] = []
         self.is_over = False
 
-    async def _stop_under_calls(self, keeps_open: bool) -> None:
-        """Sends SIGTERM, and SIGKILL after the grace time."""
+    async def _stop_under_calls(
+        self, keeps_open: bool, is_lagging: bool = False
+    ) -> None:
+        """Sends SIGTERM, and SIGKILL after the grace time.
+
+        Args:
+            keeps_open: whether clients use a connection several times.
+            is_lagging: whether the process is paused again and again.
+        """
         clients = [
             asyncio.ensure_future(self._call_repeatedly(keeps_open))
             for _ in range(_CLIENTS)
         ]
         await asyncio.sleep(1.0)
         self.process.signal(signal.SIGTERM)
+        lag = asyncio.ensure_future(self._lag()) if is_lagging else None
         has_ended = await self.process.wait(_GRACE_S)
+        if lag is not None:
+            lag.cancel()
+            self.process.signal(signal.SIGCONT)
         self.is_over = True
         if not has_ended:
             self.process.signal(signal.SIGKILL)
@@ -50,6 +62,14 @@
         self.assertEqual(self.cut, [])
         self.assertTrue(has_ended)
 
+    async def _lag(self) -> None:
+        rng = random.Random(1)
+        while True:
+            self.process.signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(0.02, 0.15))
+            self.process.signal(signal.SIGCONT)
+            await asyncio.sleep(rng.uniform(0.02, 0.1))
+
     async def _call_repeatedly(self, keeps_open: bool) -> None:
         while not self.is_over:
             try:
@@ -102,3 +122,7 @@
     ) -> None:
         self.platform.append_delay_s = 0.25
         await self._stop_under_calls(keeps_open=True)
+
+    async def test_stopped_process_cuts_calls_while_its_loop_lags(self) -> None:
+        self.platform.append_delay_s = 0.1
+        await self._stop_under_calls(keeps_open=True, is_lagging=True)
