A gang was failed after one run in which several members failed

What callers saw: a job shown as failed with fewer failed runs than its queue allows.

Cause: the failures of a gang were the sum over its members, and members that failed in the same run counted one each.

Evidence: test_gang_fails_after_one_run_in_which_two_members_failed fails on the old code (failed after the first of two runs).

The change: a step notes the latest run whose failure it has counted, and a gang counts each run once. Open: that note is not recorded, so a second member's failure that only the next owner reads counts once more.

--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -113,6 +113,7 @@
         durations_s: durations of its first runs that completed; see
             `worker_speed.MAX_PEERS`.
         typical_s: median of them; None while there are too few.
+        failed_run: latest run whose failure was counted.
     """
 
     step_id: model.StepId
@@ -124,6 +125,7 @@
     ready_s: float | None = None
     durations_s: list[float] = dataclasses.field(default_factory=list)
     typical_s: float | None = None
+    failed_run: int = 0
 
     @property
     def is_done(self) -> bool:
@@ -137,6 +139,13 @@
             return sum(task.failures for task in self.tasks)
         return max(task.failures for task in self.tasks)
 
+    def count_failure(self, task: Task) -> None:
+        """Counts a failed run; the members of a gang fail together."""
+        if self.spec.is_gang and task.run <= self.failed_run:
+            return
+        self.failed_run = task.run
+        task.failures += 1
+
     def active_tasks(self) -> Iterator[Task]:
         """Returns the tasks of which a run may exist."""
         return (task for task in self.tasks if task.is_active)
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -187,6 +187,26 @@
         self.assertIs(self._task(engine).phase, tasks.TaskPhase.DONE)
         self.assertEqual(engine.workers["2"].tasks, {})
 
+    def test_gang_fails_after_one_run_in_which_two_members_failed(
+        self,
+    ) -> None:
+        engine = self._engine_with_running_job(builders.step(2, is_gang=True))
+        for run in (1, 2):
+            self.assertIsNone(engine.jobs[_JOB].final_state)
+            ends = [
+                interfaces.EndedRun(
+                    2 * run + number,
+                    model.TaskId(_JOB, 0, 0, number),
+                    run,
+                    model.EndKind.FAILED,
+                    "",
+                )
+                for number in (0, 1)
+            ]
+            _poll(engine, "1", builders.lists(ended=ends), 10.0 + run)
+            builders.start_all(engine, 10.5 + run)
+        self.assertIs(engine.jobs[_JOB].final_state, model.JobState.FAILED)
+
     def test_job_fails_after_its_attempts(self) -> None:
         engine = self._engine_with_running_job(builders.step())
         for run in (1, 2):
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -226,7 +226,7 @@
             self._state.complete_task(task, step, now_s)
             return
         if end.kind is model.EndKind.FAILED:
-            task.failures += 1
+            step.count_failure(task)
             self._state.quarantine.record_failure(
                 worker.worker_id,
                 task.task_id.job_id,
