A job whose only start failed was not counted as waiting

What callers saw: GET of a queue gives the number of its jobs of which no task has started. A job whose first start was recorded and then given up (refused, no answer, a worker that crashed) was never counted again.

Cause: a job counted as started as soon as a progress record of it existed.

The change: a job counts as started if a task of it is done, is on a worker, has failed or has a checkpoint. The state of the job is as before.

--- a/foxtaillock/batch/tests/test_view.py
+++ b/foxtaillock/batch/tests/test_view.py
@@ -14,6 +14,13 @@
 _JOBS = [f"{number:016x}" for number in range(5)]
 
 
+def _random_row(rng: random.Random) -> records.TaskProgress:
+    worker_id, checkpoint = rng.choice((("", ""), ("w", ""), ("", "saved")))
+    return records.TaskProgress(
+        0, 1, rng.randrange(2), worker_id, 1, checkpoint
+    )
+
+
 def _random_record(rng: random.Random) -> records.KeyedRecord:
     job_id = rng.choice(_JOBS)
     step_id = model.StepId(job_id, 0, rng.randrange(2))
@@ -21,6 +28,12 @@
         builders.job(job_id, builders.step()),
         records.Cancellation(job_id, 5),
         records.StepProgress(step_id, 1, b"", ()),
+        records.StepProgress(
+            step_id,
+            1,
+            rng.choice((b"", b"\x00", b"\x02")),
+            tuple(_random_row(rng) for _ in range(rng.randrange(3))),
+        ),
         records.JobEnd(job_id, "completed", 9),
     ]
     record = rng.choice(made)
@@ -56,6 +69,24 @@
                 seed,
             )
 
+    def test_job_whose_only_start_failed_is_not_counted_as_waiting(
+        self,
+    ) -> None:
+        journal_view = view.JournalView()
+        step_id = model.StepId(_JOBS[0], 0, 0)
+        journal_view.apply(
+            0, records.encode(builders.job(_JOBS[0], builders.step()))
+        )
+        for offset, worker_id, waiting in (
+            (1, "w", 0),
+            (2, "", 1),
+            (3, "w", 0),
+        ):
+            row = records.TaskProgress(0, offset, 0, worker_id)
+            progress = records.StepProgress(step_id, 1, b"\x00", (row,))
+            journal_view.apply(offset, records.encode(progress))
+            self.assertEqual(journal_view.waiting_count("q"), waiting)
+
     def test_unknown_records_are_skipped(self) -> None:
         journal_view = view.JournalView()
         journal_view.apply(0, records.KeyedRecord("x1", b"abc"))
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -47,6 +47,7 @@
         self._jobs: dict[str, model.JobSpec] = {}
         self._cancellations: dict[str, records.Cancellation] = {}
         self._progress: dict[str, dict[model.StepId, records.StepProgress]] = {}
+        self._started_steps: dict[str, set[model.StepId]] = {}
         self._ends: dict[str, records.JobEnd] = {}
         self._waves: dict[int, records.WaveProgress] = {}
         self._waiting: collections.Counter[str] = collections.Counter()
@@ -125,7 +126,9 @@
     def _is_waiting(self, job_id: str) -> bool:
         return (
             job_id in self._jobs
-            and self._state(job_id) is model.JobState.QUEUED
+            and job_id not in self._ends
+            and job_id not in self._cancellations
+            and not self._started_steps.get(job_id)
         )
 
     def _fold(self, record: records.Record) -> None:
@@ -144,6 +147,11 @@
             was_waiting = self._is_waiting(job_id)
             steps = self._progress.setdefault(job_id, {})
             steps[record.step_id] = record
+            started = self._started_steps.setdefault(job_id, set())
+            if _has_started_task(record):
+                started.add(record.step_id)
+            else:
+                started.discard(record.step_id)
             self._recount(job_id, was_waiting)
         elif isinstance(record, model.JobSpec):
             was_waiting = self._is_waiting(record.job_id)
@@ -179,8 +187,10 @@
             steps = self._progress.get(job_id, {})
             for step_id in [s for s in steps if _is_key_of(rest, s)]:
                 del steps[step_id]
+                self._started_steps[job_id].discard(step_id)
             if not steps:
                 self._progress.pop(job_id, None)
+                self._started_steps.pop(job_id, None)
         is_waiting = self._is_waiting(job_id)
         if known is not None and is_waiting != was_waiting:
             self._waiting[known.queue] += 1 if is_waiting else -1
@@ -188,3 +198,14 @@
 
 def _is_key_of(rest: str, step_id: model.StepId) -> bool:
     return rest == f"{step_id.job_id}.{step_id.occurrence}.{step_id.step}"
+
+
+def _has_started_task(progress: records.StepProgress) -> bool:
+    """Returns whether a task of a step has started, as far as recorded.
+
+    A start that was given up leaves nothing but the number of its run.
+    """
+    return any(progress.done) or any(
+        row.worker_id or row.failures or row.checkpoint
+        for row in progress.tasks
+    )
