Reserve workers for large batch tasks that starve

A job with large tasks didn't run for as long as small jobs came, although these used only four fifths of the pool: the largest jobs must be served at half the rate of the whole at least.

Cause: as for persistent tasks, each bit of room that frees up goes to small tasks at once. Small tasks are packed on the fullest workers, which leaves no worker with a large free part once the pool is four fifths full.

The change: a step whose tasks need more than a quarter of a worker, and that has waited for 0.5 s, gets a worker reserved too; at most an eighth of a pool's usable workers in all, none for a job beyond its team's rate.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -490,7 +490,8 @@
         open_workers = self._reservations.open_to(step.step_id, pool_workers)
         chosen = placement.assign(candidate, open_workers, usage, is_eligible)
         self._place_all(candidate, chosen, now_s)
-        if reservations.overdue_count(step, now_s):
+        is_persistent = step.spec.is_persistent
+        if is_persistent and reservations.overdue_count(step, now_s):
             # Better on a slow or failing worker than on none.
             others = self._set_aside(candidate.queue.pool, pool_workers, now_s)
             last = placement.assign(candidate, others, usage, is_eligible)
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -26,9 +26,16 @@
 # reserved worker may still run take about 4 s.
 _PERSISTENT_PATIENCE_S = 1.0
 
-# Reserved workers do less work meanwhile, so at most this fraction of a pool's
-# usable workers is reserved.
+# A batch task has to start soon for its job to meet its objective.
+_BATCH_PATIENCE_S = 0.5
+
+# A batch task is large if it needs more than this fraction of a worker.
+_LARGE_FRACTION = 0.25
+
+# Reserved workers do less work meanwhile, so at most these fractions of a
+# pool's usable workers are reserved: in all, and for batch tasks.
 _MAX_RESERVED_FRACTION = 0.25
+_MAX_BATCH_FRACTION = 0.125
 
 # A run that exceeds its estimate is expected to take this fraction of its
 # elapsed time longer.
@@ -99,10 +106,14 @@
             now_s: current time.
         """
         step = candidate.step
-        overdue = overdue_count(step, now_s)
-        if not usage.allows(candidate.job.spec.team, step.spec.size):
-            overdue = 0
-        if not overdue and not self.is_holder(step.step_id):
+        overdue = 0
+        if self._may_reserve(candidate, pool_workers, usage):
+            overdue = overdue_count(step, now_s)
+        is_holder = self.is_holder(step.step_id)
+        if not overdue and not is_holder:
+            return
+        room = self._reservable(step.spec, pool_workers)
+        if room <= 0 and not is_holder:
             return
         expected_s = {
             worker.worker_id: room_s
@@ -113,19 +124,13 @@
             is not None
         }
         self._drop_unneeded(step.step_id, expected_s, overdue)
-        reserved = sum(
-            worker.worker_id in self._holders for worker in pool_workers
-        )
-        limit = math.ceil(_MAX_RESERVED_FRACTION * len(pool_workers))
         missing = overdue - len(self._reserved_for(step.step_id))
         soonest = sorted(
             (room_s, worker_id)
             for worker_id, room_s in expected_s.items()
             if worker_id not in self._holders
         )
-        for room_s, worker_id in soonest[
-            : max(0, min(missing, limit - reserved))
-        ]:
+        for room_s, worker_id in soonest[: max(0, min(missing, room))]:
             self._holders[worker_id] = step.step_id
             self._state.log(
                 "worker-reserved",
@@ -135,6 +140,35 @@
                 expected_s=round(room_s - now_s, 2),
             )
 
+    def _may_reserve(
+        self,
+        candidate: placement.Candidate,
+        pool_workers: Sequence[workers.Worker],
+        usage: placement.TeamUsage,
+    ) -> bool:
+        """Returns whether workers may be reserved for a step."""
+        spec = candidate.step.spec
+        if not pool_workers or spec.is_gang:
+            return False
+        is_large = _is_large(spec.held_size, pool_workers[0])
+        if not spec.is_persistent and (
+            candidate.job.is_excess or spec.is_filler or not is_large
+        ):
+            return False
+        return usage.allows(candidate.job.spec.team, spec.size)
+
+    def _reservable(
+        self, spec: model.StepSpec, pool_workers: Sequence[workers.Worker]
+    ) -> int:
+        """Returns how many more workers may be reserved for a step."""
+        fraction = _MAX_BATCH_FRACTION
+        if spec.is_persistent:
+            fraction = _MAX_RESERVED_FRACTION
+        reserved = sum(
+            worker.worker_id in self._holders for worker in pool_workers
+        )
+        return math.ceil(fraction * len(pool_workers)) - reserved
+
     def _drop_unneeded(
         self, step_id: model.StepId, usable: Container[str], count: int
     ) -> None:
@@ -217,11 +251,22 @@
 
 def overdue_count(step: tasks.Step, now_s: float) -> int:
     """Returns how many tasks of a step have waited for too long."""
-    if not step.spec.is_persistent or step.spec.is_gang:
-        return 0
+    if step.spec.is_persistent:
+        patience_s = _PERSISTENT_PATIENCE_S
+    else:
+        patience_s = _BATCH_PATIENCE_S
     ready_s = now_s if step.ready_s is None else step.ready_s
+    if now_s - ready_s < patience_s:
+        return 0
     return sum(
-        now_s - max(ready_s, step.tasks[number].changed_s)
-        >= _PERSISTENT_PATIENCE_S
+        now_s - step.tasks[number].changed_s >= patience_s
         for number in step.waiting
     )
+
+
+def _is_large(size: resources.Resources, worker: workers.Worker) -> bool:
+    """Returns whether a task needs a large part of a worker."""
+    return any(
+        wanted > _LARGE_FRACTION * capacity
+        for wanted, capacity in zip(size, worker.entry.capacity)
+    )
--- a/foxtaillock/batch/tests/test_starvation.py
+++ b/foxtaillock/batch/tests/test_starvation.py
@@ -56,14 +56,20 @@
 
 
 class _Pool:
-    """Workers that carry out all orders, under small jobs without end.
+    """Workers that carry out all orders, under small jobs.
+
+    Args:
+        seed: seed of the jobs.
+        jobs_per_s: rate of the small jobs; None for as many as always wait.
 
     Attributes:
         now_s: current time.
         done: number of tasks that were completed.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, jobs_per_s: float | None = None) -> None:
+        self._jobs_per_s = jobs_per_s
+        self._due_jobs = 0.0
         self._rng = random.Random(seed)
         self._ids = (f"{number:016x}" for number in itertools.count(1000))
         entries = [
@@ -107,7 +113,12 @@
 
     def _tick(self) -> None:
         self.now_s += _TICK_S
-        while len(self._waiting_jobs()) < 30:
+        if self._jobs_per_s is None:
+            self._due_jobs = 30.0 - len(self._waiting_jobs())
+        else:
+            self._due_jobs += self._jobs_per_s * _TICK_S
+        while self._due_jobs >= 1.0:
+            self._due_jobs -= 1.0
             self._submit_small_job()
         self.engine.tick(self.now_s)
         for plan in builders.start_all(self.engine, self.now_s):
@@ -191,6 +202,17 @@
                 pool.run(_PERSISTENT_LIMIT_S)
                 self.assertEqual(pool.active(_FIRST), 3)
 
+    def test_large_batch_tasks_starve_below_the_capacity(self) -> None:
+        """The small jobs use four fifths of the pool's processors."""
+        for seed in range(3):
+            for size in (_size(10_000, 12), _size(3300, 37)):
+                with self.subTest(seed=seed, size=size):
+                    pool = _Pool(seed, jobs_per_s=8.0)
+                    pool.run(4.0)
+                    pool.submit(_FIRST, model.StepSpec(8, size, 1700))
+                    pool.run(14.0)
+                    self.assertTrue(pool.engine.jobs[_FIRST].is_finished)
+
 
 class ExcludedWorkerTest(unittest.TestCase):
     """A pool in which only a worker that is kept out of use has room."""
