A job of a withdrawn queue was lost after a takeover

What callers saw: a job whose route was removed by a later configuration went on under the owner of that time, and had nothing at work any more once another VM had taken over.

Cause: an owner keeps the queues of older configurations, but a new one knows those of the configuration in force only, and a step without a queue is no candidate. A VM that has just started never knew the older ones.

Ruled out: the job itself and its progress are read by the new owner.

Evidence: test_job_of_a_withdrawn_queue_is_lost_after_a_takeover fails without the change (runs that end are not started again).

The change: the record of a submission carries the queue as it was (pool, priority, attempts, objective); an owner uses it where its configuration has no such queue. Records without it are read as before. A compacted record drops it.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -125,6 +125,7 @@
             return self._log_outcome(
                 "submit", call, outcomes.Malformed(str(error))
             )
+        spec = spec._replace(accepted_queue=admitted.queue)
         outcome = await self._store_record(
             admitted, records.encode(spec), outcomes.Accepted()
         )
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -141,6 +141,8 @@
         if not spec.steps:
             self._state.log("job-without-steps", job=spec.job_id)
             return
+        if spec.accepted_queue is not None:
+            self._state.queues.setdefault(spec.queue, spec.accepted_queue)
         job = tasks.create_job(spec, now_s, now_ms)
         job.is_excess = self._exceeds_rate(spec.team, job.accepted_s)
         job.relative_work = self._relative_work(job)
--- a/foxtaillock/batch/model.py
+++ b/foxtaillock/batch/model.py
@@ -117,6 +117,30 @@
         return self.size._replace(cpu_millis=0)
 
 
+class Queue(typing.NamedTuple):
+    """A queue in the current configuration.
+
+    Attributes:
+        name: name of the queue.
+        pool: pool whose workers run its tasks.
+        priority: priority of its jobs; 0 is the highest.
+        max_attempts: failed runs of a task after which the job fails.
+        stretch: factor by which a job's objective exceeds its critical path.
+        slack_ms: time that the objective adds to that.
+        is_open: whether it accepts jobs without a key.
+        is_advised: whether the advisor decides which workers may run its tasks.
+    """
+
+    name: str
+    pool: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    slack_ms: int
+    is_open: bool
+    is_advised: bool = False
+
+
 class JobSpec(typing.NamedTuple):
     """A job as it was accepted.
 
@@ -131,6 +155,8 @@
         occurrences: how many times the steps run; 0 to run once, immediately.
         first_ms: wall-clock time at which the first occurrence is due.
         interval_ms: time between two occurrences.
+        accepted_queue: its queue as it was then, for owners that find the queue
+            withdrawn.
     """
 
     job_id: str
@@ -142,6 +168,7 @@
     occurrences: int = 0
     first_ms: int = 0
     interval_ms: int = 0
+    accepted_queue: Queue | None = None
 
 
 class StepId(typing.NamedTuple):
@@ -166,30 +193,6 @@
         return StepId(self.job_id, self.occurrence, self.step)
 
 
-class Queue(typing.NamedTuple):
-    """A queue in the current configuration.
-
-    Attributes:
-        name: name of the queue.
-        pool: pool whose workers run its tasks.
-        priority: priority of its jobs; 0 is the highest.
-        max_attempts: failed runs of a task after which the job fails.
-        stretch: factor by which a job's objective exceeds its critical path.
-        slack_ms: time that the objective adds to that.
-        is_open: whether it accepts jobs without a key.
-        is_advised: whether the advisor decides which workers may run its tasks.
-    """
-
-    name: str
-    pool: str
-    priority: int
-    max_attempts: int
-    stretch: float
-    slack_ms: int
-    is_open: bool
-    is_advised: bool = False
-
-
 class Pool(typing.NamedTuple):
     """A pool of workers.
 
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -413,7 +413,7 @@
             compactable_jobs += self.engine.take_compactable_jobs()
             expired_jobs = self.engine.take_expired_jobs()
             entries = [
-                records.encode(jobs[each].spec._replace(payload="", steps=()))
+                records.encode(_compacted(jobs[each].spec))
                 for each in compactable_jobs
                 if each in jobs
             ]
@@ -514,3 +514,8 @@
                 "internal-error", error=repr(error), trace="".join(trace)
             )
             self._end("internal error")
+
+
+def _compacted(spec: model.JobSpec) -> model.JobSpec:
+    """Returns what is kept of a completed job."""
+    return spec._replace(payload="", steps=(), accepted_queue=None)
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -333,6 +333,25 @@
         self.assertEqual(len(worker.running), 2)
         await self._until_state(other, "/open/" + _ID, "running")
 
+    async def test_job_of_a_withdrawn_queue_is_lost_after_a_takeover(
+        self,
+    ) -> None:
+        self.platform.task_duration_s = 1000.0
+        await self.vm.call("POST", "/open/" + _ID, body=_SERVING_JOB)
+        worker = self.platform.workers["i-1"]
+        await self._until(lambda: len(worker.running) == 2)
+        withdrawn = entry_vm.config(5, ["k1"])
+        del withdrawn["routes"][0]
+        self.platform.write("keyed.op", "config", withdrawn)
+        other = await self._start_vm("vm-2")
+        await self.vm.node.close()
+        await self._until(lambda: worker.epoch == 2)
+        for run in worker.running.values():
+            run.duration_s = 0.0
+        await self._until(lambda: len(worker.history) == 4)
+        self.assertEqual(len(worker.running), 2)
+        self.assertEqual(other.node.call_handler.config.version, 5)
+
     async def test_owner_knows_jobs_that_its_stream_had_not_shown_yet(
         self,
     ) -> None:
