A suspended owner could erase submissions after it was replaced

What callers saw: nothing yet; by reading. It needs a VM that is suspended for longer than ended jobs are kept (150 s) and a job whose end was not stored by then: the next owner runs that job, the one after it doesn't know it.

Cause: the appends that compact and erase submissions carry no epoch, since all VMs write that stream, so the store can't refuse those of an owner that was replaced.

Evidence: test_suspended_owner_erases_submissions fails without the change.

The change: submissions are compacted only while the ownership was confirmed by an append within the time in which leases may be renewed (3.5 s).

--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -410,6 +410,9 @@
         compactable_jobs: list[str] = []
         while True:
             await asyncio.sleep(_COMPACTION_INTERVAL_S)
+            if not self._may_renew_leases():
+                # Another VM may own by now, and these appends are not fenced.
+                continue
             compactable_jobs += self.engine.take_compactable_jobs()
             expired_jobs = self.engine.take_expired_jobs()
             entries = [
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -95,6 +95,18 @@
         return builders.lists(running=[(task, 1)])
 
 
+class _SuspendableClock(model_clock.SystemClock):
+    """Clock of a VM that may have been suspended."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.suspended_s = 0.0
+
+    def monotonic_s(self) -> float:
+        """Returns the time, which goes on while the VM is suspended."""
+        return super().monotonic_s() + self.suspended_s
+
+
 class OwnerTest(unittest.IsolatedAsyncioTestCase):
     """Release, handover, late submissions and retried appends."""
 
@@ -102,6 +114,7 @@
         self.journal = _MemoryJournal()
         self.submissions = _MemoryJournal()
         self.workers = _FakeWorkers()
+        self.clock = _SuspendableClock()
         self.view = view.JournalView()
         empty = _MemoryJournal()
         dependencies = services.OwnerServices(
@@ -114,7 +127,7 @@
             advisor=None,
             statuses=empty,
             encode_wave=lambda *_: records.KeyedRecord("", b""),
-            clock=model_clock.SystemClock(),
+            clock=self.clock,
             log=lambda *_, **__: None,
             metrics=metrics.Metrics(),
         )
@@ -198,6 +211,25 @@
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
+    async def test_suspended_owner_erases_submissions(self) -> None:
+        """It learns only with its next append that it was replaced."""
+        job = builders.job("00000000000000aa", builders.step(1))
+        self.view.apply(0, records.encode(job))
+        end = records.JobEnd(job.job_id, "completed", 20_000)
+        self.view.apply(1, records.encode(end))
+        running = asyncio.ensure_future(self.owner.run())
+        await asyncio.sleep(0.1)
+        self.journal.append_gate.clear()
+        self.clock.suspended_s = 1000.0
+        await asyncio.sleep(1.5)
+        self.assertEqual(self.submissions.appended, [])
+        self.journal.append_gate.set()
+        async with asyncio.timeout(10.0):
+            while not self.submissions.appended:
+                await asyncio.sleep(0.02)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
     async def test_only_much_more_capacity_causes_a_handover(self) -> None:
         running = asyncio.ensure_future(self.owner.run())
         self.owner.on_record(records.HandoverOffer("vm-2", 2, 9.0))
