--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -17,6 +17,7 @@
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
 from foxtaillock.batch import records
+from foxtaillock.batch import reservations
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
@@ -81,6 +82,7 @@
         self._usable = usable_workers.UsableWorkers(
             self._state, self._slow_runs
         )
+        self._reservations = reservations.Reservations(self._state)
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -144,6 +146,8 @@
         if not spec.steps:
             self._state.log("job-without-steps", job=spec.job_id)
             return
+        if spec.accepted_queue is not None:
+            self._state.queues.setdefault(spec.queue, spec.accepted_queue)
         job = tasks.create_job(spec, now_s, now_ms)
         job.is_excess = self._exceeds_rate(spec.team, job.accepted_s)
         job.relative_work = self._relative_work(job)
@@ -264,8 +268,10 @@
             pool: self._usable.find(pool, now_s, least_millis)
             for pool, least_millis in _least_millis(candidates).items()
         }
+        self._reservations.drop_settled()
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
-        exhausted: set[tuple[str, resources.Resources, str]] = set()
+        # Sizes, for each pool, team and label, of which no task fits any more.
+        exhausted: set[tuple[str, resources.Resources, str, str]] = set()
         starts = 0
         for candidate in placement.prioritize(candidates, now_s):
             if max_starts is not None and starts >= max_starts:
@@ -273,22 +279,20 @@
                 break
             pool = candidate.queue.pool
             spec = candidate.step.spec
-            shape = (pool, spec.held_size, candidate.job.spec.team)
-            if shape in exhausted and not spec.label:
+            team = candidate.job.spec.team
+            shape = (pool, spec.held_size, team, spec.label)
+            is_holder = self._reservations.is_holder(candidate.step.step_id)
+            if shape in exhausted and not is_holder:
                 continue
-            chosen = placement.assign(
-                candidate,
-                by_pool[pool],
-                usage,
-                self._eligibility(candidate, now_s),
+            placed = self._place_step(candidate, by_pool[pool], usage, now_s)
+            is_unconstrained = not (
+                spec.max_per_worker
+                or spec.is_gang
+                or candidate.queue.is_advised
             )
-            is_unconstrained = (
-                not spec.max_per_worker and not candidate.queue.is_advised
-            )
-            if not chosen and is_unconstrained:
+            if not placed and is_unconstrained:
                 exhausted.add(shape)
-            self._place_all(candidate, chosen, now_s)
-            starts += len(chosen)
+            starts += placed
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
@@ -499,6 +503,58 @@
             ticket_cache.find(step_id, worker.worker_id, now_s) is not None
         )
 
+    def _place_step(
+        self,
+        candidate: placement.Candidate,
+        roomy_workers: Sequence[batch_workers.Worker],
+        usage: placement.TeamUsage,
+        now_s: float,
+    ) -> int:
+        """Places the tasks of a step that fit; returns their number.
+
+        Args:
+            candidate: the step.
+            roomy_workers: usable workers of its pool, except some that have no
+                room for any waiting task.
+            usage: resources in use by the teams.
+            now_s: current time.
+        """
+        step = candidate.step
+        is_eligible = self._eligibility(candidate, now_s)
+        open_workers = self._reservations.open_to(step.step_id, roomy_workers)
+        chosen = placement.assign(candidate, open_workers, usage, is_eligible)
+        self._place_all(candidate, chosen, now_s)
+        overdue = reservations.overdue_count(step, now_s)
+        if not overdue and not self._reservations.is_holder(step.step_id):
+            return len(chosen)
+        pool_workers = self._usable.find(candidate.queue.pool, now_s)
+        if overdue and step.spec.is_persistent:
+            # Better on a slow or failing worker than on none.
+            others = self._set_aside(candidate.queue.pool, pool_workers, now_s)
+            last = placement.assign(candidate, others, usage, is_eligible)
+            self._place_all(candidate, last, now_s)
+            chosen += last
+        self._reservations.update(
+            candidate, pool_workers, is_eligible, usage, now_s
+        )
+        return len(chosen)
+
+    def _set_aside(
+        self,
+        pool: str,
+        pool_workers: Iterable[batch_workers.Worker],
+        now_s: float,
+    ) -> list[batch_workers.Worker]:
+        """Returns the workers that are kept out of use as slow or failing."""
+        in_use = {worker.worker_id for worker in pool_workers}
+        return [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry.pool == pool
+            and worker.worker_id not in in_use
+            and worker.is_usable(now_s)
+        ]
+
     def _place_all(
         self,
         candidate: placement.Candidate,
@@ -506,8 +562,9 @@
         now_s: float,
     ) -> None:
         """Plans the starts of a step's tasks; those of a gang share a run."""
-        if candidate.step.spec.is_gang and chosen:
-            run = max(task.run for task in candidate.step.tasks)
+        step = candidate.step
+        if step.spec.is_gang and chosen:
+            run = max(task.run for task in step.tasks)
             for each in chosen:
                 each.task.run = run
         for each in chosen:
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -223,7 +223,8 @@
             row = self._vms.get(vm)
             is_back = row is None or _is_in_service(row, self._spare_pool)
             is_shown = sent_s - pending.sent_s > _LIST_LAG_S
-            if pending.is_done and is_back and is_shown:
+            is_settled = pending.is_done or row is None
+            if is_settled and is_back and is_shown:
                 del self._pending[vm]
         for vm in list(self._cordoned_vms):
             if vm not in self._vms:
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -27,7 +27,7 @@
 from foxtaillock.platform import store
 from foxtaillock.platform import worker_client
 
-__all__ = ["create_node", "create_services", "main"]
+__all__ = ["create_node", "create_services", "main", "run"]
 
 _SETTINGS_VARIABLE = "FOXTAILLOCK_SETTINGS"
 _DEFAULT_SETTINGS = "/etc/foxtaillock/settings.conf"
@@ -47,8 +47,11 @@
 _STORE_CONNECTIONS = 8
 
 # The load balancer probes readiness once a second and notices within two probes
-# that a VM is stopping; until then calls arrive on open connections.
-_MIN_DRAIN_S = 3.0
+# that a VM is stopping; until then it forwards new connections.
+_ACCEPT_S = 3.0
+
+# Longest time that a call takes while the store is slow.
+_MAX_CALL_S = 2.3
 
 # Part of the time between SIGTERM and SIGKILL that is kept for the exit itself.
 _EXIT_MARGIN_S = 0.7
@@ -65,10 +68,19 @@
         print(f"foxtaillockd: {error}", file=sys.stderr)
         sys.exit(_EXIT_BAD_SETTINGS)
     allocator.keep_read_buffers()
-    asyncio.run(_run(settings, path))
+    asyncio.run(run(settings, path))
+
 
+async def run(settings: platform_settings.VmSettings, path: str) -> None:
+    """Runs the daemon until it is told to stop.
+
+    Args:
+        settings: settings of this entry VM.
+        path: file from which they were read.
 
-async def _run(settings: platform_settings.VmSettings, path: str) -> None:
+    Raises:
+        OSError: the address for calls or for readiness could not be bound.
+    """
     clock = model_clock.SystemClock()
     json_log = decision_log.create_log(settings.node, clock)
     metrics = batch_metrics.Metrics()
@@ -92,6 +104,11 @@
     server = http_server.HttpServer(
         node.call_handler, lambda: node.is_ready, clock, metrics
     )
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
     node.start()
     await server.listen(settings.readiness, server.serve_readiness)
     await server.listen(settings.callers, server.serve_call)
@@ -100,19 +117,9 @@
     except OSError as error:
         log("metrics-not-served", error=str(error))
     log("started", incarnation=incarnation, zone=settings.zone)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
     await stop.wait()
-    stop_requested_s = clock.monotonic_s()
     log("stopping", incarnation=incarnation)
-    await node.release_ownership(_HANDOVER_TIMEOUT_S)
-    await server.drain(
-        stop_requested_s + settings.grace_s - _EXIT_MARGIN_S,
-        stop_requested_s + _MIN_DRAIN_S,
-    )
+    await _drain(node, server, clock, settings.grace_s)
     log("stopped", incarnation=incarnation)
     await server.close()
     await node.close()
@@ -120,6 +127,27 @@
         await client.close()
 
 
+async def _drain(
+    node: nodes.Node,
+    server: http_server.HttpServer,
+    clock: model_clock.Clock,
+    grace_s: float,
+) -> None:
+    """Releases the ownership and answers the calls that still arrive.
+
+    Args:
+        node: the entry VM.
+        server: its HTTP server.
+        clock: source of time.
+        grace_s: time between SIGTERM and SIGKILL.
+    """
+    stop_requested_s = clock.monotonic_s()
+    drain_s = grace_s - _EXIT_MARGIN_S
+    accept_s = max(0.0, min(_ACCEPT_S, drain_s - _MAX_CALL_S))
+    await node.release_ownership(_HANDOVER_TIMEOUT_S)
+    await server.drain(stop_requested_s + drain_s, stop_requested_s + accept_s)
+
+
 def create_node(
     settings: platform_settings.VmSettings,
     incarnation: str,
