Log and count crashes of workers apart from other ends

The log said worker-lost with a reason for a crash, a move and a maintenance alike, and the metric counted all of them as one event, so an operator could not see how many workers crash. A worker that was not drained, and whose VM was not ordered away, and that is back in its pool with a later start time, has crashed: event worker-crashed, with its runs and how long it was silent. run-lost tells the phase of the run. No decision changes.

--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -7,6 +7,7 @@
 import typing
 from collections.abc import Mapping
 
+from foxtaillock.batch import crash_tracker
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
@@ -106,7 +107,7 @@
         if known is not None and known.entry.started_ms != entry.started_ms:
             if entry.started_ms < known.entry.started_ms:
                 return
-            self.remove_worker(known, now_s, "it was started again")
+            self.replace_worker(known, entry, now_s, "it was started again")
             known = None
         for other in list(self.workers.values()):
             if (
@@ -114,7 +115,9 @@
                 and other.worker_id != entry.worker_id
                 and other.entry.started_ms < entry.started_ms
             ):
-                self.remove_worker(other, now_s, "its address has a new worker")
+                self.replace_worker(
+                    other, entry, now_s, "its address has a new worker"
+                )
         if known is None:
             self.add_worker(entry, now_s)
         else:
@@ -222,6 +225,27 @@
             if task.phase is not tasks.TaskPhase.RECORDING:
                 self.lose_run(task, now_s, "its lease is over")
 
+    def replace_worker(
+        self,
+        worker: workers.Worker,
+        successor: model.WorkerEntry,
+        now_s: float,
+        reason: str,
+    ) -> None:
+        """Removes an incarnation of a worker that a later one replaces.
+
+        It has crashed, unless it was drained, or its VM moved or maintained.
+        """
+        is_restart = crash_tracker.is_restart(worker.entry, successor)
+        if is_restart and not worker.is_leaving:
+            self.log_worker(
+                worker,
+                "worker-crashed",
+                runs=len(worker.tasks),
+                silent_s=round(now_s - worker.answered_s, 2),
+            )
+        self.remove_worker(worker, now_s, reason)
+
     def remove_worker(
         self, worker: workers.Worker, now_s: float, reason: str
     ) -> None:
@@ -247,6 +271,7 @@
             task=model.format_task_id(task.task_id),
             run=task.run,
             worker=task.worker_id,
+            phase=task.phase.value,
             reason=reason,
         )
         self.abandon_run(task, now_s)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -127,7 +127,10 @@
             self._poll_failed(worker, answer, now_s)
             return
         if answer.started_ms and answer.started_ms != worker.entry.started_ms:
-            self._state.remove_worker(worker, now_s, "it was started again")
+            again = worker.entry._replace(started_ms=answer.started_ms)
+            self._state.replace_worker(
+                worker, again, now_s, "it was started again"
+            )
             return
         if not worker.has_answered or worker.unanswered_calls:
             self._state.log_worker(
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -117,12 +117,16 @@
         """Id of the worker."""
         return self.entry.worker_id
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it is about to end as planned."""
+        return self.entry.is_draining or self.is_cordoned
+
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the worker may get new tasks."""
         return (
             self.is_registered
-            and not self.entry.is_draining
-            and not self.is_cordoned
+            and not self.is_leaving
             and not self.has_unexpected_runs
             and self.unanswered_calls < _SUSPECT_UNANSWERED_CALLS
             and now_s >= self.backoff_until_s
