Give up tasks that crash each worker that starts them

Cause: a crash was no end. Ends that a worker reports as failed are counted and limited; a run that is lost with its worker was requeued and nothing counted. Class of fault: a bound on retries that counts reported failures only.

Change: a task's record counts the crashes of workers while it ran, and those while it may have run; both are stored before its next start. A crash is told by a later start time under the same id or address in the same pool; drained workers, VMs ordered away, moves, silence and lapsed leases are none, and one crash counts once, whether the registry or a poll tells it. crash_suspects (pure) decides who is suspected and who is given up, isolation where suspects run. No worker is quarantined for a crash. An answer of an earlier incarnation that comes late no longer removes the later one, and an outdated registry entry no longer brings back the earlier one.

Why it works: a task is given up with its third crash, or with its second if no other job can be the cause, and at the latest with the fifth possible one; the platform allows two starts after three crashes. Suspects are spread, then alone, so that a crash soon has one possible cause and the others go free.

The simulation gave no answer to an order on its way to a worker that died; it now answers unknown, as a timeout does.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
@@ -75,6 +76,9 @@
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self._slow_runs = slow_runs.SlowRuns(self._state)
+        self._isolation = isolation.Isolation(
+            self._state.crashes.suspects, self._state.pool_of
+        )
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -245,12 +249,14 @@
         if not candidates:
             return
         by_pool = self._usable_by_pool(now_s)
+        self._isolation.prepare(by_pool, candidates, now_s)
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
-        exhausted: set[tuple[str, resources.Resources, str]] = set()
+        exhausted: set[tuple[str, resources.Resources, str, str]] = set()
         for candidate in placement.prioritize(candidates, now_s):
             pool = candidate.queue.pool
             spec = candidate.step.spec
-            shape = (pool, spec.held_size, candidate.job.spec.team)
+            apart = self._isolation.key(candidate.job.spec.job_id)
+            shape = (pool, spec.held_size, candidate.job.spec.team, apart)
             if shape in exhausted and not spec.label:
                 continue
             chosen = placement.assign(
@@ -469,12 +475,15 @@
         self, candidate: placement.Candidate, now_s: float
     ) -> Callable[[batch_workers.Worker], bool]:
         """Returns a predicate that tells whether a worker may run a step."""
+        job_id = candidate.job.spec.job_id
+        allows = self._isolation.allows
         if not candidate.queue.is_advised:
-            return lambda _: True
+            return lambda worker: allows(job_id, worker)
         step_id = candidate.step.step_id
         ticket_cache = self._state.tickets
         return lambda worker: (
             ticket_cache.find(step_id, worker.worker_id, now_s) is not None
+            and allows(job_id, worker)
         )
 
     def _place(
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -5,6 +5,7 @@
 """
 
 import typing
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from foxtaillock.batch import crash_tracker
@@ -48,6 +49,7 @@
         pools: pools by name.
         teams: teams by name.
         quarantine: excludes workers whose runs fail.
+        crashes: tells which tasks may have crashed their workers.
         speeds: tells which workers are slow.
         team_usage: resources held by the runs of each team.
         waiting: steps with waiting tasks, whether they are ready or not.
@@ -99,10 +101,15 @@
         self.stops: list[plans.StopPlan] = []
         self.speed_limits: list[plans.SpeedLimitPlan] = []
         self.tickets = tickets.TicketCache()
+        self.crashes = crash_tracker.CrashTracker(
+            self.jobs, self.mark_dirty, log
+        )
         self.needs_plan = True
 
     def register(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Adds or updates a worker from its registry entry."""
+        if self.crashes.is_outdated(entry):
+            return
         known = self.workers.get(entry.worker_id)
         if known is not None and known.entry.started_ms != entry.started_ms:
             if entry.started_ms < known.entry.started_ms:
@@ -146,11 +153,16 @@
         self.workers[entry.worker_id] = worker
         self.log_worker(worker, "worker-new", pool=entry.pool)
         orphans = self.orphans.pop(entry.worker_id, {})
+        lost = []
         for task in orphans.values():
             if task.worker_started_ms in (0, entry.started_ms):
                 worker.add(task, self.step_of(task).spec)
             else:
-                self.lose_run(task, now_s, "its worker was started again")
+                lost.append(task)
+        culprits = self.crashes.record_arrival(worker, lost, now_s)
+        for task in lost:
+            self.lose_run(task, now_s, "its worker was started again")
+        self.give_up(culprits, now_s)
 
     def adopt(self, job: tasks.Job, step: tasks.Step, now_s: float) -> None:
         """Adopts runs of an earlier owner until their workers report them."""
@@ -162,9 +174,15 @@
                 orphans = self.orphans.setdefault(task.worker_id, {})
                 orphans[task.task_id] = task
             elif worker.entry.started_ms != task.worker_started_ms:
+                # What else ran there is not known.
+                culprits = self.crashes.record_arrival(
+                    worker, [task], now_s, are_all_known=False
+                )
                 self.lose_run(task, now_s, "its worker was started again")
+                self.give_up(culprits, now_s)
             else:
                 worker.add(task, step.spec)
+        self.crashes.restore(step)
 
     def expire_orphans(self, now_s: float) -> None:
         """Requeues runs on workers that never registered with this owner."""
@@ -173,6 +191,7 @@
         orphans, self.orphans = self.orphans, {}
         for by_task in orphans.values():
             for task in by_task.values():
+                self.crashes.record_absence(task)
                 self.lose_run(task, now_s, "its worker never registered")
 
     def candidate(
@@ -210,6 +229,7 @@
             if member.is_active:
                 self.release(member)
             step.waiting.discard(member.task_id.number)
+            self.crashes.suspects.clear(member.task_id)
             self.set_phase(member, tasks.TaskPhase.DONE, now_s)
             step.done_count += 1
         if not step.waiting:
@@ -221,6 +241,7 @@
 
     def expire_lease(self, worker: workers.Worker, now_s: float) -> None:
         """Requeues the runs on a worker whose lease has expired."""
+        self.crashes.record_silence(worker, now_s)
         for task in list(worker.tasks.values()):
             if task.phase is not tasks.TaskPhase.RECORDING:
                 self.lose_run(task, now_s, "its lease is over")
@@ -232,19 +253,20 @@
         now_s: float,
         reason: str,
     ) -> None:
-        """Removes an incarnation of a worker that a later one replaces.
-
-        It has crashed, unless it was drained, or its VM moved or maintained.
-        """
-        is_restart = crash_tracker.is_restart(worker.entry, successor)
-        if is_restart and not worker.is_leaving:
-            self.log_worker(
-                worker,
-                "worker-crashed",
-                runs=len(worker.tasks),
-                silent_s=round(now_s - worker.answered_s, 2),
-            )
+        """Removes an incarnation of a worker that a later one replaces."""
+        culprits = self.crashes.record_restart(worker, successor, now_s)
         self.remove_worker(worker, now_s, reason)
+        self.give_up(culprits, now_s)
+
+    def lose_worker(self, worker: workers.Worker, now_s: float) -> None:
+        """Removes an incarnation of a worker whose address another one has."""
+        self.crashes.record_silence(worker, now_s)
+        self.remove_worker(worker, now_s, "another worker answers there")
+
+    def give_up(self, culprits: Iterable[tasks.Task], now_s: float) -> None:
+        """Fails the jobs of tasks that crash their workers."""
+        for task in culprits:
+            self.check_completion(self.jobs[task.task_id.job_id], now_s)
 
     def remove_worker(
         self, worker: workers.Worker, now_s: float, reason: str
@@ -316,6 +338,8 @@
         queue = self.queues.get(job.spec.queue)
         if all(step.is_done for step in job.steps.values()):
             job.final_state = model.JobState.COMPLETED
+        elif any(step.has_culprit for step in job.steps.values()):
+            job.final_state = model.JobState.FAILED
         elif queue is not None and any(
             not step.spec.is_persistent and step.failures >= queue.max_attempts
             for step in job.steps.values()
@@ -343,6 +367,7 @@
 
     def finish_job(self, job: tasks.Job, now_s: float) -> None:
         """Stops the runs of a finished job and starts its retention time."""
+        self.crashes.suspects.remove_job(job.spec.job_id)
         for step in job.steps.values():
             self.waiting.pop(step.step_id, None)
         for task in list(job.active_tasks()):
@@ -390,6 +415,15 @@
         job = self.jobs[task_id.job_id]
         return job.steps[task_id.occurrence, task_id.step]
 
+    def pool_of(self, job_id: str) -> str:
+        """Returns the pool of a job's queue; empty if it is not known."""
+        queue = self.queues.get(self.jobs[job_id].spec.queue)
+        return "" if queue is None else queue.pool
+
+    def mark_dirty(self, task: tasks.Task) -> None:
+        """Marks the progress of a task's step to be recorded."""
+        self.dirty[task.task_id.step_id] = self.step_of(task)
+
     def adjust_usage(
         self, team: str, size: resources.Resources, sign: int
     ) -> None:
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -85,6 +85,10 @@
         worker_started_ms: start time of that worker, which tells apart its
             incarnations.
         checkpoint: checkpoint to resume from; empty for none.
+        crashes: workers that crashed while it ran, since it was last cleared
+            of suspicion.
+        possible_crashes: workers that crashed while it may have run, since
+            then.
     """
 
     number: int
@@ -93,6 +97,8 @@
     worker_id: str = ""
     worker_started_ms: int = 0
     checkpoint: str = ""
+    crashes: int = 0
+    possible_crashes: int = 0
 
 
 class StepProgress(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Iterator
 
+from foxtaillock.batch import crash_suspects
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 
@@ -50,6 +51,11 @@
         phase: state of its latest run.
         run: number of the latest run; 0 before the first.
         failures: number of failed runs.
+        crashes: workers that crashed while it ran, since it was last cleared
+            of suspicion.
+        possible_crashes: workers that crashed while it may have run, since
+            then.
+        is_given_up: whether it is to blame for crashes and gets no more runs.
         worker_id: worker of the latest run while it may be running.
         worker_started_ms: start time of that worker, which tells apart
             incarnations with the same id.
@@ -71,6 +77,9 @@
     phase: TaskPhase = TaskPhase.WAITING
     run: int = 0
     failures: int = 0
+    crashes: int = 0
+    possible_crashes: int = 0
+    is_given_up: bool = False
     worker_id: str = ""
     worker_started_ms: int = 0
     checkpoint: str = ""
@@ -88,6 +97,11 @@
         """Whether a run of the task may exist."""
         return self.phase in ACTIVE_PHASES
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether workers may have crashed because of it."""
+        return self.crashes + self.possible_crashes > 0
+
     def progress(self) -> records.TaskProgress:
         """Returns the record of the task's progress."""
         return records.TaskProgress(
@@ -97,6 +111,8 @@
             self.worker_id,
             self.worker_started_ms,
             self.checkpoint,
+            self.crashes,
+            self.possible_crashes,
         )
 
 
@@ -137,6 +153,14 @@
             return sum(task.failures for task in self.tasks)
         return max(task.failures for task in self.tasks)
 
+    @property
+    def has_culprit(self) -> bool:
+        """Whether a task is to blame for crashes of its workers."""
+        return any(
+            task.is_given_up and task.phase is not TaskPhase.DONE
+            for task in self.tasks
+        )
+
     def active_tasks(self) -> Iterator[Task]:
         """Returns the tasks of which a run may exist."""
         return (task for task in self.tasks if task.is_active)
@@ -167,6 +191,11 @@
             task = self.tasks[row.number]
             task.run, task.failures = row.run, row.failures
             task.checkpoint = row.checkpoint
+            task.crashes = row.crashes
+            task.possible_crashes = row.possible_crashes
+            task.is_given_up = crash_suspects.is_beyond_limits(
+                row.crashes, row.possible_crashes
+            )
             if row.worker_id:
                 task.worker_id = row.worker_id
                 task.worker_started_ms = row.worker_started_ms
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -131,15 +131,17 @@
 
         def _arrive(is_answered: bool) -> None:
             worker = self.workers.get(worker_id)
-            if worker is None or worker.is_dead:
+            if worker is None or worker is not sent_to or worker.is_dead:
+                if is_answered:
+                    self.schedule(0.8, lambda: _answer(unknown))
                 return
             answer = act(worker)
             if is_answered:
                 self.schedule(self.delay_s(), lambda: _answer(answer))
 
         is_partitioned = self._is_partitioned(owner.epoch, worker_id)
-        worker = self.workers.get(worker_id)
-        if is_partitioned or worker is None or worker.is_dead:
+        sent_to = self.workers.get(worker_id)
+        if is_partitioned or sent_to is None or sent_to.is_dead:
             self.schedule(0.8, lambda: _answer(unknown))
             return
         chance = self._random.random()
--- /dev/null
+++ b/foxtaillock/batch/tests/test_crash_schedules.py
@@ -0,0 +1,29 @@
+"""Tests of crashing tasks in random schedules with faults."""
+
+import unittest
+
+from foxtaillock.batch.tests import crash_simulation
+
+_SEEDS = 100
+_LENGTH_S = 40.0
+
+# The platform allows fewer than three starts after three crashes.
+_MAX_LATE_STARTS = 2
+
+
+class CrashScheduleTest(unittest.TestCase):
+    """Tasks that crash their workers end, and all others are unharmed."""
+
+    def test_crashing_tasks_are_given_up_and_no_others(self) -> None:
+        for seed in range(_SEEDS):
+            with self.subTest(seed=seed):
+                schedule = crash_simulation.CrashSimulation(seed)
+                schedule.run(_LENGTH_S)
+                late_starts = schedule.starts_after_three_crashes().values()
+                self.assertLessEqual(
+                    max(late_starts, default=0), _MAX_LATE_STARTS
+                )
+                self.assertEqual(schedule.jobs_failed_without_cause(), set())
+                self.assertEqual(schedule.check_runs(), [])
+                self.assertEqual(schedule.unfinished_jobs(), [])
+                self.assertEqual(schedule.running_cancelled_tasks(), [])
--- a/foxtaillock/batch/tests/test_crashes.py
+++ b/foxtaillock/batch/tests/test_crashes.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
+from foxtaillock.batch import records
 from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 
@@ -161,6 +162,22 @@
         """Returns the final state of a job."""
         return self.engine.jobs[job_id].final_state
 
+    def crashes(self, job_id: str) -> int:
+        """Returns the most crashes counted for a task of a job."""
+        return max(
+            task.crashes
+            for step in self.engine.jobs[job_id].steps.values()
+            for task in step.tasks
+        )
+
+    def possible_crashes(self, job_id: str) -> int:
+        """Returns the most possible crashes counted for a task of a job."""
+        return max(
+            task.possible_crashes
+            for step in self.engine.jobs[job_id].steps.values()
+            for task in step.tasks
+        )
+
     def _play_worker(self, worker_id: str, crashers: frozenset[str]) -> None:
         worker = self.engine.workers[worker_id]
         jobs = {task_id.job_id for task_id in worker.tasks}
@@ -196,6 +213,195 @@
     ]
 
 
+class CrashingTaskTest(unittest.TestCase):
+    """A task that crashes each worker that starts it is given up."""
+
+    def _assert_given_up(self, fleet: _Fleet) -> None:
+        self.assertIs(fleet.state(_CRASHER), model.JobState.FAILED)
+        self.assertEqual(_workers_of(fleet, _CRASHER), [])
+
+    def test_task_is_started_at_most_three_times(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_CRASHER, builders.step()))
+        fleet.run(8)
+        self.assertLessEqual(fleet.starts[_CRASHER], _MAX_STARTS)
+        self._assert_given_up(fleet)
+
+    def test_task_of_a_persistent_step_is_given_up(self) -> None:
+        fleet = _Fleet()
+        step = builders.step(is_persistent=True)
+        fleet.submit(builders.job(_CRASHER, step))
+        fleet.run(8)
+        self.assertLessEqual(fleet.starts[_CRASHER], _MAX_STARTS)
+        self._assert_given_up(fleet)
+
+    def test_task_of_a_step_with_copies_is_given_up(self) -> None:
+        fleet = _Fleet()
+        step = builders.step(is_speculative=True)
+        fleet.submit(builders.job(_CRASHER, step))
+        fleet.run(8)
+        self.assertLessEqual(fleet.starts[_CRASHER], _MAX_STARTS)
+        self._assert_given_up(fleet)
+
+    def test_gang_is_given_up(self) -> None:
+        fleet = _Fleet()
+        step = builders.step(3, 3000, is_gang=True)
+        fleet.submit(builders.job(_CRASHER, step))
+        fleet.run(8)
+        self.assertLessEqual(fleet.starts[_CRASHER], 3 * _MAX_STARTS)
+        self._assert_given_up(fleet)
+
+    def test_count_survives_takeovers(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_CRASHER, builders.step()))
+        for _ in range(6):
+            fleet.run(1)
+            fleet.take_over()
+        self.assertLessEqual(fleet.starts[_CRASHER], _MAX_STARTS)
+        self._assert_given_up(fleet)
+
+    def test_crash_during_a_takeover_counts(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_CRASHER, builders.step()))
+        for _ in range(6):
+            fleet.start()
+            for worker_id in _workers_of(fleet, _CRASHER):
+                fleet.started_ms[worker_id] += 1
+            fleet.take_over()
+        self.assertLessEqual(fleet.starts[_CRASHER], _MAX_STARTS_IN_DOUBT)
+        self._assert_given_up(fleet)
+
+    def test_job_given_up_during_a_takeover_stops_no_later_plan(self) -> None:
+        """Its suspects outlived it."""
+        engine = builders.create_engine(builders.entry("1", started_ms=2))
+        lost = records.TaskProgress(0, 3, 0, "1", 1, "", 2, 2)
+        waiting = records.TaskProgress(0, 1, 0, "", 0, "", 1)
+        progress = [
+            records.StepProgress(
+                model.StepId(_CRASHER, 0, number), 1, b"\0", (task,)
+            )
+            for number, task in enumerate((lost, waiting))
+        ]
+        steps = (builders.step(), builders.step())
+        engine.submit(builders.job(_CRASHER, *steps), progress, 10.0, 10_000)
+        self.assertIs(engine.jobs[_CRASHER].final_state, model.JobState.FAILED)
+        engine.tick(200.0)
+        engine.forget(engine.take_expired_jobs())
+        self.assertNotIn(_CRASHER, engine.jobs)
+        innocent = builders.job(_INNOCENT, builders.step())
+        engine.submit(innocent, (), 200.0, 200_000)
+        self.assertEqual(len(builders.start_all(engine, 200.0)), 1)
+
+    def test_start_in_doubt_counts(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_CRASHER, builders.step()))
+        for _ in range(6):
+            fleet.start(interfaces.OrderOutcome.UNKNOWN)
+            for worker_id in _workers_of(fleet, _CRASHER):
+                fleet.crash(worker_id)
+        self.assertLessEqual(fleet.starts[_CRASHER], _MAX_STARTS_IN_DOUBT)
+        self._assert_given_up(fleet)
+
+    def test_crash_that_shows_after_the_lease_counts(self) -> None:
+        for silent_s, max_starts in (
+            (4.5, _MAX_STARTS),
+            (8.0, _MAX_STARTS_IN_DOUBT),
+        ):
+            with self.subTest(silent_s=silent_s):
+                fleet = _Fleet()
+                fleet.submit(builders.job(_CRASHER, builders.step()))
+                for _ in range(6):
+                    fleet.start()
+                    for worker_id in _workers_of(fleet, _CRASHER):
+                        fleet.lose_contact(worker_id, silent_s)
+                        fleet.crash(worker_id)
+                self.assertLessEqual(fleet.starts[_CRASHER], max_starts)
+                self._assert_given_up(fleet)
+
+    def test_jobs_beside_it_are_completed(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_CRASHER, builders.step(2)))
+        others = [f"{number:016x}" for number in range(1, 9)]
+        for job_id in others:
+            fleet.submit(builders.job(job_id, builders.step(2, 500)))
+        fleet.run(20)
+        self.assertLessEqual(fleet.starts[_CRASHER], 2 * _MAX_STARTS)
+        self._assert_given_up(fleet)
+        for job_id in others:
+            self.assertIs(fleet.state(job_id), model.JobState.COMPLETED)
+
+    def test_two_of_them_on_one_worker_are_both_given_up(self) -> None:
+        fleet = _Fleet()
+        crashers = frozenset([_CRASHER, _INNOCENT])
+        for job_id in crashers:
+            fleet.submit(builders.job(job_id, builders.step()))
+        fleet.run(20, crashers)
+        for job_id in crashers:
+            self.assertLessEqual(fleet.starts[job_id], _MAX_STARTS)
+            self.assertIs(fleet.state(job_id), model.JobState.FAILED)
+
+    def test_suspects_of_one_crash_are_spread(self) -> None:
+        fleet = _Fleet(workers=2, cpu=8000)
+        for job_id in (_CRASHER, _INNOCENT):
+            fleet.submit(builders.job(job_id, builders.step()))
+        fleet.start()
+        self.assertEqual(len(_workers_of(fleet, _CRASHER)), 1)
+        fleet.crash(*_workers_of(fleet, _CRASHER))
+        fleet.start()
+        self.assertNotEqual(
+            _workers_of(fleet, _CRASHER), _workers_of(fleet, _INNOCENT)
+        )
+
+    def test_suspect_of_two_crashes_is_alone(self) -> None:
+        fleet = _Fleet(cpu=8000)
+        others = [f"{number:016x}" for number in range(3)]
+        for job_id in (_CRASHER, *others):
+            fleet.submit(builders.job(job_id, builders.step()))
+        fleet.start()
+        fleet.crash(*_workers_of(fleet, _CRASHER))
+        everywhere = builders.step(4, max_per_worker=1)
+        fleet.submit(builders.job(_INNOCENT, everywhere))
+        fleet.start()
+        fleet.crash(*_workers_of(fleet, _CRASHER))
+        later = "00000000000000cc"
+        fleet.submit(builders.job(later, builders.step()))
+        fleet.start()
+        (worker_id,) = _workers_of(fleet, _CRASHER)
+        self.assertEqual(len(fleet.engine.workers[worker_id].tasks), 1)
+        for job_id in (*others, later):
+            self.assertEqual(len(_workers_of(fleet, job_id)), 1)
+
+    def test_wait_before_an_earlier_run_does_not_count(self) -> None:
+        """Both would share a worker again at once."""
+        fleet = _Fleet(workers=2)
+        step = builders.step(2, max_per_worker=1)
+        for job_id in (_CRASHER, _INNOCENT):
+            fleet.submit(builders.job(job_id, step))
+        fleet.start()
+        fleet.crash("0")
+        for _ in range(3):
+            fleet.start()
+        self.assertEqual(len(fleet.engine.workers["0"].tasks), 2)
+        fleet.lose_contact("0", 3.5)
+        fleet.crash("0")
+        self.assertEqual(fleet.crashes(_CRASHER), 2)
+        self.assertTrue(fleet.start())
+        for worker in fleet.engine.workers.values():
+            jobs = {task_id.job_id for task_id in worker.tasks}
+            self.assertLessEqual(len(jobs), 1)
+
+    def test_gang_that_fits_no_worker_set_aside_still_runs(self) -> None:
+        fleet = _Fleet(workers=2)
+        step = builders.step(2, 3000, is_gang=True)
+        fleet.submit(builders.job(_INNOCENT, step))
+        fleet.start()
+        fleet.crash("0")
+        fleet.end_all("1", model.EndKind.GANG_BROKEN)
+        for _ in range(6):
+            fleet.start()
+        self.assertEqual(len(_workers_of(fleet, _INNOCENT)), 2)
+
+
 class NoCrashTest(unittest.TestCase):
     """What ends runs without a word but is no crash of their worker."""
 
@@ -206,12 +412,22 @@
         (self.worker_id,) = _workers_of(self.fleet, _INNOCENT)
 
     def _assert_no_crash(self) -> None:
+        self.assertEqual(self.fleet.crashes(_INNOCENT), 0)
         self.assertEqual(self.fleet.events["worker-crashed"], 0)
 
     def test_silent_worker_whose_leases_lapse(self) -> None:
         self.fleet.lose_contact(self.worker_id, 8.0)
         self.fleet.poll(self.worker_id, [])
         self._assert_no_crash()
+        self.fleet.crash(self.worker_id)
+        self.assertEqual(self.fleet.possible_crashes(_INNOCENT), 0)
+
+    def test_worker_that_was_silent_for_long_before(self) -> None:
+        """It may have lost its runs long before it was started again."""
+        self.fleet.lose_contact(self.worker_id, 8.0)
+        self.fleet.crash(self.worker_id)
+        self.assertEqual(self.fleet.crashes(_INNOCENT), 0)
+        self.assertEqual(self.fleet.possible_crashes(_INNOCENT), 1)
 
     def test_worker_whose_vm_this_owner_moves(self) -> None:
         fleet = self.fleet
@@ -232,6 +448,15 @@
         self.assertNotIn(self.worker_id, self.fleet.engine.workers)
         self._assert_no_crash()
 
+    def test_worker_whose_vm_an_earlier_owner_maintained(self) -> None:
+        """What this owner never saw running counts as a possible crash."""
+        address = self.fleet.entry(self.worker_id).address
+        self.fleet.take_over()
+        new = builders.entry("new", started_ms=9, address=address)
+        self.fleet.engine.register(new, self.fleet.now_s)
+        self.assertEqual(self.fleet.crashes(_INNOCENT), 0)
+        self.assertIsNone(self.fleet.state(_INNOCENT))
+
     def test_worker_that_drained(self) -> None:
         entry = self.fleet.entry(self.worker_id, is_draining=True)
         self.fleet.engine.register(entry, self.fleet.now_s)
@@ -269,7 +494,103 @@
 
     def _assert_one_crash(self) -> None:
         self.fleet.engine.register(self.new, self.fleet.now_s)
+        self.assertEqual(self.fleet.crashes(_INNOCENT), 1)
         self.assertEqual(self.fleet.events["worker-crashed"], 1)
 
     def test_registry_tells_the_crash(self) -> None:
         self._assert_one_crash()
+
+    def test_registry_tells_the_crash_after_the_other_worker_answered(
+        self,
+    ) -> None:
+        answer = interfaces.OrderAnswer(interfaces.OrderOutcome.OTHER_WORKER)
+        worker = self.fleet.engine.workers[self.worker_id]
+        plan = self.fleet.engine.answers.poll_plan(worker, self.fleet.now_s)
+        assert plan is not None
+        self.fleet.engine.answers.poll_answered(
+            self.worker_id, plan, answer, self.fleet.now_s, self.fleet.now_s
+        )
+        self.assertNotIn(self.worker_id, self.fleet.engine.workers)
+        self._assert_one_crash()
+
+    def test_registry_tells_the_crash_after_the_leases(self) -> None:
+        self.fleet.lose_contact(self.worker_id, 4.5)
+        self._assert_one_crash()
+
+
+class OneCrashTest(unittest.TestCase):
+    """One crash of a worker that ran innocent tasks."""
+
+    def test_poll_and_registry_tell_one_crash(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_INNOCENT, builders.step()))
+        fleet.start()
+        (worker_id,) = _workers_of(fleet, _INNOCENT)
+        earlier = fleet.entry(worker_id)
+        fleet.started_ms[worker_id] += 1
+        fleet.poll(worker_id, [])
+        fleet.engine.register(earlier, fleet.now_s)
+        self.assertNotIn(worker_id, fleet.engine.workers)
+        fleet.engine.register(fleet.entry(worker_id), fleet.now_s)
+        self.assertIn(worker_id, fleet.engine.workers)
+        self.assertEqual(fleet.crashes(_INNOCENT), 1)
+        self.assertEqual(fleet.events["worker-crashed"], 1)
+
+    def test_answer_of_the_earlier_incarnation_is_no_crash(self) -> None:
+        fleet = _Fleet(workers=1)
+        fleet.submit(builders.job(_INNOCENT, builders.step()))
+        fleet.crash("0")
+        fleet.start()
+        fleet.started_ms["0"] = 1
+        fleet.poll("0", [])
+        worker = fleet.engine.workers["0"]
+        self.assertGreater(fleet.engine.answers.poll_pause_s(worker), 0)
+        self.assertEqual(len(worker.tasks), 1)
+        self.assertEqual(fleet.crashes(_INNOCENT), 0)
+
+    def test_crash_does_not_quarantine_the_worker(self) -> None:
+        fleet = _Fleet(workers=1)
+        for number in range(4):
+            job_id = f"{number:016x}"
+            fleet.submit(builders.job(job_id, builders.step()))
+        fleet.start()
+        fleet.crash("0")
+        self.assertEqual(len(fleet.start()), 4)
+
+    def test_reported_failure_clears_the_task(self) -> None:
+        fleet = _Fleet()
+        fleet.submit(builders.job(_INNOCENT, builders.step()))
+        fleet.start()
+        fleet.crash(*_workers_of(fleet, _INNOCENT))
+        self.assertEqual(fleet.crashes(_INNOCENT), 1)
+        fleet.start()
+        (worker_id,) = _workers_of(fleet, _INNOCENT)
+        fleet.end_all(worker_id, model.EndKind.FAILED)
+        self.assertEqual(fleet.crashes(_INNOCENT), 0)
+
+    def test_persistent_task_outlives_many_crashes_far_apart(self) -> None:
+        fleet = _Fleet()
+        step = builders.step(is_persistent=True)
+        fleet.submit(builders.job(_INNOCENT, step))
+        for _ in range(6):
+            fleet.start()
+            (worker_id,) = _workers_of(fleet, _INNOCENT)
+            (task,) = fleet.engine.workers[worker_id].tasks.values()
+            for _ in range(40):
+                fleet.now_s += _ROUND_S
+                fleet.engine.tick(fleet.now_s)
+                fleet.poll(worker_id, [(task.task_id, task.run)])
+            fleet.crash(worker_id)
+        self.assertIsNone(fleet.state(_INNOCENT))
+
+    def test_record_of_a_task_without_crashes_is_read(self) -> None:
+        """Earlier versions wrote six fields."""
+        progress = records.TaskProgress(0, 2, 1, "w", 7, "text")
+        step_id = model.StepId(_INNOCENT, 0, 0)
+        step = records.StepProgress(step_id, 1, b"", (progress,))
+        key, value = records.encode(step)
+        earlier = value.replace(b"\xa4text\0\0", b"\xa4text").replace(
+            b"\x98\x00\x02", b"\x96\x00\x02"
+        )
+        self.assertNotEqual(earlier, value)
+        self.assertEqual(records.decode(key, earlier), step)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -5,7 +5,9 @@
 
 from collections.abc import Iterable
 
+from foxtaillock.batch import crash_suspects
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import speed_limits
@@ -78,9 +80,7 @@
             self._state.set_phase(task, tasks.TaskPhase.IN_DOUBT, now_s)
             return
         if outcome is interfaces.OrderOutcome.OTHER_WORKER:
-            self._state.remove_worker(
-                worker, now_s, "another worker answers there"
-            )
+            self._state.lose_worker(worker, now_s)
         elif outcome is interfaces.OrderOutcome.TICKET_REFUSED:
             self._state.tickets.invalidate(task.task_id.step_id)
         elif outcome is not interfaces.OrderOutcome.STALE_RUN:
@@ -99,9 +99,7 @@
             return
         self._record_contact(worker, answer, now_s)
         if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
-            self._state.remove_worker(
-                worker, now_s, "another worker answers there"
-            )
+            self._state.lose_worker(worker, now_s)
             return
         task = worker.tasks.get(plan.task_id)
         if task is None or task.run != plan.run:
@@ -126,12 +124,19 @@
         if isinstance(answer, interfaces.OrderAnswer):
             self._poll_failed(worker, answer, now_s)
             return
-        if answer.started_ms and answer.started_ms != worker.entry.started_ms:
+        if 0 < answer.started_ms < worker.entry.started_ms:
+            # The answer of an earlier incarnation was on its way for long.
+            unknown = interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
+            self._poll_failed(worker, unknown, now_s)
+            return
+        if answer.started_ms > worker.entry.started_ms > 0:
+            self._state.crashes.record_start_time(worker_id, answer.started_ms)
             again = worker.entry._replace(started_ms=answer.started_ms)
             self._state.replace_worker(
                 worker, again, now_s, "it was started again"
             )
             return
+        self._state.crashes.record_answer(worker)
         if not worker.has_answered or worker.unanswered_calls:
             self._state.log_worker(
                 worker, "worker-reached", running=len(answer.running)
@@ -230,6 +235,7 @@
             return
         if end.kind is model.EndKind.FAILED:
             task.failures += 1
+            self._state.crashes.clear(task)
             self._state.quarantine.record_failure(
                 worker.worker_id,
                 task.task_id.job_id,
@@ -287,6 +293,8 @@
                 continue
             present.add(listed.task)
             self._apply_running(task, listed, now_s)
+            if isolation.worked_s(task, worker) >= crash_suspects.PROVEN_S:
+                self._state.crashes.clear(task)
         if had_unexpected_runs and not worker.has_unexpected_runs:
             self._state.needs_plan = True
         for task in list(worker.tasks.values()):
@@ -359,9 +367,7 @@
         now_s: float,
     ) -> None:
         if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
-            self._state.remove_worker(
-                worker, now_s, "another worker answers there"
-            )
+            self._state.lose_worker(worker, now_s)
             return
         if not worker.unanswered_calls:
             self._state.log_worker(
