Start nothing beyond a capacity that has shrunk since the plan

What callers would see: a worker's capacity may shrink while it runs. And a pool whose workers had all shrunk below a waiting task's size asked for no VM, since the task counted as larger than any VM.

Cause: room was checked when a task was placed and not again; the size of a VM was read from the latest entries.

Change: a start is dropped when its record is stored, or just before it is sent, if its worker holds more than its capacity of something that the task needs; the others go on, one dropped start after the other. What runs goes on. The load of a pool takes the size of a VM from the largest capacity that its workers told.

Ruled out by tests that passed before: placing on a worker whose free capacity is negative, also fillers; room of runs that are being stopped.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -390,6 +390,9 @@
             is_due = (
                 not job.is_finished
                 and plan.worker.is_usable(now_s)
+                and not plan.worker.lacks_room_for(
+                    self._state.step_of(task).spec
+                )
                 and now_s - plan.planned_s <= _MAX_SEND_DELAY_S
             )
             if not is_due:
@@ -415,7 +418,9 @@
         valid_until_ms = worker.grant_lease(now_s)
         job = self._state.jobs[task.task_id.job_id]
         is_late = now_s - plan.planned_s > _MAX_SEND_DELAY_S
-        if valid_until_ms is None or job.is_finished or is_late:
+        lacks_room = worker.lacks_room_for(self._state.step_of(task).spec)
+        is_dropped = job.is_finished or is_late or lacks_room
+        if valid_until_ms is None or is_dropped:
             self._state.abandon_run(task, now_s)
             return None
         ticket = ""
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -64,10 +64,12 @@
 
     def add_worker(self, worker: workers.Worker) -> None:
         """Adds a worker of the pool."""
-        millis = worker.entry.capacity.cpu_millis
-        self._capacity_millis = max(self._capacity_millis, millis)
+        # A capacity that has shrunk grows again, and other VMs have all of it.
+        self._capacity_millis = max(
+            self._capacity_millis, worker.full_cpu_millis
+        )
         if worker.is_registered and not worker.is_cordoned:
-            self._schedulable_millis += millis
+            self._schedulable_millis += worker.entry.capacity.cpu_millis
 
     def load(self) -> pool_sizes.PoolLoad:
         """Returns the load.
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -55,7 +55,9 @@
         is_registered: whether the registry still lists it.
         tasks: tasks that may be running on it.
         held: resources that these tasks hold.
-        free: resources that no task holds.
+        free: resources that no task holds; less than zero while the tasks hold
+            more than a capacity that has shrunk.
+        full_cpu_millis: most processors that it has had, in thousandths.
         has_answered: whether it has answered under this owner's epoch.
         clock_ms: latest known reading of its clock.
         clock_read_s: time at which that reading arrived.
@@ -91,6 +93,7 @@
     )
     held: resources.Resources = resources.ZERO
     free: resources.Resources = resources.ZERO
+    full_cpu_millis: int = 0
     has_answered: bool = False
     clock_ms: int = 0
     clock_read_s: float = float("-inf")
@@ -132,6 +135,15 @@
             and now_s >= self.backoff_until_s
         )
 
+    def lacks_room_for(self, spec: model.StepSpec) -> bool:
+        """Returns whether a task that is counted already exceeds the capacity.
+
+        This happens if the capacity has shrunk since the task was placed.
+        """
+        return any(
+            held > 0 > free for held, free in zip(spec.held_size, self.free)
+        )
+
     def record_answer(self, clock_ms: int, now_s: float) -> None:
         """Records an answer under this owner's epoch.
 
@@ -226,3 +238,6 @@
         # Kept, not computed on each use: a placement reads it for every worker
         # of the pool.
         self.free = resources.subtract(self.entry.capacity, self.held)
+        self.full_cpu_millis = max(
+            self.full_cpu_millis, self.entry.capacity.cpu_millis
+        )
