--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
@@ -83,6 +84,9 @@
             self._state, self._slow_runs
         )
         self._reservations = reservations.Reservations(self._state)
+        self._isolation = isolation.Isolation(
+            self._state.crashes.suspects, self._state.pool_of
+        )
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
@@ -268,10 +272,12 @@
             pool: self._usable.find(pool, now_s, least_millis)
             for pool, least_millis in _least_millis(candidates).items()
         }
+        self._prepare_isolation(candidates, now_s)
         self._reservations.drop_settled()
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
-        # Sizes, for each pool, team and label, of which no task fits any more.
-        exhausted: set[tuple[str, resources.Resources, str, str]] = set()
+        # Sizes of which no task fits any more, for each pool, team, label and
+        # choice of workers.
+        exhausted: set[tuple[str, resources.Resources, str, str, str]] = set()
         starts = 0
         for candidate in placement.prioritize(candidates, now_s):
             if max_starts is not None and starts >= max_starts:
@@ -280,7 +286,8 @@
             pool = candidate.queue.pool
             spec = candidate.step.spec
             team = candidate.job.spec.team
-            shape = (pool, spec.held_size, team, spec.label)
+            apart = self._isolation.key(candidate.job.spec.job_id)
+            shape = (pool, spec.held_size, team, spec.label, apart)
             is_holder = self._reservations.is_holder(candidate.step.step_id)
             if shape in exhausted and not is_holder:
                 continue
@@ -408,6 +415,9 @@
             is_due = (
                 not job.is_finished
                 and plan.worker.is_usable(now_s)
+                and not plan.worker.lacks_room_for(
+                    self._state.step_of(task).spec
+                )
                 and now_s - plan.planned_s <= _MAX_SEND_DELAY_S
             )
             if not is_due:
@@ -433,7 +443,9 @@
         valid_until_ms = worker.grant_lease(now_s)
         job = self._state.jobs[task.task_id.job_id]
         is_late = now_s - plan.planned_s > _MAX_SEND_DELAY_S
-        if valid_until_ms is None or job.is_finished or is_late:
+        lacks_room = worker.lacks_room_for(self._state.step_of(task).spec)
+        is_dropped = job.is_finished or is_late or lacks_room
+        if valid_until_ms is None or is_dropped:
             self._state.abandon_run(task, now_s)
             return None
         ticket = ""
@@ -495,14 +507,28 @@
         self, candidate: placement.Candidate, now_s: float
     ) -> Callable[[batch_workers.Worker], bool]:
         """Returns a predicate that tells whether a worker may run a step."""
+        job_id = candidate.job.spec.job_id
+        allows = self._isolation.allows
         if not candidate.queue.is_advised:
-            return lambda _: True
+            return lambda worker: allows(job_id, worker)
         step_id = candidate.step.step_id
         ticket_cache = self._state.tickets
         return lambda worker: (
             ticket_cache.find(step_id, worker.worker_id, now_s) is not None
+            and allows(job_id, worker)
         )
 
+    def _prepare_isolation(
+        self, candidates: Sequence[placement.Candidate], now_s: float
+    ) -> None:
+        """Sets workers aside for jobs suspected of crashes, if there are any."""
+        pools = {
+            self._state.pool_of(job_id)
+            for job_id in self._state.crashes.suspects.jobs
+        }
+        usable = {pool: self._usable.find(pool, now_s) for pool in pools}
+        self._isolation.prepare(usable, candidates, now_s)
+
     def _place_step(
         self,
         candidate: placement.Candidate,
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -5,8 +5,10 @@
 """
 
 import typing
+from collections.abc import Iterable
 from collections.abc import Mapping
 
+from foxtaillock.batch import crash_tracker
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
@@ -49,6 +51,7 @@
         pools: pools by name.
         teams: teams by name.
         quarantine: excludes workers whose runs fail.
+        crashes: tells which tasks may have crashed their workers.
         speeds: tells which workers are slow.
         team_usage: resources held by the runs of each team.
         waiting: steps with waiting tasks, whether they are ready or not.
@@ -103,16 +106,21 @@
         self.stops: list[plans.StopPlan] = []
         self.speed_limits: list[plans.SpeedLimitPlan] = []
         self.tickets = tickets.TicketCache()
+        self.crashes = crash_tracker.CrashTracker(
+            self.jobs, self.mark_dirty, log
+        )
         self.needs_plan = True
         self.starting_count = 0
 
     def register(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Adds or updates a worker from its registry entry."""
+        if self.crashes.is_outdated(entry):
+            return
         known = self.workers.get(entry.worker_id)
         if known is not None and known.entry.started_ms != entry.started_ms:
             if entry.started_ms < known.entry.started_ms:
                 return
-            self.remove_worker(known, now_s, "it was started again")
+            self.replace_worker(known, entry, now_s, "it was started again")
             known = None
         for other in list(self.workers.values()):
             if (
@@ -120,7 +128,9 @@
                 and other.worker_id != entry.worker_id
                 and other.entry.started_ms < entry.started_ms
             ):
-                self.remove_worker(other, now_s, "its address has a new worker")
+                self.replace_worker(
+                    other, entry, now_s, "its address has a new worker"
+                )
         if known is None:
             self.add_worker(entry, now_s)
         else:
@@ -152,11 +162,16 @@
         self.pool_members.invalidate()
         self.log_worker(worker, "worker-new", pool=entry.pool)
         orphans = self.orphans.pop(entry.worker_id, {})
+        lost = []
         for task in orphans.values():
             if task.worker_started_ms in (0, entry.started_ms):
                 worker.add(task, self.step_of(task).spec)
             else:
-                self.lose_run(task, now_s, "its worker was started again")
+                lost.append(task)
+        culprits = self.crashes.record_arrival(worker, lost, now_s)
+        for task in lost:
+            self.lose_run(task, now_s, "its worker was started again")
+        self.give_up(culprits, now_s)
 
     def adopt(self, job: tasks.Job, step: tasks.Step, now_s: float) -> None:
         """Adopts runs of an earlier owner until their workers report them."""
@@ -168,9 +183,15 @@
                 orphans = self.orphans.setdefault(task.worker_id, {})
                 orphans[task.task_id] = task
             elif worker.entry.started_ms != task.worker_started_ms:
+                # What else ran there is not known.
+                culprits = self.crashes.record_arrival(
+                    worker, [task], now_s, are_all_known=False
+                )
                 self.lose_run(task, now_s, "its worker was started again")
+                self.give_up(culprits, now_s)
             else:
                 worker.add(task, step.spec)
+        self.crashes.restore(step)
 
     def expire_orphans(self, now_s: float) -> None:
         """Requeues runs on workers that never registered with this owner."""
@@ -179,6 +200,7 @@
         orphans, self.orphans = self.orphans, {}
         for by_task in orphans.values():
             for task in by_task.values():
+                self.crashes.record_absence(task)
                 self.lose_run(task, now_s, "its worker never registered")
 
     def candidates(self, now_s: float) -> list[placement.Candidate]:
@@ -231,6 +253,7 @@
             if member.is_active:
                 self.release(member)
             step.waiting.discard(member.task_id.number)
+            self.crashes.suspects.clear(member.task_id)
             self.set_phase(member, tasks.TaskPhase.DONE, now_s)
             step.done_count += 1
         if not step.waiting:
@@ -244,10 +267,33 @@
 
     def expire_lease(self, worker: workers.Worker, now_s: float) -> None:
         """Requeues the runs on a worker whose lease has expired."""
+        self.crashes.record_silence(worker, now_s)
         for task in list(worker.tasks.values()):
             if task.phase is not tasks.TaskPhase.RECORDING:
                 self.lose_run(task, now_s, "its lease is over")
 
+    def replace_worker(
+        self,
+        worker: workers.Worker,
+        successor: model.WorkerEntry,
+        now_s: float,
+        reason: str,
+    ) -> None:
+        """Removes an incarnation of a worker that a later one replaces."""
+        culprits = self.crashes.record_restart(worker, successor, now_s)
+        self.remove_worker(worker, now_s, reason)
+        self.give_up(culprits, now_s)
+
+    def lose_worker(self, worker: workers.Worker, now_s: float) -> None:
+        """Removes an incarnation of a worker whose address another one has."""
+        self.crashes.record_silence(worker, now_s)
+        self.remove_worker(worker, now_s, "another worker answers there")
+
+    def give_up(self, culprits: Iterable[tasks.Task], now_s: float) -> None:
+        """Fails the jobs of tasks that crash their workers."""
+        for task in culprits:
+            self.check_completion(self.jobs[task.task_id.job_id], now_s)
+
     def remove_worker(
         self, worker: workers.Worker, now_s: float, reason: str
     ) -> None:
@@ -275,6 +321,7 @@
             task=model.format_task_id(task.task_id),
             run=task.run,
             worker=task.worker_id,
+            phase=task.phase.value,
             reason=reason,
         )
         self.abandon_run(task, now_s)
@@ -319,6 +366,8 @@
         queue = self.queues.get(job.spec.queue)
         if all(step.is_done for step in job.steps.values()):
             job.final_state = model.JobState.COMPLETED
+        elif any(step.has_culprit for step in job.steps.values()):
+            job.final_state = model.JobState.FAILED
         elif queue is not None and any(
             not step.spec.is_persistent and step.failures >= queue.max_attempts
             for step in job.steps.values()
@@ -346,6 +395,7 @@
 
     def finish_job(self, job: tasks.Job, now_s: float) -> None:
         """Stops the runs of a finished job and starts its retention time."""
+        self.crashes.suspects.remove_job(job.spec.job_id)
         for step in job.steps.values():
             self.waiting.pop(step.step_id, None)
         for task in list(job.active_tasks()):
@@ -393,6 +443,15 @@
         job = self.jobs[task_id.job_id]
         return job.steps[task_id.occurrence, task_id.step]
 
+    def pool_of(self, job_id: str) -> str:
+        """Returns the pool of a job's queue; empty if it is not known."""
+        queue = self.queues.get(self.jobs[job_id].spec.queue)
+        return "" if queue is None else queue.pool
+
+    def mark_dirty(self, task: tasks.Task) -> None:
+        """Marks the progress of a task's step to be recorded."""
+        self.dirty[task.task_id.step_id] = self.step_of(task)
+
     def adjust_usage(
         self, team: str, size: resources.Resources, sign: int
     ) -> None:
