An odd entry among the workers ended one ownership after another

In 8 s with one good worker, one odd one and one entry VM, on the code before: - address `a..b:80`: 43 ownerships taken and ended, 46 internal errors (UnicodeError of the name lookup's encoding); - key with a line break: 45 taken, 47 internal errors (ValueError of the header's serialization); - port 65536: no error, but the owner yielded, took over and yielded again (3 ownerships), as most workers with tasks were unreached.

Cause: an entry was decoded by its types alone. Its address becomes part of a URL and its key a header, long after; what the library raised then was neither a ClientError nor an OSError, so it ended the owner's background task and with it the ownership, and the next owner read the same entry.

Ruled out: deep nesting and large numbers; they are refused on the code before too (the test on them passes there).

Change: a registration is decoded only if its key is a visible ASCII id and its address IPv4:PORT (the platform has no name lookups), with names of bounded length. Below that, the HTTP client turns the library's errors into its own: an invalid URL was never sent, any other ValueError may have been; both with a log line. Other kinds of error, such as a TypeError, still end the ownership as internal errors.

--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -20,6 +20,7 @@
 from foxtaillock.batch import services as batch_services
 from foxtaillock.batch import view
 from foxtaillock.batch import wave_status
+from foxtaillock.batch import worker_entries
 from foxtaillock.batch import worker_poller
 from foxtaillock.batch import workers
 
@@ -103,6 +104,9 @@
         self._has_ended = False
         self._is_releasing = False
         self._order_tasks: set[asyncio.Task[typing.Any]] = set()
+        self._entry_reader = worker_entries.WorkerEntryReader(
+            services.decode_worker, services.log
+        )
         self._registry_follower = follower.Follower(
             "registry",
             services.registry,
@@ -472,11 +476,11 @@
     def _on_registry_record(self, _: int, record: records.KeyedRecord) -> None:
         now_s = self._services.clock.monotonic_s()
         if not record.value:
+            self._entry_reader.forget(record.key)
             self.engine.unregister(record.key)
             return
-        entry = self._services.decode_worker(record.key, record.value)
+        entry = self._entry_reader.read(record)
         if entry is None:
-            self._services.log("worker-entry-unreadable", worker=record.key)
             return
         self.engine.register(entry, now_s)
         self._wake.set()
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -76,9 +76,9 @@
     )
     log = metrics.counting_log(json_log)
     clients = [
-        http_client.PlatformHttpClient(_STORE_CONNECTIONS),
-        http_client.PlatformHttpClient(_ORDER_CONNECTIONS),
-        http_client.PlatformHttpClient(_POLL_CONNECTIONS),
+        http_client.PlatformHttpClient(_STORE_CONNECTIONS, log),
+        http_client.PlatformHttpClient(_ORDER_CONNECTIONS, log),
+        http_client.PlatformHttpClient(_POLL_CONNECTIONS, log),
     ]
     incarnation = uuid.uuid4().hex[:8]
     node = create_node(
--- a/foxtaillock/platform/http_client.py
+++ b/foxtaillock/platform/http_client.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import typing
+from collections.abc import Callable
 from collections.abc import Mapping
 
 import aiohttp
@@ -23,6 +24,8 @@
 # A peer that acknowledges no data for this long counts as unreachable.
 _TCP_USER_TIMEOUT_MS = 3_000
 
+_MAX_LOGGED_LENGTH = 200
+
 # Value of SO_LINGER that closes a connection with a reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -50,10 +53,14 @@
 
     Args:
         connections_per_host: maximum number of open connections to an address.
+        log: structured log.
     """
 
-    def __init__(self, connections_per_host: int) -> None:
+    def __init__(
+        self, connections_per_host: int, log: Callable[..., None]
+    ) -> None:
         self._connections_per_host = connections_per_host
+        self._log = log
         self._session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
 
@@ -96,8 +103,15 @@
             raise NoAnswerError(
                 f"{url}: no response within {timeout_s} s"
             ) from error
+        except aiohttp.InvalidURL as error:
+            self._log_refusal(url, error)
+            raise NotSentError(f"{url!r}: {error!r}") from error
         except (aiohttp.ClientError, OSError) as error:
             raise NoAnswerError(f"{url}: {error!r}") from error
+        except ValueError as error:
+            # The library refuses a host or a header by errors of many kinds.
+            self._log_refusal(url, error)
+            raise NoAnswerError(f"{url!r}: {error!r}") from error
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -107,6 +121,13 @@
             if session is not None:
                 await session.close()
 
+    def _log_refusal(self, url: str, error: Exception) -> None:
+        self._log(
+            "request-not-possible",
+            url=repr(url[:_MAX_LOGGED_LENGTH]),
+            error=repr(error)[:_MAX_LOGGED_LENGTH],
+        )
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(
--- a/foxtaillock/platform/record_codec.py
+++ b/foxtaillock/platform/record_codec.py
@@ -9,6 +9,7 @@
 from foxtaillock.batch import model
 from foxtaillock.model import resources
 from foxtaillock.platform import json_codec
+from foxtaillock.platform import wire_text
 
 __all__ = [
     "WireSize",
@@ -36,12 +37,12 @@
 
 
 class _Worker(typing.TypedDict):
-    service: str
+    service: wire_text.Name
     address: str
-    zone: str
+    zone: wire_text.Name
     state: typing.Literal["ready", "draining"]
     capacity: WireSize
-    labels: list[str]
+    labels: list[wire_text.Name]
     clock_ms: json_codec.Count
     born: typing.NotRequired[json_codec.Count | None]
     drain_remaining_ms: typing.NotRequired[json_codec.Duration | None]
@@ -107,11 +108,16 @@
 
 
 def decode_worker(key: str, value: bytes) -> model.WorkerEntry | None:
-    """Returns a worker's registration, or None if it is malformed."""
+    """Returns a worker's registration, or None if it is malformed.
+
+    A registration whose key or address can't be part of a request is malformed.
+    """
     try:
         entry = _worker_decoder.decode(value)
     except exceptions.InvalidInputError:
         return None
+    if not (wire_text.is_id(key) and wire_text.is_address(entry["address"])):
+        return None
     return model.WorkerEntry(
         key,
         entry.get("born") or 0,
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -75,9 +75,9 @@
     ) -> None:
         self.lines: list[tuple[str, dict[str, typing.Any]]] = []
         self._clients = [
-            http_client.PlatformHttpClient(8),
-            http_client.PlatformHttpClient(4),
-            http_client.PlatformHttpClient(2),
+            http_client.PlatformHttpClient(8, self.log),
+            http_client.PlatformHttpClient(4, self.log),
+            http_client.PlatformHttpClient(2, self.log),
         ]
         self._clock = model_clock.SystemClock()
         metrics = batch_metrics.Metrics()
