A wave with a large number ended one ownership after another

What callers saw (not reported; found while looking for the same cause): with a record `wave/1` whose number is 10**30, a job stayed `queued`; in 8 s, 14 ownerships were taken and ended by OverflowError, on the code before.

Change: it is a Count like all other numbers, so such a record is unreadable and logged as that. The version of the configuration gets the same bound; nothing was seen with it.

Evidence: test_wave_with_a_large_number_ends_no_ownership and test_wave_that_is_accepted_can_be_recorded fail on the code before and pass now.

--- a/foxtaillock/platform/record_codec.py
+++ b/foxtaillock/platform/record_codec.py
@@ -79,7 +79,7 @@
 
 
 class _Config(typing.TypedDict):
-    version: int
+    version: json_codec.Count
     routes: list[_Route]
     services: list[_Service]
     limits: typing.NotRequired[_Limits]
@@ -87,7 +87,7 @@
 
 
 class _Wave(typing.TypedDict):
-    wave: int
+    wave: json_codec.Count
     machines: list[str]
     complete_by_s: json_codec.Duration
     cap: json_codec.Count
--- a/foxtaillock/platform/tests/test_malformed_messages.py
+++ b/foxtaillock/platform/tests/test_malformed_messages.py
@@ -254,6 +254,22 @@
             _WAVE, lambda body: record_codec.decode_wave("wave/7", body)
         )
 
+    def test_wave_that_is_accepted_can_be_recorded(self) -> None:
+        def _decode(body: bytes) -> None:
+            wave = record_codec.decode_wave("wave/7", body)
+            if wave is None:
+                return
+            progress = records.WaveProgress(wave.number, wave.vms, True)
+            status = records.KeyedRecord(
+                record_codec.wave_status_key(wave.number),
+                record_codec.encode_wave_status(wave.number, True),
+            )
+            store.encode_records([records.encode(progress), status])
+
+        self._check(_WAVE, _decode)
+        for number in (2**50, 2**64, 10**30, 10**300):
+            _decode(_encode({**_WAVE, "wave": number}))
+
     def test_submitted_job_is_refused_or_can_be_stored(self) -> None:
         def _decode(body: bytes) -> None:
             try:
--- a/foxtaillock/platform/tests/test_odd_entries.py
+++ b/foxtaillock/platform/tests/test_odd_entries.py
@@ -112,6 +112,15 @@
         self._assert_owner_stayed()
         self.assertEqual(len(self._odd_lines()), 3)
 
+    async def test_wave_with_a_large_number_ends_no_ownership(self) -> None:
+        wave = {"wave": 10**30, "machines": [], "complete_by_s": 1, "cap": 1}
+        self.platform.write("keyed.op", "wave/1", wave)
+        await self._start()
+        # The owner records the progress of waves within a second.
+        await asyncio.sleep(1.0)
+        await self._run_job()
+        self._assert_owner_stayed()
+
     async def test_repeated_odd_entry_is_logged_once(self) -> None:
         await self._start()
         for _ in range(_HEARTBEATS):
