A job with too much memory was answered 500 instead of 400

What callers saw (found while looking for the same cause): a job of which a task asks for 2**44 MiB or more, up to the bound of all numbers (2**50), is not accepted and not refused: OverflowError in the call, status 500.

Change: MiB have a bound of their own, by which the bytes can be encoded; this also holds for workers, teams and listed VMs.

Evidence: test_submitted_job_is_refused_or_can_be_stored, extended by amounts at the bounds, fails on the code before (OverflowError) and passes now.

--- a/foxtaillock/platform/call_codec.py
+++ b/foxtaillock/platform/call_codec.py
@@ -19,7 +19,7 @@
 class _Step(typing.TypedDict):
     count: typing.NotRequired[json_codec.Count]
     cpu: typing.NotRequired[json_codec.Count]
-    mem_mb: typing.NotRequired[json_codec.Count]
+    mem_mb: typing.NotRequired[json_codec.Mebibytes]
     gpu: typing.NotRequired[json_codec.Count]
     estimate_ms: typing.NotRequired[json_codec.Duration]
     depends_on: typing.NotRequired[list[int]]
--- a/foxtaillock/platform/json_codec.py
+++ b/foxtaillock/platform/json_codec.py
@@ -6,7 +6,7 @@
 
 from foxtaillock import exceptions
 
-__all__ = ["Count", "Decoder", "Duration"]
+__all__ = ["Count", "Decoder", "Duration", "Mebibytes"]
 
 # Larger numbers have no meaning on the platform: a time since 1970 in
 # milliseconds is far smaller. Arithmetic with smaller ones loses no precision.
@@ -17,6 +17,11 @@
 
 Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 
+# The number of bytes can be encoded in 64 bits.
+_MAX_MEBIBYTES = 1 << 43
+
+Mebibytes = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_MEBIBYTES)]
+
 _Message = typing.TypeVar("_Message")
 
 
--- a/foxtaillock/platform/record_codec.py
+++ b/foxtaillock/platform/record_codec.py
@@ -32,7 +32,7 @@
     """Resources in the platform's encoding."""
 
     cpu: json_codec.Count
-    mem_mb: json_codec.Count
+    mem_mb: json_codec.Mebibytes
     gpu: json_codec.Count
 
 
--- a/foxtaillock/platform/tests/test_malformed_messages.py
+++ b/foxtaillock/platform/tests/test_malformed_messages.py
@@ -111,7 +111,9 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
-    | strategies.sampled_from((10**30, -(10**30), 2**63, 1e308, -1e308, 0.5))
+    | strategies.sampled_from(
+        (10**30, -(10**30), 2**63, 2**50, 2**45, 1e308, -1e308, 0.5)
+    )
     | strategies.text(max_size=8)
 )
 _VALUES = strategies.recursive(
@@ -280,6 +282,10 @@
             self.assertEqual(stored, spec)
 
         self._check(_JOB, _decode)
+        for amount in (2**43, 2**44, 2**50):
+            for resource in ("cpu", "mem_mb", "gpu"):
+                step = {"count": 1, resource: amount}
+                _decode(_encode({"workload": "text", "steps": [step]}))
 
     def test_job_that_is_accepted_harms_no_owner(self) -> None:
         """The owner plans and runs whatever an entry VM may accept."""
