A call whose key is no text was answered 500 instead of 401

What callers saw (found while looking for the same cause): `Authorization: Bearer` followed by bytes that are no UTF-8 gave status 500 on a queue that needs a key (UnicodeEncodeError).

Cause: the HTTP library keeps such bytes as lone surrogates, which the digest of the key could not encode.

Change: the digest is that of the bytes that were sent. They are no valid UTF-8, so they equal no key of a team.

Evidence: test_any_path_host_and_key_gets_an_answer and test_key_that_is_no_text_is_refused fail on the code before and pass now.

--- a/foxtaillock/batch/configuration.py
+++ b/foxtaillock/batch/configuration.py
@@ -118,4 +118,5 @@
 
 def key_digest(key: str) -> bytes:
     """Returns the digest under which a key is stored and looked up."""
-    return hashlib.sha256(key.encode()).digest()
+    # A key that a caller sends may hold bytes that are no text.
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -64,6 +64,7 @@
 
     Attributes:
         lines: event and fields of each line of the VM's log.
+        address: address at which it serves calls, once it is started.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         )
         self._session: aiohttp.ClientSession | None = None
         self._url = ""
+        self.address = platform_settings.Endpoint("", 0)
 
     def log(self, event: str, **fields: typing.Any) -> None:
         """Stores a line of the log."""
@@ -115,8 +117,10 @@
         """Starts the node and its HTTP server."""
         self.node.start()
         endpoint = platform_settings.Endpoint("127.0.0.1", 0)
-        address = await self.server.listen(endpoint, self.server.serve_call)
-        self._url = f"http://{address.text}"
+        self.address = await self.server.listen(
+            endpoint, self.server.serve_call
+        )
+        self._url = f"http://{self.address.text}"
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
