A body that can't be decompressed was answered 500 instead of 400

Cause: the HTTP library raises an error of its own kind while it reads the body, which nothing caught.

Change: such a body is malformed.

Evidence: test_body_that_can_not_be_decompressed_is_refused fails on the code before (500) and passes now.

--- a/foxtaillock/platform/http_server.py
+++ b/foxtaillock/platform/http_server.py
@@ -152,7 +152,10 @@
             config.max_body_bytes
         ):
             return outcomes.Malformed("the body is too large")
-        body = await request.read()
+        try:
+            body = await request.read()
+        except web.RequestPayloadError:
+            return outcomes.Malformed("the body is malformed")
         return await self._call_handler.submit(
             call, functools.partial(call_codec.create_spec, body)
         )
--- a/foxtaillock/platform/tests/test_odd_calls.py
+++ b/foxtaillock/platform/tests/test_odd_calls.py
@@ -91,6 +91,13 @@
         )
         self.assertEqual(self._runner.run(self._status(request)), 401)
 
+    def test_body_that_can_not_be_decompressed_is_refused(self) -> None:
+        request = (
+            b"POST /open/%s HTTP/1.1\r\nHost: jobs.example\r\n"
+            b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\n{}" % _ID
+        )
+        self.assertEqual(self._runner.run(self._status(request)), 400)
+
 
 if __name__ == "__main__":
     unittest.main()
