A malformed page of newest records ended the reader of a stream

By test: a value that is no base64 raises ValueError from `read_newest`, which no follower catches; for the workers' registry that ends the ownership. A page that claims to have a successor and returns itself is read for ever.

Change: both are malformed answers of the store, which are retried.

Evidence: test_newest_value_that_is_no_base64_is_no_answer fails on the code before, test_newest_pages_that_never_end_are_no_answer doesn't end there; both pass now.

--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -116,9 +116,7 @@
             end_offset, _ = _OFFSETS.unpack_from(answer.body)
             decoded = decode_records(answer.body[_OFFSETS.size :])
         except (struct.error, ValueError) as error:
-            raise interfaces.StoreUnreachableError(
-                f"{self._topic}: malformed answer: {error}"
-            ) from error
+            raise self._malformed(error) from error
         with_offsets = [
             (offset + position, record)
             for position, record in enumerate(decoded)
@@ -140,13 +138,13 @@
             page = await self._newest_page(after_key)
             if end_offset is None:
                 end_offset = page["end_offset"]
-            for item in page["items"]:
-                value = base64.b64decode(item["value"])
-                record = records.KeyedRecord(item["key"], value)
-                newest.append((item["offset"], record))
+            newest += [self._newest_record(item) for item in page["items"]]
             if not page["has_more"] or not page["items"]:
                 return interfaces.StreamPage(newest, end_offset, end_offset)
-            after_key = page["items"][-1]["key"]
+            last_key = page["items"][-1]["key"]
+            if last_key == after_key:
+                raise self._malformed("the same page again")
+            after_key = last_key
 
     async def _newest_page(self, after_key: str) -> _NewestPage:
         query = self._query()
@@ -160,17 +158,27 @@
         try:
             return _newest_decoder.decode(answer.body)
         except exceptions.InvalidInputError as error:
-            raise interfaces.StoreUnreachableError(
-                f"{self._topic}: malformed answer: {error}"
-            ) from error
+            raise self._malformed(error) from error
+
+    def _newest_record(
+        self, item: _NewestItem
+    ) -> tuple[int, records.KeyedRecord]:
+        try:
+            value = base64.b64decode(item["value"])
+        except ValueError as error:
+            raise self._malformed(error) from error
+        return item["offset"], records.KeyedRecord(item["key"], value)
 
     def _end_offset(self, body: bytes) -> int:
         try:
             return _append_decoder.decode(body)["end_offset"]
         except exceptions.InvalidInputError as error:
-            raise interfaces.StoreUnreachableError(
-                f"{self._topic}: malformed answer: {error}"
-            ) from error
+            raise self._malformed(error) from error
+
+    def _malformed(self, reason: object) -> interfaces.StoreUnreachableError:
+        return interfaces.StoreUnreachableError(
+            f"{self._topic}: malformed answer: {reason}"
+        )
 
     def _query(self) -> dict[str, str]:
         return {"topic": self._topic, "part": "0"}
--- a/foxtaillock/platform/tests/test_malformed_messages.py
+++ b/foxtaillock/platform/tests/test_malformed_messages.py
@@ -86,8 +86,9 @@
 }
 _ANSWER = {"clock_ms": 10, "reason": "seq", "sequence": 4}
 _APPENDED = {"offset": 3, "end_offset": 4}
+_NEWEST_ITEM = {"key": "k", "value": "aGk=", "offset": 3}
 _NEWEST = {
-    "items": [{"key": "k", "value": "aGk=", "offset": 3}],
+    "items": [_NEWEST_ITEM],
     "has_more": False,
     "end_offset": 4,
 }
@@ -343,6 +344,20 @@
             {}, lambda client: store.KeyedTopic(client, "a", "t").read(0, 0.0)
         )
 
+    def test_newest_value_that_is_no_base64_is_no_answer(self) -> None:
+        for value in ("a", "é", "aGk"):
+            item = {**_NEWEST_ITEM, "value": value}
+            body = _encode({**_NEWEST, "items": [item]})
+            topic = store.KeyedTopic(_client(200, body), "a", "t")
+            with self.assertRaises(interfaces.StoreUnreachableError):
+                asyncio.run(topic.read_newest())
+
+    def test_newest_pages_that_never_end_are_no_answer(self) -> None:
+        body = _encode({**_NEWEST, "has_more": True})
+        topic = store.KeyedTopic(_client(200, body), "a", "t")
+        with self.assertRaises(interfaces.StoreUnreachableError):
+            asyncio.run(asyncio.wait_for(topic.read_newest(), 5.0))
+
     def test_list_of_vms(self) -> None:
         self._check_call(
             _MACHINES,
