Demonstration's clients: an odd address of a VM is one without answer

What callers saw: nothing (the same cause in the demonstration's adapters, found by test). The clients of workers, pools and the VM list promise OSError, and their callers catch that; a host such as `a..b` raised UnicodeError. The clients of runners catch ValueError already, as that of the platform's log reads its address from the settings.

Change: ValueErrors of the HTTP library are OSErrors there as well; others, such as TypeErrors, still come through.

Evidence: test_worker_with_an_odd_address_gives_no_answer fails on the code before for the 2 addresses of 7 that are names with empty or too long labels, and passes now.

--- a/foxtaillock/adapters/http_session.py
+++ b/foxtaillock/adapters/http_session.py
@@ -26,6 +26,9 @@
 _MAX_INTEGER = 2**63 - 1
 _OK = 200
 _NOT_MODIFIED = 304
+
+# The library refuses a host or a header by a ValueError of some kind.
+_REQUEST_ERRORS = (aiohttp.ClientError, ValueError)
 _UNNEEDED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
@@ -74,7 +77,7 @@
                 url, json=body, timeout=timeout, allow_redirects=False
             ) as response:
                 return await read_json(response)
-        except aiohttp.ClientError as error:
+        except _REQUEST_ERRORS as error:
             raise OSError(f"{url}: {error!r}") from error
 
     async def get_json(self, url: str, timeout_s: float) -> typing.Any:
@@ -89,7 +92,7 @@
                 url, timeout=timeout, allow_redirects=False
             ) as response:
                 return await read_json(response)
-        except aiohttp.ClientError as error:
+        except _REQUEST_ERRORS as error:
             raise OSError(f"{url}: {error!r}") from error
 
     async def get_if_changed(
@@ -122,7 +125,7 @@
                     return None
                 value = await read_json(response)
                 return value, response.headers.get("ETag", "")
-        except aiohttp.ClientError as error:
+        except _REQUEST_ERRORS as error:
             raise OSError(f"{url}: {error!r}") from error
 
 
--- a/foxtaillock/platform/tests/test_texts_of_others.py
+++ b/foxtaillock/platform/tests/test_texts_of_others.py
@@ -8,6 +8,7 @@
 # pylint: disable=no-value-for-parameter; hypothesis passes the arguments.
 
 import asyncio
+import logging
 import os
 import socket
 import typing
@@ -115,6 +116,12 @@
     """Clients whose connections all end at one server in this process."""
 
     def setUp(self) -> None:
+        # The server's library logs each request that it refuses.
+        log = mock.patch.object(
+            logging.getLogger("aiohttp.server"), "disabled", True
+        )
+        log.start()
+        self.addCleanup(log.stop)
         self._runner = asyncio.Runner()
         self.addCleanup(self._runner.close)
         self._body = b"{}"
