--- a/bench/order_cost.py
+++ b/bench/order_cost.py
@@ -35,6 +35,11 @@
 Call = Callable[[model.WorkerEntry, int], Awaitable[typing.Any]]
 
 
+def _discard(event: str, **fields: typing.Any) -> None:
+    """Takes the place of the log."""
+    del event, fields
+
+
 async def run(quick: bool) -> harness.Result:
     """Measures start orders, polls and reads.
 
@@ -49,8 +54,8 @@
     )
     workers = [_entry(address) for address in server.ready["addresses"]]
     clients = (
-        http_client.PlatformHttpClient(_ORDER_CONNECTIONS),
-        http_client.PlatformHttpClient(_POLL_CONNECTIONS),
+        http_client.PlatformHttpClient(_ORDER_CONNECTIONS, _discard),
+        http_client.PlatformHttpClient(_POLL_CONNECTIONS, _discard),
     )
     client = worker_client.HttpWorkerClient(*clients)
 
--- a/foxtaillock/adapters/http_session.py
+++ b/foxtaillock/adapters/http_session.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 import aiohttp
+import yarl
 
 __all__ = [
     "FieldReader",
@@ -12,6 +13,7 @@
     "PlatformAnswerError",
     "LazySession",
     "SessionFactory",
+    "parse_url",
     "read_bounded",
     "read_json",
 ]
@@ -26,6 +28,9 @@
 _MAX_INTEGER = 2**63 - 1
 _OK = 200
 _NOT_MODIFIED = 304
+
+# The library refuses a host or a header by a ValueError of some kind.
+_REQUEST_ERRORS = (aiohttp.ClientError, ValueError)
 _UNNEEDED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
@@ -71,10 +76,13 @@
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.get().post(
-                url, json=body, timeout=timeout, allow_redirects=False
+                parse_url(url),
+                json=body,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 return await read_json(response)
-        except aiohttp.ClientError as error:
+        except _REQUEST_ERRORS as error:
             raise OSError(f"{url}: {error!r}") from error
 
     async def get_json(self, url: str, timeout_s: float) -> typing.Any:
@@ -86,10 +94,10 @@
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.get().get(
-                url, timeout=timeout, allow_redirects=False
+                parse_url(url), timeout=timeout, allow_redirects=False
             ) as response:
                 return await read_json(response)
-        except aiohttp.ClientError as error:
+        except _REQUEST_ERRORS as error:
             raise OSError(f"{url}: {error!r}") from error
 
     async def get_if_changed(
@@ -116,13 +124,16 @@
         headers = {"If-None-Match": tag} if tag else {}
         try:
             async with self.get().get(
-                url, headers=headers, timeout=timeout, allow_redirects=False
+                parse_url(url),
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 if tag and response.status == _NOT_MODIFIED:
                     return None
                 value = await read_json(response)
                 return value, response.headers.get("ETag", "")
-        except aiohttp.ClientError as error:
+        except _REQUEST_ERRORS as error:
             raise OSError(f"{url}: {error!r}") from error
 
 
@@ -240,6 +251,19 @@
         return fallback
 
 
+def parse_url(url: str) -> yarl.URL:
+    """Returns the parsed URL.
+
+    Raises:
+        ValueError: the URL is malformed.
+    """
+    try:
+        return yarl.URL(url)
+    except IndexError as error:
+        # The parser fails like this on some malformed hosts.
+        raise ValueError(f"{url!r}: {error!r}") from error
+
+
 async def read_json(response: aiohttp.ClientResponse) -> typing.Any:
     """Returns the JSON value of a complete answer with status 200.
 
--- a/foxtaillock/platform/http_client.py
+++ b/foxtaillock/platform/http_client.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import typing
+from collections.abc import Callable
 from collections.abc import Mapping
 
 import aiohttp
@@ -28,6 +29,8 @@
 # A peer that acknowledges no data for this long counts as unreachable.
 _TCP_USER_TIMEOUT_MS = 3_000
 
+_MAX_LOGGED_LENGTH = 200
+
 # Value of SO_LINGER that closes a connection with a reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -43,11 +46,11 @@
 def parse_url(text: str) -> str | yarl.URL:
     """Returns a parsed URL, or the text itself if it is none.
 
-    A request to such a text fails with `NoAnswerError`.
+    A request to such a text fails with `NotSentError`.
     """
     try:
         return yarl.URL(text)
-    except ValueError:
+    except (ValueError, IndexError):
         return text
 
 
@@ -66,10 +69,14 @@
 
     Args:
         connections_per_host: maximum number of open connections to an address.
+        log: structured log.
     """
 
-    def __init__(self, connections_per_host: int) -> None:
+    def __init__(
+        self, connections_per_host: int, log: Callable[..., None]
+    ) -> None:
         self._connections_per_host = connections_per_host
+        self._log = log
         self._session: aiohttp.ClientSession | None = None
         self._retired: list[aiohttp.ClientSession] = []
 
@@ -90,23 +97,14 @@
             NotSentError: no connection was established.
             NoAnswerError: no complete response arrived in time.
         """
+        parsed = self._parse(url)
         session = self._get_session()
         timeout = _timeout(timeout_s)
         try:
-            if isinstance(url, yarl.URL):
-                status, answer = await lean_request.send(
-                    session, method, url, body, headers, timeout
-                )
-                return HttpResponse(status, answer)
-            async with session.request(
-                method,
-                url,
-                data=body,
-                headers=headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                return HttpResponse(response.status, await response.read())
+            status, answer = await lean_request.send(
+                session, method, parsed, body, headers, timeout
+            )
+            return HttpResponse(status, answer)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -117,8 +115,15 @@
             raise NoAnswerError(
                 f"{url}: no response within {timeout_s} s"
             ) from error
+        except aiohttp.InvalidURL as error:
+            self._log_refusal(url, error)
+            raise NotSentError(f"{url!r}: {error!r}") from error
         except (aiohttp.ClientError, OSError) as error:
             raise NoAnswerError(f"{url}: {error!r}") from error
+        except ValueError as error:
+            # The library refuses a host or a header by errors of many kinds.
+            self._log_refusal(url, error)
+            raise NoAnswerError(f"{url!r}: {error!r}") from error
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -128,6 +133,20 @@
             if session is not None:
                 await session.close()
 
+    def _parse(self, url: str | yarl.URL) -> yarl.URL:
+        try:
+            return yarl.URL(url)
+        except (ValueError, IndexError) as error:
+            self._log_refusal(url, error)
+            raise NotSentError(f"{url!r}: {error!r}") from error
+
+    def _log_refusal(self, url: str | yarl.URL, error: Exception) -> None:
+        self._log(
+            "request-not-possible",
+            url=repr(str(url)[:_MAX_LOGGED_LENGTH]),
+            error=repr(error)[:_MAX_LOGGED_LENGTH],
+        )
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(
--- a/foxtaillock/platform/tests/test_http_client.py
+++ b/foxtaillock/platform/tests/test_http_client.py
@@ -85,7 +85,7 @@
         self.server = _RawServer()
         self.address = await self.server.start()
         self.addCleanup(self.server.stop)
-        self.client = http_client.PlatformHttpClient(2)
+        self.client = http_client.PlatformHttpClient(2, lambda *_, **__: None)
         self.addAsyncCleanup(self.client.close)
 
     async def _post(
--- a/foxtaillock/platform/tests/test_malformed_messages.py
+++ b/foxtaillock/platform/tests/test_malformed_messages.py
@@ -86,8 +86,9 @@
 }
 _ANSWER = {"clock_ms": 10, "reason": "seq", "sequence": 4}
 _APPENDED = {"offset": 3, "end_offset": 4}
+_NEWEST_ITEM = {"key": "k", "value": "aGk=", "offset": 3}
 _NEWEST = {
-    "items": [{"key": "k", "value": "aGk=", "offset": 3}],
+    "items": [_NEWEST_ITEM],
     "has_more": False,
     "end_offset": 4,
 }
@@ -111,7 +112,9 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
-    | strategies.sampled_from((10**30, -(10**30), 2**63, 1e308, -1e308, 0.5))
+    | strategies.sampled_from(
+        (10**30, -(10**30), 2**63, 2**50, 2**45, 1e308, -1e308, 0.5)
+    )
     | strategies.text(max_size=8)
 )
 _VALUES = strategies.recursive(
@@ -254,6 +257,22 @@
             _WAVE, lambda body: record_codec.decode_wave("wave/7", body)
         )
 
+    def test_wave_that_is_accepted_can_be_recorded(self) -> None:
+        def _decode(body: bytes) -> None:
+            wave = record_codec.decode_wave("wave/7", body)
+            if wave is None:
+                return
+            progress = records.WaveProgress(wave.number, wave.vms, True)
+            status = records.KeyedRecord(
+                record_codec.wave_status_key(wave.number),
+                record_codec.encode_wave_status(wave.number, True),
+            )
+            store.encode_records([records.encode(progress), status])
+
+        self._check(_WAVE, _decode)
+        for number in (2**50, 2**64, 10**30, 10**300):
+            _decode(_encode({**_WAVE, "wave": number}))
+
     def test_submitted_job_is_refused_or_can_be_stored(self) -> None:
         def _decode(body: bytes) -> None:
             try:
@@ -264,6 +283,10 @@
             self.assertEqual(stored, spec)
 
         self._check(_JOB, _decode)
+        for amount in (2**43, 2**44, 2**50):
+            for resource in ("cpu", "mem_mb", "gpu"):
+                step = {"count": 1, resource: amount}
+                _decode(_encode({"workload": "text", "steps": [step]}))
 
     def test_job_that_is_accepted_harms_no_owner(self) -> None:
         """The owner plans and runs whatever an entry VM may accept."""
@@ -321,6 +344,20 @@
             {}, lambda client: store.KeyedTopic(client, "a", "t").read(0, 0.0)
         )
 
+    def test_newest_value_that_is_no_base64_is_no_answer(self) -> None:
+        for value in ("a", "é", "aGk"):
+            item = {**_NEWEST_ITEM, "value": value}
+            body = _encode({**_NEWEST, "items": [item]})
+            topic = store.KeyedTopic(_client(200, body), "a", "t")
+            with self.assertRaises(interfaces.StoreUnreachableError):
+                asyncio.run(topic.read_newest())
+
+    def test_newest_pages_that_never_end_are_no_answer(self) -> None:
+        body = _encode({**_NEWEST, "has_more": True})
+        topic = store.KeyedTopic(_client(200, body), "a", "t")
+        with self.assertRaises(interfaces.StoreUnreachableError):
+            asyncio.run(asyncio.wait_for(topic.read_newest(), 5.0))
+
     def test_list_of_vms(self) -> None:
         self._check_call(
             _MACHINES,
--- a/foxtaillock/platform/tests/test_worker_client.py
+++ b/foxtaillock/platform/tests/test_worker_client.py
@@ -13,7 +13,7 @@
     """Tests of `HttpWorkerClient`."""
 
     async def test_malformed_address_leaves_the_outcome_unknown(self) -> None:
-        pool = http_client.PlatformHttpClient(1)
+        pool = http_client.PlatformHttpClient(1, lambda *_, **__: None)
         self.addAsyncCleanup(pool.close)
         client = worker_client.HttpWorkerClient(pool, pool)
         task = model.TaskId("5c0e", 0, 0, 0)
