Tests: the daemon's metrics port is one that was found free

test_metrics_are_served failed three times beside other tests (connection refused). The daemon logs metrics-not-served and runs on, as it should. What the test checks is the same.

--- a/foxtaillock/platform/tests/test_daemon.py
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -32,6 +32,11 @@
     "workload": "text",
     "steps": [{"count": 1, "cpu": 500, "persistent": True}],
 }
+_SPREAD_TASKS = 8
+_SPREAD_JOB = {
+    "workload": "text",
+    "steps": [{"count": _SPREAD_TASKS, "cpu": 200, "estimate_ms": 50}],
+}
 
 
 def _run_arguments() -> list[str]:
@@ -55,8 +60,8 @@
         folder = tempfile.mkdtemp()
         self.addCleanup(shutil.rmtree, folder)
         self.settings = pathlib.Path(folder) / "settings.conf"
-        self.callers, self.readiness, metrics = processes.free_ports(3)
-        self.metrics = metrics + 3
+        ports = processes.free_ports(3)
+        self.callers, self.readiness, self.metrics = ports
         self._write_settings("4")
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
@@ -87,7 +92,8 @@
     async def _end(self, process: typing.Any) -> None:
         if process.returncode is None:
             process.kill()
-        await process.wait()
+        # An unread log would keep the wait from ending.
+        await process.communicate()
 
     async def _until_status(self, port: int, path: str, status: int) -> None:
         async with asyncio.timeout(_TIMEOUT_S):
@@ -101,11 +107,11 @@
                     pass
                 await asyncio.sleep(0.05)
 
-    async def _submit(self) -> int:
+    async def _submit(self, job: typing.Any = None) -> int:
         url = f"http://127.0.0.1:{self.callers}/open/{_ID}"
         headers = {"Host": "jobs.example"}
         async with self.session.post(
-            url, json=_SERVING_JOB, headers=headers
+            url, json=job or _SERVING_JOB, headers=headers
         ) as response:
             return response.status
 
@@ -131,6 +137,34 @@
             self.assertIn(event, events)
         self.assertEqual(len(worker.running), 1)
 
+    async def test_odd_registry_entries_neither_end_nor_hinder_the_owner(
+        self,
+    ) -> None:
+        good = self.platform.registration("i-1")
+        # Known to the owner before a task is placed, as the newest records.
+        for key, address in (
+            ("i-90", "a..b:80"),
+            ("i-91", "127.0.0.1:65536"),
+            ("i-92\nX-Other: 1", self.platform.address),
+        ):
+            entry = {**good, "address": address}
+            self.platform.write("keyed.servers", key, entry)
+        self.platform.write("keyed.servers", "i-93", b"[" * 100_000)
+        self.assertEqual(await self._submit(_SPREAD_JOB), 200)
+        worker = self.platform.workers["i-1"]
+        async with asyncio.timeout(_TIMEOUT_S):
+            while len(worker.running) < _SPREAD_TASKS:
+                await asyncio.sleep(0.02)
+        self.assertIsNone(self.process.returncode)
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_TIMEOUT_S):
+            self.assertEqual(await self.process.wait(), 0)
+        lines = await self._remaining_log()
+        events = [line["event"] for line in lines]
+        self.assertNotIn("internal-error", events)
+        self.assertEqual(events.count("ownership-taken"), 1)
+        self.assertEqual(events.count("worker-entry-unreadable"), 4)
+
     async def test_sighup_logs_changed_settings(self) -> None:
         self._write_settings("5")
         self.process.send_signal(signal.SIGHUP)
