Engine: planning in a module of its own

What places waiting tasks moves to planner.py as it was; the shape of a step gets a type. No decision changes.

The test of an internal error replaced Engine.plan by a function of the old signature, so that it raised a TypeError instead of the error it asks for, and failed; the replacement takes the new argument. It checks the same.

--- /dev/null
+++ b/foxtaillock/batch/planner.py
@@ -0,0 +1,275 @@
+"""Places waiting tasks on workers.
+
+A plan takes the steps in the order of `placement.prioritize`. Which workers a
+step may use depends on the advisor, on reservations and on suspected crashes.
+"""
+
+import typing
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from foxtaillock.batch import isolation
+from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
+from foxtaillock.batch import placement
+from foxtaillock.batch import plans
+from foxtaillock.batch import reservations
+from foxtaillock.batch import slow_runs
+from foxtaillock.batch import tasks
+from foxtaillock.batch import tickets
+from foxtaillock.batch import usable_workers
+from foxtaillock.batch import workers as batch_workers
+from foxtaillock.model import resources
+
+__all__ = ["Planner"]
+
+_FULL_SPEED_PERCENT = 100
+
+
+class _Shape(typing.NamedTuple):
+    """What steps have in common whose tasks fit on the same workers."""
+
+    pool: str
+    size: resources.Resources
+    team: str
+    label: str
+    isolation_key: str
+
+
+class Planner:
+    """Plans the starts of one ownership.
+
+    Args:
+        state: jobs and workers of the owner.
+        runs: knows the slow workers.
+    """
+
+    def __init__(
+        self, state: owner_state.OwnerState, runs: slow_runs.SlowRuns
+    ) -> None:
+        self._state = state
+        self._usable = usable_workers.UsableWorkers(state, runs)
+        self._reservations = reservations.Reservations(state)
+        self._isolation = isolation.Isolation(
+            state.crashes.suspects, state.pool_of
+        )
+        self._starts: list[plans.StartPlan] = []
+
+    def plan(self, now_s: float, max_starts: int | None = None) -> None:
+        """Places waiting tasks on workers and queues their starts.
+
+        Args:
+            now_s: current time.
+            max_starts: number of starts after which no further step is placed;
+                None for no limit.
+        """
+        self._state.needs_plan = False
+        candidates = self._state.candidates(now_s)
+        if not candidates:
+            return
+        by_pool = {
+            pool: self._usable.find(pool, now_s, least_millis)
+            for pool, least_millis in _least_millis(candidates).items()
+        }
+        self._prepare_isolation(candidates, now_s)
+        self._reservations.drop_settled()
+        usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
+        # Shapes of which no task fits any more.
+        exhausted: set[_Shape] = set()
+        starts = 0
+        for candidate in placement.prioritize(candidates, now_s):
+            if max_starts is not None and starts >= max_starts:
+                self._state.needs_plan = True
+                break
+            shape = self._shape(candidate)
+            is_holder = self._reservations.is_holder(candidate.step.step_id)
+            if shape in exhausted and not is_holder:
+                continue
+            roomy_workers = by_pool[candidate.queue.pool]
+            placed = self._place_step(candidate, roomy_workers, usage, now_s)
+            if not placed and _is_unconstrained(candidate):
+                exhausted.add(shape)
+            starts += placed
+
+    def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
+        """Returns the advice requests that are due, oldest job first."""
+        worker_ids: dict[str, list[str]] = {}
+        requests = []
+        for candidate in self._state.candidates(now_s):
+            if not candidate.queue.is_advised:
+                continue
+            pool = candidate.queue.pool
+            if pool not in worker_ids:
+                usable = self._usable.find(pool, now_s)
+                worker_ids[pool] = [worker.worker_id for worker in usable]
+            request = self._state.tickets.due_request(
+                candidate.step.step_id, worker_ids[pool], now_s
+            )
+            if request is not None:
+                requests.append(request)
+        return requests
+
+    def take_starts(self) -> list[plans.StartPlan]:
+        """Returns and clears the planned starts, whose records are due."""
+        starts, self._starts = self._starts, []
+        return starts
+
+    def _shape(self, candidate: placement.Candidate) -> _Shape:
+        """Returns what decides whether tasks of a step fit somewhere."""
+        job, spec = candidate.job.spec, candidate.step.spec
+        return _Shape(
+            candidate.queue.pool,
+            spec.held_size,
+            job.team,
+            spec.label,
+            self._isolation.key(job.job_id),
+        )
+
+    def _eligibility(
+        self, candidate: placement.Candidate, now_s: float
+    ) -> Callable[[batch_workers.Worker], bool]:
+        """Returns a predicate that tells whether a worker may run a step."""
+        job_id = candidate.job.spec.job_id
+        allows = self._isolation.allows
+        if not candidate.queue.is_advised:
+            return lambda worker: allows(job_id, worker)
+        step_id = candidate.step.step_id
+        ticket_cache = self._state.tickets
+        return lambda worker: (
+            ticket_cache.find(step_id, worker.worker_id, now_s) is not None
+            and allows(job_id, worker)
+        )
+
+    def _prepare_isolation(
+        self, candidates: Sequence[placement.Candidate], now_s: float
+    ) -> None:
+        """Sets workers aside for jobs suspected of crashes, if any."""
+        pools = {
+            self._state.pool_of(job_id)
+            for job_id in self._state.crashes.suspects.jobs
+        }
+        usable = {pool: self._usable.find(pool, now_s) for pool in pools}
+        self._isolation.prepare(usable, candidates, now_s)
+
+    def _place_step(
+        self,
+        candidate: placement.Candidate,
+        roomy_workers: Sequence[batch_workers.Worker],
+        usage: placement.TeamUsage,
+        now_s: float,
+    ) -> int:
+        """Places the tasks of a step that fit; returns their number.
+
+        Args:
+            candidate: the step.
+            roomy_workers: usable workers of its pool, except some that have no
+                room for any waiting task.
+            usage: resources in use by the teams.
+            now_s: current time.
+        """
+        step = candidate.step
+        is_eligible = self._eligibility(candidate, now_s)
+        open_workers = self._reservations.open_to(step.step_id, roomy_workers)
+        chosen = placement.assign(candidate, open_workers, usage, is_eligible)
+        self._place_all(candidate, chosen, now_s)
+        overdue = reservations.overdue_count(step, now_s)
+        if not overdue and not self._reservations.is_holder(step.step_id):
+            return len(chosen)
+        pool_workers = self._usable.find(candidate.queue.pool, now_s)
+        if overdue and step.spec.is_persistent:
+            # Better on a slow or failing worker than on none.
+            others = self._excluded_workers(
+                candidate.queue.pool, pool_workers, now_s
+            )
+            last = placement.assign(candidate, others, usage, is_eligible)
+            self._place_all(candidate, last, now_s)
+            chosen += last
+        self._reservations.update(
+            candidate, pool_workers, is_eligible, usage, now_s
+        )
+        return len(chosen)
+
+    def _excluded_workers(
+        self,
+        pool: str,
+        pool_workers: Iterable[batch_workers.Worker],
+        now_s: float,
+    ) -> list[batch_workers.Worker]:
+        """Returns the workers that are kept out of use as slow or failing."""
+        in_use = {worker.worker_id for worker in pool_workers}
+        return [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry.pool == pool
+            and worker.worker_id not in in_use
+            and worker.is_usable(now_s)
+        ]
+
+    def _place_all(
+        self,
+        candidate: placement.Candidate,
+        chosen: Sequence[placement.Placement],
+        now_s: float,
+    ) -> None:
+        """Plans the starts of a step's tasks; those of a gang share a run."""
+        step = candidate.step
+        if step.spec.is_gang and chosen:
+            run = max(task.run for task in step.tasks)
+            for each in chosen:
+                each.task.run = run
+        for each in chosen:
+            self._place(candidate, each, now_s)
+
+    def _place(
+        self,
+        candidate: placement.Candidate,
+        chosen: placement.Placement,
+        now_s: float,
+    ) -> None:
+        task, worker = chosen.task, chosen.worker
+        step = candidate.step
+        task.run += 1
+        task.worker_id = worker.worker_id
+        task.worker_started_ms = worker.entry.started_ms
+        task.began_s = None
+        task.is_stopping = False
+        task.stopped_s = None
+        task.speed_percent = 0
+        task.speed_limit_percent = _FULL_SPEED_PERCENT
+        self._state.set_phase(task, tasks.TaskPhase.RECORDING, now_s)
+        step.waiting.discard(task.task_id.number)
+        if not step.waiting:
+            self._state.waiting.pop(step.step_id, None)
+        self._state.dirty[step.step_id] = step
+        self._starts.append(plans.StartPlan(task, task.run, worker, now_s))
+        self._state.log(
+            "task-placed",
+            task=model.format_task_id(task.task_id),
+            run=task.run,
+            worker=worker.worker_id,
+            free_cpu=worker.free.cpu_millis,
+            late_s=round(
+                now_s + candidate.remaining_s - candidate.objective_s, 2
+            ),
+        )
+
+
+def _is_unconstrained(candidate: placement.Candidate) -> bool:
+    """Returns whether only room decides on the placement of a step's tasks."""
+    spec = candidate.step.spec
+    return not (
+        spec.max_per_worker or spec.is_gang or candidate.queue.is_advised
+    )
+
+
+def _least_millis(
+    candidates: Iterable[placement.Candidate],
+) -> dict[str, int]:
+    """Returns, for each pool, the least processor time that a task needs."""
+    least_millis: dict[str, int] = {}
+    for candidate in candidates:
+        pool = candidate.queue.pool
+        millis = candidate.step.spec.held_size.cpu_millis
+        least_millis[pool] = min(millis, least_millis.get(pool, millis))
+    return least_millis
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -410,10 +410,12 @@
         original = engine.Engine.plan
         broken = [True]
 
-        def _plan(self: engine.Engine, now_s: float) -> None:
+        def _plan(
+            self: engine.Engine, now_s: float, max_starts: int | None
+        ) -> None:
             if broken.pop() if broken else False:
                 raise RuntimeError("broken on purpose")
-            original(self, now_s)
+            original(self, now_s, max_starts)
 
         with mock.patch.object(engine.Engine, "plan", _plan):
             await self.vm.call("POST", "/open/" + _ID, body=_JOB)
