--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -6,6 +6,7 @@
 import typing
 from collections.abc import Coroutine
 
+from foxtaillock.batch import advice_requests
 from foxtaillock.batch import configuration
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import events
@@ -13,15 +14,15 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import journal_writer
+from foxtaillock.batch import load_control
 from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
-from foxtaillock.batch import overload
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
 from foxtaillock.batch import reachability
 from foxtaillock.batch import records
 from foxtaillock.batch import services as batch_services
-from foxtaillock.batch import start_window
+from foxtaillock.batch import submission_compactor
 from foxtaillock.batch import view
 from foxtaillock.batch import wave_status
 from foxtaillock.batch import worker_entries
@@ -34,18 +35,6 @@
 # shortest time between two scans of all workers and tasks.
 _TICK_INTERVAL_S = 0.05
 
-# Interval at which the engine is asked for steps that need advice.
-_ADVICE_INTERVAL_S = 0.05
-
-# Interval at which submissions of ended jobs are compacted or erased.
-_COMPACTION_INTERVAL_S = 1.0
-
-# Interval between two records on the owner's backlog while it does not keep up.
-_BACKLOG_INTERVAL_S = 0.5
-
-# Interval of the log line on the owner's load.
-_LOAD_REPORT_INTERVAL_S = 1.0
-
 # An owner that is cut off from most workers for this time gives way.
 _UNREACHED_TIMEOUT_S = 1.2
 
@@ -88,6 +77,16 @@
         self._writer = journal_writer.JournalWriter(
             claim.epoch, services, self._end
         )
+        self._load_control = load_control.LoadControl(
+            claim.epoch,
+            self.engine,
+            load,
+            services,
+            lambda: self._writer.last_append_s,
+        )
+        self._compactor = submission_compactor.SubmissionCompactor(
+            self.engine, services, self._may_renew_leases
+        )
         self._poller = worker_poller.WorkerPoller(
             claim.epoch,
             self.engine,
@@ -96,10 +95,6 @@
             self._on_poll_answer,
             self._on_background_done,
         )
-        self._start_window = start_window.StartWindow()
-        self._start_rate = overload.StartRate(now_s)
-        self._backlog_ms = 0
-        self._backlog_due_s = now_s
         self._wake = asyncio.Event()
         self._vm_order_controller = vm_order_controller.VmOrderController(
             claim.epoch,
@@ -187,9 +182,13 @@
             asyncio.ensure_future(
                 wave_status.write_statuses(self._view, self._services)
             ),
-            asyncio.ensure_future(self._request_advice()),
-            asyncio.ensure_future(self._compact_submissions()),
-            asyncio.ensure_future(self._report_load()),
+            asyncio.ensure_future(
+                advice_requests.request_advice(
+                    self.engine, self._services, self._wake.set
+                )
+            ),
+            asyncio.ensure_future(self._compactor.run()),
+            asyncio.ensure_future(self._load_control.report()),
         ]
         for background_task in background_tasks:
             background_task.add_done_callback(self._on_background_done)
@@ -260,9 +259,9 @@
             self._ticked_s = now_s
             self.engine.tick(now_s)
             self._check_reachability(now_s)
-            self._adjust_start_window(now_s)
+            self._load_control.adjust(now_s)
         if self._may_plan():
-            self.engine.plan(now_s, self._room_for_starts())
+            self.engine.plan(now_s, self._load_control.room_for_starts())
         for stop in self.engine.take_stops():
             self._spawn(self._stop(stop))
         for limit in self.engine.take_speed_limits():
@@ -291,8 +290,9 @@
             for each in self._pending_wave_progress.values()
         ]
         self._pending_wave_progress = {}
-        if self._is_backlog_due(now_s):
-            entries.append(records.encode(self._backlog_record(now_s)))
+        backlog = self._load_control.due_backlog(now_s)
+        if backlog is not None:
+            entries.append(records.encode(backlog))
         vm_orders = self._vm_order_controller.take_orders()
         if vm_orders is not None:
             entries.append(records.encode(vm_orders))
@@ -310,27 +310,6 @@
         if is_releasing:
             self._end("given up")
 
-    def _is_backlog_due(self, now_s: float) -> bool:
-        """Returns whether a record on the backlog goes with this append.
-
-        An owner that keeps up writes none, but for one that says so.
-        """
-        is_relevant = (
-            self._start_window.is_starved(now_s) or self._backlog_ms > 0
-        )
-        return is_relevant and now_s >= self._backlog_due_s
-
-    def _backlog_record(self, now_s: float) -> records.OwnerBacklog:
-        self._backlog_due_s = now_s + _BACKLOG_INTERVAL_S
-        self._backlog_ms = 0
-        if self._start_window.is_starved(now_s):
-            backlog = overload.Backlog(
-                self.engine.load_summary().waiting_tasks,
-                self._start_rate.per_s(now_s),
-            )
-            self._backlog_ms = int(backlog.duration_s * 1000)
-        return records.OwnerBacklog(self._epoch, self._backlog_ms)
-
     def _owner_record(self, is_released: bool) -> records.OwnerRecord:
         leases_s = max(0.0, self._prior_leases_end_s - self._heartbeat_s)
         return self._claim._replace(
@@ -384,27 +363,11 @@
             )
             self.release()
 
-    def _adjust_start_window(self, now_s: float) -> None:
-        under_way = self.engine.starting_count
-        lag_s = self._load.latest_lag_s
-        before = self._start_window.limit
-        if self._start_window.observe(lag_s, under_way, now_s):
-            self._services.log(
-                "start-window",
-                limit=self._start_window.limit,
-                before=before,
-                lag_s=round(lag_s, 3),
-                under_way=under_way,
-            )
-
-    def _room_for_starts(self) -> int:
-        return self._start_window.room(self.engine.starting_count)
-
     def _may_plan(self) -> bool:
         return (
             self.engine.needs_plan
             and self._registry_follower.is_caught_up
-            and self._room_for_starts() > 0
+            and self._load_control.room_for_starts() > 0
         )
 
     async def _wait_for_work(self) -> None:
@@ -414,7 +377,7 @@
         await events.wait_for_event(self._wake, _TICK_INTERVAL_S)
         self._wake.clear()
 
-    # Orders, advice and compaction.
+    # Orders.
 
     async def _start(self, plan: plans.StartPlan) -> None:
         services = self._services
@@ -427,7 +390,7 @@
         )
         now_s = services.clock.monotonic_s()
         if answer.outcome is interfaces.OrderOutcome.ACCEPTED:
-            self._start_rate.record(now_s)
+            self._load_control.start_confirmed(now_s)
         self.engine.answers.start_answered(plan, answer, now_s)
         self._poller.ensure_polling(plan.worker)
         self._wake.set()
@@ -460,78 +423,6 @@
             ),
         )
 
-    async def _request_advice(self) -> None:
-        """Requests advice one by one, as the advisor serializes requests."""
-        services = self._services
-        advisor = services.advisor
-        while advisor is not None:
-            now_s = services.clock.monotonic_s()
-            requests = self.engine.advice_requests(now_s)
-            if not requests:
-                await asyncio.sleep(_ADVICE_INTERVAL_S)
-                continue
-            request = requests[0]
-            advice = await advisor.advise(request.step_id, request.worker_ids)
-            self.engine.apply_advice(
-                request, advice, now_s, services.clock.monotonic_s()
-            )
-            self._wake.set()
-
-    async def _compact_submissions(self) -> None:
-        """Compacts the submissions, since each VM reads them when it starts.
-
-        The payload and the steps of a completed job are dropped; a job that
-        ended long ago is erased.
-        """
-        services, jobs = self._services, self.engine.jobs
-        compactable_jobs: list[str] = []
-        while True:
-            await asyncio.sleep(_COMPACTION_INTERVAL_S)
-            if not self._may_renew_leases():
-                # Another VM may own by now, and these appends are not fenced.
-                continue
-            compactable_jobs += self.engine.take_compactable_jobs()
-            expired_jobs = self.engine.take_expired_jobs()
-            entries = [
-                records.encode(_compacted(jobs[each].spec))
-                for each in compactable_jobs
-                if each in jobs
-            ]
-            for each in expired_jobs:
-                entries.append(records.tombstone(jobs[each].spec))
-                entries.append(records.tombstone(records.Cancellation(each, 0)))
-            if not entries:
-                continue
-            try:
-                await services.submissions.append(entries)
-            except interfaces.StoreError as error:
-                # Both lists are retried in the next round.
-                services.log("submissions-not-cleared", error=str(error))
-                continue
-            compactable_jobs = []
-            self.engine.forget(expired_jobs)
-
-    async def _report_load(self) -> None:
-        """Logs once a second how this owner keeps up with its work."""
-        while True:
-            await asyncio.sleep(_LOAD_REPORT_INTERVAL_S)
-            summary = self.engine.load_summary()
-            if not summary.waiting_tasks and not summary.starting_tasks:
-                continue
-            self._services.log(
-                "owner-load",
-                epoch=self._epoch,
-                lag_s=round(self._load.lag_s, 3),
-                speed=round(self._load.speed, 2),
-                backlog_s=round(self._backlog_ms / 1000, 1),
-                append_age_s=round(
-                    self._services.clock.monotonic_s()
-                    - self._writer.last_append_s,
-                    2,
-                ),
-                **summary._asdict(),
-            )
-
     async def _send_timed(
         self,
         order: str,
@@ -615,8 +506,3 @@
                 "internal-error", error=repr(error), trace="".join(trace)
             )
             self._end("internal error")
-
-
-def _compacted(spec: model.JobSpec) -> model.JobSpec:
-    """Returns what is kept of a completed job."""
-    return spec._replace(payload="", steps=(), accepted_queue=None)
