Fleet: the VMs, their moves and the waves in modules of their own

Fleet stays as the one entry; nothing else changes. The tests name the types where they now stand, and check the same.

--- a/foxtaillock/batch/tests/test_demand.py
+++ b/foxtaillock/batch/tests/test_demand.py
@@ -9,6 +9,8 @@
 from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import pool_sizes
+from foxtaillock.batch import vm_ledger
+from foxtaillock.batch import vm_moves
 
 _STEP_S = 0.2
 _MOVE_S = 1.5
@@ -112,7 +114,7 @@
 
     def test_pool_that_peaks_second_is_not_starved(self) -> None:
         for seed in range(5):
-            with mock.patch.object(fleet.Fleet, "_choose_yielding"):
+            with mock.patch.object(vm_moves.VmMoves, "_choose_yielding"):
                 keeping = _Simulation(seed, 90.0, 0.5, True).run(True)
             sharing = _Simulation(seed, 90.0, 0.5, True).run(True)
             with self.subTest(seed=seed, keeping=keeping, sharing=sharing):
@@ -280,7 +282,7 @@
     pools: dict[str, _Pool],
     cordoned_s: dict[str, float],
     now_s: float,
-) -> dict[str, fleet.VmUse]:
+) -> dict[str, vm_ledger.VmUse]:
     """Returns the use of each VM; tasks fill one VM after the other.
 
     Tasks of a cordoned VM run out within the run time of a task.
@@ -292,9 +294,9 @@
             continue
         if vm in cordoned_s:
             is_empty = now_s - cordoned_s[vm] >= _TASK_S
-            uses[vm] = fleet.VmUse(0 if is_empty else 1, 0, 0.0)
+            uses[vm] = vm_ledger.VmUse(0 if is_empty else 1, 0, 0.0)
             continue
         tasks = min(unassigned[pool], _VM_MILLIS // _TASK_MILLIS)
         unassigned[pool] -= tasks
-        uses[vm] = fleet.VmUse(tasks, 0, 0.0 if tasks else 1.0)
+        uses[vm] = vm_ledger.VmUse(tasks, 0, 0.0 if tasks else 1.0)
     return uses
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -7,11 +7,12 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import pool_sizes
+from foxtaillock.batch import vm_ledger
 from foxtaillock.model import resources
 
 _DONE = interfaces.VmOrderOutcome.DONE
-_IDLE = fleet.VmUse(0, 0, 10.0)
-_BUSY = fleet.VmUse(3, 0, 0.0)
+_IDLE = vm_ledger.VmUse(0, 0, 10.0)
+_BUSY = vm_ledger.VmUse(3, 0, 0.0)
 
 
 def _row(vm: str, pool: str, is_up: bool = True) -> interfaces.VmStatus:
@@ -35,7 +36,7 @@
         self.loads = {"pool": _load()}
 
     def _next_vms(
-        self, uses: dict[str, fleet.VmUse], now_s: float = 10.0
+        self, uses: dict[str, vm_ledger.VmUse], now_s: float = 10.0
     ) -> list[str]:
         return [
             order.vm
@@ -69,14 +70,14 @@
         self.assertEqual(self._next_vms(uses, 60.1), [])
 
     def test_persistent_tasks_are_never_interrupted(self) -> None:
-        uses = {row.vm: fleet.VmUse(1, 1, 0.0) for row in self.rows}
+        uses = {row.vm: vm_ledger.VmUse(1, 1, 0.0) for row in self.rows}
         self.assertEqual(self._next_vms(uses, 69.0), [])
 
     def test_vm_with_persistent_tasks_is_drained_from_the_start(
         self,
     ) -> None:
         uses = {row.vm: _BUSY for row in self.rows}
-        uses["m3"] = fleet.VmUse(4, 2, 0.0)
+        uses["m3"] = vm_ledger.VmUse(4, 2, 0.0)
         self.loads["pool"] = _load(waiting_millis=5000)
         self.assertEqual(self._next_vms(uses), [])
         self.assertEqual(self.fleet.cordoned_workers, {"w-m3"})
@@ -197,7 +198,7 @@
     def _moves(
         self,
         loads: dict[str, pool_sizes.PoolLoad],
-        uses: dict[str, fleet.VmUse] | None = None,
+        uses: dict[str, vm_ledger.VmUse] | None = None,
         now_s: float = 5.0,
     ) -> list[tuple[str, str]]:
         self.fleet.observe(loads, now_s)
@@ -300,15 +301,17 @@
 
     def test_busy_pool_gives_vms_to_a_starving_one(self) -> None:
         loads = self._overlapping_peaks()
-        uses = {f"a{number}": fleet.VmUse(4, 0, 0.0) for number in range(10)}
-        uses["a7"] = fleet.VmUse(1, 0, 0.0)
-        uses["a8"] = fleet.VmUse(1, 1, 0.0)
+        uses = {
+            f"a{number}": vm_ledger.VmUse(4, 0, 0.0) for number in range(10)
+        }
+        uses["a7"] = vm_ledger.VmUse(1, 0, 0.0)
+        uses["a8"] = vm_ledger.VmUse(1, 1, 0.0)
         self.assertEqual(self._moves(loads, uses), [])
         self.assertIn("w-a7", self.fleet.cordoned_workers)
         self.assertNotIn("w-a8", self.fleet.cordoned_workers)
         self.assertEqual(len(self.fleet.cordoned_workers), 4)
         loads["a"] = loads["a"]._replace(usable_millis=96_000)
-        uses["a7"] = fleet.VmUse(0, 0, 0.0)
+        uses["a7"] = vm_ledger.VmUse(0, 0, 0.0)
         self.assertEqual(self._moves(loads, uses), [("a7", "b")])
         self.assertEqual(len(self.fleet.cordoned_workers), 4)
 
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterable
 
-from foxtaillock.batch import fleet
 from foxtaillock.batch import load_meter
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 from foxtaillock.batch import pool_sizes
+from foxtaillock.batch import vm_ledger
 from foxtaillock.model import resources
 
 __all__ = ["VmCoordinator"]
@@ -86,13 +86,15 @@
                 worker, now_s, "its VM is being moved or maintained"
             )
 
-    def vm_use(self, worker_id: str, now_s: float) -> fleet.VmUse | None:
+    def vm_use(self, worker_id: str, now_s: float) -> vm_ledger.VmUse | None:
         """Returns the use of a worker's VM; None if the worker is unknown."""
         worker = self._state.workers.get(worker_id)
         if worker is None:
             return None
         idle_s = 0.0 if worker.tasks else now_s - worker.idle_since_s
-        return fleet.VmUse(len(worker.tasks), worker.persistent_count, idle_s)
+        return vm_ledger.VmUse(
+            len(worker.tasks), worker.persistent_count, idle_s
+        )
 
     def pool_loads(self, now_s: float) -> dict[str, pool_sizes.PoolLoad]:
         """Returns the load of each pool, except spare ones."""
--- /dev/null
+++ b/foxtaillock/batch/vm_ledger.py
@@ -0,0 +1,200 @@
+"""The owner's VMs as the platform lists them, and the orders for them."""
+
+import dataclasses
+import typing
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from foxtaillock.batch import interfaces
+
+__all__ = ["PendingOrder", "VmLedger", "VmOrder", "VmUse", "is_in_service"]
+
+# An accepted order is visible in the platform's list of VMs after at most this
+# time; until then the VM counts as unavailable.
+_LIST_LAG_S = 1.0
+
+# Interval after an order that was not carried out, as far as known, before the
+# next for the same VM.
+_RETRY_INTERVAL_S = 0.5
+
+# An order without an answer may still be carried out after this time.
+_LATE_ORDER_S = 12.0
+
+
+class VmUse(typing.NamedTuple):
+    """What runs on a VM.
+
+    Attributes:
+        tasks: number of tasks that may be running.
+        persistent: number of those that run until they are cancelled.
+        idle_s: time since the last task; 0 if there is one.
+    """
+
+    tasks: int
+    persistent: int
+    idle_s: float
+
+
+class VmOrder(typing.NamedTuple):
+    """Order to move or maintain a VM.
+
+    Attributes:
+        vm: the VM.
+        pool: target pool of a move; empty for maintenance.
+        wave: number of the maintenance wave; 0 for a move.
+        worker_id: the worker that runs on the VM, if any.
+        reason: reason for the log.
+    """
+
+    vm: str
+    pool: str
+    wave: int
+    worker_id: str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class PendingOrder:
+    """An order that may still change its VM.
+
+    Attributes:
+        order: the order.
+        sent_s: time at which it was planned, or accepted.
+        is_done: whether the platform has accepted it.
+        repeat_s: time from which it is sent again; None while an answer is
+            awaited or is not needed.
+        in_doubt_until_s: time until which it may be carried out although no
+            answer has said so.
+    """
+
+    order: VmOrder
+    sent_s: float
+    is_done: bool = False
+    repeat_s: float | None = None
+    in_doubt_until_s: float = float("-inf")
+
+
+class VmLedger:
+    """VMs, the orders for them that are pending, and which of them are held.
+
+    Attributes:
+        vms: VMs by name, as in the latest list.
+        listed_s: time at which the latest list of VMs was requested.
+        started_s: time at which the first list was requested; None before.
+        spare_pool: pool whose VMs are switched off; empty for none.
+        pending: pending orders by VM.
+        cordoned_vms: VMs that are being drained for a wave.
+        held_until_s: time until which orders for VMs are held back that an
+            earlier owner may have ordered.
+        not_before_s: time before which a VM gets no order.
+    """
+
+    def __init__(self) -> None:
+        self.vms: dict[str, interfaces.VmStatus] = {}
+        self.listed_s = float("-inf")
+        self.started_s: float | None = None
+        self.spare_pool = ""
+        self.pending: dict[str, PendingOrder] = {}
+        self.cordoned_vms: set[str] = set()
+        self.held_until_s: dict[str, float] = {}
+        self.not_before_s: dict[str, float] = {}
+
+    def hold(self, vms: Iterable[str], until_s: float) -> None:
+        """Holds back orders for VMs that an earlier owner may have ordered.
+
+        Args:
+            vms: names of the VMs.
+            until_s: time until which their orders are held back.
+        """
+        for vm in vms:
+            self.held_until_s[vm] = until_s
+            self.not_before_s[vm] = until_s
+
+    def update_vms(
+        self,
+        rows: Sequence[interfaces.VmStatus],
+        spare_pool: str,
+        sent_s: float,
+    ) -> None:
+        """Applies the platform's list of VMs.
+
+        Args:
+            rows: all VMs.
+            spare_pool: pool whose VMs are switched off; empty for none.
+            sent_s: time at which the list was requested.
+        """
+        self.spare_pool = spare_pool
+        if self.started_s is None:
+            self.started_s = sent_s
+        self.vms = {row.vm: row for row in rows}
+        self.listed_s = sent_s
+        for vm, pending in list(self.pending.items()):
+            row = self.vms.get(vm)
+            is_back = row is None or is_in_service(row, self.spare_pool)
+            is_shown = sent_s - pending.sent_s > _LIST_LAG_S
+            is_settled = pending.is_done or row is None
+            if is_settled and is_back and is_shown:
+                del self.pending[vm]
+        for vm in list(self.cordoned_vms):
+            if vm not in self.vms:
+                self.cordoned_vms.discard(vm)
+
+    def order_answered(
+        self,
+        order: VmOrder,
+        outcome: interfaces.VmOrderOutcome,
+        now_s: float,
+    ) -> bool:
+        """Applies the answer to an order; returns whether it was done."""
+        pending = self.pending.get(order.vm)
+        if outcome is interfaces.VmOrderOutcome.DONE:
+            if pending is not None:
+                pending.is_done = True
+                pending.sent_s = now_s
+            self.cordoned_vms.discard(order.vm)
+            return True
+        self.not_before_s[order.vm] = now_s + _RETRY_INTERVAL_S
+        if pending is not None:
+            if outcome is interfaces.VmOrderOutcome.UNKNOWN:
+                pending.in_doubt_until_s = now_s + _LATE_ORDER_S
+            if now_s < pending.in_doubt_until_s:
+                # The order may still be carried out, so it stays pending, and
+                # the VM counts as unavailable. The platform carries out an
+                # order once, however often it is sent.
+                pending.repeat_s = now_s + _RETRY_INTERVAL_S
+                return False
+        self.pending.pop(order.vm, None)
+        return False
+
+    def repeated_orders(self, now_s: float) -> list[VmOrder]:
+        """Returns the orders without an answer that are due again."""
+        due = []
+        for pending in self.pending.values():
+            if pending.repeat_s is not None and now_s >= pending.repeat_s:
+                pending.repeat_s = None
+                due.append(pending.order)
+        return due
+
+    def track(self, orders: Sequence[VmOrder], now_s: float) -> list[VmOrder]:
+        """Adds orders as pending, and returns them."""
+        for order in orders:
+            self.pending[order.vm] = PendingOrder(order, now_s)
+        return list(orders)
+
+    def may_move(self, row: interfaces.VmStatus, now_s: float) -> bool:
+        """Returns whether a VM is not cordoned and may get an order now."""
+        is_deferred = now_s < self.not_before_s.get(row.vm, 0.0)
+        return row.vm not in self.cordoned_vms and not is_deferred
+
+    def settled_rows(self, pool: str) -> list[interfaces.VmStatus]:
+        """Returns the VMs of a pool that are up and have no pending order."""
+        return [
+            row
+            for row in self.vms.values()
+            if row.pool == pool and row.is_up and row.vm not in self.pending
+        ]
+
+
+def is_in_service(row: interfaces.VmStatus, spare_pool: str) -> bool:
+    """Returns whether a VM is up and has a worker, unless it is spare."""
+    return row.is_up and (row.pool == spare_pool or bool(row.worker_id))
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import records
+from foxtaillock.batch import vm_ledger
 from foxtaillock.model import clock as model_clock
 
 __all__ = ["VmOrderController"]
@@ -78,8 +79,8 @@
         self._on_orders_due = on_orders_due
         self._fleet = fleet.Fleet()
         self._fleet.hold(ordered_vms, clock.monotonic_s() + _TAKEOVER_HOLD_S)
-        self._pending: list[fleet.VmOrder] = []
-        self._being_recorded: list[fleet.VmOrder] = []
+        self._pending: list[vm_ledger.VmOrder] = []
+        self._being_recorded: list[vm_ledger.VmOrder] = []
         self._ordered_s: dict[str, float] = {}
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._is_list_failing = False
@@ -208,7 +209,7 @@
         return True
 
     async def _send_order(
-        self, client: interfaces.FleetClient, order: fleet.VmOrder
+        self, client: interfaces.FleetClient, order: vm_ledger.VmOrder
     ) -> None:
         if not self._is_confirmed():
             # This VM may have been suspended, and another one may own by now.
@@ -244,7 +245,7 @@
         begun = self._fleet.begun(number)
         self._record_progress(records.WaveProgress(number, begun, is_complete))
 
-    def _vm_uses(self, now_s: float) -> Mapping[str, fleet.VmUse]:
+    def _vm_uses(self, now_s: float) -> Mapping[str, vm_ledger.VmUse]:
         uses = {}
         for status in self._fleet.vms.values():
             use = self._engine.vms.vm_use(status.worker_id, now_s)
