--- a/foxtaillock/batch/hedged_stream.py
+++ b/foxtaillock/batch/hedged_stream.py
@@ -2,8 +2,9 @@
 
 An answer of the store may be lost. A timeout that spares a slow store is too
 long for an owner's heartbeat: one lost answer would cost the ownership. Appends
-of an owner carry a sequence number and those of submissions are idempotent, so
-a second one does no harm, and the first answer counts.
+of an owner carry a sequence number, so a second one does no harm, and the first
+answer counts. There is one owner at a time. Streams to which all VMs append are
+not for this: repeated appends would fill the queue of a slow store.
 """
 
 import asyncio
--- a/foxtaillock/batch/tests/test_hedged_stream.py
+++ b/foxtaillock/batch/tests/test_hedged_stream.py
@@ -12,6 +12,7 @@
 _BATCH = [records.KeyedRecord("k", b"v")]
 _ID = interfaces.AppendId(3, 7)
 _LOST: None = None
+_LATE_FAILURE = interfaces.StoreUnreachableError("timeout")
 _STORED = interfaces.AppendResult(interfaces.AppendOutcome.STORED, 5)
 
 
@@ -44,6 +45,8 @@
                 await asyncio.Event().wait()
             finally:
                 self.cancelled += 1
+        if answer is _LATE_FAILURE:
+            await asyncio.sleep(0.5)
         if isinstance(answer, interfaces.StoreError):
             raise answer
         assert answer is not None
@@ -88,6 +91,9 @@
             await self._append(_ScriptedStream(lost))
         stream = _ScriptedStream(_LOST, refused, _STORED)
         self.assertEqual(await self._append(stream), _STORED)
+        stream = _ScriptedStream(_LATE_FAILURE, refused, refused)
+        with self.assertRaises(interfaces.StoreUnreachableError):
+            await self._append(stream)
 
     async def test_cancelled_append_leaves_no_call_behind(self) -> None:
         stream = _ScriptedStream(_LOST, _LOST, _LOST)
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -192,16 +192,13 @@
             store_client, settings.store.text, name, _PRODUCER
         )
 
-    def _hedged(name: str) -> hedged_stream.HedgedStream:
-        return hedged_stream.HedgedStream(_topic(name), clock)
-
     return batch_services.NodeServices(
         operators=_topic(_OPERATORS_TOPIC),
         decode_config=_decode_config,
         decode_wave=record_codec.decode_wave,
         owner=batch_services.OwnerServices(
-            journal=_hedged(_JOURNAL_TOPIC),
-            submissions=_hedged(_SUBMISSIONS_TOPIC),
+            journal=hedged_stream.HedgedStream(_topic(_JOURNAL_TOPIC), clock),
+            submissions=_topic(_SUBMISSIONS_TOPIC),
             registry=_topic(_WORKERS_TOPIC),
             decode_worker=record_codec.decode_worker,
             worker_client=worker_client.HttpWorkerClient(
