Overload: a job that may be stored already is not refused

Found in review: a refusal by a starved owner says that the job never runs. A VM could say so of a job whose first submission got no answer (504, then 503, and the job ran), or that another VM had accepted and this one had not read yet.

Change: before it refuses, the VM reads the submissions to their end and looks again; without that read the answer is 504. A job whose submission got no answer at this VM is stored again, not refused.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -27,6 +27,9 @@
 # Retry interval while this VM reads the configuration and the journal at start.
 _RETRY_STARTING_S = 0.5
 
+# Jobs in doubt that a VM remembers.
+_MAX_IN_DOUBT = 1_000
+
 _JOB_ID_LENGTH = 16
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
@@ -89,6 +92,8 @@
         self._log = log
         self.config = configuration.EMPTY
         self.admission = overload.AdmissionControl()
+        # Jobs whose submission got no answer of the store, oldest first.
+        self._in_doubt: dict[str, None] = {}
 
     async def submit(
         self,
@@ -128,17 +133,15 @@
             return self._log_outcome(
                 "submit", call, outcomes.Malformed(str(error))
             )
-        retry_after_s = self.admission.retry_after_s(
-            any(step.is_persistent for step in spec.steps),
-            self._clock.monotonic_s(),
-        )
-        if retry_after_s is not None:
-            outcome = outcomes.NotStored("owner-overloaded", retry_after_s)
-            return self._log_outcome("submit", call, outcome)
+        refusal = await self._overload_refusal(admitted, spec)
+        if refusal is not None:
+            return self._log_outcome("submit", call, refusal)
         spec = spec._replace(accepted_queue=admitted.queue)
         outcome = await self._store_record(
             admitted, records.encode(spec), outcomes.Accepted()
         )
+        if isinstance(outcome, outcomes.Unknown):
+            self._note_in_doubt(spec.job_id)
         return self._log_outcome("submit", call, outcome)
 
     async def state(self, call: Call) -> outcomes.CallOutcome:
@@ -233,6 +236,36 @@
             return outcomes.NoSuchJob()
         return job
 
+    async def _overload_refusal(
+        self, admitted: _AdmittedCall, spec: model.JobSpec
+    ) -> outcomes.CallOutcome | None:
+        """Returns the answer to a job that the owner can't start in time.
+
+        Returns None if the job is to be stored. A refused job never runs, so
+        one that may be stored already, here or through another VM, is not
+        refused.
+        """
+        retry_after_s = self.admission.retry_after_s(
+            any(step.is_persistent for step in spec.steps),
+            self._clock.monotonic_s(),
+        )
+        if retry_after_s is None or spec.job_id in self._in_doubt:
+            return None
+        try:
+            await self._follower.catch_up()
+        except interfaces.StoreError:
+            return outcomes.Unknown("submissions-lost")
+        known = self._view.spec(spec.job_id)
+        if known is not None:
+            return self._resubmission_outcome(known, admitted)
+        return outcomes.NotStored("owner-overloaded", retry_after_s)
+
+    def _note_in_doubt(self, job_id: str) -> None:
+        """Notes a job that may be stored although no answer said so."""
+        self._in_doubt[job_id] = None
+        while len(self._in_doubt) > _MAX_IN_DOUBT:
+            self._in_doubt.pop(next(iter(self._in_doubt)))
+
     async def _store_record(
         self,
         admitted: _AdmittedCall,
