Overload: only starts that are due count, and starvation ends with the lag

Found in review: the backlog counted tasks that wait for others of their job, and an owner stayed starved for good after one delay beside a lag of 0.1 s. A healthy owner with many blocked tasks could have refused jobs.

Change: the backlog counts ready tasks. The window grows back below a lag of 0.1 s, and an owner whose loop was not late for 2 s is no longer starved.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -400,7 +400,7 @@
             ticket,
         )
 
-    def load_summary(self) -> plans.LoadSummary:
+    def load_summary(self, now_s: float) -> plans.LoadSummary:
         """Returns how many tasks wait, are being started, and run."""
         phases = collections.Counter(
             task.phase
@@ -411,6 +411,10 @@
             waiting_tasks=sum(
                 len(step.waiting) for step in self._state.waiting.values()
             ),
+            ready_tasks=sum(
+                len(candidate.step.waiting)
+                for candidate in self._state.candidates(now_s)
+            ),
             starting_tasks=phases[tasks.TaskPhase.RECORDING]
             + phases[tasks.TaskPhase.STARTING],
             in_doubt_tasks=phases[tasks.TaskPhase.IN_DOUBT],
--- a/foxtaillock/batch/load_control.py
+++ b/foxtaillock/batch/load_control.py
@@ -84,7 +84,7 @@
         self._backlog_ms = 0
         if is_starved:
             backlog = overload.Backlog(
-                self._engine.load_summary().waiting_tasks,
+                self._engine.load_summary(now_s).ready_tasks,
                 self._rate.per_s(now_s),
             )
             self._backlog_ms = int(backlog.duration_s * 1000)
@@ -95,10 +95,11 @@
         clock = self._services.clock
         while True:
             await asyncio.sleep(_REPORT_INTERVAL_S)
-            summary = self._engine.load_summary()
+            now_s = clock.monotonic_s()
+            summary = self._engine.load_summary(now_s)
             if not summary.waiting_tasks and not summary.starting_tasks:
                 continue
-            append_age_s = clock.monotonic_s() - self._last_append_s()
+            append_age_s = now_s - self._last_append_s()
             self._services.log(
                 "owner-load",
                 epoch=self._epoch,
--- a/foxtaillock/batch/overload.py
+++ b/foxtaillock/batch/overload.py
@@ -33,7 +33,7 @@
     """Starts that an owner has still to make.
 
     Attributes:
-        tasks: number of tasks without a run.
+        tasks: number of tasks that could start now.
         starts_per_s: starts a second of late.
     """
 
--- a/foxtaillock/batch/plans.py
+++ b/foxtaillock/batch/plans.py
@@ -81,12 +81,14 @@
 
     Attributes:
         waiting_tasks: tasks without a run, whether they are ready or not.
+        ready_tasks: those of them whose step is due and may start.
         starting_tasks: tasks whose start is being recorded or ordered.
         in_doubt_tasks: tasks whose start order got no answer.
         running_tasks: tasks whose run was confirmed.
     """
 
     waiting_tasks: int
+    ready_tasks: int
     starting_tasks: int
     in_doubt_tasks: int
     running_tasks: int
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -73,8 +73,8 @@
 
     Attributes:
         epoch: epoch of the owner.
-        backlog_ms: time that it needs to start what has been accepted; 0 while
-            it keeps up.
+        backlog_ms: time that it needs for the starts that are due; 0 while it
+            keeps up.
     """
 
     epoch: int
--- a/foxtaillock/batch/start_window.py
+++ b/foxtaillock/batch/start_window.py
@@ -16,13 +16,15 @@
 # The window shrinks above the first lag of the event loop, and grows below the
 # second. An order times out after 0.8 s.
 _LATE_S = 0.2
-_PROMPT_S = 0.05
+_PROMPT_S = 0.1
 
 _SHRINK_FACTOR = 0.6
 _GROWTH_FACTOR = 1.5
 
-# An owner counts as starved once its window has been smaller for this time.
+# An owner counts as starved once its window has been smaller for this time, and
+# no longer once its event loop was not late for the second time.
 _STARVED_AFTER_S = 4.0
+_RECOVERED_AFTER_S = 2.0
 
 # Interval between two changes: that of the measurements of the lag.
 _ADJUSTMENT_INTERVAL_S = 0.25
@@ -35,6 +37,7 @@
         self._limit = float(_MAX_STARTS)
         self._adjusted_s = float("-inf")
         self._unlimited_s = float("inf")
+        self._late_s = float("-inf")
 
     @property
     def limit(self) -> int:
@@ -45,9 +48,10 @@
         """Returns whether the owner has not kept up for some seconds.
 
         After a single delay of the event loop, the window is back at its
-        largest within that time.
+        largest within that time, or the delays have ended.
         """
-        return now_s - self._unlimited_s > _STARVED_AFTER_S
+        is_limited = now_s - self._unlimited_s > _STARVED_AFTER_S
+        return is_limited and now_s - self._late_s <= _RECOVERED_AFTER_S
 
     def observe(self, lag_s: float, under_way: int, now_s: float) -> bool:
         """Adjusts the window; returns whether it has changed.
@@ -64,6 +68,7 @@
         if before == _MAX_STARTS:
             self._unlimited_s = now_s
         if lag_s > _LATE_S:
+            self._late_s = now_s
             # What is under way was too much, not what might have been.
             in_use = min(self._limit, float(max(under_way, _MIN_STARTS)))
             self._limit = max(_MIN_STARTS, in_use * _SHRINK_FACTOR)
--- a/foxtaillock/batch/tests/test_start_window.py
+++ b/foxtaillock/batch/tests/test_start_window.py
@@ -44,6 +44,14 @@
             starved.append(window.is_starved(now_s))
         self.assertNotIn(True, starved)
 
+    def test_owner_with_a_steady_small_lag_is_not_starved(self) -> None:
+        window = start_window.StartWindow()
+        window.observe(0.0, 5, 0.0)
+        window.observe(0.9, 5, 0.25)
+        for step in range(2, 240):
+            window.observe(0.1, 5, step * _INTERVAL_S)
+        self.assertFalse(window.is_starved(60.0))
+
     def test_owner_that_stays_late_is_starved(self) -> None:
         window = start_window.StartWindow()
         self.assertFalse(window.is_starved(0.0))
