Overload: a report of an owner that is gone refuses nothing

Each VM that started took it for fresh and refused jobs for 2 s.

Change: an owner writes a report with its first append, and only those of the latest owner count. Both tests fail without the change.

--- a/foxtaillock/batch/load_control.py
+++ b/foxtaillock/batch/load_control.py
@@ -47,6 +47,8 @@
         self._window = start_window.StartWindow()
         self._rate = overload.StartRate(now_s)
         self._backlog_ms = 0
+        # An earlier owner may have left a report.
+        self._has_reported = True
         self._backlog_due_s = now_s
 
     def adjust(self, now_s: float) -> None:
@@ -77,10 +79,11 @@
         An owner that keeps up writes none, but for one that says so.
         """
         is_starved = self._window.is_starved(now_s)
-        is_relevant = is_starved or self._backlog_ms > 0
+        is_relevant = is_starved or self._has_reported
         if not is_relevant or now_s < self._backlog_due_s:
             return None
         self._backlog_due_s = now_s + _BACKLOG_INTERVAL_S
+        self._has_reported = is_starved
         self._backlog_ms = 0
         if is_starved:
             backlog = overload.Backlog(
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -377,8 +377,8 @@
             )
         elif isinstance(record, _OWNERS_RECORDS):
             now_s = self._services.clock.monotonic_s()
-            self._ownership.heard_from(record.epoch, now_s)
-            if isinstance(record, records.OwnerBacklog):
+            is_owner = self._ownership.heard_from(record.epoch, now_s)
+            if isinstance(record, records.OwnerBacklog) and is_owner:
                 backlog_s = record.backlog_ms / 1000
                 self.call_handler.admission.observe(backlog_s, now_s)
         if self._owner is not None:
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -202,10 +202,15 @@
         self._owner = owner
         self._last_heard_s = now_s
 
-    def heard_from(self, epoch: int, now_s: float) -> None:
-        """Records that a record of the owner of an epoch was read."""
-        if self._owner is not None and epoch == self._owner.epoch:
+    def heard_from(self, epoch: int, now_s: float) -> bool:
+        """Records that a record of the owner of an epoch was read.
+
+        Returns whether that is the latest owner.
+        """
+        is_owner = self._owner is not None and epoch == self._owner.epoch
+        if is_owner:
             self._last_heard_s = now_s
+        return is_owner
 
     def journal_read(self, sent_s: float) -> None:
         """Records that a read sent at `sent_s` reached the journal's end."""
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -87,6 +87,21 @@
             self.journal.write(records.encode(progress))
         self.assertEqual(self.journal.owners("vm-1"), [])
 
+    async def test_report_of_an_owner_that_is_gone_refuses_nothing(
+        self,
+    ) -> None:
+        await self._wait_until_ready()
+        handler = self.node.call_handler
+        clock = model_clock.SystemClock()
+        for epoch, retry_s in ((3, None), (4, 7.0)):
+            backlog = records.OwnerBacklog(epoch, 9_000)
+            self.journal.write(records.encode(backlog))
+            await asyncio.sleep(0.4)
+            self.assertEqual(
+                handler.admission.retry_after_s(False, clock.monotonic_s()),
+                retry_s,
+            )
+
     async def test_successor_claims_before_a_long_read_ends(self) -> None:
         await self._wait_until_ready()
         self.journal.holds_long_reads = True
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -268,6 +268,17 @@
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
+    async def test_new_owner_clears_the_report_of_the_one_before(self) -> None:
+        running = asyncio.ensure_future(self.owner.run())
+        async with asyncio.timeout(10.0):
+            while not self._backlogs():
+                await asyncio.sleep(0.01)
+        self.assertEqual(
+            self._backlogs(), [records.OwnerBacklog(3, backlog_ms=0)]
+        )
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
     def _backlogs(self) -> list[records.OwnerBacklog]:
         decoded = [records.decode(*each) for each in self.journal.appended]
         return [
