Takeover: a claim is read back without the end of a long read

A claim counts once it is read back, and that waited for the follower's long read; one lost answer there cost up to 2 s, and the claim.

The test ends in a timeout without it.

--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -305,9 +305,7 @@
                 "claim-lost", epoch=epoch, outcome=result.outcome.value
             )
             return None
-        is_read = await self._journal_follower.wait_for_offset(
-            result.next_offset, _CLAIM_READ_TIMEOUT_S
-        )
+        is_read = await self._read_back(result.next_offset)
         holder = self._ownership.owner
         is_won = (
             is_read
@@ -323,6 +321,16 @@
             return None
         return claim
 
+    async def _read_back(self, offset: int) -> bool:
+        """Reads the journal up to an offset; returns whether that succeeded."""
+        try:
+            await self._journal_follower.catch_up()
+        except interfaces.StoreError as error:
+            self._services.log("claim-not-read", error=str(error))
+        return await self._journal_follower.wait_for_offset(
+            offset, _CLAIM_READ_TIMEOUT_S
+        )
+
     async def _read_submissions(self) -> bool:
         """Reads all submissions that earlier owners may have known.
 
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -87,6 +87,18 @@
             self.journal.write(records.encode(progress))
         self.assertEqual(self.journal.owners("vm-1"), [])
 
+    async def test_claim_is_read_back_before_a_long_read_ends(self) -> None:
+        await self._wait_until_ready()
+        self.journal.on_append = self._stall
+        self.journal.holds_long_reads = True
+        self.journal.write(records.encode(_OTHER._replace(heartbeat=1)))
+        await self._wait_for("ownership-claimed")
+        await self._wait_for("ownership-taken")
+
+    def _stall(self, batch: Sequence[records.KeyedRecord]) -> None:
+        del batch
+        self.journal.is_stalled = True
+
     async def test_report_of_an_owner_that_is_gone_refuses_nothing(
         self,
     ) -> None:
