Owner: an entry of a dead worker ends no runs at its address

Cause: of two workers with one address, the one with the earlier start time counted as ended, with its runs. Start times are of the workers' wall clocks. If the clock of the dead one was ahead, and its entry still stood in the registry, the living one lost its runs, and they started elsewhere. With its next heartbeat it was back as a new worker with all its room free. The newest records are paged by key and applied in that order, so a new owner may well read the dead worker's entry last.

Ruled out: ordering by offsets in place of start times. The last heartbeat of a dead worker may be stored late.

Change: an entry alone removes only a worker without runs. Runs at a reused address end when another worker answers there, or when the lease is over, which are the proofs that already held elsewhere. The crash is counted then. This costs a poll, or the rest of the lease if nobody answers.

--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -2,8 +2,8 @@
 
 A crash shows when a worker that did not drain comes back: in its pool, at its
 address or under its id, with a later start time. It shows once, in the registry
-or in the answer to a poll, whichever comes first; the runs may have been given
-up before, because their leases had expired or another worker answered.
+or in the answer to a poll, whichever comes first. Under another id, runs end
+only once another worker has answered there or their leases have expired.
 
 Who is to blame is decided in `crash_suspects`.
 """
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -123,11 +123,8 @@
             self.replace_worker(known, entry, now_s, "it was started again")
             known = None
         for other in list(self.workers.values()):
-            if (
-                other.entry.address == entry.address
-                and other.worker_id != entry.worker_id
-                and other.entry.started_ms < entry.started_ms
-            ):
+            # Wall clocks and old entries end no run: a poll or the lease does.
+            if other.precedes_at_address(entry) and not other.may_run_tasks:
                 self.replace_worker(
                     other, entry, now_s, "its address has a new worker"
                 )
@@ -267,6 +264,9 @@
 
     def expire_lease(self, worker: workers.Worker, now_s: float) -> None:
         """Requeues the runs on a worker whose lease has expired."""
+        if successor := workers.successor_of(worker, self.workers):
+            self.replace_worker(worker, successor, now_s, "its lease is over")
+            return
         self.crashes.record_silence(worker, now_s)
         for task in list(worker.tasks.values()):
             if task.phase is not tasks.TaskPhase.RECORDING:
@@ -286,8 +286,12 @@
 
     def lose_worker(self, worker: workers.Worker, now_s: float) -> None:
         """Removes an incarnation of a worker whose address another one has."""
+        reason = "another worker answers there"
+        if successor := workers.successor_of(worker, self.workers):
+            self.replace_worker(worker, successor, now_s, reason)
+            return
         self.crashes.record_silence(worker, now_s)
-        self.remove_worker(worker, now_s, "another worker answers there")
+        self.remove_worker(worker, now_s, reason)
 
     def give_up(self, culprits: Iterable[tasks.Task], now_s: float) -> None:
         """Fails the jobs of tasks that crash their workers."""
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -1,12 +1,19 @@
 """The owner's view of a worker: its tasks, resources and lease."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from foxtaillock.batch import model
 from foxtaillock.batch import tasks as batch_tasks
 from foxtaillock.model import resources
 
-__all__ = ["RENEWAL_WINDOW_S", "RUN_LEASE_S", "Worker", "prior_leases_end_s"]
+__all__ = [
+    "RENEWAL_WINDOW_S",
+    "RUN_LEASE_S",
+    "Worker",
+    "prior_leases_end_s",
+    "successor_of",
+]
 
 # Lease of the runs on a worker. It has to outlast a takeover (up to 2.4 s) and
 # the age of the last renewal (up to 1.2 s). A shorter lease would restart the
@@ -125,6 +132,19 @@
         """Whether it is about to end as planned."""
         return self.entry.is_draining or self.is_cordoned
 
+    @property
+    def may_run_tasks(self) -> bool:
+        """Whether tasks may be running on it, known ones or others."""
+        return bool(self.tasks) or self.has_unexpected_runs
+
+    def precedes_at_address(self, entry: model.WorkerEntry) -> bool:
+        """Returns whether another worker says to have started there later."""
+        return (
+            self.entry.address == entry.address
+            and self.worker_id != entry.worker_id
+            and self.entry.started_ms < entry.started_ms
+        )
+
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the worker may get new tasks."""
         return (
@@ -241,3 +261,13 @@
         self.full_cpu_millis = max(
             self.full_cpu_millis, self.entry.capacity.cpu_millis
         )
+
+
+def successor_of(
+    worker: Worker, known: Mapping[str, Worker]
+) -> model.WorkerEntry | None:
+    """Returns the entry of a worker that may have a worker's address now."""
+    for other in known.values():
+        if worker.precedes_at_address(other.entry):
+            return other.entry
+    return None
