Tests: schedules of late orders, takeovers, clock steps, lapses and late ends

In each burst an owner is replaced, a quarter of the orders are carried out 2 to 12 s later, wall clocks of entry VMs and of new workers step by up to a minute, and a worker is cut off for up to 9 s. Workers tell ends up to 2 s late, VM orders are carried out late, and new owners read the entries of dead workers, last. Checked at the workers: room at each start, what is being stopped included, and runs of a task that overlap.

The pace of the bursts leaves jobs over at the end of 40 s, so this schedule does not check that all end; ScheduleTest does.

--- a/foxtaillock/batch/tests/simulated_owner.py
+++ b/foxtaillock/batch/tests/simulated_owner.py
@@ -44,6 +44,9 @@
     def duration_s(self, task: model.TaskId) -> float:
         """Returns the run time of a task."""
 
+    def wall_ms(self, epoch: int) -> int:
+        """Returns the wall-clock time at the entry VM of an owner."""
+
     def store_works(self, epoch: int) -> bool:
         """Returns whether an owner can reach the store."""
 
@@ -91,7 +94,7 @@
         """Adds a job to the engine in the same way as `Owner`."""
         journal_view = self._simulation.view
         now_s = self._simulation.now_s
-        now_ms = int(now_s * 1000)
+        now_ms = self._simulation.wall_ms(self.epoch)
         self.engine.submit(spec, journal_view.steps(spec.job_id), now_s, now_ms)
         if journal_view.cancellation(spec.job_id) is not None:
             self.engine.cancel(spec.job_id, now_s)
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -23,7 +23,7 @@
 from foxtaillock.batch import view
 from foxtaillock.model import resources
 
-__all__ = ["Simulation"]
+__all__ = ["CutZone", "Simulation"]
 
 _TICK_S = 0.02
 _CLAIM_DELAY_S = 0.3
@@ -32,7 +32,7 @@
 _CPU = 8000
 
 
-class _CutZone(typing.NamedTuple):
+class CutZone(typing.NamedTuple):
     """A worker that only owners up to an epoch reach, until a time."""
 
     epoch: int
@@ -63,7 +63,7 @@
         self._sequence = itertools.count()
         self._store_outage_until_s: dict[int, float] = {}
         self._partition_until_s: dict[tuple[int, str], float] = {}
-        self._cut_zones: dict[str, _CutZone] = {}
+        self._cut_zones: dict[str, CutZone] = {}
         self._numbers = itertools.count()
         self._cancelled: set[str] = set()
         for _ in range(4):
@@ -162,6 +162,23 @@
         until_s = self._partition_until_s.get((epoch, worker_id), 0.0)
         return self.now_s < until_s
 
+    # Defaults that schedules with more faults replace.
+
+    def wall_ms(self, epoch: int) -> int:
+        """Returns the wall-clock time at the entry VM of an owner."""
+        del epoch
+        return int(self.now_s * 1000)
+
+    def worker_wall_ms(self) -> int:
+        """Returns the wall-clock time at a worker that starts now."""
+        return int(self.now_s * 1000)
+
+    def make_worker(
+        self, entry: model.WorkerEntry, drift: float
+    ) -> fake_worker.FakeWorker:
+        """Returns a worker that starts now."""
+        return fake_worker.FakeWorker(entry, self.now_s, drift)
+
     # Events.
 
     def add_worker(self, address: str) -> None:
@@ -169,7 +186,7 @@
         number = next(self._numbers)
         entry = model.WorkerEntry(
             f"w{number}",
-            int(self.now_s * 1000) + number,
+            self.worker_wall_ms() + number,
             "pool",
             address,
             "zone",
@@ -180,7 +197,7 @@
             1,
         )
         drift = self._random.uniform(0.0, 0.02)
-        worker = fake_worker.FakeWorker(entry, self.now_s, drift)
+        worker = self.make_worker(entry, drift)
         self.workers[entry.worker_id] = worker
         self.all_workers.append(worker)
         for owner in self.owners:
@@ -209,7 +226,7 @@
                 model.StepSpec(self._random.randint(1, 3), size, 900, (0,))
             )
         spec = model.JobSpec(
-            job_id, "q", "", int(self.now_s * 1000), "text", tuple(steps)
+            job_id, "q", "", self.wall_ms(self._epoch), "text", tuple(steps)
         )
         self.view.apply(self._offset, records.encode(spec))
         self._offset += 1
@@ -301,7 +318,7 @@
         """Cuts the zone of the owner and of a worker off from all others."""
         owner = self.owners[-1]
         until_s = self.now_s + length_s
-        self._cut_zones[worker_id] = _CutZone(owner.epoch, until_s)
+        self._cut_zones[worker_id] = CutZone(owner.epoch, until_s)
         for other in self.workers:
             if other != worker_id:
                 self._partition_until_s[owner.epoch, other] = until_s
