Crashes: a crash counts although the worker that came back is gone again

Two of the five crashes were not counted: the worker that had come back was idle, and its VM was moved by the owner 0.1 s later, so that no successor was known when the leases ended.

Ruled out: a wrong pool or address; the crashes of the same task whose successor stayed counted (task-suspected at 21.9, 29.7 and 33.2 s).

Change: a worker keeps the entry that claims its address until it answers itself. The test fails without the change; the schedules of crashes and of late orders pass.

--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -123,11 +123,8 @@
             self.replace_worker(known, entry, now_s, "it was started again")
             known = None
         for other in list(self.workers.values()):
-            # Wall clocks and old entries end no run: a poll or the lease does.
-            if other.precedes_at_address(entry) and not other.may_run_tasks:
-                self.replace_worker(
-                    other, entry, now_s, "its address has a new worker"
-                )
+            if other.precedes_at_address(entry):
+                self.note_successor(other, entry, now_s)
         if known is None:
             self.add_worker(entry, now_s)
         else:
@@ -284,6 +281,18 @@
         self.remove_worker(worker, now_s, reason)
         self.give_up(culprits, now_s)
 
+    def note_successor(
+        self, worker: workers.Worker, entry: model.WorkerEntry, now_s: float
+    ) -> None:
+        """Removes a worker whose address another one claims, if it is idle.
+
+        Wall clocks and old entries end no run: a poll or the lease does.
+        """
+        worker.successor = entry
+        if not worker.may_run_tasks:
+            reason = "its address has a new worker"
+            self.replace_worker(worker, entry, now_s, reason)
+
     def lose_worker(self, worker: workers.Worker, now_s: float) -> None:
         """Removes an incarnation of a worker whose address another one has."""
         reason = "another worker answers there"
--- a/foxtaillock/batch/tests/test_crashes.py
+++ b/foxtaillock/batch/tests/test_crashes.py
@@ -515,6 +515,15 @@
         self.fleet.lose_contact(self.worker_id, 5.0)
         self._assert_one_crash()
 
+    def test_crash_counts_although_the_vm_of_the_new_worker_moves(self) -> None:
+        self.fleet.engine.register(self.new, self.fleet.now_s)
+        self.fleet.engine.vms.worker_displaced(
+            self.new.worker_id, self.fleet.now_s
+        )
+        self.fleet.lose_contact(self.worker_id, 5.0)
+        self.assertEqual(self.fleet.crashes(_INNOCENT), 1)
+        self.assertEqual(self.fleet.events["worker-crashed"], 1)
+
     def test_registry_tells_the_crash_after_the_other_worker_answered(
         self,
     ) -> None:
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -90,6 +90,8 @@
         persistent_count: number of its tasks that run until their job is
             cancelled.
         idle_since_s: time at which it last had a task.
+        successor: entry of a worker that says to have started later at its
+            address since this one's latest answer; None if there was none.
     """
 
     entry: model.WorkerEntry
@@ -118,6 +120,7 @@
     is_maintenance_due: bool = False
     persistent_count: int = 0
     idle_since_s: float = float("-inf")
+    successor: model.WorkerEntry | None = None
 
     def __post_init__(self) -> None:
         self._update_free()
@@ -183,6 +186,7 @@
         self.clock_read_s = now_s
         self.answered_s = now_s
         self.unanswered_calls = 0
+        self.successor = None
 
     def update_entry(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Applies a registry entry, whose clock reading may be outdated."""
@@ -266,7 +270,12 @@
 def successor_of(
     worker: Worker, known: Mapping[str, Worker]
 ) -> model.WorkerEntry | None:
-    """Returns the entry of a worker that may have a worker's address now."""
+    """Returns the entry of a worker that may have a worker's address now.
+
+    That worker may be gone again, for example because its VM was moved.
+    """
+    if worker.successor is not None:
+        return worker.successor
     for other in known.values():
         if worker.precedes_at_address(other.entry):
             return other.entry
