--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -18,6 +18,8 @@
 _APPEND_S = 0.002
 _ANSWER_S = 0.004
 _MISSED_BEATS = 3
+_RECORD_BYTES = 262_144
+_CALL_BYTES = 2_097_152
 
 
 class Topic:
@@ -176,6 +178,10 @@
 
     async def _append(self, name, query, body):
         topic = self.topic(name)
+        largest = max(map(len, _split(body)), default=0)
+        if len(body) > _CALL_BYTES or largest > _RECORD_BYTES:
+            self._record("append-too-large", topic=name, record_bytes=largest)
+            return web.Response(status=400)
         async with topic.lock:
             await asyncio.sleep(_APPEND_S * self.slow)
             if "producer" in query:
