review: case 3, a task that crashes its workers late is never given up

Cause: a run that was seen at work for 3 s clears its task of all earlier crashes, so a task that crashes its workers after that is counted once at most.

Change: a script whose only work unit crashes each runner after 4.5 s, with its claim; the stand-in of a runner can crash.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,46 +1,37 @@
-"""The store is partly down while runners crash and are back under their ids."""
+"""A work unit crashes each runner that starts it, after some seconds of work."""
 
 import asyncio
-import time
 
 from review.lib import cases
 
 _RUNNERS = [f"i-{number}" for number in range(6)]
-_RACK = _RUNNERS[:4]
-
-_LENGTH_S = 56.0
-_JOB_INTERVAL_S = 0.4
-_STEP = {"count": 60, "cpu": 800, "mem_mb": 500, "estimate_ms": 500}
-_WORKLOAD = "ms=200-800"
-
-_TROUBLE_AT_S = (9.0, 21.0, 33.0, 45.0)
-_STORE_DOWN_S = 4.5
-_CRASH_AFTER_S = 0.5
-_RUNNERS_DOWN_S = 1.5
-
-
-async def _store_down(scene):
-    """The partition with the owner's records answers nothing for a while."""
-    scene.note("store-partly-down", topic="keyed.journal")
-    scene.store.silent.add("keyed.journal")
-    await asyncio.sleep(_STORE_DOWN_S)
-    scene.store.silent.discard("keyed.journal")
-    scene.note("store-up")
-
-
-async def _rack_crashes(scene, kills):
-    """All runners of one rack crash, and start again under their ids."""
-    await asyncio.sleep(_CRASH_AFTER_S)
-    for runner_id in _RACK:
-        kills.append((time.time(), runner_id))
-        await scene.kill_runner(runner_id)
-    await asyncio.sleep(_RUNNERS_DOWN_S)
-    for runner_id in _RACK:
+_LENGTH_S = 80.0
+_BACK_AFTER_S = 3.0
+_DIES_MS = 4500
+_STEP = {"count": 1, "cpu": 4000, "mem_mb": 1000, "estimate_ms": 6000}
+
+# The rule: so many starts more, after so many runners have crashed.
+_CRASHES = 3
+_STARTS_MORE = 3
+
+
+async def _keep_up(scene, runner_id):
+    """Starts a runner again some seconds after each crash."""
+    while True:
+        await scene.runners[runner_id].wait()
+        scene.note("runner-crashed", runner=runner_id)
+        await asyncio.sleep(_BACK_AFTER_S)
         await scene.start_runner(runner_id)
 
 
-async def _submit(scene, jobs):
-    jobs.append(await scene.submit(_WORKLOAD, [_STEP], tries=12))
+def _starts_beyond(scene):
+    """Returns the starts after the third crash under the work unit."""
+    crashes, beyond = 0, []
+    for event in sorted(scene.runs(), key=lambda each: each["at"]):
+        crashes += event["event"] == "crash"
+        if event["event"] == "start" and crashes >= _CRASHES:
+            beyond.append(event)
+    return beyond
 
 
 async def _play(scene):
@@ -48,20 +39,22 @@
     for runner_id in _RUNNERS:
         await scene.start_runner(runner_id)
     await scene.until_served(_RUNNERS)
+    keepers = [asyncio.ensure_future(_keep_up(scene, r)) for r in _RUNNERS]
     await asyncio.sleep(3.0)
-    jobs, kills, tasks = [], [], []
-    due_s = list(_TROUBLE_AT_S) if cases.TROUBLE else []
-    began_s = time.monotonic()
-    while (elapsed_s := time.monotonic() - began_s) < _LENGTH_S:
-        if due_s and elapsed_s >= due_s[0]:
-            del due_s[0]
-            tasks.append(asyncio.ensure_future(_store_down(scene)))
-            tasks.append(asyncio.ensure_future(_rack_crashes(scene, kills)))
-        tasks.append(asyncio.ensure_future(_submit(scene, jobs)))
-        await asyncio.sleep(_JOB_INTERVAL_S)
-    await asyncio.gather(*tasks)
-    await scene.until_finished([job for job in jobs if job], 20.0)
-    return cases.judge_twice(scene, jobs, kills)
+    workload = "ms=6000" + (f" dies={_DIES_MS}" if cases.TROUBLE else "")
+    job = await scene.submit(workload, [_STEP])
+    unfinished = await scene.until_finished([job] if job else [], _LENGTH_S)
+    state = await scene.state(job) if job else None
+    for keeper in keepers:
+        keeper.cancel()
+    beyond = _starts_beyond(scene)
+    for start in beyond:
+        scene.note("BUDGET", start=start)
+    scene.note("summary", job=job, state=state, beyond=len(beyond))
+    print(f"state {state}, {len(beyond)} starts after three crashes")
+    if job is None or not scene.runs():
+        return cases.NOT_RUN
+    return cases.BROKEN if len(beyond) >= _STARTS_MORE else cases.HELD
 
 
 if __name__ == "__main__":
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -6,11 +6,13 @@
 (whether it writes its entry at once).
 
 The workload of a job says how long its work units take: `ms=NUMBER`, or
-`ms=LEAST-MOST` for a time of its own for each of them.
+`ms=LEAST-MOST` for a time of its own for each of them. With `dies=NUMBER` the
+runner crashes under each of them after that time.
 """
 
 import asyncio
 import json
+import os
 import random
 import sys
 import time
@@ -157,6 +159,10 @@
 
     async def _work(self, task, run, workload):
         words = dict(word.split("=") for word in workload.split())
+        if "dies" in words:
+            await asyncio.sleep(int(words["dies"]) / 1000)
+            self._log("crash", task=task, run=run)
+            os._exit(1)
         await asyncio.sleep(_duration_s(words["ms"], task))
         failing = int(words.get("fails", 0))
         self._end(task, run, "failed" if run <= failing else "done")
