--- a/review/lib/cases.py
+++ b/review/lib/cases.py
@@ -52,6 +52,9 @@
 def judge_twice(scene, jobs, kills):
     """Judges the rule TWICE, and returns the result of the case.
 
+    Only runs at the same time break it here. A start after an end `done` is
+    noted but not judged, since the rule excuses it if a lease has lapsed.
+
     Args:
         scene: the installation.
         jobs: ids of the jobs, None for each that was not accepted.
@@ -79,4 +82,4 @@
     )
     if not runs:
         return NOT_RUN
-    return BROKEN if overlapping or again else HELD
+    return BROKEN if overlapping else HELD
