Leases: an owner tells its successors when those on silent workers end

Callers saw (LOST): persistent work that did not run again, with room for it, as long as hand-overs of the ownership came closer than about 4.6 s. Cause: a new owner waits for the leases that earlier owners may have granted on a worker it can't reach, counted from its predecessor's last record, and each owner adds its own time.

An owner that gets no answer from a worker now renounces leases on it: its records name the worker with the time until all leases there have expired, and it grants none there until a record that leaves the worker out is stored. The next owner waits for that time, polls the worker without a renewal until it answers, and hands the time on. A claim tells nothing, and an owner that has missed records of its predecessor (expired history) falls back to the wait of before. Logs: leases-renounced, leases-resumed, and the wait at ownership-taken.

Weighed: the end of each run in its record (written again with each renewal), a confirmation of each worker by each owner before its first renewal (one append of all steps per takeover, leases lapse in a slow store).

The probabilities of lost and late orders are attributes of the simulation now.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -18,6 +18,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.model import resources
 
 __all__ = ["run"]
@@ -45,7 +46,9 @@
         self._rounds = 0
         self.used_s: dict[str, float] = collections.defaultdict(float)
         self.calls: collections.Counter[str] = collections.Counter()
-        self.engine = engines.Engine(1, 10.0, 10.0, lambda *_, **__: None)
+        self.engine = engines.Engine(
+            1, 10.0, prior_leases.PriorLeases(10.0), lambda *_, **__: None
+        )
         self._configure()
 
     def run_round(self) -> None:
--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -22,6 +22,7 @@
 from foxtaillock.batch import metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import owner as owners
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch import services
 from foxtaillock.batch import view
@@ -263,7 +264,7 @@
     owner = owners.Owner(
         claim,
         view.JournalView(),
-        float("-inf"),
+        prior_leases.PriorLeases(float("-inf")),
         claim.capacity,
         load_monitor.LoadMonitor(dependencies.clock),
         dependencies,
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -15,8 +15,10 @@
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import planner
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import ready_steps
 from foxtaillock.batch import records
+from foxtaillock.batch import renounced_leases
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
@@ -52,12 +54,12 @@
     Args:
         epoch: epoch of this ownership.
         now_s: time at which the ownership starts.
-        prior_leases_end_s: time by which all leases granted by earlier owners
-            have expired.
+        prior: leases granted by earlier owners.
         log: called with each decision.
 
     Attributes:
         answers: handles the workers' answers.
+        renounced: workers on which this owner has renounced leases.
         vms: coordinates tasks with moves and maintenance of VMs.
     """
 
@@ -65,12 +67,11 @@
         self,
         epoch: int,
         now_s: float,
-        prior_leases_end_s: float,
+        prior: prior_leases.PriorLeases,
         log: decision_log.LogFunction,
     ) -> None:
-        self._state = owner_state.OwnerState(
-            epoch, now_s, prior_leases_end_s, log
-        )
+        self._state = owner_state.OwnerState(epoch, now_s, prior, log)
+        self.renounced = renounced_leases.RenouncedLeases(self._state)
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self._slow_runs = slow_runs.SlowRuns(self._state)
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -105,6 +105,9 @@
         self._set_batched_reads(True)
         self._journal_follower.on_caught_up = self._ownership.journal_read
         self._journal_follower.on_failure = self._on_journal_failure
+        self._journal_follower.on_full_read = (
+            lambda _: self._ownership.records_missed()
+        )
         self._operator_follower = follower.Follower(
             "operators",
             services.operators,
@@ -354,7 +357,7 @@
         owner = owners.Owner(
             claim,
             self._view,
-            self._ownership.earlier_leases_end_s,
+            self._ownership.prior_leases(),
             self._capacity,
             self._load,
             services,
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -19,6 +19,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import reachability
 from foxtaillock.batch import records
 from foxtaillock.batch import services as batch_services
@@ -45,8 +46,7 @@
     Args:
         claim: the claim of this ownership, already stored in the journal.
         journal_view: state folded from the journal, caught up to the claim.
-        prior_leases_end_s: time by which all leases granted by earlier
-            owners have expired.
+        prior: leases granted by earlier owners.
         capacity: capacity of this VM at full speed; see
             `ownership.capacity_of`.
         load: measures this VM's event loop and processor.
@@ -57,13 +57,13 @@
         self,
         claim: records.OwnerRecord,
         journal_view: view.JournalView,
-        prior_leases_end_s: float,
+        prior: prior_leases.PriorLeases,
         capacity: float,
         load: load_monitor.LoadMonitor,
         services: batch_services.OwnerServices,
     ) -> None:
         self._claim = claim
-        self._prior_leases_end_s = prior_leases_end_s
+        self._prior = prior
         self._successor = ""
         self._epoch = claim.epoch
         self._view = journal_view
@@ -71,9 +71,7 @@
         self._load = load
         self._services = services
         now_s = services.clock.monotonic_s()
-        self.engine = engines.Engine(
-            claim.epoch, now_s, prior_leases_end_s, services.log
-        )
+        self.engine = engines.Engine(claim.epoch, now_s, prior, services.log)
         self._writer = journal_writer.JournalWriter(
             claim.epoch, services, self._end
         )
@@ -222,6 +220,8 @@
             "ownership-taken",
             epoch=self._epoch,
             jobs=len(self.engine.jobs),
+            leases_s=round(self._remaining_prior_leases_s(), 2),
+            silent_workers=len(self._prior.renounced_ends_s),
         )
 
     def _try_add_job(self, spec: model.JobSpec) -> None:
@@ -273,6 +273,7 @@
         now_s = self._services.clock.monotonic_s()
         is_heartbeat_due = (
             now_s - self._heartbeat_s >= ownership.HEARTBEAT_INTERVAL_S
+            or self.engine.renounced.are_outdated
         )
         has_records = (
             self.engine.has_batch()
@@ -297,12 +298,15 @@
         vm_orders = self._vm_order_controller.take_orders()
         if vm_orders is not None:
             entries.append(records.encode(vm_orders))
-        if is_heartbeat_due or is_releasing:
+        is_heartbeat = is_heartbeat_due or is_releasing
+        if is_heartbeat:
             self._heartbeat += 1
             self._heartbeat_s = now_s
             entries.insert(0, records.encode(self._owner_record(is_releasing)))
         if not await self._writer.append(entries):
             return
+        if is_heartbeat:
+            self.engine.renounced.recorded()
         now_s = self._services.clock.monotonic_s()
         for plan in self.engine.batch_recorded(batch, now_s):
             self._spawn(self._start(plan))
@@ -312,15 +316,26 @@
             self._end("given up")
 
     def _owner_record(self, is_released: bool) -> records.OwnerRecord:
-        leases_s = max(0.0, self._prior_leases_end_s - self._heartbeat_s)
         return self._claim._replace(
             is_released=is_released,
             heartbeat=self._heartbeat,
             capacity=self._capacity,
             successor=self._successor if is_released else "",
-            earlier_leases_ms=math.ceil(leases_s * 1000),
+            earlier_leases_ms=math.ceil(
+                self._remaining_prior_leases_s() * 1000
+            ),
+            renounced=self.engine.renounced.propose(
+                self._heartbeat_s,
+                is_releasing=is_released,
+                knows_workers=self._registry_follower.is_caught_up,
+            ),
         )
 
+    def _remaining_prior_leases_s(self) -> float:
+        """Returns the time until all leases of earlier owners have expired."""
+        now_s = self._services.clock.monotonic_s()
+        return max(0.0, self._prior.end_s - now_s)
+
     def _end(self, reason: str) -> None:
         if not self._has_ended:
             self._services.log(
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -15,6 +15,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch import pool_members
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import quarantine
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
@@ -32,8 +33,7 @@
     Args:
         epoch: epoch of the ownership.
         now_s: time at which the ownership starts.
-        prior_leases_end_s: time by which all leases granted by earlier owners
-            have expired.
+        prior: leases granted by earlier owners.
         log: called with each decision.
 
     Attributes:
@@ -65,6 +65,8 @@
         tickets: the advisor's tickets for steps whose queues allow only some
             workers.
         leaving: workers whose VMs are, or may be, ordered away.
+        prior_leases: leases granted by earlier owners.
+        renounced_ids: workers on which this owner has renounced leases.
         late_starts: starts without an answer that may still be carried out.
         needs_plan: whether an event may have made it possible to place a task.
         starting_count: number of starts under way: being recorded, or ordered
@@ -75,12 +77,13 @@
         self,
         epoch: int,
         now_s: float,
-        prior_leases_end_s: float,
+        prior: prior_leases.PriorLeases,
         log: decision_log.LogFunction,
     ) -> None:
         self.epoch = epoch
         self.now_s = now_s
-        self.prior_leases_end_s = prior_leases_end_s
+        self.prior_leases = prior
+        self.renounced_ids: frozenset[str] = frozenset()
         self.log = log
         self.jobs: dict[str, tasks.Job] = {}
         self.workers: dict[str, workers.Worker] = {}
@@ -145,9 +148,8 @@
 
     def add_worker(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Adds a worker and the runs that earlier owners started on it."""
-        worker = workers.Worker(entry, self.prior_leases_end_s)
+        worker = self.create_worker(entry)
         worker.update_entry(entry, now_s)
-        worker.apply_leaving(self.leaving)
         self.workers[entry.worker_id] = worker
         self.pool_members.invalidate()
         self.log_worker(worker, "worker-new", pool=entry.pool)
@@ -158,6 +160,29 @@
         self.give_up(self.crashes.record_arrival(worker, now_s), now_s)
         self.stops += self.late_starts.stops(entry, now_s)
 
+    def create_worker(self, entry: model.WorkerEntry) -> workers.Worker:
+        """Returns a worker that this owner has not met, without its runs.
+
+        One that did not answer the last owner counts as silent until it
+        answers: a renewal that does not reach it would only put the end of its
+        leases off.
+        """
+        worker_id = entry.worker_id
+        prior = self.prior_leases
+        worker = workers.Worker(entry, prior.end_on_s(worker_id))
+        worker.unanswered_calls = int(prior.was_silent(worker_id))
+        worker.is_renounced = worker_id in self.renounced_ids
+        worker.apply_leaving(self.leaving)
+        return worker
+
+    def renounce(self, worker_ids: frozenset[str]) -> None:
+        """Sets the workers on which leases are renounced."""
+        for worker_id in worker_ids | self.renounced_ids:
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                worker.is_renounced = worker_id in worker_ids
+        self.renounced_ids = worker_ids
+
     def adopt(self, job: tasks.Job, step: tasks.Step, now_s: float) -> None:
         """Adopts runs of an earlier owner until their workers report them."""
         for task in step.active_tasks():
@@ -173,10 +198,10 @@
 
     def expire_orphans(self, now_s: float) -> None:
         """Requeues runs on workers that never registered with this owner."""
-        if now_s < self.prior_leases_end_s or not self.orphans:
-            return
-        orphans, self.orphans = self.orphans, {}
-        for by_task in orphans.values():
+        for worker_id in list(self.orphans):
+            if now_s < self.prior_leases.end_on_s(worker_id):
+                continue
+            by_task = self.orphans.pop(worker_id)
             self.crashes.record_absence(by_task.values())
             for task in list(by_task.values()):
                 self.lose_run(task, now_s, "its worker never registered")
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -10,6 +10,7 @@
 import typing
 import zlib
 
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch import workers
 
@@ -136,6 +137,8 @@
         self._last_offer_s = float("-inf")
         self._owner: records.OwnerRecord | None = None
         self._earlier_leases_end_s = float("-inf")
+        self._renounced_ends_s: dict[str, float] = {}
+        self._earlier_renounced_ends_s: dict[str, float] = {}
         self._last_heard_s = now_s
         self._journal_read_s = float("-inf")
         self._claims_deferred_until_s = float("-inf")
@@ -162,6 +165,12 @@
         """
         return self._earlier_leases_end_s
 
+    def prior_leases(self) -> prior_leases.PriorLeases:
+        """Returns what is known of leases granted by earlier owners."""
+        return prior_leases.PriorLeases(
+            self.earlier_leases_end_s, dict(self._earlier_renounced_ends_s)
+        )
+
     @property
     def owner(self) -> records.OwnerRecord | None:
         """Record of the owner with the highest epoch; None before the first."""
@@ -192,7 +201,14 @@
             return
         if self._owner is None or owner.epoch > self._owner.epoch:
             self._earlier_leases_end_s = self._leases_end_s()
+            self._earlier_renounced_ends_s = self._renounced_ends_s
+            self._renounced_ends_s = {}
             self._epoch_seen_s = now_s
+        if owner.heartbeat:
+            self._renounced_ends_s = {
+                each.worker_id: now_s + each.remaining_ms / 1000
+                for each in owner.renounced
+            }
         if owner.earlier_leases_ms:
             # Tells of owners whose records this VM has not read.
             self._earlier_leases_end_s = max(
@@ -202,6 +218,14 @@
         self._owner = owner
         self._last_heard_s = now_s
 
+    def records_missed(self) -> None:
+        """Records that some records of owners were left out of a read.
+
+        The last owner before the present one may have taken back in one of them
+        what it had renounced.
+        """
+        self._earlier_renounced_ends_s = {}
+
     def heard_from(self, epoch: int, now_s: float) -> bool:
         """Records that a record of the owner of an epoch was read.
 
--- /dev/null
+++ b/foxtaillock/batch/prior_leases.py
@@ -0,0 +1,34 @@
+"""What an owner knows of the leases that earlier owners have granted."""
+
+import types
+import typing
+from collections.abc import Mapping
+
+__all__ = ["PriorLeases"]
+
+
+class PriorLeases(typing.NamedTuple):
+    """Times by which the leases of earlier owners have expired.
+
+    Attributes:
+        end_s: time by which all of them have expired, on any worker.
+        renounced_ends_s: for each worker on which the last owner had renounced
+            leases, the time by which those granted before have expired.
+    """
+
+    end_s: float
+    renounced_ends_s: Mapping[str, float] = types.MappingProxyType({})
+
+    def end_on_s(self, worker_id: str) -> float:
+        """Returns the time by which all leases on a worker have expired.
+
+        Example:
+            >>> PriorLeases(20.0, {"i-1": 14.0}).end_on_s("i-1")
+            14.0
+        """
+        known_s = self.renounced_ends_s.get(worker_id, self.end_s)
+        return min(known_s, self.end_s)
+
+    def was_silent(self, worker_id: str) -> bool:
+        """Returns whether a worker did not answer the last owner."""
+        return worker_id in self.renounced_ends_s
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -23,6 +23,7 @@
     "StepProgress",
     "TaskProgress",
     "RecentVmOrders",
+    "RenouncedLease",
     "WaveProgress",
     "decode",
     "encode",
@@ -30,6 +31,19 @@
 ]
 
 
+class RenouncedLease(typing.NamedTuple):
+    """Statement of an owner that it grants no lease on a worker.
+
+    Attributes:
+        worker_id: the worker.
+        remaining_ms: time, from the writing of the record, until all leases
+            granted on it before have expired.
+    """
+
+    worker_id: str
+    remaining_ms: int
+
+
 class OwnerRecord(typing.NamedTuple):
     """Claim, heartbeat or release of the ownership of the fleet's work.
 
@@ -43,6 +57,9 @@
         successor: entry VM that is to claim after the release; empty for any.
         earlier_leases_ms: time, from the writing of this record, until all
             leases of earlier owners have expired; 0 if they have.
+        renounced: workers to which this owner grants no lease until a later
+            record of it leaves them out. A claim, whose `heartbeat` is 0, does
+            not tell.
     """
 
     epoch: int
@@ -53,6 +70,7 @@
     capacity: float = 0.0
     successor: str = ""
     earlier_leases_ms: int = 0
+    renounced: tuple[RenouncedLease, ...] = ()
 
 
 class HandoverOffer(typing.NamedTuple):
--- a/foxtaillock/batch/restarts.py
+++ b/foxtaillock/batch/restarts.py
@@ -47,10 +47,7 @@
     Returns:
         The later incarnation, with the runs that it has or may have.
     """
-    again = workers.Worker(
-        _entry_of(worker, lists.started_ms), state.prior_leases_end_s
-    )
-    again.apply_leaving(state.leaving)
+    again = state.create_worker(_entry_of(worker, lists.started_ms))
     again.refuted_started_ms.append(worker.entry.started_ms)
     listed = {(run.task, run.run) for run in lists.running}
     listed.update((end.task, end.run) for end in lists.ended)
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -7,6 +7,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
@@ -75,9 +76,10 @@
     *entries: model.WorkerEntry,
     teams: dict[str, model.Team] | None = None,
     log: decision_log.LogFunction | None = None,
+    prior: prior_leases.PriorLeases = prior_leases.PriorLeases(10.0),
 ) -> engines.Engine:
     """Returns the engine of an ownership that starts at 10 s."""
-    made = engines.Engine(1, 10.0, 10.0, log or _no_log)
+    made = engines.Engine(1, 10.0, prior, log or _no_log)
     pools = {
         "pool": model.Pool("pool", False, False),
         "spare": model.Pool("spare", False, True),
--- a/foxtaillock/batch/tests/crash_fleet.py
+++ b/foxtaillock/batch/tests/crash_fleet.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 
@@ -237,7 +238,12 @@
 
     def _create_owner(self) -> engines.Engine:
         self._epoch += 1
-        engine = engines.Engine(self._epoch, self.now_s, self.now_s, self._log)
+        engine = engines.Engine(
+            self._epoch,
+            self.now_s,
+            prior_leases.PriorLeases(self.now_s),
+            self._log,
+        )
         pool = model.Pool("pool", False, False)
         engine.configure({"q": builders.queue()}, {"pool": pool}, {})
         return engine
--- a/foxtaillock/batch/tests/simulated_owner.py
+++ b/foxtaillock/batch/tests/simulated_owner.py
@@ -7,6 +7,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.batch import view
@@ -65,20 +66,19 @@
     """One ownership in the simulation."""
 
     def __init__(
-        self, simulation: World, epoch: int, prior_leases_end_s: float
+        self, simulation: World, epoch: int, prior: prior_leases.PriorLeases
     ) -> None:
         self._simulation = simulation
         self.epoch = epoch
         now_s = simulation.now_s
-        self.engine = engines.Engine(
-            epoch, now_s, prior_leases_end_s, lambda *_, **__: None
-        )
+        self.engine = engines.Engine(epoch, now_s, prior, lambda *_, **__: None)
         self.engine.configure({"q": _QUEUE}, {"pool": _POOL}, {})
         self.last_append_s = now_s
         self.paused_until_s = 0.0
         self.has_ended = False
         self.is_releasing = False
         self._is_writing = False
+        self._heartbeat = 0
         self._heartbeat_s = now_s
         self._polling: set[workers.Worker] = set()
         journal_view = simulation.view
@@ -122,14 +122,25 @@
 
     def _write(self) -> None:
         simulation = self._simulation
-        is_due = simulation.now_s - self._heartbeat_s >= _HEARTBEAT_S
+        is_due = (
+            simulation.now_s - self._heartbeat_s >= _HEARTBEAT_S
+            or self.engine.renounced.are_outdated
+        )
         if self._is_writing or not (
             is_due or self.is_releasing or self.engine.has_batch()
         ):
             return
         batch = self.engine.take_batch()
+        self._heartbeat += 1
         owner = records.OwnerRecord(
-            self.epoch, str(self.epoch), "", is_released=self.is_releasing
+            self.epoch,
+            str(self.epoch),
+            "",
+            is_released=self.is_releasing,
+            heartbeat=self._heartbeat,
+            renounced=self.engine.renounced.propose(
+                simulation.now_s, is_releasing=self.is_releasing
+            ),
         )
         entries = [records.encode(owner), *batch.records]
         self._heartbeat_s = simulation.now_s
@@ -167,6 +178,7 @@
         simulation.schedule(simulation.delay_s(), _answered)
 
     def _batch_recorded(self, batch: plans.JournalBatch) -> None:
+        self.engine.renounced.recorded()
         now_s = self._simulation.now_s
         for plan in self.engine.batch_recorded(batch, now_s):
             self._send_start(plan)
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -27,8 +27,6 @@
 
 _TICK_S = 0.02
 _CLAIM_DELAY_S = 0.3
-_LOSS_PROBABILITY = 0.04
-_DELAY_PROBABILITY = 0.03
 _CPU = 8000
 
 
@@ -44,8 +42,15 @@
 
     Args:
         seed: seed of all events.
+
+    Attributes:
+        loss_probability: probability that the answer to an order is lost.
+        delay_probability: probability that an order is carried out late.
     """
 
+    loss_probability = 0.04
+    delay_probability = 0.03
+
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
         self.now_s = 100.0
@@ -145,11 +150,11 @@
             self.schedule(0.8, lambda: _answer(unknown))
             return
         chance = self._random.random()
-        if chance < _DELAY_PROBABILITY:
+        if chance < self.delay_probability:
             late_s = self._random.uniform(1.0, 12.0)
             self.schedule(late_s, lambda: _arrive(False))
             self.schedule(0.8, lambda: _answer(unknown))
-        elif chance < _DELAY_PROBABILITY + _LOSS_PROBABILITY:
+        elif chance < self.delay_probability + self.loss_probability:
             self.schedule(self.delay_s(), lambda: _arrive(False))
             self.schedule(0.8, lambda: _answer(unknown))
         else:
@@ -327,6 +332,11 @@
                 self.now_s + outage_s
             )
 
+    def cut_worker(self, worker_id: str, length_s: float) -> None:
+        """Cuts a worker off from the present owner."""
+        key = self.owners[-1].epoch, worker_id
+        self._partition_until_s[key] = self.now_s + length_s
+
     def cut_zone(self, worker_id: str, length_s: float) -> None:
         """Cuts the zone of the owner and of a worker off from all others."""
         owner = self.owners[-1]
@@ -378,8 +388,8 @@
         self._is_claim_sent = False
         claim = records.OwnerRecord(epoch, str(epoch), "")
         self.append(epoch, [records.encode(claim)])
-        prior_s = self._monitor.earlier_leases_end_s
-        owner = simulated_owner.SimulatedOwner(self, epoch, prior_s)
+        prior = self._monitor.prior_leases()
+        owner = simulated_owner.SimulatedOwner(self, epoch, prior)
         self.owners.append(owner)
         if self._random.random() < 0.2:
             self.schedule(self._random.uniform(0.0, 0.4), owner.release)
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import owner
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch import services
 from foxtaillock.batch import start_window
@@ -138,7 +139,7 @@
         self.owner = owner.Owner(
             records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
             self.view,
-            0.0,
+            prior_leases.PriorLeases(0.0),
             1.0,
             self.load,
             dependencies,
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -258,3 +258,37 @@
                 )
             )
         self.assertLess(max(claimed_s[2.0]), min(claimed_s[0.5]))
+
+
+class RenouncedLeasesTest(unittest.TestCase):
+    """What `vm-1` knows of leases that the last owner has renounced."""
+
+    def setUp(self) -> None:
+        self.monitor = ownership.OwnerMonitor("vm-1", "a", 0.0)
+        lease = records.RenouncedLease("i-1", 2_000)
+        renounced = _OTHER._replace(heartbeat=3, renounced=(lease,))
+        self.monitor.observe(renounced, 10.0)
+
+    def _ends_s(self) -> dict[str, float]:
+        return dict(self.monitor.prior_leases().renounced_ends_s)
+
+    def test_new_owner_knows_what_the_last_one_renounced(self) -> None:
+        self.monitor.observe(_MINE, 11.0)
+        self.assertEqual(self._ends_s(), {"i-1": 12.0})
+
+    def test_later_record_takes_it_back(self) -> None:
+        self.monitor.observe(_OTHER._replace(heartbeat=4), 10.3)
+        self.monitor.observe(_MINE, 11.0)
+        self.assertEqual(self._ends_s(), {})
+
+    def test_record_may_have_been_missed(self) -> None:
+        self.monitor.observe(_MINE, 11.0)
+        self.monitor.records_missed()
+        self.assertEqual(self._ends_s(), {})
+
+    def test_owner_that_wrote_only_its_claim_may_have_granted_leases(
+        self,
+    ) -> None:
+        self.monitor.observe(records.OwnerRecord(5, "vm-3", "c"), 11.0)
+        self.monitor.observe(records.OwnerRecord(6, "vm-1", "a"), 12.0)
+        self.assertEqual(self._ends_s(), {})
--- a/foxtaillock/batch/tests/test_shrunk_capacity_schedules.py
+++ b/foxtaillock/batch/tests/test_shrunk_capacity_schedules.py
@@ -34,6 +34,9 @@
 class _ShrinkSimulation(simulation.Simulation):
     """Workers that don't refuse tasks beyond their capacity."""
 
+    # An order that its worker carries out late can't be called back.
+    delay_probability = 0.0
+
     def __init__(self, seed: int) -> None:
         self._shrink_random = random.Random(seed)
         self._capacities: dict[str, list[_Capacity]] = {}
@@ -98,10 +101,8 @@
 
 
 def _findings(seed: int) -> list[str]:
-    # An order that its worker carries out late can't be called back.
-    with mock.patch.object(simulation, "_DELAY_PROBABILITY", 0.0):
-        schedule = _ShrinkSimulation(seed)
-        schedule.run(_LENGTH_S)
+    schedule = _ShrinkSimulation(seed)
+    schedule.run(_LENGTH_S)
     return schedule.check_runs()
 
 
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -121,6 +121,8 @@
         is_held: whether an earlier owner may have ordered its VM away. It gets
             no persistent task; what ends by itself can start again.
         is_maintenance_due: whether a wave has still to maintain its VM.
+        is_renounced: whether this owner has renounced leases on it; see
+            `renounced_leases`.
         persistent_count: number of its tasks that run until their job is
             cancelled.
         idle_since_s: time at which it last had a task.
@@ -160,6 +162,7 @@
     is_cordoned: bool = False
     is_held: bool = False
     is_maintenance_due: bool = False
+    is_renounced: bool = False
     persistent_count: int = 0
     idle_since_s: float = float("-inf")
     successor: model.WorkerEntry | None = None
@@ -233,6 +236,7 @@
             self.is_registered
             and not self.is_emptied
             and not self.has_unexpected_runs
+            and not self.is_renounced
             and self.unanswered_calls < _SUSPECT_UNANSWERED_CALLS
             and now_s >= self.backoff_until_s
         )
@@ -340,8 +344,11 @@
     def grant_lease(self, now_s: float) -> int | None:
         """Returns the end of a lease that begins now, which then counts.
 
-        Returns None, and grants nothing, if the clock is not known yet.
+        Returns None, and grants nothing, if the clock is not known yet or
+        leases are renounced.
         """
+        if self.is_renounced:
+            return None
         granted_until_ms = self.lease_end_ms(now_s)
         if granted_until_ms is not None:
             self.valid_until_ms = max(self.valid_until_ms, granted_until_ms)
