Orders: one whose connection was refused has not been sent

Callers saw (LOST, late jobs): a task that was placed on a worker that was gone, but still registered, waited for the leases of that worker (4 s, with hand-overs far longer). Cause: the client of the workers took "no connection" and "no answer" for the same thing, unknown; without a connection no byte of the order was written, so it provably has no effect.

Such a start is given up at once, its task placed elsewhere, and its worker gets no other until it answers a poll. A connection that breaks leaves the outcome unknown, as before.

--- a/foxtaillock/batch/interfaces.py
+++ b/foxtaillock/batch/interfaces.py
@@ -137,6 +137,7 @@
     TICKET_REFUSED = "ticket-refused"
     OTHER_WORKER = "other-worker"
     REFUSED = "refused"
+    NOT_SENT = "not-sent"
     UNKNOWN = "unknown"
 
 
@@ -145,6 +146,7 @@
 
     Attributes:
         outcome: `UNKNOWN` if no complete answer came; the order may still take
+            effect. `NOT_SENT` if there was no connection: the order has no
             effect.
         clock_ms: the worker's clock; None if the answer does not state it.
     """
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -252,6 +252,20 @@
         _poll(engine, "1", builders.lists(), 11.1)
         self.assertIs(self._task(engine).phase, tasks.TaskPhase.WAITING)
 
+    def test_start_that_was_not_sent_holds_its_task_up_no_longer(self) -> None:
+        engine = builders.create_engine(builders.entry("1"))
+        step = builders.step(is_persistent=True)
+        engine.submit(builders.job(_JOB, step), (), 10.0, 10_000)
+        engine.plan(10.0)
+        (plan,) = engine.batch_recorded(engine.take_batch(), 10.0)
+        engine.start_order(plan, 10.0)
+        not_sent = interfaces.OrderAnswer(interfaces.OrderOutcome.NOT_SENT)
+        engine.answers.start_answered(plan, not_sent, 10.01)
+        self.assertEqual(builders.start_all(engine, 10.02), [])
+        engine.register(builders.entry("2"), 10.03)
+        (again,) = builders.start_all(engine, 10.04)
+        self.assertEqual((again.worker.worker_id, again.run), ("2", 2))
+
     def test_lease_of_an_unreachable_worker_is_not_renewed_and_expires(
         self,
     ) -> None:
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -33,6 +33,17 @@
     (interfaces.OrderOutcome.ACCEPTED, interfaces.OrderOutcome.STALE_RUN)
 )
 
+# Outcomes of orders that the worker did not answer.
+_UNANSWERED_OUTCOMES = frozenset(
+    (interfaces.OrderOutcome.UNKNOWN, interfaces.OrderOutcome.NOT_SENT)
+)
+
+# Outcomes of starts after which the worker may get others at once. One that got
+# no order gets none until it answers.
+_NO_BACKOFF_OUTCOMES = frozenset(
+    (interfaces.OrderOutcome.STALE_RUN, interfaces.OrderOutcome.NOT_SENT)
+)
+
 # Pause between polls of a worker whose unexpected runs are being stopped.
 _STOP_POLL_PAUSE_S = 0.1
 
@@ -77,16 +88,17 @@
             worker=worker.worker_id,
             outcome=outcome.value,
         )
-        if outcome is interfaces.OrderOutcome.UNKNOWN:
+        if outcome in _UNANSWERED_OUTCOMES:
             current = self._state.workers.get(worker.worker_id, worker)
             current.unanswered_calls += 1
+        if outcome is interfaces.OrderOutcome.UNKNOWN:
             self._state.set_phase(task, tasks.TaskPhase.IN_DOUBT, now_s)
             return
         if outcome is interfaces.OrderOutcome.OTHER_WORKER:
             self._state.lose_worker(worker, now_s)
         elif outcome is interfaces.OrderOutcome.TICKET_REFUSED:
             self._state.tickets.invalidate(task.task_id.step_id)
-        elif outcome is not interfaces.OrderOutcome.STALE_RUN:
+        elif outcome not in _NO_BACKOFF_OUTCOMES:
             worker.backoff_until_s = now_s + _REFUSAL_BACKOFF_S
         self._state.abandon_run(task, now_s)
 
@@ -107,7 +119,7 @@
         task = worker.tasks.get(plan.task_id)
         if task is None or task.run != plan.run:
             return
-        if answer.outcome is interfaces.OrderOutcome.UNKNOWN:
+        if answer.outcome in _UNANSWERED_OUTCOMES:
             worker.unanswered_calls += 1
         elif answer.outcome in _SETTLING_STOP_OUTCOMES:
             task.stopped_s = now_s
--- a/foxtaillock/platform/worker_client.py
+++ b/foxtaillock/platform/worker_client.py
@@ -84,6 +84,8 @@
     model.parse_task_id
 )
 
+_NOT_SENT = interfaces.OrderAnswer(interfaces.OrderOutcome.NOT_SENT)
+
 _order_decoder = json_codec.Decoder(_OrderAnswer)
 _lists_decoder = json_codec.Decoder(_Lists)
 
@@ -163,7 +165,12 @@
             body["until_ms"] = valid_until_ms
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        answer = await _post(self._poll_client, worker, "hold", body, wait_s)
+        try:
+            answer = await _post(
+                self._poll_client, worker, "hold", body, wait_s
+            )
+        except http_client.NotSentError:
+            return _NOT_SENT
         if answer is None or answer.status != _OK:
             return _decode_order_answer(answer)
         try:
@@ -177,9 +184,11 @@
         name: str,
         body: dict[str, typing.Any],
     ) -> interfaces.OrderAnswer:
-        return _decode_order_answer(
-            await _post(self._order_client, worker, name, body, 0.0)
-        )
+        try:
+            answer = await _post(self._order_client, worker, name, body, 0.0)
+        except http_client.NotSentError:
+            return _NOT_SENT
+        return _decode_order_answer(answer)
 
 
 async def _post(
@@ -189,6 +198,11 @@
     body: dict[str, typing.Any],
     wait_s: float,
 ) -> http_client.HttpResponse | None:
+    """Returns the response; None if there was none.
+
+    Raises:
+        http_client.NotSentError: no connection was established.
+    """
     headers = {
         "Content-Type": "application/json",
         "X-Expect-Instance": worker.worker_id,
@@ -202,7 +216,7 @@
             body=encoded,
             headers=headers,
         )
-    except (http_client.NotSentError, http_client.NoAnswerError):
+    except http_client.NoAnswerError:
         return None
 
 
