Waves: the record of recent orders for VMs ages between owners

Callers saw (waves that stand still, persistent work without a worker): a new owner holds VMs that an earlier one ordered within 5 s, but took the ages in the record as if it had just been written.

The ages now count from when the record was read.

--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -265,6 +265,7 @@
         claim,
         view.JournalView(),
         prior_leases.PriorLeases(float("-inf")),
+        0.0,
         claim.capacity,
         load_monitor.LoadMonitor(dependencies.clock),
         dependencies,
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -126,6 +126,7 @@
             services.owner.log,
         )
         self._waves: dict[int, model.Wave] = {}
+        self._vm_orders_read_s = clock.monotonic_s()
         self._load = load_monitor.LoadMonitor(clock)
         self._owner: owners.Owner | None = None
         self._is_stopping = False
@@ -358,6 +359,7 @@
             claim,
             self._view,
             self._ownership.prior_leases(),
+            self._vm_orders_read_s,
             self._capacity,
             self._load,
             services,
@@ -389,6 +391,8 @@
         elif isinstance(record, _OWNERS_RECORDS):
             now_s = self._services.clock.monotonic_s()
             is_owner = self._ownership.heard_from(record.epoch, now_s)
+            if isinstance(record, records.RecentVmOrders):
+                self._vm_orders_read_s = now_s
             if isinstance(record, records.OwnerBacklog) and is_owner:
                 backlog_s = record.backlog_ms / 1000
                 self.call_handler.admission.observe(backlog_s, now_s)
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -47,6 +47,8 @@
         claim: the claim of this ownership, already stored in the journal.
         journal_view: state folded from the journal, caught up to the claim.
         prior: leases granted by earlier owners.
+        vm_orders_read_s: time at which the record of recent orders for VMs was
+            read.
         capacity: capacity of this VM at full speed; see
             `ownership.capacity_of`.
         load: measures this VM's event loop and processor.
@@ -58,6 +60,7 @@
         claim: records.OwnerRecord,
         journal_view: view.JournalView,
         prior: prior_leases.PriorLeases,
+        vm_orders_read_s: float,
         capacity: float,
         load: load_monitor.LoadMonitor,
         services: batch_services.OwnerServices,
@@ -101,6 +104,7 @@
             services.clock,
             services.log,
             journal_view.ordered_vms,
+            vm_orders_read_s,
             lambda: self._writer.last_append_s,
             self._on_wave_progress,
             self._wake.set,
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -140,6 +140,7 @@
             records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
             self.view,
             prior_leases.PriorLeases(0.0),
+            0.0,
             1.0,
             self.load,
             dependencies,
--- a/foxtaillock/batch/tests/test_takeover_vm_orders.py
+++ b/foxtaillock/batch/tests/test_takeover_vm_orders.py
@@ -101,6 +101,7 @@
             records.RecentVmOrders(
                 1, ordered_vms, tuple(_AGE_MS for _ in ordered_vms)
             ),
+            self.clock.now_s,
             self.clock.monotonic_s,
             lambda _: None,
             lambda: None,
--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/tests/test_vm_order_controller.py
@@ -66,7 +66,7 @@
         self.engine.submit(job, (), 100.0, 100_000)
 
     async def _start_controller(
-        self, ordered_vms: tuple[str, ...] = ()
+        self, ordered_vms: tuple[str, ...] = (), record_age_s: float = 0.0
     ) -> vm_order_controller.VmOrderController:
         controller = vm_order_controller.VmOrderController(
             7,
@@ -75,6 +75,7 @@
             typing.cast(typing.Any, self.clock),
             lambda *_, **__: None,
             records.RecentVmOrders(6, ordered_vms),
+            self.clock.now_s - record_age_s,
             lambda: self.confirmed_s,
             lambda _: None,
             lambda: None,
@@ -135,6 +136,14 @@
         assert record is not None
         self.assertEqual(set(record.vms), set(_VMS))
 
+    async def test_orders_of_an_old_record_hold_no_vm(self) -> None:
+        """Owners in series ordered nothing, so the record was not replaced."""
+        controller = await self._start_controller(("m1", "m3"), 5.1)
+        controller.take_orders()
+        controller.orders_recorded()
+        await asyncio.sleep(0.05)
+        self.assertEqual(sorted(self.fleet.sent), list(_VMS))
+
     async def test_record_lists_only_recent_orders(self) -> None:
         controller = await self._start_controller(ordered_vms=("m3",))
         controller.take_orders()
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -50,6 +50,7 @@
         clock: source of time.
         log: structured log.
         recent_orders: VMs that earlier owners may just have ordered.
+        recorded_s: latest time at which that record was written.
         confirmed_s: returns the time at which the ownership was last
             confirmed.
         record_progress: queues the progress of a wave for the journal.
@@ -64,6 +65,7 @@
         clock: model_clock.Clock,
         log: Callable[..., None],
         recent_orders: records.RecentVmOrders,
+        recorded_s: float,
         confirmed_s: Callable[[], float],
         record_progress: Callable[[records.WaveProgress], None],
         on_orders_due: Callable[[], None],
@@ -78,10 +80,9 @@
         self._on_orders_due = on_orders_due
         self._fleet = fleet.Fleet()
         # The record of this owner replaces that of the earlier one.
-        self._ordered_s = _ordered_times_s(recent_orders, clock.monotonic_s())
-        self._fleet.hold(
-            self._ordered_s, clock.monotonic_s() + _TAKEOVER_HOLD_S
-        )
+        now_s = clock.monotonic_s()
+        self._ordered_s = _ordered_times_s(recent_orders, recorded_s, now_s)
+        self._fleet.hold(self._ordered_s, now_s + _TAKEOVER_HOLD_S)
         self._pending: list[vm_ledger.VmOrder] = []
         self._being_recorded: list[vm_ledger.VmOrder] = []
         self._order_tasks: set[asyncio.Task[None]] = set()
@@ -276,12 +277,16 @@
 
 
 def _ordered_times_s(
-    recent: records.RecentVmOrders, now_s: float
+    recent: records.RecentVmOrders, recorded_s: float, now_s: float
 ) -> dict[str, float]:
     """Returns when VMs were ordered, at the latest, by an earlier owner."""
     ages_ms = recent.ages_ms or (0,) * len(recent.vms)
-    return {
-        vm: now_s - age_ms / 1000
+    ordered_s = {
+        vm: recorded_s - age_ms / 1000
         for vm, age_ms in zip(recent.vms, ages_ms)
-        if age_ms <= _ORDER_RETENTION_S * 1000
+    }
+    return {
+        vm: at_s
+        for vm, at_s in ordered_s.items()
+        if now_s - at_s <= _ORDER_RETENTION_S
     }
