Takeover: no persistent task for a worker that an earlier owner ordered away

Cause: the hold is on VMs, and a VM that is moved or maintained shows no worker, while the registry lists its earlier worker for some seconds more. Besides, nothing was held before the first list of VMs was read.

The record of recent orders now names the workers too, and they are held from the start of the ownership.

--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -58,10 +58,7 @@
 
     def held_workers(self, now_s: float) -> frozenset[str]:
         """Returns the workers that an earlier owner may have ordered away."""
-        rows = map(self._ledger.vms.get, self._ledger.held_vms(now_s))
-        return frozenset(
-            row.worker_id for row in rows if row is not None and row.worker_id
-        )
+        return self._ledger.held_workers(now_s)
 
     @property
     def maintenance_due_workers(self) -> frozenset[str]:
@@ -93,9 +90,9 @@
         """Returns the VMs of a wave whose maintenance has begun."""
         return self._waves.begun(number)
 
-    def hold(self, vms: Iterable[str], until_s: float) -> None:
+    def hold(self, worker_ids: Mapping[str, str], until_s: float) -> None:
         """Holds back orders for VMs; see `vm_ledger.VmLedger.hold`."""
-        self._ledger.hold(vms, until_s)
+        self._ledger.hold(worker_ids, until_s)
 
     def update_vms(
         self,
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -197,11 +197,14 @@
         vms: VMs that it, or an owner before it, ordered in the last seconds or
             is about to order.
         ages_ms: for each of them, the age of its latest order.
+        worker_ids: for each of them, the worker that ran there when it was
+            ordered; empty for none.
     """
 
     epoch: int
     vms: tuple[str, ...]
     ages_ms: tuple[int, ...] = ()
+    worker_ids: tuple[str, ...] = ()
 
 
 Record = (
--- a/foxtaillock/batch/tests/late_vm_orders.py
+++ b/foxtaillock/batch/tests/late_vm_orders.py
@@ -122,7 +122,9 @@
     def _own(self, owner: simulated_owner.SimulatedOwner) -> _OwnerVms:
         if owner.epoch not in self._by_epoch:
             ledger = vm_ledger.VmLedger()
-            ledger.hold(self._ordered_s, self._world.now_s + _HOLD_S)
+            ledger.hold(
+                dict.fromkeys(self._ordered_s, ""), self._world.now_s + _HOLD_S
+            )
             self._by_epoch[owner.epoch] = _OwnerVms(ledger)
         return self._by_epoch[owner.epoch]
 
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -155,7 +155,7 @@
     def test_new_owner_counts_the_orders_of_an_earlier_one(self) -> None:
         """Counts `m0`, which is held, and `m1`, whose maintenance has begun."""
         new_owner = fleet.Fleet()
-        new_owner.hold(["m0"], 13.3)
+        new_owner.hold({"m0": ""}, 13.3)
         back = [_row(f"m{number}", "spare") for number in range(4)]
         rows = [*back]
         rows[1] = _row("m1", "spare", is_up=False)
--- a/foxtaillock/batch/tests/test_takeover_vm_orders.py
+++ b/foxtaillock/batch/tests/test_takeover_vm_orders.py
@@ -90,7 +90,10 @@
         self.fleet = _FakeFleet()
 
     async def _start_controller(
-        self, engine: engines.Engine, ordered_vms: tuple[str, ...] = ()
+        self,
+        engine: engines.Engine,
+        ordered_vms: tuple[str, ...] = (),
+        ordered_workers: tuple[str, ...] = (),
     ) -> vm_order_controller.VmOrderController:
         controller = vm_order_controller.VmOrderController(
             2,
@@ -99,7 +102,10 @@
             typing.cast(typing.Any, self.clock),
             lambda *_, **__: None,
             records.RecentVmOrders(
-                1, ordered_vms, tuple(_AGE_MS for _ in ordered_vms)
+                1,
+                ordered_vms,
+                tuple(_AGE_MS for _ in ordered_vms),
+                ordered_workers,
             ),
             self.clock.now_s,
             self.clock.monotonic_s,
@@ -199,6 +205,35 @@
         engine.vms.set_cordoned((), ())
         self.assertEqual(len(builders.start_all(engine, 13.4)), 1)
 
+    async def test_worker_that_was_ordered_away_gets_no_persistent_task(
+        self,
+    ) -> None:
+        """Its VM shows no worker any more; the registry still lists it."""
+        engine = _engine_after_takeover(running=0)
+        await self._start_controller(engine, ("m2",), ("gone",))
+        engine.register(builders.entry("gone"), 10.0)
+        self.assertEqual(builders.start_all(engine, 10.0), [])
+        engine.register(builders.entry("1"), 10.0)
+        (start,) = builders.start_all(engine, 10.1)[:1]
+        self.assertEqual(start.worker.worker_id, "1")
+
+    async def test_workers_are_held_before_the_first_list_of_vms(self) -> None:
+        engine = _engine_after_takeover(running=0)
+        vm_order_controller.VmOrderController(
+            2,
+            engine,
+            None,
+            typing.cast(typing.Any, self.clock),
+            lambda *_, **__: None,
+            records.RecentVmOrders(1, ("m2",), (0,), ("gone",)),
+            self.clock.now_s,
+            self.clock.monotonic_s,
+            lambda _: None,
+            lambda: None,
+        )
+        engine.register(builders.entry("gone"), 10.0)
+        self.assertEqual(builders.start_all(engine, 10.0), [])
+
 
 class EarlierOwnerTest(unittest.TestCase):
     """What an earlier owner has interrupted, or may have, counts as away."""
--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/tests/test_vm_order_controller.py
@@ -89,7 +89,8 @@
         controller = await self._start_controller()
         self.assertTrue(controller.has_orders)
         record = controller.take_orders()
-        self.assertEqual(record, records.RecentVmOrders(7, _VMS, (0, 0, 0)))
+        expected = records.RecentVmOrders(7, _VMS, (0, 0, 0), ("", "", ""))
+        self.assertEqual(record, expected)
         await asyncio.sleep(0.05)
         self.assertEqual(self.fleet.sent, [])
         controller.orders_recorded()
@@ -151,6 +152,7 @@
         self.confirmed_s = self.clock.now_s
         await asyncio.sleep(0.5)
         self.assertEqual(
-            controller.take_orders(), records.RecentVmOrders(7, ("m3",), (0,))
+            controller.take_orders(),
+            records.RecentVmOrders(7, ("m3",), (0,), ("",)),
         )
         self.assertIsNone(controller.take_orders())
--- a/foxtaillock/batch/vm_ledger.py
+++ b/foxtaillock/batch/vm_ledger.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from foxtaillock.batch import interfaces
@@ -105,6 +105,7 @@
         cordoned_vms: VMs that are being drained for a wave.
         held_until_s: time until which orders for VMs are held back that an
             earlier owner may have ordered.
+        held_workers_until_s: the same for the workers that ran on them.
         not_before_s: time before which a VM gets no order.
     """
 
@@ -116,18 +117,37 @@
         self.pending: dict[str, PendingOrder] = {}
         self.cordoned_vms: set[str] = set()
         self.held_until_s: dict[str, float] = {}
+        self.held_workers_until_s: dict[str, float] = {}
         self.not_before_s: dict[str, float] = {}
 
-    def hold(self, vms: Iterable[str], until_s: float) -> None:
+    def hold(self, worker_ids: Mapping[str, str], until_s: float) -> None:
         """Holds back orders for VMs that an earlier owner may have ordered.
 
         Args:
-            vms: names of the VMs.
+            worker_ids: the worker that ran on each of the VMs, by VM; empty
+                for none.
             until_s: time until which their orders are held back.
         """
-        for vm in vms:
+        for vm, worker_id in worker_ids.items():
             self.held_until_s[vm] = until_s
             self.not_before_s[vm] = until_s
+            if worker_id:
+                self.held_workers_until_s[worker_id] = until_s
+
+    def held_workers(self, now_s: float) -> frozenset[str]:
+        """Returns the workers that an earlier owner may have ordered away.
+
+        A VM that was ordered shows no worker until it is back, but its earlier
+        worker stays in the registry for some seconds.
+        """
+        rows = map(self.vms.get, self.held_vms(now_s))
+        present = (row.worker_id for row in rows if row is not None)
+        ordered = (
+            worker_id
+            for worker_id, end_s in self.held_workers_until_s.items()
+            if now_s < end_s
+        )
+        return frozenset(filter(None, (*present, *ordered)))
 
     def held_vms(self, now_s: float) -> list[str]:
         """Returns the VMs that an earlier owner may have ordered away."""
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import itertools
+import typing
 from collections.abc import Callable
 from collections.abc import Mapping
 
@@ -39,6 +41,18 @@
 _MAX_CONFIRMATION_AGE_S = 1.0
 
 
+class _RecentOrder(typing.NamedTuple):
+    """Order for a VM of this owner or an earlier one.
+
+    Attributes:
+        ordered_s: latest time at which it was recorded.
+        worker_id: worker that ran on the VM; empty for none.
+    """
+
+    ordered_s: float
+    worker_id: str
+
+
 class VmOrderController:
     """Decides on orders for VMs during one ownership, and sends them.
 
@@ -80,9 +94,8 @@
         self._on_orders_due = on_orders_due
         self._fleet = fleet.Fleet()
         # The record of this owner replaces that of the earlier one.
-        now_s = clock.monotonic_s()
-        self._ordered_s = _ordered_times_s(recent_orders, recorded_s, now_s)
-        self._fleet.hold(self._ordered_s, now_s + _TAKEOVER_HOLD_S)
+        self._ordered = _read_orders(recent_orders, recorded_s)
+        self._hold_ordered(clock.monotonic_s())
         self._pending: list[vm_ledger.VmOrder] = []
         self._being_recorded: list[vm_ledger.VmOrder] = []
         self._order_tasks: set[asyncio.Task[None]] = set()
@@ -113,17 +126,14 @@
         now_s = self._clock.monotonic_s()
         self._being_recorded, self._pending = self._pending, []
         for order in self._being_recorded:
-            self._ordered_s[order.vm] = now_s
-        self._ordered_s = {
-            vm: at_s
-            for vm, at_s in self._ordered_s.items()
-            if now_s - at_s <= _ORDER_RETENTION_S
-        }
-        ages_ms = (
-            int((now_s - at_s) * 1000) for at_s in self._ordered_s.values()
-        )
+            self._ordered[order.vm] = _RecentOrder(now_s, order.worker_id)
+        self._drop_old_orders(now_s)
+        recent = self._ordered.values()
         return records.RecentVmOrders(
-            self._epoch, tuple(self._ordered_s), tuple(ages_ms)
+            self._epoch,
+            tuple(self._ordered),
+            tuple(int((now_s - each.ordered_s) * 1000) for each in recent),
+            tuple(each.worker_id for each in recent),
         )
 
     def orders_recorded(self) -> None:
@@ -149,6 +159,22 @@
             for task in self._order_tasks:
                 task.cancel()
 
+    def _drop_old_orders(self, now_s: float) -> None:
+        self._ordered = {
+            vm: order
+            for vm, order in self._ordered.items()
+            if now_s - order.ordered_s <= _ORDER_RETENTION_S
+        }
+
+    def _hold_ordered(self, now_s: float) -> None:
+        """Holds VMs, and workers, that earlier owners may have ordered away."""
+        self._drop_old_orders(now_s)
+        worker_ids = {
+            vm: order.worker_id for vm, order in self._ordered.items()
+        }
+        self._fleet.hold(worker_ids, now_s + _TAKEOVER_HOLD_S)
+        self._engine.vms.set_cordoned((), (), self._fleet.held_workers(now_s))
+
     async def _tick(self, client: interfaces.FleetClient) -> None:
         now_s = self._clock.monotonic_s()
         loads = self._engine.vms.pool_loads(now_s)
@@ -276,17 +302,12 @@
         return names[0] if names else ""
 
 
-def _ordered_times_s(
-    recent: records.RecentVmOrders, recorded_s: float, now_s: float
-) -> dict[str, float]:
-    """Returns when VMs were ordered, at the latest, by an earlier owner."""
-    ages_ms = recent.ages_ms or (0,) * len(recent.vms)
-    ordered_s = {
-        vm: recorded_s - age_ms / 1000
-        for vm, age_ms in zip(recent.vms, ages_ms)
-    }
+def _read_orders(
+    recent: records.RecentVmOrders, recorded_s: float
+) -> dict[str, _RecentOrder]:
+    """Returns the orders of earlier owners by VM."""
+    rows = itertools.zip_longest(recent.vms, recent.ages_ms, recent.worker_ids)
     return {
-        vm: at_s
-        for vm, at_s in ordered_s.items()
-        if now_s - at_s <= _ORDER_RETENTION_S
+        vm: _RecentOrder(recorded_s - (age_ms or 0) / 1000, worker_id or "")
+        for vm, age_ms, worker_id in rows
     }
