Waves: a takeover puts the end of a wave off no further

Each VM now keeps the time by which a wave should end from when it read the order, and the record of its progress tells VMs that start later how much was left.

--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import maintenance_waves
 from foxtaillock.batch import model
 from foxtaillock.batch import pool_sizes
+from foxtaillock.batch import records
 from foxtaillock.batch import vm_ledger
 from foxtaillock.batch import vm_moves
 
@@ -81,14 +82,16 @@
         wave: model.Wave,
         begun: Iterable[str],
         is_complete: bool,
-        now_s: float,
+        deadline_s: float,
     ) -> None:
-        """Adds a maintenance wave with the progress recorded so far."""
-        self._waves.add(wave, begun, is_complete, now_s)
-
-    def begun(self, number: int) -> tuple[str, ...]:
-        """Returns the VMs of a wave whose maintenance has begun."""
-        return self._waves.begun(number)
+        """Adds a maintenance wave; see `MaintenanceWaves.add`."""
+        self._waves.add(wave, begun, is_complete, deadline_s)
+
+    def wave_progress(
+        self, number: int, is_complete: bool, now_s: float
+    ) -> records.WaveProgress:
+        """Returns the record of a wave's progress."""
+        return self._waves.progress(number, is_complete, now_s)
 
     def hold(self, worker_ids: Mapping[str, str], until_s: float) -> None:
         """Holds back orders for VMs; see `vm_ledger.VmLedger.hold`."""
--- a/foxtaillock/batch/maintenance_waves.py
+++ b/foxtaillock/batch/maintenance_waves.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import pool_sizes
+from foxtaillock.batch import records
 from foxtaillock.batch import vm_ledger
 
 __all__ = ["MaintenanceWaves"]
@@ -73,14 +74,30 @@
         wave: model.Wave,
         begun: Iterable[str],
         is_complete: bool,
-        now_s: float,
+        deadline_s: float,
     ) -> None:
-        """Adds a maintenance wave with the progress recorded so far."""
+        """Adds a maintenance wave with the progress recorded so far.
+
+        Args:
+            wave: the wave.
+            begun: VMs whose maintenance has begun.
+            is_complete: whether the wave is complete.
+            deadline_s: time by which it should end.
+        """
         if wave.number not in self._waves:
             self._waves[wave.number] = _WaveState(
-                wave, now_s + wave.within_s, set(begun), is_complete
+                wave, deadline_s, set(begun), is_complete
             )
 
+    def progress(
+        self, number: int, is_complete: bool, now_s: float
+    ) -> records.WaveProgress:
+        """Returns the record of a wave's progress."""
+        remaining_s = max(0.0, self._waves[number].deadline_s - now_s)
+        return records.WaveProgress(
+            number, self.begun(number), is_complete, int(remaining_s * 1000)
+        )
+
     def begun(self, number: int) -> tuple[str, ...]:
         """Returns the VMs of a wave whose maintenance has begun."""
         return tuple(sorted(self._waves[number].begun))
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -126,6 +126,7 @@
             services.owner.log,
         )
         self._waves: dict[int, model.Wave] = {}
+        self._wave_deadlines_s: dict[int, float] = {}
         self._vm_orders_read_s = clock.monotonic_s()
         self._load = load_monitor.LoadMonitor(clock)
         self._owner: owners.Owner | None = None
@@ -366,7 +367,7 @@
         )
         owner.configure(self.call_handler.config)
         for wave in self._waves.values():
-            owner.add_wave(wave)
+            owner.add_wave(wave, self._wave_deadlines_s[wave.number])
         self._owner = owner
         self._set_batched_reads(False)
         try:
@@ -388,6 +389,9 @@
             self._ownership.observe_offer(
                 record, self._services.clock.monotonic_s()
             )
+        elif isinstance(record, records.WaveProgress):
+            if record.remaining_ms is not None:
+                self._bound_wave(record.number, record.remaining_ms / 1000)
         elif isinstance(record, _OWNERS_RECORDS):
             now_s = self._services.clock.monotonic_s()
             is_owner = self._ownership.heard_from(record.epoch, now_s)
@@ -432,6 +436,7 @@
         if wave.number in self._waves:
             return
         self._waves[wave.number] = wave
+        self._bound_wave(wave.number, wave.within_s)
         self._services.log(
             "wave-ordered",
             wave=wave.number,
@@ -440,7 +445,17 @@
             max_down=wave.max_down,
         )
         if self._owner is not None:
-            self._owner.add_wave(wave)
+            self._owner.add_wave(wave, self._wave_deadlines_s[wave.number])
+
+    def _bound_wave(self, number: int, remaining_s: float) -> None:
+        """Notes by when a wave should end; the earliest time counts.
+
+        Both the order for a wave and the owners' records of its progress may be
+        read late.
+        """
+        deadline_s = self._services.clock.monotonic_s() + remaining_s
+        known_s = self._wave_deadlines_s.get(number, deadline_s)
+        self._wave_deadlines_s[number] = min(known_s, deadline_s)
 
     def _journal_age_s(self) -> float:
         now_s = self._services.clock.monotonic_s()
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -148,10 +148,10 @@
         self.engine.configure(config.queues, config.pools, config.teams)
         self._wake.set()
 
-    def add_wave(self, wave: model.Wave) -> None:
+    def add_wave(self, wave: model.Wave, deadline_s: float) -> None:
         """Adds a maintenance wave, with its progress as recorded so far."""
         progress = self._view.waves().get(wave.number)
-        self._vm_order_controller.add_wave(wave, progress)
+        self._vm_order_controller.add_wave(wave, progress, deadline_s)
 
     def on_record(self, record: records.Record) -> None:
         """Applies a newly read record of the journal or the submissions."""
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -182,11 +182,14 @@
         number: number of the wave.
         begun: VMs whose maintenance has started.
         is_complete: whether the wave is complete.
+        remaining_ms: time, from the writing of the record, until the wave
+            should end; None if it is not told.
     """
 
     number: int
     begun: tuple[str, ...]
     is_complete: bool
+    remaining_ms: int | None = None
 
 
 class RecentVmOrders(typing.NamedTuple):
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -32,7 +32,7 @@
         self.rows = [_row(f"m{number}", "pool") for number in range(4)]
         self.fleet.update_vms(self.rows, "spare", 10.0)
         vms = tuple(row.vm for row in self.rows)
-        self.fleet.add_wave(model.Wave(1, vms, 60.0, 2), (), False, 10.0)
+        self.fleet.add_wave(model.Wave(1, vms, 60.0, 2), (), False, 70.0)
         self.loads = {"pool": _load()}
 
     def _next_vms(
@@ -117,7 +117,9 @@
         self.assertEqual(self.fleet.repeated_orders(12.1), [])
         self.fleet.order_answered(order, _DONE, 12.2)
         self.assertEqual(self.fleet.repeated_orders(20.0), [])
-        self.assertEqual(self.fleet.begun(1), (order.vm,))
+        self.assertEqual(
+            self.fleet.wave_progress(1, False, 10.0).begun, (order.vm,)
+        )
 
     def test_order_that_may_be_carried_out_late_stays_pending(self) -> None:
         uses = {row.vm: _IDLE for row in self.rows}
@@ -150,7 +152,9 @@
         self.assertTrue(self.fleet.order_answered(order, _DONE, now_s))
         self.fleet.update_vms(self.rows, "spare", now_s + 3.0)
         self.assertEqual(self.fleet.cordoned_workers, set())
-        self.assertEqual(self.fleet.begun(1), (order.vm,))
+        self.assertEqual(
+            self.fleet.wave_progress(1, False, 10.0).begun, (order.vm,)
+        )
 
     def test_new_owner_counts_the_orders_of_an_earlier_one(self) -> None:
         """Counts `m0`, which is held, and `m1`, whose maintenance has begun."""
@@ -161,7 +165,7 @@
         rows[1] = _row("m1", "spare", is_up=False)
         new_owner.update_vms(rows, "spare", 10.0)
         vms = tuple(row.vm for row in rows)
-        new_owner.add_wave(model.Wave(1, vms, 60.0, 2), ("m1",), False, 10.0)
+        new_owner.add_wave(model.Wave(1, vms, 60.0, 2), ("m1",), False, 70.0)
         self.assertEqual(new_owner.next_maintenance({}, self.loads, 10.0), [])
         new_owner.update_vms(back, "spare", 12.5)
         (order,) = new_owner.next_maintenance({}, self.loads, 12.5)
@@ -177,7 +181,11 @@
             now_s += 3.0
             self.fleet.update_vms(self.rows, "spare", now_s)
             self.assertEqual(self.fleet.completed_waves(), [])
-        left = [row for row in self.rows if row.vm in self.fleet.begun(1)]
+        left = [
+            row
+            for row in self.rows
+            if row.vm in self.fleet.wave_progress(1, False, 10.0).begun
+        ]
         self.fleet.update_vms(left, "spare", now_s)
         self.assertEqual(self.fleet.completed_waves(), [1])
         self.assertEqual(self.fleet.completed_waves(), [])
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -17,6 +17,7 @@
 from foxtaillock.model import clock as model_clock
 
 _OTHER = records.OwnerRecord(4, "vm-2", "b", capacity=1.0)
+_WAVE = model.Wave(1, ("m1",), 60.0, 1)
 
 
 class TakeoverTest(unittest.IsolatedAsyncioTestCase):
@@ -26,8 +27,8 @@
         self.lines: list[tuple[str, dict[str, typing.Any]]] = []
         self.journal = memory_stream.MemoryStream()
         self.journal.write(records.encode(_OTHER))
-        operators = memory_stream.MemoryStream()
-        operators.write(records.KeyedRecord("config", b"1"))
+        self.operators = memory_stream.MemoryStream()
+        self.operators.write(records.KeyedRecord("config", b"1"))
         config = configuration.create_configuration(1, [], [], [], [], 1)
         dependencies = services.OwnerServices(
             journal=self.journal,
@@ -48,7 +49,10 @@
             "a",
             5.0,
             services.NodeServices(
-                operators, lambda *_: config, lambda *_: None, dependencies
+                self.operators,
+                lambda key, _: config if key == "config" else None,
+                lambda key, _: _WAVE if key == "wave" else None,
+                dependencies,
             ),
             capacity=1.0,
         )
@@ -134,6 +138,25 @@
         now_s = model_clock.SystemClock().monotonic_s()
         return self.node.call_handler.admission.retry_after_s(False, now_s)
 
+    async def test_takeover_puts_the_end_of_a_wave_off_no_further(
+        self,
+    ) -> None:
+        self.operators.write(records.KeyedRecord("wave", b"1"))
+        progress = records.WaveProgress(1, (), False, 5_000)
+        self.journal.write(records.encode(progress))
+        await self._wait_until_ready()
+        released = _OTHER._replace(is_released=True)
+        self.journal.write(records.encode(released))
+        await self._wait_for("ownership-taken")
+        await asyncio.sleep(0.2)
+        decoded = [records.decode(*each) for each in self.journal.appended]
+        waves = [
+            each for each in decoded if isinstance(each, records.WaveProgress)
+        ]
+        self.assertGreater(len(waves), 1)
+        assert waves[-1].remaining_ms is not None
+        self.assertLess(waves[-1].remaining_ms, 5_000)
+
     async def test_successor_claims_before_a_long_read_ends(self) -> None:
         await self._wait_until_ready()
         self.journal.holds_long_reads = True
--- a/foxtaillock/batch/tests/test_takeover_vm_orders.py
+++ b/foxtaillock/batch/tests/test_takeover_vm_orders.py
@@ -112,7 +112,7 @@
             lambda _: None,
             lambda: None,
         )
-        controller.add_wave(_WAVE, None)
+        controller.add_wave(_WAVE, None, self.clock.now_s + _WAVE.within_s)
         running = asyncio.ensure_future(controller.run())
         self.addCleanup(running.cancel)
         await asyncio.sleep(0.3)
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -103,16 +103,24 @@
         self._logged_sizes: collections.Counter[str] = collections.Counter()
 
     def add_wave(
-        self, wave: model.Wave, progress: records.WaveProgress | None
+        self,
+        wave: model.Wave,
+        progress: records.WaveProgress | None,
+        deadline_s: float,
     ) -> None:
-        """Adds a maintenance wave, with its progress as recorded so far."""
+        """Adds a maintenance wave, with its progress as recorded so far.
+
+        Args:
+            wave: the wave.
+            progress: its latest record; None if there is none.
+            deadline_s: time by which it should end.
+        """
         begun = progress.begun if progress is not None else ()
         is_complete = progress is not None and progress.is_complete
-        self._fleet.add_wave(
-            wave, begun, is_complete, self._clock.monotonic_s()
-        )
-        if progress is None:
-            self._record_progress(records.WaveProgress(wave.number, (), False))
+        self._fleet.add_wave(wave, begun, is_complete, deadline_s)
+        if not is_complete:
+            # VMs that start later learn from it how much time is left.
+            self._record_wave(wave.number, is_complete=False)
 
     @property
     def has_orders(self) -> bool:
@@ -286,8 +294,10 @@
     def _record_wave(self, number: int, *, is_complete: bool) -> None:
         if is_complete:
             self._log("wave-complete", wave=number)
-        begun = self._fleet.begun(number)
-        self._record_progress(records.WaveProgress(number, begun, is_complete))
+        now_s = self._clock.monotonic_s()
+        self._record_progress(
+            self._fleet.wave_progress(number, is_complete, now_s)
+        )
 
     def _vm_uses(self, now_s: float) -> Mapping[str, vm_ledger.VmUse]:
         uses = {}
