--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -18,6 +18,7 @@
 from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import records
+from foxtaillock.batch import run_times
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
@@ -51,6 +52,13 @@
     )
 
 
+def _is_planned(worker: workers.Worker) -> bool:
+    """Returns whether a worker ends as planned, or may."""
+    return worker.is_leaving or any(
+        task.is_displaced for task in worker.tasks.values()
+    )
+
+
 def _is_simultaneous(one_s: float, other_s: float) -> bool:
     return abs(one_s - other_s) <= _SIMULTANEOUS_S
 
@@ -171,7 +179,7 @@
             The tasks that are given up for it.
         """
         is_proven = has_answered or is_restart(worker.entry, successor)
-        if worker.is_leaving or not is_proven:
+        if _is_planned(worker) or not is_proven:
             return []
         runs = isolation.runs_at_crash(worker, now_s)
         answered_id = worker.worker_id if has_answered else ""
@@ -224,6 +232,7 @@
             task
             for task in lost
             if task.worker_started_ms not in (0, worker.entry.started_ms)
+            and not task.is_displaced
         ]
         if not earlier or worker.is_leaving:
             return []
@@ -243,7 +252,7 @@
     def record_silence(self, worker: workers.Worker, now_s: float) -> None:
         """Records the runs of a silent worker that are about to be given up."""
         runs = isolation.runs_at_crash(worker, now_s)
-        if runs and not worker.is_leaving:
+        if runs and not _is_planned(worker):
             self._lost[worker.worker_id] = _LostRuns(
                 worker.entry,
                 now_s,
@@ -268,8 +277,15 @@
     def record_absence(self, absent: Iterable[tasks.Task]) -> None:
         """Records that the worker of some runs never met this owner.
 
-        It may have crashed and be back under a new id.
+        It may have crashed and be back under a new id. A worker whose VM was
+        ordered away is gone as planned.
+
+        Args:
+            absent: the tasks whose runs were on it.
         """
+        absent = [task for task in absent if not task.is_displaced]
+        if not absent:
+            return
         self.rate = self.rate._replace(crashes=self.rate.crashes + 1)
         self.is_rate_recorded = False
         for task in absent:
@@ -334,23 +350,54 @@
             if task.is_suspected and task.phase is not tasks.TaskPhase.DONE
         )
 
-    def record_work(self, task: tasks.Task) -> None:
-        """Records how long a suspected task has been at work.
+    def record_active(
+        self,
+        task: tasks.Task,
+        worker: workers.Worker,
+        clock_ms: int,
+        now_s: float,
+    ) -> None:
+        """Records that a worker has told that a run is active on it.
+
+        For suspects, and for tasks that last, it goes to the journal at once,
+        so that the next owner knows their time at work.
+
+        Args:
+            task: task of the run.
+            worker: the worker.
+            clock_ms: reading of its clock in its answer.
+            now_s: current time.
+        """
+        if task.is_displaced and not worker.is_leaving:
+            # The order was not carried out.
+            task.is_displaced = False
+            self._record(task)
+        is_new = run_times.note_active(task, worker, clock_ms, now_s)
+        job = self._jobs.get(task.task_id.job_id)
+        lasts = job is not None and job.is_persistent
+        if is_new and (lasts or task.is_suspected):
+            self._record(task)
+
+    def record_work(self, task: tasks.Task, worker: workers.Worker) -> None:
+        """Records how long a task has been at work on a worker.
 
         A run that has outlasted its trial is no longer kept apart. What is
         counted against its task stays: it may crash its worker later.
         """
+        worked_at_most_s = run_times.worked_at_most_s(task, worker)
+        task.run_work_s = max(task.run_work_s, worked_at_most_s)
         if not task.is_suspected:
             return
+        worked_s = run_times.worked_s(task, worker)
         if task.work_s - task.recorded_work_s >= _WORK_INTERVAL_S:
             self._record(task)
-        is_over = task.run_work_s >= isolation.trial_s(task)
+        is_over = worked_s >= isolation.trial_s(task)
         if is_over and task.task_id in self.suspects:
             self._log(
                 "task-trial-over",
                 task=model.format_task_id(task.task_id),
                 run=task.run,
-                worked_s=round(task.run_work_s, 2),
+                worked_s=round(worked_s, 2),
                 crashes=task.crashes,
                 possible=task.possible_crashes,
             )
@@ -399,7 +446,9 @@
             earlier = earlier._replace(
                 crashes=earlier.crashes - 1, unseen=earlier.unseen - 1
             )
-        return earlier.with_crash(run.worked_s, is_shared, run.is_confirmed)
+        return earlier.with_crash(
+            run.worked_s, run.worked_at_most_s, is_shared, run.is_confirmed
+        )
 
     def _open_task(self, task_id: model.TaskId) -> tasks.Task | None:
         """Returns a task unless it or its job has ended."""
