--- a/foxtaillock/soak/processes.py
+++ b/foxtaillock/soak/processes.py
@@ -11,9 +11,15 @@
 
 from foxtaillock.proxy import fault_proxy
 
-__all__ = ["EntryVmProcess", "free_ports", "start_entry_vm"]
+__all__ = [
+    "EntryVmProcess",
+    "SHUTDOWN_GRACE_S",
+    "free_ports",
+    "start_entry_vm",
+]
 
-_SHUTDOWN_GRACE_S = 4.0
+# Time between SIGTERM and SIGKILL, unless another one is given.
+SHUTDOWN_GRACE_S = 4.0
 
 _RESTART_DELAY_S = 0.3
 
@@ -25,6 +31,7 @@
         name: name of the VM.
         folder: folder for its settings and its log.
         store_link: proxy to the store.
+        grace_s: time between SIGTERM and SIGKILL.
 
     Attributes:
         address: `host:port` that submitters connect to.
@@ -36,8 +43,10 @@
         name: str,
         folder: pathlib.Path,
         store_link: fault_proxy.FaultProxy,
+        grace_s: float = SHUTDOWN_GRACE_S,
     ) -> None:
         self._name = name
+        self._grace_s = grace_s
         self._settings_path = folder / f"{name}.conf"
         self._log_path = folder / f"{name}.log"
         self.store_link = store_link
@@ -50,7 +59,7 @@
             f"listen.readiness=127.0.0.1:{readiness_port}",
             f"internal_ports={metrics_port - 3},{metrics_port}",
             f"platform.address={store_link.address}",
-            f"bounds.grace_s={_SHUTDOWN_GRACE_S}",
+            f"bounds.grace_s={grace_s}",
         ]
         self._settings_path.write_text("\n".join(lines), encoding="utf-8")
         # An `asyncio.subprocess.Process`.
@@ -67,6 +76,21 @@
         if process is not None and process.returncode is None:
             process.send_signal(number)
 
+    async def shut_down(self) -> None:
+        """Stops the process as planned work: SIGKILL follows after the grace.
+
+        Its supervisor starts it again.
+        """
+        process = self._process
+        if process is None or process.returncode is not None:
+            return
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(self._grace_s):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+
     async def stop(self) -> None:
         """Kills the process without a restart and closes its link."""
         if self._supervisor is not None:
@@ -97,7 +121,11 @@
 
 
 async def start_entry_vm(
-    name: str, folder: pathlib.Path, store_address: str, rng: random.Random
+    name: str,
+    folder: pathlib.Path,
+    store_address: str,
+    rng: random.Random,
+    grace_s: float = SHUTDOWN_GRACE_S,
 ) -> EntryVmProcess:
     """Starts an entry VM and its link to the store.
 
@@ -106,11 +134,12 @@
         folder: folder for its settings and its log.
         store_address: `host:port` of the store.
         rng: source of the seed of the link.
+        grace_s: time between SIGTERM and SIGKILL.
     """
     link = await fault_proxy.start_fault_proxy(
         store_address, rng.getrandbits(32)
     )
-    vm = EntryVmProcess(name, folder, link)
+    vm = EntryVmProcess(name, folder, link, grace_s)
     vm.start()
     return vm
 
