A stopped process kept idle connections open until it could not answer

It needs a store that takes its time, which it does without any fault while appends wait for one another, and connections that were idle at first and carry calls one after another.

Cause: from the moment at which no new connection is accepted, the drain waits until no call is active. An idle connection stayed open all the while and could bring a call at any time up to the deadline of the drain, 0.7 s before SIGKILL; a call takes up to 2.3 s.

Evidence: test_call_on_a_connection_that_was_idle_is_cut_by_sigkill, with a real process, fails before (2 of 22 calls cut) and passes after the change.

Ruled out: an answer that is cut between the end of its handler and its write. No turn of the event loop lies between them.

The change: idle connections are closed at the moment at which new ones are refused, and the drain ends when no connection is open. A connection is closed only if nothing waits to be read on it after reading was paused and everything that had been read has reached its handler; so a call can only be lost on the way, by crossing the close.

--- a/foxtaillock/platform/http_server.py
+++ b/foxtaillock/platform/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import math
+import select
 import typing
 from collections.abc import Callable
 
@@ -22,6 +23,11 @@
 _METRICS_PATH = "/metrics"
 _KEEPALIVE_S = 75.0
 _BACKLOG = 512
+_DRAIN_INTERVAL_S = 0.05
+
+# Turns of the event loop in which a request that has been read reaches its
+# handler: the reader wakes the connection's task, which starts the handler's.
+_HANDLER_START_TURNS = 4
 
 
 class HttpServer:
@@ -46,7 +52,8 @@
         self._clock = clock
         self._metrics = metrics
         self._runners: list[web.ServerRunner] = []
-        self._active_calls = 0
+        # Connections on which a call is being served.
+        self._active: set[web.RequestHandler] = set()
         self._is_draining = False
 
     async def listen(
@@ -75,30 +82,65 @@
         return platform_settings.Endpoint(host, port)
 
     async def drain(self, deadline_s: float, accept_until_s: float) -> None:
-        """Keeps serving until no call is active.
+        """Keeps serving until no connection is open.
 
         Each response from now on closes its connection. New connections are
-        accepted for a while, and refused from then on: otherwise there might
-        be no moment without a call.
+        accepted for a while, and refused from then on; open ones without a call
+        are closed then. Otherwise there might be no moment without a call, and
+        the last calls would not be answered in time.
 
         Args:
             deadline_s: time at which the drain ends in any case.
-            accept_until_s: time until which new connections are accepted, and
-                before which the drain does not end.
+            accept_until_s: time until which new connections are accepted and
+                idle ones stay open, and before which the drain does not end.
         """
         self._is_draining = True
         while (now_s := self._clock.monotonic_s()) < deadline_s:
             if now_s >= accept_until_s:
                 await self._stop_listening()
-                if not self._active_calls:
+                await self._close_idle_connections()
+                if not self._open_connections():
                     return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(_DRAIN_INTERVAL_S)
 
     async def _stop_listening(self) -> None:
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
 
+    def _open_connections(self) -> list[web.RequestHandler]:
+        return [
+            connection
+            for runner in self._runners
+            if runner.server is not None
+            for connection in runner.server.connections
+            if connection.transport is not None
+        ]
+
+    async def _close_idle_connections(self) -> None:
+        """Closes the connections on which no request has arrived.
+
+        Reading is paused first, and requests that were read before reach their
+        handlers; so none is dropped by the close.
+        """
+        paused = [
+            (connection, connection.transport)
+            for connection in self._open_connections()
+            if connection not in self._active
+            and isinstance(connection.transport, asyncio.Transport)
+        ]
+        for _, transport in paused:
+            transport.pause_reading()
+        for _ in range(_HANDLER_START_TURNS):
+            await asyncio.sleep(0)
+        for connection, transport in paused:
+            if transport.is_closing():
+                continue
+            if connection in self._active or _has_unread_bytes(transport):
+                transport.resume_reading()
+            else:
+                transport.close()
+
     async def close(self) -> None:
         """Closes all servers."""
         for runner in self._runners:
@@ -107,11 +149,11 @@
     async def serve_call(self, request: web.BaseRequest) -> web.Response:
         """Serves a submitter's call."""
         started_s = self._clock.monotonic_s()
-        self._active_calls += 1
+        self._active.add(request.protocol)
         try:
             outcome = await self._handle_call(request)
         finally:
-            self._active_calls -= 1
+            self._active.discard(request.protocol)
         encoded = call_codec.encode_outcome(outcome)
         took_s = self._clock.monotonic_s() - started_s
         self._metrics.calls.labels(request.method, type(outcome).__name__).inc()
@@ -169,3 +211,10 @@
         return await self._call_handler.submit(
             call, functools.partial(call_codec.create_spec, body)
         )
+
+
+def _has_unread_bytes(transport: asyncio.Transport) -> bool:
+    """Returns whether bytes or the end of a connection wait to be read."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/foxtaillock/platform/tests/test_drain_connections.py
@@ -0,0 +1,80 @@
+"""Tests how a stopped process treats connections that are open and quiet."""
+
+import asyncio
+import itertools
+import json
+import signal
+import unittest
+from collections.abc import Sequence
+
+from foxtaillock.platform.tests import entry_process
+from foxtaillock.platform.tests import fake_platform
+from foxtaillock.soak import lost_answers
+from foxtaillock.soak import raw_clients
+
+_GRACE_S = 4.0
+_VM = "vm-1"
+_LONG_TIMEOUT_S = 20.0
+_JOB = json.dumps({"workload": "text", "steps": [{"count": 1, "cpu": 500}]})
+_BOUNDS = lost_answers.Bounds(_GRACE_S, raw_clients.PATIENCE_S)
+
+
+class DrainConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """One process that is stopped while connections are open."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = fake_platform.FakePlatform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
+        self.process = await entry_process.start(self.platform, _GRACE_S)
+        self.addAsyncCleanup(self.process.end)
+        self.ids = (f"{number:016x}" for number in itertools.count())
+        self.exchanges: list[lost_answers.Exchange] = []
+
+    async def _connect(self) -> raw_clients.Connection:
+        address = f"127.0.0.1:{self.process.callers_port}"
+        return await raw_clients.connect(_VM, address, self.exchanges)
+
+    def _submission(self) -> bytes:
+        return raw_clients.encode_call(
+            "POST", f"/open/{next(self.ids)}", _JOB.encode()
+        )
+
+    async def _stop_under(self, calls: Sequence[asyncio.Future[bool]]) -> None:
+        """Sends SIGTERM, and SIGKILL after the grace time; checks the calls."""
+        stopped_s = asyncio.get_running_loop().time()
+        self.process.signal(signal.SIGTERM)
+        has_ended = await self.process.wait(_GRACE_S)
+        if not has_ended:
+            self.process.signal(signal.SIGKILL)
+        await asyncio.gather(*calls)
+        stop = lost_answers.PlannedWork(
+            lost_answers.WorkKind.STOP, _VM, stopped_s, stopped_s
+        )
+        findings = lost_answers.find_lost_answers(
+            self.exchanges, [stop], [], _BOUNDS
+        )
+        self.assertEqual(findings, [])
+        self.assertTrue(has_ended)
+
+    async def test_call_on_a_connection_that_was_idle_is_cut_by_sigkill(
+        self,
+    ) -> None:
+        self.platform.append_delay_s = 0.85
+
+        async def _call_after(
+            connection: raw_clients.Connection, delay_s: float
+        ) -> bool:
+            await asyncio.sleep(delay_s)
+            may_follow = await connection.call([self._submission()])
+            connection.close()
+            return may_follow
+
+        # Never a moment without a call until the end of the grace time.
+        delays_s = [0.15 * number for number in range(1, 23)]
+        calls = [
+            asyncio.ensure_future(_call_after(await self._connect(), delay_s))
+            for delay_s in delays_s
+        ]
+        await self._stop_under(calls)
+        self.assertGreater(len(self.exchanges), 1)
