A call whose body ended late was dropped by a process that stops

Cause: at the deadline of the drain the servers are closed. The HTTP library then reads bytes but drops them, also those of a body that a handler still waits for. So the call never reached the call handler, and its connection stayed open until SIGKILL, since the close waits for the handler. A body that was complete just before the deadline left less time than a call may take (2.3 s).

The change: a call whose body is not complete 2.3 s before the end of the drain is refused as not stored (503, `stopping`); its submitter may send it to another entry VM. What is left of its body is not waited for by the close, so the process ends in time.

--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -143,9 +143,14 @@
     """
     stop_requested_s = clock.monotonic_s()
     drain_s = grace_s - _EXIT_MARGIN_S
-    accept_s = max(0.0, min(_ACCEPT_S, drain_s - _MAX_CALL_S))
+    read_s = max(0.0, drain_s - _MAX_CALL_S)
+    accept_s = min(_ACCEPT_S, read_s)
     await node.release_ownership(_HANDOVER_TIMEOUT_S)
-    await server.drain(stop_requested_s + drain_s, stop_requested_s + accept_s)
+    await server.drain(
+        stop_requested_s + drain_s,
+        stop_requested_s + accept_s,
+        stop_requested_s + read_s,
+    )
 
 
 def create_node(
--- a/foxtaillock/platform/http_server.py
+++ b/foxtaillock/platform/http_server.py
@@ -25,6 +25,9 @@
 _BACKLOG = 512
 _DRAIN_INTERVAL_S = 0.05
 
+# Retry interval when another entry VM can serve the call.
+_RETRY_OTHER_VM_S = 0.2
+
 # Turns of the event loop in which a request that has been read reaches its
 # handler: the reader wakes the connection's task, which starts the handler's.
 _HANDLER_START_TURNS = 4
@@ -55,6 +58,9 @@
         # Connections on which a call is being served.
         self._active: set[web.RequestHandler] = set()
         self._is_draining = False
+        # Limits of the bodies that are being read.
+        self._body_timeouts: set[asyncio.Timeout] = set()
+        self._is_refusing_bodies = False
 
     async def listen(
         self,
@@ -81,7 +87,9 @@
         host, port = runner.addresses[0][:2]
         return platform_settings.Endpoint(host, port)
 
-    async def drain(self, deadline_s: float, accept_until_s: float) -> None:
+    async def drain(
+        self, deadline_s: float, accept_until_s: float, read_until_s: float
+    ) -> None:
         """Keeps serving until no connection is open.
 
         Each response from now on closes its connection. New connections are
@@ -93,9 +101,13 @@
             deadline_s: time at which the drain ends in any case.
             accept_until_s: time until which new connections are accepted and
                 idle ones stay open, and before which the drain does not end.
+            read_until_s: time until which bodies are read; a call whose body
+                is not complete by then is refused.
         """
         self._is_draining = True
         while (now_s := self._clock.monotonic_s()) < deadline_s:
+            if now_s >= read_until_s:
+                self._refuse_incomplete_bodies()
             if now_s >= accept_until_s:
                 await self._stop_listening()
                 await self._close_idle_connections()
@@ -108,6 +120,14 @@
             for site in list(runner.sites):
                 await site.stop()
 
+    def _refuse_incomplete_bodies(self) -> None:
+        if self._is_refusing_bodies:
+            return
+        self._is_refusing_bodies = True
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self._body_timeouts:
+            timeout.reschedule(now_s)
+
     def _open_connections(self) -> list[web.RequestHandler]:
         return [
             connection
@@ -142,7 +162,15 @@
                 transport.close()
 
     async def close(self) -> None:
-        """Closes all servers."""
+        """Closes all servers.
+
+        Answers of active calls are still awaited, rests of refused bodies are
+        not.
+        """
+        for connection in self._open_connections():
+            if connection not in self._active:
+                assert connection.transport is not None
+                connection.transport.close()
         for runner in self._runners:
             await runner.cleanup()
 
@@ -205,13 +233,29 @@
         ):
             return outcomes.Malformed("the body is too large")
         try:
-            body = await request.read()
+            body = await self._read_body(request)
         except web.RequestPayloadError:
             return outcomes.Malformed("the body is malformed")
+        except TimeoutError:
+            return outcomes.NotStored("stopping", _RETRY_OTHER_VM_S)
         return await self._call_handler.submit(
             call, functools.partial(call_codec.create_spec, body)
         )
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """Returns the body of a request.
+
+        Raises:
+            TimeoutError: the process stops before the body is complete.
+        """
+        limit_s = 0.0 if self._is_refusing_bodies else None
+        async with asyncio.timeout(limit_s) as timeout:
+            self._body_timeouts.add(timeout)
+            try:
+                return await request.read()
+            finally:
+                self._body_timeouts.discard(timeout)
+
 
 def _has_unread_bytes(transport: asyncio.Transport) -> bool:
     """Returns whether bytes or the end of a connection wait to be read."""
--- a/foxtaillock/platform/tests/test_drain_connections.py
+++ b/foxtaillock/platform/tests/test_drain_connections.py
@@ -78,3 +78,21 @@
         ]
         await self._stop_under(calls)
         self.assertGreater(len(self.exchanges), 1)
+
+    async def test_call_whose_body_ends_late_is_dropped_by_the_close(
+        self,
+    ) -> None:
+        async def _call_in_parts(delay_s: float) -> bool:
+            connection = await self._connect()
+            request = self._submission()
+            parts = [request[:-5], request[-5:]]
+            may_follow = await connection.call(parts, delay_s)
+            connection.close()
+            return may_follow
+
+        calls = [
+            asyncio.ensure_future(_call_in_parts(delay_s))
+            for delay_s in (2.9, 3.2, 3.35, 3.5, 3.6)
+        ]
+        await asyncio.sleep(0.05)
+        await self._stop_under(calls)
