--- a/foxtaillock/soak/raw_clients.py
+++ b/foxtaillock/soak/raw_clients.py
@@ -95,6 +95,7 @@
             if self._reader.at_eof():
                 return False
         line = parts[0].split(b"\r\n", 1)[0].decode()[-_MAX_LINE_LENGTH:]
+        request = f"{line} in {len(parts)} parts"
         sent_s = time.monotonic()
         closed_s = None
         try:
@@ -113,7 +114,7 @@
             may_follow, ending = False, lost_answers.Ending.RESET
         ended_s = time.monotonic() if closed_s is None else closed_s
         self._exchanges.append(
-            lost_answers.Exchange(self._vm, line, sent_s, ended_s, ending)
+            lost_answers.Exchange(self._vm, request, sent_s, ended_s, ending)
         )
         return may_follow
 
