Soak: a stall of the whole machine is no finding of planned work

In one play beside some thirty busy processes the VM processes and the fake store stood still for 2.7 s; a submission that was read then was cut by SIGKILL. The run watches its own event loop: a pause of more than 0.5 s counts as an unplanned impairment of all VMs, and the output tells how many there were.

--- a/foxtaillock/soak/planned_run.py
+++ b/foxtaillock/soak/planned_run.py
@@ -25,6 +25,12 @@
 _START_S = 3.0
 _MAX_GAP_S = 2.0
 _MAX_REPEAT_DELAY_S = 1.0
+
+# A pause of this process for this much longer than asked for is one of the
+# whole machine: an unplanned impairment of all VMs.
+_MAX_STALL_S = 0.5
+_STALL_CHECK_INTERVAL_S = 0.05
+
 _KEY = "key-1"
 
 # Durations of an append. The store appends one after another, so it takes this
@@ -43,6 +49,7 @@
 
     Attributes:
         works: the work that was done.
+        stalls: spans in which this machine stood still.
     """
 
     def __init__(
@@ -57,6 +64,7 @@
         self._version = 0
         self._clients = raw_clients.RawClients({}, self._rng)
         self.works: list[lost_answers.PlannedWork] = []
+        self.stalls: list[lost_answers.Impairment] = []
 
     @property
     def endings(self) -> dict[str, int]:
@@ -71,14 +79,27 @@
         await self._platform.start()
         await self._platform.add_worker("i-0", "pool")
         self._write_config()
+        stall_watch = asyncio.ensure_future(self._note_stalls())
         try:
             await self._start_vms()
             return await self._run_work(client_count, duration_s)
         finally:
+            stall_watch.cancel()
             for vm in self._vms.values():
                 await vm.stop()
             await self._platform.stop()
 
+    async def _note_stalls(self) -> None:
+        checked_s = time.monotonic()
+        while True:
+            await asyncio.sleep(_STALL_CHECK_INTERVAL_S)
+            now_s = time.monotonic()
+            if now_s - checked_s > _STALL_CHECK_INTERVAL_S + _MAX_STALL_S:
+                self.stalls.append(
+                    lost_answers.Impairment("", checked_s, now_s)
+                )
+            checked_s = now_s
+
     async def _start_vms(self) -> None:
         for number in range(self._vm_count):
             name = f"vm-{number}"
@@ -116,7 +137,7 @@
         await asyncio.gather(load, *tasks)
         bounds = lost_answers.Bounds(self._grace_s, raw_clients.PATIENCE_S)
         return lost_answers.find_lost_answers(
-            self._clients.exchanges, self.works, [], bounds
+            self._clients.exchanges, self.works, self.stalls, bounds
         )
 
     async def _shut_down(self, rng: random.Random) -> None:
@@ -203,6 +224,7 @@
             "findings": findings,
             "endings": planned.endings,
             "works": len(planned.works),
+            "stalls": len(planned.stalls),
         }
         print(json.dumps(line), flush=True)
     print(f"{seeds - failed} passed, {failed} failed")
