Settings: malformed ports ended the start by an error of another kind

What operators saw: with `internal_ports=abc` the process ended with a traceback (ValueError, status 1), with a port over 65535 in `listen.front` likewise (OverflowError), where other malformed settings end it with a message that names them (status 2). On SIGHUP there was no `reload-failed`.

Cause: the first port of the range was converted unchecked, and no port was compared with the largest one.

Evidence: test_malformed_ports_end_the_start_or_a_reload_by_another_error fails before in its three cases and passes after the change.

--- a/foxtaillock/platform/settings.py
+++ b/foxtaillock/platform/settings.py
@@ -58,6 +58,8 @@
 # Offset of the metrics port in the port range that the platform assigns.
 _METRICS_PORT_OFFSET = 3
 
+_MAX_PORT = 65_535
+
 
 def load(path: str) -> VmSettings:
     """Returns the settings in a file.
@@ -86,7 +88,6 @@
     """
     reader = _Reader(_parse_fields(text))
     callers = reader.endpoint("listen.front")
-    ports = reader.text("internal_ports", "7000,7015").split(",")
     # `limits.cores` is the speed of the processor relative to unit speed.
     speed = reader.number("limits.cores", 1.0)
     settings = VmSettings(
@@ -94,9 +95,7 @@
         zone=reader.text("zone"),
         callers=callers,
         readiness=reader.endpoint("listen.readiness"),
-        metrics=Endpoint(
-            callers.host, int(ports[0] or 0) + _METRICS_PORT_OFFSET
-        ),
+        metrics=Endpoint(callers.host, reader.metrics_port()),
         store=reader.endpoint("platform.address"),
         fleet=reader.optional_endpoint("cloud.address"),
         advisor=reader.optional_endpoint("advice"),
@@ -151,12 +150,27 @@
         """Returns a field's address."""
         value = self.text(name)
         host, _, port = value.rpartition(":")
-        if host and port.isdecimal():
+        if host and _is_port(port):
             return Endpoint(host, int(port))
         if value:
             self.findings.append(f"{name}: {value!r} is not HOST:PORT")
         return Endpoint("", 0)
 
+    def metrics_port(self) -> int:
+        """Returns the port for metrics in the assigned range of ports."""
+        value = self.text("internal_ports", "7000,7015")
+        first = value.partition(",")[0]
+        if _is_port(first):
+            port = int(first) + _METRICS_PORT_OFFSET
+            if port <= _MAX_PORT:
+                return port
+        self.findings.append(f"internal_ports: {value!r} is no range of ports")
+        return 0
+
     def optional_endpoint(self, name: str) -> Endpoint | None:
         """Returns a field's address, or None if it is empty."""
         return self.endpoint(name) if self._fields.get(name) else None
+
+
+def _is_port(text: str) -> bool:
+    return text.isdecimal() and int(text) <= _MAX_PORT
--- a/foxtaillock/platform/tests/test_codecs.py
+++ b/foxtaillock/platform/tests/test_codecs.py
@@ -223,6 +223,20 @@
         for name in ("node", "zone", "listen.front", "bounds.grace_s"):
             self.assertIn(name, message)
 
+    def test_malformed_ports_end_the_start_or_a_reload_by_another_error(
+        self,
+    ) -> None:
+        for line in (
+            "internal_ports=first,7015",
+            "internal_ports=65535,65535",
+            "listen.front=10.1.0.2:65536",
+        ):
+            text = "\n".join([*self._LINES, line])
+            with self.subTest(line=line):
+                with self.assertRaises(exceptions.InvalidInputError) as raised:
+                    settings.parse(text, "file")
+                self.assertIn(line.partition("=")[0], str(raised.exception))
+
     def test_missing_file_is_an_error(self) -> None:
         with self.assertRaises(exceptions.InvalidInputError):
             settings.load("/nonexistent/settings.conf")
