Test that the close of idle connections drops no call that was read

A call takes some turns of the event loop from its last byte to its handler; in between, its connection looks idle. The test drains an entry VM after each number of turns.

--- a/foxtaillock/platform/tests/test_drain_connections.py
+++ b/foxtaillock/platform/tests/test_drain_connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from foxtaillock.platform.tests import entry_process
+from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import fake_platform
 from foxtaillock.soak import lost_answers
 from foxtaillock.soak import raw_clients
@@ -15,6 +16,10 @@
 _GRACE_S = 4.0
 _VM = "vm-1"
 _LONG_TIMEOUT_S = 20.0
+
+# More turns of the event loop than a call needs to reach its handler.
+_MAX_TURNS = 8
+
 _JOB = json.dumps({"workload": "text", "steps": [{"count": 1, "cpu": 500}]})
 _BOUNDS = lost_answers.Bounds(_GRACE_S, raw_clients.PATIENCE_S)
 
@@ -96,3 +101,43 @@
         ]
         await asyncio.sleep(0.05)
         await self._stop_under(calls)
+
+
+class CloseTurnTest(unittest.IsolatedAsyncioTestCase):
+    """An entry VM in this process, whose event loop it shares with a client."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = fake_platform.FakePlatform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
+        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+
+    async def _drain_after(self, turns: int) -> list[lost_answers.Exchange]:
+        """Drains a VM some turns of the loop after a call was sent."""
+        vm = entry_vm.EntryVm(self.platform)
+        await vm.start()
+        async with asyncio.timeout(_LONG_TIMEOUT_S):
+            while not vm.node.is_ready:
+                await asyncio.sleep(0.02)
+        exchanges: list[lost_answers.Exchange] = []
+        connection = await raw_clients.connect(_VM, vm.address.text, exchanges)
+        # The VM accepts the connection before the call is sent.
+        await asyncio.sleep(0.02)
+        request = raw_clients.encode_call("GET", f"/open/{turns:016x}")
+        call = asyncio.ensure_future(connection.call([request]))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        now_s = asyncio.get_running_loop().time()
+        await vm.server.drain(now_s + _LONG_TIMEOUT_S, now_s, now_s)
+        await call
+        connection.close()
+        await vm.stop()
+        return exchanges
+
+    async def test_close_drops_a_call_that_is_on_its_way_to_its_handler(
+        self,
+    ) -> None:
+        for turns in range(1, _MAX_TURNS):
+            with self.subTest(turns=turns):
+                (exchange,) = await self._drain_after(turns)
+                self.assertIs(exchange.ending, lost_answers.Ending.ANSWERED)
