--- a/foxtaillock/batch/tests/test_restarts.py
+++ b/foxtaillock/batch/tests/test_restarts.py
@@ -322,6 +322,124 @@
         self.assertEqual(self.poll_plan(10.4).acknowledged, 0)
         self.assertEqual(self.poll_plan(10.4).wait_s, 0.0)
 
+    def test_nothing_is_acknowledged_while_a_start_is_on_its_way(self) -> None:
+        """The later incarnation carries it out before anything tells of it."""
+        self.engine.batch_recorded(self.engine.take_batch(), 10.2)
+        start = self.order_start(10.2)
+        self.assertEqual(self.poll_plan(10.2).acknowledged, 0)
+        worker = self.engine.workers["1"]
+        self.assertGreater(self.engine.answers.poll_pause_s(worker), 0.0)
+        self.answer_start(start, 10.3, self._in_time())
+        self.assertEqual(self.poll_plan(10.3).acknowledged, 7)
+
+    def test_poll_that_acknowledges_waits_for_no_end(self) -> None:
+        """It would drop the ends that come while it waits."""
+        self.engine.batch_recorded(self.engine.take_batch(), 10.2)
+        self.answer_start(self.order_start(10.2), 10.3, self._in_time())
+        plan = self.poll_plan(10.4)
+        self.assertEqual((plan.acknowledged, plan.wait_s), (7, 0.0))
+        self._answer(builders.lists([(self.task.task_id, 2)]), 10.5)
+        plan = self.poll_plan(10.6)
+        self.assertEqual(plan.acknowledged, 0)
+        self.assertGreater(plan.wait_s, 0.0)
+
+    def _in_time(self) -> interfaces.OrderAnswer:
+        """Returns an answer whose clock is that of the known incarnation."""
+        clock_ms = self.engine.workers["1"].clock_ms + 200
+        return _ACCEPTED._replace(clock_ms=clock_ms)
+
+
+class AttemptTest(_RestartCase):
+    """Only ends that were read count as attempts, and each of them once.
+
+    They guard against jobs that fail without cause (LOST). The queue allows
+    two attempts.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.answer_start(self.order_start(10.0), 10.01)
+        self.poll(10.1, started_ms=1)
+
+    def _list_end(self, now_s: float, number: int, started_ms: int = 1) -> None:
+        """Lists that the first run has failed."""
+        end = interfaces.EndedRun(
+            number, self.task.task_id, 1, model.EndKind.FAILED, ""
+        )
+        lists = builders.lists(ended=[end], started_ms=started_ms)
+        plan = self.poll_plan(now_s)
+        self.engine.answers.poll_answered("1", plan, lists, now_s, now_s)
+
+    def _assert_failures(self, failures: int) -> None:
+        self.assertEqual(self.task.failures, failures)
+        self.assertEqual(self.task.possible_crashes, 0)
+        self.assertIsNone(self.engine.jobs[_JOB].final_state)
+
+    def test_end_that_is_listed_again_is_one_attempt(self) -> None:
+        """Its acknowledgement was lost or withheld."""
+        self._list_end(10.2, 7)
+        self.answer_start(self.order_start(10.3), 10.31)
+        self._list_end(10.4, 7)
+        self._list_end(10.5, 8)
+        self._assert_failures(1)
+
+    def test_end_that_two_incarnations_list_is_one_attempt(self) -> None:
+        """The start was carried out by both."""
+        self._list_end(10.2, 7)
+        self.answer_start(self.order_start(10.3), 10.31)
+        self._list_end(10.4, 7, started_ms=_AGAIN_MS)
+        self._assert_failures(1)
+
+    def test_end_that_was_dropped_unread_is_no_attempt(self) -> None:
+        """The run is neither listed nor among the ends."""
+        for number in range(3):
+            self.poll(11.0 + number, started_ms=1, is_listed=False)
+            self.answer_start(self.order_start(11.2 + number), 11.21 + number)
+            self.poll(11.3 + number, started_ms=1)
+        self._assert_failures(0)
+        self.assertEqual(self.task.run, 4)
+
+
+class GangAttemptTest(unittest.TestCase):
+    """Members of a gang that fail in one run are one attempt.
+
+    It guards against jobs that fail without cause (LOST): the queue allows two
+    attempts.
+    """
+
+    def _list_failure(
+        self, engine: engines.Engine, member: int, now_s: float
+    ) -> tasks.Step:
+        """Lists that the first run of a member has failed."""
+        step = engine.jobs[_JOB].steps[0, 0]
+        task = step.tasks[member]
+        end = interfaces.EndedRun(1, task.task_id, 1, model.EndKind.FAILED, "")
+        worker = engine.workers[task.worker_id]
+        plan = engine.answers.poll_plan(worker, now_s)
+        assert plan is not None
+        engine.answers.poll_answered(
+            worker.worker_id, plan, builders.lists(ended=[end]), now_s, now_s
+        )
+        return step
+
+    def test_ends_that_two_owners_read_are_one_attempt(self) -> None:
+        entries = builders.entry("1"), builders.entry("2")
+        job = builders.job(_JOB, builders.step(2, 3000, is_gang=True))
+        earlier = builders.create_engine(*entries)
+        earlier.submit(job, (), 10.0, 10_000)
+        self.assertEqual(len(builders.start_all(earlier, 10.0)), 2)
+        earlier.take_batch()
+        self._list_failure(earlier, 0, 10.1)
+        recorded = [records.decode(*each) for each in earlier.take_batch()[0]]
+        progress = [
+            each for each in recorded if isinstance(each, records.StepProgress)
+        ]
+        engine = builders.create_engine(*entries)
+        engine.submit(job, progress, 11.0, 11_000)
+        step = self._list_failure(engine, 1, 11.1)
+        self.assertEqual(step.failures, 1)
+        self.assertIsNone(engine.jobs[_JOB].final_state)
+
 
 class AdoptedRunTest(unittest.TestCase):
     """The recorded start time is what the earlier owner believed."""
