--- a/foxtaillock/soak/processes.py
+++ b/foxtaillock/soak/processes.py
@@ -32,8 +32,12 @@
         folder: folder for its settings and its log.
         store_link: proxy to the store.
         grace_s: time between SIGTERM and SIGKILL.
+        fleet_address: `host:port` of the service that maintains the workers'
+            VMs; empty for none.
+        code_folder: folder whose code the process runs; empty for this one.
 
     Attributes:
+        name: name of the VM.
         address: `host:port` that submitters connect to.
         store_link: proxy to the store.
     """
@@ -44,9 +48,12 @@
         folder: pathlib.Path,
         store_link: fault_proxy.FaultProxy,
         grace_s: float = SHUTDOWN_GRACE_S,
+        fleet_address: str = "",
+        code_folder: str = "",
     ) -> None:
-        self._name = name
+        self.name = name
         self._grace_s = grace_s
+        self._code_folder = code_folder
         self._settings_path = folder / f"{name}.conf"
         self._log_path = folder / f"{name}.log"
         self.store_link = store_link
@@ -61,6 +68,8 @@
             f"platform.address={store_link.address}",
             f"bounds.grace_s={grace_s}",
         ]
+        if fleet_address:
+            lines.append(f"cloud.address={fleet_address}")
         self._settings_path.write_text("\n".join(lines), encoding="utf-8")
         # An `asyncio.subprocess.Process`.
         self._process: typing.Any = None
@@ -111,6 +120,7 @@
                     "foxtaillock.platform",
                     stdout=log,
                     stderr=log,
+                    cwd=self._code_folder or None,
                     env={
                         **os.environ,
                         "FOXTAILLOCK_SETTINGS": str(self._settings_path),
@@ -126,6 +136,8 @@
     store_address: str,
     rng: random.Random,
     grace_s: float = SHUTDOWN_GRACE_S,
+    fleet_address: str = "",
+    code_folder: str = "",
 ) -> EntryVmProcess:
     """Starts an entry VM and its link to the store.
 
@@ -135,11 +147,14 @@
         store_address: `host:port` of the store.
         rng: source of the seed of the link.
         grace_s: time between SIGTERM and SIGKILL.
+        fleet_address: `host:port` of the service that maintains the workers'
+            VMs; empty for none.
+        code_folder: folder whose code the process runs; empty for this one.
     """
     link = await fault_proxy.start_fault_proxy(
         store_address, rng.getrandbits(32)
     )
-    vm = EntryVmProcess(name, folder, link, grace_s)
+    vm = EntryVmProcess(name, folder, link, grace_s, fleet_address, code_folder)
     vm.start()
     return vm
 
