--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -338,9 +338,10 @@
             body["fence"],
         )
         self.payloads.append((body["task"], body["workload"]))
-        plan = RunPlan(self.task_duration_s)
-        if self.plan_run is not None:
-            plan = self.plan_run(order.task, order.run)
+        if self.plan_run is None:
+            answer = worker.start(order, self.task_duration_s, _now_s())
+            return _order_answer(answer)
+        plan = self.plan_run(order.task, order.run)
         answer = worker.start(order, plan.duration_s, _now_s())
         current = worker.running.get(order.task)
         if plan.fails and current is not None and current.number == order.run:
