Leases: none is renounced while the store is slow

A worker that was cut off for 2.6 s lost its runs where appends take 0.3 s or more: its leases were renounced, and a renewal had to wait for the append that renounced them and for another one. An owner whose latest append took over 0.2 s now renounces no more leases, but when it releases: its successors then wait as they did before.

--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -309,9 +309,9 @@
             entries.insert(0, records.encode(self._owner_record(is_releasing)))
         if not await self._writer.append(entries):
             return
-        if is_heartbeat:
-            self.engine.renounced.recorded()
         now_s = self._services.clock.monotonic_s()
+        if is_heartbeat:
+            self.engine.renounced.recorded(now_s)
         for plan in self.engine.batch_recorded(batch, now_s):
             self._spawn(self._start(plan))
         self._poller.ends_recorded()
--- a/foxtaillock/batch/renounced_leases.py
+++ b/foxtaillock/batch/renounced_leases.py
@@ -19,6 +19,10 @@
 # A worker that left fewer calls in a row unanswered may just be slow.
 _MIN_UNANSWERED_CALLS = 2
 
+# While an append takes longer, no more leases are renounced: a worker that
+# answers again would wait for two of them, and its lease might lapse meanwhile.
+_MAX_APPEND_S = 0.2
+
 # Bound of the size of an owner's record.
 _MAX_WORKERS = 500
 
@@ -33,6 +37,8 @@
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
         self._proposed: frozenset[str] = frozenset()
+        self._proposed_s = float("-inf")
+        self._append_s = 0.0
 
     @property
     def are_outdated(self) -> bool:
@@ -61,6 +67,10 @@
         ends_s = self._unanswered_ends_s(min_calls)
         if knows_workers:
             ends_s |= self._unregistered_ends_s()
+        if self._append_s > _MAX_APPEND_S and not is_releasing:
+            renounced = self._state.renounced_ids
+            ends_s = {each: ends_s[each] for each in renounced & ends_s.keys()}
+        self._proposed_s = now_s
         self._proposed = frozenset(sorted(ends_s)[:_MAX_WORKERS])
         for worker_id in self._proposed - self._state.renounced_ids:
             self._state.log(
@@ -76,8 +86,9 @@
             for worker_id in sorted(self._proposed)
         )
 
-    def recorded(self) -> None:
+    def recorded(self, now_s: float) -> None:
         """Applies the latest proposal, whose record is stored."""
+        self._append_s = now_s - self._proposed_s
         for worker_id in self._state.renounced_ids - self._proposed:
             self._state.log("leases-resumed", worker=worker_id)
         self._state.renounce(self._proposed)
--- a/foxtaillock/batch/tests/simulated_owner.py
+++ b/foxtaillock/batch/tests/simulated_owner.py
@@ -178,8 +178,8 @@
         simulation.schedule(simulation.delay_s(), _answered)
 
     def _batch_recorded(self, batch: plans.JournalBatch) -> None:
-        self.engine.renounced.recorded()
         now_s = self._simulation.now_s
+        self.engine.renounced.recorded(now_s)
         for plan in self.engine.batch_recorded(batch, now_s):
             self._send_start(plan)
 
--- a/foxtaillock/batch/tests/test_renounced_leases.py
+++ b/foxtaillock/batch/tests/test_renounced_leases.py
@@ -47,7 +47,7 @@
         for _ in range(2):
             _poll(self.engine, _UNKNOWN, 10.5)
         self._propose(11.0)
-        self.engine.renounced.recorded()
+        self.engine.renounced.recorded(11.0)
 
     def test_no_lease_is_renounced_on_a_worker_that_answers(self) -> None:
         self.assertEqual(self._propose(10.5), ())
@@ -66,6 +66,15 @@
         self.assertEqual(self._propose(11.0), ())
         self.assertEqual(len(self._propose(11.0, is_releasing=True)), 1)
 
+    def test_slow_append_lets_no_more_leases_be_renounced(self) -> None:
+        self._propose(10.2)
+        self.engine.renounced.recorded(10.7)
+        for _ in range(2):
+            _poll(self.engine, _UNKNOWN, 10.8)
+        self.assertEqual(self._propose(11.0), ())
+        self.engine.renounced.recorded(11.1)
+        self.assertEqual(len(self._propose(11.3)), 1)
+
     def test_no_lease_is_granted_until_the_record_that_allows_it_is_stored(
         self,
     ) -> None:
@@ -74,7 +83,7 @@
         self.assertTrue(self.engine.renounced.are_outdated)
         self.assertEqual(self._propose(11.6), ())
         self.assertIsNone(_poll(self.engine, self.answer, 11.7))
-        self.engine.renounced.recorded()
+        self.engine.renounced.recorded(11.6)
         self.assertFalse(self.engine.renounced.are_outdated)
         self.assertIsNotNone(_poll(self.engine, self.answer, 11.8))
 
