Tickets: those of a job are forgotten with it

An owner kept the advisor's tickets of each step that it ever asked about, 7.6 kB a step with 30 workers, for as long as the ownership lasted. Found by review; test_long_ownership fails before.

--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -471,6 +471,8 @@
         """
         del self.finished_jobs[job_id]
         del self.jobs[job_id]
+        for step in job.steps.values():
+            self.tickets.invalidate(step.step_id)
         self.erase_progress(job)
         self.tombstones.append(records.tombstone(records.JobEnd(job_id, "", 0)))
 
