Retention: wall clocks that differ erase no job early, and takeovers keep none

Callers saw 410 for a job that had just ended, if a new owner's wall clock was more than 30 s ahead (the state has to be known for 120 s, jobs are kept for 150 s); and a job that was cancelled was never erased while owners changed within 150 s, as each of them counted from its own start. Found by review: with a clock 160 s ahead a job is erased 1 s after its end.

Another VM's wall clock is now trusted to 10 minutes: what is older for certain counts, both for ends and for cancellations.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -44,6 +44,10 @@
 # 120 s.
 _JOB_RETENTION_S = 150.0
 
+# Wall clocks of entry VMs may differ by less than this. What a new owner knows of
+# the age of an end is by its wall clock alone.
+_MAX_CLOCK_DIFFERENCE_S = 600.0
+
 # Weight of a new job in the moving average of its queue's work.
 _EWMA_WEIGHT = 0.1
 
@@ -202,8 +206,19 @@
         if job.final_state is None:
             job.final_state = model.JobState(end.state)
             self._state.finish_job(job, now_s)
-        age_s = max(0.0, (now_ms - end.ended_ms) / 1000)
-        self._state.finished_jobs[job_id] = (now_s - age_s, job)
+        ended_s = now_s - _least_age_s(end.ended_ms, now_ms)
+        self._state.finished_jobs[job_id] = (ended_s, job)
+
+    def restore_cancellation(
+        self, cancellation: records.Cancellation, now_s: float, now_ms: int
+    ) -> None:
+        """Cancels a job that was cancelled under an earlier owner."""
+        job_id = cancellation.job_id
+        self.cancel(job_id, now_s)
+        if job_id in self._state.finished_jobs:
+            ended_s = now_s - _least_age_s(cancellation.cancelled_ms, now_ms)
+            job = self._state.jobs[job_id]
+            self._state.finished_jobs[job_id] = (ended_s, job)
 
     def cancel(self, job_id: str, now_s: float) -> None:
         """Cancels a job and stops its runs."""
@@ -469,6 +484,11 @@
         )
 
 
+def _least_age_s(then_ms: int, now_ms: int) -> float:
+    """Returns how long ago a time of another VM's wall clock was, at least."""
+    return max(0.0, (now_ms - then_ms) / 1000 - _MAX_CLOCK_DIFFERENCE_S)
+
+
 def _is_stop_due(task: tasks.Task, now_s: float) -> bool:
     """Returns whether the stop order of a task is due to be repeated."""
     return (
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -253,8 +253,9 @@
             self.engine.submit_ended(spec, end, now_s, now_ms)
             return
         self.engine.submit(spec, self._view.steps(job_id), now_s, now_ms)
-        if self._view.cancellation(job_id) is not None:
-            self.engine.cancel(job_id, now_s)
+        cancellation = self._view.cancellation(job_id)
+        if cancellation is not None:
+            self.engine.restore_cancellation(cancellation, now_s, now_ms)
         if end is not None:
             self.engine.mark_ended(job_id, end, now_s, now_ms)
 
--- a/foxtaillock/batch/tests/test_owner.py
+++ b/foxtaillock/batch/tests/test_owner.py
@@ -219,6 +219,34 @@
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
+    async def test_takeovers_do_not_keep_a_cancelled_job_for_ever(self) -> None:
+        """It was cancelled long ago, also if wall clocks differ."""
+        now_ms = int(self.clock.now().timestamp() * 1000)
+        job = builders.job("00000000000000aa", builders.step(1))
+        cancellation = records.Cancellation(job.job_id, now_ms - 800_000)
+        self.view.apply(0, records.encode(job))
+        self.view.apply(1, records.encode(cancellation))
+        running = asyncio.ensure_future(self.owner.run())
+        await asyncio.sleep(1.5)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertIn(records.tombstone(job), self.submissions.appended)
+
+    async def test_clock_that_is_ahead_erases_no_job_that_has_just_ended(
+        self,
+    ) -> None:
+        """Its state has to be known for 120 s; the clock is 160 s ahead."""
+        now_ms = int(self.clock.now().timestamp() * 1000)
+        job = builders.job("00000000000000aa", builders.step(1))
+        end = records.JobEnd(job.job_id, "completed", now_ms - 160_000)
+        self.view.apply(0, records.encode(job))
+        self.view.apply(1, records.encode(end))
+        running = asyncio.ensure_future(self.owner.run())
+        await asyncio.sleep(1.5)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertNotIn(records.tombstone(job), self.submissions.appended)
+
     async def test_suspended_owner_erases_submissions(self) -> None:
         """It learns only with its next append that it was replaced."""
         job = builders.job("00000000000000aa", builders.step(1))
