Owner: a tick during the erasure of old jobs no longer ends the ownership

What callers saw: 150 s after the first job had ended, and from then on as long as jobs end, the owner was replaced every few seconds: tasks started later, runs were lost ("not on the worker") and persistent tasks waited for one takeover after the other.

Cause: the compactor takes the expired jobs from the engine, appends their erasure and then forgets them. A tick during that append (one each 50 ms) finds the same jobs expired again, and they stayed in the set after they were forgotten. The next round looked them up: KeyError, "internal-error", and the ownership was over without a release.

Evidence: test_tick_during_the_erasure_of_jobs_does_not_end_the_owner fails with that KeyError before.

Why it works: a job that is forgotten is also no longer expired, so whatever the compactor takes is in the engine's jobs; nothing else removes a job.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -303,6 +303,8 @@
         for job_id in job_ids:
             if job_id in self._state.finished_jobs:
                 self._state.forget(job_id, self._state.jobs[job_id])
+            # A tick during the erasure has found it expired again.
+            self._state.expired_jobs.discard(job_id)
 
     def has_batch(self) -> bool:
         """Returns whether there are records to append."""
