Calls: a VM that has just started doesn't show ended jobs as queued

With no VM ready, the load balancer sends calls to those that aren't.

Cause: states and cancellations were answered once the submissions had been read to their end.

Why it works: until each stream of the view was read to its end once since the start, the answer is 503, and the submitter asks another VM or again.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -64,6 +64,8 @@
         journal_view: state folded from the journal and the submissions.
         submission_follower: reads the submissions into that view.
         submission_appender: appends the records of calls.
+        is_caught_up: returns whether each stream that the view is folded from
+            was read to its end since the VM started.
         is_store_failing: returns whether the latest read of the store failed.
         freshness: tracks the age of the configuration on this VM.
         log: structured log.
@@ -79,6 +81,7 @@
         journal_view: view.JournalView,
         submission_follower: follower.Follower,
         submission_appender: appender.GroupAppender,
+        is_caught_up: Callable[[], bool],
         is_store_failing: Callable[[], bool],
         freshness: config_freshness.ConfigFreshness,
         log: Callable[..., None],
@@ -87,6 +90,7 @@
         self._view = journal_view
         self._follower = submission_follower
         self._appender = submission_appender
+        self._is_caught_up = is_caught_up
         self._is_store_failing = is_store_failing
         self._config_freshness = freshness
         self._log = log
@@ -179,8 +183,9 @@
     def _admit(
         self, call: Call, needs_jobs: bool = True
     ) -> _AdmittedCall | outcomes.CallOutcome:
-        is_caught_up = self._follower.is_caught_up or not needs_jobs
-        if self.config.version < 0 or not is_caught_up:
+        # Without the journal, a job that has ended would look like a new one.
+        can_answer = self._is_caught_up() or not needs_jobs
+        if self.config.version < 0 or not can_answer:
             return outcomes.NotStored("starting", _RETRY_STARTING_S)
         is_fresh = self._config_freshness.is_fresh(self._clock.monotonic_s())
         route = self.config.find_route(call.host, call.path)
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -118,6 +118,7 @@
             self._view,
             self._submission_follower,
             appender.GroupAppender(services.owner.submissions, clock),
+            self._is_caught_up,
             self._is_store_failing,
             self._freshness,
             services.owner.log,
