Owner: a cancelled job keeps that end when another owner takes over

What callers saw: a job that had been shown as `cancelled` was shown as `completed` or `failed` after the next takeover, minutes later as well.

Cause: the last run of a cancelled job may end `done` or `failed` before its stop arrives; that is recorded as the step's progress. A new owner restored the progress and decided on the job's end from it before it restored the cancellation, and recorded an end, which goes before a cancellation.

Evidence: test_job_cancelled_before_its_last_run_was_done_stays_cancelled fails before with JobEnd(state='completed').

Ruled out: a cancellation and an end at the same time. The two streams have no common order, so whoever asks within the seconds before both are read may see `cancelled` and then `completed`; the end is the one that holds.

Why it works: a restored job is checked with the next tick or plan, once its cancellation and its end are restored too. A job whose end was not recorded ends then, as test_job_whose_end_was_not_recorded_ends_with_the_next_tick shows.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -78,6 +78,9 @@
         self._planned_s = now_s
         self._team_rate_limits: dict[str, team_rate_limit.TeamRateLimit] = {}
         self._mean_cpu_s: dict[str, float] = {}
+        # Jobs whose restored progress may complete or fail them. They are
+        # checked once their cancellations and ends are restored too.
+        self._restored_jobs: list[tasks.Job] = []
 
     @property
     def jobs(self) -> Mapping[str, tasks.Job]:
@@ -153,6 +156,7 @@
                 step.restore(each)
                 self._state.adopt(job, step, now_s)
                 job.dependencies_changed(each.step_id.occurrence)
+        self._restored_jobs.append(job)
         for step in job.steps.values():
             if step.waiting:
                 self._state.waiting[step.step_id] = step
@@ -172,7 +176,6 @@
                 for step in spec.steps
             ],
         )
-        self._state.check_completion(job, now_s)
         self._state.needs_plan = True
 
     def submit_ended(
@@ -219,6 +222,7 @@
         elapsed_s = now_s - self._state.now_s
         self._state.crashes.observe(len(self._state.workers), elapsed_s)
         self._state.now_s = now_s
+        self._check_restored_jobs(now_s)
         self.vms.evacuate(now_s)
         self._state.expire_orphans(now_s)
         self._state.late_starts.expire(now_s)
@@ -252,6 +256,7 @@
     def plan(self, now_s: float, max_starts: int | None = None) -> None:
         """Places waiting tasks on workers; see `planner.Planner.plan`."""
         self._planned_s = now_s
+        self._check_restored_jobs(now_s)
         self._planner.plan(now_s, max_starts)
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
@@ -437,6 +442,12 @@
             running_tasks=phases[tasks.TaskPhase.RUNNING],
         )
 
+    def _check_restored_jobs(self, now_s: float) -> None:
+        """Finishes restored jobs that are complete or have failed."""
+        restored, self._restored_jobs = self._restored_jobs, []
+        for job in restored:
+            self._state.check_completion(job, now_s)
+
     def _relative_work(self, job: tasks.Job) -> float:
         """Returns a job's work relative to its queue's moving average."""
         work_cpu_s = job.work_cpu_s
