View: a VM that could not read for minutes doesn't run ended jobs again

What callers saw: a job that had ended, and had been erased 150 s later, ran again from its start, once a VM owned that had been suspended or cut off from the store before the job's end, and until it was erased. Until then such a VM showed the job as `queued` or `running`.

Cause: the store keeps records for a limited time (20 s on the users' sites) and the newest of each key. A VM that is further behind reads the newest records, which tell nothing of keys that were erased meanwhile, so its view kept them: the submission, but not the end.

Ruled out: a late record that was taken for a newer one (records carry their offsets, also in the page of the newest).

Why it works: a key with an offset below the end of the page of the newest records that the page doesn't hold was erased. Keys that were written after that have a higher offset and stay; each stream forgets its own keys only.

--- a/foxtaillock/batch/follower.py
+++ b/foxtaillock/batch/follower.py
@@ -44,6 +44,7 @@
         on_failure: called after each failed read.
         on_full_read: called after the newest record of each key was read, with
             all keys.
+        on_newest_read: called after that too, with the records themselves.
     """
 
     def __init__(
@@ -65,6 +66,9 @@
         self.on_caught_up: Callable[[float], None] = lambda _: None
         self.on_failure: Callable[[], None] = lambda: None
         self.on_full_read: Callable[[set[str]], None] = lambda _: None
+        self.on_newest_read: Callable[[interfaces.StreamPage], None] = (
+            lambda _: None
+        )
         self._failures = 0
         self._advanced = asyncio.Event()
         self._skip_pause = asyncio.Event()
@@ -132,6 +136,7 @@
             page = await self._stream.read_newest()
             self._apply_page(page)
             self.on_full_read({record.key for _, record in page.records})
+            self.on_newest_read(page)
             return True
         page = await self._stream.read(self.next_offset, wait_s)
         if page.is_expired:
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -1,6 +1,7 @@
 """One entry VM: follows the streams, serves calls and may become the owner."""
 
 import asyncio
+import functools
 import traceback
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -102,6 +103,11 @@
             self._view.apply,
             services.owner.log,
         )
+        for each in (self._journal_follower, self._submission_follower):
+            each.on_newest_read = functools.partial(
+                self._view.forget_erased,
+                is_of_submissions=each is self._submission_follower,
+            )
         self._set_batched_reads(True)
         self._journal_follower.on_caught_up = self._ownership.journal_read
         self._journal_follower.on_failure = self._on_journal_failure
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -26,6 +26,7 @@
     "WaveProgress",
     "decode",
     "encode",
+    "is_submission",
     "tombstone",
 ]
 
@@ -254,6 +255,16 @@
         return None
 
 
+def is_submission(key: str) -> bool:
+    """Returns whether a key is one of the stream of submissions.
+
+    Example:
+        >>> is_submission("j5c0e"), is_submission("e5c0e")
+        (True, False)
+    """
+    return key[:1] in (_JOB, _CANCEL)
+
+
 def _key_of(record: Record) -> str:
     if isinstance(record, OwnerRecord):
         return _OWNER
--- a/foxtaillock/batch/tests/test_view.py
+++ b/foxtaillock/batch/tests/test_view.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 from foxtaillock.batch.tests import builders
@@ -42,6 +43,26 @@
     return records.encode(record)
 
 
+def _newest_pages(
+    numbered: list[tuple[int, records.KeyedRecord]],
+) -> list[interfaces.StreamPage]:
+    """Returns the newest records of the submissions and of the journal."""
+    newest = {each.key: (number, each) for number, each in numbered}
+    kept = [each for each in newest.values() if each[1].value]
+    return [
+        interfaces.StreamPage(
+            [
+                each
+                for each in kept
+                if records.is_submission(each[1].key) == is_of_submissions
+            ],
+            len(numbered),
+            len(numbered),
+        )
+        for is_of_submissions in (True, False)
+    ]
+
+
 class JournalViewTest(unittest.TestCase):
     """States of jobs in the view."""
 
@@ -69,6 +90,37 @@
                 seed,
             )
 
+    def test_what_was_erased_while_the_stream_expired_is_forgotten(
+        self,
+    ) -> None:
+        for seed in range(_SEEDS):
+            rng = random.Random(seed)
+            numbered = list(
+                enumerate(_random_record(rng) for _ in range(_RECORDS))
+            )
+            end = rng.randrange(_RECORDS // 2, _RECORDS)
+            pages = _newest_pages(numbered[:end])
+            journal_view, reference = view.JournalView(), naive_view.NaiveView()
+            for offset, record in numbered[: end // 2]:
+                journal_view.apply(offset, record)
+            for page, is_of_submissions in zip(pages, (True, False)):
+                for offset, record in page.records:
+                    journal_view.apply(offset, record)
+                journal_view.forget_erased(page, is_of_submissions)
+            for offset, record in numbered[end:]:
+                journal_view.apply(offset, record)
+            for offset, record in numbered:
+                reference.apply(offset, record)
+            for job_id in _JOBS:
+                job = journal_view.job(job_id)
+                state = None if job is None else job.state.value
+                self.assertEqual(state, reference.state(job_id), seed)
+            self.assertEqual(
+                journal_view.waiting_count("q"),
+                reference.waiting_count("q"),
+                seed,
+            )
+
     def test_job_whose_only_start_failed_is_not_counted_as_waiting(
         self,
     ) -> None:
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 
@@ -71,6 +72,27 @@
         self._fold(record)
         self.on_record(record)
 
+    def forget_erased(
+        self, page: interfaces.StreamPage, is_of_submissions: bool
+    ) -> None:
+        """Forgets what was erased while this VM could not read a stream.
+
+        The records that erased a key expire like all others.
+
+        Args:
+            page: newest record of each key of the stream.
+            is_of_submissions: whether that is the stream of submissions; the
+                other one is that of the owners' records.
+        """
+        kept = {record.key for _, record in page.records}
+        for key, offset in list(self._offsets.items()):
+            if (
+                key not in kept
+                and offset < page.next_offset
+                and records.is_submission(key) == is_of_submissions
+            ):
+                self.apply(page.next_offset - 1, records.KeyedRecord(key, b""))
+
     def job(self, job_id: str) -> JobView | None:
         """Returns a job and its state, or None."""
         spec = self._jobs.get(job_id)
