Follower: a VM that starts is caught up without waiting for a record

What callers saw: each entry VM that had started answered states and calls with a key with 503 for 0.7 s more than it needed to, also after a power loss of all of them; a new owner placed nothing until a worker's entry changed, for up to 0.7 s.

Cause: after the newest records, the first read of a stream waited for a new record. Until it returned, the VM didn't know that it had read all of them.

Evidence: test_starting_vm_is_caught_up_without_waiting_for_a_record fails before (0.7 s asked for, in place of 0).

Ruled out: the time of the newest records themselves (what is left after the change is theirs).

Why it works: until the end was reached once, reads ask for what is there.

--- a/foxtaillock/batch/follower.py
+++ b/foxtaillock/batch/follower.py
@@ -87,7 +87,10 @@
         """Follows the stream until cancelled."""
         while True:
             try:
-                has_records = await self._read_once(_READ_TIMEOUT_S)
+                # A VM that starts must not wait for records before it knows
+                # that it has read all of them.
+                wait_s = _READ_TIMEOUT_S if self.is_caught_up else 0.0
+                has_records = await self._read_once(wait_s)
             except interfaces.StoreError as error:
                 await self._back_off(error)
                 continue
--- a/foxtaillock/batch/tests/test_follower.py
+++ b/foxtaillock/batch/tests/test_follower.py
@@ -64,3 +64,47 @@
             await self.follower.catch_up()
         self.assertEqual(self.applied, ["k0", "k2"])
         self.assertEqual(self.lines, ["record-not-applied"])
+
+
+class _QuietStream:
+    """Stream without new records.
+
+    Attributes:
+        waits_s: for how long each read asked to wait.
+    """
+
+    def __init__(self) -> None:
+        self.waits_s: list[float] = []
+
+    async def read(self, offset: int, wait_s: float) -> interfaces.StreamPage:
+        """Returns no record."""
+        await asyncio.sleep(0.01)
+        self.waits_s.append(wait_s)
+        return interfaces.StreamPage((), offset, offset)
+
+    async def read_newest(self) -> interfaces.StreamPage:
+        """Returns an empty page."""
+        return interfaces.StreamPage((), 0, 0)
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """A VM that starts on a stream without new records."""
+
+    async def test_starting_vm_is_caught_up_without_waiting_for_a_record(
+        self,
+    ) -> None:
+        stream = _QuietStream()
+        started = follower.Follower(
+            "test",
+            typing.cast(interfaces.KeyedStream, stream),
+            model_clock.SystemClock(),
+            lambda *_: None,
+            lambda *_, **__: None,
+        )
+        running = asyncio.ensure_future(started.run())
+        async with asyncio.timeout(5.0):
+            while len(stream.waits_s) < 2:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        self.assertEqual(stream.waits_s[0], 0.0)
+        self.assertGreater(stream.waits_s[1], 0.0)
