View: keys that were erased don't take memory for ever

What callers saw: nothing yet. Each entry VM kept the offset of every key that its streams ever held, so its memory grew with each job, on all VMs alike; a VM that exceeds its memory is killed, and VMs that started together would be killed together.

Cause: an erased key's offset is kept so that an older record that arrives late isn't taken for a newer one, without a limit.

Ruled out: the jobs themselves; all else of them goes with the erasure.

Why it works: late records come with reads that were under way, which take seconds. The latest 10,000 erasures are remembered, more than a VM sees in that time; keys that stand are remembered as before.

--- a/foxtaillock/batch/tests/test_view.py
+++ b/foxtaillock/batch/tests/test_view.py
@@ -139,6 +139,20 @@
             journal_view.apply(offset, records.encode(progress))
             self.assertEqual(journal_view.waiting_count("q"), waiting)
 
+    def test_erased_jobs_do_not_take_memory_for_ever(self) -> None:
+        journal_view = view.JournalView()
+        offset = 0
+        for number in range(30_000):
+            end = records.JobEnd(f"{number:016x}", "completed", 9)
+            for record in (records.encode(end), records.tombstone(end)):
+                journal_view.apply(offset, record)
+                offset += 1
+        self.assertLessEqual(journal_view.key_count, 10_000)
+        # A late record of a key that was erased lately is still an old one.
+        last = records.JobEnd(f"{29_999:016x}", "completed", 9)
+        journal_view.apply(offset - 2, records.encode(last))
+        self.assertIsNone(journal_view.end(last.job_id))
+
     def test_unknown_records_are_skipped(self) -> None:
         journal_view = view.JournalView()
         journal_view.apply(0, records.KeyedRecord("x1", b"abc"))
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -12,6 +12,11 @@
 __all__ = ["JobView", "JournalView"]
 
 
+# Erased keys of which a late record is still recognized as old. Late records
+# come with reads that were under way when the erasure was applied.
+_MAX_ERASED_KEYS = 10_000
+
+
 class JobView(typing.NamedTuple):
     """A job and its state according to the journal.
 
@@ -46,6 +51,9 @@
 
     def __init__(self) -> None:
         self._offsets: dict[str, int] = {}
+        self._erased_offsets: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._jobs: dict[str, model.JobSpec] = {}
         self._cancellations: dict[str, records.Cancellation] = {}
         self._progress: dict[str, dict[model.StepId, records.StepProgress]] = {}
@@ -60,12 +68,17 @@
 
     def apply(self, offset: int, keyed: records.KeyedRecord) -> None:
         """Applies a record unless a newer one of its key is known."""
-        if self._offsets.get(keyed.key, -1) >= offset:
+        key = keyed.key
+        if self._offsets.get(key, -1) >= offset:
+            return
+        if self._erased_offsets.get(key, -1) >= offset:
             return
-        self._offsets[keyed.key] = offset
         if not keyed.value:
-            self._forget(keyed.key)
+            self._offsets.pop(key, None)
+            self._note_erased(key, offset)
+            self._forget(key)
             return
+        self._offsets[key] = offset
         record = records.decode(keyed.key, keyed.value)
         if record is None:
             return
@@ -93,6 +106,11 @@
             ):
                 self.apply(page.next_offset - 1, records.KeyedRecord(key, b""))
 
+    @property
+    def key_count(self) -> int:
+        """Number of keys that are remembered, erased ones included."""
+        return len(self._offsets) + len(self._erased_offsets)
+
     def job(self, job_id: str) -> JobView | None:
         """Returns a job and its state, or None."""
         spec = self._jobs.get(job_id)
@@ -137,6 +155,12 @@
         """Returns the number of a queue's jobs of which no task has started."""
         return self._waiting[queue]
 
+    def _note_erased(self, key: str, offset: int) -> None:
+        self._erased_offsets[key] = offset
+        self._erased_offsets.move_to_end(key)
+        if len(self._erased_offsets) > _MAX_ERASED_KEYS:
+            self._erased_offsets.popitem(last=False)
+
     def _state(self, job_id: str) -> model.JobState:
         end = self._ends.get(job_id)
         if end is not None:
