--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -10,6 +10,7 @@
 import struct
 import time
 import typing
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -78,6 +79,8 @@
         append_delay_s: time that each append takes.
         lost_answers: number of coming appends that take effect but whose
             answers are lost.
+        on_append: called with `received` or `stored`, and the keys and values
+            of the records, before and after an append takes effect.
         is_away: whether the store refuses all requests.
         is_silent: whether the store answers no request.
         workers: workers by id.
@@ -95,6 +98,9 @@
         self.append_failures: list[int] = []
         self.append_delay_s = 0.0
         self.lost_answers = 0
+        self.on_append: Callable[[str, list[tuple[str, bytes]]], None] = (
+            lambda *_: None
+        )
         self.is_away = False
         self.is_silent = False
         self.workers: dict[str, fake_worker.FakeWorker] = {}
@@ -197,8 +203,11 @@
         if self.append_failures:
             return web.Response(status=self.append_failures.pop(0))
         topic = self.topic(request.query["topic"])
+        appended = [_key_and_value(content) for content in _split(body)]
+        self.on_append("received", appended)
         answer = self._append(topic, request, body)
         self._wake()
+        self.on_append("stored", appended)
         if self.lost_answers:
             self.lost_answers -= 1
             assert request.transport is not None
@@ -376,6 +385,11 @@
     return bytes((len(key),)) + key.encode() + value
 
 
+def _key_and_value(content: bytes) -> tuple[str, bytes]:
+    end = 1 + content[0]
+    return content[1:end].decode(), content[end:]
+
+
 def _split(body: bytes) -> list[bytes]:
     found, position = [], 0
     while position < len(body):
