Store: a VM that is far behind gets on over a slow link

What callers saw: nothing yet; the sites of today have links of 1,000 Mbit/s. On a link of 5 Mbit/s, which the design allows for, a VM that was more than 0.5 MB behind, after a pause of some seconds, would not have caught up until the store had dropped what it lacked, and a VM that starts on a store with a large page of newest records would never have become ready. Such VMs refuse submissions, and answer 503 for jobs that they don't know.

Cause: a read returns up to 1 MB, which takes 1.7 s there, and has 0.9 s; a page of newest records takes 2.3 s and has 1.8 s. The next attempt asked for the same again.

Ruled out: a fixed lower limit (a record of the operators may be as large as the limit, and what a store then returns isn't specified).

Why it works: each read that did not arrive halves the size of the next, down to 64 KB, until the VM has caught up; each page of newest records that did not arrive doubles the time for the next, up to 8 s. Nothing changes while answers arrive.

--- a/foxtaillock/platform/store.py
+++ b/foxtaillock/platform/store.py
@@ -25,6 +25,16 @@
 # takes about 300 ms.
 _ANSWER_TIMEOUT_S = 0.9
 
+# Size limit of one read. It is halved after each read that did not arrive in
+# time, so that a VM which is far behind gets on over a slow link.
+_MAX_READ_KB = 1_024
+_MIN_READ_KB = 64
+
+# Timeout of a page of newest records, whose size can't be chosen. It is doubled
+# after each page that did not arrive in time.
+_NEWEST_TIMEOUT_S = 1.8
+_MAX_NEWEST_TIMEOUT_S = 8.0
+
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 _OK, _CONFLICT, _GONE = 200, 409, 410
@@ -78,6 +88,8 @@
         self._address = address
         self._topic = topic
         self._producer = producer
+        self._read_kb = _MAX_READ_KB
+        self._newest_timeout_s = _NEWEST_TIMEOUT_S
 
     async def append(
         self,
@@ -109,12 +121,18 @@
         """Reads from `offset` on; see `interfaces.KeyedStream.read`."""
         query = self._query()
         query["from"] = str(offset)
+        if self._read_kb < _MAX_READ_KB:
+            query["max_kb"] = str(self._read_kb)
         if wait_s > 0:
             query["wait_ms"] = str(int(wait_s * 1000))
         url = f"http://{self._address}/-/log-read?{parse.urlencode(query)}"
-        answer = await self._call(
-            "GET", http_client.parse_url(url), wait_s + _ANSWER_TIMEOUT_S
-        )
+        try:
+            answer = await self._call(
+                "GET", http_client.parse_url(url), wait_s + _ANSWER_TIMEOUT_S
+            )
+        except interfaces.StoreUnreachableError:
+            self._read_kb = max(_MIN_READ_KB, self._read_kb // 2)
+            raise
         if answer.status == _GONE:
             return interfaces.StreamPage((), offset, offset, is_expired=True)
         if answer.status != _OK:
@@ -124,14 +142,16 @@
             decoded = decode_records(answer.body[_OFFSETS.size :])
         except (struct.error, ValueError) as error:
             raise self._malformed(error) from error
+        next_offset = offset + len(decoded)
+        if next_offset >= end_offset or not decoded:
+            # It is caught up, or a record is larger than the limit.
+            self._read_kb = _MAX_READ_KB
         with_offsets = [
             (offset + position, record)
             for position, record in enumerate(decoded)
             if record is not None
         ]
-        return interfaces.StreamPage(
-            with_offsets, offset + len(decoded), end_offset
-        )
+        return interfaces.StreamPage(with_offsets, next_offset, end_offset)
 
     async def read_newest(self) -> interfaces.StreamPage:
         """Reads the newest record of each key.
@@ -159,7 +179,13 @@
             # In this call, `depends_on` is the key after which to continue.
             query["depends_on"] = after_key
         url = f"http://{self._address}/-/log-newest?{parse.urlencode(query)}"
-        answer = await self._call("GET", url, 2 * _ANSWER_TIMEOUT_S)
+        try:
+            answer = await self._call("GET", url, self._newest_timeout_s)
+        except interfaces.StoreUnreachableError:
+            self._newest_timeout_s = min(
+                _MAX_NEWEST_TIMEOUT_S, 2 * self._newest_timeout_s
+            )
+            raise
         if answer.status != _OK:
             raise self._status_error(answer)
         try:
