--- a/foxtaillock/batch/tests/power_loss_simulation.py
+++ b/foxtaillock/batch/tests/power_loss_simulation.py
@@ -218,6 +218,9 @@
         self.store.faults = faulty_store.StoreFaults()
         for vm in self.vms.values():
             vm.power.runs.set()
+        self._change_config()
+        while simulated_vm.is_withdrawn(self._config_version):
+            self._change_config()
         self._calm_since_s = _now_s()
 
     def _lose_power_at_a_step(self) -> None:
--- a/foxtaillock/batch/tests/simulated_vm.py
+++ b/foxtaillock/batch/tests/simulated_vm.py
@@ -21,7 +21,15 @@
 from foxtaillock.model import resources
 from foxtaillock.state.tests import virtual_loop
 
-__all__ = ["HOST", "KEY", "PREFIX", "Fleet", "SimulatedVm", "create_config"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "PREFIX",
+    "Fleet",
+    "SimulatedVm",
+    "create_config",
+    "is_withdrawn",
+]
 
 _T = typing.TypeVar("_T")
 
@@ -222,14 +230,28 @@
         return answer
 
 
+def is_withdrawn(version: int) -> bool:
+    """Returns whether a version of the configuration lacks the queue."""
+    return version % 4 == 1
+
+
 def create_config(version: int) -> configuration.Configuration:
-    """Returns a configuration whose queue is open in every third version."""
+    """Returns a version of the configuration.
+
+    Its queue is open in every third version, and withdrawn in every fourth.
+    """
     queue = builders.queue()._replace(is_open=version % 3 == 0)
     route = configuration.Route(HOST, PREFIX, queue.name)
     pools = [model.Pool("pool", False, False)]
     teams = [(model.Team("team", 9.0, resources.ZERO), [KEY])]
+    is_served = not is_withdrawn(version)
     return configuration.create_configuration(
-        version, [route], [queue], pools, teams, 1 << 18
+        version,
+        [route] if is_served else [],
+        [queue] if is_served else [],
+        pools,
+        teams,
+        1 << 18,
     )
 
 
