Blame: time at work is known over owners, as bounds

Cause: a run's time at work began with the first answer that an owner had of it, and nothing of it was recorded.

The record of a run now carries two readings of its worker's clock, one before which it had not begun and one by which it had. A new owner derives a lower and an upper bound from its first list. The exposure is the upper bound; times before crashes are as unlike as the bounds allow; a trial is over by the lower bound, so it ends under owners in series as well. The readings belong to one incarnation and are dropped with it.

The other direction: CulpritTest (given up within five starts with owners in series, beside other crashes too) passes before and after.

Changed tests: the fake fleet's worker clocks go on and begin anew with an incarnation (they stood still), its new owners read the crash rate and wait for earlier leases, as in production; lose_contact goes on once the worker is gone, which is now sooner by that clock. The test of old records covers eleven fields beside six.

Ruled out: recording each run's work each second (a record a second for each run); the wall clock of the owner (VMs' clocks differ).

--- a/foxtaillock/batch/crash_suspects.py
+++ b/foxtaillock/batch/crash_suspects.py
@@ -102,10 +102,10 @@
 
     Attributes:
         crashes: crashes while it ran, or may have run.
-        work_s: time for which its runs have been at work.
-        shortest_s: shortest time at work before one of these crashes; 0 if
-            other workers crashed at the same time as one of them.
-        longest_s: longest time at work before one of them.
+        work_s: time for which its runs have been at work, at most.
+        shortest_s: shortest time at work before one of these crashes, at
+            least; 0 if other workers crashed at the same time as one of them.
+        longest_s: longest time at work before one of them, at most.
         unseen: number of those crashes before which the run was not seen.
     """
 
@@ -123,12 +123,20 @@
         return seen_s + self.unseen * _UNSEEN_RUN_S
 
     def with_crash(
-        self, worked_s: float, is_shared: bool, is_seen: bool = True
+        self,
+        worked_s: float,
+        worked_at_most_s: float,
+        is_shared: bool,
+        is_seen: bool = True,
     ) -> "CrashHistory":
         """Returns the history with one crash more.
 
+        Times at work that are known as bounds differ by as much as the bounds
+        allow, so what was not seen never makes them alike.
+
         Args:
-            worked_s: time at work of the run before the crash.
+            worked_s: time for which the run was certainly at work before.
+            worked_at_most_s: time for which it was at work before, at most.
             is_shared: whether other workers crashed at the same time.
             is_seen: whether the run was seen to be active shortly before.
         """
@@ -139,7 +147,7 @@
             self.crashes + 1,
             self.work_s,
             shortest_s if is_seen and not is_shared else 0.0,
-            max(self.longest_s, worked_s),
+            max(self.longest_s, worked_s, worked_at_most_s),
             self.unseen + (not is_seen),
         )
 
@@ -150,7 +158,8 @@
     Attributes:
         task: its task.
         history: the task's history with this crash.
-        worked_s: time for which the run was seen to be active.
+        worked_s: time for which the run was certainly at work.
+        worked_at_most_s: time for which it was at work, at most.
         is_confirmed: whether the worker had told shortly before that the run
             was active.
         is_counted: whether the crash was counted as a possible one already.
@@ -159,6 +168,7 @@
     task: model.TaskId
     history: CrashHistory
     worked_s: float
+    worked_at_most_s: float
     is_confirmed: bool
     is_counted: bool = False
 
@@ -194,8 +204,8 @@
         >>> job_b = model.TaskId("b", 0, 0, 0)
         >>> blame = assign_blame(
         ...     [
-        ...         RunAtCrash(job_a, CrashHistory(3, 0.6), 0.2, True),
-        ...         RunAtCrash(job_b, CrashHistory(1, 60.0), 60.0, True),
+        ...         RunAtCrash(job_a, CrashHistory(3, 0.6), 0.2, 0.2, True),
+        ...         RunAtCrash(job_b, CrashHistory(1, 60.0), 60.0, 60.0, True),
         ...     ],
         ...     CrashRate(3, 1000.0),
         ... )
--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -18,6 +18,7 @@
 from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import records
+from foxtaillock.batch import run_times
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
@@ -334,23 +335,50 @@
             if task.is_suspected and task.phase is not tasks.TaskPhase.DONE
         )
 
-    def record_work(self, task: tasks.Task) -> None:
-        """Records how long a suspected task has been at work.
+    def record_active(
+        self,
+        task: tasks.Task,
+        worker: workers.Worker,
+        clock_ms: int,
+        now_s: float,
+    ) -> None:
+        """Records that a worker has told that a run is active on it.
+
+        For suspects, and for tasks that last, it goes to the journal at once,
+        so that the next owner knows their time at work.
+
+        Args:
+            task: task of the run.
+            worker: the worker.
+            clock_ms: reading of its clock in its answer.
+            now_s: current time.
+        """
+        is_new = run_times.note_active(task, worker, clock_ms, now_s)
+        job = self._jobs.get(task.task_id.job_id)
+        lasts = job is not None and job.is_persistent
+        if is_new and (lasts or task.is_suspected):
+            self._record(task)
+
+    def record_work(self, task: tasks.Task, worker: workers.Worker) -> None:
+        """Records how long a task has been at work on a worker.
 
         A run that has outlasted its trial is no longer kept apart. What is
         counted against its task stays: it may crash its worker later.
         """
+        worked_at_most_s = run_times.worked_at_most_s(task, worker)
+        task.run_work_s = max(task.run_work_s, worked_at_most_s)
         if not task.is_suspected:
             return
+        worked_s = run_times.worked_s(task, worker)
         if task.work_s - task.recorded_work_s >= _WORK_INTERVAL_S:
             self._record(task)
-        is_over = task.run_work_s >= isolation.trial_s(task)
+        is_over = worked_s >= isolation.trial_s(task)
         if is_over and task.task_id in self.suspects:
             self._log(
                 "task-trial-over",
                 task=model.format_task_id(task.task_id),
                 run=task.run,
-                worked_s=round(task.run_work_s, 2),
+                worked_s=round(worked_s, 2),
                 crashes=task.crashes,
                 possible=task.possible_crashes,
             )
@@ -399,7 +427,9 @@
             earlier = earlier._replace(
                 crashes=earlier.crashes - 1, unseen=earlier.unseen - 1
             )
-        return earlier.with_crash(run.worked_s, is_shared, run.is_confirmed)
+        return earlier.with_crash(
+            run.worked_s, run.worked_at_most_s, is_shared, run.is_confirmed
+        )
 
     def _open_task(self, task_id: model.TaskId) -> tasks.Task | None:
         """Returns a task unless it or its job has ended."""
--- a/foxtaillock/batch/isolation.py
+++ b/foxtaillock/batch/isolation.py
@@ -19,6 +19,7 @@
 
 from foxtaillock.batch import crash_suspects
 from foxtaillock.batch import placement
+from foxtaillock.batch import run_times
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
@@ -27,7 +28,6 @@
     "run_at_crash",
     "runs_at_crash",
     "trial_s",
-    "worked_s",
 ]
 
 # A trial lasts for this multiple of the mean time at work before a crash, and
@@ -56,14 +56,6 @@
 _MAX_PERSISTENT_WAIT_S = 2.0
 
 
-def worked_s(task: tasks.Task, worker: workers.Worker) -> float:
-    """Returns for how long a run was seen to be active on its worker."""
-    if task.phase is not tasks.TaskPhase.RUNNING:
-        return 0.0
-    since_s = task.changed_s if task.began_s is None else task.began_s
-    return max(0.0, worker.answered_s - since_s)
-
-
 def trial_s(task: tasks.Task) -> float:
     """Returns the time at work after which a run need not be kept apart."""
     earlier_s = task.earlier_work_s / max(1, task.all_crashes)
@@ -78,7 +70,8 @@
     return crash_suspects.RunAtCrash(
         task.task_id,
         task.crash_history,
-        worked_s(task, worker),
+        run_times.worked_s(task, worker),
+        run_times.worked_at_most_s(task, worker),
         task.phase is tasks.TaskPhase.RUNNING
         and silent_s <= crash_suspects.MAX_SILENCE_S,
     )
@@ -242,5 +235,5 @@
     return {
         task.task_id.job_id
         for task in worker.tasks.values()
-        if worked_s(task, worker) < trial_s(task)
+        if run_times.worked_s(task, worker) < trial_s(task)
     }
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -16,6 +16,7 @@
 from foxtaillock.batch import plans
 from foxtaillock.batch import ready_steps
 from foxtaillock.batch import reservations
+from foxtaillock.batch import run_times
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import tickets
@@ -242,7 +243,7 @@
         task.worker_started_ms = worker.entry.started_ms
         task.is_listed = False
         task.end_run()
-        task.began_s = None
+        run_times.note_placed(task, worker, now_s)
         task.is_stopping = False
         task.stopped_s = None
         task.speed_percent = 0
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -120,10 +120,16 @@
         checkpoint: checkpoint to resume from; empty for none.
         crashes: workers that crashed while it ran.
         possible_crashes: workers that crashed while it may have run.
-        work_ms: time for which its runs have been at work.
+        work_ms: time for which its runs have been at work, at most.
         shortest_crash_ms: shortest time at work before a crash; see
             `crash_suspects.CrashHistory`.
         longest_crash_ms: longest time at work before a crash.
+        run_work_ms: the latest run's share of `work_ms`.
+        not_before_clock_ms: reading of the clock of that incarnation of the
+            worker before which the latest run had not begun; 0 if that is not
+            known.
+        active_clock_ms: reading of that clock by which the latest run had
+            begun; 0 if that is not known.
     """
 
     number: int
@@ -137,6 +143,9 @@
     work_ms: int = 0
     shortest_crash_ms: int = 0
     longest_crash_ms: int = 0
+    run_work_ms: int = 0
+    not_before_clock_ms: int = 0
+    active_clock_ms: int = 0
 
 
 class StepProgress(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -65,7 +65,7 @@
         crashes: workers that crashed while it ran.
         possible_crashes: workers that crashed while it may have run.
         earlier_work_s: time for which its earlier runs were at work.
-        run_work_s: time for which its latest run has been seen at work.
+        run_work_s: time for which its latest run has been at work, at most.
         recorded_work_s: time at work in the latest record.
         shortest_crash_s: shortest time at work before a crash; see
             `crash_suspects.CrashHistory`.
@@ -79,6 +79,14 @@
         changed_s: time of the latest phase change or stop order.
         began_s: time at which the worker confirmed the run's start; None if
             it is not known.
+        not_before_s: time before which the latest run had not begun; None if
+            that is not known.
+        not_before_clock_ms: the same, as a reading of the clock of that
+            incarnation of its worker; 0 if nothing is known.
+        active_s: time by which the latest run had begun; None if that is not
+            known.
+        active_clock_ms: the same, as a reading of that clock; 0 if nothing is
+            known.
         is_stopping: whether the run is being stopped.
         stopped_s: time at which the worker confirmed the stop; None before.
         was_done: whether an earlier run, given up by the owner, was completed.
@@ -107,6 +115,10 @@
     checkpoint: str = ""
     changed_s: float = 0.0
     began_s: float | None = None
+    not_before_s: float | None = None
+    not_before_clock_ms: int = 0
+    active_s: float | None = None
+    active_clock_ms: int = 0
     is_stopping: bool = False
     stopped_s: float | None = None
     was_done: bool = False
@@ -164,6 +176,9 @@
             int(self.work_s * 1000),
             int(self.shortest_crash_s * 1000),
             int(self.longest_crash_s * 1000),
+            int(self.run_work_s * 1000),
+            self.not_before_clock_ms,
+            self.active_clock_ms,
         )
 
 
@@ -256,13 +271,16 @@
             task.checkpoint = row.checkpoint
             task.crashes = row.crashes
             task.possible_crashes = row.possible_crashes
-            task.earlier_work_s = row.work_ms / 1000
-            task.recorded_work_s = task.earlier_work_s
+            task.earlier_work_s = (row.work_ms - row.run_work_ms) / 1000
+            task.run_work_s = row.run_work_ms / 1000
+            task.recorded_work_s = task.work_s
             task.shortest_crash_s = row.shortest_crash_ms / 1000
             task.longest_crash_s = row.longest_crash_ms / 1000
             if row.worker_id:
                 task.worker_id = row.worker_id
                 task.worker_started_ms = row.worker_started_ms
+                task.not_before_clock_ms = row.not_before_clock_ms
+                task.active_clock_ms = row.active_clock_ms
                 task.phase = TaskPhase.ADOPTED
                 self.waiting.discard(row.number)
 
--- a/foxtaillock/batch/tests/crash_fleet.py
+++ b/foxtaillock/batch/tests/crash_fleet.py
@@ -10,6 +10,7 @@
 from foxtaillock.batch import plans
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import view
+from foxtaillock.batch import workers as batch_workers
 from foxtaillock.batch.tests import builders
 
 __all__ = [
@@ -26,6 +27,9 @@
 
 ROUND_S = 0.5
 
+# The first incarnations of the workers have been there since then.
+_FIRST_CLOCK_S = 5.0
+
 # Time until a worker that was started again answers a poll.
 ANSWER_S = 0.01
 
@@ -47,6 +51,7 @@
         self._offset = 0
         self._epoch = 0
         self._ends: collections.Counter[str] = collections.Counter()
+        self._clocks_s: dict[str, float] = {}
         self._submitted: list[model.JobSpec] = []
         self.engine = self._create_owner()
         self.register_all()
@@ -77,6 +82,7 @@
     def entry(self, worker_id: str, **fields: typing.Any) -> model.WorkerEntry:
         """Returns the registry entry of a worker."""
         started_ms = self.started_ms[worker_id]
+        fields.setdefault("clock_ms", self._clock_ms(worker_id))
         return builders.entry(
             worker_id, self._cpu, started_ms=started_ms, **fields
         )
@@ -95,7 +101,8 @@
                 continue
             started.append(plan)
             self.starts[plan.task.task_id.job_id] += 1
-            answer = interfaces.OrderAnswer(outcome, 5000)
+            clock_ms = self._clock_ms(plan.worker.worker_id)
+            answer = interfaces.OrderAnswer(outcome, clock_ms)
             self.engine.answers.start_answered(plan, answer, self.now_s)
         return started
 
@@ -103,6 +110,7 @@
         """Starts a worker again under its id; it tells so by itself."""
         self.started_ms[worker_id] += 1
         self._ends[worker_id] = 0
+        self._clocks_s[worker_id] = self.now_s
         self.engine.register(self.entry(worker_id), self.now_s)
         self.now_s += ANSWER_S
         self.poll(worker_id, [])
@@ -158,7 +166,9 @@
         plan = self.engine.answers.poll_plan(worker, self.now_s)
         if plan is None:
             return
-        answer = builders.lists(running, ended, self.started_ms[worker_id])
+        answer = builders.lists(
+            running, ended, self.started_ms[worker_id]
+        )._replace(clock_ms=self._clock_ms(worker_id))
         self.engine.answers.poll_answered(
             worker_id, plan, answer, self.now_s, self.now_s
         )
@@ -178,8 +188,10 @@
         unknown = interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
         end_s = self.now_s + length_s
         while self.now_s < end_s:
-            worker = self.engine.workers[worker_id]
-            plan = self.engine.answers.poll_plan(worker, self.now_s)
+            worker = self.engine.workers.get(worker_id)
+            plan = None
+            if worker is not None:
+                plan = self.engine.answers.poll_plan(worker, self.now_s)
             if plan is not None:
                 self.engine.answers.poll_answered(
                     worker_id, plan, unknown, self.now_s, self.now_s
@@ -228,6 +240,11 @@
             for task in step.tasks
         )
 
+    def _clock_ms(self, worker_id: str) -> int:
+        """Returns the time on the clock of a worker's incarnation."""
+        began_s = self._clocks_s.get(worker_id, _FIRST_CLOCK_S)
+        return int((self.now_s - began_s) * 1000)
+
     def _play_worker(self, worker_id: str, crashers: frozenset[str]) -> None:
         worker = self.engine.workers[worker_id]
         jobs = {task_id.job_id for task_id in worker.tasks}
@@ -238,14 +255,18 @@
 
     def _create_owner(self) -> engines.Engine:
         self._epoch += 1
+        leases_end_s = batch_workers.prior_leases_end_s(
+            self.now_s, has_ended=True
+        )
         engine = engines.Engine(
             self._epoch,
             self.now_s,
-            prior_leases.PriorLeases(self.now_s),
+            prior_leases.PriorLeases(leases_end_s),
             self._log,
         )
         pool = model.Pool("pool", False, False)
         engine.configure({"q": builders.queue()}, {"pool": pool}, {})
+        engine.restore_crash_rate(self.view.fleet_crashes)
         return engine
 
     def _record(self) -> list[plans.StartPlan]:
--- a/foxtaillock/batch/tests/test_crash_suspects.py
+++ b/foxtaillock/batch/tests/test_crash_suspects.py
@@ -18,7 +18,7 @@
     """Returns a run of a task with that many crashes."""
     history = crash_suspects.CrashHistory(crashes, work_s, 0.0, work_s)
     task = model.TaskId(job, 0, 0, number)
-    return crash_suspects.RunAtCrash(task, history, work_s, True)
+    return crash_suspects.RunAtCrash(task, history, work_s, work_s, True)
 
 
 def _naive_culprits(
@@ -139,9 +139,9 @@
 
     def test_time_before_a_crash_with_others_says_nothing(self) -> None:
         history = crash_suspects.CrashHistory(2, 20.0, 10.0, 10.0)
-        history = history.with_crash(10.0, is_shared=True)
+        history = history.with_crash(10.0, 10.0, is_shared=True)
         self.assertEqual(history.shortest_s, 0.0)
-        history = history.with_crash(10.0, is_shared=False)
+        history = history.with_crash(10.0, 10.0, is_shared=False)
         self.assertEqual(
             history, crash_suspects.CrashHistory(4, 20.0, 0.0, 10.0)
         )
--- a/foxtaillock/batch/tests/test_crashes.py
+++ b/foxtaillock/batch/tests/test_crashes.py
@@ -427,13 +427,15 @@
         self.assertEqual(fleet.crashes(crash_fleet.INNOCENT), 2)
 
     def test_record_of_a_task_without_crashes_is_read(self) -> None:
-        """Earlier versions wrote six fields."""
+        """Earlier versions wrote six fields, and then eleven."""
         progress = records.TaskProgress(0, 2, 1, "w", 7, "text")
         step_id = model.StepId(crash_fleet.INNOCENT, 0, 0)
         step = records.StepProgress(step_id, 1, b"", (progress,))
         key, value = records.encode(step)
-        earlier = value.replace(b"\xa4text" + 5 * b"\0", b"\xa4text").replace(
-            b"\x9b\x00\x02", b"\x96\x00\x02"
-        )
-        self.assertNotEqual(earlier, value)
-        self.assertEqual(records.decode(key, earlier), step)
+        for fields in (6, 11):
+            zeros = (fields - 6) * b"\0"
+            earlier = value.replace(
+                b"\xa4text" + 8 * b"\0", b"\xa4text" + zeros
+            ).replace(b"\x9e\x00\x02", bytes([0x90 + fields]) + b"\x00\x02")
+            self.assertNotEqual(earlier, value)
+            self.assertEqual(records.decode(key, earlier), step)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import speed_limits
@@ -80,6 +79,10 @@
         if outcome is interfaces.OrderOutcome.ACCEPTED:
             self._state.set_phase(task, tasks.TaskPhase.RUNNING, now_s)
             task.began_s = now_s
+            if answer.clock_ms is not None:
+                self._state.crashes.record_active(
+                    task, worker, answer.clock_ms, now_s
+                )
             return
         self._state.log(
             "start-not-accepted",
@@ -303,8 +306,7 @@
                 continue
             present.add(listed.task)
             self._apply_running(task, worker, listed, now_s)
-            task.run_work_s = isolation.worked_s(task, worker)
-            self._state.crashes.record_work(task)
+            self._state.crashes.record_work(task, worker)
         if had_unexpected_runs and not worker.has_unexpected_runs:
             self._state.needs_plan = True
         lost = []
@@ -326,6 +328,7 @@
         listed: interfaces.ActiveRun,
         now_s: float,
     ) -> None:
+        self._state.crashes.record_active(task, worker, worker.clock_ms, now_s)
         if task.worker_started_ms != worker.entry.started_ms:
             task.worker_started_ms = worker.entry.started_ms
             self._state.mark_dirty(task)
