Blame: a worker whose VM an earlier owner ordered away has not crashed

Callers saw a job failed under which no worker had crashed: each planned order for its worker's VM counted as a possible crash once a new owner ended the run ("its worker never registered"), and the fifth gave the job up, with LOST.

Cause: only the worker in hand tells that its end is planned. A worker that never registered has none, and the hold of earlier owners' orders (3.3 s) is over before their leases are, so a silence, an absence, or a maintained worker that is back counted.

The record of a run now says whether its worker's VM may have been ordered away since. A new owner marks the runs on held workers, placed ones too. The mark survives owners, as the end may show to a later one when the orders are not on record any more; it goes once the worker lists the run after the hold, since then the order was not carried out.

Ruled out: a longer record of orders (a series of owners outlasts any); not counting absences at all (a culprit that crashes its workers during takeovers is bounded by them, test_crash_during_a_takeover_counts).

--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -52,6 +52,13 @@
     )
 
 
+def _is_planned(worker: workers.Worker) -> bool:
+    """Returns whether a worker ends as planned, or may."""
+    return worker.is_leaving or any(
+        task.is_displaced for task in worker.tasks.values()
+    )
+
+
 def _is_simultaneous(one_s: float, other_s: float) -> bool:
     return abs(one_s - other_s) <= _SIMULTANEOUS_S
 
@@ -172,7 +179,7 @@
             The tasks that are given up for it.
         """
         is_proven = has_answered or is_restart(worker.entry, successor)
-        if worker.is_leaving or not is_proven:
+        if _is_planned(worker) or not is_proven:
             return []
         runs = isolation.runs_at_crash(worker, now_s)
         answered_id = worker.worker_id if has_answered else ""
@@ -225,6 +232,7 @@
             task
             for task in lost
             if task.worker_started_ms not in (0, worker.entry.started_ms)
+            and not task.is_displaced
         ]
         if not earlier or worker.is_leaving:
             return []
@@ -244,7 +252,7 @@
     def record_silence(self, worker: workers.Worker, now_s: float) -> None:
         """Records the runs of a silent worker that are about to be given up."""
         runs = isolation.runs_at_crash(worker, now_s)
-        if runs and not worker.is_leaving:
+        if runs and not _is_planned(worker):
             self._lost[worker.worker_id] = _LostRuns(
                 worker.entry,
                 now_s,
@@ -269,8 +277,15 @@
     def record_absence(self, absent: Iterable[tasks.Task]) -> None:
         """Records that the worker of some runs never met this owner.
 
-        It may have crashed and be back under a new id.
+        It may have crashed and be back under a new id. A worker whose VM was
+        ordered away is gone as planned.
+
+        Args:
+            absent: the tasks whose runs were on it.
         """
+        absent = [task for task in absent if not task.is_displaced]
+        if not absent:
+            return
         self.rate = self.rate._replace(crashes=self.rate.crashes + 1)
         self.is_rate_recorded = False
         for task in absent:
@@ -353,6 +368,10 @@
             clock_ms: reading of its clock in its answer.
             now_s: current time.
         """
+        if task.is_displaced and not worker.is_leaving:
+            # The order was not carried out.
+            task.is_displaced = False
+            self._record(task)
         is_new = run_times.note_active(task, worker, clock_ms, now_s)
         job = self._jobs.get(task.task_id.job_id)
         lasts = job is not None and job.is_persistent
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -187,6 +187,9 @@
         """Adopts runs of an earlier owner until their workers report them."""
         for task in step.active_tasks():
             task.changed_s = now_s
+            if task.worker_id in self.leaving.held:
+                task.is_displaced = True
+                self.mark_dirty(task)
             self.adjust_usage(job.spec.team, step.spec.size, 1)
             worker = self.workers.get(task.worker_id)
             if worker is None:
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -242,6 +242,7 @@
         task.worker_id = worker.worker_id
         task.worker_started_ms = worker.entry.started_ms
         task.is_listed = False
+        task.is_displaced = worker.is_held
         task.end_run()
         run_times.note_placed(task, worker, now_s)
         task.is_stopping = False
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -130,6 +130,8 @@
             known.
         active_clock_ms: reading of that clock by which the latest run had
             begun; 0 if that is not known.
+        is_displaced: whether an owner may have ordered away the VM of that
+            worker, so that a silence of the worker is no crash.
     """
 
     number: int
@@ -146,6 +148,7 @@
     run_work_ms: int = 0
     not_before_clock_ms: int = 0
     active_clock_ms: int = 0
+    is_displaced: bool = False
 
 
 class StepProgress(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -75,6 +75,8 @@
         worker_started_ms: start time of the incarnation of that worker to which
             the run was ordered, or which listed it last.
         is_listed: whether that incarnation has listed the run itself.
+        is_displaced: whether an earlier owner may have ordered away the VM of
+            that worker since the latest run was recorded.
         checkpoint: checkpoint to resume from; empty for none.
         changed_s: time of the latest phase change or stop order.
         began_s: time at which the worker confirmed the run's start; None if
@@ -112,6 +114,7 @@
     worker_id: str = ""
     worker_started_ms: int = 0
     is_listed: bool = False
+    is_displaced: bool = False
     checkpoint: str = ""
     changed_s: float = 0.0
     began_s: float | None = None
@@ -179,6 +182,7 @@
             int(self.run_work_s * 1000),
             self.not_before_clock_ms,
             self.active_clock_ms,
+            self.is_displaced,
         )
 
 
@@ -281,6 +285,7 @@
                 task.worker_started_ms = row.worker_started_ms
                 task.not_before_clock_ms = row.not_before_clock_ms
                 task.active_clock_ms = row.active_clock_ms
+                task.is_displaced = row.is_displaced
                 task.phase = TaskPhase.ADOPTED
                 self.waiting.discard(row.number)
 
--- a/foxtaillock/batch/tests/crash_fleet.py
+++ b/foxtaillock/batch/tests/crash_fleet.py
@@ -61,10 +61,16 @@
         self._submitted.append(spec)
         self.engine.submit(spec, (), self.now_s, int(self.now_s * 1000))
 
-    def take_over(self) -> None:
-        """Replaces the owner by one that knows only what is recorded."""
+    def take_over(self, held: Sequence[str] = ()) -> None:
+        """Replaces the owner by one that knows only what is recorded.
+
+        Args:
+            held: workers that an earlier owner may have ordered away, as the
+                new one reads them before it reads the jobs.
+        """
         self._record()
         self.engine = self._create_owner()
+        self.engine.vms.set_cordoned([], [], held)
         for spec in self._submitted:
             now_ms = int(self.now_s * 1000)
             steps = self.view.steps(spec.job_id)
--- a/foxtaillock/batch/tests/test_crashes.py
+++ b/foxtaillock/batch/tests/test_crashes.py
@@ -429,13 +429,13 @@
     def test_record_of_a_task_without_crashes_is_read(self) -> None:
         """Earlier versions wrote six fields, and then eleven."""
         progress = records.TaskProgress(0, 2, 1, "w", 7, "text")
+        zeros = 8 * b"\0" + b"\xc2"
         step_id = model.StepId(crash_fleet.INNOCENT, 0, 0)
         step = records.StepProgress(step_id, 1, b"", (progress,))
         key, value = records.encode(step)
         for fields in (6, 11):
-            zeros = (fields - 6) * b"\0"
             earlier = value.replace(
-                b"\xa4text" + 8 * b"\0", b"\xa4text" + zeros
-            ).replace(b"\x9e\x00\x02", bytes([0x90 + fields]) + b"\x00\x02")
+                b"\xa4text" + zeros, b"\xa4text" + zeros[: fields - 6]
+            ).replace(b"\x9f\x00\x02", bytes([0x90 + fields]) + b"\x00\x02")
             self.assertNotEqual(earlier, value)
             self.assertEqual(records.decode(key, earlier), step)
--- a/foxtaillock/batch/tests/test_crashes_over_owners.py
+++ b/foxtaillock/batch/tests/test_crashes_over_owners.py
@@ -111,9 +111,147 @@
         self.assertGreaterEqual(fleet.events["task-trial-over"], 1)
 
 
+class PlannedWorkTest(unittest.TestCase):
+    """A worker whose VM an earlier owner ordered away has not crashed."""
+
+    def setUp(self) -> None:
+        self.fleet = crash_fleet.CrashFleet(6, cpu=16000)
+        step = builders.step(is_persistent=True)
+        self.fleet.submit(builders.job(crash_fleet.INNOCENT, step))
+        _start(self.fleet)
+
+    def _order_away(self) -> str:
+        """Takes over from an owner that has ordered the job's VM away."""
+        fleet = self.fleet
+        (worker_id,) = crash_fleet.workers_of(fleet, crash_fleet.INNOCENT)
+        fleet.take_over()
+        fleet.engine.vms.set_cordoned([], [], [worker_id])
+        return worker_id
+
+    def _counted(self) -> int:
+        """Returns the crashes counted, certain or possible."""
+        return self.fleet.crashes(
+            crash_fleet.INNOCENT
+        ) + self.fleet.possible_crashes(crash_fleet.INNOCENT)
+
+    def _suspect(self) -> None:
+        """Crashes the job's worker once, so that its silences count."""
+        (worker_id,) = crash_fleet.workers_of(self.fleet, crash_fleet.INNOCENT)
+        self.fleet.crash(worker_id)
+        _start(self.fleet)
+        self.assertEqual(self._counted(), 1)
+
+    def test_worker_that_never_registers_is_no_crash(self) -> None:
+        """Six times: after five, the job would be failed."""
+        fleet = self.fleet
+        for _ in range(6):
+            (gone,) = crash_fleet.workers_of(fleet, crash_fleet.INNOCENT)
+            del fleet.started_ms[gone]
+            fleet.take_over()
+            fleet.engine.vms.set_cordoned([], [], [gone])
+            fleet.work(_AWAY_S)
+            # The hold is over before the leases of earlier owners are.
+            fleet.engine.vms.set_cordoned([], [])
+            fleet.work(_AWAY_S)
+            self.assertEqual(self._counted(), 0)
+            fleet.started_ms[gone + "'"] = 1
+            fleet.register_all()
+            _start(fleet)
+        self.assertIsNone(fleet.state(crash_fleet.INNOCENT))
+
+    def test_end_that_shows_only_to_a_later_owner_is_no_crash(self) -> None:
+        """The orders are on record for some seconds only."""
+        fleet = self.fleet
+        worker_id = self._order_away()
+        del fleet.started_ms[worker_id]
+        for _ in range(4):
+            fleet.take_over()
+            fleet.engine.vms.set_cordoned([], [])
+            fleet.now_s += _TAKEOVER_INTERVAL_S
+        fleet.work(2 * _TAKEOVER_INTERVAL_S)
+        self.assertEqual(
+            crash_fleet.workers_of(fleet, crash_fleet.INNOCENT), []
+        )
+        self.assertEqual(self._counted(), 0)
+
+    def test_run_that_is_adopted_after_the_orders_were_read(self) -> None:
+        """An owner reads these first, and may end before it looks again."""
+        fleet = self.fleet
+        (worker_id,) = crash_fleet.workers_of(fleet, crash_fleet.INNOCENT)
+        del fleet.started_ms[worker_id]
+        fleet.take_over([worker_id])
+        fleet.take_over()
+        fleet.work(2 * _TAKEOVER_INTERVAL_S)
+        self.assertEqual(
+            crash_fleet.workers_of(fleet, crash_fleet.INNOCENT), []
+        )
+        self.assertEqual(self._counted(), 0)
+
+    def test_silence_after_the_hold_is_no_crash(self) -> None:
+        self._suspect()
+        worker_id = self._order_away()
+        self.fleet.lose_contact(worker_id, _TAKEOVER_INTERVAL_S)
+        self.fleet.engine.vms.set_cordoned([], [])
+        self.fleet.lose_contact(worker_id, 2 * _TAKEOVER_INTERVAL_S)
+        self.assertEqual(self._counted(), 1)
+
+    def test_maintained_worker_that_is_back_is_no_crash(self) -> None:
+        self._suspect()
+        worker_id = self._order_away()
+        self.fleet.lose_contact(worker_id, _TAKEOVER_INTERVAL_S)
+        self.fleet.engine.vms.set_cordoned([], [])
+        self.fleet.crash(worker_id)
+        self.assertEqual(self._counted(), 1)
+
+    def test_run_placed_during_the_hold_is_no_cause(self) -> None:
+        """Tasks that end by themselves may be placed there."""
+        fleet = self.fleet
+        fleet.engine.vms.set_cordoned([], [], sorted(fleet.started_ms))
+        job_id = "00000000000000cc"
+        fleet.submit(builders.job(job_id, builders.step()))
+        _start(fleet)
+        (worker_id,) = crash_fleet.workers_of(fleet, job_id)
+        del fleet.started_ms[worker_id]
+        fleet.take_over()
+        fleet.work(2 * _TAKEOVER_INTERVAL_S)
+        self.assertEqual(fleet.possible_crashes(job_id), 0)
+
+    def test_worker_that_answers_after_the_hold_can_crash(self) -> None:
+        """The order was not carried out: a culprit is not excused."""
+        worker_id = self._order_away()
+        self.fleet.work(_TAKEOVER_INTERVAL_S)
+        self.fleet.engine.vms.set_cordoned([], [])
+        self.fleet.work(crash_fleet.ROUND_S)
+        self.fleet.take_over()
+        self.fleet.work(crash_fleet.ROUND_S)
+        self.fleet.crash(worker_id)
+        self.assertEqual(self.fleet.crashes(crash_fleet.INNOCENT), 1)
+
+
 class CulpritTest(unittest.TestCase):
     """A task that crashes its workers is given up over several owners."""
 
+    def test_takeovers_that_hold_every_worker(self) -> None:
+        """Each owner finds all VMs ordered, and no order is carried out."""
+        for dies_s in _TIMES_AT_WORK_S[1:]:
+            with self.subTest(dies_s=dies_s):
+                fleet = crash_fleet.CrashFleet(6, cpu=16000)
+                fleet.submit(builders.job(crash_fleet.CRASHER, builders.step()))
+                for _ in range(_ROUNDS):
+                    _start(fleet)
+                    fleet.take_over()
+                    held = sorted(fleet.started_ms)
+                    fleet.engine.vms.set_cordoned([], [], held)
+                    fleet.work(dies_s / 2)
+                    fleet.engine.vms.set_cordoned([], [])
+                    fleet.work(dies_s / 2)
+                    for worker_id in crash_fleet.workers_of(
+                        fleet, crash_fleet.CRASHER
+                    ):
+                        fleet.crash(worker_id)
+                    fleet.work(_AWAY_S)
+                self._assert_given_up(fleet)
+
     def _play(self, dies_s: float, *, is_persistent: bool, storms: int) -> None:
         fleet = crash_fleet.CrashFleet(6, cpu=16000)
         step = builders.step(is_persistent=is_persistent)
@@ -130,6 +268,9 @@
                 fleet.work(_AWAY_S)
                 fleet.crash(worker_id)
             _work(fleet, _AWAY_S)
+        self._assert_given_up(fleet)
+
+    def _assert_given_up(self, fleet: crash_fleet.CrashFleet) -> None:
         self.assertLessEqual(fleet.starts[crash_fleet.CRASHER], _MAX_STARTS)
         self.assertIs(fleet.state(crash_fleet.CRASHER), model.JobState.FAILED)
 
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -79,6 +79,7 @@
         self._state.leaving = workers.LeavingWorkers(
             frozenset(worker_ids), frozenset(due_ids), frozenset(held_ids)
         )
+        self._note_displaced_runs()
         for worker in self._state.workers.values():
             was_leaving = worker.is_cordoned, worker.is_held
             worker.apply_leaving(self._state.leaving)
@@ -91,6 +92,21 @@
                 )
                 self._state.needs_plan = True
 
+    def _note_displaced_runs(self) -> None:
+        """Notes the runs on workers whose VMs may have been ordered away.
+
+        It goes to the journal: the end of such a run may show only to a later
+        owner, when the orders are not on record any more.
+        """
+        for worker_id in self._state.leaving.held:
+            worker = self._state.workers.get(worker_id)
+            known = worker.tasks if worker is not None else {}
+            adopted = self._state.orphans.get(worker_id, {})
+            for task in (*known.values(), *adopted.values()):
+                if not task.is_displaced:
+                    task.is_displaced = True
+                    self._state.mark_dirty(task)
+
     def worker_displaced(self, worker_id: str, now_s: float) -> None:
         """Removes a worker whose VM was moved or is maintained."""
         worker = self._state.workers.get(worker_id)
