Isolation: the waits for a trial fit what a job may be without work

A trial keeps other jobs off its worker for up to 30 s; if the pool's other workers are full or about to be maintained, an unsuspected job waited for all of that: 28 s and more in the play, where 6 s (persistent) and 14 s are allowed. A suspect waited for up to 4 s of its own, anew with each owner, so a gang that fits no worker set aside never started under owners each 3.2 s; and a persistent one waited 2 s after the lease of its silent worker (4.5 s): 7.5 s.

Cause: each wait was set for itself. None knew of the others, of what the loss of the run had taken, or of earlier owners.

An unsuspected job now waits for 2 s, and is then placed like any other. A suspect's wait and the loss of its run take no more than 4.5 s (persistent) or 10 s. A task that an earlier owner left waiting waits no more, as its wait is not known.

Ruled out: fewer workers set aside (a trial beside others tells less), shorter trials (they have to outlast the time before a crash).

--- a/foxtaillock/batch/isolation.py
+++ b/foxtaillock/batch/isolation.py
@@ -6,7 +6,10 @@
 a worker of its own for a trial: its tasks either end, or outlast it, or crash a
 worker that runs nothing else. At most half of a pool's workers are set aside
 for this. A job that finds no such worker in time shares one with unsuspected
-tasks, and at last is placed like any other.
+tasks, and at last is placed like any other. So is a job without suspects that
+finds no room on the other workers: trials last longer than it may wait. A task
+that an earlier owner left waiting has waited for an unknown time, so it waits
+no more.
 """
 
 import collections
@@ -55,6 +58,18 @@
 _MAX_WAIT_S = 4.0
 _MAX_PERSISTENT_WAIT_S = 2.0
 
+# A job without suspects waits for this time for workers that are not set aside.
+_MAX_WAIT_BESIDE_S = 2.0
+
+# What the loss of a run takes, and such a wait, last for no longer in all. A
+# silent worker's lease alone takes 4.2 s, and persistent tasks have to run
+# again within 6 s.
+_MAX_ABSENCE_S = 10.0
+_MAX_PERSISTENT_ABSENCE_S = 4.5
+
+# Key of the jobs without suspects that have waited for so long.
+_WAITED = "waited"
+
 
 def trial_s(task: tasks.Task) -> float:
     """Returns the time at work after which a run need not be kept apart."""
@@ -93,12 +108,18 @@
 
     since_s: float
     seen_s: float
+    end_s: float
 
     @property
     def length_s(self) -> float:
         """How long it has waited."""
         return self.seen_s - self.since_s
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the job may be placed like any other."""
+        return self.seen_s >= self.end_s
+
 
 class Isolation:
     """Decides which workers may get which jobs while there are suspects.
@@ -119,8 +140,8 @@
         self._is_likely_culprit = is_likely_culprit
         self._pool_of = pool_of
         self._suspected: frozenset[str] = frozenset()
-        # Jobs that get workers of their own, each with its longest wait.
-        self._max_wait_s: dict[str, float] = {}
+        # Jobs that get workers of their own.
+        self._isolated: set[str] = set()
         self._set_aside: set[str] = set()
         self._max_suspects: dict[str, int] = {}
         self._waits: dict[str, _Wait] = {}
@@ -139,37 +160,46 @@
             now_s: current time.
         """
         self._suspected = frozenset(self._suspects.jobs)
-        self._max_wait_s, self._set_aside = {}, set()
+        self._isolated, self._set_aside = set(), set()
         if not self._suspected:
             self._waits = {}
             return
         waiting: dict[str, set[str]] = collections.defaultdict(set)
         for candidate in candidates:
+            self._note_waiting(candidate, now_s)
             if candidate.job.spec.job_id in self._suspected:
                 waiting[candidate.queue.pool].add(candidate.job.spec.job_id)
-                self._note_waiting(candidate, now_s)
+        self._waits = {
+            job_id: wait
+            for job_id, wait in self._waits.items()
+            if now_s - wait.seen_s <= _MAX_PLAN_INTERVAL_S
+        }
         for pool in {self._pool_of(job_id) for job_id in self._suspected}:
             self._prepare_pool(pool, by_pool.get(pool, ()), waiting[pool])
 
     def key(self, job_id: str) -> str:
         """Returns a key that jobs with the same choice of workers share."""
-        return job_id if job_id in self._suspected else ""
+        if job_id in self._suspected:
+            return job_id
+        wait = self._waits.get(job_id)
+        return _WAITED if wait is not None and wait.is_over else ""
 
     def allows(self, job_id: str, worker: workers.Worker) -> bool:
         """Returns whether a worker may get tasks of a job."""
         if not self._suspected:
             return True
+        wait = self._waits[job_id]
+        if wait.is_over:
+            return True
         is_set_aside = worker.worker_id in self._set_aside
         if job_id not in self._suspected:
             return not is_set_aside
-        waited_s = self._waits[job_id].length_s
-        if job_id not in self._max_wait_s:
+        waited_s = wait.length_s
+        if job_id not in self._isolated:
             if is_set_aside or waited_s >= _MAX_SPREAD_WAIT_S:
                 return not is_set_aside
             others = self._suspects_on(worker) - {job_id}
             return len(others) < self._max_suspects[worker.entry.pool]
-        if waited_s >= self._max_wait_s[job_id]:
-            return True
         others = _jobs_on_trial(worker) - {job_id}
         if waited_s >= _MAX_WAIT_ALONE_S:
             others &= self._suspected
@@ -178,17 +208,22 @@
     def _note_waiting(
         self, candidate: placement.Candidate, now_s: float
     ) -> None:
-        """Notes how a suspected job waits, and since when."""
+        """Notes how a job waits, since when, and until when at most."""
         job = candidate.job
         job_id = job.spec.job_id
-        if any(map(self._is_likely_culprit, candidate.step.tasks)):
-            self._max_wait_s[job_id] = (
-                _MAX_PERSISTENT_WAIT_S if job.is_persistent else _MAX_WAIT_S
-            )
+        is_suspected = job_id in self._suspected
+        if is_suspected and any(
+            map(self._is_likely_culprit, candidate.step.tasks)
+        ):
+            self._isolated.add(job_id)
         wait = self._waits.get(job_id)
         is_new = wait is None or now_s - wait.seen_s > _MAX_PLAN_INTERVAL_S
         since_s = now_s if wait is None or is_new else wait.since_s
-        self._waits[job_id] = _Wait(since_s, now_s)
+        max_s = _MAX_WAIT_BESIDE_S
+        if is_suspected:
+            max_s = _MAX_PERSISTENT_WAIT_S if job.is_persistent else _MAX_WAIT_S
+        end_s = since_s + min(max_s, _remaining_s(candidate))
+        self._waits[job_id] = _Wait(since_s, now_s, end_s)
 
     def _prepare_pool(
         self,
@@ -207,7 +242,7 @@
             )
         }
         hosted = {job_id for worker_id in hosts for job_id in jobs[worker_id]}
-        to_isolate = waiting & self._max_wait_s.keys()
+        to_isolate = waiting & self._isolated
         limit = max(1, int(len(jobs) * _MAX_ISOLATED_FRACTION))
         lacking = min(len(to_isolate - hosted), limit - len(hosts))
         emptiest = sorted(
@@ -230,6 +265,20 @@
         return jobs & self._suspected
 
 
+def _remaining_s(candidate: placement.Candidate) -> float:
+    """Returns how long tasks may wait, by what the loss of their runs took."""
+    step = candidate.step
+    max_s = _MAX_ABSENCE_S
+    if candidate.job.is_persistent:
+        max_s = _MAX_PERSISTENT_ABSENCE_S
+    lost_s = (
+        step.tasks[number].changed_s - step.tasks[number].seen_s
+        for number in step.waiting
+        if step.tasks[number].run
+    )
+    return max_s - max(lost_s, default=0.0)
+
+
 def _jobs_on_trial(worker: workers.Worker) -> set[str]:
     """Returns the jobs whose runs on a worker have not worked for long."""
     return {
--- a/foxtaillock/batch/run_times.py
+++ b/foxtaillock/batch/run_times.py
@@ -29,6 +29,8 @@
     task.active_s = None
     task.active_clock_ms = 0
     task.not_before_s = now_s
+    if task.seen_s == float("-inf"):
+        task.seen_s = now_s
     lease_end_ms = worker.lease_end_ms(now_s) or 0
     task.not_before_clock_ms = max(
         0, lease_end_ms - int(workers.RUN_LEASE_S * 1000)
@@ -52,6 +54,7 @@
     if task.worker_started_ms != worker.entry.started_ms:
         # The readings are of another incarnation's clock.
         task.not_before_clock_ms = task.active_clock_ms = 0
+    task.seen_s = now_s
     if task.active_s is not None:
         return False
     is_unknown = not task.active_clock_ms
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -89,6 +89,9 @@
             known.
         active_clock_ms: the same, as a reading of that clock; 0 if nothing is
             known.
+        seen_s: time at which a run was last known to be active, or at which
+            this owner placed the first that it knows of; negative infinity
+            before.
         is_stopping: whether the run is being stopped.
         stopped_s: time at which the worker confirmed the stop; None before.
         was_done: whether an earlier run, given up by the owner, was completed.
@@ -122,6 +125,7 @@
     not_before_clock_ms: int = 0
     active_s: float | None = None
     active_clock_ms: int = 0
+    seen_s: float = float("-inf")
     is_stopping: bool = False
     stopped_s: float | None = None
     was_done: bool = False
