Reservations: one for batch work keeps no persistent task waiting

Callers saw a persistent task that had nothing running although a worker had room for it (LOST): in a pool of few usable workers, the only one may be reserved for a large batch task, which waits there for the end of others.

Cause: at least one worker of a pool may be reserved, however few there are, and a reservation kept off all other steps alike.

Persistent tasks are now placed on workers that are reserved for batch work, as if these were not; on those reserved for a persistent one they are not. The batch task waits longer then: persistent work comes first.

ReservationTest in test_waits fails before. That batch tasks still get their reserved workers: test_starvation.

Ruled out: no reservation in small pools (the large task would starve).

--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -179,7 +179,7 @@
         """
         step = candidate.step
         is_eligible = self._eligibility(candidate, now_s)
-        open_workers = self._reservations.open_to(step.step_id, roomy_workers)
+        open_workers = self._reservations.open_to(step, roomy_workers)
         chosen = placement.assign(candidate, open_workers, usage, is_eligible)
         self._place_all(candidate, chosen, now_s)
         overdue = reservations.overdue_count(step, now_s)
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -69,18 +69,30 @@
 
     def open_to(
         self,
-        step_id: model.StepId,
+        step: tasks.Step,
         pool_workers: Sequence[workers.Worker],
     ) -> Sequence[workers.Worker]:
-        """Returns the workers that are not reserved for other steps."""
+        """Returns the workers that are not reserved for other steps.
+
+        A reservation for batch work keeps no persistent task waiting.
+        """
         if not self._holders:
             return pool_workers
         return [
             worker
             for worker in pool_workers
-            if self._holders.get(worker.worker_id, step_id) == step_id
+            if self._is_open(worker.worker_id, step)
         ]
 
+    def _is_open(self, worker_id: str, step: tasks.Step) -> bool:
+        """Returns whether a worker may get tasks of a step."""
+        holder_id = self._holders.get(worker_id, step.step_id)
+        if holder_id == step.step_id:
+            return True
+        holder = self._state.waiting.get(holder_id)
+        is_for_batch = holder is not None and not holder.spec.is_persistent
+        return step.spec.is_persistent and is_for_batch
+
     def drop_settled(self) -> None:
         """Drops reservations of steps that wait no more."""
         for worker_id, step_id in list(self._holders.items()):
--- a/foxtaillock/batch/tests/test_waits.py
+++ b/foxtaillock/batch/tests/test_waits.py
@@ -152,5 +152,27 @@
                 self.assertLessEqual(waited_s + _START_ALLOWANCE_S, limit_s)
 
 
+class ReservationTest(unittest.TestCase):
+    """Persistent work in a small pool that is reserved for a batch task."""
+
+    def test_persistent_task_does_not_wait_for_a_batch_task(self) -> None:
+        fleet = _Fleet(1, cpu=8000)
+        running = builders.step(4, 1000, is_persistent=False)
+        running = running._replace(estimate_ms=20_000)
+        fleet.submit(builders.job("00000000000000cc", running))
+        fleet.start()
+        large = builders.step(1, 7000)
+        fleet.submit(builders.job(crash_fleet.CRASHER, large))
+        for _ in range(4):
+            fleet.start()
+        self.assertEqual(fleet.events["worker-reserved"], 1)
+        step = builders.step(is_persistent=True)
+        fleet.submit(builders.job(crash_fleet.INNOCENT, step))
+        waited_s = fleet.wait_for(crash_fleet.INNOCENT, _MAX_ABSENCE_S)
+        self.assertLessEqual(
+            waited_s + _START_ALLOWANCE_S, _MAX_PERSISTENT_ABSENCE_S
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
