Quarantine: a pool without another worker uses a failing one after 4 s

Callers saw a healthy job without work for 16.6 s, of 14 s, although the only usable worker of its pool was idle (LOST): a quarantine, which faulty jobs double to up to 16 s, counts however few workers are left.

A batch task that has waited for 4 s now gets a failing or slow worker if its pool has no other that may be used. Persistent ones got one after 1 s already.

FailingWorkerTest in test_waits fails before (16.6 s), and its other test guards the other direction: while a sound worker is there, full or not, no batch task goes to the failing one, which would take all that waits and fail it.

Ruled out: a shorter quarantine (a worker that fails all would get more of the pool's work each time).

--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -28,6 +28,10 @@
 
 _FULL_SPEED_PERCENT = 100
 
+# A batch task that has waited for this time may get a failing worker if its
+# pool has no other. A quarantine lasts up to 16 s, and jobs have to end sooner.
+_MAX_QUARANTINE_WAIT_S = 4.0
+
 
 class _Shape(typing.NamedTuple):
     """What steps have in common whose tasks fit on the same workers."""
@@ -186,7 +190,11 @@
         if not overdue and not self._reservations.is_holder(step.step_id):
             return len(chosen)
         pool_workers = self._usable.find(candidate.queue.pool, now_s)
-        if overdue and step.spec.is_persistent:
+        if step.spec.is_persistent:
+            may_use_all = overdue > 0
+        else:
+            may_use_all = not pool_workers and _is_desperate(step, now_s)
+        if may_use_all:
             # Better on a slow or failing worker than on none.
             others = self._excluded_workers(
                 candidate.queue.pool, pool_workers, now_s
@@ -275,6 +283,12 @@
     )
 
 
+def _is_desperate(step: tasks.Step, now_s: float) -> bool:
+    """Returns whether tasks of a batch step have waited for very long."""
+    waiting = reservations.waiting_count(step, _MAX_QUARANTINE_WAIT_S, now_s)
+    return waiting > 0
+
+
 def _least_millis(
     candidates: Iterable[placement.Candidate],
 ) -> dict[str, int]:
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -20,7 +20,13 @@
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
-__all__ = ["Release", "Reservations", "overdue_count", "room_expected_s"]
+__all__ = [
+    "Release",
+    "Reservations",
+    "overdue_count",
+    "room_expected_s",
+    "waiting_count",
+]
 
 # Persistent tasks have to run again within 6 s. The longest batch tasks that a
 # reserved worker may still run take about 4 s.
@@ -267,11 +273,16 @@
         patience_s = _PERSISTENT_PATIENCE_S
     else:
         patience_s = _BATCH_PATIENCE_S
+    return waiting_count(step, patience_s, now_s)
+
+
+def waiting_count(step: tasks.Step, least_s: float, now_s: float) -> int:
+    """Returns how many tasks of a step have waited for at least some time."""
     ready_s = now_s if step.ready_s is None else step.ready_s
-    if now_s - ready_s < patience_s:
+    if now_s - ready_s < least_s:
         return 0
     return sum(
-        now_s - step.tasks[number].changed_s >= patience_s
+        now_s - step.tasks[number].changed_s >= least_s
         for number in step.waiting
     )
 
--- a/foxtaillock/batch/tests/test_waits.py
+++ b/foxtaillock/batch/tests/test_waits.py
@@ -7,6 +7,7 @@
 
 import unittest
 
+from foxtaillock.batch import model
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import crash_fleet
 
@@ -152,6 +153,46 @@
                 self.assertLessEqual(waited_s + _START_ALLOWANCE_S, limit_s)
 
 
+class FailingWorkerTest(unittest.TestCase):
+    """Work while all usable workers are quarantined."""
+
+    def _fleet(self, workers: int) -> _Fleet:
+        """Returns a fleet whose worker 0 has failed five jobs.
+
+        Each further one doubles its quarantine, up to 16 s.
+        """
+        fleet = _Fleet(workers, cpu=5000)
+        for number in range(5):
+            job_id = f"{number:016x}"
+            fleet.submit(builders.job(job_id, builders.step()))
+        fleet.start()
+        fleet.end_all("0", model.EndKind.FAILED)
+        for number in range(5):
+            fleet.engine.cancel(f"{number:016x}", fleet.now_s)
+        return fleet
+
+    def test_healthy_job_runs_in_time_if_no_other_worker_is_left(self) -> None:
+        fleet = self._fleet(1)
+        fleet.submit(builders.job(crash_fleet.INNOCENT, builders.step()))
+        waited_s = fleet.wait_for(crash_fleet.INNOCENT, 2 * _MAX_ABSENCE_S)
+        self.assertGreaterEqual(waited_s, 2.0)
+        self.assertLessEqual(waited_s + _START_ALLOWANCE_S, _MAX_ABSENCE_S)
+
+    def test_job_waits_for_a_sound_worker_that_is_full(self) -> None:
+        """A failing worker would take all that waits, and fail it."""
+        fleet = self._fleet(2)
+        (other,) = set(fleet.started_ms) - {"0"}
+        step = builders.step(5, is_persistent=True)
+        fleet.submit(builders.job("00000000000000cc", step))
+        fleet.start()
+        self.assertEqual(len(fleet.engine.workers[other].tasks), 5)
+        fleet.submit(builders.job(crash_fleet.INNOCENT, builders.step()))
+        fleet.wait_for(crash_fleet.INNOCENT, 8.0)
+        self.assertEqual(
+            crash_fleet.workers_of(fleet, crash_fleet.INNOCENT), []
+        )
+
+
 class ReservationTest(unittest.TestCase):
     """Persistent work in a small pool that is reserved for a batch task."""
 
