--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -20,7 +20,13 @@
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
-__all__ = ["Release", "Reservations", "overdue_count", "room_expected_s"]
+__all__ = [
+    "Release",
+    "Reservations",
+    "overdue_count",
+    "room_expected_s",
+    "waiting_count",
+]
 
 # Persistent tasks have to run again within 6 s. The longest batch tasks that a
 # reserved worker may still run take about 4 s.
@@ -69,18 +75,30 @@
 
     def open_to(
         self,
-        step_id: model.StepId,
+        step: tasks.Step,
         pool_workers: Sequence[workers.Worker],
     ) -> Sequence[workers.Worker]:
-        """Returns the workers that are not reserved for other steps."""
+        """Returns the workers that are not reserved for other steps.
+
+        A reservation for batch work keeps no persistent task waiting.
+        """
         if not self._holders:
             return pool_workers
         return [
             worker
             for worker in pool_workers
-            if self._holders.get(worker.worker_id, step_id) == step_id
+            if self._is_open(worker.worker_id, step)
         ]
 
+    def _is_open(self, worker_id: str, step: tasks.Step) -> bool:
+        """Returns whether a worker may get tasks of a step."""
+        holder_id = self._holders.get(worker_id, step.step_id)
+        if holder_id == step.step_id:
+            return True
+        holder = self._state.waiting.get(holder_id)
+        is_for_batch = holder is not None and not holder.spec.is_persistent
+        return step.spec.is_persistent and is_for_batch
+
     def drop_settled(self) -> None:
         """Drops reservations of steps that wait no more."""
         for worker_id, step_id in list(self._holders.items()):
@@ -255,11 +273,16 @@
         patience_s = _PERSISTENT_PATIENCE_S
     else:
         patience_s = _BATCH_PATIENCE_S
+    return waiting_count(step, patience_s, now_s)
+
+
+def waiting_count(step: tasks.Step, least_s: float, now_s: float) -> int:
+    """Returns how many tasks of a step have waited for at least some time."""
     ready_s = now_s if step.ready_s is None else step.ready_s
-    if now_s - ready_s < patience_s:
+    if now_s - ready_s < least_s:
         return 0
     return sum(
-        now_s - step.tasks[number].changed_s >= patience_s
+        now_s - step.tasks[number].changed_s >= least_s
         for number in step.waiting
     )
 
--- a/foxtaillock/batch/tests/test_crashes_over_owners.py
+++ b/foxtaillock/batch/tests/test_crashes_over_owners.py
@@ -174,6 +174,19 @@
         )
         self.assertEqual(self._counted(), 0)
 
+    def test_run_that_is_adopted_after_the_orders_were_read(self) -> None:
+        """An owner reads these first, and may end before it looks again."""
+        fleet = self.fleet
+        (worker_id,) = crash_fleet.workers_of(fleet, crash_fleet.INNOCENT)
+        del fleet.started_ms[worker_id]
+        fleet.take_over([worker_id])
+        fleet.take_over()
+        fleet.work(2 * _TAKEOVER_INTERVAL_S)
+        self.assertEqual(
+            crash_fleet.workers_of(fleet, crash_fleet.INNOCENT), []
+        )
+        self.assertEqual(self._counted(), 0)
+
     def test_silence_after_the_hold_is_no_crash(self) -> None:
         self._suspect()
         worker_id = self._order_away()
