Polls that acknowledge ends wait for none

Cause: one poll renewed, acknowledged and waited up to 1 s. If the worker had just started again under its id, the later incarnation dropped all ends up to that number during the whole wait. Tasks that were started there meanwhile ended unread, counted as lost, and ran again.

Fix: a poll that acknowledges does not wait; the next one, which acknowledges nothing, does. No end can come between its arrival and its answer.

Ruled out: the header that names the worker as a guard (it holds the id, which both incarnations have).

--- a/foxtaillock/batch/tests/test_restarts.py
+++ b/foxtaillock/batch/tests/test_restarts.py
@@ -322,6 +322,22 @@
         self.assertEqual(self.poll_plan(10.4).acknowledged, 0)
         self.assertEqual(self.poll_plan(10.4).wait_s, 0.0)
 
+    def test_poll_that_acknowledges_waits_for_no_end(self) -> None:
+        """It would drop the ends that come while it waits."""
+        self.engine.batch_recorded(self.engine.take_batch(), 10.2)
+        self.answer_start(self.order_start(10.2), 10.3, self._in_time())
+        plan = self.poll_plan(10.4)
+        self.assertEqual((plan.acknowledged, plan.wait_s), (7, 0.0))
+        self._answer(builders.lists([(self.task.task_id, 2)]), 10.5)
+        plan = self.poll_plan(10.6)
+        self.assertEqual(plan.acknowledged, 0)
+        self.assertGreater(plan.wait_s, 0.0)
+
+    def _in_time(self) -> interfaces.OrderAnswer:
+        """Returns an answer whose clock is that of the known incarnation."""
+        clock_ms = self.engine.workers["1"].clock_ms + 200
+        return _ACCEPTED._replace(clock_ms=clock_ms)
+
 
 class AdoptedRunTest(unittest.TestCase):
     """The recorded start time is what the earlier owner believed."""
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -180,6 +180,9 @@
         if worker.tasks and not worker.unanswered_calls:
             valid_until_ms = worker.grant_lease(now_s)
         is_unresolved |= worker.has_unexpected_runs
+        # A worker drops ends during the whole wait, also those of runs that
+        # begin meanwhile on a later incarnation.
+        is_unresolved |= worker.end_to_acknowledge > 0
         wait_s = 0.0 if is_unresolved or not worker.tasks else _POLL_WAIT_S
         worker.polled_s = now_s
         return plans.PollPlan(
