Ends are not acknowledged while a start has no answer

Cause: a worker started again under its id between two polls. Starts and then an acknowledgement for the earlier incarnation's ends were sent before anything told of it. The later one carried out the starts, and dropped the end of the first of their runs when the acknowledgement came; nobody had read it.

Fix: an acknowledgement waits for the answers to the starts. They tell by their clock whether another incarnation is there, and then a list is read first. Until then the worker is polled without it, with pauses of 30 ms.

--- a/foxtaillock/batch/tests/test_restart_schedules.py
+++ b/foxtaillock/batch/tests/test_restart_schedules.py
@@ -28,6 +28,14 @@
             with self.subTest(seed=seed):
                 self.assertEqual(_run(seed).check_guarded_runs(), [])
 
+    def test_acknowledgement_beside_starts_drops_no_unread_end(self) -> None:
+        """Guards against TWICE: both reach an incarnation of which none told.
+
+        It carries out the starts, and drops their ends when it is told of the
+        earlier one's numbers.
+        """
+        self.assertEqual(_run(708).check_guarded_runs(), [])
+
     def test_calls_from_before_an_incarnation_cause_no_second_run(
         self,
     ) -> None:
--- a/foxtaillock/batch/tests/test_restarts.py
+++ b/foxtaillock/batch/tests/test_restarts.py
@@ -322,6 +322,16 @@
         self.assertEqual(self.poll_plan(10.4).acknowledged, 0)
         self.assertEqual(self.poll_plan(10.4).wait_s, 0.0)
 
+    def test_nothing_is_acknowledged_while_a_start_is_on_its_way(self) -> None:
+        """The later incarnation carries it out before anything tells of it."""
+        self.engine.batch_recorded(self.engine.take_batch(), 10.2)
+        start = self.order_start(10.2)
+        self.assertEqual(self.poll_plan(10.2).acknowledged, 0)
+        worker = self.engine.workers["1"]
+        self.assertGreater(self.engine.answers.poll_pause_s(worker), 0.0)
+        self.answer_start(start, 10.3, self._in_time())
+        self.assertEqual(self.poll_plan(10.3).acknowledged, 7)
+
     def test_poll_that_acknowledges_waits_for_no_end(self) -> None:
         """It would drop the ends that come while it waits."""
         self.engine.batch_recorded(self.engine.take_batch(), 10.2)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -47,6 +47,10 @@
 # Pause between polls of a worker whose unexpected runs are being stopped.
 _STOP_POLL_PAUSE_S = 0.1
 
+# Pause between polls of a worker whose ends can't be acknowledged yet. A start
+# is answered within some milliseconds.
+_WITHHELD_POLL_PAUSE_S = 0.03
+
 # Longest time that a poll waits for a run to end. Each poll renews the lease of
 # a worker that answers and has tasks.
 _POLL_WAIT_S = 1.0
@@ -186,7 +190,7 @@
         wait_s = 0.0 if is_unresolved or not worker.tasks else _POLL_WAIT_S
         worker.polled_s = now_s
         return plans.PollPlan(
-            worker.entry, worker.end_to_acknowledge, valid_until_ms, wait_s
+            worker.entry, _end_to_acknowledge(worker), valid_until_ms, wait_s
         )
 
     def needs_poll(self, worker: workers.Worker) -> bool:
@@ -208,7 +212,10 @@
                 _MAX_POLL_BACKOFF_S,
                 _POLL_BACKOFF_STEP_S * worker.unanswered_calls,
             )
-        return _STOP_POLL_PAUSE_S if worker.has_unexpected_runs else 0.0
+        if worker.has_unexpected_runs:
+            return _STOP_POLL_PAUSE_S
+        is_withheld = worker.end_to_acknowledge > _end_to_acknowledge(worker)
+        return _WITHHELD_POLL_PAUSE_S if is_withheld else 0.0
 
     def _apply_ends(
         self,
@@ -416,6 +423,20 @@
     return entry.started_ms == worker.entry.started_ms
 
 
+def _end_to_acknowledge(worker: workers.Worker) -> int:
+    """Returns the highest end that a worker may drop now; 0 for none.
+
+    The answer to a start tells by its clock whether another incarnation is
+    there. Until it comes, that one may have carried out the start, and an
+    acknowledgement would drop the end of the run unread.
+    """
+    may_run_unseen = any(
+        task.phase in (tasks.TaskPhase.STARTING, tasks.TaskPhase.IN_DOUBT)
+        for task in worker.tasks.values()
+    )
+    return 0 if may_run_unseen else worker.end_to_acknowledge
+
+
 def _has_ended_before(task: tasks.Task, sent_s: float) -> bool:
     """Returns whether a run that a poll did not list has certainly ended.
 
