A gang's failed run counts once, also over a change of the owner

What callers saw: a job may be shown as failed without cause (LOST): a gang of a queue with two attempts was given up after one run.

Cause: members that fail in one run are one attempt; the run that was counted last tells. It was not recorded. An owner that read the end of one member, and the next owner that read the end of another one, counted one each.

Fix: the step's record holds the run. Records without it are read as before.

Evidence: GangAttemptTest, red before (2 failures in place of 1). Found while checking whether ends that are repeated or dropped use up attempts.

Ruled out: deriving the run from the members that wait (one that was lost in a later run than it failed in can't be told apart, and its gang would get more attempts than allowed).

--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -147,12 +147,14 @@
         epoch: epoch of the owner that wrote the record.
         done: bit set of the tasks that succeeded, lowest bit first.
         tasks: tasks that have been started and are not done.
+        failed_run: latest run of a gang whose failure was counted.
     """
 
     step_id: model.StepId
     epoch: int
     done: bytes
     tasks: tuple[TaskProgress, ...]
+    failed_run: int = 0
 
 
 class JobEnd(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -182,7 +182,7 @@
         durations_s: durations of its first runs that completed; see
             `worker_speed.MAX_PEERS`.
         typical_s: median of them; None while there are too few.
-        failed_run: latest run whose failure was counted.
+        failed_run: latest run of a gang whose failure was counted.
     """
 
     step_id: model.StepId
@@ -211,9 +211,10 @@
 
     def count_failure(self, task: Task) -> None:
         """Counts a failed run; the members of a gang fail together."""
-        if self.spec.is_gang and task.run <= self.failed_run:
-            return
-        self.failed_run = task.run
+        if self.spec.is_gang:
+            if task.run <= self.failed_run:
+                return
+            self.failed_run = task.run
         task.failures += 1
 
     @property
@@ -238,11 +239,14 @@
             elif task.run:
                 rows.append(task.progress())
         done = bits.to_bytes((len(self.tasks) + 7) // 8, "little")
-        return records.StepProgress(self.step_id, epoch, done, tuple(rows))
+        return records.StepProgress(
+            self.step_id, epoch, done, tuple(rows), self.failed_run
+        )
 
     def restore(self, progress: records.StepProgress) -> None:
         """Restores the progress that an earlier owner recorded."""
         bits = int.from_bytes(progress.done, "little")
+        self.failed_run = progress.failed_run
         for task in self.tasks:
             if bits >> task.task_id.number & 1:
                 task.phase = TaskPhase.DONE
--- a/foxtaillock/batch/tests/test_restarts.py
+++ b/foxtaillock/batch/tests/test_restarts.py
@@ -349,6 +349,47 @@
         return _ACCEPTED._replace(clock_ms=clock_ms)
 
 
+class GangAttemptTest(unittest.TestCase):
+    """Members of a gang that fail in one run are one attempt.
+
+    It guards against jobs that fail without cause (LOST): the queue allows two
+    attempts.
+    """
+
+    def _list_failure(
+        self, engine: engines.Engine, member: int, now_s: float
+    ) -> tasks.Step:
+        """Lists that the first run of a member has failed."""
+        step = engine.jobs[_JOB].steps[0, 0]
+        task = step.tasks[member]
+        end = interfaces.EndedRun(1, task.task_id, 1, model.EndKind.FAILED, "")
+        worker = engine.workers[task.worker_id]
+        plan = engine.answers.poll_plan(worker, now_s)
+        assert plan is not None
+        engine.answers.poll_answered(
+            worker.worker_id, plan, builders.lists(ended=[end]), now_s, now_s
+        )
+        return step
+
+    def test_ends_that_two_owners_read_are_one_attempt(self) -> None:
+        entries = builders.entry("1"), builders.entry("2")
+        job = builders.job(_JOB, builders.step(2, 3000, is_gang=True))
+        earlier = builders.create_engine(*entries)
+        earlier.submit(job, (), 10.0, 10_000)
+        self.assertEqual(len(builders.start_all(earlier, 10.0)), 2)
+        earlier.take_batch()
+        self._list_failure(earlier, 0, 10.1)
+        recorded = [records.decode(*each) for each in earlier.take_batch()[0]]
+        progress = [
+            each for each in recorded if isinstance(each, records.StepProgress)
+        ]
+        engine = builders.create_engine(*entries)
+        engine.submit(job, progress, 11.0, 11_000)
+        step = self._list_failure(engine, 1, 11.1)
+        self.assertEqual(step.failures, 1)
+        self.assertIsNone(engine.jobs[_JOB].final_state)
+
+
 class AdoptedRunTest(unittest.TestCase):
     """The recorded start time is what the earlier owner believed."""
 
