Tests: repeated and dropped ends use up no attempts

Refutes a hypothesis: that an end which is listed again, listed by two incarnations, or dropped unread by an acknowledgement on its way makes a job fail where few attempts are allowed. An end counts for the task's current run only, and a run that is gone without an end is no attempt. Both hold without a change (three tests, green before).

--- a/foxtaillock/batch/tests/test_restarts.py
+++ b/foxtaillock/batch/tests/test_restarts.py
@@ -349,6 +349,57 @@
         return _ACCEPTED._replace(clock_ms=clock_ms)
 
 
+class AttemptTest(_RestartCase):
+    """Only ends that were read count as attempts, and each of them once.
+
+    They guard against jobs that fail without cause (LOST). The queue allows
+    two attempts.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.answer_start(self.order_start(10.0), 10.01)
+        self.poll(10.1, started_ms=1)
+
+    def _list_end(self, now_s: float, number: int, started_ms: int = 1) -> None:
+        """Lists that the first run has failed."""
+        end = interfaces.EndedRun(
+            number, self.task.task_id, 1, model.EndKind.FAILED, ""
+        )
+        lists = builders.lists(ended=[end], started_ms=started_ms)
+        plan = self.poll_plan(now_s)
+        self.engine.answers.poll_answered("1", plan, lists, now_s, now_s)
+
+    def _assert_failures(self, failures: int) -> None:
+        self.assertEqual(self.task.failures, failures)
+        self.assertEqual(self.task.possible_crashes, 0)
+        self.assertIsNone(self.engine.jobs[_JOB].final_state)
+
+    def test_end_that_is_listed_again_is_one_attempt(self) -> None:
+        """Its acknowledgement was lost or withheld."""
+        self._list_end(10.2, 7)
+        self.answer_start(self.order_start(10.3), 10.31)
+        self._list_end(10.4, 7)
+        self._list_end(10.5, 8)
+        self._assert_failures(1)
+
+    def test_end_that_two_incarnations_list_is_one_attempt(self) -> None:
+        """The start was carried out by both."""
+        self._list_end(10.2, 7)
+        self.answer_start(self.order_start(10.3), 10.31)
+        self._list_end(10.4, 7, started_ms=_AGAIN_MS)
+        self._assert_failures(1)
+
+    def test_end_that_was_dropped_unread_is_no_attempt(self) -> None:
+        """The run is neither listed nor among the ends."""
+        for number in range(3):
+            self.poll(11.0 + number, started_ms=1, is_listed=False)
+            self.answer_start(self.order_start(11.2 + number), 11.21 + number)
+            self.poll(11.3 + number, started_ms=1)
+        self._assert_failures(0)
+        self.assertEqual(self.task.run, 4)
+
+
 class GangAttemptTest(unittest.TestCase):
     """Members of a gang that fail in one run are one attempt.
 
