A daemon that can't listen ends its work and closes its connections

What was seen: "Unclosed client session" in the output of a test run, once.

Cause: the daemon starts its followers before it listens. If an address could not be bound, it raised with the followers at work and its clients open. In the tests, SignalOrderTest provokes that in the tests' own process.

Fix: the servers, the node and the clients are closed however the daemon ends.

Evidence: python -W always -m unittest foxtaillock.platform.tests.test_daemon.

Ruled out by the same run with seven other test modules of the platform: none of them prints it.

--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -109,22 +109,24 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
-    node.start()
-    await server.listen(settings.readiness, server.serve_readiness)
-    await server.listen(settings.callers, server.serve_call)
     try:
-        await server.listen(settings.metrics, server.serve_metrics)
-    except OSError as error:
-        log("metrics-not-served", error=str(error))
-    log("started", incarnation=incarnation, zone=settings.zone)
-    await stop.wait()
-    log("stopping", incarnation=incarnation)
-    await _drain(node, server, clock, settings.grace_s)
-    log("stopped", incarnation=incarnation)
-    await server.close()
-    await node.close()
-    for client in clients:
-        await client.close()
+        node.start()
+        await server.listen(settings.readiness, server.serve_readiness)
+        await server.listen(settings.callers, server.serve_call)
+        try:
+            await server.listen(settings.metrics, server.serve_metrics)
+        except OSError as error:
+            log("metrics-not-served", error=str(error))
+        log("started", incarnation=incarnation, zone=settings.zone)
+        await stop.wait()
+        log("stopping", incarnation=incarnation)
+        await _drain(node, server, clock, settings.grace_s)
+        log("stopped", incarnation=incarnation)
+    finally:
+        await server.close()
+        await node.close()
+        for client in clients:
+            await client.close()
 
 
 async def _drain(
--- a/foxtaillock/platform/tests/test_daemon.py
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -16,6 +16,7 @@
 import aiohttp
 
 from foxtaillock.platform import daemon
+from foxtaillock.platform import http_client
 from foxtaillock.platform import http_server
 from foxtaillock.platform import settings as platform_settings
 from foxtaillock.platform.tests import entry_vm
@@ -211,13 +212,36 @@
             handlers.append(signal.getsignal(signal.SIGTERM))
             raise OSError("no address")
 
-        settings = platform_settings.parse(
-            "node=vm-1\nzone=z\nlisten.front=127.0.0.1:1\n"
-            "listen.readiness=127.0.0.1:2\nplatform.address=127.0.0.1:3\n",
-            "test",
-        )
         listen = mock.patch.object(http_server.HttpServer, "listen", _listen)
         with listen, self.assertRaises(OSError):
-            await daemon.run(settings, "settings.conf")
+            await daemon.run(self._settings(), "settings.conf")
         self.assertNotIn(signal.SIG_DFL, handlers)
         self.assertEqual(len(handlers), 1)
+
+    async def test_daemon_that_can_not_listen_leaves_work_behind(self) -> None:
+        """It followed streams on, and left the connections to them open."""
+
+        async def _listen(*_: typing.Any) -> None:
+            # The followers have begun to connect.
+            await asyncio.sleep(0.05)
+            raise OSError("no address")
+
+        earlier = asyncio.all_tasks()
+        listen = mock.patch.object(http_server.HttpServer, "listen", _listen)
+        closed = mock.patch.object(
+            http_client.PlatformHttpClient,
+            "close",
+            autospec=True,
+            side_effect=http_client.PlatformHttpClient.close,
+        )
+        with listen, closed as close, self.assertRaises(OSError):
+            await daemon.run(self._settings(), "settings.conf")
+        self.assertEqual(asyncio.all_tasks() - earlier, set())
+        self.assertEqual(close.await_count, 3)
+
+    def _settings(self) -> platform_settings.VmSettings:
+        return platform_settings.parse(
+            "node=vm-1\nzone=z\nlisten.front=127.0.0.1:1\n"
+            "listen.readiness=127.0.0.1:2\nplatform.address=127.0.0.1:3\n",
+            "test",
+        )
