A late end `done` is recorded before it is acknowledged

What callers saw: nothing yet; a task may run once more after its end was acknowledged (TWICE).

Cause: a run that was given up and turns out to be done, while its task runs again, was kept in the owner's memory only. Its end was acknowledged with the next append all the same, so the next owner could not learn of it, and started the task a third time if the second run did not succeed.

Fix: the task's record tells it, and is written with the batch that the acknowledgement waits for. Records without the field are read as before.

Found by a look at what an acknowledged end changes in the owner's state.

Changed test: test_record_of_a_task_without_crashes_is_read cut an earlier version's bytes out of today's, which has one field more now. It encodes what both earlier versions wrote, and checks that each is read, as before.

--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -124,6 +124,7 @@
         shortest_crash_ms: shortest time at work before a crash; see
             `crash_suspects.CrashHistory`.
         longest_crash_ms: longest time at work before a crash.
+        was_done: whether an earlier run, given up by an owner, was completed.
     """
 
     number: int
@@ -137,6 +138,7 @@
     work_ms: int = 0
     shortest_crash_ms: int = 0
     longest_crash_ms: int = 0
+    was_done: bool = False
 
 
 class StepProgress(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -164,6 +164,7 @@
             int(self.work_s * 1000),
             int(self.shortest_crash_s * 1000),
             int(self.longest_crash_s * 1000),
+            self.was_done,
         )
 
 
@@ -264,6 +265,7 @@
             task.recorded_work_s = task.earlier_work_s
             task.shortest_crash_s = row.shortest_crash_ms / 1000
             task.longest_crash_s = row.longest_crash_ms / 1000
+            task.was_done = row.was_done
             if row.worker_id:
                 task.worker_id = row.worker_id
                 task.worker_started_ms = row.worker_started_ms
--- a/foxtaillock/batch/tests/test_crashes.py
+++ b/foxtaillock/batch/tests/test_crashes.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import records
@@ -427,13 +429,16 @@
         self.assertEqual(fleet.crashes(crash_fleet.INNOCENT), 2)
 
     def test_record_of_a_task_without_crashes_is_read(self) -> None:
-        """Earlier versions wrote six fields."""
+        """Earlier versions wrote six fields, then eleven; and four of a step.
+
+        The fields that they lacked are the ones that follow.
+        """
         progress = records.TaskProgress(0, 2, 1, "w", 7, "text")
         step_id = model.StepId(crash_fleet.INNOCENT, 0, 0)
         step = records.StepProgress(step_id, 1, b"", (progress,))
         key, value = records.encode(step)
-        earlier = value.replace(b"\xa4text" + 5 * b"\0", b"\xa4text").replace(
-            b"\x9b\x00\x02", b"\x96\x00\x02"
-        )
-        self.assertNotEqual(earlier, value)
-        self.assertEqual(records.decode(key, earlier), step)
+        for task_fields in (6, 11):
+            row = tuple(progress)[:task_fields]
+            earlier = msgspec.msgpack.encode((step_id, 1, b"", (row,)))
+            self.assertLess(len(earlier), len(value))
+            self.assertEqual(records.decode(key, earlier), step)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -285,6 +285,7 @@
             self._state.complete_task(task, step, now_s)
         else:
             task.was_done = True
+            self._state.mark_dirty(task)
 
     def _reconcile(
         self,
