--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -133,6 +133,7 @@
             begun; 0 if that is not known.
         is_displaced: whether an owner may have ordered away the VM of that
             worker, so that a silence of the worker is no crash.
+        was_done: whether an earlier run, given up by an owner, was completed.
     """
 
     number: int
@@ -150,6 +151,7 @@
     not_before_clock_ms: int = 0
     active_clock_ms: int = 0
     is_displaced: bool = False
+    was_done: bool = False
 
 
 class StepProgress(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -187,6 +187,7 @@
             self.not_before_clock_ms,
             self.active_clock_ms,
             self.is_displaced,
+            self.was_done,
         )
 
 
@@ -288,6 +289,7 @@
             task.recorded_work_s = task.work_s
             task.shortest_crash_s = row.shortest_crash_ms / 1000
             task.longest_crash_s = row.longest_crash_ms / 1000
+            task.was_done = row.was_done
             if row.worker_id:
                 task.worker_id = row.worker_id
                 task.worker_started_ms = row.worker_started_ms
--- a/foxtaillock/platform/tests/test_acknowledgements.py
+++ b/foxtaillock/platform/tests/test_acknowledgements.py
@@ -24,6 +24,9 @@
     "workload": "text",
     "steps": [{"count": 1, "cpu": 100, "estimate_ms": 50}],
 }
+# Shorter than the wait of a poll, and longer than it takes to submit a job.
+_SHORT_S = 0.4
+
 _TIMEOUT_S = 15.0
 
 
@@ -90,9 +93,11 @@
         The end comes at an incarnation at which an acknowledgement for the
         earlier one has arrived.
         """
+        self.platform.task_duration_s = 1000.0
         await self._submit(_SERVING_ID, _SERVING_JOB)
         worker = self.platform.workers["i-1"]
         await self._until(lambda: bool(worker.running))
+        self.platform.task_duration_s = _SHORT_S
         self.platform.on_restart = lambda: self._submit(_LATER_ID, _SHORT_JOB)
         await self._submit(_SHORT_ID, _SHORT_JOB)
         await self._until(lambda: bool(self.platform.earlier))
