Soak: the sites' kinds of jobs, hand-overs in series, and idle work is found

What the soak did not see: its jobs were all alike, and it only looked at their states at the end.

- Kinds of jobs: persistent ones, copies, gangs, scheduled occurrences, a limit of tasks on one worker, uneven sizes, attempts that end as failed, jobs that can't be done, and a cancellation beside a late retry.
- Progress is judged on the histories that workers and submitters record, in pure functions: persistent tasks that do not run again, jobs that stand still after the time by which they should have ended, jobs that failed without a cause.
A state that no VM knows 14 s after the last fault stays a violation, also if it is known later.
- Scenarios: hand-overs of the ownership in series, and maintenance waves whose orders take the workers' VMs down.
- The fake platform tells gangs' ends, lets single runs fail and hands orders for VMs to a handler.
Workers of the soak have a module of their own.

Changes to existing tests: a job is made of a plan in place of numbers of tasks, and the CPU demand is that of each task in place of one for all. The regression seeds play the kind of job that they were found with. All checks are as strict as before; the wait for the end of all jobs is as long as before.

--- a/foxtaillock/batch/tests/fake_worker.py
+++ b/foxtaillock/batch/tests/fake_worker.py
@@ -42,7 +42,7 @@
         self, entry: model.WorkerEntry, now_s: float, drift: float
     ) -> None:
         self.entry = entry
-        self._started_s = now_s
+        self.started_s = now_s
         self._drift = drift
         self.epoch = 0
         self.lease_end_ms = 0
@@ -52,12 +52,17 @@
         self.ended: list[interfaces.EndedRun] = []
         self._revoked_runs: dict[model.TaskId, int] = {}
         self._ends = 0
-        self.is_dead = False
+        self.killed_s: float | None = None
         self.failing: set[model.TaskId] = set()
 
+    @property
+    def is_dead(self) -> bool:
+        """Whether the worker has been killed."""
+        return self.killed_s is not None
+
     def clock_ms(self, now_s: float) -> int:
         """Returns the time on the worker's clock."""
-        return int((now_s - self._started_s) * (1 - self._drift) * 1000) + 1
+        return int((now_s - self.started_s) * (1 - self._drift) * 1000) + 1
 
     def advance(self, now_s: float) -> None:
         """Ends the runs that are stopped, complete or out of lease by now."""
@@ -147,7 +152,11 @@
         for run in list(self.running.values()):
             run.ended_s = now_s
         self.running.clear()
-        self.is_dead = True
+        self.killed_s = now_s
+
+    def end(self, run: Run, kind: model.EndKind, now_s: float) -> None:
+        """Ends a run of this worker in a given way."""
+        self._end(run, kind, now_s)
 
     def _check_start(
         self, order: interfaces.StartOrder, clock_ms: int
--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -10,6 +10,8 @@
 import struct
 import time
 import typing
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -18,7 +20,7 @@
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.model import resources
 
-__all__ = ["FakePlatform"]
+__all__ = ["FakePlatform", "RunPlan"]
 
 _MEBIBYTE = 1024 * 1024
 _REASONS = {
@@ -32,9 +34,26 @@
     model.EndKind.FAILED: "failed",
     model.EndKind.STOPPED: "stopped",
     model.EndKind.LAPSED: "lapsed",
+    model.EndKind.GANG_BROKEN: "broken",
+    model.EndKind.GANG_TIMEOUT: "alone",
 }
 
 
+class RunPlan(typing.NamedTuple):
+    """What a run does if nothing stops it.
+
+    Attributes:
+        duration_s: its duration.
+        fails: whether it ends as failed.
+    """
+
+    duration_s: float
+    fails: bool = False
+
+
+VmOrderHandler = Callable[[str, dict[str, typing.Any]], Awaitable[int]]
+
+
 class Topic:
     """One partition of a keyed topic."""
 
@@ -83,8 +102,13 @@
         workers: workers by id.
         payloads: task and payload of each start order.
         task_duration_s: duration of each task that is started.
+        plan_run: returns what a run of a task does; `task_duration_s` holds
+            for all runs if there is none.
         vms: VMs of the fleet, as listed to the owner.
         vm_calls: path, body and epoch of each order for a VM.
+        vm_order_handler: carries out the order for a VM that a path and a body
+            tell, and returns the status of its answer; without it, orders are
+            only recorded.
         advised_workers: id and ticket of each worker in the answers of the
             advisor.
     """
@@ -100,8 +124,10 @@
         self.workers: dict[str, fake_worker.FakeWorker] = {}
         self.payloads: list[tuple[str, str]] = []
         self.task_duration_s = 0.05
+        self.plan_run: Callable[[model.TaskId, int], RunPlan] | None = None
         self.vms: list[dict[str, typing.Any]] = []
         self.vm_calls: list[tuple[str, dict[str, typing.Any], str]] = []
+        self.vm_order_handler: VmOrderHandler | None = None
         self.advised_workers: list[list[str]] = []
         self._changed = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
@@ -275,7 +301,9 @@
         body = json.loads(await request.read())
         epoch = request.headers["X-Fence-Token"]
         self.vm_calls.append((request.path, body, epoch))
-        return _json({})
+        if self.vm_order_handler is None:
+            return _json({})
+        return _json({}, await self.vm_order_handler(request.path, body))
 
     # Workers.
 
@@ -310,9 +338,18 @@
             body["fence"],
         )
         self.payloads.append((body["task"], body["workload"]))
-        return _order_answer(
-            worker.start(order, self.task_duration_s, _now_s())
-        )
+        if self.plan_run is None:
+            return _order_answer(
+                worker.start(order, self.task_duration_s, _now_s())
+            )
+        plan = self.plan_run(order.task, order.run)
+        answer = worker.start(order, plan.duration_s, _now_s())
+        current = worker.running.get(order.task)
+        if current is not None and current.number == order.run:
+            worker.failing.discard(order.task)
+            if plan.fails:
+                worker.failing.add(order.task)
+        return _order_answer(answer)
 
     async def _poll(
         self, worker: fake_worker.FakeWorker, body: dict[str, typing.Any]
--- a/foxtaillock/soak/checker.py
+++ b/foxtaillock/soak/checker.py
@@ -14,12 +14,14 @@
 # effect within this time; the run that it starts is then stopped.
 _CANCEL_GRACE_S = 4.0
 
+# A scheduled task may start this long before its time.
+_EARLY_START_S = 0.25
+
 
 def check_runs(
     workers: Iterable[fake_worker.FakeWorker],
     jobs: Mapping[str, submitters.SubmittedJob],
     capacity_millis: int,
-    task_millis: int,
     now_s: float,
 ) -> list[str]:
     """Returns the violations found in the runs that the workers recorded.
@@ -29,7 +31,6 @@
         jobs: all submitted jobs by id.
         capacity_millis: CPU capacity of a worker, in thousandths of a
             processor.
-        task_millis: CPU demand of a task, in thousandths of a processor.
         now_s: current time.
     """
     findings: list[str] = []
@@ -38,19 +39,28 @@
     )
     for worker in workers:
         worker.advance(now_s)
-        max_concurrent = capacity_millis // task_millis
-        if _max_concurrent_runs(worker.history, now_s) > max_concurrent:
-            findings.append(f"{worker.entry.worker_id}: exceeds its capacity")
+        peak_millis = _peak_cpu_millis(worker.history, jobs, now_s)
+        if peak_millis > capacity_millis:
+            findings.append(
+                f"{worker.entry.worker_id}: exceeds its capacity:"
+                f" {peak_millis} of {capacity_millis}"
+            )
+        findings += _check_spread(worker, jobs, now_s)
         for run in worker.history:
             runs_by_task[run.task].append(run)
     for task, runs in runs_by_task.items():
         job = jobs.get(task.job_id)
-        if job is None or task.step >= len(job.steps):
+        if job is None or task.step >= len(job.plan.steps):
             findings.append(f"{task}: ran without being submitted")
             continue
         if job.is_refused:
             findings.append(f"{task}: ran although its job was refused")
-        findings += _check_task(task, runs, now_s)
+        if not job.plan.steps[task.step].is_speculative:
+            findings += _check_task(task, runs, now_s)
+        if min(run.began_s for run in runs) < (
+            job.due_s(task.occurrence) - _EARLY_START_S
+        ):
+            findings.append(f"{task}: began before it was due")
         findings += _check_dependencies(task, runs, runs_by_task, job)
         if job.cancelled_s is not None:
             findings += [
@@ -77,12 +87,9 @@
             findings.append(f"{job.job_id}: accepted, but reported as gone")
         if job.accepted_s is None:
             continue
-        allowed = {model.JobState.COMPLETED}
-        if job.was_cancel_requested:
-            allowed.add(model.JobState.CANCELLED)
         if job.cancelled_s is not None and state == model.JobState.RUNNING:
             findings.append(f"{job.job_id}: cancelled, but running")
-        elif state not in allowed:
+        elif state not in job.is_settled_by:
             findings.append(f"{job.job_id}: ended as {state or 'unknown'!r}")
     return findings
 
@@ -121,7 +128,9 @@
     if not task.step:
         return []
     began_s = min(run.began_s for run in runs)
-    for number in range(job.steps[task.step - 1]):
+    step = job.plan.steps[task.step - 1]
+    missing = []
+    for number in range(step.task_count):
         before = task._replace(step=task.step - 1, number=number)
         done = any(
             run.kind is model.EndKind.DONE
@@ -130,17 +139,59 @@
             for run in runs_by_task.get(before, ())
         )
         if not done:
-            return [f"{task}: began before {before} was done"]
-    return []
+            missing.append(f"{task}: began before {before} was done")
+    # The end of one member of a gang stands for all of them.
+    if step.is_gang and len(missing) < step.task_count:
+        return []
+    return missing[:1]
 
 
-def _max_concurrent_runs(runs: Iterable[fake_worker.Run], now_s: float) -> int:
-    events: list[tuple[float, int]] = []
+def _peak_cpu_millis(
+    runs: Iterable[fake_worker.Run],
+    jobs: Mapping[str, submitters.SubmittedJob],
+    now_s: float,
+) -> int:
+    """Returns the largest CPU demand of the runs at any time."""
+    demands = []
     for run in runs:
-        events.append((run.began_s, 1))
-        events.append((now_s if run.ended_s is None else run.ended_s, -1))
-    max_concurrent = concurrent = 0
+        job = jobs.get(run.task.job_id)
+        if job is not None and run.task.step < len(job.plan.steps):
+            demands.append((run, job.plan.steps[run.task.step].cpu_millis))
+    return _peak(demands, now_s)
+
+
+def _check_spread(
+    worker: fake_worker.FakeWorker,
+    jobs: Mapping[str, submitters.SubmittedJob],
+    now_s: float,
+) -> list[str]:
+    """Checks that a worker has no more tasks of a step than allowed."""
+    runs_by_step: dict[model.StepId, list[tuple[fake_worker.Run, int]]] = (
+        collections.defaultdict(list)
+    )
+    for run in worker.history:
+        runs_by_step[run.task.step_id].append((run, 1))
+    findings: list[str] = []
+    for step_id, runs in runs_by_step.items():
+        job = jobs.get(step_id.job_id)
+        if job is None or step_id.step >= len(job.plan.steps):
+            continue
+        limit = job.plan.steps[step_id.step].max_per_worker
+        if limit and _peak(runs, now_s) > limit:
+            findings.append(
+                f"{worker.entry.worker_id}: more than {limit} of {step_id}"
+            )
+    return findings
+
+
+def _peak(runs: Iterable[tuple[fake_worker.Run, int]], now_s: float) -> int:
+    """Returns the largest sum of the weights of runs at any time."""
+    events: list[tuple[float, int]] = []
+    for run, weight in runs:
+        events.append((run.began_s, weight))
+        events.append((now_s if run.ended_s is None else run.ended_s, -weight))
+    peak = total = 0
     for _, change in sorted(events):
-        concurrent += change
-        max_concurrent = max(max_concurrent, concurrent)
-    return max_concurrent
+        total += change
+        peak = max(peak, total)
+    return peak
--- a/foxtaillock/soak/faults.py
+++ b/foxtaillock/soak/faults.py
@@ -14,8 +14,9 @@
 
 from foxtaillock.proxy import fault_proxy
 from foxtaillock.soak import processes
+from foxtaillock.soak import worker_pool
 
-__all__ = ["FAULTS", "Fault", "FaultTarget"]
+__all__ = ["FAULTS", "Fault", "FaultTarget", "PLANNED"]
 
 # Maximum duration of a fault; a paused process may stay paused twice as long.
 _MAX_FAULT_S = 3.0
@@ -29,29 +30,16 @@
 
     Attributes:
         vms: entry VMs.
-        worker_links: links to the live workers, by worker id.
+        workers: workers of the platform.
         is_store_unavailable: whether the store refuses all requests.
         is_store_silent: whether the store answers no request.
     """
 
     vms: list[processes.EntryVmProcess]
-    worker_links: dict[str, fault_proxy.FaultProxy]
+    workers: worker_pool.WorkerPool
     is_store_unavailable: bool
     is_store_silent: bool
 
-    async def replace_worker(self, worker_id: str) -> None:
-        """Terminates a worker and starts another one."""
-
-    async def restart_worker(
-        self, worker_id: str, clock_step_ms: int, unannounced_s: float
-    ) -> None:
-        """Terminates a worker and starts it again under its id."""
-
-    def write_foreign_entry(
-        self, worker_id: str, started_ms: int, pool: str
-    ) -> None:
-        """Writes an entry of somebody else under the id of a worker."""
-
     def expire_history(self) -> None:
         """Makes the store drop all but the newest records."""
 
@@ -60,6 +48,9 @@
 
 FAULTS: dict[str, Fault] = {}
 
+# Planned work, during which persistent tasks are expected to go on.
+PLANNED = frozenset(("stop", "reload"))
+
 
 def _register(function: Fault) -> Fault:
     """Registers a fault under the name of its function."""
@@ -163,15 +154,15 @@
 @_register
 async def lose_worker(target: FaultTarget, rng: random.Random) -> None:
     """Replaces a worker by another one."""
-    await target.replace_worker(rng.choice(sorted(target.worker_links)))
+    await target.workers.replace(rng.choice(sorted(target.workers.links)))
 
 
 @_register
 async def restart_worker(target: FaultTarget, rng: random.Random) -> None:
     """Starts a worker again under its id; its clock may have stepped."""
     step_ms = rng.randint(-_MAX_CLOCK_STEP_MS, _MAX_CLOCK_STEP_MS)
-    await target.restart_worker(
-        rng.choice(sorted(target.worker_links)),
+    await target.workers.restart(
+        rng.choice(sorted(target.workers.links)),
         rng.choice((0, step_ms)),
         rng.choice((0.0, rng.uniform(0.5, _MAX_FAULT_S))),
     )
@@ -180,10 +171,10 @@
 @_register
 async def write_foreign_entry(target: FaultTarget, rng: random.Random) -> None:
     """Writes an entry with another start time under the id of a worker."""
-    worker_id = rng.choice(sorted(target.worker_links))
+    worker_id = rng.choice(sorted(target.workers.links))
     step_ms = rng.randint(-_MAX_CLOCK_STEP_MS, _MAX_CLOCK_STEP_MS)
     started_ms = int(time.time() * 1000) + step_ms
-    target.write_foreign_entry(
+    target.workers.write_foreign_entry(
         worker_id, started_ms, rng.choice(("pool", "unknown"))
     )
 
@@ -204,7 +195,7 @@
 ) -> fault_proxy.FaultProxy:
     """Chooses a link from an entry VM to the store, or one to a worker."""
     workers = [
-        target.worker_links[name] for name in sorted(target.worker_links)
+        target.workers.links[name] for name in sorted(target.workers.links)
     ]
     return rng.choice([*(vm.store_link for vm in target.vms), *workers])
 
--- a/foxtaillock/soak/processes.py
+++ b/foxtaillock/soak/processes.py
@@ -25,8 +25,12 @@
         name: name of the VM.
         folder: folder for its settings and its log.
         store_link: proxy to the store.
+        fleet_address: `host:port` of the service that maintains the workers'
+            VMs; empty for none.
+        code_folder: folder whose code the process runs; empty for this one.
 
     Attributes:
+        name: name of the VM.
         address: `host:port` that submitters connect to.
         store_link: proxy to the store.
     """
@@ -36,8 +40,11 @@
         name: str,
         folder: pathlib.Path,
         store_link: fault_proxy.FaultProxy,
+        fleet_address: str = "",
+        code_folder: str = "",
     ) -> None:
-        self._name = name
+        self.name = name
+        self._code_folder = code_folder
         self._settings_path = folder / f"{name}.conf"
         self._log_path = folder / f"{name}.log"
         self.store_link = store_link
@@ -52,6 +59,8 @@
             f"platform.address={store_link.address}",
             f"bounds.grace_s={_SHUTDOWN_GRACE_S}",
         ]
+        if fleet_address:
+            lines.append(f"cloud.address={fleet_address}")
         self._settings_path.write_text("\n".join(lines), encoding="utf-8")
         # An `asyncio.subprocess.Process`.
         self._process: typing.Any = None
@@ -87,6 +96,7 @@
                     "foxtaillock.platform",
                     stdout=log,
                     stderr=log,
+                    cwd=self._code_folder or None,
                     env={
                         **os.environ,
                         "FOXTAILLOCK_SETTINGS": str(self._settings_path),
@@ -97,7 +107,12 @@
 
 
 async def start_entry_vm(
-    name: str, folder: pathlib.Path, store_address: str, rng: random.Random
+    name: str,
+    folder: pathlib.Path,
+    store_address: str,
+    rng: random.Random,
+    fleet_address: str = "",
+    code_folder: str = "",
 ) -> EntryVmProcess:
     """Starts an entry VM and its link to the store.
 
@@ -106,11 +121,14 @@
         folder: folder for its settings and its log.
         store_address: `host:port` of the store.
         rng: source of the seed of the link.
+        fleet_address: `host:port` of the service that maintains the workers'
+            VMs; empty for none.
+        code_folder: folder whose code the process runs; empty for this one.
     """
     link = await fault_proxy.start_fault_proxy(
         store_address, rng.getrandbits(32)
     )
-    vm = EntryVmProcess(name, folder, link)
+    vm = EntryVmProcess(name, folder, link, fleet_address, code_folder)
     vm.start()
     return vm
 
--- a/foxtaillock/soak/run.py
+++ b/foxtaillock/soak/run.py
@@ -7,25 +7,39 @@
 import sys
 import tempfile
 import time
+import typing
 from collections.abc import Collection
 
 import fire
 
-from foxtaillock.batch.tests import fake_worker
 from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import fake_platform
-from foxtaillock.proxy import fault_proxy
 from foxtaillock.soak import checker
 from foxtaillock.soak import faults
+from foxtaillock.soak import gangs
+from foxtaillock.soak import hand_overs
+from foxtaillock.soak import histories
+from foxtaillock.soak import job_kinds
+from foxtaillock.soak import maintenance
 from foxtaillock.soak import processes
+from foxtaillock.soak import progress_checker
+from foxtaillock.soak import scenario
 from foxtaillock.soak import submitters
+from foxtaillock.soak import worker_pool
 
 __all__ = ["Soak", "main", "run_seed"]
 
-_WORKER_COUNT = 4
 _WORKER_CPU_MILLIS = 4_000
-_TASK_CPU_MILLIS = 900
-_TASK_DURATION_S = 0.3
+_TEAM_CAP_MILLIS = 100_000
+
+# Mean time between two submissions.
+_MEAN_PAUSE_S = 0.2
+
+# Time after the last fault by which the state of each accepted job is known.
+_FINISH_S = 14.0
+
+# Time for which a killed process and its successor are away.
+_KILL_EFFECT_S = 1.5
 
 # Time allowed after the last fault until all jobs have ended. It covers the
 # longest lease of an unreachable worker (11 s after its owner went silent),
@@ -35,15 +49,6 @@
 # A withdrawn key must stop working within this time.
 _MAX_REVOCATION_S = 5.0
 
-# Time for which a worker that starts again is away.
-_RESTART_DELAY_S = 0.5
-
-# Interval at which a worker writes its registration.
-_HEARTBEAT_S = 1.0
-
-# Delay from the loss of a worker until its registration is removed.
-_DEREGISTRATION_DELAY_S = 2.0
-
 
 class Soak:
     """Soak test of one seed, and the target of its faults.
@@ -53,11 +58,14 @@
         folder: folder for settings and logs.
         vm_count: number of entry VMs.
         fault_names: names of the faults to inject.
+        plan: what else it does.
 
     Attributes:
         vms: entry VMs.
-        worker_links: links to the live workers, by worker id.
+        workers: workers of the platform.
         started_faults: names of the injected faults in order of their start.
+        hand_over_count: number of hand-overs of the series.
+        longest_gap_s: longest time for which a persistent task did not run.
     """
 
     def __init__(
@@ -66,18 +74,27 @@
         folder: pathlib.Path,
         vm_count: int,
         fault_names: Collection[str] = faults.FAULTS.keys(),
+        plan: scenario.Scenario = scenario.Scenario(),
     ) -> None:
+        self._plan = plan
         self._fault_names = sorted(fault_names)
         self._rng = random.Random(seed)
         self._folder = folder
         self._vm_count = vm_count
         self._platform = fake_platform.FakePlatform()
-        self._workers_added = 0
-        self._ended_workers: list[fake_worker.FakeWorker] = []
+        self.workers = worker_pool.WorkerPool(self._platform, self._rng)
+        self._worker_vms = maintenance.WorkerVms(self._platform, self.workers)
+        self._fault_spans: list[progress_checker.Span] = []
+        self.hand_over_count = 0
+        self.longest_gap_s = 0.0
         self.vms: list[processes.EntryVmProcess] = []
-        self.worker_links: dict[str, fault_proxy.FaultProxy] = {}
         self.started_faults: list[str] = []
 
+    @property
+    def maintained_count(self) -> int:
+        """Number of maintenances of workers' VMs."""
+        return len(self.workers.ordered_away)
+
     @property
     def is_store_unavailable(self) -> bool:
         """Whether the store refuses all requests."""
@@ -101,74 +118,35 @@
         for topic in self._platform.topics.values():
             topic.expire()
 
-    async def replace_worker(self, worker_id: str) -> None:
-        """Terminates a worker and starts another one."""
-        link = self.worker_links.pop(worker_id)
-        self._platform.workers[worker_id].die(time.monotonic())
-        await link.close()
-        await self._add_worker()
-        await asyncio.sleep(_DEREGISTRATION_DELAY_S)
-        self._platform.write("keyed.servers", worker_id, b"")
-
-    async def restart_worker(
-        self, worker_id: str, clock_step_ms: int, unannounced_s: float
-    ) -> None:
-        """Terminates a worker and starts it again under its id."""
-        old = self._platform.workers[worker_id]
-        if old.is_dead:
-            return
-        old.die(time.monotonic())
-        await asyncio.sleep(_RESTART_DELAY_S)
-        started_ms = int(time.time() * 1000) + clock_step_ms
-        entry = old.entry._replace(started_ms=started_ms)
-        self._ended_workers.append(old)
-        self._platform.workers[worker_id] = fake_worker.FakeWorker(
-            entry, time.monotonic(), 0.0
-        )
-        await asyncio.sleep(unannounced_s)
-        self._register(worker_id)
-
-    def write_foreign_entry(
-        self, worker_id: str, started_ms: int, pool: str
-    ) -> None:
-        """Writes an entry of somebody else under the id of a worker."""
-        registration = self._platform.registration(worker_id)
-        foreign = {**registration, "born": started_ms, "service": pool}
-        self._platform.write("keyed.servers", worker_id, foreign)
-        # The worker writes its own entry again with its next heartbeat.
-        asyncio.get_running_loop().call_later(
-            _HEARTBEAT_S, self._register, worker_id
-        )
-
-    def _register(self, worker_id: str) -> None:
-        if worker_id in self.worker_links:
-            registration = self._platform.registration(worker_id)
-            self._platform.write("keyed.servers", worker_id, registration)
-
     async def run(self, duration_s: float) -> list[str]:
         """Runs load and faults for `duration_s`; returns the violations."""
         await self._platform.start()
-        self._platform.task_duration_s = _TASK_DURATION_S
         self._write_config(1, [submitters.KEY])
-        for _ in range(_WORKER_COUNT):
-            await self._add_worker()
+        for _ in range(self._plan.worker_count):
+            await self.workers.add()
+        if self._plan.wave_interval_s:
+            self._worker_vms.start()
         for number in range(self._vm_count):
-            vm = await processes.start_entry_vm(
-                f"vm-{number}", self._folder, self._platform.address, self._rng
-            )
-            self.vms.append(vm)
+            await self._start_vm(f"vm-{number}")
         clients = submitters.Submitters(
             [vm.address for vm in self.vms],
             random.Random(self._rng.getrandbits(32)),
+            self._plan.kind_names,
+        )
+        planner = job_kinds.RunPlanner(clients.find_step)
+        self._platform.plan_run = planner.plan
+        advancing = asyncio.ensure_future(
+            self.workers.advance(gangs.GangMonitor(clients.find_step))
         )
         try:
             return await self._run_load_and_faults(clients, duration_s)
         finally:
+            advancing.cancel()
+            await self._worker_vms.stop()
             await clients.close()
             for vm in self.vms:
                 await vm.stop()
-            for link in self.worker_links.values():
-                await link.close()
+            await self.workers.close()
             await self._platform.stop()
 
     async def _run_load_and_faults(
@@ -176,50 +154,125 @@
     ) -> list[str]:
         # The entry VMs start meanwhile.
         await asyncio.sleep(3.0)
-        load = asyncio.ensure_future(clients.run(duration_s, 0.15))
+        load = asyncio.ensure_future(clients.run(duration_s, _MEAN_PAUSE_S))
+        planned = asyncio.ensure_future(self._do_planned_work(duration_s))
         await self._inject_faults(duration_s)
         await load
-        states = await self._await_completion(clients)
+        await planned
+        finish_s = time.monotonic() + _FINISH_S
+        states = await self._await_completion(clients, finish_s)
         findings = checker.check_submissions(clients.jobs.values(), states)
         findings += checker.check_runs(
-            self._all_workers(),
+            self.workers.histories(),
             clients.jobs,
             _WORKER_CPU_MILLIS,
-            _TASK_CPU_MILLIS,
             time.monotonic(),
         )
+        findings += self._check_progress(clients, states, finish_s)
         return findings + await self._check_key_withdrawal(clients)
 
+    async def _do_planned_work(self, duration_s: float) -> None:
+        """Plays the hand-overs and the waves of the scenario."""
+        waves = asyncio.ensure_future(self._write_waves())
+        if self._plan.series is not None:
+            self.hand_over_count = await hand_overs.run_series(
+                self._plan.series,
+                self._platform,
+                self.vms,
+                random.Random(self._rng.getrandbits(32)),
+                duration_s,
+                self._on_kill,
+            )
+        waves.cancel()
+
+    async def _write_waves(self) -> None:
+        interval_s = self._plan.wave_interval_s
+        while interval_s:
+            at_once = max(1, self._plan.worker_count // 4)
+            self._worker_vms.write_wave(2 * interval_s, at_once)
+            await asyncio.sleep(interval_s)
+
+    def _on_kill(self, now_s: float) -> None:
+        span = progress_checker.Span(now_s, now_s + _KILL_EFFECT_S)
+        self._fault_spans.append(span)
+
+    def _check_progress(
+        self,
+        clients: submitters.Submitters,
+        states: dict[str, str],
+        finish_s: float,
+    ) -> list[str]:
+        """Checks that nothing was idle or failed without a cause."""
+        history = histories.History(
+            self.workers.histories(),
+            clients.jobs,
+            _WORKER_CPU_MILLIS,
+            time.monotonic(),
+        )
+        self.longest_gap_s = progress_checker.longest_gap_s(
+            history.needs, history.runs
+        )
+        failed = [job for job, state in states.items() if state == "failed"]
+        return [
+            *progress_checker.check_needs(
+                history.needs,
+                history.runs,
+                history.workers,
+                self._fault_spans,
+                finish_s,
+                _TEAM_CAP_MILLIS,
+            ),
+            *histories.check_failed_jobs(
+                self.workers.histories(), failed, self.workers.ordered_away
+            ),
+        ]
+
     async def _inject_faults(self, duration_s: float) -> None:
         """Starts faults at random intervals; they may overlap."""
         tasks: list[asyncio.Future[None]] = []
         end_s = time.monotonic() + duration_s
-        while time.monotonic() < end_s:
+        while self._fault_names and time.monotonic() < end_s:
             name = self._rng.choice(self._fault_names)
             self.started_faults.append(name)
             rng = random.Random(self._rng.getrandbits(32))
-            tasks.append(asyncio.ensure_future(faults.FAULTS[name](self, rng)))
+            tasks.append(asyncio.ensure_future(self._inject(name, rng)))
             await asyncio.sleep(self._rng.uniform(0.1, 2.0))
         await asyncio.gather(*tasks)
 
+    async def _inject(self, name: str, rng: random.Random) -> None:
+        """Injects a fault and notes when it was in effect."""
+        began_s = time.monotonic()
+        await faults.FAULTS[name](self, rng)
+        if name not in faults.PLANNED:
+            end_s = time.monotonic() + _KILL_EFFECT_S
+            self._fault_spans.append(progress_checker.Span(began_s, end_s))
+
     async def _await_completion(
-        self, clients: submitters.Submitters
+        self, clients: submitters.Submitters, finish_s: float
     ) -> dict[str, str]:
-        """Waits until all accepted jobs have ended; returns all states."""
+        """Waits until all accepted jobs have ended; returns all states.
+
+        A job whose state is not known at `finish_s` stays unknown.
+        """
         states: dict[str, str] = {}
+        lost: set[str] = set()
         end_s = time.monotonic() + _COMPLETION_TIMEOUT_S
         while time.monotonic() < end_s:
-            for job in clients.jobs.values():
-                if states.get(job.job_id) not in ("completed", "cancelled"):
-                    states[job.job_id] = await clients.state(job)
-            if all(
-                states[job.job_id] in ("completed", "cancelled")
+            was_due = time.monotonic() >= finish_s
+            open_jobs = [
+                job
                 for job in clients.jobs.values()
                 if job.accepted_s is not None
-            ):
+                and states.get(job.job_id) not in job.is_settled_by
+            ]
+            if not open_jobs:
                 break
+            for job in open_jobs:
+                states[job.job_id] = await clients.known_state(job)
+            if was_due and not lost:
+                lost = {job for job, state in states.items() if not state}
             await asyncio.sleep(0.5)
-        return states
+        return {**states, **dict.fromkeys(lost, "")}
 
     async def _check_key_withdrawal(
         self, clients: submitters.Submitters
@@ -241,25 +294,24 @@
             else []
         )
 
-    async def _add_worker(self) -> None:
-        worker_id = f"i-{self._workers_added}"
-        self._workers_added += 1
-        address = await self._platform.add_worker(worker_id, "pool")
-        link = await fault_proxy.start_fault_proxy(
-            address, self._rng.getrandbits(32)
+    async def _start_vm(self, name: str) -> None:
+        has_waves = self._plan.wave_interval_s > 0
+        vm = await processes.start_entry_vm(
+            name,
+            self._folder,
+            self._platform.address,
+            self._rng,
+            self._platform.address if has_waves else "",
+            self._plan.code_folder,
         )
-        worker = self._platform.workers[worker_id]
-        worker.entry = worker.entry._replace(address=link.address)
-        self.worker_links[worker_id] = link
-        self._register(worker_id)
-
-    def _all_workers(self) -> list[fake_worker.FakeWorker]:
-        return [*self._ended_workers, *self._platform.workers.values()]
+        self.vms.append(vm)
 
     def _write_config(self, version: int, keys: list[str]) -> None:
-        self._platform.write(
-            "keyed.op", "config", entry_vm.config(version, keys)
-        )
+        config = entry_vm.config(version, keys)
+        if self._plan.wave_interval_s:
+            # Workers' VMs stay in their pool; only waves take them down.
+            config["services"] = [{"name": "pool"}]
+        self._platform.write("keyed.op", "config", config)
 
 
 async def run_seed(
@@ -267,13 +319,14 @@
     duration_s: float,
     vm_count: int = 3,
     fault_names: Collection[str] = faults.FAULTS.keys(),
+    plan: scenario.Scenario = scenario.Scenario(),
 ) -> tuple[list[str], Soak]:
     """Runs the soak test of one seed; returns the violations and the test.
 
     The logs are kept if there are violations.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, folder, vm_count, fault_names)
+    soak = Soak(seed, folder, vm_count, fault_names, plan)
     findings = await soak.run(duration_s)
     if findings:
         print(f"seed {seed}: logs in {folder}", file=sys.stderr)
@@ -285,7 +338,12 @@
 
 
 def main(
-    first: int = 1, seeds: int = 1, duration_s: float = 20.0, vms: int = 3
+    first: int = 1,
+    seeds: int = 1,
+    duration_s: float = 20.0,
+    vms: int = 3,
+    has_faults: bool = True,
+    **options: typing.Any,
 ) -> None:
     """Runs consecutive seeds and prints a line of JSON for each.
 
@@ -294,20 +352,34 @@
         seeds: number of seeds.
         duration_s: duration of the load and of the faults.
         vms: number of entry VMs.
+        has_faults: whether random faults are injected.
+        options: the rest of the scenario; see `scenario.create`.
     """
+    plan = scenario.create(**options)
+    fault_names = faults.FAULTS.keys() if has_faults else ()
     failed = 0
     for seed in range(first, first + seeds):
-        findings, soak = asyncio.run(run_seed(seed, duration_s, vms))
+        findings, soak = asyncio.run(
+            run_seed(seed, duration_s, vms, fault_names, plan)
+        )
         failed += bool(findings)
-        line = {
-            "seed": seed,
-            "findings": findings,
-            "faults": soak.started_faults,
-        }
-        print(json.dumps(line), flush=True)
+        print(json.dumps(_summary(seed, findings, soak)), flush=True)
     print(f"{seeds - failed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
 
+def _summary(
+    seed: int, findings: list[str], soak: Soak
+) -> dict[str, typing.Any]:
+    return {
+        "seed": seed,
+        "findings": findings,
+        "faults": soak.started_faults,
+        "hand_overs": soak.hand_over_count,
+        "maintained": soak.maintained_count,
+        "longest_gap_s": round(soak.longest_gap_s, 2),
+    }
+
+
 if __name__ == "__main__":
     fire.Fire(main)
--- a/foxtaillock/soak/submitters.py
+++ b/foxtaillock/soak/submitters.py
@@ -5,10 +5,14 @@
 import random
 import time
 import typing
+from collections.abc import Collection
 from collections.abc import Sequence
 
 import aiohttp
 
+from foxtaillock.batch import model
+from foxtaillock.soak import job_kinds
+
 __all__ = ["KEY", "SubmittedJob", "Submitters"]
 
 KEY = "key-1"
@@ -20,6 +24,14 @@
 _CANCEL_PROBABILITY = 0.15
 _SUCCESS_STATUSES = range(200, 300)
 
+# Part of the cancellations beside which a retry of the submission arrives.
+_LATE_RETRY_PROBABILITY = 0.5
+
+# Persistent jobs that run at the same time.
+_MAX_PERSISTENT_JOBS = 3
+
+_MAX_ESTIMATE_MS = 1_000
+
 # Statuses that tell the submitter that its job was not accepted.
 _NOT_ACCEPTED_STATUSES = (429, 503)
 
@@ -30,8 +42,9 @@
 
     Attributes:
         path: path that it was submitted to.
-        steps: number of tasks of each step; a step depends on the previous
-            one.
+        plan: what was submitted.
+        submitted_s: time of its first submission.
+        submitted_ms: the same time on the wall clock.
         accepted_s: time of its acceptance, or None.
         statuses: HTTP status of each submission attempt; 0 without an answer.
         cancelled_s: time at which its cancellation was acknowledged, or None.
@@ -41,7 +54,9 @@
     """
 
     path: str
-    steps: tuple[int, ...]
+    plan: job_kinds.JobPlan
+    submitted_s: float = 0.0
+    submitted_ms: int = 0
     accepted_s: float | None = None
     statuses: list[int] = dataclasses.field(default_factory=list)
     cancelled_s: float | None = None
@@ -53,6 +68,26 @@
         """Id of the job."""
         return self.path.rsplit("/", 1)[1]
 
+    @property
+    def step_counts(self) -> tuple[int, ...]:
+        """Number of tasks of each step."""
+        return tuple(step.task_count for step in self.plan.steps)
+
+    @property
+    def is_settled_by(self) -> frozenset[str]:
+        """States in which the job remains until it is cancelled."""
+        states = {str(self.plan.end_state)}
+        if self.was_cancel_requested:
+            states.add(model.JobState.CANCELLED)
+        return frozenset(states)
+
+    def due_s(self, occurrence: int) -> float:
+        """Returns the time at which an occurrence is due."""
+        if not self.plan.occurrences:
+            return self.submitted_s
+        delay_s = self.plan.first_delay_s
+        return self.submitted_s + delay_s + occurrence * self.plan.interval_s
+
     @property
     def is_refused(self) -> bool:
         """Whether all attempts were answered as not accepted."""
@@ -67,6 +102,7 @@
     Args:
         addresses: addresses of the entry VMs.
         rng: source of their random choices.
+        kind_names: names of the kinds of jobs that they submit.
 
     Attributes:
         jobs: submitted jobs by id.
@@ -74,9 +110,15 @@
             were sent.
     """
 
-    def __init__(self, addresses: Sequence[str], rng: random.Random) -> None:
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        rng: random.Random,
+        kind_names: Collection[str] = job_kinds.KINDS.keys(),
+    ) -> None:
         self._addresses = list(addresses)
         self._rng = rng
+        self._kind_names = kind_names
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
         )
@@ -103,13 +145,21 @@
             job.gone_answer_count += 1
         return str(body.get("state", "")) if status == 200 else ""
 
+    async def known_state(self, job: SubmittedJob) -> str:
+        """Reads a state, with retries; empty if no VM knows it."""
+        for _ in range(1 + _MAX_RETRIES):
+            state = await self.state(job)
+            if state:
+                return state
+        return ""
+
     async def _submit_job(self) -> None:
         prefix = self._rng.choice(("/open/", "/keyed/"))
         path = f"{prefix}{self._rng.getrandbits(64):016x}"
-        steps = tuple(
-            self._rng.randint(1, 3) for _ in range(self._rng.randint(1, 2))
+        plan = self._draw_plan()
+        job = SubmittedJob(
+            path, plan, time.monotonic(), int(time.time() * 1000)
         )
-        job = SubmittedJob(path, steps)
         self.jobs[job.job_id] = job
         for _ in range(1 + _MAX_RETRIES):
             status, _ = await self._send_request("POST", path, _job_body(job))
@@ -126,8 +176,36 @@
         else:
             await self.state(job)
 
+    def find_step(self, task: model.TaskId) -> job_kinds.StepPlan | None:
+        """Returns the step of a task, or None if nobody submitted it."""
+        job = self.jobs.get(task.job_id)
+        if job is None or task.step >= len(job.plan.steps):
+            return None
+        return job.plan.steps[task.step]
+
+    def _draw_plan(self) -> job_kinds.JobPlan:
+        """Draws a job; the persistent ones leave capacity for others."""
+        names = set(self._kind_names)
+        running = [
+            job
+            for job in self.jobs.values()
+            if job.plan.end_state is model.JobState.RUNNING
+            and not job.was_cancel_requested
+        ]
+        if len(running) >= _MAX_PERSISTENT_JOBS:
+            names -= {"persistent"}
+        return job_kinds.draw(names or self._kind_names, self._rng)
+
     async def _cancel(self, job: SubmittedJob) -> None:
         job.was_cancel_requested = True
+        if self._rng.random() < _LATE_RETRY_PROBABILITY:
+            # A retry that was on its way for long arrives beside it.
+            retry = self._send_request("POST", job.path, _job_body(job))
+            await asyncio.gather(retry, self._send_cancellations(job))
+        else:
+            await self._send_cancellations(job)
+
+    async def _send_cancellations(self, job: SubmittedJob) -> None:
         for _ in range(1 + _MAX_RETRIES):
             status, _ = await self._send_request("DELETE", job.path)
             if status in _SUCCESS_STATUSES:
@@ -162,15 +240,29 @@
 
 
 def _job_body(job: SubmittedJob) -> dict[str, typing.Any]:
-    steps: list[dict[str, typing.Any]] = []
-    for number, count in enumerate(job.steps):
-        step: dict[str, typing.Any] = {
-            "count": count,
-            "cpu": 900,
-            "mem_mb": 64,
-            "estimate_ms": 300,
-        }
-        if number:
-            step["depends_on"] = [number - 1]
-        steps.append(step)
-    return {"workload": job.job_id, "steps": steps}
+    steps = [
+        _step_body(step, number) for number, step in enumerate(job.plan.steps)
+    ]
+    body: dict[str, typing.Any] = {"workload": job.job_id, "steps": steps}
+    if job.plan.occurrences:
+        body["times"] = job.plan.occurrences
+        body["first_ms"] = job.submitted_ms + int(job.plan.first_delay_s * 1000)
+        body["interval_ms"] = int(job.plan.interval_s * 1000)
+    return body
+
+
+def _step_body(step: job_kinds.StepPlan, number: int) -> dict[str, typing.Any]:
+    body = {
+        "count": step.task_count,
+        "cpu": step.cpu_millis,
+        "mem_mb": 64,
+        "estimate_ms": min(_MAX_ESTIMATE_MS, int(step.run_s * 1000)),
+        "depends_on": [number - 1] if number else [],
+        "persistent": step.is_persistent,
+        "gang": step.is_gang,
+        "speculative": step.is_speculative,
+        "may_miss": step.max_unavailable,
+        "max_per_server": step.max_per_worker,
+    }
+    # Fields without a value are omitted.
+    return {name: value for name, value in body.items() if value}
--- a/foxtaillock/soak/tests/test_soak.py
+++ b/foxtaillock/soak/tests/test_soak.py
@@ -8,11 +8,15 @@
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.soak import checker
 from foxtaillock.soak import faults
+from foxtaillock.soak import job_kinds
 from foxtaillock.soak import run
+from foxtaillock.soak import scenario
 from foxtaillock.soak import submitters
 
 _SEED = 20261204
 
+_PLAN = job_kinds.JobPlan((job_kinds.StepPlan(1),))
+
 # Seeds that failed once, each with the fault that was fixed.
 _REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
     (16, "a third run although the late end of the first reported success"),
@@ -38,7 +42,10 @@
         for seed, cause in _REGRESSION_SEEDS:
             with self.subTest(seed=seed, cause=cause):
                 findings, soak = await run.run_seed(
-                    seed, 20.0, fault_names=_REGRESSION_FAULTS
+                    seed,
+                    20.0,
+                    fault_names=_REGRESSION_FAULTS,
+                    plan=scenario.Scenario(kind_names={"small"}),
                 )
                 self.assertEqual(findings, [], soak.started_faults)
 
@@ -48,13 +55,13 @@
 
     def test_accepted_job_that_has_not_ended_is_a_violation(self) -> None:
         job = submitters.SubmittedJob(
-            "/open/00000000000000aa", (1,), 5.0, [200]
+            "/open/00000000000000aa", _PLAN, accepted_s=5.0, statuses=[200]
         )
         findings = checker.check_submissions([job], {job.job_id: "running"})
         self.assertEqual(len(findings), 1)
 
     def test_job_is_refused_only_if_all_attempts_were_refused(self) -> None:
-        job = submitters.SubmittedJob("/open/00000000000000aa", (1,))
+        job = submitters.SubmittedJob("/open/00000000000000aa", _PLAN)
         self.assertFalse(job.is_refused)
         job.statuses += [503, 429]
         self.assertTrue(job.is_refused)
@@ -76,7 +83,7 @@
                 acknowledged.
         """
         job = submitters.SubmittedJob(
-            "/open/00000000000000aa", (1,), 5.0, [200]
+            "/open/00000000000000aa", _PLAN, accepted_s=5.0, statuses=[200]
         )
         task = model.TaskId(job.job_id, 0, 0, 0)
         workers = []
@@ -88,7 +95,7 @@
             worker.poll(1, 0, None, run_number + 0.6)
             worker.poll(1, end, None, run_number + 0.7)
             workers.append(worker)
-        return checker.check_runs(workers, {job.job_id: job}, 4000, 1000, 3.0)
+        return checker.check_runs(workers, {job.job_id: job}, 4000, 3.0)
 
     def test_faults_are_registered(self) -> None:
         self.assertGreater(len(faults.FAULTS), 10)
