Ownership: silence of workers that were ordered away is no reason to yield

Seen by callers: beside maintenance waves, takeovers that nobody asked for, each of which puts starts off. An owner yields when more than half of the workers with tasks don't answer. After a takeover these include workers whose VM the earlier owner has just ordered away; batch tasks may be placed there, so they have tasks, and they can't answer.

Ruled out: a cut. Other entry VMs did not reach these workers either, and the next owner yielded for the same ones.

The mend: workers that are held, because an earlier owner may have ordered their VM away, don't count. All others count as before, so a cut is still noticed. That workers are not held once their VM shows no worker any more is a cause of its own.

--- a/foxtaillock/batch/reachability.py
+++ b/foxtaillock/batch/reachability.py
@@ -3,7 +3,8 @@
 Workers that no entry VM reaches are no reason to: another owner would reach
 them no better, and the change costs a takeover. So it counts where they are. An
 availability zone that is cut off takes its workers along; an owner that has
-lost its own network misses workers of several zones.
+lost its own network misses workers of several zones. Workers whose VM an
+earlier owner may have ordered away don't count: they are expected to be silent.
 """
 
 import collections
@@ -24,6 +25,8 @@
 class Reachability(typing.NamedTuple):
     """How many of the workers with tasks an owner reaches.
 
+    Workers whose VM may have been ordered away are left out.
+
     Attributes:
         unreached_fraction: fraction of them that it does not reach.
         unreached_zones: availability zones of which it does not reach more than
@@ -59,7 +62,7 @@
     for worker in all_workers:
         zone = worker.entry.zone
         zones.add(zone)
-        if worker.tasks:
+        if worker.tasks and not worker.is_held:
             totals[zone] += 1
             unreached[zone] += worker.unanswered_calls >= _MIN_UNANSWERED_CALLS
     lost = sorted(
--- a/foxtaillock/batch/tests/test_reachability.py
+++ b/foxtaillock/batch/tests/test_reachability.py
@@ -44,5 +44,28 @@
     def test_owner_gives_way_in_a_fleet_of_one_zone(self) -> None:
         self.assertTrue(self._is_cut_off(a=[False, False, True]))
 
+    def test_silence_of_workers_ordered_away_is_no_reason(self) -> None:
+        found = [_worker(str(n), zone, False) for n, zone in enumerate("aabc")]
+        self.assertTrue(reachability.measure(found).is_owner_cut_off)
+        for worker in found[:3]:
+            worker.is_held = True
+        one_left = reachability.measure(found)
+        self.assertEqual(one_left.unreached_zones, ("c",))
+        self.assertFalse(one_left.is_owner_cut_off)
+
+    def test_workers_ordered_away_do_not_hide_a_cut(self) -> None:
+        found = [_worker(str(n), zone, False) for n, zone in enumerate("aabc")]
+        found[0].is_held = True
+        self.assertTrue(reachability.measure(found).is_owner_cut_off)
+
+    def test_owner_of_one_zone_stays_if_only_workers_ordered_away_are_silent(
+        self,
+    ) -> None:
+        held = [_worker(str(number), "a", False) for number in range(3)]
+        for worker in held:
+            worker.is_held = True
+        found = [*held, _worker("3", "a", True)]
+        self.assertFalse(reachability.measure(found).is_owner_cut_off)
+
     def test_owner_without_running_tasks_stays(self) -> None:
         self.assertFalse(reachability.measure([]).is_owner_cut_off)
