Soak: workers write heartbeats, and waves don't overlap

The fake workers wrote their registration once. The platform's workers write each 1.5 s or so. Here they do so each second now, except while the store is away, after an unannounced restart, and in the second after an entry of somebody else, so nothing that was played before is left out.

Waves began before the one before them had to be over, which took more VMs down at a time than a wave allows.

--- a/foxtaillock/soak/run.py
+++ b/foxtaillock/soak/run.py
@@ -135,13 +135,16 @@
         )
         planner = job_kinds.RunPlanner(clients.find_step)
         self._platform.plan_run = planner.plan
-        advancing = asyncio.ensure_future(
-            self.workers.advance(gangs.GangMonitor(clients.find_step))
-        )
+        monitor = gangs.GangMonitor(clients.find_step)
+        background = [
+            asyncio.ensure_future(self.workers.advance(monitor)),
+            asyncio.ensure_future(self.workers.write_heartbeats()),
+        ]
         try:
             return await self._run_load_and_faults(clients, duration_s)
         finally:
-            advancing.cancel()
+            for task in background:
+                task.cancel()
             await self._worker_vms.stop()
             await clients.close()
             for vm in self.vms:
@@ -189,7 +192,7 @@
         interval_s = self._plan.wave_interval_s
         while interval_s:
             at_once = max(1, self._plan.worker_count // 4)
-            self._worker_vms.write_wave(2 * interval_s, at_once)
+            self._worker_vms.write_wave(interval_s, at_once)
             await asyncio.sleep(interval_s)
 
     def _on_kill(self, now_s: float) -> None:
--- a/foxtaillock/soak/worker_pool.py
+++ b/foxtaillock/soak/worker_pool.py
@@ -43,6 +43,7 @@
         self._rng = rng
         self._added = 0
         self._ended: list[fake_worker.FakeWorker] = []
+        self._unannounced: set[str] = set()
         self.links: dict[str, fault_proxy.FaultProxy] = {}
         self.ordered_away: set[str] = set()
 
@@ -100,8 +101,9 @@
         self._platform.workers[worker_id] = fake_worker.FakeWorker(
             entry, time.monotonic(), 0.0
         )
+        self._unannounced.add(worker_id)
         await asyncio.sleep(unannounced_s)
-        self._register(worker_id)
+        self._announce(worker_id)
 
     def write_foreign_entry(
         self, worker_id: str, started_ms: int, pool: str
@@ -111,8 +113,9 @@
         foreign = {**registration, "born": started_ms, "service": pool}
         self._platform.write("keyed.servers", worker_id, foreign)
         # The worker writes its own entry again with its next heartbeat.
+        self._unannounced.add(worker_id)
         asyncio.get_running_loop().call_later(
-            _HEARTBEAT_S, self._register, worker_id
+            _HEARTBEAT_S, self._announce, worker_id
         )
 
     def deregister(self, worker_id: str) -> None:
@@ -128,12 +131,31 @@
             gang_monitor.advance(self._platform.workers.values(), now_s)
             await asyncio.sleep(_ADVANCE_INTERVAL_S)
 
+    async def write_heartbeats(self) -> None:
+        """Writes the registrations of all workers at intervals.
+
+        An owner that has not met a worker yet knows its clock from there.
+        """
+        while True:
+            await asyncio.sleep(_HEARTBEAT_S)
+            for worker_id in self.links:
+                self._register(worker_id)
+
     async def close(self) -> None:
         """Closes all links."""
         for link in self.links.values():
             await link.close()
 
+    def _announce(self, worker_id: str) -> None:
+        self._unannounced.discard(worker_id)
+        self._register(worker_id)
+
     def _register(self, worker_id: str) -> None:
-        if worker_id in self.links:
+        """Writes the registration of a worker that can and may do so."""
+        is_up = worker_id in self.links and (
+            not self._platform.workers[worker_id].is_dead
+        )
+        can_write = not (self._platform.is_away or self._platform.is_silent)
+        if is_up and can_write and worker_id not in self._unannounced:
             registration = self._platform.registration(worker_id)
             self._platform.write("keyed.servers", worker_id, registration)
