Waves: a late wave leaves half of a pool for its tasks

Seen by callers: beside a wave that is late, nothing of a pool runs any more: persistent tasks stay away and new jobs wait. When the remaining time of a wave is short, a pool drains as many VMs as the wave needs to end in time, without a bound; a wave over a whole pool then drained all of it. No task may start there, and persistent tasks, which are never interrupted, have nowhere to go, so the VMs that run them are not maintained either and the wave stays late.

The mend: at most half of a pool's VMs, but always one, are drained or being maintained at a time, for all waves together. On pools of which a wave takes less than half it changes nothing.

--- a/foxtaillock/batch/maintenance_waves.py
+++ b/foxtaillock/batch/maintenance_waves.py
@@ -215,7 +215,8 @@
         """Cordons the VMs of a wave that are drained next.
 
         Each pool drains one VM at a time, and none while its tasks wait, unless
-        the remaining time is short for the pool's VMs. In addition, one VM with
+        the remaining time is short for the pool's VMs; never more than half of
+        them. In addition, one VM with
         persistent tasks is drained from the start of the wave: its tasks move
         away one at a time, which takes the longest.
 
@@ -246,14 +247,30 @@
             if has_persistent:
                 max_draining = max(1, max_draining)
             group = (row.pool, has_persistent)
-            is_cordoned = row.vm in self._ledger.cordoned_vms
-            if draining_count[group] >= max_draining and not is_cordoned:
+            may_begin = draining_count[group] < max_draining and (
+                row.vm not in uses or self._may_cordon_one_of(row.pool)
+            )
+            if not may_begin and row.vm not in self._ledger.cordoned_vms:
                 continue
             draining_count[group] += 1
             self._ledger.cordoned_vms.add(row.vm)
             chosen.append((row, remaining_s < _FORCE_WINDOW_S))
         return chosen
 
+    def _may_cordon_one_of(self, pool: str) -> bool:
+        """Returns whether one more VM of a pool may be drained.
+
+        At most half of the pool's VMs, but always one, are drained or being
+        maintained for all waves together. The others run what has to go on: a
+        persistent task moves only to a VM that is not drained itself.
+        """
+        vms = [row.vm for row in self._ledger.vms.values() if row.pool == pool]
+        away = sum(
+            vm in self._ledger.cordoned_vms or vm in self._ledger.pending
+            for vm in vms
+        )
+        return away < max(1, len(vms) // 2)
+
     def _max_draining(
         self,
         pool: str,
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -73,6 +73,26 @@
         uses = {row.vm: vm_ledger.VmUse(1, 1, 0.0) for row in self.rows}
         self.assertEqual(self._next_vms(uses, 69.0), [])
 
+    def test_late_wave_leaves_half_of_a_pool_for_its_tasks(self) -> None:
+        for use in (_BUSY, vm_ledger.VmUse(1, 1, 0.0)):
+            with self.subTest(use=use):
+                self.setUp()
+                uses = {row.vm: use for row in self.rows}
+                for now_s in (66.0, 69.0, 90.0):
+                    self._next_vms(uses, now_s)
+                    self.assertEqual(len(self.fleet.cordoned_workers), 2)
+
+    def test_late_waves_together_leave_half_of_a_pool(self) -> None:
+        vms = tuple(row.vm for row in self.rows)
+        self.fleet.add_wave(model.Wave(2, vms, 60.0, 2), (), False, 10.0)
+        use = vm_ledger.VmUse(1, 1, 0.0)
+        self._next_vms({row.vm: use for row in self.rows}, 90.0)
+        self.assertEqual(len(self.fleet.cordoned_workers), 2)
+
+    def test_late_wave_maintains_the_only_vm_of_a_pool(self) -> None:
+        self.fleet.update_vms(self.rows[:1], "spare", 10.0)
+        self.assertEqual(self._next_vms({"m0": _IDLE}, 90.0), ["m0"])
+
     def test_vm_with_persistent_tasks_is_drained_from_the_start(
         self,
     ) -> None:
