--- a/foxtaillock/soak/tests/test_soak.py
+++ b/foxtaillock/soak/tests/test_soak.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.soak import checker
 from foxtaillock.soak import faults
+from foxtaillock.soak import hand_overs
 from foxtaillock.soak import job_kinds
 from foxtaillock.soak import run
 from foxtaillock.soak import scenario
@@ -15,6 +16,9 @@
 
 _SEED = 20261204
 
+# Seed with which a series of hand-overs kept persistent tasks away.
+_SERIES_SEED = 4
+
 _PLAN = job_kinds.JobPlan((job_kinds.StepPlan(1),))
 
 # Seeds that failed once, each with the fault that was fixed.
@@ -49,6 +53,20 @@
                 )
                 self.assertEqual(findings, [], soak.started_faults)
 
+    async def test_persistent_tasks_run_beside_hand_overs_and_waves(
+        self,
+    ) -> None:
+        plan = scenario.Scenario(
+            kind_names={"persistent", "small"},
+            worker_count=6,
+            series=hand_overs.HandOverSeries(3.2, 3.2),
+            wave_interval_s=8.0,
+        )
+        findings, _ = await run.run_seed(
+            _SERIES_SEED, 12.0, 4, fault_names=(), plan=plan
+        )
+        self.assertEqual(findings, [])
+
 
 class CheckerTest(unittest.TestCase):
     """Checks that violations are found."""
