Soak: a job that failed with a task to blame is no violation

A failed job needs no run from then on. One without a task to blame is told as before, and now twice: by its state and by the missing cause.

--- a/foxtaillock/soak/checker.py
+++ b/foxtaillock/soak/checker.py
@@ -1,6 +1,7 @@
 """Checks of the system's guarantees against workers and submitters."""
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -72,24 +73,32 @@
 
 
 def check_submissions(
-    jobs: Iterable[submitters.SubmittedJob], states: Mapping[str, str]
+    jobs: Iterable[submitters.SubmittedJob],
+    states: Mapping[str, str],
+    given_up: Collection[str] = (),
 ) -> list[str]:
     """Returns the violations found in the states of jobs after all faults.
 
     Args:
         jobs: all submitted jobs.
         states: state of each job by id.
+        given_up: ids of the jobs that may have failed, since a task of theirs
+            is to blame.
     """
     findings: list[str] = []
     for job in jobs:
         state = states.get(job.job_id, "")
         if job.gone_answer_count:
             findings.append(f"{job.job_id}: accepted, but reported as gone")
-        if job.accepted_s is None:
+        is_given_up = state == model.JobState.FAILED and job.job_id in given_up
+        if job.accepted_s is None or is_given_up:
             continue
+        allowed = {job.plan.end_state}
+        if job.was_cancel_requested:
+            allowed.add(model.JobState.CANCELLED)
         if job.cancelled_s is not None and state == model.JobState.RUNNING:
             findings.append(f"{job.job_id}: cancelled, but running")
-        elif state not in job.is_settled_by:
+        elif state not in allowed:
             findings.append(f"{job.job_id}: ended as {state or 'unknown'!r}")
     return findings
 
--- a/foxtaillock/soak/run.py
+++ b/foxtaillock/soak/run.py
@@ -1,6 +1,7 @@
 """Soak test of one seed, and the command that runs several seeds."""
 
 import asyncio
+import itertools
 import json
 import pathlib
 import random
@@ -164,14 +165,13 @@
         await planned
         finish_s = time.monotonic() + _FINISH_S
         states = await self._await_completion(clients, finish_s)
-        findings = checker.check_submissions(clients.jobs.values(), states)
-        findings += checker.check_runs(
+        findings = checker.check_runs(
             self.workers.histories(),
             clients.jobs,
             _WORKER_CPU_MILLIS,
             time.monotonic(),
         )
-        findings += self._check_progress(clients, states, finish_s)
+        findings += self._check_jobs(clients, states, finish_s)
         return findings + await self._check_key_withdrawal(clients)
 
     async def _do_planned_work(self, duration_s: float) -> None:
@@ -199,24 +199,31 @@
         span = progress_checker.Span(now_s, now_s + _KILL_EFFECT_S)
         self._fault_spans.append(span)
 
-    def _check_progress(
+    def _check_jobs(
         self,
         clients: submitters.Submitters,
         states: dict[str, str],
         finish_s: float,
     ) -> list[str]:
-        """Checks that nothing was idle or failed without a cause."""
+        """Checks the jobs' states and that nothing was idle without cause."""
+        failed = {job for job, state in states.items() if state == "failed"}
+        without_cause = histories.check_failed_jobs(
+            self.workers.histories(), failed, self.workers.ordered_away
+        )
+        given_up = {job for job in failed if not without_cause[job]}
         history = histories.History(
             self.workers.histories(),
             clients.jobs,
             _WORKER_CPU_MILLIS,
             time.monotonic(),
+            failed,
         )
         self.longest_gap_s = progress_checker.longest_gap_s(
             history.needs, history.runs
         )
-        failed = [job for job, state in states.items() if state == "failed"]
         return [
+            *checker.check_submissions(clients.jobs.values(), states, given_up),
+            *itertools.chain.from_iterable(without_cause.values()),
             *progress_checker.check_needs(
                 history.needs,
                 history.runs,
@@ -225,9 +232,6 @@
                 finish_s,
                 _TEAM_CAP_MILLIS,
             ),
-            *histories.check_failed_jobs(
-                self.workers.histories(), failed, self.workers.ordered_away
-            ),
         ]
 
     async def _inject_faults(self, duration_s: float) -> None:
@@ -266,7 +270,7 @@
                 job
                 for job in clients.jobs.values()
                 if job.accepted_s is not None
-                and states.get(job.job_id) not in job.is_settled_by
+                and states.get(job.job_id) not in job.settled_states
             ]
             if not open_jobs:
                 break
--- a/foxtaillock/soak/submitters.py
+++ b/foxtaillock/soak/submitters.py
@@ -74,9 +74,9 @@
         return tuple(step.task_count for step in self.plan.steps)
 
     @property
-    def is_settled_by(self) -> frozenset[str]:
-        """States in which the job remains until it is cancelled."""
-        states = {str(self.plan.end_state)}
+    def settled_states(self) -> frozenset[str]:
+        """States in which the job remains, as it should or not."""
+        states = {str(self.plan.end_state), str(model.JobState.FAILED)}
         if self.was_cancel_requested:
             states.add(model.JobState.CANCELLED)
         return frozenset(states)
