Soak: the end waits until all persistent tasks run

A job counts as running while one of its tasks runs, so the soak ended before a persistent task that never came back could be told. It waits for each of them now, within the time that it had before; the bound itself is judged on the histories. All checks of jobs have a module of their own.

--- a/foxtaillock/soak/run.py
+++ b/foxtaillock/soak/run.py
@@ -1,7 +1,6 @@
 """Soak test of one seed, and the command that runs several seeds."""
 
 import asyncio
-import itertools
 import json
 import pathlib
 import random
@@ -13,13 +12,13 @@
 
 import fire
 
+from foxtaillock.batch import model
 from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import fake_platform
-from foxtaillock.soak import checker
 from foxtaillock.soak import faults
 from foxtaillock.soak import gangs
 from foxtaillock.soak import hand_overs
-from foxtaillock.soak import histories
+from foxtaillock.soak import job_checks
 from foxtaillock.soak import job_kinds
 from foxtaillock.soak import maintenance
 from foxtaillock.soak import processes
@@ -30,9 +29,6 @@
 
 __all__ = ["Soak", "main", "run_seed"]
 
-_WORKER_CPU_MILLIS = 4_000
-_TEAM_CAP_MILLIS = 100_000
-
 # Mean time between two submissions.
 _MEAN_PAUSE_S = 0.2
 
@@ -165,14 +161,17 @@
         await planned
         finish_s = time.monotonic() + _FINISH_S
         states = await self._await_completion(clients, finish_s)
-        findings = checker.check_runs(
-            self.workers.histories(),
+        verdict = job_checks.check(
+            self.workers,
             clients.jobs,
-            _WORKER_CPU_MILLIS,
+            states,
+            self._fault_spans,
+            finish_s,
             time.monotonic(),
         )
-        findings += self._check_jobs(clients, states, finish_s)
-        return findings + await self._check_key_withdrawal(clients)
+        self.longest_gap_s = verdict.longest_gap_s
+        withdrawal_findings = await self._check_key_withdrawal(clients)
+        return [*verdict.findings, *withdrawal_findings]
 
     async def _do_planned_work(self, duration_s: float) -> None:
         """Plays the hand-overs and the waves of the scenario."""
@@ -199,41 +198,6 @@
         span = progress_checker.Span(now_s, now_s + _KILL_EFFECT_S)
         self._fault_spans.append(span)
 
-    def _check_jobs(
-        self,
-        clients: submitters.Submitters,
-        states: dict[str, str],
-        finish_s: float,
-    ) -> list[str]:
-        """Checks the jobs' states and that nothing was idle without cause."""
-        failed = {job for job, state in states.items() if state == "failed"}
-        without_cause = histories.check_failed_jobs(
-            self.workers.histories(), failed, self.workers.ordered_away
-        )
-        given_up = {job for job in failed if not without_cause[job]}
-        history = histories.History(
-            self.workers.histories(),
-            clients.jobs,
-            _WORKER_CPU_MILLIS,
-            time.monotonic(),
-            failed,
-        )
-        self.longest_gap_s = progress_checker.longest_gap_s(
-            history.needs, history.runs
-        )
-        return [
-            *checker.check_submissions(clients.jobs.values(), states, given_up),
-            *itertools.chain.from_iterable(without_cause.values()),
-            *progress_checker.check_needs(
-                history.needs,
-                history.runs,
-                history.workers,
-                self._fault_spans,
-                finish_s,
-                _TEAM_CAP_MILLIS,
-            ),
-        ]
-
     async def _inject_faults(self, duration_s: float) -> None:
         """Starts faults at random intervals; they may overlap."""
         tasks: list[asyncio.Future[None]] = []
@@ -259,7 +223,8 @@
     ) -> dict[str, str]:
         """Waits until all accepted jobs have ended; returns all states.
 
-        A job whose state is not known at `finish_s` stays unknown.
+        It also waits until all persistent tasks run. A job whose state is not
+        known at `finish_s` stays unknown.
         """
         states: dict[str, str] = {}
         lost: set[str] = set()
@@ -272,7 +237,12 @@
                 if job.accepted_s is not None
                 and states.get(job.job_id) not in job.settled_states
             ]
-            if not open_jobs:
+            running = self.workers.running_tasks()
+            if not open_jobs and all(
+                job.persistent_tasks <= running
+                or states[job.job_id] == model.JobState.FAILED
+                for job in clients.jobs.values()
+            ):
                 break
             for job in open_jobs:
                 states[job.job_id] = await clients.known_state(job)
--- a/foxtaillock/soak/submitters.py
+++ b/foxtaillock/soak/submitters.py
@@ -81,6 +81,18 @@
             states.add(model.JobState.CANCELLED)
         return frozenset(states)
 
+    @property
+    def persistent_tasks(self) -> set[model.TaskId]:
+        """Tasks that have to run until the job is cancelled."""
+        if self.accepted_s is None or self.was_cancel_requested:
+            return set()
+        return {
+            model.TaskId(self.job_id, 0, step_number, number)
+            for step_number, step in enumerate(self.plan.steps)
+            for number in range(step.task_count)
+            if step.is_persistent
+        }
+
     def due_s(self, occurrence: int) -> float:
         """Returns the time at which an occurrence is due."""
         if not self.plan.occurrences:
--- a/foxtaillock/soak/tests/test_job_kinds.py
+++ b/foxtaillock/soak/tests/test_job_kinds.py
@@ -142,6 +142,13 @@
         self.assertEqual(len(check([job], states)), 1)
         self.assertEqual(len(check([job], {_JOB_ID: ""}, [_JOB_ID])), 1)
 
+    def test_persistent_tasks_are_those_of_jobs_that_go_on(self) -> None:
+        job = _job(job_kinds.StepPlan(2, is_persistent=True))
+        self.assertEqual(job.persistent_tasks, {_task(0), _task(1)})
+        job.was_cancel_requested = True
+        self.assertEqual(job.persistent_tasks, set())
+        self.assertEqual(_job(job_kinds.StepPlan(2)).persistent_tasks, set())
+
 
 class GangMonitorTest(unittest.TestCase):
     """Members of a gang work only together."""
--- a/foxtaillock/soak/tests/test_worker_pool.py
+++ b/foxtaillock/soak/tests/test_worker_pool.py
@@ -4,7 +4,9 @@
 import random
 import unittest
 
+from foxtaillock.batch import records
 from foxtaillock.platform.tests import fake_platform
+from foxtaillock.soak import hand_overs
 from foxtaillock.soak import maintenance
 from foxtaillock.soak import worker_pool
 
@@ -62,5 +64,26 @@
         await vms.stop()
 
 
+class FindOwnerTest(unittest.TestCase):
+    """The journal tells which entry VM owns."""
+
+    def _find(self, *written: records.OwnerRecord) -> str:
+        platform = fake_platform.FakePlatform()
+        for record in written:
+            key, value = records.encode(record)
+            platform.write("keyed.journal", key, value)
+        return hand_overs.find_owner(platform)
+
+    def test_owner_is_the_vm_of_the_newest_record(self) -> None:
+        first = records.OwnerRecord(1, "vm-1", "a")
+        second = records.OwnerRecord(2, "vm-2", "b")
+        self.assertEqual(self._find(), "")
+        self.assertEqual(self._find(first, second), "vm-2")
+
+    def test_nobody_owns_after_a_release(self) -> None:
+        released = records.OwnerRecord(1, "vm-1", "a", is_released=True)
+        self.assertEqual(self._find(released), "")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/foxtaillock/soak/worker_pool.py
+++ b/foxtaillock/soak/worker_pool.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from foxtaillock.batch import model
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.platform.tests import fake_platform
 from foxtaillock.proxy import fault_proxy
@@ -51,6 +52,14 @@
         """Returns all incarnations of all workers, including ended ones."""
         return [*self._ended, *self._platform.workers.values()]
 
+    def running_tasks(self) -> set[model.TaskId]:
+        """Returns the tasks that run on any worker."""
+        return {
+            task
+            for worker in self._platform.workers.values()
+            for task in worker.running
+        }
+
     async def add(self) -> str:
         """Starts a worker and returns its id."""
         worker_id = f"i-{self._added}"
