--- a/foxtaillock/soak/tests/test_soak.py
+++ b/foxtaillock/soak/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Short soak tests, including the seeds that found faults before."""
 
+import asyncio
 import unittest
 
 from foxtaillock.batch import interfaces
@@ -43,16 +44,22 @@
         self.assertEqual(findings, [], soak.started_faults)
 
     async def test_seeds_that_failed_before_find_no_violation(self) -> None:
-        for seed, cause in _REGRESSION_SEEDS:
+        # They are played side by side, each with a platform of its own.
+        played = await asyncio.gather(
+            *(self._play_regression(seed) for seed, _ in _REGRESSION_SEEDS)
+        )
+        for (seed, cause), (findings, soak) in zip(_REGRESSION_SEEDS, played):
             with self.subTest(seed=seed, cause=cause):
-                findings, soak = await run.run_seed(
-                    seed,
-                    20.0,
-                    fault_names=_REGRESSION_FAULTS,
-                    plan=scenario.Scenario(kind_names={"small"}),
-                )
                 self.assertEqual(findings, [], soak.started_faults)
 
+    async def _play_regression(self, seed: int) -> tuple[list[str], run.Soak]:
+        return await run.run_seed(
+            seed,
+            20.0,
+            fault_names=_REGRESSION_FAULTS,
+            plan=scenario.Scenario(kind_names={"small"}),
+        )
+
     async def test_persistent_tasks_run_beside_hand_overs_and_waves(
         self,
     ) -> None:
