--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -347,15 +347,16 @@
         )
         self.payloads.append((body["task"], body["workload"]))
         if self.plan_run is None:
-            answer = worker.start(order, self.task_duration_s, _now_s())
-            return _order_answer(answer)
+            return _order_answer(
+                worker.start(order, self.task_duration_s, _now_s())
+            )
         plan = self.plan_run(order.task, order.run)
         answer = worker.start(order, plan.duration_s, _now_s())
         current = worker.running.get(order.task)
-        if plan.fails and current is not None and current.number == order.run:
-            worker.failing.add(order.task)
-        elif current is None or current.number == order.run:
+        if current is not None and current.number == order.run:
             worker.failing.discard(order.task)
+            if plan.fails:
+                worker.failing.add(order.task)
         return _order_answer(answer)
 
     async def _poll(
--- a/foxtaillock/soak/submitters.py
+++ b/foxtaillock/soak/submitters.py
@@ -74,13 +74,25 @@
         return tuple(step.task_count for step in self.plan.steps)
 
     @property
-    def is_settled_by(self) -> frozenset[str]:
-        """States in which the job remains until it is cancelled."""
-        states = {str(self.plan.end_state)}
+    def settled_states(self) -> frozenset[str]:
+        """States in which the job remains, as it should or not."""
+        states = {str(self.plan.end_state), str(model.JobState.FAILED)}
         if self.was_cancel_requested:
             states.add(model.JobState.CANCELLED)
         return frozenset(states)
 
+    @property
+    def persistent_tasks(self) -> set[model.TaskId]:
+        """Tasks that have to run until the job is cancelled."""
+        if self.accepted_s is None or self.was_cancel_requested:
+            return set()
+        return {
+            model.TaskId(self.job_id, 0, step_number, number)
+            for step_number, step in enumerate(self.plan.steps)
+            for number in range(step.task_count)
+            if step.is_persistent
+        }
+
     def due_s(self, occurrence: int) -> float:
         """Returns the time at which an occurrence is due."""
         if not self.plan.occurrences:
--- a/foxtaillock/soak/tests/test_soak.py
+++ b/foxtaillock/soak/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Short soak tests, including the seeds that found faults before."""
 
+import asyncio
 import unittest
 
 from foxtaillock.batch import interfaces
@@ -8,6 +9,7 @@
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.soak import checker
 from foxtaillock.soak import faults
+from foxtaillock.soak import hand_overs
 from foxtaillock.soak import job_kinds
 from foxtaillock.soak import run
 from foxtaillock.soak import scenario
@@ -15,6 +17,9 @@
 
 _SEED = 20261204
 
+# Seed with which a series of hand-overs kept persistent tasks away.
+_SERIES_SEED = 4
+
 _PLAN = job_kinds.JobPlan((job_kinds.StepPlan(1),))
 
 # Seeds that failed once, each with the fault that was fixed.
@@ -39,16 +44,36 @@
         self.assertEqual(findings, [], soak.started_faults)
 
     async def test_seeds_that_failed_before_find_no_violation(self) -> None:
-        for seed, cause in _REGRESSION_SEEDS:
+        # They are played side by side, each with a platform of its own.
+        played = await asyncio.gather(
+            *(self._play_regression(seed) for seed, _ in _REGRESSION_SEEDS)
+        )
+        for (seed, cause), (findings, soak) in zip(_REGRESSION_SEEDS, played):
             with self.subTest(seed=seed, cause=cause):
-                findings, soak = await run.run_seed(
-                    seed,
-                    20.0,
-                    fault_names=_REGRESSION_FAULTS,
-                    plan=scenario.Scenario(kind_names={"small"}),
-                )
                 self.assertEqual(findings, [], soak.started_faults)
 
+    async def _play_regression(self, seed: int) -> tuple[list[str], run.Soak]:
+        return await run.run_seed(
+            seed,
+            20.0,
+            fault_names=_REGRESSION_FAULTS,
+            plan=scenario.Scenario(kind_names={"small"}),
+        )
+
+    async def test_persistent_tasks_run_beside_hand_overs_and_waves(
+        self,
+    ) -> None:
+        plan = scenario.Scenario(
+            kind_names={"persistent", "small"},
+            worker_count=6,
+            series=hand_overs.HandOverSeries(3.2, 3.2),
+            wave_interval_s=8.0,
+        )
+        findings, _ = await run.run_seed(
+            _SERIES_SEED, 12.0, 4, fault_names=(), plan=plan
+        )
+        self.assertEqual(findings, [])
+
 
 class CheckerTest(unittest.TestCase):
     """Checks that violations are found."""
