Orders for VMs: one that fails by an error is logged, and sent again

An order whose request ended with an unexpected error was dropped in silence: its VM stayed pending, so it counted as down for its wave for as long as the ownership lasted. Found by review; test_order_that_failed_by_an_error_is_sent_again fails before. The error is logged, and its outcome counts as unknown.

--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/tests/test_vm_order_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 import unittest
+from unittest import mock
 
 from foxtaillock.batch import vm_order_controller
 from foxtaillock.batch import interfaces
@@ -114,6 +115,23 @@
         await asyncio.sleep(0.05)
         self.assertEqual(sorted(self.fleet.sent), sorted(2 * _VMS))
 
+    async def test_order_that_failed_by_an_error_is_sent_again(self) -> None:
+        fails = mock.patch.object(
+            self.fleet, "move", side_effect=RuntimeError("broken on purpose")
+        )
+        controller = await self._start_controller()
+        controller.take_orders()
+        with fails:
+            controller.orders_recorded()
+            await asyncio.sleep(0.05)
+        self.clock.now_s += 0.6
+        self.confirmed_s = self.clock.now_s
+        await asyncio.sleep(0.5)
+        controller.take_orders()
+        controller.orders_recorded()
+        await asyncio.sleep(0.05)
+        self.assertEqual(sorted(self.fleet.sent), list(_VMS))
+
     async def test_suspended_owner_sends_no_order(self) -> None:
         controller = await self._start_controller()
         controller.take_orders()
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import itertools
+import traceback
 import typing
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -271,11 +272,7 @@
             )
             self._fleet.order_answered(order, outcome, now_s)
             return
-        if order.wave:
-            request = client.maintain(order.vm, order.wave, self._epoch)
-        else:
-            request = client.move(order.vm, order.pool, self._epoch)
-        outcome = await request
+        outcome = await self._request(client, order)
         now_s = self._clock.monotonic_s()
         self._log(
             "vm-ordered",
@@ -291,6 +288,23 @@
             if order.wave:
                 self._record_wave(order.wave, is_complete=False)
 
+    async def _request(
+        self, client: interfaces.FleetClient, order: vm_ledger.VmOrder
+    ) -> interfaces.VmOrderOutcome:
+        """Sends an order; an unexpected error leaves its outcome unknown."""
+        try:
+            if order.wave:
+                return await client.maintain(order.vm, order.wave, self._epoch)
+            return await client.move(order.vm, order.pool, self._epoch)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._log(
+                "internal-error",
+                work="order for a VM",
+                error=repr(error),
+                trace=traceback.format_exc(limit=-4),
+            )
+            return interfaces.VmOrderOutcome.UNKNOWN
+
     def _record_wave(self, number: int, *, is_complete: bool) -> None:
         if is_complete:
             self._log("wave-complete", wave=number)
