Leases: a claim that is never run puts no end off

Found by review: each claim that was stored, but not read back or not run, renewed the wait for the leases of the owners before it (claims each 3 s: 4.0, 11.1, 14.1 up to 23.1 s for one worker), and dropped what they had renounced. An owner sends its first start or poll after its first heartbeat is stored, so one that wrote no more than its claim granted no lease. A VM that missed records, and the record of a claim itself, count by the longer wait as before.

--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -137,6 +137,8 @@
         self._last_offer_s = float("-inf")
         self._owner: records.OwnerRecord | None = None
         self._earlier_leases_end_s = float("-inf")
+        # The same, if the last owner wrote more than this VM has read.
+        self._unread_leases_end_s = float("-inf")
         self._renounced_ends_s: dict[str, float] = {}
         self._earlier_renounced_ends_s: dict[str, float] = {}
         self._last_heard_s = now_s
@@ -200,10 +202,7 @@
         if self._owner is not None and owner.epoch < self._owner.epoch:
             return
         if self._owner is None or owner.epoch > self._owner.epoch:
-            self._earlier_leases_end_s = self._leases_end_s()
-            self._earlier_renounced_ends_s = self._renounced_ends_s
-            self._renounced_ends_s = {}
-            self._epoch_seen_s = now_s
+            self._follow_owner(now_s)
         if owner.heartbeat:
             self._renounced_ends_s = {
                 each.worker_id: now_s + each.remaining_ms / 1000
@@ -218,13 +217,29 @@
         self._owner = owner
         self._last_heard_s = now_s
 
+    def _follow_owner(self, now_s: float) -> None:
+        """Notes what the last owner granted, now that another one has claimed.
+
+        An owner grants leases only after its first heartbeat is stored. So one
+        that wrote no more than its claim changed nothing.
+        """
+        self._unread_leases_end_s = self._leases_end_s()
+        if self._owner is None or self._owner.heartbeat:
+            self._earlier_leases_end_s = self._unread_leases_end_s
+            self._earlier_renounced_ends_s = self._renounced_ends_s
+        self._renounced_ends_s = {}
+        self._epoch_seen_s = now_s
+
     def records_missed(self) -> None:
         """Records that some records of owners were left out of a read.
 
-        The last owner before the present one may have taken back in one of them
-        what it had renounced.
+        The last owner before the present one may have written one of them, and
+        have taken back what it had renounced.
         """
         self._earlier_renounced_ends_s = {}
+        self._earlier_leases_end_s = max(
+            self._earlier_leases_end_s, self._unread_leases_end_s
+        )
 
     def heard_from(self, epoch: int, now_s: float) -> bool:
         """Records that a record of the owner of an epoch was read.
