--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -14,6 +14,7 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
+from foxtaillock.batch import node_gauges
 from foxtaillock.batch import owner as owners
 from foxtaillock.batch import ownership
 from foxtaillock.batch import records
@@ -469,39 +470,22 @@
         return now_s - self._journal_follower.caught_up_s
 
     def _add_gauges(self) -> None:
-        clock, metrics = self._services.clock, self._services.metrics
-        metrics.add_gauge(
-            "config_age_seconds",
-            "Age of this VM's knowledge of the configuration",
-            lambda: self._freshness.age_s(clock.monotonic_s()),
-        )
-        metrics.add_gauge(
-            "submissions_age_seconds",
-            "Time since this VM has read the submissions' end",
-            lambda: clock.monotonic_s() - self._submission_follower.caught_up_s,
-        )
-        metrics.add_gauge(
-            "journal_age_seconds",
-            "Time since this VM has read the journal's end",
-            self._journal_age_s,
-        )
-        metrics.add_gauge(
-            "loop_lag_seconds",
-            "Longest delay of the event loop within the last 1.5 s",
-            lambda: self._load.lag_s,
-        )
-        metrics.add_gauge(
-            "processor_speed",
-            "Speed of the processor as a fraction of the best one seen",
-            lambda: self._load.speed,
-        )
-        metrics.add_gauge(
-            "owns",
-            "Whether this VM owns",
-            lambda: float(self._owner is not None),
-        )
-        metrics.add_gauge(
-            "config_version",
-            "Version of the configuration in force",
-            lambda: float(self.call_handler.config.version),
+        clock = self._services.clock
+        node_gauges.add_gauges(
+            self._services.metrics,
+            {
+                "config_age_seconds": lambda: self._freshness.age_s(
+                    clock.monotonic_s()
+                ),
+                "submissions_age_seconds": lambda: (
+                    clock.monotonic_s() - self._submission_follower.caught_up_s
+                ),
+                "journal_age_seconds": self._journal_age_s,
+                "loop_lag_seconds": lambda: self._load.lag_s,
+                "processor_speed": lambda: self._load.speed,
+                "owns": lambda: float(self._owner is not None),
+                "config_version": lambda: float(
+                    self.call_handler.config.version
+                ),
+            },
         )
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -22,6 +22,7 @@
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import reachability
 from foxtaillock.batch import records
+from foxtaillock.batch import restored_jobs
 from foxtaillock.batch import services as batch_services
 from foxtaillock.batch import submission_compactor
 from foxtaillock.batch import view
@@ -157,7 +158,7 @@
         """Applies a newly read record of the journal or the submissions."""
         now_s = self._services.clock.monotonic_s()
         if isinstance(record, model.JobSpec):
-            self._try_add_job(record)
+            self._add_job(record)
         elif isinstance(record, records.Cancellation):
             self.engine.cancel(record.job_id, now_s)
         elif isinstance(record, records.OwnerRecord):
@@ -219,7 +220,7 @@
         """Adds all jobs in the state that earlier owners have recorded."""
         self.engine.restore_crash_rate(self._view.fleet_crashes)
         for spec in list(self._view.jobs()):
-            self._try_add_job(spec)
+            self._add_job(spec)
         self._services.log(
             "ownership-taken",
             epoch=self._epoch,
@@ -228,36 +229,11 @@
             silent_workers=len(self._prior.renounced_ends_s),
         )
 
-    def _try_add_job(self, spec: model.JobSpec) -> None:
-        """Adds a job; one that causes an error stops no other job."""
-        try:
-            self._add_job(spec)
-        except Exception as error:  # pylint: disable=broad-exception-caught
-            self._services.log(
-                "job-not-added",
-                job=spec.job_id,
-                error=repr(error),
-                trace=traceback.format_exc(limit=-4),
-            )
-
     def _add_job(self, spec: model.JobSpec) -> None:
-        """Adds a job with its progress, cancellation and end, if recorded.
-
-        This holds for newly read submissions too: their stream may lag behind
-        the journal, so an earlier owner may already have run the job.
-        """
-        now_s, now_ms = self._services.clock.monotonic_s(), self._now_ms()
-        job_id = spec.job_id
-        end = self._view.end(job_id)
-        if end is not None and not spec.steps:
-            self.engine.submit_ended(spec, end, now_s, now_ms)
-            return
-        self.engine.submit(spec, self._view.steps(job_id), now_s, now_ms)
-        cancellation = self._view.cancellation(job_id)
-        if cancellation is not None:
-            self.engine.restore_cancellation(cancellation, now_s, now_ms)
-        if end is not None:
-            self.engine.mark_ended(job_id, end, now_s, now_ms)
+        services = self._services
+        restored_jobs.add_job(
+            self.engine, self._view, spec, services.clock, services.log
+        )
 
     def _tick(self) -> None:
         now_s = self._services.clock.monotonic_s()
@@ -506,9 +482,6 @@
 
     # Background tasks.
 
-    def _now_ms(self) -> int:
-        return int(self._services.clock.now().timestamp() * 1000)
-
     def _spawn(self, order: Coroutine[typing.Any, typing.Any, None]) -> None:
         task = asyncio.ensure_future(order)
         self._order_tasks.add(task)
