--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -44,8 +44,8 @@
 # 120 s.
 _JOB_RETENTION_S = 150.0
 
-# Wall clocks of entry VMs differ by less than this. A new owner knows the age of
-# an end by its wall clock alone.
+# Wall clocks of entry VMs differ by less than this. A new owner knows the age
+# of an end by its wall clock alone.
 _MAX_CLOCK_DIFFERENCE_S = 600.0
 
 # Weight of a new job in the moving average of its queue's work.
