--- a/foxtaillock/batch/maintenance_waves.py
+++ b/foxtaillock/batch/maintenance_waves.py
@@ -216,9 +216,9 @@
 
         Each pool drains one VM at a time, and none while its tasks wait, unless
         the remaining time is short for the pool's VMs; never more than half of
-        them. In addition, one VM with
-        persistent tasks is drained from the start of the wave: its tasks move
-        away one at a time, which takes the longest.
+        them. In addition, one VM with persistent tasks is drained from the
+        start of the wave: its tasks move away one at a time, which takes the
+        longest.
 
         Returns:
             The VMs that are being drained, empty ones first, each with whether
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -347,11 +347,8 @@
                 self._partition_until_s[owner.epoch, other] = until_s
         self._store_outage_until_s[owner.epoch] = until_s
 
-    def _kill_worker(self) -> None:
-        alive = [w for w in self.workers.values() if not w.is_dead]
-        if not alive:
-            return
-        worker = self._random.choice(alive)
+    def lose_worker(self, worker: fake_worker.FakeWorker) -> None:
+        """Ends a worker for good; its entry stays for some seconds."""
         worker.die(self.now_s)
         worker_id = worker.entry.worker_id
 
@@ -361,6 +358,13 @@
                     owner.engine.unregister(worker_id)
 
         self.schedule(4.5, _unlist)
+
+    def _kill_worker(self) -> None:
+        alive = [w for w in self.workers.values() if not w.is_dead]
+        if not alive:
+            return
+        worker = self._random.choice(alive)
+        self.lose_worker(worker)
         restart_s = self._random.uniform(1.0, 8.0)
         address = worker.entry.address
         if self._random.random() < 0.5:
--- a/foxtaillock/batch/tests/test_hand_overs.py
+++ b/foxtaillock/batch/tests/test_hand_overs.py
@@ -59,19 +59,6 @@
         """Returns the worker with the most runs."""
         return max(self.workers.values(), key=lambda each: len(each.running))
 
-    def lose_worker(self) -> None:
-        """Ends a worker with runs for good; its entry stays for a while."""
-        worker = self.busiest_worker()
-        worker.die(self.now_s)
-        worker_id = worker.entry.worker_id
-
-        def _unlist() -> None:
-            for owner in self.owners:
-                if not owner.has_ended:
-                    owner.engine.unregister(worker_id)
-
-        self.schedule(4.5, _unlist)
-
 
 class HandOverSeriesTest(unittest.TestCase):
     """Owners that release each few seconds, and a worker that is gone."""
@@ -83,7 +70,7 @@
             for seed in _SEEDS:
                 with self.subTest(gap_s=gap_s, seed=seed):
                     schedule = _HandOvers(seed, gap_s)
-                    schedule.lose_worker()
+                    schedule.lose_worker(schedule.busiest_worker())
                     self.assertLess(schedule.run_series(_SERIES_S), _MAX_AWAY_S)
                     self.assertEqual(schedule.check_runs(), [])
 
