Review: case 8 with 300 steps a job

Cause: with 350 steps the processes were blocked for so long that few small jobs were accepted at all, and the script came near its time limit.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,7 +15,7 @@
 # Large jobs that come at once: each has many steps of one work unit, none of
 # which depends on another.
 _LARGE_JOBS = 3
-_LARGE_STEPS = 350
+_LARGE_STEPS = 300
 
 _FINISH_S = 14.0
 
