Review: a late start beside another run of its work unit

Cause: a start without an answer may reach a later life of its runner, after its work unit was given to another one.

The stand-in of a runner can leave a start unanswered and start again.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -194,6 +194,20 @@
         self.runners[runner_id] = added
         return added
 
+    async def restart_runner(
+        self, ended: runners.Runner, first_beat_s: float = 0.0
+    ) -> runners.Runner:
+        """Starts a runner again under its id, at its address."""
+        again = runners.Runner(
+            ended.runner_id, ended.service, ended.zone, ended.capacity,
+            self.record, self.store, ended.machine,
+        )
+        again.duration_s = ended.duration_s
+        again.first_beat_s = first_beat_s
+        await again.start(int(ended.address.rpartition(":")[2]))
+        self.runners[ended.runner_id] = again
+        return again
+
     async def start(self, vm_count: int, config: dict[str, typing.Any]) -> None:
         """Writes the config, starts the entry VMs, waits until all are ready."""
         self.store.write("keyed.op", "config", config)
--- a/review/lib2/runner.py
+++ b/review/lib2/runner.py
@@ -12,7 +12,10 @@
 from review.lib2 import record as records
 from review.lib2 import store as stores
 
-__all__ = ["End", "Run", "Runner"]
+__all__ = ["End", "LateStart", "Run", "Runner"]
+
+# Takes the body of a start order; returns whether it gets no answer.
+LateStart = Callable[[dict[str, typing.Any]], bool]
 
 HEARTBEAT_S = 1.5
 _HOLD_MAX_MS = 6_000
@@ -72,6 +75,8 @@
         history: all runs that it has begun.
         ends: all ends that it has listed.
         on_start: called with each run that begins.
+        delay_start: called with each start order; see `LateStart`.
+        first_beat_s: time from its start to the first write of its entry.
     """
 
     def __init__(
@@ -104,6 +109,8 @@
         self.ends: list[End] = []
         self.duration_s: Callable[[str, int, str], float] = lambda *_: 1.0
         self.on_start: Callable[[Run], None] = lambda _: None
+        self.delay_start: LateStart = lambda _: False
+        self.first_beat_s = 0.0
         self._server: web.ServerRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -143,6 +150,7 @@
         return sum(sizes(unit) for unit in self.running)
 
     async def _beat(self) -> None:
+        await asyncio.sleep(self.first_beat_s)
         while True:
             self._sequence += 1
             self._store.write(
@@ -204,17 +212,37 @@
             )
             return self._answer(421)
         body = json.loads(await request.read())
+        if request.path == "/-/run-start" and self.delay_start(body):
+            self._record.write(
+                "start-without-answer", runner=self.runner_id,
+                unit=body["task"], run=body["run"],
+            )
+            # The channel returns nothing further.
+            await asyncio.sleep(3600)
+        return await self._carry_out(request.path, body)
+
+    async def carry_out_late(self, body: dict[str, typing.Any]) -> None:
+        """Carries out a start order that got no answer."""
+        answer = await self._carry_out("/-/run-start", body)
+        self._record.write(
+            "start-carried-out-late", runner=self.runner_id,
+            unit=body["task"], run=body["run"], status=answer.status,
+        )
+
+    async def _carry_out(
+        self, path: str, body: dict[str, typing.Any]
+    ) -> web.Response:
         fence = body.get("fence", 0)
         if fence < self._fence:
             return self._answer(409, reason="fence")
         self._fence = fence
-        if request.path == "/-/run-start":
+        if path == "/-/run-start":
             return self._start(body)
-        if request.path == "/-/run-stop":
+        if path == "/-/run-stop":
             return self._stop(body)
-        if request.path == "/-/hold":
+        if path == "/-/hold":
             return await self._hold(body)
-        if request.path == "/-/pace":
+        if path == "/-/pace":
             return self._answer(200)
         return self._answer(404)
 
