Batch: a run that a cut list lacks is not lost

Cause: a run in neither list of a poll counted as lost. A worker lists 500 ends at a time, and nothing knew of that.

Change: the platform folder tells whether a list may have been cut. Until all ends are known, no run counts as lost, at this incarnation or a later one, the worker is asked again at once and gets no start. A start that the worker has settled no longer holds back the acknowledgement with which a list goes on; otherwise the two would wait for each other for ever.

--- a/foxtaillock/batch/interfaces.py
+++ b/foxtaillock/batch/interfaces.py
@@ -223,13 +223,17 @@
             incarnations.
         clock_ms: its clock when it answered.
         running: active runs.
-        ended: ended runs that are not yet acknowledged, at most a few hundred.
+        ended: ended runs that are not yet acknowledged, the earliest first.
+        may_have_more_ends: whether the worker may keep further ends, which it
+            lists once these are acknowledged. A run that is in neither list may
+            then have ended.
     """
 
     started_ms: int
     clock_ms: int
     running: Sequence[ActiveRun]
     ended: Sequence[EndedRun]
+    may_have_more_ends: bool = False
 
 
 class WorkerClient(typing.Protocol):
--- a/foxtaillock/batch/restarts.py
+++ b/foxtaillock/batch/restarts.py
@@ -4,7 +4,8 @@
 not tell which one has the run. A list of runs does: it carries the start time.
 Of the runs on the earlier incarnation, those that the list holds go on, those
 that the earlier one itself had listed have ended with it, and those whose start
-has no answer, or one that came after the list was asked for, are in doubt.
+has no answer, or one that came after the list was asked for, are in doubt. If
+the list of ends was cut, all others are in doubt too.
 """
 
 from foxtaillock.batch import interfaces
@@ -54,7 +55,9 @@
     kept = [
         task
         for task in worker.tasks.values()
-        if (task.task_id, task.run) in listed or _may_be_later(task, sent_s)
+        if (task.task_id, task.run) in listed
+        or _may_be_later(task, sent_s)
+        or (lists.may_have_more_ends and not task.is_listed)
     ]
     for task in kept:
         spec = state.step_of(task).spec
--- a/foxtaillock/batch/tests/crash_simulation.py
+++ b/foxtaillock/batch/tests/crash_simulation.py
@@ -159,6 +159,7 @@
         )
         drift = self._crash_random.uniform(0.0, 0.02)
         again = fake_worker.FakeWorker(entry, self.now_s, drift)
+        again.max_listed_ends = self.max_listed_ends
         self.workers[worker_id] = again
         self.all_workers.append(again)
 
--- a/foxtaillock/batch/tests/fake_worker.py
+++ b/foxtaillock/batch/tests/fake_worker.py
@@ -10,6 +10,7 @@
 
 STOP_DELAY_S = 0.05
 MAX_LEASE_S = 6.0
+MAX_LISTED_ENDS = 500
 
 
 @dataclasses.dataclass
@@ -54,6 +55,7 @@
         self._ends = 0
         self.killed_s: float | None = None
         self.failing: set[model.TaskId] = set()
+        self.max_listed_ends = MAX_LISTED_ENDS
 
     @property
     def is_dead(self) -> bool:
@@ -143,7 +145,11 @@
             for run in self.running.values()
         ]
         return interfaces.WorkerLists(
-            self.entry.started_ms, clock_ms, running, list(self.ended)
+            self.entry.started_ms,
+            clock_ms,
+            running,
+            self.ended[: self.max_listed_ends],
+            len(self.ended) >= self.max_listed_ends,
         )
 
     def die(self, now_s: float) -> None:
--- a/foxtaillock/batch/tests/restart_simulation.py
+++ b/foxtaillock/batch/tests/restart_simulation.py
@@ -133,6 +133,7 @@
         entry = worker.entry._replace(started_ms=started_ms)
         drift = self._late_random.uniform(0.0, 0.02)
         again = self.make_worker(entry, drift)
+        again.max_listed_ends = self.max_listed_ends
         self.workers[worker_id] = again
         self.all_workers.append(again)
         if self._late_random.random() >= _UNREAD_PROBABILITY:
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -46,10 +46,12 @@
     Attributes:
         loss_probability: probability that the answer to an order is lost.
         delay_probability: probability that an order is carried out late.
+        max_listed_ends: ends that a worker lists at a time.
     """
 
     loss_probability = 0.04
     delay_probability = 0.03
+    max_listed_ends = fake_worker.MAX_LISTED_ENDS
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
@@ -216,6 +218,7 @@
         )
         drift = self._random.uniform(0.0, 0.02)
         worker = self.make_worker(entry, drift)
+        worker.max_listed_ends = self.max_listed_ends
         self.workers[entry.worker_id] = worker
         self.all_workers.append(worker)
         for owner in self.owners:
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -164,6 +164,7 @@
             self._state.needs_plan = True
         worker.record_answer(answer.clock_ms, now_s)
         worker.listed_s = sent_s
+        self._note_cut_list(worker, answer)
         self._apply_ends(worker, answer.ended, now_s)
         self._reconcile(worker, answer.running, sent_s, now_s)
         self._limit_filler_speed(worker)
@@ -187,6 +188,7 @@
         if worker.tasks and not worker.unanswered_calls:
             valid_until_ms = worker.grant_lease(now_s)
         is_unresolved |= worker.has_unexpected_runs
+        is_unresolved |= worker.may_have_more_ends
         # A worker drops ends during the whole wait, also those of runs that
         # begin meanwhile on a later incarnation.
         is_unresolved |= worker.end_to_acknowledge > 0
@@ -200,7 +202,11 @@
         """Returns whether a worker has to be polled."""
         if worker.recorded_end > worker.acknowledged_end:
             return True
-        is_suspect = worker.may_have_restarted or worker.has_unexpected_runs
+        is_suspect = (
+            worker.may_have_restarted
+            or worker.has_unexpected_runs
+            or worker.may_have_more_ends
+        )
         if is_suspect and worker.is_registered:
             return True
         return any(
@@ -218,8 +224,24 @@
         if worker.has_unexpected_runs:
             return _STOP_POLL_PAUSE_S
         is_withheld = worker.end_to_acknowledge > _end_to_acknowledge(worker)
+        is_withheld |= worker.may_have_more_ends
         return _WITHHELD_POLL_PAUSE_S if is_withheld else 0.0
 
+    def _note_cut_list(
+        self, worker: workers.Worker, lists: interfaces.WorkerLists
+    ) -> None:
+        """Notes whether a worker keeps more ends than it has listed."""
+        if worker.may_have_more_ends != lists.may_have_more_ends:
+            self._state.log_worker(
+                worker,
+                "worker-ends-cut",
+                is_cut=lists.may_have_more_ends,
+                ends=len(lists.ended),
+                tasks=len(worker.tasks),
+            )
+            self._state.needs_plan = True
+        worker.may_have_more_ends = lists.may_have_more_ends
+
     def _apply_ends(
         self,
         worker: workers.Worker,
@@ -297,7 +319,11 @@
         sent_s: float,
         now_s: float,
     ) -> None:
-        """Reconciles the runs that a worker listed with the expected ones."""
+        """Reconciles the runs that a worker listed with the expected ones.
+
+        A run that is in no list has ended, but for a list of ends that was cut:
+        its end may be one of those that were left out.
+        """
         present: set[model.TaskId] = set()
         had_unexpected_runs = worker.has_unexpected_runs
         worker.has_unexpected_runs = False
@@ -324,7 +350,8 @@
         for task in worker.tasks.values():
             if task.task_id in present:
                 continue
-            if _has_ended_before(task, sent_s):
+            has_ended = _has_ended_before(task, sent_s)
+            if has_ended and not worker.may_have_more_ends:
                 lost.append(task)
             elif (
                 task.phase is tasks.TaskPhase.IN_DOUBT and not task.is_stopping
@@ -432,10 +459,16 @@
 
     The answer to a start tells by its clock whether another incarnation is
     there. Until it comes, that one may have carried out the start, and an
-    acknowledgement would drop the end of the run unread.
+    acknowledgement would drop the end of the run unread. A start that this
+    incarnation has settled is no reason: a list that is cut goes on only with
+    an acknowledgement.
     """
     may_run_unseen = any(
         task.phase in (tasks.TaskPhase.STARTING, tasks.TaskPhase.IN_DOUBT)
+        and not (
+            worker.may_have_more_ends
+            and _has_ended_before(task, worker.listed_s)
+        )
         for task in worker.tasks.values()
     )
     return 0 if may_run_unseen else worker.end_to_acknowledge
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -116,6 +116,8 @@
         backoff_until_s: time until which it gets no new tasks after a refusal.
         has_unexpected_runs: whether its latest list held runs that this owner
             does not know. They occupy room until they have ended.
+        may_have_more_ends: whether its latest list of ends may have been cut.
+            What it runs is known only once all ends are.
         is_cordoned: whether it gets no new tasks because its VM is about to be
             moved or maintained.
         is_held: whether an earlier owner may have ordered its VM away. It gets
@@ -159,6 +161,7 @@
     listed_s: float = float("-inf")
     backoff_until_s: float = float("-inf")
     has_unexpected_runs: bool = False
+    may_have_more_ends: bool = False
     is_cordoned: bool = False
     is_held: bool = False
     is_maintenance_due: bool = False
@@ -236,6 +239,7 @@
             self.is_registered
             and not self.is_emptied
             and not self.has_unexpected_runs
+            and not self.may_have_more_ends
             and not self.is_renounced
             and self.unanswered_calls < _SUSPECT_UNANSWERED_CALLS
             and now_s >= self.backoff_until_s
--- a/foxtaillock/platform/tests/test_worker_client.py
+++ b/foxtaillock/platform/tests/test_worker_client.py
@@ -1,8 +1,11 @@
 """Tests of the client of the workers."""
 
 import asyncio
+import json
 import unittest
 
+from aiohttp import web
+
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch.tests import builders
@@ -67,3 +70,31 @@
                 outcomes = await self._outcomes(address)
                 not_sent = interfaces.OrderOutcome.NOT_SENT
                 self.assertEqual(outcomes, {not_sent})
+
+    async def test_full_list_of_ends_may_not_be_all(self) -> None:
+        """A worker lists 500 ends at a time, whatever it keeps."""
+        for count, may_have_more in ((499, False), (500, True)):
+            with self.subTest(count=count):
+                ended = [
+                    [number, "5c0e.0.0.0", 1, "done", ""]
+                    for number in range(count)
+                ]
+                lists = {"clock_ms": 5, "running": [], "ended": ended}
+                answer = await self._poll_answer(json.dumps(lists).encode())
+                self.assertEqual(answer.may_have_more_ends, may_have_more)
+
+    async def _poll_answer(self, body: bytes) -> interfaces.WorkerLists:
+        """Returns the lists that a poll returns for an answer's body."""
+
+        async def _serve(_: web.BaseRequest) -> web.Response:
+            return web.Response(body=body, content_type="application/json")
+
+        runner = web.ServerRunner(web.Server(_serve))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        worker = builders.entry("1", address=f"{host}:{port}")
+        answer = await self.client.poll(worker, 1, 0, None, 0.0)
+        assert isinstance(answer, interfaces.WorkerLists)
+        return answer
--- a/foxtaillock/platform/worker_client.py
+++ b/foxtaillock/platform/worker_client.py
@@ -54,6 +54,10 @@
 
 # Rows may get further entries in later versions of the platform, which these
 # types ignore.
+# Ends that a worker lists at a time.
+_MAX_LISTED_ENDS = 500
+
+
 class _ActiveRow(msgspec.Struct, array_like=True, gc=False):
     task: str
     run: json_codec.Count
@@ -277,5 +281,9 @@
                 )
             )
     return interfaces.WorkerLists(
-        lists.get("born", 0), lists["clock_ms"], running, ended
+        lists.get("born", 0),
+        lists["clock_ms"],
+        running,
+        ended,
+        len(lists["ended"]) >= _MAX_LISTED_ENDS,
     )
