Batch: an owner's turn grows no faster than the jobs

Cause: values of a whole job were computed anew for each of its parts. A plan took the critical paths of the job for each waiting step; each end of a run looked at all steps, tasks and dependencies of its job.

--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -306,7 +306,8 @@
         self, task: tasks.Task, worker_id: str, worked_s: float
     ) -> None:
         task.possible_crashes += 1
-        task.is_given_up |= self._is_culprit_by_absence(task)
+        if self._is_culprit_by_absence(task):
+            self._jobs[task.task_id.job_id].give_up(task)
         self._record(task)
         self._log_suspect(task, worker_id, worked_s)
 
@@ -428,7 +429,8 @@
             task.possible_crashes += not run.is_confirmed
             task.shortest_crash_s = run.history.shortest_s
             task.longest_crash_s = run.history.longest_s
-            task.is_given_up |= run.task in blame.culprits
+            if run.task in blame.culprits:
+                self._jobs[run.task.job_id].give_up(task)
             self._record(task)
             self._log_suspect(task, worker_id, run.worked_s)
         for task_id in blame.culprits:
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -49,6 +49,9 @@
 # of an end by its wall clock alone.
 _MAX_CLOCK_DIFFERENCE_S = 600.0
 
+# Steps of a job, and dependencies of a step, that a line of the log tells.
+_MAX_LOGGED_STEPS = 20
+
 # Weight of a new job in the moving average of its queue's work.
 _EWMA_WEIGHT = 0.1
 
@@ -185,14 +188,15 @@
             queue=spec.queue,
             team=spec.team,
             age_s=round(now_s - job.accepted_s, 2),
+            step_count=len(spec.steps),
             steps=[
                 (
                     step.task_count,
                     step.size.cpu_millis,
                     step.estimate_ms,
-                    step.dependencies,
+                    step.dependencies[:_MAX_LOGGED_STEPS],
                 )
-                for step in spec.steps
+                for step in spec.steps[:_MAX_LOGGED_STEPS]
             ],
         )
         self._state.needs_plan = True
@@ -275,8 +279,10 @@
                     self._state.order_stop(worker, task, now_s)
             self._slow_runs.stop_crawling(worker, now_s)
         for job_id, (ended_s, job) in self._state.finished_jobs.items():
-            if now_s - ended_s >= _JOB_RETENTION_S and not any(
-                job.active_tasks()
+            if (
+                now_s - ended_s >= _JOB_RETENTION_S
+                and job_id not in self._state.expired_jobs
+                and not any(job.active_tasks())
             ):
                 self._state.expired_jobs.add(job_id)
 
--- a/foxtaillock/batch/job_states.py
+++ b/foxtaillock/batch/job_states.py
@@ -10,6 +10,7 @@
 import typing
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 from foxtaillock.batch import model
 from foxtaillock.batch import records
@@ -18,31 +19,97 @@
 __all__ = ["Job", "Occurrence", "create_job"]
 
 
-@dataclasses.dataclass(slots=True, eq=False)
 class Occurrence:
     """One occurrence of a job's steps.
 
-    Attributes:
+    Args:
         number: number of the occurrence; 0 if the job has no schedule.
         steps: its steps by number.
+        dependents: for each step, the steps that depend on it.
+
+    Attributes:
+        number: see above.
+        steps: see above.
     """
 
-    number: int
-    steps: list[tasks.Step]
+    def __init__(
+        self,
+        number: int,
+        steps: list[tasks.Step],
+        dependents: Sequence[Sequence[int]],
+    ) -> None:
+        self.number = number
+        self.steps = steps
+        self._dependents = dependents
+        # Steps that are not done, and for each step those that it waits for.
+        self._undone_count = 0
+        self._blocking_counts: list[int] = []
+        # Kept until a task is done.
+        self._remaining_cpu_s: float | None = None
+        self._paths_ms: list[float] | None = None
+        self.progress_restored()
 
     @property
     def is_done(self) -> bool:
         """Whether all its steps are done."""
-        return all(step.is_done for step in self.steps)
-
-    def dependencies_changed(self) -> None:
-        """Updates `is_blocked` of its steps after steps were done."""
-        for step in self.steps:
-            if step.spec.dependencies:
-                step.is_blocked = not all(
-                    self.steps[earlier].is_done
-                    for earlier in step.spec.dependencies
-                )
+        return not self._undone_count
+
+    @property
+    def remaining_cpu_s(self) -> float:
+        """Estimated processor seconds that it still needs."""
+        if self._remaining_cpu_s is None:
+            self._remaining_cpu_s = sum(
+                (len(step.tasks) - step.done_count)
+                * step.spec.size.cpu_millis
+                * step.spec.estimate_ms
+                / 1e6
+                for step in self.steps
+            )
+        return self._remaining_cpu_s
+
+    def remaining_ms(self, step: int) -> float:
+        """Returns the estimated critical path from a step to the end."""
+        if self._paths_ms is None:
+            self._paths_ms = self._critical_paths_ms()
+        return self._paths_ms[step]
+
+    def progress_restored(self) -> None:
+        """Counts anew what is done, after its steps were restored."""
+        self._undone_count = sum(not step.is_done for step in self.steps)
+        self._blocking_counts = [
+            sum(
+                not self.steps[earlier].is_done
+                for earlier in set(step.spec.dependencies)
+            )
+            for step in self.steps
+        ]
+        for step, count in zip(self.steps, self._blocking_counts):
+            step.is_blocked = count > 0
+        self._remaining_cpu_s = self._paths_ms = None
+
+    def task_done(self) -> None:
+        """Records that a task of a step is done."""
+        self._remaining_cpu_s = None
+
+    def step_done(self, step: tasks.Step) -> None:
+        """Records that the last task of a step is done."""
+        self._undone_count -= 1
+        self._paths_ms = None
+        for number in self._dependents[step.step_id.step]:
+            self._blocking_counts[number] -= 1
+            self.steps[number].is_blocked = self._blocking_counts[number] > 0
+
+    def _critical_paths_ms(self) -> list[float]:
+        """Returns the estimated critical path from each step to the end."""
+        paths_ms = [0.0] * len(self.steps)
+        for number in reversed(range(len(self.steps))):
+            step = self.steps[number]
+            own_ms = 0.0 if step.is_done else float(step.spec.estimate_ms)
+            paths_ms[number] = own_ms + max(
+                (paths_ms[later] for later in self._dependents[number]),
+                default=0.0,
+            )
+        return paths_ms
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -59,6 +126,9 @@
         is_cancelled: whether its submitter cancelled it.
         final_state: its final state; None until it is known.
         critical_path_ms: estimated critical path of one occurrence.
+        work_cpu_s: estimated processor seconds of one occurrence.
+        most_failures: largest number of failed runs of a task, or gang, that
+            does not run until the job is cancelled.
         is_excess: whether it exceeded its team's rate limit when it arrived.
         relative_work: its work relative to the average of its queue.
     """
@@ -73,11 +143,15 @@
     is_cancelled: bool = False
     final_state: model.JobState | None = None
     critical_path_ms: float = 0.0
+    work_cpu_s: float = 0.0
+    most_failures: int = 0
     is_excess: bool = False
     relative_work: float = 1.0
     # Occurrences that are done, and the first that may be still to be created.
     _done: set[int] = dataclasses.field(default_factory=set)
     _next: int = 0
+    _dependents: list[list[int]] = dataclasses.field(default_factory=list)
+    _given_up: list[tasks.Task] = dataclasses.field(default_factory=list)
 
     @property
     def occurrence_count(self) -> int:
@@ -104,21 +178,10 @@
         )
 
     @property
-    def work_cpu_s(self) -> float:
-        """Estimated processor seconds of an occurrence."""
-        return sum(
-            step.task_count * step.size.cpu_millis * step.estimate_ms / 1e6
-            for step in self.spec.steps
-        )
-
-    def remaining_cpu_s(self, occurrence: int) -> float:
-        """Returns the processor seconds that an occurrence still needs."""
-        return sum(
-            (len(step.tasks) - step.done_count)
-            * step.spec.size.cpu_millis
-            * step.spec.estimate_ms
-            / 1e6
-            for step in self.occurrences[occurrence].steps
+    def has_culprit(self) -> bool:
+        """Whether a task is to blame for crashes of its workers."""
+        return any(
+            task.phase is not tasks.TaskPhase.DONE for task in self._given_up
         )
 
     @property
@@ -140,6 +203,17 @@
         """Returns whether a step is due and its dependencies are done."""
         return now_s >= step.due_s and not step.is_blocked
 
+    def note_failures(self, step: tasks.Step) -> None:
+        """Notes how often runs of a step have failed."""
+        if not step.spec.is_persistent:
+            self.most_failures = max(self.most_failures, step.failures)
+
+    def give_up(self, task: tasks.Task) -> None:
+        """Gives a task up that is to blame for crashes of its workers."""
+        if not task.is_given_up:
+            task.is_given_up = True
+            self._given_up.append(task)
+
     def create_next(self) -> Occurrence:
         """Creates the occurrence that is due at `next_due_s`."""
         assert self.next_due_s is not None
@@ -174,8 +248,9 @@
             occurrence = self.occurrences.get(number) or self._create(number)
             for step, each in by_step.items():
                 occurrence.steps[step].restore(each)
+                self.note_failures(occurrence.steps[step])
                 restored.append(occurrence.steps[step])
-            occurrence.dependencies_changed()
+            occurrence.progress_restored()
         return restored
 
     def recorded_step_ids(self) -> list[model.StepId]:
@@ -219,6 +294,7 @@
                 )
                 for index, step in enumerate(self.spec.steps)
             ],
+            self._dependents,
         )
         self.occurrences[number] = created
         for index, step in enumerate(created.steps):
@@ -242,6 +318,11 @@
         now_s - age_s,
         now_s + (spec.first_ms - now_ms) / 1000,
         critical_path_ms=_critical_path_ms(spec.steps),
+        work_cpu_s=sum(
+            step.task_count * step.size.cpu_millis * step.estimate_ms / 1e6
+            for step in spec.steps
+        ),
+        _dependents=_dependents(spec.steps),
     )
     if not spec.occurrences:
         job.create_next()
@@ -261,10 +342,18 @@
             for index in range(spec.task_count)
         ],
         set(range(spec.task_count)),
-        is_blocked=bool(spec.dependencies),
     )
 
 
+def _dependents(steps: Sequence[model.StepSpec]) -> list[list[int]]:
+    """Returns, for each step, the steps that depend on it."""
+    dependents: list[list[int]] = [[] for _ in steps]
+    for number, step in enumerate(steps):
+        for earlier in set(step.dependencies):
+            dependents[earlier].append(number)
+    return dependents
+
+
 def _critical_path_ms(steps: tuple[model.StepSpec, ...]) -> float:
     """Returns the largest sum of estimates along a chain of dependencies."""
     paths_ms: list[float] = []
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -56,8 +56,7 @@
             team: team of its job.
         """
         millis = step.spec.held_size.cpu_millis
-        active = sum(1 for _ in step.active_tasks())
-        self._running_millis[team] += millis * active
+        self._running_millis[team] += millis * step.active_count
         fits = millis <= self._capacity_millis or not self._capacity_millis
         if is_placeable and fits:
             self._waiting_millis[team] += len(step.waiting) * millis
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -245,6 +245,7 @@
             self.waiting.pop(step.step_id, None)
         self.dirty[step.step_id] = step
         job = self.jobs[step.step_id.job_id]
+        job.occurrences[step.step_id.occurrence].task_done()
         if step.is_done:
             self._step_done(job, step)
         self.needs_plan = True
@@ -253,7 +254,7 @@
     def _step_done(self, job: job_states.Job, step: tasks.Step) -> None:
         """Frees the steps that depend on a step that is done."""
         occurrence = job.occurrences[step.step_id.occurrence]
-        occurrence.dependencies_changed()
+        occurrence.step_done(step)
         if job.spec.occurrences and occurrence.is_done:
             job.drop(occurrence)
             for each in occurrence.steps:
@@ -444,11 +445,8 @@
         queue = self.queues.get(job.spec.queue)
         if job.is_complete:
             job.final_state = model.JobState.COMPLETED
-        elif any(step.has_culprit for step in job.steps.values()):
-            job.final_state = model.JobState.FAILED
-        elif queue is not None and any(
-            not step.spec.is_persistent and step.failures >= queue.max_attempts
-            for step in job.steps.values()
+        elif job.has_culprit or (
+            queue is not None and 0 < queue.max_attempts <= job.most_failures
         ):
             job.final_state = model.JobState.FAILED
         else:
@@ -533,6 +531,12 @@
         """Marks the progress of a task's step to be recorded."""
         self.dirty[task.task_id.step_id] = self.step_of(task)
 
+    def count_failure(self, task: tasks.Task) -> None:
+        """Counts a failed run."""
+        step = self.step_of(task)
+        step.count_failure(task)
+        self.jobs[task.task_id.job_id].note_failures(step)
+
     def adjust_usage(
         self, team: str, size: resources.Resources, sign: int
     ) -> None:
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -210,7 +210,9 @@
     """
     job = candidate.job
     value = _BASE_VALUE + (1 - _BASE_VALUE) * job.relative_work
-    remaining_cpu_s = job.remaining_cpu_s(candidate.step.step_id.occurrence)
+    remaining_cpu_s = job.occurrences[
+        candidate.step.step_id.occurrence
+    ].remaining_cpu_s
     remaining = (
         remaining_cpu_s * job.relative_work / max(job.work_cpu_s, _MIN_CPU_S)
     )
--- a/foxtaillock/batch/ready_steps.py
+++ b/foxtaillock/batch/ready_steps.py
@@ -45,30 +45,14 @@
     if step.ready_s is None:
         step.ready_s = now_s
     due_s = max(step.due_s, job.accepted_s)
+    remaining_ms = job.occurrences[step.step_id.occurrence].remaining_ms(
+        step.step_id.step
+    )
     objective_ms = queue.stretch * job.critical_path_ms + queue.slack_ms
     return placement.Candidate(
         step,
         job,
         queue,
         due_s + objective_ms / 1000,
-        _remaining_ms(job, step) / 1000,
+        remaining_ms / 1000,
     )
-
-
-def _remaining_ms(job: job_states.Job, step: tasks.Step) -> float:
-    """Returns the estimated critical path from a step to the job's end."""
-    occurrence = step.step_id.occurrence
-    paths_ms: dict[int, float] = {}
-    for number in reversed(range(len(job.spec.steps))):
-        later_ms = max(
-            (
-                paths_ms[other]
-                for other in range(number + 1, len(job.spec.steps))
-                if number in job.spec.steps[other].dependencies
-            ),
-            default=0.0,
-        )
-        is_done = job.steps[occurrence, number].is_done
-        own_ms = 0.0 if is_done else float(job.spec.steps[number].estimate_ms)
-        paths_ms[number] = own_ms + later_ms
-    return paths_ms[step.step_id.step]
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -204,6 +204,7 @@
         durations_s: durations of its first runs that completed; see
             `worker_speed.MAX_PEERS`.
         typical_s: median of them; None while there are too few.
+        failures: failed runs of the gang, or of the task with the most of them.
         failed_run: latest run of a gang whose failure was counted.
     """
 
@@ -217,6 +218,7 @@
     is_blocked: bool = False
     durations_s: list[float] = dataclasses.field(default_factory=list)
     typical_s: float | None = None
+    failures: int = 0
     failed_run: int = 0
 
     @property
@@ -225,11 +227,9 @@
         return self.done_count == len(self.tasks)
 
     @property
-    def failures(self) -> int:
-        """Failed runs of the gang, or of the task with the most of them."""
-        if self.spec.is_gang:
-            return sum(task.failures for task in self.tasks)
-        return max(task.failures for task in self.tasks)
+    def active_count(self) -> int:
+        """Number of tasks of which a run may exist."""
+        return len(self.tasks) - self.done_count - len(self.waiting)
 
     def count_failure(self, task: Task) -> None:
         """Counts a failed run; the members of a gang fail together."""
@@ -238,14 +238,10 @@
                 return
             self.failed_run = task.run
         task.failures += 1
-
-    @property
-    def has_culprit(self) -> bool:
-        """Whether a task is to blame for crashes of its workers."""
-        return any(
-            task.is_given_up and task.phase is not TaskPhase.DONE
-            for task in self.tasks
-        )
+        if self.spec.is_gang:
+            self.failures += 1
+        else:
+            self.failures = max(self.failures, task.failures)
 
     def active_tasks(self) -> Iterator[Task]:
         """Returns the tasks of which a run may exist."""
@@ -296,3 +292,5 @@
                 task.is_displaced = row.is_displaced
                 task.phase = TaskPhase.ADOPTED
                 self.waiting.discard(row.number)
+        count = sum if self.spec.is_gang else max
+        self.failures = count(task.failures for task in self.tasks)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -280,7 +280,7 @@
             self._state.complete_task(task, step, now_s)
             return
         if end.kind is model.EndKind.FAILED:
-            step.count_failure(task)
+            self._state.count_failure(task)
             self._state.quarantine.record_failure(
                 worker.worker_id,
                 task.task_id.job_id,
