--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -28,6 +28,7 @@
     "decode",
     "encode",
     "is_submission",
+    "step_of_key",
     "tombstone",
 ]
 
@@ -305,6 +306,21 @@
     return key[:1] in (_JOB, _CANCEL)
 
 
+def step_of_key(key: str) -> model.StepId | None:
+    """Returns the step whose progress a key holds; None for other keys.
+
+    Example:
+        >>> step_of_key("s5c0e.0.1")
+        StepId(job_id='5c0e', occurrence=0, step=1)
+    """
+    parts = key[1:].split(".")
+    if key[:1] != _STEP or len(parts) != 3:
+        return None
+    if not (parts[1].isdecimal() and parts[2].isdecimal()):
+        return None
+    return model.StepId(parts[0], int(parts[1]), int(parts[2]))
+
+
 def _key_of(record: Record) -> str:
     if isinstance(record, OwnerRecord):
         return _OWNER
--- a/foxtaillock/batch/tests/test_large_jobs.py
+++ b/foxtaillock/batch/tests/test_large_jobs.py
@@ -13,6 +13,7 @@
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
 from foxtaillock.batch import records
+from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import work_counter
 
@@ -186,6 +187,29 @@
             with self.subTest(name):
                 self._assert_linear(_prepare)
 
+    def test_erasing_the_progress_of_many_steps(self) -> None:
+        """Each erased record was looked for among all of its job."""
+
+        def _prepare(size: int) -> Callable[[], object]:
+            journal_view = view.JournalView()
+            progress = [
+                records.StepProgress(
+                    model.StepId(_JOB, number, 0), 1, b"\x01", ()
+                )
+                for number in range(size)
+            ]
+            for offset, each in enumerate(progress):
+                journal_view.apply(offset, records.encode(each))
+
+            def _erase() -> None:
+                for offset, each in enumerate(progress):
+                    tombstone = records.tombstone(each)
+                    journal_view.apply(size + offset, tombstone)
+
+            return _erase
+
+        self._assert_linear(_prepare)
+
 
 class OccurrenceTest(unittest.TestCase):
     """What an occurrence keeps agrees with a scan of its steps."""
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -234,20 +234,20 @@
         elif kind == "e":
             self._ends.pop(job_id, None)
         elif kind == "s":
-            steps = self._progress.get(job_id, {})
-            for step_id in [s for s in steps if _is_key_of(rest, s)]:
-                del steps[step_id]
-                self._started_steps[job_id].discard(step_id)
-            if not steps:
-                self._progress.pop(job_id, None)
-                self._started_steps.pop(job_id, None)
+            self._forget_progress(records.step_of_key(key))
         is_waiting = self._is_waiting(job_id)
         if known is not None and is_waiting != was_waiting:
             self._waiting[known.queue] += 1 if is_waiting else -1
 
-
-def _is_key_of(rest: str, step_id: model.StepId) -> bool:
-    return rest == f"{step_id.job_id}.{step_id.occurrence}.{step_id.step}"
+    def _forget_progress(self, step_id: model.StepId | None) -> None:
+        steps = self._progress.get(step_id.job_id) if step_id else None
+        if step_id is None or steps is None or step_id not in steps:
+            return
+        del steps[step_id]
+        self._started_steps[step_id.job_id].discard(step_id)
+        if not steps:
+            del self._progress[step_id.job_id]
+            self._started_steps.pop(step_id.job_id, None)
 
 
 def _has_started_task(progress: records.StepProgress) -> bool:
