Batch: a job that was cancelled before it was stored does not run

Cause: an entry VM that found no job answered so, and recorded nothing. The store carried out the submission afterwards.

Change: a cancel of an unknown id is recorded as an early one, for its submitter's jobs of that id only, and then answered with 410. It counts at every VM and for every owner, in either order. The owner erases at most 500 records an append.

Cost: one append for each cancel of an id that is not known, shared with other calls of the VM, and one erasure.

The new tests and those of views, owners and the entry VM pass.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -27,6 +27,10 @@
 # Retry interval while this VM reads the configuration and the journal at start.
 _RETRY_STARTING_S = 0.5
 
+# Retry interval while cancellations of unknown jobs are at their bound. They
+# are kept for some minutes.
+_RETRY_CANCELLATION_S = 5.0
+
 # Jobs in doubt that a VM remembers.
 _MAX_IN_DOUBT = 1_000
 
@@ -125,13 +129,12 @@
         if known is not None:
             outcome = self._resubmission_outcome(known, admitted)
             return self._log_outcome("submit", call, outcome)
-        accepted_ms = int(self._clock.now().timestamp() * 1000)
         try:
             spec = create_spec(
                 admitted.path_suffix,
                 admitted.queue.name,
                 admitted.team,
-                accepted_ms,
+                self._wall_ms(),
             )
         except ValueError as error:
             return self._log_outcome(
@@ -169,17 +172,49 @@
         if not isinstance(admitted, _AdmittedCall):
             return self._log_outcome("cancel", call, admitted)
         job = await self._find_job(admitted)
+        if isinstance(job, outcomes.NoSuchJob):
+            outcome = await self._cancel_unknown(admitted)
+            return self._log_outcome("cancel", call, outcome)
         if not isinstance(job, view.JobView):
             return self._log_outcome("cancel", call, job)
         if job.state in model.FINISHED_STATES:
             return self._log_outcome("cancel", call, outcomes.Cancelled())
-        cancelled_ms = int(self._clock.now().timestamp() * 1000)
-        record = records.Cancellation(job.spec.job_id, cancelled_ms)
+        record = records.Cancellation(job.spec.job_id, self._wall_ms())
         outcome = await self._store_record(
             admitted, records.encode(record), outcomes.Cancelled()
         )
         return self._log_outcome("cancel", call, outcome)
 
+    async def _cancel_unknown(
+        self, admitted: _AdmittedCall
+    ) -> outcomes.CallOutcome:
+        """Sees to it that a job that nobody knows yet will not run.
+
+        Its submission may be on its way, through any entry VM.
+        """
+        job_id = admitted.path_suffix
+        if not _is_job_id(job_id) or self._view.spec(job_id) is not None:
+            return outcomes.NoSuchJob()
+        early = records.EarlyCancellation(
+            job_id,
+            admitted.team,
+            admitted.queue.name if admitted.queue.is_open else "",
+            self._wall_ms(),
+        )
+        known = self._view.early_cancellations
+        if known.contains(early):
+            return outcomes.NoSuchJob()
+        if not known.has_room_for(early):
+            return outcomes.NotStored(
+                "too-many-cancellations", _RETRY_CANCELLATION_S
+            )
+        return await self._store_record(
+            admitted, records.encode(early), outcomes.NoSuchJob()
+        )
+
+    def _wall_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
     def _admit(
         self, call: Call, needs_jobs: bool = True
     ) -> _AdmittedCall | outcomes.CallOutcome:
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -90,7 +90,7 @@
             lambda: self._writer.last_append_s,
         )
         self._compactor = submission_compactor.SubmissionCompactor(
-            self.engine, services, self._may_renew_leases
+            self.engine, journal_view, services, self._may_renew_leases
         )
         self._poller = worker_poller.WorkerPoller(
             claim.epoch,
@@ -163,8 +163,11 @@
         now_s = self._services.clock.monotonic_s()
         if isinstance(record, model.JobSpec):
             self._add_job(record)
-        elif isinstance(record, records.Cancellation):
-            self.engine.cancel(record.job_id, now_s)
+        elif isinstance(
+            record, (records.Cancellation, records.EarlyCancellation)
+        ):
+            if self._view.cancellation(record.job_id) is not None:
+                self.engine.cancel(record.job_id, now_s)
         elif isinstance(record, records.OwnerRecord):
             if record.epoch > self._epoch:
                 self._end("another owner's record")
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -5,6 +5,7 @@
 no snapshots are needed.
 """
 
+import hashlib
 import typing
 
 import msgspec
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Cancellation",
+    "EarlyCancellation",
     "FleetCrashes",
     "HandoverOffer",
     "JobEnd",
@@ -109,6 +111,38 @@
     cancelled_ms: int
 
 
+class EarlyCancellation(typing.NamedTuple):
+    """Request to cancel a job of which no submission was stored yet.
+
+    Its submission may be on its way. If it is stored later, the job is
+    cancelled, but only if the same submitter could have cancelled it then.
+
+    Attributes:
+        job_id: id of the job.
+        team: team whose key came with the request; empty on an open queue.
+        open_queue: the queue, if it was open without a key; otherwise empty.
+        cancelled_ms: wall-clock time of the request.
+    """
+
+    job_id: str
+    team: str
+    open_queue: str
+    cancelled_ms: int
+
+    def applies_to(self, spec: model.JobSpec) -> bool:
+        """Returns whether the request covers a job that was stored later.
+
+        Example:
+            >>> early = EarlyCancellation("5c0e", "team-a", "", 7)
+            >>> job = model.JobSpec("5c0e", "q", "team-b", 5, "text", ())
+            >>> early.applies_to(job)
+            False
+        """
+        if self.open_queue and self.open_queue == spec.queue:
+            return True
+        return spec.team in ("", self.team)
+
+
 class TaskProgress(typing.NamedTuple):
     """Progress of a task that has been started and has not succeeded.
 
@@ -234,6 +268,7 @@
     | OwnerBacklog
     | model.JobSpec
     | Cancellation
+    | EarlyCancellation
     | StepProgress
     | JobEnd
     | RecentVmOrders
@@ -252,6 +287,7 @@
 _OWNER, _OFFER, _RECENT_VM_ORDERS, _WAVE = "o", "n", "v", "w"
 _BACKLOG, _FLEET_CRASHES = "b", "f"
 _JOB, _CANCEL, _STEP, _END = "j", "c", "s", "e"
+_EARLY_CANCEL = "x"
 _TYPES: dict[str, typing.Any] = {
     _OWNER: OwnerRecord,
     _OFFER: HandoverOffer,
@@ -260,6 +296,7 @@
     _FLEET_CRASHES: FleetCrashes,
     _JOB: model.JobSpec,
     _CANCEL: Cancellation,
+    _EARLY_CANCEL: EarlyCancellation,
     _STEP: StepProgress,
     _END: JobEnd,
     _WAVE: WaveProgress,
@@ -303,7 +340,7 @@
         >>> is_submission("j5c0e"), is_submission("e5c0e")
         (True, False)
     """
-    return key[:1] in (_JOB, _CANCEL)
+    return key[:1] in (_JOB, _CANCEL, _EARLY_CANCEL)
 
 
 def step_of_key(key: str) -> model.StepId | None:
@@ -339,6 +376,11 @@
         return _JOB + record.job_id
     if isinstance(record, Cancellation):
         return _CANCEL + record.job_id
+    if isinstance(record, EarlyCancellation):
+        # Submitters of other teams may use the same id.
+        scope = f"{record.team}/{record.open_queue}".encode()
+        digest = hashlib.blake2b(scope, digest_size=8).hexdigest()
+        return f"{_EARLY_CANCEL}{record.job_id}.{digest}"
     if isinstance(record, JobEnd):
         return _END + record.job_id
     return _WAVE + str(record.number)
--- a/foxtaillock/batch/tests/naive_view.py
+++ b/foxtaillock/batch/tests/naive_view.py
@@ -35,7 +35,7 @@
         end = newest.get("e" + job_id)
         if isinstance(end, records.JobEnd):
             return end.state
-        if "c" + job_id in newest:
+        if self._is_cancelled(job_id):
             return "cancelled"
         has_begun = any(
             isinstance(each, records.StepProgress)
@@ -53,10 +53,21 @@
             if isinstance(record, model.JobSpec)
             and record.queue == queue
             and "e" + record.job_id not in newest
-            and "c" + record.job_id not in newest
+            and not self._is_cancelled(record.job_id)
             and not self._has_started_task(record.job_id)
         )
 
+    def _is_cancelled(self, job_id: str) -> bool:
+        newest = self._newest()
+        spec = newest["j" + job_id]
+        assert isinstance(spec, model.JobSpec)
+        return "c" + job_id in newest or any(
+            isinstance(each, records.EarlyCancellation)
+            and each.job_id == job_id
+            and (each.team == spec.team or each.open_queue == spec.queue)
+            for each in newest.values()
+        )
+
     def _has_started_task(self, job_id: str) -> bool:
         progress = [
             each
--- a/foxtaillock/batch/tests/test_submission_compactor.py
+++ b/foxtaillock/batch/tests/test_submission_compactor.py
@@ -10,6 +10,7 @@
 from foxtaillock.batch import records
 from foxtaillock.batch import services
 from foxtaillock.batch import submission_compactor
+from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 
 _JOBS = [f"{number:016x}" for number in range(2)]
@@ -57,11 +58,14 @@
             self.engine.mark_ended(job_id, end, _ENDED_S, _ENDED_MS)
         self.submissions = _Submissions()
         self.now_s = _ENDED_S
+        self.view = view.JournalView()
+        clock = mock.Mock(monotonic_s=lambda: self.now_s)
         dependencies = typing.cast(
-            services.OwnerServices, mock.Mock(submissions=self.submissions)
+            services.OwnerServices,
+            mock.Mock(submissions=self.submissions, clock=clock),
         )
         self.compactor = submission_compactor.SubmissionCompactor(
-            self.engine, dependencies, lambda: True
+            self.engine, self.view, dependencies, lambda: True
         )
         patch = mock.patch.object(
             submission_compactor, "_INTERVAL_S", _INTERVAL_S
@@ -87,3 +91,49 @@
             sorted(kind + job for kind in "cj" for job in _JOBS),
         )
         self.assertEqual(dict(self.engine.jobs), {})
+
+    async def test_early_cancellation_is_erased_with_its_job(self) -> None:
+        early = records.EarlyCancellation(_JOBS[0], "", "q", _ENDED_MS)
+        spec = builders.job(_JOBS[0], builders.step())
+        self.view.apply(0, records.encode(spec))
+        self.view.apply(1, records.encode(early))
+        self.now_s += _RETENTION_S + 1.0
+        self.engine.tick(self.now_s)
+        with self.assertRaises(TimeoutError):
+            await self._run_rounds()
+        self.assertIn(records.tombstone(early), self.submissions.appended)
+
+    async def test_early_cancellation_without_a_job_is_erased_in_the_end(
+        self,
+    ) -> None:
+        """Otherwise, ids that never existed would fill every VM's memory."""
+        early = records.EarlyCancellation("0" * 15 + "f", "", "q", 0)
+        self.view.apply(0, records.encode(early))
+        with self.assertRaises(TimeoutError):
+            await self._run_rounds()
+        self.assertEqual(self.submissions.appended, [])
+        self.now_s += _RETENTION_S
+        with self.assertRaises(TimeoutError):
+            await self._run_rounds()
+        self.assertIn(records.tombstone(early), self.submissions.appended)
+
+    async def test_many_records_are_erased_in_several_appends(self) -> None:
+        for number in range(1_200):
+            early = records.EarlyCancellation(f"{number:016x}", "", "q", 0)
+            self.view.apply(number, records.encode(early))
+        sizes: list[int] = []
+        original = self.submissions.append
+
+        async def _append(
+            batch: Sequence[records.KeyedRecord],
+        ) -> interfaces.AppendResult:
+            sizes.append(len(batch))
+            return await original(batch)
+
+        with mock.patch.object(self.submissions, "append", _append):
+            with self.assertRaises(TimeoutError):
+                await self._run_rounds()
+            self.now_s += _RETENTION_S
+            with self.assertRaises(TimeoutError):
+                await self._run_rounds()
+        self.assertEqual(sizes[:3], [500, 500, 200])
--- a/foxtaillock/batch/tests/test_view.py
+++ b/foxtaillock/batch/tests/test_view.py
@@ -26,8 +26,14 @@
     job_id = rng.choice(_JOBS)
     step_id = model.StepId(job_id, 0, rng.randrange(2))
     made: list[records.Record] = [
-        builders.job(job_id, builders.step()),
+        builders.job(job_id, builders.step(), team="team-a"),
         records.Cancellation(job_id, 5),
+        records.EarlyCancellation(
+            job_id,
+            rng.choice(("team-a", "team-b")),
+            rng.choice(("", "", "q", "other")),
+            5,
+        ),
         records.StepProgress(step_id, 1, b"", ()),
         records.StepProgress(
             step_id,
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from foxtaillock.batch import early_cancellations
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import records
@@ -56,6 +57,7 @@
         )
         self._jobs: dict[str, model.JobSpec] = {}
         self._cancellations: dict[str, records.Cancellation] = {}
+        self._early_cancellations = early_cancellations.EarlyCancellations()
         self._progress: dict[str, dict[model.StepId, records.StepProgress]] = {}
         self._started_steps: dict[str, set[model.StepId]] = {}
         self._ends: dict[str, records.JobEnd] = {}
@@ -120,7 +122,7 @@
             spec,
             self._state(job_id),
             self._progress.get(job_id, {}),
-            job_id in self._cancellations,
+            self._is_cancelled(job_id),
         )
 
     def spec(self, job_id: str) -> model.JobSpec | None:
@@ -140,8 +142,23 @@
         return self._ends.get(job_id)
 
     def cancellation(self, job_id: str) -> records.Cancellation | None:
-        """Returns the record of a job's cancellation, or None."""
-        return self._cancellations.get(job_id)
+        """Returns the record of a job's cancellation, or None.
+
+        A cancellation from before the job's submission counts as well.
+        """
+        known = self._cancellations.get(job_id)
+        spec = self._jobs.get(job_id)
+        if known is not None or spec is None:
+            return known
+        early = self._early_cancellations.find(spec)
+        if early is None:
+            return None
+        return records.Cancellation(job_id, early.cancelled_ms)
+
+    @property
+    def early_cancellations(self) -> early_cancellations.EarlyCancellations:
+        """Cancellations from before the submission of their job."""
+        return self._early_cancellations
 
     def steps(self, job_id: str) -> Iterable[records.StepProgress]:
         """Returns the progress of the job's steps that have started."""
@@ -165,17 +182,20 @@
         end = self._ends.get(job_id)
         if end is not None:
             return model.JobState(end.state)
-        if job_id in self._cancellations:
+        if self._is_cancelled(job_id):
             return model.JobState.CANCELLED
         if job_id in self._progress:
             return model.JobState.RUNNING
         return model.JobState.QUEUED
 
+    def _is_cancelled(self, job_id: str) -> bool:
+        return self.cancellation(job_id) is not None
+
     def _is_waiting(self, job_id: str) -> bool:
         return (
             job_id in self._jobs
             and job_id not in self._ends
-            and job_id not in self._cancellations
+            and not self._is_cancelled(job_id)
             and not self._started_steps.get(job_id)
         )
 
@@ -211,6 +231,10 @@
             was_waiting = self._is_waiting(record.job_id)
             self._cancellations[record.job_id] = record
             self._recount(record.job_id, was_waiting)
+        elif isinstance(record, records.EarlyCancellation):
+            was_waiting = self._is_waiting(record.job_id)
+            self._early_cancellations.add(record)
+            self._recount(record.job_id, was_waiting)
         else:
             was_waiting = self._is_waiting(record.job_id)
             self._ends[record.job_id] = record
@@ -231,6 +255,8 @@
             self._jobs.pop(job_id, None)
         elif kind == "c":
             self._cancellations.pop(job_id, None)
+        elif kind == "x":
+            self._early_cancellations.remove(key)
         elif kind == "e":
             self._ends.pop(job_id, None)
         elif kind == "s":
