Batch: a repeat of a submission in doubt is not told as never run

Callers saw (by a test only): a submission without an answer, repeated at the same VM while the store refused, was answered with 503, which says that the job never runs. The first attempt could still be stored.

Cause: only refusals for overload looked at the submissions in doubt.

Evidence: test_repeat_is_not_answered_as_never_run, red before.

Change: each refusal of an id in doubt at this VM is told as unknown, also one for a configuration that is missing or too old. Another VM can't know.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -120,7 +120,9 @@
         # the others.
         admitted = self._admit(call, needs_jobs=False)
         if not isinstance(admitted, _AdmittedCall):
-            return self._log_outcome("submit", call, admitted)
+            job_id = call.path.rpartition("/")[2]
+            refusal = self._unknown_if_in_doubt(job_id, admitted)
+            return self._log_outcome("submit", call, refusal)
         if not _is_job_id(admitted.path_suffix):
             return self._log_outcome(
                 "submit", call, outcomes.Malformed("not the id of a job")
@@ -140,15 +142,16 @@
             return self._log_outcome(
                 "submit", call, outcomes.Malformed(str(error))
             )
-        refusal = await self._overload_refusal(admitted, spec)
-        if refusal is not None:
-            return self._log_outcome("submit", call, refusal)
+        overload_refusal = await self._overload_refusal(admitted, spec)
+        if overload_refusal is not None:
+            return self._log_outcome("submit", call, overload_refusal)
         spec = spec._replace(accepted_queue=admitted.queue)
         outcome = await self._store_record(
             admitted, records.encode(spec), outcomes.Accepted()
         )
         if isinstance(outcome, outcomes.Unknown):
             self._note_in_doubt(spec.job_id)
+        outcome = self._unknown_if_in_doubt(spec.job_id, outcome)
         return self._log_outcome("submit", call, outcome)
 
     async def state(self, call: Call) -> outcomes.CallOutcome:
@@ -306,6 +309,18 @@
         while len(self._in_doubt) > _MAX_IN_DOUBT:
             self._in_doubt.pop(next(iter(self._in_doubt)))
 
+    def _unknown_if_in_doubt(
+        self, job_id: str, outcome: outcomes.CallOutcome
+    ) -> outcomes.CallOutcome:
+        """Returns the answer to an attempt after others that may be stored.
+
+        A job that is said not to be stored must never run.
+        """
+        is_refusal = isinstance(outcome, outcomes.NotStored)
+        if is_refusal and job_id in self._in_doubt:
+            return outcomes.Unknown(_detail(outcome))
+        return outcome
+
     async def _store_record(
         self,
         admitted: _AdmittedCall,
--- a/foxtaillock/batch/tests/test_early_cancellations.py
+++ b/foxtaillock/batch/tests/test_early_cancellations.py
@@ -33,12 +33,14 @@
 
     Attributes:
         is_late: whether appends get no answer.
+        is_refusing: whether appends are refused.
         late: records of these, to be stored.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.is_late = False
+        self.is_refusing = False
         self.late: list[records.KeyedRecord] = []
 
     async def append(
@@ -47,6 +49,8 @@
         append_id: interfaces.AppendId | None = None,
     ) -> interfaces.AppendResult:
         """Appends now, or keeps the records for later."""
+        if self.is_refusing:
+            raise interfaces.StoreRefusedError("refused")
         if self.is_late:
             self.late += batch
             raise interfaces.StoreUnreachableError("no answer")
@@ -232,6 +236,27 @@
         self.assertEqual(outcome, outcomes.NoSuchJob())
 
 
+class SubmissionInDoubtTest(unittest.IsolatedAsyncioTestCase):
+    """A submission without an answer is repeated at the same entry VM."""
+
+    async def test_repeat_is_not_answered_as_never_run(self) -> None:
+        """It was, once the store refused; the first attempt ran later."""
+        stream = _LateStream()
+        vm = _EntryVm(stream)
+        stream.is_late = True
+        self.assertIsInstance(await vm.submit(), outcomes.Unknown)
+        stream.is_refusing = True
+        self.assertIsInstance(await vm.submit(), outcomes.Unknown)
+        vm.handler.config = configuration.EMPTY
+        self.assertIsInstance(await vm.submit(), outcomes.Unknown)
+
+    async def test_first_attempt_that_is_refused_never_runs(self) -> None:
+        stream = _LateStream()
+        vm = _EntryVm(stream)
+        stream.is_refusing = True
+        self.assertIsInstance(await vm.submit(), outcomes.NotStored)
+
+
 class EarlyCancellationCountTest(unittest.TestCase):
     """The number of records that are kept."""
 
