Batch: leases count that calls to an earlier incarnation gave

Workers had started again under their ids and were cut off soon after, while long tasks ran; an owner that had adopted the runs took their leases for over.

Cause: the end of a lease was worked out from what was granted to the incarnation that the owner knows. A renewal that was meant for the one before has a time that lies far ahead on the new clock, and gives the longest lease, 6 s from whenever it arrives, to all that runs there. Polls without an answer were not counted, starts only while in doubt, and a successor knew of neither.

Change: an owner keeps the renewals without an answer for 12 s; at a later incarnation they count as carried out at the last moment. Its records name such workers with the time left, before anything starts there; successors wait for it and hand it on, with their claims too. The first answer of a worker that has just started counts the longest lease of earlier owners, if these ended seconds ago.

Tests: the first owner of crash_fleet has no predecessor, so nobody's late calls are on their way to its workers; it was given one that had ended at that moment, which the bound of 6 s for persistent work was never meant to cover. Workers of the builders have been up for ten minutes, not 5 s. Checks and bounds are as they were.

Cost: a worker that is back with a renewal on its way and is lost within 18 s keeps its tasks waiting until then, in place of 4 to 6 s.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import decision_log
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import job_states
+from foxtaillock.batch import long_leases
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import planner
@@ -68,6 +69,7 @@
     Attributes:
         answers: handles the workers' answers.
         renounced: workers on which this owner has renounced leases.
+        long_leases: workers that may hold longer leases than it has granted.
         vms: coordinates tasks with moves and maintenance of VMs.
     """
 
@@ -80,6 +82,7 @@
     ) -> None:
         self._state = owner_state.OwnerState(epoch, now_s, prior, log)
         self.renounced = renounced_leases.RenouncedLeases(self._state)
+        self.long_leases = long_leases.LongLeases(self._state)
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self._slow_runs = slow_runs.SlowRuns(self._state)
@@ -262,6 +265,7 @@
         self.vms.evacuate(now_s)
         self._state.expire_orphans(now_s)
         self._state.late_starts.expire(now_s)
+        self._state.late_renewals.expire(now_s)
         if (
             self._state.waiting
             and now_s - self._planned_s >= _REPLAN_INTERVAL_S
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -304,6 +304,9 @@
             earlier_leases_ms=self._ownership.remaining_leases_ms(
                 services.clock.monotonic_s()
             ),
+            long_leases=self._ownership.long_leases(
+                services.clock.monotonic_s()
+            ),
         )
         try:
             result = await services.journal.append(
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -292,6 +292,7 @@
         is_heartbeat_due = (
             now_s - self._heartbeat_s >= ownership.HEARTBEAT_INTERVAL_S
             or self.engine.renounced.are_outdated
+            or self.engine.long_leases.are_outdated
         )
         has_records = (
             self.engine.has_batch()
@@ -347,6 +348,7 @@
                 is_releasing=is_released,
                 knows_workers=self._registry_follower.is_caught_up,
             ),
+            long_leases=self.engine.long_leases.propose(self._heartbeat_s),
         )
 
     def _remaining_prior_leases_s(self) -> float:
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -13,6 +13,7 @@
 from foxtaillock.batch import decision_log
 from foxtaillock.batch import due_occurrences
 from foxtaillock.batch import job_states
+from foxtaillock.batch import late_renewals
 from foxtaillock.batch import late_starts
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
@@ -71,6 +72,9 @@
         prior_leases: leases granted by earlier owners.
         renounced_ids: workers on which this owner has renounced leases.
         late_starts: starts without an answer that may still be carried out.
+        late_renewals: calls that renew leases and got no answer.
+        has_new_long_lease: whether a worker may hold a longer lease than the
+            records tell; see `long_leases`.
         needs_plan: whether an event may have made it possible to place a task.
         starting_count: number of starts under way: being recorded, or ordered
             without an answer so far.
@@ -115,6 +119,8 @@
         )
         self.leaving = workers.LeavingWorkers()
         self.late_starts = late_starts.LateStarts()
+        self.late_renewals = late_renewals.LateRenewals()
+        self.has_new_long_lease = False
         self.needs_plan = True
         self.starting_count = 0
 
@@ -174,6 +180,11 @@
         worker_id = entry.worker_id
         prior = self.prior_leases
         worker = workers.Worker(entry, prior.end_on_s(worker_id))
+        worker.assumed_end_s = max(
+            self.late_renewals.leases_end_s(worker_id),
+            prior.long_ends_s.get(worker_id, float("-inf")),
+        )
+        self.has_new_long_lease |= worker.assumed_end_s > self.now_s
         worker.unanswered_calls = int(prior.was_silent(worker_id))
         worker.is_renounced = worker_id in self.renounced_ids
         worker.apply_leaving(self.leaving)
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -141,6 +141,7 @@
         self._unread_leases_end_s = float("-inf")
         self._renounced_ends_s: dict[str, float] = {}
         self._earlier_renounced_ends_s: dict[str, float] = {}
+        self._long_ends_s: dict[str, float] = {}
         self._last_heard_s = now_s
         self._journal_read_s = float("-inf")
         self._claims_deferred_until_s = float("-inf")
@@ -170,7 +171,17 @@
     def prior_leases(self) -> prior_leases.PriorLeases:
         """Returns what is known of leases granted by earlier owners."""
         return prior_leases.PriorLeases(
-            self.earlier_leases_end_s, dict(self._earlier_renounced_ends_s)
+            self.earlier_leases_end_s,
+            dict(self._earlier_renounced_ends_s),
+            dict(self._long_ends_s),
+        )
+
+    def long_leases(self, now_s: float) -> tuple[records.LongLease, ...]:
+        """Returns the long leases that a claim hands on."""
+        return tuple(
+            records.LongLease(worker_id, math.ceil((end_s - now_s) * 1000))
+            for worker_id, end_s in sorted(self._long_ends_s.items())
+            if end_s > now_s
         )
 
     @property
@@ -208,6 +219,7 @@
                 each.worker_id: now_s + each.remaining_ms / 1000
                 for each in owner.renounced
             }
+        self._note_long_leases(owner, now_s)
         if owner.earlier_leases_ms:
             # Tells of owners whose records this VM has not read.
             self._earlier_leases_end_s = max(
@@ -230,6 +242,20 @@
         self._renounced_ends_s = {}
         self._epoch_seen_s = now_s
 
+    def _note_long_leases(
+        self, owner: records.OwnerRecord, now_s: float
+    ) -> None:
+        """Notes long leases; whoever tells of one, it lasts until its end."""
+        for each in owner.long_leases:
+            end_s = now_s + each.remaining_ms / 1000
+            known_s = self._long_ends_s.get(each.worker_id, end_s)
+            self._long_ends_s[each.worker_id] = max(known_s, end_s)
+        self._long_ends_s = {
+            worker_id: end_s
+            for worker_id, end_s in self._long_ends_s.items()
+            if end_s > now_s
+        }
+
     def records_missed(self) -> None:
         """Records that some records of owners were left out of a read.
 
--- a/foxtaillock/batch/prior_leases.py
+++ b/foxtaillock/batch/prior_leases.py
@@ -14,10 +14,13 @@
         end_s: time by which all of them have expired, on any worker.
         renounced_ends_s: for each worker on which the last owner had renounced
             leases, the time by which those granted before have expired.
+        long_ends_s: for each worker that may hold longer leases than granted,
+            the time by which these have expired; see `long_leases`.
     """
 
     end_s: float
     renounced_ends_s: Mapping[str, float] = types.MappingProxyType({})
+    long_ends_s: Mapping[str, float] = types.MappingProxyType({})
 
     def end_on_s(self, worker_id: str) -> float:
         """Returns the time by which all leases on a worker have expired.
@@ -27,7 +30,8 @@
             14.0
         """
         known_s = self.renounced_ends_s.get(worker_id, self.end_s)
-        return min(known_s, self.end_s)
+        long_s = self.long_ends_s.get(worker_id, float("-inf"))
+        return max(min(known_s, self.end_s), long_s)
 
     def was_silent(self, worker_id: str) -> bool:
         """Returns whether a worker did not answer the last owner."""
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -19,6 +19,7 @@
     "HandoverOffer",
     "JobEnd",
     "KeyedRecord",
+    "LongLease",
     "OwnerBacklog",
     "OwnerRecord",
     "Record",
@@ -48,6 +49,19 @@
     remaining_ms: int
 
 
+class LongLease(typing.NamedTuple):
+    """Lease that calls to an earlier incarnation of a worker may have given.
+
+    Attributes:
+        worker_id: the worker.
+        remaining_ms: time, from the writing of the record, until it has
+            expired.
+    """
+
+    worker_id: str
+    remaining_ms: int
+
+
 class OwnerRecord(typing.NamedTuple):
     """Claim, heartbeat or release of the ownership of the fleet's work.
 
@@ -64,6 +78,7 @@
         renounced: workers to which this owner grants no lease until a later
             record of it leaves them out. A claim, whose `heartbeat` is 0, does
             not tell.
+        long_leases: workers that may hold longer leases than owners grant.
     """
 
     epoch: int
@@ -75,6 +90,7 @@
     successor: str = ""
     earlier_leases_ms: int = 0
     renounced: tuple[RenouncedLease, ...] = ()
+    long_leases: tuple[LongLease, ...] = ()
 
 
 class HandoverOffer(typing.NamedTuple):
--- a/foxtaillock/batch/restarts.py
+++ b/foxtaillock/batch/restarts.py
@@ -48,8 +48,6 @@
     Returns:
         The later incarnation, with the runs that it has or may have.
     """
-    again = state.create_worker(_entry_of(worker, lists.started_ms))
-    again.refuted_started_ms.append(worker.entry.started_ms)
     listed = {(run.task, run.run) for run in lists.running}
     listed.update((end.task, end.run) for end in lists.ended)
     kept = [
@@ -59,6 +57,12 @@
         or _may_be_later(task, sent_s)
         or (lists.may_have_more_ends and not task.is_listed)
     ]
+    if any(_is_unanswered(task) for task in kept):
+        state.late_renewals.note(worker.worker_id, now_s)
+    again = state.create_worker(_entry_of(worker, lists.started_ms))
+    again.assumed_end_s = max(again.assumed_end_s, now_s + workers.MAX_LEASE_S)
+    state.has_new_long_lease = True
+    again.refuted_started_ms.append(worker.entry.started_ms)
     for task in kept:
         spec = state.step_of(task).spec
         worker.remove(task, spec)
@@ -73,10 +77,6 @@
         ended=len(worker.tasks),
         kept=len(kept),
     )
-    again.assume_longest_lease(
-        lists.clock_ms,
-        has_late_orders=any(_is_unanswered(task) for task in kept),
-    )
     culprits = state.crashes.record_restart(
         worker, again.entry, now_s, has_answered=True
     )
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -60,7 +60,7 @@
         "capacity": resources.Resources(cpu, 64 * GIB, 0),
         "is_draining": False,
         "drain_remaining_ms": 0,
-        "clock_ms": 5000,
+        "clock_ms": 605_000,
     }
     return model.WorkerEntry(worker_id, **{**defaults, **fields})
 
@@ -98,7 +98,7 @@
         assert engine.start_order(plan, now_s) is not None
         accepted = interfaces.OrderOutcome.ACCEPTED
         engine.answers.start_answered(
-            plan, interfaces.OrderAnswer(accepted, 5000), now_s
+            plan, interfaces.OrderAnswer(accepted, 605_000), now_s
         )
     return started
 
@@ -113,7 +113,7 @@
         interfaces.ActiveRun(task, run, "", 100, 0.0)
         for task, run in running or []
     ]
-    return interfaces.WorkerLists(started_ms, 6000, rows, ended or [])
+    return interfaces.WorkerLists(started_ms, 606_000, rows, ended or [])
 
 
 def _no_log(event: str, **fields: typing.Any) -> None:
--- a/foxtaillock/batch/tests/crash_fleet.py
+++ b/foxtaillock/batch/tests/crash_fleet.py
@@ -261,9 +261,11 @@
 
     def _create_owner(self) -> engines.Engine:
         self._epoch += 1
-        leases_end_s = batch_workers.prior_leases_end_s(
-            self.now_s, has_ended=True
-        )
+        leases_end_s = float("-inf")
+        if self._epoch > 1:
+            leases_end_s = batch_workers.prior_leases_end_s(
+                self.now_s, has_ended=True
+            )
         engine = engines.Engine(
             self._epoch,
             self.now_s,
--- a/foxtaillock/batch/tests/simulated_owner.py
+++ b/foxtaillock/batch/tests/simulated_owner.py
@@ -126,6 +126,7 @@
         is_due = (
             simulation.now_s - self._heartbeat_s >= _HEARTBEAT_S
             or self.engine.renounced.are_outdated
+            or self.engine.long_leases.are_outdated
         )
         if self._is_writing or not (
             is_due or self.is_releasing or self.engine.has_batch()
@@ -142,6 +143,7 @@
             renounced=self.engine.renounced.propose(
                 simulation.now_s, is_releasing=self.is_releasing
             ),
+            long_leases=self.engine.long_leases.propose(simulation.now_s),
         )
         entries = [records.encode(owner), *batch.records]
         self._heartbeat_s = simulation.now_s
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -393,7 +393,12 @@
 
     def _claim(self, epoch: int) -> None:
         self._is_claim_sent = False
-        claim = records.OwnerRecord(epoch, str(epoch), "")
+        claim = records.OwnerRecord(
+            epoch,
+            str(epoch),
+            "",
+            long_leases=self._monitor.long_leases(self.now_s),
+        )
         self.append(epoch, [records.encode(claim)])
         prior = self._monitor.prior_leases()
         owner = simulated_owner.SimulatedOwner(self, epoch, prior)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -99,6 +99,7 @@
             current = self._state.workers.get(worker.worker_id, worker)
             current.unanswered_calls += 1
         if outcome is interfaces.OrderOutcome.UNKNOWN:
+            self._state.late_renewals.note(worker.worker_id, now_s)
             self._state.set_phase(task, tasks.TaskPhase.IN_DOUBT, now_s)
             return
         if outcome is interfaces.OrderOutcome.OTHER_WORKER:
@@ -145,6 +146,9 @@
             # What an incarnation said that was replaced meanwhile.
             return
         if isinstance(answer, interfaces.OrderAnswer):
+            is_unknown = answer.outcome is interfaces.OrderOutcome.UNKNOWN
+            if is_unknown and plan.valid_until_ms is not None:
+                self._state.late_renewals.note(worker_id, now_s)
             self._poll_failed(worker, answer, now_s)
             return
         if restarts.is_other_incarnation(worker, answer):
@@ -162,7 +166,9 @@
                 worker, "worker-reached", running=len(answer.running)
             )
             self._state.needs_plan = True
+        assumed_end_s = worker.assumed_end_s
         worker.record_answer(answer.clock_ms, now_s)
+        self._state.has_new_long_lease |= worker.assumed_end_s > assumed_end_s
         worker.listed_s = sent_s
         self._note_cut_list(worker, answer)
         self._apply_ends(worker, answer.ended, now_s)
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "LATE_ORDER_S",
+    "MAX_LEASE_S",
     "RENEWAL_WINDOW_S",
     "LeavingWorkers",
     "RUN_LEASE_S",
@@ -31,6 +32,15 @@
 # An order without an answer may still be carried out after this time.
 LATE_ORDER_S = 12.0
 
+# An incarnation that has been there for longer is reached by no call that was
+# sent before, as far as it would still matter to a lease. Clocks of workers
+# start with them.
+_YOUNG_S = LATE_ORDER_S + 2.0
+
+# Time after the end of earlier owners' leases within which their last calls may
+# be carried out.
+_LATE_PRIOR_S = LATE_ORDER_S - RUN_LEASE_S
+
 # A reading that lags behind by more is one of another clock.
 _CLOCK_ALLOWANCE_MS = 100
 
@@ -41,6 +51,9 @@
 # allows.
 _MAX_CLOCK_DRIFT = 0.02
 
+# Longest time for which a lease lasts after its call, on the slowest clock.
+MAX_LEASE_S = _MAX_RUN_LEASE_S / (1 - _MAX_CLOCK_DRIFT)
+
 # An owner renews leases only within this time after its latest successful
 # append, so that a new owner knows when the tasks on an unreachable worker have
 # ended. Together with the lease, runs survive outages of the store of 7 s.
@@ -106,6 +119,8 @@
             owner.
         prior_leases_end_s: time by which all leases granted by earlier owners
             have expired.
+        assumed_end_s: time by which leases have expired that calls meant for
+            an earlier incarnation may have given.
         unanswered_calls: number of consecutive calls without an answer.
         recorded_end: highest end number whose record is stored.
         acknowledged_end: highest end number that the worker was told to drop.
@@ -153,6 +168,7 @@
     clock_read_s: float = float("-inf")
     answered_s: float = float("-inf")
     valid_until_ms: int = 0
+    assumed_end_s: float = float("-inf")
     unanswered_calls: int = 0
     recorded_end: int = 0
     acknowledged_end: int = 0
@@ -258,9 +274,16 @@
         """Records an answer under this owner's epoch.
 
         From the first answer on, the worker refuses earlier owners, so their
-        leases end no later than one that begins now.
+        leases end no later than one that begins now. If it has just started,
+        late calls of theirs may have been meant for the incarnation before, and
+        have given the longest lease.
         """
         if not self.has_answered:
+            is_young = clock_ms < _YOUNG_S * 1000
+            may_be_late = now_s < self.prior_leases_end_s + _LATE_PRIOR_S
+            if is_young and may_be_late:
+                longest_end_s = now_s + MAX_LEASE_S
+                self.assumed_end_s = max(self.assumed_end_s, longest_end_s)
             longest_ms = RUN_LEASE_S * (1 + _MAX_CLOCK_DRIFT) * 1000
             earlier_ms = clock_ms + int(longest_ms)
             self.valid_until_ms = max(self.valid_until_ms, earlier_ms)
@@ -306,21 +329,6 @@
             self.refuted_started_ms.append(self.other_entry.started_ms)
             self.other_entry = None
 
-    def assume_longest_lease(
-        self, clock_ms: int, *, has_late_orders: bool
-    ) -> None:
-        """Counts orders to an earlier incarnation as carried out by this one.
-
-        Args:
-            clock_ms: reading of the clock of this incarnation.
-            has_late_orders: whether such orders may still be on their way.
-        """
-        longest_s = _MAX_RUN_LEASE_S * (1 + _MAX_CLOCK_DRIFT)
-        if has_late_orders:
-            longest_s += LATE_ORDER_S
-        longest_ms = clock_ms + int(longest_s * 1000)
-        self.valid_until_ms = max(self.valid_until_ms, longest_ms)
-
     def update_entry(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Applies a registry entry, whose clock reading may be outdated."""
         self.entry = entry
@@ -372,6 +380,7 @@
         if self.other_entry is not None:
             # A later incarnation may have carried out the latest orders.
             ends_s += (_MAX_RUN_LEASE_S - RUN_LEASE_S) / (1 - _MAX_CLOCK_DRIFT)
+        ends_s = max(ends_s, self.assumed_end_s)
         if self.has_answered:
             return ends_s
         return max(ends_s, self.prior_leases_end_s)
