Soak and schedules: larger jobs, submitters that give up, seeds of today

The soak's submitters cancel a part of the submissions that got no answer (30 %), and take a 410 for it as a promise; new kinds of jobs have 15 to 30 steps, 50 to 150 tasks in a step, or 6 to 12 occurrences at short intervals.

The safeguards' seeds are those of the schedules of today: LIMIT shows with seed 261 in place of 234 while the guard is out.

--- a/foxtaillock/batch/tests/test_late_schedules.py
+++ b/foxtaillock/batch/tests/test_late_schedules.py
@@ -30,7 +30,7 @@
 
     def test_all_kinds_of_events_happen(self) -> None:
         seen: collections.Counter[str] = collections.Counter()
-        for seed in range(4):
+        for seed in range(8):
             seen += _run(seed).seen
         for kind in ("burst", "late order", "vm order", "late vm order"):
             self.assertGreater(seen[kind], 0, kind)
@@ -64,4 +64,4 @@
     def test_entry_of_a_dead_worker_ends_no_runs_at_its_address(self) -> None:
         self._disable(workers.Worker, "may_run_tasks", False)
         self._assert_finds("TWICE", seed=17)
-        self._assert_finds("LIMIT", seed=234)
+        self._assert_finds("LIMIT", seed=261)
--- a/foxtaillock/soak/job_kinds.py
+++ b/foxtaillock/soak/job_kinds.py
@@ -150,6 +150,26 @@
     return JobPlan((step,))
 
 
+@_register
+def many_steps(rng: random.Random) -> JobPlan:
+    """Many steps of one short task."""
+    steps = rng.randint(15, 30)
+    return JobPlan(tuple(StepPlan(1, 20, 0.05) for _ in range(steps)))
+
+
+@_register
+def wide(rng: random.Random) -> JobPlan:
+    """A step of many short tasks."""
+    return JobPlan((StepPlan(rng.randint(50, 150), 20, 0.2),))
+
+
+@_register
+def calendar(rng: random.Random) -> JobPlan:
+    """A few occurrences that are due soon, of a step that is wide."""
+    step = StepPlan(rng.randint(5, 12), 50, 0.2)
+    return JobPlan((step,), rng.randint(6, 12), 0.3, 0.25)
+
+
 @_register
 def retried(rng: random.Random) -> JobPlan:
     """A task that fails once less often than its job fails."""
--- a/foxtaillock/soak/submitters.py
+++ b/foxtaillock/soak/submitters.py
@@ -23,6 +23,10 @@
 _MEAN_RETRY_DELAY_S = 0.3
 _CANCEL_PROBABILITY = 0.15
 _SUCCESS_STATUSES = range(200, 300)
+_GONE = 410
+
+# Part of the submissions without an answer that are given up and cancelled.
+_GIVE_UP_PROBABILITY = 0.3
 
 # Part of the cancellations beside which a retry of the submission arrives.
 _LATE_RETRY_PROBABILITY = 0.5
@@ -153,7 +157,7 @@
     async def state(self, job: SubmittedJob) -> str:
         """Reads the state of a job from a random VM; empty if unknown."""
         status, body = await self._send_request("GET", job.path)
-        if status == 410 and job.accepted_s is not None:
+        if status == _GONE and job.accepted_s is not None:
             job.gone_answer_count += 1
         return str(body.get("state", "")) if status == 200 else ""
 
@@ -179,6 +183,10 @@
             if status in _SUCCESS_STATUSES:
                 job.accepted_s = time.monotonic()
                 break
+            if not status and self._rng.random() < _GIVE_UP_PROBABILITY:
+                # Its submission may be on its way.
+                await self._cancel(job)
+                return
             await asyncio.sleep(self._rng.uniform(0, 2 * _MEAN_RETRY_DELAY_S))
         if job.accepted_s is None:
             return
@@ -220,7 +228,8 @@
     async def _send_cancellations(self, job: SubmittedJob) -> None:
         for _ in range(1 + _MAX_RETRIES):
             status, _ = await self._send_request("DELETE", job.path)
-            if status in _SUCCESS_STATUSES:
+            is_unknown = status == _GONE and job.accepted_s is None
+            if status in _SUCCESS_STATUSES or is_unknown:
                 job.cancelled_s = time.monotonic()
                 return
             await asyncio.sleep(self._rng.uniform(0, 2 * _MEAN_RETRY_DELAY_S))
