Batch: no task starts in an evacuated availability zone

Change: the entry VM derives the evacuated zones from the operators' stream and passes them to its owner. Their workers get no new tasks, and a start that is recorded but not sent is dropped. Persistent tasks leave as on draining workers. A VM claims the ownership only after it has read the operators' stream to its end. With this commit, no task starts in an evacuated zone; pool sizes still count its VMs.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -155,6 +155,15 @@
         self._state.teams = teams
         self._state.needs_plan = True
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Availability zones in which no task is started."""
+        return self._state.evacuated_zones
+
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones in which no task is started."""
+        self._state.set_evacuated_zones(zones)
+
     def submit(
         self,
         spec: model.JobSpec,
@@ -441,7 +450,9 @@
         job = self._state.jobs[task.task_id.job_id]
         is_late = now_s - plan.planned_s > _MAX_SEND_DELAY_S
         lacks_room = worker.lacks_room_for(self._state.step_of(task).spec)
-        is_dropped = job.is_finished or is_late or lacks_room
+        is_dropped = (
+            job.is_finished or is_late or lacks_room or worker.is_evacuated
+        )
         if valid_until_ms is None or is_dropped:
             self._state.abandon_run(task, now_s)
             return None
--- a/foxtaillock/batch/model.py
+++ b/foxtaillock/batch/model.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "EndKind",
+    "Evacuation",
     "FINISHED_STATES",
     "JobSpec",
     "JobState",
@@ -237,6 +238,19 @@
     max_down: int
 
 
+class Evacuation(typing.NamedTuple):
+    """Operators' record on an availability zone.
+
+    Attributes:
+        zone: the zone.
+        is_requested: whether no task may be started there; otherwise, the zone
+            is returned to service.
+    """
+
+    zone: str
+    is_requested: bool
+
+
 class WorkerEntry(typing.NamedTuple):
     """Registry entry of a worker.
 
@@ -253,6 +267,8 @@
         drain_remaining_ms: least time for which a draining worker keeps
             running.
         clock_ms: its clock when it wrote the entry.
+        cold_remaining_ms: time for which it stays slow after its start; 0 if it
+            is warm.
     """
 
     worker_id: str
@@ -265,6 +281,7 @@
     is_draining: bool
     drain_remaining_ms: int
     clock_ms: int
+    cold_remaining_ms: int = 0
 
 
 def max_persistent_per_worker(step: StepSpec) -> int:
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -9,6 +9,7 @@
 from foxtaillock.batch import appender
 from foxtaillock.batch import call_handler
 from foxtaillock.batch import configuration
+from foxtaillock.batch import evacuations
 from foxtaillock.batch import follower
 from foxtaillock.batch import config_freshness
 from foxtaillock.batch import interfaces
@@ -123,6 +124,13 @@
             services.owner.log,
         )
         self._operator_follower.on_caught_up = self._freshness.confirm
+        self._evacuations = evacuations.Evacuations(
+            services.decode_evacuation, services.owner.log
+        )
+        self._evacuations.on_change = self._on_evacuations
+        self._operator_follower.on_newest_read = lambda page: (
+            self._evacuations.forget_erased(page, clock.monotonic_s())
+        )
         self.call_handler = call_handler.CallHandler(
             clock,
             self._view,
@@ -268,6 +276,7 @@
         return (
             self._journal_follower.is_caught_up
             and self._submission_follower.is_caught_up
+            and self._operator_follower.is_caught_up
             and self.call_handler.config.version >= 0
         )
 
@@ -377,6 +386,7 @@
             services,
         )
         owner.configure(self.call_handler.config)
+        owner.set_evacuated_zones(self._evacuations.zones)
         for wave in self._waves.values():
             owner.add_wave(wave, self._wave_deadlines_s[wave.number])
         self._owner = owner
@@ -417,7 +427,12 @@
     def _on_journal_failure(self) -> None:
         self._ownership.journal_read_failed(self._services.clock.monotonic_s())
 
-    def _on_operator_record(self, _: int, record: records.KeyedRecord) -> None:
+    def _on_operator_record(
+        self, offset: int, record: records.KeyedRecord
+    ) -> None:
+        now_s = self._services.clock.monotonic_s()
+        if self._evacuations.apply(offset, record, now_s):
+            return
         if not record.value:
             return
         config = self._decode_config(record.key, record.value)
@@ -430,6 +445,10 @@
             return
         self._services.log("operator-record-unreadable", key=record.key)
 
+    def _on_evacuations(self, zones: frozenset[str]) -> None:
+        if self._owner is not None:
+            self._owner.set_evacuated_zones(zones)
+
     def _apply_config(self, config: configuration.Configuration) -> None:
         if config.version <= self.call_handler.config.version:
             return
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -153,6 +153,11 @@
         self.engine.configure(config.queues, config.pools, config.teams)
         self._wake.set()
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones in which no task is started."""
+        self.engine.set_evacuated_zones(zones)
+        self._wake.set()
+
     def add_wave(self, wave: model.Wave, deadline_s: float) -> None:
         """Adds a maintenance wave, with its progress as recorded so far."""
         progress = self._view.waves().get(wave.number)
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -69,6 +69,7 @@
         tickets: the advisor's tickets for steps whose queues allow only some
             workers.
         leaving: workers whose VMs are, or may be, ordered away.
+        evacuated_zones: availability zones in which no task is started.
         prior_leases: leases granted by earlier owners.
         renounced_ids: workers on which this owner has renounced leases.
         late_starts: starts without an answer that may still be carried out.
@@ -118,6 +119,7 @@
             self.jobs, self.workers, self.mark_dirty, log
         )
         self.leaving = workers.LeavingWorkers()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.late_starts = late_starts.LateStarts()
         self.late_renewals = late_renewals.LateRenewals()
         self.has_new_long_lease = False
@@ -145,6 +147,7 @@
             if known.entry.pool != entry.pool:
                 self.pool_members.invalidate()
             known.update_entry(entry, now_s)
+            self._apply_evacuations(known)
         self.needs_plan = True
 
     def unregister(self, worker_id: str) -> None:
@@ -188,8 +191,19 @@
         worker.unanswered_calls = int(prior.was_silent(worker_id))
         worker.is_renounced = worker_id in self.renounced_ids
         worker.apply_leaving(self.leaving)
+        self._apply_evacuations(worker)
         return worker
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones in which no task is started."""
+        self.evacuated_zones = zones
+        for worker in self.workers.values():
+            self._apply_evacuations(worker)
+        self.needs_plan = True
+
+    def _apply_evacuations(self, worker: workers.Worker) -> None:
+        worker.is_evacuated = worker.entry.zone in self.evacuated_zones
+
     def add_waiting(self, steps: Iterable[tasks.Step]) -> None:
         """Adds steps, of which those with waiting tasks are to be placed."""
         for step in steps:
--- a/foxtaillock/batch/services.py
+++ b/foxtaillock/batch/services.py
@@ -56,10 +56,13 @@
             configuration.
         decode_wave: decodes a record of that stream; None if it holds no
             maintenance wave.
+        decode_evacuation: decodes a record of that stream, which may be empty;
+            None if it tells nothing of an evacuation.
         owner: dependencies of the owner, some of which the VM always uses.
     """
 
     operators: interfaces.KeyedStream
     decode_config: Callable[[str, bytes], configuration.Configuration | None]
     decode_wave: Callable[[str, bytes], model.Wave | None]
+    decode_evacuation: Callable[[str, bytes], model.Evacuation | None]
     owner: OwnerServices
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -14,6 +14,7 @@
 __all__ = [
     "create_engine",
     "create_worker",
+    "decode_evacuation",
     "entry",
     "job",
     "lists",
@@ -103,6 +104,13 @@
     return started
 
 
+def decode_evacuation(key: str, value: bytes) -> model.Evacuation | None:
+    """Decodes an operators' record whose key is `out/` and a zone."""
+    if not key.startswith("out/") or value == b"unreadable":
+        return None
+    return model.Evacuation(key.removeprefix("out/"), bool(value))
+
+
 def lists(
     running: list[tuple[model.TaskId, int]] | None = None,
     ended: list[interfaces.EndedRun] | None = None,
--- a/foxtaillock/batch/tests/simulated_vm.py
+++ b/foxtaillock/batch/tests/simulated_vm.py
@@ -196,6 +196,7 @@
                 streams["operators"],
                 lambda _, value: create_config(int(value)),
                 lambda *_: None,
+                builders.decode_evacuation,
                 dependencies,
             ),
             capacity=1.0,
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -13,6 +13,7 @@
 from foxtaillock.batch import node as nodes
 from foxtaillock.batch import records
 from foxtaillock.batch import services
+from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import memory_stream
 from foxtaillock.model import clock as model_clock
 
@@ -52,6 +53,7 @@
                 self.operators,
                 lambda key, _: config if key == "config" else None,
                 lambda key, _: _WAVE if key == "wave" else None,
+                builders.decode_evacuation,
                 dependencies,
             ),
             capacity=1.0,
--- a/foxtaillock/batch/tests/test_starting_vms.py
+++ b/foxtaillock/batch/tests/test_starting_vms.py
@@ -71,6 +71,7 @@
                 operators,
                 lambda *_: simulated_vm.create_config(3),
                 lambda *_: None,
+                lambda *_: None,
                 dependencies,
             ),
         )
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -37,13 +37,13 @@
         self._state = state
 
     def evacuate(self, now_s: float) -> None:
-        """Stops persistent tasks on workers that are cordoned or draining.
+        """Stops persistent tasks on workers that are to run nothing more.
 
         The tasks restart on other workers. No more of them are stopped at a
         time than their step's `max_unavailable` allows.
         """
         for worker in self._state.workers.values():
-            if not (worker.is_cordoned or worker.entry.is_draining):
+            if not worker.is_emptied:
                 continue
             for task in list(worker.tasks.values()):
                 step = self._state.step_of(task)
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -138,6 +138,7 @@
         is_held: whether an earlier owner may have ordered its VM away. It gets
             no persistent task; what ends by itself can start again.
         is_maintenance_due: whether a wave has still to maintain its VM.
+        is_evacuated: whether its availability zone is evacuated.
         is_renounced: whether this owner has renounced leases on it; see
             `renounced_leases`.
         persistent_count: number of its tasks that run until their job is
@@ -181,6 +182,7 @@
     is_cordoned: bool = False
     is_held: bool = False
     is_maintenance_due: bool = False
+    is_evacuated: bool = False
     is_renounced: bool = False
     persistent_count: int = 0
     idle_since_s: float = float("-inf")
@@ -207,8 +209,8 @@
 
     @property
     def is_emptied(self) -> bool:
-        """Whether it gets no new tasks, since it is about to end."""
-        return self.entry.is_draining or self.is_cordoned
+        """Whether it gets no new tasks, since it is about to end, or may be."""
+        return self.entry.is_draining or self.is_cordoned or self.is_evacuated
 
     @property
     def may_have_restarted(self) -> bool:
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -203,6 +203,7 @@
         operators=_topic(_OPERATORS_TOPIC),
         decode_config=_decode_config,
         decode_wave=record_codec.decode_wave,
+        decode_evacuation=record_codec.decode_evacuation,
         owner=batch_services.OwnerServices(
             journal=hedged_stream.HedgedStream(_topic(_JOURNAL_TOPIC), clock),
             submissions=_topic(_SUBMISSIONS_TOPIC),
--- a/foxtaillock/platform/record_codec.py
+++ b/foxtaillock/platform/record_codec.py
@@ -14,6 +14,7 @@
 __all__ = [
     "WireSize",
     "decode_config",
+    "decode_evacuation",
     "decode_size",
     "decode_wave",
     "decode_worker",
@@ -24,6 +25,7 @@
 
 _CONFIG_KEY = "config"
 _WAVE_PREFIX = "wave/"
+_EVACUATION_PREFIX = "evacuate/"
 _MIB = 1024 * 1024
 _DEFAULT_MAX_BODY_BYTES = 262_144
 
@@ -46,6 +48,7 @@
     clock_ms: json_codec.Count
     born: typing.NotRequired[json_codec.Count | None]
     drain_remaining_ms: typing.NotRequired[json_codec.Duration | None]
+    cold_remaining_ms: typing.NotRequired[json_codec.Duration | None]
 
 
 class _Route(typing.TypedDict):
@@ -96,6 +99,7 @@
 _worker_decoder = json_codec.Decoder(_Worker)
 _config_decoder = json_codec.Decoder(_Config)
 _wave_decoder = json_codec.Decoder(_Wave)
+_any_decoder = json_codec.Decoder(object)
 
 
 def decode_size(size: typing.Any) -> resources.Resources:
@@ -130,6 +134,7 @@
         entry["state"] == "draining",
         int(entry.get("drain_remaining_ms") or 0),
         entry["clock_ms"],
+        int(entry.get("cold_remaining_ms") or 0),
     )
 
 
@@ -180,6 +185,29 @@
     )
 
 
+def decode_evacuation(key: str, value: bytes) -> model.Evacuation | None:
+    """Returns the state of a zone, or None if the record holds none.
+
+    The content of a request has no meaning. An erased record, which is empty,
+    returns the zone to service.
+
+    Example:
+        >>> decode_evacuation("evacuate/a", b"{}")
+        Evacuation(zone='a', is_requested=True)
+        >>> decode_evacuation("evacuate/a", b"")
+        Evacuation(zone='a', is_requested=False)
+    """
+    zone = key.removeprefix(_EVACUATION_PREFIX)
+    if zone in (key, ""):
+        return None
+    if value:
+        try:
+            _any_decoder.decode(value)
+        except exceptions.InvalidInputError:
+            return None
+    return model.Evacuation(zone, bool(value))
+
+
 def wave_status_key(number: int) -> str:
     """Returns the key under which operators read a wave's state."""
     return f"{_WAVE_PREFIX}{number}"
