Batch: pools of an evacuated zone get VMs of others; cold workers come last

Cause: the capacity of evacuated workers counted for their pool, and their VMs as surplus for others, so that a pool would not ask for VMs that it needs. A worker that is slow after its start was placed on and compared like any other.

Change: workers and VMs of evacuated zones count as no capacity, and move into no pool. A pool asks for the VMs that persistent tasks need to leave the zone, and gives none away meanwhile. The end of a worker in such a zone is no crash, also for a later owner. An owner reads the operators' stream once more after its claim. The registry's cold_remaining_ms delays placement and excludes runs from comparisons. Gauges tell the evacuated zones.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -282,6 +282,8 @@
             # A worker's backoff may have ended, or an occurrence become due.
             self._state.needs_plan = True
         for worker in list(self._state.workers.values()):
+            if worker.is_cold:
+                worker.update_cold(now_s)
             if worker.tasks and now_s >= worker.leases_expire_s():
                 self._state.expire_lease(worker, now_s)
             if not worker.tasks:
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -77,6 +77,15 @@
             row.pool for row in self._ledger.vms.values()
         )
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones whose VMs serve no pool."""
+        self._ledger.evacuated_zones = zones
+
+    def is_useless(self, order: vm_ledger.VmOrder) -> bool:
+        """Returns whether an order moves a VM that would run nothing."""
+        is_move = order.pool not in ("", self._ledger.spare_pool)
+        return is_move and not self._ledger.helps_pool(order)
+
     def add_wave(
         self,
         wave: model.Wave,
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Mapping
 
+from foxtaillock.batch import displaced_tasks
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
 from foxtaillock.batch import tasks
@@ -29,6 +30,8 @@
         self._schedulable_millis = 0
         self._persistent_millis = 0
         self._spread = 0
+        self._workers: list[workers.Worker] = []
+        self._displaced: list[displaced_tasks.DisplacedStep] = []
 
     def add_persistent(self, job: job_states.Job) -> None:
         """Adds a job whose tasks run until it is cancelled."""
@@ -63,14 +66,20 @@
 
     def add_worker(self, worker: workers.Worker) -> None:
         """Adds a worker of the pool."""
+        self._workers.append(worker)
         # A capacity that has shrunk grows again, and other VMs have all of it.
         self._capacity_millis = max(
             self._capacity_millis, worker.full_cpu_millis
         )
-        if worker.is_registered and not worker.is_cordoned:
+        is_cordoned = worker.is_cordoned or worker.is_evacuated
+        if worker.is_registered and not is_cordoned:
             self._schedulable_millis += worker.entry.capacity.cpu_millis
 
-    def load(self) -> pool_sizes.PoolLoad:
+    def add_displaced(self, step: displaced_tasks.DisplacedStep) -> None:
+        """Adds persistent tasks that need room."""
+        self._displaced.append(step)
+
+    def load(self, now_s: float) -> pool_sizes.PoolLoad:
         """Returns the load.
 
         Waiting tasks that their team's limit keeps from running do not count.
@@ -89,4 +98,6 @@
             self._capacity_millis,
             max(0, self._schedulable_millis - self._persistent_millis),
             self._spread,
+            sum(step.task_count for step in self._displaced),
+            displaced_tasks.lacking_vms(self._displaced, self._workers, now_s),
         )
--- a/foxtaillock/batch/maintenance_waves.py
+++ b/foxtaillock/batch/maintenance_waves.py
@@ -248,7 +248,9 @@
                 max_draining = max(1, max_draining)
             group = (row.pool, has_persistent)
             may_begin = draining_count[group] < max_draining and (
-                row.vm not in uses or self._may_cordon_one_of(row.pool)
+                row.vm not in uses
+                or self._ledger.is_evacuated(row.vm)
+                or self._may_cordon_one_of(row.pool)
             )
             if not may_begin and row.vm not in self._ledger.cordoned_vms:
                 continue
@@ -262,9 +264,14 @@
 
         At most half of the pool's VMs, but always one, are drained or being
         maintained for all waves together. The others run what has to go on: a
-        persistent task moves only to a VM that is not drained itself.
+        persistent task moves only to a VM that is not drained itself. VMs of
+        evacuated zones run nothing new, so they are not counted.
         """
-        vms = [row.vm for row in self._ledger.vms.values() if row.pool == pool]
+        vms = [
+            row.vm
+            for row in self._ledger.vms.values()
+            if row.pool == pool and not self._ledger.is_evacuated(row.vm)
+        ]
         away = sum(
             vm in self._ledger.cordoned_vms or vm in self._ledger.pending
             for vm in vms
--- a/foxtaillock/batch/metrics.py
+++ b/foxtaillock/batch/metrics.py
@@ -2,8 +2,12 @@
 
 import typing
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
 
 import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry as prometheus_registry
 
 __all__ = ["Metrics"]
 
@@ -11,6 +15,31 @@
 _DURATION_BUCKETS_S = (0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 13.0, 21.0, 34.0)
 
 
+class _LabeledGauge(prometheus_registry.Collector):
+    """Gauge whose label values come and go."""
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[core.GaugeMetricFamily]:
+        """Returns the present values."""
+        family = core.GaugeMetricFamily(
+            self._name, self._help_text, labels=(self._label,)
+        )
+        for label_value, value in self._read().items():
+            family.add_metric((label_value,), value)
+        yield family
+
+
 class Metrics:
     """Metrics of one process.
 
@@ -64,6 +93,25 @@
         )
         gauge.set_function(read)
 
+    def add_gauge_by_label(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Adds a gauge with one value for each value of a label.
+
+        Args:
+            name: name of the gauge.
+            help_text: help text that operators see.
+            label: name of the label.
+            read: returns the values by label value, at each scrape.
+        """
+        self.registry.register(
+            _LabeledGauge(f"foxtaillock_{name}", help_text, label, read)
+        )
+
     def counting_log(self, log: Callable[..., None]) -> Callable[..., None]:
         """Returns a log that counts the decisions and passes them to `log`."""
 
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -341,7 +341,10 @@
         if not is_won:
             services.log("claim-lost", epoch=epoch, outcome="read back")
             return None
-        if not await self._read_submissions():
+        is_read, _ = await asyncio.gather(
+            self._read_submissions(), self._read_operators()
+        )
+        if not is_read:
             self._ownership.claim_failed(services.clock.monotonic_s())
             return None
         return claim
@@ -372,6 +375,17 @@
             return False
         return True
 
+    async def _read_operators(self) -> None:
+        """Reads what operators have requested up to now.
+
+        A VM that was suspended may have missed the evacuation of a zone. One
+        that can't read the stream uses what it knows.
+        """
+        try:
+            await self._operator_follower.catch_up()
+        except interfaces.StoreError as error:
+            self._services.log("operators-unread", error=str(error))
+
     async def _run_owner(self, claim: records.OwnerRecord) -> None:
         services = self._services
         # The claim has been read back, and with it all that earlier owners
@@ -509,5 +523,7 @@
                 "config_version": lambda: float(
                     self.call_handler.config.version
                 ),
+                "evacuated_zones": lambda: float(len(self._evacuations.zones)),
             },
+            lambda: self._evacuations.ages_s(clock.monotonic_s()),
         )
--- a/foxtaillock/batch/node_gauges.py
+++ b/foxtaillock/batch/node_gauges.py
@@ -19,20 +19,30 @@
     ),
     "owns": "Whether this VM owns",
     "config_version": "Version of the configuration in force",
+    "evacuated_zones": "Number of evacuated availability zones",
 }
 
 
 def add_gauges(
-    metrics: batch_metrics.Metrics, values: Mapping[str, Callable[[], float]]
+    metrics: batch_metrics.Metrics,
+    values: Mapping[str, Callable[[], float]],
+    evacuations_s: Callable[[], Mapping[str, float]],
 ) -> None:
     """Adds a gauge for each value.
 
     Args:
         metrics: metrics of the VM.
         values: for the name of each gauge, what returns its present value.
+        evacuations_s: returns the time for which each zone is evacuated.
 
     Raises:
         KeyError: a gauge has no help text.
     """
     for name, value in values.items():
         metrics.add_gauge(name, _HELP_TEXTS[name], value)
+    metrics.add_gauge_by_label(
+        "zone_evacuated_seconds",
+        "Time since this VM has read the request to evacuate a zone",
+        "zone",
+        evacuations_s,
+    )
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -165,11 +165,18 @@
         worker.update_entry(entry, now_s)
         self.workers[entry.worker_id] = worker
         self.pool_members.invalidate()
-        self.log_worker(worker, "worker-new", pool=entry.pool)
+        self.log_worker(
+            worker,
+            "worker-new",
+            pool=entry.pool,
+            zone=entry.zone,
+            cold_ms=entry.cold_remaining_ms,
+        )
         # The recorded start time is what the earlier owner believed. Which runs
         # are there is known once the worker answers.
         for task in self.orphans.pop(entry.worker_id, {}).values():
             worker.add(task, self.step_of(task).spec)
+        self._apply_evacuations(worker)
         self.give_up(self.crashes.record_arrival(worker, now_s), now_s)
         self.stops += self.late_starts.stops(entry, now_s)
 
@@ -202,7 +209,21 @@
         self.needs_plan = True
 
     def _apply_evacuations(self, worker: workers.Worker) -> None:
+        """Notes whether a worker's zone is evacuated.
+
+        Its runs are then noted as displaced, for a later owner that learns of
+        the worker's end but not of the evacuation.
+        """
         worker.is_evacuated = worker.entry.zone in self.evacuated_zones
+        if worker.is_evacuated:
+            for task in worker.tasks.values():
+                self.note_displaced(task)
+
+    def note_displaced(self, task: tasks.Task) -> None:
+        """Notes that the worker of a run may end as planned."""
+        if not task.is_displaced:
+            task.is_displaced = True
+            self.mark_dirty(task)
 
     def add_waiting(self, steps: Iterable[tasks.Step]) -> None:
         """Adds steps, of which those with waiting tasks are to be placed."""
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -2,7 +2,8 @@
 
 When a queue asks for several times the capacity of its pool, steps whose job
 can still meet its objective go before late ones, so that late work does not
-make other work late.
+make other work late. After many workers have started at once, some are cold:
+they get tasks only where no warm worker has room.
 """
 
 import typing
@@ -273,7 +274,12 @@
     """
     is_remote = bool(spec.rack) and spec.rack not in worker.entry.labels
     remaining_millis = worker.free.cpu_millis - held.cpu_millis
-    return (float(is_remote), float(used), float(remaining_millis))
+    return (
+        float(worker.is_cold),
+        float(is_remote),
+        float(used),
+        float(remaining_millis),
+    )
 
 
 def _persistent_score(
@@ -289,6 +295,7 @@
     is_remote = bool(spec.rack) and spec.rack not in worker.entry.labels
     is_crowded = used >= model.max_persistent_per_worker(spec)
     return (
+        float(worker.is_cold),
         float(worker.is_maintenance_due),
         float(is_remote),
         float(is_crowded),
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -269,6 +269,7 @@
             run=task.run,
             worker=worker.worker_id,
             free_cpu=worker.free.cpu_millis,
+            cold=worker.is_cold,
             late_s=round(
                 now_s + candidate.remaining_s - candidate.objective_s, 2
             ),
--- a/foxtaillock/batch/pool_sizes.py
+++ b/foxtaillock/batch/pool_sizes.py
@@ -40,6 +40,9 @@
         usable_millis: processors of the pool's workers without those that
             persistent tasks hold.
         spread: number of VMs over which persistent tasks have to be spread.
+        displaced: number of persistent tasks that need room while zones are
+            evacuated.
+        lacking_vms: number of VMs that the pool lacks for these tasks.
     """
 
     waiting_millis: int = 0
@@ -47,6 +50,8 @@
     capacity_millis: int = 0
     usable_millis: int = 0
     spread: int = 0
+    displaced: int = 0
+    lacking_vms: int = 0
 
 
 class PoolSizes:
@@ -117,7 +122,11 @@
         shortage_millis = (
             min(required_millis, target_millis) - load.usable_millis
         )
-        return max(math.ceil(shortage_millis / vm_millis), load.spread - vms)
+        return max(
+            math.ceil(shortage_millis / vm_millis),
+            load.spread - vms,
+            load.lacking_vms,
+        )
 
     def excess(
         self,
@@ -136,7 +145,7 @@
             target_millis: the pool's fair share.
         """
         vm_millis = self._vm_capacity_millis(load)
-        if not vm_millis:
+        if not vm_millis or load.lacking_vms:
             return 0
         excess_millis = load.usable_millis - target_millis
         excess_vms = int(excess_millis / vm_millis + cordoned_vms)
@@ -145,13 +154,15 @@
     def surplus(self, pool: str, load: PoolLoad, vms: int) -> int:
         """Returns how many of its VMs a pool does not need.
 
+        A VM that came for a displaced task is kept until the task has moved.
+
         Args:
             pool: the pool.
             load: load of the pool.
             vms: number of its VMs that are up.
         """
         vm_millis = self._vm_capacity_millis(load)
-        if not vm_millis:
+        if not vm_millis or load.displaced:
             return 0
         retained_millis = self._required_millis(
             self._demand(pool).retained(), vm_millis
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -183,7 +183,8 @@
         active_clock_ms: reading of that clock by which the latest run had
             begun; 0 if that is not known.
         is_displaced: whether an owner may have ordered away the VM of that
-            worker, so that a silence of the worker is no crash.
+            worker, or its availability zone was evacuated, so that a silence of
+            the worker is no crash.
         was_done: whether an earlier run, given up by an owner, was completed.
     """
 
--- a/foxtaillock/batch/restarts.py
+++ b/foxtaillock/batch/restarts.py
@@ -60,6 +60,7 @@
     if any(_is_unanswered(task) for task in kept):
         state.late_renewals.note(worker.worker_id, now_s)
     again = state.create_worker(_entry_of(worker, lists.started_ms))
+    again.update_cold(now_s)
     again.assumed_end_s = max(again.assumed_end_s, now_s + workers.MAX_LEASE_S)
     state.has_new_long_lease = True
     again.refuted_started_ms.append(worker.entry.started_ms)
--- a/foxtaillock/batch/slow_runs.py
+++ b/foxtaillock/batch/slow_runs.py
@@ -2,7 +2,8 @@
 
 Answers the load of a step with several tasks of which one or two landed on a
 worker that answers well but runs slowly or not at all: the whole job would wait
-for them.
+for them. A worker that is cold after its start is slow for a known time, so its
+runs tell nothing until then.
 """
 
 from collections.abc import Sequence
@@ -49,6 +50,8 @@
         """
         if task.began_s is None or not _is_comparable(step, task):
             return
+        if task.began_s < worker.cold_until_s:
+            return
         if now_s - max(worker.listed_s, task.began_s) > _MAX_ANSWER_S:
             return
         duration_s = now_s - task.began_s
@@ -86,7 +89,8 @@
         for task in worker.tasks.values():
             if task.began_s is None:
                 continue
-            elapsed_s = worker.listed_s - task.began_s
+            began_s = max(task.began_s, worker.cold_until_s)
+            elapsed_s = worker.listed_s - began_s
             if elapsed_s <= worker_speed.MIN_CRAWL_S:
                 continue
             if task.phase is not tasks.TaskPhase.RUNNING or task.is_stopping:
@@ -112,6 +116,7 @@
             and other.entry.pool == worker.entry.pool
             and resources.fits(spec.held_size, other.free)
             and other.is_usable(now_s)
+            and not other.is_cold
             and not self._state.speeds.is_slow(other.worker_id, now_s)
             for other in self._state.workers.values()
         )
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -74,7 +74,8 @@
             the run was ordered, or which listed it last.
         is_listed: whether that incarnation has listed the run itself.
         is_displaced: whether an earlier owner may have ordered away the VM of
-            that worker since the latest run was recorded.
+            that worker since the latest run was recorded, or its availability
+            zone was evacuated.
         checkpoint: checkpoint to resume from; empty for none.
         changed_s: time of the latest phase change or stop order.
         began_s: time at which the worker confirmed the run's start; None if
--- a/foxtaillock/batch/tests/test_evacuated_workers.py
+++ b/foxtaillock/batch/tests/test_evacuated_workers.py
@@ -3,9 +3,11 @@
 import unittest
 
 from foxtaillock.batch import engine as engines
+from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch.tests import crash_fleet
 
 _JOB = "00000000000000aa"
 
@@ -109,3 +111,225 @@
         self.engine.set_evacuated_zones(frozenset("abc"))
         self.engine.tick(11.0)
         self.assertEqual(self.engine.take_stops(), [])
+
+
+def _poll(
+    engine: engines.Engine,
+    worker_id: str,
+    now_s: float,
+    ended: list[interfaces.EndedRun] | None = None,
+) -> None:
+    """Has a worker list its runs, except those that have ended."""
+    worker = engine.workers[worker_id]
+    gone = {end.task for end in ended or ()}
+    rows = [
+        (task.task_id, task.run)
+        for task in worker.tasks.values()
+        if task.task_id not in gone
+    ]
+    plan = engine.answers.poll_plan(worker, now_s)
+    assert plan is not None
+    lists = builders.lists(rows, ended)
+    engine.answers.poll_answered(worker_id, plan, lists, now_s, now_s + 0.01)
+
+
+def _poll_all(engine: engines.Engine, now_s: float) -> None:
+    for worker_id, worker in engine.workers.items():
+        if worker.tasks:
+            _poll(engine, worker_id, now_s)
+
+
+class PersistentTest(unittest.TestCase):
+    """Three persistent tasks, on a worker of zone `a` and two of zone `b`."""
+
+    def _engine(
+        self, *spare_zones: str, max_unavailable: int = 1
+    ) -> engines.Engine:
+        engine = builders.create_engine(
+            _entry("a1", "a"), _entry("b1", "b"), _entry("b2", "b")
+        )
+        step = builders.step(
+            3,
+            is_persistent=True,
+            max_per_worker=1,
+            max_unavailable=max_unavailable,
+        )
+        _submit(engine, step)
+        builders.start_all(engine, 10.0)
+        for now_s in (11.0, 11.3):
+            _poll_all(engine, now_s)
+        for number, zone in enumerate(spare_zones):
+            engine.register(_entry(f"{zone}-new{number}", zone), 11.4)
+        return engine
+
+    def _stops(self, engine: engines.Engine, now_s: float = 12.0) -> list[str]:
+        engine.tick(now_s)
+        return [stop.worker.worker_id for stop in engine.take_stops()]
+
+    def _confirm(
+        self, engine: engines.Engine, worker_id: str, now_s: float
+    ) -> None:
+        """Lets the run on a worker end as stopped."""
+        (task,) = engine.workers[worker_id].tasks.values()
+        kind = model.EndKind.STOPPED
+        end = interfaces.EndedRun(1, task.task_id, task.run, kind, "")
+        _poll(engine, worker_id, now_s, [end])
+
+    def test_tasks_leave_one_at_a_time(self) -> None:
+        engine = self._engine("a", "c", "c")
+        engine.set_evacuated_zones(frozenset("b"))
+        moved = []
+        for now_s in (12.0, 13.0):
+            _poll_all(engine, now_s - 0.2)
+            (worker_id,) = self._stops(engine, now_s)
+            self.assertEqual(self._stops(engine, now_s + 0.01), [])
+            self._confirm(engine, worker_id, now_s + 0.1)
+            (start,) = builders.start_all(engine, now_s + 0.2)
+            moved.append(worker_id)
+            self.assertIn(start.worker.entry.zone, "ac")
+            for later_s in (now_s + 0.3, now_s + 0.6):
+                _poll_all(engine, later_s)
+        self.assertEqual(sorted(moved), ["b1", "b2"])
+        self.assertEqual(self._stops(engine, 14.0), [])
+
+    def test_tasks_stay_while_no_other_worker_has_room(self) -> None:
+        engine = self._engine("b")
+        engine.set_evacuated_zones(frozenset("b"))
+        self.assertEqual(self._stops(engine), [])
+        engine.register(_entry("c1", "c"), 12.0)
+        self.assertEqual(len(self._stops(engine)), 1)
+
+    def test_tasks_without_a_limit_leave_at_once(self) -> None:
+        engine = self._engine("c", "c", max_unavailable=0)
+        engine.set_evacuated_zones(frozenset("b"))
+        self.assertEqual(sorted(self._stops(engine)), ["b1", "b2"])
+
+    def test_wave_and_evacuation_share_the_limit(self) -> None:
+        engine = self._engine("c", "c", "c")
+        engine.set_evacuated_zones(frozenset("b"))
+        engine.vms.set_cordoned(["a1"], ["a1"])
+        self.assertEqual(len(self._stops(engine)), 1)
+
+    def test_worker_of_a_wave_is_no_room_for_an_evacuated_task(self) -> None:
+        engine = self._engine("c")
+        engine.set_evacuated_zones(frozenset("b"))
+        engine.vms.set_cordoned(["c-new0"], ["c-new0"])
+        self.assertEqual(self._stops(engine), [])
+
+    def test_stops_count_against_no_task_and_no_worker(self) -> None:
+        engine = self._engine("c", "c", max_unavailable=0)
+        engine.set_evacuated_zones(frozenset("b"))
+        for worker_id in self._stops(engine):
+            self._confirm(engine, worker_id, 12.1)
+        for task in engine.jobs[_JOB].steps[0, 0].tasks:
+            self.assertEqual((task.failures, task.possible_crashes), (0, 0))
+        state = engine._state  # pylint: disable=protected-access
+        for worker_id in engine.workers:
+            self.assertTrue(state.quarantine.is_allowed(worker_id, 12.2))
+
+    def test_pool_asks_for_the_vms_that_the_tasks_need(self) -> None:
+        """The pool's processors suffice, but not its number of workers."""
+        engine = self._engine()
+        self.assertEqual(engine.vms.pool_loads(12.0)["pool"].lacking_vms, 0)
+        engine.set_evacuated_zones(frozenset("b"))
+        load = engine.vms.pool_loads(12.0)["pool"]
+        self.assertEqual((load.displaced, load.lacking_vms), (2, 2))
+        self.assertEqual(load.usable_millis, 1000)
+        engine.register(_entry("c1", "c"), 12.0)
+        load = engine.vms.pool_loads(12.0)["pool"]
+        self.assertEqual((load.displaced, load.lacking_vms), (2, 1))
+
+    def test_pool_asks_until_a_stopped_task_runs_again(self) -> None:
+        engine = self._engine("c")
+        engine.set_evacuated_zones(frozenset("b"))
+        (worker_id,) = self._stops(engine)
+        self._confirm(engine, worker_id, 12.1)
+        engine.unregister("c-new0")
+        load = engine.vms.pool_loads(12.2)["pool"]
+        self.assertEqual((load.displaced, load.lacking_vms), (2, 2))
+        engine.set_evacuated_zones(frozenset())
+        load = engine.vms.pool_loads(12.2)["pool"]
+        self.assertEqual((load.displaced, load.lacking_vms), (0, 0))
+
+    def test_small_tasks_share_the_vms_that_are_asked_for(self) -> None:
+        engine = builders.create_engine(_entry("a1", "a"), _entry("b1", "b"))
+        step = builders.step(1, cpu=2000, is_persistent=True)
+        for number in range(3):
+            spec = builders.job(f"{number:016x}", step)
+            engine.submit(spec, (), 10.0, 10_000)
+        builders.start_all(engine, 10.0)
+        engine.set_evacuated_zones(frozenset("ab"))
+        load = engine.vms.pool_loads(10.2)["pool"]
+        self.assertEqual((load.displaced, load.lacking_vms), (3, 2))
+
+    def test_task_that_fits_on_no_vm_asks_for_none(self) -> None:
+        engine = builders.create_engine(_entry("a1", "a", 8000))
+        _submit(engine, builders.step(cpu=8000, is_persistent=True))
+        builders.start_all(engine, 10.0)
+        engine.register(
+            _entry("a1", "a", 4000)._replace(clock_ms=606_000), 10.1
+        )
+        engine.set_evacuated_zones(frozenset("a"))
+        load = engine.vms.pool_loads(10.2)["pool"]
+        self.assertEqual((load.displaced, load.lacking_vms), (1, 0))
+
+
+class CrashTest(unittest.TestCase):
+    """A worker of an evacuated zone ends as planned."""
+
+    def setUp(self) -> None:
+        self.fleet = crash_fleet.CrashFleet()
+        self.fleet.submit(builders.job(crash_fleet.INNOCENT, builders.step()))
+        self.fleet.start()
+        (self.worker_id,) = crash_fleet.workers_of(
+            self.fleet, crash_fleet.INNOCENT
+        )
+        self.fleet.work(1.0)
+        self.fleet.engine.set_evacuated_zones(frozenset(["zone"]))
+
+    def _assert_no_crash(self) -> None:
+        self.assertEqual(self.fleet.crashes(crash_fleet.INNOCENT), 0)
+        self.assertEqual(self.fleet.possible_crashes(crash_fleet.INNOCENT), 0)
+
+    def test_worker_that_is_started_again(self) -> None:
+        self.fleet.crash(self.worker_id)
+        self._assert_no_crash()
+
+    def test_worker_that_falls_silent(self) -> None:
+        self.fleet.lose_contact(self.worker_id, 20.0)
+        self._assert_no_crash()
+
+    def test_worker_that_is_gone_when_an_owner_takes_over(self) -> None:
+        self.fleet.work(1.0)
+        self.fleet.start()
+        del self.fleet.started_ms[self.worker_id]
+        self.fleet.take_over()
+        for _ in range(40):
+            self.fleet.start()
+        self._assert_no_crash()
+
+    def test_crash_after_the_zone_was_returned_counts(self) -> None:
+        self.fleet.work(1.0)
+        self.fleet.engine.set_evacuated_zones(frozenset())
+        self.fleet.work(1.0)
+        self.fleet.crash(self.worker_id)
+        self.assertEqual(self.fleet.crashes(crash_fleet.INNOCENT), 1)
+
+
+class TakeoverTest(unittest.TestCase):
+    """An owner takes over while a zone is evacuated."""
+
+    def test_new_owner_starts_nothing_there(self) -> None:
+        """What the earlier owner had recorded but not sent starts elsewhere."""
+        fleet = crash_fleet.CrashFleet()
+        fleet.submit(builders.job(_JOB, builders.step(4)))
+        fleet.engine.plan(fleet.now_s)
+        fleet.engine.set_evacuated_zones(frozenset(["zone"]))
+        fleet.take_over()
+        fleet.engine.set_evacuated_zones(frozenset(["zone"]))
+        fleet.engine.register(_entry("new", "b"), fleet.now_s)
+        fleet.started_ms["new"] = 1
+        for _ in range(20):
+            started = fleet.start()
+            self.assertLessEqual(set(_workers_of(started)), {"new"})
+        self.assertEqual(fleet.starts[_JOB], 4)
--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/tests/test_vm_order_controller.py
@@ -98,6 +98,23 @@
         await asyncio.sleep(0.05)
         self.assertEqual(sorted(self.fleet.sent), list(_VMS))
 
+    async def test_move_is_not_sent_once_the_zone_of_its_vm_is_evacuated(
+        self,
+    ) -> None:
+        """It is recorded before the request is read."""
+        controller = await self._start_controller()
+        controller.take_orders()
+        self.engine.set_evacuated_zones(frozenset("z"))
+        controller.orders_recorded()
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.fleet.sent, [])
+        self.assertFalse(controller.has_orders)
+        self.engine.set_evacuated_zones(frozenset())
+        self.clock.now_s += 0.6
+        self.confirmed_s = self.clock.now_s
+        await asyncio.sleep(0.3)
+        self.assertTrue(controller.has_orders)
+
     async def test_move_without_an_answer_is_never_settled(self) -> None:
         """It is recorded and sent again until it is answered."""
         self.fleet.outcome = interfaces.VmOrderOutcome.UNKNOWN
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from foxtaillock.batch import displaced_tasks
+from foxtaillock.batch import job_states
 from foxtaillock.batch import load_meter
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
@@ -103,9 +105,7 @@
             known = worker.tasks if worker is not None else {}
             adopted = self._state.orphans.get(worker_id, {})
             for task in (*known.values(), *adopted.values()):
-                if not task.is_displaced:
-                    task.is_displaced = True
-                    self._state.mark_dirty(task)
+                self._state.note_displaced(task)
 
     def worker_displaced(self, worker_id: str, now_s: float) -> None:
         """Removes a worker whose VM was moved or is maintained."""
@@ -156,6 +156,7 @@
             meter = meters[queue.pool]
             if job.is_persistent:
                 meter.add_persistent(job)
+                self._add_displaced(meter, job)
                 continue
             for step in job.steps.values():
                 if not step.is_done:
@@ -163,7 +164,18 @@
                         self._state, job, step, now_s
                     )
                     meter.add_step(step, is_placeable, job.spec.team)
-        return {pool: meter.load() for pool, meter in meters.items()}
+        return {pool: meter.load(now_s) for pool, meter in meters.items()}
+
+    def _add_displaced(
+        self, meter: load_meter.LoadMeter, job: job_states.Job
+    ) -> None:
+        """Adds a job's tasks that need room while zones are evacuated."""
+        if not self._state.evacuated_zones:
+            return
+        for step in job.steps.values():
+            displaced = displaced_tasks.displaced_step(self._state, step)
+            if displaced is not None:
+                meter.add_displaced(displaced)
 
     def _may_interrupt(
         self, step: tasks.Step, task: tasks.Task, now_s: float
--- a/foxtaillock/batch/vm_ledger.py
+++ b/foxtaillock/batch/vm_ledger.py
@@ -107,6 +107,7 @@
             earlier owner may have ordered.
         held_workers_until_s: the same for the workers that ran on them.
         not_before_s: time before which a VM gets no order.
+        evacuated_zones: availability zones whose VMs serve no pool.
     """
 
     def __init__(self) -> None:
@@ -119,6 +120,7 @@
         self.held_until_s: dict[str, float] = {}
         self.held_workers_until_s: dict[str, float] = {}
         self.not_before_s: dict[str, float] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
 
     def hold(self, worker_ids: Mapping[str, str], until_s: float) -> None:
         """Holds back orders for VMs that an earlier owner may have ordered.
@@ -230,13 +232,29 @@
         return row.vm not in self.cordoned_vms and not is_deferred
 
     def settled_rows(self, pool: str) -> list[interfaces.VmStatus]:
-        """Returns the VMs of a pool that are up and have no pending order."""
+        """Returns the VMs of a pool that count as its capacity.
+
+        They are up, have no pending order and are in no evacuated zone.
+        """
         return [
             row
             for row in self.vms.values()
-            if row.pool == pool and row.is_up and row.vm not in self.pending
+            if row.pool == pool
+            and row.is_up
+            and row.vm not in self.pending
+            and not self.is_evacuated(row.vm)
         ]
 
+    def is_evacuated(self, vm: str) -> bool:
+        """Returns whether a VM is in an evacuated zone, as far as known."""
+        row = self.vms.get(vm)
+        return row is not None and row.zone in self.evacuated_zones
+
+    def helps_pool(self, order: VmOrder) -> bool:
+        """Returns whether an order moves a VM into a pool that may use it."""
+        is_spare = order.pool in ("", self.spare_pool)
+        return not is_spare and not self.is_evacuated(order.vm)
+
 
 def is_in_service(row: interfaces.VmStatus, spare_pool: str) -> bool:
     """Returns whether a VM is up and has a worker, unless it is spare."""
--- a/foxtaillock/batch/vm_moves.py
+++ b/foxtaillock/batch/vm_moves.py
@@ -4,7 +4,8 @@
 the capacity of its pool while others are nearly idle. Idle VMs therefore move
 to the pool that is about to need them, and VMs that no pool needs move to the
 spare pool, where VMs are switched off. A pool beyond its fair share of a fleet
-that is too small gives up busy VMs too, once their tasks have ended.
+that is too small gives up busy VMs too, once their tasks have ended. VMs of
+evacuated availability zones help no pool and stay where they are.
 """
 
 import collections
@@ -110,11 +111,13 @@
     ) -> tuple[dict[str, float], dict[str, int]]:
         """Returns the fair share of each pool, and the VMs that it lacks."""
         arriving = collections.Counter(
-            pending.order.pool for pending in self._ledger.pending.values()
+            pending.order.pool
+            for pending in self._ledger.pending.values()
+            if self._ledger.helps_pool(pending.order)
         )
         other_vms = (
             len(self._ledger.settled_rows(self._ledger.spare_pool))
-            + len(self.yielding_vms)
+            + sum(not self._ledger.is_evacuated(vm) for vm in self.yielding_vms)
             + sum(arriving[pool] for pool in loads)
         )
         targets_millis = self._sizes.targets_millis(loads, other_vms)
@@ -140,6 +143,7 @@
             if (row := self._ledger.vms.get(vm)) is not None
             and row.is_up
             and vm not in self._ledger.pending
+            and not self._ledger.is_evacuated(vm)
             and self._ledger.may_move(row, now_s)
             and (use := uses.get(vm)) is not None
             and not use.tasks
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -186,10 +186,11 @@
 
     async def _tick(self, client: interfaces.FleetClient) -> None:
         now_s = self._clock.monotonic_s()
+        self._fleet.set_evacuated_zones(self._engine.evacuated_zones)
         loads = self._engine.vms.pool_loads(now_s)
         self._fleet.observe(loads, now_s)
         is_active = self._fleet.needs_list or any(
-            load.waiting_millis for load in loads.values()
+            load.waiting_millis or load.lacking_vms for load in loads.values()
         )
         age_s = now_s - self._fleet.listed_s
         limit_s = _MAX_LIST_AGE_S if is_active else _MAX_IDLE_LIST_AGE_S
@@ -259,15 +260,19 @@
         now_s = self._clock.monotonic_s()
         use = self._engine.vms.vm_use(order.worker_id, now_s)
         is_confirmed = self._is_confirmed()
-        if not is_confirmed or not order.is_allowed_with(use):
+        self._fleet.set_evacuated_zones(self._engine.evacuated_zones)
+        is_useless = self._fleet.is_useless(order)
+        if is_useless or not is_confirmed or not order.is_allowed_with(use):
             # This VM may have been suspended, and another one may own by now,
-            # or a worker with tasks has shown meanwhile.
+            # or a worker with tasks has shown meanwhile, or the VM's zone was
+            # evacuated.
             outcome = interfaces.VmOrderOutcome.REFUSED
             self._log(
                 "vm-order-dropped",
                 vm=order.vm,
                 pool=order.pool,
                 confirmed=is_confirmed,
+                evacuated=is_useless,
                 **use._asdict(),
             )
             self._fleet.order_answered(order, outcome, now_s)
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -138,6 +138,11 @@
         is_held: whether an earlier owner may have ordered its VM away. It gets
             no persistent task; what ends by itself can start again.
         is_maintenance_due: whether a wave has still to maintain its VM.
+        is_cold: whether it is still slow after its start.
+        cold_until_s: time until which it is, counted from when its entry was
+            read.
+        cold_read: clock reading and remaining time in that entry; None before
+            the first.
         is_evacuated: whether its availability zone is evacuated.
         is_renounced: whether this owner has renounced leases on it; see
             `renounced_leases`.
@@ -182,6 +187,9 @@
     is_cordoned: bool = False
     is_held: bool = False
     is_maintenance_due: bool = False
+    is_cold: bool = False
+    cold_until_s: float = float("-inf")
+    cold_read: tuple[int, int] | None = None
     is_evacuated: bool = False
     is_renounced: bool = False
     persistent_count: int = 0
@@ -336,11 +344,23 @@
         self.entry = entry
         self._update_free()
         self.is_registered = True
+        self.update_cold(now_s)
         known_ms = self._lowest_clock_ms(now_s)
         if known_ms is None or entry.clock_ms > known_ms:
             self.clock_ms = entry.clock_ms
             self.clock_read_s = now_s
 
+    def update_cold(self, now_s: float) -> None:
+        """Updates whether it is cold.
+
+        An entry that is read again does not extend that time.
+        """
+        read = self.entry.clock_ms, self.entry.cold_remaining_ms
+        if read != self.cold_read:
+            self.cold_read = read
+            self.cold_until_s = now_s + self.entry.cold_remaining_ms / 1000
+        self.is_cold = now_s < self.cold_until_s
+
     def lease_end_ms(self, now_s: float) -> int | None:
         """Returns the end of a lease that begins now, on the worker's clock.
 
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -65,6 +65,7 @@
     Attributes:
         lines: event and fields of each line of the VM's log.
         address: address at which it serves calls, once it is started.
+        metrics: its metrics.
     """
 
     def __init__(
@@ -81,7 +82,7 @@
             http_client.PlatformHttpClient(2, self.log),
         ]
         self._clock = model_clock.SystemClock()
-        metrics = batch_metrics.Metrics()
+        self.metrics = batch_metrics.Metrics()
         text = (
             f"node={name}\nzone=z\nlisten.front=127.0.0.1:1\n"
             "listen.readiness=127.0.0.1:2\n"
@@ -92,14 +93,14 @@
         )
         self.settings = platform_settings.parse(text, "test")
         services = daemon.create_services(
-            self.settings, self._clients, self._clock, self.log, metrics
+            self.settings, self._clients, self._clock, self.log, self.metrics
         )
         self.node = daemon.create_node(self.settings, f"{name}-1", services)
         self.server = http_server.HttpServer(
             self.node.call_handler,
             lambda: self.node.is_ready,
             self._clock,
-            metrics,
+            self.metrics,
         )
         self._session: aiohttp.ClientSession | None = None
         self._url = ""
--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -161,7 +161,9 @@
         found = self.topic(topic).newest.get(key)
         return None if found is None else found[1]
 
-    async def add_worker(self, worker_id: str, pool: str) -> str:
+    async def add_worker(
+        self, worker_id: str, pool: str, zone: str = "z"
+    ) -> str:
         """Starts a worker and registers it; returns its address."""
         address = await self._listen(
             lambda request: self._serve_worker(worker_id, request)
@@ -171,7 +173,7 @@
             int(time.time() * 1000),
             pool,
             address,
-            "z",
+            zone,
             ("a", "rack-1"),
             resources.Resources(4000, 1 << 33, 0),
             False,
@@ -188,7 +190,7 @@
         return {
             "service": worker.entry.pool,
             "address": worker.entry.address,
-            "zone": "z",
+            "zone": worker.entry.zone,
             "version": "v1",
             "slots": 8,
             "state": "ready",
--- a/foxtaillock/platform/tests/test_codecs.py
+++ b/foxtaillock/platform/tests/test_codecs.py
@@ -97,6 +97,28 @@
         self.assertIsNone(record_codec.decode_wave("config", value))
         self.assertIsNone(record_codec.decode_wave("wave/3", b"?"))
 
+    def test_any_readable_value_requests_an_evacuation(self) -> None:
+        for value in (b"{}", b"null", b'{"reason": "x"}', b"[]"):
+            self.assertEqual(
+                record_codec.decode_evacuation("evacuate/z-1", value),
+                model.Evacuation("z-1", True),
+            )
+
+    def test_erased_request_returns_its_zone(self) -> None:
+        self.assertEqual(
+            record_codec.decode_evacuation("evacuate/z-1", b""),
+            model.Evacuation("z-1", False),
+        )
+
+    def test_other_records_tell_nothing_of_an_evacuation(self) -> None:
+        for key in ("evacuate/", "evacuate", "wave/3", "config", "xevacuate/a"):
+            for value in (b"{}", b""):
+                self.assertIsNone(record_codec.decode_evacuation(key, value))
+        for value in (b"{", b"\xff", b"{}{}", b"[" * 100_000):
+            self.assertIsNone(
+                record_codec.decode_evacuation("evacuate/a", value)
+            )
+
 
 class SubmissionTest(unittest.TestCase):
     """Bodies of jobs and answers."""
