--- a/foxtaillock/batch/tests/memory_stream.py
+++ b/foxtaillock/batch/tests/memory_stream.py
@@ -19,6 +19,7 @@
         holds_long_reads: whether a read that waits for records returns only
             once there are some, whatever time it asks for.
         is_stalled: whether such a read does not return at all.
+        fails_reads: whether reads from an offset on fail.
         on_append: called with each batch before it is stored.
     """
 
@@ -26,6 +27,7 @@
         self.appended: list[records.KeyedRecord] = []
         self.holds_long_reads = False
         self.is_stalled = False
+        self.fails_reads = False
         self.on_append: Callable[[Sequence[records.KeyedRecord]], None] = (
             lambda _: None
         )
@@ -45,6 +47,8 @@
 
     async def read(self, offset: int, wait_s: float) -> interfaces.StreamPage:
         """Returns the records from `offset` on; waits for one if asked to."""
+        if self.fails_reads:
+            raise interfaces.StoreRefusedError("refused on purpose")
         if wait_s and offset >= len(self.appended):
             timeout_s = None if self.holds_long_reads else wait_s
             await events.wait_for_event(self._changed, timeout_s)
--- a/foxtaillock/batch/tests/simulation.py
+++ b/foxtaillock/batch/tests/simulation.py
@@ -223,7 +223,7 @@
         self.all_workers.append(worker)
         for owner in self.owners:
             if not owner.has_ended:
-                owner.engine.register(entry, self.now_s)
+                owner.engine.register(worker.entry, self.now_s)
 
     def submit(self, is_persistent: bool | None = None) -> None:
         """Accepts a job of one or two steps; its kind is random if None."""
--- a/foxtaillock/batch/tests/test_node.py
+++ b/foxtaillock/batch/tests/test_node.py
@@ -30,7 +30,11 @@
         self.journal.write(records.encode(_OTHER))
         self.operators = memory_stream.MemoryStream()
         self.operators.write(records.KeyedRecord("config", b"1"))
-        config = configuration.create_configuration(1, [], [], [], [], 1)
+        self.config = configuration.create_configuration(1, [], [], [], [], 1)
+        self.node = self._create_node()
+        self.node.start()
+
+    def _create_node(self) -> nodes.Node:
         dependencies = services.OwnerServices(
             journal=self.journal,
             submissions=memory_stream.MemoryStream(),
@@ -45,20 +49,19 @@
             log=lambda event, **fields: self.lines.append((event, fields)),
             metrics=metrics.Metrics(),
         )
-        self.node = nodes.Node(
+        return nodes.Node(
             "vm-1",
             "a",
             5.0,
             services.NodeServices(
                 self.operators,
-                lambda key, _: config if key == "config" else None,
+                lambda key, _: self.config if key == "config" else None,
                 lambda key, _: _WAVE if key == "wave" else None,
                 builders.decode_evacuation,
                 dependencies,
             ),
             capacity=1.0,
         )
-        self.node.start()
 
     async def asyncTearDown(self) -> None:
         await self.node.close()
@@ -88,6 +91,66 @@
         claim = await self._wait_for("ownership-claimed")
         self.assertEqual(claim["reason"], "owner is silent")
 
+    async def test_claim_waits_for_the_operators_stream(self) -> None:
+        """An owner that lacks its end might use an evacuated zone."""
+        await self.node.close()
+        self.lines.clear()
+        self.operators.write(records.KeyedRecord("out/a", b"{}"))
+        self.operators.fails_reads = True
+        self.journal.write(
+            records.encode(_OTHER._replace(epoch=5, is_released=True))
+        )
+        self.node = self._create_node()
+        self.node.start()
+        await self._wait_until(
+            lambda: self.node.call_handler.config.version == 1
+        )
+        await asyncio.sleep(2.0)
+        self.assertNotIn("ownership-claimed", dict(self.lines))
+        self.operators.write(records.KeyedRecord("out/b", b"{}"))
+        self.operators.fails_reads = False
+        await self._wait_for("ownership-taken")
+        names = [name for name, _ in self.lines]
+        claimed = names.index("ownership-claimed")
+        zones = [
+            fields["zone"]
+            for name, fields in self.lines[:claimed]
+            if name == "zone-evacuated"
+        ]
+        self.assertEqual(zones, ["a", "b"])
+
+    async def test_owner_reads_the_requests_of_operators_after_its_claim(
+        self,
+    ) -> None:
+        """The VM was suspended, and its long read has not returned yet."""
+        await self._wait_until_ready()
+        self.operators.holds_long_reads = True
+        await asyncio.sleep(1.0)
+        self.operators.is_stalled = True
+        self.operators.write(records.KeyedRecord("out/a", b"{}"))
+        released = _OTHER._replace(is_released=True, successor="vm-1")
+        self.journal.write(records.encode(released))
+        await self._wait_for("ownership-taken")
+        names = [name for name, _ in self.lines]
+        self.assertLess(
+            names.index("zone-evacuated"), names.index("ownership-taken")
+        )
+
+    async def test_owner_that_can_not_read_uses_the_zones_that_it_knows(
+        self,
+    ) -> None:
+        self.operators.write(records.KeyedRecord("out/a", b"{}"))
+        await self._wait_for("zone-evacuated")
+        await self._wait_until_ready()
+        self.operators.fails_reads = True
+        released = _OTHER._replace(is_released=True, successor="vm-1")
+        self.journal.write(records.encode(released))
+        await self._wait_for("operators-unread")
+        await self._wait_for("ownership-taken")
+        owner = self.node._owner  # pylint: disable=protected-access
+        assert owner is not None
+        self.assertEqual(owner.engine.evacuated_zones, {"a"})
+
     async def test_owner_that_records_progress_is_not_replaced(self) -> None:
         await self._wait_until_ready()
         step_id = model.StepId("00000000000000aa", 0, 0)
