Batch: teams within their share of a full pool go first

A team that sent several times its usual load took all room that became free in a full pool: the order of jobs that can be in time knows only their value density. Each owner now keeps an account of what each team holds of each pool, with a moving average over 3 s, and a plan of a pool that can't serve all that waits places the teams within their share first, within one class and one priority. A team's waiting tasks are charged in the order of the plan.

`dominant_share` moves to foxtaillock/model/resources.py, since the demonstration and the batch system both use it.

Without the deferral of teams beyond their share, the tests of a team at five times its load, of a small team's first job, of the shares by weight and the differential test fail.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -21,6 +21,7 @@
 from foxtaillock.batch import ready_steps
 from foxtaillock.batch import records
 from foxtaillock.batch import renounced_leases
+from foxtaillock.batch import scheduling_state
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
@@ -71,6 +72,7 @@
         renounced: workers on which this owner has renounced leases.
         long_leases: workers that may hold longer leases than it has granted.
         vms: coordinates tasks with moves and maintenance of VMs.
+        scheduling: carries what this owner learns over to the next one.
     """
 
     def __init__(
@@ -85,6 +87,9 @@
         self.long_leases = long_leases.LongLeases(self._state)
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
+        self.scheduling = scheduling_state.SchedulingStateKeeper(
+            epoch, {"team_usage": self._state.accounts}, log
+        )
         self._slow_runs = slow_runs.SlowRuns(self._state)
         self._planner = planner.Planner(self._state, self._slow_runs)
         self._planned_s = now_s
@@ -266,6 +271,7 @@
         self._state.expire_orphans(now_s)
         self._state.late_starts.expire(now_s)
         self._state.late_renewals.expire(now_s)
+        self._state.accounts.expire(now_s)
         if (
             self._state.waiting
             and now_s - self._planned_s >= _REPLAN_INTERVAL_S
@@ -290,6 +296,11 @@
             ):
                 self._state.expired_jobs.add(job_id)
 
+    @property
+    def beyond_share_count(self) -> int:
+        """Number of teams beyond their share of a full pool."""
+        return self._state.accounts.beyond_count
+
     @property
     def starting_count(self) -> int:
         """Number of starts under way."""
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -487,6 +487,9 @@
                 "loop_lag_seconds": lambda: self._load.lag_s,
                 "processor_speed": lambda: self._load.speed,
                 "owns": lambda: float(self._owner is not None),
+                "teams_beyond_share": lambda: float(
+                    self._owner.engine.beyond_share_count if self._owner else 0
+                ),
                 "config_version": lambda: float(
                     self.call_handler.config.version
                 ),
--- a/foxtaillock/batch/node_gauges.py
+++ b/foxtaillock/batch/node_gauges.py
@@ -18,6 +18,9 @@
         "Speed of the processor as a fraction of the best one seen"
     ),
     "owns": "Whether this VM owns",
+    "teams_beyond_share": (
+        "Teams beyond their share of a full pool, as seen by the owner"
+    ),
     "config_version": "Version of the configuration in force",
 }
 
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -232,6 +232,10 @@
         """
         services = self._services
         self.engine.restore_crash_rate(self._view.fleet_crashes)
+        now_s = services.clock.monotonic_s()
+        self.engine.scheduling.restore(
+            self._view.scheduling, now_s, self._wall_ms()
+        )
         self._restoration = restored_jobs.Restoration(
             self.engine, self._view, services.clock, services.log
         )
@@ -322,6 +326,9 @@
             self._heartbeat += 1
             self._heartbeat_s = now_s
             entries.insert(0, records.encode(self._owner_record(is_releasing)))
+            state = self.engine.scheduling.due_record(now_s, self._wall_ms())
+            if state is not None:
+                entries.append(records.encode(state))
         if not await self._writer.append(entries):
             return
         now_s = self._services.clock.monotonic_s()
@@ -351,6 +358,9 @@
             long_leases=self.engine.long_leases.propose(self._heartbeat_s),
         )
 
+    def _wall_ms(self) -> int:
+        return int(self._services.clock.now().timestamp() * 1000)
+
     def _remaining_prior_leases_s(self) -> float:
         """Returns the time until all leases of earlier owners have expired."""
         now_s = self._services.clock.monotonic_s()
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -21,6 +21,7 @@
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import quarantine
 from foxtaillock.batch import records
+from foxtaillock.batch import shares
 from foxtaillock.batch import tasks
 from foxtaillock.batch import tickets
 from foxtaillock.batch import worker_speed
@@ -52,6 +53,7 @@
         crashes: tells which tasks may have crashed their workers.
         speeds: tells which workers are slow.
         team_usage: resources held by the runs of each team.
+        accounts: what the runs of each team hold of each pool.
         waiting: steps with waiting tasks, whether they are ready or not.
         due_occurrences: creates the occurrences of scheduled jobs.
         orphans: tasks on workers that have not registered with this owner.
@@ -101,6 +103,7 @@
         self.quarantine = quarantine.WorkerQuarantine()
         self.speeds = worker_speed.WorkerSpeeds()
         self.team_usage: dict[str, resources.Resources] = {}
+        self.accounts = shares.TeamAccounts(self.pool_members.capacity, log)
         self.waiting: dict[model.StepId, tasks.Step] = {}
         self.due_occurrences = due_occurrences.DueOccurrences()
         self.orphans: dict[str, dict[model.TaskId, tasks.Task]] = {}
@@ -142,7 +145,10 @@
                 )
             if known.entry.pool != entry.pool or not known.is_registered:
                 self.log_worker(known, "worker-listed", pool=entry.pool)
-            if known.entry.pool != entry.pool:
+            if (known.entry.pool, known.entry.capacity) != (
+                entry.pool,
+                entry.capacity,
+            ):
                 self.pool_members.invalidate()
             known.update_entry(entry, now_s)
         self.needs_plan = True
@@ -220,6 +226,8 @@
                 task.is_displaced = True
                 self.mark_dirty(task)
             self.adjust_usage(job.spec.team, step.spec.size, 1)
+            pool, held = self.pool_of(job.spec.job_id), step.spec.held_size
+            self.accounts.begin(task.task_id, pool, job.spec.team, held, now_s)
             worker = self.workers.get(task.worker_id)
             if worker is None:
                 orphans = self.orphans.setdefault(task.worker_id, {})
@@ -430,6 +438,7 @@
         self.orphans.get(task.worker_id, {}).pop(task.task_id, None)
         team = self.jobs[task.task_id.job_id].spec.team
         self.adjust_usage(team, step.spec.size, -1)
+        self.accounts.end(task.task_id, self.now_s)
         task.worker_id = ""
         task.worker_started_ms = 0
         task.is_listed = False
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -5,6 +5,7 @@
 make other work late.
 """
 
+import itertools
 import typing
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -13,6 +14,7 @@
 
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
+from foxtaillock.batch import shares
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
@@ -111,7 +113,9 @@
 
 
 def prioritize(
-    candidates: Iterable[Candidate], now_s: float
+    candidates: Iterable[Candidate],
+    now_s: float,
+    plan_shares: shares.PlanShares | None = None,
 ) -> list[Candidate]:
     """Returns the steps in the order in which they are placed.
 
@@ -126,9 +130,38 @@
     jobs in time, instead of all jobs a little late. All other jobs are ordered
     by age.
 
+    In a full pool, jobs of teams within their share go before those of teams
+    beyond it, but only among jobs of the same group and the same priority.
+
+    Args:
+        candidates: the steps.
+        now_s: current time.
+        plan_shares: what is left of the teams' shares of full pools; None if
+            teams compete in no pool.
+
     Cost: O(n log n) for n steps.
     """
-    return sorted(candidates, key=lambda each: _rank(each, now_s))
+    rows = list(candidates)
+    ranks = [_rank(each, now_s) for each in rows]
+    order = sorted(range(len(rows)), key=ranks.__getitem__)
+    if plan_shares is None:
+        return [rows[index] for index in order]
+    ordered: list[Candidate] = []
+    for _, group in itertools.groupby(order, lambda index: ranks[index][:2]):
+        deferred: list[Candidate] = []
+        for index in group:
+            candidate = rows[index]
+            pool, team = candidate.queue.pool, candidate.job.spec.team
+            if plan_shares.is_beyond(pool, team):
+                deferred.append(candidate)
+                continue
+            ordered.append(candidate)
+            step = candidate.step
+            plan_shares.charge(
+                pool, team, step.spec.held_size, len(step.waiting)
+            )
+        ordered += deferred
+    return ordered
 
 
 def assign(
@@ -184,11 +217,12 @@
 
 
 def _rank(candidate: Candidate, now_s: float) -> tuple[float, ...]:
+    """Returns a step's group, its priority there, and its place in both."""
     spec = candidate.step.spec
     if spec.is_filler:
-        return (4.0, candidate.job.accepted_s)
+        return (4.0, 0.0, candidate.job.accepted_s)
     if spec.is_persistent:
-        return (0.0, candidate.job.accepted_s)
+        return (0.0, 0.0, candidate.job.accepted_s)
     if candidate.job.is_excess:
         return (3.0, candidate.queue.priority, candidate.job.accepted_s)
     is_late = now_s + candidate.remaining_s > candidate.objective_s
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -7,6 +7,7 @@
 import typing
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from foxtaillock.batch import isolation
@@ -14,9 +15,11 @@
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
 from foxtaillock.batch import plans
+from foxtaillock.batch import pool_needs
 from foxtaillock.batch import ready_steps
 from foxtaillock.batch import reservations
 from foxtaillock.batch import run_times
+from foxtaillock.batch import shares
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import tickets
@@ -76,17 +79,19 @@
         candidates = ready_steps.candidates(self._state, now_s)
         if not candidates:
             return
+        needs = pool_needs.sum_up(candidates)
         by_pool = {
-            pool: self._usable.find(pool, now_s, least_millis)
-            for pool, least_millis in _least_millis(candidates).items()
+            pool: self._usable.find(pool, now_s, need.least_millis)
+            for pool, need in needs.items()
         }
+        plan_shares = self._plan_shares(candidates, needs, by_pool, now_s)
         self._prepare_isolation(candidates, now_s)
         self._reservations.drop_settled()
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         # Shapes of which no task fits any more.
         exhausted: set[_Shape] = set()
         starts = 0
-        for candidate in placement.prioritize(candidates, now_s):
+        for candidate in placement.prioritize(candidates, now_s, plan_shares):
             if max_starts is not None and starts >= max_starts:
                 self._state.needs_plan = True
                 break
@@ -123,6 +128,23 @@
         starts, self._starts = self._starts, []
         return starts
 
+    def _plan_shares(
+        self,
+        candidates: Sequence[placement.Candidate],
+        needs: Mapping[str, pool_needs.PoolNeed],
+        by_pool: Mapping[str, Sequence[batch_workers.Worker]],
+        now_s: float,
+    ) -> shares.PlanShares | None:
+        """Returns the teams' shares of pools that can't serve all tasks."""
+        accounts = self._state.accounts
+        waiting_teams = {
+            pool: need.teams
+            for pool, need in needs.items()
+            if accounts.may_compete(pool, need.teams)
+            and pool_needs.is_full(pool, candidates, by_pool[pool])
+        }
+        return accounts.plan_shares(waiting_teams, self._state.teams, now_s)
+
     def _shape(self, candidate: placement.Candidate) -> _Shape:
         """Returns what decides whether tasks of a step fit somewhere."""
         job, spec = candidate.job.spec, candidate.step.spec
@@ -258,6 +280,13 @@
         task.speed_percent = 0
         task.speed_limit_percent = _FULL_SPEED_PERCENT
         self._state.set_phase(task, tasks.TaskPhase.RECORDING, now_s)
+        self._state.accounts.begin(
+            task.task_id,
+            candidate.queue.pool,
+            candidate.job.spec.team,
+            chosen.size,
+            now_s,
+        )
         step.waiting.discard(task.task_id.number)
         if not step.waiting:
             self._state.waiting.pop(step.step_id, None)
@@ -287,15 +316,3 @@
     """Returns whether tasks of a batch step have waited for very long."""
     waiting = reservations.waiting_count(step, _MAX_QUARANTINE_WAIT_S, now_s)
     return waiting > 0
-
-
-def _least_millis(
-    candidates: Iterable[placement.Candidate],
-) -> dict[str, int]:
-    """Returns, for each pool, the least processor time that a task needs."""
-    least_millis: dict[str, int] = {}
-    for candidate in candidates:
-        pool = candidate.queue.pool
-        millis = candidate.step.spec.held_size.cpu_millis
-        least_millis[pool] = min(millis, least_millis.get(pool, millis))
-    return least_millis
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -22,9 +22,13 @@
     "LongLease",
     "OwnerBacklog",
     "OwnerRecord",
+    "PoolRhythm",
     "Record",
+    "RunEstimate",
+    "SchedulingState",
     "StepProgress",
     "TaskProgress",
+    "TeamUse",
     "RecentVmOrders",
     "RenouncedLease",
     "WaveProgress",
@@ -243,6 +247,74 @@
     worker_ms: int
 
 
+class TeamUse(typing.NamedTuple):
+    """What a team has used of a pool of late.
+
+    Attributes:
+        pool: the pool.
+        team: the team.
+        share: moving average of the dominant share of its runs.
+    """
+
+    pool: str
+    team: str
+    share: float
+
+
+class RunEstimate(typing.NamedTuple):
+    """Learned ratio of the duration of runs to their estimate.
+
+    Attributes:
+        queue: queue of the jobs.
+        step: number of the step.
+        samples: number of runs that it was learned from.
+        log_mean: mean of the ratio's logarithm.
+        log_deviation: deviation of the ratio's logarithm.
+    """
+
+    queue: str
+    step: int
+    samples: int
+    log_mean: float
+    log_deviation: float
+
+
+class PoolRhythm(typing.NamedTuple):
+    """Learned rhythm of a pool's peaks.
+
+    Attributes:
+        pool: the pool.
+        period_s: time between the onsets of two peaks.
+        length_s: length of a peak.
+        onset_age_s: time from the latest onset to the writing of the record.
+        hits: number of predictions that were right.
+    """
+
+    pool: str
+    period_s: float
+    length_s: float
+    onset_age_s: float
+    hits: int
+
+
+class SchedulingState(typing.NamedTuple):
+    """What an owner has learned and can do without; see `scheduling_state`.
+
+    Attributes:
+        epoch: epoch of the owner.
+        written_ms: wall-clock time of the record.
+        team_usage: what teams have used of full pools.
+        run_estimates: learned durations of runs.
+        rhythms: learned rhythms of pools.
+    """
+
+    epoch: int
+    written_ms: int
+    team_usage: tuple[TeamUse, ...] = ()
+    run_estimates: tuple[RunEstimate, ...] = ()
+    rhythms: tuple[PoolRhythm, ...] = ()
+
+
 class WaveProgress(typing.NamedTuple):
     """Progress of a maintenance wave.
 
@@ -289,6 +361,7 @@
     | JobEnd
     | RecentVmOrders
     | FleetCrashes
+    | SchedulingState
     | WaveProgress
 )
 
@@ -301,7 +374,7 @@
 
 
 _OWNER, _OFFER, _RECENT_VM_ORDERS, _WAVE = "o", "n", "v", "w"
-_BACKLOG, _FLEET_CRASHES = "b", "f"
+_BACKLOG, _FLEET_CRASHES, _SCHEDULING = "b", "f", "t"
 _JOB, _CANCEL, _STEP, _END = "j", "c", "s", "e"
 _EARLY_CANCEL = "x"
 _TYPES: dict[str, typing.Any] = {
@@ -310,6 +383,7 @@
     _BACKLOG: OwnerBacklog,
     _RECENT_VM_ORDERS: RecentVmOrders,
     _FLEET_CRASHES: FleetCrashes,
+    _SCHEDULING: SchedulingState,
     _JOB: model.JobSpec,
     _CANCEL: Cancellation,
     _EARLY_CANCEL: EarlyCancellation,
@@ -385,6 +459,8 @@
         return _RECENT_VM_ORDERS
     if isinstance(record, FleetCrashes):
         return _FLEET_CRASHES
+    if isinstance(record, SchedulingState):
+        return _SCHEDULING
     if isinstance(record, StepProgress):
         job_id, occurrence, step = record.step_id
         return f"{_STEP}{job_id}.{occurrence}.{step}"
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -47,6 +47,7 @@
         owner: newest record of an owner.
         ordered_vms: VMs for which the latest owner may just have sent orders.
         fleet_crashes: crashes of workers that the owners have seen.
+        scheduling: what the latest owner has learned; None if nothing.
         on_record: called with each record that was applied.
     """
 
@@ -66,6 +67,7 @@
         self.owner: records.OwnerRecord | None = None
         self.ordered_vms = records.RecentVmOrders(0, ())
         self.fleet_crashes = records.FleetCrashes(0, 0)
+        self.scheduling: records.SchedulingState | None = None
         self.on_record: Callable[[records.Record], None] = lambda _: None
 
     def apply(self, offset: int, keyed: records.KeyedRecord) -> None:
@@ -200,16 +202,21 @@
         )
 
     def _fold(self, record: records.Record) -> None:
-        if isinstance(record, records.OwnerRecord):
-            self.owner = record
-        elif isinstance(record, (records.HandoverOffer, records.OwnerBacklog)):
+        if isinstance(record, (records.HandoverOffer, records.OwnerBacklog)):
             # These only matter when they are read; they are not part of the
             # state.
             return
-        elif isinstance(record, records.RecentVmOrders):
-            self.ordered_vms = record
-        elif isinstance(record, records.FleetCrashes):
-            self.fleet_crashes = record
+        if isinstance(record, records.OwnerRecord):
+            self.owner = record
+        elif isinstance(
+            record,
+            (
+                records.RecentVmOrders,
+                records.FleetCrashes,
+                records.SchedulingState,
+            ),
+        ):
+            self._fold_fleet(record)
         elif isinstance(record, records.WaveProgress):
             self._waves[record.number] = record
         elif isinstance(record, records.StepProgress):
@@ -240,6 +247,22 @@
             self._ends[record.job_id] = record
             self._recount(record.job_id, was_waiting)
 
+    def _fold_fleet(
+        self,
+        record: (
+            records.RecentVmOrders
+            | records.FleetCrashes
+            | records.SchedulingState
+        ),
+    ) -> None:
+        """Folds what owners record of the fleet as a whole."""
+        if isinstance(record, records.RecentVmOrders):
+            self.ordered_vms = record
+        elif isinstance(record, records.FleetCrashes):
+            self.fleet_crashes = record
+        else:
+            self.scheduling = record
+
     def _recount(self, job_id: str, was_waiting: bool) -> None:
         is_waiting = self._is_waiting(job_id)
         if is_waiting != was_waiting:
--- a/foxtaillock/model/resources.py
+++ b/foxtaillock/model/resources.py
@@ -2,7 +2,14 @@
 
 import typing
 
-__all__ = ["Resources", "ZERO", "add", "fits", "subtract"]
+__all__ = [
+    "Resources",
+    "ZERO",
+    "add",
+    "dominant_share",
+    "fits",
+    "subtract",
+]
 
 
 class Resources(typing.NamedTuple):
@@ -42,3 +49,17 @@
     return (
         wanted[0] <= free[0] and wanted[1] <= free[1] and wanted[2] <= free[2]
     )
+
+
+def dominant_share(used: Resources, total: Resources) -> float:
+    """Returns the largest fraction of any resource that `used` takes.
+
+    Example:
+        >>> dominant_share(Resources(1, 4, 0), Resources(10, 10, 2))
+        0.4
+    """
+    share = 0.0
+    for taken, whole in zip(used, total, strict=True):
+        if whole > 0 and taken > share * whole:
+            share = taken / whole
+    return share
--- a/foxtaillock/placement/planner.py
+++ b/foxtaillock/placement/planner.py
@@ -368,7 +368,7 @@
             if not resources.fits(size, worker.size):
                 continue
             missing = resources.subtract(size, worker.free)
-            deficit = shares.dominant_share(missing, worker.size)
+            deficit = resources.dominant_share(missing, worker.size)
             is_scarce = worker.size.accelerators > size.accelerators == 0
             if (is_scarce, deficit) < lowest:
                 chosen, lowest = worker.name, (is_scarce, deficit)
--- a/foxtaillock/placement/preemption.py
+++ b/foxtaillock/placement/preemption.py
@@ -122,4 +122,4 @@
 def _cost(
     victims: list[capacity.PlacedTask], total: resources.Resources
 ) -> float:
-    return sum(shares.dominant_share(task.size, total) for task in victims)
+    return sum(resources.dominant_share(task.size, total) for task in victims)
--- a/foxtaillock/placement/shares.py
+++ b/foxtaillock/placement/shares.py
@@ -15,7 +15,6 @@
     "TeamDemand",
     "ResourceGroup",
     "SplitDemand",
-    "dominant_share",
     "fair_group_shares",
     "fair_shares",
     "group_of",
@@ -77,24 +76,6 @@
     ratios: tuple[float, float, float]
 
 
-def dominant_share(
-    used: resources.Resources, total: resources.Resources
-) -> float:
-    """Returns the largest fraction of any resource that `used` takes.
-
-    Example:
-        >>> dominant_share(
-        ...     resources.Resources(1, 4, 0), resources.Resources(10, 10, 2)
-        ... )
-        0.4
-    """
-    share = 0.0
-    for taken, whole in zip(used, total, strict=True):
-        if whole > 0 and taken > share * whole:
-            share = taken / whole
-    return share
-
-
 def group_of(size: resources.Resources) -> ResourceGroup:
     """Returns the group in which a job of this size waits."""
     return (
--- a/foxtaillock/placement/tests/test_shares.py
+++ b/foxtaillock/placement/tests/test_shares.py
@@ -19,7 +19,7 @@
     frozen: set[str] = set()
     while len(frozen) < len(demands):
         for team, demand in demands.items():
-            goal = shares.dominant_share(demand.total, total)
+            goal = resources.dominant_share(demand.total, total)
             step = _STEP * demand.weight
             if goal <= 0 or due[team] + step > goal:
                 frozen.add(team)
