--- a/bench/owner_turns.py
+++ b/bench/owner_turns.py
@@ -180,6 +180,26 @@
     return lambda: engine.plan(_NOW_S, 50)
 
 
+@_turn("jobs_plan_full_pool")
+def _plan_full_pool(size: int) -> _Turn:
+    """Twenty teams compete for a pool that has room for no task."""
+    engine = _engine()
+    teams = {
+        f"t{number}": model.Team(f"t{number}", 1e9, resources.ZERO)
+        for number in range(20)
+    }
+    queue = model.Queue("q", "pool", 0, 2, 1.6, 600, True)
+    pool = model.Pool("pool", False, False)
+    engine.configure({"q": queue}, {"pool": pool}, teams)
+    whole = _job("f" * 16, model.StepSpec(1, _CAPACITY, 900))
+    _submit(engine, whole._replace(team="t0"))
+    engine.plan(_NOW_S)
+    for number in range(size):
+        spec = _job(f"{number:016x}", model.StepSpec(8, _SIZE, 900))
+        _submit(engine, spec._replace(team=f"t{number % 20}"))
+    return lambda: engine.plan(_NOW_S, 50)
+
+
 @_turn("jobs_fold")
 def _fold_jobs(size: int) -> _Turn:
     journal_view = view.JournalView()
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -35,8 +35,8 @@
 _MAX_QUARANTINE_WAIT_S = 4.0
 
 
-# What steps have in common whose tasks fit on the same workers: pool, size, team,
-# label and isolation key. A plain tuple is made once for each waiting step.
+# What steps have in common whose tasks fit on the same workers: pool, size,
+# team, label and isolation key.
 _Shape = tuple[str, resources.Resources, str, str, str]
 
 
--- a/foxtaillock/batch/shares.py
+++ b/foxtaillock/batch/shares.py
@@ -187,6 +187,11 @@
             capacity = self._capacity_of(charge.pool)
             account.change(-1, charge.size, capacity, now_s)
 
+    def held(self, pool: str, team: str) -> resources.Resources:
+        """Returns the resources that a team's runs hold of a pool."""
+        account = self._accounts.get(pool, {}).get(team)
+        return resources.ZERO if account is None else account.held
+
     def may_compete(self, pool: str, waiting: Collection[str]) -> bool:
         """Returns whether several teams have tasks in a pool.
 
--- a/foxtaillock/batch/tests/test_shares.py
+++ b/foxtaillock/batch/tests/test_shares.py
@@ -5,14 +5,18 @@
 import random
 import typing
 import unittest
+from unittest import mock
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
+from foxtaillock.batch import ready_steps
 from foxtaillock.batch import records
 from foxtaillock.batch import shares
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch.tests import simulation
 from foxtaillock.batch.tests import team_pool
 from foxtaillock.batch.tests import work_counter
 from foxtaillock.model import resources
@@ -246,6 +250,49 @@
         self.assertEqual(plan.beyond, {("pool", "")})
 
 
+class HeldTest(unittest.TestCase):
+    """Accounts over schedules with lost orders, dead workers and owners."""
+
+    def test_accounts_differ_from_a_scan_of_all_runs(self) -> None:
+        original = ready_steps.candidates
+        seen: set[resources.Resources] = set()
+
+        def _candidates(
+            state: owner_state.OwnerState, now_s: float
+        ) -> list[placement.Candidate]:
+            held = _scan(state)
+            teams = {
+                (state.pool_of(job_id), job.spec.team)
+                for job_id, job in state.jobs.items()
+            }
+            for pool, team in teams:
+                account = state.accounts.held(pool, team)
+                expected = held.get((pool, team), resources.ZERO)
+                self.assertEqual(account, expected)
+                seen.add(expected)
+            return original(state, now_s)
+
+        with mock.patch.object(ready_steps, "candidates", _candidates):
+            for seed in range(20):
+                simulation.Simulation(seed).run(60.0)
+        self.assertGreater(len(seen), 10)
+
+
+def _scan(
+    state: owner_state.OwnerState,
+) -> dict[tuple[str, str], resources.Resources]:
+    """Returns what the runs of each team hold of each pool."""
+    held: dict[tuple[str, str], resources.Resources] = {}
+    for job_id, job in state.jobs.items():
+        key = (state.pool_of(job_id), job.spec.team)
+        for step in job.steps.values():
+            for _ in step.active_tasks():
+                held[key] = resources.add(
+                    held.get(key, resources.ZERO), step.spec.held_size
+                )
+    return held
+
+
 class CostTest(unittest.TestCase):
     """Work of a plan whose pool is full."""
 
