--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -6,6 +6,7 @@
 they get tasks only where no warm worker has room.
 """
 
+import itertools
 import typing
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -14,6 +15,7 @@
 
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
+from foxtaillock.batch import shares
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
@@ -112,7 +114,9 @@
 
 
 def prioritize(
-    candidates: Iterable[Candidate], now_s: float
+    candidates: Iterable[Candidate],
+    now_s: float,
+    plan_shares: shares.PlanShares | None = None,
 ) -> list[Candidate]:
     """Returns the steps in the order in which they are placed.
 
@@ -127,9 +131,36 @@
     jobs in time, instead of all jobs a little late. All other jobs are ordered
     by age.
 
+    In a full pool, jobs of teams within their share go before those of teams
+    beyond it, but only among jobs of the same group and the same priority.
+
+    Args:
+        candidates: the steps.
+        now_s: current time.
+        plan_shares: what is left of the teams' shares of full pools; None if
+            teams compete in no pool.
+
     Cost: O(n log n) for n steps.
     """
-    return sorted(candidates, key=lambda each: _rank(each, now_s))
+    rows = list(candidates)
+    ranks = [_rank(each, now_s) for each in rows]
+    order = sorted(range(len(rows)), key=ranks.__getitem__)
+    if plan_shares is None:
+        return [rows[index] for index in order]
+    ordered: list[Candidate] = []
+    for _, group in itertools.groupby(order, lambda index: ranks[index][:2]):
+        deferred: list[Candidate] = []
+        for index in group:
+            candidate = rows[index]
+            key = (candidate.queue.pool, candidate.job.spec.team)
+            if key in plan_shares.beyond:
+                deferred.append(candidate)
+                continue
+            ordered.append(candidate)
+            step = candidate.step
+            plan_shares.charge(*key, step.spec.held_size, len(step.waiting))
+        ordered += deferred
+    return ordered
 
 
 def assign(
@@ -185,11 +216,12 @@
 
 
 def _rank(candidate: Candidate, now_s: float) -> tuple[float, ...]:
+    """Returns a step's group, its priority there, and its place in both."""
     spec = candidate.step.spec
     if spec.is_filler:
-        return (4.0, candidate.job.accepted_s)
+        return (4.0, 0.0, candidate.job.accepted_s)
     if spec.is_persistent:
-        return (0.0, candidate.job.accepted_s)
+        return (0.0, 0.0, candidate.job.accepted_s)
     if candidate.job.is_excess:
         return (3.0, candidate.queue.priority, candidate.job.accepted_s)
     is_late = now_s + candidate.remaining_s > candidate.objective_s
@@ -210,13 +242,12 @@
     the job's work.
     """
     job = candidate.job
-    value = _BASE_VALUE + (1 - _BASE_VALUE) * job.relative_work
+    work = job.relative_work
+    value = _BASE_VALUE + (1 - _BASE_VALUE) * work
     remaining_cpu_s = job.occurrences[
         candidate.step.step_id.occurrence
     ].remaining_cpu_s
-    remaining = (
-        remaining_cpu_s * job.relative_work / max(job.work_cpu_s, _MIN_CPU_S)
-    )
+    remaining = remaining_cpu_s * work / max(job.work_cpu_s, _MIN_CPU_S)
     return value / max(remaining, _MIN_CPU_S)
 
 
