--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/tests/test_vm_order_controller.py
@@ -62,10 +62,14 @@
         self.clock = _Clock()
         self.fleet = _FakeFleet()
         self.confirmed_s = self.clock.now_s
+        self.lines: list[tuple[str, dict[str, typing.Any]]] = []
         self.engine = builders.create_engine(builders.entry("1", cpu=4000))
         job = builders.job("00000000000000aa", builders.step(8, cpu=2000))
         self.engine.submit(job, (), 100.0, 100_000)
 
+    def _note_line(self, event: str, **fields: typing.Any) -> None:
+        self.lines.append((event, fields))
+
     async def _start_controller(
         self, ordered_vms: tuple[str, ...] = (), record_age_s: float = 0.0
     ) -> vm_order_controller.VmOrderController:
@@ -74,7 +78,7 @@
             self.engine,
             typing.cast(interfaces.FleetClient, self.fleet),
             typing.cast(typing.Any, self.clock),
-            lambda *_, **__: None,
+            self._note_line,
             records.RecentVmOrders(6, ordered_vms),
             self.clock.now_s - record_age_s,
             lambda: self.confirmed_s,
@@ -98,6 +102,15 @@
         await asyncio.sleep(0.05)
         self.assertEqual(sorted(self.fleet.sent), list(_VMS))
 
+    async def test_peak_is_logged(self) -> None:
+        """Fails if operators can't see what VMs move for."""
+        controller = await self._start_controller()
+        peaks = [each for each in self.lines if each[0] == "peak-began"]
+        fields = {"pool": "pool", "expected": False}
+        self.assertEqual(peaks, [("peak-began", fields)])
+        (row,) = controller.rhythm.snapshot(self.clock.now_s)
+        self.assertEqual(row.pool, "pool")
+
     async def test_move_without_an_answer_is_never_settled(self) -> None:
         """It is recorded and sent again until it is answered."""
         self.fleet.outcome = interfaces.VmOrderOutcome.UNKNOWN
