--- a/foxtaillock/placement/corrections.py
+++ b/foxtaillock/placement/corrections.py
@@ -1,8 +1,8 @@
 """Corrections of declared sizes and run times, learned by team and queue."""
 
-import dataclasses
 import typing
 
+from foxtaillock.model import moving_average
 from foxtaillock.model import resources
 
 __all__ = ["Corrections", "MAX_FACTOR", "MIN_FACTOR"]
@@ -15,28 +15,16 @@
 MAX_TRACKED_QUEUES = 2_000
 
 
-@dataclasses.dataclass(slots=True)
-class _MovingAverage:
-    """Moving average of a ratio of observed to declared usage.
+class _Ratios(typing.NamedTuple):
+    """Moving averages of ratios of observed to declared usage.
 
-    It starts at 1.0, weighted as `PRIOR_SAMPLES` samples, so that the first
-    job of a queue has little effect. Once the weight reaches `MAX_SAMPLES`, it
-    is an exponential moving average.
+    They start at 1.0, weighted as `PRIOR_SAMPLES` samples, so that the first
+    job of a queue has little effect.
     """
 
-    value: float = 1.0
-    samples: float = PRIOR_SAMPLES
-
-    def add(self, ratio: float) -> None:
-        """Adds one observed ratio to the average."""
-        self.samples = min(self.samples + 1.0, MAX_SAMPLES)
-        self.value += (ratio - self.value) / self.samples
-
-
-class _Ratios(typing.NamedTuple):
-    cpu: _MovingAverage
-    memory: _MovingAverage
-    run_time: _MovingAverage
+    cpu: moving_average.MovingAverage
+    memory: moving_average.MovingAverage
+    run_time: moving_average.MovingAverage
 
 
 class Corrections:
@@ -67,13 +55,15 @@
     ) -> None:
         """Records the fractions of its declared size that a job used."""
         ratios = self._get_ratios(team, queue)
-        ratios.cpu.add(_clip_sample(cpu_ratio, MAX_FACTOR))
-        ratios.memory.add(_clip_sample(memory_ratio, MAX_FACTOR))
+        ratios.cpu.add(_clip_sample(cpu_ratio, MAX_FACTOR), MAX_SAMPLES)
+        ratios.memory.add(_clip_sample(memory_ratio, MAX_FACTOR), MAX_SAMPLES)
 
     def observe_run_time(self, team: str, queue: str, ratio: float) -> None:
         """Records the ratio of a job's run time to its declared one."""
         ratios = self._get_ratios(team, queue)
-        ratios.run_time.add(_clip_sample(ratio, MAX_RUN_TIME_FACTOR))
+        ratios.run_time.add(
+            _clip_sample(ratio, MAX_RUN_TIME_FACTOR), MAX_SAMPLES
+        )
 
     def size(
         self, team: str, queue: str, declared: resources.Resources
@@ -108,7 +98,10 @@
             if len(self._ratios) >= MAX_TRACKED_QUEUES:
                 del self._ratios[next(iter(self._ratios))]
             ratios = self._ratios[key] = _Ratios(
-                _MovingAverage(), _MovingAverage(), _MovingAverage()
+                *(
+                    moving_average.MovingAverage(1.0, PRIOR_SAMPLES)
+                    for _ in _Ratios._fields
+                )
             )
         return ratios
 
