Batch: placement uses learned durations of runs

Expected ends, the critical path, the remaining work and the objective followed the submitter's estimate, so a job whose estimate was too short counted as late too early, and one too long as late too late.

Completed comparable runs on workers without a recent slow run are learned. Expected ends take the step's own runs first, then the learned ratio, then the estimate. Objective and remaining time follow from the same durations.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -21,6 +21,7 @@
 from foxtaillock.batch import ready_steps
 from foxtaillock.batch import records
 from foxtaillock.batch import renounced_leases
+from foxtaillock.batch import run_estimates
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
@@ -111,6 +112,11 @@
         """Pools by name."""
         return self._state.pools
 
+    @property
+    def run_estimates(self) -> run_estimates.RunEstimates:
+        """Learned durations of runs."""
+        return self._state.run_estimates
+
     @property
     def needs_plan(self) -> bool:
         """Whether an event may have made it possible to place a task."""
--- a/foxtaillock/batch/job_states.py
+++ b/foxtaillock/batch/job_states.py
@@ -3,17 +3,19 @@
 An occurrence of a scheduled job is created once it is due and dropped once it
 is done, so that a job with thousands of them costs no more than those in
 between. What is computed from all steps of an occurrence is kept until one of
-its tasks is done.
+its tasks is done, or other ratios of durations to estimates come into use.
 """
 
 import dataclasses
 import typing
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from foxtaillock.batch import model
 from foxtaillock.batch import records
+from foxtaillock.batch import run_estimates
 from foxtaillock.batch import tasks
 
 __all__ = ["Job", "Occurrence", "create_job"]
@@ -26,6 +28,7 @@
         number: number of the occurrence; 0 if the job has no schedule.
         steps: its steps by number.
         dependents: for each step, the steps that depend on it.
+        ratios: see `Job`.
 
     Attributes:
         number: see above.
@@ -37,14 +40,16 @@
         number: int,
         steps: list[tasks.Step],
         dependents: Sequence[Sequence[int]],
+        ratios: Mapping[int, float],
     ) -> None:
         self.number = number
         self.steps = steps
         self._dependents = dependents
+        self._ratios = ratios
         # Steps that are not done, and for each step those that it waits for.
         self._undone_count = 0
         self._blocking_counts: list[int] = []
-        # Kept until a task is done.
+        # Kept until a task is done or the ratios change.
         self._remaining_cpu_s: float | None = None
         self._paths_ms: list[float] | None = None
         self.progress_restored()
@@ -56,23 +61,32 @@
 
     @property
     def remaining_cpu_s(self) -> float:
-        """Estimated processor seconds that it still needs."""
+        """Expected processor seconds that it still needs."""
         if self._remaining_cpu_s is None:
-            self._remaining_cpu_s = sum(
-                (len(step.tasks) - step.done_count)
-                * step.spec.size.cpu_millis
-                * step.spec.estimate_ms
-                / 1e6
-                for step in self.steps
-            )
+            ratio_of = self._ratios.get
+            remaining = 0.0
+            for number, step in enumerate(self.steps):
+                spec = step.spec
+                remaining += (
+                    (len(step.tasks) - step.done_count)
+                    * spec.size.cpu_millis
+                    * spec.estimate_ms
+                    * ratio_of(number, 1.0)
+                )
+            self._remaining_cpu_s = remaining / 1e6
         return self._remaining_cpu_s
 
     def remaining_ms(self, step: int) -> float:
-        """Returns the estimated critical path from a step to the end."""
+        """Returns the expected critical path from a step to the end."""
         if self._paths_ms is None:
             self._paths_ms = self._critical_paths_ms()
         return self._paths_ms[step]
 
+    def use_ratios(self, ratios: Mapping[int, float]) -> None:
+        """Computes anew with other ratios; see `Job`."""
+        self._ratios = ratios
+        self._remaining_cpu_s = self._paths_ms = None
+
     def progress_restored(self) -> None:
         """Counts anew what is done, after its steps were restored."""
         self._undone_count = sum(not step.is_done for step in self.steps)
@@ -100,15 +114,20 @@
             self.steps[number].is_blocked = self._blocking_counts[number] > 0
 
     def _critical_paths_ms(self) -> list[float]:
-        """Returns the estimated critical path from each step to the end."""
+        """Returns the expected critical path from each step to the end."""
         paths_ms = [0.0] * len(self.steps)
-        for number in reversed(range(len(self.steps))):
-            step = self.steps[number]
-            own_ms = 0.0 if step.is_done else float(step.spec.estimate_ms)
-            paths_ms[number] = own_ms + max(
-                (paths_ms[later] for later in self._dependents[number]),
-                default=0.0,
-            )
+        ratio_of = self._ratios.get
+        steps, dependents = self.steps, self._dependents
+        for number in reversed(range(len(steps))):
+            step = steps[number]
+            path_ms = 0.0
+            for later in dependents[number]:
+                later_ms = paths_ms[later]
+                if later_ms > path_ms:
+                    path_ms = later_ms
+            if step.done_count < len(step.tasks):
+                path_ms += ratio_of(number, 1.0) * step.spec.estimate_ms
+            paths_ms[number] = path_ms
         return paths_ms
 
 
@@ -125,12 +144,14 @@
         steps: the steps of these, by occurrence and number.
         is_cancelled: whether its submitter cancelled it.
         final_state: its final state; None until it is known.
-        critical_path_ms: estimated critical path of one occurrence.
-        work_cpu_s: estimated processor seconds of one occurrence.
+        critical_path_ms: expected critical path of one occurrence.
+        work_cpu_s: expected processor seconds of one occurrence.
         most_failures: largest number of failed runs of a task, or gang, that
             does not run until the job is cancelled.
         is_excess: whether it exceeded its team's rate limit when it arrived.
         relative_work: its work relative to the average of its queue.
+        ratios: ratio of the expected duration of a run to its estimate, by
+            step number; 1 for others. See `run_estimates`.
     """
 
     spec: model.JobSpec
@@ -147,6 +168,9 @@
     most_failures: int = 0
     is_excess: bool = False
     relative_work: float = 1.0
+    ratios: Mapping[int, float] = dataclasses.field(
+        default_factory=lambda: run_estimates.NO_RATIOS
+    )
     # Occurrences that are done, and the first that may be still to be created.
     _done: set[int] = dataclasses.field(default_factory=set)
     _next: int = 0
@@ -199,9 +223,18 @@
         for step in self.steps.values():
             yield from step.active_tasks()
 
-    def is_ready(self, step: tasks.Step, now_s: float) -> bool:
-        """Returns whether a step is due and its dependencies are done."""
-        return now_s >= step.due_s and not step.is_blocked
+    def use_ratios(self, ratios: Mapping[int, float]) -> None:
+        """Computes anew with other ratios.
+
+        The objective and what remains follow from the same durations: a job
+        whose estimate is too short is not late because its runs take longer
+        than estimated.
+        """
+        self.ratios = ratios
+        self.critical_path_ms = _critical_path_ms(self.spec.steps, ratios)
+        self.work_cpu_s = _work_cpu_s(self.spec.steps, ratios)
+        for occurrence in self.occurrences.values():
+            occurrence.use_ratios(ratios)
 
     def note_failures(self, step: tasks.Step) -> None:
         """Notes how often runs of a step have failed."""
@@ -295,6 +328,7 @@
                 for index, step in enumerate(self.spec.steps)
             ],
             self._dependents,
+            self.ratios,
         )
         self.occurrences[number] = created
         for index, step in enumerate(created.steps):
@@ -317,11 +351,8 @@
         spec,
         now_s - age_s,
         now_s + (spec.first_ms - now_ms) / 1000,
-        critical_path_ms=_critical_path_ms(spec.steps),
-        work_cpu_s=sum(
-            step.task_count * step.size.cpu_millis * step.estimate_ms / 1e6
-            for step in spec.steps
-        ),
+        critical_path_ms=_critical_path_ms(spec.steps, run_estimates.NO_RATIOS),
+        work_cpu_s=_work_cpu_s(spec.steps, run_estimates.NO_RATIOS),
         _dependents=_dependents(spec.steps),
     )
     if not spec.occurrences:
@@ -354,12 +385,29 @@
     return dependents
 
 
-def _critical_path_ms(steps: tuple[model.StepSpec, ...]) -> float:
-    """Returns the largest sum of estimates along a chain of dependencies."""
+def _work_cpu_s(
+    steps: Sequence[model.StepSpec], ratios: Mapping[int, float]
+) -> float:
+    """Returns the expected processor seconds of all runs."""
+    return sum(
+        step.task_count
+        * step.size.cpu_millis
+        * step.estimate_ms
+        * ratios.get(number, 1.0)
+        / 1e6
+        for number, step in enumerate(steps)
+    )
+
+
+def _critical_path_ms(
+    steps: Sequence[model.StepSpec], ratios: Mapping[int, float]
+) -> float:
+    """Returns the largest sum of durations along a chain of dependencies."""
     paths_ms: list[float] = []
-    for step in steps:
+    for number, step in enumerate(steps):
         predecessors_ms = max(
             (paths_ms[earlier] for earlier in step.dependencies), default=0.0
         )
-        paths_ms.append(predecessors_ms + step.estimate_ms)
+        own_ms = ratios.get(number, 1.0) * step.estimate_ms
+        paths_ms.append(predecessors_ms + own_ms)
     return max(paths_ms, default=0.0)
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -21,6 +21,7 @@
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import quarantine
 from foxtaillock.batch import records
+from foxtaillock.batch import run_estimates
 from foxtaillock.batch import tasks
 from foxtaillock.batch import tickets
 from foxtaillock.batch import worker_speed
@@ -51,6 +52,7 @@
         quarantine: excludes workers whose runs fail.
         crashes: tells which tasks may have crashed their workers.
         speeds: tells which workers are slow.
+        run_estimates: learned durations of runs.
         team_usage: resources held by the runs of each team.
         waiting: steps with waiting tasks, whether they are ready or not.
         due_occurrences: creates the occurrences of scheduled jobs.
@@ -100,6 +102,7 @@
         self.teams: Mapping[str, model.Team] = {}
         self.quarantine = quarantine.WorkerQuarantine()
         self.speeds = worker_speed.WorkerSpeeds()
+        self.run_estimates = run_estimates.RunEstimates()
         self.team_usage: dict[str, resources.Resources] = {}
         self.waiting: dict[model.StepId, tasks.Step] = {}
         self.due_occurrences = due_occurrences.DueOccurrences()
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -85,14 +85,17 @@
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         # Shapes of which no task fits any more.
         exhausted: set[_Shape] = set()
+        holder_ids = self._reservations.holder_ids()
         starts = 0
         for candidate in placement.prioritize(candidates, now_s):
             if max_starts is not None and starts >= max_starts:
                 self._state.needs_plan = True
                 break
             shape = self._shape(candidate)
-            is_holder = self._reservations.is_holder(candidate.step.step_id)
-            if shape in exhausted and not is_holder:
+            if (
+                shape in exhausted
+                and candidate.step.step_id not in holder_ids
+            ):
                 continue
             roomy_workers = by_pool[candidate.queue.pool]
             placed = self._place_step(candidate, roomy_workers, usage, now_s)
@@ -297,5 +300,6 @@
     for candidate in candidates:
         pool = candidate.queue.pool
         millis = candidate.step.spec.held_size.cpu_millis
-        least_millis[pool] = min(millis, least_millis.get(pool, millis))
+        if pool not in least_millis or millis < least_millis[pool]:
+            least_millis[pool] = millis
     return least_millis
--- a/foxtaillock/batch/ready_steps.py
+++ b/foxtaillock/batch/ready_steps.py
@@ -27,7 +27,9 @@
     now_s: float,
 ) -> bool:
     """Returns whether a step is a candidate for placement."""
-    if job.is_finished or not job.is_ready(step, now_s):
+    if job.is_cancelled or job.final_state is not None:
+        return False
+    if step.is_blocked or now_s < step.due_s:
         return False
     if job.spec.queue not in state.queues:
         return False
@@ -38,15 +40,20 @@
     state: owner_state.OwnerState, step: tasks.Step, now_s: float
 ) -> placement.Candidate | None:
     """Returns a step as a candidate for placement; None if not ready."""
-    job = state.jobs.get(step.step_id.job_id)
+    step_id = step.step_id
+    job = state.jobs.get(step_id.job_id)
     if job is None or not is_placeable(state, job, step, now_s):
         return None
-    queue = state.queues[job.spec.queue]
+    queue_name = job.spec.queue
+    queue = state.queues[queue_name]
     if step.ready_s is None:
         step.ready_s = now_s
+    ratios = state.run_estimates.ratios(queue_name)
+    if job.ratios is not ratios:
+        job.use_ratios(ratios)
     due_s = max(step.due_s, job.accepted_s)
-    remaining_ms = job.occurrences[step.step_id.occurrence].remaining_ms(
-        step.step_id.step
+    remaining_ms = job.occurrences[step_id.occurrence].remaining_ms(
+        step_id.step
     )
     objective_ms = queue.stretch * job.critical_path_ms + queue.slack_ms
     return placement.Candidate(
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -9,6 +9,7 @@
 import math
 import typing
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -73,6 +74,10 @@
         """Returns whether a worker is reserved for a step."""
         return step_id in self._holders.values()
 
+    def holder_ids(self) -> Collection[model.StepId]:
+        """Returns a view of the steps for which workers are reserved."""
+        return self._holders.values()
+
     def open_to(
         self,
         step: tasks.Step,
@@ -133,9 +138,17 @@
         room = self._reservable(step.spec, pool_workers)
         if room <= 0 and not is_holder:
             return
+        considered = pool_workers
+        if room <= 0 or overdue <= len(self._reserved_for(step.step_id)):
+            # Only what is reserved already has to be looked at.
+            considered = [
+                worker
+                for worker in pool_workers
+                if self._holders.get(worker.worker_id) == step.step_id
+            ]
         expected_s = {
             worker.worker_id: room_s
-            for worker in pool_workers
+            for worker in considered
             if is_eligible(worker)
             and placement.may_run(step, worker)
             and (room_s := self._room_expected_s(step, worker, now_s))
@@ -231,9 +244,28 @@
                 yield Release(now_s + _STOP_S, step.spec.held_size)
             elif not step.spec.is_persistent:
                 yield Release(
-                    _expected_end_s(task, step, now_s), step.spec.held_size
+                    self._expected_end_s(task, step, now_s),
+                    step.spec.held_size,
                 )
 
+    def _expected_end_s(
+        self, task: tasks.Task, step: tasks.Step, now_s: float
+    ) -> float:
+        """Returns when a run is expected to end.
+
+        The runs of its own step tell more than those of other jobs, and these
+        more than the submitter's estimate.
+        """
+        began_s = now_s if task.began_s is None else task.began_s
+        expected_s = step.typical_s
+        if expected_s is None:
+            queue = self._state.jobs[step.step_id.job_id].spec.queue
+            expected_s = self._state.run_estimates.expected_s(
+                queue, step.step_id.step, step.spec.estimate_ms
+            )
+        overrun_s = _OVERRUN_FRACTION * (now_s - began_s)
+        return max(began_s + expected_s, now_s + overrun_s)
+
 
 def room_expected_s(
     free: resources.Resources,
@@ -260,13 +292,6 @@
     return None
 
 
-def _expected_end_s(task: tasks.Task, step: tasks.Step, now_s: float) -> float:
-    began_s = now_s if task.began_s is None else task.began_s
-    expected_s = step.typical_s or step.spec.estimate_ms / 1000
-    overrun_s = _OVERRUN_FRACTION * (now_s - began_s)
-    return max(began_s + expected_s, now_s + overrun_s)
-
-
 def overdue_count(step: tasks.Step, now_s: float) -> int:
     """Returns how many tasks of a step have waited for too long."""
     if step.spec.is_persistent:
--- a/foxtaillock/batch/run_estimates.py
+++ b/foxtaillock/batch/run_estimates.py
@@ -18,7 +18,7 @@
 
 from foxtaillock.model import moving_average
 
-__all__ = ["MAX_PAIRS", "EstimateRow", "RunEstimates"]
+__all__ = ["MAX_PAIRS", "NO_RATIOS", "EstimateRow", "RunEstimates"]
 
 # Pairs of queue and step that are kept, the most recently observed ones.
 MAX_PAIRS = 256
@@ -44,7 +44,8 @@
 
 _Z_90 = statistics.NormalDist().inv_cdf(0.9)
 
-_NO_RATIOS: Mapping[int, float] = {}
+# Ratios in use before any was learned.
+NO_RATIOS: Mapping[int, float] = {}
 
 _Pair = tuple[str, int]
 
@@ -115,7 +116,7 @@
 
         The mapping is never changed: another one takes its place.
         """
-        return self._ratios.get(queue, _NO_RATIOS)
+        return self._ratios.get(queue, NO_RATIOS)
 
     def expected_s(self, queue: str, step: int, estimate_ms: int) -> float:
         """Returns the expected duration of a run."""
--- a/foxtaillock/batch/slow_runs.py
+++ b/foxtaillock/batch/slow_runs.py
@@ -60,6 +60,14 @@
             step.typical_s = worker_speed.typical_s(step.durations_s)
         if is_slow:
             self._log_slow(task, duration_s, step)
+        if not self._state.speeds.is_suspect(task.worker_id):
+            self._state.run_estimates.observe(
+                self._state.jobs[step.step_id.job_id].spec.queue,
+                step.step_id.step,
+                step.spec.estimate_ms,
+                duration_s,
+                now_s,
+            )
 
     def without_slow(
         self, pool_workers: Sequence[workers.Worker], now_s: float
--- a/foxtaillock/batch/worker_speed.py
+++ b/foxtaillock/batch/worker_speed.py
@@ -65,6 +65,10 @@
         record = self._records.get(worker_id)
         return record is not None and now_s < record.paused_until_s
 
+    def is_suspect(self, worker_id: str) -> bool:
+        """Returns whether a worker has had a slow run since its last sound."""
+        return worker_id in self._records
+
     def has_slow(self, now_s: float) -> bool:
         """Returns whether any worker should get no tasks for now."""
         return any(
