Batch: short tasks run on reserved workers meanwhile

A worker that is reserved for a large task empties run by run, and the room that frees up first is idle until the last run has ended.

A smaller batch task runs there if its learned 90th percentile ends before the room is expected. That time is fixed with the reservation and moves only earlier. A task that outlives it keeps further ones off the worker until it has ended. Where a persistent task waits, five times the percentile must end within 5 s of its wait. A plan tries 50 steps.

--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+from foxtaillock.batch import backfill
 from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
@@ -32,6 +33,10 @@
 # pool has no other. A quarantine lasts up to 16 s, and jobs have to end sooner.
 _MAX_QUARANTINE_WAIT_S = 4.0
 
+# Steps of a plan, the first ones in its order, that may run on reserved
+# workers. A plan costs the same whether or not workers are reserved.
+_MAX_BACKFILL_TRIES = 50
+
 
 class _Shape(typing.NamedTuple):
     """What steps have in common whose tasks fit on the same workers."""
@@ -82,10 +87,16 @@
         }
         self._prepare_isolation(candidates, now_s)
         self._reservations.drop_settled()
+        gaps_by_pool = {
+            pool: gaps
+            for pool, found in by_pool.items()
+            if (gaps := self._reservations.gaps(found, now_s))
+        }
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         # Shapes of which no task fits any more.
         exhausted: set[_Shape] = set()
         holder_ids = self._reservations.holder_ids()
+        backfill_tries = _MAX_BACKFILL_TRIES if gaps_by_pool else 0
         starts = 0
         for candidate in placement.prioritize(candidates, now_s):
             if max_starts is not None and starts >= max_starts:
@@ -93,15 +104,22 @@
                 break
             shape = self._shape(candidate)
             if (
-                shape in exhausted
-                and candidate.step.step_id not in holder_ids
+                shape not in exhausted
+                or candidate.step.step_id in holder_ids
             ):
-                continue
-            roomy_workers = by_pool[candidate.queue.pool]
-            placed = self._place_step(candidate, roomy_workers, usage, now_s)
-            if not placed and _is_unconstrained(candidate):
-                exhausted.add(shape)
-            starts += placed
+                roomy_workers = by_pool[candidate.queue.pool]
+                placed = self._place_step(
+                    candidate, roomy_workers, usage, now_s
+                )
+                if not placed and _is_unconstrained(candidate):
+                    exhausted.add(shape)
+                starts += placed
+            if backfill_tries and candidate.step.waiting:
+                # Which of the steps of one shape fit also depends on how long
+                # their runs take.
+                gaps = gaps_by_pool.get(candidate.queue.pool, ())
+                backfill_tries -= bool(gaps)
+                starts += self._backfill(candidate, gaps, usage, now_s)
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
@@ -210,6 +228,55 @@
         )
         return len(chosen)
 
+    def _backfill(
+        self,
+        candidate: placement.Candidate,
+        gaps: Sequence[backfill.Gap],
+        usage: placement.TeamUsage,
+        now_s: float,
+    ) -> int:
+        """Places short tasks of a step on workers reserved for others.
+
+        Returns:
+            Number of tasks that were placed.
+        """
+        if not gaps:
+            return 0
+        backfills = self._reservations.backfills
+        longest_s = backfills.longest_s(candidate)
+        if longest_s is None:
+            return 0
+        step = candidate.step
+        usable = {
+            gap.worker.worker_id: gap
+            for gap in gaps
+            if not reservations.is_large(step.spec.held_size, gap.worker)
+            and backfills.may_run(gap, longest_s, now_s)
+        }
+        if not usable:
+            return 0
+        chosen = placement.assign(
+            candidate,
+            [gap.worker for gap in usable.values()],
+            usage,
+            self._eligibility(candidate, now_s),
+        )
+        self._place_all(candidate, chosen, now_s)
+        for each in chosen:
+            gap = usable[each.worker.worker_id]
+            backfills.note(each, gap)
+            self._state.log(
+                "worker-backfilled",
+                worker=gap.worker.worker_id,
+                task=model.format_task_id(each.task.task_id),
+                run=each.task.run,
+                reserved_for=gap.holder.step_id,
+                longest_s=round(longest_s, 2),
+                expected_s=round(gap.until_s - now_s, 2),
+                reason="ends before the reserved room is expected",
+            )
+        return len(chosen)
+
     def _excluded_workers(
         self,
         pool: str,
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+from foxtaillock.batch import backfill
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
@@ -24,6 +25,7 @@
 __all__ = [
     "Release",
     "Reservations",
+    "is_large",
     "overdue_count",
     "room_expected_s",
     "waiting_count",
@@ -64,11 +66,19 @@
 
     Args:
         state: jobs and workers of the owner.
+
+    Attributes:
+        backfills: short tasks on reserved workers.
     """
 
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
         self._holders: dict[str, model.StepId] = {}
+        # When the room for the holder of a worker is expected. It is set with
+        # the reservation and moves only earlier, so that runs that begin
+        # meanwhile don't postpone it.
+        self._expected_s: dict[str, float] = {}
+        self.backfills = backfill.Backfills(state)
 
     def is_holder(self, step_id: model.StepId) -> bool:
         """Returns whether a worker is reserved for a step."""
@@ -104,6 +114,24 @@
         is_for_batch = holder is not None and not holder.spec.is_persistent
         return step.spec.is_persistent and is_for_batch
 
+    def gaps(
+        self, pool_workers: Sequence[workers.Worker], now_s: float
+    ) -> list[backfill.Gap]:
+        """Returns the reserved workers on which short tasks may run."""
+        if not self._holders:
+            return []
+        found = []
+        for worker in pool_workers:
+            worker_id = worker.worker_id
+            if worker_id not in self._holders:
+                continue
+            is_outlived = self.backfills.is_outlived(worker_id, now_s)
+            until_s = self._expected_s[worker_id]
+            holder = self._state.waiting.get(self._holders[worker_id])
+            if now_s < until_s and holder is not None and not is_outlived:
+                found.append(backfill.Gap(worker, holder, until_s))
+        return found
+
     def drop_settled(self) -> None:
         """Drops reservations of steps that wait no more."""
         for worker_id, step_id in list(self._holders.items()):
@@ -155,6 +183,10 @@
             is not None
         }
         self._drop_unneeded(step.step_id, expected_s, overdue)
+        for worker_id in self._reserved_for(step.step_id):
+            self._expected_s[worker_id] = min(
+                self._expected_s[worker_id], expected_s[worker_id]
+            )
         missing = overdue - len(self._reserved_for(step.step_id))
         soonest = sorted(
             (room_s, worker_id)
@@ -163,6 +195,7 @@
         )
         for room_s, worker_id in soonest[: max(0, min(missing, room))]:
             self._holders[worker_id] = step.step_id
+            self._expected_s[worker_id] = room_s
             self._state.log(
                 "worker-reserved",
                 worker=worker_id,
@@ -181,9 +214,9 @@
         spec = candidate.step.spec
         if not pool_workers or spec.is_gang:
             return False
-        is_large = _is_large(spec.held_size, pool_workers[0])
+        is_roomy = is_large(spec.held_size, pool_workers[0])
         if not spec.is_persistent and (
-            candidate.job.is_excess or spec.is_filler or not is_large
+            candidate.job.is_excess or spec.is_filler or not is_roomy
         ):
             return False
         return usage.allows(candidate.job.spec.team, spec.size)
@@ -230,6 +263,7 @@
 
     def _drop(self, worker_id: str, reason: str) -> None:
         step_id = self._holders.pop(worker_id)
+        del self._expected_s[worker_id]
         self._state.log(
             "reservation-over", worker=worker_id, step=step_id, reason=reason
         )
@@ -312,7 +346,7 @@
     )
 
 
-def _is_large(size: resources.Resources, worker: workers.Worker) -> bool:
+def is_large(size: resources.Resources, worker: workers.Worker) -> bool:
     """Returns whether a task needs a large part of a worker."""
     return any(
         wanted > _LARGE_FRACTION * capacity
--- a/foxtaillock/batch/run_estimates.py
+++ b/foxtaillock/batch/run_estimates.py
@@ -73,6 +73,8 @@
     mean: moving_average.MovingAverage
     square: moving_average.MovingAverage
     updated_s: float
+    # Ratio that nine of ten runs don't exceed; None if it is not known.
+    ratio_90: float | None = None
 
     @property
     def deviation_log(self) -> float:
@@ -130,14 +132,9 @@
         Returns None if too few runs were observed.
         """
         learned = self._learned.get((queue, step))
-        if learned is None or learned.mean.samples < _MIN_SPREAD_SAMPLES:
+        if learned is None or learned.ratio_90 is None:
             return None
-        deviation_log = max(_MIN_DEVIATION_LOG, learned.deviation_log)
-        # The mean itself is uncertain by the deviation over the square root of
-        # the number of samples.
-        spread_log = deviation_log * math.sqrt(1 + 1 / learned.mean.samples)
-        ratio = math.exp(learned.mean.value + _Z_90 * spread_log)
-        return ratio * estimate_ms / 1000
+        return learned.ratio_90 * estimate_ms / 1000
 
     def observe(
         self,
@@ -208,6 +205,7 @@
     def _keep(self, pair: _Pair, learned: _Learned) -> None:
         """Keeps a pair as the most recently observed one."""
         self._learned[pair] = learned
+        learned.ratio_90 = _ratio_90(learned)
         if len(self._learned) > MAX_PAIRS:
             oldest = next(iter(self._learned))
             del self._learned[oldest]
@@ -233,6 +231,18 @@
             del self._ratios[queue]
 
 
+def _ratio_90(learned: _Learned) -> float | None:
+    """Returns the 90th percentile of the ratio; None for too few samples."""
+    samples = learned.mean.samples
+    if samples < _MIN_SPREAD_SAMPLES:
+        return None
+    deviation_log = max(_MIN_DEVIATION_LOG, learned.deviation_log)
+    # The mean itself is uncertain by the deviation over the square root of the
+    # number of samples.
+    spread_log = deviation_log * math.sqrt(1 + 1 / samples)
+    return math.exp(learned.mean.value + _Z_90 * spread_log)
+
+
 def _aged(samples: float, age_s: float) -> float:
     return samples * 0.5 ** (age_s / _HALF_LIFE_S)
 
--- a/foxtaillock/batch/tests/test_starvation.py
+++ b/foxtaillock/batch/tests/test_starvation.py
@@ -1,6 +1,5 @@
 """Tests that no waiting task is passed over for ever."""
 
-import itertools
 import random
 import typing
 import unittest
@@ -12,12 +11,11 @@
 from foxtaillock.batch import reservations
 from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch.tests import full_pool
 from foxtaillock.model import resources
 
 _FIRST = "00000000000000aa"
 _SECOND = "00000000000000bb"
-_WORKERS = 8
-_TICK_S = 0.1
 _FAILED = model.EndKind.FAILED
 
 # A persistent task has to run again within this time, however full the pool is.
@@ -51,135 +49,18 @@
         self.assertEqual(self._placed_jobs(engine), {_SECOND})
 
 
-def _size(cpu_millis: int, gib: float) -> resources.Resources:
-    return resources.Resources(cpu_millis, int(gib * builders.GIB), 0)
-
-
-class _Pool:
-    """Workers that carry out all orders, under small jobs.
-
-    Args:
-        seed: seed of the jobs.
-        jobs_per_s: rate of the small jobs; None for as many as always wait.
-
-    Attributes:
-        now_s: current time.
-        done: number of tasks that were completed.
-    """
-
-    def __init__(self, seed: int, jobs_per_s: float | None = None) -> None:
-        self._jobs_per_s = jobs_per_s
-        self._due_jobs = 0.0
-        self._rng = random.Random(seed)
-        self._ids = (f"{number:016x}" for number in itertools.count(1000))
-        entries = [
-            builders.entry(str(number), cpu=16_000)
-            for number in range(_WORKERS)
-        ]
-        self.engine = builders.create_engine(*entries)
-        self._runs: dict[str, dict[model.TaskId, tuple[int, float]]] = {
-            entry.worker_id: {} for entry in entries
-        }
-        self._ends = dict.fromkeys(self._runs, 0)
-        self.now_s = 10.0
-        self.done = 0
-
-    def submit(self, job_id: str, step: model.StepSpec) -> None:
-        """Submits a job with one step."""
-        now_ms = int(self.now_s * 1000)
-        spec = builders.job(job_id, step)._replace(accepted_ms=now_ms)
-        self.engine.submit(spec, (), self.now_s, now_ms)
-
-    def run(self, duration_s: float) -> None:
-        """Runs the pool for a while."""
-        until_s = self.now_s + duration_s
-        while self.now_s < until_s:
-            self._tick()
-
-    def active(self, job_id: str) -> int:
-        """Returns how many tasks of a job run."""
-        return sum(
-            task.job_id == job_id
-            for runs in self._runs.values()
-            for task in runs
-        )
-
-    def fail_all(self, job_id: str) -> None:
-        """Ends all runs of a job."""
-        for runs in self._runs.values():
-            for task, (run, _) in list(runs.items()):
-                if task.job_id == job_id:
-                    runs[task] = (run, self.now_s)
-
-    def _tick(self) -> None:
-        self.now_s += _TICK_S
-        if self._jobs_per_s is None:
-            self._due_jobs = 30.0 - len(self._waiting_jobs())
-        else:
-            self._due_jobs += self._jobs_per_s * _TICK_S
-        while self._due_jobs >= 1.0:
-            self._due_jobs -= 1.0
-            self._submit_small_job()
-        self.engine.tick(self.now_s)
-        for plan in builders.start_all(self.engine, self.now_s):
-            task = plan.task.task_id
-            step = self.engine.jobs[task.job_id].spec.steps[0]
-            ends_s = self.now_s + self._rng.uniform(0.5, 1.5)
-            if step.is_persistent:
-                ends_s = float("inf")
-            runs = self._runs[plan.worker.worker_id]
-            runs[task] = (plan.run, ends_s)
-        for worker_id in self._runs:
-            self._poll(worker_id)
-
-    def _waiting_jobs(self) -> list[str]:
-        return [
-            job_id
-            for job_id, job in self.engine.jobs.items()
-            if job.steps[0, 0].waiting and not job.is_finished
-        ]
-
-    def _submit_small_job(self) -> None:
-        cpu_millis = self._rng.randrange(800, 2200)
-        size = _size(cpu_millis, self._rng.uniform(3, 8))
-        self.submit(next(self._ids), model.StepSpec(8, size, 1000))
-
-    def _poll(self, worker_id: str) -> None:
-        worker = self.engine.workers[worker_id]
-        plan = self.engine.answers.poll_plan(worker, self.now_s)
-        if plan is None:
-            return
-        runs = self._runs[worker_id]
-        ended = []
-        for task, (run, ends_s) in list(runs.items()):
-            if ends_s > self.now_s:
-                continue
-            del runs[task]
-            self._ends[worker_id] += 1
-            self.done += 1
-            ended.append(
-                interfaces.EndedRun(
-                    self._ends[worker_id], task, run, model.EndKind.DONE, ""
-                )
-            )
-        running = [(task, run) for task, (run, _) in runs.items()]
-        self.engine.answers.poll_answered(
-            worker_id,
-            plan,
-            builders.lists(running, ended),
-            self.now_s + 0.01,
-            self.now_s + 0.02,
-        )
-
-
 class FullPoolTest(unittest.TestCase):
     """Small batch tasks take each bit of room that frees up in a full pool."""
 
     def test_persistent_tasks_starve_in_a_full_pool(self) -> None:
         for seed in range(5):
-            for size in (_size(2400, 15), _size(2400, 30), _size(3600, 45)):
+            for size in (
+                full_pool.size(2400, 15),
+                full_pool.size(2400, 30),
+                full_pool.size(3600, 45),
+            ):
                 with self.subTest(seed=seed, size=size):
-                    pool = _Pool(seed)
+                    pool = full_pool.FullPool(seed)
                     pool.run(2.0)
                     pool.submit(
                         _FIRST, model.StepSpec(3, size, is_persistent=True)
@@ -193,10 +74,13 @@
     def test_persistent_fillers_starve_in_a_full_pool(self) -> None:
         for seed in range(5):
             with self.subTest(seed=seed):
-                pool = _Pool(seed)
+                pool = full_pool.FullPool(seed)
                 pool.run(2.0)
                 step = model.StepSpec(
-                    3, _size(2000, 30), is_persistent=True, is_filler=True
+                    3,
+                    full_pool.size(2000, 30),
+                    is_persistent=True,
+                    is_filler=True,
                 )
                 pool.submit(_FIRST, step)
                 pool.run(_PERSISTENT_LIMIT_S)
@@ -205,9 +89,9 @@
     def test_large_batch_tasks_starve_below_the_capacity(self) -> None:
         """The small jobs use four fifths of the pool's processors."""
         for seed in range(3):
-            for size in (_size(10_000, 12), _size(3300, 37)):
+            for size in (full_pool.size(10_000, 12), full_pool.size(3300, 37)):
                 with self.subTest(seed=seed, size=size):
-                    pool = _Pool(seed, jobs_per_s=8.0)
+                    pool = full_pool.FullPool(seed, jobs_per_s=8.0)
                     pool.run(4.0)
                     pool.submit(_FIRST, model.StepSpec(8, size, 1700))
                     pool.run(14.0)
@@ -262,7 +146,7 @@
 
     def setUp(self) -> None:
         self.events: list[tuple[str, dict[str, typing.Any]]] = []
-        team = model.Team("t", 1.0, _size(9000, 64))
+        team = model.Team("t", 1.0, full_pool.size(9000, 64))
         self.engine = builders.create_engine(log=self._log, teams={"t": team})
         for number, estimate_ms in enumerate((3000, 1000, 2000)):
             label = f"only-{number}"
@@ -350,12 +234,14 @@
     def test_expected_room_equals_that_of_the_naive_version(self) -> None:
         for seed in range(300):
             rng = random.Random(seed)
-            free = _size(rng.randrange(0, 3000), rng.randrange(0, 8))
-            size = _size(rng.randrange(0, 9000), rng.randrange(0, 40))
+            free = full_pool.size(rng.randrange(0, 3000), rng.randrange(0, 8))
+            size = full_pool.size(rng.randrange(0, 9000), rng.randrange(0, 40))
             releases = [
                 reservations.Release(
                     10.0 + rng.randrange(10) / 2,
-                    _size(rng.randrange(500, 3000), rng.randrange(1, 9)),
+                    full_pool.size(
+                        rng.randrange(500, 3000), rng.randrange(1, 9)
+                    ),
                 )
                 for _ in range(rng.randrange(8))
             ]
