--- a/foxtaillock/batch/tests/test_look_ahead.py
+++ b/foxtaillock/batch/tests/test_look_ahead.py
@@ -4,7 +4,12 @@
 import unittest
 
 from foxtaillock.batch import engine as engines
+from foxtaillock.batch import job_states
 from foxtaillock.batch import model
+from foxtaillock.batch import owner_state
+from foxtaillock.batch import prior_leases
+from foxtaillock.batch import slow_runs
+from foxtaillock.batch import tasks
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import work_counter
 
@@ -110,6 +115,68 @@
         self.assertEqual(self._reserved(learns=True), "0")
 
 
+class ObservedRunsTest(unittest.TestCase):
+    """Which of the runs that end tell how long the work takes."""
+
+    def setUp(self) -> None:
+        prior = prior_leases.PriorLeases(10.0)
+        self.state = owner_state.OwnerState(
+            1, 10.0, prior, lambda *_, **__: None
+        )
+        self.runs = slow_runs.SlowRuns(self.state)
+
+    def _record(
+        self, number: int, step: model.StepSpec, **fields: float
+    ) -> int:
+        """Records a run of 2 s; returns how many pairs are known by then."""
+        spec = builders.job(f"{number:016x}", step)
+        job = job_states.create_job(spec, 10.0, 10_000)
+        self.state.jobs[spec.job_id] = job
+        worker = builders.create_worker("1")
+        worker.listed_s = 12.0
+        (task,) = job.steps[0, 0].tasks
+        task.worker_id = worker.worker_id
+        task.phase = tasks.TaskPhase.RUNNING
+        task.began_s = 10.0
+        for name, value in fields.items():
+            setattr(task, name, value)
+        self.runs.record_done(task, job.steps[0, 0], worker, 12.0)
+        return len(self.state.run_estimates.snapshot(12.0))
+
+    def test_run_that_started_under_this_owner_is_learned(self) -> None:
+        self.assertEqual(self._record(1, builders.step()), 1)
+        (row,) = self.state.run_estimates.snapshot(12.0)
+        self.assertEqual(row[:3], ("q", 0, 1.0))
+        self.assertAlmostEqual(row.mean_log, 0.693, places=3)
+
+    def test_others_are_not(self) -> None:
+        self.assertEqual(self._record(1, builders.step(is_filler=True)), 0)
+        self.assertEqual(self._record(2, builders.step(is_gang=True)), 0)
+        self.assertEqual(self._record(3, builders.step(), failures=1), 0)
+        unknown = typing.cast(float, None)
+        self.assertEqual(self._record(4, builders.step(), began_s=unknown), 0)
+
+    def test_run_on_a_slow_worker_is_not(self) -> None:
+        self.state.speeds.record_crawl("1", 9.0)
+        self.assertEqual(self._record(1, builders.step()), 0)
+
+
+class PackingTest(unittest.TestCase):
+
+    def test_small_tasks_share_a_worker_and_keep_others_empty(self) -> None:
+        """Each large task needs all of one of four workers."""
+        engine = builders.create_engine(
+            *(builders.entry(str(number)) for number in range(4))
+        )
+        for number in range(8):
+            spec = builders.job(f"{number:016x}", builders.step(cpu=500))
+            engine.submit(spec, (), 10.0, 10_000)
+            self.assertEqual(len(builders.start_all(engine, 10.0)), 1)
+        large = builders.job("f" * 16, builders.step(3, cpu=4000))
+        engine.submit(large, (), 10.0, 10_000)
+        self.assertEqual(len(builders.start_all(engine, 10.0)), 3)
+
+
 class PlanCostTest(unittest.TestCase):
     """Learned ratios must not make the plans of a full pool dearer."""
 
