--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -21,6 +21,7 @@
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import quarantine
 from foxtaillock.batch import records
+from foxtaillock.batch import run_estimates
 from foxtaillock.batch import shares
 from foxtaillock.batch import tasks
 from foxtaillock.batch import tickets
@@ -52,6 +53,7 @@
         quarantine: excludes workers whose runs fail.
         crashes: tells which tasks may have crashed their workers.
         speeds: tells which workers are slow.
+        run_estimates: learned durations of runs.
         team_usage: resources held by the runs of each team.
         accounts: what the runs of each team hold of each pool.
         waiting: steps with waiting tasks, whether they are ready or not.
@@ -103,6 +105,7 @@
         self.teams: Mapping[str, model.Team] = {}
         self.quarantine = quarantine.WorkerQuarantine()
         self.speeds = worker_speed.WorkerSpeeds()
+        self.run_estimates = run_estimates.RunEstimates()
         self.team_usage: dict[str, resources.Resources] = {}
         self.accounts = shares.TeamAccounts(self.pool_members.capacity, log)
         self.waiting: dict[model.StepId, tasks.Step] = {}
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -9,10 +9,12 @@
 import math
 import typing
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+from foxtaillock.batch import backfill
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
@@ -23,6 +25,7 @@
 __all__ = [
     "Release",
     "Reservations",
+    "is_large",
     "overdue_count",
     "room_expected_s",
     "waiting_count",
@@ -63,16 +66,28 @@
 
     Args:
         state: jobs and workers of the owner.
+
+    Attributes:
+        backfills: short tasks on reserved workers.
     """
 
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
         self._holders: dict[str, model.StepId] = {}
+        # When the room for the holder of a worker is expected. It is set with
+        # the reservation and moves only earlier, so that runs that begin
+        # meanwhile don't postpone it.
+        self._expected_s: dict[str, float] = {}
+        self.backfills = backfill.Backfills(state)
 
     def is_holder(self, step_id: model.StepId) -> bool:
         """Returns whether a worker is reserved for a step."""
         return step_id in self._holders.values()
 
+    def holder_ids(self) -> Collection[model.StepId]:
+        """Returns a view of the steps for which workers are reserved."""
+        return self._holders.values()
+
     def open_to(
         self,
         step: tasks.Step,
@@ -99,6 +114,24 @@
         is_for_batch = holder is not None and not holder.spec.is_persistent
         return step.spec.is_persistent and is_for_batch
 
+    def gaps(
+        self, pool_workers: Sequence[workers.Worker], now_s: float
+    ) -> list[backfill.Gap]:
+        """Returns the reserved workers on which short tasks may run."""
+        if not self._holders:
+            return []
+        found = []
+        for worker in pool_workers:
+            worker_id = worker.worker_id
+            if worker_id not in self._holders:
+                continue
+            is_outlived = self.backfills.is_outlived(worker_id, now_s)
+            until_s = self._expected_s[worker_id]
+            holder = self._state.waiting.get(self._holders[worker_id])
+            if now_s < until_s and holder is not None and not is_outlived:
+                found.append(backfill.Gap(worker, holder, until_s))
+        return found
+
     def drop_settled(self) -> None:
         """Drops reservations of steps that wait no more."""
         for worker_id, step_id in list(self._holders.items()):
@@ -133,15 +166,27 @@
         room = self._reservable(step.spec, pool_workers)
         if room <= 0 and not is_holder:
             return
+        considered = pool_workers
+        if room <= 0 or overdue <= len(self._reserved_for(step.step_id)):
+            # Only what is reserved already has to be looked at.
+            considered = [
+                worker
+                for worker in pool_workers
+                if self._holders.get(worker.worker_id) == step.step_id
+            ]
         expected_s = {
             worker.worker_id: room_s
-            for worker in pool_workers
+            for worker in considered
             if is_eligible(worker)
             and placement.may_run(step, worker)
             and (room_s := self._room_expected_s(step, worker, now_s))
             is not None
         }
         self._drop_unneeded(step.step_id, expected_s, overdue)
+        for worker_id in self._reserved_for(step.step_id):
+            self._expected_s[worker_id] = min(
+                self._expected_s[worker_id], expected_s[worker_id]
+            )
         missing = overdue - len(self._reserved_for(step.step_id))
         soonest = sorted(
             (room_s, worker_id)
@@ -150,6 +195,7 @@
         )
         for room_s, worker_id in soonest[: max(0, min(missing, room))]:
             self._holders[worker_id] = step.step_id
+            self._expected_s[worker_id] = room_s
             self._state.log(
                 "worker-reserved",
                 worker=worker_id,
@@ -168,9 +214,9 @@
         spec = candidate.step.spec
         if not pool_workers or spec.is_gang:
             return False
-        is_large = _is_large(spec.held_size, pool_workers[0])
+        is_roomy = is_large(spec.held_size, pool_workers[0])
         if not spec.is_persistent and (
-            candidate.job.is_excess or spec.is_filler or not is_large
+            candidate.job.is_excess or spec.is_filler or not is_roomy
         ):
             return False
         return usage.allows(candidate.job.spec.team, spec.size)
@@ -217,6 +263,7 @@
 
     def _drop(self, worker_id: str, reason: str) -> None:
         step_id = self._holders.pop(worker_id)
+        del self._expected_s[worker_id]
         self._state.log(
             "reservation-over", worker=worker_id, step=step_id, reason=reason
         )
@@ -231,9 +278,28 @@
                 yield Release(now_s + _STOP_S, step.spec.held_size)
             elif not step.spec.is_persistent:
                 yield Release(
-                    _expected_end_s(task, step, now_s), step.spec.held_size
+                    self._expected_end_s(task, step, now_s),
+                    step.spec.held_size,
                 )
 
+    def _expected_end_s(
+        self, task: tasks.Task, step: tasks.Step, now_s: float
+    ) -> float:
+        """Returns when a run is expected to end.
+
+        The runs of its own step tell more than those of other jobs, and these
+        more than the submitter's estimate.
+        """
+        began_s = now_s if task.began_s is None else task.began_s
+        expected_s = step.typical_s
+        if expected_s is None:
+            queue = self._state.jobs[step.step_id.job_id].spec.queue
+            expected_s = self._state.run_estimates.expected_s(
+                queue, step.step_id.step, step.spec.estimate_ms
+            )
+        overrun_s = _OVERRUN_FRACTION * (now_s - began_s)
+        return max(began_s + expected_s, now_s + overrun_s)
+
 
 def room_expected_s(
     free: resources.Resources,
@@ -260,13 +326,6 @@
     return None
 
 
-def _expected_end_s(task: tasks.Task, step: tasks.Step, now_s: float) -> float:
-    began_s = now_s if task.began_s is None else task.began_s
-    expected_s = step.typical_s or step.spec.estimate_ms / 1000
-    overrun_s = _OVERRUN_FRACTION * (now_s - began_s)
-    return max(began_s + expected_s, now_s + overrun_s)
-
-
 def overdue_count(step: tasks.Step, now_s: float) -> int:
     """Returns how many tasks of a step have waited for too long."""
     if step.spec.is_persistent:
@@ -287,7 +346,7 @@
     )
 
 
-def _is_large(size: resources.Resources, worker: workers.Worker) -> bool:
+def is_large(size: resources.Resources, worker: workers.Worker) -> bool:
     """Returns whether a task needs a large part of a worker."""
     return any(
         wanted > _LARGE_FRACTION * capacity
