--- a/foxtaillock/batch/tests/test_evacuated_workers.py
+++ b/foxtaillock/batch/tests/test_evacuated_workers.py
@@ -184,9 +184,10 @@
             (worker_id,) = self._stops(engine, now_s)
             self.assertEqual(self._stops(engine, now_s + 0.01), [])
             self._confirm(engine, worker_id, now_s + 0.1)
-            (start,) = builders.start_all(engine, now_s + 0.2)
+            starts = builders.start_all(engine, now_s + 0.2)
             moved.append(worker_id)
-            self.assertIn(start.worker.entry.zone, "ac")
+            self.assertEqual(len(starts), 1)
+            self.assertIn(starts[0].worker.entry.zone, "ac")
             for later_s in (now_s + 0.3, now_s + 0.6):
                 _poll_all(engine, later_s)
         self.assertEqual(sorted(moved), ["b1", "b2"])
