Batch: learned run times and rhythms outlive their owner

A new owner started without either: it judged lateness by the submitters' estimates and moved VMs without a forecast of the next peak until it had learned both anew. The record of the scheduling state carries them, with the height of each pool's last peak; a later onset is worth a record.

--- a/foxtaillock/batch/demand_rhythm.py
+++ b/foxtaillock/batch/demand_rhythm.py
@@ -16,33 +16,16 @@
 
 from foxtaillock.batch import demand
 from foxtaillock.batch import pool_peaks
+from foxtaillock.batch import records
 from foxtaillock.batch import recurrence
 
-__all__ = ["DemandRhythm", "Event", "RhythmRow"]
+__all__ = ["DemandRhythm", "Event"]
 
 
 # Turns overlap if peaks last longer than this multiple of their interval.
 _OVERLAP_RATIO = 1.5
 
 
-class RhythmRow(typing.NamedTuple):
-    """What is known of one pool's peaks, as it goes to a new owner.
-
-    Attributes:
-        pool: the pool.
-        period_s: time between two of its peaks; 0 if not known.
-        length_s: length of its last peak; 0 if not known.
-        onset_age_s: time since the onset of its last peak.
-        hits: predictions of its onset that were right.
-    """
-
-    pool: str
-    period_s: float
-    length_s: float
-    onset_age_s: float
-    hits: int
-
-
 class Event(typing.NamedTuple):
     """Change of what is expected, for the log.
 
@@ -168,22 +151,23 @@
         events, self._events = self._events, []
         return events
 
-    def snapshot(self, now_s: float) -> list[RhythmRow]:
+    def snapshot(self, now_s: float) -> list[records.PoolRhythm]:
         """Returns what a new owner needs to continue."""
         return [
-            RhythmRow(
+            records.PoolRhythm(
                 pool,
                 peaks.beat.interval_s,
                 peaks.length_s,
                 now_s - peaks.onset_s,
                 peaks.beat.hits,
+                int(peaks.height),
             )
             for pool, peaks in sorted(self._peaks.items())
             if peaks.onset_s > float("-inf")
         ]
 
     def restore(
-        self, rows: Iterable[RhythmRow], age_s: float, now_s: float
+        self, rows: Iterable[records.PoolRhythm], age_s: float, now_s: float
     ) -> None:
         """Continues from an earlier owner's snapshot.
 
@@ -197,7 +181,7 @@
         for row in sorted(rows, key=lambda row: -row.onset_age_s):
             onset_s = now_s - age_s - row.onset_age_s
             peaks = self._peaks.setdefault(row.pool, pool_peaks.PoolPeaks())
-            peaks.resume(onset_s, row.length_s)
+            peaks.resume(onset_s, row.length_s, row.height_millis)
             peaks.beat.restore(onset_s, row.period_s, row.hits)
             peaks.beat.skip(now_s)
             self._note_turn(row.pool, onset_s, ())
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -89,7 +89,12 @@
         self.answers = worker_answers.WorkerAnswers(self._state)
         self.vms = vm_coordinator.VmCoordinator(self._state)
         self.scheduling = scheduling_state.SchedulingStateKeeper(
-            epoch, {"team_usage": self._state.accounts}, log
+            epoch,
+            {
+                "team_usage": self._state.accounts,
+                "run_estimates": self._state.run_estimates,
+            },
+            log,
         )
         self._slow_runs = slow_runs.SlowRuns(self._state)
         self._planner = planner.Planner(self._state, self._slow_runs)
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -113,6 +113,9 @@
             self._on_wave_progress,
             self._wake.set,
         )
+        self.engine.scheduling.add_provider(
+            "rhythms", self._vm_order_controller.rhythm
+        )
         self._pending_wave_progress: dict[int, records.WaveProgress] = {}
         self._restoration: restored_jobs.Restoration | None = None
         self._heartbeat = 0
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -113,7 +113,7 @@
             if backfill_tries and candidate.step.waiting:
                 # Which of the steps of one shape fit also depends on how long
                 # their runs take.
-                gaps = gaps_by_pool.get(candidate.queue.pool, ())
+                gaps = gaps_by_pool.get(candidate.queue.pool, [])
                 backfill_tries -= bool(gaps)
                 starts += self._backfill(candidate, gaps, usage, now_s)
 
--- a/foxtaillock/batch/pool_peaks.py
+++ b/foxtaillock/batch/pool_peaks.py
@@ -56,13 +56,14 @@
         self._samples = 0
         self._is_resumed = False
 
-    def resume(self, onset_s: float, length_s: float) -> None:
+    def resume(self, onset_s: float, length_s: float, height: float) -> None:
         """Continues from what an earlier owner knew.
 
         A peak that goes on at the first sample has begun before.
         """
         self.onset_s = onset_s
         self.length_s = max(0.0, length_s)
+        self.height = max(0.0, height)
         self.has_demand = True
         self._is_resumed = True
 
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -268,14 +268,14 @@
     Attributes:
         queue: queue of the jobs.
         step: number of the step.
-        samples: number of runs that it was learned from.
+        samples: weight of the runs that it was learned from.
         log_mean: mean of the ratio's logarithm.
         log_deviation: deviation of the ratio's logarithm.
     """
 
     queue: str
     step: int
-    samples: int
+    samples: float
     log_mean: float
     log_deviation: float
 
@@ -289,6 +289,8 @@
         length_s: length of a peak.
         onset_age_s: time from the latest onset to the writing of the record.
         hits: number of predictions that were right.
+        height_millis: mean demand of the latest peak that has ended, in
+            thousandths of a processor; 0 if there was none.
     """
 
     pool: str
@@ -296,6 +298,7 @@
     length_s: float
     onset_age_s: float
     hits: int
+    height_millis: int = 0
 
 
 class SchedulingState(typing.NamedTuple):
--- a/foxtaillock/batch/run_estimates.py
+++ b/foxtaillock/batch/run_estimates.py
@@ -16,9 +16,10 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from foxtaillock.batch import records
 from foxtaillock.model import moving_average
 
-__all__ = ["MAX_PAIRS", "NO_RATIOS", "EstimateRow", "RunEstimates"]
+__all__ = ["MAX_PAIRS", "NO_RATIOS", "RunEstimates"]
 
 # Pairs of queue and step that are kept, the most recently observed ones.
 MAX_PAIRS = 256
@@ -50,24 +51,6 @@
 _Pair = tuple[str, int]
 
 
-class EstimateRow(typing.NamedTuple):
-    """What was learned for one step number of a queue.
-
-    Attributes:
-        queue: name of the queue.
-        step: number of the step.
-        samples: weight of the observed runs.
-        mean_log: mean of the logarithm of duration over estimate.
-        deviation_log: its standard deviation.
-    """
-
-    queue: str
-    step: int
-    samples: float
-    mean_log: float
-    deviation_log: float
-
-
 @dataclasses.dataclass(slots=True)
 class _Learned:
     mean: moving_average.MovingAverage
@@ -159,10 +142,10 @@
         learned.add(log_ratio, now_s)
         self._keep(pair, learned)
 
-    def snapshot(self, now_s: float) -> list[EstimateRow]:
+    def snapshot(self, now_s: float) -> list[records.RunEstimate]:
         """Returns what was learned, the least recently observed pair first."""
         return [
-            EstimateRow(
+            records.RunEstimate(
                 *pair,
                 learned.samples_at(now_s),
                 learned.mean.value,
@@ -172,7 +155,7 @@
         ]
 
     def restore(
-        self, rows: Iterable[EstimateRow], age_s: float, now_s: float
+        self, rows: Iterable[records.RunEstimate], age_s: float, now_s: float
     ) -> None:
         """Applies the snapshot of an earlier owner.
 
@@ -244,7 +227,7 @@
 
 
 def _aged(samples: float, age_s: float) -> float:
-    return samples * 0.5 ** (age_s / _HALF_LIFE_S)
+    return samples * math.pow(0.5, age_s / _HALF_LIFE_S)
 
 
 def _clip(log_ratio: float) -> float:
--- a/foxtaillock/batch/scheduling_state.py
+++ b/foxtaillock/batch/scheduling_state.py
@@ -89,11 +89,15 @@
         log: decision_log.LogFunction,
     ) -> None:
         self._epoch = epoch
-        self._providers = providers
+        self._providers = dict(providers)
         self._log = log
         self._written: dict[str, dict[_Key, _Row]] = {}
         self._due_s = float("-inf")
 
+    def add_provider(self, field: str, provider: Provider) -> None:
+        """Adds the provider of a field, before anything is restored."""
+        self._providers[field] = provider
+
     def due_record(
         self, now_s: float, now_ms: int
     ) -> records.SchedulingState | None:
@@ -212,7 +216,9 @@
     row: records.PoolRhythm, before: records.PoolRhythm
 ) -> bool:
     return (
-        row.hits != before.hits
+        # A later onset has come.
+        row.onset_age_s < before.onset_age_s
+        or row.hits != before.hits
         or abs(row.period_s - before.period_s) >= _TIME_CHANGE_S
         or abs(row.length_s - before.length_s) >= _TIME_CHANGE_S
     )
@@ -220,7 +226,6 @@
 
 _FIELDS = {
     "team_usage": _Field(2, lambda row: row.share, _share_changed),
-    # The provider tells the most recently used ones first.
-    "run_estimates": _Field(2, lambda _: 0.0, _estimate_changed),
+    "run_estimates": _Field(2, lambda row: row.samples, _estimate_changed),
     "rhythms": _Field(1, lambda row: row.hits, _rhythm_changed),
 }
--- a/foxtaillock/batch/tests/test_backfill.py
+++ b/foxtaillock/batch/tests/test_backfill.py
@@ -10,6 +10,7 @@
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
+from foxtaillock.batch import records
 from foxtaillock.batch import run_estimates
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import full_pool
@@ -24,11 +25,11 @@
 _LONG_S = 3.0
 
 
-def _learned(short: float = 0.2) -> list[run_estimates.EstimateRow]:
+def _learned(short: float = 0.2) -> list[records.RunEstimate]:
     """Returns ratios at which a long run takes 3 s and a short one 0.2 s."""
     return [
-        run_estimates.EstimateRow("long", 0, 40.0, math.log(_LONG_S), 0.01),
-        run_estimates.EstimateRow("short", 0, 40.0, math.log(short), 0.01),
+        records.RunEstimate("long", 0, 40.0, math.log(_LONG_S), 0.01),
+        records.RunEstimate("short", 0, 40.0, math.log(short), 0.01),
     ]
 
 
@@ -41,7 +42,7 @@
         self._ends = 0
         self._numbers = 0
 
-    def _create(self, rows: list[run_estimates.EstimateRow]) -> engines.Engine:
+    def _create(self, rows: list[records.RunEstimate]) -> engines.Engine:
         engine = builders.create_engine(builders.entry("1"), log=self._log)
         queues = {name: builders.queue(name) for name in _QUEUES}
         pools = {"pool": model.Pool("pool", False, False)}
--- a/foxtaillock/batch/tests/test_look_ahead.py
+++ b/foxtaillock/batch/tests/test_look_ahead.py
@@ -147,7 +147,7 @@
         self.assertEqual(self._record(1, builders.step()), 1)
         (row,) = self.state.run_estimates.snapshot(12.0)
         self.assertEqual(row[:3], ("q", 0, 1.0))
-        self.assertAlmostEqual(row.mean_log, 0.693, places=3)
+        self.assertAlmostEqual(row.log_mean, 0.693, places=3)
 
     def test_others_are_not(self) -> None:
         self.assertEqual(self._record(1, builders.step(is_filler=True)), 0)
--- a/foxtaillock/batch/tests/test_run_estimates.py
+++ b/foxtaillock/batch/tests/test_run_estimates.py
@@ -5,7 +5,9 @@
 import random
 import statistics
 import unittest
+from collections.abc import Mapping
 
+from foxtaillock.batch import records
 from foxtaillock.batch import run_estimates
 
 
@@ -79,7 +81,7 @@
         """What is computed from it must not be computed for each run."""
         rng = random.Random(3)
         learned = run_estimates.RunEstimates()
-        seen = []
+        seen: list[Mapping[int, float]] = []
         for _ in range(2000):
             duration_s = 1.6 * math.exp(rng.gauss(0.0, 0.2))
             learned.observe("q", 0, 1000, duration_s, 10.0)
@@ -126,7 +128,7 @@
     def test_rows_that_cannot_be_true_are_left_out(self) -> None:
         nan, inf = float("nan"), float("inf")
         rows = [
-            run_estimates.EstimateRow("q", number, *values)
+            records.RunEstimate("q", number, *values)
             for number, values in enumerate(
                 (
                     (nan, 0.0, 0.1),
--- a/foxtaillock/batch/tests/test_scheduling_state.py
+++ b/foxtaillock/batch/tests/test_scheduling_state.py
@@ -94,6 +94,7 @@
             (estimate._replace(log_deviation=0.5), rhythm),
             (estimate, rhythm._replace(hits=0)),
             (estimate, rhythm._replace(period_s=31.0)),
+            (estimate, rhythm._replace(onset_age_s=0.5)),
         )
         for rows in (steady, *changed):
             estimates, rhythms = _Provider(estimate), _Provider(rhythm)
