--- a/foxtaillock/platform/tests/entry_process.py
+++ b/foxtaillock/platform/tests/entry_process.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import typing
+from collections.abc import Sequence
 
 import aiohttp
 
@@ -25,14 +26,36 @@
 
     Attributes:
         callers_port: port for the calls of submitters.
+        readiness_port: port for the readiness probes.
+        metrics_port: port at which metrics are served; in the assigned range
+            of ports, the fourth one.
     """
 
     def __init__(
-        self, process: typing.Any, callers_port: int, folder: pathlib.Path
+        self, process: typing.Any, ports: list[int], folder: pathlib.Path
     ) -> None:
         self._process = process
         self._folder = folder
-        self.callers_port = callers_port
+        self.callers_port, self.readiness_port, self.metrics_port = ports
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.returncode is None
+
+    def memory_kb(self, field: str) -> int:
+        """Returns a field of `/proc/PID/status`, for example `VmHWM`."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text(
+            encoding="ascii"
+        )
+        (line,) = [
+            line for line in status.splitlines() if line.startswith(field + ":")
+        ]
+        return int(line.split()[1])
+
+    def descriptors(self) -> int:
+        """Returns the number of open descriptors."""
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
@@ -56,9 +79,17 @@
 
 
 async def start(
-    platform: fake_platform.FakePlatform, grace_s: float
+    platform: fake_platform.FakePlatform,
+    grace_s: float,
+    extra_settings: Sequence[str] = (),
 ) -> EntryProcess:
-    """Starts an entry VM with an open queue and waits until it is ready."""
+    """Starts an entry VM with an open queue and waits until it is ready.
+
+    Args:
+        platform: the platform that the VM runs on.
+        grace_s: time between SIGTERM and SIGKILL.
+        extra_settings: further lines of the settings file.
+    """
     platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
     callers, readiness, metrics = processes.free_ports(3)
     folder = pathlib.Path(tempfile.mkdtemp())
@@ -68,9 +99,10 @@
         "zone=z",
         f"listen.front=127.0.0.1:{callers}",
         f"listen.readiness=127.0.0.1:{readiness}",
-        f"internal_ports={metrics},{metrics + 9}",
+        f"internal_ports={metrics - 3},{metrics + 6}",
         f"platform.address={platform.address}",
         f"bounds.grace_s={grace_s}",
+        *extra_settings,
     ]
     settings.write_text("\n".join(lines), encoding="utf-8")
     process = await asyncio.create_subprocess_exec(
@@ -80,7 +112,7 @@
         stdout=asyncio.subprocess.DEVNULL,
         env={**os.environ, "FOXTAILLOCK_SETTINGS": str(settings)},
     )
-    started = EntryProcess(process, callers, folder)
+    started = EntryProcess(process, [callers, readiness, metrics], folder)
     try:
         await _until_ready(readiness)
     except TimeoutError:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,6 +2,10 @@
 
 Tests listed in `KNOWN-RED.txt` run like all others. Their failures are printed
 but don't change the exit code.
+
+A module with the line `RUNS_ALONE = True` runs after all others and beside
+none: its tests open hundreds of connections, which would delay the tests of
+other modules.
 """
 
 import concurrent.futures
@@ -9,6 +13,7 @@
 import io
 import os
 import pathlib
+import re
 import sys
 import tempfile
 import time
@@ -30,6 +35,9 @@
 )
 
 
+_RUNS_ALONE = re.compile(r"^RUNS_ALONE = True$", re.MULTILINE)
+
+
 class ModuleResult(typing.NamedTuple):
     """Result of one test module.
 
@@ -86,6 +94,14 @@
     return name.startswith(_SLOW_PACKAGES)
 
 
+def runs_alone(module: str) -> bool:
+    """Returns whether a module declares that it runs beside no other."""
+    path = _ROOT.joinpath(*module.split(".")).with_suffix(".py")
+    return path.exists() and bool(
+        _RUNS_ALONE.search(path.read_text(encoding="utf-8"))
+    )
+
+
 def read_known_failures() -> set[str]:
     """Returns the ids of the tests that `KNOWN-RED.txt` lists."""
     if not _KNOWN_FAILURES_PATH.exists():
@@ -140,6 +156,13 @@
             os.close(original)
 
 
+def _run_modules(modules: list[str], processes: int) -> list[ModuleResult]:
+    with concurrent.futures.ProcessPoolExecutor(
+        processes, max_tasks_per_child=1
+    ) as executor:
+        return list(executor.map(run_module, modules))
+
+
 def main(arguments: list[str]) -> int:
     """Runs the named test modules, or all of them.
 
@@ -149,10 +172,9 @@
     os.environ.setdefault("LOGURU_AUTOINIT", "False")
     modules = arguments or find_modules()
     known_failures = read_known_failures()
-    with concurrent.futures.ProcessPoolExecutor(
-        _PROCESSES, max_tasks_per_child=1
-    ) as executor:
-        results = list(executor.map(run_module, modules))
+    alone = [module for module in modules if runs_alone(module)]
+    others = [module for module in modules if module not in alone]
+    results = _run_modules(others, _PROCESSES) + _run_modules(alone, 1)
     passed = sum(len(result.passed) for result in results)
     failures = [failure for result in results for failure in result.failed]
     skipped = [name for result in results for name in result.skipped]
