Platform: limits for what clients without a complete request hold

Cause: the HTTP library holds each part of an incomplete request as an object of its own, reads 256 KB of each connection at a time, skips empty lines without end and has no limit for connections. Bodies that grow side by side also fragment the allocator's heap. The keep-alive time of 75 s was given to the runner, which ignores it.

Change: a budget for the bytes of requests and one for connections, derived from limits.memory_mb and limits.max_fds, decide which connection to close (foxtaillock/batch/request_budget.py). A guarded server parses a head once it is complete, gives the parser one request at a time, and reads less of each connection the more requests are incomplete. Probes and metrics have connections of their own. A body in chunks is now refused at max_body_bytes, like one with a length. Malformed requests write a structured log line instead of a trace.

--- a/foxtaillock/batch/metrics.py
+++ b/foxtaillock/batch/metrics.py
@@ -22,6 +22,8 @@
         order_latency: latency of orders to workers, by order and outcome.
         job_duration: time from acceptance to the end of a job, by state.
         decisions: number of decisions, by event.
+        closed_connections: connections of clients that exceeded a limit, by
+            reason.
     """
 
     def __init__(self) -> None:
@@ -54,6 +56,12 @@
             ("event",),
             registry=self.registry,
         )
+        self.closed_connections = prometheus_client.Counter(
+            "foxtaillock_closed_connections",
+            "Connections that were closed because of a limit",
+            ("reason",),
+            registry=self.registry,
+        )
 
     def add_gauge(
         self, name: str, help_text: str, read: Callable[[], float]
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -102,7 +102,7 @@
         create_services(settings, clients, clock, log, metrics),
     )
     server = http_server.HttpServer(
-        node.call_handler, lambda: node.is_ready, clock, metrics
+        node.call_handler, lambda: node.is_ready, clock, metrics, log
     )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -111,10 +111,16 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, path, log)
     try:
         node.start()
-        await server.listen(settings.readiness, server.serve_readiness)
-        await server.listen(settings.callers, server.serve_call)
+        await server.listen(
+            settings.readiness, server.serve_readiness, settings.probe_limits
+        )
+        await server.listen(
+            settings.callers, server.serve_call, settings.call_limits
+        )
         try:
-            await server.listen(settings.metrics, server.serve_metrics)
+            await server.listen(
+                settings.metrics, server.serve_metrics, settings.probe_limits
+            )
         except OSError as error:
             log("metrics-not-served", error=str(error))
         log("started", incarnation=incarnation, zone=settings.zone)
--- /dev/null
+++ b/foxtaillock/platform/guarded_server.py
@@ -0,0 +1,389 @@
+"""HTTP server of one endpoint that limits what its clients hold.
+
+It answers the load of abusive clients. The HTTP library's server keeps each
+part of an incomplete request as an object of its own, skips empty lines without
+end, reads up to 256 KB of a connection at a time and reads ahead while a
+request is being served. Here a head is held in one buffer and parsed once it is
+complete, at most one request of a connection is with the parser, reads are
+small and share one buffer, and a budget decides which connections to close.
+"""
+
+import asyncio
+import select
+import traceback
+import typing
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from aiohttp import http
+from aiohttp import http_exceptions
+from aiohttp import web
+
+from foxtaillock.batch import metrics as batch_metrics
+from foxtaillock.batch import request_budget
+from foxtaillock.model import clock as model_clock
+
+__all__ = ["Guard", "GuardedServer", "has_unread_bytes"]
+
+# Bytes that one read of a socket returns. All connections that can be read are
+# read in one turn of the event loop. Reads of a crowd are smaller, so that a
+# turn with chunks of one byte does not delay the calls to the store.
+_MAX_READ_BYTES = 8 * 1024
+_MIN_READ_BYTES = 256
+_READ_BYTES_PER_TURN = 256 * 1024
+
+# Bytes and chunks that the HTTP library holds of a body before it stops to
+# parse: twice the bytes, and a sixteenth as many chunks.
+_BODY_BUFFER_BYTES = 4 * 1024
+
+# Memory of an incomplete request besides its bytes.
+_REQUEST_BYTES = 16 * 1024
+
+# Bytes that are read behind a complete request before it has been answered.
+_READ_AHEAD_BYTES = 8 * 1024
+
+_KEEPALIVE_S = 75.0
+_LINE_END = b"\r\n"
+
+# Idle connections with unread bytes that are passed over to find one without.
+_MAX_KEPT = 8
+
+# Interval between two log lines for the same reason.
+_LOG_INTERVAL_S = 1.0
+
+
+class Guard:
+    """Closes the connections of one endpoint that exceed its limits.
+
+    Args:
+        limits: limits of the endpoint.
+        clock: source of time.
+        log: structured log.
+        metrics: metrics of this process.
+    """
+
+    def __init__(
+        self,
+        limits: request_budget.Limits,
+        clock: model_clock.Clock,
+        log: Callable[..., None],
+        metrics: batch_metrics.Metrics,
+    ) -> None:
+        self.log = log
+        self.budget = request_budget.RequestBudget(limits)
+        self._read_buffer = memoryview(bytearray(_MAX_READ_BYTES))
+        self._clock = clock
+        self._metrics = metrics
+        # Time of the latest log line and closings since then, by reason.
+        self._logged_s: dict[request_budget.Reason, float] = {}
+        self._not_logged: dict[request_budget.Reason, int] = {}
+
+    @property
+    def read_buffer(self) -> memoryview:
+        """Buffer for the next read, which all connections share."""
+        size = _READ_BYTES_PER_TURN // (self.budget.incomplete + 1)
+        return self._read_buffer[: max(_MIN_READ_BYTES, size)]
+
+    def take_read(self, size: int) -> memoryview:
+        """Returns the bytes of the latest read."""
+        return self._read_buffer[:size]
+
+    def open(self, connection: "_Connection") -> None:
+        """Adds a connection; closes one if there are too many."""
+        self.budget.open(connection, self._clock.monotonic_s())
+        self._close_excess()
+
+    def update(
+        self,
+        connection: "_Connection",
+        phase: request_budget.Phase,
+        held_bytes: int,
+    ) -> None:
+        """Sets the state of a connection; closes some to keep the budget."""
+        now_s = self._clock.monotonic_s()
+        self.budget.update(connection, phase, held_bytes, now_s)
+        self._close_excess()
+
+    def close(
+        self, connection: "_Connection", reason: request_budget.Reason
+    ) -> None:
+        """Closes a connection at once."""
+        self.budget.close(connection)
+        connection.abort()
+        self._metrics.closed_connections.labels(reason.value).inc()
+        count = self._not_logged.get(reason, 0) + 1
+        now_s = self._clock.monotonic_s()
+        logged_s = self._logged_s.get(reason)
+        if logged_s is not None and now_s - logged_s < _LOG_INTERVAL_S:
+            self._not_logged[reason] = count
+            return
+        self._logged_s[reason] = now_s
+        self._not_logged[reason] = 0
+        self.log(
+            "connection-closed",
+            reason=reason.value,
+            count=count,
+            connections=self.budget.connections,
+            held_bytes=self.budget.held_bytes,
+        )
+
+    def close_overdue(self, now_s: float) -> None:
+        """Closes the connections whose head or body takes too long."""
+        for connection, reason in self.budget.overdue(now_s):
+            if not connection.has_unread_bytes:
+                self.close(connection, reason)
+
+    def _close_excess(self) -> None:
+        kept = 0
+        now_s = self._clock.monotonic_s()
+        while (closing := self.budget.excess(now_s)) is not None:
+            connection = closing.key
+            if (
+                connection.is_idle
+                and kept < _MAX_KEPT
+                and connection.has_unread_bytes
+            ):
+                kept += 1
+                self.budget.keep(connection, now_s)
+                continue
+            self.close(connection, closing.reason)
+
+
+class GuardedServer(web.Server):
+    """Server whose connections are guarded.
+
+    Args:
+        handler: handles the requests.
+        guard: guard of the endpoint.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], typing.Any],
+        guard: Guard,
+    ) -> None:
+        super().__init__(handler)
+        self._guard = guard
+
+    def __call__(self) -> web.RequestHandler:
+        return _Connection(self, self._guard)
+
+
+class _Connection(web.RequestHandler, asyncio.BufferedProtocol):
+    """One connection.
+
+    Args:
+        server: its server.
+        guard: guard of the endpoint.
+
+    Attributes:
+        is_idle: whether no part of a request has arrived since the latest
+            answer.
+    """
+
+    def __init__(self, server: GuardedServer, guard: Guard) -> None:
+        head_bytes = guard.budget.limits.head_bytes
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=_KEEPALIVE_S,
+            access_log=None,  # type: ignore[arg-type]
+            max_line_size=head_bytes,
+            max_field_size=head_bytes,
+            read_bufsize=_BODY_BUFFER_BYTES,
+        )
+        self.is_idle = True
+        self._guard = guard
+        # Bytes that the parser has not got: a part of a head, or what was read
+        # behind a complete request.
+        self._unparsed = bytearray()
+        # Bytes of the current head that are not in `_unparsed`.
+        self._head_bytes = 0
+        # Position in `_unparsed` before which no head ends.
+        self._searched = 0
+        self._payload: typing.Any = None
+        # Bytes of the body that are still to come; None if it has no length.
+        self._body_rest: int | None = None
+        self._is_serving = False
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes or the end of the connection wait to be read."""
+        transport = self.transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and has_unread_bytes(transport)
+        )
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._guard.open(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._guard.budget.close(self)
+        self._unparsed.clear()
+        super().connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read, which all connections share."""
+        del sizehint
+        return self._guard.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Takes the bytes that a read returned."""
+        self._unparsed += self._guard.take_read(nbytes)
+        self._advance()
+
+    def log_exception(self, *args: typing.Any, **kw: typing.Any) -> None:
+        """Logs a malformed request, or a fault of the program."""
+        error = kw.get("exc_info")
+        if isinstance(error, http_exceptions.HttpProcessingError):
+            self._guard.log("request-malformed", error=type(error).__name__)
+            return
+        if isinstance(error, ConnectionError):
+            return
+        trace = (
+            "".join(traceback.format_exception(error))
+            if isinstance(error, BaseException)
+            else str(args[0])
+        )
+        self._guard.log("internal-error", work="http-request", trace=trace)
+
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[
+            [web.BaseRequest], Awaitable[web.StreamResponse]
+        ],
+    ) -> tuple[web.StreamResponse, bool]:
+        try:
+            return await super()._handle_request(
+                request, start_time, request_handler
+            )
+        finally:
+            self._is_serving = False
+            # What was read ahead may be a complete request, which is not to be
+            # closed, so the state is reported once it is parsed.
+            if self._unparsed:
+                self._loop.call_soon(self._advance)
+            else:
+                self._report()
+
+    def _is_body_incomplete(self) -> bool:
+        return self._payload is not None and not self._payload.is_eof()
+
+    def _advance(self) -> None:
+        """Passes on to the parser what it may get now."""
+        while self._unparsed and self._is_open():
+            if self._is_body_incomplete():
+                has_passed = self._feed_body()
+            elif self._is_serving:
+                has_passed = False
+            else:
+                has_passed = self._feed_head()
+            if not has_passed:
+                break
+        if self._is_serving and len(self._unparsed) > _READ_AHEAD_BYTES:
+            self._pause_reading_for_buffer()
+        if self._is_open():
+            self._report()
+
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _feed_body(self) -> bool:
+        """Passes a part of the body on; returns whether there was one."""
+        size = len(self._unparsed)
+        if self._body_rest is not None:
+            size = min(size, self._body_rest)
+            self._body_rest -= size
+        self._feed(size)
+        return size > 0
+
+    def _feed_head(self) -> bool:
+        """Passes a complete head on; returns whether there was one."""
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+        unparsed = self._unparsed
+        if unparsed[:1] in _LINE_END:
+            empty_bytes = len(unparsed) - len(unparsed.lstrip(_LINE_END))
+            del unparsed[:empty_bytes]
+            self._head_bytes += empty_bytes
+        end = _find_head_end(unparsed, self._searched)
+        head_bytes = len(unparsed) if end is None else end
+        if self._head_bytes + head_bytes > self._guard.budget.limits.head_bytes:
+            self._guard.close(self, request_budget.Reason.HEAD_TOO_LARGE)
+            return False
+        if end is None:
+            self._searched = max(0, len(unparsed) - len(_LINE_END))
+            return False
+        self._searched = 0
+        self._head_bytes += end
+        self._feed(end)
+        return True
+
+    def _feed(self, size: int) -> None:
+        data = bytes(self._unparsed[:size])
+        del self._unparsed[:size]
+        count = self._request_count
+        self.data_received(data)
+        if self._request_count == count:
+            return
+        message, payload = self._messages[-1]
+        self._payload = payload
+        self._is_serving = True
+        self._head_bytes = 0
+        self._body_rest = None
+        if isinstance(message, http.RawRequestMessage) and not payload.is_eof():
+            payload.on_eof(self._on_body_end)
+            length = message.headers.get("Content-Length", "")
+            if not message.chunked and length.isdecimal():
+                self._body_rest = int(length)
+
+    def _on_body_end(self) -> None:
+        # The parser calls this while it parses, so it can't be called here.
+        if not self._is_serving:
+            self._loop.call_soon(self._advance)
+        self._report()
+
+    def _report(self) -> None:
+        """Tells the guard what this connection does and holds."""
+        held_bytes = _REQUEST_BYTES + len(self._unparsed)
+        if self._is_serving and self._payload is not None:
+            held_bytes += self._payload.total_bytes
+        if self._is_body_incomplete():
+            phase = request_budget.Phase.BODY
+        elif self._is_serving:
+            phase = request_budget.Phase.COMPLETE
+        elif self._unparsed:
+            phase = request_budget.Phase.HEAD
+        else:
+            phase = request_budget.Phase.IDLE
+            held_bytes = 0
+        self.is_idle = phase is request_budget.Phase.IDLE
+        self._guard.update(self, phase, held_bytes)
+
+
+def _find_head_end(data: bytearray, searched: int) -> int | None:
+    """Returns the position behind the first empty line, if there is one."""
+    position = data.find(b"\n", searched)
+    while position >= 0:
+        for line_end in (b"\n", b"\r\n"):
+            if data.startswith(line_end, position + 1):
+                return position + 1 + len(line_end)
+        position = data.find(b"\n", position + 1)
+    return None
+
+
+def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether bytes or the end of a connection wait to be read."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/foxtaillock/platform/http_server.py
+++ b/foxtaillock/platform/http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import math
-import select
+import socket
 import typing
 from collections.abc import Callable
 
@@ -12,8 +12,11 @@
 from foxtaillock.batch import call_handler
 from foxtaillock.batch import metrics as batch_metrics
 from foxtaillock.batch import outcomes
+from foxtaillock.batch import request_budget
 from foxtaillock.model import clock as model_clock
+from foxtaillock.platform import body_buffer
 from foxtaillock.platform import call_codec
+from foxtaillock.platform import guarded_server
 from foxtaillock.platform import settings as platform_settings
 
 __all__ = ["HttpServer"]
@@ -21,8 +24,17 @@
 _BEARER_PREFIX = "Bearer "
 _READINESS_PATH = "/-/readiness"
 _METRICS_PATH = "/metrics"
-_KEEPALIVE_S = 75.0
 _BACKLOG = 512
+
+# Share of an endpoint's connections that are accepted at a time, before the
+# first of them is counted.
+_ACCEPT_SHARE = 1 / 16
+
+# Interval at which slow requests are looked for.
+_SWEEP_INTERVAL_S = 1.0
+
+# Largest body while the configuration is not known.
+_MAX_BODY_BYTES = 1024 * 1024
 _DRAIN_INTERVAL_S = 0.05
 
 # Retry interval when another entry VM can serve the call.
@@ -41,6 +53,7 @@
         is_ready: returns whether this VM should get new connections.
         clock: source of time.
         metrics: metrics of this process.
+        log: structured log.
     """
 
     def __init__(
@@ -49,44 +62,76 @@
         is_ready: Callable[[], bool],
         clock: model_clock.Clock,
         metrics: batch_metrics.Metrics,
+        log: Callable[..., None],
     ) -> None:
         self._call_handler = handler
         self._is_ready = is_ready
         self._clock = clock
         self._metrics = metrics
+        self._log = log
         self._runners: list[web.ServerRunner] = []
+        self._guards: list[guarded_server.Guard] = []
+        self._sweep_task: asyncio.Task[None] | None = None
         # Connections on which a call is being served.
         self._active: set[web.RequestHandler] = set()
         self._is_draining = False
         # Limits of the bodies that are being read.
         self._body_timeouts: set[asyncio.Timeout] = set()
         self._is_refusing_bodies = False
+        metrics.add_gauge(
+            "open_connections",
+            "Open connections of clients",
+            lambda: sum(guard.budget.connections for guard in self._guards),
+        )
+        metrics.add_gauge(
+            "held_request_bytes",
+            "Memory of requests that are incomplete or not answered",
+            lambda: sum(guard.budget.held_bytes for guard in self._guards),
+        )
 
     async def listen(
         self,
         endpoint: platform_settings.Endpoint,
         handler: Callable[[web.BaseRequest], typing.Any],
+        limits: request_budget.Limits,
     ) -> platform_settings.Endpoint:
         """Serves `handler` at an address; returns the address that is bound.
 
+        Args:
+            endpoint: address to listen on.
+            handler: handles the requests.
+            limits: limits of what the clients at this address hold.
+
         Raises:
             OSError: the address could not be bound.
         """
-        server = web.Server(handler, access_log=None)
-        runner = web.ServerRunner(server, keepalive_timeout=_KEEPALIVE_S)
+        listener = _create_listener(endpoint)
+        guard = guarded_server.Guard(
+            limits, self._clock, self._log, self._metrics
+        )
+        runner = web.ServerRunner(guarded_server.GuardedServer(handler, guard))
         await runner.setup()
-        site = web.TCPSite(
-            runner,
-            endpoint.host,
-            endpoint.port,
-            backlog=_BACKLOG,
-            reuse_address=True,
+        accept_count = int(limits.max_connections * _ACCEPT_SHARE)
+        site = web.SockSite(
+            runner, listener, backlog=max(1, min(_BACKLOG, accept_count))
         )
         await site.start()
+        # The event loop accepts as many connections at a time as wait at most.
+        listener.listen(_BACKLOG)
         self._runners.append(runner)
+        self._guards.append(guard)
+        if self._sweep_task is None:
+            self._sweep_task = asyncio.create_task(self._sweep())
         host, port = runner.addresses[0][:2]
         return platform_settings.Endpoint(host, port)
 
+    async def _sweep(self) -> None:
+        """Closes connections whose requests take too long."""
+        while True:
+            await asyncio.sleep(_SWEEP_INTERVAL_S)
+            for guard in self._guards:
+                guard.close_overdue(self._clock.monotonic_s())
+
     async def drain(
         self, deadline_s: float, accept_until_s: float, read_until_s: float
     ) -> None:
@@ -156,7 +201,9 @@
         for connection, transport in paused:
             if transport.is_closing():
                 continue
-            if connection in self._active or _has_unread_bytes(transport):
+            if connection in self._active or guarded_server.has_unread_bytes(
+                transport
+            ):
                 transport.resume_reading()
             else:
                 transport.close()
@@ -167,6 +214,8 @@
         Answers of active calls are still awaited, rests of refused bodies are
         not.
         """
+        if self._sweep_task is not None:
+            self._sweep_task.cancel()
         for connection in self._open_connections():
             if connection not in self._active:
                 assert connection.transport is not None
@@ -228,12 +277,15 @@
         if request.method != "POST":
             return outcomes.Malformed(f"method {request.method}")
         config = self._call_handler.config
-        if config.version >= 0 and (request.content_length or 0) > (
-            config.max_body_bytes
-        ):
+        max_bytes = (
+            config.max_body_bytes if config.version >= 0 else _MAX_BODY_BYTES
+        )
+        if (request.content_length or 0) > max_bytes:
             return outcomes.Malformed("the body is too large")
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, max_bytes)
+        except body_buffer.BodyTooLargeError:
+            return outcomes.Malformed("the body is too large")
         except web.RequestPayloadError:
             return outcomes.Malformed("the body is malformed")
         except TimeoutError:
@@ -242,23 +294,42 @@
             call, functools.partial(call_codec.create_spec, body)
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(
+        self, request: web.BaseRequest, max_bytes: int
+    ) -> bytes:
         """Returns the body of a request.
 
+        It is held in one buffer, so that small chunks cost no more than their
+        bytes. The buffer is released here: an error refers to its frames, and
+        the stream of the body to the error.
+
         Raises:
+            body_buffer.BodyTooLargeError: the body is larger than allowed.
             TimeoutError: the process stops before the body is complete.
         """
         limit_s = 0.0 if self._is_refusing_bodies else None
+        body = body_buffer.BodyBuffer(max_bytes)
         async with asyncio.timeout(limit_s) as timeout:
             self._body_timeouts.add(timeout)
             try:
-                return await request.read()
+                while part := await request.content.readany():
+                    body.append(part)
+                return body.content()
             finally:
+                body.close()
                 self._body_timeouts.discard(timeout)
 
 
-def _has_unread_bytes(transport: asyncio.Transport) -> bool:
-    """Returns whether bytes or the end of a connection wait to be read."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+def _create_listener(endpoint: platform_settings.Endpoint) -> socket.socket:
+    """Returns a socket that is bound to an address.
+
+    Raises:
+        OSError: the address could not be bound.
+    """
+    family, *_, address = socket.getaddrinfo(
+        endpoint.host,
+        endpoint.port,
+        type=socket.SOCK_STREAM,
+        flags=socket.AI_PASSIVE,
+    )[0]
+    return socket.create_server(address, family=family, backlog=_BACKLOG)
--- a/foxtaillock/platform/settings.py
+++ b/foxtaillock/platform/settings.py
@@ -1,10 +1,12 @@
 """Parses the platform's settings file into the daemon's settings."""
 
 import pathlib
+import resource
 import typing
 from collections.abc import Mapping
 
 from foxtaillock import exceptions
+from foxtaillock.batch import request_budget
 
 __all__ = ["Endpoint", "VmSettings", "load", "parse"]
 
@@ -39,6 +41,8 @@
             may succeed.
         processors: CPU capacity of this VM, in processors of unit speed.
         link_mbit_s: bandwidth of its network link.
+        call_limits: limits of the address for calls.
+        probe_limits: limits of each of the addresses for probes and metrics.
     """
 
     node: str
@@ -53,6 +57,8 @@
     key_age_s: float
     processors: float
     link_mbit_s: float
+    call_limits: request_budget.Limits
+    probe_limits: request_budget.Limits
 
 
 # Offset of the metrics port in the port range that the platform assigns.
@@ -60,6 +66,13 @@
 
 _MAX_PORT = 65_535
 
+# Memory and descriptors of the smallest entry VMs.
+_DEFAULT_MEMORY_MB = 200.0
+_DEFAULT_MAX_FDS = 4_100.0
+
+# Upper limit of settings that count something.
+_MAX_COUNT = 1e12
+
 
 def load(path: str) -> VmSettings:
     """Returns the settings in a file.
@@ -72,15 +85,22 @@
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise exceptions.InvalidInputError(f"{path}: {error}") from error
-    return parse(text, path)
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return parse(text, path)
+    return parse(text, path, soft_limit)
 
 
-def parse(text: str, source: str) -> VmSettings:
+def parse(
+    text: str, source: str, descriptor_limit: int | None = None
+) -> VmSettings:
     """Returns the settings in `text`; unknown fields are ignored.
 
     Args:
         text: lines of the form `name=value`.
         source: name of the source, for error messages.
+        descriptor_limit: number of descriptors that the system lets the
+            process open, if there is a limit.
 
     Raises:
         exceptions.InvalidInputError: settings are missing or malformed; the
@@ -90,6 +110,9 @@
     callers = reader.endpoint("listen.front")
     # `limits.cores` is the speed of the processor relative to unit speed.
     speed = reader.number("limits.cores", 1.0)
+    max_fds = int(reader.count("limits.max_fds", _DEFAULT_MAX_FDS))
+    if descriptor_limit is not None:
+        max_fds = min(max_fds, descriptor_limit)
     settings = VmSettings(
         node=reader.text("node"),
         zone=reader.text("zone"),
@@ -103,6 +126,8 @@
         key_age_s=reader.number("bounds.revoke_ms", 5_000.0) / 1000,
         processors=reader.number("limits.cpu_share", 1.0) * speed,
         link_mbit_s=reader.number("limits.link_mbps", 1_000.0),
+        call_limits=_read_call_limits(reader, max_fds),
+        probe_limits=request_budget.derive_probe_limits(max_fds),
     )
     if reader.findings:
         findings = "; ".join(reader.findings)
@@ -110,6 +135,18 @@
     return settings
 
 
+def _read_call_limits(reader: "_Reader", max_fds: int) -> request_budget.Limits:
+    memory_mb = reader.count("limits.memory_mb", _DEFAULT_MEMORY_MB)
+    derived = request_budget.derive_limits(memory_mb, max_fds)
+    return request_budget.Limits(
+        int(reader.count("requests.max_connections", derived.max_connections)),
+        int(reader.count("requests.max_bytes", derived.max_bytes)),
+        int(reader.count("requests.head_bytes", derived.head_bytes)),
+        reader.count("requests.head_ms", derived.head_s * 1000) / 1000,
+        reader.count("requests.body_ms", derived.body_s * 1000) / 1000,
+    )
+
+
 def _parse_fields(text: str) -> dict[str, str]:
     fields = {}
     for line in text.splitlines():
@@ -146,6 +183,14 @@
             self.findings.append(f"{name}: {value!r} is not a number")
             return default
 
+    def count(self, name: str, default: float) -> float:
+        """Returns a field's number, which is at least 1."""
+        value = self.number(name, default)
+        if 1 <= value <= _MAX_COUNT:
+            return value
+        self.findings.append(f"{name}: {value:g} is not from 1 to 1e12")
+        return default
+
     def endpoint(self, name: str) -> Endpoint:
         """Returns a field's address."""
         value = self.text(name)
--- a/foxtaillock/platform/tests/entry_vm.py
+++ b/foxtaillock/platform/tests/entry_vm.py
@@ -100,6 +100,7 @@
             lambda: self.node.is_ready,
             self._clock,
             metrics,
+            self.log,
         )
         self._session: aiohttp.ClientSession | None = None
         self._url = ""
@@ -118,7 +119,7 @@
         self.node.start()
         endpoint = platform_settings.Endpoint("127.0.0.1", 0)
         self.address = await self.server.listen(
-            endpoint, self.server.serve_call
+            endpoint, self.server.serve_call, self.settings.call_limits
         )
         self._url = f"http://{self.address.text}"
         self._session = aiohttp.ClientSession(
--- a/foxtaillock/platform/tests/test_abusive_clients.py
+++ b/foxtaillock/platform/tests/test_abusive_clients.py
@@ -111,25 +111,22 @@
         await self.platform.start()
         self.addAsyncCleanup(self.platform.stop)
 
-    async def _start(self, max_fds: int) -> None:
+    async def _start(self, max_fds: int) -> entry_process.EntryProcess:
         settings = [
             f"limits.memory_mb={_MEMORY_MB}",
             f"limits.max_fds={max_fds}",
         ]
-        self.process = await entry_process.start(
-            self.platform, _GRACE_S, settings
-        )
-        self.addAsyncCleanup(self.process.end)
+        process = await entry_process.start(self.platform, _GRACE_S, settings)
+        self.addAsyncCleanup(process.end)
+        return process
 
-    async def _is_submission_accepted(self) -> bool:
+    async def _is_submission_accepted(self, port: int) -> bool:
         """Returns whether an ordinary job is accepted, at the latest in time.
 
         The store runs in the process of the test, which the crowd keeps busy;
         a refusal because of its silence is repeated.
         """
-        return await self._until_ok(
-            "POST", self.process.callers_port, f"/open/{1 << 60:016x}", _JOB
-        )
+        return await self._until_ok("POST", port, f"/open/{1 << 60:016x}", _JOB)
 
     async def _until_ok(
         self, method: str, port: int, path: str, body: str | None = None
@@ -152,13 +149,15 @@
         return False
 
     @contextlib.asynccontextmanager
-    async def _descriptor_samples(self) -> AsyncIterator[list[int]]:
-        samples = [self.process.descriptors()]
+    async def _descriptor_samples(
+        self, process: entry_process.EntryProcess
+    ) -> AsyncIterator[list[int]]:
+        samples = [process.descriptors()]
 
         async def _sample() -> None:
-            while self.process.is_running:
+            while process.is_running:
                 with contextlib.suppress(FileNotFoundError):
-                    samples.append(self.process.descriptors())
+                    samples.append(process.descriptors())
                 await asyncio.sleep(_SAMPLE_INTERVAL_S)
 
         task = asyncio.ensure_future(_sample())
@@ -174,23 +173,25 @@
         max_fds: int = _MAX_FDS,
     ) -> None:
         """Sends what a crowd sends; checks the process and its resources."""
-        await self._start(max_fds)
-        crowd = _Crowd(self.process.callers_port)
+        process = await self._start(max_fds)
+        crowd = _Crowd(process.callers_port)
         self.addCleanup(crowd.close)
-        async with self._descriptor_samples() as descriptors:
+        async with self._descriptor_samples(process) as descriptors:
             await crowd.send(count, parts)
-            self.assertTrue(self.process.is_running)
-            is_accepted = await self._is_submission_accepted()
+            self.assertTrue(process.is_running)
+            is_accepted = await self._is_submission_accepted(
+                process.callers_port
+            )
             is_ready = await self._until_ok(
-                "GET", self.process.readiness_port, "/-/readiness"
+                "GET", process.readiness_port, "/-/readiness"
             )
             is_metered = await self._until_ok(
-                "GET", self.process.metrics_port, "/metrics"
+                "GET", process.metrics_port, "/metrics"
             )
-        self.assertTrue(self.process.is_running)
+        self.assertTrue(process.is_running)
         figures = {
-            "VmRSS_kb": self.process.memory_kb("VmRSS"),
-            "VmHWM_kb": self.process.memory_kb("VmHWM"),
+            "VmRSS_kb": process.memory_kb("VmRSS"),
+            "VmHWM_kb": process.memory_kb("VmHWM"),
             "descriptors": max(descriptors),
         }
         self.assertLess(figures["VmRSS_kb"], _MEMORY_MB * 1024, figures)
@@ -256,7 +257,7 @@
         await self._check_crowd([], _SILENT_CROWD, _SMALL_MAX_FDS)
 
     async def test_legal_request_that_is_sent_slowly_is_refused(self) -> None:
-        await self._start(_SMALL_MAX_FDS)
+        process = await self._start(_SMALL_MAX_FDS)
         body = _JOB.encode().ljust(_MAX_BODY_BYTES)
         length = b"Content-Length: %d" % len(body)
         filler = [b"X-%d: " % number + b"x" * 2_000 for number in range(7)]
@@ -264,7 +265,7 @@
         head = _head(1, length, *filler, b"Y: " + b"y" * rest_bytes)
         self.assertEqual(len(head), _MAX_HEAD_BYTES)
         reader, writer = await asyncio.open_connection(
-            "127.0.0.1", self.process.callers_port
+            "127.0.0.1", process.callers_port
         )
         pieces = itertools.chain(
             (
