--- a/tools/tests/test_run_tests.py
+++ b/tools/tests/test_run_tests.py
@@ -46,6 +46,13 @@
         self.assertIn("FAILED ['printing.PrintingTest.test_fails']", brief)
         self.assertIn("clue of a process that it started", full)
 
+    def test_module_that_runs_alone_runs_beside_others(self) -> None:
+        alone = "foxtaillock.platform.tests.test_abusive_clients"
+        self.assertTrue(run_tests.runs_alone(alone))
+        other = "foxtaillock.platform.tests.test_guarded_server"
+        self.assertFalse(run_tests.runs_alone(other))
+        self.assertFalse(run_tests.runs_alone("no.such.module"))
+
     def test_known_failures_are_read_from_their_list(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "known"
