CLI: check a configuration for the users' platform before it is sent

Cause: a configuration that is decoded without an error may hold routes that never match, queues without a pool, and limits that contradict each other; only callers notice.

The codec keeps the entries in their order, from which the configuration is created as before.

--- a/foxtaillock/batch/configuration.py
+++ b/foxtaillock/batch/configuration.py
@@ -4,12 +4,14 @@
 import typing
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from foxtaillock.batch import model
 
 __all__ = [
     "Configuration",
     "EMPTY",
+    "Entries",
     "Route",
     "create_configuration",
     "key_digest",
@@ -70,6 +72,26 @@
         return self.key_teams.get(key_digest(key))
 
 
+class Entries(typing.NamedTuple):
+    """Entries of one version as they were written, in their order.
+
+    Attributes:
+        version: number of the version.
+        routes: routes.
+        queues: queues.
+        pools: pools.
+        teams: each team with its keys.
+        max_body_bytes: maximum size of the body of a call.
+    """
+
+    version: int
+    routes: Sequence[Route]
+    queues: Sequence[model.Queue]
+    pools: Sequence[model.Pool]
+    teams: Sequence[tuple[model.Team, Sequence[str]]]
+    max_body_bytes: int
+
+
 EMPTY = Configuration(-1, {}, {}, {}, {}, {}, 0)
 
 
--- a/foxtaillock/cli/main.py
+++ b/foxtaillock/cli/main.py
@@ -16,11 +16,15 @@
 
 import fire
 
+from foxtaillock import exceptions
+from foxtaillock.batch import configuration
+from foxtaillock.batch import configuration_check
 from foxtaillock.cli import client
 from foxtaillock.cli import deferred
 from foxtaillock.cli import log_timeline
 from foxtaillock.cli import output
 from foxtaillock.cli import report
+from foxtaillock.platform import record_codec
 
 __all__ = ["Commands", "main"]
 
@@ -271,6 +275,46 @@
         )
 
 
+@deferred.defer_methods
+class _Configuration:
+    """Checks configurations for the users' platform."""
+
+    def __init__(self, session: _CommandSession) -> None:
+        self._session = session
+
+    def check(self, path: str, in_force: str = "") -> None:
+        """Checks a configuration before it is sent.
+
+        Args:
+            path: file with the configuration; `-` for standard input.
+            in_force: file with the version in force, to show what differs.
+        """
+        entries = self._read(path)
+        findings = configuration_check.check(entries)
+        if in_force:
+            findings += configuration_check.compare(
+                entries, self._read(in_force)
+            )
+        rows = [finding._asdict() for finding in findings]
+        self._session.show({"items": rows})
+        if any(finding.kind != "changed" for finding in findings):
+            sys.exit(client.ExitCode.REFUSED)
+
+    def _read(self, path: str) -> configuration.Entries:
+        text = self._session.read_file(path)
+        try:
+            entries = record_codec.decode_entries(text.encode())
+        except exceptions.InvalidInputError as error:
+            self._session.fail(
+                client.Failure(
+                    client.ExitCode.BAD_INPUT,
+                    "bad-configuration",
+                    f"{path}: {error}",
+                )
+            )
+        return entries
+
+
 def _skipped_text(parsed: log_timeline.ParsedLog) -> str:
     return (
         f"{parsed.skipped} lines are no log lines, the first of them is "
@@ -310,6 +354,7 @@
         self.job = _Jobs(session, "jobs")
         self.wave = _Waves(session, "waves")
         self.explain = _Explain(session)
+        self.configuration = _Configuration(session)
         self.report = report.Report(session)
 
     def status(self) -> None:
--- a/foxtaillock/platform/record_codec.py
+++ b/foxtaillock/platform/record_codec.py
@@ -14,6 +14,7 @@
 __all__ = [
     "WireSize",
     "decode_config",
+    "decode_entries",
     "decode_size",
     "decode_wave",
     "decode_worker",
@@ -141,24 +142,32 @@
 def decode_config(value: bytes) -> configuration.Configuration | None:
     """Returns the configuration, or None if it is malformed."""
     try:
-        config = _config_decoder.decode(value)
+        entries = decode_entries(value)
     except exceptions.InvalidInputError:
         return None
-    routes = [
-        configuration.Route(each["host"], each["path_prefix"], each["name"])
-        for each in config["routes"]
-    ]
-    teams = [
-        (_decode_team(each), each.get("api_keys", []))
-        for each in config.get("tenants", [])
-    ]
+    return configuration.create_configuration(*entries)
+
+
+def decode_entries(value: bytes) -> configuration.Entries:
+    """Returns the entries of a configuration.
+
+    Raises:
+        exceptions.InvalidInputError: the configuration is malformed.
+    """
+    config = _config_decoder.decode(value)
     limits = config.get("limits", {})
-    return configuration.create_configuration(
+    return configuration.Entries(
         config["version"],
-        routes,
+        [
+            configuration.Route(each["host"], each["path_prefix"], each["name"])
+            for each in config["routes"]
+        ],
         [_decode_queue(each) for each in config["routes"]],
         [_decode_pool(each) for each in config["services"]],
-        teams,
+        [
+            (_decode_team(each), each.get("api_keys", []))
+            for each in config.get("tenants", [])
+        ],
         limits.get("max_body_bytes", _DEFAULT_MAX_BODY_BYTES),
     )
 
