Soak: zones that are evacuated and returned

Change: a fault evacuates one of four zones for up to 14 s. Runs that begin there later than 10.5 s after the request are found; until it is returned, the zone's workers are no capacity in the check of progress, which is not eased otherwise: the fault counts as planned work.

--- a/foxtaillock/soak/faults.py
+++ b/foxtaillock/soak/faults.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 
 from foxtaillock.proxy import fault_proxy
+from foxtaillock.soak import evacuated_zones
 from foxtaillock.soak import processes
 from foxtaillock.soak import worker_pool
 
@@ -21,6 +22,9 @@
 # Maximum duration of a fault; a paused process may stay paused twice as long.
 _MAX_FAULT_S = 3.0
 
+# Maximum duration of an evacuation.
+_MAX_EVACUATION_S = 14.0
+
 # Largest step of a worker's wall clock.
 _MAX_CLOCK_STEP_MS = 60_000
 
@@ -31,12 +35,14 @@
     Attributes:
         vms: entry VMs.
         workers: workers of the platform.
+        zones: its evacuated availability zones.
         is_store_unavailable: whether the store refuses all requests.
         is_store_silent: whether the store answers no request.
     """
 
     vms: list[processes.EntryVmProcess]
     workers: worker_pool.WorkerPool
+    zones: evacuated_zones.EvacuatedZones
     is_store_unavailable: bool
     is_store_silent: bool
 
@@ -49,7 +55,7 @@
 FAULTS: dict[str, Fault] = {}
 
 # Planned work, during which persistent tasks are expected to go on.
-PLANNED = frozenset(("stop", "reload"))
+PLANNED = frozenset(("stop", "reload", "evacuate_zone"))
 
 
 def _register(function: Fault) -> Fault:
@@ -179,6 +185,13 @@
     )
 
 
+@_register
+async def evacuate_zone(target: FaultTarget, rng: random.Random) -> None:
+    """Evacuates an availability zone for a while."""
+    zone = rng.choice(evacuated_zones.ZONES)
+    await target.zones.evacuate(zone, rng.uniform(0.5, _MAX_EVACUATION_S))
+
+
 async def _set_store_flag_temporarily(
     target: FaultTarget, flag: str, rng: random.Random
 ) -> None:
--- a/foxtaillock/soak/job_checks.py
+++ b/foxtaillock/soak/job_checks.py
@@ -7,6 +7,7 @@
 
 from foxtaillock.batch import model
 from foxtaillock.soak import checker
+from foxtaillock.soak import evacuated_zones
 from foxtaillock.soak import histories
 from foxtaillock.soak import progress_checker
 from foxtaillock.soak import submitters
@@ -36,6 +37,7 @@
     jobs: Mapping[str, submitters.SubmittedJob],
     states: Mapping[str, str],
     faults: Sequence[progress_checker.Span],
+    zones: evacuated_zones.EvacuatedZones,
     finish_s: float,
     now_s: float,
 ) -> Verdict:
@@ -46,6 +48,7 @@
         jobs: all submitted jobs by id.
         states: state of each job by id.
         faults: times of unplanned faults.
+        zones: evacuated zones.
         finish_s: time by which jobs that are not persistent have to end.
         now_s: current time.
     """
@@ -54,11 +57,12 @@
     causes = histories.check_failed_jobs(workers, failed, pool.ordered_away)
     given_up = {job for job in failed if not causes[job]}
     history = histories.History(
-        workers, jobs, _WORKER_CPU_MILLIS, now_s, failed
+        workers, jobs, _WORKER_CPU_MILLIS, now_s, failed, zones.unusable
     )
     findings = [
         *checker.check_runs(workers, jobs, _WORKER_CPU_MILLIS, now_s),
         *checker.check_submissions(jobs.values(), states, given_up),
+        *zones.check(workers),
         *itertools.chain.from_iterable(causes.values()),
         *progress_checker.check_needs(
             history.needs,
--- a/foxtaillock/soak/progress_checker.py
+++ b/foxtaillock/soak/progress_checker.py
@@ -16,6 +16,7 @@
     "check_failed_job",
     "check_needs",
     "longest_gap_s",
+    "subtract",
 ]
 
 # Time without a run, while there is capacity, that is a violation.
@@ -117,7 +118,7 @@
     findings: list[str] = []
     for need in needs:
         for idle in _idle_spans(need, runs, workers, team_cap_millis, finish_s):
-            for piece in _subtract(idle, _not_calm(need, faults)):
+            for piece in subtract(idle, _not_calm(need, faults)):
                 if piece.end_s - piece.start_s >= MAX_IDLE_S:
                     length_s = piece.end_s - piece.start_s
                     findings.append(
@@ -133,7 +134,7 @@
         gap.end_s - gap.start_s
         for need in needs
         if need.is_persistent
-        for gap in _subtract(need.due, _spans_of_task(need, runs))
+        for gap in subtract(need.due, _spans_of_task(need, runs))
     ]
     return max(gaps, default=0.0)
 
@@ -174,7 +175,7 @@
             for span in _constant_spans(gap, runs, workers)
             if not _has_capacity(need, span, runs, workers, team_cap_millis)
         ]
-        found += _subtract(gap, lacking)
+        found += subtract(gap, lacking)
     return found
 
 
@@ -186,14 +187,14 @@
     Any run of its job serves a need that is not persistent.
     """
     if need.is_persistent:
-        for gap in _subtract(need.due, _spans_of_task(need, runs)):
+        for gap in subtract(need.due, _spans_of_task(need, runs)):
             if gap.end_s - gap.start_s > RESTART_S:
                 yield gap._replace(start_s=gap.start_s + RESTART_S)
         return
     due = need.due._replace(start_s=max(need.due.start_s, finish_s))
     if due.end_s > due.start_s:
         served = [run.span for run in runs if run.job_id == need.job_id]
-        yield from _subtract(due, served)
+        yield from subtract(due, served)
 
 
 def _spans_of_task(need: Need, runs: Sequence[RunSpan]) -> list[Span]:
@@ -256,8 +257,13 @@
     return span.start_s <= time_s < span.end_s
 
 
-def _subtract(span: Span, holes: Iterable[Span]) -> list[Span]:
-    """Returns what is left of a span without the holes."""
+def subtract(span: Span, holes: Iterable[Span]) -> list[Span]:
+    """Returns what is left of a span without the holes.
+
+    Example:
+        >>> subtract(Span(1.0, 5.0), [Span(2.0, 3.0)])
+        [Span(start_s=1.0, end_s=2.0), Span(start_s=3.0, end_s=5.0)]
+    """
     left: list[Span] = []
     start_s = span.start_s
     for hole in sorted(holes):
--- a/foxtaillock/soak/run.py
+++ b/foxtaillock/soak/run.py
@@ -15,6 +15,7 @@
 from foxtaillock.batch import model
 from foxtaillock.platform.tests import entry_vm
 from foxtaillock.platform.tests import fake_platform
+from foxtaillock.soak import evacuated_zones
 from foxtaillock.soak import faults
 from foxtaillock.soak import gangs
 from foxtaillock.soak import hand_overs
@@ -60,6 +61,7 @@
     Attributes:
         vms: entry VMs.
         workers: workers of the platform.
+        zones: its evacuated availability zones.
         started_faults: names of the injected faults in order of their start.
         hand_over_count: number of hand-overs of the series.
         longest_gap_s: longest time for which a persistent task did not run.
@@ -80,6 +82,7 @@
         self._vm_count = vm_count
         self._platform = fake_platform.FakePlatform()
         self.workers = worker_pool.WorkerPool(self._platform, self._rng)
+        self.zones = evacuated_zones.EvacuatedZones(self._platform)
         self._worker_vms = maintenance.WorkerVms(self._platform, self.workers)
         self._fault_spans: list[progress_checker.Span] = []
         self.hand_over_count = 0
@@ -166,6 +169,7 @@
             clients.jobs,
             states,
             self._fault_spans,
+            self.zones,
             finish_s,
             time.monotonic(),
         )
--- a/foxtaillock/soak/tests/test_soak.py
+++ b/foxtaillock/soak/tests/test_soak.py
@@ -33,6 +33,7 @@
 _REGRESSION_FAULTS = faults.FAULTS.keys() - {
     "write_foreign_entry",
     "restart_worker",
+    "evacuate_zone",
 }
 
 
--- a/foxtaillock/soak/worker_pool.py
+++ b/foxtaillock/soak/worker_pool.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.platform.tests import fake_platform
 from foxtaillock.proxy import fault_proxy
+from foxtaillock.soak import evacuated_zones
 from foxtaillock.soak import gangs
 
 __all__ = ["WorkerPool"]
@@ -64,7 +65,8 @@
         """Starts a worker and returns its id."""
         worker_id = f"i-{self._added}"
         self._added += 1
-        address = await self._platform.add_worker(worker_id, "pool")
+        zone = evacuated_zones.ZONES[self._added % len(evacuated_zones.ZONES)]
+        address = await self._platform.add_worker(worker_id, "pool", zone)
         link = await fault_proxy.start_fault_proxy(
             address, self._rng.getrandbits(32)
         )
