--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -220,13 +220,13 @@
         self, job: job_states.Job, step: tasks.Step, now_s: float
     ) -> None:
         """Adopts runs of an earlier owner until their workers report them."""
+        pool, held = self.pool_of(job.spec.job_id), step.spec.held_size
         for task in step.active_tasks():
             task.changed_s = now_s
             if task.worker_id in self.leaving.held:
                 task.is_displaced = True
                 self.mark_dirty(task)
             self.adjust_usage(job.spec.team, step.spec.size, 1)
-            pool, held = self.pool_of(job.spec.job_id), step.spec.held_size
             self.accounts.begin(task.task_id, pool, job.spec.team, held, now_s)
             worker = self.workers.get(task.worker_id)
             if worker is None:
--- a/foxtaillock/batch/shares.py
+++ b/foxtaillock/batch/shares.py
@@ -45,7 +45,7 @@
     Attributes:
         runs: number of its runs.
         held: resources that they reserve.
-        held_share: dominant share of `held`.
+        held_share: dominant share of `held` when it was last needed.
         average: moving average of `held_share` at `updated_s`.
         updated_s: time of the latest update.
         is_beyond: whether the team was beyond its share in the latest plan.
@@ -62,10 +62,15 @@
     logged_beyond: bool = False
     logged_s: float = float("-inf")
 
-    def advance(self, now_s: float) -> None:
-        """Brings the average up to the present."""
+    def advance(self, capacity: resources.Resources, now_s: float) -> None:
+        """Brings the average up to the present.
+
+        The share is computed only as time passes: many runs begin at once in a
+        plan or a takeover.
+        """
         if now_s <= self.updated_s:
             return
+        self.held_share = resources.dominant_share(self.held, capacity)
         decay = math.exp((self.updated_s - now_s) / _AVERAGING_S)
         self.average = self.held_share + decay * (
             self.average - self.held_share
@@ -80,11 +85,11 @@
         now_s: float,
     ) -> None:
         """Adds runs of a size; removes them if their number is negative."""
-        self.advance(now_s)
+        if now_s > self.updated_s:
+            self.advance(capacity, now_s)
         change = resources.add if runs > 0 else resources.subtract
         self.runs += runs
         self.held = change(self.held, size)
-        self.held_share = resources.dominant_share(self.held, capacity)
 
 
 class _Charge(typing.NamedTuple):
@@ -173,7 +178,8 @@
         now_s: float,
     ) -> None:
         """Charges a team with a run of a task."""
-        self.end(task_id, now_s)
+        if task_id in self._charges:
+            self.end(task_id, now_s)
         self._charges[task_id] = _Charge(pool, team, size)
         accounts = self._accounts.setdefault(pool, {})
         account = accounts.get(team) or accounts.setdefault(team, _Account())
@@ -241,7 +247,7 @@
             del self._full_s[pool]
             accounts = self._accounts[pool]
             for team, account in list(accounts.items()):
-                account.advance(now_s)
+                account.advance(self._capacity_of(pool), now_s)
                 self._note_position(pool, team, account, False, now_s)
                 if not account.runs and account.average < _MIN_SHARE:
                     del accounts[team]
@@ -254,7 +260,7 @@
             if not any(account.is_beyond for account in accounts.values()):
                 continue
             for team, account in accounts.items():
-                account.advance(now_s)
+                account.advance(self._capacity_of(pool), now_s)
                 if account.average >= _MIN_SHARE:
                     share = round(account.average, 3)
                     rows.append(records.TeamUse(pool, team, share))
@@ -271,7 +277,7 @@
                 continue
             accounts = self._accounts.setdefault(row.pool, {})
             account = accounts.setdefault(row.team, _Account())
-            account.advance(now_s)
+            account.advance(self._capacity_of(row.pool), now_s)
             account.average = average
 
     def _left_in(
@@ -296,7 +302,7 @@
         left = {}
         for team, due in entitlements(active, weights).items():
             account = accounts.setdefault(team, _Account())
-            account.advance(now_s)
+            account.advance(capacity, now_s)
             account.held_share = resources.dominant_share(
                 account.held, capacity
             )
