Batch: lower peaks of other pools don't slow the growth of a pool

A pool that had not peaked yet was expected to grow up to the lowest peak of the others. The highest of the other peaks counts now.

--- a/foxtaillock/batch/demand_rhythm.py
+++ b/foxtaillock/batch/demand_rhythm.py
@@ -112,13 +112,16 @@
     def highest(self, pool: str) -> float:
         """Returns the demand up to which growth is expected to go on.
 
-        It is the height of earlier peaks while the rhythm is confirmed, and
-        infinite otherwise: work that waits for VMs on their way looks like
-        growth.
+        It is the height of the pool's last peak, or of the highest other one
+        before its first, while the rhythm is confirmed; infinite otherwise. Work
+        that waits for VMs on their way looks like growth. Lower peaks of other
+        pools tell nothing of how far this one's demand grows.
         """
-        if pool not in self._peaks:
+        peaks = self._peaks.get(pool)
+        if peaks is None or not self._is_confirmed(pool):
             return float("inf")
-        return (self._is_confirmed(pool) and self._height(pool)) or float("inf")
+        highest = max(each.height for each in self._peaks.values())
+        return peaks.height or highest or float("inf")
 
     def is_away(self, pool: str, now_s: float, margin_s: float) -> bool:
         """Returns whether the pool's next peak is known not to begin soon.
