Batch: zones that can't be reached are no capacity

While a zone was cut off, its workers counted as capacity of their pool, its idle workers got tasks that waited for a connection, and VMs there were moved to pools.

A zone most of whose workers with tasks don't answer is silent: no new tasks, no capacity, no demand of what runs there, no VMs from there.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -176,6 +176,11 @@
         """Availability zones in which no task is started."""
         return self._state.evacuated_zones
 
+    @property
+    def silent_zones(self) -> frozenset[str]:
+        """Availability zones whose workers can't be reached."""
+        return self._state.silent_zones
+
     def set_evacuated_zones(self, zones: frozenset[str]) -> None:
         """Sets the availability zones in which no task is started."""
         self._state.set_evacuated_zones(zones)
@@ -292,6 +297,7 @@
         self._state.late_starts.expire(now_s)
         self._state.late_renewals.expire(now_s)
         self._state.accounts.expire(now_s)
+        self._state.update_silent_zones()
         if (
             self._state.waiting
             and now_s - self._planned_s >= _REPLAN_INTERVAL_S
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -82,6 +82,10 @@
         """Sets the availability zones whose VMs serve no pool."""
         self._ledger.evacuated_zones = zones
 
+    def set_silent_zones(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones whose workers can't be reached."""
+        self._ledger.silent_zones = zones
+
     def is_useless(self, order: vm_ledger.VmOrder) -> bool:
         """Returns whether an order moves a VM that would run nothing."""
         is_move = order.pool not in ("", self._ledger.spare_pool)
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/load_meter.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from foxtaillock.batch import displaced_tasks
@@ -29,6 +30,7 @@
         self._capacity_millis = 0
         self._schedulable_millis = 0
         self._persistent_millis = 0
+        self._silent_millis = 0
         self._spread = 0
         self._workers: list[workers.Worker] = []
         self._displaced: list[displaced_tasks.DisplacedStep] = []
@@ -75,6 +77,19 @@
         if worker.is_registered and not is_cordoned:
             self._schedulable_millis += worker.entry.capacity.cpu_millis
 
+    def add_silent(self, held: Iterable[model.StepSpec]) -> None:
+        """Adds a worker of the pool that can't be reached, by what it runs.
+
+        Its capacity does not count. Its batch tasks are no demand until they
+        are lost, since most of them will have ended by then, and its persistent
+        tasks hold nothing of what is left.
+        """
+        for spec in held:
+            if spec.is_persistent:
+                self._persistent_millis -= spec.held_size.cpu_millis
+            else:
+                self._silent_millis += spec.held_size.cpu_millis
+
     def add_displaced(self, step: displaced_tasks.DisplacedStep) -> None:
         """Adds persistent tasks that need room."""
         self._displaced.append(step)
@@ -92,6 +107,7 @@
                 waiting = max(0, min(waiting, limit - running))
             waiting_millis += waiting
             demand_millis += running + waiting
+        demand_millis = max(waiting_millis, demand_millis - self._silent_millis)
         return pool_sizes.PoolLoad(
             waiting_millis,
             demand_millis,
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -527,6 +527,9 @@
                     self.call_handler.config.version
                 ),
                 "evacuated_zones": lambda: float(len(self._evacuations.zones)),
+                "silent_zones": lambda: float(
+                    len(self._owner.engine.silent_zones) if self._owner else 0
+                ),
             },
             lambda: self._evacuations.ages_s(clock.monotonic_s()),
         )
--- a/foxtaillock/batch/node_gauges.py
+++ b/foxtaillock/batch/node_gauges.py
@@ -23,6 +23,9 @@
     ),
     "config_version": "Version of the configuration in force",
     "evacuated_zones": "Number of evacuated availability zones",
+    "silent_zones": (
+        "Number of availability zones that the owner can't reach, as it sees it"
+    ),
 }
 
 
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -23,6 +23,7 @@
 from foxtaillock.batch import records
 from foxtaillock.batch import run_estimates
 from foxtaillock.batch import shares
+from foxtaillock.batch import silent_zones
 from foxtaillock.batch import tasks
 from foxtaillock.batch import tickets
 from foxtaillock.batch import worker_speed
@@ -74,6 +75,7 @@
             workers.
         leaving: workers whose VMs are, or may be, ordered away.
         evacuated_zones: availability zones in which no task is started.
+        silent_zones: availability zones whose workers can't be reached.
         prior_leases: leases granted by earlier owners.
         renounced_ids: workers on which this owner has renounced leases.
         late_starts: starts without an answer that may still be carried out.
@@ -126,6 +128,7 @@
         )
         self.leaving = workers.LeavingWorkers()
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.silent_zones: frozenset[str] = frozenset()
         self.late_starts = late_starts.LateStarts()
         self.late_renewals = late_renewals.LateRenewals()
         self.has_new_long_lease = False
@@ -217,6 +220,14 @@
             self._apply_evacuations(worker)
         self.needs_plan = True
 
+    def update_silent_zones(self) -> None:
+        """Finds the availability zones whose workers can't be reached."""
+        found = silent_zones.find(self.workers.values())
+        if found != self.silent_zones:
+            self.log("zones-silent", zones=sorted(found))
+            self.silent_zones = found
+            self.needs_plan = True
+
     def _apply_evacuations(self, worker: workers.Worker) -> None:
         """Notes whether a worker's zone is evacuated.
 
--- a/foxtaillock/batch/tests/test_usable_workers.py
+++ b/foxtaillock/batch/tests/test_usable_workers.py
@@ -28,6 +28,7 @@
         for worker in state.workers.values()
         if worker.entry.pool == pool_name
         and worker.is_usable(now_s)
+        and worker.entry.zone not in state.silent_zones
         and state.quarantine.is_allowed(worker.worker_id, now_s)
     ]
     sound = [
--- a/foxtaillock/batch/usable_workers.py
+++ b/foxtaillock/batch/usable_workers.py
@@ -26,6 +26,8 @@
     ) -> list[workers.Worker]:
         """Returns a pool's usable workers, without those that are slow.
 
+        Workers of zones that can't be reached are left out too.
+
         Args:
             pool_name: name of the pool; a spare one has no usable workers.
             now_s: current time.
@@ -49,6 +51,7 @@
             worker
             for worker in members
             if worker.is_usable(now_s)
+            and worker.entry.zone not in state.silent_zones
             and state.quarantine.is_allowed(worker.worker_id, now_s)
         ]
         if not has_slow:
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -145,8 +145,15 @@
             if not pool.is_spare
         }
         for worker in self._state.workers.values():
-            if worker.entry.pool in meters:
-                meters[worker.entry.pool].add_worker(worker)
+            meter = meters.get(worker.entry.pool)
+            if meter is None:
+                continue
+            if worker.entry.zone not in self._state.silent_zones:
+                meter.add_worker(worker)
+                continue
+            meter.add_silent(
+                self._state.step_of(task).spec for task in worker.tasks.values()
+            )
         for job in self._state.jobs.values():
             if job.is_finished:
                 continue
--- a/foxtaillock/batch/vm_ledger.py
+++ b/foxtaillock/batch/vm_ledger.py
@@ -108,6 +108,8 @@
         held_workers_until_s: the same for the workers that ran on them.
         not_before_s: time before which a VM gets no order.
         evacuated_zones: availability zones whose VMs serve no pool.
+        silent_zones: availability zones whose workers can't be reached; until
+            they can, VMs there serve no pool either.
     """
 
     def __init__(self) -> None:
@@ -121,6 +123,7 @@
         self.held_workers_until_s: dict[str, float] = {}
         self.not_before_s: dict[str, float] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.silent_zones: frozenset[str] = frozenset()
 
     def hold(self, worker_ids: Mapping[str, str], until_s: float) -> None:
         """Holds back orders for VMs that an earlier owner may have ordered.
@@ -234,7 +237,8 @@
     def settled_rows(self, pool: str) -> list[interfaces.VmStatus]:
         """Returns the VMs of a pool that count as its capacity.
 
-        They are up, have no pending order and are in no evacuated zone.
+        They are up, have no pending order and are in no zone that is evacuated
+        or can't be reached.
         """
         return [
             row
@@ -243,6 +247,7 @@
             and row.is_up
             and row.vm not in self.pending
             and not self.is_evacuated(row.vm)
+            and row.zone not in self.silent_zones
         ]
 
     def is_evacuated(self, vm: str) -> bool:
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -193,6 +193,7 @@
     async def _tick(self, client: interfaces.FleetClient) -> None:
         now_s = self._clock.monotonic_s()
         self._fleet.set_evacuated_zones(self._engine.evacuated_zones)
+        self._fleet.set_silent_zones(self._engine.silent_zones)
         loads = self._engine.vms.pool_loads(now_s)
         self._fleet.observe(loads, now_s)
         for event in self._fleet.take_events():
