--- a/foxtaillock/batch/demand_rhythm.py
+++ b/foxtaillock/batch/demand_rhythm.py
@@ -22,6 +22,9 @@
 __all__ = ["DemandRhythm", "Event"]
 
 
+# A pool's first peak may be higher than those of other pools by this factor.
+_OTHER_HEIGHT_RATIO = 1.5
+
 # Turns overlap if peaks last longer than this multiple of their interval.
 _OVERLAP_RATIO = 1.5
 
@@ -112,16 +115,16 @@
     def highest(self, pool: str) -> float:
         """Returns the demand up to which growth is expected to go on.
 
-        It is the height of the pool's last peak, or of the highest other one
-        before its first, while the rhythm is confirmed; infinite otherwise. Work
-        that waits for VMs on their way looks like growth. Lower peaks of other
-        pools tell nothing of how far this one's demand grows.
+        It is the height of the pool's last peak while the rhythm is confirmed,
+        and infinite otherwise: work that waits for VMs on their way looks like
+        growth. Before the pool's first peak, it is somewhat more than the
+        highest other one, since peaks of different pools differ.
         """
         peaks = self._peaks.get(pool)
         if peaks is None or not self._is_confirmed(pool):
             return float("inf")
         highest = max(each.height for each in self._peaks.values())
-        return peaks.height or highest or float("inf")
+        return peaks.height or _OTHER_HEIGHT_RATIO * highest or float("inf")
 
     def is_away(self, pool: str, now_s: float, margin_s: float) -> bool:
         """Returns whether the pool's next peak is known not to begin soon.
