Fleet: idle VMs leave sooner after a takeover

A new owner moved no VM to the spare pool for 4 s. A later owner knows what the pools need after the window of the peak demand, 1.5 s, since it restores their jobs.

--- a/foxtaillock/batch/demand.py
+++ b/foxtaillock/batch/demand.py
@@ -11,7 +11,7 @@
 import itertools
 import math
 
-__all__ = ["PoolDemand", "LEAD_TIME_S"]
+__all__ = ["LEAD_TIME_S", "PEAK_WINDOW_S", "PoolDemand"]
 
 # Time from the decision to move a VM to its first task: the platform's move of
 # 1.5 s and the worker's first entry in the registry.
@@ -26,7 +26,7 @@
 
 # Window of the peak demand that a pool retains VMs for. Moving a VM away and
 # back costs as much as keeping it in the pool for 3.5 s.
-_PEAK_WINDOW_S = 1.5
+PEAK_WINDOW_S = 1.5
 
 
 class PoolDemand:
@@ -40,7 +40,7 @@
     def observe(self, now_s: float, millis: int) -> None:
         """Records the demand of all tasks that run or are ready to run."""
         self._samples.append((now_s, millis))
-        while self._samples[0][0] < now_s - _PEAK_WINDOW_S:
+        while self._samples[0][0] < now_s - PEAK_WINDOW_S:
             self._samples.popleft()
 
     def forecast(self, highest_millis: float = math.inf) -> float:
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/fleet.py
@@ -21,15 +21,19 @@
 
 
 class Fleet:
-    """The owner's view of the VMs, maintenance waves and pending orders."""
+    """The owner's view of the VMs, maintenance waves and pending orders.
 
-    def __init__(self) -> None:
+    Args:
+        is_takeover: whether there was an owner before.
+    """
+
+    def __init__(self, is_takeover: bool = False) -> None:
         self._ledger = vm_ledger.VmLedger()
         self._sizes = pool_sizes.PoolSizes()
         self._waves = maintenance_waves.MaintenanceWaves(
             self._ledger, self._sizes
         )
-        self._moves = vm_moves.VmMoves(self._ledger, self._sizes)
+        self._moves = vm_moves.VmMoves(self._ledger, self._sizes, is_takeover)
 
     @property
     def vms(self) -> Mapping[str, interfaces.VmStatus]:
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -332,6 +332,20 @@
         moves = self._moves(loads, uses, now_s=30.0)
         self.assertEqual(moves, [("a3", "spare")])
 
+    def test_idle_vms_move_sooner_after_a_takeover(self) -> None:
+        """They would be idle for seconds, then leave as the next peak begins."""
+        loads = {
+            "a": _load(usable_millis=64_000),
+            "b": _load(usable_millis=64_000),
+        }
+        for is_takeover in (False, True):
+            self.fleet = fleet.Fleet(is_takeover)
+            self.fleet.update_vms(self.rows, "spare", 0.0)
+            for now_s in (0.2, 1.0, 1.4):
+                self.assertEqual(self._moves(loads, {"a3": _IDLE}, now_s), [])
+            moves = self._moves(loads, {"a3": _IDLE}, 1.6)
+            self.assertEqual(moves, [("a3", "spare")] * is_takeover)
+
     def test_vm_stays_within_the_window_of_the_peak_demand(self) -> None:
         loads = {"a": _load(demand_millis=50_000, usable_millis=64_000)}
         uses = {"a3": _IDLE}
--- a/foxtaillock/batch/vm_moves.py
+++ b/foxtaillock/batch/vm_moves.py
@@ -11,15 +11,18 @@
 import collections
 from collections.abc import Mapping
 
+from foxtaillock.batch import demand
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import vm_ledger
 
 __all__ = ["VmMoves"]
 
-# A new owner observes the load for this time before it moves VMs to the spare
-# pool.
+# The first owner observes the load for this time before it moves VMs to the
+# spare pool. A later one knows after the window of the peak demand what the
+# pools need, since their jobs are restored.
 _WARMUP_S = 4.0
+_TAKEOVER_WARMUP_S = demand.PEAK_WINDOW_S
 
 # A VM must have been idle for this time before it moves. The next step of a
 # job starts some hundredths of a second after the previous one ends.
@@ -36,6 +39,7 @@
     Args:
         ledger: the VMs and the orders for them.
         sizes: demand of the pools.
+        is_takeover: whether there was an owner before.
 
     Attributes:
         yielding_vms: VMs whose tasks run out, so that a pool below its fair
@@ -43,10 +47,14 @@
     """
 
     def __init__(
-        self, ledger: vm_ledger.VmLedger, sizes: pool_sizes.PoolSizes
+        self,
+        ledger: vm_ledger.VmLedger,
+        sizes: pool_sizes.PoolSizes,
+        is_takeover: bool,
     ) -> None:
         self._ledger = ledger
         self._sizes = sizes
+        self._warmup_s = _TAKEOVER_WARMUP_S if is_takeover else _WARMUP_S
         self.yielding_vms: set[str] = set()
 
     def next_orders(
@@ -73,7 +81,7 @@
                     vm_ledger.VmOrder(row.vm, pool, 0, row.worker_id, "demand")
                 )
         self._choose_yielding(lacking, uses, loads, targets_millis, now_s)
-        if now_s - self._ledger.started_s >= _WARMUP_S:
+        if now_s - self._ledger.started_s >= self._warmup_s:
             orders += [
                 vm_ledger.VmOrder(
                     row.vm, self._ledger.spare_pool, 0, row.worker_id, "idle"
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vm_order_controller.py
@@ -94,7 +94,7 @@
         self._confirmed_s = confirmed_s
         self._record_progress = record_progress
         self._on_orders_due = on_orders_due
-        self._fleet = fleet.Fleet()
+        self._fleet = fleet.Fleet(is_takeover=epoch > 1)
         # The record of this owner replaces that of the earlier one.
         self._ordered = _read_orders(recent_orders, recorded_s)
         self._hold_ordered(clock.monotonic_s())
