Batch: bound the memory of accepted jobs

Cause: each entry VM keeps all jobs and the owner once more, without a bound, so that legal jobs with many steps or tasks ended all processes at once. Change: a job's memory is estimated at its submission; beyond the limit, which fits a VM of 200 MB, it is refused with 503 before it is stored. Large jobs are reserved in the stream of submissions, so that VMs that accept at the same time do not use the same room.

--- a/foxtaillock/batch/call_handler.py
+++ b/foxtaillock/batch/call_handler.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import config_freshness
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import job_admission
 from foxtaillock.batch import model
 from foxtaillock.batch import outcomes
 from foxtaillock.batch import overload
@@ -68,6 +69,7 @@
         journal_view: state folded from the journal and the submissions.
         submission_follower: reads the submissions into that view.
         submission_appender: appends the records of calls.
+        memory_admission: decides whether there is memory for a job.
         is_caught_up: returns whether each stream that the view is folded from
             was read to its end since the VM started.
         is_store_failing: returns whether the latest read of the store failed.
@@ -77,6 +79,7 @@
     Attributes:
         config: the configuration in force.
         admission: decides whether the owner can serve more jobs.
+        memory_admission: decides whether there is memory for a job.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         journal_view: view.JournalView,
         submission_follower: follower.Follower,
         submission_appender: appender.GroupAppender,
+        memory_admission: job_admission.JobAdmission,
         is_caught_up: Callable[[], bool],
         is_store_failing: Callable[[], bool],
         freshness: config_freshness.ConfigFreshness,
@@ -94,6 +98,7 @@
         self._view = journal_view
         self._follower = submission_follower
         self._appender = submission_appender
+        self.memory_admission = memory_admission
         self._is_caught_up = is_caught_up
         self._is_store_failing = is_store_failing
         self._config_freshness = freshness
@@ -107,6 +112,7 @@
         self,
         call: Call,
         create_spec: Callable[[str, str, str, int], model.JobSpec],
+        body_bytes: int = 0,
     ) -> outcomes.CallOutcome:
         """Accepts a job.
 
@@ -114,6 +120,7 @@
             call: the call.
             create_spec: creates the job from its id, queue, team and time of
                 acceptance; raises ValueError if the body is malformed.
+            body_bytes: size of the body.
         """
         # Submissions are keyed by job id, so writing a job twice stores it
         # once. A VM that has just started may accept jobs before it has read
@@ -131,6 +138,19 @@
         if known is not None:
             outcome = self._resubmission_outcome(known, admitted)
             return self._log_outcome("submit", call, outcome)
+        async with self.memory_admission.turn(body_bytes) as is_granted:
+            if is_granted:
+                outcome = await self._submit_new(admitted, create_spec)
+            else:
+                outcome = await self._memory_refusal(admitted)
+        return self._log_outcome("submit", call, outcome)
+
+    async def _submit_new(
+        self,
+        admitted: _AdmittedCall,
+        create_spec: Callable[[str, str, str, int], model.JobSpec],
+    ) -> outcomes.CallOutcome:
+        """Stores a job that this VM does not know, unless it is refused."""
         try:
             spec = create_spec(
                 admitted.path_suffix,
@@ -139,20 +159,47 @@
                 self._wall_ms(),
             )
         except ValueError as error:
-            return self._log_outcome(
-                "submit", call, outcomes.Malformed(str(error))
-            )
+            return outcomes.Malformed(str(error))
         overload_refusal = await self._overload_refusal(admitted, spec)
         if overload_refusal is not None:
-            return self._log_outcome("submit", call, overload_refusal)
+            return overload_refusal
+        try:
+            has_memory = await self.memory_admission.admit(spec)
+        except interfaces.StoreError as error:
+            self._log("job-not-reserved", job=spec.job_id, error=str(error))
+            refusal = outcomes.NotStored("store-unavailable", _RETRY_OTHER_VM_S)
+            return self._unknown_if_in_doubt(spec.job_id, refusal)
+        if not has_memory:
+            return await self._memory_refusal(admitted)
         spec = spec._replace(accepted_queue=admitted.queue)
         outcome = await self._store_record(
             admitted, records.encode(spec), outcomes.Accepted()
         )
+        if isinstance(outcome, outcomes.NotStored):
+            await self.memory_admission.withdraw(spec)
         if isinstance(outcome, outcomes.Unknown):
             self._note_in_doubt(spec.job_id)
-        outcome = self._unknown_if_in_doubt(spec.job_id, outcome)
-        return self._log_outcome("submit", call, outcome)
+        return self._unknown_if_in_doubt(spec.job_id, outcome)
+
+    async def _memory_refusal(
+        self, admitted: _AdmittedCall
+    ) -> outcomes.CallOutcome:
+        """Returns the answer to a job for which there is no memory.
+
+        A job that may be stored already is not refused.
+        """
+        job_id = admitted.path_suffix
+        try:
+            await self._follower.catch_up()
+        except interfaces.StoreError:
+            return outcomes.Unknown("submissions-lost")
+        known = self._view.spec(job_id)
+        if known is not None:
+            return self._resubmission_outcome(known, admitted)
+        refusal = outcomes.NotStored(
+            "jobs-hold-memory", self.memory_admission.retry_after_s(job_id)
+        )
+        return self._unknown_if_in_doubt(job_id, refusal)
 
     async def state(self, call: Call) -> outcomes.CallOutcome:
         """Returns the state of a job, or the number of waiting jobs."""
--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 import traceback
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -13,6 +14,8 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import config_freshness
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import job_admission
+from foxtaillock.batch import job_budget
 from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
 from foxtaillock.batch import node_gauges
@@ -63,6 +66,7 @@
         services: dependencies of the VM.
         capacity: load that it can handle as owner; see
             `ownership.capacity_of`.
+        max_job_bytes: limit of the memory of all jobs; see `job_budget`.
 
     Attributes:
         call_handler: serves the calls of submitters.
@@ -75,9 +79,11 @@
         max_config_age_s: float,
         services: batch_services.NodeServices,
         capacity: float = 0.0,
+        max_job_bytes: int = job_budget.derive_max_bytes(math.inf),
     ) -> None:
         self._name = name
         self._incarnation = incarnation
+        self._max_job_bytes = max_job_bytes
         self._services = services.owner
         self._decode_config = services.decode_config
         self._decode_wave = services.decode_wave
@@ -131,11 +137,23 @@
         self._operator_follower.on_newest_read = lambda page: (
             self._evacuations.forget_erased(page, clock.monotonic_s())
         )
+        submission_appender = appender.GroupAppender(
+            services.owner.submissions, clock
+        )
         self.call_handler = call_handler.CallHandler(
             clock,
             self._view,
             self._submission_follower,
-            appender.GroupAppender(services.owner.submissions, clock),
+            submission_appender,
+            job_admission.JobAdmission(
+                name,
+                max_job_bytes,
+                clock,
+                self._view,
+                self._submission_follower,
+                submission_appender,
+                services.owner.log,
+            ),
             self._is_caught_up,
             self._is_store_failing,
             self._freshness,
@@ -427,6 +445,9 @@
         elif isinstance(record, records.WaveProgress):
             if record.remaining_ms is not None:
                 self._bound_wave(record.number, record.remaining_ms / 1000)
+        elif isinstance(record, records.JobReservation):
+            now_s = self._services.clock.monotonic_s()
+            self._view.job_budget.reserve(record, now_s)
         elif isinstance(record, _OWNERS_RECORDS):
             now_s = self._services.clock.monotonic_s()
             is_owner = self._ownership.heard_from(record.epoch, now_s)
@@ -526,6 +547,10 @@
                 "config_version": lambda: float(
                     self.call_handler.config.version
                 ),
+                "held_job_bytes": lambda: float(
+                    self._view.job_budget.held_bytes
+                ),
+                "max_job_bytes": lambda: float(self._max_job_bytes),
                 "evacuated_zones": lambda: float(len(self._evacuations.zones)),
             },
             lambda: self._evacuations.ages_s(clock.monotonic_s()),
--- a/foxtaillock/batch/node_gauges.py
+++ b/foxtaillock/batch/node_gauges.py
@@ -22,6 +22,8 @@
         "Teams beyond their share of a full pool, as seen by the owner"
     ),
     "config_version": "Version of the configuration in force",
+    "held_job_bytes": "Estimated memory of all jobs on a VM that owns",
+    "max_job_bytes": "Limit of the estimated memory of all jobs",
     "evacuated_zones": "Number of evacuated availability zones",
 }
 
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -18,6 +18,7 @@
     "FleetCrashes",
     "HandoverOffer",
     "JobEnd",
+    "JobReservation",
     "KeyedRecord",
     "LongLease",
     "OwnerBacklog",
@@ -163,6 +164,24 @@
         return spec.team in ("", self.team)
 
 
+class JobReservation(typing.NamedTuple):
+    """Memory that an entry VM reserves for a large job before it stores it.
+
+    Each VM has one, which its next one replaces; see `job_budget`.
+
+    Attributes:
+        node: the entry VM.
+        job_id: the job.
+        cost_bytes: memory of the job; 0 if it was not stored.
+        is_persistent: whether it runs until it is cancelled.
+    """
+
+    node: str
+    job_id: str
+    cost_bytes: int
+    is_persistent: bool
+
+
 class TaskProgress(typing.NamedTuple):
     """Progress of a task that has been started and has not succeeded.
 
@@ -361,6 +380,7 @@
     | model.JobSpec
     | Cancellation
     | EarlyCancellation
+    | JobReservation
     | StepProgress
     | JobEnd
     | RecentVmOrders
@@ -381,6 +401,7 @@
 _BACKLOG, _FLEET_CRASHES, _SCHEDULING = "b", "f", "t"
 _JOB, _CANCEL, _STEP, _END = "j", "c", "s", "e"
 _EARLY_CANCEL = "x"
+_RESERVATION = "r"
 _TYPES: dict[str, typing.Any] = {
     _OWNER: OwnerRecord,
     _OFFER: HandoverOffer,
@@ -391,6 +412,7 @@
     _JOB: model.JobSpec,
     _CANCEL: Cancellation,
     _EARLY_CANCEL: EarlyCancellation,
+    _RESERVATION: JobReservation,
     _STEP: StepProgress,
     _END: JobEnd,
     _WAVE: WaveProgress,
@@ -434,7 +456,7 @@
         >>> is_submission("j5c0e"), is_submission("e5c0e")
         (True, False)
     """
-    return key[:1] in (_JOB, _CANCEL, _EARLY_CANCEL)
+    return key[:1] in (_JOB, _CANCEL, _EARLY_CANCEL, _RESERVATION)
 
 
 def step_of_key(key: str) -> model.StepId | None:
@@ -477,6 +499,8 @@
         scope = f"{record.team}/{record.open_queue}".encode()
         digest = hashlib.blake2b(scope, digest_size=8).hexdigest()
         return f"{_EARLY_CANCEL}{record.job_id}.{digest}"
+    if isinstance(record, JobReservation):
+        return _RESERVATION + record.node
     if isinstance(record, JobEnd):
         return _END + record.job_id
     return _WAVE + str(record.number)
--- a/foxtaillock/batch/tests/test_early_cancellations.py
+++ b/foxtaillock/batch/tests/test_early_cancellations.py
@@ -13,6 +13,8 @@
 from foxtaillock.batch import early_cancellations
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import job_admission
+from foxtaillock.batch import job_budget
 from foxtaillock.batch import model
 from foxtaillock.batch import outcomes
 from foxtaillock.batch import records
@@ -73,11 +75,21 @@
         )
         freshness = config_freshness.ConfigFreshness(1000.0)
         freshness.confirm(clock.monotonic_s())
+        submission_appender = appender.GroupAppender(stream, clock)
         self.handler = call_handler.CallHandler(
             clock,
             self.view,
             self._follower,
-            appender.GroupAppender(stream, clock),
+            submission_appender,
+            job_admission.JobAdmission(
+                "vm",
+                job_budget.derive_max_bytes(200.0),
+                clock,
+                self.view,
+                self._follower,
+                submission_appender,
+                lambda *_, **__: None,
+            ),
             lambda: True,
             lambda: False,
             freshness,
--- a/foxtaillock/batch/view.py
+++ b/foxtaillock/batch/view.py
@@ -7,6 +7,7 @@
 
 from foxtaillock.batch import early_cancellations
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import job_budget
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 
@@ -48,6 +49,7 @@
         ordered_vms: VMs for which the latest owner may just have sent orders.
         fleet_crashes: crashes of workers that the owners have seen.
         scheduling: what the latest owner has learned; None if nothing.
+        job_budget: counts the memory of the jobs.
         on_record: called with each record that was applied.
     """
 
@@ -64,6 +66,7 @@
         self._ends: dict[str, records.JobEnd] = {}
         self._waves: dict[int, records.WaveProgress] = {}
         self._waiting: collections.Counter[str] = collections.Counter()
+        self.job_budget = job_budget.JobBudget()
         self.owner: records.OwnerRecord | None = None
         self.ordered_vms = records.RecentVmOrders(0, ())
         self.fleet_crashes = records.FleetCrashes(0, 0)
@@ -202,7 +205,14 @@
         )
 
     def _fold(self, record: records.Record) -> None:
-        if isinstance(record, (records.HandoverOffer, records.OwnerBacklog)):
+        if isinstance(
+            record,
+            (
+                records.HandoverOffer,
+                records.OwnerBacklog,
+                records.JobReservation,
+            ),
+        ):
             # These only matter when they are read; they are not part of the
             # state.
             return
@@ -233,6 +243,7 @@
         elif isinstance(record, model.JobSpec):
             was_waiting = self._is_waiting(record.job_id)
             self._jobs[record.job_id] = record
+            self.job_budget.put(record)
             self._recount(record.job_id, was_waiting)
         elif isinstance(record, records.Cancellation):
             was_waiting = self._is_waiting(record.job_id)
@@ -276,6 +287,7 @@
         known = self._jobs.get(job_id)
         if kind == "j":
             self._jobs.pop(job_id, None)
+            self.job_budget.remove(job_id)
         elif kind == "c":
             self._cancellations.pop(job_id, None)
         elif kind == "x":
--- a/foxtaillock/platform/daemon.py
+++ b/foxtaillock/platform/daemon.py
@@ -179,6 +179,7 @@
         settings.key_age_s,
         services,
         ownership.capacity_of(settings.processors, settings.link_mbit_s),
+        settings.max_job_bytes,
     )
 
 
--- a/foxtaillock/platform/http_server.py
+++ b/foxtaillock/platform/http_server.py
@@ -291,7 +291,7 @@
         except TimeoutError:
             return outcomes.NotStored("stopping", _RETRY_OTHER_VM_S)
         return await self._call_handler.submit(
-            call, functools.partial(call_codec.create_spec, body)
+            call, functools.partial(call_codec.create_spec, body), len(body)
         )
 
     async def _read_body(
--- a/foxtaillock/platform/settings.py
+++ b/foxtaillock/platform/settings.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from foxtaillock import exceptions
+from foxtaillock.batch import job_budget
 from foxtaillock.batch import request_budget
 
 __all__ = ["Endpoint", "VmSettings", "load", "parse"]
@@ -43,6 +44,7 @@
         link_mbit_s: bandwidth of its network link.
         call_limits: limits of the address for calls.
         probe_limits: limits of each of the addresses for probes and metrics.
+        max_job_bytes: limit of the memory of all jobs.
     """
 
     node: str
@@ -59,6 +61,7 @@
     link_mbit_s: float
     call_limits: request_budget.Limits
     probe_limits: request_budget.Limits
+    max_job_bytes: int
 
 
 # Offset of the metrics port in the port range that the platform assigns.
@@ -113,6 +116,8 @@
     max_fds = int(reader.count("limits.max_fds", _DEFAULT_MAX_FDS))
     if descriptor_limit is not None:
         max_fds = min(max_fds, descriptor_limit)
+    memory_mb = reader.count("limits.memory_mb", _DEFAULT_MEMORY_MB)
+    job_bytes = job_budget.derive_max_bytes(memory_mb)
     settings = VmSettings(
         node=reader.text("node"),
         zone=reader.text("zone"),
@@ -126,8 +131,9 @@
         key_age_s=reader.number("bounds.revoke_ms", 5_000.0) / 1000,
         processors=reader.number("limits.cpu_share", 1.0) * speed,
         link_mbit_s=reader.number("limits.link_mbps", 1_000.0),
-        call_limits=_read_call_limits(reader, max_fds),
+        call_limits=_read_call_limits(reader, memory_mb, max_fds),
         probe_limits=request_budget.derive_probe_limits(max_fds),
+        max_job_bytes=int(reader.count("jobs.max_bytes", job_bytes)),
     )
     if reader.findings:
         findings = "; ".join(reader.findings)
@@ -135,8 +141,9 @@
     return settings
 
 
-def _read_call_limits(reader: "_Reader", max_fds: int) -> request_budget.Limits:
-    memory_mb = reader.count("limits.memory_mb", _DEFAULT_MEMORY_MB)
+def _read_call_limits(
+    reader: "_Reader", memory_mb: float, max_fds: int
+) -> request_budget.Limits:
     derived = request_budget.derive_limits(memory_mb, max_fds)
     return request_budget.Limits(
         int(reader.count("requests.max_connections", derived.max_connections)),
--- a/foxtaillock/platform/tests/test_large_job_crowds.py
+++ b/foxtaillock/platform/tests/test_large_job_crowds.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import typing
 import unittest
 
 import aiohttp
@@ -94,7 +95,7 @@
         )
         is_accepted = await self._is_ordinary_job_accepted()
         self.assertTrue(self.process.is_running)
-        figures = {
+        figures: dict[str, typing.Any] = {
             "VmHWM_kb": self.process.memory_kb("VmHWM"),
             "accepted": statuses.count(200),
             "statuses": sorted(set(statuses)),
