Batch: steps of thousands of tasks start part by part

A step whose tasks had room all at once had a progress record longer than the platform accepts. At most 1,500 tasks of a step are started and not done at the same time, some 100 bytes each; tasks that have run before go on.

--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -189,11 +189,15 @@
     placements: list[Placement] = []
     usable = [each for each in pool_workers if is_eligible(each)]
     counts = _count_per_worker(step, usable)
+    first_starts = step.startable_count
     for index in sorted(step.waiting):
+        task = step.tasks[index]
+        if not task.run and not first_starts:
+            continue
         worker = _best_worker(step.spec, held, usable, counts)
         if worker is None or not usage.allows(team, size):
             break
-        task = step.tasks[index]
+        first_starts -= not task.run
         worker.add(task, step.spec)
         usage.add(team, size)
         counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -18,6 +18,11 @@
 
 _FULL_SPEED_PERCENT = 100
 
+# Tasks of a step that may have been started and not be done at the same time.
+# Each takes some 100 bytes in the record of the step's progress, and the
+# platform accepts records of up to 256 KiB.
+_MAX_RECORDED_TASKS = 1_500
+
 
 class TaskPhase(enum.Enum):
     """State of a task's latest run, as far as the owner knows it.
@@ -248,6 +253,21 @@
         """Returns the tasks of which a run may exist."""
         return (task for task in self.tasks if task.is_active)
 
+    @property
+    def startable_count(self) -> int:
+        """Number of tasks that may be started for the first time now.
+
+        Each task that has been started and is not done takes room in the record
+        of the step's progress, which the platform limits in size.
+        """
+        if len(self.tasks) <= _MAX_RECORDED_TASKS:
+            return len(self.tasks)
+        recorded = sum(
+            task.run > 0 and task.phase is not TaskPhase.DONE
+            for task in self.tasks
+        )
+        return max(0, _MAX_RECORDED_TASKS - recorded)
+
     def progress(self, epoch: int) -> records.StepProgress:
         """Returns the record of the step's progress."""
         bits = 0
--- a/foxtaillock/batch/tests/test_large_jobs.py
+++ b/foxtaillock/batch/tests/test_large_jobs.py
@@ -7,15 +7,18 @@
 import random
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
+from foxtaillock.batch import plans
 from foxtaillock.batch import records
 from foxtaillock.batch import view
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import work_counter
+from foxtaillock.model import resources
 
 _JOB = "00000000000000aa"
 _SIZE = 40
@@ -276,3 +279,38 @@
         self.assertEqual(
             occurrence.is_done, all(step.is_done for step in occurrence.steps)
         )
+
+
+class RecordSizeTest(unittest.TestCase):
+    """A step of thousands of tasks that all have room at the same time.
+
+    The record of its progress became longer than the platform accepts. Its
+    append was repeated without end, and nothing ran any more.
+    """
+
+    _TASKS = 12_000
+    _MAX_RECORD_BYTES = 262_144
+
+    def setUp(self) -> None:
+        size = builders.step(1, 1).size
+        capacity = resources.Resources(*(self._TASKS * each for each in size))
+        entry = builders.entry("1")._replace(capacity=capacity)
+        self.engine = builders.create_engine(entry)
+        spec = builders.job(_JOB, builders.step(self._TASKS, 1))
+        self.engine.submit(spec, (), 10.0, 10_000)
+
+    def test_all_tasks_run_and_no_record_is_too_long(self) -> None:
+        take_batch = self.engine.take_batch
+
+        def _take_batch() -> plans.JournalBatch:
+            batch = take_batch()
+            sizes = [len(record.value) for record in batch.records]
+            self.assertLess(max(sizes, default=0), self._MAX_RECORD_BYTES)
+            return batch
+
+        with mock.patch.object(self.engine, "take_batch", _take_batch):
+            for turn in range(self._TASKS):
+                if self.engine.jobs[_JOB].is_finished:
+                    return
+                _complete_started(self.engine, 11.0 + turn)
+        self.fail("not all tasks have run")
