Bench: callers in a full pool with the rate limit of submissions

Jobs beyond a team's rate come after all others on real deployments, so an order of teams has to be judged with that limit as well as without. Each variant is now measured both ways, and the mean of the tenth of the teams that get least is a figure, without the team that floods the pool.

--- a/bench/full_pool.py
+++ b/bench/full_pool.py
@@ -3,8 +3,10 @@
 Compares the order by value alone, the teams' shares, and shares with refusals
 of jobs whose team is beyond its share while a new job would wait too long. The
 order and the shares are those of the product; the pool is 64 places, and one of
-three large teams sends five times its weight. Refused callers come back up to
-three times. A job is in time until its objective, of some use until three times
+three large teams sends five times its weight. Each variant is measured without
+and with the rate limit of submissions, by which jobs beyond a team's weight in
+jobs per second come after all others. Refused callers come back up to three
+times. A job is in time until its objective, of some use until three times
 that; the time of a refused job counts from its first attempt in one figure, and
 from the attempt that was accepted in the other.
 
@@ -13,14 +15,18 @@
 
 import collections
 import heapq
+import itertools
 import random
+import statistics
 import typing
+from collections.abc import Mapping
 
 from bench import harness
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
 from foxtaillock.batch import placement
 from foxtaillock.batch import shares
+from foxtaillock.batch import team_rate_limit
 from foxtaillock.model import resources
 
 __all__ = ["run"]
@@ -50,6 +56,7 @@
 _SIZE = resources.Resources(1000, 1 << 30, 0)
 _CAPACITY = resources.Resources(1000 * _PLACES, _PLACES << 30, 0)
 _QUEUE = model.Queue("q", "pool", 0, 2, _STRETCH, int(1000 * _SLACK_S), True)
+_FLOODING_TEAM = "large-0"
 _TEAMS = {
     name: model.Team(name, weight, resources.ZERO)
     for name, weight in (
@@ -79,7 +86,7 @@
     generator: random.Random, load: float, length_s: float
 ) -> list[_Job]:
     weights = [
-        team.weight * (_FLOOD if name == "large-0" else 1.0)
+        team.weight * (_FLOOD if name == _FLOODING_TEAM else 1.0)
         for name, team in _TEAMS.items()
     ]
     jobs: list[_Job] = []
@@ -110,13 +117,21 @@
         variant: one of `_VARIANTS`.
         jobs: jobs that callers send.
         seed: seed of the spread of retries.
+        is_rated: whether the rate limit of submissions is in force.
 
     Attributes:
         counts: number of jobs by what their callers got.
+        in_time: number of jobs in time, from the first attempt, by team.
     """
 
-    def __init__(self, variant: str, jobs: list[_Job], seed: int) -> None:
+    def __init__(
+        self, variant: str, jobs: list[_Job], seed: int, is_rated: bool
+    ) -> None:
         self._variant = variant
+        self._limits = {
+            team: team_rate_limit.TeamRateLimit() for team in _TEAMS
+        }
+        self._is_rated = is_rated
         self._jobs = jobs
         self._rng = random.Random(seed)
         self._calls = [(job.first_s, job.number, 1) for job in jobs]
@@ -132,6 +147,7 @@
             collections.deque()
         )
         self.counts: collections.Counter[str] = collections.Counter()
+        self.in_time: collections.Counter[str] = collections.Counter()
 
     def run(self, until_s: float) -> None:
         """Runs the pool until a time."""
@@ -156,6 +172,7 @@
             return
         first, accepted = job.first_s, self._accepted_s[job.number]
         is_small = job.team.startswith("small")
+        self.in_time[job.team] += now_s - first <= job.objective_s
         for name, since_s in (("first", first), ("accepted", accepted)):
             took_s = now_s - since_s
             self.counts[f"in_time_{name}"] += took_s <= job.objective_s
@@ -205,6 +222,9 @@
             (model.StepSpec(job.tasks, _SIZE, estimate_ms),),
         )
         made = job_states.create_job(spec, now_s, int(1000 * now_s))
+        if self._is_rated:
+            weight = _TEAMS[job.team].weight
+            made.is_excess = not self._limits[job.team].consume(weight, now_s)
         made.relative_work = job.tasks * job.estimate_s / _MEAN_WORK_S
         objective_s = now_s + _STRETCH * job.estimate_s + _SLACK_S
         self._waiting.append(
@@ -244,6 +264,31 @@
         self._waiting = [each for each in self._waiting if each.step.waiting]
 
 
+def _worst_tenth(in_time: Mapping[str, int], jobs: list[_Job]) -> float:
+    """Returns the mean share in time of the tenth of teams that get least.
+
+    The flooding team is not among them.
+    """
+    sent = collections.Counter(job.team for job in jobs)
+    del sent[_FLOODING_TEAM]
+    found = sorted(in_time[team] / count for team, count in sent.items())
+    return statistics.fmean(found[: max(1, round(len(_TEAMS) / 10))])
+
+
+def _figures(
+    variant: str, jobs: list[_Job], length_s: float, is_rated: bool
+) -> dict[str, float]:
+    """Returns the figures of one variant."""
+    pool = _Pool(variant, jobs, len(jobs), is_rated)
+    pool.run(length_s + _PERIOD_S)
+    small = sum(job.team.startswith("small") for job in jobs)
+    figures = {"worst_tenth_in_time": _worst_tenth(pool.in_time, jobs)}
+    for name, count in pool.counts.items():
+        total = small if name.startswith("small") else len(jobs)
+        figures[name] = count / total
+    return figures
+
+
 def run(quick: bool) -> harness.Result:
     """Measures what callers get at each load and in each variant.
 
@@ -256,14 +301,13 @@
         figures = {}
         for load in _LOADS:
             jobs = _arrivals(generator, load, length_s)
-            small = sum(job.team.startswith("small") for job in jobs)
-            for variant in _VARIANTS:
-                pool = _Pool(variant, jobs, len(jobs))
-                pool.run(length_s + _PERIOD_S)
-                prefix = f"{variant}_at_{load}"
-                for name, count in pool.counts.items():
-                    total = small if name.startswith("small") else len(jobs)
-                    figures[f"{prefix}_{name}"] = count / total
+            for variant, is_rated in itertools.product(
+                _VARIANTS, (False, True)
+            ):
+                prefix = f"{variant}{'_rated' if is_rated else ''}_at_{load}"
+                found = _figures(variant, jobs, length_s, is_rated)
+                for name, figure in found.items():
+                    figures[f"{prefix}_{name}"] = figure
         return figures
 
     measurements = harness.repeat(_trial, 3)
