Batch: seed of a late schedule that shows its disabled safeguard

The test disables a safeguard and expects one seed to exceed a worker's capacity. Learned run times change which task is placed when, so the schedule of seed 261 no longer leads there. Seed 43 does, and like 261 it is one seed that has to show LIMIT.

--- a/foxtaillock/batch/tests/test_late_schedules.py
+++ b/foxtaillock/batch/tests/test_late_schedules.py
@@ -64,4 +64,4 @@
     def test_entry_of_a_dead_worker_ends_no_runs_at_its_address(self) -> None:
         self._disable(workers.Worker, "may_run_tasks", False)
         self._assert_finds("TWICE", seed=17)
-        self._assert_finds("LIMIT", seed=261)
+        self._assert_finds("LIMIT", seed=43)
