Batch: the planner places steps in a function of its own

Planner.plan had grown to prepare a plan and to place all steps, with the choice by shapes and by gaps in one condition. The loop over the steps, the gaps of the pools and the log line of a backfilled task are functions now. The order of steps, gaps and starts is as before.

--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -86,36 +86,61 @@
         plan_shares = self._plan_shares(candidates, needs, by_pool, now_s)
         self._prepare_isolation(candidates, now_s)
         self._reservations.drop_settled()
-        gaps_by_pool = {
-            pool: gaps
-            for pool, found in by_pool.items()
-            if (gaps := self._reservations.gaps(found, now_s))
-        }
+        ordered = placement.prioritize(candidates, now_s, plan_shares)
+        self._place_steps(ordered, by_pool, now_s, max_starts)
+
+    def _place_steps(
+        self,
+        ordered: Iterable[placement.Candidate],
+        by_pool: Mapping[str, Sequence[batch_workers.Worker]],
+        now_s: float,
+        max_starts: int | None,
+    ) -> None:
+        """Places the tasks of steps in their order.
+
+        Args:
+            ordered: the steps.
+            by_pool: usable workers, except some without room for any step.
+            now_s: current time.
+            max_starts: see `plan`.
+        """
         usage = placement.TeamUsage(self._state.teams, self._state.team_usage)
         # Shapes of which no task fits any more.
         exhausted: set[_Shape] = set()
         holder_ids = self._reservations.holder_ids()
+        gaps_by_pool = self._gaps_by_pool(by_pool, now_s)
         backfill_tries = _MAX_BACKFILL_TRIES if gaps_by_pool else 0
         starts = 0
-        for candidate in placement.prioritize(candidates, now_s, plan_shares):
+        for candidate in ordered:
             if max_starts is not None and starts >= max_starts:
                 self._state.needs_plan = True
                 break
             shape = self._shape(candidate)
             if shape not in exhausted or candidate.step.step_id in holder_ids:
-                roomy_workers = by_pool[candidate.queue.pool]
-                placed = self._place_step(
-                    candidate, roomy_workers, usage, now_s
-                )
+                pool_workers = by_pool[candidate.queue.pool]
+                placed = self._place_step(candidate, pool_workers, usage, now_s)
                 if not placed and _is_unconstrained(candidate):
                     exhausted.add(shape)
                 starts += placed
+            # Steps of an exhausted shape are tried as well: whether one fits
+            # into a gap also depends on how long its runs take.
             if backfill_tries and candidate.step.waiting:
-                # Which of the steps of one shape fit also depends on how long
-                # their runs take.
-                gaps = gaps_by_pool.get(candidate.queue.pool, [])
-                backfill_tries -= bool(gaps)
-                starts += self._backfill(candidate, gaps, usage, now_s)
+                gaps = gaps_by_pool.get(candidate.queue.pool)
+                if gaps:
+                    backfill_tries -= 1
+                    starts += self._backfill(candidate, gaps, usage, now_s)
+
+    def _gaps_by_pool(
+        self,
+        by_pool: Mapping[str, Sequence[batch_workers.Worker]],
+        now_s: float,
+    ) -> dict[str, list[backfill.Gap]]:
+        """Returns the gaps of the pools that have any."""
+        return {
+            pool: gaps
+            for pool, found in by_pool.items()
+            if (gaps := self._reservations.gaps(found, now_s))
+        }
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
@@ -253,8 +278,6 @@
         Returns:
             Number of tasks that were placed.
         """
-        if not gaps:
-            return 0
         backfills = self._reservations.backfills
         longest_s = backfills.longest_s(candidate)
         if longest_s is None:
@@ -278,18 +301,27 @@
         for each in chosen:
             gap = usable[each.worker.worker_id]
             backfills.note(each, gap)
-            self._state.log(
-                "worker-backfilled",
-                worker=gap.worker.worker_id,
-                task=model.format_task_id(each.task.task_id),
-                run=each.task.run,
-                reserved_for=gap.holder.step_id,
-                longest_s=round(longest_s, 2),
-                expected_s=round(gap.until_s - now_s, 2),
-                reason="ends before the reserved room is expected",
-            )
+            self._log_backfill(each, gap, longest_s, now_s)
         return len(chosen)
 
+    def _log_backfill(
+        self,
+        placed: placement.Placement,
+        gap: backfill.Gap,
+        longest_s: float,
+        now_s: float,
+    ) -> None:
+        self._state.log(
+            "worker-backfilled",
+            worker=gap.worker.worker_id,
+            task=model.format_task_id(placed.task.task_id),
+            run=placed.task.run,
+            reserved_for=gap.holder.step_id,
+            longest_s=round(longest_s, 2),
+            expected_s=round(gap.until_s - now_s, 2),
+            reason="ends before the reserved room is expected",
+        )
+
     def _excluded_workers(
         self,
         pool: str,
