Batch: the record of learned run times keeps their order of use

Learned run times are kept for the 256 most recently observed pairs. The record sorted its rows by the number of samples, so that a new owner took the pairs with the most samples for the least recently used ones, and dropped these first. The rows that count most are still chosen by their weight, and stay in the order of their provider.

The test of the bound expected the largest row first, which was that fault. It now expects exactly the largest rows, in their order.

--- a/foxtaillock/batch/scheduling_state.py
+++ b/foxtaillock/batch/scheduling_state.py
@@ -177,25 +177,28 @@
 ) -> dict[str, list[_Row]]:
     """Returns the rows that count most of each field, within the bound.
 
-    The fields take turns, so that none takes the room of another. Rows that
-    weigh the same stay in the order of the provider.
+    The fields take turns, so that none takes the room of another. The rows stay
+    in the order of the provider, which may carry a meaning.
     """
-    ranked = [
-        (rank, name, row)
-        for name, field_rows in rows.items()
-        for rank, row in enumerate(
-            sorted(field_rows, key=_FIELDS[name].weight, reverse=True)
+    ranked = []
+    for name, field_rows in rows.items():
+        weights = [_FIELDS[name].weight(row) for row in field_rows]
+        order = sorted(
+            range(len(weights)), key=weights.__getitem__, reverse=True
         )
-    ]
+        ranked += [(rank, name, index) for rank, index in enumerate(order)]
     ranked.sort(key=lambda each: each[0])
-    kept: dict[str, list[_Row]] = {name: [] for name in rows}
+    kept: dict[str, set[int]] = {name: set() for name in rows}
     left_bytes = _MAX_BYTES - _HEADER_BYTES
-    for _, name, row in ranked:
-        left_bytes -= len(msgspec.msgpack.encode(row))
+    for _, name, index in ranked:
+        left_bytes -= len(msgspec.msgpack.encode(rows[name][index]))
         if left_bytes < 0:
             break
-        kept[name].append(row)
-    return kept
+        kept[name].add(index)
+    return {
+        name: [field_rows[index] for index in sorted(kept[name])]
+        for name, field_rows in rows.items()
+    }
 
 
 def _share_changed(row: records.TeamUse, before: records.TeamUse) -> bool:
--- a/foxtaillock/batch/tests/test_scheduling_state.py
+++ b/foxtaillock/batch/tests/test_scheduling_state.py
@@ -123,8 +123,21 @@
         self.assertLessEqual(size, 32 * 1024)
         self.assertGreater(size, 31 * 1024)
         self.assertEqual(record.run_estimates, tuple(estimates))
-        largest = max(usage, key=lambda each: each.share)
-        self.assertEqual(record.team_usage[0], largest)
+        count = len(record.team_usage)
+        self.assertGreater(count, 500)
+        # Their shares ascend, so the largest are the last ones.
+        self.assertEqual(record.team_usage, tuple(usage[-count:]))
+
+    def test_record_loses_the_order_of_use(self) -> None:
+        """Has the new owner drop pairs in use before those out of use."""
+        estimates = [
+            records.RunEstimate("q", number, samples, 0.1, 0.2)
+            for number, samples in enumerate((9, 50, 5, 20))
+        ]
+        keeper = _keeper(run_estimates=_Provider(*estimates))
+        record = keeper.due_record(10.0, _WALL_MS)
+        assert record is not None
+        self.assertEqual(record.run_estimates, tuple(estimates))
 
 
 class RestoreTest(unittest.TestCase):
