Batch: persistent tasks leave a worker only for room of their own

Cause: each persistent task on an evacuated or draining worker looked at the same free room, without regard to its step's label and to workers on which an earlier owner may have orders. So all tasks of a zone could be stopped for the room of one, and batch tasks that waited took that room before the stopped run had ended.

Change: room is taken for the tasks that wait and that are being stopped, then for each further one. Its worker gets no batch tasks until the stopped run has ended, for at most 2 s.

Four new tests in test_evacuated_workers fail before: 2 stops instead of 1 for one room (of one step, and of two), a stop although no worker may run the task, and batch tasks on the room of a stopped one.

--- a/foxtaillock/batch/displaced_tasks.py
+++ b/foxtaillock/batch/displaced_tasks.py
@@ -1,11 +1,14 @@
-"""Finds the VMs that a pool lacks for the persistent tasks that have to move.
+"""Finds room for the persistent tasks that have to move, and the VMs it lacks.
 
 Answers the load of a zone that is evacuated while its workers run persistent
 tasks: the tasks leave only once another worker has room, and the pool's other
 workers may be too few, too full or too small in memory or accelerators, which
-its processor load does not tell.
+its processor load does not tell. Many tasks leave at once, so each of them
+needs room of its own, and batch tasks that wait in a full pool would take it
+before the stopped run has ended.
 """
 
+import collections
 import typing
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -16,7 +19,7 @@
 from foxtaillock.batch import workers
 from foxtaillock.model import resources
 
-__all__ = ["DisplacedStep", "displaced_step", "lacking_vms"]
+__all__ = ["DisplacedStep", "MoveRooms", "displaced_step", "lacking_vms"]
 
 
 class DisplacedStep(typing.NamedTuple):
@@ -36,16 +39,19 @@
 class _Room:
     """Room on a worker, or on a VM that is still to come."""
 
-    def __init__(self, free: resources.Resources, worker_id: str) -> None:
+    def __init__(self, free: resources.Resources) -> None:
         self._free = free
-        self._worker_id = worker_id
-
-    def take(self, step: DisplacedStep, count: int) -> int:
-        """Takes room for up to `count` tasks; returns how many fit."""
-        spec = step.spec
-        limit = spec.max_per_worker
-        if limit:
-            count = min(count, limit - step.used.get(self._worker_id, 0))
+
+    def take(self, spec: model.StepSpec, count: int, used: int = 0) -> int:
+        """Takes room for up to `count` tasks; returns how many fit.
+
+        Args:
+            spec: step of the tasks.
+            count: number of the tasks.
+            used: number of the step's tasks that are there.
+        """
+        if spec.max_per_worker:
+            count = min(count, spec.max_per_worker - used)
         taken = 0
         while taken < count and resources.fits(spec.held_size, self._free):
             self._free = resources.subtract(self._free, spec.held_size)
@@ -53,6 +59,57 @@
         return taken
 
 
+class MoveRooms:
+    """Room for persistent tasks on the workers that may get them.
+
+    Cost: O(w) for each task and w workers.
+
+    Args:
+        state: jobs and workers of the owner.
+        now_s: current time.
+    """
+
+    def __init__(self, state: owner_state.OwnerState, now_s: float) -> None:
+        self._state = state
+        self._now_s = now_s
+        self._rooms: dict[str, list[tuple[workers.Worker, _Room]]] = {}
+        self._used: dict[model.StepId, collections.Counter[str]] = {}
+
+    def take(self, pool: str, step: tasks.Step) -> str:
+        """Takes room for a task; returns the worker, or nothing for none."""
+        if step.step_id not in self._used:
+            self._used[step.step_id] = collections.Counter(
+                task.worker_id for task in step.active_tasks()
+            )
+        used, label = self._used[step.step_id], step.spec.label
+        for worker, room in self._rooms_of(pool):
+            if label and label not in worker.entry.labels:
+                continue
+            worker_id = worker.worker_id
+            if room.take(step.spec, 1, used[worker_id]):
+                used[worker_id] += 1
+                return worker_id
+        return ""
+
+    def take_for_waiting(self) -> None:
+        """Takes room for the tasks that wait for another run."""
+        for step in self._state.waiting.values():
+            if step.spec.is_persistent:
+                pool = self._state.pool_of(step.step_id.job_id)
+                for number in step.waiting:
+                    if step.tasks[number].run > 0:
+                        self.take(pool, step)
+
+    def _rooms_of(self, pool: str) -> list[tuple[workers.Worker, _Room]]:
+        if pool not in self._rooms:
+            self._rooms[pool] = [
+                (worker, _Room(worker.free))
+                for worker in self._state.pool_members.of(pool)
+                if worker.is_usable(self._now_s) and not worker.is_held
+            ]
+        return self._rooms[pool]
+
+
 def displaced_step(
     state: owner_state.OwnerState, step: tasks.Step
 ) -> DisplacedStep | None:
@@ -87,7 +144,7 @@
         now_s: current time.
     """
     rooms = [
-        (worker.entry.labels, _Room(worker.free, worker.worker_id))
+        (worker, _Room(worker.free))
         for worker in pool_workers
         if worker.is_usable(now_s)
     ]
@@ -98,15 +155,16 @@
     for step in steps:
         label = step.spec.label
         count = step.task_count
-        for labels, room in rooms:
-            if count and (not label or label in labels):
-                count -= room.take(step, count)
+        for worker, room in rooms:
+            if count and (not label or label in worker.entry.labels):
+                used = step.used.get(worker.worker_id, 0)
+                count -= room.take(step.spec, count, used)
         for room in added:
-            count -= room.take(step, count)
+            count -= room.take(step.spec, count)
         while count:
             # The capacity of a pool without workers is not known.
-            room = _Room(capacity or step.spec.held_size, "")
-            taken = room.take(step, count)
+            room = _Room(capacity or step.spec.held_size)
+            taken = room.take(step.spec, count)
             if not taken:
                 break
             count -= taken
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -74,6 +74,8 @@
             workers.
         leaving: workers whose VMs are, or may be, ordered away.
         evacuated_zones: availability zones in which no task is started.
+        kept_ids: workers that get no batch task, since their room is for
+            persistent tasks whose runs are being stopped elsewhere.
         prior_leases: leases granted by earlier owners.
         renounced_ids: workers on which this owner has renounced leases.
         late_starts: starts without an answer that may still be carried out.
@@ -126,6 +128,7 @@
         )
         self.leaving = workers.LeavingWorkers()
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.kept_ids: frozenset[str] = frozenset()
         self.late_starts = late_starts.LateStarts()
         self.late_renewals = late_renewals.LateRenewals()
         self.has_new_long_lease = False
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -95,9 +95,10 @@
     ) -> Sequence[workers.Worker]:
         """Returns the workers that are not reserved for other steps.
 
-        A reservation for batch work keeps no persistent task waiting.
+        A reservation for batch work keeps no persistent task waiting. Room for
+        persistent tasks that are about to move is open to no others.
         """
-        if not self._holders:
+        if not self._holders and not self._state.kept_ids:
             return pool_workers
         return [
             worker
@@ -107,6 +108,8 @@
 
     def _is_open(self, worker_id: str, step: tasks.Step) -> bool:
         """Returns whether a worker may get tasks of a step."""
+        if worker_id in self._state.kept_ids and not step.spec.is_persistent:
+            return False
         holder_id = self._holders.get(worker_id, step.step_id)
         if holder_id == step.step_id:
             return True
@@ -125,6 +128,8 @@
             worker_id = worker.worker_id
             if worker_id not in self._holders:
                 continue
+            if worker_id in self._state.kept_ids:
+                continue
             is_outlived = self.backfills.is_outlived(worker_id, now_s)
             until_s = self._expected_s[worker_id]
             holder = self._state.waiting.get(self._holders[worker_id])
--- a/foxtaillock/batch/tests/test_evacuated_workers.py
+++ b/foxtaillock/batch/tests/test_evacuated_workers.py
@@ -217,6 +217,57 @@
         engine.vms.set_cordoned(["c-new0"], ["c-new0"])
         self.assertEqual(self._stops(engine), [])
 
+    def test_no_more_tasks_leave_than_have_room(self) -> None:
+        """Each would count on the same room, and all but one would wait."""
+        engine = self._engine("c", max_unavailable=0)
+        engine.set_evacuated_zones(frozenset("b"))
+        self.assertEqual(len(self._stops(engine)), 1)
+        self.assertEqual(self._stops(engine, 12.1), [])
+
+    def test_tasks_of_different_steps_don_t_share_room(self) -> None:
+        """A stop under way, and a task that waits, have taken room as well."""
+        engine = builders.create_engine(_entry("a1", "a"), _entry("a2", "a"))
+        for number in range(2):
+            step = builders.step(cpu=3000, is_persistent=True)
+            spec = builders.job(f"{number:016x}", step)
+            engine.submit(spec, (), 10.0, 10_000)
+        builders.start_all(engine, 10.0)
+        engine.register(_entry("c1", "c"), 11.0)
+        engine.set_evacuated_zones(frozenset("a"))
+        (worker_id,) = self._stops(engine, 12.0)
+        self.assertEqual(self._stops(engine, 12.1), [])
+        self._confirm(engine, worker_id, 12.2)
+        self.assertEqual(self._stops(engine, 12.3), [])
+
+    def test_workers_that_may_not_run_a_task_are_no_room(self) -> None:
+        """The task would wait although a worker has room for its size."""
+        engine = builders.create_engine(_entry("a1", "a"))
+        _submit(engine, builders.step(is_persistent=True, label="a"))
+        builders.start_all(engine, 10.0)
+        engine.register(_entry("c1", "c")._replace(labels=("c",)), 11.0)
+        engine.register(_entry("c2", "c"), 11.0)
+        engine.set_evacuated_zones(frozenset("a"))
+        engine.vms.set_cordoned((), (), ["c2"])
+        self.assertEqual(self._stops(engine), [])
+        engine.vms.set_cordoned((), ())
+        self.assertEqual(self._stops(engine, 12.1), ["a1"])
+
+    def test_batch_tasks_leave_the_room_of_a_stopped_task(self) -> None:
+        """They would take it before the stop is confirmed, for seconds."""
+        engine = self._engine("c")
+        engine.set_evacuated_zones(frozenset("b"))
+        (worker_id,) = self._stops(engine)
+        batch = builders.job("00000000000000bb", builders.step(40))
+        engine.submit(batch, (), 12.0, 12_000)
+        starts = builders.start_all(engine, 12.1)
+        self.assertEqual(set(_workers_of(starts)), {"a1"})
+        self._confirm(engine, worker_id, 12.2)
+        starts = builders.start_all(engine, 12.3)
+        self.assertEqual(_workers_of(starts), ["c-new0"])
+        engine.tick(12.4)
+        starts = builders.start_all(engine, 12.5)
+        self.assertEqual(_workers_of(starts), ["c-new0"] * 3)
+
     def test_stops_count_against_no_task_and_no_worker(self) -> None:
         engine = self._engine("c", "c", max_unavailable=0)
         engine.set_evacuated_zones(frozenset("b"))
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -12,7 +12,6 @@
 from foxtaillock.batch import workers
 from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import vm_ledger
-from foxtaillock.model import resources
 
 __all__ = ["VmCoordinator"]
 
@@ -27,6 +26,11 @@
 # its first answer, a worker accepts no stop of an earlier owner any more.
 _MAX_STOP_S = 0.2
 
+# Room for a task is kept for at most this time while its run is being stopped.
+# A stopped run ends within some tenths of a second; one whose end never shows
+# would keep batch tasks waiting.
+_MAX_KEPT_S = 2.0
+
 
 class VmCoordinator:
     """Drains workers for orders for their VMs, and measures the load of pools.
@@ -37,33 +41,63 @@
 
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
+        # When the runs that are being stopped were first seen to be.
+        self._stopping_s: dict[tuple[model.TaskId, int], float] = {}
 
     def evacuate(self, now_s: float) -> None:
         """Stops persistent tasks on workers that are to run nothing more.
 
         The tasks restart on other workers. No more of them are stopped at a
-        time than their step's `max_unavailable` allows.
+        time than their step's `max_unavailable` allows, and than have room
+        there, which is kept from batch tasks until the stopped runs have ended.
         """
-        for worker in self._state.workers.values():
-            if not worker.is_emptied:
-                continue
-            for task in list(worker.tasks.values()):
-                step = self._state.step_of(task)
+        leaving = [
+            (worker, task, step)
+            for worker in self._state.workers.values()
+            if worker.is_emptied and worker.persistent_count
+            for task in worker.tasks.values()
+            if (step := self._state.step_of(task)).spec.is_persistent
+        ]
+        stopping_s, self._stopping_s = self._stopping_s, {}
+        kept_ids: set[str] = set()
+        if leaving:
+            rooms = displaced_tasks.MoveRooms(self._state, now_s)
+            rooms.take_for_waiting()
+            for worker, task, step in leaving:
+                if task.is_stopping:
+                    run = task.task_id, task.run
+                    began_s = stopping_s.get(run, now_s)
+                    self._stopping_s[run] = began_s
+                    target_id = rooms.take(worker.entry.pool, step)
+                    if now_s - began_s < _MAX_KEPT_S:
+                        kept_ids.add(target_id)
+            for worker, task, step in leaving:
                 if (
-                    step.spec.is_persistent
-                    and task.phase is tasks.TaskPhase.RUNNING
+                    task.phase is tasks.TaskPhase.RUNNING
                     and not task.is_stopping
                     and self._may_interrupt(step, task, now_s)
-                    and self._has_capacity_elsewhere(step, worker, now_s)
+                    and (target_id := rooms.take(worker.entry.pool, step))
                 ):
-                    self._state.log(
-                        "task-evacuated",
-                        task=model.format_task_id(task.task_id),
-                        run=task.run,
-                        worker=worker.worker_id,
-                        may_miss=step.spec.max_unavailable,
-                    )
-                    self._state.order_stop(worker, task, now_s)
+                    self._evacuate_task(worker, task, step, now_s)
+                    kept_ids.add(target_id)
+        self._state.kept_ids = frozenset(kept_ids)
+
+    def _evacuate_task(
+        self,
+        worker: workers.Worker,
+        task: tasks.Task,
+        step: tasks.Step,
+        now_s: float,
+    ) -> None:
+        """Stops a persistent task, which restarts on another worker."""
+        self._state.log(
+            "task-evacuated",
+            task=model.format_task_id(task.task_id),
+            run=task.run,
+            worker=worker.worker_id,
+            may_miss=step.spec.max_unavailable,
+        )
+        self._state.order_stop(worker, task, now_s)
 
     def set_cordoned(
         self,
@@ -210,16 +244,3 @@
             and now_s - worker.answered_s <= _MAX_ANSWER_AGE_S
             and worker.listed_s - worker.fenced_s >= _MAX_STOP_S
         )
-
-    def _has_capacity_elsewhere(
-        self, step: tasks.Step, cordoned: workers.Worker, now_s: float
-    ) -> bool:
-        """Returns whether another worker of the pool can run a step's task."""
-        occupied = {task.worker_id for task in step.active_tasks()}
-        return any(
-            other.is_usable(now_s)
-            and other.entry.pool == cordoned.entry.pool
-            and resources.fits(step.spec.held_size, other.free)
-            and not (step.spec.max_per_worker and other.worker_id in occupied)
-            for other in self._state.workers.values()
-        )
