Batch: room in a full pool is for tasks of evacuated zones first

Cause: a plan between two ticks filled each worker that came with batch tasks, so persistent tasks never left their zone, and the pool asked for further VMs.

Change: while zones are evacuated, each plan first looks for room for the persistent tasks there. Up to a quarter of a pool's workers is kept for those that wait for others of their step.

--- a/foxtaillock/batch/displaced_tasks.py
+++ b/foxtaillock/batch/displaced_tasks.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import math
 import typing
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -22,6 +23,10 @@
 __all__ = ["DisplacedStep", "MoveRooms", "displaced_step", "lacking_vms"]
 
 
+# Pool, size and label of tasks.
+_Shape = tuple[str, resources.Resources, str]
+
+
 class DisplacedStep(typing.NamedTuple):
     """Tasks of a persistent step that need room.
 
@@ -42,6 +47,10 @@
     def __init__(self, free: resources.Resources) -> None:
         self._free = free
 
+    def fits(self, size: resources.Resources) -> bool:
+        """Returns whether a task has room."""
+        return resources.fits(size, self._free)
+
     def take(self, spec: model.StepSpec, count: int, used: int = 0) -> int:
         """Takes room for up to `count` tasks; returns how many fit.
 
@@ -62,7 +71,8 @@
 class MoveRooms:
     """Room for persistent tasks on the workers that may get them.
 
-    Cost: O(w) for each task and w workers.
+    Cost: O(w) for w workers and each task that finds room, and once for each
+    step and shape that finds none.
 
     Args:
         state: jobs and workers of the owner.
@@ -74,6 +84,10 @@
         self._now_s = now_s
         self._rooms: dict[str, list[tuple[workers.Worker, _Room]]] = {}
         self._used: dict[model.StepId, collections.Counter[str]] = {}
+        # Steps, and shapes of tasks, for which no room is left.
+        self._exhausted: set[model.StepId | _Shape] = set()
+        # Workers kept for tasks that move later, by pool.
+        self._kept: dict[str, set[str]] = {}
 
     def take(self, pool: str, step: tasks.Step) -> str:
         """Takes room for a task; returns the worker, or nothing for none."""
@@ -81,16 +95,36 @@
             self._used[step.step_id] = collections.Counter(
                 task.worker_id for task in step.active_tasks()
             )
-        used, label = self._used[step.step_id], step.spec.label
+        spec, used = step.spec, self._used[step.step_id]
+        shape = (pool, spec.held_size, spec.label)
+        if shape in self._exhausted or step.step_id in self._exhausted:
+            return ""
+        has_room = False
         for worker, room in self._rooms_of(pool):
-            if label and label not in worker.entry.labels:
+            if not room.fits(spec.held_size):
                 continue
+            if spec.label and spec.label not in worker.entry.labels:
+                continue
+            has_room = True
             worker_id = worker.worker_id
-            if room.take(step.spec, 1, used[worker_id]):
+            if room.take(spec, 1, used[worker_id]):
                 used[worker_id] += 1
                 return worker_id
+        self._exhausted.add(step.step_id if has_room else shape)
         return ""
 
+    def may_keep(self, pool: str, fraction: float) -> bool:
+        """Returns whether one more worker may be kept for later."""
+        limit = math.ceil(fraction * len(self._rooms_of(pool)))
+        return len(self._kept.get(pool, ())) < limit
+
+    def keep(self, pool: str, step: tasks.Step) -> str:
+        """Takes room for a task that moves later; returns the worker."""
+        worker_id = self.take(pool, step)
+        if worker_id:
+            self._kept.setdefault(pool, set()).add(worker_id)
+        return worker_id
+
     def take_for_waiting(self) -> None:
         """Takes room for the tasks that wait for another run."""
         for step in self._state.waiting.values():
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -333,6 +333,9 @@
         self._planned_s = now_s
         self._check_restored_jobs(now_s)
         self._state.create_due_occurrences(now_s)
+        if self._state.evacuated_zones:
+            # Room on a worker that has just come is for what has to move.
+            self.vms.evacuate(now_s)
         self._planner.plan(now_s, max_starts)
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vm_coordinator.py
@@ -31,6 +31,10 @@
 # would keep batch tasks waiting.
 _MAX_KEPT_S = 2.0
 
+# At most this fraction of a pool's workers is kept for tasks of evacuated zones
+# that have to wait for others of their step to move.
+_MAX_KEPT_FRACTION = 0.25
+
 
 class VmCoordinator:
     """Drains workers for orders for their VMs, and measures the load of pools.
@@ -72,32 +76,41 @@
                     if now_s - began_s < _MAX_KEPT_S:
                         kept_ids.add(target_id)
             for worker, task, step in leaving:
-                if (
-                    task.phase is tasks.TaskPhase.RUNNING
-                    and not task.is_stopping
-                    and self._may_interrupt(step, task, now_s)
-                    and (target_id := rooms.take(worker.entry.pool, step))
-                ):
-                    self._evacuate_task(worker, task, step, now_s)
-                    kept_ids.add(target_id)
-        self._state.kept_ids = frozenset(kept_ids)
-
-    def _evacuate_task(
+                if task.phase is tasks.TaskPhase.RUNNING:
+                    kept_ids.add(self._move(worker, task, step, rooms, now_s))
+        self._state.kept_ids = frozenset(kept_ids - {""})
+
+    def _move(
         self,
         worker: workers.Worker,
         task: tasks.Task,
         step: tasks.Step,
+        rooms: displaced_tasks.MoveRooms,
         now_s: float,
-    ) -> None:
-        """Stops a persistent task, which restarts on another worker."""
-        self._state.log(
-            "task-evacuated",
-            task=model.format_task_id(task.task_id),
-            run=task.run,
-            worker=worker.worker_id,
-            may_miss=step.spec.max_unavailable,
-        )
-        self._state.order_stop(worker, task, now_s)
+    ) -> str:
+        """Stops a persistent task, which restarts on another worker.
+
+        Returns:
+            The worker whose room is kept for it; empty for none.
+        """
+        pool = worker.entry.pool
+        if task.is_stopping:
+            return ""
+        if not self._may_interrupt(step, task, now_s):
+            if worker.is_evacuated and rooms.may_keep(pool, _MAX_KEPT_FRACTION):
+                return rooms.keep(pool, step)
+            return ""
+        target_id = rooms.take(pool, step)
+        if target_id:
+            self._state.log(
+                "task-evacuated",
+                task=model.format_task_id(task.task_id),
+                run=task.run,
+                worker=worker.worker_id,
+                may_miss=step.spec.max_unavailable,
+            )
+            self._state.order_stop(worker, task, now_s)
+        return target_id
 
     def set_cordoned(
         self,
