Batch: a pool asks for no further VMs if those that came don't help

Cause: VMs that are asked for persistent tasks of an evacuated zone may lack the step's label or be smaller than the pool's largest VM. The tasks still had no room then, so the pool asked again, until it had all VMs of the fleet.

Change: a pool with more than four VMs that run nothing and have no room for such tasks asks for none.

--- a/foxtaillock/batch/displaced_tasks.py
+++ b/foxtaillock/batch/displaced_tasks.py
@@ -23,6 +23,11 @@
 __all__ = ["DisplacedStep", "MoveRooms", "displaced_step", "lacking_vms"]
 
 
+# A pool with more VMs that run nothing, yet have no room for these tasks, asks
+# for no others: those that come are likely to be too small or to lack a label as
+# well.
+_MAX_USELESS_VMS = 4
+
 # Pool, size and label of tasks.
 _Shape = tuple[str, resources.Resources, str]
 
@@ -42,10 +47,15 @@
 
 
 class _Room:
-    """Room on a worker, or on a VM that is still to come."""
+    """Room on a worker, or on a VM that is still to come.
+
+    Attributes:
+        is_used: whether some of it was taken.
+    """
 
     def __init__(self, free: resources.Resources) -> None:
         self._free = free
+        self.is_used = False
 
     def fits(self, size: resources.Resources) -> bool:
         """Returns whether a task has room."""
@@ -65,6 +75,7 @@
         while taken < count and resources.fits(spec.held_size, self._free):
             self._free = resources.subtract(self._free, spec.held_size)
             taken += 1
+        self.is_used = self.is_used or taken > 0
         return taken
 
 
@@ -169,7 +180,8 @@
 ) -> int:
     """Returns how many more VMs a pool needs for tasks that need room.
 
-    Tasks that fit on no VM of the pool are left out. Cost: O(s * w + t) for s
+    Tasks that fit on no VM of the pool are left out, and all of them if those
+    that came don't help. Cost: O(s * w + t) for s
     steps, w workers and t tasks.
 
     Args:
@@ -203,4 +215,7 @@
                 break
             count -= taken
             added.append(room)
-    return len(added)
+    useless = sum(
+        not worker.tasks and not room.is_used for worker, room in rooms
+    )
+    return 0 if useless > _MAX_USELESS_VMS else len(added)
--- a/foxtaillock/batch/tests/test_evacuated_workers.py
+++ b/foxtaillock/batch/tests/test_evacuated_workers.py
@@ -330,6 +330,24 @@
         load = engine.vms.pool_loads(10.2)["pool"]
         self.assertEqual((load.displaced, load.lacking_vms), (3, 2))
 
+    def test_pool_stops_to_ask_for_vms_that_don_t_help(self) -> None:
+        """VMs that come may lack a label; the pool took all of the fleet."""
+        engine = builders.create_engine(_entry("a1", "a"))
+        _submit(engine, builders.step(is_persistent=True, label="a"))
+        builders.start_all(engine, 10.0)
+        engine.set_evacuated_zones(frozenset("a"))
+        asked = 0
+        for number in range(20):
+            load = engine.vms.pool_loads(11.0)["pool"]
+            if not load.lacking_vms:
+                break
+            asked += load.lacking_vms
+            entry = _entry(f"c{number}", "c")._replace(labels=("c",))
+            engine.register(entry, 11.0)
+        self.assertIn(asked, range(2, 7))
+        engine.register(_entry("d", "c"), 11.0)
+        self.assertEqual(self._stops(engine), ["a1"])
+
     def test_task_that_fits_on_no_vm_asks_for_none(self) -> None:
         engine = builders.create_engine(_entry("a1", "a", 8000))
         _submit(engine, builders.step(cpu=8000, is_persistent=True))
