Batch: zones that were returned are not kept without bound

Cause: an entry VM kept the latest offset of each zone that was ever evacuated.

Change: a full read makes those of returned zones needless; of at most 256 they are kept otherwise, and records before the oldest one count as old. The test fails before for want of the count that it checks: 10,000 zones were kept.

--- a/foxtaillock/batch/evacuations.py
+++ b/foxtaillock/batch/evacuations.py
@@ -17,6 +17,10 @@
 
 __all__ = ["Evacuations"]
 
+# Zones that are not evacuated of which a late record is recognized as old by
+# its own offset. Beyond them, all older records count as old.
+_MAX_RETURNED_ZONES = 256
+
 
 class Evacuations:
     """Evacuated zones, as far as this VM has read.
@@ -39,9 +43,12 @@
         self._decode = decode
         self._log = log
         self._since_s: dict[str, float] = {}
-        # Offset of the latest record of each zone.
+        # Offset of the latest record of each zone, in the order of reading.
         self._offsets: dict[str, int] = {}
-        # Offset before which a full read has told all that counts.
+        # Zones among them that are not evacuated, in the same order.
+        self._returned: dict[str, None] = {}
+        # Offset before which no record counts any more: a full read has told
+        # all that do, or they have been applied.
         self._full_offset = 0
         self.on_change: Callable[[frozenset[str]], None] = lambda _: None
 
@@ -50,6 +57,11 @@
         """The evacuated zones."""
         return frozenset(self._since_s)
 
+    @property
+    def known_count(self) -> int:
+        """Number of zones of which something is kept."""
+        return len(self._offsets)
+
     def ages_s(self, now_s: float) -> Mapping[str, float]:
         """Returns the time since the request for each evacuated zone."""
         return {
@@ -68,9 +80,11 @@
         if is_new and offset >= self._full_offset:
             self._offsets[zone] = offset
             if evacuation.is_requested:
+                self._returned.pop(zone, None)
                 self._begin(zone, now_s)
             else:
                 self._end(zone, now_s)
+                self._forget_returned()
         return True
 
     def forget_erased(self, page: interfaces.StreamPage, now_s: float) -> None:
@@ -89,6 +103,9 @@
         for zone in self.zones - present:
             if self._offsets[zone] < page.next_offset:
                 self._end(zone, now_s)
+        for zone in list(self._returned):
+            if self._offsets[zone] < self._full_offset:
+                self._drop(zone)
 
     def _begin(self, zone: str, now_s: float) -> None:
         if zone in self._since_s:
@@ -98,6 +115,8 @@
         self.on_change(self.zones)
 
     def _end(self, zone: str, now_s: float) -> None:
+        self._returned.pop(zone, None)
+        self._returned[zone] = None
         since_s = self._since_s.pop(zone, None)
         if since_s is None:
             return
@@ -105,3 +124,18 @@
             "zone-returned", zone=zone, duration_s=round(now_s - since_s, 2)
         )
         self.on_change(self.zones)
+
+    def _forget_returned(self) -> None:
+        """Bounds the number of zones that are kept.
+
+        A read begins after the records that have been applied, or holds all
+        from its beginning on, so what comes before the oldest one is old.
+        """
+        if len(self._returned) > _MAX_RETURNED_ZONES:
+            zone = next(iter(self._returned))
+            self._full_offset = max(self._full_offset, self._offsets[zone] + 1)
+            self._drop(zone)
+
+    def _drop(self, zone: str) -> None:
+        del self._returned[zone]
+        del self._offsets[zone]
--- a/foxtaillock/batch/tests/test_evacuations.py
+++ b/foxtaillock/batch/tests/test_evacuations.py
@@ -114,6 +114,20 @@
         self._apply(4, "b")
         self.assertEqual(self.evacuations.zones, frozenset())
 
+    def test_zones_that_vanish_take_no_memory(self) -> None:
+        """An entry VM runs for months, and keys may name anything."""
+        for offset in range(0, 20_000, 2):
+            self._apply(offset, f"zone-{offset}")
+            self._apply(offset + 1, f"zone-{offset}", b"")
+        self.assertLessEqual(self.evacuations.known_count, 1_000)
+        self._apply(20_001, "a")
+        self._apply(0, "zone-0")
+        self.assertEqual(self.evacuations.zones, {"a"})
+        self.evacuations.forget_erased(
+            _page(20_002, (20_001, _record("a"))), 1.0
+        )
+        self.assertEqual(self.evacuations.known_count, 1)
+
     def test_reads_in_any_order_agree_with_the_stream(self) -> None:
         """Overlapping and full reads end in what the stream holds."""
         for seed in range(_SEEDS):
