Batch: rhythms that can't be true, or of pools that are gone, are dropped

Cause: a recorded period or length that is infinite or huge was never expected, missed or replaced, and every owner recorded it for the next one. So was the rhythm of a pool that is not configured any more, which also held a place in the order of turns.

Change: such rows are left out, as those of run times are, and pools without a load are forgotten, also in the demand. The tests fail before in 10 kinds of rows (NaN as an age passed) and for a pool that is gone.

--- a/foxtaillock/batch/demand_rhythm.py
+++ b/foxtaillock/batch/demand_rhythm.py
@@ -22,6 +22,10 @@
 __all__ = ["DemandRhythm", "Event"]
 
 
+# Larger times and demands in a record can't be true.
+_MAX_TIME_S = 7 * 24 * 3600.0
+_MAX_MILLIS = 1 << 50
+
 # Turns overlap if peaks last longer than this multiple of their interval.
 _OVERLAP_RATIO = 1.5
 
@@ -80,6 +84,10 @@
             floors: demand of each pool that needs no preparation.
             now_s: current time.
         """
+        for pool in self._peaks.keys() - demands.keys():
+            del self._peaks[pool]
+            self._followers.pop(pool, None)
+            self._passed_over.discard(pool)
         for pool in demands:
             self._peaks.setdefault(pool, pool_peaks.PoolPeaks())
         for pool, millis in demands.items():
@@ -172,13 +180,15 @@
         """Continues from an earlier owner's snapshot.
 
         The interval between the turns follows from the ages of the onsets.
+        Rows that can't be true are left out.
 
         Args:
             rows: the snapshot.
             age_s: time since it was taken.
             now_s: current time.
         """
-        for row in sorted(rows, key=lambda row: -row.onset_age_s):
+        valid = filter(_is_valid, rows)
+        for row in sorted(valid, key=lambda row: -row.onset_age_s):
             onset_s = now_s - age_s - row.onset_age_s
             peaks = self._peaks.setdefault(row.pool, pool_peaks.PoolPeaks())
             peaks.resume(onset_s, row.length_s, row.height_millis)
@@ -266,7 +276,7 @@
         not peaked yet; and if all have, the one that peaked first.
         """
         follower = self._followers.get(self._turn_pool)
-        if follower is not None and follower not in self._passed_over:
+        if follower in self._peaks and follower not in self._passed_over:
             return [follower]
         unseen = [
             pool
@@ -331,3 +341,12 @@
             return own or min(others)
         # A new owner has seen no peak to its end yet.
         return max(each.present_height for each in self._peaks.values())
+
+
+def _is_valid(row: records.PoolRhythm) -> bool:
+    return (
+        0 <= row.period_s <= _MAX_TIME_S
+        and 0 <= row.length_s <= _MAX_TIME_S
+        and 0 <= row.onset_age_s < float("inf")
+        and 0 <= row.height_millis <= _MAX_MILLIS
+    )
--- a/foxtaillock/batch/pool_sizes.py
+++ b/foxtaillock/batch/pool_sizes.py
@@ -79,6 +79,8 @@
 
     def observe(self, loads: Mapping[str, PoolLoad], now_s: float) -> None:
         """Records the current load of the pools."""
+        for pool in self._demands.keys() - loads.keys():
+            del self._demands[pool]
         for pool, load in loads.items():
             pool_demand = self._demands.setdefault(pool, demand.PoolDemand())
             pool_demand.observe(now_s, load.demand_millis)
--- a/foxtaillock/batch/tests/test_demand_rhythm.py
+++ b/foxtaillock/batch/tests/test_demand_rhythm.py
@@ -9,6 +9,7 @@
 
 from foxtaillock.batch import demand
 from foxtaillock.batch import demand_rhythm
+from foxtaillock.batch import records
 from foxtaillock.batch.tests import turning_load
 
 _STEP_S = 0.1
@@ -187,6 +188,52 @@
                 self.assertEqual(self._predicted(601.0), [])
 
 
+class BadRecordTest(unittest.TestCase):
+    """Rows that can't be true, or of pools that are no more."""
+
+    _GOOD = records.PoolRhythm("a", 9.0, 2.0, 3.0, 3, 8_000)
+
+    def _restored(
+        self, *rows: records.PoolRhythm, pools: Sequence[str] = "ab"
+    ) -> demand_rhythm.DemandRhythm:
+        rhythm = demand_rhythm.DemandRhythm()
+        rhythm.restore(rows, 1.0, 100.0)
+        none = {pool: 0.0 for pool in pools}
+        rhythm.observe(none, none, 100.1)
+        return rhythm
+
+    def test_impossible_rows_are_left_out(self) -> None:
+        """Such a rhythm would never be expected, missed or replaced."""
+        for changes in (
+            {"period_s": float("inf")},
+            {"period_s": 1e300},
+            {"period_s": float("nan")},
+            {"period_s": -9.0},
+            {"length_s": float("inf")},
+            {"length_s": float("nan")},
+            {"onset_age_s": float("-inf")},
+            {"onset_age_s": float("nan")},
+            {"onset_age_s": -1e9},
+            {"height_millis": 1 << 63},
+            {"height_millis": -1},
+        ):
+            with self.subTest(changes=changes):
+                rhythm = self._restored(self._GOOD._replace(**changes))
+                self.assertEqual(rhythm.snapshot(100.1), [])
+                self.assertFalse(rhythm.is_away("a", 100.1, 3.0))
+        self.assertTrue(self._restored(self._GOOD).snapshot(100.1))
+
+    def test_pools_that_are_no_more_are_forgotten(self) -> None:
+        """Each owner would record them for the next one without end."""
+        rhythm = self._restored(self._GOOD, self._GOOD._replace(pool="gone"))
+        rows = rhythm.snapshot(100.1)
+        self.assertEqual([row.pool for row in rows], ["a"])
+        rhythm.observe({"b": 0.0}, {"b": 0.0}, 100.2)
+        self.assertEqual(rhythm.snapshot(100.2), [])
+        rhythm.observe({}, {}, 100.3)
+        self.assertEqual(rhythm.predicted("b", 100.3), 0.0)
+
+
 def _without_rhythm() -> contextlib.AbstractContextManager[object]:
     return mock.patch.object(demand_rhythm.DemandRhythm, "observe")
 
