--- a/foxtaillock/batch/displaced_tasks.py
+++ b/foxtaillock/batch/displaced_tasks.py
@@ -24,8 +24,8 @@
 
 
 # A pool with more VMs that run nothing, yet have no room for these tasks, asks
-# for no others: those that come are likely to be too small or to lack a label as
-# well.
+# for no others: those that come are likely to be too small or to lack a label
+# as well.
 _MAX_USELESS_VMS = 4
 
 # Pool, size and label of tasks.
