--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -8,6 +8,7 @@
 
 from foxtaillock.batch import appender
 from foxtaillock.batch import call_handler
+from foxtaillock.batch import claim_writer
 from foxtaillock.batch import configuration
 from foxtaillock.batch import evacuations
 from foxtaillock.batch import follower
@@ -27,9 +28,6 @@
 # Interval at which the VM decides whether to claim the ownership.
 _CLAIM_CHECK_INTERVAL_S = 0.1
 
-# Time allowed for a claim's record to be read back from the journal.
-_CLAIM_READ_TIMEOUT_S = 2.0
-
 # Delay before a background task is restarted after an unexpected error.
 _RESTART_DELAY_S = 0.5
 
@@ -80,8 +78,6 @@
         services: batch_services.NodeServices,
         capacity: float = 0.0,
     ) -> None:
-        self._name = name
-        self._incarnation = incarnation
         self._services = services.owner
         self._decode_config = services.decode_config
         self._decode_wave = services.decode_wave
@@ -145,6 +141,15 @@
             self._freshness,
             services.owner.log,
         )
+        self._claim_writer = claim_writer.ClaimWriter(
+            name,
+            incarnation,
+            self._services,
+            self._ownership,
+            self._journal_follower,
+            self._submission_follower,
+            self._operator_follower,
+        )
         self._waves: dict[int, model.Wave] = {}
         self._wave_deadlines_s: dict[int, float] = {}
         self._vm_orders_read_s = clock.monotonic_s()
@@ -253,7 +258,7 @@
                 lag_s=round(self._load.lag_s, 3),
                 speed=round(self._load.speed, 2),
             )
-            claim = await self._claim(decision.epoch)
+            claim = await self._claim_writer.claim(decision.epoch)
             if claim is not None:
                 await self._run_owner(claim)
 
@@ -306,90 +311,6 @@
         except interfaces.StoreError as error:
             services.log("offer-failed", error=str(error))
 
-    async def _claim(self, epoch: int) -> records.OwnerRecord | None:
-        """Writes a claim; returns it if it won, otherwise None."""
-        services = self._services
-        claim = records.OwnerRecord(
-            epoch,
-            self._name,
-            self._incarnation,
-            capacity=self._ownership.capacity,
-            earlier_leases_ms=self._ownership.remaining_leases_ms(
-                services.clock.monotonic_s()
-            ),
-            long_leases=self._ownership.long_leases(
-                services.clock.monotonic_s()
-            ),
-        )
-        try:
-            result = await services.journal.append(
-                [records.encode(claim)], interfaces.AppendId(epoch, 0)
-            )
-        except interfaces.StoreError as error:
-            services.log("claim-failed", epoch=epoch, error=str(error))
-            self._ownership.claim_failed(services.clock.monotonic_s())
-            return None
-        if result.outcome is not interfaces.AppendOutcome.STORED:
-            services.log(
-                "claim-lost", epoch=epoch, outcome=result.outcome.value
-            )
-            return None
-        is_read = await self._read_back(result.next_offset)
-        holder = self._ownership.owner
-        is_won = (
-            is_read
-            and self._ownership.is_mine()
-            and holder is not None
-            and holder.epoch == epoch
-        )
-        if not is_won:
-            services.log("claim-lost", epoch=epoch, outcome="read back")
-            return None
-        is_read, _ = await asyncio.gather(
-            self._read_submissions(), self._read_operators()
-        )
-        if not is_read:
-            self._ownership.claim_failed(services.clock.monotonic_s())
-            return None
-        return claim
-
-    async def _read_back(self, offset: int) -> bool:
-        """Reads the journal up to an offset; returns whether that succeeded."""
-        try:
-            await self._journal_follower.catch_up()
-        except interfaces.StoreError as error:
-            self._services.log("claim-not-read", error=str(error))
-        return await self._journal_follower.wait_for_offset(
-            offset, _CLAIM_READ_TIMEOUT_S
-        )
-
-    async def _read_submissions(self) -> bool:
-        """Reads all submissions that earlier owners may have known.
-
-        An owner that lacks a job whose tasks run would take their runs for
-        unexpected ones, and their room for free. Earlier owners can write no
-        more once the claim is stored, so what is read from then on is enough.
-        """
-        try:
-            await self._submission_follower.catch_up()
-        except interfaces.StoreError as error:
-            self._services.log(
-                "claim-lost", outcome="submissions unread", error=str(error)
-            )
-            return False
-        return True
-
-    async def _read_operators(self) -> None:
-        """Reads what operators have requested up to now.
-
-        A VM that was suspended may have missed the evacuation of a zone. One
-        that can't read the stream uses what it knows.
-        """
-        try:
-            await self._operator_follower.catch_up()
-        except interfaces.StoreError as error:
-            self._services.log("operators-unread", error=str(error))
-
     def _may_start(self) -> bool:
         """Returns whether the evacuated zones are known, as far as can be."""
         now_s = self._services.clock.monotonic_s()
