Batch: an owner starts tasks while its operators' stream is read late

It kept an owner from planning while its view of that stream was older than 3 s and its reads did not fail. A VM that was suspended is not in touch with the store for some seconds after it resumes, so the bound on starts in an evacuated zone does not apply to it, and a store that answers late would have kept owners of all deployments from starting tasks.

--- a/foxtaillock/batch/node.py
+++ b/foxtaillock/batch/node.py
@@ -45,10 +45,6 @@
 # The VM reports itself as not ready once its view of a stream is older.
 _MAX_READY_AGE_S = 3.0
 
-# An owner starts no task while its view of the operators' stream is older and a
-# read is under way: a zone may have been evacuated while the VM was suspended.
-_MAX_OPERATORS_AGE_S = 3.0
-
 # Records that only an owner writes, and that tell its epoch.
 _OWNERS_RECORDS = (
     records.StepProgress,
@@ -329,13 +325,6 @@
         except interfaces.StoreError as error:
             services.log("offer-failed", error=str(error))
 
-    def _may_start(self) -> bool:
-        """Returns whether the evacuated zones are known, as far as can be."""
-        now_s = self._services.clock.monotonic_s()
-        age_s = now_s - self._operator_follower.caught_up_s
-        is_failing = self._operator_follower.is_failing
-        return age_s <= _MAX_OPERATORS_AGE_S or is_failing
-
     async def _run_owner(self, claim: records.OwnerRecord) -> None:
         services = self._services
         # The claim has been read back, and with it all that earlier owners
@@ -349,7 +338,6 @@
             self._load,
             services,
         )
-        owner.may_start = self._may_start
         owner.configure(self.call_handler.config)
         owner.set_evacuated_zones(self._evacuations.zones)
         for wave in self._waves.values():
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -4,7 +4,6 @@
 import math
 import traceback
 import typing
-from collections.abc import Callable
 from collections.abc import Coroutine
 
 from foxtaillock.batch import advice_requests
@@ -58,10 +57,6 @@
             `ownership.capacity_of`.
         load: measures this VM's event loop and processor.
         services: dependencies of the owner.
-
-    Attributes:
-        engine: jobs and workers.
-        may_start: returns whether tasks may be started now.
     """
 
     def __init__(
@@ -74,7 +69,6 @@
         load: load_monitor.LoadMonitor,
         services: batch_services.OwnerServices,
     ) -> None:
-        self.may_start: Callable[[], bool] = lambda: True
         self._claim = claim
         self._prior = prior
         self._successor = ""
@@ -426,7 +420,6 @@
     def _may_plan(self) -> bool:
         return (
             self.engine.needs_plan
-            and self.may_start()
             and self._registry_follower.is_caught_up
             and self._load_control.room_for_starts() > 0
         )
