--- a/foxtaillock/batch/job_states.py
+++ b/foxtaillock/batch/job_states.py
@@ -122,9 +122,7 @@
             step = steps[number]
             path_ms = 0.0
             for later in dependents[number]:
-                later_ms = paths_ms[later]
-                if later_ms > path_ms:
-                    path_ms = later_ms
+                path_ms = max(path_ms, paths_ms[later])
             if step.done_count < len(step.tasks):
                 path_ms += ratio_of(number, 1.0) * step.spec.estimate_ms
             paths_ms[number] = path_ms
--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -185,16 +185,13 @@
 
     Cost: O(t * w) for t waiting tasks and w workers.
     """
-    step = candidate.step
-    size = step.spec.size
-    held = step.spec.held_size
-    team = candidate.job.spec.team
+    step, team = candidate.step, candidate.job.spec.team
+    size, held = step.spec.size, step.spec.held_size
     placements: list[Placement] = []
     usable = [each for each in pool_workers if is_eligible(each)]
     counts = _count_per_worker(step, usable)
     first_starts = step.startable_count
-    for index in sorted(step.waiting):
-        task = step.tasks[index]
+    for task in map(step.tasks.__getitem__, sorted(step.waiting)):
         if not task.run and not first_starts:
             continue
         worker = _best_worker(step.spec, held, usable, counts)
--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -117,8 +117,9 @@
                 break
             shape = self._shape(candidate)
             if shape not in exhausted or candidate.step.step_id in holder_ids:
-                pool_workers = by_pool[candidate.queue.pool]
-                placed = self._place_step(candidate, pool_workers, usage, now_s)
+                placed = self._place_step(
+                    candidate, by_pool[candidate.queue.pool], usage, now_s
+                )
                 if not placed and _is_unconstrained(candidate):
                     exhausted.add(shape)
                 starts += placed
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection
 from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from foxtaillock.batch import backfill
@@ -160,7 +161,7 @@
         return self._expected_s[worker_id]
 
     def drop_settled(self) -> None:
-        """Drops reservations of steps that wait no more, and ended backfills."""
+        """Drops reservations of steps that wait no more, and old backfills."""
         self.backfills.drop_ended()
         for worker_id, step_id in list(self._holders.items()):
             worker = self._state.workers.get(worker_id)
@@ -196,12 +197,7 @@
             return
         considered = pool_workers
         if room <= 0 or overdue <= len(self._reserved_for(step.step_id)):
-            # Only what is reserved already has to be looked at.
-            considered = [
-                worker
-                for worker in pool_workers
-                if self._holders.get(worker.worker_id) == step.step_id
-            ]
+            considered = self._reserved_among(pool_workers, step.step_id)
         expected_s = {
             worker.worker_id: room_s
             for worker in considered
@@ -216,12 +212,22 @@
                 self._expected_s[worker_id], expected_s[worker_id]
             )
         missing = overdue - len(self._reserved_for(step.step_id))
+        self._reserve(step, expected_s, max(0, min(missing, room)), now_s)
+
+    def _reserve(
+        self,
+        step: tasks.Step,
+        expected_s: Mapping[str, float],
+        count: int,
+        now_s: float,
+    ) -> None:
+        """Reserves further workers for a step, those with room soonest."""
         soonest = sorted(
             (room_s, worker_id)
             for worker_id, room_s in expected_s.items()
             if worker_id not in self._holders
         )
-        for room_s, worker_id in soonest[: max(0, min(missing, room))]:
+        for room_s, worker_id in soonest[:count]:
             self._holders[worker_id] = step.step_id
             self._expected_s[worker_id] = room_s
             self._state.log(
@@ -232,6 +238,16 @@
                 expected_s=round(room_s - now_s, 2),
             )
 
+    def _reserved_among(
+        self, pool_workers: Sequence[workers.Worker], step_id: model.StepId
+    ) -> list[workers.Worker]:
+        """Returns those of a pool's workers that are reserved for a step."""
+        return [
+            worker
+            for worker in pool_workers
+            if self._holders.get(worker.worker_id) == step_id
+        ]
+
     def _may_reserve(
         self,
         candidate: placement.Candidate,
--- a/foxtaillock/batch/run_estimates.py
+++ b/foxtaillock/batch/run_estimates.py
@@ -12,7 +12,6 @@
 import dataclasses
 import math
 import statistics
-import typing
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -61,6 +60,7 @@
 
     @property
     def deviation_log(self) -> float:
+        """Standard deviation of the logarithm of the ratio."""
         variance = self.square.value - self.mean.value**2
         return math.sqrt(max(0.0, variance))
 
--- a/foxtaillock/batch/silent_zones.py
+++ b/foxtaillock/batch/silent_zones.py
@@ -38,6 +38,6 @@
     found = frozenset(
         zone
         for zone, count in polled.items()
-        if count >= _MIN_WORKERS and 2 * silent[zone] > count
+        if _MIN_WORKERS <= count < 2 * silent[zone]
     )
     return found if 2 * len(found) < len(zones) else frozenset()
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/tests/test_fleet.py
@@ -333,7 +333,7 @@
         self.assertEqual(moves, [("a3", "spare")])
 
     def test_idle_vms_move_sooner_after_a_takeover(self) -> None:
-        """They would be idle for seconds, then leave as the next peak begins."""
+        """They would be idle for seconds, and leave as the next peak begins."""
         loads = {
             "a": _load(usable_millis=64_000),
             "b": _load(usable_millis=64_000),
--- a/foxtaillock/batch/tests/test_shares.py
+++ b/foxtaillock/batch/tests/test_shares.py
@@ -139,7 +139,7 @@
                 )
                 ordered = placement.prioritize(waiting, 10.0, plan)
                 teams = [_team(each) for each in ordered]
-                # The pool has room for ten; the others keep most of their share.
+                # The pool has room for ten; others keep most of their share.
                 before = teams.index("b")
                 self.assertLess(before, 10)
                 self.assertLessEqual(before, 10 * (due + 0.2 * (1 - due)) + 1)
@@ -217,8 +217,8 @@
         group = _naive_group(each)
         if group[0] == 1:
             density = 0.3 / each.job.relative_work + 0.7
-            factor = 0.99 if 0 <= excess and not is_clear else 1.0
-            key = (*group, is_clear, -density * factor, each.objective_s)
+            density *= 0.99 if 0 <= excess and not is_clear else 1.0
+            key = (*group, is_clear, -density, each.objective_s)
         else:
             key = (*group, float(excess >= 0), number)
         keys[each.job.spec.job_id] = key
