--- a/foxtaillock/batch/planner.py
+++ b/foxtaillock/batch/planner.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.batch import backfill
 from foxtaillock.batch import isolation
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
@@ -35,10 +34,6 @@
 # pool has no other. A quarantine lasts up to 16 s, and jobs have to end sooner.
 _MAX_QUARANTINE_WAIT_S = 4.0
 
-# Steps of a plan, the first ones in its order, that may run on reserved
-# workers. A plan costs the same whether or not workers are reserved.
-_MAX_BACKFILL_TRIES = 50
-
 
 # What steps have in common whose tasks fit on the same workers: pool, size,
 # team, label and isolation key.
@@ -108,40 +103,21 @@
         # Shapes of which no task fits any more.
         exhausted: set[_Shape] = set()
         holder_ids = self._reservations.holder_ids()
-        gaps_by_pool = self._gaps_by_pool(by_pool, now_s)
-        backfill_tries = _MAX_BACKFILL_TRIES if gaps_by_pool else 0
         starts = 0
         for candidate in ordered:
             if max_starts is not None and starts >= max_starts:
                 self._state.needs_plan = True
                 break
             shape = self._shape(candidate)
-            if shape not in exhausted or candidate.step.step_id in holder_ids:
-                placed = self._place_step(
-                    candidate, by_pool[candidate.queue.pool], usage, now_s
-                )
-                if not placed and _is_unconstrained(candidate):
-                    exhausted.add(shape)
-                starts += placed
-            # Steps of an exhausted shape are tried as well: whether one fits
-            # into a gap also depends on how long its runs take.
-            if backfill_tries and candidate.step.waiting:
-                gaps = gaps_by_pool.get(candidate.queue.pool)
-                if gaps:
-                    backfill_tries -= 1
-                    starts += self._backfill(candidate, gaps, usage, now_s)
-
-    def _gaps_by_pool(
-        self,
-        by_pool: Mapping[str, Sequence[batch_workers.Worker]],
-        now_s: float,
-    ) -> dict[str, list[backfill.Gap]]:
-        """Returns the gaps of the pools that have any."""
-        return {
-            pool: gaps
-            for pool, found in by_pool.items()
-            if (gaps := self._reservations.gaps(found, now_s))
-        }
+            is_holder = candidate.step.step_id in holder_ids
+            if shape in exhausted and not is_holder:
+                continue
+            placed = self._place_step(
+                candidate, by_pool[candidate.queue.pool], usage, now_s
+            )
+            if not placed and _is_unconstrained(candidate):
+                exhausted.add(shape)
+            starts += placed
 
     def advice_requests(self, now_s: float) -> list[tickets.AdviceRequest]:
         """Returns the advice requests that are due, oldest job first."""
@@ -267,62 +243,6 @@
         )
         return len(chosen)
 
-    def _backfill(
-        self,
-        candidate: placement.Candidate,
-        gaps: Sequence[backfill.Gap],
-        usage: placement.TeamUsage,
-        now_s: float,
-    ) -> int:
-        """Places short tasks of a step on workers reserved for others.
-
-        Returns:
-            Number of tasks that were placed.
-        """
-        backfills = self._reservations.backfills
-        longest_s = backfills.longest_s(candidate)
-        if longest_s is None:
-            return 0
-        step = candidate.step
-        usable = {
-            gap.worker.worker_id: gap
-            for gap in gaps
-            if not reservations.is_large(step.spec.held_size, gap.worker)
-            and backfills.may_run(gap, longest_s, now_s)
-        }
-        if not usable:
-            return 0
-        chosen = placement.assign(
-            candidate,
-            [gap.worker for gap in usable.values()],
-            usage,
-            self._eligibility(candidate, now_s),
-        )
-        self._place_all(candidate, chosen, now_s)
-        for each in chosen:
-            gap = usable[each.worker.worker_id]
-            backfills.note(each, gap)
-            self._log_backfill(each, gap, longest_s, now_s)
-        return len(chosen)
-
-    def _log_backfill(
-        self,
-        placed: placement.Placement,
-        gap: backfill.Gap,
-        longest_s: float,
-        now_s: float,
-    ) -> None:
-        self._state.log(
-            "worker-backfilled",
-            worker=gap.worker.worker_id,
-            task=model.format_task_id(placed.task.task_id),
-            run=placed.task.run,
-            reserved_for=gap.holder.step_id,
-            longest_s=round(longest_s, 2),
-            expected_s=round(gap.until_s - now_s, 2),
-            reason="ends before the reserved room is expected",
-        )
-
     def _excluded_workers(
         self,
         pool: str,
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -289,14 +289,12 @@
         step: number of the step.
         samples: weight of the runs that it was learned from.
         log_mean: mean of the ratio's logarithm.
-        log_deviation: deviation of the ratio's logarithm.
     """
 
     queue: str
     step: int
     samples: float
     log_mean: float
-    log_deviation: float
 
 
 class PoolRhythm(typing.NamedTuple):
--- a/foxtaillock/batch/reservations.py
+++ b/foxtaillock/batch/reservations.py
@@ -15,7 +15,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.batch import backfill
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import placement
@@ -26,7 +25,6 @@
 __all__ = [
     "Release",
     "Reservations",
-    "is_large",
     "overdue_count",
     "room_expected_s",
     "waiting_count",
@@ -67,19 +65,11 @@
 
     Args:
         state: jobs and workers of the owner.
-
-    Attributes:
-        backfills: short tasks on reserved workers.
     """
 
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
         self._holders: dict[str, model.StepId] = {}
-        # When the room for the holder of a worker is expected. It is set with
-        # the reservation and moves only earlier, so that runs that begin
-        # meanwhile don't postpone it.
-        self._expected_s: dict[str, float] = {}
-        self.backfills = backfill.Backfills(state)
 
     def is_holder(self, step_id: model.StepId) -> bool:
         """Returns whether a worker is reserved for a step."""
@@ -118,51 +108,8 @@
         is_for_batch = holder is not None and not holder.spec.is_persistent
         return step.spec.is_persistent and is_for_batch
 
-    def gaps(
-        self, pool_workers: Sequence[workers.Worker], now_s: float
-    ) -> list[backfill.Gap]:
-        """Returns the reserved workers on which short tasks may run."""
-        if not self._holders:
-            return []
-        found = []
-        for worker in pool_workers:
-            worker_id = worker.worker_id
-            if worker_id not in self._holders:
-                continue
-            if worker_id in self._state.kept_ids:
-                continue
-            is_outlived = self.backfills.is_outlived(worker_id, now_s)
-            holder = self._state.waiting.get(self._holders[worker_id])
-            if holder is None or is_outlived:
-                continue
-            if not holder.spec.is_persistent:
-                # In a full pool, large batch tasks start later with backfill,
-                # though their own room is rarely taken: see the design page.
-                continue
-            until_s = self._gap_end_s(holder, worker, now_s)
-            if now_s < until_s:
-                found.append(backfill.Gap(worker, holder, until_s))
-        return found
-
-    def _gap_end_s(
-        self, holder: tasks.Step, worker: workers.Worker, now_s: float
-    ) -> float:
-        """Returns when a worker without backfill would have the holder's room.
-
-        Tasks that are placed before the holder would otherwise take the room
-        of runs that end sooner than expected.
-        """
-        worker_id = worker.worker_id
-        room_s = self._room_expected_s(
-            holder, worker, now_s, self.backfills.tasks_on(worker)
-        )
-        if room_s is not None and room_s < self._expected_s[worker_id]:
-            self._expected_s[worker_id] = room_s
-        return self._expected_s[worker_id]
-
     def drop_settled(self) -> None:
-        """Drops reservations of steps that wait no more, and old backfills."""
-        self.backfills.drop_ended()
+        """Drops reservations of steps that wait no more."""
         for worker_id, step_id in list(self._holders.items()):
             worker = self._state.workers.get(worker_id)
             if step_id not in self._state.waiting or worker is None:
@@ -207,10 +154,6 @@
             is not None
         }
         self._drop_unneeded(step.step_id, expected_s, overdue)
-        for worker_id in self._reserved_for(step.step_id):
-            self._expected_s[worker_id] = min(
-                self._expected_s[worker_id], expected_s[worker_id]
-            )
         missing = overdue - len(self._reserved_for(step.step_id))
         self._reserve(step, expected_s, max(0, min(missing, room)), now_s)
 
@@ -229,7 +172,6 @@
         )
         for room_s, worker_id in soonest[:count]:
             self._holders[worker_id] = step.step_id
-            self._expected_s[worker_id] = room_s
             self._state.log(
                 "worker-reserved",
                 worker=worker_id,
@@ -258,9 +200,9 @@
         spec = candidate.step.spec
         if not pool_workers or spec.is_gang:
             return False
-        is_roomy = is_large(spec.held_size, pool_workers[0])
+        is_large = _is_large(spec.held_size, pool_workers[0])
         if not spec.is_persistent and (
-            candidate.job.is_excess or spec.is_filler or not is_roomy
+            candidate.job.is_excess or spec.is_filler or not is_large
         ):
             return False
         return usage.allows(candidate.job.spec.team, spec.size)
@@ -288,23 +230,12 @@
             self._drop(worker_id, "not needed")
 
     def _room_expected_s(
-        self,
-        step: tasks.Step,
-        worker: workers.Worker,
-        now_s: float,
-        ignored: Collection[model.TaskId] = (),
+        self, step: tasks.Step, worker: workers.Worker, now_s: float
     ) -> float | None:
-        """Returns when a worker is expected to have room; None for never.
-
-        The room of ignored tasks counts as free.
-        """
-        free = worker.free
-        for task_id in ignored:
-            ignored_step = self._state.step_of(worker.tasks[task_id])
-            free = resources.add(free, ignored_step.spec.held_size)
+        """Returns when a worker is expected to have room; None for never."""
         return room_expected_s(
-            free,
-            self._releases(worker, ignored, now_s),
+            worker.free,
+            self._releases(worker, now_s),
             step.spec.held_size,
             now_s,
         )
@@ -318,21 +249,15 @@
 
     def _drop(self, worker_id: str, reason: str) -> None:
         step_id = self._holders.pop(worker_id)
-        del self._expected_s[worker_id]
         self._state.log(
             "reservation-over", worker=worker_id, step=step_id, reason=reason
         )
 
     def _releases(
-        self,
-        worker: workers.Worker,
-        ignored: Collection[model.TaskId],
-        now_s: float,
+        self, worker: workers.Worker, now_s: float
     ) -> Iterable[Release]:
         """Returns what the runs on a worker are expected to release."""
-        for task_id, task in worker.tasks.items():
-            if task_id in ignored:
-                continue
+        for task in worker.tasks.values():
             step = self._state.step_of(task)
             if task.is_stopping:
                 yield Release(now_s + _STOP_S, step.spec.held_size)
@@ -406,7 +331,7 @@
     )
 
 
-def is_large(size: resources.Resources, worker: workers.Worker) -> bool:
+def _is_large(size: resources.Resources, worker: workers.Worker) -> bool:
     """Returns whether a task needs a large part of a worker."""
     return any(
         wanted > _LARGE_FRACTION * capacity
--- a/foxtaillock/batch/run_estimates.py
+++ b/foxtaillock/batch/run_estimates.py
@@ -1,17 +1,16 @@
 """Learns how long runs take relative to their submitters' estimates.
 
 Answers the load of queues whose estimates are off by up to nine tenths of
-their value, in a full pool: what ends soon, what is late and what fits into a
-gap would be judged by estimates that are wrong in the same way for each job.
+their value, in a full pool: what ends soon and what is late would be judged by
+estimates that are wrong in the same way for each job.
 
-Durations spread by factors, so a ratio is kept as the mean and the deviation of
-its logarithm. Both belong to a queue and the number of a step, since the steps
-of a queue's jobs do the same work in turn.
+Durations spread by factors, so a ratio is kept as the mean of its logarithm. It
+belongs to a queue and the number of a step, since the steps of a queue's jobs do
+the same work in turn.
 """
 
 import dataclasses
 import math
-import statistics
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -23,9 +22,8 @@
 # Pairs of queue and step that are kept, the most recently observed ones.
 MAX_PAIRS = 256
 
-# Samples from which on a ratio is used, and from which on its spread is.
+# Samples from which on a ratio is used.
 _MIN_SAMPLES = 5.0
-_MIN_SPREAD_SAMPLES = 8.0
 
 # Earlier samples count as at most this many, and lose half of their weight in
 # this time.
@@ -39,11 +37,6 @@
 # what is computed from it can be kept.
 _LOG_TOLERANCE = 0.1
 
-# A few samples may be closer to each other than those to come.
-_MIN_DEVIATION_LOG = 0.1
-
-_Z_90 = statistics.NormalDist().inv_cdf(0.9)
-
 # Ratios in use before any was learned.
 NO_RATIOS: Mapping[int, float] = {}
 
@@ -53,26 +46,12 @@
 @dataclasses.dataclass(slots=True)
 class _Learned:
     mean: moving_average.MovingAverage
-    square: moving_average.MovingAverage
     updated_s: float
-    # Ratio that nine of ten runs don't exceed; None if it is not known.
-    ratio_90: float | None = None
-
-    @property
-    def deviation_log(self) -> float:
-        """Standard deviation of the logarithm of the ratio."""
-        variance = self.square.value - self.mean.value**2
-        return math.sqrt(max(0.0, variance))
 
     def add(self, log_ratio: float, now_s: float) -> None:
         """Adds a sample, to which the earlier ones have lost weight."""
-        samples = self.samples_at(now_s)
-        for average, value in (
-            (self.mean, log_ratio),
-            (self.square, log_ratio**2),
-        ):
-            average.samples = samples
-            average.add(value, _MAX_SAMPLES)
+        self.mean.samples = self.samples_at(now_s)
+        self.mean.add(log_ratio, _MAX_SAMPLES)
         self.updated_s = now_s
 
     def samples_at(self, now_s: float) -> float:
@@ -107,18 +86,6 @@
         """Returns the expected duration of a run."""
         return self.ratios(queue).get(step, 1.0) * estimate_ms / 1000
 
-    def percentile_90_s(
-        self, queue: str, step: int, estimate_ms: int
-    ) -> float | None:
-        """Returns a duration that nine of ten runs don't exceed.
-
-        Returns None if too few runs were observed.
-        """
-        learned = self._learned.get((queue, step))
-        if learned is None or learned.ratio_90 is None:
-            return None
-        return learned.ratio_90 * estimate_ms / 1000
-
     def observe(
         self,
         queue: str,
@@ -134,11 +101,7 @@
         pair = (queue, step)
         learned = self._learned.pop(pair, None)
         if learned is None:
-            learned = _Learned(
-                moving_average.MovingAverage(0.0, 0.0),
-                moving_average.MovingAverage(0.0, 0.0),
-                now_s,
-            )
+            learned = _Learned(moving_average.MovingAverage(0.0, 0.0), now_s)
         learned.add(log_ratio, now_s)
         self._keep(pair, learned)
 
@@ -149,7 +112,6 @@
                 *pair,
                 learned.samples_at(now_s),
                 learned.mean.value,
-                learned.deviation_log,
             )
             for pair, learned in self._learned.items()
         ]
@@ -167,28 +129,21 @@
             age_s: time since it was taken.
             now_s: current time.
         """
-        for queue, step, samples, mean_log, deviation_log in rows:
+        for queue, step, samples, mean_log in rows:
             is_valid = (
-                all(map(math.isfinite, (samples, mean_log, deviation_log)))
+                math.isfinite(samples)
                 and samples > 0
                 and abs(mean_log) <= _MAX_LOG
-                and 0 <= deviation_log <= _MAX_LOG
             )
             if not is_valid or (queue, step) in self._learned:
                 continue
             weight = _aged(min(samples, _MAX_SAMPLES), max(0.0, age_s))
-            square = mean_log**2 + deviation_log**2
-            learned = _Learned(
-                moving_average.MovingAverage(mean_log, weight),
-                moving_average.MovingAverage(square, weight),
-                now_s,
-            )
-            self._keep((queue, step), learned)
+            mean = moving_average.MovingAverage(mean_log, weight)
+            self._keep((queue, step), _Learned(mean, now_s))
 
     def _keep(self, pair: _Pair, learned: _Learned) -> None:
         """Keeps a pair as the most recently observed one."""
         self._learned[pair] = learned
-        learned.ratio_90 = _ratio_90(learned)
         if len(self._learned) > MAX_PAIRS:
             oldest = next(iter(self._learned))
             del self._learned[oldest]
@@ -214,18 +169,6 @@
             del self._ratios[queue]
 
 
-def _ratio_90(learned: _Learned) -> float | None:
-    """Returns the 90th percentile of the ratio; None for too few samples."""
-    samples = learned.mean.samples
-    if samples < _MIN_SPREAD_SAMPLES:
-        return None
-    deviation_log = max(_MIN_DEVIATION_LOG, learned.deviation_log)
-    # The mean itself is uncertain by the deviation over the square root of the
-    # number of samples.
-    spread_log = deviation_log * math.sqrt(1 + 1 / samples)
-    return math.exp(learned.mean.value + _Z_90 * spread_log)
-
-
 def _aged(samples: float, age_s: float) -> float:
     return samples * math.pow(0.5, age_s / _HALF_LIFE_S)
 
--- a/foxtaillock/batch/scheduling_state.py
+++ b/foxtaillock/batch/scheduling_state.py
@@ -210,7 +210,6 @@
 ) -> bool:
     return (
         abs(row.log_mean - before.log_mean) >= _LOG_CHANGE
-        or abs(row.log_deviation - before.log_deviation) >= _LOG_CHANGE
         or row.samples >= 2 * before.samples
     )
 
