Batch: only teams clearly beyond their share come last in a full pool

All teams beyond their share came strictly after the others.

Among jobs that can be in time, a team now comes last once it is beyond its share by three times that share or by a fifth of what the others are entitled to. Below that, value density decides; it counts 1 % less beyond the share, so that jobs of teams within it go first among equal ones. The other classes keep the strict order.

--- a/foxtaillock/batch/placement.py
+++ b/foxtaillock/batch/placement.py
@@ -6,7 +6,6 @@
 they get tasks only where no warm worker has room.
 """
 
-import itertools
 import typing
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -36,6 +35,19 @@
 
 _MIN_CPU_S = 0.001
 
+# Group of the steps that can still meet their objective.
+_IN_TIME = 1.0
+
+# Factor of the value density of jobs of a team slightly beyond its share: of
+# jobs alike, those of teams within their share go first.
+_SLIGHTLY_BEYOND_FACTOR = 0.99
+
+# Precedes the place of jobs that go before those of teams beyond their share.
+_BEFORE_OTHERS = float("-inf")
+
+
+_Rank = tuple[float, ...]
+
 
 class Candidate(typing.NamedTuple):
     """A ready step with waiting tasks.
@@ -131,8 +143,11 @@
     jobs in time, instead of all jobs a little late. All other jobs are ordered
     by age.
 
-    In a full pool, jobs of teams within their share go before those of teams
-    beyond it, but only among jobs of the same group and the same priority.
+    In a full pool, the teams' shares count among jobs of the same group and the
+    same priority. Of the jobs that can still meet their objective, those of
+    teams clearly beyond their share come last; if all teams beyond their share
+    did, the pool as a whole would finish fewer jobs in time. In the other
+    groups, jobs of teams within their share go before those of teams beyond it.
 
     Args:
         candidates: the steps.
@@ -145,22 +160,10 @@
     rows = list(candidates)
     ranks = [_rank(each, now_s) for each in rows]
     order = sorted(range(len(rows)), key=ranks.__getitem__)
-    if plan_shares is None:
-        return [rows[index] for index in order]
-    ordered: list[Candidate] = []
-    for _, group in itertools.groupby(order, lambda index: ranks[index][:2]):
-        deferred: list[Candidate] = []
-        for index in group:
-            candidate = rows[index]
-            key = (candidate.queue.pool, candidate.job.spec.team)
-            if key in plan_shares.beyond:
-                deferred.append(candidate)
-                continue
-            ordered.append(candidate)
-            step = candidate.step
-            plan_shares.charge(*key, step.spec.held_size, len(step.waiting))
-        ordered += deferred
-    return ordered
+    if plan_shares is not None:
+        _apply_shares(rows, ranks, order, plan_shares)
+        order.sort(key=ranks.__getitem__)
+    return [rows[index] for index in order]
 
 
 def assign(
@@ -215,26 +218,61 @@
     return not spec.max_per_worker or used < spec.max_per_worker
 
 
-def _rank(candidate: Candidate, now_s: float) -> tuple[float, ...]:
-    """Returns a step's group, its priority there, and its place in both."""
+def _rank(candidate: Candidate, now_s: float) -> _Rank:
+    """Returns a step's rank; steps are placed in ascending order.
+
+    It consists of the step's group, its priority there, its place in both, and
+    what decides between equal places.
+    """
     spec = candidate.step.spec
     if spec.is_filler:
-        return (4.0, 0.0, candidate.job.accepted_s)
+        return (4.0, 0.0, candidate.job.accepted_s, 0.0)
     if spec.is_persistent:
-        return (0.0, 0.0, candidate.job.accepted_s)
+        return (0.0, 0.0, candidate.job.accepted_s, 0.0)
     if candidate.job.is_excess:
-        return (3.0, candidate.queue.priority, candidate.job.accepted_s)
+        return (3.0, candidate.queue.priority, candidate.job.accepted_s, 0.0)
     is_late = now_s + candidate.remaining_s > candidate.objective_s
     if is_late:
-        return (2.0, candidate.queue.priority, candidate.job.accepted_s)
+        return (2.0, candidate.queue.priority, candidate.job.accepted_s, 0.0)
     return (
-        1.0,
+        _IN_TIME,
         candidate.queue.priority,
         -_value_density(candidate),
         candidate.objective_s,
     )
 
 
+def _apply_shares(
+    rows: Sequence[Candidate],
+    ranks: list[_Rank],
+    order: Iterable[int],
+    plan_shares: shares.PlanShares,
+) -> None:
+    """Moves steps ahead whose team is not clearly beyond its share.
+
+    Args:
+        rows: the steps.
+        ranks: their ranks; updated in place.
+        order: indices of the steps in the order of their ranks.
+        plan_shares: what is left of the teams' shares; charged with the steps.
+    """
+    beyond, clearly_beyond = plan_shares.beyond, plan_shares.clearly_beyond
+    for index in order:
+        candidate = rows[index]
+        key = (candidate.queue.pool, candidate.job.spec.team)
+        # Most of a full pool's steps end here, as a plan's cost requires.
+        if key in clearly_beyond:
+            continue
+        group, priority, place, last = ranks[index]
+        if key not in beyond:
+            ranks[index] = (group, priority, _BEFORE_OTHERS, place, last)
+        elif group == _IN_TIME:
+            place *= _SLIGHTLY_BEYOND_FACTOR
+            ranks[index] = (group, priority, _BEFORE_OTHERS, place, last)
+        step = candidate.step
+        plan_shares.charge(*key, step.spec.held_size, len(step.waiting))
+
+
 def _value_density(candidate: Candidate) -> float:
     """Returns a job's value per unit of remaining work.
 
--- a/foxtaillock/batch/shares.py
+++ b/foxtaillock/batch/shares.py
@@ -6,6 +6,10 @@
 it held beyond that on average over the last seconds counts as still held, so
 that others catch up. Since the averages of all teams add up to one pool at
 most, there is always a team within its share while one is beyond.
+
+A small team's second job may already take it beyond its share. So a team has to
+be clearly beyond its share until its jobs come last among those that can be in
+time; otherwise, value decides between jobs of all teams.
 """
 
 import dataclasses
@@ -37,6 +41,14 @@
 
 _MIN_WEIGHT = 1e-9
 
+# A team is clearly beyond its share from this multiple of the share on top of
+# it, or from this fraction of what the other teams are entitled to. The first
+# is for small teams, whose share is a task or two. The second bounds what a
+# flood takes of the others: from 0.3 on, they wait too long if its jobs have a
+# higher value density.
+_CLEAR_MULTIPLE = 3.0
+_CLEAR_FRACTION_OF_OTHERS = 0.2
+
 
 @dataclasses.dataclass(slots=True)
 class _Account:
@@ -109,25 +121,29 @@
 
     Args:
         left: for each full pool, what is left of each team's share of it.
+        due: for each of these pools, the teams' shares of it.
         capacities: resources of these pools.
 
     Attributes:
         beyond: pools, each with a team that has used up its share of it.
+        clearly_beyond: the same for teams that are clearly beyond their share;
+            their waiting tasks need not be charged any more.
     """
 
     def __init__(
         self,
         left: Mapping[str, dict[str, float]],
+        due: Mapping[str, Mapping[str, float]],
         capacities: Mapping[str, resources.Resources],
     ) -> None:
         self._left = left
+        self._due = due
         self._capacities = capacities
-        self.beyond = {
-            (pool, team)
-            for pool, teams in left.items()
-            for team, share in teams.items()
-            if share <= 0.0
-        }
+        self.beyond: set[tuple[str, str]] = set()
+        self.clearly_beyond: set[tuple[str, str]] = set()
+        for pool, teams in left.items():
+            for team in teams:
+                self._note_use(pool, team)
 
     def charge(
         self, pool: str, team: str, size: resources.Resources, count: int
@@ -136,8 +152,14 @@
         if pool in self._left:
             share = resources.dominant_share(size, self._capacities[pool])
             self._left[pool][team] -= count * share
-            if self._left[pool][team] <= 0.0:
-                self.beyond.add((pool, team))
+            self._note_use(pool, team)
+
+    def _note_use(self, pool: str, team: str) -> None:
+        left = self._left[pool][team]
+        if left <= 0.0:
+            self.beyond.add((pool, team))
+            if left <= -_clear_excess(self._due[pool][team]):
+                self.clearly_beyond.add((pool, team))
 
 
 class TeamAccounts:
@@ -228,16 +250,19 @@
 
         Cost: O(t) for t teams in these pools.
         """
-        left = {}
+        due = {}
         for pool, waiting in waiting_teams.items():
-            found = self._left_in(pool, waiting, teams, now_s)
+            found = self._due_in(pool, waiting, teams, now_s)
             if found:
-                left[pool] = found
-        if not left:
+                due[pool] = found
+        if not due:
             return None
-        return PlanShares(
-            left, {pool: self._capacity_of(pool) for pool in left}
-        )
+        left = {
+            pool: self._left_in(pool, shares_due, now_s)
+            for pool, shares_due in due.items()
+        }
+        capacities = {pool: self._capacity_of(pool) for pool in due}
+        return PlanShares(left, due, capacities)
 
     def expire(self, now_s: float) -> None:
         """Ends the competition in pools that have not been full of late."""
@@ -280,14 +305,14 @@
             account.advance(self._capacity_of(row.pool), now_s)
             account.average = average
 
-    def _left_in(
+    def _due_in(
         self,
         pool: str,
         waiting: Collection[str],
         teams: Mapping[str, model.Team],
         now_s: float,
     ) -> dict[str, float]:
-        """Returns what is left of each team's share of a full pool.
+        """Returns each team's share of a full pool.
 
         Nothing is returned for a pool that one team has for itself.
         """
@@ -297,10 +322,17 @@
         if len(active) < 2:
             return {}
         self._full_s[pool] = now_s
-        capacity = self._capacity_of(pool)
         weights = {team: teams[team].weight for team in active if team in teams}
+        return entitlements(active, weights)
+
+    def _left_in(
+        self, pool: str, shares_due: Mapping[str, float], now_s: float
+    ) -> dict[str, float]:
+        """Returns what is left of each team's share of a full pool."""
+        accounts = self._accounts[pool]
+        capacity = self._capacity_of(pool)
         left = {}
-        for team, due in entitlements(active, weights).items():
+        for team, due in shares_due.items():
             account = accounts.setdefault(team, _Account())
             account.advance(capacity, now_s)
             account.held_share = resources.dominant_share(
@@ -336,6 +368,11 @@
         )
 
 
+def _clear_excess(due: float) -> float:
+    """Returns how far beyond its share a team is clearly beyond it."""
+    return min(_CLEAR_MULTIPLE * due, _CLEAR_FRACTION_OF_OTHERS * (1.0 - due))
+
+
 def entitlements(
     teams: Iterable[str], weights: Mapping[str, float]
 ) -> dict[str, float]:
