--- a/foxtaillock/batch/tests/test_shares.py
+++ b/foxtaillock/batch/tests/test_shares.py
@@ -139,7 +139,7 @@
                 )
                 ordered = placement.prioritize(waiting, 10.0, plan)
                 teams = [_team(each) for each in ordered]
-                # The pool has room for ten; others keep most of their share.
+                # Room for ten; the others keep most of their share.
                 before = teams.index("b")
                 self.assertLess(before, 10)
                 self.assertLessEqual(before, 10 * (due + 0.2 * (1 - due)) + 1)
