--- a/foxtaillock/batch/run_estimates.py
+++ b/foxtaillock/batch/run_estimates.py
@@ -5,8 +5,8 @@
 estimates that are wrong in the same way for each job.
 
 Durations spread by factors, so a ratio is kept as the mean of its logarithm. It
-belongs to a queue and the number of a step, since the steps of a queue's jobs do
-the same work in turn.
+belongs to a queue and the number of a step, since the steps of a queue's jobs
+do the same work in turn.
 """
 
 import dataclasses
