Batch: the modules of VMs stand in a package of their own

Moves only: demand, rhythm, sizes and balance of pools, moves, waves, orders, their ledger and their tests go to foxtaillock/batch/vms; imports follow. 74 modules are left in foxtaillock/batch, 88 before.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -27,9 +27,9 @@
 from foxtaillock.batch import tasks
 from foxtaillock.batch import team_rate_limit
 from foxtaillock.batch import tickets
-from foxtaillock.batch import vm_coordinator
 from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers as batch_workers
+from foxtaillock.batch.vms import vm_coordinator
 
 __all__ = ["Engine"]
 
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -10,7 +10,6 @@
 from foxtaillock.batch import configuration
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import events
-from foxtaillock.batch import vm_order_controller
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import journal_writer
@@ -30,6 +29,7 @@
 from foxtaillock.batch import worker_entries
 from foxtaillock.batch import worker_poller
 from foxtaillock.batch import workers
+from foxtaillock.batch.vms import vm_order_controller
 
 __all__ = ["Owner"]
 
--- a/foxtaillock/batch/tests/late_vm_orders.py
+++ b/foxtaillock/batch/tests/late_vm_orders.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import vm_ledger
 from foxtaillock.batch.tests import simulated_owner
+from foxtaillock.batch.vms import vm_ledger
 
 __all__ = ["LateVmOrders"]
 
--- a/foxtaillock/batch/tests/test_silent_zones.py
+++ b/foxtaillock/batch/tests/test_silent_zones.py
@@ -2,15 +2,15 @@
 
 import unittest
 
-from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
-from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import silent_zones
 from foxtaillock.batch import tasks
-from foxtaillock.batch import vm_ledger
 from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch.vms import fleet
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 
 _JOB = "00000000000000aa"
 _LATER_JOB = "00000000000000bb"
--- a/foxtaillock/batch/tests/test_takeover_vm_orders.py
+++ b/foxtaillock/batch/tests/test_takeover_vm_orders.py
@@ -13,8 +13,8 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
-from foxtaillock.batch import vm_order_controller
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch.vms import vm_order_controller
 
 _JOB = "00000000000000aa"
 _WAVE = model.Wave(1, ("m0", "m1", "m2"), 26.0, 2)
--- /dev/null
+++ b/foxtaillock/batch/vms/__init__.py
@@ -0,0 +1,1 @@
+"""VMs of the pools: demand, moves between pools and maintenance."""
--- a/foxtaillock/batch/demand_rhythm.py
+++ b/foxtaillock/batch/vms/demand_rhythm.py
@@ -14,10 +14,10 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.batch import demand
-from foxtaillock.batch import pool_peaks
 from foxtaillock.batch import records
-from foxtaillock.batch import recurrence
+from foxtaillock.batch.vms import demand
+from foxtaillock.batch.vms import pool_peaks
+from foxtaillock.batch.vms import recurrence
 
 __all__ = ["DemandRhythm", "Event"]
 
--- a/foxtaillock/batch/fleet.py
+++ b/foxtaillock/batch/vms/fleet.py
@@ -8,14 +8,14 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.batch import demand_rhythm
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import maintenance_waves
 from foxtaillock.batch import model
-from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import records
-from foxtaillock.batch import vm_ledger
-from foxtaillock.batch import vm_moves
+from foxtaillock.batch.vms import demand_rhythm
+from foxtaillock.batch.vms import maintenance_waves
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
+from foxtaillock.batch.vms import vm_moves
 
 __all__ = ["Fleet"]
 
--- a/foxtaillock/batch/load_meter.py
+++ b/foxtaillock/batch/vms/load_meter.py
@@ -5,12 +5,12 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from foxtaillock.batch import displaced_tasks
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
-from foxtaillock.batch import pool_sizes
+from foxtaillock.batch.vms import displaced_tasks
+from foxtaillock.batch.vms import pool_sizes
 
 __all__ = ["LoadMeter"]
 
--- a/foxtaillock/batch/maintenance_waves.py
+++ b/foxtaillock/batch/vms/maintenance_waves.py
@@ -12,9 +12,9 @@
 
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
-from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import records
-from foxtaillock.batch import vm_ledger
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 
 __all__ = ["MaintenanceWaves"]
 
--- a/foxtaillock/batch/pool_peaks.py
+++ b/foxtaillock/batch/vms/pool_peaks.py
@@ -6,7 +6,7 @@
 longer than it is.
 """
 
-from foxtaillock.batch import recurrence
+from foxtaillock.batch.vms import recurrence
 
 __all__ = ["PoolPeaks"]
 
--- a/foxtaillock/batch/pool_sizes.py
+++ b/foxtaillock/batch/vms/pool_sizes.py
@@ -9,10 +9,10 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.batch import demand
-from foxtaillock.batch import demand_rhythm
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import pool_balance
+from foxtaillock.batch.vms import demand
+from foxtaillock.batch.vms import demand_rhythm
+from foxtaillock.batch.vms import pool_balance
 
 __all__ = ["PoolLoad", "PoolSizes"]
 
--- a/foxtaillock/batch/recurrence.py
+++ b/foxtaillock/batch/vms/recurrence.py
@@ -8,7 +8,7 @@
 
 import collections
 
-from foxtaillock.batch import demand
+from foxtaillock.batch.vms import demand
 
 __all__ = ["MIN_INTERVAL_S", "Recurrence"]
 
--- a/foxtaillock/batch/tests/test_demand.py
+++ b/foxtaillock/batch/vms/tests/test_demand.py
@@ -6,13 +6,13 @@
 import unittest
 from unittest import mock
 
-from foxtaillock.batch import demand
-from foxtaillock.batch import demand_rhythm
-from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import pool_sizes
-from foxtaillock.batch import vm_ledger
-from foxtaillock.batch import vm_moves
+from foxtaillock.batch.vms import demand
+from foxtaillock.batch.vms import demand_rhythm
+from foxtaillock.batch.vms import fleet
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
+from foxtaillock.batch.vms import vm_moves
 
 _STEP_S = 0.2
 _MOVE_S = 1.5
--- a/foxtaillock/batch/tests/test_demand_rhythm.py
+++ b/foxtaillock/batch/vms/tests/test_demand_rhythm.py
@@ -7,10 +7,10 @@
 from collections.abc import Sequence
 from unittest import mock
 
-from foxtaillock.batch import demand
-from foxtaillock.batch import demand_rhythm
 from foxtaillock.batch import records
-from foxtaillock.batch.tests import turning_load
+from foxtaillock.batch.vms import demand
+from foxtaillock.batch.vms import demand_rhythm
+from foxtaillock.batch.vms.tests import turning_load
 
 _STEP_S = 0.1
 _FLOOR = 10_000
--- a/foxtaillock/batch/tests/test_fleet.py
+++ b/foxtaillock/batch/vms/tests/test_fleet.py
@@ -3,11 +3,11 @@
 import typing
 import unittest
 
-from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
-from foxtaillock.batch import pool_sizes
-from foxtaillock.batch import vm_ledger
+from foxtaillock.batch.vms import fleet
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 from foxtaillock.model import resources
 
 _DONE = interfaces.VmOrderOutcome.DONE
--- a/foxtaillock/batch/tests/test_pool_balance.py
+++ b/foxtaillock/batch/vms/tests/test_pool_balance.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from foxtaillock.batch import pool_balance
+from foxtaillock.batch.vms import pool_balance
 
 
 def _naive_targets(needs: dict[str, int], total: int) -> dict[str, int]:
--- a/foxtaillock/batch/tests/test_vm_order_controller.py
+++ b/foxtaillock/batch/vms/tests/test_vm_order_controller.py
@@ -5,10 +5,10 @@
 import unittest
 from unittest import mock
 
-from foxtaillock.batch import vm_order_controller
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import records
 from foxtaillock.batch.tests import builders
+from foxtaillock.batch.vms import vm_order_controller
 
 _VMS = ("m1", "m2", "m3")
 
--- a/foxtaillock/batch/tests/turning_load.py
+++ b/foxtaillock/batch/vms/tests/turning_load.py
@@ -8,10 +8,10 @@
 import typing
 from collections.abc import Sequence
 
-from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import pool_sizes
-from foxtaillock.batch import vm_ledger
+from foxtaillock.batch.vms import fleet
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 from foxtaillock.model import resources
 
 __all__ = ["POOLS", "Result", "TurningLoad", "Turn", "turns"]
--- a/foxtaillock/batch/vm_coordinator.py
+++ b/foxtaillock/batch/vms/vm_coordinator.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Iterable
 
-from foxtaillock.batch import displaced_tasks
 from foxtaillock.batch import job_states
-from foxtaillock.batch import load_meter
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import ready_steps
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
-from foxtaillock.batch import pool_sizes
-from foxtaillock.batch import vm_ledger
+from foxtaillock.batch.vms import displaced_tasks
+from foxtaillock.batch.vms import load_meter
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 
 __all__ = ["VmCoordinator"]
 
--- a/foxtaillock/batch/vm_moves.py
+++ b/foxtaillock/batch/vms/vm_moves.py
@@ -11,10 +11,10 @@
 import collections
 from collections.abc import Mapping
 
-from foxtaillock.batch import demand
 from foxtaillock.batch import interfaces
-from foxtaillock.batch import pool_sizes
-from foxtaillock.batch import vm_ledger
+from foxtaillock.batch.vms import demand
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 
 __all__ = ["VmMoves"]
 
--- a/foxtaillock/batch/vm_order_controller.py
+++ b/foxtaillock/batch/vms/vm_order_controller.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 
-from foxtaillock.batch import demand_rhythm
 from foxtaillock.batch import engine as engines
-from foxtaillock.batch import fleet
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
-from foxtaillock.batch import pool_sizes
 from foxtaillock.batch import records
-from foxtaillock.batch import vm_ledger
+from foxtaillock.batch.vms import demand_rhythm
+from foxtaillock.batch.vms import fleet
+from foxtaillock.batch.vms import pool_sizes
+from foxtaillock.batch.vms import vm_ledger
 from foxtaillock.model import clock as model_clock
 
 __all__ = ["VmOrderController"]
