--- a/foxtaillock/batch/job_admission.py
+++ b/foxtaillock/batch/job_admission.py
@@ -147,5 +147,9 @@
     async def _release(self, job_id: str) -> None:
         """Releases a reservation; it expires if that fails."""
         reservation = records.JobReservation(self._node, job_id, 0, False)
-        with contextlib.suppress(interfaces.StoreError):
+        try:
             await self._appender.append(records.encode(reservation))
+        except interfaces.StoreError as error:
+            self._log(
+                "reservation-not-released", job=job_id, error=str(error)
+            )
