--- a/foxtaillock/batch/job_admission.py
+++ b/foxtaillock/batch/job_admission.py
@@ -150,6 +150,4 @@
         try:
             await self._appender.append(records.encode(reservation))
         except interfaces.StoreError as error:
-            self._log(
-                "reservation-not-released", job=job_id, error=str(error)
-            )
+            self._log("reservation-not-released", job=job_id, error=str(error))
