--- a/foxtaillock/batch/vms/demand_rhythm.py
+++ b/foxtaillock/batch/vms/demand_rhythm.py
@@ -3,10 +3,10 @@
 Answers the load of queues that peak in turn: for some seconds a queue asks for
 several times its mean, then the next one does, always in the same order. A VM
 that is ordered when demand rises arrives after the start of the peak; one that
-is ordered a move before the predicted onset is there in time. A day has only a
-few cycles, so most of what is known comes from the first one: the interval
-between the turns of different pools is known from the third onset on, long
-before any pool's own period has been confirmed.
+is ordered a move before the predicted onset is there in time. Few cycles
+are seen, and one may last as long as all that is known, so most is learned from
+the first one: the interval between the turns of different pools is known from
+the third onset on, long before any pool's own period has been confirmed.
 """
 
 import typing
--- a/foxtaillock/batch/vms/recurrence.py
+++ b/foxtaillock/batch/vms/recurrence.py
@@ -1,6 +1,6 @@
 """Recognizes events that recur at equal intervals, and predicts the next one.
 
-Answers the load of queues that peak in turn: a day has only a few cycles, so
+Answers the load of queues that peak in turn: few cycles are seen, so
 three equidistant onsets start a rhythm, and a wrong prediction weakens it.
 Onsets scatter, since a rise shows only once some jobs have arrived, and bursts
 of other queues come in between.
