Batch: logs tell on what the end of a lease rests

Added: 'start-ordered' (incarnation, lease and clock of each start), 'leases-adopted' (at a takeover: for each worker with runs the end that counts and why), 'lease-over' (what the end of a silent worker's leases rests on) and 'worker-clock-odd' (a start was carried out by an incarnation that no list has named). All go through the bounded log. No decision has changed.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import decision_log
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import job_states
+from foxtaillock.batch import lease_log
 from foxtaillock.batch import long_leases
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
@@ -149,6 +150,10 @@
                 spec.team, accepted_s
             )
 
+    def log_adopted_leases(self, now_s: float) -> None:
+        """Logs when the leases of the runs of earlier owners end."""
+        lease_log.log_adopted_leases(self._state, now_s)
+
     def register(self, entry: model.WorkerEntry, now_s: float) -> None:
         """Adds or updates a worker from its registry entry."""
         self._state.register(entry, now_s)
@@ -308,6 +313,7 @@
             if worker.is_cold:
                 worker.update_cold(now_s)
             if worker.tasks and now_s >= worker.leases_expire_s():
+                lease_log.log_lease_over(self._state, worker, now_s)
                 self._state.expire_lease(worker, now_s)
             if not worker.tasks:
                 self._state.remove_if_unused(worker)
@@ -498,6 +504,9 @@
                 self._state.abandon_run(task, now_s)
                 return None
             ticket = found
+        lease_log.log_start_order(
+            self._state, task, worker, valid_until_ms, now_s
+        )
         return interfaces.StartOrder(
             task.task_id,
             task.run,
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -264,6 +264,7 @@
             leases_s=round(self._remaining_prior_leases_s(), 2),
             silent_workers=len(self._prior.renounced_ends_s),
         )
+        self.engine.log_adopted_leases(services.clock.monotonic_s())
 
     def _restore_more_jobs(self) -> None:
         """Restores the next of the jobs that have no active runs."""
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -137,6 +137,7 @@
         self._last_offer_s = float("-inf")
         self._owner: records.OwnerRecord | None = None
         self._earlier_leases_end_s = float("-inf")
+        self._earlier_leases_basis = prior_leases.LeaseEndBasis.SILENT
         # The same, if the last owner wrote more than this VM has read.
         self._unread_leases_end_s = float("-inf")
         self._renounced_ends_s: dict[str, float] = {}
@@ -174,6 +175,7 @@
             self.earlier_leases_end_s,
             dict(self._earlier_renounced_ends_s),
             dict(self._long_ends_s),
+            self._earlier_leases_basis,
         )
 
     def long_leases(self, now_s: float) -> tuple[records.LongLease, ...]:
@@ -236,6 +238,12 @@
         that wrote no more than its claim changed nothing.
         """
         self._unread_leases_end_s = self._leases_end_s()
+        if self._unread_leases_end_s > self._earlier_leases_end_s:
+            self._earlier_leases_basis = (
+                prior_leases.LeaseEndBasis.ENDED
+                if self._has_owner_ended()
+                else prior_leases.LeaseEndBasis.SILENT
+            )
         if self._owner is None or self._owner.heartbeat:
             self._earlier_leases_end_s = self._unread_leases_end_s
             self._earlier_renounced_ends_s = self._renounced_ends_s
@@ -386,13 +394,25 @@
         owner = self._owner
         if owner is None:
             return self._earlier_leases_end_s
-        # An earlier process of this VM had ended before this one started.
-        has_ended = owner.is_released or (
-            owner.node == self._node and owner.incarnation != self._incarnation
-        )
         return max(
             self._earlier_leases_end_s,
-            workers.prior_leases_end_s(self._last_heard_s, has_ended),
+            workers.prior_leases_end_s(
+                self._last_heard_s, self._has_owner_ended()
+            ),
+        )
+
+    def _has_owner_ended(self) -> bool:
+        """Returns whether the last owner certainly grants no more leases.
+
+        An earlier process of this VM had ended before this one started.
+        """
+        owner = self._owner
+        return owner is not None and (
+            owner.is_released
+            or (
+                owner.node == self._node
+                and owner.incarnation != self._incarnation
+            )
         )
 
     def _claim_silence_s(self, now_s: float) -> float:
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -75,7 +75,7 @@
         """Applies the answer to a start order."""
         task, worker = plan.task, plan.worker
         if answer.clock_ms is not None:
-            worker.check_clock(answer.clock_ms, plan.planned_s)
+            self._check_clock(worker, answer.clock_ms, plan.planned_s)
         self._record_contact(worker, answer, now_s)
         if task.run != plan.run or task.phase is not tasks.TaskPhase.STARTING:
             return
@@ -445,6 +445,21 @@
                 worker, worker.other_entry, now_s, "it was started again"
             )
 
+    def _check_clock(
+        self, worker: workers.Worker, clock_ms: int, sent_s: float
+    ) -> None:
+        """Checks the clock reading in an answer; logs the first odd one."""
+        known_ms, had_odd_clock = worker.clock_ms, worker.has_odd_clock
+        worker.check_clock(clock_ms, sent_s)
+        if worker.has_odd_clock and not had_odd_clock:
+            self._state.log_worker(
+                worker,
+                "worker-clock-odd",
+                started_ms=worker.entry.started_ms,
+                clock_ms=clock_ms,
+                known_ms=known_ms,
+            )
+
     def _record_contact(
         self,
         worker: workers.Worker,
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 import typing
 from collections.abc import Mapping
 
@@ -13,6 +14,7 @@
     "LATE_ORDER_S",
     "MAX_LEASE_S",
     "RENEWAL_WINDOW_S",
+    "LeaseBasis",
     "LeavingWorkers",
     "RUN_LEASE_S",
     "Worker",
@@ -83,6 +85,19 @@
     return last_heard_s + renews_s + lease_s + _IN_FLIGHT_ALLOWANCE_S
 
 
+class LeaseBasis(enum.StrEnum):
+    """What the latest end of a worker's leases rests on.
+
+    `GRANTED`: the latest lease that this owner has granted. `ASSUMED`: calls
+    that were meant for an earlier incarnation. `PRIOR`: leases granted by
+    earlier owners.
+    """
+
+    GRANTED = "granted"
+    ASSUMED = "assumed"
+    PRIOR = "prior"
+
+
 class LeavingWorkers(typing.NamedTuple):
     """Workers whose VMs are, or may be, ordered away.
 
@@ -393,6 +408,23 @@
 
         All its runs have ended by then, unless further orders reach it.
         """
+        ends_s = max(self._granted_end_s(), self.assumed_end_s)
+        if self.has_answered:
+            return ends_s
+        return max(ends_s, self.prior_leases_end_s)
+
+    @property
+    def lease_basis(self) -> LeaseBasis:
+        """What the time of `leases_expire_s` rests on."""
+        ends_s = self.leases_expire_s()
+        if ends_s == self._granted_end_s():
+            return LeaseBasis.GRANTED
+        if ends_s == self.assumed_end_s:
+            return LeaseBasis.ASSUMED
+        return LeaseBasis.PRIOR
+
+    def _granted_end_s(self) -> float:
+        """Returns a time by which the leases of this owner have expired."""
         remaining_s = max(0, self.valid_until_ms - self.clock_ms) / 1000
         ends_s = (
             self.clock_read_s
@@ -402,10 +434,7 @@
         if self.other_entry is not None:
             # A later incarnation may have carried out the latest orders.
             ends_s += (_MAX_RUN_LEASE_S - RUN_LEASE_S) / (1 - _MAX_CLOCK_DRIFT)
-        ends_s = max(ends_s, self.assumed_end_s)
-        if self.has_answered:
-            return ends_s
-        return max(ends_s, self.prior_leases_end_s)
+        return ends_s
 
     def _lowest_clock_ms(self, now_s: float) -> float | None:
         """Returns the least that the worker's clock can show now."""
