Batch: logs tell which end of leases a successor took, and when calls were given up

Added: 'leases-adopted' lists the end that was told beside the one that counts, and the general one; 'worker-unreached' has the lease of its poll and the time since it was sent; 'start-not-accepted' the time since the start was planned. Bounded as before. No decision has changed.

Evidence: tests of engine, owner, ownership, restarts and long leases pass.

--- a/foxtaillock/batch/lease_log.py
+++ b/foxtaillock/batch/lease_log.py
@@ -17,7 +17,12 @@
 
 
 def log_adopted_leases(state: owner_state.OwnerState, now_s: float) -> None:
-    """Logs when the leases on workers with runs of earlier owners end."""
+    """Logs when the leases on workers with runs of earlier owners end.
+
+    Each worker is listed with its runs, the time until the end that counts,
+    what that rests on, and the time until the end that the last owner told;
+    None if it told none.
+    """
     prior = state.prior_leases
     ends = sorted(
         (
@@ -31,12 +36,16 @@
         state.log(
             "leases-adopted",
             workers=len(ends),
+            general_s=round(prior.end_s - now_s, 2),
             latest=[
                 (
                     worker_id,
                     runs,
                     round(end_s - now_s, 2),
                     prior.basis_on(worker_id).value,
+                    _round_remaining(
+                        prior.renounced_ends_s.get(worker_id), now_s
+                    ),
                 )
                 for end_s, worker_id, runs in ends[:_MAX_LISTED_WORKERS]
             ],
@@ -84,6 +93,11 @@
     )
 
 
+def _round_remaining(end_s: float | None, now_s: float) -> float | None:
+    """Returns the time until an end; None if there is none."""
+    return None if end_s is None else round(end_s - now_s, 2)
+
+
 def _round_age(at_s: float, now_s: float) -> float | None:
     """Returns the age of an event; None if there was none."""
     return None if at_s == float("-inf") else round(now_s - at_s, 2)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -94,6 +94,7 @@
             run=task.run,
             worker=worker.worker_id,
             outcome=outcome.value,
+            after_s=round(now_s - plan.planned_s, 2),
         )
         if outcome in _UNANSWERED_OUTCOMES:
             current = self._state.workers.get(worker.worker_id, worker)
@@ -149,7 +150,7 @@
             is_unknown = answer.outcome is interfaces.OrderOutcome.UNKNOWN
             if is_unknown and plan.valid_until_ms is not None:
                 self._state.late_renewals.note(worker_id, now_s)
-            self._poll_failed(worker, answer, now_s)
+            self._poll_failed(worker, plan, answer, sent_s, now_s)
             return
         if restarts.is_other_incarnation(worker, answer):
             worker = restarts.replace_incarnation(
@@ -426,7 +427,9 @@
     def _poll_failed(
         self,
         worker: workers.Worker,
+        plan: plans.PollPlan,
         answer: interfaces.OrderAnswer,
+        sent_s: float,
         now_s: float,
     ) -> None:
         if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
@@ -438,6 +441,8 @@
                 "worker-unreached",
                 outcome=answer.outcome.value,
                 tasks=len(worker.tasks),
+                until_ms=plan.valid_until_ms,
+                after_s=round(now_s - sent_s, 2),
             )
         worker.unanswered_calls += 1
         if worker.other_entry is not None and not worker.may_run_tasks:
