--- a/foxtaillock/batch/tests/recut_simulation.py
+++ b/foxtaillock/batch/tests/recut_simulation.py
@@ -106,6 +106,9 @@
         if self.now_s >= self._next_submit_s:
             self._next_submit_s = self.now_s + _SUBMIT_INTERVAL_S
             self.submit()
+        self._begin_due_round()
+
+    def _begin_due_round(self) -> None:
         if self.now_s >= self._next_round_s:
             self._next_round_s = self.now_s + _ROUND_S
             self._begin_round()
@@ -159,6 +162,12 @@
         self.seen["killed owner"] += 1
         if self._late_random.random() >= _OWN_RESTART_PROBABILITY:
             return
+        self._follow_own_process(owner)
+
+    def _follow_own_process(
+        self, owner: simulated_owner.SimulatedOwner
+    ) -> None:
+        """Lets the owner's VM start its next process at once."""
         self.seen["own restart"] += 1
 
         def _follow() -> None:
--- a/foxtaillock/batch/tests/simulated_owner.py
+++ b/foxtaillock/batch/tests/simulated_owner.py
@@ -1,5 +1,6 @@
 """An owner in a simulation: a real `Engine`, driven as `batch.owner` does."""
 
+import dataclasses
 import typing
 from collections.abc import Callable
 
@@ -13,7 +14,7 @@
 from foxtaillock.batch import view
 from foxtaillock.batch import workers
 
-__all__ = ["SimulatedOwner", "World"]
+__all__ = ["Poll", "SimulatedOwner", "World"]
 
 _HEARTBEAT_S = 0.6
 _QUEUE = model.Queue("q", "pool", 0, 3, 1.6, 600, True)
@@ -62,6 +63,38 @@
         """Delivers an order, perhaps late or with its answer lost."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Poll:
+    """A poll of an owner, which a worker carries out when it is called.
+
+    Attributes:
+        world: tells the time.
+        epoch: epoch of the owner.
+        plan: what is polled.
+    """
+
+    world: World
+    epoch: int
+    plan: plans.PollPlan
+
+    def __call__(
+        self, worker: fake_worker.FakeWorker
+    ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
+        """Renews the worker's lease and returns its lists."""
+        return worker.poll(
+            self.epoch,
+            self.plan.acknowledged,
+            self.plan.valid_until_ms,
+            self.world.now_s,
+        )
+
+    def answer_after_wait(
+        self, worker: fake_worker.FakeWorker
+    ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
+        """Returns the worker's lists at the end of the wait."""
+        return worker.poll(self.epoch, 0, None, self.world.now_s)
+
+
 class SimulatedOwner:
     """One ownership in the simulation."""
 
@@ -232,16 +265,6 @@
             return
         self._polling.add(worker)
 
-        def _act(
-            fake: fake_worker.FakeWorker,
-        ) -> interfaces.WorkerLists | interfaces.OrderAnswer:
-            return fake.poll(
-                self.epoch,
-                plan.acknowledged,
-                plan.valid_until_ms,
-                simulation.now_s,
-            )
-
         def _answered(
             answer: interfaces.WorkerLists | interfaces.OrderAnswer,
         ) -> None:
@@ -252,7 +275,8 @@
                 worker_id, plan, answer, now_s, simulation.now_s
             )
 
-        simulation.send_order(self, worker_id, _act, _answered)
+        poll = Poll(simulation, self.epoch, plan)
+        simulation.send_order(self, worker_id, poll, _answered)
 
     def _check_epoch(self, answer: interfaces.OrderAnswer) -> None:
         if answer.outcome is interfaces.OrderOutcome.STALE_EPOCH:
