--- a/bench/burn_report.py
+++ b/bench/burn_report.py
@@ -7,8 +7,8 @@
 
 from bench import harness
 from foxtaillock.jobs import job as jobs
+from foxtaillock.model import job_records
 from foxtaillock.model import outcomes
-from foxtaillock.model import records
 from foxtaillock.reports import fleet_watch
 from foxtaillock.reports import job_watch
 from foxtaillock.reports import merge
@@ -142,7 +142,7 @@
 
 def _make_job(job_id: str) -> jobs.Job:
     size, text = (1, 1, 0), ""
-    accepted = records.JobAccepted(
+    accepted = job_records.JobAccepted(
         job_id,
         "t",
         text,
--- a/bench/fold.py
+++ b/bench/fold.py
@@ -12,8 +12,13 @@
 from collections.abc import Callable
 
 from bench import harness
+from foxtaillock.model import grant_records
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 from foxtaillock.state import snapshots
 
@@ -62,14 +67,14 @@
 
 def _team(number: int) -> records.Record:
     body = {"share": 1 + number % 5, "limit": 1_000_000}
-    change = records.Change("added", "team", f"team-{number}", 0, body)
-    return records.NoteAccepted(f"t{number}", "op", "market", (change,))
+    change = note_records.Change("added", "team", f"team-{number}", 0, body)
+    return note_records.NoteAccepted(f"t{number}", "op", "market", (change,))
 
 
 def _pool(number: int) -> records.Record:
     body = {"size": 68, "zones": ["z1"], "min_available": 60}
-    change = records.Change("added", "pool", f"pool-{number}", 0, body)
-    return records.NoteAccepted(f"p{number}", "op", "market", (change,))
+    change = note_records.Change("added", "pool", f"pool-{number}", 0, body)
+    return note_records.NoteAccepted(f"p{number}", "op", "market", (change,))
 
 
 def _queue(number: int) -> records.Record:
@@ -78,24 +83,26 @@
         "teams": [f"team-{number % _TEAMS}"],
         "objective": 0.99,
     }
-    change = records.Change("added", "queue", f"queue-{number}", 0, body)
-    return records.NoteAccepted(f"q{number}", "op", "market", (change,))
+    change = note_records.Change("added", "queue", f"queue-{number}", 0, body)
+    return note_records.NoteAccepted(f"q{number}", "op", "market", (change,))
 
 
 def _key(number: int) -> records.Record:
     digest = snapshots.compute_digest(str(number))
-    return records.KeyGiven(f"k{number}", digest, f"team-{number % 61}", "op")
+    return key_records.KeyGiven(
+        f"k{number}", digest, f"team-{number % 61}", "op"
+    )
 
 
 def _vm(number: int) -> records.Record:
     pool = f"pool-{number % _POOLS}"
-    return records.VmStep(f"worker-{number}", 1, pool, "joined", 0)
+    return vm_records.VmStep(f"worker-{number}", 1, pool, "joined", 0)
 
 
 def _renewal(number: int) -> records.Record:
     node = f"entry-{number % _NODES}"
     counter = number // _NODES + 1
-    return records.SessionRenewed(
+    return session_records.SessionRenewed(
         node, f"i-{node}", counter, "z1", "10.0.0.1:70", "10.0.0.1:80"
     )
 
@@ -104,7 +111,7 @@
     node = f"entry-{number % _NODES}"
     team = f"team-{number % _TEAMS}"
     amount = number % 97 + 1
-    return records.GrantChanged(team, node, f"i-{node}", amount, amount)
+    return grant_records.GrantChanged(team, node, f"i-{node}", amount, amount)
 
 
 class _StateBuilder:
--- a/bench/grants.py
+++ b/bench/grants.py
@@ -14,8 +14,11 @@
 from foxtaillock.limits import grant_policy
 from foxtaillock.limits import grants
 from foxtaillock.model import clock as clock_lib
+from foxtaillock.model import grant_records
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.state import control_state
 
 __all__ = ["run"]
@@ -126,8 +129,10 @@
 
     def _set_up(self) -> None:
         body = {"share": 1, "limit": _LIMIT}
-        change = records.Change("added", "team", "t", 0, body)
-        self._fold("op", (records.NoteAccepted("n", "op", "", (change,)),), 1)
+        change = note_records.Change("added", "team", "t", 0, body)
+        self._fold(
+            "op", (note_records.NoteAccepted("n", "op", "", (change,)),), 1
+        )
         for node in range(_NODES):
             name = f"e{node}"
             local_grants = grants.LocalGrants(
@@ -136,7 +141,8 @@
             local_grants.set_session_valid_until(_END_AT_S)
             self.grants_by_node.append(local_grants)
             self._commit(
-                node, (records.SessionRenewed(name, "x", 1, "z", "", ""),)
+                node,
+                (session_records.SessionRenewed(name, "x", 1, "z", "", ""),),
             )
             self.schedule(self.rng.random() * _TICK_S, self._make_tick(node))
 
@@ -175,7 +181,7 @@
             )
 
     def _complete_changes(
-        self, node: int, changes: list[records.StandingGrantChanged]
+        self, node: int, changes: list[grant_records.StandingGrantChanged]
     ) -> None:
         self._commit(node, tuple(changes))
         for change in changes:
--- a/bench/maintenance_day.py
+++ b/bench/maintenance_day.py
@@ -22,8 +22,12 @@
 from foxtaillock.fleet import model
 from foxtaillock.fleet import observations
 from foxtaillock.fleet import waves
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.state import control_state
 
@@ -78,7 +82,7 @@
 
     def _set_up(self) -> None:
         changes = tuple(
-            records.Change(
+            note_records.Change(
                 "added",
                 "pool",
                 name,
@@ -93,9 +97,11 @@
             )
             for name, spec in self.specs.items()
         )
-        session = records.SessionRenewed("e1", "x", 1, "z0", "h:1", "h:2")
-        claim = records.PoolClaimed(records.FLEET_POOL, "e1", "x", 1)
-        note = records.NoteAccepted("n", "op", "first", changes)
+        session = session_records.SessionRenewed(
+            "e1", "x", 1, "z0", "h:1", "h:2"
+        )
+        claim = pool_records.PoolClaimed(pool_records.FLEET_POOL, "e1", "x", 1)
+        note = note_records.NoteAccepted("n", "op", "first", changes)
         self._fold((session, claim, note))
 
     def _fold(self, batch: tuple[records.Record, ...]) -> None:
@@ -163,7 +169,7 @@
             age_days = _MAINTENANCE_PERIOD_DAYS - 1 - day
             ended_s = int(self.utc_s) - max(0, age_days) * day_s
             rows = dict.fromkeys(members.get(name, ()), ended_s)
-            self._fold((records.MaintenanceRecorded(name, rows, 1),))
+            self._fold((vm_records.MaintenanceRecorded(name, rows, 1),))
             if day == 0:
                 self.counts["due"] += len(rows)
 
@@ -174,7 +180,7 @@
             self.paused_ticks[wave_id] += 1
             if self.paused_ticks[wave_id] % _RESUME_AFTER_TICKS == 0:
                 self.counts["resumed"] += 1
-                resumed = records.WaveChanged(
+                resumed = vm_records.WaveChanged(
                     wave_id, wave.pool, "running", "by op", 1
                 )
                 self._fold((resumed,))
--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -13,8 +13,9 @@
 from bench import harness
 from bench import pool_model
 from foxtaillock.jobs import pool_state
+from foxtaillock.model import job_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
-from foxtaillock.model import records
 from foxtaillock.model import resources
 from foxtaillock.placement import capacity
 from foxtaillock.placement import waiting
@@ -115,7 +116,7 @@
 
     def _build_state() -> pool_state.PoolState:
         state = pool_state.PoolState()
-        epoch_raised = records.PoolEpochRaised(1, "e")
+        epoch_raised = pool_records.PoolEpochRaised(1, "e")
         state.apply(0, record_batches.RecordBatch("e", "i", 1, (epoch_raised,)))
         for i in range(count):
             batch = record_batches.RecordBatch(
@@ -160,8 +161,8 @@
     }
 
 
-def _make_accepted(number: int) -> records.JobAccepted:
-    return records.JobAccepted(
+def _make_accepted(number: int) -> job_records.JobAccepted:
+    return job_records.JobAccepted(
         f"pool.{number:016x}",
         "t",
         "key",
--- a/foxtaillock/calls/claims.py
+++ b/foxtaillock/calls/claims.py
@@ -7,6 +7,7 @@
 import typing
 from collections.abc import Sequence
 
+from foxtaillock.model import call_records
 from foxtaillock.model import outcomes
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
@@ -43,7 +44,7 @@
 
     Example:
         >>> state = ClaimsState()
-        >>> claim = records.CallClaimed("t", "digest", "e1", "q1")
+        >>> claim = call_records.CallClaimed("t", "digest", "e1", "q1")
         >>> batch = record_batches.RecordBatch("e1", "x", 1, (claim,))
         >>> state.apply(0, batch)[0].accepted
         True
@@ -79,13 +80,13 @@
         return [self._apply_record(record) for record in batch.records]
 
     def _apply_record(self, record: records.Record) -> verdicts.Verdict:
-        if isinstance(record, records.CallClaimed):
+        if isinstance(record, call_records.CallClaimed):
             return self._claim(record)
-        if isinstance(record, records.CallEnded):
+        if isinstance(record, call_records.CallEnded):
             return self._end(record)
         return verdicts.Verdict(False, "wrong-stream")
 
-    def _claim(self, record: records.CallClaimed) -> verdicts.Verdict:
+    def _claim(self, record: call_records.CallClaimed) -> verdicts.Verdict:
         key = (record.team, record.key_digest)
         if key in self._claims:
             return verdicts.Verdict(False, "claimed")
@@ -94,7 +95,7 @@
             del self._claims[next(iter(self._claims))]
         return verdicts.ACCEPTED
 
-    def _end(self, record: records.CallEnded) -> verdicts.Verdict:
+    def _end(self, record: call_records.CallEnded) -> verdicts.Verdict:
         key = (record.team, record.key_digest)
         claim = self._claims.get(key)
         if claim is None or claim.request_id != record.request_id:
--- a/foxtaillock/calls/tests/test_claims.py
+++ b/foxtaillock/calls/tests/test_claims.py
@@ -7,6 +7,7 @@
 from foxtaillock.calls import claims
 from foxtaillock.calls import interfaces
 from foxtaillock.daemon import call_claims
+from foxtaillock.model import call_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state.tests import fake_log
@@ -23,7 +24,7 @@
     def apply(self, record: records.Record) -> bool:
         """Returns whether the record takes effect."""
         found = [r for r in self.rows if r[0] == record.key_digest]
-        if isinstance(record, records.CallClaimed):
+        if isinstance(record, call_records.CallClaimed):
             if found:
                 return False
             self.rows.append([record.key_digest, record.request_id, ""])
@@ -46,11 +47,11 @@
             for offset in range(200):
                 key, request = f"k{rng.randrange(12)}", f"q{rng.randrange(4)}"
                 outcome = rng.choice(("ran", "not-run", "unknown"))
-                record: records.Record = records.CallClaimed(
+                record: records.Record = call_records.CallClaimed(
                     "t", key, "e", request
                 )
                 if rng.random() < 0.5:
-                    record = records.CallEnded("t", key, request, outcome)
+                    record = call_records.CallEnded("t", key, request, outcome)
                 batch = record_batches.RecordBatch(
                     "e", "x", offset + 1, (record,)
                 )
@@ -60,8 +61,8 @@
 
     def test_batch_duplicated_by_a_retry_applies_once(self) -> None:
         state = claims.ClaimsState()
-        claim = records.CallClaimed("t", "k", "e", "q1")
-        ended = records.CallEnded("t", "k", "q1", "not-run")
+        claim = call_records.CallClaimed("t", "k", "e", "q1")
+        ended = call_records.CallEnded("t", "k", "q1", "not-run")
         state.apply(0, record_batches.RecordBatch("e", "x", 1, (claim,)))
         state.apply(1, record_batches.RecordBatch("e", "x", 2, (ended,)))
         state.apply(2, record_batches.RecordBatch("e", "x", 1, (claim,)))
--- a/foxtaillock/daemon/admin_backend.py
+++ b/foxtaillock/daemon/admin_backend.py
@@ -18,9 +18,13 @@
 from foxtaillock.fleet import spares
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import config_objects
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
 from foxtaillock.model import outcomes
+from foxtaillock.model import pool_records
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
+from foxtaillock.model import vm_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.notes import check
 from foxtaillock.notes import parser
@@ -159,7 +163,9 @@
 
     async def _accept(self, note: check.CheckedNote, author: str) -> admin.Row:
         note_id = f"note-{secrets.token_hex(6)}"
-        record = records.NoteAccepted(note_id, author, note.title, note.changes)
+        record = note_records.NoteAccepted(
+            note_id, author, note.title, note.changes
+        )
         verdict = await self._commit(record)
         if not verdict.accepted:
             raise problems.Problem(
@@ -187,7 +193,7 @@
         random_part = secrets.token_urlsafe(_SECRET_BYTES)
         secret = keys.format_secret(key_id, random_part)
         digest = keys.hash_secret(secret)
-        record = records.KeyGiven(key_id, digest, team, author)
+        record = key_records.KeyGiven(key_id, digest, team, author)
         verdict = await self._commit(record)
         if not verdict.accepted:
             raise problems.Problem(verdict.code, "the key was refused")
@@ -204,7 +210,7 @@
             raise problems.Problem("not-found", f"no key {key_id!r}")
         self._on_withdrawn(key_id)
         try:
-            await self._commit(records.KeyWithdrawn(key_id, author))
+            await self._commit(key_records.KeyWithdrawn(key_id, author))
         except problems.Problem as problem:
             raise problems.Problem(
                 "not-recorded",
@@ -332,8 +338,8 @@
     async def _change_wave(
         self, wave_id: str, pool: str, state: str, author: str
     ) -> admin.Row:
-        epoch = self._state.epoch(records.FLEET_POOL)
-        record = records.WaveChanged(
+        epoch = self._state.epoch(pool_records.FLEET_POOL)
+        record = vm_records.WaveChanged(
             wave_id, pool, state, f"by {author}", epoch
         )
         verdict = await self._commit(record)
@@ -381,7 +387,7 @@
 
 
 def _find_unknown_runners(
-    changes: Sequence[records.Change], vms: Sequence[vms_and_jobs.VmEntry]
+    changes: Sequence[note_records.Change], vms: Sequence[vms_and_jobs.VmEntry]
 ) -> list[str]:
     """Returns the draining runners of `changes` that the VM list lacks.
 
--- a/foxtaillock/daemon/call_claims.py
+++ b/foxtaillock/daemon/call_claims.py
@@ -11,9 +11,9 @@
 from foxtaillock.calls import claims as claim_folds
 from foxtaillock.calls import interfaces as calls
 from foxtaillock.daemon import background
+from foxtaillock.model import call_records
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import outcomes
-from foxtaillock.model import records
 from foxtaillock.model import verdicts
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import replica as replicas
@@ -85,7 +85,7 @@
     ) -> calls.ClaimResult:
         """Claims the single run of a key; refused while the log is down."""
         digest = key_digest(idempotency_key)
-        record = records.CallClaimed(team, digest, self._node, request_id)
+        record = call_records.CallClaimed(team, digest, self._node, request_id)
         if not self._is_known(service, team, digest) and not self._may_claim():
             return calls.ClaimRefused("log-unavailable")
         try:
@@ -105,7 +105,7 @@
         return entry is not None and entry.fold.find(team, digest) is not None
 
     async def _commit_claim(
-        self, entry: _ServiceClaims, record: records.CallClaimed
+        self, entry: _ServiceClaims, record: call_records.CallClaimed
     ) -> calls.ClaimResult | None:
         """Returns the result of a new claim, or None if an earlier one won."""
         commit = self._background.spawn(_try_commit(entry, record))
@@ -121,10 +121,10 @@
         return calls.ClaimWon() if verdict.accepted else None
 
     async def _release_claim(
-        self, entry: _ServiceClaims, claim: records.CallClaimed
+        self, entry: _ServiceClaims, claim: call_records.CallClaimed
     ) -> None:
         """Releases a claim that may be stored though its call was not sent."""
-        record = records.CallEnded(
+        record = call_records.CallEnded(
             claim.team, claim.key_digest, claim.request_id, _NOT_RUN
         )
         await self._commit_with_retries(entry, record)
@@ -151,7 +151,7 @@
     ) -> None:
         """Records the outcome of a claim without waiting for the log."""
         digest = key_digest(idempotency_key)
-        record = records.CallEnded(team, digest, request_id, outcome)
+        record = call_records.CallEnded(team, digest, request_id, outcome)
         entry = self._services.get(service)
         if entry is not None:
             task = self._background.spawn(
@@ -161,7 +161,7 @@
             task.add_done_callback(self._pending_ends.discard)
 
     async def _commit_with_retries(
-        self, entry: _ServiceClaims, record: records.CallEnded
+        self, entry: _ServiceClaims, record: call_records.CallEnded
     ) -> None:
         """Commits until there is a verdict, in a bounded number of attempts."""
         for _ in range(_MAX_END_ATTEMPTS):
@@ -214,7 +214,7 @@
 
 
 async def _try_commit(
-    entry: _ServiceClaims, record: records.CallClaimed
+    entry: _ServiceClaims, record: call_records.CallClaimed
 ) -> verdicts.Verdict | exceptions.FoxtaillockError:
     try:
         return await entry.replica.commit(record)
--- a/foxtaillock/daemon/control_components.py
+++ b/foxtaillock/daemon/control_components.py
@@ -10,6 +10,7 @@
 from foxtaillock.leases import ownership
 from foxtaillock.leases import times as session_times
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import pool_records
 from foxtaillock.model import records
 from foxtaillock.settings import settings as settings_lib
 from foxtaillock.state import budget as budgets
@@ -47,11 +48,11 @@
 
     def owns_fleet(self) -> bool:
         """Returns whether this VM owns the fleet now."""
-        return self.session.owns(records.FLEET_POOL, self.fleet_epoch())
+        return self.session.owns(pool_records.FLEET_POOL, self.fleet_epoch())
 
     def fleet_epoch(self) -> int:
         """Returns the epoch of the last claim of the fleet."""
-        return self.state.epoch(records.FLEET_POOL)
+        return self.state.epoch(pool_records.FLEET_POOL)
 
 
 def create_control_components(
@@ -136,6 +137,6 @@
         clock,
         rng,
         times,
-        pools=lambda: [records.FLEET_POOL, *sorted(state.objects("pool"))],
+        pools=lambda: [pool_records.FLEET_POOL, *sorted(state.objects("pool"))],
         is_peer_ahead=keys.is_peer_ahead,
     )
--- a/foxtaillock/daemon/grant_controller.py
+++ b/foxtaillock/daemon/grant_controller.py
@@ -13,6 +13,7 @@
 from foxtaillock.limits import grant_policy
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import grant_records
 from foxtaillock.model import records
 from foxtaillock.state import control_state
 from foxtaillock.state import interfaces
@@ -126,10 +127,10 @@
         limit = self._state.team_limit(team)
         return grant_policy.FoldedTeam(limit, grants, is_open)
 
-    async def _commit(self, change: records.StandingGrantChanged) -> None:
+    async def _commit(self, change: grant_records.StandingGrantChanged) -> None:
         record: records.Record = change
         if not self._hold_s:
-            record = records.GrantChanged(*change[:5])
+            record = grant_records.GrantChanged(*change[:5])
         try:
             await self._replica.commit(record)
         except exceptions.FoxtaillockError as error:
@@ -181,7 +182,9 @@
 
     async def _commit_reclaims(
         self,
-        due: Iterable[records.GrantReclaimed | records.LentGrantsReclaimed],
+        due: Iterable[
+            grant_records.GrantReclaimed | grant_records.LentGrantsReclaimed
+        ],
     ) -> None:
         try:
             for record in due:
--- a/foxtaillock/daemon/key_checker.py
+++ b/foxtaillock/daemon/key_checker.py
@@ -9,8 +9,10 @@
 from foxtaillock.api import auth
 from foxtaillock.api import problems
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
-from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
 from foxtaillock.state import keys
@@ -20,8 +22,8 @@
 __all__ = ["ReplicaKeyChecker"]
 
 BOOTSTRAP_KEY_ID = "bootstrap"
-_KEY_REVOCATIONS = (records.KeyWithdrawn, records.NoteAccepted)
-_RIGHTS_REVOCATIONS = (*_KEY_REVOCATIONS, records.SessionEnded)
+_KEY_REVOCATIONS = (key_records.KeyWithdrawn, note_records.NoteAccepted)
+_RIGHTS_REVOCATIONS = (*_KEY_REVOCATIONS, session_records.SessionEnded)
 _ANNOUNCE_DURATION_S = 30.0
 _MAX_ANNOUNCED_KEYS = 100
 
--- a/foxtaillock/daemon/measures_tracker.py
+++ b/foxtaillock/daemon/measures_tracker.py
@@ -6,9 +6,10 @@
 
 from foxtaillock.jobs import owner as owners
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
-from foxtaillock.model import records
 from foxtaillock.model import verdicts
+from foxtaillock.model import vm_records
 from foxtaillock.peers import messages
 from foxtaillock.reports import fleet_watch
 from foxtaillock.reports import measures
@@ -63,16 +64,16 @@
         for record, verdict in zip(batch.records, batch_verdicts, strict=True):
             if verdict != verdicts.ACCEPTED:
                 continue
-            if isinstance(record, records.NoteAccepted):
+            if isinstance(record, note_records.NoteAccepted):
                 self._record_note(offset + 1, record, now_s)
-            elif isinstance(record, records.VmStep):
+            elif isinstance(record, vm_records.VmStep):
                 membership = fleet_watch.MembershipStep(
                     record.pool, record.step
                 )
                 self._watch.record_step(record.vm, membership, now_s)
 
     def _record_note(
-        self, revision: int, note: records.NoteAccepted, now_s: float
+        self, revision: int, note: note_records.NoteAccepted, now_s: float
     ) -> None:
         sessions = self._state.sessions.items()
         live = {key.node for key, row in sessions if not row.ended}
--- a/foxtaillock/daemon/node.py
+++ b/foxtaillock/daemon/node.py
@@ -36,9 +36,12 @@
 from foxtaillock.limits import grants as limits
 from foxtaillock.membership import neighbours
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
+from foxtaillock.model import vm_records
 from foxtaillock.peers import links
 from foxtaillock.peers import messages
 from foxtaillock.peers import server
@@ -373,7 +376,8 @@
         if any(map(self._triggers_update, batch.records)):
             self._push_updates()
         if any(
-            isinstance(each, records.NoteAccepted) for each in batch.records
+            isinstance(each, note_records.NoteAccepted)
+            for each in batch.records
         ):
             self.links.send_heartbeats_rate_limited()
 
@@ -382,7 +386,7 @@
 
         A renewal requires it only if it is the first one seen of its session.
         """
-        if isinstance(record, records.SessionRenewed):
+        if isinstance(record, session_records.SessionRenewed):
             return record.incarnation not in self._known_sessions
         return isinstance(record, _UPDATE_TRIGGERS)
 
@@ -479,11 +483,11 @@
 
 
 _UPDATE_TRIGGERS = (
-    records.NoteAccepted,
-    records.SessionEnded,
-    records.VmStep,
-    records.DisruptionGranted,
-    records.DisruptionEnded,
+    note_records.NoteAccepted,
+    session_records.SessionEnded,
+    vm_records.VmStep,
+    vm_records.DisruptionGranted,
+    vm_records.DisruptionEnded,
 )
 
 
--- a/foxtaillock/daemon/pool_controller.py
+++ b/foxtaillock/daemon/pool_controller.py
@@ -23,7 +23,8 @@
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import config_objects
-from foxtaillock.model import records
+from foxtaillock.model import grant_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.state import budget as budgets
 from foxtaillock.state import control_state
@@ -107,7 +108,7 @@
             ):
                 await self._stop_after_loss(pool)
         for pool, claim in list(self._state.claims.items()):
-            if pool == records.FLEET_POOL or pool in self._owned:
+            if pool == pool_records.FLEET_POOL or pool in self._owned:
                 continue
             is_won = self._session.owns(pool, claim.epoch)
             if is_won and pool not in self._starting:
@@ -230,7 +231,7 @@
                 team: min(count, self._state.unreserved_grant(team, *source))
                 for team, count in grants.counts.items()
             }
-            record = records.GrantsCarried(
+            record = grant_records.GrantsCarried(
                 pool,
                 epoch,
                 *source,
--- a/foxtaillock/daemon/pool_withdrawal.py
+++ b/foxtaillock/daemon/pool_withdrawal.py
@@ -11,7 +11,7 @@
 from foxtaillock.jobs import pool_state
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import config_objects
-from foxtaillock.model import records
+from foxtaillock.model import pool_records
 from foxtaillock.state import control_view
 from foxtaillock.state import interfaces
 from foxtaillock.state import tables
@@ -92,7 +92,7 @@
         if self._has_unfinished_jobs():
             return
         _, node, _, epoch = self._identity
-        await self._stream.commit(records.PoolEpochRaised(epoch, node))
+        await self._stream.commit(pool_records.PoolEpochRaised(epoch, node))
         if not self._has_unfinished_jobs():
             await self._commit_step(stored, "drained")
 
@@ -121,7 +121,7 @@
         self, stored: tables.StoredObject, step: str
     ) -> None:
         verdict = await self._control.commit(
-            records.PoolRetired(*self._identity, stored.revision, step)
+            pool_records.PoolRetired(*self._identity, stored.revision, step)
         )
         pool = self._identity[0]
         if verdict.accepted:
--- a/foxtaillock/daemon/tests/test_burn_tracker.py
+++ b/foxtaillock/daemon/tests/test_burn_tracker.py
@@ -7,9 +7,9 @@
 from foxtaillock.adapters import interfaces as adapters
 from foxtaillock.daemon import burn_tracker
 from foxtaillock.model import clock
+from foxtaillock.model import note_records
 from foxtaillock.model import outcomes
 from foxtaillock.model import record_batches
-from foxtaillock.model import records
 from foxtaillock.model import resources
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.peers import messages
@@ -30,10 +30,10 @@
         self.clock = clock.ManualClock()
         state = control_state.ControlState()
         changes = tuple(
-            records.Change("added", kind, kind[0], 0, body)
+            note_records.Change("added", kind, kind[0], 0, body)
             for kind, body in _BODIES.items()
         )
-        note = records.NoteAccepted("n", "op", "", changes)
+        note = note_records.NoteAccepted("n", "op", "", changes)
         state.apply(0, record_batches.RecordBatch("e", "x", 1, (note,)))
         self.tracker = burn_tracker.BurnTracker(self.clock, state)
         self.tracker.update()
--- a/foxtaillock/daemon/tests/test_fleet_views.py
+++ b/foxtaillock/daemon/tests/test_fleet_views.py
@@ -5,8 +5,10 @@
 from foxtaillock.cli import output
 from foxtaillock.daemon import fleet_views
 from foxtaillock.fleet import model
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 
 
@@ -17,7 +19,7 @@
         self._offset = 0
         pools = {"p": False, "reserve": True}
         changes = tuple(
-            records.Change(
+            note_records.Change(
                 "added",
                 "pool",
                 name,
@@ -26,12 +28,12 @@
             )
             for name, is_spare in pools.items()
         )
-        self._fold(records.NoteAccepted("n", "op", "", changes))
+        self._fold(note_records.NoteAccepted("n", "op", "", changes))
         for vm in ("v1", "v2", "v3"):
-            self._fold(records.VmStep(vm, 1, "p", "joined", 0))
-            self._fold(records.MaintenanceRecorded("p", {vm: 7}, 0))
+            self._fold(vm_records.VmStep(vm, 1, "p", "joined", 0))
+            self._fold(vm_records.MaintenanceRecorded("p", {vm: 7}, 0))
         base = "v1=1,v2=1,v3=1"
-        wave = records.WaveChanged("w", "p", "running", "by op", 0, base)
+        wave = vm_records.WaveChanged("w", "p", "running", "by op", 0, base)
         self._fold(wave)
 
     def _fold(self, record: records.Record) -> None:
@@ -41,10 +43,10 @@
         self.assertTrue(verdicts[0].accepted, verdicts)
 
     def _maintain(self, vm: str, utc_s: int) -> None:
-        self._fold(records.DisruptionGranted(vm, "p", "r", "a", "w", 0))
-        self._fold(records.VmStep(vm, 2, "p", "joined", 0))
-        self._fold(records.MaintenanceRecorded("p", {vm: utc_s}, 0))
-        self._fold(records.DisruptionEnded(vm, "p", 0))
+        self._fold(vm_records.DisruptionGranted(vm, "p", "r", "a", "w", 0))
+        self._fold(vm_records.VmStep(vm, 2, "p", "joined", 0))
+        self._fold(vm_records.MaintenanceRecorded("p", {vm: utc_s}, 0))
+        self._fold(vm_records.DisruptionEnded(vm, "p", 0))
 
     def test_wave_shows_its_vms_and_its_end(self) -> None:
         self._maintain("v1", 1000)
@@ -53,7 +55,7 @@
         self.assertEqual((row["done"], row["remaining"]), (1, 2))
         self.assertIsNone(row["ends_at"])
         self._maintain("v2", 1600)
-        self._fold(records.DisruptionGranted("v3", "p", "r", "a", "w", 0))
+        self._fold(vm_records.DisruptionGranted("v3", "p", "r", "a", "w", 0))
         row = fleet_views.show_wave(self.state, "w", 1600)
         assert row is not None
         self.assertEqual(row["ends_at"], "1970-01-01T00:36:40+00:00")
@@ -61,7 +63,7 @@
         self.assertIn("v3  in maintenance", text)
         # Pausing and resuming a wave does not restart it.
         for state in ("paused", "running"):
-            self._fold(records.WaveChanged("w", "p", state, "by op", 0))
+            self._fold(vm_records.WaveChanged("w", "p", state, "by op", 0))
         listed = fleet_views.list_waves(self.state, 1600)
         self.assertEqual([{**listed[0], "vms": row["vms"]}], [row])
         self.assertEqual(len(listed), 1)
--- a/foxtaillock/daemon/tests/test_grant_controller.py
+++ b/foxtaillock/daemon/tests/test_grant_controller.py
@@ -7,8 +7,11 @@
 from foxtaillock.daemon import grant_controller
 from foxtaillock.limits import grants as limits
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import grant_records
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
 
@@ -75,21 +78,21 @@
         )
         service = {"slots": 8, "open": is_open, "team": "t"}
         self.initial_changes = (
-            records.Change("added", "team", "t", 0, {"limit": 8}),
-            records.Change("added", "service", "s", 0, service),
+            note_records.Change("added", "team", "t", 0, {"limit": 8}),
+            note_records.Change("added", "service", "s", 0, service),
         )
 
     async def start(self) -> None:
         """Adds a team and a service, and opens the session."""
         await self.replica.commit(
-            records.NoteAccepted("n", "op", "", self.initial_changes)
+            note_records.NoteAccepted("n", "op", "", self.initial_changes)
         )
         await self.open_session("x1")
 
     async def open_session(self, incarnation: str) -> None:
         """Opens a session of the controller's node."""
         await self.replica.commit(
-            records.SessionRenewed("e1", incarnation, 1, "z", "", "")
+            session_records.SessionRenewed("e1", incarnation, 1, "z", "", "")
         )
 
     async def step(self, after_s: float = 0.0) -> list[str]:
@@ -133,7 +136,9 @@
         fixture = _Fixture(_HOLD_S)
         await fixture.start()
         await fixture.step()
-        await fixture.replica.commit(records.SessionEnded("e1", "x1", 1, "e2"))
+        await fixture.replica.commit(
+            session_records.SessionEnded("e1", "x1", 1, "e2")
+        )
         fixture.session.incarnation = "x2"
         await fixture.open_session("x2")
         await fixture.step()
@@ -144,9 +149,9 @@
         await fixture.start()
         other = ("e2", "y")
         for record in (
-            records.SessionRenewed(*other, 1, "z", "", ""),
-            records.StandingGrantChanged("t", *other, 5, 5, 2, _HOLD_S),
-            records.SessionEnded(*other, 1, "e1"),
+            session_records.SessionRenewed(*other, 1, "z", "", ""),
+            grant_records.StandingGrantChanged("t", *other, 5, 5, 2, _HOLD_S),
+            session_records.SessionEnded(*other, 1, "e1"),
         ):
             await fixture.replica.commit(record)
         await fixture.step()
--- a/foxtaillock/daemon/tests/test_key_checker.py
+++ b/foxtaillock/daemon/tests/test_key_checker.py
@@ -6,15 +6,19 @@
 from foxtaillock.api import problems
 from foxtaillock.daemon import key_checker
 from foxtaillock.model import clock as clocks
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
-from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.state import control_state
 from foxtaillock.state import keys
 
 _SECRET = keys.format_secret("k", "secret")
-_TEAM = records.Change("added", "team", "nesting", 0, {"share": 1, "limit": 1})
-_NOTE = records.NoteAccepted("n", "op", "t", (_TEAM,))
-_GIVEN = records.KeyGiven("k", keys.hash_secret(_SECRET), "nesting", "op")
+_TEAM = note_records.Change(
+    "added", "team", "nesting", 0, {"share": 1, "limit": 1}
+)
+_NOTE = note_records.NoteAccepted("n", "op", "t", (_TEAM,))
+_GIVEN = key_records.KeyGiven("k", keys.hash_secret(_SECRET), "nesting", "op")
 
 
 class ReplicaKeyCheckerTest(unittest.TestCase):
@@ -69,17 +73,17 @@
     def test_only_records_that_revoke_rights_raise_the_revocation_offset(
         self,
     ) -> None:
-        renewed = records.SessionRenewed("e", "i", 1, "a", "", "")
+        renewed = session_records.SessionRenewed("e", "i", 1, "a", "", "")
         self.on_batch(
             7, record_batches.RecordBatch("e", "i", 2, (renewed,)), ()
         )
         self.assertEqual(self.checker.revocation_offset, 0)
-        withdrawn = records.KeyWithdrawn("k", "op")
+        withdrawn = key_records.KeyWithdrawn("k", "op")
         self.on_batch(
             8, record_batches.RecordBatch("e", "i", 3, (withdrawn,)), ()
         )
         self.assertEqual(self.checker.revocation_offset, 9)
-        ended = records.SessionEnded("e", "i", 1, "f")
+        ended = session_records.SessionEnded("e", "i", 1, "f")
         self.on_batch(9, record_batches.RecordBatch("e", "i", 4, (ended,)), ())
         self.assertEqual(self.checker.revocation_offset, 10)
         self.assertEqual(self.checker.key_offset, 9)
@@ -88,7 +92,7 @@
         self.assertTrue(self.checker.deny("k"))
         self.assertEqual(self._code(), "key-rejected")
         self.assertEqual(self.checker.recently_denied(), ("k",))
-        withdrawn = records.KeyWithdrawn("k", "op")
+        withdrawn = key_records.KeyWithdrawn("k", "op")
         self.state.apply(
             1, record_batches.RecordBatch("e", "i", 2, (withdrawn,))
         )
--- a/foxtaillock/daemon/tests/test_measures_tracker.py
+++ b/foxtaillock/daemon/tests/test_measures_tracker.py
@@ -4,8 +4,10 @@
 
 from foxtaillock.daemon import measures_tracker
 from foxtaillock.model import clock
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 
 
@@ -17,11 +19,11 @@
             clock.ManualClock(), state, {}
         )
         body = {"size": 1, "zones": ["a"]}
-        change = records.Change("added", "pool", "p", 0, body)
-        note = records.NoteAccepted("n1", "op", "t", (change,))
-        steps = (records.VmStep("v", 1, "p", "joined", 0),) * 2
+        change = note_records.Change("added", "pool", "p", 0, body)
+        note = note_records.NoteAccepted("n1", "op", "t", (change,))
+        steps = (vm_records.VmStep("v", 1, "p", "joined", 0),) * 2
         sent: list[tuple[records.Record, ...]] = [
-            (records.NoteAccepted("n0", "op", "t", ()),),
+            (note_records.NoteAccepted("n0", "op", "t", ()),),
             (note, note._replace(note_id="n2"), note),
             steps,
         ]
--- a/foxtaillock/daemon/tests/test_pool_withdrawal.py
+++ b/foxtaillock/daemon/tests/test_pool_withdrawal.py
@@ -7,7 +7,12 @@
 
 from foxtaillock.daemon import pool_withdrawal
 from foxtaillock.jobs import pool_state
+from foxtaillock.model import job_records
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
 from foxtaillock.state.tests import fake_log
@@ -16,9 +21,9 @@
 _BODY = {"size": 1, "zones": ["a"]}
 
 
-def _job(job_id: str) -> records.JobAccepted:
+def _job(job_id: str) -> job_records.JobAccepted:
     size = (1, 1, 0)
-    return records.JobAccepted(
+    return job_records.JobAccepted(
         job_id, "t", "k", "", "q", size, 1.0, False, False, 0.0, "", "", 1
     )
 
@@ -62,24 +67,24 @@
         """Creates a pool with an owner and a VM; returns the running tasks."""
         runs = (self.control.run(), self.stream.run(), self.withdrawal.run())
         tasks = [asyncio.create_task(run) for run in runs]
-        added = records.Change("added", "pool", "p", 0, _BODY)
+        added = note_records.Change("added", "pool", "p", 0, _BODY)
         for record in (
-            records.NoteAccepted("n", "op", "", (added,)),
-            records.SessionRenewed("e1", "x", 1, "a", "h:1", "h:2"),
-            records.PoolClaimed("p", "e1", "x", 1),
-            records.PoolClaimed(records.FLEET_POOL, "e1", "x", 1),
-            records.VmStep("v", 1, "p", "joined", 1),
+            note_records.NoteAccepted("n", "op", "", (added,)),
+            session_records.SessionRenewed("e1", "x", 1, "a", "h:1", "h:2"),
+            pool_records.PoolClaimed("p", "e1", "x", 1),
+            pool_records.PoolClaimed(pool_records.FLEET_POOL, "e1", "x", 1),
+            vm_records.VmStep("v", 1, "p", "joined", 1),
         ):
             assert (await self.control.commit(record)).accepted
-        await self.stream.commit(records.PoolEpochRaised(1, "e1"))
+        await self.stream.commit(pool_records.PoolEpochRaised(1, "e1"))
         return tasks
 
     async def change(self, action: str) -> bool:
         """Withdraws the pool or adds it again."""
         revision = self.state.objects("pool")["p"].revision
         body = _BODY if action == "added" else {}
-        change = records.Change(action, "pool", "p", revision, body)
-        note = records.NoteAccepted(action, "op", "", (change,))
+        change = note_records.Change(action, "pool", "p", revision, body)
+        note = note_records.NoteAccepted(action, "op", "", (change,))
         return (await self.control.commit(note)).accepted
 
     def stage(self) -> str:
@@ -118,23 +123,23 @@
                 await fixture.stream.commit(_job(job_id))
             self.assertTrue(await fixture.change("withdrawn"))
             self.assertFalse(await fixture.change("withdrawn"))
-            started = records.AttemptStarted("p.1", 1, "v", 1, 1)
+            started = job_records.AttemptStarted("p.1", 1, "v", 1, 1)
             await fixture.stream.commit(started)
-            await fixture.stream.commit(records.JobCancelled("p.2", "t", 1))
+            await fixture.stream.commit(job_records.JobCancelled("p.2", "t", 1))
             await asyncio.sleep(5)
             self.assertEqual(fixture.stage(), "draining")
-            ended = records.AttemptEnded("p.1", 1, "unknown", False, "", 1)
+            ended = job_records.AttemptEnded("p.1", 1, "unknown", False, "", 1)
             await fixture.stream.commit(ended)
             await asyncio.sleep(5)
             self.assertEqual(fixture.stage(), "drained")
             for step in ("withdrawn", "drained", "left"):
                 await asyncio.sleep(2 * pool_withdrawal.RESULT_RETENTION_S)
                 self.assertEqual(fixture.stage(), "drained")
-                record = records.VmStep("v", 1, "p", step, 1)
+                record = vm_records.VmStep("v", 1, "p", step, 1)
                 await fixture.control.commit(record)
             await asyncio.sleep(2 * pool_withdrawal.RESULT_RETENTION_S)
             self.assertEqual(fixture.stage(), "drained")
-            settled = records.JobSettled("p.1", "op", True, 1)
+            settled = job_records.JobSettled("p.1", "op", True, 1)
             await fixture.stream.commit(settled)
             await asyncio.sleep(pool_withdrawal.RESULT_RETENTION_S - 5)
             self.assertEqual(fixture.stage(), "drained")
@@ -155,7 +160,9 @@
             revision = fixture.state.objects("pool")["p"].revision
             self.assertTrue(await fixture.change("added"))
             await fixture.change("withdrawn")
-            late = records.PoolRetired("p", "e1", "x", 1, revision, "drained")
+            late = pool_records.PoolRetired(
+                "p", "e1", "x", 1, revision, "drained"
+            )
             verdict = await fixture.control.commit(late)
             self.assertEqual(verdict.code, "conflict")
             self.assertEqual(fixture.stage(), "draining")
--- a/foxtaillock/fleet/calendar_controller.py
+++ b/foxtaillock/fleet/calendar_controller.py
@@ -8,6 +8,7 @@
 from foxtaillock.fleet import model
 from foxtaillock.fleet import wave_controller
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_view
 
 __all__ = ["CalendarController"]
@@ -134,7 +135,7 @@
             scan.first_ended_at_s.setdefault(pool, min(rows.values()))
             del chosen[pool]
         times = [
-            records.MaintenanceRecorded(pool, rows, epoch)
+            vm_records.MaintenanceRecorded(pool, rows, epoch)
             for pool, rows in missing.items()
         ]
         return [
@@ -177,7 +178,7 @@
             ),
         )
         return [
-            records.WaveChanged(
+            vm_records.WaveChanged(
                 wave.wave_id,
                 wave.pool,
                 "running",
--- a/foxtaillock/fleet/controller.py
+++ b/foxtaillock/fleet/controller.py
@@ -42,8 +42,8 @@
     Example:
         controller = FleetController(
             replica, state, lambda: watch.vms, pools, workers, clock, rng,
-            may_act=lambda: session.owns(records.FLEET_POOL, epoch()),
-            epoch=lambda: state.epoch(records.FLEET_POOL),
+            may_act=lambda: session.owns(pool_records.FLEET_POOL, epoch()),
+            epoch=lambda: state.epoch(pool_records.FLEET_POOL),
         )
         await controller.run()
     """
--- a/foxtaillock/fleet/decisions.py
+++ b/foxtaillock/fleet/decisions.py
@@ -18,6 +18,7 @@
 from foxtaillock.fleet import pool_membership
 from foxtaillock.fleet import wave_controller
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_view
 
 __all__ = ["Decisions", "Operation", "Reconciler"]
@@ -292,11 +293,11 @@
             pool = self._state.disruptions[vm.name].pool
             record: records.Record
             if self._needs_maintenance_record(vm):
-                record = records.MaintenanceRecorded(
+                record = vm_records.MaintenanceRecorded(
                     pool, {vm.name: utc_s}, epoch
                 )
             else:
-                record = records.DisruptionEnded(vm.name, pool, epoch)
+                record = vm_records.DisruptionEnded(vm.name, pool, epoch)
             return Decisions((record,), ())
         return Decisions((), tuple(self._execute_disruption(vm, budget, now_s)))
 
--- a/foxtaillock/fleet/poller.py
+++ b/foxtaillock/fleet/poller.py
@@ -6,7 +6,7 @@
 
 from foxtaillock.adapters import interfaces
 from foxtaillock.fleet import observations
-from foxtaillock.model import records
+from foxtaillock.model import pool_records
 from foxtaillock.model import vms_and_jobs
 
 __all__ = ["Poller"]
@@ -67,7 +67,9 @@
         self, vm: vms_and_jobs.VmEntry, epoch: int, now_s: float
     ) -> None:
         try:
-            report = await self._workers.report(vm, records.FLEET_POOL, epoch)
+            report = await self._workers.report(
+                vm, pool_records.FLEET_POOL, epoch
+            )
         except (OSError, asyncio.TimeoutError):
             return
         if report.name != vm.name:
--- a/foxtaillock/fleet/pool_membership.py
+++ b/foxtaillock/fleet/pool_membership.py
@@ -8,7 +8,7 @@
 import dataclasses
 import typing
 
-from foxtaillock.model import records
+from foxtaillock.model import vm_records
 
 __all__ = [
     "Action",
@@ -64,7 +64,7 @@
     """Lets the VM take work again."""
 
 
-Action = Drain | Undrain | records.VmStep | None
+Action = Drain | Undrain | vm_records.VmStep | None
 
 
 def next_action(
@@ -94,7 +94,7 @@
             return Undrain()
         if not target:
             return None
-        step = records.VmStep(
+        step = vm_records.VmStep(
             vm, observation.incarnation, target, "joined", epoch
         )
         return step
@@ -103,7 +103,7 @@
         and recorded.step == "joined"
     ):
         # All tasks of the old incarnation ended with it.
-        return records.VmStep(
+        return vm_records.VmStep(
             vm, observation.incarnation, recorded.pool, "joined", epoch
         )
     if _needs_undrain(recorded, observation, target):
@@ -113,7 +113,7 @@
         return Drain()
     if not step_name:
         return None
-    return records.VmStep(
+    return vm_records.VmStep(
         vm, recorded.incarnation, recorded.pool, step_name, epoch
     )
 
--- a/foxtaillock/fleet/preview.py
+++ b/foxtaillock/fleet/preview.py
@@ -7,7 +7,7 @@
 from foxtaillock.fleet import model
 from foxtaillock.fleet import planner
 from foxtaillock.fleet import spares
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 
 __all__ = ["Preview", "preview"]
 
@@ -27,7 +27,7 @@
 
 
 def preview(
-    changes: Iterable[records.Change],
+    changes: Iterable[note_records.Change],
     bodies: Mapping[str, Mapping[str, typing.Any]],
     vms: Iterable[model.Vm],
 ) -> Preview:
@@ -40,7 +40,7 @@
 
     Example:
         >>> body = {"size": 1, "zones": ["a"]}
-        >>> added = records.Change("added", "pool", "p", 0, body)
+        >>> added = note_records.Change("added", "pool", "p", 0, body)
         >>> made = preview([added], {}, [model.Vm("v", "a", "r")])
         >>> [(move.vm, move.target) for move in made.moves]
         [('v', 'p')]
--- a/foxtaillock/fleet/tests/simulation.py
+++ b/foxtaillock/fleet/tests/simulation.py
@@ -11,8 +11,12 @@
 
 from foxtaillock.fleet import decisions
 from foxtaillock.fleet import observations
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.state import control_state
 
@@ -105,10 +109,12 @@
     def _create_pools(self) -> None:
         sizes = {"p": 6, "q": 6, "r": 5, "spare": 4}
         changes = tuple(
-            records.Change("added", "pool", name, 0, self._body(name, size))
+            note_records.Change(
+                "added", "pool", name, 0, self._body(name, size)
+            )
             for name, size in sizes.items()
         )
-        self._append(records.NoteAccepted("n0", "op", "first", changes))
+        self._append(note_records.NoteAccepted("n0", "op", "first", changes))
 
     def _body(self, name: str, size: int) -> dict[str, typing.Any]:
         return {
@@ -124,9 +130,13 @@
         node = f"e{self.epoch}"
         if self.epoch > 1:
             old = f"e{self.epoch - 1}"
-            self._append(records.SessionEnded(old, "x", 1, node))
-        self._append(records.SessionRenewed(node, "x", 1, "a", "h:1", "h:2"))
-        claim = records.PoolClaimed(records.FLEET_POOL, node, "x", self.epoch)
+            self._append(session_records.SessionEnded(old, "x", 1, node))
+        self._append(
+            session_records.SessionRenewed(node, "x", 1, "a", "h:1", "h:2")
+        )
+        claim = pool_records.PoolClaimed(
+            pool_records.FLEET_POOL, node, "x", self.epoch
+        )
         assert self._append(claim)
         self.observations = observations.Observations()
         self.reconciler = decisions.Reconciler(self.state, self.observations)
@@ -197,12 +207,12 @@
             size = self.random.randrange(4, 8)
             revision = self.state.objects("pool")[pool].revision
             for note in ("x", "y"):
-                change = records.Change(
+                change = note_records.Change(
                     "changed", "pool", pool, revision, self._body(pool, size)
                 )
                 note_id = f"{note}{self.tick}"
                 self._append(
-                    records.NoteAccepted(note_id, note, note, (change,))
+                    note_records.NoteAccepted(note_id, note, note, (change,))
                 )
         elif choice == 1:
             self._change_wave(f"w{self.tick}", pool, "running")
@@ -214,7 +224,7 @@
 
     def _change_wave(self, wave_id: str, pool: str, state: str) -> None:
         self._append(
-            records.WaveChanged(wave_id, pool, state, "by op", self.epoch)
+            vm_records.WaveChanged(wave_id, pool, state, "by op", self.epoch)
         )
 
     # Owner of the fleet.
@@ -291,9 +301,9 @@
         return verdict.accepted
 
     def _check_record(self, record: records.Record) -> None:
-        if isinstance(record, records.VmStep):
+        if isinstance(record, vm_records.VmStep):
             self._check_step(record)
-        elif isinstance(record, records.DisruptionGranted):
+        elif isinstance(record, vm_records.DisruptionGranted):
             if record.vm in self.disruptions:
                 self.violations.append(f"{record.vm} is granted twice")
             self.disruptions[record.vm] = (
@@ -302,14 +312,14 @@
                 record.rack,
             )
             self._check_single_rack(record.pool)
-        elif isinstance(record, records.DisruptionEnded):
+        elif isinstance(record, vm_records.DisruptionEnded):
             self.disruptions.pop(record.vm, None)
-        elif isinstance(record, records.WaveChanged):
+        elif isinstance(record, vm_records.WaveChanged):
             self.pauses += (
                 record.state == "paused" and not record.reason.startswith("by")
             )
 
-    def _check_step(self, record: records.VmStep) -> None:
+    def _check_step(self, record: vm_records.VmStep) -> None:
         pool, incarnation, _ = self.places.get(record.vm, ("", 0, ""))
         if record.step == "joined":
             if pool and (
--- a/foxtaillock/fleet/tests/test_calendar.py
+++ b/foxtaillock/fleet/tests/test_calendar.py
@@ -10,8 +10,12 @@
 from foxtaillock.fleet import decisions
 from foxtaillock.fleet import model
 from foxtaillock.fleet import observations
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.state import control_state
 from foxtaillock.state import vms_fold
@@ -165,21 +169,24 @@
     def test_times_of_absent_vms_are_bounded(self) -> None:
         state = control_state.ControlState()
         body = {"size": 1, "zones": ["a"]}
-        change = records.Change("added", "pool", "p", 0, body)
+        change = note_records.Change("added", "pool", "p", 0, body)
         state.apply(
             0,
             record_batches.RecordBatch(
-                "e", "x", 1, (records.NoteAccepted("n", "", "", (change,)),)
+                "e",
+                "x",
+                1,
+                (note_records.NoteAccepted("n", "", "", (change,)),),
             ),
         )
         with mock.patch.object(vms_fold, "MAX_ABSENT_MAINTENANCE", 2):
             for number in range(1, 9):
                 vm = f"v{number}"
                 steps = [
-                    records.VmStep(vm, 1, "p", step, 0)
+                    vm_records.VmStep(vm, 1, "p", step, 0)
                     for step in ("joined", "withdrawn", "drained", "left")
                 ]
-                ended = records.MaintenanceRecorded("p", {vm: number}, 0)
+                ended = vm_records.MaintenanceRecorded("p", {vm: number}, 0)
                 rows = (steps[0], ended, *steps[1:])
                 batch = record_batches.RecordBatch("e", "x", number + 1, rows)
                 verdicts = state.apply(number, batch)
@@ -207,7 +214,7 @@
         self.resumed = 0
         self.utc_s = 1_000 * _DAY_S
         changes = tuple(
-            records.Change(
+            note_records.Change(
                 "added",
                 "pool",
                 name,
@@ -221,7 +228,7 @@
             )
             for name in ("p", "q")
         )
-        self._append(records.NoteAccepted("n", "op", "first", changes))
+        self._append(note_records.NoteAccepted("n", "op", "first", changes))
         self._take_over()
 
     def _append(self, record: records.Record) -> None:
@@ -230,13 +237,19 @@
         self.state.apply(self.offset, batch)
 
     def _take_over(self) -> None:
-        epoch = self.state.epoch(records.FLEET_POOL) + 1
+        epoch = self.state.epoch(pool_records.FLEET_POOL) + 1
         node = f"e{epoch}"
-        self._append(records.SessionEnded(f"e{epoch - 1}", "x", 1, node))
-        self._append(records.SessionRenewed(node, "x", 1, "a", "h:1", "h:2"))
-        claim = records.PoolClaimed(records.FLEET_POOL, node, "x", epoch)
+        self._append(
+            session_records.SessionEnded(f"e{epoch - 1}", "x", 1, node)
+        )
+        self._append(
+            session_records.SessionRenewed(node, "x", 1, "a", "h:1", "h:2")
+        )
+        claim = pool_records.PoolClaimed(
+            pool_records.FLEET_POOL, node, "x", epoch
+        )
         self._append(claim)
-        assert self.state.epoch(records.FLEET_POOL) == epoch
+        assert self.state.epoch(pool_records.FLEET_POOL) == epoch
         self.epoch = epoch
         self.observations = observations.Observations()
         self.reconciler = decisions.Reconciler(self.state, self.observations)
@@ -251,7 +264,7 @@
     def _advance_vms(self) -> None:
         for wave_id, wave in self.state.waves.items():
             if wave.state == "paused" and self.rng.random() < 0.1:
-                resumed = records.WaveChanged(
+                resumed = vm_records.WaveChanged(
                     wave_id, wave.pool, "running", "by op", self.epoch
                 )
                 self._append(resumed)
@@ -340,14 +353,14 @@
         run = _Simulation(0, crash_probability=0.0)
         revision = run.state.revision
         changes = tuple(
-            records.Change("changed", "pool", name, revision, body)
+            note_records.Change("changed", "pool", name, revision, body)
             for name in ("p", "q")
             for body in [{"size": 6, "zones": ["a", "b", "c"]}]
         )
         run.state.apply(
             run.offset + 1,
             record_batches.RecordBatch(
-                "op", "x", 1, (records.NoteAccepted("m", "", "", changes),)
+                "op", "x", 1, (note_records.NoteAccepted("m", "", "", changes),)
             ),
         )
         run.run(days=2)
--- a/foxtaillock/fleet/tests/test_controller.py
+++ b/foxtaillock/fleet/tests/test_controller.py
@@ -15,7 +15,11 @@
 from foxtaillock import exceptions
 from foxtaillock.adapters import interfaces
 from foxtaillock.fleet import controller as controllers
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
@@ -70,7 +74,7 @@
         await self._respond()
         if not found.is_up:
             raise OSError("refused")
-        assert pool == records.FLEET_POOL
+        assert pool == pool_records.FLEET_POOL
         tasks = [
             interfaces.TaskState(
                 task_id=f"t{n}", epoch=1, state="running", result=""
@@ -152,14 +156,18 @@
             clock,
             rng,
             may_act=lambda: self.owns,
-            epoch=lambda: self.state.epoch(records.FLEET_POOL),
+            epoch=lambda: self.state.epoch(pool_records.FLEET_POOL),
         )
 
     async def claim(self, epoch: int) -> None:
         """Makes this node the owner of the fleet."""
         for record in (
-            records.SessionRenewed(self.name, "x", 1, "a", "h:1", "h:2"),
-            records.PoolClaimed(records.FLEET_POOL, self.name, "x", epoch),
+            session_records.SessionRenewed(
+                self.name, "x", 1, "a", "h:1", "h:2"
+            ),
+            pool_records.PoolClaimed(
+                pool_records.FLEET_POOL, self.name, "x", epoch
+            ),
         ):
             assert (await self.replica.commit(record)).accepted
         self.owns = True
@@ -179,9 +187,9 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _pools(**sizes: int) -> records.NoteAccepted:
+def _pools(**sizes: int) -> note_records.NoteAccepted:
     changes = tuple(
-        records.Change(
+        note_records.Change(
             "added",
             "pool",
             name,
@@ -190,7 +198,7 @@
         )
         for name, size in sizes.items()
     )
-    return records.NoteAccepted("n", "op", "first", changes)
+    return note_records.NoteAccepted("n", "op", "first", changes)
 
 
 class ControllerTest(unittest.TestCase):
@@ -210,7 +218,7 @@
                 self._assert_spread(node, platform)
                 for vm in platform.vms.values():
                     vm.running = 3
-                wave = records.WaveChanged("w", "p", "running", "", 1)
+                wave = vm_records.WaveChanged("w", "p", "running", "", 1)
                 await node.replica.commit(wave)
                 await asyncio.sleep(120)
                 self.assertEqual(node.state.waves["w"].state, "done")
@@ -236,7 +244,7 @@
             await first.claim(1)
             await first.replica.commit(_pools(p=6))
             await asyncio.sleep(15)
-            wave = records.WaveChanged("w", "p", "running", "", 1)
+            wave = vm_records.WaveChanged("w", "p", "running", "", 1)
             await first.replica.commit(wave)
             await asyncio.sleep(rng.uniform(0.1, 9))
         for epoch in range(2, 6):
@@ -246,7 +254,7 @@
             async with node.running():
                 await node.replica.catch_up()
                 old = f"e{epoch - 1}" if epoch > 2 else "e0"
-                ended = records.SessionEnded(old, "x", 1, node.name)
+                ended = session_records.SessionEnded(old, "x", 1, node.name)
                 await node.replica.commit(ended)
                 await node.claim(epoch)
                 await asyncio.sleep(120 if epoch == 5 else rng.uniform(1, 15))
@@ -308,7 +316,7 @@
                 await asyncio.sleep(12)
             async with second.running():
                 await second.replica.catch_up()
-                ended = records.SessionEnded("e1", "x", 1, "e2")
+                ended = session_records.SessionEnded("e1", "x", 1, "e2")
                 await second.replica.commit(ended)
                 await second.claim(2)
                 await asyncio.sleep(60)
--- a/foxtaillock/fleet/tests/test_preview.py
+++ b/foxtaillock/fleet/tests/test_preview.py
@@ -4,7 +4,7 @@
 
 from foxtaillock.fleet import model
 from foxtaillock.fleet import preview
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 
 
 class PreviewTest(unittest.TestCase):
@@ -14,7 +14,7 @@
         vms += [model.Vm(f"f{i}", "a", f"r{i}") for i in range(3)]
         old = {"size": 2, "zones": ["a"]}
         new = {"size": 4, "zones": ["a"]}
-        added = records.Change("added", "pool", "new", 0, new)
+        added = note_records.Change("added", "pool", "new", 0, new)
         made = preview.preview([added], {"old": old}, vms)
         self.assertEqual({move.target for move in made.moves}, {"new"})
         self.assertEqual(len(made.moves), 3)
@@ -22,7 +22,7 @@
 
     def test_vms_of_a_withdrawn_pool_become_free(self) -> None:
         vms = [model.Vm(f"v{i}", "a", f"r{i}", "old") for i in range(2)]
-        withdrawn = records.Change("withdrawn", "pool", "old", 3, {})
+        withdrawn = note_records.Change("withdrawn", "pool", "old", 3, {})
         made = preview.preview(
             [withdrawn], {"old": {"size": 2, "zones": ["a"]}}, vms
         )
--- a/foxtaillock/fleet/tests/test_waves.py
+++ b/foxtaillock/fleet/tests/test_waves.py
@@ -11,8 +11,10 @@
 from foxtaillock.fleet import pool_membership
 from foxtaillock.fleet import wave_controller
 from foxtaillock.fleet import waves
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 
 _SPEC = model.PoolSpec("p", 6, ("a", "b"), 4)
@@ -161,7 +163,7 @@
         ):
             action = pool_membership.next_action("v", recorded, later, "q", 7)
             if step:
-                assert isinstance(action, records.VmStep)
+                assert isinstance(action, vm_records.VmStep)
                 steps.append(action.step)
                 self.assertEqual((action.pool, action.incarnation), ("p", 2))
                 recorded = recorded._replace(step=step)
@@ -183,7 +185,7 @@
             self.assertIn(action, (pool_membership.Drain(), None))
         absent = pool_membership.Observation(0, True, None, False)
         action = pool_membership.next_action("v", recorded, absent, "", 7)
-        assert isinstance(action, records.VmStep)
+        assert isinstance(action, vm_records.VmStep)
         self.assertEqual(action.step, "drained")
 
     def test_free_vm_that_drains_is_undrained(self) -> None:
@@ -198,13 +200,13 @@
         self.state = control_state.ControlState()
         self._offset = 0
         body = {"size": 6, "zones": ["a", "b"], "min_available": 4}
-        change = records.Change("added", "pool", "p", 0, body)
-        self._fold(records.NoteAccepted("n", "op", "", (change,)))
+        change = note_records.Change("added", "pool", "p", 0, body)
+        self._fold(note_records.NoteAccepted("n", "op", "", (change,)))
         self.vms = {vm.name: vm for vm in _members()}
         for vm in self.vms:
-            self._fold(records.VmStep(vm, 1, "p", "joined", 0))
+            self._fold(vm_records.VmStep(vm, 1, "p", "joined", 0))
         base = wave_controller.encode_incarnations(self.vms.values())
-        self._fold(records.WaveChanged("w", "p", "running", "", 0, base))
+        self._fold(vm_records.WaveChanged("w", "p", "running", "", 0, base))
         self.controller = wave_controller.WaveController(
             self.state, wave_controller.BASE_RATE_PER_S
         )
--- a/foxtaillock/fleet/wave_controller.py
+++ b/foxtaillock/fleet/wave_controller.py
@@ -8,6 +8,7 @@
 from foxtaillock.fleet import model
 from foxtaillock.fleet import waves
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_view
 from foxtaillock.state import tables
 
@@ -111,7 +112,9 @@
                 pools[name], pool_budgets[name], vms
             )
             revoked += names
-            commits += [records.DisruptionEnded(n, name, epoch) for n in names]
+            commits += [
+                vm_records.DisruptionEnded(n, name, epoch) for n in names
+            ]
         return WaveDecisions(tuple(commits), frozenset(revoked))
 
     def _step_all(
@@ -284,7 +287,7 @@
             self._granted[vm.name] = wave_id
             self._reboot_requested_s.pop(vm.name, None)
         return [
-            records.DisruptionGranted(
+            vm_records.DisruptionGranted(
                 vm.name, wave.pool, vm.rack, vm.zone, wave_id, epoch
             )
             for vm in picked
@@ -346,6 +349,6 @@
     epoch: int,
     reason: str = "",
     base: str = "",
-) -> records.WaveChanged:
+) -> vm_records.WaveChanged:
     text = reason or wave.reason
-    return records.WaveChanged(wave_id, wave.pool, state, text, epoch, base)
+    return vm_records.WaveChanged(wave_id, wave.pool, state, text, epoch, base)
--- a/foxtaillock/integration/tests/test_calendar.py
+++ b/foxtaillock/integration/tests/test_calendar.py
@@ -5,8 +5,10 @@
 
 from foxtaillock.integration import scenario
 from foxtaillock.integration.tests import base
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import vm_records
 
 _NOTE = """
 note: maintain every day
@@ -76,16 +78,16 @@
         stream = records.CONTROL_STREAM
         return f"{self.fleet.urls['log']}/streams/{stream}/records"
 
-    async def _read_fleet_claims(self) -> list[records.PoolClaimed]:
+    async def _read_fleet_claims(self) -> list[pool_records.PoolClaimed]:
         return [
             row
             for row in await self._read_control_records()
-            if isinstance(row, records.PoolClaimed)
-            and row.pool == records.FLEET_POOL
+            if isinstance(row, pool_records.PoolClaimed)
+            and row.pool == pool_records.FLEET_POOL
         ]
 
     async def _are_times_recorded(self) -> bool:
-        kind = records.MaintenanceRecorded
+        kind = vm_records.MaintenanceRecorded
         return any(
             isinstance(r, kind) for r in await self._read_control_records()
         )
@@ -95,7 +97,7 @@
         epoch = max(claim.epoch for claim in await self._read_fleet_claims())
         ended_at_s = int(time.time()) - 2 * 86_400
         rows = dict.fromkeys(vms, ended_at_s)
-        row = records.MaintenanceRecorded("bending", rows, epoch)
+        row = vm_records.MaintenanceRecorded("bending", rows, epoch)
         text = record_batches.encode_batch(
             record_batches.RecordBatch("test", "x", 1, (row,))
         )
--- a/foxtaillock/jobs/attempts.py
+++ b/foxtaillock/jobs/attempts.py
@@ -4,11 +4,11 @@
 import enum
 
 from foxtaillock.jobs import job as jobs_job
-from foxtaillock.model import records
+from foxtaillock.model import job_records
 
 __all__ = ["Attempt", "AttemptTable", "Phase"]
 
-EndRecord = records.AttemptEnded | records.JobCheckpointed
+EndRecord = job_records.AttemptEnded | job_records.JobCheckpointed
 
 
 class Phase(enum.Enum):
--- a/foxtaillock/jobs/backlog.py
+++ b/foxtaillock/jobs/backlog.py
@@ -5,7 +5,7 @@
 from foxtaillock import exceptions
 from foxtaillock.jobs import context as jobs_context
 from foxtaillock.jobs import job as jobs_job
-from foxtaillock.model import records
+from foxtaillock.model import job_records
 from foxtaillock.model import resources
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.placement import waiting
@@ -69,7 +69,7 @@
 
     async def _cancel_expired(self, job_id: str) -> None:
         context = self._context
-        record = records.JobCancelled(job_id, "deadline", context.epoch)
+        record = job_records.JobCancelled(job_id, "deadline", context.epoch)
         try:
             await context.commit(record)
         except (exceptions.NotRunError, exceptions.OutcomeUnknownError):
--- a/foxtaillock/jobs/context.py
+++ b/foxtaillock/jobs/context.py
@@ -13,6 +13,7 @@
 from foxtaillock.jobs import attempts
 from foxtaillock.jobs import pool_state
 from foxtaillock.model import clock as model_clock
+from foxtaillock.model import job_records
 from foxtaillock.model import records
 from foxtaillock.model import resources
 from foxtaillock.model import verdicts
@@ -220,9 +221,9 @@
 
     def make_end(
         self, attempt: attempts.Attempt, outcome: str, result: str
-    ) -> records.AttemptEnded:
+    ) -> job_records.AttemptEnded:
         """Returns the record of an end without success."""
-        return records.AttemptEnded(
+        return job_records.AttemptEnded(
             attempt.job_id, attempt.number, outcome, False, result, self.epoch
         )
 
--- a/foxtaillock/jobs/dispatch.py
+++ b/foxtaillock/jobs/dispatch.py
@@ -7,7 +7,7 @@
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.jobs import eligibility
 from foxtaillock.jobs import worker_links
-from foxtaillock.model import records
+from foxtaillock.model import job_records
 from foxtaillock.placement import planner
 from foxtaillock.placement import waiting
 
@@ -121,7 +121,7 @@
             self.end_undispatched(job)
 
     async def _record(self, attempt: attempts.Attempt) -> bool:
-        record = records.AttemptStarted(
+        record = job_records.AttemptStarted(
             attempt.job_id,
             attempt.number,
             attempt.worker,
--- a/foxtaillock/jobs/job.py
+++ b/foxtaillock/jobs/job.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from foxtaillock.model import records
+from foxtaillock.model import job_records
 from foxtaillock.model import resources
 from foxtaillock.model import vms_and_jobs
 
@@ -42,7 +42,7 @@
         cancelled: whether a cancellation was recorded.
     """
 
-    accepted: records.JobAccepted
+    accepted: job_records.JobAccepted
     sequence: int
     state: vms_and_jobs.JobState = vms_and_jobs.JobState.WAITING
     attempts: int = 0
--- a/foxtaillock/jobs/owner.py
+++ b/foxtaillock/jobs/owner.py
@@ -20,7 +20,8 @@
 from foxtaillock.jobs import worker_links
 from foxtaillock.model import clock as model_clock
 from foxtaillock.model import config_objects
-from foxtaillock.model import records
+from foxtaillock.model import job_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.placement import capacity
 from foxtaillock.placement import planner
@@ -130,7 +131,7 @@
             exceptions.LogUnreachableError: the log gave no answer.
         """
         context = self._context
-        raised = records.PoolEpochRaised(context.epoch, context.node)
+        raised = pool_records.PoolEpochRaised(context.epoch, context.node)
         verdict = await context.commit(raised, urgent=True)
         if not verdict.accepted:
             raise exceptions.NotRunError(
@@ -190,7 +191,7 @@
 
     async def cancel(self, job_id: str, by: str) -> results.ChangeResult:
         """Cancels a job; a running one is stopped."""
-        record = records.JobCancelled(job_id, by, self._context.epoch)
+        record = job_records.JobCancelled(job_id, by, self._context.epoch)
         return await self._requests.change(job_id, record)
 
     async def settle(
@@ -198,7 +199,7 @@
     ) -> results.ChangeResult:
         """Settles a job whose end is unknown."""
         epoch = self._context.epoch
-        record = records.JobSettled(job_id, by, succeeded, epoch)
+        record = job_records.JobSettled(job_id, by, succeeded, epoch)
         return await self._requests.change(job_id, record)
 
     def job(self, job_id: str) -> jobs_job.JobView | None:
--- a/foxtaillock/jobs/pool_state.py
+++ b/foxtaillock/jobs/pool_state.py
@@ -8,6 +8,8 @@
 
 from foxtaillock import exceptions
 from foxtaillock.jobs import job as jobs_job
+from foxtaillock.model import job_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
@@ -227,13 +229,15 @@
         handler = _HANDLERS.get(type(record))
         if handler is None:
             return _reject("unknown-kind")
-        raises_epoch = isinstance(record, records.PoolEpochRaised)
+        raises_epoch = isinstance(record, pool_records.PoolEpochRaised)
         if not raises_epoch and record.epoch != self.epoch:
             return _reject("stale-epoch")
         return handler(self, record)
 
-    @_handles(records.PoolEpochRaised)
-    def _raise_epoch(self, record: records.PoolEpochRaised) -> verdicts.Verdict:
+    @_handles(pool_records.PoolEpochRaised)
+    def _raise_epoch(
+        self, record: pool_records.PoolEpochRaised
+    ) -> verdicts.Verdict:
         is_repeated = (record.epoch, record.node) == (self.epoch, self._owner)
         if record.epoch <= self.epoch and not is_repeated:
             return _reject("stale-epoch")
@@ -241,8 +245,8 @@
         self._owner = record.node
         return verdicts.ACCEPTED
 
-    @_handles(records.JobAccepted)
-    def _accept(self, record: records.JobAccepted) -> verdicts.Verdict:
+    @_handles(job_records.JobAccepted)
+    def _accept(self, record: job_records.JobAccepted) -> verdicts.Verdict:
         if record.job_id in self._jobs:
             return _reject("duplicate-job")
         key = (record.team, record.idempotency_key)
@@ -256,9 +260,9 @@
         self._set_state(job, vms_and_jobs.JobState.WAITING)
         return verdicts.ACCEPTED
 
-    @_handles_job(records.AttemptStarted)
+    @_handles_job(job_records.AttemptStarted)
     def _start_attempt(
-        self, record: records.AttemptStarted, job: jobs_job.Job
+        self, record: job_records.AttemptStarted, job: jobs_job.Job
     ) -> verdicts.Verdict:
         if job.state not in jobs_job.WAITING:
             return _reject("not-waiting")
@@ -270,9 +274,9 @@
         self._set_state(job, vms_and_jobs.JobState.STARTING)
         return verdicts.ACCEPTED
 
-    @_handles_job(records.AttemptEnded)
+    @_handles_job(job_records.AttemptEnded)
     def _end_attempt(
-        self, record: records.AttemptEnded, job: jobs_job.Job
+        self, record: job_records.AttemptEnded, job: jobs_job.Job
     ) -> verdicts.Verdict:
         if record.attempt != job.attempts:
             return _reject("wrong-attempt")
@@ -285,9 +289,9 @@
         self._set_state(job, _state_after(job, record))
         return verdicts.ACCEPTED
 
-    @_handles_job(records.JobCheckpointed)
+    @_handles_job(job_records.JobCheckpointed)
     def _checkpoint(
-        self, record: records.JobCheckpointed, job: jobs_job.Job
+        self, record: job_records.JobCheckpointed, job: jobs_job.Job
     ) -> verdicts.Verdict:
         if job.state not in jobs_job.ACTIVE or record.attempt != job.attempts:
             return _reject("not-running")
@@ -298,9 +302,9 @@
         self._set_state(job, state)
         return verdicts.ACCEPTED
 
-    @_handles_job(records.JobCancelled)
+    @_handles_job(job_records.JobCancelled)
     def _cancel(
-        self, record: records.JobCancelled, job: jobs_job.Job
+        self, record: job_records.JobCancelled, job: jobs_job.Job
     ) -> verdicts.Verdict:
         if job.state in jobs_job.FINISHED:
             return _reject("finished")
@@ -312,9 +316,9 @@
         self._set_state(job, state)
         return verdicts.ACCEPTED
 
-    @_handles_job(records.JobSettled)
+    @_handles_job(job_records.JobSettled)
     def _settle(
-        self, record: records.JobSettled, job: jobs_job.Job
+        self, record: job_records.JobSettled, job: jobs_job.Job
     ) -> verdicts.Verdict:
         if job.state != vms_and_jobs.JobState.UNKNOWN:
             return _reject("not-unknown")
@@ -354,7 +358,7 @@
 
 
 def _state_after(
-    job: jobs_job.Job, record: records.AttemptEnded
+    job: jobs_job.Job, record: job_records.AttemptEnded
 ) -> vms_and_jobs.JobState:
     if record.outcome == "ran" and record.succeeded:
         return vms_and_jobs.JobState.DONE
@@ -395,7 +399,7 @@
 
 
 def _decode_job(row: list[typing.Any]) -> jobs_job.Job:
-    accepted = records.JobAccepted(*row[0])
+    accepted = job_records.JobAccepted(*row[0])
     cpu_millis, memory_bytes, accelerators = accepted.size
     accepted = accepted._replace(size=(cpu_millis, memory_bytes, accelerators))
     return jobs_job.Job(
--- a/foxtaillock/jobs/request_handler.py
+++ b/foxtaillock/jobs/request_handler.py
@@ -8,6 +8,7 @@
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.jobs import results
 from foxtaillock.model import config_objects
+from foxtaillock.model import job_records
 from foxtaillock.model import outcomes
 from foxtaillock.model import records
 from foxtaillock.model import vms_and_jobs
@@ -136,10 +137,10 @@
         team: str,
         key_id: str,
         idempotency_key: str,
-    ) -> records.JobAccepted:
+    ) -> job_records.JobAccepted:
         context = self._context
         number = context.rng.getrandbits(_JOB_ID_BITS)
-        return records.JobAccepted(
+        return job_records.JobAccepted(
             f"{context.pool}.{number:016x}",
             team,
             key_id,
@@ -156,7 +157,7 @@
         )
 
     def _make_repeated(
-        self, first_job_id: str, record: records.JobAccepted
+        self, first_job_id: str, record: job_records.JobAccepted
     ) -> results.Submitted | outcomes.NotRun:
         job = self._context.state.job(first_job_id)
         if job is not None and _content(job.accepted) != _content(record):
@@ -166,6 +167,6 @@
         return results.Submitted(first_job_id, is_repeated=True)
 
 
-def _content(record: records.JobAccepted) -> records.JobAccepted:
+def _content(record: job_records.JobAccepted) -> job_records.JobAccepted:
     """Returns the record without the fields that vary between submissions."""
     return record._replace(job_id="", key_id="", accepted_at="", epoch=0)
--- a/foxtaillock/jobs/supervisor.py
+++ b/foxtaillock/jobs/supervisor.py
@@ -9,7 +9,7 @@
 from foxtaillock.jobs import job as jobs_job
 from foxtaillock.jobs import eligibility
 from foxtaillock.jobs import worker_links
-from foxtaillock.model import records
+from foxtaillock.model import job_records
 from foxtaillock.model import vms_and_jobs
 
 __all__ = ["Supervisor"]
@@ -222,7 +222,7 @@
         if task["state"] == "checkpointed":
             context.mark_ended(
                 attempt,
-                records.JobCheckpointed(
+                job_records.JobCheckpointed(
                     attempt.job_id,
                     attempt.number,
                     task["result"],
@@ -332,8 +332,8 @@
 
     def _make_end_record(
         self, job_id: str, number: int, task: interfaces.TaskState
-    ) -> records.AttemptEnded:
-        return records.AttemptEnded(
+    ) -> job_records.AttemptEnded:
+        return job_records.AttemptEnded(
             job_id,
             number,
             "ran",
--- a/foxtaillock/jobs/tests/test_pool_snapshots.py
+++ b/foxtaillock/jobs/tests/test_pool_snapshots.py
@@ -7,7 +7,8 @@
 from foxtaillock import exceptions
 from foxtaillock.jobs import pool_snapshots
 from foxtaillock.jobs import pool_state
-from foxtaillock.model import records
+from foxtaillock.model import job_records
+from foxtaillock.model import pool_records
 from foxtaillock.state import replica as replicas
 from foxtaillock.state import snapshots
 from foxtaillock.state.tests import fake_log
@@ -55,12 +56,12 @@
             self._tasks.append(asyncio.create_task(self.snapshots.run()))
         self._tasks.append(asyncio.create_task(self.replica.run()))
         await self.replica.catch_up()
-        raised = records.PoolEpochRaised(self.epoch, f"e{self.epoch}")
+        raised = pool_records.PoolEpochRaised(self.epoch, f"e{self.epoch}")
         await self.replica.commit(raised)
 
     async def accept(self, job_id: str) -> None:
         """Accepts a job that stays waiting."""
-        job = records.JobAccepted(
+        job = job_records.JobAccepted(
             job_id,
             "nesting",
             "k",
--- a/foxtaillock/jobs/tests/test_pool_state.py
+++ b/foxtaillock/jobs/tests/test_pool_state.py
@@ -7,6 +7,8 @@
 
 from foxtaillock import exceptions
 from foxtaillock.jobs import pool_state
+from foxtaillock.model import job_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
@@ -15,8 +17,8 @@
 
 def _accepted(
     job_id: str, key: str = "", idempotent: bool = False, epoch: int = 1
-) -> records.JobAccepted:
-    return records.JobAccepted(
+) -> job_records.JobAccepted:
+    return job_records.JobAccepted(
         job_id,
         "nesting",
         "k",
@@ -38,7 +40,7 @@
     def setUp(self) -> None:
         self.state = pool_state.PoolState(history_jobs=2)
         self.sequence = 0
-        self._put(records.PoolEpochRaised(1, "e1"))
+        self._put(pool_records.PoolEpochRaised(1, "e1"))
 
     def _put(
         self, record: typing.Any, sequence: int | None = None
@@ -56,17 +58,17 @@
 
     def _run_job(self, job_id: str, key: str = "") -> None:
         self._put(_accepted(job_id, key))
-        self._put(records.AttemptStarted(job_id, 1, "w", 1, 1))
-        self._put(records.AttemptEnded(job_id, 1, "ran", True, "ok", 1))
+        self._put(job_records.AttemptStarted(job_id, 1, "w", 1, 1))
+        self._put(job_records.AttemptEnded(job_id, 1, "ran", True, "ok", 1))
 
     def test_record_of_lower_epoch_has_no_effect(self) -> None:
-        self._put(records.PoolEpochRaised(2, "e2"))
+        self._put(pool_records.PoolEpochRaised(2, "e2"))
         before = self.state.digest()
         verdict = self._put(_accepted("a", epoch=1))
         self.assertEqual(verdict.code, "stale-epoch")
         self.assertIsNone(self.state.job("a"))
         self.assertEqual(
-            self._put(records.PoolEpochRaised(1, "e1")).code, "stale-epoch"
+            self._put(pool_records.PoolEpochRaised(1, "e1")).code, "stale-epoch"
         )
         self.assertNotEqual(before, "")
         self.assertEqual(self.state.epoch, 2)
@@ -85,20 +87,22 @@
 
     def test_unknown_end_of_non_idempotent_job_is_final(self) -> None:
         self._put(_accepted("a"))
-        self._put(records.AttemptStarted("a", 1, "w", 1, 1))
-        self._put(records.AttemptEnded("a", 1, "unknown", False, "", 1))
+        self._put(job_records.AttemptStarted("a", 1, "w", 1, 1))
+        self._put(job_records.AttemptEnded("a", 1, "unknown", False, "", 1))
         self.assertEqual(self._state_of("a"), vms_and_jobs.JobState.UNKNOWN)
-        verdict = self._put(records.AttemptStarted("a", 2, "w", 1, 1))
+        verdict = self._put(job_records.AttemptStarted("a", 2, "w", 1, 1))
         self.assertEqual(verdict.code, "not-waiting")
-        self._put(records.JobSettled("a", "op", True, 1))
+        self._put(job_records.JobSettled("a", "op", True, 1))
         self.assertEqual(self._state_of("a"), vms_and_jobs.JobState.DONE)
 
     def test_failures_of_idempotent_job_are_bounded(self) -> None:
         self._put(_accepted("a", idempotent=True))
         for attempt in range(1, pool_state.MAX_FAILURES + 1):
             self.assertEqual(self._state_of("a"), vms_and_jobs.JobState.WAITING)
-            self._put(records.AttemptStarted("a", attempt, "w", 1, 1))
-            self._put(records.AttemptEnded("a", attempt, "ran", False, "", 1))
+            self._put(job_records.AttemptStarted("a", attempt, "w", 1, 1))
+            self._put(
+                job_records.AttemptEnded("a", attempt, "ran", False, "", 1)
+            )
         self.assertEqual(self._state_of("a"), vms_and_jobs.JobState.FAILED)
 
     def test_record_of_a_later_version_is_kept(self) -> None:
@@ -129,8 +133,8 @@
                 rng.choice(
                     (
                         _accepted(name, rng.choice(("", name)), True),
-                        records.AttemptStarted(name, number + 1, "w", 1, 1),
-                        records.AttemptEnded(
+                        job_records.AttemptStarted(name, number + 1, "w", 1, 1),
+                        job_records.AttemptEnded(
                             name,
                             number,
                             rng.choice(("ran", "not-run")),
@@ -138,8 +142,8 @@
                             "",
                             1,
                         ),
-                        records.JobCheckpointed(name, number, "half", 1),
-                        records.JobCancelled(name, "op", 1),
+                        job_records.JobCheckpointed(name, number, "half", 1),
+                        job_records.JobCancelled(name, "op", 1),
                     ),
                 )
             )
--- a/foxtaillock/leases/ownership.py
+++ b/foxtaillock/leases/ownership.py
@@ -10,7 +10,9 @@
 from foxtaillock.leases import expiry
 from foxtaillock.leases import spread
 from foxtaillock.leases import times as session_times
+from foxtaillock.model import pool_records
 from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import tables
 
@@ -186,7 +188,7 @@
         self._renew_at_s += self._rng.uniform(-jitter_s, jitter_s)
         self._counter += 1
         node, incarnation, zone, peer_address, api_address = self._identity
-        record = records.SessionRenewed(
+        record = session_records.SessionRenewed(
             node, incarnation, self._counter, zone, peer_address, api_address
         )
         return [self._make_decision("renew", record, now_s)]
@@ -205,7 +207,7 @@
             topic = f"end {key.node} {key.incarnation}"
             if topic in self._in_flight:
                 continue
-            record = records.SessionEnded(
+            record = session_records.SessionEnded(
                 *key, view.sessions[key].counter, self._identity.node
             )
             decisions.append(self._make_decision(topic, record, now_s))
@@ -268,10 +270,10 @@
         ranked = [first, *spread.rank_nodes(pool, nodes - {first})]
         return ranked.index(self._identity.node) * self._times.renew_s
 
-    def _make_claim(self, view: View, pool: str) -> records.PoolClaimed:
+    def _make_claim(self, view: View, pool: str) -> pool_records.PoolClaimed:
         stored = view.claims.get(pool)
         epoch = stored.epoch + 1 if stored is not None else 1
-        return records.PoolClaimed(pool, *self._identity.session, epoch)
+        return pool_records.PoolClaimed(pool, *self._identity.session, epoch)
 
     def handle_outcome(
         self, decision: Decision, verdict: verdicts.Verdict | None
@@ -285,7 +287,7 @@
         """
         self._in_flight.discard(decision.topic)
         record = decision.record
-        if not isinstance(record, records.SessionRenewed):
+        if not isinstance(record, session_records.SessionRenewed):
             return
         if record.incarnation != self._identity.incarnation or self.is_lost:
             return
@@ -312,7 +314,7 @@
         self._released[pool] = epoch
         loads = _count_pools(view, _live_sessions(view, ()))
         successor = spread.pick_successor(pool, loads, self._identity.node)
-        record = records.PoolReleased(
+        record = pool_records.PoolReleased(
             pool, *self._identity.session, epoch, successor
         )
         return self._make_decision(f"release {pool}", record, now_s)
@@ -321,7 +323,9 @@
         """Returns the end of this node's session, which is lost from now on."""
         self._mark_lost()
         node, incarnation = self._identity.session
-        record = records.SessionEnded(node, incarnation, self._counter, node)
+        record = session_records.SessionEnded(
+            node, incarnation, self._counter, node
+        )
         return self._make_decision("end", record, now_s)
 
 
--- a/foxtaillock/leases/tests/fleet.py
+++ b/foxtaillock/leases/tests/fleet.py
@@ -7,6 +7,9 @@
 from foxtaillock import exceptions
 from foxtaillock.leases import ownership
 from foxtaillock.leases import times as session_times
+from foxtaillock.model import grant_records
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import control_state
@@ -48,7 +51,7 @@
             self.clock.monotonic_s(),
         )
         self.is_writing = True
-        self.granted: records.GrantChanged | None = None
+        self.granted: grant_records.GrantChanged | None = None
         self._restarts = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -140,7 +143,7 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
             amount = self.rng.randrange(10)
             session = self.owner.identity.session
-            record = records.GrantChanged("t", *session, amount, 1)
+            record = grant_records.GrantChanged("t", *session, amount, 1)
             self.granted = None
             try:
                 verdict = await self.replica.commit(record)
@@ -152,16 +155,16 @@
     def _make_record(self, name: str) -> records.Record:
         choice = self.rng.random()
         if choice < 0.4:
-            return records.KeyGiven(name, "d", "", "op")
+            return key_records.KeyGiven(name, "d", "", "op")
         if choice < 0.6 and self.state.keys:
             key_id = self.rng.choice(sorted(self.state.keys))
-            return records.KeyWithdrawn(key_id, "op")
+            return key_records.KeyWithdrawn(key_id, "op")
         stored = self.state.object("team", "t")
         action = "changed" if stored else "added"
         revision = stored.revision if stored else 0
         body = {"limit": 1000, "by": name}
-        change = records.Change(action, "team", "t", revision, body)
-        return records.NoteAccepted(name, "op", "", (change,))
+        change = note_records.Change(action, "team", "t", revision, body)
+        return note_records.NoteAccepted(name, "op", "", (change,))
 
     async def _commit_tracked(self, name: str, record: records.Record) -> None:
         try:
@@ -198,9 +201,9 @@
     def __init__(self, size: int, seed: int) -> None:
         self.log = fake_log.FakeLog()
         pools = tuple(
-            records.Change("added", "pool", pool, 0, {}) for pool in POOLS
+            note_records.Change("added", "pool", pool, 0, {}) for pool in POOLS
         )
-        note = records.NoteAccepted("pools", "op", "", pools)
+        note = note_records.NoteAccepted("pools", "op", "", pools)
         self.log.store(
             records.CONTROL_STREAM,
             record_batches.encode_batch(
@@ -296,7 +299,7 @@
             if not _took_effect(state, notes, name, record):
                 self.violations.append(f"lost {record}")
         for name, record in self.not_run:
-            is_key = isinstance(record, records.KeyGiven)
+            is_key = isinstance(record, key_records.KeyGiven)
             if name in notes or (is_key and state.key(name)):
                 self.violations.append(
                     f"took effect in spite of not-run: {record}"
@@ -314,9 +317,9 @@
     name: str,
     record: records.Record,
 ) -> bool:
-    if isinstance(record, records.KeyWithdrawn):
+    if isinstance(record, key_records.KeyWithdrawn):
         stored = state.key(record.key_id)
         return stored is not None and stored.withdrawn
-    if isinstance(record, records.KeyGiven):
+    if isinstance(record, key_records.KeyGiven):
         return state.key(name) is not None
     return name in notes
--- a/foxtaillock/leases/tests/test_ownership.py
+++ b/foxtaillock/leases/tests/test_ownership.py
@@ -9,8 +9,10 @@
 from foxtaillock.leases import expiry
 from foxtaillock.leases import spread
 from foxtaillock.leases import times as session_times
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
 from foxtaillock.state import tables
@@ -23,8 +25,8 @@
     def setUp(self) -> None:
         self.state = control_state.ControlState()
         self.offset = 0
-        pool = records.Change("added", "pool", "p", 0, {})
-        self._fold(records.NoteAccepted("n", "op", "", (pool,)))
+        pool = note_records.Change("added", "pool", "p", 0, {})
+        self._fold(note_records.NoteAccepted("n", "op", "", (pool,)))
         self.owner = self._make("a")
 
     def _make(self, node: str) -> ownership.Ownership:
@@ -67,7 +69,7 @@
     def test_release_stops_acting_before_it_is_read_back(self) -> None:
         self._step(self.owner, 0.0)
         self._step(self.owner, 0.1)
-        self._fold(records.SessionRenewed("b", "ib", 1, "z", "", ""))
+        self._fold(session_records.SessionRenewed("b", "ib", 1, "z", "", ""))
         release = self.owner.release(self.state, "p", 1, 0.2)
         self.assertFalse(self.owner.may_act(self.state, "p", 1, 0.2))
         self.assertEqual(release.record.successor, "b")
@@ -86,7 +88,7 @@
     def test_ended_session_may_not_act_and_can_restart(self) -> None:
         self._step(self.owner, 0.0)
         self._step(self.owner, 0.1)
-        self._fold(records.SessionEnded("a", "ia", 1, "b"))
+        self._fold(session_records.SessionEnded("a", "ia", 1, "b"))
         self.assertEqual(self._step(self.owner, 0.2), [])
         self.assertTrue(self.owner.is_lost)
         self.assertFalse(self.owner.may_act(self.state, "p", 1, 0.2))
--- a/foxtaillock/limits/grant_policy.py
+++ b/foxtaillock/limits/grant_policy.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.model import records
+from foxtaillock.model import grant_records
 from foxtaillock.state import grants_fold
 
 __all__ = [
@@ -147,7 +147,7 @@
 
 def decide(
     node: str, incarnation: str, views: Sequence[TeamView]
-) -> list[records.StandingGrantChanged]:
+) -> list[grant_records.StandingGrantChanged]:
     """Returns the changes of this node's grants that are due.
 
     A change that lowers a grant may only be committed once the running work
@@ -168,7 +168,7 @@
 
 def _decide_team(
     holder: tuple[str, str], view: TeamView
-) -> records.StandingGrantChanged | None:
+) -> grant_records.StandingGrantChanged | None:
     if holder not in view.live:
         return None
     own = view.grants.get(holder, RecordedGrant(0, 0))
@@ -198,7 +198,7 @@
         and _is_close(own.reserved, reserved)
     ):
         return None
-    return records.StandingGrantChanged(
+    return grant_records.StandingGrantChanged(
         view.team, *holder, amount, requested, reserved, view.hold_s
     )
 
@@ -332,7 +332,7 @@
     now_s: float,
     wait_s: float,
     drift: float = 0.0,
-) -> list[records.GrantReclaimed | records.LentGrantsReclaimed]:
+) -> list[grant_records.GrantReclaimed | grant_records.LentGrantsReclaimed]:
     """Returns the reclaims of ended sessions' grants that are due.
 
     A reserved part is free only after its hold and `wait_s`: the holder may be
@@ -346,14 +346,16 @@
             except job attempts, which the new owners of its pools carry over.
         drift: greatest difference of two clocks' rates, as a fraction.
     """
-    due: list[records.GrantReclaimed | records.LentGrantsReclaimed] = []
+    due: list[
+        grant_records.GrantReclaimed | grant_records.LentGrantsReclaimed
+    ] = []
     for session in ended:
         elapsed_s = now_s - session.ended_seen_s - wait_s
         if elapsed_s < 0.0 or session.has_pending_carryover:
             continue
         holder = (session.node, session.incarnation)
         if session.is_own or elapsed_s >= session.hold_s * (1.0 + drift):
-            due.append(records.GrantReclaimed(*holder))
+            due.append(grant_records.GrantReclaimed(*holder))
         elif session.unreserved:
-            due.append(records.LentGrantsReclaimed(*holder))
+            due.append(grant_records.LentGrantsReclaimed(*holder))
     return due
--- a/foxtaillock/limits/grants.py
+++ b/foxtaillock/limits/grants.py
@@ -11,7 +11,7 @@
 
 from foxtaillock.limits import grant_policy
 from foxtaillock.model import clock as clock_lib
-from foxtaillock.model import records
+from foxtaillock.model import grant_records
 
 __all__ = ["LocalGrants"]
 
@@ -45,7 +45,7 @@
         self.granted = 0
         self.reserved = 0
         self.lowering_to: int | None = None
-        self.pending: list[records.StandingGrantChanged] = []
+        self.pending: list[grant_records.StandingGrantChanged] = []
         self.in_flight = False
         self.lowered_at_s = -math.inf
         self.reserved_raised_at_s = -math.inf
@@ -232,7 +232,7 @@
         self,
         folded: Mapping[str, grant_policy.FoldedTeam],
         live: Sequence[tuple[str, str]],
-    ) -> list[records.StandingGrantChanged]:
+    ) -> list[grant_records.StandingGrantChanged]:
         """Returns the changes to commit now, with the caps already lowered.
 
         Each must be followed by `complete_change` or `mark_change_unknown`. A
@@ -272,7 +272,7 @@
         team: str,
         folded: grant_policy.FoldedTeam,
         live: Sequence[tuple[str, str]],
-    ) -> records.StandingGrantChanged | None:
+    ) -> grant_records.StandingGrantChanged | None:
         usage = self._usage_of(team)
         usage.lowering_to = None
         now_s = self._clock.monotonic_s()
@@ -304,13 +304,13 @@
 
     def _make_confirmation(
         self, team: str, view: grant_policy.TeamView
-    ) -> records.StandingGrantChanged:
+    ) -> grant_records.StandingGrantChanged:
         """Returns a change that keeps the grant as it is.
 
         Its verdict resolves earlier changes without a verdict.
         """
         own = self._read_own(view.grants)
-        return records.StandingGrantChanged(
+        return grant_records.StandingGrantChanged(
             team,
             *self._holder,
             own.amount,
@@ -320,8 +320,8 @@
         )
 
     def _find_lowering(
-        self, usage: _TeamUsage, change: records.StandingGrantChanged
-    ) -> records.StandingGrantChanged | None:
+        self, usage: _TeamUsage, change: grant_records.StandingGrantChanged
+    ) -> grant_records.StandingGrantChanged | None:
         """Returns the lower grant that may be recorded now, if any.
 
         The grant is not lowered below the running work. While work above the
@@ -339,7 +339,7 @@
 
     def complete_change(
         self,
-        change: records.StandingGrantChanged,
+        change: grant_records.StandingGrantChanged,
         granted: int,
         reserved: int = 0,
     ) -> None:
@@ -360,7 +360,9 @@
         usage.granted = granted
         usage.reserved = reserved
 
-    def mark_change_unknown(self, change: records.StandingGrantChanged) -> None:
+    def mark_change_unknown(
+        self, change: grant_records.StandingGrantChanged
+    ) -> None:
         """Records that the commit of `change` ended without a verdict.
 
         It may take effect now or later, so it keeps the cap low until a later
--- a/foxtaillock/limits/tests/model.py
+++ b/foxtaillock/limits/tests/model.py
@@ -12,7 +12,9 @@
 from foxtaillock.limits import grant_policy
 from foxtaillock.limits import grants
 from foxtaillock.model import clock as clock_lib
-from foxtaillock.model import records
+from foxtaillock.model import grant_records
+from foxtaillock.model import pool_records
+from foxtaillock.model import session_records
 
 __all__ = ["Fleet", "LEASE_S", "NaiveFold", "RECLAIM_WAIT_S"]
 
@@ -173,7 +175,7 @@
         self.sequence = 0
         self.counter = 0
         self.renewals: dict[int, float] = {}
-        self.pending_changes: dict[int, records.StandingGrantChanged] = {}
+        self.pending_changes: dict[int, grant_records.StandingGrantChanged] = {}
         self.seen_renewals: dict[Holder, tuple[int, float]] = {}
         self.ended_seen_s: dict[Holder, float] = {}
         self.calls: list[float] = []
@@ -331,7 +333,9 @@
         node.renewals[node.counter] = now_s
         self._send(
             node,
-            records.SessionRenewed(*node.holder, node.counter, "", "", ""),
+            session_records.SessionRenewed(
+                *node.holder, node.counter, "", "", ""
+            ),
         )
 
     def _plan(self, node: _Node) -> None:
@@ -361,16 +365,16 @@
     ) -> None:
         sequence, record = entry
         now_s = self.clock.monotonic_s()
-        if isinstance(record, records.SessionRenewed) and accepted:
+        if isinstance(record, session_records.SessionRenewed) and accepted:
             node.seen_renewals[writer] = (record.counter, now_s)
             if writer == node.holder:
                 sent_s = node.renewals[record.counter]
                 node.valid_until_s = sent_s + LEASE_S
                 node.local.set_session_valid_until(sent_s + LEASE_S)
                 node.local.set_reserved_until(sent_s + HOLD_S)
-        if isinstance(record, records.SessionEnded) and accepted:
+        if isinstance(record, session_records.SessionEnded) and accepted:
             node.ended_seen_s[record.node, record.incarnation] = now_s
-        if isinstance(record, records.GrantsCarried) and accepted:
+        if isinstance(record, grant_records.GrantsCarried) and accepted:
             if writer == node.holder:
                 node.adopted[record.pool] = 1
         own = node.fold.amounts.get(
@@ -388,7 +392,7 @@
             counter, seen_s = node.seen_renewals[holder]
             if now_s - seen_s > LEASE_S + ALLOWANCE_S:
                 if holder != node.holder:
-                    record = records.SessionEnded(
+                    record = session_records.SessionEnded(
                         *holder, counter, node.holder[0]
                     )
                     self._send(node, record)
@@ -427,7 +431,7 @@
                         node.pool_counts[pool] += self.attempts[pool]
                     self._send(
                         node,
-                        records.GrantsCarried(
+                        grant_records.GrantsCarried(
                             pool, epoch, *source, *node.holder, amounts
                         ),
                     )
@@ -435,7 +439,9 @@
                     node.adopted[pool] = 1
             elif epoch == 0 or owner in node.fold.ended:
                 if node.holder in node.fold.live():
-                    claim = records.PoolClaimed(pool, *node.holder, epoch + 1)
+                    claim = pool_records.PoolClaimed(
+                        pool, *node.holder, epoch + 1
+                    )
                     self._send(node, claim)
 
     def _check_cut_off_start(self, node: _Node) -> None:
--- a/foxtaillock/limits/tests/test_reserved.py
+++ b/foxtaillock/limits/tests/test_reserved.py
@@ -7,7 +7,7 @@
 from foxtaillock.limits import grant_policy
 from foxtaillock.limits import grants
 from foxtaillock.model import clock as clock_lib
-from foxtaillock.model import records
+from foxtaillock.model import grant_records
 
 _SELF = ("e0", "x")
 _HOLD_S = 60.0
@@ -196,7 +196,7 @@
         rows = {_SELF: grant_policy.RecordedGrant(4, 4, 2, _HOLD_S)}
         folded = {"t": grant_policy.FoldedTeam(5, rows, False)}
         change = self.local.plan(folded, [_SELF])[0]
-        self.assertIsInstance(change, records.StandingGrantChanged)
+        self.assertIsInstance(change, grant_records.StandingGrantChanged)
         self.local.mark_change_unknown(change)
         self.clock.advance(3.0)
         self.assertFalse(self.local.try_start("t"))
--- a/foxtaillock/model/record_batches.py
+++ b/foxtaillock/model/record_batches.py
@@ -10,6 +10,9 @@
 import typing
 
 from foxtaillock import exceptions
+from foxtaillock.model import job_records
+from foxtaillock.model import note_records
+from foxtaillock.model import record_kinds
 from foxtaillock.model import records as model_records
 
 __all__ = ["RecordBatch", "decode_batch", "encode_batch"]
@@ -50,7 +53,7 @@
 def _encode_record(record: model_records.Record) -> list[typing.Any]:
     if isinstance(record, model_records.UnknownRecord):
         return [record.kind, *json.loads(record.body)]
-    return [model_records.kind_of(record), *record]
+    return [record_kinds.kind_of(record), *record]
 
 
 def decode_batch(text: str) -> RecordBatch:
@@ -72,12 +75,12 @@
 
 
 def _decode_record(row: list[typing.Any]) -> model_records.Record:
-    record_class = model_records.class_of(row[0])
+    record_class = record_kinds.class_of(row[0])
     if record_class is None:
         return model_records.UnknownRecord(row[0], json.dumps(row[1:]))
-    if record_class is model_records.NoteAccepted:
-        changes = tuple(model_records.Change(*change) for change in row[4])
-        return model_records.NoteAccepted(row[1], row[2], row[3], changes)
-    if record_class is model_records.JobAccepted:
+    if record_class is note_records.NoteAccepted:
+        changes = tuple(note_records.Change(*change) for change in row[4])
+        return note_records.NoteAccepted(row[1], row[2], row[3], changes)
+    if record_class is job_records.JobAccepted:
         row[6] = tuple(row[6])
     return record_class(*row[1:])
--- a/foxtaillock/model/tests/test_records.py
+++ b/foxtaillock/model/tests/test_records.py
@@ -3,15 +3,17 @@
 import unittest
 
 from foxtaillock import exceptions
+from foxtaillock.model import note_records
 from foxtaillock.model import record_batches
-from foxtaillock.model import records
 
 
 class RecordsTest(unittest.TestCase):
 
     def test_note_is_decoded_as_encoded(self) -> None:
-        change = records.Change("added", "team", "nesting", 0, {"share": 2})
-        note = records.NoteAccepted("n1", "op", "market", (change,))
+        change = note_records.Change(
+            "added", "team", "nesting", 0, {"share": 2}
+        )
+        note = note_records.NoteAccepted("n1", "op", "market", (change,))
         batch = record_batches.RecordBatch("e1", "x", 1, (note,))
         text = record_batches.encode_batch(batch)
         self.assertEqual(record_batches.decode_batch(text), batch)
--- a/foxtaillock/notes/check.py
+++ b/foxtaillock/notes/check.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 from foxtaillock.model import verdicts
 from foxtaillock.notes import parser
 from foxtaillock.notes import rules
@@ -28,7 +28,7 @@
     """
 
     title: str
-    changes: tuple[records.Change, ...]
+    changes: tuple[note_records.Change, ...]
 
 
 def check(
@@ -85,20 +85,20 @@
 
 def _make_change(
     entry: parser.NoteEntry, existing: tuple[int, Body] | None
-) -> records.Change:
+) -> note_records.Change:
     revision, body = existing or (0, {})
     merged: dict[str, typing.Any] = {}
     if entry.action == "changed":
         merged.update(body)
     merged.update(entry.body)
-    return records.Change(
+    return note_records.Change(
         entry.action, entry.kind, entry.name, revision, merged
     )
 
 
 def check_references(
-    changes: Iterable[records.Change], current: CurrentObjects
-) -> list[tuple[records.Change, rules.Reference | None, str]]:
+    changes: Iterable[note_records.Change], current: CurrentObjects
+) -> list[tuple[note_records.Change, rules.Reference | None, str]]:
     """Finds references that would be dangling after `changes`.
 
     Returns:
@@ -114,7 +114,7 @@
             after.pop(key, None)
         else:
             after[key] = change.body
-    errors: list[tuple[records.Change, rules.Reference | None, str]] = []
+    errors: list[tuple[note_records.Change, rules.Reference | None, str]] = []
     for (kind, name), body in after.items():
         for reference in rules.list_references(kind, body):
             target = (reference.kind, reference.name)
--- a/foxtaillock/notes/tests/test_notes.py
+++ b/foxtaillock/notes/tests/test_notes.py
@@ -8,7 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 from foxtaillock.notes import check
 from foxtaillock.notes import parser
 from foxtaillock.notes import undo
@@ -58,7 +58,7 @@
 
 
 def _apply(
-    changes: tuple[records.Change, ...],
+    changes: tuple[note_records.Change, ...],
     current: check.CurrentObjects,
     revision: int,
 ) -> dict[tuple[str, str], tuple[int, check.Body]]:
@@ -218,7 +218,7 @@
         self.assertEqual(
             result.changes,
             (
-                records.Change(
+                note_records.Change(
                     "changed",
                     "team",
                     "couva-quotes",
--- a/foxtaillock/notes/undo.py
+++ b/foxtaillock/notes/undo.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 from foxtaillock.model import verdicts
 from foxtaillock.notes import check
 from foxtaillock.notes import parser
@@ -16,7 +16,7 @@
 
 def undo(
     title: str,
-    changes: Sequence[records.Change],
+    changes: Sequence[note_records.Change],
     previous: Mapping[check.ObjectKey, check.Body],
     current: check.CurrentObjects,
 ) -> check.CheckedNote | parser.InvalidNote:
@@ -32,7 +32,7 @@
         current: objects in force.
 
     Example:
-        >>> added = records.Change("added", "team", "a", 0, {"share": 1})
+        >>> added = note_records.Change("added", "team", "a", 0, {"share": 1})
         >>> note = undo("m", [added], {}, {("team", "a"): (7, added.body)})
         >>> note.changes[0].action, note.changes[0].revision
         ('withdrawn', 7)
@@ -58,7 +58,7 @@
 
 
 def _find_conflict(
-    change: records.Change,
+    change: note_records.Change,
     has_previous: bool,
     existing: tuple[int, check.Body] | None,
 ) -> str:
@@ -72,10 +72,10 @@
 
 
 def _invert(
-    change: records.Change, previous: check.Body, revision: int
-) -> records.Change:
+    change: note_records.Change, previous: check.Body, revision: int
+) -> note_records.Change:
     body: dict[str, typing.Any] = {}
     if change.action != "added":
         body.update(previous)
     action = _INVERSE[change.action]
-    return records.Change(action, change.kind, change.name, revision, body)
+    return note_records.Change(action, change.kind, change.name, revision, body)
--- a/foxtaillock/reports/tests/test_recorder.py
+++ b/foxtaillock/reports/tests/test_recorder.py
@@ -3,8 +3,8 @@
 import unittest
 
 from foxtaillock.jobs import job as jobs
+from foxtaillock.model import job_records
 from foxtaillock.model import outcomes
-from foxtaillock.model import records
 from foxtaillock.model import vms_and_jobs
 from foxtaillock.reports import counts
 from foxtaillock.reports import job_watch
@@ -19,7 +19,7 @@
 
 
 def _job(job_id: str = "p.1", team: str = "shops") -> jobs.Job:
-    accepted = records.JobAccepted(
+    accepted = job_records.JobAccepted(
         job_id,
         team,
         "",
--- a/foxtaillock/state/codec.py
+++ b/foxtaillock/state/codec.py
@@ -4,6 +4,7 @@
 import typing
 
 from foxtaillock import exceptions
+from foxtaillock.model import note_records
 from foxtaillock.model import records
 from foxtaillock.state import tables
 
@@ -122,7 +123,7 @@
 
 
 def _decode_entry(row: list[typing.Any]) -> tables.HistoryEntry:
-    changes = tuple(records.Change(*change) for change in row[4])
+    changes = tuple(note_records.Change(*change) for change in row[4])
     return tables.HistoryEntry(row[0], row[1], row[2], row[3], changes)
 
 
--- a/foxtaillock/state/control_state.py
+++ b/foxtaillock/state/control_state.py
@@ -44,7 +44,7 @@
 
     Example:
         >>> state = ControlState()
-        >>> given = records.KeyGiven("k1", "00", "", "root")
+        >>> given = key_records.KeyGiven("k1", "00", "", "root")
         >>> batch = record_batches.RecordBatch("e1", "x", 1, (given,))
         >>> state.apply(0, batch)[0].accepted
         True
--- a/foxtaillock/state/grants_fold.py
+++ b/foxtaillock/state/grants_fold.py
@@ -1,6 +1,6 @@
 """Fold of grants: the parts of a team's limit that sessions may use."""
 
-from foxtaillock.model import records
+from foxtaillock.model import grant_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import handlers
 from foxtaillock.state import tables
@@ -19,9 +19,9 @@
 _MIN_RESERVED_LIMIT = 3
 
 
-@handlers.register_handler(records.GrantChanged)
+@handlers.register_handler(grant_records.GrantChanged)
 def fold_grant_changed(
-    state: tables.ControlTables, offset: int, record: records.GrantChanged
+    state: tables.ControlTables, offset: int, record: grant_records.GrantChanged
 ) -> verdicts.Verdict:
     """Lowers a grant, or raises it if the sum stays within the limit."""
     del offset
@@ -36,11 +36,11 @@
     return verdicts.ACCEPTED
 
 
-@handlers.register_handler(records.StandingGrantChanged)
+@handlers.register_handler(grant_records.StandingGrantChanged)
 def fold_standing_grant_changed(
     state: tables.ControlTables,
     offset: int,
-    record: records.StandingGrantChanged,
+    record: grant_records.StandingGrantChanged,
 ) -> verdicts.Verdict:
     """Lowers or raises a grant and its reserved part.
 
@@ -128,9 +128,11 @@
         del state.grants[team]
 
 
-@handlers.register_handler(records.GrantReclaimed)
+@handlers.register_handler(grant_records.GrantReclaimed)
 def fold_grant_reclaimed(
-    state: tables.ControlTables, offset: int, record: records.GrantReclaimed
+    state: tables.ControlTables,
+    offset: int,
+    record: grant_records.GrantReclaimed,
 ) -> verdicts.Verdict:
     """Frees all grants of a session that has ended."""
     del offset
@@ -143,11 +145,11 @@
     return verdicts.ACCEPTED
 
 
-@handlers.register_handler(records.LentGrantsReclaimed)
+@handlers.register_handler(grant_records.LentGrantsReclaimed)
 def fold_lent_grants_reclaimed(
     state: tables.ControlTables,
     offset: int,
-    record: records.LentGrantsReclaimed,
+    record: grant_records.LentGrantsReclaimed,
 ) -> verdicts.Verdict:
     """Frees the parts of an ended session's grants that are not reserved."""
     del offset
@@ -194,9 +196,11 @@
     )
 
 
-@handlers.register_handler(records.GrantsCarried)
+@handlers.register_handler(grant_records.GrantsCarried)
 def fold_grants_carried(
-    state: tables.ControlTables, offset: int, record: records.GrantsCarried
+    state: tables.ControlTables,
+    offset: int,
+    record: grant_records.GrantsCarried,
 ) -> verdicts.Verdict:
     """Moves the grants of a pool's running attempts to its new owner.
 
--- a/foxtaillock/state/keys_fold.py
+++ b/foxtaillock/state/keys_fold.py
@@ -1,6 +1,6 @@
 """Fold of keys: given once, withdrawn permanently."""
 
-from foxtaillock.model import records
+from foxtaillock.model import key_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import handlers
 from foxtaillock.state import tables
@@ -8,9 +8,9 @@
 __all__ = ["fold_key_given", "fold_key_withdrawn"]
 
 
-@handlers.register_handler(records.KeyGiven)
+@handlers.register_handler(key_records.KeyGiven)
 def fold_key_given(
-    state: tables.ControlTables, offset: int, record: records.KeyGiven
+    state: tables.ControlTables, offset: int, record: key_records.KeyGiven
 ) -> verdicts.Verdict:
     """Accepts a new key of an existing team or of an operator."""
     del offset
@@ -28,7 +28,7 @@
 
 
 def _check_repeated_key(
-    stored: tables.StoredKey, record: records.KeyGiven
+    stored: tables.StoredKey, record: key_records.KeyGiven
 ) -> verdicts.Verdict:
     place = f"key/{record.key_id}"
     if stored.withdrawn:
@@ -38,9 +38,9 @@
     return handlers.refuse("key-exists", place, "was already given")
 
 
-@handlers.register_handler(records.KeyWithdrawn)
+@handlers.register_handler(key_records.KeyWithdrawn)
 def fold_key_withdrawn(
-    state: tables.ControlTables, offset: int, record: records.KeyWithdrawn
+    state: tables.ControlTables, offset: int, record: key_records.KeyWithdrawn
 ) -> verdicts.Verdict:
     """Withdraws a key permanently, even before it is given."""
     del offset
--- a/foxtaillock/state/notes_fold.py
+++ b/foxtaillock/state/notes_fold.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from foxtaillock.model import config_objects
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import handlers
 from foxtaillock.state import tables
@@ -12,12 +12,12 @@
 __all__ = ["MAX_HISTORY_NOTES", "fold_note"]
 
 MAX_HISTORY_NOTES = 1000
-_Overlay = dict[tuple[str, str], records.Change]
+_Overlay = dict[tuple[str, str], note_records.Change]
 
 
-@handlers.register_handler(records.NoteAccepted)
+@handlers.register_handler(note_records.NoteAccepted)
 def fold_note(
-    state: tables.ControlTables, offset: int, note: records.NoteAccepted
+    state: tables.ControlTables, offset: int, note: note_records.NoteAccepted
 ) -> verdicts.Verdict:
     """Accepts a note atomically or refuses it with all findings.
 
@@ -39,7 +39,7 @@
 
 
 def _is_already_accepted(
-    state: tables.ControlTables, note: records.NoteAccepted
+    state: tables.ControlTables, note: note_records.NoteAccepted
 ) -> bool:
     return any(
         entry.note_id == note.note_id
@@ -50,7 +50,7 @@
 
 
 def _find_conflicts(
-    state: tables.ControlTables, changes: tuple[records.Change, ...]
+    state: tables.ControlTables, changes: tuple[note_records.Change, ...]
 ) -> Iterator[verdicts.Finding]:
     seen: set[tuple[str, str]] = set()
     for change in changes:
@@ -63,7 +63,9 @@
             yield verdicts.Finding(place, message)
 
 
-def _find_conflict(state: tables.ControlTables, change: records.Change) -> str:
+def _find_conflict(
+    state: tables.ControlTables, change: note_records.Change
+) -> str:
     if change.kind not in config_objects.KINDS:
         return f"unknown kind {change.kind!r}"
     stored = state.find_in_force(change.kind, change.name)
@@ -82,7 +84,7 @@
 
 
 def _find_dangling_references(
-    state: tables.ControlTables, changes: tuple[records.Change, ...]
+    state: tables.ControlTables, changes: tuple[note_records.Change, ...]
 ) -> Iterator[verdicts.Finding]:
     overlay = {(change.kind, change.name): change for change in changes}
     for change in changes:
@@ -100,7 +102,7 @@
     state: tables.ControlTables,
     overlay: _Overlay,
     place: str,
-    change: records.Change,
+    change: note_records.Change,
 ) -> Iterator[verdicts.Finding]:
     for field, kind, name in _list_references(change.kind, change.body):
         if not _exists(state, overlay, kind, name):
@@ -162,7 +164,7 @@
 
 
 def _withdraw(
-    state: tables.ControlTables, revision: int, change: records.Change
+    state: tables.ControlTables, revision: int, change: note_records.Change
 ) -> None:
     """Removes an object; a pool in use is first drained by its owner."""
     rows = state.objects[change.kind]
@@ -184,7 +186,7 @@
 
 
 def _store(
-    state: tables.ControlTables, revision: int, note: records.NoteAccepted
+    state: tables.ControlTables, revision: int, note: note_records.NoteAccepted
 ) -> None:
     for change in note.changes:
         rows = state.objects.setdefault(change.kind, {})
--- a/foxtaillock/state/pools_fold.py
+++ b/foxtaillock/state/pools_fold.py
@@ -1,7 +1,7 @@
 """Fold of the withdrawal of pools: drained first, then removed."""
 
 from foxtaillock.model import config_objects
-from foxtaillock.model import records
+from foxtaillock.model import pool_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import handlers
 from foxtaillock.state import tables
@@ -14,9 +14,9 @@
 }
 
 
-@handlers.register_handler(records.PoolRetired)
+@handlers.register_handler(pool_records.PoolRetired)
 def fold_pool_retired(
-    state: tables.ControlTables, offset: int, record: records.PoolRetired
+    state: tables.ControlTables, offset: int, record: pool_records.PoolRetired
 ) -> verdicts.Verdict:
     """Marks a withdrawn pool as drained, or removes it once it has no VMs.
 
--- a/foxtaillock/state/sessions_fold.py
+++ b/foxtaillock/state/sessions_fold.py
@@ -3,7 +3,8 @@
 import functools
 import typing
 
-from foxtaillock.model import records
+from foxtaillock.model import pool_records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import handlers
 from foxtaillock.state import tables
@@ -20,9 +21,11 @@
 MAX_ENDED_SESSIONS = 4096
 
 
-@handlers.register_handler(records.SessionRenewed)
+@handlers.register_handler(session_records.SessionRenewed)
 def fold_session_renewed(
-    state: tables.ControlTables, offset: int, record: records.SessionRenewed
+    state: tables.ControlTables,
+    offset: int,
+    record: session_records.SessionRenewed,
 ) -> verdicts.Verdict:
     """Renews a session unless it has ended or was renewed later."""
     session = tables.SessionKey(record.node, record.incarnation)
@@ -43,9 +46,11 @@
     return verdicts.ACCEPTED
 
 
-@handlers.register_handler(records.SessionEnded)
+@handlers.register_handler(session_records.SessionEnded)
 def fold_session_ended(
-    state: tables.ControlTables, offset: int, record: records.SessionEnded
+    state: tables.ControlTables,
+    offset: int,
+    record: session_records.SessionEnded,
 ) -> verdicts.Verdict:
     """Ends a session unless it was renewed later."""
     session = tables.SessionKey(record.node, record.incarnation)
@@ -69,16 +74,16 @@
         del state.sessions[key]
 
 
-@handlers.register_handler(records.PoolClaimed)
+@handlers.register_handler(pool_records.PoolClaimed)
 def fold_pool_claimed(
-    state: tables.ControlTables, offset: int, record: records.PoolClaimed
+    state: tables.ControlTables, offset: int, record: pool_records.PoolClaimed
 ) -> verdicts.Verdict:
     """Gives a pool to a live session unless another live session owns it."""
     place = f"pool/{record.pool}"
     session = tables.SessionKey(record.node, record.incarnation)
     if not state.is_live(session):
         return handlers.refuse("no-session", place, "claimant is not live")
-    is_fleet = record.pool == records.FLEET_POOL
+    is_fleet = record.pool == pool_records.FLEET_POOL
     if not is_fleet and state.find("pool", record.pool) is None:
         return handlers.refuse("unknown-pool", place, "does not exist")
     stored = state.claims.get(record.pool)
@@ -103,13 +108,13 @@
     new owner carries them over.
     """
     session = tables.SessionKey(former.node, former.incarnation)
-    if former.pool != records.FLEET_POOL:
+    if former.pool != pool_records.FLEET_POOL:
         state.carryover_sources.setdefault(former.pool, session)
 
 
-@handlers.register_handler(records.PoolReleased)
+@handlers.register_handler(pool_records.PoolReleased)
 def fold_pool_released(
-    state: tables.ControlTables, offset: int, record: records.PoolReleased
+    state: tables.ControlTables, offset: int, record: pool_records.PoolReleased
 ) -> verdicts.Verdict:
     """Releases a pool from its owner; the epoch stays."""
     stored = state.claims.get(record.pool)
@@ -133,8 +138,8 @@
 
     A record must be written in the current epoch of the fleet's owner. Moves,
     disruptions and waves affect several pools and shared racks, so the
-    owner of the pool `records.FLEET_POOL` decides all of them. A fleet that
-    was never claimed has epoch zero.
+    owner of the pool `pool_records.FLEET_POOL` decides all of them. A fleet
+    that was never claimed has epoch zero.
     """
 
     @functools.wraps(handler)
@@ -150,7 +155,7 @@
 
 
 def _is_fleet_epoch(state: tables.ControlTables, epoch: int) -> bool:
-    stored = state.claims.get(records.FLEET_POOL)
+    stored = state.claims.get(pool_records.FLEET_POOL)
     if stored is None:
         return epoch == 0
     return bool(stored.node) and stored.epoch == epoch
--- a/foxtaillock/state/snapshots.py
+++ b/foxtaillock/state/snapshots.py
@@ -14,6 +14,7 @@
 from foxtaillock import exceptions
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import snapshot_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import deduplication
 
@@ -106,12 +107,12 @@
 
 def split_into_chunks(
     snapshot: Snapshot, chunk_bytes: int = CHUNK_BYTES
-) -> list[records.SnapshotChunk]:
+) -> list[snapshot_records.SnapshotChunk]:
     """Returns the records that store a snapshot on the log in chunks."""
     data = base64.b64encode(zlib.compress(snapshot.text.encode())).decode()
     part_starts = range(0, len(data), chunk_bytes)
     return [
-        records.SnapshotChunk(
+        snapshot_records.SnapshotChunk(
             snapshot.snapshot_id,
             snapshot.at_offset,
             part,
@@ -124,7 +125,7 @@
 
 
 class _PartialSnapshot(typing.NamedTuple):
-    first: records.SnapshotChunk
+    first: snapshot_records.SnapshotChunk
     first_offset: int
     parts: dict[int, str]
 
@@ -157,7 +158,7 @@
     def _apply_chunk(
         self, offset: int, record: records.Record
     ) -> verdicts.Verdict:
-        if not isinstance(record, records.SnapshotChunk):
+        if not isinstance(record, snapshot_records.SnapshotChunk):
             return verdicts.Verdict(False, "wrong-stream")
         partial = self._partial.get(record.snapshot_id)
         if partial is None:
--- a/foxtaillock/state/snapshotter.py
+++ b/foxtaillock/state/snapshotter.py
@@ -14,6 +14,7 @@
 from foxtaillock.model import clock as clocks
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import snapshot_records
 from foxtaillock.model import verdicts
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
@@ -137,7 +138,7 @@
 
     async def _write_snapshot(self) -> None:
         snapshot_id = f"{self._node}-{self._rng.getrandbits(48):012x}"
-        mark = records.SnapshotMarked(snapshot_id, self._node)
+        mark = snapshot_records.SnapshotMarked(snapshot_id, self._node)
         await self._control.commit(mark)
         taken = self._marked_snapshot
         if taken is None or taken.snapshot_id != snapshot_id:
@@ -154,12 +155,14 @@
     ) -> None:
         del offset
         for record, verdict in zip(batch.records, results):
-            is_mark = isinstance(record, records.SnapshotMarked)
+            is_mark = isinstance(record, snapshot_records.SnapshotMarked)
             if is_mark and verdict.accepted:
                 self._apply_mark(batch, record)
 
     def _apply_mark(
-        self, batch: record_batches.RecordBatch, mark: records.SnapshotMarked
+        self,
+        batch: record_batches.RecordBatch,
+        mark: snapshot_records.SnapshotMarked,
     ) -> None:
         taken = self._take(mark.snapshot_id)
         if mark.node == self._node:
--- a/foxtaillock/state/tables.py
+++ b/foxtaillock/state/tables.py
@@ -4,7 +4,7 @@
 import typing
 
 from foxtaillock.model import config_objects
-from foxtaillock.model import records
+from foxtaillock.model import note_records
 
 __all__ = [
     "ControlTables",
@@ -53,7 +53,7 @@
     note_id: str
     author: str
     title: str
-    changes: tuple[records.Change, ...]
+    changes: tuple[note_records.Change, ...]
 
 
 class StoredKey(typing.NamedTuple):
--- a/foxtaillock/state/tests/control_model.py
+++ b/foxtaillock/state/tests/control_model.py
@@ -6,8 +6,14 @@
 import re
 import typing
 
+from foxtaillock.model import grant_records
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 
 __all__ = ["ControlModel"]
 
@@ -35,7 +41,7 @@
         for record in batch.records:
             name = re.sub("([A-Z])", r"_\1", type(record).__name__).lower()
             accepted.append(getattr(self, f"_may{name}")(record))
-            is_repeated = record in self._accepted_of(records.NoteAccepted)
+            is_repeated = record in self._accepted_of(note_records.NoteAccepted)
             if accepted[-1] and not is_repeated:
                 self.accepted.append((offset, record))
         return accepted
@@ -55,7 +61,7 @@
         """Returns all objects, including pools that are being withdrawn."""
         found: dict[tuple[str, str], tuple[int, typing.Any]] = {}
         for i, (offset, record) in enumerate(self.accepted):
-            if isinstance(record, records.PoolRetired):
+            if isinstance(record, pool_records.PoolRetired):
                 key = ("pool", record.pool)
                 body = {"size": 0, "zones": [], "withdrawal": "drained"}
                 found[key] = (found[key][0], body)
@@ -75,20 +81,22 @@
         """Returns whether a pool was claimed or had a VM before row `end`."""
         before = [record for _, record in self.accepted[:end]]
         steps = {
-            row.vm: row for row in before if isinstance(row, records.VmStep)
+            row.vm: row for row in before if isinstance(row, vm_records.VmStep)
         }
         has_vm = any(
             row.pool == pool and row.step != "left" for row in steps.values()
         )
         return has_vm or any(
-            isinstance(row, records.PoolClaimed) and row.pool == pool
+            isinstance(row, pool_records.PoolClaimed) and row.pool == pool
             for row in before
         )
 
-    def _may_pool_retired(self, row: records.PoolRetired) -> bool:
+    def _may_pool_retired(self, row: pool_records.PoolRetired) -> bool:
         revision, body = self.all_objects().get(("pool", row.pool), (0, {}))
         step = {"drained": "draining", "removed": "drained"}[row.step]
-        steps = [self.vm(step.vm) for step in self._accepted_of(records.VmStep)]
+        steps = [
+            self.vm(step.vm) for step in self._accepted_of(vm_records.VmStep)
+        ]
         has_vms = any(last and last.pool == row.pool for last in steps)
         return (
             bool(row.node)
@@ -97,8 +105,8 @@
             and not (row.step == "removed" and has_vms)
         )
 
-    def _may_note_accepted(self, note: records.NoteAccepted) -> bool:
-        if note in self._accepted_of(records.NoteAccepted):
+    def _may_note_accepted(self, note: note_records.NoteAccepted) -> bool:
+        if note in self._accepted_of(note_records.NoteAccepted):
             return True
         before = self.objects()
         new_bodies = {key: body for key, (_, body) in before.items()}
@@ -127,32 +135,36 @@
                 if ("team", team) not in new_bodies:
                     return False
         withdrawn = {
-            row.key_id for row in self._accepted_of(records.KeyWithdrawn)
+            row.key_id for row in self._accepted_of(key_records.KeyWithdrawn)
         }
-        for given in self._accepted_of(records.KeyGiven):
+        for given in self._accepted_of(key_records.KeyGiven):
             is_valid = given.team and given.key_id not in withdrawn
             if is_valid and ("team", given.team) not in new_bodies:
                 return False
         return True
 
-    def _may_key_given(self, key: records.KeyGiven) -> bool:
+    def _may_key_given(self, key: key_records.KeyGiven) -> bool:
         withdrawn = [
-            row.key_id for row in self._accepted_of(records.KeyWithdrawn)
+            row.key_id for row in self._accepted_of(key_records.KeyWithdrawn)
         ]
         if key.key_id in withdrawn:
             return False
-        for given in self._accepted_of(records.KeyGiven):
+        for given in self._accepted_of(key_records.KeyGiven):
             if given.key_id == key.key_id:
                 return bool(given[1:3] == key[1:3])
         return not key.team or ("team", key.team) in self.objects()
 
-    def _may_key_withdrawn(self, _: records.KeyWithdrawn) -> bool:
+    def _may_key_withdrawn(self, _: key_records.KeyWithdrawn) -> bool:
         return True
 
     def _session(self, node: str, incarnation: str) -> tuple[int, bool]:
-        rows = self._accepted_of(records.SessionRenewed, records.SessionEnded)
+        rows = self._accepted_of(
+            session_records.SessionRenewed, session_records.SessionEnded
+        )
         rows = [row for row in rows if row[:2] == (node, incarnation)]
-        ended = any(isinstance(row, records.SessionEnded) for row in rows)
+        ended = any(
+            isinstance(row, session_records.SessionEnded) for row in rows
+        )
         return max((row.counter for row in rows), default=0), ended
 
     def _is_live(self, node: str, incarnation: str) -> bool:
@@ -161,15 +173,15 @@
 
     def live_sessions(self) -> list[tuple[str, str]]:
         """Returns the live sessions, sorted."""
-        rows = self._accepted_of(records.SessionRenewed)
+        rows = self._accepted_of(session_records.SessionRenewed)
         found = {(row.node, row.incarnation) for row in rows}
         return sorted(key for key in found if self._is_live(*key))
 
-    def _may_session_renewed(self, row: records.SessionRenewed) -> bool:
+    def _may_session_renewed(self, row: session_records.SessionRenewed) -> bool:
         counter, ended = self._session(row.node, row.incarnation)
         return not ended and row.counter > counter
 
-    def _may_session_ended(self, row: records.SessionEnded) -> bool:
+    def _may_session_ended(self, row: session_records.SessionEnded) -> bool:
         counter, ended = self._session(row.node, row.incarnation)
         return ended or 0 < counter <= row.counter
 
@@ -180,27 +192,29 @@
         """
         last = ("", "", 0)
         for row in self._accepted_of(
-            records.PoolClaimed, records.PoolReleased, records.PoolRetired
+            pool_records.PoolClaimed,
+            pool_records.PoolReleased,
+            pool_records.PoolRetired,
         ):
             ends_claim = getattr(row, "step", "removed") == "removed"
             if row.pool == pool and ends_claim:
-                is_claim = isinstance(row, records.PoolClaimed)
+                is_claim = isinstance(row, pool_records.PoolClaimed)
                 last = row[1:4] if is_claim else ("", "", row.epoch)
         return last
 
-    def _may_pool_claimed(self, row: records.PoolClaimed) -> bool:
+    def _may_pool_claimed(self, row: pool_records.PoolClaimed) -> bool:
         node, incarnation, epoch = self.claim(row.pool)
         if not self._is_live(row.node, row.incarnation):
             return False
         exists = ("pool", row.pool) in self.all_objects()
-        if not exists and row.pool != records.FLEET_POOL:
+        if not exists and row.pool != pool_records.FLEET_POOL:
             return False
         if row.epoch != epoch + 1:
             return False
         is_own = (node, incarnation) == row[1:3]
         return is_own or not self._is_live(node, incarnation)
 
-    def _may_pool_released(self, row: records.PoolReleased) -> bool:
+    def _may_pool_released(self, row: pool_records.PoolReleased) -> bool:
         return bool(row.node) and self.claim(row.pool) == row[1:4]
 
     def grants(self, team: str) -> dict[tuple[str, str], int]:
@@ -211,13 +225,13 @@
         """Returns amount and reserved part of each session."""
         found: dict[tuple[str, str], tuple[int, int]] = {}
         for row, limit in self._grant_records_with_limit(team):
-            if isinstance(row, records.GrantReclaimed):
+            if isinstance(row, grant_records.GrantReclaimed):
                 found.pop((row.node, row.incarnation), None)
-            elif isinstance(row, records.LentGrantsReclaimed):
+            elif isinstance(row, grant_records.LentGrantsReclaimed):
                 key = (row.node, row.incarnation)
                 reserved = found.pop(key, (0, 0))[1]
                 found[key] = (reserved, reserved)
-            elif isinstance(row, records.GrantsCarried):
+            elif isinstance(row, grant_records.GrantsCarried):
                 amount = row.amounts.get(team, 0)
                 for key, sign in ((row[2:4], -1), (row[4:6], 1)):
                     old = found.get(key, (0, 0))
@@ -240,14 +254,14 @@
         limit = 0
         found = []
         for row in self._accepted_of(
-            records.NoteAccepted,
-            records.GrantChanged,
-            records.StandingGrantChanged,
-            records.GrantReclaimed,
-            records.LentGrantsReclaimed,
-            records.GrantsCarried,
+            note_records.NoteAccepted,
+            grant_records.GrantChanged,
+            grant_records.StandingGrantChanged,
+            grant_records.GrantReclaimed,
+            grant_records.LentGrantsReclaimed,
+            grant_records.GrantsCarried,
         ):
-            if not isinstance(row, records.NoteAccepted):
+            if not isinstance(row, note_records.NoteAccepted):
                 found.append((row, limit))
                 continue
             for change in row.changes:
@@ -258,11 +272,11 @@
         return found
 
     def _may_standing_grant_changed(
-        self, row: records.StandingGrantChanged
+        self, row: grant_records.StandingGrantChanged
     ) -> bool:
-        return self._may_grant_changed(records.GrantChanged(*row[:5]))
+        return self._may_grant_changed(grant_records.GrantChanged(*row[:5]))
 
-    def _may_grant_changed(self, row: records.GrantChanged) -> bool:
+    def _may_grant_changed(self, row: grant_records.GrantChanged) -> bool:
         if not self._is_live(row.node, row.incarnation):
             return False
         held = self.grants(row.team)
@@ -274,11 +288,11 @@
         return sum({**held, session: row.amount}.values()) <= int(limit)
 
     def _may_lent_grants_reclaimed(
-        self, row: records.LentGrantsReclaimed
+        self, row: grant_records.LentGrantsReclaimed
     ) -> bool:
-        return self._may_grant_reclaimed(records.GrantReclaimed(*row))
+        return self._may_grant_reclaimed(grant_records.GrantReclaimed(*row))
 
-    def _may_grant_reclaimed(self, row: records.GrantReclaimed) -> bool:
+    def _may_grant_reclaimed(self, row: grant_records.GrantReclaimed) -> bool:
         session = (row.node, row.incarnation)
         pools = [name for kind, name in self.all_objects() if kind == "pool"]
         is_open = any(
@@ -292,28 +306,28 @@
         found: tuple[str, str] | None = None
         owner: tuple[str, str] | None = None
         for row in self._accepted_of(
-            records.PoolClaimed,
-            records.PoolReleased,
-            records.PoolRetired,
-            records.GrantsCarried,
+            pool_records.PoolClaimed,
+            pool_records.PoolReleased,
+            pool_records.PoolRetired,
+            grant_records.GrantsCarried,
         ):
             if row.pool != pool:
                 continue
-            if isinstance(row, records.PoolRetired):
+            if isinstance(row, pool_records.PoolRetired):
                 if row.step == "removed":
                     owner = found = None
                 continue
-            if isinstance(row, records.GrantsCarried):
+            if isinstance(row, grant_records.GrantsCarried):
                 found = None
                 continue
-            is_claim = isinstance(row, records.PoolClaimed)
+            is_claim = isinstance(row, pool_records.PoolClaimed)
             claimant = (row.node, row.incarnation) if is_claim else None
             if owner != claimant:
                 found = found or owner
             owner = claimant
         return found
 
-    def _may_grants_carried(self, row: records.GrantsCarried) -> bool:
+    def _may_grants_carried(self, row: grant_records.GrantsCarried) -> bool:
         source, target = row[2:4], row[4:6]
         parts = [self.parts(team).get(source, (0, 0)) for team in row.amounts]
         held = [amount - reserved for amount, reserved in parts]
@@ -328,18 +342,18 @@
             )
         )
 
-    def vm(self, vm: str) -> records.VmStep | None:
+    def vm(self, vm: str) -> vm_records.VmStep | None:
         """Returns the last step of a VM that is in a pool."""
         rows = [
-            row for row in self._accepted_of(records.VmStep) if row.vm == vm
+            row for row in self._accepted_of(vm_records.VmStep) if row.vm == vm
         ]
         return rows[-1] if rows and rows[-1].step != "left" else None
 
     def _is_fleet_epoch(self, epoch: int) -> bool:
-        node, _, current = self.claim(records.FLEET_POOL)
+        node, _, current = self.claim(pool_records.FLEET_POOL)
         return epoch == current and (bool(node) or epoch == 0)
 
-    def _may_vm_step(self, row: records.VmStep) -> bool:
+    def _may_vm_step(self, row: vm_records.VmStep) -> bool:
         last = self.vm(row.vm)
         if not self._is_fleet_epoch(row.epoch):
             return False
@@ -357,20 +371,24 @@
             return False
         return steps.index(row.step) == steps.index(last.step) + 1
 
-    def _find_disruption(self, vm: str) -> records.DisruptionGranted | None:
+    def _find_disruption(self, vm: str) -> vm_records.DisruptionGranted | None:
         found = None
         for row in self._accepted_of(
-            records.DisruptionGranted, records.DisruptionEnded, records.VmStep
+            vm_records.DisruptionGranted,
+            vm_records.DisruptionEnded,
+            vm_records.VmStep,
         ):
             if row.vm != vm:
                 continue
-            if isinstance(row, records.DisruptionGranted):
+            if isinstance(row, vm_records.DisruptionGranted):
                 found = row
-            elif not isinstance(row, records.VmStep) or row.step == "left":
+            elif not isinstance(row, vm_records.VmStep) or row.step == "left":
                 found = None
         return found
 
-    def _may_disruption_granted(self, row: records.DisruptionGranted) -> bool:
+    def _may_disruption_granted(
+        self, row: vm_records.DisruptionGranted
+    ) -> bool:
         last = self.vm(row.vm)
         return (
             self._is_fleet_epoch(row.epoch)
@@ -379,7 +397,7 @@
             and self._find_disruption(row.vm) is None
         )
 
-    def _may_disruption_ended(self, row: records.DisruptionEnded) -> bool:
+    def _may_disruption_ended(self, row: vm_records.DisruptionEnded) -> bool:
         disruption = self._find_disruption(row.vm)
         return (
             self._is_fleet_epoch(row.epoch)
@@ -391,9 +409,9 @@
         """Returns the time of a VM's last recorded maintenance."""
         pool, found = "", None
         for row in self._accepted_of(
-            records.VmStep, records.MaintenanceRecorded
+            vm_records.VmStep, vm_records.MaintenanceRecorded
         ):
-            if isinstance(row, records.VmStep):
+            if isinstance(row, vm_records.VmStep):
                 if row.vm == vm:
                     pool = "" if row.step == "left" else row.pool
             elif vm in row.ended_at_s and row.pool == pool:
@@ -401,14 +419,14 @@
         return found
 
     def _may_maintenance_recorded(
-        self, row: records.MaintenanceRecorded
+        self, row: vm_records.MaintenanceRecorded
     ) -> bool:
         return self._is_fleet_epoch(row.epoch)
 
-    def _may_wave_changed(self, row: records.WaveChanged) -> bool:
+    def _may_wave_changed(self, row: vm_records.WaveChanged) -> bool:
         states = [
             wave.state
-            for wave in self._accepted_of(records.WaveChanged)
+            for wave in self._accepted_of(vm_records.WaveChanged)
             if wave.wave_id == row.wave_id
         ]
         is_over = bool({"done", "cancelled"} & set(states))
--- a/foxtaillock/state/tests/test_control_differential.py
+++ b/foxtaillock/state/tests/test_control_differential.py
@@ -3,8 +3,14 @@
 import random
 import unittest
 
+from foxtaillock.model import grant_records
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 from foxtaillock.state.tests import control_model
 
@@ -12,7 +18,7 @@
 _BATCHES = 120
 _NODES = ("a", "b", "c")
 _POOLS = ("p", "r")
-_CLAIMED = (*_POOLS, records.FLEET_POOL)
+_CLAIMED = (*_POOLS, pool_records.FLEET_POOL)
 _TEAMS = ("t", "u")
 _STEPS = ("joined", "withdrawn", "drained", "left")
 
@@ -50,9 +56,9 @@
     def _note(self) -> records.Record:
         changes = [self._change() for _ in range(self._rng.randint(1, 3))]
         name = f"n{self._rng.randrange(self._count + 1)}"
-        return records.NoteAccepted(name, "op", "", tuple(changes))
+        return note_records.NoteAccepted(name, "op", "", tuple(changes))
 
-    def _change(self) -> records.Change:
+    def _change(self) -> note_records.Change:
         kind, names = self._rng.choice(
             (("team", _TEAMS), ("pool", _POOLS), ("queue", ("q",)))
         )
@@ -66,18 +72,18 @@
         stored = self._model.objects().get((kind, name))
         if stored is None:
             action = self._rng.choice(("added", "added", "changed"))
-            return records.Change(action, kind, name, 0, body)
+            return note_records.Change(action, kind, name, 0, body)
         action = self._rng.choice(("changed",) * 6 + ("withdrawn", "added"))
         revision = stored[0] - (self._rng.random() < 0.2)
         body = {} if action == "withdrawn" else body
-        return records.Change(action, kind, name, revision, body)
+        return note_records.Change(action, kind, name, revision, body)
 
     def _key(self) -> records.Record:
         key_id = f"k{self._rng.randrange(12)}"
         if self._rng.random() < 0.5:
-            return records.KeyWithdrawn(key_id, "op")
+            return key_records.KeyWithdrawn(key_id, "op")
         team = self._rng.choice((*_TEAMS, ""))
-        return records.KeyGiven(key_id, "d", team, "op")
+        return key_records.KeyGiven(key_id, "d", team, "op")
 
     def _node(self) -> tuple[str, str]:
         live = self._model.live_sessions()
@@ -89,33 +95,36 @@
         node, incarnation = self._node()
         counter = self._rng.randint(1, 30)
         if self._rng.random() < 0.8:
-            return records.SessionRenewed(
+            return session_records.SessionRenewed(
                 node, incarnation, counter, "z", "", ""
             )
         pool = self._rng.choice(_POOLS)
         source = (
             self._model.carryover_source(pool) or self._model.claim(pool)[:2]
         )
-        return records.SessionEnded(*source, counter + 5, "b")
+        return session_records.SessionEnded(*source, counter + 5, "b")
 
     def _claim(self) -> records.Record:
         pool = self._rng.choice(_CLAIMED)
         claim = self._model.claim(pool)
         if self._rng.random() < 0.2:
-            return records.PoolReleased(pool, *claim)
+            return pool_records.PoolReleased(pool, *claim)
         epoch = claim[2] + self._rng.choice((0, 1, 1, 1, 2))
-        return records.PoolClaimed(pool, *self._node(), epoch)
+        return pool_records.PoolClaimed(pool, *self._node(), epoch)
 
     def _grant(self) -> records.Record:
         if self._rng.random() < 0.2:
-            kinds = (records.GrantReclaimed, records.LentGrantsReclaimed)
+            kinds = (
+                grant_records.GrantReclaimed,
+                grant_records.LentGrantsReclaimed,
+            )
             return self._rng.choice(kinds)(*self._node())
         amount = self._rng.randrange(9)
         team = self._rng.choice(_TEAMS)
-        change = records.GrantChanged(team, *self._node(), amount, 1)
+        change = grant_records.GrantChanged(team, *self._node(), amount, 1)
         if self._rng.random() < 0.3:
             return change
-        return records.StandingGrantChanged(
+        return grant_records.StandingGrantChanged(
             *change, self._rng.randrange(6), 60.0
         )
 
@@ -131,7 +140,7 @@
             for team in _TEAMS
             if self._rng.random() < 0.5
         }
-        return records.GrantsCarried(
+        return grant_records.GrantsCarried(
             pool, epoch, *source, node, incarnation, amounts
         )
 
@@ -142,7 +151,7 @@
         step = "removed" if is_drained else "drained"
         revision = stored[0] - (self._rng.random() < 0.1)
         claim = self._model.claim(pool)
-        return records.PoolRetired(pool, *claim, revision, step)
+        return pool_records.PoolRetired(pool, *claim, revision, step)
 
     def _move(self) -> records.Record:
         pool = self._rng.choice(_POOLS)
@@ -150,24 +159,24 @@
         vm = self._rng.choice(("v", "w"))
         kind = self._rng.random()
         if kind < 0.2:
-            return records.DisruptionGranted(vm, pool, "k", "z", "", epoch)
+            return vm_records.DisruptionGranted(vm, pool, "k", "z", "", epoch)
         if kind < 0.4:
-            return records.DisruptionEnded(vm, pool, epoch)
+            return vm_records.DisruptionEnded(vm, pool, epoch)
         if kind < 0.5:
             ended_at_s = {vm: self._rng.randrange(9)}
-            return records.MaintenanceRecorded(pool, ended_at_s, epoch)
+            return vm_records.MaintenanceRecorded(pool, ended_at_s, epoch)
         step = self._rng.choice(_STEPS)
-        return records.VmStep(vm, self._rng.randint(1, 2), pool, step, epoch)
+        return vm_records.VmStep(vm, self._rng.randint(1, 2), pool, step, epoch)
 
     def _fleet_epoch(self) -> int:
-        return self._model.claim(records.FLEET_POOL)[2]
+        return self._model.claim(pool_records.FLEET_POOL)[2]
 
     def _wave(self) -> records.Record:
         pool = self._rng.choice(_POOLS)
         state = self._rng.choice(("running", "paused", "done", "cancelled"))
         wave_id = f"w{self._rng.randrange(4)}"
         epoch = self._fleet_epoch()
-        return records.WaveChanged(wave_id, pool, state, "", epoch)
+        return vm_records.WaveChanged(wave_id, pool, state, "", epoch)
 
 
 class ControlDifferentialTest(unittest.TestCase):
--- a/foxtaillock/state/tests/test_control_state.py
+++ b/foxtaillock/state/tests/test_control_state.py
@@ -4,13 +4,19 @@
 import random
 import unittest
 
+from foxtaillock.model import grant_records
+from foxtaillock.model import key_records
+from foxtaillock.model import note_records
+from foxtaillock.model import pool_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import session_records
 from foxtaillock.model import verdicts
+from foxtaillock.model import vm_records
 from foxtaillock.state import control_state
 from foxtaillock.state import vms_fold
 
-Change = records.Change
+Change = note_records.Change
 
 
 class ControlStateTest(unittest.TestCase):
@@ -32,7 +38,7 @@
         return [result.code for result in self._fold(*rows)]
 
     def _note(self, *changes: Change) -> verdicts.Verdict:
-        note = records.NoteAccepted(f"n{self.offset}", "op", "t", changes)
+        note = note_records.NoteAccepted(f"n{self.offset}", "op", "t", changes)
         return self._fold(note)[0]
 
     def _set_up_pool(self) -> None:
@@ -42,7 +48,7 @@
             Change("added", "pool", "r", 0, {"size": 6}),
         )
         self._fold(_renewed("a"), _renewed("b"), _claimed("p", "a", 1))
-        self._fold(_claimed(records.FLEET_POOL, "b", 1))
+        self._fold(_claimed(pool_records.FLEET_POOL, "b", 1))
 
     def test_conflicting_note_is_refused_with_all_findings(self) -> None:
         self._set_up_pool()
@@ -77,7 +83,7 @@
 
     def test_repeated_note_is_applied_once(self) -> None:
         change = Change("added", "team", "t", 0, {"share": 1})
-        note = records.NoteAccepted("n", "op", "t", (change,))
+        note = note_records.NoteAccepted("n", "op", "t", (change,))
         self._fold(note)
         self.assertEqual(
             self._fold(note), [verdicts.Verdict(True, "already-accepted")]
@@ -109,18 +115,18 @@
 
     def test_withdrawn_key_is_never_given_again(self) -> None:
         self._set_up_pool()
-        given = records.KeyGiven("k", "d", "t", "op")
-        withdrawn = records.KeyWithdrawn("k", "op")
+        given = key_records.KeyGiven("k", "d", "t", "op")
+        withdrawn = key_records.KeyWithdrawn("k", "op")
         codes = self._codes(given, given, withdrawn, given)
         self.assertEqual(codes, ["", "already-accepted", "", "key-withdrawn"])
-        withdrawn_first = records.KeyWithdrawn("l", "op")
+        withdrawn_first = key_records.KeyWithdrawn("l", "op")
         codes = self._codes(withdrawn_first, given._replace(key_id="l"))
         self.assertEqual(codes, ["", "key-withdrawn"])
 
     def test_renewed_session_is_not_ended_and_ended_session_not_renewed(
         self,
     ) -> None:
-        ended = records.SessionEnded("a", "ia", 1, "b")
+        ended = session_records.SessionEnded("a", "ia", 1, "b")
         codes = self._codes(_renewed("a", 1), _renewed("a", 2), ended)
         self.assertEqual(codes, ["", "", "stale-counter"])
         codes = self._codes(ended._replace(counter=2), _renewed("a", 3))
@@ -134,10 +140,10 @@
             _claimed("p", "c", 2),
             _claimed("none", "b", 1),
             _claimed("p", "a", 2),
-            records.SessionEnded("a", "ia", 1, "b"),
+            session_records.SessionEnded("a", "ia", 1, "b"),
             _claimed("p", "b", 3),
-            records.PoolReleased("p", "a", "ia", 2, "c"),
-            records.PoolReleased("p", "b", "ib", 3, "c"),
+            pool_records.PoolReleased("p", "a", "ia", 2, "c"),
+            pool_records.PoolReleased("p", "b", "ib", 3, "c"),
         )
         self.assertEqual(
             codes,
@@ -174,14 +180,14 @@
 
     def test_grant_of_ended_session_counts_until_reclaimed(self) -> None:
         self._set_up_pool()
-        reclaimed = records.GrantReclaimed("a", "ia")
+        reclaimed = grant_records.GrantReclaimed("a", "ia")
         codes = self._codes(
             _granted("a", 10),
             reclaimed,
-            records.SessionEnded("a", "ia", 1, "b"),
+            session_records.SessionEnded("a", "ia", 1, "b"),
             _granted("b", 1),
             _claimed("p", "b", 2),
-            records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {}),
+            grant_records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {}),
             reclaimed,
             _granted("b", 10),
         )
@@ -190,21 +196,23 @@
         )
 
     def test_withdrawn_pool_keeps_grants_until_carried_over(self) -> None:
-        for steps in ((), (records.PoolReleased("p", "a", "ia", 1),)):
+        for steps in ((), (pool_records.PoolReleased("p", "a", "ia", 1),)):
             self.setUp()
             self._set_up_pool()
-            reclaimed = records.GrantReclaimed("a", "ia")
-            ended = records.SessionEnded("a", "ia", 1, "b")
+            reclaimed = grant_records.GrantReclaimed("a", "ia")
+            ended = session_records.SessionEnded("a", "ia", 1, "b")
             self._fold(_granted("a", 10), *steps, ended)
             self.assertEqual(self._codes(reclaimed), ["pools-open"])
             revision = self.state.objects("pool")["p"].revision
-            self._note(records.Change("withdrawn", "pool", "p", revision, {}))
+            self._note(
+                note_records.Change("withdrawn", "pool", "p", revision, {})
+            )
             codes = self._codes(
                 reclaimed,
                 _granted("b", 10),
                 _claimed("p", "b", 2),
                 reclaimed,
-                records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {}),
+                grant_records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {}),
                 reclaimed,
                 _granted("b", 10),
             )
@@ -218,12 +226,14 @@
 
     def test_grants_of_running_attempts_are_carried_to_new_owner(self) -> None:
         self._set_up_pool()
-        carried = records.GrantsCarried("p", 2, "a", "ia", "b", "ib", {"t": 3})
-        reclaimed = records.GrantReclaimed("a", "ia")
+        carried = grant_records.GrantsCarried(
+            "p", 2, "a", "ia", "b", "ib", {"t": 3}
+        )
+        reclaimed = grant_records.GrantReclaimed("a", "ia")
         codes = self._codes(
             _granted("a", 7),
             carried,
-            records.SessionEnded("a", "ia", 1, "b"),
+            session_records.SessionEnded("a", "ia", 1, "b"),
             reclaimed,
             _claimed("p", "b", 2),
             reclaimed,
@@ -255,8 +265,8 @@
     def test_vm_is_in_one_pool(self) -> None:
         self._set_up_pool()
         self._fold(_claimed("r", "b", 1))
-        step = records.VmStep("v", 1, "p", "joined", 1)
-        other = records.VmStep("v", 2, "r", "joined", 1)
+        step = vm_records.VmStep("v", 1, "p", "joined", 1)
+        other = vm_records.VmStep("v", 2, "r", "joined", 1)
         codes = self._codes(
             step,
             other,
@@ -288,15 +298,15 @@
 
     def test_disruptions_and_waves(self) -> None:
         self._set_up_pool()
-        grant = records.DisruptionGranted("v", "p", "k", "z", "reboot", 1)
-        wave = records.WaveChanged("w", "p", "done", "", 1)
+        grant = vm_records.DisruptionGranted("v", "p", "k", "z", "reboot", 1)
+        wave = vm_records.WaveChanged("w", "p", "done", "", 1)
         codes = self._codes(
             grant,
-            records.VmStep("v", 1, "p", "joined", 1),
+            vm_records.VmStep("v", 1, "p", "joined", 1),
             grant,
             grant,
-            records.DisruptionEnded("v", "p", 1),
-            records.DisruptionEnded("v", "p", 1),
+            vm_records.DisruptionEnded("v", "p", 1),
+            vm_records.DisruptionEnded("v", "p", 1),
             wave,
             wave._replace(state="running"),
         )
@@ -317,7 +327,7 @@
     def test_duplicate_batch_has_no_effect(self) -> None:
         self._set_up_pool()
         batch = record_batches.RecordBatch(
-            "e", "x", 1, (records.KeyWithdrawn("k", ""),)
+            "e", "x", 1, (key_records.KeyWithdrawn("k", ""),)
         )
         results = self.state.apply(self.offset, batch)
         self.assertEqual([row.code for row in results], ["duplicate"])
@@ -327,12 +337,12 @@
         self._set_up_pool()
         self._fold(
             _granted("a", 7),
-            records.KeyGiven("k", "d", "t", "op"),
-            records.VmStep("v", 1, "p", "joined", 1),
-            records.DisruptionGranted("v", "p", "k", "z", "reboot", 1),
-            records.WaveChanged("w", "p", "running", "", 1),
+            key_records.KeyGiven("k", "d", "t", "op"),
+            vm_records.VmStep("v", 1, "p", "joined", 1),
+            vm_records.DisruptionGranted("v", "p", "k", "z", "reboot", 1),
+            vm_records.WaveChanged("w", "p", "running", "", 1),
             records.UnknownRecord("later", "[1]"),
-            records.SessionEnded("b", "ib", 1, "a"),
+            session_records.SessionEnded("b", "ib", 1, "a"),
         )
         text = self.state.encode()
         restored = control_state.ControlState.decode(text)
@@ -371,13 +381,15 @@
         self.assertEqual(self._codes(malformed), ["malformed"])
 
 
-def _renewed(node: str, counter: int = 1) -> records.SessionRenewed:
-    return records.SessionRenewed(node, f"i{node}", counter, "z", "", "")
+def _renewed(node: str, counter: int = 1) -> session_records.SessionRenewed:
+    return session_records.SessionRenewed(
+        node, f"i{node}", counter, "z", "", ""
+    )
 
 
-def _claimed(pool: str, node: str, epoch: int) -> records.PoolClaimed:
-    return records.PoolClaimed(pool, node, f"i{node}", epoch)
+def _claimed(pool: str, node: str, epoch: int) -> pool_records.PoolClaimed:
+    return pool_records.PoolClaimed(pool, node, f"i{node}", epoch)
 
 
-def _granted(node: str, amount: int) -> records.GrantChanged:
-    return records.GrantChanged("t", node, f"i{node}", amount, amount)
+def _granted(node: str, amount: int) -> grant_records.GrantChanged:
+    return grant_records.GrantChanged("t", node, f"i{node}", amount, amount)
--- a/foxtaillock/state/tests/test_replica.py
+++ b/foxtaillock/state/tests/test_replica.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 
 from foxtaillock import exceptions
+from foxtaillock.model import key_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
 from foxtaillock.state import budget as budgets
@@ -54,8 +55,8 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
-def _withdrawn(name: str) -> records.KeyWithdrawn:
-    return records.KeyWithdrawn(name, "op")
+def _withdrawn(name: str) -> key_records.KeyWithdrawn:
+    return key_records.KeyWithdrawn(name, "op")
 
 
 def _stored_names(log: fake_log.FakeLog) -> list[str]:
--- a/foxtaillock/state/tests/test_snapshots.py
+++ b/foxtaillock/state/tests/test_snapshots.py
@@ -6,8 +6,10 @@
 import unittest
 
 from foxtaillock import exceptions
+from foxtaillock.model import key_records
 from foxtaillock.model import record_batches
 from foxtaillock.model import records
+from foxtaillock.model import snapshot_records
 from foxtaillock.state import control_state
 from foxtaillock.state import replica as replicas
 from foxtaillock.state import snapshots
@@ -71,7 +73,7 @@
 
 async def _write_keys(node: _Node, first: int, count: int) -> None:
     for number in range(first, first + count):
-        given = records.KeyGiven(f"k{number}", "d" * 64, "", "op")
+        given = key_records.KeyGiven(f"k{number}", "d" * 64, "", "op")
         await node.control.commit(given)
         await asyncio.sleep(0.1)
 
@@ -182,7 +184,7 @@
                 await node.snapshotter.start()
                 node.run()
             await _write_keys(nodes[0], 0, 3)
-            foreign = records.KeyWithdrawn("k0", "op")
+            foreign = key_records.KeyWithdrawn("k0", "op")
             batch = record_batches.RecordBatch("c", "x", 1, (foreign,))
             nodes[1].state.apply(3, batch)
             await asyncio.sleep(30.0)
@@ -245,7 +247,7 @@
                 snapshots.decode(data)
 
 
-def _find_complete(rows: list[records.SnapshotChunk]) -> list[str]:
+def _find_complete(rows: list[snapshot_records.SnapshotChunk]) -> list[str]:
     found = []
     for number in range(4):
         chunks = [row for row in rows if row.snapshot_id == f"s{number}"]
--- a/foxtaillock/state/vms_fold.py
+++ b/foxtaillock/state/vms_fold.py
@@ -2,6 +2,7 @@
 
 from foxtaillock.model import records
 from foxtaillock.model import verdicts
+from foxtaillock.model import vm_records
 from foxtaillock.state import handlers
 from foxtaillock.state import sessions_fold
 from foxtaillock.state import tables
@@ -29,10 +30,10 @@
 }
 
 
-@handlers.register_handler(records.VmStep)
+@handlers.register_handler(vm_records.VmStep)
 @sessions_fold.requires_fleet_epoch
 def fold_vm_step(
-    state: tables.ControlTables, offset: int, record: records.VmStep
+    state: tables.ControlTables, offset: int, record: vm_records.VmStep
 ) -> verdicts.Verdict:
     """Moves a VM one step; it is in one pool from `joined` to `left`."""
     del offset
@@ -42,7 +43,7 @@
 
 
 def _join(
-    state: tables.ControlTables, record: records.VmStep
+    state: tables.ControlTables, record: vm_records.VmStep
 ) -> verdicts.Verdict:
     place = f"vm/{record.vm}"
     stored = state.vms.get(record.vm)
@@ -60,7 +61,7 @@
 
 
 def _advance(
-    state: tables.ControlTables, record: records.VmStep
+    state: tables.ControlTables, record: vm_records.VmStep
 ) -> verdicts.Verdict:
     place = f"vm/{record.vm}"
     stored = state.vms.get(record.vm)
@@ -79,10 +80,12 @@
     return verdicts.ACCEPTED
 
 
-@handlers.register_handler(records.DisruptionGranted)
+@handlers.register_handler(vm_records.DisruptionGranted)
 @sessions_fold.requires_fleet_epoch
 def fold_disruption_granted(
-    state: tables.ControlTables, offset: int, record: records.DisruptionGranted
+    state: tables.ControlTables,
+    offset: int,
+    record: vm_records.DisruptionGranted,
 ) -> verdicts.Verdict:
     """Grants a disruption of a VM in the pool that has none."""
     place = f"vm/{record.vm}"
@@ -97,10 +100,10 @@
     return verdicts.ACCEPTED
 
 
-@handlers.register_handler(records.DisruptionEnded)
+@handlers.register_handler(vm_records.DisruptionEnded)
 @sessions_fold.requires_fleet_epoch
 def fold_disruption_ended(
-    state: tables.ControlTables, offset: int, record: records.DisruptionEnded
+    state: tables.ControlTables, offset: int, record: vm_records.DisruptionEnded
 ) -> verdicts.Verdict:
     """Ends the disruption of a VM in the pool."""
     del offset
@@ -112,12 +115,12 @@
     return verdicts.ACCEPTED
 
 
-@handlers.register_handler(records.MaintenanceRecorded)
+@handlers.register_handler(vm_records.MaintenanceRecorded)
 @sessions_fold.requires_fleet_epoch
 def fold_maintenance_recorded(
     state: tables.ControlTables,
     offset: int,
-    record: records.MaintenanceRecorded,
+    record: vm_records.MaintenanceRecorded,
 ) -> verdicts.Verdict:
     """Stores the time of the last maintenance of VMs in the pool.
 
@@ -143,10 +146,10 @@
         del state.last_maintenance[vm]
 
 
-@handlers.register_handler(records.WaveChanged)
+@handlers.register_handler(vm_records.WaveChanged)
 @sessions_fold.requires_fleet_epoch
 def fold_wave_changed(
-    state: tables.ControlTables, offset: int, record: records.WaveChanged
+    state: tables.ControlTables, offset: int, record: vm_records.WaveChanged
 ) -> verdicts.Verdict:
     """Changes the state of a wave that is not finished."""
     stored = state.waves.pop(record.wave_id, None)
