Platform tests: the set-up of a platform and its entry VMs stands once

Now `platform_case` starts the platform, and `entry_vm_case` configures it, starts entry VMs and waits. Times after which a condition counts as never fulfilled stay as they were, 15 s or 20 s by class.

Not joined: test_acknowledgements has a platform of another class and polls at another interval, test_odd_calls runs its own event loop.

--- a/foxtaillock/platform/tests/crowd_case.py
+++ b/foxtaillock/platform/tests/crowd_case.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import unittest
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 
@@ -14,7 +13,7 @@
 
 from foxtaillock.platform.tests import crowd_process
 from foxtaillock.platform.tests import entry_process
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import platform_case
 
 __all__ = [
     "CALL_TIMEOUT_S",
@@ -49,14 +48,9 @@
 _QUIET_TIMEOUT_S = 30.0
 
 
-class CrowdCase(unittest.IsolatedAsyncioTestCase):
+class CrowdCase(platform_case.PlatformCase):
     """One process of an entry VM."""
 
-    async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-
     async def start_process(
         self,
         max_fds: int,
--- a/foxtaillock/platform/tests/test_daemon.py
+++ b/foxtaillock/platform/tests/test_daemon.py
@@ -20,7 +20,7 @@
 from foxtaillock.platform import http_server
 from foxtaillock.platform import settings as platform_settings
 from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import platform_case
 from foxtaillock.soak import processes
 
 _ID = "5c0e7a21d94b36f8"
@@ -48,13 +48,11 @@
     return list(run[1:])
 
 
-class DaemonTest(unittest.IsolatedAsyncioTestCase):
+class DaemonTest(platform_case.PlatformCase):
     """One process against the fake platform."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
+        await super().asyncSetUp()
         self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
         await self.platform.add_worker("i-1", "pool")
         self.platform.task_duration_s = 1000.0
--- a/foxtaillock/platform/tests/test_drain.py
+++ b/foxtaillock/platform/tests/test_drain.py
@@ -6,10 +6,9 @@
 import random
 import signal
 import time
-import unittest
 
 from foxtaillock.platform.tests import entry_process
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import platform_case
 
 # Allowance for a call that arrives just when its connection is closed.
 _LOSS_SLACK_S = 0.2
@@ -20,13 +19,11 @@
 _JOB = {"workload": "text", "steps": [{"count": 1, "cpu": 500}]}
 
 
-class DrainTest(unittest.IsolatedAsyncioTestCase):
+class DrainTest(platform_case.PlatformCase):
     """Submitters that go on calling until the process is gone."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
+        await super().asyncSetUp()
         self.process = await entry_process.start(self.platform, _GRACE_S)
         self.addAsyncCleanup(self.process.end)
         self.ids = (f"{number:016x}" for number in itertools.count())
--- a/foxtaillock/platform/tests/test_drain_connections.py
+++ b/foxtaillock/platform/tests/test_drain_connections.py
@@ -4,12 +4,12 @@
 import itertools
 import json
 import signal
-import unittest
 from collections.abc import Sequence
 
 from foxtaillock.platform.tests import entry_process
 from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import entry_vm_case
+from foxtaillock.platform.tests import platform_case
 from foxtaillock.soak import lost_answers
 from foxtaillock.soak import raw_clients
 
@@ -24,13 +24,11 @@
 _BOUNDS = lost_answers.Bounds(_GRACE_S, raw_clients.PATIENCE_S)
 
 
-class DrainConnectionsTest(unittest.IsolatedAsyncioTestCase):
+class DrainConnectionsTest(platform_case.PlatformCase):
     """One process that is stopped while connections are open."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
+        await super().asyncSetUp()
         self.process = await entry_process.start(self.platform, _GRACE_S)
         self.addAsyncCleanup(self.process.end)
         self.ids = (f"{number:016x}" for number in itertools.count())
@@ -103,15 +101,9 @@
         await self._stop_under(calls)
 
 
-class CloseTurnTest(unittest.IsolatedAsyncioTestCase):
+class CloseTurnTest(entry_vm_case.EntryVmCase):
     """An entry VM in this process, whose event loop it shares with a client."""
 
-    async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
-
     async def _drain_after(self, turns: int) -> list[lost_answers.Exchange]:
         """Drains a VM some turns of the loop after a call was sent."""
         vm = entry_vm.EntryVm(self.platform)
--- a/foxtaillock/platform/tests/test_entry_vm.py
+++ b/foxtaillock/platform/tests/test_entry_vm.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import typing
-import unittest
-from collections.abc import Callable
 from unittest import mock
 
 from foxtaillock.batch import configuration
@@ -12,7 +10,7 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import entry_vm_case
 
 _JOB = {
     "workload": "text",
@@ -27,38 +25,22 @@
 }
 _ID = "5c0e7a21d94b36f8"
 _OTHER_ID = "5c0e7a21d94b36f9"
-_TIMEOUT_S = 15.0
 
 
-class EntryVmTest(unittest.IsolatedAsyncioTestCase):
+class EntryVmTest(entry_vm_case.EntryVmCase):
     """A platform with one worker and one entry VM for each test."""
 
+    timeout_s = 15.0
+
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+        await super().asyncSetUp()
         await self.platform.add_worker("i-1", "pool")
-        self.vm = await self._start_vm("vm-1")
-
-    async def _start_vm(
-        self, name: str, key_age_s: float = 5.0, processors: float = 1.0
-    ) -> entry_vm.EntryVm:
-        vm = entry_vm.EntryVm(self.platform, name, key_age_s, processors)
-        await vm.start()
-        self.addAsyncCleanup(vm.stop)
-        await self._until(lambda: vm.node.is_ready)
-        return vm
-
-    async def _until(self, condition: Callable[[], bool]) -> None:
-        async with asyncio.timeout(_TIMEOUT_S):
-            while not condition():
-                await asyncio.sleep(0.02)
+        self.vm = await self.start_vm("vm-1")
 
     async def _until_state(
         self, vm: entry_vm.EntryVm, path: str, state: str, key: str = ""
     ) -> None:
-        async with asyncio.timeout(_TIMEOUT_S):
+        async with asyncio.timeout(self.timeout_s):
             while True:
                 reply = await vm.call("GET", path, key)
                 if reply.body.get("state") == state:
@@ -75,9 +57,9 @@
         self.assertEqual({text for _, text in self.platform.payloads}, {"text"})
 
     async def test_larger_vm_takes_over_the_ownership(self) -> None:
-        await self._until(lambda: bool(self.vm.events("ownership-taken")))
-        larger = await self._start_vm("vm-9", processors=2.0)
-        await self._until(lambda: bool(larger.events("ownership-taken")))
+        await self.until(lambda: bool(self.vm.events("ownership-taken")))
+        larger = await self.start_vm("vm-9", processors=2.0)
+        await self.until(lambda: bool(larger.events("ownership-taken")))
         (claim,) = larger.events("ownership-claimed")
         self.assertEqual(claim["reason"], "released to this VM")
         reply = await larger.call("POST", "/open/" + _ID, body=_JOB)
@@ -89,7 +71,7 @@
         await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         await self._until_state(self.vm, "/open/" + _ID, "completed")
         worker = self.platform.workers["i-1"]
-        await self._until(lambda: worker.acknowledged == 4)
+        await self.until(lambda: worker.acknowledged == 4)
 
     async def test_resubmission_with_the_same_id_is_one_job(self) -> None:
         for _ in range(2):
@@ -115,12 +97,12 @@
             kept = _kept()
             return isinstance(kept, model.JobSpec) and not kept.steps
 
-        await self._until(_is_compacted)
+        await self.until(_is_compacted)
         progress = self.platform.newest("keyed.journal", f"s{_ID}.0.0")
         self.assertIsNone(progress)
-        second = await self._start_vm("vm-2")
+        second = await self.start_vm("vm-2")
         await self.vm.stop()
-        await self._until(lambda: bool(second.events("ownership-taken")))
+        await self.until(lambda: bool(second.events("ownership-taken")))
         for method in ("POST", "GET"):
             reply = await second.call(method, "/open/" + _ID, body=_JOB)
             self.assertEqual(reply.status, 200)
@@ -153,7 +135,7 @@
         for route in changed["routes"]:
             route["public"] = not route["public"]
         self.platform.write("keyed.op", "config", changed)
-        await self._until(lambda: self.vm.node.call_handler.config.version == 5)
+        await self.until(lambda: self.vm.node.call_handler.config.version == 5)
         for path, key in (("/keyed/" + _ID, ""), ("/open/" + _OTHER_ID, "k1")):
             for method, body in (("POST", _SERVING_JOB), ("GET", None)):
                 reply = await self.vm.call(method, path, key, body)
@@ -173,14 +155,14 @@
 
     async def test_withdrawn_key_is_refused(self) -> None:
         self.platform.write("keyed.op", "config", entry_vm.config(5, ["k2"]))
-        await self._until(lambda: self.vm.node.call_handler.config.version == 5)
+        await self.until(lambda: self.vm.node.call_handler.config.version == 5)
         reply = await self.vm.call("POST", "/keyed/" + _ID, "k1", _JOB)
         self.assertEqual(reply.status, 401)
 
     async def test_older_or_malformed_configuration_is_ignored(self) -> None:
         self.platform.write("keyed.op", "config", entry_vm.config(2, ["k9"]))
         self.platform.write("keyed.op", "config", b"garbage")
-        await self._until(
+        await self.until(
             lambda: bool(self.vm.events("operator-record-unreadable"))
         )
         self.assertEqual(self.vm.node.call_handler.config.version, 3)
@@ -191,7 +173,7 @@
         self.platform.write("keyed.op", "config", entry_vm.config(5, ["k2"]))
         self.platform.write("keyed.servers", "i-1", b"")
         await self.vm.stop()
-        restarted = await self._start_vm("vm-1")
+        restarted = await self.start_vm("vm-1")
         reply = await restarted.call("POST", "/keyed/" + _ID, "k1", _JOB)
         self.assertEqual(reply.status, 401)
         reply = await restarted.call("POST", "/keyed/" + _ID, "k2", _JOB)
@@ -218,7 +200,7 @@
                 content = entry_vm.config(version, ["k1"])
                 self.platform.write("keyed.op", "config", content)
                 await asyncio.sleep(0.1)
-            await self._until(
+            await self.until(
                 lambda: self.vm.node.call_handler.config.version == 5
             )
         (line,) = self.vm.events("record-not-applied")
@@ -228,11 +210,11 @@
         self,
     ) -> None:
         self.platform.task_duration_s = 1000.0
-        vm = await self._start_vm("vm-2", key_age_s=2.5)
+        vm = await self.start_vm("vm-2", key_age_s=2.5)
         await vm.call("POST", "/keyed/" + _ID, "k1", _SERVING_JOB)
         await self._until_state(vm, "/keyed/" + _ID, "running", "k1")
         self.platform.is_away = True
-        async with asyncio.timeout(_TIMEOUT_S):
+        async with asyncio.timeout(self.timeout_s):
             # The state of a known job is served until the configuration is too
             # old.
             while True:
@@ -246,7 +228,7 @@
         self.assertGreater(line["config_age_s"], 1.6)
         self.assertFalse(vm.node.is_ready)
         self.platform.is_away = False
-        await self._until(lambda: vm.node.is_ready)
+        await self.until(lambda: vm.node.is_ready)
         await self._until_state(vm, "/keyed/" + _ID, "running", "k1")
 
     def _lost_streams(self) -> set[str]:
@@ -256,20 +238,20 @@
         self,
     ) -> None:
         self.platform.is_away = True
-        await self._until(lambda: bool(self.vm.events("stream-lost")))
+        await self.until(lambda: bool(self.vm.events("stream-lost")))
         reply = await self.vm.call("GET", "/open/" + _ID)
         self.assertEqual((reply.status, reply.retry_after), (503, "1"))
 
     async def test_refused_append_gets_503(self) -> None:
-        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        await self.until(lambda: bool(self.vm.events("ownership-taken")))
         self.platform.is_away = True
         reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         self.assertEqual((reply.status, reply.retry_after), (503, "1"))
 
     async def test_vm_without_the_store_refuses_calls_at_once(self) -> None:
-        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        await self.until(lambda: bool(self.vm.events("ownership-taken")))
         self.platform.is_silent = True
-        await self._until(lambda: "journal" in self._lost_streams())
+        await self.until(lambda: "journal" in self._lost_streams())
         began_s = asyncio.get_running_loop().time()
         reply = await self.vm.call("POST", "/open/" + _ID, body=_JOB)
         took_s = asyncio.get_running_loop().time() - began_s
@@ -278,7 +260,7 @@
         self.assertLess(took_s, 0.5)
         self.assertFalse(self.vm.node.is_ready)
         self.platform.is_silent = False
-        await self._until(lambda: self.vm.node.is_ready)
+        await self.until(lambda: self.vm.node.is_ready)
 
     async def test_job_runs_once_after_a_lost_append_answer(self) -> None:
         self.platform.lost_answers = 1
@@ -291,10 +273,10 @@
         self.platform.task_duration_s = 1000.0
         await self.vm.call("POST", "/open/" + _ID, body=_SERVING_JOB)
         worker = self.platform.workers["i-1"]
-        await self._until(lambda: len(worker.running) == 2)
+        await self.until(lambda: len(worker.running) == 2)
         reply = await self.vm.call("DELETE", "/open/" + _ID)
         self.assertEqual(reply.status, 200)
-        await self._until(lambda: not worker.running)
+        await self.until(lambda: not worker.running)
         await self._until_state(self.vm, "/open/" + _ID, "cancelled")
 
     async def test_failing_job_ends_as_failed(self) -> None:
@@ -323,11 +305,11 @@
         self.platform.task_duration_s = 1000.0
         await self.vm.call("POST", "/open/" + _ID, body=_SERVING_JOB)
         worker = self.platform.workers["i-1"]
-        await self._until(lambda: len(worker.running) == 2)
-        other = await self._start_vm("vm-2")
+        await self.until(lambda: len(worker.running) == 2)
+        other = await self.start_vm("vm-2")
         await self.vm.node.close()
-        await self._until(lambda: bool(other.events("ownership-taken")))
-        await self._until(lambda: worker.epoch == 2)
+        await self.until(lambda: bool(other.events("ownership-taken")))
+        await self.until(lambda: worker.epoch == 2)
         await asyncio.sleep(1.0)
         self.assertEqual(len(worker.history), 2)
         self.assertEqual(len(worker.running), 2)
@@ -339,16 +321,16 @@
         self.platform.task_duration_s = 1000.0
         await self.vm.call("POST", "/open/" + _ID, body=_SERVING_JOB)
         worker = self.platform.workers["i-1"]
-        await self._until(lambda: len(worker.running) == 2)
+        await self.until(lambda: len(worker.running) == 2)
         withdrawn = entry_vm.config(5, ["k1"])
         del withdrawn["routes"][0]
         self.platform.write("keyed.op", "config", withdrawn)
-        other = await self._start_vm("vm-2")
+        other = await self.start_vm("vm-2")
         await self.vm.node.close()
-        await self._until(lambda: worker.epoch == 2)
+        await self.until(lambda: worker.epoch == 2)
         for run in worker.running.values():
             run.duration_s = 0.0
-        await self._until(lambda: len(worker.history) == 4)
+        await self.until(lambda: len(worker.history) == 4)
         self.assertEqual(len(worker.running), 2)
         self.assertEqual(other.node.call_handler.config.version, 5)
 
@@ -357,7 +339,7 @@
     ) -> None:
         """The new owner's submissions lag behind its journal."""
         self.platform.task_duration_s = 1000.0
-        other = await self._start_vm("vm-2")
+        other = await self.start_vm("vm-2")
         # pylint: disable-next=protected-access
         stream = other.node._submission_follower._stream
         original = stream.read
@@ -374,27 +356,27 @@
             await asyncio.sleep(1.0)
             await self.vm.call("POST", "/open/" + _ID, body=_SERVING_JOB)
             worker = self.platform.workers["i-1"]
-            await self._until(lambda: len(worker.running) == 2)
+            await self.until(lambda: len(worker.running) == 2)
             await self.vm.node.close()
-            await self._until(lambda: bool(other.events("ownership-taken")))
+            await self.until(lambda: bool(other.events("ownership-taken")))
             (taken,) = other.events("ownership-taken")
             self.assertEqual(taken["jobs"], 1)
-            await self._until(lambda: worker.epoch == 2)
+            await self.until(lambda: worker.epoch == 2)
         self.assertEqual(other.events("run-not-expected"), [])
         self.assertEqual(len(worker.running), 2)
 
     async def test_released_ownership_is_claimed_by_another_vm(self) -> None:
-        await self._until(lambda: bool(self.vm.events("ownership-taken")))
-        other = await self._start_vm("vm-2")
+        await self.until(lambda: bool(self.vm.events("ownership-taken")))
+        other = await self.start_vm("vm-2")
         await self.vm.node.release_ownership(2.0)
-        await self._until(lambda: bool(other.events("ownership-taken")))
+        await self.until(lambda: bool(other.events("ownership-taken")))
         claim = other.events("ownership-claimed")[0]
         self.assertEqual(claim["reason"], "released by its owner")
 
     async def test_internal_error_is_logged_and_the_owner_restarts(
         self,
     ) -> None:
-        await self._until(lambda: bool(self.vm.events("ownership-taken")))
+        await self.until(lambda: bool(self.vm.events("ownership-taken")))
         original = engine.Engine.plan
         broken = [True]
 
@@ -417,7 +399,7 @@
         await self._until_state(self.vm, "/open/" + _ID, "completed")
         for topic in self.platform.topics.values():
             topic.expire()
-        other = await self._start_vm("vm-2")
+        other = await self.start_vm("vm-2")
         reply = await other.call("GET", "/open/" + _ID)
         self.assertEqual(reply.body, {"state": "completed"})
 
@@ -425,10 +407,10 @@
         self.platform.task_duration_s = 1000.0
         await self.vm.call("POST", "/open/" + _ID, body=_SERVING_JOB)
         worker = self.platform.workers["i-1"]
-        await self._until(lambda: len(worker.running) == 2)
+        await self.until(lambda: len(worker.running) == 2)
         await self._restart_worker(worker)
         new = self.platform.workers["i-1"]
-        await self._until(lambda: len(new.running) == 2)
+        await self.until(lambda: len(new.running) == 2)
         self.assertEqual({run.number for run in new.history}, {2})
 
     async def _restart_worker(self, worker: typing.Any) -> None:
@@ -458,7 +440,7 @@
             "cap": 1,
         }
         self.platform.write("keyed.op", "wave/7", wave)
-        await self._until(
+        await self.until(
             lambda: self.platform.newest("keyed.status", "wave/7")
             == b'{"wave":7,"state":"completed"}'
         )
--- a/foxtaillock/platform/tests/test_large_job_crowds.py
+++ b/foxtaillock/platform/tests/test_large_job_crowds.py
@@ -13,7 +13,7 @@
 import aiohttp
 
 from foxtaillock.platform.tests import entry_process
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import platform_case
 
 __all__ = ["RUNS_ALONE"]
 
@@ -42,13 +42,11 @@
     return json.dumps(job, separators=(",", ":")).encode()
 
 
-class LargeJobCrowdTest(unittest.IsolatedAsyncioTestCase):
+class LargeJobCrowdTest(platform_case.PlatformCase):
     """One process of an entry VM and one crowd of whole, legal bodies."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
+        await super().asyncSetUp()
         self.process = await entry_process.start(
             self.platform, _GRACE_S, [f"limits.memory_mb={_MEMORY_MB}"]
         )
--- a/foxtaillock/platform/tests/test_memory_refusals.py
+++ b/foxtaillock/platform/tests/test_memory_refusals.py
@@ -11,7 +11,7 @@
 from foxtaillock.batch import view
 from foxtaillock.model import clock as model_clock
 from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import entry_vm_case
 
 _PATH = "/open/5c0e7a21d94b36f8"
 _OTHER_PATH = "/open/5c0e7a21d94b36f9"
@@ -20,18 +20,12 @@
 _FULL_BYTES = 1 << 40
 
 
-class MemoryRefusalTest(unittest.IsolatedAsyncioTestCase):
+class MemoryRefusalTest(entry_vm_case.EntryVmCase):
     """One entry VM and the memory of jobs that others reserved."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
-        self.vm = entry_vm.EntryVm(self.platform)
-        await self.vm.start()
-        self.addAsyncCleanup(self.vm.stop)
-        await self.vm.until_ready()
+        await super().asyncSetUp()
+        self.vm = await self.start_vm()
 
     def _fill(self) -> None:
         """Reserves memory for a job of another VM, as this one reads it."""
--- a/foxtaillock/platform/tests/test_odd_entries.py
+++ b/foxtaillock/platform/tests/test_odd_entries.py
@@ -3,10 +3,9 @@
 import asyncio
 import typing
 import unittest
-from collections.abc import Callable
 
 from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import entry_vm_case
 
 _JOB = {
     "workload": "text",
@@ -14,7 +13,6 @@
 }
 _ID = "5c0e7a21d94b36f8"
 _PATH = "/open/" + _ID
-_TIMEOUT_S = 15.0
 _HEARTBEATS = 50
 
 # Addresses that decode as text and that no order can be sent to. None of them
@@ -33,32 +31,24 @@
 _ODD_KEYS = ("i-9\nX-Other: 1", "i-9\x00", "i-9\r")
 
 
-class OddEntryTest(unittest.IsolatedAsyncioTestCase):
+class OddEntryTest(entry_vm_case.EntryVmCase):
     """A platform with one good worker and one entry VM for each test."""
 
+    timeout_s = 15.0
+
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+        await super().asyncSetUp()
         await self.platform.add_worker("i-1", "pool")
         self.vm = entry_vm.EntryVm(self.platform)
 
     async def _start(self) -> None:
-        await self.vm.start()
-        self.addAsyncCleanup(self.vm.stop)
-        await self._until(lambda: self.vm.node.is_ready)
-        await self._until(lambda: bool(self.vm.events("worker-new")))
-
-    async def _until(self, condition: Callable[[], bool]) -> None:
-        async with asyncio.timeout(_TIMEOUT_S):
-            while not condition():
-                await asyncio.sleep(0.02)
+        await self.make_ready(self.vm)
+        await self.until(lambda: bool(self.vm.events("worker-new")))
 
     async def _run_job(self) -> None:
         reply = await self.vm.call("POST", _PATH, body=_JOB)
         self.assertEqual(reply.status, 200)
-        async with asyncio.timeout(_TIMEOUT_S):
+        async with asyncio.timeout(self.timeout_s):
             while True:
                 reply = await self.vm.call("GET", _PATH)
                 if reply.body.get("state") == "completed":
@@ -130,7 +120,7 @@
             await asyncio.sleep(0.01)
         # It reads all entries before the new worker's.
         await self.platform.add_worker("i-2", "pool")
-        await self._until(lambda: len(self.vm.events("worker-new")) == 2)
+        await self.until(lambda: len(self.vm.events("worker-new")) == 2)
         self.assertEqual(self._odd_lines(), ["i-9"])
 
     async def test_odd_entry_of_a_known_worker_does_not_remove_it(
@@ -139,7 +129,7 @@
         await self._start()
         entry = self._registration(address="a..b:80")
         self.platform.write("keyed.servers", "i-1", entry)
-        await self._until(lambda: bool(self._odd_lines()))
+        await self.until(lambda: bool(self._odd_lines()))
         await self._run_job()
         self._assert_owner_stayed()
         self.assertEqual(self.vm.events("worker-unlisted"), [])
--- a/foxtaillock/platform/tests/test_overload_refusals.py
+++ b/foxtaillock/platform/tests/test_overload_refusals.py
@@ -1,7 +1,6 @@
 """Tests of jobs that are refused since their owner is starved."""
 
 import typing
-import unittest
 from unittest import mock
 
 from foxtaillock.batch import call_handler
@@ -9,7 +8,7 @@
 from foxtaillock.batch import view
 from foxtaillock.model import clock as model_clock
 from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import entry_vm_case
 
 _PATH = "/open/5c0e7a21d94b36f8"
 _JOB = {
@@ -18,19 +17,13 @@
 }
 
 
-class OverloadRefusalTest(unittest.IsolatedAsyncioTestCase):
+class OverloadRefusalTest(entry_vm_case.EntryVmCase):
     """One entry VM, which has read of a long backlog."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
+        await super().asyncSetUp()
         await self.platform.add_worker("i-1", "pool")
-        self.vm = entry_vm.EntryVm(self.platform)
-        await self.vm.start()
-        self.addAsyncCleanup(self.vm.stop)
-        await self.vm.until_ready()
+        self.vm = await self.start_vm()
 
     def _overload(self, backlog_s: float) -> None:
         now_s = model_clock.SystemClock().monotonic_s()
--- a/foxtaillock/platform/tests/test_socket_buffers.py
+++ b/foxtaillock/platform/tests/test_socket_buffers.py
@@ -5,8 +5,7 @@
 import socket
 import unittest
 
-from foxtaillock.platform.tests import entry_vm
-from foxtaillock.platform.tests import fake_platform
+from foxtaillock.platform.tests import entry_vm_case
 
 _TIMEOUT_S = 20.0
 _QUIET_S = 0.5
@@ -20,18 +19,12 @@
 _MAX_HELD_BYTES = 128 * 1024
 
 
-class SocketBuffersTest(unittest.IsolatedAsyncioTestCase):
+class SocketBuffersTest(entry_vm_case.EntryVmCase):
     """An entry VM in this process, and a client that does not read."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = fake_platform.FakePlatform()
-        await self.platform.start()
-        self.addAsyncCleanup(self.platform.stop)
-        self.platform.write("keyed.op", "config", entry_vm.config(3, ["k1"]))
-        self.vm = entry_vm.EntryVm(self.platform)
-        await self.vm.start()
-        self.addAsyncCleanup(self.vm.stop)
-        await self.vm.until_ready()
+        await super().asyncSetUp()
+        self.vm = await self.start_vm()
 
     async def _served_without_reading(self) -> int:
         """Returns how many calls are served until no more are."""
