Batch: silent workers are counted by zone in one place

What a reader saw: `silent_zones` and `reachability` each went through all workers, counted those that are polled and those that are silent by zone, and chose the zones of which more than half are silent. They differ only in the number of unanswered calls that makes a worker silent (one, two) and in what they conclude.

Now `silence_counts` counts and chooses; the two keep their conclusions.

Evidence: 70 tests of silent zones, reachability, usable workers, owner and engine pass.

--- a/foxtaillock/batch/reachability.py
+++ b/foxtaillock/batch/reachability.py
@@ -7,10 +7,10 @@
 earlier owner may have ordered away don't count: they are expected to be silent.
 """
 
-import collections
 import typing
 from collections.abc import Iterable
 
+from foxtaillock.batch import silence_counts
 from foxtaillock.batch import workers
 
 __all__ = ["Reachability", "measure"]
@@ -56,19 +56,8 @@
     Args:
         all_workers: workers of all pools.
     """
-    zones = set()
-    totals: collections.Counter[str] = collections.Counter()
-    unreached: collections.Counter[str] = collections.Counter()
-    for worker in all_workers:
-        zone = worker.entry.zone
-        zones.add(zone)
-        if worker.tasks and not worker.is_held:
-            totals[zone] += 1
-            unreached[zone] += worker.unanswered_calls >= _MIN_UNANSWERED_CALLS
-    lost = sorted(
-        zone
-        for zone, total in totals.items()
-        if unreached[zone] > _MAX_UNREACHED_FRACTION * total
-    )
-    fraction = unreached.total() / totals.total() if totals else 0.0
-    return Reachability(fraction, tuple(lost), len(zones))
+    counts = silence_counts.count(all_workers, _MIN_UNANSWERED_CALLS)
+    polled = counts.polled.total()
+    fraction = counts.silent.total() / polled if polled else 0.0
+    lost = tuple(sorted(counts.mostly_silent_zones))
+    return Reachability(fraction, lost, len(counts.zones))
--- a/foxtaillock/batch/silent_zones.py
+++ b/foxtaillock/batch/silent_zones.py
@@ -5,9 +5,9 @@
 placed on its idle workers would wait for a connection.
 """
 
-import collections
 from collections.abc import Iterable
 
+from foxtaillock.batch import silence_counts
 from foxtaillock.batch import workers
 
 __all__ = ["find"]
@@ -15,6 +15,9 @@
 # A zone with fewer workers that are polled tells too little.
 _MIN_WORKERS = 3
 
+# A worker counts as silent after this many unanswered calls in a row.
+_MIN_UNANSWERED_CALLS = 1
+
 
 def find(all_workers: Iterable[workers.Worker]) -> frozenset[str]:
     """Returns the zones of which more than half of the workers are silent.
@@ -26,18 +29,10 @@
     Args:
         all_workers: workers of all pools.
     """
-    zones = set()
-    polled: collections.Counter[str] = collections.Counter()
-    silent: collections.Counter[str] = collections.Counter()
-    for worker in all_workers:
-        zone = worker.entry.zone
-        zones.add(zone)
-        if worker.tasks and not worker.is_held:
-            polled[zone] += 1
-            silent[zone] += worker.unanswered_calls > 0
+    counts = silence_counts.count(all_workers, _MIN_UNANSWERED_CALLS)
     found = frozenset(
         zone
-        for zone, count in polled.items()
-        if _MIN_WORKERS <= count < 2 * silent[zone]
+        for zone in counts.mostly_silent_zones
+        if counts.polled[zone] >= _MIN_WORKERS
     )
-    return found if 2 * len(found) < len(zones) else frozenset()
+    return found if 2 * len(found) < len(counts.zones) else frozenset()
