Batch: an owner's orders are sent by a module of their own

What a reader saw: `owner` (561 lines) had, beside the main loop, the sending of starts, stops and speed limits, the time that each takes and their tasks.

Now `order_sender` sends the orders and hands the answers to the engine, in the same order of steps as before; the owner keeps its main loop, the check of the epoch and the renewal of leases (502 lines).

Evidence: 72 modules with 677 tests of batch, of its VMs, of entry VMs and of acknowledgements: 70 pass. Five modules with real processes or entry VMs of platform pass again.

--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -4,7 +4,6 @@
 import math
 import traceback
 import typing
-from collections.abc import Coroutine
 
 from foxtaillock.batch import advice_requests
 from foxtaillock.batch import configuration
@@ -16,8 +15,8 @@
 from foxtaillock.batch import load_control
 from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
+from foxtaillock.batch import order_sender
 from foxtaillock.batch import ownership
-from foxtaillock.batch import plans
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import reachability
 from foxtaillock.batch import records
@@ -101,6 +100,16 @@
             self._on_background_done,
         )
         self._wake = asyncio.Event()
+        self._order_sender = order_sender.OrderSender(
+            claim.epoch,
+            self.engine,
+            services,
+            self._poller,
+            self._load_control,
+            self._check_epoch,
+            self._wake.set,
+            self._on_background_done,
+        )
         self._vm_order_controller = vm_order_controller.VmOrderController(
             claim.epoch,
             self.engine,
@@ -126,7 +135,6 @@
         self._reached_s = now_s
         self._has_ended = False
         self._is_releasing = False
-        self._order_tasks: set[asyncio.Task[typing.Any]] = set()
         self._entry_reader = worker_entries.WorkerEntryReader(
             services.decode_worker, services.log
         )
@@ -221,7 +229,7 @@
             for task in [
                 *background_tasks,
                 *self._poller.tasks(),
-                *self._order_tasks,
+                *self._order_sender.tasks(),
             ]:
                 task.cancel()
 
@@ -295,9 +303,9 @@
         if self._may_plan():
             self.engine.plan(now_s, self._load_control.room_for_starts())
         for stop in self.engine.take_stops():
-            self._spawn(self._stop(stop))
+            self._order_sender.stop(stop)
         for limit in self.engine.take_speed_limits():
-            self._spawn(self._limit_speed(limit))
+            self._order_sender.limit_speed(limit)
 
     async def _record_changes(self) -> None:
         """Appends pending records, then starts the actions they permit."""
@@ -344,7 +352,7 @@
         if is_heartbeat:
             self.engine.renounced.recorded(now_s)
         for plan in self.engine.batch_recorded(batch, now_s):
-            self._spawn(self._start(plan))
+            self._order_sender.start(plan)
         self._poller.ends_recorded()
         self._vm_order_controller.orders_recorded()
         if is_releasing:
@@ -433,65 +441,7 @@
         await events.wait_for_event(self._wake, _TICK_INTERVAL_S)
         self._wake.clear()
 
-    # Orders.
-
-    async def _start(self, plan: plans.StartPlan) -> None:
-        services = self._services
-        order = self.engine.start_order(plan, services.clock.monotonic_s())
-        if order is None:
-            self._wake.set()
-            return
-        answer = await self._send_timed(
-            "start", services.worker_client.start(plan.worker.entry, order)
-        )
-        now_s = services.clock.monotonic_s()
-        if answer.outcome is interfaces.OrderOutcome.ACCEPTED:
-            self._load_control.start_confirmed(now_s)
-        self.engine.answers.start_answered(plan, answer, now_s)
-        self._poller.ensure_polling(plan.worker)
-        self._wake.set()
-
-    async def _stop(self, plan: plans.StopPlan) -> None:
-        services = self._services
-        answer = await self._send_timed(
-            "stop",
-            services.worker_client.stop(
-                plan.worker, plan.task_id, plan.run, self._epoch
-            ),
-        )
-        services.log(
-            "stop-answered",
-            task=model.format_task_id(plan.task_id),
-            run=plan.run,
-            worker=plan.worker.worker_id,
-            outcome=answer.outcome.value,
-        )
-        self.engine.answers.stop_answered(
-            plan, answer, services.clock.monotonic_s()
-        )
-        self._wake.set()
-
-    async def _limit_speed(self, plan: plans.SpeedLimitPlan) -> None:
-        await self._send_timed(
-            "pace",
-            self._services.worker_client.limit_speed(
-                plan.worker, plan.task_id, plan.run, plan.percent, self._epoch
-            ),
-        )
-
-    async def _send_timed(
-        self,
-        order: str,
-        sent: Coroutine[typing.Any, typing.Any, interfaces.OrderAnswer],
-    ) -> interfaces.OrderAnswer:
-        started_s = self._services.clock.monotonic_s()
-        answer = await sent
-        took_s = self._services.clock.monotonic_s() - started_s
-        self._services.metrics.order_latency.labels(
-            order, answer.outcome.value
-        ).observe(took_s)
-        self._check_epoch(answer)
-        return answer
+    # Leases and answers of workers.
 
     def _may_renew_leases(self) -> bool:
         """Returns whether leases may be renewed.
@@ -541,15 +491,6 @@
 
     # Background tasks.
 
-    def _spawn(self, order: Coroutine[typing.Any, typing.Any, None]) -> None:
-        task = asyncio.ensure_future(order)
-        self._order_tasks.add(task)
-        task.add_done_callback(self._on_order_done)
-
-    def _on_order_done(self, task: asyncio.Task[typing.Any]) -> None:
-        self._order_tasks.discard(task)
-        self._on_background_done(task)
-
     def _on_background_done(self, task: asyncio.Task[typing.Any]) -> None:
         """Ends the ownership if a task failed, so that it is taken over."""
         error = None if task.cancelled() else task.exception()
