--- a/foxtaillock/platform/tests/fake_platform.py
+++ b/foxtaillock/platform/tests/fake_platform.py
@@ -20,7 +20,7 @@
 from foxtaillock.batch.tests import fake_worker
 from foxtaillock.model import resources
 
-__all__ = ["FakePlatform", "RunPlan"]
+__all__ = ["FakePlatform", "RunPlan", "WorkerGate"]
 
 _MEBIBYTE = 1024 * 1024
 _REASONS = {
@@ -53,6 +53,13 @@
 
 VmOrderHandler = Callable[[str, dict[str, typing.Any]], Awaitable[int]]
 
+# Decides when a call to the worker of an id is carried out and answered; the
+# last argument carries it out.
+WorkerGate = Callable[
+    [str, web.BaseRequest, Callable[[], Awaitable[web.Response]]],
+    Awaitable[web.Response],
+]
+
 
 class Topic:
     """One partition of a keyed topic."""
@@ -102,6 +109,8 @@
         is_away: whether the store refuses all requests.
         is_silent: whether the store answers no request.
         workers: workers by id.
+        worker_gate: passes each call to a worker; without it, each is carried
+            out and answered at once.
         payloads: task and payload of each start order.
         task_duration_s: duration of each task that is started.
         plan_run: returns what a run of a task does; `task_duration_s` holds
@@ -127,6 +136,7 @@
         self.is_away = False
         self.is_silent = False
         self.workers: dict[str, fake_worker.FakeWorker] = {}
+        self.worker_gate: WorkerGate | None = None
         self.payloads: list[tuple[str, str]] = []
         self.task_duration_s = 0.05
         self.plan_run: Callable[[model.TaskId, int], RunPlan] | None = None
@@ -319,6 +329,15 @@
 
     async def _serve_worker(
         self, worker_id: str, request: web.BaseRequest
+    ) -> web.Response:
+        if self.worker_gate is None:
+            return await self._carry_out(worker_id, request)
+        return await self.worker_gate(
+            worker_id, request, lambda: self._carry_out(worker_id, request)
+        )
+
+    async def _carry_out(
+        self, worker_id: str, request: web.BaseRequest
     ) -> web.Response:
         worker = self.workers[worker_id]
         if worker.is_dead:
@@ -365,12 +384,15 @@
         self, worker: fake_worker.FakeWorker, body: dict[str, typing.Any]
     ) -> web.Response:
         deadline_s = _now_s() + body.get("wait_ms", 0) / 1000
+        # The lease begins when the call arrives, however long it waits.
+        until_ms = body.get("until_ms")
         while True:
             if worker.is_dead:
                 return web.Response(status=500)
             lists = worker.poll(
-                body["fence"], body["last_seen"], body.get("until_ms"), _now_s()
+                body["fence"], body["last_seen"], until_ms, _now_s()
             )
+            until_ms = None
             if isinstance(lists, interfaces.OrderAnswer):
                 return _order_answer(lists)
             if lists.ended or _now_s() >= deadline_s:
--- a/foxtaillock/soak/submitters.py
+++ b/foxtaillock/soak/submitters.py
@@ -5,6 +5,7 @@
 import random
 import time
 import typing
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
 
@@ -119,6 +120,7 @@
         addresses: addresses of the entry VMs.
         rng: source of their random choices.
         kind_names: names of the kinds of jobs that they submit.
+        draw: draws a job of one of the kinds named.
 
     Attributes:
         jobs: submitted jobs by id.
@@ -131,10 +133,14 @@
         addresses: Sequence[str],
         rng: random.Random,
         kind_names: Collection[str] = job_kinds.KINDS.keys(),
+        draw: Callable[
+            [Collection[str], random.Random], job_kinds.JobPlan
+        ] = job_kinds.draw,
     ) -> None:
         self._addresses = list(addresses)
         self._rng = rng
         self._kind_names = kind_names
+        self._draw = draw
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
         )
@@ -214,7 +220,7 @@
         ]
         if len(running) >= _MAX_PERSISTENT_JOBS:
             names -= {"persistent"}
-        return job_kinds.draw(names or self._kind_names, self._rng)
+        return self._draw(names or self._kind_names, self._rng)
 
     async def _cancel(self, job: SubmittedJob) -> None:
         job.was_cancel_requested = True
