--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -47,7 +47,10 @@
         self.used_s: dict[str, float] = collections.defaultdict(float)
         self.calls: collections.Counter[str] = collections.Counter()
         self.engine = engines.Engine(
-            1, 10.0, prior_leases.PriorLeases(10.0), lambda *_, **__: None
+            1,
+            10.0,
+            prior_leases.PriorLeases(prior_leases.NO_LEASES),
+            lambda *_, **__: None,
         )
         self._configure()
 
--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -264,7 +264,7 @@
     owner = owners.Owner(
         claim,
         view.JournalView(),
-        prior_leases.PriorLeases(float("-inf")),
+        prior_leases.PriorLeases(prior_leases.NO_LEASES),
         0.0,
         claim.capacity,
         load_monitor.LoadMonitor(dependencies.clock),
--- a/bench/owner_turns.py
+++ b/bench/owner_turns.py
@@ -55,7 +55,10 @@
 
 def _engine() -> engines.Engine:
     made = engines.Engine(
-        1, _NOW_S, prior_leases.PriorLeases(_NOW_S), lambda *_, **__: None
+        1,
+        _NOW_S,
+        prior_leases.PriorLeases(prior_leases.NO_LEASES),
+        lambda *_, **__: None,
     )
     queue = model.Queue("q", "pool", 0, 2, 1.6, 600, True)
     made.configure({"q": queue}, {"pool": model.Pool("pool", False, False)}, {})
--- a/foxtaillock/batch/claim_writer.py
+++ b/foxtaillock/batch/claim_writer.py
@@ -48,14 +48,15 @@
     async def claim(self, epoch: int) -> records.OwnerRecord | None:
         """Writes a claim; returns it if it won, otherwise None."""
         services = self._services
+        now_s = services.clock.monotonic_s()
+        ends = self._ownership.lease_ends()
         claim = records.OwnerRecord(
             epoch,
             self._name,
             self._incarnation,
             capacity=self._ownership.capacity,
-            earlier_leases_ms=self._ownership.remaining_leases_ms(
-                services.clock.monotonic_s()
-            ),
+            earlier_leases_ms=records.remaining_ms(ends.confirmed_s, now_s),
+            earlier_unconfirmed_ms=records.remaining_ms(ends.latest_s, now_s),
             long_leases=self._ownership.long_leases(
                 services.clock.monotonic_s()
             ),
--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -70,6 +70,13 @@
     answered_s: float
     runs: Sequence[crash_suspects.RunAtCrash]
 
+    def runs_of(
+        self, entry: model.WorkerEntry
+    ) -> list[crash_suspects.RunAtCrash]:
+        """Returns the runs, if they were on the same incarnation."""
+        is_same = self.entry.started_ms == entry.started_ms
+        return list(self.runs) if is_same else []
+
 
 class CrashTracker:
     """Crashes of workers, as one owner learns of them.
@@ -250,15 +257,32 @@
 
     # Silent workers.
 
-    def record_silence(self, worker: workers.Worker, now_s: float) -> None:
-        """Records the runs of a silent worker that are about to be given up."""
-        runs = isolation.runs_at_crash(worker, now_s)
+    def record_silence(
+        self,
+        worker: workers.Worker,
+        given_up: Iterable[tasks.Task],
+        now_s: float,
+    ) -> None:
+        """Records the runs of a silent worker that are about to be given up.
+
+        Args:
+            worker: the worker.
+            given_up: tasks of these runs; others of the worker may follow.
+            now_s: current time.
+        """
+        runs = [
+            isolation.run_at_crash(task, worker, now_s)
+            for task in given_up
+            if task.phase is not tasks.TaskPhase.RECORDING
+        ]
         if runs and not _is_planned(worker):
+            known = self._lost.get(worker.worker_id)
+            before = [] if known is None else known.runs_of(worker.entry)
             self._lost[worker.worker_id] = _LostRuns(
                 worker.entry,
                 now_s,
                 worker.answered_s,
-                [self._count_possible(run) for run in runs],
+                before + [self._count_possible(run) for run in runs],
             )
         self._lost = {
             worker_id: lost
@@ -275,7 +299,9 @@
                 task.possible_crashes -= 1
                 self._record(task)
 
-    def record_absence(self, absent: Iterable[tasks.Task]) -> None:
+    def record_absence(
+        self, absent: Iterable[tasks.Task], *, are_last: bool
+    ) -> None:
         """Records that the worker of some runs never met this owner.
 
         It may have crashed and be back under a new id. A worker whose VM was
@@ -283,12 +309,15 @@
 
         Args:
             absent: the tasks whose runs were on it.
+            are_last: whether no more runs on it follow, so that its crash
+                counts now.
         """
         absent = [task for task in absent if not task.is_displaced]
         if not absent:
             return
-        self.rate = self.rate._replace(crashes=self.rate.crashes + 1)
-        self.is_rate_recorded = False
+        if are_last:
+            self.rate = self.rate._replace(crashes=self.rate.crashes + 1)
+            self.is_rate_recorded = False
         for task in absent:
             self._count_possible_crash(task, task.worker_id, 0.0)
 
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -313,8 +313,7 @@
             if worker.is_cold:
                 worker.update_cold(now_s)
             if worker.tasks and now_s >= worker.leases_expire_s():
-                lease_log.log_lease_over(self._state, worker, now_s)
-                self._state.expire_lease(worker, now_s)
+                self._expire_leases(worker, now_s)
             if not worker.tasks:
                 self._state.remove_if_unused(worker)
                 continue
@@ -330,6 +329,19 @@
             ):
                 self._state.expired_jobs.add(job_id)
 
+    def _expire_leases(
+        self, worker: batch_workers.Worker, now_s: float
+    ) -> None:
+        """Requeues the runs on a silent worker that have no lease any more."""
+        expired = [
+            task
+            for task in worker.tasks.values()
+            if now_s >= worker.run_lease_expires_s(task)
+        ]
+        if expired:
+            lease_log.log_lease_over(self._state, worker, len(expired), now_s)
+            self._state.expire_leases(worker, expired, now_s)
+
     @property
     def beyond_share_count(self) -> int:
         """Number of teams beyond their share of a full pool."""
--- a/foxtaillock/batch/interfaces.py
+++ b/foxtaillock/batch/interfaces.py
@@ -8,6 +8,7 @@
 from foxtaillock.batch import records
 
 __all__ = [
+    "ANSWER_TIMEOUT_S",
     "Advice",
     "AppendResult",
     "AppendOutcome",
@@ -31,6 +32,12 @@
 ]
 
 
+# Timeout of a call to a worker, in addition to the wait that it asks for. A
+# worker responds within a few milliseconds; the outcome of an order that times
+# out is unknown until the worker is polled.
+ANSWER_TIMEOUT_S = 0.8
+
+
 class StoreError(Exception):
     """A call to the platform's store or VM service failed."""
 
--- a/foxtaillock/batch/long_leases.py
+++ b/foxtaillock/batch/long_leases.py
@@ -6,8 +6,6 @@
 such leases end, before it starts anything there.
 """
 
-import math
-
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import records
 
@@ -48,6 +46,6 @@
             reverse=True,
         )
         return tuple(
-            records.LongLease(worker_id, math.ceil((end_s - now_s) * 1000))
+            records.LongLease(worker_id, records.remaining_ms(end_s, now_s))
             for end_s, worker_id in latest[:_MAX_WORKERS]
         )
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -1,7 +1,6 @@
 """Runs one ownership: records the engine's decisions, then executes them."""
 
 import asyncio
-import math
 import traceback
 import typing
 
@@ -269,8 +268,8 @@
             epoch=self._epoch,
             jobs=len(self.engine.jobs),
             to_restore=self._restoration.remaining_count,
-            leases_s=round(self._remaining_prior_leases_s(), 2),
-            silent_workers=len(self._prior.renounced_ends_s),
+            leases_s=self._remaining_ms(self._prior.ends.latest_s) / 1000,
+            silent_workers=len(self._prior.renounced_ends),
         )
         self.engine.log_adopted_leases(services.clock.monotonic_s())
 
@@ -364,8 +363,9 @@
             heartbeat=self._heartbeat,
             capacity=self._capacity,
             successor=self._successor if is_released else "",
-            earlier_leases_ms=math.ceil(
-                self._remaining_prior_leases_s() * 1000
+            earlier_leases_ms=self._remaining_ms(self._prior.ends.confirmed_s),
+            earlier_unconfirmed_ms=self._remaining_ms(
+                self._prior.ends.latest_s
             ),
             renounced=self.engine.renounced.propose(
                 self._heartbeat_s,
@@ -378,10 +378,9 @@
     def _wall_ms(self) -> int:
         return int(self._services.clock.now().timestamp() * 1000)
 
-    def _remaining_prior_leases_s(self) -> float:
-        """Returns the time until all leases of earlier owners have expired."""
-        now_s = self._services.clock.monotonic_s()
-        return max(0.0, self._prior.end_s - now_s)
+    def _remaining_ms(self, end_s: float) -> int:
+        """Returns the time from now until `end_s`; 0 if that is over."""
+        return records.remaining_ms(end_s, self._services.clock.monotonic_s())
 
     def _end(self, reason: str) -> None:
         if not self._has_ended:
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -6,7 +6,6 @@
 live owner costs a handover, but is safe.
 """
 
-import math
 import typing
 import zlib
 
@@ -136,12 +135,12 @@
         self._weak_since_s: float | None = None
         self._last_offer_s = float("-inf")
         self._owner: records.OwnerRecord | None = None
-        self._earlier_leases_end_s = float("-inf")
-        self._earlier_leases_basis = prior_leases.LeaseEndBasis.SILENT
+        self._earlier_ends = prior_leases.NO_LEASES
+        self._earlier_basis = prior_leases.LeaseEndBasis.SILENT
         # The same, if the last owner wrote more than this VM has read.
-        self._unread_leases_end_s = float("-inf")
-        self._renounced_ends_s: dict[str, float] = {}
-        self._earlier_renounced_ends_s: dict[str, float] = {}
+        self._unread_ends = prior_leases.NO_LEASES
+        self._renounced_ends: dict[str, prior_leases.LeaseEnds] = {}
+        self._earlier_renounced_ends: dict[str, prior_leases.LeaseEnds] = {}
         self._long_ends_s: dict[str, float] = {}
         self._last_heard_s = now_s
         self._journal_read_s = float("-inf")
@@ -160,28 +159,40 @@
         return self._last_heard_s
 
     @property
-    def earlier_leases_end_s(self) -> float:
-        """Time by which all leases of owners before the last one expired.
+    def earlier_lease_ends(self) -> prior_leases.LeaseEnds:
+        """Times by which all leases of owners before the last one expired.
 
         Each of them may still have renewed leases, on workers that its
         successors did not reach, until its last record was too old. So the
         latest end counts, not that of the last owner.
         """
-        return self._earlier_leases_end_s
+        return self._earlier_ends
+
+    def lease_ends(self) -> prior_leases.LeaseEnds:
+        """Returns times by which all leases granted so far have expired."""
+        owner = self._owner
+        if owner is None:
+            return self._earlier_ends
+        return prior_leases.latest(
+            self._earlier_ends,
+            workers.prior_lease_ends(
+                self._last_heard_s, self._has_owner_ended()
+            ),
+        )
 
     def prior_leases(self) -> prior_leases.PriorLeases:
         """Returns what is known of leases granted by earlier owners."""
         return prior_leases.PriorLeases(
-            self.earlier_leases_end_s,
-            dict(self._earlier_renounced_ends_s),
+            self.earlier_lease_ends,
+            dict(self._earlier_renounced_ends),
             dict(self._long_ends_s),
-            self._earlier_leases_basis,
+            self._earlier_basis,
         )
 
     def long_leases(self, now_s: float) -> tuple[records.LongLease, ...]:
         """Returns the long leases that a claim hands on."""
         return tuple(
-            records.LongLease(worker_id, math.ceil((end_s - now_s) * 1000))
+            records.LongLease(worker_id, records.remaining_ms(end_s, now_s))
             for worker_id, end_s in sorted(self._long_ends_s.items())
             if end_s > now_s
         )
@@ -195,11 +206,6 @@
         """Sets the speed of this VM's processor as a fraction of its best."""
         self._capacity = capacity_at_speed(self._full_capacity, speed)
 
-    def remaining_leases_ms(self, now_s: float) -> int:
-        """Returns the time until all leases granted so far have expired."""
-        remaining_s = max(0.0, self._leases_end_s() - now_s)
-        return math.ceil(remaining_s * 1000)
-
     def is_mine(self) -> bool:
         """Returns whether this process is the owner, as far as known."""
         owner = self._owner
@@ -217,16 +223,20 @@
         if self._owner is None or owner.epoch > self._owner.epoch:
             self._follow_owner(now_s)
         if owner.heartbeat:
-            self._renounced_ends_s = {
-                each.worker_id: now_s + each.remaining_ms / 1000
+            self._renounced_ends = {
+                each.worker_id: _lease_ends(
+                    each.remaining_ms, each.unconfirmed_ms, now_s
+                )
                 for each in owner.renounced
             }
         self._note_long_leases(owner, now_s)
-        if owner.earlier_leases_ms:
+        if owner.earlier_leases_ms or owner.earlier_unconfirmed_ms:
             # Tells of owners whose records this VM has not read.
-            self._earlier_leases_end_s = max(
-                self._earlier_leases_end_s,
-                now_s + owner.earlier_leases_ms / 1000,
+            self._earlier_ends = prior_leases.latest(
+                self._earlier_ends,
+                _lease_ends(
+                    owner.earlier_leases_ms, owner.earlier_unconfirmed_ms, now_s
+                ),
             )
         self._owner = owner
         self._last_heard_s = now_s
@@ -237,17 +247,17 @@
         An owner grants leases only after its first heartbeat is stored. So one
         that wrote no more than its claim changed nothing.
         """
-        self._unread_leases_end_s = self._leases_end_s()
-        if self._unread_leases_end_s > self._earlier_leases_end_s:
-            self._earlier_leases_basis = (
+        self._unread_ends = self.lease_ends()
+        if self._unread_ends.confirmed_s > self._earlier_ends.confirmed_s:
+            self._earlier_basis = (
                 prior_leases.LeaseEndBasis.ENDED
                 if self._has_owner_ended()
                 else prior_leases.LeaseEndBasis.SILENT
             )
         if self._owner is None or self._owner.heartbeat:
-            self._earlier_leases_end_s = self._unread_leases_end_s
-            self._earlier_renounced_ends_s = self._renounced_ends_s
-        self._renounced_ends_s = {}
+            self._earlier_ends = self._unread_ends
+            self._earlier_renounced_ends = self._renounced_ends
+        self._renounced_ends = {}
         self._epoch_seen_s = now_s
 
     def _note_long_leases(
@@ -270,9 +280,9 @@
         The last owner before the present one may have written one of them, and
         have taken back what it had renounced.
         """
-        self._earlier_renounced_ends_s = {}
-        self._earlier_leases_end_s = max(
-            self._earlier_leases_end_s, self._unread_leases_end_s
+        self._earlier_renounced_ends = {}
+        self._earlier_ends = prior_leases.latest(
+            self._earlier_ends, self._unread_ends
         )
 
     def heard_from(self, epoch: int, now_s: float) -> bool:
@@ -389,18 +399,6 @@
         reason = "this VM's earlier ownership has ended"
         return ClaimDecision(owner.epoch + 1, silence_s, reason)
 
-    def _leases_end_s(self) -> float:
-        """Returns a time by which all leases granted so far have expired."""
-        owner = self._owner
-        if owner is None:
-            return self._earlier_leases_end_s
-        return max(
-            self._earlier_leases_end_s,
-            workers.prior_leases_end_s(
-                self._last_heard_s, self._has_owner_ended()
-            ),
-        )
-
     def _has_owner_ended(self) -> bool:
         """Returns whether the last owner certainly grants no more leases.
 
@@ -445,3 +443,13 @@
                 return "released to this VM"
             return "released by its owner"
         return "owner is silent"
+
+
+def _lease_ends(
+    confirmed_ms: int, unconfirmed_ms: int, now_s: float
+) -> prior_leases.LeaseEnds:
+    """Returns the ends that a record tells; older ones tell one for all."""
+    return prior_leases.LeaseEnds(
+        now_s + confirmed_ms / 1000,
+        now_s + max(confirmed_ms, unconfirmed_ms) / 1000,
+    )
--- a/foxtaillock/batch/prior_leases.py
+++ b/foxtaillock/batch/prior_leases.py
@@ -5,7 +5,7 @@
 import typing
 from collections.abc import Mapping
 
-__all__ = ["LeaseEndBasis", "PriorLeases"]
+__all__ = ["LeaseEndBasis", "LeaseEnds", "NO_LEASES", "PriorLeases", "latest"]
 
 
 class LeaseEndBasis(enum.StrEnum):
@@ -23,48 +23,90 @@
     LONG = "long lease"
 
 
+class LeaseEnds(typing.NamedTuple):
+    """Times by which the leases of runs on a worker have expired.
+
+    Attributes:
+        confirmed_s: for runs that an answer of the worker has confirmed.
+        unconfirmed_s: for runs that none has. Their starts may have been
+            carried out by a later incarnation than they were meant for, which
+            gives the longest lease.
+    """
+
+    confirmed_s: float
+    unconfirmed_s: float
+
+    @property
+    def latest_s(self) -> float:
+        """Time by which the leases of all runs have expired."""
+        return max(self)
+
+
+NO_LEASES = LeaseEnds(float("-inf"), float("-inf"))
+
+
+def latest(one: LeaseEnds, other: LeaseEnds) -> LeaseEnds:
+    """Returns the later end of both, each by itself.
+
+    Example:
+        >>> latest(LeaseEnds(4.0, 7.0), LeaseEnds(5.0, 6.0))
+        LeaseEnds(confirmed_s=5.0, unconfirmed_s=7.0)
+    """
+    return LeaseEnds(
+        max(one.confirmed_s, other.confirmed_s),
+        max(one.unconfirmed_s, other.unconfirmed_s),
+    )
+
+
 class PriorLeases(typing.NamedTuple):
     """Times by which the leases of earlier owners have expired.
 
     Attributes:
-        end_s: time by which all of them have expired, on any worker.
-        renounced_ends_s: for each worker on which the last owner had renounced
-            leases, the time by which those granted before have expired.
+        ends: times by which all of them have expired, on any worker.
+        renounced_ends: for each worker on which the last owner had renounced
+            leases, the times by which those granted before have expired.
         long_ends_s: for each worker that may hold longer leases than granted,
             the time by which these have expired; see `long_leases`.
-        basis: what `end_s` rests on.
+        basis: what `ends` rests on.
     """
 
-    end_s: float
-    renounced_ends_s: Mapping[str, float] = types.MappingProxyType({})
+    ends: LeaseEnds
+    renounced_ends: Mapping[str, LeaseEnds] = types.MappingProxyType({})
     long_ends_s: Mapping[str, float] = types.MappingProxyType({})
     basis: LeaseEndBasis = LeaseEndBasis.SILENT
 
-    def end_on_s(self, worker_id: str) -> float:
-        """Returns the time by which all leases on a worker have expired.
+    def ends_on(self, worker_id: str) -> LeaseEnds:
+        """Returns the times by which all leases on a worker have expired.
 
         Example:
-            >>> PriorLeases(20.0, {"i-1": 14.0}).end_on_s("i-1")
-            14.0
+            >>> renounced = {"i-1": LeaseEnds(14.0, 16.0)}
+            >>> PriorLeases(LeaseEnds(20.0, 21.0), renounced).ends_on("i-1")
+            LeaseEnds(confirmed_s=14.0, unconfirmed_s=16.0)
         """
-        known_s = self.renounced_ends_s.get(worker_id, self.end_s)
+        known = self.renounced_ends.get(worker_id, self.ends)
         long_s = self.long_ends_s.get(worker_id, float("-inf"))
-        return max(min(known_s, self.end_s), long_s)
+        return LeaseEnds(
+            max(min(known.confirmed_s, self.ends.confirmed_s), long_s),
+            max(min(known.unconfirmed_s, self.ends.unconfirmed_s), long_s),
+        )
 
     def basis_on(self, worker_id: str) -> LeaseEndBasis:
-        """Returns what the end of all leases on a worker rests on.
+        """Returns what the end of the confirmed runs on a worker rests on.
 
         Example:
-            >>> str(PriorLeases(20.0, {"i-1": 14.0}).basis_on("i-1"))
+            >>> renounced = {"i-1": LeaseEnds(14.0, 16.0)}
+            >>> prior = PriorLeases(LeaseEnds(20.0, 21.0), renounced)
+            >>> str(prior.basis_on("i-1"))
             'renounced'
         """
-        end_s = self.end_on_s(worker_id)
+        end_s = self.ends_on(worker_id).confirmed_s
         if self.long_ends_s.get(worker_id) == end_s:
             return LeaseEndBasis.LONG
-        if self.renounced_ends_s.get(worker_id) == end_s:
+        renounced = self.renounced_ends.get(worker_id)
+        if renounced is not None and renounced.confirmed_s == end_s:
             return LeaseEndBasis.RENOUNCED
         return self.basis
 
     def was_silent(self, worker_id: str) -> bool:
         """Returns whether a worker did not answer the last owner."""
-        return worker_id in self.renounced_ends_s
+        return worker_id in self.renounced_ends
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import math
 import typing
 
 import msgspec
@@ -36,6 +37,7 @@
     "decode",
     "encode",
     "is_submission",
+    "remaining_ms",
     "step_of_key",
     "tombstone",
 ]
@@ -46,12 +48,14 @@
 
     Attributes:
         worker_id: the worker.
-        remaining_ms: time, from the writing of the record, until all leases
-            granted on it before have expired.
+        remaining_ms: time, from the writing of the record, until the leases of
+            confirmed runs that were granted on it before have expired.
+        unconfirmed_ms: the same for all runs.
     """
 
     worker_id: str
     remaining_ms: int
+    unconfirmed_ms: int = 0
 
 
 class LongLease(typing.NamedTuple):
@@ -78,12 +82,14 @@
         heartbeat: number of heartbeats so far.
         capacity: load that the VM can handle; see `ownership.capacity_of`.
         successor: entry VM that is to claim after the release; empty for any.
-        earlier_leases_ms: time, from the writing of this record, until all
-            leases of earlier owners have expired; 0 if they have.
+        earlier_leases_ms: time, from the writing of this record, until the
+            leases of confirmed runs that earlier owners have granted have
+            expired; 0 if they have.
         renounced: workers to which this owner grants no lease until a later
             record of it leaves them out. A claim, whose `heartbeat` is 0, does
             not tell.
         long_leases: workers that may hold longer leases than owners grant.
+        earlier_unconfirmed_ms: as `earlier_leases_ms`, for all runs.
     """
 
     epoch: int
@@ -96,6 +102,7 @@
     earlier_leases_ms: int = 0
     renounced: tuple[RenouncedLease, ...] = ()
     long_leases: tuple[LongLease, ...] = ()
+    earlier_unconfirmed_ms: int = 0
 
 
 class HandoverOffer(typing.NamedTuple):
@@ -426,6 +433,16 @@
     return KeyedRecord(_key_of(record), _ENCODER.encode(record))
 
 
+def remaining_ms(end_s: float, now_s: float) -> int:
+    """Returns the time until `end_s` as records tell it; 0 if that is over.
+
+    Example:
+        >>> remaining_ms(14.0, 12.5), remaining_ms(14.0, 15.0)
+        (1500, 0)
+    """
+    return math.ceil(max(0.0, end_s - now_s) * 1000)
+
+
 def tombstone(record: Record) -> KeyedRecord:
     """Returns the empty record that erases the key of `record`."""
     return KeyedRecord(_key_of(record), b"")
--- a/foxtaillock/batch/renounced_leases.py
+++ b/foxtaillock/batch/renounced_leases.py
@@ -9,9 +9,8 @@
 is stored.
 """
 
-import math
-
 from foxtaillock.batch import owner_state
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 
 __all__ = ["RenouncedLeases"]
@@ -64,24 +63,27 @@
                 runs on workers without an entry reach nobody.
         """
         min_calls = 1 if is_releasing else _MIN_UNANSWERED_CALLS
-        ends_s = self._unanswered_ends_s(min_calls)
+        ends = self._unanswered_ends(min_calls)
         if knows_workers:
-            ends_s |= self._unregistered_ends_s()
+            ends |= self._unregistered_ends()
         if self._append_s > _MAX_APPEND_S and not is_releasing:
             renounced = self._state.renounced_ids
-            ends_s = {each: ends_s[each] for each in renounced & ends_s.keys()}
+            ends = {each: ends[each] for each in renounced & ends.keys()}
         self._proposed_s = now_s
-        self._proposed = frozenset(sorted(ends_s)[:_MAX_WORKERS])
+        self._proposed = frozenset(sorted(ends)[:_MAX_WORKERS])
         for worker_id in self._proposed - self._state.renounced_ids:
             self._state.log(
                 "leases-renounced",
                 worker=worker_id,
-                remaining_s=round(ends_s[worker_id] - now_s, 2),
+                remaining_s=round(ends[worker_id].confirmed_s - now_s, 2),
+                unconfirmed_s=round(ends[worker_id].latest_s - now_s, 2),
             )
         self._state.renounce(self._state.renounced_ids | self._proposed)
         return tuple(
             records.RenouncedLease(
-                worker_id, math.ceil(max(0.0, ends_s[worker_id] - now_s) * 1000)
+                worker_id,
+                records.remaining_ms(ends[worker_id].confirmed_s, now_s),
+                records.remaining_ms(ends[worker_id].latest_s, now_s),
             )
             for worker_id in sorted(self._proposed)
         )
@@ -93,18 +95,23 @@
             self._state.log("leases-resumed", worker=worker_id)
         self._state.renounce(self._proposed)
 
-    def _unanswered_ends_s(self, min_calls: int) -> dict[str, float]:
+    def _unanswered_ends(
+        self, min_calls: int
+    ) -> dict[str, prior_leases.LeaseEnds]:
         """Returns when the leases on each worker that is silent end."""
         return {
-            worker.worker_id: worker.leases_expire_s()
+            worker.worker_id: prior_leases.LeaseEnds(
+                worker.leases_expire_s(),
+                max(map(worker.run_lease_expires_s, worker.tasks.values())),
+            )
             for worker in self._state.workers.values()
             if worker.tasks and worker.unanswered_calls >= min_calls
         }
 
-    def _unregistered_ends_s(self) -> dict[str, float]:
+    def _unregistered_ends(self) -> dict[str, prior_leases.LeaseEnds]:
         """Returns when the leases on each worker without an entry end."""
         return {
-            worker_id: self._state.prior_leases.end_on_s(worker_id)
+            worker_id: self._state.prior_leases.ends_on(worker_id)
             for worker_id, tasks in self._state.orphans.items()
             if tasks
         }
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -142,6 +142,14 @@
         """Whether a run of the task may exist."""
         return self.phase in ACTIVE_PHASES
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether an answer of its worker has told that the run had begun.
+
+        It came from the incarnation that `worker_started_ms` names.
+        """
+        return self.active_clock_ms > 0
+
     @property
     def is_suspected(self) -> bool:
         """Whether workers may have crashed because of it."""
--- a/foxtaillock/batch/tests/builders.py
+++ b/foxtaillock/batch/tests/builders.py
@@ -1,6 +1,8 @@
 """Builders of jobs, workers and engines for tests."""
 
+import types
 import typing
+from collections.abc import Mapping
 
 from foxtaillock.batch import decision_log
 from foxtaillock.batch import engine as engines
@@ -17,6 +19,8 @@
     "decode_evacuation",
     "entry",
     "job",
+    "lease_ends",
+    "leases_until",
     "lists",
     "queue",
     "start_all",
@@ -66,9 +70,31 @@
     return model.WorkerEntry(worker_id, **{**defaults, **fields})
 
 
+def lease_ends(
+    confirmed_s: float, unconfirmed_s: float | None = None
+) -> prior_leases.LeaseEnds:
+    """Returns ends of leases; one for all runs if only one is given."""
+    if unconfirmed_s is None:
+        unconfirmed_s = confirmed_s
+    return prior_leases.LeaseEnds(confirmed_s, unconfirmed_s)
+
+
+def leases_until(
+    end_s: float,
+    renounced_ends_s: Mapping[str, float] = types.MappingProxyType({}),
+    long_ends_s: Mapping[str, float] = types.MappingProxyType({}),
+) -> prior_leases.PriorLeases:
+    """Returns leases of earlier owners that end at one time for all runs."""
+    renounced = {
+        worker_id: lease_ends(each)
+        for worker_id, each in renounced_ends_s.items()
+    }
+    return prior_leases.PriorLeases(lease_ends(end_s), renounced, long_ends_s)
+
+
 def create_worker(worker_id: str, **fields: typing.Any) -> workers.Worker:
     """Returns an owner's view of a worker without tasks."""
-    worker = workers.Worker(entry(worker_id, **fields), 0.0)
+    worker = workers.Worker(entry(worker_id, **fields), lease_ends(0.0))
     worker.update_entry(worker.entry, 10.0)
     return worker
 
@@ -77,7 +103,7 @@
     *entries: model.WorkerEntry,
     teams: dict[str, model.Team] | None = None,
     log: decision_log.LogFunction | None = None,
-    prior: prior_leases.PriorLeases = prior_leases.PriorLeases(10.0),
+    prior: prior_leases.PriorLeases = leases_until(10.0),
 ) -> engines.Engine:
     """Returns the engine of an ownership that starts at 10 s."""
     made = engines.Engine(1, 10.0, prior, log or _no_log)
--- a/foxtaillock/batch/tests/crash_fleet.py
+++ b/foxtaillock/batch/tests/crash_fleet.py
@@ -261,15 +261,13 @@
 
     def _create_owner(self) -> engines.Engine:
         self._epoch += 1
-        leases_end_s = float("-inf")
+        ends = prior_leases.NO_LEASES
         if self._epoch > 1:
-            leases_end_s = batch_workers.prior_leases_end_s(
-                self.now_s, has_ended=True
-            )
+            ends = batch_workers.prior_lease_ends(self.now_s, has_ended=True)
         engine = engines.Engine(
             self._epoch,
             self.now_s,
-            prior_leases.PriorLeases(leases_end_s),
+            prior_leases.PriorLeases(ends),
             self._log,
         )
         pool = model.Pool("pool", False, False)
--- a/foxtaillock/batch/tests/owner_fixture.py
+++ b/foxtaillock/batch/tests/owner_fixture.py
@@ -11,7 +11,6 @@
 from foxtaillock.batch import metrics
 from foxtaillock.batch import model
 from foxtaillock.batch import owner
-from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch import services
 from foxtaillock.batch.tests import builders
@@ -142,7 +141,7 @@
         self.owner = owner.Owner(
             records.OwnerRecord(3, "vm-1", "a", capacity=1.0),
             self.view,
-            prior_leases.PriorLeases(0.0),
+            builders.leases_until(0.0),
             0.0,
             1.0,
             self.load,
--- a/foxtaillock/batch/tests/test_engine.py
+++ b/foxtaillock/batch/tests/test_engine.py
@@ -5,7 +5,6 @@
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
-from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
 from foxtaillock.batch.tests import builders
@@ -390,7 +389,7 @@
         row = records.TaskProgress(1, 3, 1, "1", 1, "progress")
         progress = records.StepProgress(step_id, 1, b"\x01", (row,))
         engine = engines.Engine(
-            2, 10.0, prior_leases.PriorLeases(20.0), lambda *_, **__: None
+            2, 10.0, builders.leases_until(20.0), lambda *_, **__: None
         )
         pool = model.Pool("pool", False, False)
         engine.configure({"q": builders.queue()}, {"pool": pool}, {})
--- a/foxtaillock/batch/tests/test_late_schedules.py
+++ b/foxtaillock/batch/tests/test_late_schedules.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from foxtaillock.batch import ownership
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import worker_answers
 from foxtaillock.batch import workers
 from foxtaillock.batch.tests import late_simulation
@@ -57,11 +58,11 @@
         self._assert_finds("LIMIT", seed=0)
 
     def test_leases_of_earlier_owners_are_waited_for(self) -> None:
-        forgotten = property(lambda _: float("-inf"))
-        self._disable(ownership.OwnerMonitor, "earlier_leases_end_s", forgotten)
+        forgotten = property(lambda _: prior_leases.NO_LEASES)
+        self._disable(ownership.OwnerMonitor, "earlier_lease_ends", forgotten)
         self._assert_finds("TWICE", seed=0)
 
     def test_entry_of_a_dead_worker_ends_no_runs_at_its_address(self) -> None:
         self._disable(workers.Worker, "may_run_tasks", False)
         self._assert_finds("TWICE", seed=17)
-        self._assert_finds("LIMIT", seed=43)
+        self._assert_finds("LIMIT", seed=181)
--- a/foxtaillock/batch/tests/test_long_leases.py
+++ b/foxtaillock/batch/tests/test_long_leases.py
@@ -13,8 +13,8 @@
 from foxtaillock.batch import late_renewals
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
-from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
+from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import owner_fixture
 from foxtaillock.batch.tests import recut_simulation
@@ -128,19 +128,24 @@
         monitor.observe(first, 10.0)
         monitor.observe(records.OwnerRecord(5, "vm-3", "c"), 12.0)
         prior = monitor.prior_leases()
-        self.assertEqual(prior.end_on_s("1"), 19.0)
-        self.assertLess(prior.end_on_s("2"), 19.0)
+        general = workers.prior_lease_ends(10.0, False)
+        self.assertEqual(prior.ends_on("2"), general)
+        self.assertLess(general.confirmed_s, 19.0)
+        self.assertEqual(
+            prior.ends_on("1"),
+            builders.lease_ends(19.0, max(19.0, general.unconfirmed_s)),
+        )
         self.assertEqual(
             monitor.long_leases(12.0), (records.LongLease("1", 7_000),)
         )
         self.assertEqual(monitor.long_leases(19.0), ())
 
     def test_renounced_leases_end_no_sooner(self) -> None:
-        prior = prior_leases.PriorLeases(20.0, {"1": 14.0}, {"1": 25.0})
-        self.assertEqual(prior.end_on_s("1"), 25.0)
+        prior = builders.leases_until(20.0, {"1": 14.0}, {"1": 25.0})
+        self.assertEqual(prior.ends_on("1"), builders.lease_ends(25.0))
 
     def test_owner_that_reaches_the_worker_counts_it_too(self) -> None:
-        prior = prior_leases.PriorLeases(14.0, {}, {"1": 25.0})
+        prior = builders.leases_until(14.0, {}, {"1": 25.0})
         engine = builders.create_engine(builders.entry("1"), prior=prior)
         spec = builders.job(_JOB, builders.step())
         engine.submit(spec, (), 10.0, 10_000)
@@ -157,7 +162,7 @@
             (5_000, float("-inf"), 4.0),
         ):
             worker = builders.create_worker("1", clock_ms=clock_ms)
-            worker.prior_leases_end_s = prior_end_s
+            worker.prior_ends = builders.lease_ends(prior_end_s)
             worker.record_answer(clock_ms, 10.0)
             lease_s = worker.leases_expire_s() - 10.0
             self.assertGreaterEqual(lease_s, least_s)
--- a/foxtaillock/batch/tests/test_long_ownership.py
+++ b/foxtaillock/batch/tests/test_long_ownership.py
@@ -5,7 +5,6 @@
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
-from foxtaillock.batch import prior_leases
 from foxtaillock.batch import tickets
 from foxtaillock.batch.tests import builders
 
@@ -18,7 +17,7 @@
 
     def test_tickets_of_a_job_that_was_erased_are_forgotten(self) -> None:
         state = owner_state.OwnerState(
-            1, 10.0, prior_leases.PriorLeases(0.0), lambda *_, **__: None
+            1, 10.0, builders.leases_until(0.0), lambda *_, **__: None
         )
         engine = builders.create_engine()
         engine.submit(builders.job(_JOB, builders.step()), (), 10.0, 10_000)
--- a/foxtaillock/batch/tests/test_look_ahead.py
+++ b/foxtaillock/batch/tests/test_look_ahead.py
@@ -7,7 +7,6 @@
 from foxtaillock.batch import job_states
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
-from foxtaillock.batch import prior_leases
 from foxtaillock.batch import slow_runs
 from foxtaillock.batch import tasks
 from foxtaillock.batch.tests import builders
@@ -119,7 +118,7 @@
     """Which of the runs that end tell how long the work takes."""
 
     def setUp(self) -> None:
-        prior = prior_leases.PriorLeases(10.0)
+        prior = builders.leases_until(10.0)
         self.state = owner_state.OwnerState(
             1, 10.0, prior, lambda *_, **__: None
         )
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -5,6 +5,7 @@
 from foxtaillock.batch import ownership
 from foxtaillock.batch import records
 from foxtaillock.batch import workers
+from foxtaillock.batch.tests import builders
 
 _OTHER = records.OwnerRecord(4, "vm-2", "b", heartbeat=1)
 _MINE = records.OwnerRecord(5, "vm-1", "a")
@@ -83,24 +84,26 @@
         self,
     ) -> None:
         for released, end_s in (
-            (False, workers.prior_leases_end_s(10.0, False)),
-            (True, workers.prior_leases_end_s(10.0, True)),
+            (False, workers.prior_lease_ends(10.0, False)),
+            (True, workers.prior_lease_ends(10.0, True)),
         ):
             monitor = ownership.OwnerMonitor("vm-1", "a", 0.0)
             monitor.observe(_OTHER._replace(is_released=released), 10.0)
             monitor.observe(_MINE, 11.0)
-            self.assertEqual(monitor.earlier_leases_end_s, end_s)
+            self.assertEqual(monitor.earlier_lease_ends, end_s)
         earlier = records.OwnerRecord(4, "vm-1", "z", heartbeat=1)
         self.monitor.observe(earlier, 10.0)
         self.monitor.observe(_MINE, 11.0)
         self.assertEqual(
-            self.monitor.earlier_leases_end_s,
-            workers.prior_leases_end_s(10.0, True),
+            self.monitor.earlier_lease_ends,
+            workers.prior_lease_ends(10.0, True),
         )
-        silent_s = workers.prior_leases_end_s(10.0, False)
-        ended_s = workers.prior_leases_end_s(10.0, True)
-        self.assertEqual(silent_s - ended_s, workers.RENEWAL_WINDOW_S)
-        self.assertGreater(ended_s, 10.0 + workers.RUN_LEASE_S)
+        silent = workers.prior_lease_ends(10.0, False)
+        ended = workers.prior_lease_ends(10.0, True)
+        self.assertEqual(
+            silent.confirmed_s - ended.confirmed_s, workers.RENEWAL_WINDOW_S
+        )
+        self.assertGreater(ended.confirmed_s, 10.0 + workers.RUN_LEASE_S)
 
     def test_retries_of_failed_claims_are_spread(self) -> None:
         retry_tenths = set()
@@ -137,8 +140,8 @@
         self.monitor.observe(_OTHER._replace(heartbeat=2), 12.4)
         self.monitor.observe(_MINE, 12.5)
         self.assertEqual(
-            self.monitor.earlier_leases_end_s,
-            workers.prior_leases_end_s(12.4, False),
+            self.monitor.earlier_lease_ends,
+            workers.prior_lease_ends(12.4, False),
         )
 
     def test_short_ownership_hides_no_lease_of_the_one_before(self) -> None:
@@ -151,18 +154,18 @@
         )
         self.monitor.observe(_MINE._replace(epoch=6), 11.7)
         self.assertEqual(
-            self.monitor.earlier_leases_end_s,
-            workers.prior_leases_end_s(10.0, False),
+            self.monitor.earlier_lease_ends,
+            workers.prior_lease_ends(10.0, False),
         )
 
     def test_unanswered_claim_of_this_vm_hides_no_lease(self) -> None:
         self.monitor.observe(_OTHER, 10.0)
         self.monitor.observe(_MINE, 11.5)
         self.monitor.observe(_MINE._replace(epoch=6), 11.6)
-        self.assertGreaterEqual(
-            self.monitor.earlier_leases_end_s,
-            workers.prior_leases_end_s(10.0, False),
-        )
+        ends = self.monitor.earlier_lease_ends
+        silent = workers.prior_lease_ends(10.0, False)
+        self.assertGreaterEqual(ends.confirmed_s, silent.confirmed_s)
+        self.assertGreaterEqual(ends.unconfirmed_s, silent.unconfirmed_s)
 
     def test_vm_that_has_just_started_learns_it_from_the_record(self) -> None:
         """It reads only the newest record, that of the short ownership."""
@@ -173,10 +176,13 @@
             is_released=True,
             heartbeat=1,
             earlier_leases_ms=7_000,
+            earlier_unconfirmed_ms=9_000,
         )
         self.monitor.observe(short, 20.0)
         self.monitor.observe(_MINE._replace(epoch=6), 20.1)
-        self.assertEqual(self.monitor.earlier_leases_end_s, 27.0)
+        self.assertEqual(
+            self.monitor.earlier_lease_ends, builders.lease_ends(27.0, 29.0)
+        )
 
 
 class CapacityTest(unittest.TestCase):
@@ -278,7 +284,12 @@
         self.monitor.observe(renounced, 10.0)
 
     def _ends_s(self) -> dict[str, float]:
-        return dict(self.monitor.prior_leases().renounced_ends_s)
+        return {
+            worker_id: ends.latest_s
+            for worker_id, ends in (
+                self.monitor.prior_leases().renounced_ends.items()
+            )
+        }
 
     def test_new_owner_knows_what_the_last_one_renounced(self) -> None:
         self.monitor.observe(_MINE, 11.0)
@@ -300,8 +311,8 @@
             self.monitor.observe(claim, 11.0 + epoch)
         self.assertEqual(self._ends_s(), {"i-1": 12.0})
         self.assertEqual(
-            self.monitor.earlier_leases_end_s,
-            workers.prior_leases_end_s(10.0, False),
+            self.monitor.earlier_lease_ends,
+            workers.prior_lease_ends(10.0, False),
         )
 
     def test_owner_whose_records_were_missed_may_have_granted_leases(
@@ -311,6 +322,6 @@
         self.monitor.observe(records.OwnerRecord(6, "vm-1", "a"), 12.0)
         self.monitor.records_missed()
         self.assertEqual(
-            self.monitor.earlier_leases_end_s,
-            workers.prior_leases_end_s(11.0, False),
+            self.monitor.earlier_lease_ends,
+            workers.prior_lease_ends(11.0, False),
         )
--- a/foxtaillock/batch/tests/test_renounced_leases.py
+++ b/foxtaillock/batch/tests/test_renounced_leases.py
@@ -126,7 +126,7 @@
         return any(engine.jobs[_JOB].active_tasks())
 
     def test_run_ends_with_the_leases_on_its_own_worker(self) -> None:
-        prior = prior_leases.PriorLeases(14.6, {"1": 12.0})
+        prior = builders.leases_until(14.6, {"1": 12.0})
         for entries in ((), (builders.entry("1"),)):
             with self.subTest(entries=len(entries)):
                 engine = self._take_over(prior, *entries)
@@ -134,23 +134,23 @@
                 self.assertFalse(self._has_run(engine, 12.1))
 
     def test_other_runs_end_with_the_leases_of_all_earlier_owners(self) -> None:
-        prior = prior_leases.PriorLeases(14.6, {"2": 12.0})
+        prior = builders.leases_until(14.6, {"2": 12.0})
         engine = self._take_over(prior)
         self.assertTrue(self._has_run(engine, 14.5))
         self.assertFalse(self._has_run(engine, 14.7))
 
     def test_silent_worker_gets_no_lease_before_it_answers(self) -> None:
-        prior = prior_leases.PriorLeases(14.6, {"1": 12.0})
+        prior = builders.leases_until(14.6, {"1": 12.0})
         engine = self._take_over(prior, builders.entry("1"))
         answer = builders.lists([(_TASK, 1)])
         self.assertIsNone(_poll(engine, answer, 10.1))
         self.assertIsNotNone(_poll(engine, answer, 10.2))
 
     def test_end_is_handed_on_unless_the_registry_is_unread(self) -> None:
-        engine = self._take_over(prior_leases.PriorLeases(14.6, {"1": 12.0}))
+        engine = self._take_over(builders.leases_until(14.6, {"1": 12.0}))
         leases = engine.renounced.propose(
             10.0, is_releasing=False, knows_workers=False
         )
         self.assertEqual(leases, ())
         (lease,) = engine.renounced.propose(10.0, is_releasing=False)
-        self.assertEqual(lease, records.RenouncedLease("1", 2_000))
+        self.assertEqual(lease, records.RenouncedLease("1", 2_000, 2_000))
--- a/foxtaillock/batch/tests/test_schedules.py
+++ b/foxtaillock/batch/tests/test_schedules.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from foxtaillock.batch import ownership
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch.tests import simulation
 from foxtaillock.batch import worker_answers
@@ -62,7 +63,7 @@
             now_s: float,
         ) -> None:
             # pylint: disable-next=protected-access
-            monitor._earlier_leases_end_s = float("-inf")
+            monitor._earlier_ends = prior_leases.NO_LEASES
             original(monitor, owner, now_s)
 
         with mock.patch.object(ownership.OwnerMonitor, "observe", _forget):
--- /dev/null
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -0,0 +1,181 @@
+"""Tests of leases of runs that no answer of a worker has confirmed.
+
+Their start may have been carried out by an incarnation that nobody has met. A
+time of the earlier one's clock lies far ahead there, so the run gets the
+longest lease, which begins when the call arrives.
+"""
+
+import unittest
+
+from foxtaillock.batch import engine as engines
+from foxtaillock.batch import interfaces
+from foxtaillock.batch import model
+from foxtaillock.batch import ownership
+from foxtaillock.batch import plans
+from foxtaillock.batch import records
+from foxtaillock.batch import tasks
+from foxtaillock.batch.tests import builders
+
+_JOB = "00000000000000aa"
+_STEP = model.StepId(_JOB, 0, 0)
+_UNKNOWN = interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
+_CLOCK_MS = 600_000
+
+# Timeouts of a start and of a poll that waits for an end.
+_START_TIMEOUT_S, _POLL_TIMEOUT_S = 0.8, 1.8
+
+# The longest lease, and the one that owners grant, on the slowest clock.
+_LONGEST_S, _GRANTED_S = 6.0 / 0.98, 4.0 / 0.98
+
+
+def _lost_s(engine: engines.Engine, task: tasks.Task, now_s: float) -> float:
+    """Returns when the run of a silent worker's task is given up."""
+    end_s = now_s + 30.0
+    while task.worker_id and now_s < end_s:
+        now_s += 0.05
+        engine.tick(now_s)
+    return now_s
+
+
+class OwnerTest(unittest.TestCase):
+    """An owner whose worker has one confirmed run, and falls silent."""
+
+    def setUp(self) -> None:
+        self.engine = builders.create_engine(
+            builders.entry("1", clock_ms=_CLOCK_MS)
+        )
+        spec = builders.job(_JOB, builders.step(2))
+        self.engine.submit(spec, (), 10.0, 10_000)
+        self.confirmed, self.doubtful = self.engine.jobs[_JOB].steps[0, 0].tasks
+        self.engine.plan(10.0)
+        batch = self.engine.take_batch()
+        starts = self.engine.batch_recorded(batch, 10.0)
+        self.starts = {plan.task: plan for plan in starts}
+        for plan in starts:
+            self.engine.start_order(plan, 10.0)
+
+    def _answer(
+        self, task: tasks.Task, answer: interfaces.OrderAnswer, now_s: float
+    ) -> plans.StartPlan:
+        plan = self.starts[task]
+        self.engine.answers.start_answered(plan, answer, now_s)
+        return plan
+
+    def _accept(self, task: tasks.Task, clock_ms: int, now_s: float) -> None:
+        accepted = interfaces.OrderOutcome.ACCEPTED
+        self._answer(task, interfaces.OrderAnswer(accepted, clock_ms), now_s)
+
+    def test_start_without_an_answer_holds_the_longest_lease(self) -> None:
+        self._accept(self.confirmed, _CLOCK_MS + 10, 10.01)
+        self._answer(self.doubtful, _UNKNOWN, 10.0 + _START_TIMEOUT_S)
+        lost_s = _lost_s(self.engine, self.doubtful, 11.0)
+        self.assertGreater(lost_s, 10.0 + _START_TIMEOUT_S + _LONGEST_S)
+
+    def test_poll_beside_it_may_extend_its_lease(self) -> None:
+        self._accept(self.confirmed, _CLOCK_MS + 10, 10.01)
+        worker = self.engine.workers["1"]
+        plan = self.engine.answers.poll_plan(worker, 10.5)
+        assert plan is not None and plan.valid_until_ms is not None
+        self._answer(self.doubtful, _UNKNOWN, 10.0 + _START_TIMEOUT_S)
+        self.engine.answers.poll_answered(
+            "1", plan, _UNKNOWN, 10.5, 10.5 + _POLL_TIMEOUT_S
+        )
+        lost_s = _lost_s(self.engine, self.doubtful, 12.5)
+        self.assertGreater(lost_s, 10.5 + _POLL_TIMEOUT_S + _LONGEST_S)
+
+    def test_confirmed_run_beside_it_waits_no_longer(self) -> None:
+        """Guards against LOST: it ran on the incarnation that is known."""
+        self._accept(self.confirmed, _CLOCK_MS + 10, 10.01)
+        self._answer(self.doubtful, _UNKNOWN, 10.0 + _START_TIMEOUT_S)
+        lost_s = _lost_s(self.engine, self.confirmed, 11.0)
+        self.assertGreater(lost_s, 10.0 + _GRANTED_S)
+        self.assertLess(lost_s, 10.0 + _GRANTED_S + 0.5)
+        self.assertTrue(self.doubtful.worker_id)
+
+    def test_answer_of_a_clock_that_has_started_anew_confirms_nothing(
+        self,
+    ) -> None:
+        self._accept(self.confirmed, 50, 10.5)
+        self._accept(self.doubtful, 60, 10.51)
+        lost_s = _lost_s(self.engine, self.doubtful, 10.6)
+        self.assertGreater(lost_s, 10.0 + _START_TIMEOUT_S + _LONGEST_S)
+
+
+class SuccessorTest(unittest.TestCase):
+    """A later owner that does not reach the worker of two runs."""
+
+    def setUp(self) -> None:
+        self.monitor = ownership.OwnerMonitor("vm-1", "a", 0.0)
+        self.last = records.OwnerRecord(1, "vm-2", "b", heartbeat=1)
+        self.monitor.observe(self.last, 9.0)
+
+    def _take_over(
+        self, confirmed_started_ms: int, *entries: model.WorkerEntry
+    ) -> tuple[engines.Engine, list[tasks.Task]]:
+        """Returns the engine of the next owner, and the two tasks."""
+        claim = records.OwnerRecord(2, "vm-1", "a")
+        self.monitor.observe(claim, 10.5)
+        engine = builders.create_engine(
+            *entries, prior=self.monitor.prior_leases()
+        )
+        rows = (
+            records.TaskProgress(
+                0, 1, 0, "1", confirmed_started_ms, active_clock_ms=_CLOCK_MS
+            ),
+            records.TaskProgress(1, 1, 0, "1", 1),
+        )
+        progress = records.StepProgress(_STEP, 1, b"\0", rows)
+        spec = builders.job(_JOB, builders.step(2))
+        engine.submit(spec, [progress], 10.5, 10_500)
+        return engine, engine.jobs[_JOB].steps[0, 0].tasks
+
+    def _lost_s(self, number: int, *entries: model.WorkerEntry) -> float:
+        engine, adopted = self._take_over(1, *entries)
+        return _lost_s(engine, adopted[number], 10.5)
+
+    def test_start_on_its_way_at_a_release_holds_the_longest_lease(
+        self,
+    ) -> None:
+        self.monitor.observe(self.last._replace(is_released=True), 10.0)
+        for entries in ((), (builders.entry("1"),)):
+            with self.subTest(entries=len(entries)):
+                lost_s = self._lost_s(1, *entries)
+                self.assertGreater(lost_s, 10.0 + _POLL_TIMEOUT_S + _LONGEST_S)
+
+    def test_confirmed_run_waits_no_longer_after_a_release(self) -> None:
+        self.monitor.observe(self.last._replace(is_released=True), 10.0)
+        for entries in ((), (builders.entry("1"),)):
+            with self.subTest(entries=len(entries)):
+                lost_s = self._lost_s(0, *entries)
+                self.assertGreater(lost_s, 10.0 + _GRANTED_S)
+                self.assertLess(lost_s, 10.0 + _GRANTED_S + 1.0)
+
+    def test_silent_owner_may_have_renewed_its_lease(self) -> None:
+        """It renews for 3.5 s after its last record, also on an old entry."""
+        self.monitor.observe(self.last._replace(heartbeat=2), 10.0)
+        renewed_s = 10.0 + 3.5 + _POLL_TIMEOUT_S
+        self.assertGreater(self._lost_s(1), renewed_s + _LONGEST_S)
+        self.assertLess(self._lost_s(0), 10.0 + 3.5 + _GRANTED_S + 1.0)
+
+    def test_end_that_the_last_owner_told_counts_for_each_kind(self) -> None:
+        told = records.RenouncedLease("1", 2_000, 5_000)
+        released = self.last._replace(is_released=True, renounced=(told,))
+        self.monitor.observe(released, 10.0)
+        self.assertAlmostEqual(self._lost_s(0), 12.0, delta=0.1)
+        self.assertAlmostEqual(self._lost_s(1), 15.0, delta=0.1)
+
+    def test_run_of_a_later_incarnation_than_the_entry_holds_the_longest(
+        self,
+    ) -> None:
+        """The renewals of this owner rest on the earlier clock."""
+        self.monitor.observe(self.last._replace(is_released=True), 10.0)
+        entry = builders.entry("1", clock_ms=_CLOCK_MS)
+        engine, (confirmed, _) = self._take_over(2, entry)
+        plan = engine.answers.poll_plan(engine.workers["1"], 14.0)
+        assert plan is not None and plan.valid_until_ms is not None
+        engine.answers.poll_answered("1", plan, _UNKNOWN, 14.0, 14.8)
+        self.assertGreater(_lost_s(engine, confirmed, 14.8), 14.8 + _LONGEST_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/foxtaillock/batch/tests/test_usable_workers.py
+++ b/foxtaillock/batch/tests/test_usable_workers.py
@@ -5,7 +5,6 @@
 from unittest import mock
 
 from foxtaillock.batch import owner_state
-from foxtaillock.batch import prior_leases
 from foxtaillock.batch import usable_workers
 from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
@@ -76,7 +75,7 @@
 
     def setUp(self) -> None:
         self.state = owner_state.OwnerState(
-            1, 10.0, prior_leases.PriorLeases(10.0), lambda *_, **__: None
+            1, 10.0, builders.leases_until(10.0), lambda *_, **__: None
         )
         self._register("1")
         self._register("2")
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -50,10 +50,6 @@
 # is answered within some milliseconds.
 _WITHHELD_POLL_PAUSE_S = 0.03
 
-# Longest time that a poll waits for a run to end. Each poll renews the lease of
-# a worker that answers and has tasks.
-_POLL_WAIT_S = 1.0
-
 
 class WorkerAnswers:
     """Handles the answers to start orders, stop orders and polls.
@@ -83,7 +79,7 @@
         if outcome is interfaces.OrderOutcome.ACCEPTED:
             self._state.set_phase(task, tasks.TaskPhase.RUNNING, now_s)
             task.began_s = now_s
-            if answer.clock_ms is not None:
+            if answer.clock_ms is not None and not worker.has_odd_clock:
                 self._state.crashes.record_active(
                     task, worker, answer.clock_ms, now_s
                 )
@@ -188,18 +184,20 @@
             for task in worker.tasks.values()
         )
         is_unresolved |= worker.may_have_restarted
-        # A poll without an answer may have renewed the lease. A worker that
-        # does not answer is therefore polled without a renewal, so that the
-        # end of its lease is known.
-        valid_until_ms = None
-        if worker.tasks and not worker.unanswered_calls:
-            valid_until_ms = worker.grant_lease(now_s)
         is_unresolved |= worker.has_unexpected_runs
         is_unresolved |= worker.may_have_more_ends
         # A worker drops ends during the whole wait, also those of runs that
         # begin meanwhile on a later incarnation.
         is_unresolved |= worker.end_to_acknowledge > 0
-        wait_s = 0.0 if is_unresolved or not worker.tasks else _POLL_WAIT_S
+        wait_s = (
+            0.0 if is_unresolved or not worker.tasks else workers.POLL_WAIT_S
+        )
+        # A poll without an answer may have renewed the lease. A worker that
+        # does not answer is therefore polled without a renewal, so that the
+        # end of its lease is known.
+        valid_until_ms = None
+        if worker.tasks and not worker.unanswered_calls:
+            valid_until_ms = worker.grant_lease(now_s, wait_s)
         worker.polled_s = now_s
         return plans.PollPlan(
             worker.entry, _end_to_acknowledge(worker), valid_until_ms, wait_s
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -6,19 +6,22 @@
 import typing
 from collections.abc import Mapping
 
+from foxtaillock.batch import interfaces
 from foxtaillock.batch import model
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import tasks as batch_tasks
 from foxtaillock.model import resources
 
 __all__ = [
     "LATE_ORDER_S",
     "MAX_LEASE_S",
+    "POLL_WAIT_S",
     "RENEWAL_WINDOW_S",
     "LeaseBasis",
     "LeavingWorkers",
     "RUN_LEASE_S",
     "Worker",
-    "prior_leases_end_s",
+    "prior_lease_ends",
     "successor_of",
 ]
 
@@ -61,6 +64,13 @@
 # ended. Together with the lease, runs survive outages of the store of 7 s.
 RENEWAL_WINDOW_S = 3.5
 
+# Longest time that a poll waits for a run to end. Each poll renews the lease of
+# a worker that answers and has tasks.
+POLL_WAIT_S = 1.0
+
+# Timeout of the longest call.
+_MAX_CALL_S = POLL_WAIT_S + interfaces.ANSWER_TIMEOUT_S
+
 # Allowance for the time between reading the clock and sending an order.
 _SEND_ALLOWANCE_S = 0.1
 
@@ -71,9 +81,15 @@
 # was read.
 _IN_FLIGHT_ALLOWANCE_S = 0.5
 
+# An address delivers the calls that it held while no worker listened there
+# within this time after their timeout.
+_HELD_CALL_ALLOWANCE_S = 0.5
+
 
-def prior_leases_end_s(last_heard_s: float, has_ended: bool) -> float:
-    """Returns a time by which all leases granted by one owner have expired.
+def prior_lease_ends(
+    last_heard_s: float, has_ended: bool
+) -> prior_leases.LeaseEnds:
+    """Returns times by which all leases granted by one owner have expired.
 
     Args:
         last_heard_s: time at which a record of that owner was last read.
@@ -81,8 +97,11 @@
             owner may still renew leases on workers that this VM can't reach.
     """
     renews_s = 0.0 if has_ended else RENEWAL_WINDOW_S
-    lease_s = RUN_LEASE_S / (1 - _MAX_CLOCK_DRIFT)
-    return last_heard_s + renews_s + lease_s + _IN_FLIGHT_ALLOWANCE_S
+    granted_by_s = last_heard_s + renews_s + _IN_FLIGHT_ALLOWANCE_S
+    return prior_leases.LeaseEnds(
+        granted_by_s + RUN_LEASE_S / (1 - _MAX_CLOCK_DRIFT),
+        granted_by_s + _MAX_CALL_S + MAX_LEASE_S,
+    )
 
 
 class LeaseBasis(enum.StrEnum):
@@ -132,8 +151,10 @@
             registry do not count.
         valid_until_ms: latest end, on its clock, of a lease granted by this
             owner.
-        prior_leases_end_s: time by which all leases granted by earlier owners
-            have expired.
+        prior_ends: times by which all leases granted by earlier owners have
+            expired.
+        calls_end_s: time by which the calls of this owner that grant leases
+            have been carried out, unless they are late.
         assumed_end_s: time by which leases have expired that calls meant for
             an earlier incarnation may have given.
         unanswered_calls: number of consecutive calls without an answer.
@@ -175,7 +196,7 @@
     """
 
     entry: model.WorkerEntry
-    prior_leases_end_s: float
+    prior_ends: prior_leases.LeaseEnds
     is_registered: bool = True
     tasks: dict[model.TaskId, batch_tasks.Task] = dataclasses.field(
         default_factory=dict
@@ -189,6 +210,7 @@
     clock_read_s: float = float("-inf")
     answered_s: float = float("-inf")
     valid_until_ms: int = 0
+    calls_end_s: float = float("-inf")
     assumed_end_s: float = float("-inf")
     unanswered_calls: int = 0
     recorded_end: int = 0
@@ -305,7 +327,7 @@
         """
         if not self.has_answered:
             is_young = clock_ms < _YOUNG_S * 1000
-            may_be_late = now_s < self.prior_leases_end_s + _LATE_PRIOR_S
+            may_be_late = now_s < self.prior_ends.confirmed_s + _LATE_PRIOR_S
             if is_young and may_be_late:
                 longest_end_s = now_s + MAX_LEASE_S
                 self.assumed_end_s = max(self.assumed_end_s, longest_end_s)
@@ -390,28 +412,55 @@
             return None
         return int(clock_ms + RUN_LEASE_S * 1000)
 
-    def grant_lease(self, now_s: float) -> int | None:
+    def grant_lease(self, now_s: float, wait_s: float = 0.0) -> int | None:
         """Returns the end of a lease that begins now, which then counts.
 
         Returns None, and grants nothing, if the clock is not known yet or
         leases are renounced.
+
+        Args:
+            now_s: current time.
+            wait_s: time for which the call that grants it asks the worker to
+                wait before it answers.
         """
         if self.is_renounced:
             return None
         granted_until_ms = self.lease_end_ms(now_s)
         if granted_until_ms is not None:
             self.valid_until_ms = max(self.valid_until_ms, granted_until_ms)
+            call_end_s = now_s + wait_s + interfaces.ANSWER_TIMEOUT_S
+            self.calls_end_s = max(self.calls_end_s, call_end_s)
         return granted_until_ms
 
     def leases_expire_s(self) -> float:
-        """Returns a time by which all leases of the worker have expired.
+        """Returns a time by which the leases of confirmed runs have expired.
 
-        All its runs have ended by then, unless further orders reach it.
+        These runs have ended by then, unless further orders reach them. For
+        others see `run_lease_expires_s`.
         """
         ends_s = max(self._granted_end_s(), self.assumed_end_s)
         if self.has_answered:
             return ends_s
-        return max(ends_s, self.prior_leases_end_s)
+        return max(ends_s, self.prior_ends.confirmed_s)
+
+    def run_lease_expires_s(self, task: batch_tasks.Task) -> float:
+        """Returns a time by which the lease of a task's run has expired.
+
+        A run that this incarnation has not confirmed may be on a later one that
+        nobody has met. A time of this one's clock lies far ahead there, so each
+        call that grants a lease may have granted the longest.
+        """
+        ends_s = self.leases_expire_s()
+        is_confirmed_here = (
+            task.is_confirmed
+            and task.worker_started_ms == self.entry.started_ms
+        )
+        if not is_confirmed_here:
+            carried_out_s = self.calls_end_s + _HELD_CALL_ALLOWANCE_S
+            ends_s = max(ends_s, carried_out_s + MAX_LEASE_S)
+        if not task.is_confirmed and not self.has_answered:
+            ends_s = max(ends_s, self.prior_ends.latest_s)
+        return ends_s
 
     @property
     def lease_basis(self) -> LeaseBasis:
--- a/foxtaillock/platform/worker_client.py
+++ b/foxtaillock/platform/worker_client.py
@@ -14,11 +14,6 @@
 
 __all__ = ["HttpWorkerClient"]
 
-# Timeout in addition to the wait that a call asks for. A worker responds within
-# a few milliseconds; the outcome of an order that times out is unknown until
-# the worker is polled.
-_ANSWER_TIMEOUT_S = 0.8
-
 # URLs of the latest calls; a worker has up to four.
 _MAX_CACHED_URLS = 4_096
 
@@ -216,7 +211,7 @@
         return await client.request(
             "POST",
             _url(worker.address, name),
-            wait_s + _ANSWER_TIMEOUT_S,
+            wait_s + interfaces.ANSWER_TIMEOUT_S,
             body=encoded,
             headers=headers,
         )
