Batch: an earlier incarnation's clock makes no lease endless

What callers would see: a task that stays away for half a minute (LOST) after its worker had started again and was cut off.

Cause: the answer to a start tells the clock of the incarnation that answers. After that, the end of leases was the difference between a time of the earlier clock and a reading of the later one: up to its whole age.

It was hidden from successors, which took the earlier of that end and the general one.

Change: no lease ends later on the clock that answered than the longest one from then; a worker shortens it to that.

--- a/foxtaillock/batch/tests/test_unconfirmed_runs.py
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -100,6 +100,14 @@
         lost_s = _lost_s(self.engine, self.doubtful, 10.6)
         self.assertGreater(lost_s, 10.0 + _START_TIMEOUT_S + _LONGEST_S)
 
+    def test_clock_that_has_started_anew_makes_no_lease_endless(self) -> None:
+        """Guards against LOST: the earlier clock is far ahead of it."""
+        self._accept(self.confirmed, 50, 10.5)
+        self._answer(self.doubtful, _UNKNOWN, 10.0 + _START_TIMEOUT_S)
+        for task in (self.confirmed, self.doubtful):
+            lost_s = _lost_s(self.engine, task, 11.0)
+            self.assertLess(lost_s, 10.5 + _POLL_TIMEOUT_S + _LONGEST_S + 0.5)
+
 
 class SuccessorTest(unittest.TestCase):
     """A later owner that does not reach the worker of two runs."""
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -339,7 +339,13 @@
         self.has_answered = True
 
     def record_contact(self, clock_ms: int, now_s: float) -> None:
-        """Records any answer that states the worker's clock."""
+        """Records any answer that states the worker's clock.
+
+        If it is the clock of a later incarnation, a lease that ends far ahead
+        on it was shortened to the longest one.
+        """
+        longest_ms = clock_ms + int(_MAX_RUN_LEASE_S * 1000)
+        self.valid_until_ms = min(self.valid_until_ms, longest_ms)
         self.clock_ms = clock_ms
         self.clock_read_s = now_s
         self.answered_s = now_s
