Batch: times and ends of leases, and lost runs, stand in modules by matter

Now: lease_times (durations), prior_leases.lease_ends_of, lease_expiry, lost_runs. No decision has changed.

--- a/foxtaillock/batch/claim_writer.py
+++ b/foxtaillock/batch/claim_writer.py
@@ -4,6 +4,7 @@
 
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import ownership
 from foxtaillock.batch import records
 from foxtaillock.batch import services as batch_services
@@ -55,8 +56,10 @@
             self._name,
             self._incarnation,
             capacity=self._ownership.capacity,
-            earlier_leases_ms=records.remaining_ms(ends.confirmed_s, now_s),
-            earlier_unconfirmed_ms=records.remaining_ms(ends.latest_s, now_s),
+            earlier_leases_ms=lease_times.remaining_ms(ends.confirmed_s, now_s),
+            earlier_unconfirmed_ms=lease_times.remaining_ms(
+                ends.latest_s, now_s
+            ),
             long_leases=self._ownership.long_leases(
                 services.clock.monotonic_s()
             ),
--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -8,7 +8,6 @@
 Who is to blame is decided in `crash_suspects`.
 """
 
-import typing
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -17,16 +16,14 @@
 from foxtaillock.batch import crash_suspects
 from foxtaillock.batch import isolation
 from foxtaillock.batch import job_states
+from foxtaillock.batch import lost_runs
 from foxtaillock.batch import model
 from foxtaillock.batch import records
 from foxtaillock.batch import run_times
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
-__all__ = ["CrashTracker", "is_restart"]
-
-# A worker that crashed is back within some seconds.
-_RETENTION_S = 30.0
+__all__ = ["CrashTracker"]
 
 # Crashes of which the workers last answered within this time of each other are
 # simultaneous, if there are this many others.
@@ -37,22 +34,6 @@
 _WORK_INTERVAL_S = 10.0
 
 
-def is_restart(earlier: model.WorkerEntry, later: model.WorkerEntry) -> bool:
-    """Returns whether a worker is a later incarnation of another.
-
-    After a move of its VM, a worker serves another pool. Addresses may be used
-    again by workers of other pools.
-    """
-    is_same = (
-        earlier.worker_id == later.worker_id or earlier.address == later.address
-    )
-    return (
-        is_same
-        and earlier.pool == later.pool
-        and 0 < earlier.started_ms < later.started_ms
-    )
-
-
 def _is_planned(worker: workers.Worker) -> bool:
     """Returns whether a worker ends as planned, or may."""
     return worker.is_leaving or any(
@@ -64,20 +45,6 @@
     return abs(one_s - other_s) <= _SIMULTANEOUS_S
 
 
-class _LostRuns(typing.NamedTuple):
-    entry: model.WorkerEntry
-    lost_s: float
-    answered_s: float
-    runs: Sequence[crash_suspects.RunAtCrash]
-
-    def runs_of(
-        self, entry: model.WorkerEntry
-    ) -> list[crash_suspects.RunAtCrash]:
-        """Returns the runs, if they were on the same incarnation."""
-        is_same = self.entry.started_ms == entry.started_ms
-        return list(self.runs) if is_same else []
-
-
 class CrashTracker:
     """Crashes of workers, as one owner learns of them.
 
@@ -108,7 +75,7 @@
         self._crashed_s: dict[str, float] = {}
         self._record = record
         self._log = log
-        self._lost: dict[str, _LostRuns] = {}
+        self._lost_runs = lost_runs.LostRuns()
 
     # Crashes of all workers.
 
@@ -140,7 +107,7 @@
         self._crashed_s = {
             worker_id: answered_s
             for worker_id, answered_s in self._crashed_s.items()
-            if worker.answered_s - answered_s <= _RETENTION_S
+            if worker.answered_s - answered_s <= lost_runs.RETENTION_S
         }
         return len(silent - {worker.worker_id}) >= _MIN_SIMULTANEOUS_CRASHES
 
@@ -186,12 +153,14 @@
         Returns:
             The tasks that are given up for it.
         """
-        is_proven = has_answered or is_restart(worker.entry, successor)
+        is_proven = has_answered or lost_runs.is_restart(
+            worker.entry, successor
+        )
         if _is_planned(worker) or not is_proven:
             return []
         runs = isolation.runs_at_crash(worker, now_s)
         answered_id = worker.worker_id if has_answered else ""
-        runs += self._take_lost_runs(successor, now_s, answered_id)
+        runs += self._lost_runs.take(successor, now_s, answered_id)
         is_shared = self.record_crash(worker)
         self._log(
             "worker-crashed",
@@ -210,7 +179,7 @@
         Returns:
             The tasks that are given up for it.
         """
-        runs = self._take_lost_runs(worker.entry, now_s)
+        runs = self._lost_runs.take(worker.entry, now_s)
         if not runs:
             return []
         is_shared = self.record_crash(worker)
@@ -276,24 +245,14 @@
             if task.phase is not tasks.TaskPhase.RECORDING
         ]
         if runs and not _is_planned(worker):
-            known = self._lost.get(worker.worker_id)
-            before = [] if known is None else known.runs_of(worker.entry)
-            self._lost[worker.worker_id] = _LostRuns(
-                worker.entry,
-                now_s,
-                worker.answered_s,
-                before + [self._count_possible(run) for run in runs],
+            self._lost_runs.add(
+                worker, [self._count_possible(run) for run in runs], now_s
             )
-        self._lost = {
-            worker_id: lost
-            for worker_id, lost in self._lost.items()
-            if now_s - lost.lost_s <= _RETENTION_S
-        }
+        self._lost_runs.expire(now_s)
 
     def record_answer(self, worker: workers.Worker) -> None:
         """Records that a worker answers, so it has not crashed."""
-        lost = self._lost.pop(worker.worker_id, None)
-        for run in lost.runs if lost is not None else ():
+        for run in self._lost_runs.pop(worker.worker_id):
             task = self._open_task(run.task)
             if run.is_counted and task is not None:
                 task.possible_crashes -= 1
@@ -346,29 +305,6 @@
             task.crash_history, self.rate
         )
 
-    def _take_lost_runs(
-        self, entry: model.WorkerEntry, now_s: float, answered_id: str = ""
-    ) -> list[crash_suspects.RunAtCrash]:
-        """Returns and forgets the lost runs on earlier incarnations.
-
-        Args:
-            entry: entry of the later incarnation.
-            now_s: current time.
-            answered_id: id under which it has answered; empty if it has not.
-        """
-        runs = []
-        for worker_id, lost in list(self._lost.items()):
-            if worker_id != answered_id and not is_restart(lost.entry, entry):
-                continue
-            del self._lost[worker_id]
-            silent_s = now_s - lost.answered_s
-            is_recent = silent_s <= crash_suspects.MAX_SILENCE_S
-            runs += [
-                run._replace(is_confirmed=run.is_confirmed and is_recent)
-                for run in lost.runs
-            ]
-        return runs
-
     # Suspects.
 
     def restore(self, step: tasks.Step) -> None:
--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -12,6 +12,7 @@
 from foxtaillock.batch import decision_log
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import job_states
+from foxtaillock.batch import lease_expiry
 from foxtaillock.batch import lease_log
 from foxtaillock.batch import long_leases
 from foxtaillock.batch import model
@@ -298,7 +299,7 @@
         self._check_restored_jobs(now_s)
         self._state.create_due_occurrences(now_s)
         self.vms.evacuate(now_s)
-        self._state.expire_orphans(now_s)
+        lease_expiry.expire_orphans(self._state, now_s)
         self._state.late_starts.expire(now_s)
         self._state.late_renewals.expire(now_s)
         self._state.accounts.expire(now_s)
@@ -312,8 +313,7 @@
         for worker in list(self._state.workers.values()):
             if worker.is_cold:
                 worker.update_cold(now_s)
-            if worker.tasks and now_s >= worker.leases_expire_s():
-                self._expire_leases(worker, now_s)
+            lease_expiry.expire_leases(self._state, worker, now_s)
             if not worker.tasks:
                 self._state.remove_if_unused(worker)
                 continue
@@ -329,19 +329,6 @@
             ):
                 self._state.expired_jobs.add(job_id)
 
-    def _expire_leases(
-        self, worker: batch_workers.Worker, now_s: float
-    ) -> None:
-        """Requeues the runs on a silent worker that have no lease any more."""
-        expired = [
-            task
-            for task in worker.tasks.values()
-            if now_s >= worker.run_lease_expires_s(task)
-        ]
-        if expired:
-            lease_log.log_lease_over(self._state, worker, len(expired), now_s)
-            self._state.expire_leases(worker, expired, now_s)
-
     @property
     def beyond_share_count(self) -> int:
         """Number of teams beyond their share of a full pool."""
--- a/foxtaillock/batch/late_renewals.py
+++ b/foxtaillock/batch/late_renewals.py
@@ -5,7 +5,7 @@
 to the longest lease, from when the call arrives. It applies to all runs there.
 """
 
-from foxtaillock.batch import workers
+from foxtaillock.batch import lease_times
 
 __all__ = ["LateRenewals"]
 
@@ -18,14 +18,14 @@
 
     def note(self, worker_id: str, now_s: float) -> None:
         """Notes a call, sent before now, that may still be carried out."""
-        self._until_s[worker_id] = now_s + workers.LATE_ORDER_S
+        self._until_s[worker_id] = now_s + lease_times.LATE_ORDER_S
 
     def leases_end_s(self, worker_id: str) -> float:
         """Returns the time by which leases from these calls have expired."""
         until_s = self._until_s.get(worker_id)
         if until_s is None:
             return float("-inf")
-        return until_s + workers.MAX_LEASE_S
+        return until_s + lease_times.MAX_LEASE_S
 
     def expire(self, now_s: float) -> None:
         """Forgets the calls whose leases have expired."""
--- a/foxtaillock/batch/late_starts.py
+++ b/foxtaillock/batch/late_starts.py
@@ -8,10 +8,10 @@
 import collections
 import typing
 
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch import tasks
-from foxtaillock.batch import workers
 
 __all__ = ["LateStarts"]
 
@@ -38,7 +38,7 @@
         """Remembers a run that is given up, if no answer told of its start."""
         if task.phase in _UNCONFIRMED_PHASES:
             start = _LateStart(
-                task.task_id, task.run, now_s + workers.LATE_ORDER_S
+                task.task_id, task.run, now_s + lease_times.LATE_ORDER_S
             )
             self._by_worker[task.worker_id].append(start)
 
--- a/foxtaillock/batch/long_leases.py
+++ b/foxtaillock/batch/long_leases.py
@@ -6,6 +6,7 @@
 such leases end, before it starts anything there.
 """
 
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import records
 
@@ -46,6 +47,6 @@
             reverse=True,
         )
         return tuple(
-            records.LongLease(worker_id, records.remaining_ms(end_s, now_s))
+            records.LongLease(worker_id, lease_times.remaining_ms(end_s, now_s))
             for end_s, worker_id in latest[:_MAX_WORKERS]
         )
--- a/foxtaillock/batch/owner.py
+++ b/foxtaillock/batch/owner.py
@@ -11,6 +11,7 @@
 from foxtaillock.batch import follower
 from foxtaillock.batch import interfaces
 from foxtaillock.batch import journal_writer
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import load_control
 from foxtaillock.batch import load_monitor
 from foxtaillock.batch import model
@@ -26,7 +27,6 @@
 from foxtaillock.batch import wave_status
 from foxtaillock.batch import worker_entries
 from foxtaillock.batch import worker_poller
-from foxtaillock.batch import workers
 from foxtaillock.batch.vms import vm_order_controller
 
 __all__ = ["Owner"]
@@ -380,7 +380,9 @@
 
     def _remaining_ms(self, end_s: float) -> int:
         """Returns the time from now until `end_s`; 0 if that is over."""
-        return records.remaining_ms(end_s, self._services.clock.monotonic_s())
+        return lease_times.remaining_ms(
+            end_s, self._services.clock.monotonic_s()
+        )
 
     def _end(self, reason: str) -> None:
         if not self._has_ended:
@@ -446,14 +448,14 @@
         """Returns whether leases may be renewed.
 
         A new owner relies on earlier owners to renew no lease once they have
-        ended, or have written nothing for `workers.RENEWAL_WINDOW_S`. A release
-        may be stored before its answer arrives, so renewals stop as soon as a
-        release is requested.
+        ended, or have written nothing for `lease_times.RENEWAL_WINDOW_S`. A
+        release may be stored before its answer arrives, so renewals stop as
+        soon as a release is requested.
         """
         now_s = self._services.clock.monotonic_s()
         silent_s = now_s - self._writer.last_append_s
         has_ended = self._has_ended or self._is_releasing
-        return not has_ended and silent_s <= workers.RENEWAL_WINDOW_S
+        return not has_ended and silent_s <= lease_times.RENEWAL_WINDOW_S
 
     def _on_poll_answer(self, answer: object) -> None:
         if isinstance(answer, interfaces.OrderAnswer):
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -288,24 +288,6 @@
                 worker.add(task, step.spec)
         self.crashes.restore(step)
 
-    def expire_orphans(self, now_s: float) -> None:
-        """Requeues runs on workers that never registered with this owner."""
-        for worker_id, by_task in list(self.orphans.items()):
-            ends = self.prior_leases.ends_on(worker_id)
-            lost = [
-                task
-                for task in by_task.values()
-                if now_s
-                >= (ends.confirmed_s if task.is_confirmed else ends.latest_s)
-            ]
-            self.crashes.record_absence(
-                lost, are_last=len(lost) == len(by_task)
-            )
-            for task in lost:
-                self.lose_run(task, now_s, "its worker never registered")
-            if not by_task:
-                del self.orphans[worker_id]
-
     def complete_task(
         self, task: tasks.Task, step: tasks.Step, now_s: float
     ) -> None:
@@ -339,34 +321,6 @@
             for each in occurrence.steps:
                 self.tickets.invalidate(each.step_id)
 
-    def expire_leases(
-        self,
-        worker: workers.Worker,
-        expired: Sequence[tasks.Task],
-        now_s: float,
-    ) -> None:
-        """Requeues the runs on a worker whose leases have expired.
-
-        Args:
-            worker: the worker.
-            expired: the tasks of these runs.
-            now_s: current time.
-        """
-        reason = "its lease is over"
-        if len(expired) < len(worker.tasks):
-            # An incarnation that nobody has met may run the others.
-            self.crashes.record_silence(worker, expired, now_s)
-            self.lose_runs(worker, _ordered(expired), now_s, reason)
-            return
-        if worker.other_entry is not None:
-            self.adopt_incarnation(worker, worker.other_entry, now_s, reason)
-            return
-        if successor := workers.successor_of(worker, self.workers):
-            self.replace_worker(worker, successor, now_s, reason)
-            return
-        self.crashes.record_silence(worker, expired, now_s)
-        self.lose_runs(worker, _ordered(expired), now_s, reason)
-
     def _note_other_entry(
         self, worker: workers.Worker, entry: model.WorkerEntry, now_s: float
     ) -> None:
@@ -650,10 +604,3 @@
     ) -> None:
         """Logs an event of a worker."""
         self.log(event, worker=worker.worker_id, **fields)
-
-
-def _ordered(started: Iterable[tasks.Task]) -> list[tasks.Task]:
-    """Returns the tasks whose start may have been ordered."""
-    return [
-        task for task in started if task.phase is not tasks.TaskPhase.RECORDING
-    ]
--- a/foxtaillock/batch/ownership.py
+++ b/foxtaillock/batch/ownership.py
@@ -9,9 +9,9 @@
 import typing
 import zlib
 
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
-from foxtaillock.batch import workers
 
 __all__ = [
     "ClaimDecision",
@@ -175,7 +175,7 @@
             return self._earlier_ends
         return prior_leases.latest(
             self._earlier_ends,
-            workers.prior_lease_ends(
+            prior_leases.lease_ends_of(
                 self._last_heard_s, self._has_owner_ended()
             ),
         )
@@ -192,7 +192,7 @@
     def long_leases(self, now_s: float) -> tuple[records.LongLease, ...]:
         """Returns the long leases that a claim hands on."""
         return tuple(
-            records.LongLease(worker_id, records.remaining_ms(end_s, now_s))
+            records.LongLease(worker_id, lease_times.remaining_ms(end_s, now_s))
             for worker_id, end_s in sorted(self._long_ends_s.items())
             if end_s > now_s
         )
--- a/foxtaillock/batch/prior_leases.py
+++ b/foxtaillock/batch/prior_leases.py
@@ -5,7 +5,20 @@
 import typing
 from collections.abc import Mapping
 
-__all__ = ["LeaseEndBasis", "LeaseEnds", "NO_LEASES", "PriorLeases", "latest"]
+from foxtaillock.batch import lease_times
+
+__all__ = [
+    "LeaseEndBasis",
+    "LeaseEnds",
+    "NO_LEASES",
+    "PriorLeases",
+    "latest",
+    "lease_ends_of",
+]
+
+# Allowance for orders that an earlier owner had in flight when its last record
+# was read.
+_IN_FLIGHT_ALLOWANCE_S = 0.5
 
 
 class LeaseEndBasis(enum.StrEnum):
@@ -58,6 +71,23 @@
     )
 
 
+def lease_ends_of(last_heard_s: float, has_ended: bool) -> LeaseEnds:
+    """Returns times by which all leases granted by one owner have expired.
+
+    Args:
+        last_heard_s: time at which a record of that owner was last read.
+        has_ended: whether that owner certainly renews no more leases. A silent
+            owner may still renew leases on workers that this VM can't reach.
+    """
+    renews_s = 0.0 if has_ended else lease_times.RENEWAL_WINDOW_S
+    granted_by_s = last_heard_s + renews_s + _IN_FLIGHT_ALLOWANCE_S
+    lease_s = lease_times.RUN_LEASE_S / (1 - lease_times.MAX_CLOCK_DRIFT)
+    return LeaseEnds(
+        granted_by_s + lease_s,
+        granted_by_s + lease_times.MAX_CALL_S + lease_times.MAX_LEASE_S,
+    )
+
+
 class PriorLeases(typing.NamedTuple):
     """Times by which the leases of earlier owners have expired.
 
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -6,7 +6,6 @@
 """
 
 import hashlib
-import math
 import typing
 
 import msgspec
@@ -37,7 +36,6 @@
     "decode",
     "encode",
     "is_submission",
-    "remaining_ms",
     "step_of_key",
     "tombstone",
 ]
@@ -433,16 +431,6 @@
     return KeyedRecord(_key_of(record), _ENCODER.encode(record))
 
 
-def remaining_ms(end_s: float, now_s: float) -> int:
-    """Returns the time until `end_s` as records tell it; 0 if that is over.
-
-    Example:
-        >>> remaining_ms(14.0, 12.5), remaining_ms(14.0, 15.0)
-        (1500, 0)
-    """
-    return math.ceil(max(0.0, end_s - now_s) * 1000)
-
-
 def tombstone(record: Record) -> KeyedRecord:
     """Returns the empty record that erases the key of `record`."""
     return KeyedRecord(_key_of(record), b"")
--- a/foxtaillock/batch/renounced_leases.py
+++ b/foxtaillock/batch/renounced_leases.py
@@ -9,6 +9,7 @@
 is stored.
 """
 
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
@@ -82,8 +83,8 @@
         return tuple(
             records.RenouncedLease(
                 worker_id,
-                records.remaining_ms(ends[worker_id].confirmed_s, now_s),
-                records.remaining_ms(ends[worker_id].latest_s, now_s),
+                lease_times.remaining_ms(ends[worker_id].confirmed_s, now_s),
+                lease_times.remaining_ms(ends[worker_id].latest_s, now_s),
             )
             for worker_id in sorted(self._proposed)
         )
--- a/foxtaillock/batch/restarts.py
+++ b/foxtaillock/batch/restarts.py
@@ -9,6 +9,7 @@
 """
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import tasks
@@ -61,7 +62,9 @@
         state.late_renewals.note(worker.worker_id, now_s)
     again = state.create_worker(_entry_of(worker, lists.started_ms))
     again.update_cold(now_s)
-    again.assumed_end_s = max(again.assumed_end_s, now_s + workers.MAX_LEASE_S)
+    again.assumed_end_s = max(
+        again.assumed_end_s, now_s + lease_times.MAX_LEASE_S
+    )
     state.has_new_long_lease = True
     again.refuted_started_ms.append(worker.entry.started_ms)
     for task in kept:
--- a/foxtaillock/batch/run_times.py
+++ b/foxtaillock/batch/run_times.py
@@ -9,6 +9,7 @@
 A worker's clock belongs to one incarnation, and begins anew with the next.
 """
 
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import tasks
 from foxtaillock.batch import workers
 
@@ -19,9 +20,6 @@
     "worked_s",
 ]
 
-# A worker's clock may be slow by this fraction.
-_MAX_CLOCK_DRIFT = 0.02
-
 
 def note_placed(task: tasks.Task, worker: workers.Worker, now_s: float) -> None:
     """Notes that a run is placed on a worker, so it has not begun before."""
@@ -33,7 +31,7 @@
         task.seen_s = now_s
     lease_end_ms = worker.lease_end_ms(now_s) or 0
     task.not_before_clock_ms = max(
-        0, lease_end_ms - int(workers.RUN_LEASE_S * 1000)
+        0, lease_end_ms - int(lease_times.RUN_LEASE_S * 1000)
     )
 
 
@@ -64,7 +62,9 @@
     task.active_s = now_s - active_ms / 1000
     if task.not_before_s is None:
         age_ms = max(active_ms, clock_ms - task.not_before_clock_ms)
-        task.not_before_s = now_s - age_ms / 1000 / (1 - _MAX_CLOCK_DRIFT)
+        task.not_before_s = now_s - age_ms / 1000 / (
+            1 - lease_times.MAX_CLOCK_DRIFT
+        )
     return is_unknown
 
 
--- a/foxtaillock/batch/tests/crash_fleet.py
+++ b/foxtaillock/batch/tests/crash_fleet.py
@@ -10,7 +10,6 @@
 from foxtaillock.batch import plans
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import view
-from foxtaillock.batch import workers as batch_workers
 from foxtaillock.batch.tests import builders
 
 __all__ = [
@@ -263,7 +262,7 @@
         self._epoch += 1
         ends = prior_leases.NO_LEASES
         if self._epoch > 1:
-            ends = batch_workers.prior_lease_ends(self.now_s, has_ended=True)
+            ends = prior_leases.lease_ends_of(self.now_s, has_ended=True)
         engine = engines.Engine(
             self._epoch,
             self.now_s,
--- a/foxtaillock/batch/tests/simulated_owner.py
+++ b/foxtaillock/batch/tests/simulated_owner.py
@@ -6,6 +6,7 @@
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch import prior_leases
@@ -149,7 +150,7 @@
         for stop in self.engine.take_stops():
             self._send_stop(stop)
         self._write()
-        is_recent = now_s - self.last_append_s <= workers.RENEWAL_WINDOW_S
+        is_recent = now_s - self.last_append_s <= lease_times.RENEWAL_WINDOW_S
         if is_recent and self._has_recorded and not self.is_releasing:
             for worker in list(self.engine.workers.values()):
                 self._poll(worker)
--- a/foxtaillock/batch/tests/test_long_leases.py
+++ b/foxtaillock/batch/tests/test_long_leases.py
@@ -13,8 +13,8 @@
 from foxtaillock.batch import late_renewals
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
-from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
 from foxtaillock.batch.tests import owner_fixture
 from foxtaillock.batch.tests import recut_simulation
@@ -128,7 +128,7 @@
         monitor.observe(first, 10.0)
         monitor.observe(records.OwnerRecord(5, "vm-3", "c"), 12.0)
         prior = monitor.prior_leases()
-        general = workers.prior_lease_ends(10.0, False)
+        general = prior_leases.lease_ends_of(10.0, False)
         self.assertEqual(prior.ends_on("2"), general)
         self.assertLess(general.confirmed_s, 19.0)
         self.assertEqual(
--- a/foxtaillock/batch/tests/test_ownership.py
+++ b/foxtaillock/batch/tests/test_ownership.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import ownership
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
-from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
 
 _OTHER = records.OwnerRecord(4, "vm-2", "b", heartbeat=1)
@@ -84,8 +85,8 @@
         self,
     ) -> None:
         for released, end_s in (
-            (False, workers.prior_lease_ends(10.0, False)),
-            (True, workers.prior_lease_ends(10.0, True)),
+            (False, prior_leases.lease_ends_of(10.0, False)),
+            (True, prior_leases.lease_ends_of(10.0, True)),
         ):
             monitor = ownership.OwnerMonitor("vm-1", "a", 0.0)
             monitor.observe(_OTHER._replace(is_released=released), 10.0)
@@ -96,14 +97,14 @@
         self.monitor.observe(_MINE, 11.0)
         self.assertEqual(
             self.monitor.earlier_lease_ends,
-            workers.prior_lease_ends(10.0, True),
+            prior_leases.lease_ends_of(10.0, True),
         )
-        silent = workers.prior_lease_ends(10.0, False)
-        ended = workers.prior_lease_ends(10.0, True)
+        silent = prior_leases.lease_ends_of(10.0, False)
+        ended = prior_leases.lease_ends_of(10.0, True)
         self.assertEqual(
-            silent.confirmed_s - ended.confirmed_s, workers.RENEWAL_WINDOW_S
+            silent.confirmed_s - ended.confirmed_s, lease_times.RENEWAL_WINDOW_S
         )
-        self.assertGreater(ended.confirmed_s, 10.0 + workers.RUN_LEASE_S)
+        self.assertGreater(ended.confirmed_s, 10.0 + lease_times.RUN_LEASE_S)
 
     def test_retries_of_failed_claims_are_spread(self) -> None:
         retry_tenths = set()
@@ -141,7 +142,7 @@
         self.monitor.observe(_MINE, 12.5)
         self.assertEqual(
             self.monitor.earlier_lease_ends,
-            workers.prior_lease_ends(12.4, False),
+            prior_leases.lease_ends_of(12.4, False),
         )
 
     def test_short_ownership_hides_no_lease_of_the_one_before(self) -> None:
@@ -155,7 +156,7 @@
         self.monitor.observe(_MINE._replace(epoch=6), 11.7)
         self.assertEqual(
             self.monitor.earlier_lease_ends,
-            workers.prior_lease_ends(10.0, False),
+            prior_leases.lease_ends_of(10.0, False),
         )
 
     def test_unanswered_claim_of_this_vm_hides_no_lease(self) -> None:
@@ -163,7 +164,7 @@
         self.monitor.observe(_MINE, 11.5)
         self.monitor.observe(_MINE._replace(epoch=6), 11.6)
         ends = self.monitor.earlier_lease_ends
-        silent = workers.prior_lease_ends(10.0, False)
+        silent = prior_leases.lease_ends_of(10.0, False)
         self.assertGreaterEqual(ends.confirmed_s, silent.confirmed_s)
         self.assertGreaterEqual(ends.unconfirmed_s, silent.unconfirmed_s)
 
@@ -312,7 +313,7 @@
         self.assertEqual(self._ends_s(), {"i-1": 12.0})
         self.assertEqual(
             self.monitor.earlier_lease_ends,
-            workers.prior_lease_ends(10.0, False),
+            prior_leases.lease_ends_of(10.0, False),
         )
 
     def test_owner_whose_records_were_missed_may_have_granted_leases(
@@ -323,5 +324,5 @@
         self.monitor.records_missed()
         self.assertEqual(
             self.monitor.earlier_lease_ends,
-            workers.prior_lease_ends(11.0, False),
+            prior_leases.lease_ends_of(11.0, False),
         )
--- a/foxtaillock/batch/tests/test_renounced_leases.py
+++ b/foxtaillock/batch/tests/test_renounced_leases.py
@@ -4,10 +4,10 @@
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
-from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
 
 _JOB = "00000000000000aa"
@@ -58,8 +58,8 @@
         (lease,) = self._propose(11.0)
         self.assertEqual(lease.worker_id, "1")
         end_s = 11.0 + lease.remaining_ms / 1000
-        self.assertGreater(end_s, 10.5 + workers.RUN_LEASE_S)
-        self.assertLess(end_s, 10.5 + workers.RUN_LEASE_S + 0.5)
+        self.assertGreater(end_s, 10.5 + lease_times.RUN_LEASE_S)
+        self.assertLess(end_s, 10.5 + lease_times.RUN_LEASE_S + 0.5)
 
     def test_one_unanswered_call_counts_only_for_a_release(self) -> None:
         _poll(self.engine, _UNKNOWN, 10.5)
--- a/foxtaillock/batch/tests/test_workers.py
+++ b/foxtaillock/batch/tests/test_workers.py
@@ -4,10 +4,10 @@
 
 from foxtaillock.batch import engine as engines
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import plans
 from foxtaillock.batch import tasks
-from foxtaillock.batch import workers
 from foxtaillock.batch.tests import builders
 
 _DRIFT = 0.02
@@ -22,7 +22,7 @@
         slowest_ms = 5_000 + 60_000 * (1 - _DRIFT)
         lease_end_ms = worker.lease_end_ms(10.0 + 60.0)
         assert lease_end_ms is not None
-        longest_ms = workers.RUN_LEASE_S * 1000
+        longest_ms = lease_times.RUN_LEASE_S * 1000
         self.assertLessEqual(lease_end_ms, slowest_ms + longest_ms)
 
     def test_registry_entry_with_a_later_clock_is_used(self) -> None:
@@ -30,7 +30,7 @@
         entry = builders.entry("1", clock_ms=65_000)
         worker.update_entry(entry, 70.5)
         lease_end_ms = worker.lease_end_ms(70.5)
-        self.assertEqual(lease_end_ms, 65_000 + workers.RUN_LEASE_S * 1000)
+        self.assertEqual(lease_end_ms, 65_000 + lease_times.RUN_LEASE_S * 1000)
 
     def test_outdated_registry_entry_changes_no_clock(self) -> None:
         worker = builders.create_worker("1", clock_ms=5_000)
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import speed_limits
@@ -190,7 +191,9 @@
         # begin meanwhile on a later incarnation.
         is_unresolved |= worker.end_to_acknowledge > 0
         wait_s = (
-            0.0 if is_unresolved or not worker.tasks else workers.POLL_WAIT_S
+            0.0
+            if is_unresolved or not worker.tasks
+            else lease_times.POLL_WAIT_S
         )
         # A poll without an answer may have renewed the lease. A worker that
         # does not answer is therefore polled without a renewal, so that the
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -7,44 +7,27 @@
 from collections.abc import Mapping
 
 from foxtaillock.batch import interfaces
+from foxtaillock.batch import lease_times
 from foxtaillock.batch import model
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import tasks as batch_tasks
 from foxtaillock.model import resources
 
 __all__ = [
-    "LATE_ORDER_S",
-    "MAX_LEASE_S",
-    "POLL_WAIT_S",
-    "RENEWAL_WINDOW_S",
     "LeaseBasis",
     "LeavingWorkers",
-    "RUN_LEASE_S",
     "Worker",
-    "prior_lease_ends",
     "successor_of",
 ]
 
-# Lease of the runs on a worker. It has to outlast a takeover (up to 2.4 s) and
-# the age of the last renewal (up to 1.2 s). A shorter lease would restart the
-# tasks of a dead worker sooner.
-RUN_LEASE_S = 4.0
-
-# A worker shortens a longer lease to this. An order that was meant for an
-# earlier incarnation carries a time of that one's clock.
-_MAX_RUN_LEASE_S = 6.0
-
-# An order without an answer may still be carried out after this time.
-LATE_ORDER_S = 12.0
-
 # An incarnation that has been there for longer is reached by no call that was
 # sent before, as far as it would still matter to a lease. Clocks of workers
 # start with them.
-_YOUNG_S = LATE_ORDER_S + 2.0
+_YOUNG_S = lease_times.LATE_ORDER_S + 2.0
 
 # Time after the end of earlier owners' leases within which their last calls may
 # be carried out.
-_LATE_PRIOR_S = LATE_ORDER_S - RUN_LEASE_S
+_LATE_PRIOR_S = lease_times.LATE_ORDER_S - lease_times.RUN_LEASE_S
 
 # A reading that lags behind by more is one of another clock.
 _CLOCK_ALLOWANCE_MS = 100
@@ -52,57 +35,12 @@
 # Number of start times that a worker is known not to have.
 _MAX_REFUTED_ENTRIES = 8
 
-# Largest drift of a worker's clock, as a fraction, that the platform's contract
-# allows.
-_MAX_CLOCK_DRIFT = 0.02
-
-# Longest time for which a lease lasts after its call, on the slowest clock.
-MAX_LEASE_S = _MAX_RUN_LEASE_S / (1 - _MAX_CLOCK_DRIFT)
-
-# An owner renews leases only within this time after its latest successful
-# append, so that a new owner knows when the tasks on an unreachable worker have
-# ended. Together with the lease, runs survive outages of the store of 7 s.
-RENEWAL_WINDOW_S = 3.5
-
-# Longest time that a poll waits for a run to end. Each poll renews the lease of
-# a worker that answers and has tasks.
-POLL_WAIT_S = 1.0
-
-# Timeout of the longest call.
-_MAX_CALL_S = POLL_WAIT_S + interfaces.ANSWER_TIMEOUT_S
-
 # Allowance for the time between reading the clock and sending an order.
 _SEND_ALLOWANCE_S = 0.1
 
 # A worker gets no new tasks after this many consecutive unanswered calls.
 _SUSPECT_UNANSWERED_CALLS = 1
 
-# Allowance for orders that an earlier owner had in flight when its last record
-# was read.
-_IN_FLIGHT_ALLOWANCE_S = 0.5
-
-# An address delivers the calls that it held while no worker listened there
-# within this time after their timeout.
-_HELD_CALL_ALLOWANCE_S = 0.5
-
-
-def prior_lease_ends(
-    last_heard_s: float, has_ended: bool
-) -> prior_leases.LeaseEnds:
-    """Returns times by which all leases granted by one owner have expired.
-
-    Args:
-        last_heard_s: time at which a record of that owner was last read.
-        has_ended: whether that owner certainly renews no more leases. A silent
-            owner may still renew leases on workers that this VM can't reach.
-    """
-    renews_s = 0.0 if has_ended else RENEWAL_WINDOW_S
-    granted_by_s = last_heard_s + renews_s + _IN_FLIGHT_ALLOWANCE_S
-    return prior_leases.LeaseEnds(
-        granted_by_s + RUN_LEASE_S / (1 - _MAX_CLOCK_DRIFT),
-        granted_by_s + _MAX_CALL_S + MAX_LEASE_S,
-    )
-
 
 class LeaseBasis(enum.StrEnum):
     """What the latest end of a worker's leases rests on.
@@ -329,9 +267,13 @@
             is_young = clock_ms < _YOUNG_S * 1000
             may_be_late = now_s < self.prior_ends.confirmed_s + _LATE_PRIOR_S
             if is_young and may_be_late:
-                longest_end_s = now_s + MAX_LEASE_S
+                longest_end_s = now_s + lease_times.MAX_LEASE_S
                 self.assumed_end_s = max(self.assumed_end_s, longest_end_s)
-            longest_ms = RUN_LEASE_S * (1 + _MAX_CLOCK_DRIFT) * 1000
+            longest_ms = (
+                lease_times.RUN_LEASE_S
+                * (1 + lease_times.MAX_CLOCK_DRIFT)
+                * 1000
+            )
             earlier_ms = clock_ms + int(longest_ms)
             self.valid_until_ms = max(self.valid_until_ms, earlier_ms)
             self.fenced_s = now_s
@@ -344,7 +286,7 @@
         If it is the clock of a later incarnation, a lease that ends far ahead
         on it was shortened to the longest one.
         """
-        longest_ms = clock_ms + int(_MAX_RUN_LEASE_S * 1000)
+        longest_ms = clock_ms + int(lease_times.MAX_RUN_LEASE_S * 1000)
         self.valid_until_ms = min(self.valid_until_ms, longest_ms)
         self.clock_ms = clock_ms
         self.clock_read_s = now_s
@@ -407,16 +349,16 @@
     def lease_end_ms(self, now_s: float) -> int | None:
         """Returns the end of a lease that begins now, on the worker's clock.
 
-        The lease lasts at most `RUN_LEASE_S` on that clock, also if the clock
-        is slow and was read long ago: a later owner that does not reach the
-        worker relies on it.
+        The lease lasts at most `lease_times.RUN_LEASE_S` on that clock, also if
+        the clock is slow and was read long ago: a later owner that does not
+        reach the worker relies on it.
 
         Returns None if that clock is not known yet.
         """
         clock_ms = self._lowest_clock_ms(now_s)
         if clock_ms is None:
             return None
-        return int(clock_ms + RUN_LEASE_S * 1000)
+        return int(clock_ms + lease_times.RUN_LEASE_S * 1000)
 
     def grant_lease(self, now_s: float, wait_s: float = 0.0) -> int | None:
         """Returns the end of a lease that begins now, which then counts.
@@ -462,8 +404,8 @@
             and task.worker_started_ms == self.entry.started_ms
         )
         if not is_confirmed_here:
-            carried_out_s = self.calls_end_s + _HELD_CALL_ALLOWANCE_S
-            ends_s = max(ends_s, carried_out_s + MAX_LEASE_S)
+            carried_out_s = self.calls_end_s + lease_times.CALL_END_ALLOWANCE_S
+            ends_s = max(ends_s, carried_out_s + lease_times.MAX_LEASE_S)
         if not task.is_confirmed and not self.has_answered:
             ends_s = max(ends_s, self.prior_ends.latest_s)
         return ends_s
@@ -483,12 +425,14 @@
         remaining_s = max(0, self.valid_until_ms - self.clock_ms) / 1000
         ends_s = (
             self.clock_read_s
-            + remaining_s / (1 - _MAX_CLOCK_DRIFT)
+            + remaining_s / (1 - lease_times.MAX_CLOCK_DRIFT)
             + _SEND_ALLOWANCE_S
         )
         if self.other_entry is not None:
             # A later incarnation may have carried out the latest orders.
-            ends_s += (_MAX_RUN_LEASE_S - RUN_LEASE_S) / (1 - _MAX_CLOCK_DRIFT)
+            ends_s += (
+                lease_times.MAX_RUN_LEASE_S - lease_times.RUN_LEASE_S
+            ) / (1 - lease_times.MAX_CLOCK_DRIFT)
         return ends_s
 
     def _lowest_clock_ms(self, now_s: float) -> float | None:
@@ -496,7 +440,7 @@
         if self.clock_read_s == float("-inf"):
             return None
         elapsed_ms = (now_s - self.clock_read_s) * 1000
-        return self.clock_ms + elapsed_ms * (1 - _MAX_CLOCK_DRIFT)
+        return self.clock_ms + elapsed_ms * (1 - lease_times.MAX_CLOCK_DRIFT)
 
     def add(self, task: batch_tasks.Task, spec: model.StepSpec) -> None:
         """Adds a task of a step and reserves its resources."""
