Batch: each clock reading in an answer is compared with the known one

A start was compared only if nothing was heard of the worker since it was planned, that is before its record was stored; and the answer to a stop set the known clock without a comparison, so that the next start's reading seemed to fit.

Evidence: found in review. Two of the three new tests failed before; the third guards against taking answers that overtake each other for another incarnation's.

Change: a reading is compared with the least that the clock can have shown when its order was sent, also before the latest reading: a clock never gains on true time.

--- a/foxtaillock/batch/tests/test_unconfirmed_runs.py
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -37,6 +37,16 @@
     return now_s
 
 
+def _list_runs(engine: engines.Engine, now_s: float) -> None:
+    """Lets worker 1 answer a poll with a list of no runs."""
+    lists = builders.lists()._replace(
+        clock_ms=_CLOCK_MS + int((now_s - 10.0) * 1000)
+    )
+    worker = engine.workers["1"]
+    plan = plans.PollPlan(worker.entry, 0, None, 0.0)
+    engine.answers.poll_answered("1", plan, lists, now_s, now_s)
+
+
 class OwnerTest(unittest.TestCase):
     """An owner whose worker has one confirmed run, and falls silent."""
 
@@ -109,6 +119,59 @@
             self.assertLess(lost_s, 10.5 + _POLL_TIMEOUT_S + _LONGEST_S + 0.5)
 
 
+class ClockCheckTest(unittest.TestCase):
+    """Answers that carry a reading of a later incarnation's clock."""
+
+    def setUp(self) -> None:
+        self.engine = builders.create_engine(
+            builders.entry("1", clock_ms=_CLOCK_MS)
+        )
+        self.worker = self.engine.workers["1"]
+        _list_runs(self.engine, 10.0)
+        spec = builders.job(_JOB, builders.step())
+        self.engine.submit(spec, (), 10.0, 10_000)
+        self.engine.plan(10.0)
+        self.batch = self.engine.take_batch()
+
+    def _start(self, now_s: float) -> plans.StartPlan:
+        (plan,) = self.engine.batch_recorded(self.batch, now_s)
+        self.assertIsNotNone(self.engine.start_order(plan, now_s))
+        return plan
+
+    def _accept(
+        self, plan: plans.StartPlan, clock_ms: int, now_s: float
+    ) -> None:
+        answer = interfaces.OrderAnswer(
+            interfaces.OrderOutcome.ACCEPTED, clock_ms
+        )
+        self.engine.answers.start_answered(plan, answer, now_s)
+
+    def test_reading_that_came_while_a_start_was_recorded_is_compared(
+        self,
+    ) -> None:
+        """The earlier incarnation has told of itself after the plan."""
+        self.worker.record_contact(_CLOCK_MS + 200, 10.1)
+        self._accept(self._start(10.2), 10, 10.77)
+        self.assertTrue(self.worker.has_odd_clock)
+
+    def test_answer_to_a_stop_is_compared(self) -> None:
+        """Its reading would make that of the next start look right."""
+        plan = self._start(10.0)
+        other = model.TaskId("00000000000000bb", 0, 0, 0)
+        stop = plans.StopPlan(self.worker.entry, other, 1)
+        stopped = interfaces.OrderAnswer(interfaces.OrderOutcome.ACCEPTED, 20)
+        self.engine.answers.stop_answered(stop, stopped, 10.62)
+        self._accept(plan, 25, 10.63)
+        self.assertTrue(self.worker.has_odd_clock)
+
+    def test_answers_that_overtake_each_other_are_not_odd(self) -> None:
+        """Guards against a poll after each start: one incarnation answers."""
+        plan = self._start(10.0)
+        self.worker.record_contact(_CLOCK_MS + 600, 10.6)
+        self._accept(plan, _CLOCK_MS + 5, 10.7)
+        self.assertFalse(self.worker.has_odd_clock)
+
+
 class SuccessorTest(unittest.TestCase):
     """A later owner that does not reach the worker of two runs."""
 
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -71,9 +71,7 @@
     ) -> None:
         """Applies the answer to a start order."""
         task, worker = plan.task, plan.worker
-        if answer.clock_ms is not None:
-            self._check_clock(worker, answer.clock_ms, plan.planned_s)
-        self._record_contact(worker, answer, now_s)
+        self._record_contact(worker, answer, plan.planned_s, now_s)
         if task.run != plan.run or task.phase is not tasks.TaskPhase.STARTING:
             return
         outcome = answer.outcome
@@ -118,7 +116,8 @@
         worker = self._state.workers.get(plan.worker.worker_id)
         if worker is None or not _is_for(plan.worker, worker):
             return
-        self._record_contact(worker, answer, now_s)
+        sent_s = now_s - interfaces.ANSWER_TIMEOUT_S
+        self._record_contact(worker, answer, sent_s, now_s)
         if answer.outcome is interfaces.OrderOutcome.OTHER_WORKER:
             self._state.lose_worker(worker, now_s)
             return
@@ -451,30 +450,35 @@
                 worker, worker.other_entry, now_s, "it was started again"
             )
 
-    def _check_clock(
-        self, worker: workers.Worker, clock_ms: int, sent_s: float
+    def _record_contact(
+        self,
+        worker: workers.Worker,
+        answer: interfaces.OrderAnswer,
+        sent_s: float,
+        now_s: float,
     ) -> None:
-        """Checks the clock reading in an answer; logs the first odd one."""
+        """Records the clock reading in an answer, and checks whose it is.
+
+        Args:
+            worker: the worker.
+            answer: its answer to an order.
+            sent_s: time before which the order was not sent.
+            now_s: current time.
+        """
+        if answer.clock_ms is None:
+            return
         known_ms, had_odd_clock = worker.clock_ms, worker.has_odd_clock
-        worker.check_clock(clock_ms, sent_s)
+        worker.check_clock(answer.clock_ms, sent_s)
+        worker.record_contact(answer.clock_ms, now_s)
         if worker.has_odd_clock and not had_odd_clock:
             self._state.log_worker(
                 worker,
                 "worker-clock-odd",
                 started_ms=worker.entry.started_ms,
-                clock_ms=clock_ms,
+                clock_ms=answer.clock_ms,
                 known_ms=known_ms,
             )
 
-    def _record_contact(
-        self,
-        worker: workers.Worker,
-        answer: interfaces.OrderAnswer,
-        now_s: float,
-    ) -> None:
-        if answer.clock_ms is not None:
-            worker.record_contact(answer.clock_ms, now_s)
-
 
 def _is_for(entry: model.WorkerEntry, worker: workers.Worker) -> bool:
     """Returns whether a call was meant for a worker's present incarnation."""
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -314,7 +314,7 @@
             sent_s: time before which its call was not sent.
         """
         lowest_ms = self._lowest_clock_ms(sent_s)
-        if lowest_ms is not None and sent_s >= self.clock_read_s:
+        if lowest_ms is not None:
             self.has_odd_clock |= clock_ms < lowest_ms - _CLOCK_ALLOWANCE_MS
 
     def refute_other_entry(self, sent_s: float) -> None:
@@ -435,12 +435,14 @@
             ) / (1 - lease_times.MAX_CLOCK_DRIFT)
         return ends_s
 
-    def _lowest_clock_ms(self, now_s: float) -> float | None:
-        """Returns the least that the worker's clock can show now."""
+    def _lowest_clock_ms(self, at_s: float) -> float | None:
+        """Returns the least that the worker's clock can show at a time."""
         if self.clock_read_s == float("-inf"):
             return None
-        elapsed_ms = (now_s - self.clock_read_s) * 1000
-        return self.clock_ms + elapsed_ms * (1 - lease_times.MAX_CLOCK_DRIFT)
+        elapsed_ms = (at_s - self.clock_read_s) * 1000
+        if elapsed_ms > 0:
+            elapsed_ms *= 1 - lease_times.MAX_CLOCK_DRIFT
+        return self.clock_ms + elapsed_ms
 
     def add(self, task: batch_tasks.Task, spec: model.StepSpec) -> None:
         """Adds a task of a step and reserves its resources."""
