Batch: a start on a worker that may hold earlier owners' leases confirms nothing

What callers would see: TWICE after a release. A call of the owner before, meant for an earlier incarnation, gave the present one the longest lease; the next owner knew its entry, started a task there, and counted 4 s from then: the answer to the start fitted. Its first poll waited for a second, so a cut took it easily.

Change: until the first list, and while leases of earlier owners may last, an answer to a start confirms nothing, and polls don't wait. Whether a run is confirmed is a field of its own, also in its record; it was read from a clock reading that serves the times at work, and is reset with another incarnation.

--- a/foxtaillock/batch/lease_expiry.py
+++ b/foxtaillock/batch/lease_expiry.py
@@ -23,8 +23,7 @@
         expired = [
             task
             for task in by_task.values()
-            if now_s
-            >= (ends.confirmed_s if task.is_confirmed else ends.latest_s)
+            if now_s >= ends.end_s(task.is_confirmed)
         ]
         are_last = len(expired) == len(by_task)
         state.crashes.record_absence(expired, are_last=are_last)
--- a/foxtaillock/batch/prior_leases.py
+++ b/foxtaillock/batch/prior_leases.py
@@ -49,6 +49,10 @@
     confirmed_s: float
     unconfirmed_s: float
 
+    def end_s(self, is_confirmed: bool) -> float:
+        """Returns the end for a run, by whether it is confirmed."""
+        return self.confirmed_s if is_confirmed else self.latest_s
+
     @property
     def latest_s(self) -> float:
         """Time by which the leases of all runs have expired."""
--- a/foxtaillock/batch/records.py
+++ b/foxtaillock/batch/records.py
@@ -48,7 +48,7 @@
         worker_id: the worker.
         remaining_ms: time, from the writing of the record, until the leases of
             confirmed runs that were granted on it before have expired.
-        unconfirmed_ms: the same for all runs.
+        unconfirmed_ms: the same for other runs, and no less.
     """
 
     worker_id: str
@@ -214,6 +214,8 @@
             worker, or its availability zone was evacuated, so that a silence of
             the worker is no crash.
         was_done: whether an earlier run, given up by an owner, was completed.
+        is_confirmed: whether the worker has told of the latest run; see
+            `tasks.Task`.
     """
 
     number: int
@@ -232,6 +234,7 @@
     active_clock_ms: int = 0
     is_displaced: bool = False
     was_done: bool = False
+    is_confirmed: bool = False
 
 
 class StepProgress(typing.NamedTuple):
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -78,6 +78,8 @@
         worker_started_ms: start time of the incarnation of that worker to which
             the run was ordered, or which listed it last.
         is_listed: whether that incarnation has listed the run itself.
+        is_confirmed: whether an incarnation of its worker has told of the run
+            which holds no longer lease than owners count.
         is_displaced: whether an earlier owner may have ordered away the VM of
             that worker since the latest run was recorded, or its availability
             zone was evacuated.
@@ -121,6 +123,7 @@
     worker_id: str = ""
     worker_started_ms: int = 0
     is_listed: bool = False
+    is_confirmed: bool = False
     is_displaced: bool = False
     checkpoint: str = ""
     changed_s: float = 0.0
@@ -142,14 +145,6 @@
         """Whether a run of the task may exist."""
         return self.phase in ACTIVE_PHASES
 
-    @property
-    def is_confirmed(self) -> bool:
-        """Whether an answer of its worker has told that the run had begun.
-
-        It came from the incarnation that `worker_started_ms` names.
-        """
-        return self.active_clock_ms > 0
-
     @property
     def is_suspected(self) -> bool:
         """Whether workers may have crashed because of it."""
@@ -200,6 +195,7 @@
             self.active_clock_ms,
             self.is_displaced,
             self.was_done,
+            self.is_confirmed,
         )
 
 
@@ -319,6 +315,7 @@
                 task.not_before_clock_ms = row.not_before_clock_ms
                 task.active_clock_ms = row.active_clock_ms
                 task.is_displaced = row.is_displaced
+                task.is_confirmed = row.is_confirmed
                 task.phase = TaskPhase.ADOPTED
                 self.waiting.discard(row.number)
         count = sum if self.spec.is_gang else max
--- a/foxtaillock/batch/tests/test_unconfirmed_runs.py
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -12,12 +12,14 @@
 from foxtaillock.batch import model
 from foxtaillock.batch import ownership
 from foxtaillock.batch import plans
+from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
 from foxtaillock.batch import tasks
 from foxtaillock.batch.tests import builders
 
 _JOB = "00000000000000aa"
 _STEP = model.StepId(_JOB, 0, 0)
+_NO_PRIOR_LEASES = prior_leases.PriorLeases(prior_leases.NO_LEASES)
 _UNKNOWN = interfaces.OrderAnswer(interfaces.OrderOutcome.UNKNOWN)
 _CLOCK_MS = 600_000
 
@@ -52,7 +54,7 @@
 
     def setUp(self) -> None:
         self.engine = builders.create_engine(
-            builders.entry("1", clock_ms=_CLOCK_MS)
+            builders.entry("1", clock_ms=_CLOCK_MS), prior=_NO_PRIOR_LEASES
         )
         spec = builders.job(_JOB, builders.step(2))
         self.engine.submit(spec, (), 10.0, 10_000)
@@ -191,7 +193,7 @@
         )
         rows = (
             records.TaskProgress(
-                0, 1, 0, "1", confirmed_started_ms, active_clock_ms=_CLOCK_MS
+                0, 1, 0, "1", confirmed_started_ms, is_confirmed=True
             ),
             records.TaskProgress(1, 1, 0, "1", 1),
         )
@@ -228,6 +230,29 @@
         self.assertGreater(self._lost_s(1), renewed_s + _LONGEST_S)
         self.assertLess(self._lost_s(0), 10.0 + 3.5 + _GRANTED_S + 1.0)
 
+    def test_start_before_the_first_list_confirms_nothing(self) -> None:
+        """A call of the last owner may have given the longest lease there."""
+        self.monitor.observe(self.last._replace(is_released=True), 10.0)
+        entry = builders.entry("1", started_ms=2, clock_ms=50)
+        self.monitor.observe(records.OwnerRecord(2, "vm-1", "a"), 10.2)
+        engine = builders.create_engine(
+            entry, prior=self.monitor.prior_leases()
+        )
+        engine.submit(builders.job(_JOB, builders.step()), (), 10.6, 10_600)
+        engine.plan(10.6)
+        (plan,) = engine.batch_recorded(engine.take_batch(), 10.6)
+        self.assertIsNotNone(engine.start_order(plan, 10.6))
+        accepted = interfaces.OrderAnswer(
+            interfaces.OrderOutcome.ACCEPTED, 1_000
+        )
+        engine.answers.start_answered(plan, accepted, 10.7)
+        poll = engine.answers.poll_plan(engine.workers["1"], 10.7)
+        assert poll is not None
+        self.assertEqual(poll.wait_s, 0.0)
+        engine.answers.poll_answered("1", poll, _UNKNOWN, 10.7, 11.5)
+        lost_s = _lost_s(engine, plan.task, 11.5)
+        self.assertGreater(lost_s, 10.0 + _POLL_TIMEOUT_S + _LONGEST_S)
+
     def test_end_that_the_last_owner_told_counts_for_each_kind(self) -> None:
         told = records.RenouncedLease("1", 2_000, 5_000)
         released = self.last._replace(is_released=True, renounced=(told,))
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -78,7 +78,10 @@
         if outcome is interfaces.OrderOutcome.ACCEPTED:
             self._state.set_phase(task, tasks.TaskPhase.RUNNING, now_s)
             task.began_s = now_s
-            if answer.clock_ms is not None and not worker.has_odd_clock:
+            task.is_confirmed = not (
+                worker.has_odd_clock or worker.may_hold_prior_leases(now_s)
+            )
+            if answer.clock_ms is not None:
                 self._state.crashes.record_active(
                     task, worker, answer.clock_ms, now_s
                 )
@@ -184,6 +187,7 @@
             for task in worker.tasks.values()
         )
         is_unresolved |= worker.may_have_restarted
+        is_unresolved |= worker.may_hold_prior_leases(now_s)
         is_unresolved |= worker.has_unexpected_runs
         is_unresolved |= worker.may_have_more_ends
         # A worker drops ends during the whole wait, also those of runs that
@@ -373,6 +377,7 @@
         listed: interfaces.ActiveRun,
         now_s: float,
     ) -> None:
+        task.is_confirmed = True
         self._state.crashes.record_active(task, worker, worker.clock_ms, now_s)
         if task.worker_started_ms != worker.entry.started_ms:
             task.worker_started_ms = worker.entry.started_ms
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -380,6 +380,14 @@
             self.calls_end_s = max(self.calls_end_s, call_end_s)
         return granted_until_ms
 
+    def may_hold_prior_leases(self, now_s: float) -> bool:
+        """Returns whether earlier owners may have granted a lease on it.
+
+        If they had not met this incarnation, it may hold the longest one. Once
+        it has listed its runs, it refuses their calls.
+        """
+        return not self.has_answered and now_s < self.prior_ends.latest_s
+
     def leases_expire_s(self) -> float:
         """Returns a time by which the leases of confirmed runs have expired.
 
@@ -406,8 +414,8 @@
         if not is_confirmed_here:
             carried_out_s = self.calls_end_s + lease_times.CALL_END_ALLOWANCE_S
             ends_s = max(ends_s, carried_out_s + lease_times.MAX_LEASE_S)
-        if not task.is_confirmed and not self.has_answered:
-            ends_s = max(ends_s, self.prior_ends.latest_s)
+        if not self.has_answered:
+            ends_s = max(ends_s, self.prior_ends.end_s(task.is_confirmed))
         return ends_s
 
     @property
