Batch: no lease is granted on a clock that a recorded run contradicts

What callers would see: TWICE with owners in a row. A run was confirmed on a later incarnation; the next owner still had the entry of the one before, renewed on its clock, and the worker gave the longest lease. That owner counted it, but the one after it counted the run as confirmed: 4 s.

Not seen in a schedule.

Change: while a confirmed run tells of another incarnation than the entry, nothing is granted and nothing started there; the first answer tells which one is there. The end that an owner tells for confirmed runs is the latest of theirs. A worker that was granted its lease with a run that no answer has confirmed tells both ends alike, which a test now states.

--- a/foxtaillock/batch/renounced_leases.py
+++ b/foxtaillock/batch/renounced_leases.py
@@ -13,6 +13,7 @@
 from foxtaillock.batch import owner_state
 from foxtaillock.batch import prior_leases
 from foxtaillock.batch import records
+from foxtaillock.batch import workers
 
 __all__ = ["RenouncedLeases"]
 
@@ -101,10 +102,7 @@
     ) -> dict[str, prior_leases.LeaseEnds]:
         """Returns when the leases on each worker that is silent end."""
         return {
-            worker.worker_id: prior_leases.LeaseEnds(
-                worker.leases_expire_s(),
-                max(map(worker.run_lease_expires_s, worker.tasks.values())),
-            )
+            worker.worker_id: _lease_ends(worker)
             for worker in self._state.workers.values()
             if worker.tasks and worker.unanswered_calls >= min_calls
         }
@@ -116,3 +114,15 @@
             for worker_id, tasks in self._state.orphans.items()
             if tasks
         }
+
+
+def _lease_ends(worker: workers.Worker) -> prior_leases.LeaseEnds:
+    """Returns when the leases of the runs on a worker end."""
+    confirmed_s = unconfirmed_s = worker.leases_expire_s()
+    for task in worker.tasks.values():
+        end_s = worker.run_lease_expires_s(task)
+        if task.is_confirmed:
+            confirmed_s = max(confirmed_s, end_s)
+        else:
+            unconfirmed_s = max(unconfirmed_s, end_s)
+    return prior_leases.LeaseEnds(confirmed_s, unconfirmed_s)
--- a/foxtaillock/batch/tests/test_renounced_leases.py
+++ b/foxtaillock/batch/tests/test_renounced_leases.py
@@ -60,6 +60,7 @@
         end_s = 11.0 + lease.remaining_ms / 1000
         self.assertGreater(end_s, 10.5 + lease_times.RUN_LEASE_S)
         self.assertLess(end_s, 10.5 + lease_times.RUN_LEASE_S + 0.5)
+        self.assertEqual(lease.unconfirmed_ms, lease.remaining_ms)
 
     def test_one_unanswered_call_counts_only_for_a_release(self) -> None:
         _poll(self.engine, _UNKNOWN, 10.5)
--- a/foxtaillock/batch/tests/test_unconfirmed_runs.py
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -260,17 +260,39 @@
         self.assertAlmostEqual(self._lost_s(0), 12.0, delta=0.1)
         self.assertAlmostEqual(self._lost_s(1), 15.0, delta=0.1)
 
-    def test_run_of_a_later_incarnation_than_the_entry_holds_the_longest(
+    def test_no_lease_is_granted_on_the_clock_of_an_outdated_entry(
         self,
     ) -> None:
-        """The renewals of this owner rest on the earlier clock."""
+        """A confirmed run is on a later incarnation than the entry tells."""
         self.monitor.observe(self.last._replace(is_released=True), 10.0)
         entry = builders.entry("1", clock_ms=_CLOCK_MS)
         engine, (confirmed, _) = self._take_over(2, entry)
-        plan = engine.answers.poll_plan(engine.workers["1"], 14.0)
+        worker = engine.workers["1"]
+        plan = engine.answers.poll_plan(worker, 10.6)
+        assert plan is not None
+        self.assertIsNone(plan.valid_until_ms)
+        self.assertFalse(worker.is_usable(10.6))
+        lists = builders.lists([(confirmed.task_id, 1)], started_ms=2)
+        engine.answers.poll_answered("1", plan, lists, 10.6, 10.6)
+        again = engine.workers["1"]
+        plan = engine.answers.poll_plan(again, 10.7)
+        assert plan is not None
+        self.assertIsNotNone(plan.valid_until_ms)
+        self.assertTrue(again.is_usable(10.7))
+
+    def test_told_end_covers_a_lease_on_the_clock_of_an_outdated_entry(
+        self,
+    ) -> None:
+        """The run was read after its worker had been polled."""
+        self.monitor.observe(self.last._replace(is_released=True), 10.0)
+        entry = builders.entry("1", clock_ms=_CLOCK_MS)
+        engine, (confirmed, _) = self._take_over(1, entry)
+        plan = engine.answers.poll_plan(engine.workers["1"], 10.6)
         assert plan is not None and plan.valid_until_ms is not None
-        engine.answers.poll_answered("1", plan, _UNKNOWN, 14.0, 14.8)
-        self.assertGreater(_lost_s(engine, confirmed, 14.8), 14.8 + _LONGEST_S)
+        confirmed.worker_started_ms = 2
+        engine.answers.poll_answered("1", plan, _UNKNOWN, 10.6, 11.4)
+        (told,) = engine.renounced.propose(11.4, is_releasing=True)
+        self.assertGreater(11.4 + told.remaining_ms / 1000, 11.4 + _LONGEST_S)
 
 
 if __name__ == "__main__":
--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -204,6 +204,18 @@
             or self.unanswered_calls > 0
         )
 
+    @property
+    def may_be_outdated(self) -> bool:
+        """Whether a run tells of another incarnation than the entry does.
+
+        Which one is there is not known until it answers.
+        """
+        return not self.has_answered and any(
+            task.is_confirmed
+            and task.worker_started_ms not in (0, self.entry.started_ms)
+            for task in self.tasks.values()
+        )
+
     @property
     def end_to_acknowledge(self) -> int:
         """Highest recorded end that the worker still keeps; 0 for none.
@@ -242,6 +254,7 @@
             and not self.has_unexpected_runs
             and not self.may_have_more_ends
             and not self.is_renounced
+            and not self.may_be_outdated
             and self.unanswered_calls < _SUSPECT_UNANSWERED_CALLS
             and now_s >= self.backoff_until_s
         )
@@ -363,15 +376,15 @@
     def grant_lease(self, now_s: float, wait_s: float = 0.0) -> int | None:
         """Returns the end of a lease that begins now, which then counts.
 
-        Returns None, and grants nothing, if the clock is not known yet or
-        leases are renounced.
+        Returns None, and grants nothing, if the clock is not known yet or may
+        be another incarnation's, or leases are renounced.
 
         Args:
             now_s: current time.
             wait_s: time for which the call that grants it asks the worker to
                 wait before it answers.
         """
-        if self.is_renounced:
+        if self.is_renounced or self.may_be_outdated:
             return None
         granted_until_ms = self.lease_end_ms(now_s)
         if granted_until_ms is not None:
