Batch: a later incarnation's reading replaces that of the earlier one

What callers would see: nothing at once; the record of a run that a later incarnation had listed told no reading of its clock, so later owners took its time at work from their own first sight.

Cause: readings of another incarnation were dropped, and the new one was not taken where the run was known to be active.

Evidence: found in review; the new test failed before.

--- a/foxtaillock/batch/run_times.py
+++ b/foxtaillock/batch/run_times.py
@@ -54,11 +54,11 @@
         # The readings are of another incarnation's clock.
         task.not_before_clock_ms = task.active_clock_ms = 0
     task.seen_s = now_s
-    if task.active_s is not None:
-        return False
     is_unknown = not task.active_clock_ms
     if is_unknown:
         task.active_clock_ms = clock_ms
+    if task.active_s is not None:
+        return is_unknown
     active_ms = max(0, clock_ms - task.active_clock_ms)
     task.active_s = now_s - active_ms / 1000
     if task.not_before_s is None:
--- a/foxtaillock/batch/tests/test_run_times.py
+++ b/foxtaillock/batch/tests/test_run_times.py
@@ -75,6 +75,16 @@
         self.assertAlmostEqual(lowest_s, 10.0)
         self.assertAlmostEqual(highest_s, 10.0 + 20.0 / 0.98)
 
+    def test_reading_of_a_later_incarnation_replaces_the_earlier_one(
+        self,
+    ) -> None:
+        """Guards against a run that never tells by when it had begun."""
+        task = _adopted(5_000, 6_000)
+        _bounds_s(task)
+        worker = builders.create_worker("1", started_ms=_STARTED_MS + 1)
+        self.assertTrue(run_times.note_active(task, worker, 700, 40.0))
+        self.assertEqual(task.active_clock_ms, 700)
+
     def test_next_owner_knows_the_same(self) -> None:
         task = _adopted(5_000, 0)
         _bounds_s(task)
