Batch: a worker that never registers counts as crashed once

What callers would see: jobs given up a little too soon or too late, by the rate of crashes. Runs that an absent worker may still have are given up at two times now; the crash counted with the last ones only if one of those was not displaced.

Evidence: found in review; the new test failed before where the last run was displaced.

--- a/foxtaillock/batch/crash_tracker.py
+++ b/foxtaillock/batch/crash_tracker.py
@@ -259,7 +259,7 @@
                 self._record(task)
 
     def record_absence(
-        self, absent: Iterable[tasks.Task], *, are_last: bool
+        self, absent: Iterable[tasks.Task], others: Iterable[tasks.Task] = ()
     ) -> None:
         """Records that the worker of some runs never met this owner.
 
@@ -268,13 +268,13 @@
 
         Args:
             absent: the tasks whose runs were on it.
-            are_last: whether no more runs on it follow, so that its crash
-                counts now.
+            others: those whose runs may still be there. The crash counts with
+                the last of them.
         """
         absent = [task for task in absent if not task.is_displaced]
         if not absent:
             return
-        if are_last:
+        if all(task.is_displaced for task in others):
             self.rate = self.rate._replace(crashes=self.rate.crashes + 1)
             self.is_rate_recorded = False
         for task in absent:
--- a/foxtaillock/batch/lease_expiry.py
+++ b/foxtaillock/batch/lease_expiry.py
@@ -20,13 +20,12 @@
     """Requeues runs on workers that never registered with this owner."""
     for worker_id, by_task in list(state.orphans.items()):
         ends = state.prior_leases.ends_on(worker_id)
-        expired = [
-            task
-            for task in by_task.values()
-            if now_s >= ends.end_s(task.is_confirmed)
-        ]
-        are_last = len(expired) == len(by_task)
-        state.crashes.record_absence(expired, are_last=are_last)
+        expired: list[tasks.Task] = []
+        others: list[tasks.Task] = []
+        for task in by_task.values():
+            is_over = now_s >= ends.end_s(task.is_confirmed)
+            (expired if is_over else others).append(task)
+        state.crashes.record_absence(expired, others)
         for task in expired:
             state.lose_run(task, now_s, "its worker never registered")
         if not by_task:
--- a/foxtaillock/batch/tests/test_unconfirmed_runs.py
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -260,6 +260,23 @@
         self.assertAlmostEqual(self._lost_s(0), 12.0, delta=0.1)
         self.assertAlmostEqual(self._lost_s(1), 15.0, delta=0.1)
 
+    def test_worker_that_never_registers_has_crashed_once(self) -> None:
+        """Its runs are given up one after the other."""
+        for is_displaced in (False, True):
+            engine, adopted = self._take_over(1)
+            adopted[1].is_displaced = is_displaced
+            for now_s in (18.0, 30.0):
+                engine.tick(now_s)
+            crashes = [
+                record.crashes
+                for each in engine.take_batch().records
+                if isinstance(
+                    record := records.decode(*each), records.FleetCrashes
+                )
+            ]
+            with self.subTest(is_displaced=is_displaced):
+                self.assertEqual(crashes, [1])
+
     def test_no_lease_is_granted_on_the_clock_of_an_outdated_entry(
         self,
     ) -> None:
