Batch: records tell that a run which lasts is confirmed

What callers would see: batch tasks that wait 3.84 s longer after each change of owner if the new one does not reach their worker, also where nothing had started again.

Evidence: found in review: an accepted and listed run of 12 s had no record after that of its start. The new tests state what is recorded, and when nothing is.

Change: the next records tell that a run is confirmed once it has been active for 2 s, that of a persistent task at once. None are written for that alone: a heartbeat comes each 0.3 s. A finished job is left out, as its records may be erased.

--- a/foxtaillock/batch/engine.py
+++ b/foxtaillock/batch/engine.py
@@ -415,7 +415,7 @@
         """Returns and clears the records to append next."""
         entries = [
             records.encode(step.progress(self._state.epoch))
-            for step in self._state.dirty.values()
+            for step in self._state.take_dirty()
         ]
         entries += [records.encode(end) for end in self._state.job_ends]
         entries += self._state.tombstones
@@ -432,8 +432,8 @@
             self._state.recorded_ends,
             completed,
         )
-        self._state.dirty, self._state.job_ends = {}, []
-        self._state.recorded_ends, self._state.tombstones = {}, []
+        self._state.job_ends, self._state.recorded_ends = [], {}
+        self._state.tombstones = []
         return batch
 
     def batch_recorded(
--- a/foxtaillock/batch/owner_state.py
+++ b/foxtaillock/batch/owner_state.py
@@ -32,6 +32,9 @@
 
 __all__ = ["OwnerState"]
 
+# A run that has been active for this time is told as confirmed by its record.
+_CONFIRMATION_DELAY_S = 2.0
+
 
 class OwnerState:
     """Jobs and workers of one ownership.
@@ -62,6 +65,8 @@
         orphans: tasks on workers that have not registered with this owner.
         finished_jobs: finished jobs, each with the time of its end.
         dirty: steps whose progress has to be recorded.
+        deferred: steps whose progress goes into the next records, which need
+            not be written for that.
         job_ends: final states of jobs that have to be recorded.
         recorded_ends: for each incarnation of a worker, the highest number of a
             run's end that the next records cover.
@@ -117,6 +122,7 @@
         self.orphans: dict[str, dict[model.TaskId, tasks.Task]] = {}
         self.finished_jobs: dict[str, tuple[float, job_states.Job]] = {}
         self.dirty: dict[model.StepId, tasks.Step] = {}
+        self.deferred: dict[model.StepId, tasks.Step] = {}
         self.job_ends: list[records.JobEnd] = []
         self.recorded_ends: dict[workers.Worker, int] = {}
         self.tombstones: list[records.KeyedRecord] = []
@@ -572,6 +578,29 @@
         queue = self.queues.get(self.jobs[job_id].spec.queue)
         return "" if queue is None else queue.pool
 
+    def note_confirmed(self, task: tasks.Task, now_s: float) -> None:
+        """Lets the next records tell that a run is confirmed.
+
+        A later owner that does not reach the worker then waits for less. Runs
+        that end soon are not recorded for that.
+        """
+        if task.is_confirmation_recorded or task.active_s is None:
+            return
+        step = self.step_of(task)
+        lasts = now_s - task.active_s >= _CONFIRMATION_DELAY_S
+        if lasts or step.spec.is_persistent:
+            self.deferred[step.step_id] = step
+
+    def take_dirty(self) -> list[tasks.Step]:
+        """Returns and clears the steps whose progress is recorded next."""
+        for step_id, step in self.deferred.items():
+            job = self.jobs.get(step_id.job_id)
+            if job is not None and not job.is_finished and not step.is_done:
+                self.dirty[step_id] = step
+        taken = list(self.dirty.values())
+        self.dirty, self.deferred = {}, {}
+        return taken
+
     def mark_dirty(self, task: tasks.Task) -> None:
         """Marks the progress of a task's step to be recorded."""
         self.dirty[task.task_id.step_id] = self.step_of(task)
--- a/foxtaillock/batch/run_times.py
+++ b/foxtaillock/batch/run_times.py
@@ -23,7 +23,7 @@
 
 def note_placed(task: tasks.Task, worker: workers.Worker, now_s: float) -> None:
     """Notes that a run is placed on a worker, so it has not begun before."""
-    task.is_confirmed = False
+    task.is_confirmed = task.is_confirmation_recorded = False
     task.began_s = None
     task.active_s = None
     task.active_clock_ms = 0
--- a/foxtaillock/batch/tasks.py
+++ b/foxtaillock/batch/tasks.py
@@ -80,6 +80,7 @@
         is_listed: whether that incarnation has listed the run itself.
         is_confirmed: whether an incarnation of its worker has told of the run
             which holds no longer lease than owners count.
+        is_confirmation_recorded: whether a record tells that.
         is_displaced: whether an earlier owner may have ordered away the VM of
             that worker since the latest run was recorded, or its availability
             zone was evacuated.
@@ -124,6 +125,7 @@
     worker_started_ms: int = 0
     is_listed: bool = False
     is_confirmed: bool = False
+    is_confirmation_recorded: bool = False
     is_displaced: bool = False
     checkpoint: str = ""
     changed_s: float = 0.0
@@ -178,6 +180,7 @@
     def progress(self) -> records.TaskProgress:
         """Returns the record of the task's progress."""
         self.recorded_work_s = self.work_s
+        self.is_confirmation_recorded = self.is_confirmed
         return records.TaskProgress(
             self.task_id.number,
             self.run,
@@ -316,6 +319,7 @@
                 task.active_clock_ms = row.active_clock_ms
                 task.is_displaced = row.is_displaced
                 task.is_confirmed = row.is_confirmed
+                task.is_confirmation_recorded = row.is_confirmed
                 task.phase = TaskPhase.ADOPTED
                 self.waiting.discard(row.number)
         count = sum if self.spec.is_gang else max
--- a/foxtaillock/batch/tests/test_unconfirmed_runs.py
+++ b/foxtaillock/batch/tests/test_unconfirmed_runs.py
@@ -121,6 +121,87 @@
             self.assertLess(lost_s, 10.5 + _POLL_TIMEOUT_S + _LONGEST_S + 0.5)
 
 
+class RecordedConfirmationTest(unittest.TestCase):
+    """Guards against long waits of later owners for runs that are known."""
+
+    def setUp(self) -> None:
+        self.engine = builders.create_engine(
+            builders.entry("1", clock_ms=_CLOCK_MS)
+        )
+
+    def _recorded(
+        self, spec: model.JobSpec, *listed_s: float
+    ) -> list[records.TaskProgress]:
+        """Returns the records of the job's task after its run was listed."""
+        self.engine.submit(spec, (), 10.0, 10_000)
+        builders.start_all(self.engine, 10.0)
+        task = model.TaskId(spec.job_id, 0, 0, 0)
+        for now_s in listed_s:
+            plan = self.engine.answers.poll_plan(
+                self.engine.workers["1"], now_s
+            )
+            assert plan is not None
+            self.engine.answers.poll_answered(
+                "1", plan, builders.lists([(task, 1)]), now_s, now_s
+            )
+        steps = [
+            records.decode(*each) for each in self.engine.take_batch().records
+        ]
+        return [
+            row
+            for each in steps
+            if isinstance(each, records.StepProgress)
+            for row in each.tasks
+        ]
+
+    def test_run_that_lasts_is_told_with_the_next_records(self) -> None:
+        (row,) = self._recorded(
+            builders.job(_JOB, builders.step()), 10.1, 11.1, 12.2
+        )
+        self.assertTrue(row.is_confirmed)
+        self.assertFalse(self.engine.has_batch())
+        self.assertEqual(self.engine.take_batch().records, [])
+
+    def test_run_that_may_end_soon_is_not_recorded_for_it(self) -> None:
+        spec = builders.job(_JOB, builders.step())
+        self.assertEqual(self._recorded(spec, 10.1, 11.1), [])
+
+    def test_persistent_run_is_told_at_once(self) -> None:
+        spec = builders.job(_JOB, builders.step(is_persistent=True))
+        (row,) = self._recorded(spec, 10.1)
+        self.assertTrue(row.is_confirmed)
+
+    def test_record_of_a_finished_job_is_not_written_again(self) -> None:
+        """Its records may have been erased."""
+        self.engine.submit(
+            builders.job(_JOB, builders.step()), (), 10.0, 10_000
+        )
+        builders.start_all(self.engine, 10.0)
+        task = model.TaskId(_JOB, 0, 0, 0)
+        for now_s, lists in (
+            (12.5, builders.lists([(task, 1)])),
+            (
+                12.6,
+                builders.lists(
+                    ended=[
+                        interfaces.EndedRun(1, task, 1, model.EndKind.DONE, "")
+                    ]
+                ),
+            ),
+        ):
+            plan = self.engine.answers.poll_plan(
+                self.engine.workers["1"], now_s
+            )
+            assert plan is not None
+            self.engine.answers.poll_answered("1", plan, lists, now_s, now_s)
+        written = [
+            records.decode(*each) for each in self.engine.take_batch().records
+        ]
+        self.assertFalse(
+            any(isinstance(each, records.StepProgress) for each in written)
+        )
+
+
 class ClockCheckTest(unittest.TestCase):
     """Answers that carry a reading of a later incarnation's clock."""
 
--- a/foxtaillock/batch/worker_answers.py
+++ b/foxtaillock/batch/worker_answers.py
@@ -383,6 +383,7 @@
             task.worker_started_ms = worker.entry.started_ms
             self._state.mark_dirty(task)
         task.is_listed = True
+        self._state.note_confirmed(task, now_s)
         task.speed_percent = listed.speed_percent
         task.reading = listed.reading
         if listed.checkpoint:
