Schedules of unmet incarnations: entries that tell clocks, and accepted starts

The entries of the schedules tell the clock of the worker's start only, so that a successor can't see that the clock in an answer is one of a later incarnation; real workers write theirs with each entry. And two ways to the fault need no unmet answer: a start that the later incarnation has accepted.

--- a/foxtaillock/batch/tests/unmet_simulation.py
+++ b/foxtaillock/batch/tests/unmet_simulation.py
@@ -53,6 +53,8 @@
         has_persistent_jobs: whether some jobs run until they are cancelled.
         crash_again_probability: probability that a worker which is back crashes
             once more, within two seconds of its first crash.
+        has_entry_clocks: whether workers write their entries regularly, each
+            time with their clock; otherwise an entry tells the start of it.
     """
 
     owner_change: OwnerChange
@@ -60,6 +62,7 @@
     submit_interval_s: float = 0.5
     has_persistent_jobs: bool = False
     crash_again_probability: float = 0.25
+    has_entry_clocks: bool = False
 
 
 @dataclasses.dataclass(eq=False)
@@ -98,6 +101,10 @@
         super().__init__(seed)
         while len(self.workers) < plan.worker_count:
             self.add_worker(f"10.0.0.{len(self.workers)}:80")
+        if plan.has_entry_clocks:
+            for worker in self.workers.values():
+                delay_s = self._late_random.uniform(0.0, _BEAT_S)
+                self._beat_later(worker.entry, delay_s)
 
     def make_worker(
         self, entry: model.WorkerEntry, drift: float
@@ -112,7 +119,8 @@
     def show_registry(self, owner: simulated_owner.SimulatedOwner) -> None:
         """Shows a new owner the entries that were written last."""
         for worker_id, entry in self._listed.items():
-            is_earlier = entry is not self.workers[worker_id].entry
+            started_ms = self.workers[worker_id].entry.started_ms
+            is_earlier = entry.started_ms != started_ms
             self.seen["owner reads an earlier entry"] += is_earlier
             owner.engine.register(entry, self.now_s)
 
@@ -237,22 +245,29 @@
         return _cut
 
     def _beat_later(self, entry: model.WorkerEntry, delay_s: float) -> None:
-        """Writes the entry of a worker, once and as soon as it is not cut."""
+        """Writes the entry of a worker as soon as it is not cut off."""
 
         def _beat() -> None:
             worker = self.workers[entry.worker_id]
-            if worker.entry is not entry or worker.is_dead:
+            if worker.entry.started_ms != entry.started_ms or worker.is_dead:
                 return
-            if self._is_cut(entry.worker_id):
+            is_cut = self._is_cut(entry.worker_id)
+            if not is_cut:
+                self._write_entry(worker)
+            if is_cut or self._plan.has_entry_clocks:
                 self._beat_later(entry, _BEAT_S)
-                return
-            self._listed[entry.worker_id] = entry
-            for owner in self.owners:
-                if not owner.has_ended:
-                    owner.engine.register(entry, self.now_s)
 
         self.schedule(delay_s, _beat)
 
+    def _write_entry(self, worker: fake_worker.FakeWorker) -> None:
+        entry = worker.entry
+        if self._plan.has_entry_clocks:
+            entry = entry._replace(clock_ms=worker.clock_ms(self.now_s))
+        self._listed[entry.worker_id] = entry
+        for owner in self.owners:
+            if not owner.has_ended:
+                owner.engine.register(entry, self.now_s)
+
     def _change_owner(self) -> None:
         """Lets happen to the owner what the plan says."""
         change = self._plan.owner_change
