Batch: a run that is only being recorded has no lease to expire

What a reader saw: 'lease-over' of the same worker each 0.02 s, for tasks that had just been placed on a worker whose lease was over, until their record was stored.

Change: only runs that were ordered are given up, and logged, when leases expire.

--- a/foxtaillock/batch/lease_expiry.py
+++ b/foxtaillock/batch/lease_expiry.py
@@ -4,7 +4,7 @@
 different lengths; see `prior_leases.LeaseEnds`.
 """
 
-from collections.abc import Collection
+from collections.abc import Sequence
 
 from foxtaillock.batch import lease_log
 from foxtaillock.batch import owner_state
@@ -38,15 +38,18 @@
     """Requeues the runs on a worker that have no lease any more."""
     if not worker.tasks or now_s < worker.leases_expire_s():
         return
-    expired = [
+    ordered = [
         task
         for task in worker.tasks.values()
-        if now_s >= worker.run_lease_expires_s(task)
+        if task.phase is not tasks.TaskPhase.RECORDING
+    ]
+    expired = [
+        task for task in ordered if now_s >= worker.run_lease_expires_s(task)
     ]
     if not expired:
         return
     lease_log.log_lease_over(state, worker, len(expired), now_s)
-    if len(expired) < len(worker.tasks):
+    if len(expired) < len(ordered):
         # An incarnation that nobody has met may run the others.
         _lose_runs(state, worker, expired, now_s)
         return
@@ -62,12 +65,9 @@
 def _lose_runs(
     state: owner_state.OwnerState,
     worker: workers.Worker,
-    expired: Collection[tasks.Task],
+    expired: Sequence[tasks.Task],
     now_s: float,
 ) -> None:
     """Requeues runs on a worker that may be there still."""
     state.crashes.record_silence(worker, expired, now_s)
-    ordered = [
-        task for task in expired if task.phase is not tasks.TaskPhase.RECORDING
-    ]
-    state.lose_runs(worker, ordered, now_s, _REASON)
+    state.lose_runs(worker, expired, now_s, _REASON)
