--- a/foxtaillock/batch/workers.py
+++ b/foxtaillock/batch/workers.py
@@ -91,8 +91,8 @@
             owner.
         prior_ends: times by which all leases granted by earlier owners have
             expired.
-        calls_end_s: time by which the calls of this owner that grant leases
-            have been carried out, unless they are late.
+        calls_end_s: time at which the last call of this owner that grants a
+            lease is given up.
         assumed_end_s: time by which leases have expired that calls meant for
             an earlier incarnation may have given.
         unanswered_calls: number of consecutive calls without an answer.
